--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Entry points for people and CI. VENV may name an environment made elsewhere.
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+export PYTHONPATH := $(CURDIR)
+
+.PHONY: install demo test format lint types unit model model-mutants
+
+$(VENV)/.installed: requirements.lock
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --requirement requirements.lock
+	$(PYTHON) -m pip install --quiet --no-deps --no-build-isolation --editable . \
+		|| $(PYTHON) -m pip install --quiet --no-deps --editable .
+	touch $@
+
+install: $(VENV)/.installed
+
+demo: install
+	$(PYTHON) -m standins.demo
+
+test: lint types unit
+
+format: install
+	$(VENV)/bin/ruff check --fix .
+	$(VENV)/bin/ruff format .
+
+lint: install
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+types: install
+	$(VENV)/bin/mypy
+
+unit: install
+	$(PYTHON) -m tests.run
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, experiments and benchmarks; not part of the product."""
--- /dev/null
+++ b/quincecrank/__init__.py
@@ -0,0 +1,1 @@
+"""Serving system for prompts whose long shared context returns after a pause."""
--- /dev/null
+++ b/quincecrank/clock.py
@@ -0,0 +1,73 @@
+"""Time in milliseconds.
+
+Every module takes a `Clock` instead of calling the time functions of the
+standard library, so that tests can move time by hand.  Durations and instants
+are whole milliseconds; `Clock.now_ms` is monotonic and has no meaning outside
+the process, `Clock.wall_ms` is time since the epoch and may be compared between
+processes only as far as their clocks agree.
+"""
+
+import asyncio
+import time
+from typing import Final, Protocol
+
+MS_PER_SECOND: Final = 1000
+
+
+class Clock(Protocol):
+    """Source of time and the only way to wait for it."""
+
+    def now_ms(self) -> int:
+        """Return a monotonic instant in milliseconds."""
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since the epoch."""
+
+    async def sleep(self, duration_ms: float) -> None:
+        """Suspend the calling task for `duration_ms` milliseconds."""
+
+
+class SystemClock:
+    """The clock of the operating system."""
+
+    def now_ms(self) -> int:
+        """Return a monotonic instant in milliseconds."""
+        return time.monotonic_ns() // 1_000_000
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since the epoch."""
+        return time.time_ns() // 1_000_000
+
+    async def sleep(self, duration_ms: float) -> None:
+        """Suspend the calling task for `duration_ms` milliseconds."""
+        await asyncio.sleep(duration_ms / MS_PER_SECOND)
+
+
+class ManualClock:
+    """A clock for tests that moves only when told to.
+
+    Parameters
+    ----------
+    start_ms : int
+        First value of both `now_ms` and `wall_ms`.
+    """
+
+    def __init__(self, start_ms: int = 0) -> None:
+        self._now_ms = start_ms
+
+    def advance(self, duration_ms: int) -> None:
+        """Move time forward by `duration_ms` milliseconds."""
+        self._now_ms += duration_ms
+
+    def now_ms(self) -> int:
+        """Return the current instant in milliseconds."""
+        return self._now_ms
+
+    def wall_ms(self) -> int:
+        """Return the current instant in milliseconds."""
+        return self._now_ms
+
+    async def sleep(self, duration_ms: float) -> None:
+        """Advance the clock at once and yield to other tasks."""
+        self._now_ms += int(duration_ms)
+        await asyncio.sleep(0)
--- /dev/null
+++ b/quincecrank/configuration.py
@@ -0,0 +1,271 @@
+"""The configuration of a fleet: one immutable aggregate for each version.
+
+Terms
+-----
+entity
+    An account, a deployment, a tier or a drain.  Entities are replaced whole.
+write
+    The new body of one entity, or its removal.
+configuration row
+    One committed row of the platform table: the writes that lead from version
+    ``n - 1`` to version ``n``, with the proposal id that proves who won.
+
+A `Configuration` is never changed in place.  `Configuration.apply` returns the
+next version and refuses a row that is not the direct successor, so that a process
+can only move upwards and never skips a version.
+"""
+
+import enum
+from typing import Final, TypeVar
+
+import pydantic
+
+from quincecrank import ids
+
+Name = TypeVar("Name", bound=str)
+
+CONFIGURATION_START: Final = ids.ConfigurationVersion(0)
+
+
+class FrozenModel(pydantic.BaseModel):
+    """Base of the immutable models; unknown fields are refused."""
+
+    model_config = pydantic.ConfigDict(frozen=True, extra="forbid")
+
+
+Entity = TypeVar("Entity", bound=FrozenModel)
+
+
+class DeploymentKind(enum.Enum):
+    """What stands behind a deployment."""
+
+    MODEL = "model"
+    SERVICE = "service"
+
+
+class Lateness(enum.Enum):
+    """Which failure a deployment's callers mind more."""
+
+    LATE_IS_WORSE = "late-is-worse"
+    LOST_IS_WORSE = "lost-is-worse"
+
+
+class TierKind(enum.Enum):
+    """Medium of a storage tier on a store VM."""
+
+    MEMORY = "memory"
+    DISK = "disk"
+
+
+class EntityKind(enum.Enum):
+    """Collections of a configuration."""
+
+    ACCOUNT = "account"
+    DEPLOYMENT = "deployment"
+    TIER = "tier"
+    DRAIN = "drain"
+
+
+class ApiKey(FrozenModel):
+    """A client account's key; only its digest is kept.
+
+    Attributes
+    ----------
+    key_id : KeyId
+        Public name of the key.
+    digest : str
+        SHA-256 of the key in hex.
+    """
+
+    key_id: ids.KeyId
+    digest: str
+
+
+class Account(FrozenModel):
+    """A client account and its limits.
+
+    Attributes
+    ----------
+    share : float
+        Weight of the account when deployments are contended.
+    max_concurrent : int
+        Requests in flight at one entry before further ones are refused.
+    """
+
+    name: ids.AccountName
+    enabled: bool = True
+    share: float = pydantic.Field(default=1.0, gt=0)
+    max_concurrent: int = pydantic.Field(default=64, ge=1)
+    keys: tuple[ApiKey, ...] = ()
+
+
+class Route(FrozenModel):
+    """A path of a plain service and whether its calls may be repeated."""
+
+    method: str
+    path: str
+    idempotent: bool = False
+
+
+class PolicyWeights(FrozenModel):
+    """What a deployment pays for when a replica is chosen.
+
+    Each weight is a cost in milliseconds of time to first token: per millisecond
+    of estimated time to first token, per thousand recomputed tokens and per
+    mebibyte moved over a tier's link.
+    """
+
+    first_token: float = pydantic.Field(default=1.0, ge=0)
+    recomputed: float = pydantic.Field(default=0.0, ge=0)
+    link: float = pydantic.Field(default=0.0, ge=0)
+
+
+class Deployment(FrozenModel):
+    """Replicas that serve one model, or one plain service.
+
+    Attributes
+    ----------
+    weight_version : WeightVersion
+        Version that every new request runs on; empty for a plain service.
+    adapters : tuple of AdapterName
+        Adapters that requests may name.
+    accounts : tuple of AccountName
+        Client accounts that may call the deployment.
+    tokenizer : str
+        Name of the tokenizer, see module ``tokenizers``.
+    max_concurrent : int
+        Requests that run at once at one backend server.
+    deadline_ms : int
+        Deadline of a request that names none.
+    routes : tuple of Route
+        Paths of a plain service; a path that is not declared counts as not
+        idempotent.
+    tiers : tuple of TierName
+        Tiers that keep KV blocks of the deployment.
+    checks_fencing : bool
+        Whether its backend servers refuse orders with an old fencing number.
+    """
+
+    name: ids.DeploymentName
+    kind: DeploymentKind
+    weight_version: ids.WeightVersion = ids.WeightVersion("")
+    adapters: tuple[ids.AdapterName, ...] = ()
+    accounts: tuple[ids.AccountName, ...] = ()
+    tokenizer: str = "utf8-4"
+    max_concurrent: int = pydantic.Field(default=16, ge=1)
+    max_tokens: int = pydantic.Field(default=512, ge=1)
+    deadline_ms: int = pydantic.Field(default=30_000, ge=1)
+    lateness: Lateness = Lateness.LOST_IS_WORSE
+    weights: PolicyWeights = PolicyWeights()
+    routes: tuple[Route, ...] = ()
+    tiers: tuple[ids.TierName, ...] = ()
+    checks_fencing: bool = False
+
+
+class Tier(FrozenModel):
+    """Storage for KV blocks on the store VMs.
+
+    Attributes
+    ----------
+    link_bytes_per_second : int
+        What one store VM's link carries for this tier.
+    capacity_bytes : int
+        What one store VM keeps in this tier.
+    stores : tuple of VmName
+        Store VMs that hold the tier.
+    """
+
+    name: ids.TierName
+    kind: TierKind
+    link_bytes_per_second: int = pydantic.Field(gt=0)
+    capacity_bytes: int = pydantic.Field(gt=0)
+    stores: tuple[ids.VmName, ...] = ()
+
+
+class Drain(FrozenModel):
+    """An operator's order that a VM take no new work."""
+
+    vm: ids.VmName
+
+
+class EntityWrite(FrozenModel):
+    """The new body of one entity as JSON text; an empty body removes it."""
+
+    kind: EntityKind
+    name: str
+    body: str = ""
+
+
+class ConfigurationRow(FrozenModel):
+    """One committed step from a version to the next."""
+
+    version: ids.ConfigurationVersion
+    proposal_id: ids.ProposalId
+    operator: str
+    command: str
+    wall_ms: int
+    writes: tuple[EntityWrite, ...]
+
+
+class VersionGapError(ValueError):
+    """A row is not the direct successor of the configuration it is applied to."""
+
+
+class Configuration(FrozenModel):
+    """All entities at one version."""
+
+    version: ids.ConfigurationVersion = CONFIGURATION_START
+    accounts_by_name: dict[ids.AccountName, Account] = {}
+    deployments_by_name: dict[ids.DeploymentName, Deployment] = {}
+    tiers_by_name: dict[ids.TierName, Tier] = {}
+    drains_by_vm: dict[ids.VmName, Drain] = {}
+
+    def apply(self, row: ConfigurationRow) -> "Configuration":
+        """Return the configuration after `row`.
+
+        Raises
+        ------
+        VersionGapError
+            If `row` is not version ``self.version + 1``.
+        """
+        if row.version != self.version + 1:
+            raise VersionGapError(f"row {row.version} after version {self.version}")
+        accounts = dict(self.accounts_by_name)
+        deployments = dict(self.deployments_by_name)
+        tiers = dict(self.tiers_by_name)
+        drains = dict(self.drains_by_vm)
+        for write in row.writes:
+            match write.kind:
+                case EntityKind.ACCOUNT:
+                    _put(accounts, ids.AccountName(write.name), Account, write.body)
+                case EntityKind.DEPLOYMENT:
+                    name = ids.DeploymentName(write.name)
+                    _put(deployments, name, Deployment, write.body)
+                case EntityKind.TIER:
+                    _put(tiers, ids.TierName(write.name), Tier, write.body)
+                case EntityKind.DRAIN:
+                    _put(drains, ids.VmName(write.name), Drain, write.body)
+        return Configuration(
+            version=row.version,
+            accounts_by_name=accounts,
+            deployments_by_name=deployments,
+            tiers_by_name=tiers,
+            drains_by_vm=drains,
+        )
+
+
+def _put(
+    by_name: dict[Name, Entity], name: Name, model: type[Entity], body: str
+) -> None:
+    if body:
+        by_name[name] = model.model_validate_json(body)
+    else:
+        by_name.pop(name, None)
+
+
+def entity_write(
+    kind: EntityKind, name: str, entity: FrozenModel | None
+) -> EntityWrite:
+    """Return the write that makes `entity` the body of `name`; None removes it."""
+    body = "" if entity is None else entity.model_dump_json(exclude_defaults=True)
+    return EntityWrite(kind=kind, name=name, body=body)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, and the launcher of demos and tests."""
