Settings of entry and agent, checked in full

Cause: both programs need typed settings, and an operator who starts a VM needs every mistake in its file in one run, with file, line and column. Ruled out: yaml.safe_load followed by a check of plain maps, which loses the places; strict mode on Python values, which refuses lists for tuples and text for enums, so the parsed value passes through JSON on its way to pydantic. Conclusion: load_entry and load_agent return expression.Result.

--- /dev/null
+++ b/quincecrank/settings.py
@@ -0,0 +1,278 @@
+"""Settings of `quince-entry` and `quince-agent`.
+
+Settings say what a process is and where its neighbours are; what operators change
+while the fleet runs is in the configuration.  Secrets are named by file and are
+read with `read_secret`.  Docs: ``docs/SETTINGS.md``.
+"""
+
+import enum
+import ipaddress
+import pathlib
+import stat
+import urllib.parse
+from collections.abc import Callable
+from typing import Annotated, Final
+
+import expression
+import pydantic
+
+from quincecrank import configuration, findings, ids, settings_file
+
+MIN_SECRET_BYTES: Final = 16
+MAX_PORT: Final = 65_535
+DEFAULT_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+
+
+class LogFormat(enum.Enum):
+    """Rendering of log lines."""
+
+    JSON = "json"
+    TEXT = "text"
+
+
+class LogLevel(enum.Enum):
+    """Least severe level that is logged."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+def read_secret(path: pathlib.Path) -> bytes:
+    """Return the content of a secret file without surrounding white space."""
+    return path.read_bytes().strip()
+
+
+def _resolve(path: pathlib.Path, info: pydantic.ValidationInfo) -> pathlib.Path:
+    directory = (info.context or {}).get(settings_file.DIRECTORY_KEY, pathlib.Path())
+    resolved = pathlib.Path(directory) / path
+    try:
+        with resolved.open("rb"):
+            return resolved
+    except (OSError, ValueError) as error:
+        reason = getattr(error, "strerror", None) or error
+        raise ValueError(f"cannot read {str(path)!r}: {reason}") from error
+
+
+def _private(path: pathlib.Path) -> pathlib.Path:
+    if path.stat().st_mode & stat.S_IRWXO:
+        raise ValueError(f"{path.name!r} is open to all users; chmod o-rwx it")
+    return path
+
+
+def _long_enough(path: pathlib.Path) -> pathlib.Path:
+    if len(read_secret(path)) < MIN_SECRET_BYTES:
+        message = f"{path.name!r} holds fewer than {MIN_SECRET_BYTES} bytes"
+        raise ValueError(message)
+    return path
+
+
+def _ip_address(text: str) -> str:
+    try:
+        return str(ipaddress.ip_address(text))
+    except ValueError as error:
+        raise ValueError(f"{text!r} is not an IP address") from error
+
+
+def _http_url(text: str) -> str:
+    message = f"{text!r} is not an http or https URL"
+    try:
+        parts = urllib.parse.urlsplit(text)
+        valid = parts.scheme in ("http", "https") and bool(parts.hostname)
+        valid = valid and (parts.port is None or parts.port > 0)
+    except ValueError as error:
+        raise ValueError(message) from error
+    if not valid or parts.query or parts.fragment:
+        raise ValueError(message)
+    return text.rstrip("/")
+
+
+def _no_blanks(text: str) -> str:
+    if not text or any(c.isspace() or not c.isprintable() for c in text):
+        raise ValueError("expected a name without white space")
+    return text
+
+
+def _checked(check: Callable[[str], str]) -> pydantic.AfterValidator:
+    return pydantic.AfterValidator(check)
+
+
+PlainFile = Annotated[pathlib.Path, pydantic.AfterValidator(_resolve)]
+PrivateFile = Annotated[PlainFile, pydantic.AfterValidator(_private)]
+SecretFile = Annotated[PrivateFile, pydantic.AfterValidator(_long_enough)]
+IpAddress = Annotated[str, _checked(_ip_address)]
+HttpUrl = Annotated[str, _checked(_http_url)]
+Port = Annotated[int, pydantic.Field(ge=0, le=MAX_PORT)]
+PositiveInt = Annotated[int, pydantic.Field(ge=1)]
+VmName = Annotated[ids.VmName, _checked(_no_blanks)]
+DataCentre = Annotated[ids.DataCentre, _checked(_no_blanks)]
+BackendServerName = Annotated[ids.BackendServerName, _checked(_no_blanks)]
+DeploymentName = Annotated[ids.DeploymentName, _checked(_no_blanks)]
+OperatorName = Annotated[str, _checked(_no_blanks)]
+
+
+class Tls(configuration.FrozenModel):
+    """Certificate chain and private key of a listener, PEM files."""
+
+    certificate_file: PlainFile
+    key_file: PrivateFile
+
+
+class PlainListener(configuration.FrozenModel):
+    """Address and port to listen on; port 0 lets the operating system choose."""
+
+    address: IpAddress
+    port: Port
+
+
+class Listener(PlainListener):
+    """A listener that may use TLS."""
+
+    tls: Tls | None = None
+
+
+class Operator(configuration.FrozenModel):
+    """A person or program that may use the administration API."""
+
+    name: OperatorName
+    token_file: SecretFile
+
+
+class AdminListener(Listener):
+    """Listener of the administration API."""
+
+    operators: tuple[Operator, ...] = pydantic.Field(min_length=1)
+
+    @pydantic.field_validator("operators")
+    @classmethod
+    def _unique(cls, operators: tuple[Operator, ...]) -> tuple[Operator, ...]:
+        names = [operator.name for operator in operators]
+        repeated = sorted({name for name in names if names.count(name) > 1})
+        if repeated:
+            raise ValueError(f"operators named twice: {', '.join(repeated)}")
+        return operators
+
+
+class Peer(configuration.FrozenModel):
+    """How the project's own processes prove themselves to each other."""
+
+    fleet_secret_file: SecretFile
+
+
+class Platform(configuration.FrozenModel):
+    """Where the platform's services are."""
+
+    table_url: HttpUrl
+    object_store_url: HttpUrl
+    vm_list_url: HttpUrl
+    timeout_ms: PositiveInt = 2_000
+
+
+class Logging(configuration.FrozenModel):
+    """Log output, written to standard error."""
+
+    format: LogFormat = LogFormat.JSON
+    level: LogLevel = LogLevel.INFO
+
+
+class Limits(configuration.FrozenModel):
+    """What an entry accepts from callers."""
+
+    max_body_bytes: PositiveInt = DEFAULT_MAX_BODY_BYTES
+    max_open_requests: PositiveInt = 2_000
+    header_timeout_ms: PositiveInt = 10_000
+
+
+class Heartbeat(configuration.FrozenModel):
+    """Heartbeats on every connection between the project's processes.
+
+    Attributes
+    ----------
+    interval_ms : int
+        Time between two heartbeats.
+    silence_ms : int
+        A connection that stays silent for longer is closed and dialled again.
+    """
+
+    interval_ms: PositiveInt = 1_000
+    silence_ms: PositiveInt = 3_000
+
+    @pydantic.model_validator(mode="after")
+    def _two_intervals(self) -> "Heartbeat":
+        if self.silence_ms < 2 * self.interval_ms:
+            raise ValueError("silence_ms must be at least twice interval_ms")
+        return self
+
+
+class BackendServer(configuration.FrozenModel):
+    """The backend server beside an agent."""
+
+    name: BackendServerName
+    deployment: DeploymentName
+    kind: configuration.DeploymentKind
+    url: HttpUrl
+
+
+class EntrySettings(configuration.FrozenModel):
+    """Settings of `quince-entry`.
+
+    Attributes
+    ----------
+    account_secret_file : Path
+        Secret that block keys and cache salts are derived from; the same file on
+        every entry.
+    reuse_port : bool
+        Whether several entries on one VM share the listening port.
+    """
+
+    vm_name: VmName
+    data_centre: DataCentre
+    listen: Listener
+    admin: AdminListener
+    peer: Peer
+    platform: Platform
+    account_secret_file: SecretFile
+    logging: Logging = Logging()
+    limits: Limits = Limits()
+    heartbeat: Heartbeat = Heartbeat()
+    reuse_port: bool = False
+
+
+class AgentSettings(configuration.FrozenModel):
+    """Settings of `quince-agent`.
+
+    Attributes
+    ----------
+    listen : PlainListener
+        Where entries and other agents connect.
+    metrics : PlainListener
+        Where metrics and health are served over HTTP.
+    max_queue : int
+        Requests that wait for the backend server before further ones are refused.
+    """
+
+    vm_name: VmName
+    data_centre: DataCentre
+    listen: PlainListener
+    metrics: PlainListener
+    backend_server: BackendServer
+    peer: Peer
+    platform: Platform
+    logging: Logging = Logging()
+    heartbeat: Heartbeat = Heartbeat()
+    max_queue: PositiveInt = 64
+
+
+def load_entry(
+    path: str | pathlib.Path,
+) -> expression.Result[EntrySettings, findings.Findings]:
+    """Read the settings of an entry."""
+    return settings_file.load(path, EntrySettings)
+
+
+def load_agent(
+    path: str | pathlib.Path,
+) -> expression.Result[AgentSettings, findings.Findings]:
+    """Read the settings of an agent."""
+    return settings_file.load(path, AgentSettings)
--- /dev/null
+++ b/quincecrank/settings_file.py
@@ -0,0 +1,194 @@
+"""Reading of YAML settings files with the place of every mistake.
+
+The text is parsed once into a node tree.  The tree gives the value that pydantic
+checks and, by dotted path, the line and column that a finding names.
+"""
+
+import difflib
+import json
+import pathlib
+import typing
+from collections.abc import Iterator
+from typing import Any, Final, TypeVar
+
+import expression
+import pydantic
+import yaml
+
+from quincecrank import configuration, findings
+
+Model = TypeVar("Model", bound=configuration.FrozenModel)
+
+DIRECTORY_KEY: Final = "directory"
+"""Key of the validation context: directory that relative file names start from."""
+
+Path = tuple[str, ...]
+
+
+class _Places:
+    """Lines and columns of a YAML document by path.
+
+    Parameters
+    ----------
+    source : str
+        Name of the file in findings.
+    """
+
+    def __init__(self, source: str) -> None:
+        self._source = source
+        self._marks_by_path: dict[Path, yaml.Mark] = {}
+
+    def record(self, path: Path, mark: yaml.Mark) -> None:
+        """Remember where `path` stands."""
+        self._marks_by_path[path] = mark
+
+    def find(self, path: Path) -> findings.Place:
+        """Return the place of `path` or of its nearest enclosing part."""
+        known = path
+        while known and known not in self._marks_by_path:
+            known = known[:-1]
+        field = ".".join(path)
+        mark = self._marks_by_path.get(known)
+        if mark is None:
+            return findings.Place(self._source, 1, 1, field)
+        return findings.Place(self._source, mark.line + 1, mark.column + 1, field)
+
+
+def load(
+    path: str | pathlib.Path, model: type[Model]
+) -> expression.Result[Model, findings.Findings]:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : str or Path
+        The YAML file.
+    model : type
+        The settings model that the whole file must match.
+
+    Returns
+    -------
+    Result
+        The settings, or every finding in the order of the file.
+    """
+    file = pathlib.Path(path)
+    found = findings.Findings()
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        found.add(findings.Place(str(file)), f"cannot read the file: {error}")
+        return expression.Error(found)
+    return check(text, str(file), file.parent, model)
+
+
+def check(
+    text: str, source: str, directory: pathlib.Path, model: type[Model]
+) -> expression.Result[Model, findings.Findings]:
+    """Check settings given as text; `directory` anchors relative file names."""
+    found = findings.Findings()
+    places = _Places(source)
+    try:
+        value = _parse(text, places, found)
+    except yaml.MarkedYAMLError as error:
+        found.add(_mark_place(source, error), error.problem or "not valid YAML")
+        return expression.Error(found)
+    except (yaml.YAMLError, ValueError, TypeError, RecursionError) as error:
+        found.add(findings.Place(source, 1, 1), f"not valid YAML: {error}")
+        return expression.Error(found)
+    if not isinstance(value, dict):
+        found.add(findings.Place(source, 1, 1), "expected a mapping of settings")
+        return expression.Error(found)
+    try:
+        settings = model.model_validate_json(
+            json.dumps(value, default=str),
+            strict=True,
+            context={DIRECTORY_KEY: directory},
+        )
+    except pydantic.ValidationError as error:
+        _add_errors(error, model, places, found)
+        return expression.Error(_sorted(found))
+    if found:
+        return expression.Error(_sorted(found))
+    return expression.Ok(settings)
+
+
+def _parse(text: str, places: _Places, found: findings.Findings) -> object:
+    loader = yaml.SafeLoader(text)
+    try:
+        node = loader.get_single_node()
+        if node is None:
+            return None
+        _walk(node, (), places, found)
+        return loader.construct_document(node)
+    finally:
+        loader.dispose()
+
+
+def _walk(
+    node: yaml.Node, path: Path, places: _Places, found: findings.Findings
+) -> None:
+    """Record the places below `node` and report duplicate keys."""
+    if isinstance(node, yaml.SequenceNode):
+        for index, item in enumerate(node.value):
+            item_path = (*path, str(index))
+            places.record(item_path, item.start_mark)
+            _walk(item, item_path, places, found)
+    if not isinstance(node, yaml.MappingNode):
+        return
+    seen: set[str] = set()
+    for key, item in node.value:
+        name = str(key.value)
+        item_path = (*path, name)
+        if name in seen:
+            places.record(item_path, key.start_mark)
+            found.add(places.find(item_path), "duplicate key")
+        seen.add(name)
+        places.record(item_path, key.start_mark)
+        _walk(item, item_path, places, found)
+
+
+def _mark_place(source: str, error: yaml.MarkedYAMLError) -> findings.Place:
+    mark = error.problem_mark or error.context_mark
+    if mark is None:
+        return findings.Place(source, 1, 1)
+    return findings.Place(source, mark.line + 1, mark.column + 1)
+
+
+def _add_errors(
+    error: pydantic.ValidationError,
+    model: type[pydantic.BaseModel],
+    places: _Places,
+    found: findings.Findings,
+) -> None:
+    for item in error.errors(include_url=False):
+        path = tuple(str(part) for part in item["loc"])
+        message = item["msg"].removeprefix("Value error, ")
+        if item["type"] == "missing":
+            message = "required setting is missing"
+        if item["type"] == "extra_forbidden":
+            message = _unknown_key(path[-1], model)
+        found.add(places.find(path), message)
+
+
+def _unknown_key(name: str, model: type[pydantic.BaseModel]) -> str:
+    close = difflib.get_close_matches(name, sorted(set(_field_names(model))), n=1)
+    hint = f"; did you mean {close[0]!r}?" if close else ""
+    return f"unknown key{hint}"
+
+
+def _field_names(annotation: Any) -> Iterator[str]:
+    """Yield the field names of all models inside an annotation."""
+    for argument in typing.get_args(annotation):
+        yield from _field_names(argument)
+    if isinstance(annotation, type) and issubclass(annotation, pydantic.BaseModel):
+        for name, field in annotation.model_fields.items():
+            yield name
+            yield from _field_names(field.annotation)
+
+
+def _sorted(found: findings.Findings) -> findings.Findings:
+    ordered = findings.Findings()
+    places = sorted(found.all(), key=lambda item: (item.place.line, item.place.column))
+    for item in places:
+        ordered.add(item.place, item.message)
+    return ordered
