--- a/quincecrank/wire.capnp
+++ b/quincecrank/wire.capnp
@@ -93,6 +93,7 @@
   model @8 :Text;
   resumeAfter @9 :UInt32;
   stream @10 :Bool;
+  includeUsage @12 :Bool;
   keep @11 :List(StoredBlock);    # blocks to write after the run
 }
 
