--- /dev/null
+++ b/quincecrank/block_mover.py
@@ -0,0 +1,181 @@
+"""Moves KV blocks between the engine beside this agent and the store VMs.
+
+A restore reads a sealed object, checks all of it and only then imports it; what
+fails is recomputed by the engine.  A write seals the exported payload under a name
+that was never used before and announces it to the directory after the store has
+confirmed it.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Mapping
+from typing import Final, Protocol
+
+from quincecrank import (
+    chain_view,
+    configuration,
+    engine_client,
+    ids,
+    logs,
+    metrics,
+    object_client,
+    sealed_block,
+)
+from quincecrank import clock as clocks
+
+RESTORE_PARALLEL: Final = 4
+"""Objects of one prompt that are read at once."""
+
+_LOG: Final = logs.logger("block-mover")
+
+
+class StoreFinder(Protocol):
+    """Finds the client of a store VM."""
+
+    def store(self, name: ids.VmName) -> object_client.ObjectStore | None:
+        """Return the client of `name`, None for an unknown or leaving VM."""
+
+
+@dataclasses.dataclass(frozen=True)
+class RestoreOutcome:
+    """What a restore brought.
+
+    Attributes
+    ----------
+    blocks : int
+        Blocks imported into the engine.
+    link_bytes : int
+        Bytes read from stores, including those of objects that were refused.
+    duration_ms : int
+        Time from the first read to the last import.
+    """
+
+    blocks: int = 0
+    link_bytes: int = 0
+    duration_ms: int = 0
+
+
+class BlockMover:
+    """Restores and keeps blocks for one backend server.
+
+    Parameters
+    ----------
+    secret : bytes
+        Key of the checksums in sealed blocks; the same in the whole fleet.
+    tiers : callable
+        Returns the tiers of the current configuration by name.
+    stored : callable
+        Called with each block that a store has confirmed.
+    """
+
+    def __init__(
+        self,
+        engine: engine_client.EngineClient,
+        stores: StoreFinder,
+        secret: bytes,
+        tiers: Callable[[], Mapping[ids.TierName, configuration.Tier]],
+        stored: Callable[[chain_view.StoredBlock], None],
+        figures: metrics.AgentMetrics,
+        clock: clocks.Clock,
+    ) -> None:
+        self._engine = engine
+        self._stores = stores
+        self._secret = secret
+        self._tiers = tiers
+        self._stored = stored
+        self._figures = figures
+        self._clock = clock
+        self._kept_now: set[ids.BlockKey] = set()
+
+    async def restore(
+        self, copies: tuple[chain_view.StoredBlock, ...], version: ids.WeightVersion
+    ) -> RestoreOutcome:
+        """Import `copies` into the engine as far as they can be read and verified."""
+        started_ms = self._clock.now_ms()
+        slots = asyncio.Semaphore(RESTORE_PARALLEL)
+
+        async def restore_one(copy: chain_view.StoredBlock) -> tuple[bool, int]:
+            async with slots:
+                return await self._restore_block(copy, version)
+
+        results = await asyncio.gather(*(restore_one(copy) for copy in copies))
+        return RestoreOutcome(
+            blocks=sum(done for done, _ in results),
+            link_bytes=sum(size for _, size in results),
+            duration_ms=self._clock.now_ms() - started_ms,
+        )
+
+    async def keep(
+        self, copies: tuple[chain_view.StoredBlock, ...], version: ids.WeightVersion
+    ) -> None:
+        """Write blocks to stores, one after the other, each only once at a time."""
+        for copy in copies:
+            name = sealed_block.BlockName.parse(copy.object_name)
+            if name is None or name.key in self._kept_now:
+                continue
+            self._kept_now.add(name.key)
+            try:
+                await self._keep_block(copy, name.key, version)
+            finally:
+                self._kept_now.discard(name.key)
+
+    async def _restore_block(
+        self, copy: chain_view.StoredBlock, version: ids.WeightVersion
+    ) -> tuple[bool, int]:
+        store = self._stores.store(copy.store)
+        name = sealed_block.BlockName.parse(copy.object_name)
+        if store is None or name is None:
+            return False, 0
+        try:
+            data = await store.get(copy.object_name)
+        except (object_client.ObjectMissingError, object_client.ObjectStoreError) as e:
+            self._log_failure("restore failed", copy, e)
+            return False, 0
+        self._figures.count_link(copy.tier, metrics.Direction.READ, len(data))
+        identity = sealed_block.BlockIdentity(name.key, copy.object_name, version)
+        opened = sealed_block.open_sealed(self._secret, identity, data)
+        if opened.is_error():
+            self._log_failure("sealed block refused", copy, opened.error.value)
+            return False, len(data)
+        try:
+            await self._engine.import_block(name.key, opened.ok, version)
+        except engine_client.EngineError as e:
+            self._log_failure("import failed", copy, e)
+            return False, len(data)
+        return True, len(data)
+
+    async def _keep_block(
+        self,
+        copy: chain_view.StoredBlock,
+        key: ids.BlockKey,
+        version: ids.WeightVersion,
+    ) -> None:
+        store = self._stores.store(copy.store)
+        tier = self._tiers().get(copy.tier)
+        if store is None or tier is None:
+            return
+        try:
+            payload = await self._engine.export_block(key, version)
+            identity = sealed_block.BlockIdentity(key, copy.object_name, version)
+            data = sealed_block.seal(self._secret, identity, payload)
+            await store.put(copy.object_name, data, tier.kind)
+        except (engine_client.EngineError, object_client.ObjectStoreError) as e:
+            self._log_failure("write to store failed", copy, e)
+            return
+        self._figures.count_link(copy.tier, metrics.Direction.WRITE, len(data))
+        _LOG.info(
+            "block placed",
+            decision="placement",
+            store=copy.store,
+            tier=copy.tier,
+            object_name=copy.object_name,
+            size_bytes=len(data),
+        )
+        self._stored(copy)
+
+    def _log_failure(
+        self, event: str, copy: chain_view.StoredBlock, reason: object
+    ) -> None:
+        _LOG.warning(
+            event, store=copy.store, object_name=copy.object_name, reason=str(reason)
+        )
--- /dev/null
+++ b/quincecrank/completion_format.py
@@ -0,0 +1,113 @@
+"""Renders answers in the OpenAI API's shapes.
+
+The agent renders, so that the entry only copies bytes.  Every token is one
+server-sent event; the fixed parts of the event are rendered once a request.
+"""
+
+import json
+from typing import Final
+
+from quincecrank import ids, stream_messages
+
+DONE_EVENT: Final = b"data: [DONE]\n\n"
+
+
+class EventFormat:
+    """Renders the events of one streamed answer.
+
+    Parameters
+    ----------
+    created_s : int
+        Seconds since the epoch; the API's ``created``.
+    """
+
+    def __init__(
+        self,
+        request_id: ids.RequestId,
+        work: stream_messages.Completion,
+        created_s: int,
+    ) -> None:
+        self._chat = work.chat
+        kind = "chat.completion.chunk" if work.chat else "text_completion"
+        common = {
+            "id": request_id,
+            "object": kind,
+            "created": created_s,
+            "model": work.model,
+            "system_fingerprint": work.weight_version,
+        }
+        self._common: dict[str, object] = dict(common)
+        opening = json.dumps(common, ensure_ascii=False)[:-1]
+        field = '"delta":{"content":' if work.chat else '"text":'
+        self._before = f'data: {opening}, "choices":[{{"index":0,{field}'
+        closing = "}" if work.chat else ""
+        self._after = f'{closing},"finish_reason":null,"logprobs":null}}]}}\n\n'
+
+    def token(self, text: str) -> bytes:
+        """Return the event of one token."""
+        return f"{self._before}{json.dumps(text)}{self._after}".encode()
+
+    def finish(self, reason: str, usage: "Usage | None") -> bytes:
+        """Return the events that close the answer."""
+        choice: dict[str, object] = {"index": 0, "finish_reason": reason}
+        if self._chat:
+            choice["delta"] = {}
+        else:
+            choice["text"] = ""
+        parts = [_event({**self._common, "choices": [choice]})]
+        if usage is not None:
+            document = {**self._common, "choices": [], "usage": usage.document()}
+            parts.append(_event(document))
+        parts.append(DONE_EVENT)
+        return b"".join(parts)
+
+
+class Usage:
+    """Token counts of one answer, as the API reports them."""
+
+    def __init__(
+        self, prompt_tokens: int, completion_tokens: int, cached_tokens: int
+    ) -> None:
+        self.prompt_tokens = prompt_tokens
+        self.completion_tokens = completion_tokens
+        self.cached_tokens = cached_tokens
+
+    def document(self) -> dict[str, object]:
+        """Return the API's ``usage`` member."""
+        return {
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": self.completion_tokens,
+            "total_tokens": self.prompt_tokens + self.completion_tokens,
+            "prompt_tokens_details": {"cached_tokens": self.cached_tokens},
+        }
+
+
+def whole_answer(
+    request_id: ids.RequestId,
+    work: stream_messages.Completion,
+    created_s: int,
+    text: str,
+    finish_reason: str,
+    usage: Usage,
+) -> bytes:
+    """Return the body of an answer that is not streamed."""
+    choice: dict[str, object] = {"index": 0, "finish_reason": finish_reason}
+    choice["logprobs"] = None
+    if work.chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    document = {
+        "id": request_id,
+        "object": "chat.completion" if work.chat else "text_completion",
+        "created": created_s,
+        "model": work.model,
+        "system_fingerprint": work.weight_version,
+        "choices": [choice],
+        "usage": usage.document(),
+    }
+    return json.dumps(document, ensure_ascii=False).encode()
+
+
+def _event(document: dict[str, object]) -> bytes:
+    return f"data: {json.dumps(document, ensure_ascii=False)}\n\n".encode()
--- /dev/null
+++ b/quincecrank/model_backend.py
@@ -0,0 +1,270 @@
+"""Runs completions on the model engine beside this agent."""
+
+import asyncio
+import dataclasses
+from typing import Final
+
+from quincecrank import backend as backends
+from quincecrank import (
+    block_mover,
+    cache_watch,
+    completion_format,
+    engine_client,
+    ids,
+    logs,
+    problems,
+    stream_messages,
+    stream_writer,
+    tokenizers,
+)
+from quincecrank import clock as clocks
+
+LOAD_INTERVAL_MS: Final = 250
+RETRY_AFTER_BUSY_MS: Final = 500
+RETRY_AFTER_CRASH_MS: Final = 1_000
+RETRY_AFTER_VERSION_MS: Final = 500
+ENGINE_FORMAT: Final = "standard-1"
+"""Layout of the engines' block payloads, part of every block key."""
+
+_DEFAULT_PREFILL_TOKENS_PER_SECOND: Final = 10_000.0
+_PREFILL_SMOOTHING: Final = 0.2
+_MIN_PREFILL_SAMPLE_TOKENS: Final = 1_024
+
+_LOG: Final = logs.logger("model-backend")
+
+
+@dataclasses.dataclass
+class _Answer:
+    """The answer of one run as it arrives."""
+
+    started_ms: int
+    first_token_ms: int = 0
+    tokens: int = 0
+    finish_reason: str = "stop"
+    texts: list[str] = dataclasses.field(default_factory=list)
+
+
+class ModelBackend:
+    """Implementation of `backend.Backend` for a model engine."""
+
+    def __init__(
+        self,
+        engine: engine_client.EngineClient,
+        mover: block_mover.BlockMover,
+        cache: cache_watch.CacheWatch,
+        clock: clocks.Clock,
+    ) -> None:
+        self._engine = engine
+        self._mover = mover
+        self._cache = cache
+        self._clock = clock
+        self._load = backends.BackendLoad(healthy=False)
+        self._prefill_tokens_per_second = _DEFAULT_PREFILL_TOKENS_PER_SECOND
+        self._wanted_version = ids.WeightVersion("")
+        self._background: set[asyncio.Task[None]] = set()
+        self.fencing_number = ids.FencingNumber(0)
+
+    def load(self) -> backends.BackendLoad:
+        """Return the state as last seen."""
+        return self._load
+
+    def ordered_version(self, version: ids.WeightVersion) -> None:
+        """State the weight version that the engine should run."""
+        self._wanted_version = version
+
+    async def watch(self) -> None:
+        """Follow the engine's load and cache events until cancelled."""
+        events = asyncio.ensure_future(self._cache.watch())
+        try:
+            while True:
+                await self._refresh_load()
+                await self._correct_version()
+                await self._clock.sleep(LOAD_INTERVAL_MS)
+        finally:
+            events.cancel()
+
+    async def run(
+        self,
+        order: stream_messages.StreamOrder,
+        writer: stream_writer.StreamWriter,
+        queue_ms: int,
+    ) -> None:
+        """Restore blocks, run the prompt, stream its answer, keep its blocks."""
+        work = order.work
+        if not isinstance(work, stream_messages.Completion):
+            detail = "a model engine takes no plain calls"
+            writer.refuse(problems.Problem(problems.ProblemKind.BAD_REQUEST, detail))
+            return
+        self._cache.learn_chain(work.block_keys)
+        restored = await self._mover.restore(work.restore, work.weight_version)
+        answer = _Answer(self._clock.now_ms())
+        try:
+            usage = await self._complete(order, work, writer, answer)
+        except engine_client.EngineError as error:
+            writer.refuse(self._problem(error, answer))
+            return
+        self._learn_speed(usage, answer)
+        self._finish(order, work, writer, answer, usage)
+        writer.end(
+            stream_messages.StreamEnd(
+                frames=0,
+                prompt_tokens=usage.prompt_tokens,
+                cached_tokens=usage.cached_tokens,
+                restored_tokens=min(
+                    restored.blocks * tokenizers.BLOCK_TOKENS, usage.cached_tokens
+                ),
+                completion_tokens=answer.tokens,
+                weight_version=usage.weight_version,
+                queue_ms=queue_ms,
+                restore_ms=restored.duration_ms,
+                first_token_ms=answer.first_token_ms - answer.started_ms,
+                link_bytes=restored.link_bytes,
+            )
+        )
+        self._keep_later(work)
+
+    async def _complete(
+        self,
+        order: stream_messages.StreamOrder,
+        work: stream_messages.Completion,
+        writer: stream_writer.StreamWriter,
+        answer: _Answer,
+    ) -> engine_client.EngineUsage:
+        events = self._events(order, work)
+
+        def on_token(token: engine_client.EngineToken) -> None:
+            if answer.tokens == 0:
+                answer.first_token_ms = self._clock.now_ms()
+            if token.finish_reason:
+                answer.finish_reason = token.finish_reason
+            if not token.text:
+                return
+            answer.tokens += 1
+            if work.streamed:
+                writer.data(events.token(token.text))
+            else:
+                answer.texts.append(token.text)
+
+        request = engine_client.EngineRequest(
+            request_id=order.attempt_id,
+            model=work.model,
+            prompt=work.prompt.decode(),
+            max_tokens=work.max_tokens,
+            priority=order.priority,
+            cache_salt=work.cache_salt,
+            weight_version=work.weight_version,
+            adapter=work.adapter,
+            block_keys=work.block_keys,
+            resume_after=work.resume_after,
+        )
+        return await self._engine.complete(request, on_token)
+
+    def _finish(
+        self,
+        order: stream_messages.StreamOrder,
+        work: stream_messages.Completion,
+        writer: stream_writer.StreamWriter,
+        answer: _Answer,
+        usage: engine_client.EngineUsage,
+    ) -> None:
+        counts = completion_format.Usage(
+            usage.prompt_tokens, work.resume_after + answer.tokens, usage.cached_tokens
+        )
+        if work.streamed:
+            shown = counts if work.include_usage else None
+            events = self._events(order, work)
+            writer.data(events.finish(answer.finish_reason, shown))
+            return
+        body = completion_format.whole_answer(
+            order.request_id,
+            work,
+            self._clock.wall_ms() // clocks.MS_PER_SECOND,
+            "".join(answer.texts),
+            answer.finish_reason,
+            counts,
+        )
+        writer.data(body)
+
+    def _events(
+        self, order: stream_messages.StreamOrder, work: stream_messages.Completion
+    ) -> completion_format.EventFormat:
+        created_s = self._clock.wall_ms() // clocks.MS_PER_SECOND
+        return completion_format.EventFormat(order.request_id, work, created_s)
+
+    def _problem(
+        self, error: engine_client.EngineError, answer: _Answer
+    ) -> problems.Problem:
+        match error:
+            case engine_client.EngineBusyError():
+                kind = problems.ProblemKind.OVERLOADED
+                return problems.Problem(
+                    kind, str(error), retry_after_ms=RETRY_AFTER_BUSY_MS
+                )
+            case engine_client.WrongVersionError():
+                kind = problems.ProblemKind.UNAVAILABLE
+                return problems.Problem(
+                    kind, str(error), retry_after_ms=RETRY_AFTER_VERSION_MS
+                )
+            case engine_client.EngineRejectedError():
+                kind = problems.ProblemKind.BAD_REQUEST
+                return problems.Problem(kind, str(error))
+        self._load = dataclasses.replace(self._load, healthy=False)
+        started = isinstance(error, engine_client.EngineFailedError) and error.started
+        return problems.Problem(
+            problems.ProblemKind.BACKEND_CRASHED,
+            str(error),
+            problems.Ran.UNKNOWN if started or answer.tokens else problems.Ran.NOT_RUN,
+            RETRY_AFTER_CRASH_MS,
+        )
+
+    def _learn_speed(
+        self, usage: engine_client.EngineUsage, answer: _Answer
+    ) -> None:
+        computed = usage.prompt_tokens - usage.cached_tokens
+        took_ms = answer.first_token_ms - answer.started_ms
+        alone = self._load.running <= 1 and self._load.waiting == 0
+        if computed < _MIN_PREFILL_SAMPLE_TOKENS or took_ms <= 0 or not alone:
+            return
+        observed = computed * clocks.MS_PER_SECOND / took_ms
+        change = observed - self._prefill_tokens_per_second
+        self._prefill_tokens_per_second += _PREFILL_SMOOTHING * change
+
+    def _keep_later(self, work: stream_messages.Completion) -> None:
+        if not work.keep:
+            return
+        pending = self._mover.keep(work.keep, work.weight_version)
+        task = asyncio.ensure_future(pending)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _refresh_load(self) -> None:
+        try:
+            load = await self._engine.load()
+        except engine_client.EngineError as error:
+            if self._load.healthy:
+                _LOG.warning("engine is not healthy", reason=str(error))
+            self._load = dataclasses.replace(self._load, healthy=False)
+            return
+        self._load = backends.BackendLoad(
+            healthy=True,
+            running=load.running,
+            waiting=load.waiting,
+            queued_tokens=load.queued_tokens,
+            weight_version=load.weight_version,
+            adapters=load.adapters,
+            prefill_tokens_per_second=self._prefill_tokens_per_second,
+        )
+
+    async def _correct_version(self) -> None:
+        wanted = self._wanted_version
+        if not wanted or not self._load.healthy:
+            return
+        if self._load.weight_version == wanted:
+            return
+        _LOG.info("ordering weight version", decision="order", version=wanted)
+        try:
+            await self._engine.order(
+                engine_client.OrderKind.LOAD_VERSION, wanted, self.fencing_number
+            )
+        except engine_client.EngineError as error:
+            _LOG.warning("order failed", version=wanted, reason=str(error))
--- a/quincecrank/rpc.py
+++ b/quincecrank/rpc.py
@@ -6,7 +6,7 @@
 
 import enum
 
-from quincecrank import configuration, ids
+from quincecrank import chain_view, configuration, directory, ids
 
 
 class Method(enum.Enum):
@@ -42,34 +42,6 @@
     whole: configuration.Configuration | None = None
 
 
-class EngineHolder(configuration.FrozenModel):
-    """A backend server that caches the first blocks of a prompt.
-
-    Attributes
-    ----------
-    leading_blocks : int
-        Blocks held without a gap from the start of the prompt.
-    """
-
-    backend_server: ids.BackendServerName
-    leading_blocks: int
-
-
-class StoreCopy(configuration.FrozenModel):
-    """A sealed copy of one block on a store VM.
-
-    Attributes
-    ----------
-    index : int
-        Position of the block in the prompt.
-    """
-
-    index: int
-    store: ids.VmName
-    object_name: ids.ObjectName
-    tier: configuration.TierKind
-
-
 class LookupRequest(configuration.FrozenModel):
     """Asks where the blocks of one prompt are and how often it crashed an engine."""
 
@@ -81,43 +53,29 @@
 class LookupReply(configuration.FrozenModel):
     """What the directory knows; a hint, never relied on for correctness."""
 
-    engines: tuple[EngineHolder, ...] = ()
-    copies: tuple[StoreCopy, ...] = ()
+    chain: chain_view.ChainView
     crashes: int = 0
 
 
-class EngineAnnouncement(configuration.FrozenModel):
-    """Blocks that one incarnation of a backend server caches or has evicted.
+class AnnounceRequest(configuration.FrozenModel):
+    """News for one shard of the directory.
 
     Attributes
     ----------
-    snapshot : bool
-        The stored keys replace everything announced before by this backend server
-        for the shard.
+    gone_servers : tuple of EngineHolder
+        Backend servers with their present incarnation; what earlier ones held is
+        forgotten.
+    doubtful : tuple of EngineHolder
+        Engines whose cache events were lost.
+    snapshot_of : EngineHolder or None
+        The announcements replace all that this engine was known to hold.
     """
 
-    backend_server: ids.BackendServerName
-    incarnation: ids.Incarnation
-    stored: tuple[ids.BlockKey, ...] = ()
-    evicted: tuple[ids.BlockKey, ...] = ()
-    snapshot: bool = False
-
-
-class CopyAnnouncement(configuration.FrozenModel):
-    """One sealed copy that appeared on a store VM or was withdrawn."""
-
-    key: ids.BlockKey
-    store: ids.VmName
-    object_name: ids.ObjectName
-    tier: configuration.TierKind
-    withdrawn: bool = False
-
-
-class AnnounceRequest(configuration.FrozenModel):
-    """News for one shard of the directory."""
-
-    engines: tuple[EngineAnnouncement, ...] = ()
-    copies: tuple[CopyAnnouncement, ...] = ()
+    announced: tuple[directory.Announcement, ...] = ()
+    withdrawn: tuple[directory.Announcement, ...] = ()
+    gone_servers: tuple[directory.EngineHolder, ...] = ()
+    doubtful: tuple[directory.EngineHolder, ...] = ()
+    snapshot_of: directory.EngineHolder | None = None
 
 
 class CrashReport(configuration.FrozenModel):
--- a/quincecrank/stream_messages.py
+++ b/quincecrank/stream_messages.py
@@ -8,7 +8,7 @@
 import dataclasses
 from typing import Any
 
-from quincecrank import configuration, ids, problems, rpc, wire
+from quincecrank import chain_view, ids, problems, wire
 
 
 @dataclasses.dataclass(frozen=True)
@@ -27,10 +27,10 @@
     ----------
     prompt : bytes
         UTF-8 text.
-    restore : tuple of StoreCopy
+    restore : tuple of StoredBlock
         Copies to import before the run.
-    keep : tuple of StoreCopy
-        Blocks to write to store VMs after the run; their object names are empty.
+    keep : tuple of StoredBlock
+        Blocks to write to store VMs after the run, under these names.
     resume_after : int
         Tokens of the answer that the caller already has.
     streamed : bool
@@ -47,8 +47,8 @@
     chat: bool
     streamed: bool
     include_usage: bool = False
-    restore: tuple[rpc.StoreCopy, ...] = ()
-    keep: tuple[rpc.StoreCopy, ...] = ()
+    restore: tuple[chain_view.StoredBlock, ...] = ()
+    keep: tuple[chain_view.StoredBlock, ...] = ()
     resume_after: int = 0
 
 
@@ -247,21 +247,21 @@
     )
 
 
-def _encode_copies(messages: Any, copies: tuple[rpc.StoreCopy, ...]) -> None:
+def _encode_copies(messages: Any, copies: tuple[chain_view.StoredBlock, ...]) -> None:
     for message, copy in zip(messages, copies, strict=True):
         message.index = copy.index
         message.store = copy.store
         message.objectName = copy.object_name
-        message.tier = copy.tier.value
+        message.tier = copy.tier
 
 
-def _decode_copies(messages: Any) -> tuple[rpc.StoreCopy, ...]:
+def _decode_copies(messages: Any) -> tuple[chain_view.StoredBlock, ...]:
     return tuple(
-        rpc.StoreCopy(
+        chain_view.StoredBlock(
             index=message.index,
             store=ids.VmName(message.store),
             object_name=ids.ObjectName(message.objectName),
-            tier=configuration.TierKind(message.tier),
+            tier=ids.TierName(message.tier),
         )
         for message in messages
     )
--- /dev/null
+++ b/quincecrank/stream_writer.py
@@ -0,0 +1,115 @@
+"""The agent's side of streams: numbered frames, gathered into batches.
+
+Frames of all streams of one link that arise in the same turn of the event loop go
+out in one packet, so that the cost of a write is shared by many tokens.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+from quincecrank import peer_link, problems, stream_messages, wire
+
+Fill = Callable[[Any], None]
+"""Fills one ``Frame`` message."""
+
+
+class FrameBatcher:
+    """Collects the frames of one link and sends them once a turn."""
+
+    def __init__(self, link: peer_link.PeerLink) -> None:
+        self._link = link
+        self._fills: list[Fill] = []
+
+    def add(self, fill: Fill) -> None:
+        """Queue one frame for the batch of this turn."""
+        if not self._fills:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._fills.append(fill)
+
+    def _flush(self) -> None:
+        fills = self._fills
+        self._fills = []
+        packet = wire.new_packet()
+        messages = packet.init("frames").init("frames", len(fills))
+        for message, fill in zip(messages, fills, strict=True):
+            fill(message)
+        self._link.send(packet)
+
+
+@dataclasses.dataclass
+class StreamWriter:
+    """Writes the frames of one stream; ends exactly once.
+
+    Attributes
+    ----------
+    frames : int
+        Frames written so far; also the number of the next one.
+    """
+
+    batcher: FrameBatcher
+    stream: int
+    frames: int = 0
+    ended: bool = False
+
+    def data(self, data: bytes) -> None:
+        """Write bytes for the caller."""
+        number = self._next()
+
+        def fill(message: Any) -> None:
+            message.stream = self.stream
+            message.number = number
+            message.data = data
+
+        self.batcher.add(fill)
+
+    def head(
+        self, status: int, headers: tuple[stream_messages.HeaderField, ...]
+    ) -> None:
+        """Write the status and headers of a plain service's answer."""
+        number = self._next()
+
+        def fill(message: Any) -> None:
+            message.stream = self.stream
+            message.number = number
+            head = message.init("head")
+            head.status = status
+            fields = head.init("headers", len(headers))
+            stream_messages.encode_headers(fields, headers)
+
+        self.batcher.add(fill)
+
+    def end(self, end: stream_messages.StreamEnd) -> None:
+        """Close the stream as answered in full."""
+        number = self._next()
+        self.ended = True
+        counted = dataclasses.replace(end, frames=number)
+
+        def fill(message: Any) -> None:
+            message.stream = self.stream
+            message.number = number
+            stream_messages.encode_end(message.init("end"), counted)
+
+        self.batcher.add(fill)
+
+    def refuse(self, problem: problems.Problem) -> None:
+        """Close the stream with a refusal; does nothing on an ended stream."""
+        if self.ended:
+            return
+        number = self._next()
+        self.ended = True
+
+        def fill(message: Any) -> None:
+            message.stream = self.stream
+            message.number = number
+            stream_messages.encode_refusal(message.init("refusal"), problem)
+
+        self.batcher.add(fill)
+
+    def _next(self) -> int:
+        if self.ended:
+            raise RuntimeError(f"stream {self.stream} has ended")
+        number = self.frames
+        self.frames += 1
+        return number
