--- /dev/null
+++ b/quincecrank/rendezvous.py
@@ -0,0 +1,26 @@
+"""Rendezvous hashing: a ranking of names for a key that every process agrees on.
+
+Adding or removing a name moves only the keys that the name itself gains or loses.
+"""
+
+import hashlib
+from collections.abc import Iterable
+from typing import Final, TypeVar
+
+Name = TypeVar("Name", bound=str)
+
+_WEIGHT_BYTES: Final = 8
+
+
+def weight(key: str, name: str) -> int:
+    """Return the weight of `name` for `key`, uniform over 64 bits."""
+    encoded = f"{len(key)}:{key}{name}".encode()
+    return int.from_bytes(
+        hashlib.blake2b(encoded, digest_size=_WEIGHT_BYTES).digest(), "little"
+    )
+
+
+def ranked(key: str, names: Iterable[Name], count: int) -> tuple[Name, ...]:
+    """Return the `count` names with the highest weight for `key`, highest first."""
+    ordered = sorted(names, key=lambda name: (weight(key, name), name), reverse=True)
+    return tuple(ordered[:count])
--- /dev/null
+++ b/quincecrank/routing.py
@@ -0,0 +1,276 @@
+"""The routing decision: which backend server runs a request, and on which blocks.
+
+Terms
+-----
+candidate
+    A replica that may run the request: live, not leaving, on the right weight
+    version, with the adapter loaded and its breaker not open.
+frontier
+    Number of leading blocks of a prompt that need no recomputation.  A prefix
+    cache is usable from its front only, so everything behind the frontier is
+    recomputed.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Final, Protocol
+
+from quincecrank import chain_view, clock, configuration, ids, tokenizers
+
+BYTES_PER_MEBIBYTE: Final = 1 << 20
+TOKENS_PER_WEIGHT: Final = 1000
+"""Recomputed tokens to which `PolicyWeights.recomputed` applies."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaState:
+    """A candidate as the deciding process sees it at this moment.
+
+    Attributes
+    ----------
+    running, waiting : int
+        Requests that run and that wait at the backend server.
+    max_concurrent : int
+        Requests that may run at once.
+    queued_tokens : float
+        Prompt tokens still to be computed before a new request.
+    prefill_tokens_per_second : float
+        Speed at which prompts are computed.
+    slot_ms : float
+        Mean time that a request occupies one of the `max_concurrent` slots.
+    correction : float
+        Observed over estimated time to first token, averaged.
+    distance_ms : float
+        Round trip between the entry and the backend server.
+    """
+
+    server: ids.BackendServerName
+    running: int
+    waiting: int
+    max_concurrent: int
+    queued_tokens: float
+    prefill_tokens_per_second: float
+    slot_ms: float = 0.0
+    correction: float = 1.0
+    distance_ms: float = 0.0
+
+    def wait_ms(self) -> float:
+        """Return the estimated time until a new request is computed."""
+        ahead = max(0, self.running + self.waiting + 1 - self.max_concurrent)
+        slot_wait = ahead * self.slot_ms / self.max_concurrent
+        return max(slot_wait, self.compute_ms(self.queued_tokens))
+
+    def compute_ms(self, tokens: float) -> float:
+        """Return the time to compute `tokens` of a prompt."""
+        return tokens * clock.MS_PER_SECOND / self.prefill_tokens_per_second
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkState:
+    """The link of one tier at one store VM.
+
+    Attributes
+    ----------
+    bytes_per_second : float
+        Share of the link that is left for a new restore.
+    waiting_bytes : float
+        Bytes of earlier transfers that are still to be moved.
+    overhead_ms : float
+        Time of a transfer of no bytes.
+    """
+
+    store: ids.VmName
+    tier: ids.TierName
+    bytes_per_second: float
+    waiting_bytes: float = 0.0
+    overhead_ms: float = 0.0
+
+    def transfer_ms(self, size_bytes: float) -> float:
+        """Return the time until `size_bytes` more have been moved."""
+        if self.bytes_per_second <= 0:
+            return float("inf")
+        moved = self.waiting_bytes + size_bytes
+        return self.overhead_ms + moved * clock.MS_PER_SECOND / self.bytes_per_second
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutingRequest:
+    """What the decision needs to know of a request.
+
+    Attributes
+    ----------
+    root : BlockKey or None
+        Key of the first block; None for a prompt without a whole block.
+    prompt_tokens : int
+        Length of the prompt.
+    block_bytes : int
+        Size of one sealed block.
+    """
+
+    request_id: ids.RequestId
+    deployment: ids.DeploymentName
+    weights: configuration.PolicyWeights
+    prompt_tokens: int
+    block_bytes: int
+    root: ids.BlockKey | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Where a request runs and where its earlier blocks come from.
+
+    Attributes
+    ----------
+    cached_blocks : int
+        Blocks that the engine should already hold.
+    restore : tuple of StoredBlock
+        Blocks to import before the run, ascending by index.
+    recompute_tokens : int
+        Tokens of the prompt that the engine computes.
+    estimated_first_token_ms : float
+        Estimated time to first token, before the correction of the replica.
+    cost : float
+        Weighted cost in milliseconds, after the correction.
+    reuse : bool
+        Whether the engine may use its prefix cache.
+    reason : str
+        Inputs of the decision, for the log.
+    """
+
+    server: ids.BackendServerName
+    cached_blocks: int
+    restore: tuple[chain_view.StoredBlock, ...]
+    recompute_tokens: int
+    estimated_first_token_ms: float
+    cost: float
+    reuse: bool = True
+    reason: str = ""
+
+
+class Restoring(enum.Enum):
+    """Which of the blocks that a store keeps are restored."""
+
+    NEVER = "never"
+    CHEAPEST = "cheapest"
+    ALWAYS = "always"
+
+
+Links = Mapping[tuple[ids.VmName, ids.TierName], LinkState]
+
+
+class RoutingPolicy(Protocol):
+    """Chooses a candidate for each request."""
+
+    @property
+    def name(self) -> str:
+        """Name of the policy in the settings."""
+
+    @property
+    def uses_tiers(self) -> bool:
+        """Whether blocks are written to and restored from stores."""
+
+    def choose(
+        self,
+        request: RoutingRequest,
+        candidates: Sequence[ReplicaState],
+        chain: chain_view.ChainView,
+        links: Sequence[LinkState],
+        now_ms: int,
+    ) -> Plan | None:
+        """Return the plan for `request`, or None without candidates."""
+
+
+def links_by_place(links: Sequence[LinkState]) -> Links:
+    """Return `links` by store VM and tier."""
+    return {(link.store, link.tier): link for link in links}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Frontier:
+    """One way to split a prompt: restore these blocks, recompute the rest."""
+
+    blocks: int
+    restore: tuple[chain_view.StoredBlock, ...]
+    restore_ms: float
+
+
+def _frontiers(
+    held: frozenset[int],
+    copies_by_index: Mapping[int, Sequence[chain_view.StoredBlock]],
+    block_count: int,
+    block_bytes: int,
+    links: Links,
+) -> Iterator[_Frontier]:
+    """Yield each reachable frontier, the shortest first.
+
+    Restores run on all links at once; each block takes the copy whose link would
+    deliver it first.
+    """
+    taken_bytes: dict[tuple[ids.VmName, ids.TierName], int] = {}
+    restore: tuple[chain_view.StoredBlock, ...] = ()
+    restore_ms = 0.0
+    yield _Frontier(0, restore, restore_ms)
+    for index in range(block_count):
+        if index not in held:
+            offers = [
+                (links[place].transfer_ms(taken_bytes.get(place, 0) + block_bytes), i)
+                for i, copy in enumerate(copies_by_index.get(index, ()))
+                if (place := (copy.store, copy.tier)) in links
+            ]
+            if not offers:
+                return
+            done_ms, best = min(offers)
+            copy = copies_by_index[index][best]
+            place = (copy.store, copy.tier)
+            taken_bytes[place] = taken_bytes.get(place, 0) + block_bytes
+            restore = (*restore, copy)
+            restore_ms = max(restore_ms, done_ms)
+        yield _Frontier(index + 1, restore, restore_ms)
+
+
+def plans_for(
+    request: RoutingRequest,
+    replica: ReplicaState,
+    chain: chain_view.ChainView,
+    copies_by_index: Mapping[int, Sequence[chain_view.StoredBlock]],
+    links: Links,
+) -> Iterator[Plan]:
+    """Yield a plan for each split of the prompt between restore and recomputation.
+
+    The first plan restores nothing, the last one all that can be restored.  A
+    restore runs while the request waits for the replica, so that only the longer
+    of the two counts.
+    """
+    held = chain.held_by_server.get(replica.server, frozenset())
+    held_prefix = chain.held_prefix(replica.server)
+    frontiers = _frontiers(
+        held, copies_by_index, chain.block_count, request.block_bytes, links
+    )
+    wait_ms = replica.wait_ms()
+    for frontier in frontiers:
+        if frontier.blocks < held_prefix:
+            continue
+        reused = frontier.blocks * tokenizers.BLOCK_TOKENS
+        recompute = max(0, request.prompt_tokens - reused)
+        ready_ms = max(wait_ms, frontier.restore_ms)
+        first_token_ms = ready_ms + replica.compute_ms(recompute) + replica.distance_ms
+        link_bytes = len(frontier.restore) * request.block_bytes
+        weights = request.weights
+        cost = (
+            weights.first_token * first_token_ms * replica.correction
+            + weights.recomputed * recompute / TOKENS_PER_WEIGHT
+            + weights.link * link_bytes / BYTES_PER_MEBIBYTE
+        )
+        yield Plan(
+            replica.server,
+            frontier.blocks - len(frontier.restore),
+            frontier.restore,
+            recompute,
+            first_token_ms,
+            cost,
+            reason=(
+                f"wait={wait_ms:.0f}ms restore={frontier.restore_ms:.0f}ms "
+                f"recompute={recompute} correction={replica.correction:.2f}"
+            ),
+        )
--- /dev/null
+++ b/quincecrank/routing_estimates.py
@@ -0,0 +1,132 @@
+"""What an entry knows of each replica between two load reports.
+
+A load report is old when it arrives.  The estimate therefore lets the reported
+queue drain with time, adds the entry's own requests that the report cannot yet
+contain, and corrects itself by observed times to first token.
+"""
+
+import dataclasses
+from typing import Final
+
+from quincecrank import clock, ids, routing
+
+REPORT_LAG_MS: Final = 500
+"""Age that a load report may have on arrival."""
+
+_SMOOTHING: Final = 0.2
+"""Weight of a new observation in an average."""
+
+_MIN_CORRECTION: Final = 0.5
+_MAX_CORRECTION: Final = 4.0
+_MIN_ESTIMATE_MS: Final = 20.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """The load that an agent reports for its backend server."""
+
+    running: int
+    waiting: int
+    queued_tokens: int
+    max_concurrent: int
+    prefill_tokens_per_second: float
+
+
+@dataclasses.dataclass(slots=True)
+class _OwnRequest:
+    """A request that this entry has sent and that has not ended."""
+
+    sent_ms: int
+    tokens: int
+    estimated_ms: float
+    first_token_seen: bool = False
+
+
+class ReplicaEstimates:
+    """Aggregate of one replica's reports, own requests and correction."""
+
+    def __init__(self, server: ids.BackendServerName, distance_ms: float = 0) -> None:
+        self.server = server
+        self._distance_ms = distance_ms
+        self._report: LoadReport | None = None
+        self._reported_ms = 0
+        self._own_by_request: dict[ids.RequestId, _OwnRequest] = {}
+        self._correction = 1.0
+        self._slot_ms = 0.0
+
+    def report(self, load: LoadReport, now_ms: int) -> None:
+        """Take a load report that has just arrived."""
+        self._report = load
+        self._reported_ms = now_ms
+
+    def sent(self, request: ids.RequestId, plan: routing.Plan, now_ms: int) -> None:
+        """Count a request that has just been sent to the replica."""
+        self._own_by_request[request] = _OwnRequest(
+            now_ms, plan.recompute_tokens, plan.estimated_first_token_ms
+        )
+
+    def first_token(self, request: ids.RequestId, now_ms: int) -> None:
+        """Learn from the first token of a request sent before."""
+        own = self._own_by_request.get(request)
+        if own is None or own.first_token_seen:
+            return
+        own.first_token_seen = True
+        estimated_ms = max(own.estimated_ms, _MIN_ESTIMATE_MS)
+        observed_ms = max(now_ms - own.sent_ms, _MIN_ESTIMATE_MS)
+        ratio = observed_ms / estimated_ms
+        ratio = min(max(ratio, _MIN_CORRECTION), _MAX_CORRECTION)
+        self._correction += _SMOOTHING * (ratio - self._correction)
+
+    def ended(self, request: ids.RequestId, now_ms: int) -> None:
+        """Forget a request that has ended in any way."""
+        own = self._own_by_request.pop(request, None)
+        if own is None or not own.first_token_seen:
+            return
+        held_ms = now_ms - own.sent_ms
+        if not self._slot_ms:
+            self._slot_ms = held_ms
+        self._slot_ms += _SMOOTHING * (held_ms - self._slot_ms)
+
+    def state(self, now_ms: int) -> routing.ReplicaState | None:
+        """Return the replica as it is estimated to be; None before a report."""
+        load = self._report
+        if load is None:
+            return None
+        running, waiting = self._occupancy(load)
+        return routing.ReplicaState(
+            self.server,
+            running,
+            waiting,
+            load.max_concurrent,
+            self._queued_tokens(load, now_ms),
+            load.prefill_tokens_per_second,
+            self._slot_ms,
+            self._correction,
+            self._distance_ms,
+        )
+
+    def _occupancy(self, load: LoadReport) -> tuple[int, int]:
+        newer = len(self._newer_than_report())
+        total = max(load.running + load.waiting + newer, len(self._own_by_request))
+        running = min(total, load.max_concurrent)
+        return running, total - running
+
+    def _newer_than_report(self) -> list[_OwnRequest]:
+        seen_until_ms = self._reported_ms - REPORT_LAG_MS
+        return [
+            own for own in self._own_by_request.values() if own.sent_ms > seen_until_ms
+        ]
+
+    def _queued_tokens(self, load: LoadReport, now_ms: int) -> float:
+        rate = load.prefill_tokens_per_second / clock.MS_PER_SECOND
+        drained = rate * (now_ms - self._reported_ms)
+        reported = max(0.0, load.queued_tokens - drained)
+        newer = sum(
+            own.tokens for own in self._newer_than_report() if not own.first_token_seen
+        )
+        own = sum(
+            max(0.0, own.tokens - rate * (now_ms - own.sent_ms))
+            for own in self._own_by_request.values()
+            if not own.first_token_seen
+        )
+        return max(reported + newer, own)
--- /dev/null
+++ b/tests/test_policies.py
@@ -0,0 +1,136 @@
+"""Tests of the routing policies."""
+
+import unittest
+
+from quincecrank import chain_view, ids, policies, routing
+from tests import builders_decisions as builders
+
+FAST = 100e6
+SLOW = 1e5
+OTHER_STORE = ids.VmName("smriti-kha")
+
+
+def view(held: int = 0, copies: int = 0, blocks: int = 10) -> chain_view.ChainView:
+    held_by_server = {builders.ADA: frozenset(range(held))} if held else {}
+    stored = tuple(builders.stored(index) for index in range(copies))
+    return chain_view.ChainView(blocks, held_by_server, copies=stored)
+
+
+def choose(
+    name: str,
+    chain: chain_view.ChainView,
+    ada: routing.ReplicaState | None = None,
+    links: tuple[routing.LinkState, ...] = (builders.link(FAST),),
+    request: routing.RoutingRequest | None = None,
+) -> routing.Plan:
+    candidates = [ada or builders.replica(), builders.replica(builders.BELA)]
+    policy = policies.make_policy(name)
+    plan = policy.choose(request or builders.request(), candidates, chain, links, 0)
+    assert plan is not None
+    return plan
+
+
+class CostPolicyTest(unittest.TestCase):
+    def test_an_idle_holder_wins(self) -> None:
+        plan = choose(policies.DEFAULT_POLICY, view(held=8))
+        self.assertEqual((plan.server, plan.cached_blocks), (builders.ADA, 8))
+        self.assertEqual(plan.recompute_tokens, 2 * 1024)
+
+    def test_a_busy_holder_loses_a_hot_prefix(self) -> None:
+        busy = builders.replica(queued_tokens=100_000)
+        plan = choose(policies.DEFAULT_POLICY, view(held=8, copies=8), busy)
+        self.assertEqual((plan.server, len(plan.restore)), (builders.BELA, 8))
+
+    def test_a_slow_link_is_not_waited_for(self) -> None:
+        links = (builders.link(SLOW),)
+        plan = choose(policies.DEFAULT_POLICY, view(copies=10), links=links)
+        self.assertEqual(plan.restore, ())
+        self.assertEqual(plan.recompute_tokens, 10 * 1024)
+
+    def test_recomputation_can_be_made_dearer_than_a_slow_link(self) -> None:
+        links = (builders.link(SLOW),)
+        request = builders.request(recomputed=2000.0)
+        plan = choose(policies.DEFAULT_POLICY, view(copies=10), None, links, request)
+        self.assertEqual(len(plan.restore), 10)
+
+    def test_the_wait_for_a_replica_hides_part_of_a_restore(self) -> None:
+        busy = [
+            builders.replica(name, queued_tokens=20_000)
+            for name in (builders.ADA, builders.BELA)
+        ]
+        links = (builders.link(1e6),)  # 66 ms a block, 51 ms to recompute it
+        plan = policies.CostPolicy().choose(
+            builders.request(), busy, view(copies=10), links, 0
+        )
+        assert plan is not None
+        self.assertGreaterEqual(len(plan.restore), 10)
+        idle = choose(policies.DEFAULT_POLICY, view(copies=10), links=links)
+        self.assertEqual(idle.restore, ())
+
+    def test_a_hole_in_engine_memory_is_filled_from_a_store(self) -> None:
+        chain = chain_view.ChainView(
+            10,
+            {builders.ADA: frozenset({0, 1, 4, 5, 6, 7, 8, 9})},
+            copies=(builders.stored(2), builders.stored(3)),
+        )
+        plan = choose(policies.DEFAULT_POLICY, chain)
+        self.assertEqual([copy.index for copy in plan.restore], [2, 3])
+        self.assertEqual((plan.cached_blocks, plan.recompute_tokens), (8, 0))
+
+    def test_restores_are_spread_over_links(self) -> None:
+        copies = tuple(
+            builders.stored(index, store)
+            for index in range(10)
+            for store in (builders.STORE, OTHER_STORE)
+        )
+        links = (builders.link(FAST), builders.link(FAST, OTHER_STORE))
+        chain = chain_view.ChainView(10, copies=copies)
+        plan = choose(policies.DEFAULT_POLICY, chain, links=links)
+        from_first = [c for c in plan.restore if c.store == builders.STORE]
+        self.assertEqual((len(plan.restore), len(from_first)), (10, 5))
+
+    def test_unknown_links_and_no_candidates_are_no_plan_to_restore(self) -> None:
+        plan = choose(policies.DEFAULT_POLICY, view(copies=10), links=())
+        self.assertEqual(plan.restore, ())
+        empty = policies.CostPolicy().choose(builders.request(), [], view(), (), 0)
+        self.assertIsNone(empty)
+
+    def test_all_entries_send_a_new_prefix_to_the_same_replica(self) -> None:
+        first = choose(policies.DEFAULT_POLICY, view())
+        nearly_idle = builders.replica(queued_tokens=40)
+        self.assertEqual(
+            first.server,
+            choose(policies.DEFAULT_POLICY, view(), nearly_idle).server,
+        )
+
+
+class BaselineTest(unittest.TestCase):
+    def test_each_baseline_differs_as_its_name_says(self) -> None:
+        busy = builders.replica(queued_tokens=10_000)
+        links = (builders.link(SLOW),)
+        chain = view(held=2, copies=10)
+        expected = {
+            "round-robin": (builders.ADA, 0, 0, False),
+            "least-loaded": (builders.BELA, 0, 0, True),
+            "prefix-affinity": (builders.ADA, 2, 0, True),
+            "always-recompute": (builders.BELA, 0, 0, True),
+            "always-restore": (builders.ADA, 2, 8, True),
+        }
+        self.assertEqual({*expected, policies.DEFAULT_POLICY}, {*policies.POLICY_NAMES})
+        for name, values in expected.items():
+            with self.subTest(name):
+                plan = choose(name, chain, busy, links)
+                restored = len(plan.restore)
+                self.assertEqual(
+                    (plan.server, plan.cached_blocks, restored, plan.reuse), values
+                )
+
+    def test_round_robin_takes_turns(self) -> None:
+        policy = policies.make_policy("round-robin")
+        candidates = [builders.replica(), builders.replica(builders.BELA)]
+        plans = [
+            policy.choose(builders.request(), candidates, view(), (), 0)
+            for _ in range(4)
+        ]
+        servers = [plan.server for plan in plans if plan]
+        self.assertEqual(servers, [builders.ADA, builders.BELA] * 2)
