--- a/quincecrank/block_keys.py
+++ b/quincecrank/block_keys.py
@@ -100,3 +100,26 @@
         key=derive_key(secret),
         person=_SALT_PURPOSE,
     ).hexdigest()
+
+
+def engine_name(root: ids.BlockKey, key: ids.BlockKey) -> ids.BlockKey:
+    """Return the name of a block in an engine's cache: its root, then its key.
+
+    The root lets an agent tell the directory shard of any key that an engine
+    reports, also after the agent has been replaced.
+    """
+    return ids.BlockKey(root + key)
+
+
+def engine_names(keys: Sequence[ids.BlockKey]) -> tuple[ids.BlockKey, ...]:
+    """Return the names of the blocks of one chain in an engine's cache."""
+    return tuple(engine_name(keys[0], key) for key in keys)
+
+
+def split_engine_name(
+    name: ids.BlockKey,
+) -> tuple[ids.BlockKey, ids.BlockKey] | None:
+    """Return root and key of a block in an engine's cache, None for other names."""
+    if len(name) != 4 * KEY_BYTES:
+        return None
+    return ids.BlockKey(name[: 2 * KEY_BYTES]), ids.BlockKey(name[2 * KEY_BYTES :])
--- a/quincecrank/block_mover.py
+++ b/quincecrank/block_mover.py
@@ -12,9 +12,11 @@
 from typing import Final, Protocol
 
 from quincecrank import (
+    block_keys,
     chain_view,
     configuration,
     engine_client,
+    engine_messages,
     ids,
     logs,
     metrics,
@@ -115,7 +117,7 @@
                 continue
             self._kept_now.add(name.key)
             try:
-                await self._keep_block(copy, name.key, version)
+                await self._keep_block(copy, name, version)
             finally:
                 self._kept_now.discard(name.key)
 
@@ -138,8 +140,10 @@
             self._log_failure("sealed block refused", copy, opened.error.value)
             return False, len(data)
         try:
-            await self._engine.import_block(name.key, opened.ok, version)
-        except engine_client.EngineError as e:
+            await self._engine.import_block(
+                block_keys.engine_name(name.root, name.key), opened.ok, version
+            )
+        except engine_messages.EngineError as e:
             self._log_failure("import failed", copy, e)
             return False, len(data)
         return True, len(data)
@@ -147,7 +151,7 @@
     async def _keep_block(
         self,
         copy: chain_view.StoredBlock,
-        key: ids.BlockKey,
+        name: sealed_block.BlockName,
         version: ids.WeightVersion,
     ) -> None:
         store = self._stores.store(copy.store)
@@ -155,11 +159,14 @@
         if store is None or tier is None:
             return
         try:
-            payload = await self._engine.export_block(key, version)
-            identity = sealed_block.BlockIdentity(key, copy.object_name, version)
-            data = sealed_block.seal(self._secret, identity, payload)
+            engine_name = block_keys.engine_name(name.root, name.key)
+            exported = await self._engine.export_block(engine_name)
+            if exported.weight_version != version:
+                return
+            identity = sealed_block.BlockIdentity(name.key, copy.object_name, version)
+            data = sealed_block.seal(self._secret, identity, exported.data)
             await store.put(copy.object_name, data, tier.kind)
-        except (engine_client.EngineError, object_client.ObjectStoreError) as e:
+        except (engine_messages.EngineError, object_client.ObjectStoreError) as e:
             self._log_failure("write to store failed", copy, e)
             return
         self._figures.count_link(copy.tier, metrics.Direction.WRITE, len(data))
--- a/quincecrank/cache_watch.py
+++ b/quincecrank/cache_watch.py
@@ -6,28 +6,29 @@
 """
 
 import asyncio
-import collections
 from typing import Final
 
 from quincecrank import clock as clocks
-from quincecrank import directory, directory_client, engine_client, ids, logs
+from quincecrank import (
+    block_keys,
+    directory,
+    directory_client,
+    engine_client,
+    engine_messages,
+    ids,
+    logs,
+)
 
 EVENT_WAIT_MS: Final = 1_000
 RETRY_INTERVAL_MS: Final = 500
 SNAPSHOT_INTERVAL_MS: Final = 30_000
 """Longest time after which everything is announced anew."""
 
-MAX_KNOWN_KEYS: Final = 100_000
-
 _LOG: Final = logs.logger("cache-watch")
 
 
 class CacheWatch:
-    """Announces one engine's cached blocks.
-
-    The engine names blocks by their keys only; the root of each key is learned from
-    the requests that ran here and from the blocks that were restored.
-    """
+    """Announces one engine's cached blocks to the directory."""
 
     def __init__(
         self,
@@ -40,33 +41,22 @@
         self._server = server
         self._announcer = announcer
         self._clock = clock
-        self._root_by_key: collections.OrderedDict[ids.BlockKey, ids.BlockKey] = (
-            collections.OrderedDict()
-        )
         self._incarnation = ids.Incarnation("")
         self._sequence = 0
         self._snapshot_ms = 0
 
-    def learn_chain(self, keys: tuple[ids.BlockKey, ...]) -> None:
-        """Remember the root of each key of a prompt."""
-        for key in keys:
-            self._root_by_key[key] = keys[0]
-            self._root_by_key.move_to_end(key)
-        while len(self._root_by_key) > MAX_KNOWN_KEYS:
-            self._root_by_key.popitem(last=False)
-
     async def watch(self) -> None:
         """Follow the events until cancelled."""
         while True:
             try:
                 await self._follow()
-            except engine_client.EngineError:
+            except engine_messages.EngineError:
                 await self._clock.sleep(RETRY_INTERVAL_MS)
 
     async def _follow(self) -> None:
         batch = await self._engine.events(self._sequence, EVENT_WAIT_MS)
         age_ms = self._clock.now_ms() - self._snapshot_ms
-        if batch.incarnation != self._incarnation or age_ms > SNAPSHOT_INTERVAL_MS:
+        if batch.incarnation != self._incarnation or age_ms >= SNAPSHOT_INTERVAL_MS:
             await self._take_snapshot()
             return
         expected = self._sequence + 1
@@ -91,28 +81,32 @@
         announcements = self._announcements(snapshot.keys)
         self._announcer.snapshot(self._holder(), announcements)
 
-    def _announce(self, events: tuple[engine_client.CacheEvent, ...]) -> None:
+    def _announce(self, events: tuple[engine_messages.EngineEvent, ...]) -> None:
         kind_by_key = {event.key: event.kind for event in events}
-        stored = engine_client.CacheEventKind.STORED
+        stored = engine_messages.CacheChange.STORED
         added = tuple(k for k, kind in kind_by_key.items() if kind is stored)
         removed = tuple(k for k, kind in kind_by_key.items() if kind is not stored)
         self._announcer.announce(self._announcements(added))
         self._announcer.withdraw(self._announcements(removed))
 
     def _announcements(
-        self, keys: tuple[ids.BlockKey, ...]
+        self, names: tuple[ids.BlockKey, ...]
     ) -> tuple[directory.Announcement, ...]:
         keys_by_root: dict[ids.BlockKey, list[ids.BlockKey]] = {}
-        for key in keys:
-            root = self._root_by_key.get(key)
-            if root is not None:
-                keys_by_root.setdefault(root, []).append(key)
+        for name in names:
+            parts = block_keys.split_engine_name(name)
+            if parts is not None:
+                keys_by_root.setdefault(parts[0], []).append(parts[1])
         holder = self._holder()
         return tuple(
             directory.Announcement(root, tuple(found), holder)
             for root, found in keys_by_root.items()
         )
 
+    def announce_anew(self) -> None:
+        """Announce everything at the next turn, as shards may have moved."""
+        self._snapshot_ms = self._clock.now_ms() - SNAPSHOT_INTERVAL_MS
+
     def _holder(self) -> directory.EngineHolder:
         return directory.EngineHolder(self._server, self._incarnation)
 
--- a/quincecrank/membership.py
+++ b/quincecrank/membership.py
@@ -10,18 +10,28 @@
 from quincecrank import ids, logs, object_client, vm_list
 
 POLL_INTERVAL_MS: Final = 1_000
-STORE_BUCKET: Final = "blocks"
 
 _LOG: Final = logs.logger("membership")
 
 
 class Membership:
-    """Follows the list of VMs and keeps clients of the store VMs."""
+    """Follows the list of VMs and keeps clients of the store VMs.
+
+    Parameters
+    ----------
+    bucket : str
+        Bucket that keeps this deployment's blocks on every store VM.
+    """
 
     def __init__(
-        self, source: vm_list.VmList, store_timeout_ms: int, clock: clocks.Clock
+        self,
+        source: vm_list.VmList,
+        bucket: str,
+        store_timeout_ms: int,
+        clock: clocks.Clock,
     ) -> None:
         self._source = source
+        self._bucket = bucket
         self._store_timeout_ms = store_timeout_ms
         self._clock = clock
         self._stores_by_name: dict[ids.VmName, object_client.HttpObjectStore] = {}
@@ -59,7 +69,7 @@
         url = f"http://{vm.address}:{vm.port}"
         if client is None:
             client = object_client.HttpObjectStore(
-                url, STORE_BUCKET, self._store_timeout_ms, self._clock
+                url, self._bucket, self._store_timeout_ms, self._clock
             )
             self._stores_by_name[name] = client
         return client
--- a/quincecrank/model_backend.py
+++ b/quincecrank/model_backend.py
@@ -6,10 +6,12 @@
 
 from quincecrank import backend as backends
 from quincecrank import (
+    block_keys,
     block_mover,
     cache_watch,
     completion_format,
     engine_client,
+    engine_messages,
     ids,
     logs,
     problems,
@@ -95,13 +97,12 @@
             detail = "a model engine takes no plain calls"
             writer.refuse(problems.Problem(problems.ProblemKind.BAD_REQUEST, detail))
             return
-        self._cache.learn_chain(work.block_keys)
         restored = await self._mover.restore(work.restore, work.weight_version)
         answer = _Answer(self._clock.now_ms())
         try:
             usage = await self._complete(order, work, writer, answer)
-        except engine_client.EngineError as error:
-            writer.refuse(self._problem(error, answer))
+        except engine_messages.EngineError as error:
+            writer.refuse(self._problem(error))
             return
         self._learn_speed(usage, answer)
         self._finish(order, work, writer, answer, usage)
@@ -129,10 +130,10 @@
         work: stream_messages.Completion,
         writer: stream_writer.StreamWriter,
         answer: _Answer,
-    ) -> engine_client.EngineUsage:
+    ) -> engine_messages.EngineUsage:
         events = self._events(order, work)
 
-        def on_token(token: engine_client.EngineToken) -> None:
+        def on_token(token: engine_messages.EngineToken) -> None:
             if answer.tokens == 0:
                 answer.first_token_ms = self._clock.now_ms()
             if token.finish_reason:
@@ -145,7 +146,7 @@
             else:
                 answer.texts.append(token.text)
 
-        request = engine_client.EngineRequest(
+        request = engine_messages.EngineRequest(
             request_id=order.attempt_id,
             model=work.model,
             prompt=work.prompt.decode(),
@@ -154,7 +155,7 @@
             cache_salt=work.cache_salt,
             weight_version=work.weight_version,
             adapter=work.adapter,
-            block_keys=work.block_keys,
+            block_keys=block_keys.engine_names(work.block_keys),
             resume_after=work.resume_after,
         )
         return await self._engine.complete(request, on_token)
@@ -165,7 +166,7 @@
         work: stream_messages.Completion,
         writer: stream_writer.StreamWriter,
         answer: _Answer,
-        usage: engine_client.EngineUsage,
+        usage: engine_messages.EngineUsage,
     ) -> None:
         counts = completion_format.Usage(
             usage.prompt_tokens, work.resume_after + answer.tokens, usage.cached_tokens
@@ -191,34 +192,32 @@
         created_s = self._clock.wall_ms() // clocks.MS_PER_SECOND
         return completion_format.EventFormat(order.request_id, work, created_s)
 
-    def _problem(
-        self, error: engine_client.EngineError, answer: _Answer
-    ) -> problems.Problem:
+    def _problem(self, error: engine_messages.EngineError) -> problems.Problem:
         match error:
-            case engine_client.EngineBusyError():
+            case engine_messages.EngineBusyError():
                 kind = problems.ProblemKind.OVERLOADED
                 return problems.Problem(
                     kind, str(error), retry_after_ms=RETRY_AFTER_BUSY_MS
                 )
-            case engine_client.WrongVersionError():
+            case engine_messages.WrongVersionError():
                 kind = problems.ProblemKind.UNAVAILABLE
                 return problems.Problem(
                     kind, str(error), retry_after_ms=RETRY_AFTER_VERSION_MS
                 )
-            case engine_client.EngineRejectedError():
+            case engine_messages.EngineRejectedError():
                 kind = problems.ProblemKind.BAD_REQUEST
                 return problems.Problem(kind, str(error))
         self._load = dataclasses.replace(self._load, healthy=False)
-        started = isinstance(error, engine_client.EngineFailedError) and error.started
+        sent = not isinstance(error, engine_messages.EngineFailedError) or error.sent
         return problems.Problem(
             problems.ProblemKind.BACKEND_CRASHED,
             str(error),
-            problems.Ran.UNKNOWN if started or answer.tokens else problems.Ran.NOT_RUN,
+            problems.Ran.UNKNOWN if sent else problems.Ran.NOT_RUN,
             RETRY_AFTER_CRASH_MS,
         )
 
     def _learn_speed(
-        self, usage: engine_client.EngineUsage, answer: _Answer
+        self, usage: engine_messages.EngineUsage, answer: _Answer
     ) -> None:
         computed = usage.prompt_tokens - usage.cached_tokens
         took_ms = answer.first_token_ms - answer.started_ms
@@ -240,7 +239,7 @@
     async def _refresh_load(self) -> None:
         try:
             load = await self._engine.load()
-        except engine_client.EngineError as error:
+        except engine_messages.EngineError as error:
             if self._load.healthy:
                 _LOG.warning("engine is not healthy", reason=str(error))
             self._load = dataclasses.replace(self._load, healthy=False)
@@ -264,7 +263,7 @@
         _LOG.info("ordering weight version", decision="order", version=wanted)
         try:
             await self._engine.order(
-                engine_client.OrderKind.LOAD_VERSION, wanted, self.fencing_number
+                engine_messages.OrderKind.LOAD_VERSION, wanted, self.fencing_number
             )
-        except engine_client.EngineError as error:
+        except engine_messages.EngineError as error:
             _LOG.warning("order failed", version=wanted, reason=str(error))
