--- /dev/null
+++ b/quincecrank/agent_links.py
@@ -0,0 +1,187 @@
+"""What an entry knows of the agents: their links, loads and open attempts."""
+
+import dataclasses
+import itertools
+from collections.abc import Callable
+from typing import Any, Final
+
+from quincecrank import attempt as attempts
+from quincecrank import (
+    breaker,
+    configuration,
+    configuration_store,
+    configuration_sync,
+    ids,
+    logs,
+    peer_link,
+    routing_estimates,
+    rpc,
+    stream_messages,
+    tasks,
+    wire,
+)
+from quincecrank import clock as clocks
+
+_LOG: Final = logs.logger("agent-links")
+
+
+@dataclasses.dataclass
+class AgentState:
+    """One linked agent and the backend server beside it.
+
+    Attributes
+    ----------
+    suspects : int
+        Requests that run there and were in flight at an earlier crash.
+    """
+
+    link: peer_link.PeerLink
+    estimates: routing_estimates.ReplicaEstimates
+    breaker: breaker.Breaker
+    attempts_by_stream: dict[int, attempts.Attempt] = dataclasses.field(
+        default_factory=dict
+    )
+    accepting: bool = False
+    healthy: bool = False
+    weight_version: ids.WeightVersion = ids.WeightVersion("")
+    adapters: tuple[ids.AdapterName, ...] = ()
+    configuration_version: int = 0
+    running: int = 0
+    waiting: int = 0
+    max_concurrent: int = 1
+    prefill_tokens_per_second: float = 0.0
+    suspects: int = 0
+
+    @property
+    def peer(self) -> wire.PeerIdentity:
+        """Return who the agent is."""
+        return self.link.peer
+
+
+class AgentLinks:
+    """Implementation of `peer_link.LinkOwner` for an entry."""
+
+    def __init__(
+        self,
+        current: configuration_store.CurrentConfiguration,
+        configuration_changed: Callable[[], None],
+        clock: clocks.Clock,
+    ) -> None:
+        self._current = current
+        self._sync = configuration_sync.ConfigurationSync(current)
+        self._configuration_changed = configuration_changed
+        self._clock = clock
+        self._tasks = tasks.BackgroundTasks()
+        self._stream_numbers = itertools.count(1)
+        self._breakers_by_server: dict[ids.BackendServerName, breaker.Breaker] = {}
+        self.states_by_vm: dict[ids.VmName, AgentState] = {}
+
+    def linked(self, link: peer_link.PeerLink) -> None:
+        """Take a new link into use."""
+        server = link.peer.backend_server
+        known = self._breakers_by_server.setdefault(server, breaker.Breaker())
+        estimates = routing_estimates.ReplicaEstimates(server)
+        self.states_by_vm[link.peer.name] = AgentState(link, estimates, known)
+        _LOG.info("agent linked", peer=link.peer.name, backend_server=server)
+
+    def unlinked(self, link: peer_link.PeerLink) -> None:
+        """Break the attempts of a link that has ended."""
+        state = self.states_by_vm.get(link.peer.name)
+        if state is None or state.link is not link:
+            return
+        del self.states_by_vm[link.peer.name]
+        for attempt in tuple(state.attempts_by_stream.values()):
+            attempt.broken("the link to the agent ended")
+
+    def state_of(self, server: ids.BackendServerName) -> AgentState | None:
+        """Return the agent beside a backend server, if it is linked."""
+        for state in self.states_by_vm.values():
+            if state.peer.backend_server == server:
+                return state
+        return None
+
+    def next_stream(self) -> int:
+        """Return a stream number that this process has not used."""
+        return next(self._stream_numbers)
+
+    def open(
+        self,
+        state: AgentState,
+        order: stream_messages.StreamOrder,
+        sink: attempts.AnswerSink,
+    ) -> attempts.Attempt:
+        """Open a stream on an agent."""
+        attempt = attempts.Attempt(state.link, order, sink)
+        state.attempts_by_stream[order.stream] = attempt
+        state.link.send(stream_messages.encode_order(order))
+        if state.link.closed:
+            attempt.broken("the link to the agent ended")
+        return attempt
+
+    def close(self, state: AgentState, attempt: attempts.Attempt) -> None:
+        """Forget a stream; cancel it at the agent when it has not ended."""
+        state.attempts_by_stream.pop(attempt.order.stream, None)
+        if not attempt.ended:
+            state.link.send(stream_messages.encode_cancel(attempt.order.stream))
+
+    def make_heartbeat(self) -> Any:
+        """Return a heartbeat."""
+        packet = wire.new_packet()
+        heartbeat = packet.init("heartbeat")
+        heartbeat.sentMs = self._clock.now_ms()
+        heartbeat.configurationVersion = self._current.version
+        return packet
+
+    def heartbeat_received(self, link: peer_link.PeerLink, heartbeat: Any) -> None:
+        """Take an agent's load and fetch a newer configuration from it."""
+        state = self.states_by_vm.get(link.peer.name)
+        if state is None or state.link is not link:
+            return
+        load = heartbeat.load
+        state.accepting = load.accepting
+        state.healthy = load.healthy
+        state.weight_version = ids.WeightVersion(load.weightVersion)
+        state.adapters = tuple(ids.AdapterName(name) for name in load.adapters)
+        state.running = load.running
+        state.waiting = load.waiting
+        state.max_concurrent = load.maxConcurrent
+        state.prefill_tokens_per_second = load.prefillTokensPerSecond
+        state.configuration_version = heartbeat.configurationVersion
+        report = routing_estimates.LoadReport(
+            running=load.running,
+            waiting=load.waiting,
+            queued_tokens=load.queuedTokens,
+            max_concurrent=load.maxConcurrent,
+            prefill_tokens_per_second=load.prefillTokensPerSecond or 1.0,
+        )
+        state.estimates.report(report, self._clock.now_ms())
+        version = ids.ConfigurationVersion(heartbeat.configurationVersion)
+        if version > self._current.version:
+            self._tasks.start(self._fetch(link, version))
+
+    def packet_received(self, link: peer_link.PeerLink, packet: Any) -> None:
+        """Hand each frame to its attempt; frames of closed streams are dropped."""
+        if packet.which() != "frames":
+            raise wire.WireError(f"an entry takes no {packet.which()} packets")
+        state = self.states_by_vm.get(link.peer.name)
+        if state is None or state.link is not link:
+            return
+        attempts_by_stream = state.attempts_by_stream
+        for frame in packet.frames.frames:
+            attempt = attempts_by_stream.get(frame.stream)
+            if attempt is not None:
+                attempt.frame_received(frame)
+
+    async def answer_call(
+        self, peer: wire.PeerIdentity, method: rpc.Method, body: bytes
+    ) -> configuration.FrozenModel:
+        """Return the reply to an agent's call."""
+        if method is rpc.Method.CONFIGURATION_ROWS:
+            return self._sync.rows(body)
+        raise rpc.CallError(f"an entry takes no {method.value} calls")
+
+    async def _fetch(
+        self, link: peer_link.PeerLink, version: ids.ConfigurationVersion
+    ) -> None:
+        await self._sync.fetch_from(link, version)
+        self._configuration_changed()
--- /dev/null
+++ b/quincecrank/agent_service.py
@@ -0,0 +1,141 @@
+"""What an agent does with the packets and calls of its peers."""
+
+from typing import Any, Final
+
+from quincecrank import backend as backends
+from quincecrank import clock as clocks
+from quincecrank import (
+    configuration,
+    configuration_store,
+    configuration_sync,
+    directory_service,
+    ids,
+    logs,
+    peer_link,
+    rpc,
+    run_queue,
+    runner,
+    stream_messages,
+    tasks,
+    wire,
+)
+
+_LOG: Final = logs.logger("agent-service")
+
+
+class AgentService:
+    """Implementation of `peer_link.LinkOwner` for an agent.
+
+    Parameters
+    ----------
+    deployment : DeploymentName
+        Deployment of the backend server beside this agent.
+    vm : VmName
+        VM of this agent, which operators may drain.
+    """
+
+    def __init__(
+        self,
+        vm: ids.VmName,
+        deployment: ids.DeploymentName,
+        current: configuration_store.CurrentConfiguration,
+        backend: backends.Backend,
+        queue: run_queue.RunQueue,
+        streams: runner.Runner,
+        shard: directory_service.DirectoryService,
+        clock: clocks.Clock,
+    ) -> None:
+        self._vm = vm
+        self._deployment = deployment
+        self._current = current
+        self._sync = configuration_sync.ConfigurationSync(current)
+        self._backend = backend
+        self._queue = queue
+        self._streams = streams
+        self._shard = shard
+        self._clock = clock
+        self._tasks = tasks.BackgroundTasks()
+        self._platform_leaving = False
+        self._stopping = False
+
+    def make_heartbeat(self) -> Any:
+        """Return a heartbeat with the backend server's load."""
+        packet = wire.new_packet()
+        heartbeat = packet.init("heartbeat")
+        heartbeat.sentMs = self._clock.now_ms()
+        heartbeat.configurationVersion = self._current.version
+        state = self._backend.load()
+        load = heartbeat.init("load")
+        load.accepting = self._streams.accepting and self._current.version > 0
+        load.healthy = state.healthy
+        load.running = self._queue.running
+        load.waiting = self._queue.waiting
+        load.queuedTokens = state.queued_tokens
+        load.weightVersion = state.weight_version
+        load.adapters = list(state.adapters)
+        load.maxConcurrent = self._queue.limit
+        load.prefillTokensPerSecond = state.prefill_tokens_per_second
+        return packet
+
+    def heartbeat_received(self, link: peer_link.PeerLink, heartbeat: Any) -> None:
+        """Fetch the configuration when the peer knows a newer one."""
+        version = ids.ConfigurationVersion(heartbeat.configurationVersion)
+        if version > self._current.version:
+            self._tasks.start(self._fetch(link, version))
+
+    def packet_received(self, link: peer_link.PeerLink, packet: Any) -> None:
+        """Open or cancel a stream."""
+        match packet.which():
+            case "open":
+                order = stream_messages.decode_order(packet.open)
+                self._streams.open(link, order)
+            case "cancel":
+                self._streams.cancel(link, packet.cancel.stream)
+            case other:
+                raise wire.WireError(f"an agent takes no {other} packets")
+
+    async def answer_call(
+        self, peer: wire.PeerIdentity, method: rpc.Method, body: bytes
+    ) -> configuration.FrozenModel:
+        """Return the reply to a peer's call."""
+        match method:
+            case rpc.Method.CONFIGURATION_ROWS:
+                return self._sync.rows(body)
+            case rpc.Method.RUNNING:
+                return rpc.RunningReply(rows=self._streams.rows())
+            case rpc.Method.DRAIN:
+                request = rpc.DrainRequest.model_validate_json(body)
+                self._platform_leaving = request.leaving
+                self.refresh()
+                return rpc.Empty()
+        return self._shard.answer(method, body)
+
+    def refresh(self) -> None:
+        """Apply the current configuration and the reasons to leave."""
+        known = self._current.configuration
+        deployment = known.deployments_by_name.get(self._deployment)
+        if deployment is not None:
+            self._queue.set_limit(deployment.max_concurrent)
+            self._backend.ordered_version(deployment.weight_version)
+        reason = ""
+        if self._stopping:
+            reason = "the agent is shutting down"
+        elif self._vm in known.drains_by_vm:
+            reason = "an operator drains the VM"
+        elif self._platform_leaving:
+            reason = "the platform takes the VM away"
+        if reason != self._streams.leaving:
+            _LOG.info("leaving changed", decision="leaving", reason=reason or "none")
+        self._streams.leaving = reason
+
+    async def stop(self) -> None:
+        """Refuse new work and wait for the running requests."""
+        self._stopping = True
+        self.refresh()
+        await self._streams.drained()
+
+    async def _fetch(
+        self, link: peer_link.PeerLink, version: ids.ConfigurationVersion
+    ) -> None:
+        await self._sync.fetch_from(link, version)
+        self.refresh()
--- a/quincecrank/block_mover.py
+++ b/quincecrank/block_mover.py
@@ -34,8 +34,10 @@
 class StoreFinder(Protocol):
     """Finds the client of a store VM."""
 
-    def store(self, name: ids.VmName) -> object_client.ObjectStore | None:
-        """Return the client of `name`, None for an unknown or leaving VM."""
+    def store(
+        self, name: ids.VmName, tier: ids.TierName
+    ) -> object_client.ObjectStore | None:
+        """Return the client of a tier, None for an unknown or leaving VM."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -124,7 +126,7 @@
     async def _restore_block(
         self, copy: chain_view.StoredBlock, version: ids.WeightVersion
     ) -> tuple[bool, int]:
-        store = self._stores.store(copy.store)
+        store = self._stores.store(copy.store, copy.tier)
         name = sealed_block.BlockName.parse(copy.object_name)
         if store is None or name is None:
             return False, 0
@@ -154,7 +156,7 @@
         name: sealed_block.BlockName,
         version: ids.WeightVersion,
     ) -> None:
-        store = self._stores.store(copy.store)
+        store = self._stores.store(copy.store, copy.tier)
         tier = self._tiers().get(copy.tier)
         if store is None or tier is None:
             return
--- a/quincecrank/configuration.py
+++ b/quincecrank/configuration.py
@@ -30,7 +30,9 @@
 class FrozenModel(pydantic.BaseModel):
     """Base of the immutable models; unknown fields are refused."""
 
-    model_config = pydantic.ConfigDict(frozen=True, extra="forbid")
+    model_config = pydantic.ConfigDict(
+        frozen=True, extra="forbid", ser_json_bytes="hex", val_json_bytes="hex"
+    )
 
 
 Entity = TypeVar("Entity", bound=FrozenModel)
--- /dev/null
+++ b/quincecrank/configuration_sync.py
@@ -0,0 +1,62 @@
+"""Keeps a process's configuration up to date from the table and from peers.
+
+Every heartbeat names the sender's version; a process that hears of a newer one asks
+that peer for the rows.  Entries also poll the table.  A process moves only upwards,
+and serves nothing before it has learned a version.
+"""
+
+from typing import Final
+
+from quincecrank import configuration, configuration_store, ids, logs, peer_link, rpc
+
+CALL_TIMEOUT_MS: Final = 2_000
+
+_LOG: Final = logs.logger("configuration-sync")
+
+
+class ConfigurationSync:
+    """Fetches rows from peers and hands them on."""
+
+    def __init__(self, current: configuration_store.CurrentConfiguration) -> None:
+        self._current = current
+        self._fetching = False
+
+    def rows(self, body: bytes) -> rpc.ConfigurationRowsReply:
+        """Answer a peer's call for rows."""
+        request = rpc.ConfigurationRowsRequest.model_validate_json(body)
+        rows = self._current.rows_after(request.after)
+        if rows is not None:
+            return rpc.ConfigurationRowsReply(rows=rows)
+        return rpc.ConfigurationRowsReply(whole=self._current.configuration)
+
+    async def fetch_from(
+        self, link: peer_link.PeerLink, version: ids.ConfigurationVersion
+    ) -> None:
+        """Fetch what `link`'s peer knows if it is at a newer `version`."""
+        if self._fetching or version <= self._current.version:
+            return
+        self._fetching = True
+        try:
+            request = rpc.ConfigurationRowsRequest(after=self._current.version)
+            reply = await link.call(
+                rpc.Method.CONFIGURATION_ROWS,
+                request,
+                rpc.ConfigurationRowsReply,
+                CALL_TIMEOUT_MS,
+            )
+            self._take(reply)
+        except rpc.CallError as error:
+            _LOG.info("rows not fetched", peer=link.peer.name, reason=str(error))
+        finally:
+            self._fetching = False
+
+    def _take(self, reply: rpc.ConfigurationRowsReply) -> None:
+        before = self._current.version
+        if reply.whole is not None:
+            self._current.offer_whole(reply.whole)
+        try:
+            self._current.offer(reply.rows)
+        except configuration.VersionGapError as error:
+            _LOG.warning("rows have a gap", reason=str(error))
+        if self._current.version != before:
+            _LOG.info("configuration in force", version=self._current.version)
--- a/quincecrank/directory_service.py
+++ b/quincecrank/directory_service.py
@@ -1,8 +1,6 @@
 """The shard of the directory that this agent keeps for its deployment."""
 
-import pydantic
-
-from quincecrank import crash_counts, directory, metrics, rpc
+from quincecrank import configuration, crash_counts, directory, metrics, rpc
 from quincecrank import clock as clocks
 
 
@@ -11,15 +9,16 @@
 
     def __init__(self, figures: metrics.AgentMetrics, clock: clocks.Clock) -> None:
         self._shard = directory.DirectoryShard()
-        self._crashes = crash_counts.CrashCounts(clock)
+        self._crashes = crash_counts.CrashCounts()
         self._figures = figures
+        self._clock = clock
 
     def lookup(self, body: bytes) -> rpc.LookupReply:
         """Return what is known of a prompt."""
         request = rpc.LookupRequest.model_validate_json(body)
         return rpc.LookupReply(
             chain=self._shard.lookup(request.block_keys),
-            crashes=self._crashes.count(request.account, request.fingerprint),
+            crashes=self._crashes.records_of(request.request, self._clock.wall_ms()),
         )
 
     def announce(self, request: rpc.AnnounceRequest) -> None:
@@ -38,10 +37,12 @@
         self._figures.directory_blocks.set(len(shard))
 
     def crashed(self, report: rpc.CrashReport) -> None:
-        """Count a crash of a backend server under a request."""
-        self._crashes.record(report.account, report.fingerprint, report.attempt_id)
+        """Take crashes of backend servers and what cleared them."""
+        self._crashes.merge(report.records)
 
-    def answer(self, method: rpc.Method, body: bytes) -> pydantic.BaseModel:
+    def answer(
+        self, method: rpc.Method, body: bytes
+    ) -> configuration.FrozenModel:
         """Answer a call of the directory; raises `ValueError` for another one."""
         match method:
             case rpc.Method.DIRECTORY_LOOKUP:
--- a/quincecrank/membership.py
+++ b/quincecrank/membership.py
@@ -4,6 +4,7 @@
 force, and heartbeats tell what the list does not.
 """
 
+import dataclasses
 from typing import Final
 
 from quincecrank import clock as clocks
@@ -14,27 +15,38 @@
 _LOG: Final = logs.logger("membership")
 
 
+@dataclasses.dataclass(frozen=True)
+class _Place:
+    """A tier on a store VM at the address that the list gave."""
+
+    vm: ids.VmName
+    tier: ids.TierName
+    address: str
+    port: int
+
+
 class Membership:
     """Follows the list of VMs and keeps clients of the store VMs.
 
     Parameters
     ----------
-    bucket : str
-        Bucket that keeps this deployment's blocks on every store VM.
+    deployment : DeploymentName
+        Deployment whose blocks the store clients reach; each of its tiers has a
+        bucket of its own on every store VM.
     """
 
     def __init__(
         self,
         source: vm_list.VmList,
-        bucket: str,
+        deployment: ids.DeploymentName,
         store_timeout_ms: int,
         clock: clocks.Clock,
     ) -> None:
         self._source = source
-        self._bucket = bucket
+        self._deployment = deployment
         self._store_timeout_ms = store_timeout_ms
         self._clock = clock
-        self._stores_by_name: dict[ids.VmName, object_client.HttpObjectStore] = {}
+        self._stores_by_place: dict[_Place, object_client.HttpObjectStore] = {}
         self.vms_by_name: dict[ids.VmName, vm_list.Vm] = {}
 
     async def refresh(self) -> None:
@@ -45,8 +57,9 @@
             _LOG.warning("VM list is unavailable", reason=str(error))
             return
         self.vms_by_name = {vm.name: vm for vm in vms}
-        for name in set(self._stores_by_name) - set(self.vms_by_name):
-            self._stores_by_name.pop(name).close()
+        for place in tuple(self._stores_by_place):
+            if place.vm not in self.vms_by_name:
+                self._stores_by_place.pop(place).close()
 
     def agents(self) -> tuple[vm_list.Vm, ...]:
         """Return the VMs that run an agent."""
@@ -60,18 +73,23 @@
             if vm.deployment == deployment and vm.state is vm_list.VmState.LIVE
         )
 
-    def store(self, name: ids.VmName) -> object_client.ObjectStore | None:
+    def store(
+        self, name: ids.VmName, tier: ids.TierName
+    ) -> object_client.ObjectStore | None:
         """Return the client of a store VM, None if it is unknown or leaving."""
         vm = self.vms_by_name.get(name)
         if vm is None or vm.state is vm_list.VmState.LEAVING:
             return None
-        client = self._stores_by_name.get(name)
-        url = f"http://{vm.address}:{vm.port}"
+        place = _Place(name, tier, vm.address, vm.port)
+        client = self._stores_by_place.get(place)
         if client is None:
             client = object_client.HttpObjectStore(
-                url, self._bucket, self._store_timeout_ms, self._clock
+                f"http://{vm.address}:{vm.port}",
+                f"{self._deployment}.{tier}",
+                self._store_timeout_ms,
+                self._clock,
             )
-            self._stores_by_name[name] = client
+            self._stores_by_place[place] = client
         return client
 
     def _with_role(self, role: vm_list.VmRole) -> tuple[vm_list.Vm, ...]:
--- a/quincecrank/rpc.py
+++ b/quincecrank/rpc.py
@@ -6,7 +6,7 @@
 
 import enum
 
-from quincecrank import chain_view, configuration, directory, ids
+from quincecrank import chain_view, configuration, crash_counts, directory, ids
 
 
 class Method(enum.Enum):
@@ -46,15 +46,14 @@
     """Asks where the blocks of one prompt are and how often it crashed an engine."""
 
     block_keys: tuple[ids.BlockKey, ...]
-    account: ids.AccountName
-    fingerprint: str
+    request: crash_counts.RequestFingerprint
 
 
 class LookupReply(configuration.FrozenModel):
     """What the directory knows; a hint, never relied on for correctness."""
 
     chain: chain_view.ChainView
-    crashes: int = 0
+    crashes: tuple[crash_counts.CrashRecord, ...] = ()
 
 
 class AnnounceRequest(configuration.FrozenModel):
@@ -79,11 +78,9 @@
 
 
 class CrashReport(configuration.FrozenModel):
-    """A request that was in flight when its backend server crashed."""
+    """Crashes of backend servers under requests, and what cleared them."""
 
-    account: ids.AccountName
-    fingerprint: str
-    attempt_id: ids.AttemptId
+    records: tuple[crash_counts.CrashRecord, ...]
 
 
 class DrainRequest(configuration.FrozenModel):
--- a/quincecrank/run_queue.py
+++ b/quincecrank/run_queue.py
@@ -63,9 +63,17 @@
                 self.release()
             raise
 
+    def set_limit(self, limit: int) -> None:
+        """Change the limit; running requests keep their slots."""
+        self.limit = limit
+        self._admit()
+
     def release(self) -> None:
         """Give the slot to the next waiter, or free it."""
         self.running -= 1
+        self._admit()
+
+    def _admit(self) -> None:
         while self._waiters and self.running < self.limit:
             waiter = heapq.heappop(self._waiters)
             if not waiter.future.done():
