--- /dev/null
+++ b/quincecrank/admission.py
@@ -0,0 +1,320 @@
+"""Admission of requests to one deployment at one entry.
+
+Requests wait in a weighted fair queue between client accounts, so that the
+backlog of a large account delays a small one by no more than its share.  A
+request that cannot be served in time is refused as soon as that is known, with
+the time after which a new attempt may succeed.
+
+Terms
+-----
+capacity
+    The part of the deployment's replicas that this entry may fill.
+virtual start
+    Tokens per unit of share that an account has been granted; the account with
+    the lowest one is served next.
+"""
+
+import dataclasses
+import enum
+import heapq
+import itertools
+from typing import Final
+
+import expression
+
+from quincecrank import clock, configuration, ids
+
+PREFILL_WINDOW_MS: Final = 1500
+"""Computation that is handed to the engines in advance."""
+
+MAX_QUEUED: Final = 4096
+"""Requests of one deployment that wait at one entry."""
+
+_MIN_RETRY_AFTER_MS: Final = 250
+_SMOOTHING: Final = 0.1
+"""Weight of a new observation in an average."""
+
+
+class RefusalKind(enum.Enum):
+    """Why a request was not admitted."""
+
+    ACCOUNT_LIMIT = "account-limit"
+    QUEUE_FULL = "queue-full"
+    DEADLINE = "deadline"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmissionRefusal:
+    """A final answer to a request that has not run.
+
+    Attributes
+    ----------
+    retry_after_ms : int
+        Time after which a new attempt may succeed.
+    """
+
+    kind: RefusalKind
+    retry_after_ms: int
+    estimated_wait_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """A request that asks for admission.
+
+    Attributes
+    ----------
+    share : float
+        Weight of the account.
+    max_concurrent : int
+        Requests that the account may have queued or running.
+    prompt_tokens : int
+        Length of the prompt.
+    deadline_at_ms : int
+        Instant of the entry's clock at which the first token is late.
+    priority : int
+        Order among the requests of one account; a higher one goes first.
+    """
+
+    request_id: ids.RequestId
+    account: ids.AccountName
+    share: float
+    max_concurrent: int
+    prompt_tokens: int
+    deadline_at_ms: int
+    priority: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Capacity:
+    """What this entry may use of the deployment's replicas.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that may run at once.
+    prefill_tokens_per_second : float
+        Sum of the replicas' speeds, times this entry's part.
+    """
+
+    slots: int
+    prefill_tokens_per_second: float
+
+    def compute_ms(self, tokens: float) -> float:
+        """Return the time in which the capacity computes `tokens`."""
+        if self.prefill_tokens_per_second <= 0:
+            return float("inf") if tokens else 0.0
+        return tokens * clock.MS_PER_SECOND / self.prefill_tokens_per_second
+
+
+@dataclasses.dataclass(slots=True)
+class _AccountQueue:
+    """Waiting and running requests of one account."""
+
+    share: float
+    virtual_start: float = 0.0
+    running: int = 0
+    queued_tokens: int = 0
+    heap: list[tuple[int, int, Ticket]] = dataclasses.field(default_factory=list)
+
+    def in_flight(self) -> int:
+        return self.running + len(self.heap)
+
+
+@dataclasses.dataclass(slots=True)
+class _Run:
+    """A request that has left the queue."""
+
+    ticket: Ticket
+    started_ms: int
+    pending_tokens: float
+
+
+class AdmissionQueue:
+    """Aggregate of the requests that wait for and run on one deployment.
+
+    Parameters
+    ----------
+    lateness : Lateness
+        With `LATE_IS_WORSE`, time to compute the prompt counts against the
+        deadline and a request leaves the queue as soon as it would be late.
+        With `LOST_IS_WORSE`, it may wait until the deadline itself.
+    """
+
+    def __init__(self, lateness: configuration.Lateness) -> None:
+        self._lateness = lateness
+        self._capacity = Capacity(0, 0.0)
+        self._queues_by_account: dict[ids.AccountName, _AccountQueue] = {}
+        self._runs_by_request: dict[ids.RequestId, _Run] = {}
+        self._sequence = itertools.count()
+        self._virtual_now = 0.0
+        self._queued = 0
+        self._recomputed_share = 1.0
+        self._slot_ms = 0.0
+
+    @property
+    def queued(self) -> int:
+        """Number of waiting requests."""
+        return self._queued
+
+    @property
+    def running(self) -> int:
+        """Number of requests that have been let through and have not ended."""
+        return len(self._runs_by_request)
+
+    def set_capacity(self, capacity: Capacity) -> None:
+        """Set what this entry may use from now on."""
+        self._capacity = capacity
+
+    def offer(
+        self, ticket: Ticket, now_ms: int
+    ) -> expression.Result[None, AdmissionRefusal]:
+        """Queue a request, or refuse it for good."""
+        queue = self._queues_by_account.setdefault(
+            ticket.account, _AccountQueue(ticket.share)
+        )
+        queue.share = ticket.share
+        wait_ms = self.estimated_wait_ms(ticket)
+        if queue.in_flight() >= ticket.max_concurrent:
+            return expression.Error(_refusal(RefusalKind.ACCOUNT_LIMIT, wait_ms))
+        if self._queued >= MAX_QUEUED:
+            return expression.Error(_refusal(RefusalKind.QUEUE_FULL, wait_ms))
+        if now_ms + wait_ms + self._margin_ms(ticket) > ticket.deadline_at_ms:
+            return expression.Error(_refusal(RefusalKind.DEADLINE, wait_ms))
+        if not queue.heap:
+            queue.virtual_start = max(queue.virtual_start, self._virtual_now)
+        entry = (-ticket.priority, next(self._sequence), ticket)
+        heapq.heappush(queue.heap, entry)
+        queue.queued_tokens += ticket.prompt_tokens
+        self._queued += 1
+        return expression.Ok(None)
+
+    def next_ticket(self, now_ms: int) -> Ticket | None:
+        """Take the next request that may start now, if there is one."""
+        if not self._has_room():
+            return None
+        waiting = [queue for queue in self._queues_by_account.values() if queue.heap]
+        if not waiting:
+            return None
+        queue = min(waiting, key=lambda queue: queue.virtual_start)
+        ticket = self._take_first(queue)
+        self._virtual_now = queue.virtual_start
+        queue.virtual_start += max(1, ticket.prompt_tokens) / queue.share
+        queue.running += 1
+        expected = ticket.prompt_tokens * self._recomputed_share
+        self._runs_by_request[ticket.request_id] = _Run(ticket, now_ms, expected)
+        return ticket
+
+    def take_expired(self, now_ms: int) -> tuple[tuple[Ticket, AdmissionRefusal], ...]:
+        """Take the waiting requests that can no longer meet their deadline."""
+        expired = []
+        for queue in self._queues_by_account.values():
+            late = [
+                entry
+                for entry in queue.heap
+                if now_ms + self._margin_ms(entry[2]) > entry[2].deadline_at_ms
+            ]
+            for entry in late:
+                self._remove(queue, entry)
+                wait_ms = self.estimated_wait_ms(entry[2])
+                refusal = _refusal(RefusalKind.DEADLINE, wait_ms)
+                expired.append((entry[2], refusal))
+        return tuple(expired)
+
+    def abandon(self, ticket: Ticket) -> bool:
+        """Remove a waiting request whose caller has gone."""
+        queue = self._queues_by_account.get(ticket.account)
+        if queue is None:
+            return False
+        for entry in queue.heap:
+            if entry[2].request_id == ticket.request_id:
+                self._remove(queue, entry)
+                return True
+        return False
+
+    def planned(self, request: ids.RequestId, recompute_tokens: int) -> None:
+        """Replace the expected computation of a running request by its plan's."""
+        run = self._runs_by_request.get(request)
+        if run is None:
+            return
+        run.pending_tokens = recompute_tokens
+        share = recompute_tokens / max(1, run.ticket.prompt_tokens)
+        self._recomputed_share += _SMOOTHING * (share - self._recomputed_share)
+
+    def first_token(self, request: ids.RequestId) -> None:
+        """Record that the prompt of a running request has been computed."""
+        run = self._runs_by_request.get(request)
+        if run is not None:
+            run.pending_tokens = 0.0
+
+    def ended(self, request: ids.RequestId, now_ms: int) -> None:
+        """Free the place of a request that has ended in any way."""
+        run = self._runs_by_request.pop(request, None)
+        if run is None:
+            return
+        queue = self._queues_by_account[run.ticket.account]
+        queue.running -= 1
+        if not queue.in_flight() and queue.virtual_start <= self._virtual_now:
+            del self._queues_by_account[run.ticket.account]
+        held_ms = now_ms - run.started_ms
+        self._slot_ms += _SMOOTHING * (held_ms - self._slot_ms)
+
+    def estimated_wait_ms(self, ticket: Ticket) -> float:
+        """Return the estimated time until `ticket` would leave the queue."""
+        if self._capacity.slots <= 0:
+            return float(_MIN_RETRY_AFTER_MS)
+        requests, tokens = self._ahead_of(ticket)
+        pending = self._pending_tokens() + tokens * self._recomputed_share
+        compute_ms = max(0.0, self._capacity.compute_ms(pending) - PREFILL_WINDOW_MS)
+        over = self.running + requests + 1 - self._capacity.slots
+        slot_ms = max(0, over) * self._slot_ms / self._capacity.slots
+        return max(compute_ms, slot_ms)
+
+    def _ahead_of(self, ticket: Ticket) -> tuple[float, float]:
+        """Return the requests and prompt tokens that are served before `ticket`."""
+        own = self._queues_by_account.get(ticket.account)
+        own_tokens = own.queued_tokens if own else 0
+        requests = float(len(own.heap)) if own else 0.0
+        tokens = float(own_tokens)
+        fair = (own_tokens + ticket.prompt_tokens) / ticket.share
+        for account, queue in self._queues_by_account.items():
+            if account == ticket.account or not queue.queued_tokens:
+                continue
+            part = min(1.0, fair * queue.share / queue.queued_tokens)
+            tokens += queue.queued_tokens * part
+            requests += len(queue.heap) * part
+        return requests, tokens
+
+    def _pending_tokens(self) -> float:
+        return sum(run.pending_tokens for run in self._runs_by_request.values())
+
+    def _has_room(self) -> bool:
+        if self.running >= self._capacity.slots:
+            return False
+        pending_ms = self._capacity.compute_ms(self._pending_tokens())
+        return pending_ms <= PREFILL_WINDOW_MS
+
+    def _margin_ms(self, ticket: Ticket) -> float:
+        """Return the time before the deadline at which a request must start."""
+        if self._lateness is configuration.Lateness.LOST_IS_WORSE:
+            return 0.0
+        if self._capacity.slots <= 0:
+            return 0.0
+        expected = ticket.prompt_tokens * self._recomputed_share
+        return self._capacity.compute_ms(expected)
+
+    def _take_first(self, queue: _AccountQueue) -> Ticket:
+        _, _, ticket = heapq.heappop(queue.heap)
+        queue.queued_tokens -= ticket.prompt_tokens
+        self._queued -= 1
+        return ticket
+
+    def _remove(self, queue: _AccountQueue, entry: tuple[int, int, Ticket]) -> None:
+        queue.heap.remove(entry)
+        heapq.heapify(queue.heap)
+        queue.queued_tokens -= entry[2].prompt_tokens
+        self._queued -= 1
+
+
+def _refusal(kind: RefusalKind, wait_ms: float) -> AdmissionRefusal:
+    return AdmissionRefusal(kind, max(_MIN_RETRY_AFTER_MS, int(wait_ms)), wait_ms)
--- /dev/null
+++ b/quincecrank/breaker.py
@@ -0,0 +1,73 @@
+"""Circuit breaker of one backend server."""
+
+import enum
+from typing import Final
+
+FAILURES_TO_OPEN: Final = 3
+"""Failures in a row after which a breaker opens."""
+
+OPEN_MS: Final = 500
+"""Time that a breaker stays open for the first time."""
+
+MAX_OPEN_MS: Final = 15_000
+PROBE_TIMEOUT_MS: Final = 10_000
+"""Time after which a probe without a result counts as failed."""
+
+
+class BreakerState(enum.Enum):
+    """Whether requests are let through."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half-open"
+
+
+class Breaker:
+    """Aggregate of the recent failures of one backend server."""
+
+    def __init__(self) -> None:
+        self._failures = 0
+        self._openings = 0
+        self._until_ms: int | None = None
+        self._probe_sent_ms: int | None = None
+
+    def state(self, now_ms: int) -> BreakerState:
+        """Return the state at `now_ms`."""
+        if self._until_ms is None:
+            return BreakerState.CLOSED
+        if now_ms < self._until_ms:
+            return BreakerState.OPEN
+        return BreakerState.HALF_OPEN
+
+    def allows(self, now_ms: int) -> bool:
+        """Return whether a request may be sent now; a half-open one takes a probe."""
+        state = self.state(now_ms)
+        if state is not BreakerState.HALF_OPEN:
+            return state is BreakerState.CLOSED
+        sent_ms = self._probe_sent_ms
+        return sent_ms is None or now_ms - sent_ms >= PROBE_TIMEOUT_MS
+
+    def sent(self, now_ms: int) -> None:
+        """Record that a request has been sent."""
+        if self.state(now_ms) is BreakerState.HALF_OPEN:
+            self._probe_sent_ms = now_ms
+
+    def succeeded(self) -> None:
+        """Close the breaker after an answer."""
+        self._failures = 0
+        self._openings = 0
+        self._until_ms = None
+        self._probe_sent_ms = None
+
+    def failed(self, now_ms: int) -> None:
+        """Count a failure; refusals that say so are none."""
+        self._failures += 1
+        state = self.state(now_ms)
+        if state is BreakerState.OPEN:
+            return
+        if state is BreakerState.CLOSED and self._failures < FAILURES_TO_OPEN:
+            return
+        open_ms = min(MAX_OPEN_MS, OPEN_MS * 2 ** min(self._openings, 16))
+        self._openings += 1
+        self._until_ms = now_ms + open_ms
+        self._probe_sent_ms = None
--- /dev/null
+++ b/quincecrank/crash_counts.py
@@ -0,0 +1,113 @@
+"""Counts of backend server crashes by request, shared between processes.
+
+All requests that run at a backend server when it crashes are suspects.  The count
+of a request is the number of attempts that were running at a crash and have not
+been cleared since; a suspect that later runs to its end is cleared.  Callers run
+at most one suspect at a time on a backend server, so that a second crash names
+the right one.
+
+Crashes and clearances are sets of attempt ids, so that processes may exchange
+them in any order and any number of times.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Iterable
+from typing import Final
+
+from quincecrank import ids
+
+CRASH_LIMIT: Final = 2
+"""Crashes after which a request is refused."""
+
+EXPIRY_MS: Final = 3_600_000
+"""Time after which a crash no longer counts."""
+
+MAX_REQUESTS: Final = 10_000
+"""Requests that are remembered."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestFingerprint:
+    """Identifies equal requests of one client account."""
+
+    account: ids.AccountName
+    digest: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """One attempt that was running at a crash.
+
+    Attributes
+    ----------
+    wall_ms : int
+        Time of the crash since the epoch.
+    cleared : bool
+        Whether the request has since run to its end.
+    """
+
+    request: RequestFingerprint
+    attempt_id: ids.AttemptId
+    wall_ms: int
+    cleared: bool = False
+
+
+class CrashCounts:
+    """Aggregate of the crashes known to one process."""
+
+    def __init__(self) -> None:
+        self._records_by_request: collections.OrderedDict[
+            RequestFingerprint, dict[ids.AttemptId, CrashRecord]
+        ] = collections.OrderedDict()
+
+    def merge(self, records: Iterable[CrashRecord]) -> bool:
+        """Take records of any origin; return whether anything was new."""
+        changed = False
+        for record in records:
+            known = self._records_by_request.setdefault(record.request, {})
+            self._records_by_request.move_to_end(record.request)
+            before = known.get(record.attempt_id)
+            if before is None or (record.cleared and not before.cleared):
+                known[record.attempt_id] = record
+                changed = True
+        while len(self._records_by_request) > MAX_REQUESTS:
+            self._records_by_request.popitem(last=False)
+        return changed
+
+    def count(self, request: RequestFingerprint, wall_ms: int) -> int:
+        """Return the crashes that count against `request`."""
+        known = self._records_by_request.get(request, {})
+        return sum(
+            not record.cleared and wall_ms - record.wall_ms < EXPIRY_MS
+            for record in known.values()
+        )
+
+    def refuses(self, request: RequestFingerprint, wall_ms: int) -> bool:
+        """Return whether `request` must not run."""
+        return self.count(request, wall_ms) >= CRASH_LIMIT
+
+    def clear(self, request: RequestFingerprint) -> tuple[CrashRecord, ...]:
+        """Clear a suspect that ran to its end; return the records to share."""
+        known = self._records_by_request.get(request, {})
+        cleared = tuple(
+            dataclasses.replace(record, cleared=True)
+            for record in known.values()
+            if not record.cleared
+        )
+        self.merge(cleared)
+        return cleared
+
+    def records(self, wall_ms: int) -> tuple[CrashRecord, ...]:
+        """Return all records that still count or clear, without the expired ones."""
+        for request, known in tuple(self._records_by_request.items()):
+            for attempt_id, record in tuple(known.items()):
+                if wall_ms - record.wall_ms >= EXPIRY_MS:
+                    del known[attempt_id]
+            if not known:
+                del self._records_by_request[request]
+        return tuple(
+            record
+            for known in self._records_by_request.values()
+            for record in known.values()
+        )
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,256 @@
+"""Tests of admission, retry budgets, breakers and crash counts."""
+
+import collections
+import itertools
+import random
+import unittest
+
+from quincecrank import (
+    admission,
+    breaker,
+    configuration,
+    crash_counts,
+    ids,
+    retry_budget,
+)
+
+LARGE = ids.AccountName("large")
+SMALL = ids.AccountName("small")
+NUMBERS = itertools.count()
+
+
+def ticket(
+    account: ids.AccountName = SMALL,
+    deadline_at_ms: int = 60_000,
+    tokens: int = 10_000,
+    share: float = 1.0,
+    max_concurrent: int = 1000,
+    priority: int = 0,
+) -> admission.Ticket:
+    return admission.Ticket(
+        ids.RequestId(f"r{next(NUMBERS)}"),
+        account,
+        share,
+        max_concurrent,
+        tokens,
+        deadline_at_ms,
+        priority,
+    )
+
+
+def queue(
+    lateness: configuration.Lateness = configuration.Lateness.LOST_IS_WORSE,
+    slots: int = 4,
+) -> admission.AdmissionQueue:
+    made = admission.AdmissionQueue(lateness)
+    made.set_capacity(admission.Capacity(slots, 20_000))
+    return made
+
+
+def drain(waiting: admission.AdmissionQueue, count: int) -> list[ids.AccountName]:
+    """Run `count` requests one after another and return their accounts."""
+    accounts = []
+    for _ in range(count):
+        taken = waiting.next_ticket(0)
+        assert taken is not None
+        accounts.append(taken.account)
+        waiting.ended(taken.request_id, 0)
+    return accounts
+
+
+class FairQueueTest(unittest.TestCase):
+    def test_a_backlog_of_a_large_account_does_not_delay_a_small_one(self) -> None:
+        waiting = queue()
+        for _ in range(20):
+            self.assertTrue(waiting.offer(ticket(LARGE), 0).is_ok())
+        drain(waiting, 5)
+        for _ in range(3):
+            self.assertTrue(waiting.offer(ticket(SMALL), 0).is_ok())
+        self.assertEqual(collections.Counter(drain(waiting, 6))[SMALL], 3)
+
+    def test_service_follows_the_shares(self) -> None:
+        waiting = queue()
+        for _ in range(40):
+            waiting.offer(ticket(LARGE, share=3.0), 0)
+            waiting.offer(ticket(SMALL, share=1.0), 0)
+        served = collections.Counter(drain(waiting, 40))
+        self.assertAlmostEqual(served[LARGE], 30, delta=1)
+
+    def test_an_idle_account_saves_up_no_service(self) -> None:
+        waiting = queue()
+        for _ in range(30):
+            waiting.offer(ticket(LARGE), 0)
+        drain(waiting, 20)
+        for _ in range(10):
+            waiting.offer(ticket(SMALL), 0)
+        served = collections.Counter(drain(waiting, 10))
+        self.assertAlmostEqual(served[LARGE], 5, delta=1)
+
+    def test_priority_orders_the_requests_of_one_account_only(self) -> None:
+        waiting = queue()
+        first, urgent = ticket(SMALL), ticket(SMALL, priority=5)
+        other = ticket(LARGE)
+        for offered in (other, first, urgent):
+            waiting.offer(offered, 0)
+        order = [waiting.next_ticket(0) for _ in range(3)]
+        self.assertEqual(order, [other, urgent, first])
+
+
+class LimitTest(unittest.TestCase):
+    def refusal(
+        self, waiting: admission.AdmissionQueue, offered: admission.Ticket
+    ) -> admission.AdmissionRefusal:
+        result = waiting.offer(offered, 0)
+        self.assertTrue(result.is_error())
+        return result.error
+
+    def test_slots_and_computation_bound_what_runs(self) -> None:
+        by_slots = queue(slots=2)
+        by_tokens = queue(slots=100)
+        for _ in range(10):
+            by_slots.offer(ticket(tokens=100), 0)
+            by_tokens.offer(ticket(tokens=16_000), 0)
+        for waiting, expected in ((by_slots, 2), (by_tokens, 2)):
+            while waiting.next_ticket(0):
+                pass
+            self.assertEqual(waiting.running, expected)
+
+    def test_the_concurrency_limit_of_an_account_refuses_at_once(self) -> None:
+        waiting = queue()
+        waiting.offer(ticket(max_concurrent=1), 0)
+        refused = self.refusal(waiting, ticket(max_concurrent=1))
+        self.assertIs(refused.kind, admission.RefusalKind.ACCOUNT_LIMIT)
+        self.assertGreater(refused.retry_after_ms, 0)
+        self.assertTrue(waiting.offer(ticket(LARGE, max_concurrent=1), 0).is_ok())
+
+    def test_a_wait_beyond_the_deadline_refuses_with_the_time_to_come_back(
+        self,
+    ) -> None:
+        waiting = queue()
+        for _ in range(20):
+            waiting.offer(ticket(LARGE), 0)  # ten seconds of computation
+        refused = self.refusal(waiting, ticket(LARGE, deadline_at_ms=5000))
+        self.assertIs(refused.kind, admission.RefusalKind.DEADLINE)
+        self.assertGreater(refused.retry_after_ms, 5000)
+        self.assertTrue(waiting.offer(ticket(SMALL, deadline_at_ms=5000), 0).is_ok())
+
+    def test_lateness_decides_when_a_waiting_request_is_given_up(self) -> None:
+        late = queue(configuration.Lateness.LATE_IS_WORSE)
+        lost = queue(configuration.Lateness.LOST_IS_WORSE)
+        offered = ticket(tokens=20_000, deadline_at_ms=3000)
+        for waiting, given_up_ms in ((late, 2001), (lost, 3001)):
+            self.assertTrue(waiting.offer(offered, 0).is_ok())
+            self.assertEqual(waiting.take_expired(given_up_ms - 1), ())
+            expired = waiting.take_expired(given_up_ms)
+            self.assertEqual([gone for gone, _ in expired], [offered])
+            self.assertEqual(waiting.queued, 0)
+
+    def test_late_is_worse_refuses_what_the_computation_would_make_late(self) -> None:
+        late = queue(configuration.Lateness.LATE_IS_WORSE)
+        self.refusal(late, ticket(tokens=40_000, deadline_at_ms=1500))
+
+    def test_a_queue_without_replicas_keeps_requests_until_the_deadline(self) -> None:
+        waiting = admission.AdmissionQueue(configuration.Lateness.LATE_IS_WORSE)
+        offered = ticket()
+        self.assertTrue(waiting.offer(offered, 0).is_ok())
+        self.assertIsNone(waiting.next_ticket(0))
+        self.assertTrue(waiting.abandon(offered))
+        self.assertFalse(waiting.abandon(offered))
+
+    def test_reuse_makes_the_estimated_wait_shorter(self) -> None:
+        waiting = queue(slots=100)
+        for _ in range(20):
+            waiting.offer(ticket(LARGE), 0)
+        before = waiting.estimated_wait_ms(ticket(LARGE))
+        for _ in range(2):
+            taken = waiting.next_ticket(0)
+            assert taken is not None
+            waiting.planned(taken.request_id, 0)
+            waiting.first_token(taken.request_id)
+            waiting.ended(taken.request_id, 10)
+        self.assertLess(waiting.estimated_wait_ms(ticket(LARGE)), before)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_retries_stay_below_a_share_of_first_attempts(self) -> None:
+        budget = retry_budget.RetryBudget(0)
+        retries = 0
+        for _ in range(1000):
+            budget.first_attempt()
+            retries += budget.try_spend(0)
+        self.assertLessEqual(retries, 1000 * retry_budget.RETRY_SHARE + 1)
+        self.assertGreaterEqual(retries, 1000 * retry_budget.RETRY_SHARE - 1)
+
+    def test_a_quiet_deployment_keeps_a_few_retries(self) -> None:
+        budget = retry_budget.RetryBudget(0)
+        self.assertTrue(budget.try_spend(0))
+        self.assertFalse(budget.try_spend(0))
+        self.assertTrue(budget.try_spend(10_000))
+
+    def test_delays_grow_up_to_a_limit(self) -> None:
+        generator = random.Random(1)
+        for retry in range(40):
+            delay = retry_budget.backoff_ms(retry, generator)
+            self.assertLessEqual(delay, retry_budget.BACKOFF_LIMIT_MS)
+            self.assertLessEqual(delay, retry_budget.BACKOFF_BASE_MS * 2**retry)
+
+
+class BreakerTest(unittest.TestCase):
+    def test_it_opens_probes_once_and_closes(self) -> None:
+        tested = breaker.Breaker()
+        for _ in range(breaker.FAILURES_TO_OPEN):
+            self.assertTrue(tested.allows(0))
+            tested.failed(0)
+        self.assertFalse(tested.allows(breaker.OPEN_MS - 1))
+        self.assertTrue(tested.allows(breaker.OPEN_MS))
+        tested.sent(breaker.OPEN_MS)
+        self.assertFalse(tested.allows(breaker.OPEN_MS))
+        tested.failed(breaker.OPEN_MS)
+        self.assertFalse(tested.allows(breaker.OPEN_MS * 3 - 1))
+        self.assertTrue(tested.allows(breaker.OPEN_MS * 3))
+        tested.succeeded()
+        self.assertIs(tested.state(0), breaker.BreakerState.CLOSED)
+
+    def test_a_probe_without_a_result_does_not_block_for_good(self) -> None:
+        tested = breaker.Breaker()
+        for _ in range(breaker.FAILURES_TO_OPEN):
+            tested.failed(0)
+        tested.sent(breaker.OPEN_MS)
+        later_ms = breaker.OPEN_MS + breaker.PROBE_TIMEOUT_MS
+        self.assertTrue(tested.allows(later_ms))
+
+
+class CrashCountsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.counts = crash_counts.CrashCounts()
+        self.request = crash_counts.RequestFingerprint(SMALL, b"digest")
+
+    def crash(self, attempt: str, wall_ms: int = 0) -> crash_counts.CrashRecord:
+        return crash_counts.CrashRecord(self.request, ids.AttemptId(attempt), wall_ms)
+
+    def test_two_crashes_refuse_the_request_of_that_account_only(self) -> None:
+        self.counts.merge([self.crash("a1"), self.crash("a1")])
+        self.assertFalse(self.counts.refuses(self.request, 0))
+        self.counts.merge([self.crash("a2")])
+        self.assertTrue(self.counts.refuses(self.request, 0))
+        other = crash_counts.RequestFingerprint(LARGE, b"digest")
+        self.assertFalse(self.counts.refuses(other, 0))
+        self.assertFalse(self.counts.refuses(self.request, crash_counts.EXPIRY_MS))
+        self.assertEqual(self.counts.records(crash_counts.EXPIRY_MS), ())
+
+    def test_a_suspect_that_ends_well_is_cleared_everywhere(self) -> None:
+        self.counts.merge([self.crash("a1")])
+        elsewhere = crash_counts.CrashCounts()
+        elsewhere.merge(self.counts.clear(self.request))
+        elsewhere.merge([self.crash("a1")])
+        for counts in (self.counts, elsewhere):
+            self.assertEqual(counts.count(self.request, 0), 0)
+
+    def test_the_order_of_exchange_does_not_matter(self) -> None:
+        self.counts.merge([self.crash("a1"), self.crash("a2")])
+        records = [*self.counts.records(0), *self.counts.clear(self.request)]
+        records.append(self.crash("a3"))
+        for order in itertools.permutations(records):
+            merged = crash_counts.CrashCounts()
+            merged.merge(order)
+            self.assertEqual(merged.count(self.request, 0), 1)
