--- /dev/null
+++ b/quincecrank/rpc.py
@@ -0,0 +1,116 @@
+"""Calls between quincecrank's processes that are answered by one reply.
+
+Each method has a request and a reply model; both travel as JSON inside the
+``Call`` and ``Reply`` packets.  Streams of answers do not pass here.
+"""
+
+import enum
+
+from quincecrank import chain_view, configuration, directory, ids
+
+
+class Method(enum.Enum):
+    """Names of the calls."""
+
+    CONFIGURATION_ROWS = "configuration-rows"
+    DIRECTORY_LOOKUP = "directory-lookup"
+    DIRECTORY_ANNOUNCE = "directory-announce"
+    CRASH_REPORT = "crash-report"
+    DRAIN = "drain"
+    ORDER = "order"
+    RUNNING = "running"
+
+
+class CallError(Exception):
+    """The peer answered a call with an error, or not in time."""
+
+
+class Empty(configuration.FrozenModel):
+    """A request or reply without content."""
+
+
+class ConfigurationRowsRequest(configuration.FrozenModel):
+    """Asks for the configuration rows after a version."""
+
+    after: ids.ConfigurationVersion
+
+
+class ConfigurationRowsReply(configuration.FrozenModel):
+    """Contiguous rows, or the whole configuration when rows are no longer kept."""
+
+    rows: tuple[configuration.ConfigurationRow, ...] = ()
+    whole: configuration.Configuration | None = None
+
+
+class LookupRequest(configuration.FrozenModel):
+    """Asks where the blocks of one prompt are and how often it crashed an engine."""
+
+    block_keys: tuple[ids.BlockKey, ...]
+    account: ids.AccountName
+    fingerprint: str
+
+
+class LookupReply(configuration.FrozenModel):
+    """What the directory knows; a hint, never relied on for correctness."""
+
+    chain: chain_view.ChainView
+    crashes: int = 0
+
+
+class AnnounceRequest(configuration.FrozenModel):
+    """News for one shard of the directory.
+
+    Attributes
+    ----------
+    gone_servers : tuple of EngineHolder
+        Backend servers with their present incarnation; what earlier ones held is
+        forgotten.
+    doubtful : tuple of EngineHolder
+        Engines whose cache events were lost.
+    snapshot_of : EngineHolder or None
+        The announcements replace all that this engine was known to hold.
+    """
+
+    announced: tuple[directory.Announcement, ...] = ()
+    withdrawn: tuple[directory.Announcement, ...] = ()
+    gone_servers: tuple[directory.EngineHolder, ...] = ()
+    doubtful: tuple[directory.EngineHolder, ...] = ()
+    snapshot_of: directory.EngineHolder | None = None
+
+
+class CrashReport(configuration.FrozenModel):
+    """A request that was in flight when its backend server crashed."""
+
+    account: ids.AccountName
+    fingerprint: str
+    attempt_id: ids.AttemptId
+
+
+class DrainRequest(configuration.FrozenModel):
+    """Tells an agent that its VM is leaving, or no longer is."""
+
+    leaving: bool
+    reason: str
+
+
+class OrderRequest(configuration.FrozenModel):
+    """States the weight version that a backend server should run."""
+
+    weight_version: ids.WeightVersion
+
+
+class RunningRow(configuration.FrozenModel):
+    """One request at an agent."""
+
+    request_id: ids.RequestId
+    attempt_id: ids.AttemptId
+    account: ids.AccountName
+    deployment: ids.DeploymentName
+    state: str
+    age_ms: int
+
+
+class RunningReply(configuration.FrozenModel):
+    """The requests that wait or run at an agent."""
+
+    rows: tuple[RunningRow, ...] = ()
