Add the stand-in engine and the product's engine client

The thin path needs something that answers prompts and a client to ask it. The engine batches continuously with one wake-up a step. A block's payload is derived from a 32 byte state when it is exported; an import whose bytes aren't exactly that derivation, length included, counts as another state, so a torn, altered or swapped block changes the whole answer. The answer covers the states of all blocks, not only the last one's.

tornado's curl client can't abort a request and lets libcurl send a body again when a kept connection dies before the answer; curl_client adds the one and forbids the other.

--- /dev/null
+++ b/quincecrank/curl_client.py
@@ -0,0 +1,81 @@
+"""Tornado's libcurl client with two additions: aborting, and no silent re-sending.
+
+libcurl sends a request again, over a new connection, when a kept connection closes
+before the first byte of the answer.  A request that may run at most once, or whose
+failure must be counted, can't allow that: the server may have begun to work on it.
+"""
+
+import asyncio
+from typing import Final
+
+import pycurl
+from tornado import curl_httpclient, httpclient
+
+_ABORTED_MESSAGE: Final = "aborted by the caller"
+
+_NEVER_CONNECTED: Final = frozenset(
+    (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
+)
+
+
+class AbortableCurlClient(curl_httpclient.CurlAsyncHTTPClient):
+    """Client whose requests can be aborted, which closes their connections."""
+
+    async def fetch_whole(
+        self, request: httpclient.HTTPRequest
+    ) -> httpclient.HTTPResponse:
+        """Return the response, whatever its status.
+
+        Cancelling the calling task aborts the request.
+
+        Raises
+        ------
+        CurlError
+            If the response did not come whole.
+        """
+        try:
+            return await self.fetch(request, raise_error=False)
+        except asyncio.CancelledError:
+            self.abort(request)
+            raise
+
+    def abort(self, request: httpclient.HTTPRequest) -> None:
+        """End `request`, queued or open; does nothing when it is complete."""
+        for curl in self._curls:
+            info = getattr(curl, "info", None)
+            if info is not None and _original(info["request"]) is request:
+                info["callback"] = _ignore_response
+                self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, _ABORTED_MESSAGE)
+                self._process_queue()
+                self._set_timeout(0)
+                return
+        for queued in self._requests:
+            if _original(queued[0]) is request:
+                self._requests.remove(queued)
+                return
+
+
+def _ignore_response(response: httpclient.HTTPResponse) -> None:
+    pass
+
+
+def _original(request: object) -> object:
+    # Tornado wraps each request to fill in its defaults.
+    return getattr(request, "request", request)
+
+
+def forbid_resend(curl: pycurl.Curl) -> None:
+    """Make a request fail where libcurl would send its body a second time.
+
+    For use as, or within, a request's `prepare_curl_callback`.
+    """
+    curl.setopt(pycurl.SEEKFUNCTION, _refuse_to_rewind)
+
+
+def _refuse_to_rewind(offset: int, origin: int) -> int:
+    return pycurl.SEEKFUNC_FAIL
+
+
+def never_connected(error: curl_httpclient.CurlError) -> bool:
+    """Tell whether a failed request certainly did not reach the server."""
+    return error.errno in _NEVER_CONNECTED
--- /dev/null
+++ b/standins/engine_sequence.py
@@ -0,0 +1,166 @@
+"""One prompt inside the stand-in engine: its states, its answer and its progress."""
+
+import dataclasses
+import enum
+from typing import Protocol
+
+from standins import answers, engine_cache
+
+
+class FinishReason(enum.Enum):
+    """Why an answer ended."""
+
+    LENGTH = "length"
+    ABORT = "abort"
+
+
+@dataclasses.dataclass(frozen=True)
+class Usage:
+    """Token counts of one run."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    cached_tokens: int
+
+
+class TokenSink(Protocol):
+    """Where a sequence's tokens go."""
+
+    def token(self, text: str) -> None:
+        """Take a token that is not the last one."""
+
+    def finished(self, text: str, reason: FinishReason, usage: Usage) -> None:
+        """Take the last token; empty text after a cancellation."""
+
+    def outdated(self) -> None:
+        """Learn that the weight version changed before the sequence started."""
+
+
+@dataclasses.dataclass(frozen=True)
+class SequenceRequest:
+    """One prompt to run.
+
+    Attributes
+    ----------
+    priority : int
+        Sequences with a lower number run first.
+    block_keys : tuple of str
+        Cache keys of the first whole blocks of the prompt.
+    resume_after : int
+        Index of the first token to generate.
+    """
+
+    request_id: str
+    prompt: str
+    context: answers.Context
+    max_tokens: int
+    priority: int = 0
+    block_keys: tuple[str, ...] = ()
+    resume_after: int = 0
+
+
+class Sequence:
+    """A request in the scheduler and how far it has come."""
+
+    def __init__(self, request: SequenceRequest, sink: TokenSink, arrival: int) -> None:
+        self.request = request
+        self.sink = sink
+        self.order = (request.priority, arrival)
+        self.data = request.prompt.encode()
+        self.prompt_tokens = answers.token_count(self.data)
+        self.work_tokens = self.prompt_tokens + request.resume_after
+        self.computed_tokens = 0
+        self.cached_tokens = 0
+        self.blocks: list[engine_cache.Block] = []
+        self.done = False
+        self._root = answers.root_state(request.context)
+        self._states: list[bytes] = []
+        self._whole_blocks = len(self.data) // answers.BLOCK_BYTES
+        self._pending: list[str] | None = None
+        self._generated = 0
+
+    @property
+    def decoding(self) -> bool:
+        """Tell whether the whole prompt has been computed."""
+        return self._pending is not None
+
+    @property
+    def remaining_tokens(self) -> int:
+        """Return the prompt tokens to compute, at least one until decoding."""
+        if self.decoding:
+            return 0
+        return max(1, self.work_tokens - self.computed_tokens)
+
+    def reuse(self, cache: engine_cache.PrefixCache) -> None:
+        """Take over cached blocks that follow the last complete block."""
+        while self.computed_tokens == len(self._states) * answers.BLOCK_TOKENS:
+            key = self._next_key()
+            block = cache.find(key) if key else None
+            if block is None:
+                return
+            self._pin(block)
+            self._states.append(block.state)
+            self.computed_tokens += answers.BLOCK_TOKENS
+            self.cached_tokens += answers.BLOCK_TOKENS
+
+    def compute(self, tokens: int, cache: engine_cache.PrefixCache | None) -> None:
+        """Compute prompt tokens; finished blocks go into `cache` unless it is None."""
+        self.computed_tokens += tokens
+        while (
+            len(self._states) < self._whole_blocks
+            and (len(self._states) + 1) * answers.BLOCK_TOKENS <= self.computed_tokens
+        ):
+            self._finish_block(cache)
+        if self.computed_tokens >= self.work_tokens:
+            self._prepare_answer()
+
+    def generate(self) -> None:
+        """Hand the next token to the sink."""
+        assert self._pending is not None
+        text = self._pending.pop() if self._pending else ""
+        self._generated += 1 if text else 0
+        if self._pending:
+            self.sink.token(text)
+        else:
+            self._finish(text, FinishReason.LENGTH)
+
+    def abort(self) -> None:
+        """End the answer early."""
+        self._finish("", FinishReason.ABORT)
+
+    def _finish(self, text: str, reason: FinishReason) -> None:
+        self.done = True
+        usage = Usage(self.prompt_tokens, self._generated, self.cached_tokens)
+        self.sink.finished(text, reason, usage)
+
+    def _next_key(self) -> str:
+        index = len(self._states)
+        if index >= self._whole_blocks or index >= len(self.request.block_keys):
+            return ""
+        return self.request.block_keys[index]
+
+    def _finish_block(self, cache: engine_cache.PrefixCache | None) -> None:
+        key = self._next_key()
+        start = len(self._states) * answers.BLOCK_BYTES
+        previous = self._states[-1] if self._states else self._root
+        block = self.data[start : start + answers.BLOCK_BYTES]
+        state = answers.block_state(previous, block)
+        self._states.append(state)
+        if cache is None or not key:
+            return
+        stored = cache.store(key, state)
+        if stored is not None:
+            self._pin(stored)
+
+    def _pin(self, block: engine_cache.Block) -> None:
+        block.pins += 1
+        self.blocks.append(block)
+
+    def _prepare_answer(self) -> None:
+        request = self.request
+        rest = self.data[self._whole_blocks * answers.BLOCK_BYTES :]
+        tokens = answers.answer_tokens(
+            self._root, self._states, rest, request.max_tokens
+        )
+        self._pending = tokens[request.resume_after :]
+        self._pending.reverse()
--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,229 @@
+"""Tests of the stand-in engine through the product's client."""
+
+import asyncio
+import dataclasses
+import unittest
+
+from quincecrank import engine_messages, ids
+from standins import answers, engine_runtime, engine_scheduler
+from tests import builders_engine as builders
+
+VERSION = builders.VERSION
+SLOW = engine_scheduler.Speeds(
+    prefill_tokens_per_second=10_000_000, decode_ms=5, max_batch=1, max_waiting=1
+)
+
+
+class AnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.first = builders.start_engine()
+        self.second = builders.start_engine()
+
+    async def asyncTearDown(self) -> None:
+        await self.first.stop()
+        await self.second.stop()
+
+    async def test_answer_is_whole_and_the_cache_is_reused(self) -> None:
+        asked = builders.request(builders.prompt("guide", 3))
+        for cached_blocks in (0, 3):
+            with self.subTest(cached_blocks=cached_blocks):
+                answer = await builders.ask(self.first.client, asked)
+                self.assertEqual(answer.text, builders.expected(asked))
+                self.assertEqual(
+                    [token.finish_reason for token in answer.tokens],
+                    [None] * 4 + ["length"],
+                )
+                cached_tokens = cached_blocks * answers.BLOCK_TOKENS
+                self.assertEqual(
+                    answer.usage,
+                    engine_messages.EngineUsage(3077, 5, cached_tokens, VERSION),
+                )
+
+    async def test_answer_depends_on_every_part_of_the_request(self) -> None:
+        asked = builders.request(builders.prompt("guide", 2))
+        self.first.engine.orders.adapters.add("desk")
+        variants = (
+            dataclasses.replace(asked, prompt=asked.prompt.replace("g", "h", 1)),
+            dataclasses.replace(asked, prompt=asked.prompt + "?"),
+            dataclasses.replace(asked, cache_salt="other account"),
+            dataclasses.replace(asked, adapter=ids.AdapterName("desk")),
+        )
+        texts = {builders.expected(asked)}
+        for variant in variants:
+            variant = dataclasses.replace(variant, block_keys=())
+            answer = await builders.ask(self.first.client, variant)
+            self.assertEqual(answer.text, builders.expected(variant))
+            texts.add(answer.text)
+        self.assertEqual(len(texts), 1 + len(variants))
+
+    async def test_every_wrong_imported_block_changes_the_answer(self) -> None:
+        asked = builders.request(builders.prompt("guide", 3))
+        await builders.ask(self.first.client, asked)
+        exported = [
+            await self.first.client.export_block(key) for key in asked.block_keys
+        ]
+        whole = [block.data for block in exported]
+        flipped = bytes([whole[0][100] ^ 1])
+        damages = {
+            "none": whole,
+            "byte in the first": [
+                whole[0][:100] + flipped + whole[0][101:],
+                whole[1],
+                whole[2],
+            ],
+            "torn middle": [whole[0], whole[1][:200], whole[2]],
+            "swapped": [whole[0], whole[2], whole[1]],
+            "empty last": [whole[0], whole[1], b""],
+        }
+        for damage, payloads in damages.items():
+            with self.subTest(damage):
+                self.second.engine.cache.clear()
+                for key, data in zip(asked.block_keys, payloads, strict=True):
+                    await self.second.client.import_block(key, data, VERSION)
+                answer = await builders.ask(self.second.client, asked)
+                self.assertEqual(answer.cached_tokens, 3 * answers.BLOCK_TOKENS)
+                right = answer.text == builders.expected(asked)
+                self.assertEqual(right, damage == "none")
+
+    async def test_resumed_answer_goes_on_at_the_next_token(self) -> None:
+        asked = builders.request(builders.prompt("guide", 1), max_tokens=9)
+        resumed = dataclasses.replace(asked, resume_after=4)
+        answer = await builders.ask(self.first.client, resumed)
+        self.assertEqual(answer.text, builders.expected(asked)[16:])
+
+    async def test_parallel_streams_stay_apart(self) -> None:
+        asked = [
+            builders.request(builders.prompt(f"guide {i}", 1), f"r{i}", 20)
+            for i in range(24)
+        ]
+        got = await asyncio.gather(
+            *(builders.ask(self.first.client, each) for each in asked)
+        )
+        self.assertEqual(
+            [answer.text for answer in got], [builders.expected(each) for each in asked]
+        )
+
+
+class CacheTest(unittest.IsolatedAsyncioTestCase):
+    async def test_least_recently_used_prompt_is_evicted_and_reported(self) -> None:
+        options = engine_runtime.EngineOptions(
+            cache_blocks=4, payload_bytes=64, event_delay_ms=0
+        )
+        running = builders.start_engine(options=options)
+        self.addAsyncCleanup(running.stop)
+        old, new = (builders.request(builders.prompt(n, 3)) for n in ("old", "new"))
+        await builders.ask(running.client, old)
+        await builders.ask(running.client, new)
+        keys = await running.client.keys()
+        self.assertEqual(set(keys.keys), {old.block_keys[0], *new.block_keys})
+        published = await running.client.events(0, 0)
+        self.assertEqual(published.incarnation, keys.incarnation)
+        replayed: set[ids.BlockKey] = set()
+        for event in published.events:
+            if event.kind is engine_messages.CacheChange.STORED:
+                replayed.add(event.key)
+            else:
+                replayed.remove(event.key)
+        self.assertEqual(replayed, set(keys.keys))
+        self.assertEqual(published.events[-1].sequence, keys.sequence)
+
+    async def test_lost_events_leave_gaps(self) -> None:
+        options = engine_runtime.EngineOptions(
+            payload_bytes=64, event_delay_ms=20, event_loss=0.5, seed=3
+        )
+        running = builders.start_engine(options=options)
+        self.addAsyncCleanup(running.stop)
+        asked = builders.request(builders.prompt("guide", 12))
+        await builders.ask(running.client, asked)
+        published = await running.client.events(0, 5_000)
+        numbers = [event.sequence for event in published.events]
+        self.assertEqual(numbers, sorted(numbers))
+        self.assertTrue(0 < len(numbers) < 12, numbers)
+
+
+class QueueTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.running = builders.start_engine(SLOW)
+        self.client = self.running.client
+
+    async def asyncTearDown(self) -> None:
+        await self.running.stop()
+
+    async def _run_one(self, name: str, priority: int = 0) -> asyncio.Task[str]:
+        """Start a long request and return once the engine has it."""
+        asked = builders.request(f"prompt {name}", name, 10_000)
+        asked = dataclasses.replace(asked, priority=priority)
+
+        async def text() -> str:
+            return (await builders.ask(self.client, asked)).text
+
+        task = asyncio.create_task(text())
+        while self.running.engine.scheduler.find(name) is None:
+            await asyncio.sleep(0.001)
+        return task
+
+    async def _until_idle(self) -> None:
+        while (await self.client.load()).running:
+            await asyncio.sleep(0.001)
+
+    async def test_cancelled_task_frees_the_slot(self) -> None:
+        task = await self._run_one("long")
+        while not (await self.client.load()).running:
+            await asyncio.sleep(0.001)
+        task.cancel()
+        await self._until_idle()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        asked = builders.request("next", "next")
+        answer = await builders.ask(self.client, asked)
+        self.assertEqual(answer.text, builders.expected(asked))
+
+    async def test_full_queue_refuses(self) -> None:
+        running = await self._run_one("running")
+        while not (await self.client.load()).running:
+            await asyncio.sleep(0.001)
+        waiting = await self._run_one("waiting")
+        with self.assertRaises(engine_messages.EngineBusyError) as caught:
+            await builders.ask(self.client, builders.request("third", "third"))
+        self.assertGreater(caught.exception.retry_after_ms, 0)
+        waiting.cancel()
+        running.cancel()
+        await asyncio.gather(waiting, running, return_exceptions=True)
+
+    async def test_weights_swapped_under_a_run(self) -> None:
+        task = await self._run_one("running")
+        while not (await self.client.load()).running:
+            await asyncio.sleep(0.001)
+        waiting = await self._run_one("waiting")
+        order = self.client.order
+        version = "v2"
+        load = engine_messages.OrderKind.LOAD_VERSION
+        await order(load, version, ids.FencingNumber(1))
+        with self.assertRaises(engine_messages.WrongVersionError):
+            await waiting
+        with self.assertRaises(engine_messages.WrongVersionError):
+            await builders.ask(self.client, builders.request("late", "late"))
+        with self.assertRaises(engine_messages.WrongVersionError):
+            await self.client.import_block(ids.BlockKey("a"), b"x", VERSION)
+        self.assertFalse(task.done())
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+class OrderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_old_fencing_number_is_refused_only_where_it_is_checked(self) -> None:
+        load = engine_messages.OrderKind.LOAD_ADAPTER
+        for checks in (True, False):
+            with self.subTest(checks=checks):
+                options = engine_runtime.EngineOptions(checks_fencing=checks)
+                running = builders.start_engine(options=options)
+                self.addAsyncCleanup(running.stop)
+                await running.client.order(load, "new", ids.FencingNumber(7))
+                old = running.client.order(load, "old", ids.FencingNumber(6))
+                if checks:
+                    with self.assertRaises(engine_messages.StaleFencingError):
+                        await old
+                else:
+                    await old
+                adapters = (await running.client.load()).adapters
+                self.assertEqual("old" in adapters, not checks)
