--- a/quincecrank/curl_client.py
+++ b/quincecrank/curl_client.py
@@ -67,11 +67,21 @@
 def forbid_resend(curl: pycurl.Curl) -> None:
     """Make a request fail where libcurl would send its body a second time.
 
-    For use as, or within, a request's `prepare_curl_callback`.
+    For use as, or within, a request's `prepare_curl_callback`.  A request without a
+    body has nothing to rewind and needs `connect_afresh`.
     """
     curl.setopt(pycurl.SEEKFUNCTION, _refuse_to_rewind)
 
 
+def connect_afresh(curl: pycurl.Curl) -> None:
+    """Send a request over a connection of its own, where libcurl never resends.
+
+    For use as, or within, a request's `prepare_curl_callback`.
+    """
+    curl.setopt(pycurl.FRESH_CONNECT, True)
+    curl.setopt(pycurl.FORBID_REUSE, True)
+
+
 def _refuse_to_rewind(offset: int, origin: int) -> int:
     return pycurl.SEEKFUNC_FAIL
 
--- a/quincecrank/engine_client.py
+++ b/quincecrank/engine_client.py
@@ -239,6 +239,7 @@
             connect_timeout=CONNECT_TIMEOUT_MS / clock.MS_PER_SECOND,
             request_timeout=timeout_ms / clock.MS_PER_SECOND,
             decompress_response=False,
+            prepare_curl_callback=curl_client.forbid_resend,
         )
         try:
             return await self._client.fetch_whole(request)
--- /dev/null
+++ b/standins/launcher.py
@@ -0,0 +1,212 @@
+"""Starts programs for demos, tests and benchmarks, and ends what it started."""
+
+import contextlib
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import types
+from collections.abc import Mapping, Sequence
+from typing import Final, Self
+
+READY_PREFIX: Final = "listening "
+READY_TIMEOUT_S: Final = 30.0
+STOP_TIMEOUT_S: Final = 10.0
+_POLL_S: Final = 0.01
+_LOG_TAIL_CHARACTERS: Final = 2_000
+
+
+class StartError(Exception):
+    """A program ended, or printed no ready line in time."""
+
+
+class Process:
+    """One program that was started, by handle.
+
+    Parameters
+    ----------
+    name : str
+        Name within the fleet.
+    child : subprocess.Popen
+        The running program.
+    log_path : pathlib.Path
+        File that takes its standard output and error.
+    """
+
+    def __init__(
+        self, name: str, child: subprocess.Popen[bytes], log_path: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.log_path = log_path
+        self.port = 0
+        self._child = child
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._child.pid
+
+    @property
+    def url(self) -> str:
+        """Return the base URL of the program's listener."""
+        return f"http://127.0.0.1:{self.port}"
+
+    @property
+    def running(self) -> bool:
+        """Tell whether the process has not ended, frozen or not."""
+        return self._child.poll() is None
+
+    @property
+    def exit_code(self) -> int | None:
+        """Return the exit code, minus the signal's number after a kill."""
+        return self._child.poll()
+
+    def log(self) -> str:
+        """Return what the program has printed."""
+        return self.log_path.read_text(errors="replace")
+
+    def kill(self) -> None:
+        """End the process at once, as `kill -9` does, and wait for its end."""
+        self._signal(signal.SIGKILL)
+        self._child.wait()
+
+    def freeze(self) -> None:
+        """Stop the process where it is; `thaw` lets it go on."""
+        self._signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self._signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the process to shut down, without waiting."""
+        self._signal(signal.SIGTERM)
+
+    def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Wait for the end and return the exit code.
+
+        Raises
+        ------
+        subprocess.TimeoutExpired
+            If the process goes on.
+        """
+        return self._child.wait(timeout_s)
+
+    def wait_ready(self, timeout_s: float = READY_TIMEOUT_S) -> int:
+        """Wait for the ready line and return the port.
+
+        Raises
+        ------
+        StartError
+            If the program ended or stayed silent.
+        """
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            # The order matters: a program may print its line and end.
+            ended = not self.running
+            for line in self.log().splitlines():
+                if line.startswith(READY_PREFIX):
+                    self.port = int(line[len(READY_PREFIX) :])
+                    return self.port
+            if ended:
+                break
+            time.sleep(_POLL_S)
+        tail = self.log()[-_LOG_TAIL_CHARACTERS:]
+        raise StartError(f"{self.name} is not ready (exit {self.exit_code}):\n{tail}")
+
+    def _signal(self, number: signal.Signals) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            self._child.send_signal(number)
+
+
+class Fleet:
+    """Programs that were started together; a context manager that ends them all.
+
+    Parameters
+    ----------
+    log_folder : pathlib.Path
+        Folder for the logs, one file for each start; made when missing.
+    """
+
+    def __init__(self, log_folder: pathlib.Path) -> None:
+        self._log_folder = log_folder
+        self._started: list[Process] = []
+        log_folder.mkdir(parents=True, exist_ok=True)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def launch(
+        self,
+        name: str,
+        module: str,
+        arguments: Sequence[str] = (),
+        environment: Mapping[str, str] | None = None,
+    ) -> Process:
+        """Start `python -m module` and return without waiting.
+
+        Parameters
+        ----------
+        name : str
+            Name of the process and of its log.
+        environment : mapping
+            Variables in addition to this process's own.
+        """
+        log_path = self._log_folder / f"{name}-{len(self._started)}.log"
+        command = [sys.executable, "-m", module, *arguments]
+        with log_path.open("wb") as log:
+            child = subprocess.Popen(
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env={**os.environ, **(environment or {})},
+            )
+        process = Process(name, child, log_path)
+        self._started.append(process)
+        return process
+
+    def start(
+        self,
+        name: str,
+        module: str,
+        arguments: Sequence[str] = (),
+        environment: Mapping[str, str] | None = None,
+    ) -> Process:
+        """Start `python -m module` and wait for its ready line.
+
+        Raises
+        ------
+        StartError
+            If the program doesn't get ready.
+        """
+        process = self.launch(name, module, arguments, environment)
+        process.wait_ready()
+        return process
+
+    def close(self) -> None:
+        """End every process that this fleet started, the last one first.
+
+        Each is asked to shut down and is killed when it doesn't within the limit.
+        """
+        running = [process for process in reversed(self._started) if process.running]
+        for process in running:
+            process.terminate()
+            process.thaw()
+        deadline = time.monotonic() + STOP_TIMEOUT_S
+        for process in running:
+            try:
+                process.wait(max(0.0, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+        self._started.clear()
--- /dev/null
+++ b/standins/relay.py
@@ -0,0 +1,160 @@
+"""A TCP relay that can delay, go silent without closing, or cut.
+
+It stands for whatever lies between two ends and loses track of their connections.
+"""
+
+import asyncio
+import dataclasses
+import enum
+from typing import Final
+
+from quincecrank import clock as clocks
+
+_LISTEN_ADDRESS: Final = "127.0.0.1"
+_READ_BYTES: Final = 65_536
+
+
+class Direction(enum.Enum):
+    """Way of the bytes through the relay."""
+
+    TO_SERVER = "to-server"
+    TO_CLIENT = "to-client"
+
+
+BOTH_DIRECTIONS: Final = frozenset(Direction)
+
+
+@dataclasses.dataclass(eq=False)
+class _Link:
+    """One relayed connection."""
+
+    client: asyncio.StreamWriter
+    server: asyncio.StreamWriter
+    silent: frozenset[Direction] = frozenset()
+
+    def abort(self) -> None:
+        self.client.transport.abort()
+        self.server.transport.abort()
+
+
+class Relay:
+    """Forwards connections from its own port to another one.
+
+    Parameters
+    ----------
+    target_port : int
+        Port on the loopback address.
+    """
+
+    def __init__(self, target_port: int) -> None:
+        self.port = 0
+        self.delay_ms = 0
+        self.accepted = 0
+        self.relayed_bytes = 0
+        self._target_port = target_port
+        self._clock = clocks.SystemClock()
+        self._links: set[_Link] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._silent_for_new: frozenset[Direction] = frozenset()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a port that the operating system chooses."""
+        self._server = await asyncio.start_server(self._accept, _LISTEN_ADDRESS, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening and cut every connection."""
+        assert self._server is not None
+        self._server.close()
+        self.cut()
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def silence(
+        self,
+        directions: frozenset[Direction] = BOTH_DIRECTIONS,
+        also_new: bool = False,
+    ) -> None:
+        """Drop the bytes of the open connections for good, without closing them.
+
+        Parameters
+        ----------
+        directions : frozenset of Direction
+            Ways that go silent.
+        also_new : bool
+            Whether connections that are opened later are silent, too.
+        """
+        for link in self._links:
+            link.silent |= directions
+        if also_new:
+            self._silent_for_new = directions
+
+    def heal(self) -> None:
+        """Relay new connections again; silent ones stay silent."""
+        self._silent_for_new = frozenset()
+
+    def cut(self) -> None:
+        """Reset every open connection at both ends."""
+        for link in tuple(self._links):
+            link.abort()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.accepted += 1
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            await self._relay(reader, writer)
+        except asyncio.CancelledError:
+            # The relay is being stopped; asyncio would log the cancellation.
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.transport.abort()
+
+    async def _relay(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            server_reader, server_writer = await asyncio.open_connection(
+                _LISTEN_ADDRESS, self._target_port
+            )
+        except OSError:
+            return
+        link = _Link(writer, server_writer, self._silent_for_new)
+        self._links.add(link)
+        try:
+            await asyncio.gather(
+                self._forward(link, reader, server_writer, Direction.TO_SERVER),
+                self._forward(link, server_reader, writer, Direction.TO_CLIENT),
+            )
+        finally:
+            self._links.discard(link)
+            link.abort()
+
+    async def _forward(
+        self,
+        link: _Link,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: Direction,
+    ) -> None:
+        try:
+            while data := await reader.read(_READ_BYTES):
+                if self.delay_ms:
+                    await self._clock.sleep(self.delay_ms)
+                if direction in link.silent:
+                    continue
+                self.relayed_bytes += len(data)
+                writer.write(data)
+                await writer.drain()
+            if direction not in link.silent:
+                writer.write_eof()
+        except OSError:
+            if direction not in link.silent:
+                link.abort()
--- a/tests/builders_engine.py
+++ b/tests/builders_engine.py
@@ -32,8 +32,12 @@
         options = engine_runtime.EngineOptions(payload_bytes=256, event_delay_ms=0)
     started = engine_runtime.Engine(options, speeds)
     server = serving.start(engine.make_application(started))
-    client = engine_client.HttpEngineClient(server.url, max_clients=32)
-    return RunningEngine(started, server, client)
+    return RunningEngine(started, server, make_client(server.port))
+
+
+def make_client(port: int) -> engine_client.HttpEngineClient:
+    """Return a client of the engine at a port."""
+    return engine_client.HttpEngineClient(f"http://127.0.0.1:{port}", max_clients=32)
 
 
 def prompt(name: str, blocks: int, rest: str = "What airs at six?") -> str:
