--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -2,10 +2,21 @@
 
 import asyncio
 import dataclasses
+import pathlib
+import tempfile
 import unittest
 
-from quincecrank import engine_messages, ids
-from standins import answers, engine_runtime, engine_scheduler
+from tornado import httpclient
+
+from quincecrank import clock, engine_messages, ids
+from standins import (
+    answers,
+    engine_runtime,
+    engine_scheduler,
+    launcher,
+    serving,
+    weight_store,
+)
 from tests import builders_engine as builders
 
 VERSION = builders.VERSION
@@ -178,6 +189,27 @@
         answer = await builders.ask(self.client, asked)
         self.assertEqual(answer.text, builders.expected(asked))
 
+    async def test_urgent_request_overtakes_waiting_ones(self) -> None:
+        running = builders.start_engine(dataclasses.replace(SLOW, max_waiting=8))
+        self.addAsyncCleanup(running.stop)
+        ended: list[str] = []
+
+        async def ask(name: str, priority: int) -> None:
+            asked = builders.request(f"prompt {name}", name, 5)
+            asked = dataclasses.replace(asked, priority=priority)
+            await builders.ask(running.client, asked)
+            ended.append(name)
+
+        running.engine.faults.hang = True
+        async with asyncio.TaskGroup() as tasks:
+            for waiting, name in enumerate(("low", "first", "second", "urgent"), 1):
+                priority = {"low": 2, "urgent": -1}.get(name, 0)
+                tasks.create_task(ask(name, priority))
+                while (await running.client.load()).waiting < waiting:
+                    await asyncio.sleep(0.001)
+            running.engine.faults.hang = False
+        self.assertEqual(ended, ["urgent", "first", "second", "low"])
+
     async def test_full_queue_refuses(self) -> None:
         running = await self._run_one("running")
         while not (await self.client.load()).running:
@@ -227,3 +259,40 @@
                     await old
                 adapters = (await running.client.load()).adapters
                 self.assertEqual("old" in adapters, not checks)
+
+    async def test_weights_come_from_the_weight_store(self) -> None:
+        store = weight_store.WeightStore(20, clock.SystemClock())
+        server = serving.start(weight_store.make_application(store))
+        self.addAsyncCleanup(server.stop)
+        options = engine_runtime.EngineOptions(weight_store=server.url)
+        running = builders.start_engine(options=options)
+        self.addAsyncCleanup(running.stop)
+        load = engine_messages.OrderKind.LOAD_VERSION
+        store.faults.down = True
+        with self.assertRaises(engine_messages.EngineRejectedError):
+            await running.client.order(load, "v2", ids.FencingNumber(1))
+        self.assertEqual((await running.client.load()).weight_version, "v1")
+        store.faults.down = False
+        await running.client.order(load, "v2", ids.FencingNumber(1))
+        self.assertEqual((await running.client.load()).weight_version, "v2")
+
+
+class ProcessFaultTest(unittest.IsolatedAsyncioTestCase):
+    async def test_prompt_that_crashes_its_engine(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        with launcher.Fleet(pathlib.Path(folder.name)) as fleet:
+            process = fleet.launch("engine", "standins.engine")
+            await asyncio.to_thread(process.wait_ready)
+            client = builders.make_client(process.port)
+            self.addCleanup(client.close)
+            faults = httpclient.HTTPRequest(
+                f"{process.url}/faults", "POST", body='{"crash_on": "poison"}'
+            )
+            await httpclient.AsyncHTTPClient().fetch(faults)
+            await builders.ask(client, builders.request("harmless"))
+            with self.assertRaises(engine_messages.EngineFailedError) as caught:
+                await builders.ask(client, builders.request("a poison prompt"))
+            self.assertEqual(process.wait(), engine_scheduler.CRASH_EXIT_CODE)
+        error = caught.exception
+        self.assertEqual((error.started, error.sent), (False, True))
