--- /dev/null
+++ b/quincecrank/admission_gate.py
@@ -0,0 +1,152 @@
+"""Lets requests wait for admission; the rules are those of module ``admission``."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Final
+
+from quincecrank import admission, ids, logs, problems, request_context, router
+from quincecrank import clock as clocks
+
+TURN_INTERVAL_MS: Final = 20
+
+_LOG: Final = logs.logger("admission")
+
+_DETAIL_BY_KIND: Final = {
+    admission.RefusalKind.ACCOUNT_LIMIT: "the client account has too many requests",
+    admission.RefusalKind.QUEUE_FULL: "too many requests wait for the deployment",
+    admission.RefusalKind.DEADLINE: "the deadline cannot be met",
+}
+
+
+class AdmissionGate:
+    """One admission queue for each deployment, and the tasks that wait in it."""
+
+    def __init__(self, routes: router.Router, clock: clocks.Clock) -> None:
+        self._routes = routes
+        self._clock = clock
+        self._queues: dict[ids.DeploymentName, admission.AdmissionQueue] = {}
+        self._waiting: dict[ids.RequestId, asyncio.Future[None]] = {}
+
+    @contextlib.asynccontextmanager
+    async def admitted(
+        self,
+        context: request_context.RequestContext,
+        adapter: ids.AdapterName,
+        prompt_tokens: int,
+    ) -> AsyncIterator[admission.AdmissionQueue]:
+        """Hold a place in the deployment's admission queue.
+
+        Raises
+        ------
+        ProblemError
+            As soon as the request cannot be admitted in time.
+        """
+        queue = self._queue(context)
+        self._set_capacity(queue, context, adapter)
+        ticket = admission.Ticket(
+            request_id=context.request_id,
+            account=context.account.name,
+            share=context.account.share,
+            max_concurrent=context.account.max_concurrent,
+            prompt_tokens=prompt_tokens,
+            deadline_at_ms=context.deadline_at_ms,
+            priority=context.priority,
+        )
+        offered = queue.offer(ticket, self._clock.now_ms())
+        if offered.is_error():
+            raise problems.ProblemError(_problem(offered.error))
+        await self._wait(queue, ticket)
+        try:
+            yield queue
+        finally:
+            queue.ended(context.request_id, self._clock.now_ms())
+            self._start_next(queue)
+
+    async def turn(self) -> None:
+        """Refuse what has become too late and start what has room."""
+        for queue in self._queues.values():
+            for ticket, refusal in queue.take_expired(self._clock.now_ms()):
+                future = self._waiting.pop(ticket.request_id, None)
+                if future is not None and not future.done():
+                    error = problems.ProblemError(_problem(refusal))
+                    future.set_exception(error)
+            self._start_next(queue)
+
+    def _queue(
+        self, context: request_context.RequestContext
+    ) -> admission.AdmissionQueue:
+        name = context.deployment.name
+        queue = self._queues.get(name)
+        if queue is None:
+            queue = admission.AdmissionQueue(context.deployment.lateness)
+            self._queues[name] = queue
+        return queue
+
+    def _set_capacity(
+        self,
+        queue: admission.AdmissionQueue,
+        context: request_context.RequestContext,
+        adapter: ids.AdapterName,
+    ) -> None:
+        states = self._routes.candidates(context, adapter)
+        if not states:
+            raise problems.ProblemError(no_backend_server())
+        queue.set_capacity(
+            admission.Capacity(
+                slots=sum(state.max_concurrent for state in states),
+                prefill_tokens_per_second=sum(
+                    state.prefill_tokens_per_second for state in states
+                ),
+            )
+        )
+
+    async def _wait(
+        self, queue: admission.AdmissionQueue, ticket: admission.Ticket
+    ) -> None:
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting[ticket.request_id] = future
+        self._start_next(queue)
+        try:
+            await future
+        except asyncio.CancelledError:
+            if not queue.abandon(ticket):
+                queue.ended(ticket.request_id, self._clock.now_ms())
+                self._start_next(queue)
+            raise
+        finally:
+            self._waiting.pop(ticket.request_id, None)
+
+    def _start_next(self, queue: admission.AdmissionQueue) -> None:
+        while True:
+            ticket = queue.next_ticket(self._clock.now_ms())
+            if ticket is None:
+                return
+            future = self._waiting.get(ticket.request_id)
+            if future is None or future.done():
+                queue.ended(ticket.request_id, self._clock.now_ms())
+            else:
+                future.set_result(None)
+
+
+def no_backend_server() -> problems.Problem:
+    """Return the refusal for a deployment without a usable backend server."""
+    return problems.Problem(
+        problems.ProblemKind.UNAVAILABLE,
+        "no backend server of the deployment can take the request",
+        retry_after_ms=1_000,
+    )
+
+
+def _problem(refusal: admission.AdmissionRefusal) -> problems.Problem:
+    _LOG.info(
+        "request refused",
+        decision="admission",
+        reason=refusal.kind.value,
+        estimated_wait_ms=round(refusal.estimated_wait_ms),
+    )
+    return problems.Problem(
+        problems.ProblemKind.OVERLOADED,
+        _DETAIL_BY_KIND[refusal.kind],
+        retry_after_ms=refusal.retry_after_ms,
+    )
--- /dev/null
+++ b/quincecrank/agent.py
@@ -0,0 +1,344 @@
+"""`quince-agent`: the process beside each backend server.
+
+The agent is the only way to its backend server.  From top to bottom this module is
+the life of the process: register for a fencing number, learn the configuration from
+entries, follow the backend server and the VM list, serve the links of entries and
+other agents, and at the end let the running requests finish.
+"""
+
+import asyncio
+import contextlib
+from typing import Final
+
+import fire
+from tornado import iostream, tcpserver
+
+from quincecrank import (
+    agent_service,
+    attempts,
+    backend,
+    block_mover,
+    cache_watch,
+    chain_view,
+    configuration,
+    current_configuration,
+    directory_client,
+    directory_service,
+    engine_client,
+    ids,
+    logs,
+    membership,
+    metrics,
+    model_backend,
+    peer_link,
+    peer_pool,
+    platform_table,
+    process,
+    registration,
+    run_queue,
+    runner,
+    sealed_block,
+    service_backend,
+    settings,
+    status_server,
+    store_watch,
+    tasks,
+    vm_list,
+    wire,
+)
+from quincecrank import clock as clocks
+
+HANDSHAKE_TIMEOUT_MS: Final = 2_000
+REGISTER_INTERVAL_MS: Final = 1_000
+STORE_TIMEOUT_MS: Final = 20_000
+CALL_TIMEOUT_MS: Final = 120_000
+REFRESH_INTERVAL_MS: Final = 250
+
+_LOG: Final = logs.logger("agent")
+
+
+class _LinkServer(tcpserver.TCPServer):
+    """Accepts the links of entries and agents."""
+
+    def __init__(self, agent: "Agent") -> None:
+        super().__init__(max_buffer_size=wire.MAX_UNSENT_BYTES)
+        self._agent = agent
+
+    async def handle_stream(
+        self, stream: iostream.IOStream, address: tuple[str, int]
+    ) -> None:
+        """Serve one accepted connection until it ends."""
+        stream.set_nodelay(True)
+        await self._agent.serve_link(stream)
+
+
+class Agent:
+    """Implementation of `process.Program`."""
+
+    def __init__(self, known: settings.AgentSettings) -> None:
+        self._settings = known
+        self._clock = clocks.SystemClock()
+        self._incarnation = ids.Incarnation(ids.random_id("i-"))
+        self._fencing_number = ids.FencingNumber(0)
+        self._secret = settings.read_secret(known.peer.fleet_secret_file)
+        self._background = tasks.BackgroundTasks()
+        self._figures = metrics.AgentMetrics(known.backend_server.deployment)
+        self._current = current_configuration.CurrentConfiguration(self._clock)
+        platform = known.platform
+        self._table = platform_table.HttpTable(
+            platform.table_url, platform.timeout_ms, self._clock
+        )
+        self._claims = attempts.Attempts(
+            self._table, self._clock, known.backend_server.name, self._incarnation
+        )
+        self._members = membership.Membership(
+            vm_list.HttpVmList(
+                platform.vm_list_url, platform.timeout_ms, self._clock
+            ),
+            known.backend_server.deployment,
+            STORE_TIMEOUT_MS,
+            self._clock,
+        )
+        self._shard = directory_service.DirectoryService(self._figures, self._clock)
+        self._links: set[peer_link.PeerLink] = set()
+        self._queue = run_queue.RunQueue(limit=1, max_waiting=known.max_queue)
+        self._cache: cache_watch.CacheWatch | None = None
+        self._build_peers()
+        self._backend = self._build_backend()
+        self._streams = runner.Runner(self._backend, self._queue, self._clock)
+        self._service = agent_service.AgentService(
+            known.vm_name,
+            known.backend_server.deployment,
+            self._current,
+            self._backend,
+            self._queue,
+            self._streams,
+            self._shard,
+            self._clock,
+        )
+        self._server = _LinkServer(self)
+
+    def _build_peers(self) -> None:
+        known = self._settings
+        self._limits = peer_link.HeartbeatLimits(
+            known.heartbeat.interval_ms, known.heartbeat.silence_ms
+        )
+        self._pool = peer_pool.PeerPool(
+            self._identity,
+            self._secret,
+            _LateOwner(self),
+            self._limits,
+            self._clock,
+            linked=lambda link: None,
+            unlinked=lambda link: None,
+        )
+        self._announcer = directory_client.Announcer(
+            known.vm_name,
+            self._directory_agents,
+            self._pool.links_by_name,
+            self._shard.announce,
+            self._clock,
+        )
+        self._stores = store_watch.StoreWatch(
+            known.vm_name,
+            known.backend_server.deployment,
+            lambda: self._current.configuration,
+            self._members,
+            self._directory_agents,
+            self._announcer,
+            self._clock,
+        )
+        self._known_directory_agents: tuple[ids.VmName, ...] = ()
+
+    def _build_backend(self) -> backend.Backend:
+        server = self._settings.backend_server
+        if server.kind is configuration.DeploymentKind.SERVICE:
+            return service_backend.ServiceBackend(
+                server.url, CALL_TIMEOUT_MS, self._claims, self._table, self._clock
+            )
+        engine = engine_client.HttpEngineClient(
+            server.url, CALL_TIMEOUT_MS, self._clock
+        )
+        self._cache = cache_watch.CacheWatch(
+            engine, server.name, self._announcer, self._clock
+        )
+        mover = block_mover.BlockMover(
+            engine,
+            self._members,
+            self._secret,
+            lambda: self._current.configuration.tiers_by_name,
+            self._block_stored,
+            self._figures,
+            self._clock,
+        )
+        return model_backend.ModelBackend(
+            engine, mover, self._cache, lambda: self._fencing_number, self._clock
+        )
+
+    async def start(self) -> None:
+        """Open the listeners and begin to serve."""
+        bound = process.bind(self._settings.listen, reuse_port=False)
+        self._port = bound.getsockname()[1]
+        status = process.bind(self._settings.metrics, reuse_port=False)
+        status_server.start(status, self._figures.registry, self._is_ready)
+        await self._members.refresh()
+        self._background.start(self._register())
+        self._background.start(self._claims.run())
+        self._background.start(self._backend.watch())
+        for action, interval_ms in (
+            (self._refresh_members, membership.POLL_INTERVAL_MS),
+            (self._refresh, REFRESH_INTERVAL_MS),
+            (self._announcer.flush, directory_client.FLUSH_INTERVAL_MS),
+            (self._stores.check, store_watch.CHECK_INTERVAL_MS),
+        ):
+            work = peer_link.repeat(action, interval_ms, self._clock)
+            self._background.start(work)
+        self._server.add_socket(bound)
+        process.announce_port("agent", bound)
+        process.announce_port("metrics", status)
+
+    async def stop(self) -> None:
+        """Refuse new work, wait for the running requests, close everything."""
+        _LOG.info("shutting down")
+        await self._service.stop()
+        await self._claims.flush()
+        for link in tuple(self._links):
+            link.close()
+        self._server.stop()
+        self._pool.close()
+        self._background.cancel()
+
+    async def serve_link(self, stream: iostream.IOStream) -> None:
+        """Serve one accepted connection until it ends."""
+        try:
+            connection = await wire.handshake_within(
+                stream,
+                self._identity(),
+                self._secret,
+                dialled=False,
+                timeout_ms=HANDSHAKE_TIMEOUT_MS,
+            )
+        except (wire.WireError, iostream.StreamClosedError) as error:
+            _LOG.warning("peer refused", reason=str(error))
+            return
+        link = peer_link.PeerLink(
+            connection, self._service, self._limits, self._clock
+        )
+        self._links.add(link)
+        try:
+            reason = await link.run()
+            _LOG.info("link ended", peer=link.peer.name, reason=reason)
+        finally:
+            self._links.discard(link)
+            self._streams.link_ended(link)
+
+    @property
+    def service(self) -> agent_service.AgentService:
+        """Return the handler of packets and calls."""
+        return self._service
+
+    def _identity(self) -> wire.PeerIdentity:
+        server = self._settings.backend_server
+        return wire.PeerIdentity(
+            role=wire.PeerRole.AGENT,
+            name=self._settings.vm_name,
+            incarnation=self._incarnation,
+            data_centre=self._settings.data_centre,
+            fencing_number=self._fencing_number,
+            backend_server=server.name,
+            deployment=server.deployment,
+        )
+
+    async def _register(self) -> None:
+        """Take a fencing number; links made before it are made anew."""
+        identity = registration.AgentIdentity(
+            backend_server=self._settings.backend_server.name,
+            incarnation=self._incarnation,
+            address=self._settings.listen.address,
+            port=self._port,
+        )
+        while True:
+            try:
+                registered = await registration.register(self._table, identity)
+                break
+            except (
+                platform_table.TableUnavailableError,
+                platform_table.OutcomeUnknownError,
+            ) as error:
+                _LOG.warning("not registered yet", reason=str(error))
+                await self._clock.sleep(REGISTER_INTERVAL_MS)
+        self._fencing_number = registered.fencing_number
+        _LOG.info("registered", fencing_number=registered.fencing_number)
+        for link in tuple(self._links):
+            link.close()
+
+    async def _refresh_members(self) -> None:
+        await self._members.refresh()
+        agents = self._directory_agents()
+        self._pool.want(
+            self._members.vms_by_name[name]
+            for name in agents
+            if name != self._settings.vm_name
+        )
+        if agents != self._known_directory_agents:
+            self._known_directory_agents = agents
+            self._stores.announce_anew()
+            if self._cache is not None:
+                self._cache.announce_anew()
+
+    async def _refresh(self) -> None:
+        self._service.refresh()
+        self._figures.running.set(self._queue.running)
+        self._figures.waiting.set(self._queue.waiting)
+
+    def _directory_agents(self) -> tuple[ids.VmName, ...]:
+        name = self._settings.backend_server.deployment
+        return directory_client.directory_agents(
+            name, self._members.directory_agents(name)
+        )
+
+    def _block_stored(self, copy: chain_view.StoredBlock) -> None:
+        name = sealed_block.BlockName.parse(copy.object_name)
+        if name is not None:
+            news = self._stores.announcement(copy.store, copy.tier, name)
+            self._announcer.announce([news])
+
+    def _is_ready(self) -> bool:
+        return self._current.version > 0 and self._backend.load().healthy
+
+
+class _LateOwner:
+    """Passes the packets of dialled links to a service that is built later."""
+
+    def __init__(self, agent: Agent) -> None:
+        self._agent = agent
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._agent.service, name)
+
+
+def run(settings_file: str) -> None:
+    """Run an agent.
+
+    Parameters
+    ----------
+    settings_file : str
+        Path of the YAML settings.
+    """
+    known = process.load_or_exit(settings.load_agent, settings_file)
+    logs.configure(
+        as_json=known.logging.format is settings.LogFormat.JSON,
+        level=known.logging.level.value,
+        vm=known.vm_name,
+    )
+    with contextlib.suppress(asyncio.CancelledError):
+        process.serve(lambda: Agent(known))
+
+
+def main() -> None:
+    """Entry point of the console script."""
+    fire.Fire(run)
+
+
+if __name__ == "__main__":
+    main()
--- a/quincecrank/agent_links.py
+++ b/quincecrank/agent_links.py
@@ -9,7 +9,7 @@
 from quincecrank import (
     breaker,
     configuration,
-    configuration_store,
+    current_configuration,
     configuration_sync,
     ids,
     logs,
@@ -63,7 +63,7 @@
 
     def __init__(
         self,
-        current: configuration_store.CurrentConfiguration,
+        current: current_configuration.CurrentConfiguration,
         configuration_changed: Callable[[], None],
         clock: clocks.Clock,
     ) -> None:
--- a/quincecrank/agent_service.py
+++ b/quincecrank/agent_service.py
@@ -6,7 +6,7 @@
 from quincecrank import clock as clocks
 from quincecrank import (
     configuration,
-    configuration_store,
+    current_configuration,
     configuration_sync,
     directory_service,
     ids,
@@ -38,7 +38,7 @@
         self,
         vm: ids.VmName,
         deployment: ids.DeploymentName,
-        current: configuration_store.CurrentConfiguration,
+        current: current_configuration.CurrentConfiguration,
         backend: backends.Backend,
         queue: run_queue.RunQueue,
         streams: runner.Runner,
--- a/quincecrank/cache_watch.py
+++ b/quincecrank/cache_watch.py
@@ -8,7 +8,6 @@
 import asyncio
 from typing import Final
 
-from quincecrank import clock as clocks
 from quincecrank import (
     block_keys,
     directory,
@@ -18,6 +17,7 @@
     ids,
     logs,
 )
+from quincecrank import clock as clocks
 
 EVENT_WAIT_MS: Final = 1_000
 RETRY_INTERVAL_MS: Final = 500
--- /dev/null
+++ b/quincecrank/completion_dispatch.py
@@ -0,0 +1,376 @@
+"""Serves one prompt: admission, directory, routing, attempts, until an answer.
+
+Prompts have no effect outside, so a failed attempt may be followed by another one:
+on another backend server, within the retry budget, and from the token after the last
+one that the caller has.  A prompt that was in flight when a backend server crashed
+is a suspect: it runs again only where no other suspect runs, and after two crashes
+it is refused for good.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import functools
+import random
+from collections.abc import Callable, Iterator
+from typing import Final
+
+from quincecrank import (
+    admission,
+    admission_gate,
+    agent_links,
+    block_keys,
+    chain_view,
+    crash_counts,
+    directory_lookup,
+    ids,
+    inference_request,
+    logs,
+    metrics,
+    model_backend,
+    placement_rules,
+    problems,
+    request_context,
+    retry_budgets,
+    router,
+    stream_messages,
+    tokenizers,
+)
+from quincecrank import attempt as attempts
+from quincecrank import clock as clocks
+
+CANDIDATE_WAIT_MS: Final = 50
+"""Time between two looks for a backend server that may take a request."""
+
+_LOG: Final = logs.logger("dispatch")
+
+
+@dataclasses.dataclass
+class _Progress:
+    """One prompt on its way."""
+
+    context: request_context.RequestContext
+    request: inference_request.InferenceRequest
+    sink: "_FirstTokenSink"
+    prompt_tokens: int
+    keys: tuple[ids.BlockKey, ...]
+    chain: chain_view.ChainView
+    queue: admission.AdmissionQueue
+    excluded: frozenset[ids.BackendServerName] = frozenset()
+    attempt_count: int = 0
+
+
+class _FirstTokenSink:
+    """Passes bytes on and notes when the first ones came."""
+
+    def __init__(self, sink: attempts.AnswerSink, clock: clocks.Clock) -> None:
+        self._sink = sink
+        self._clock = clock
+        self.data_frames = 0
+        self.first_ms = 0
+        self.on_next: Callable[[], None] | None = None
+
+    def head(
+        self, status: int, headers: tuple[stream_messages.HeaderField, ...]
+    ) -> None:
+        """Refuse what a model engine's answer does not have."""
+        raise ValueError("an answer of a model engine has no head")
+
+    def data(self, data: bytes) -> None:
+        """Pass bytes on."""
+        if not self.data_frames:
+            self.first_ms = self._clock.now_ms()
+        self.data_frames += 1
+        self._sink.data(data)
+        if self.on_next is not None:
+            on_next, self.on_next = self.on_next, None
+            on_next()
+
+
+class CompletionDispatcher:
+    """The pipeline of prompts at one entry."""
+
+    def __init__(
+        self,
+        links: agent_links.AgentLinks,
+        routes: router.Router,
+        gate: admission_gate.AdmissionGate,
+        lookup: directory_lookup.DirectoryLookup,
+        budgets: retry_budgets.RetryBudgets,
+        secret: bytes,
+        figures: metrics.EntryMetrics,
+        clock: clocks.Clock,
+    ) -> None:
+        self._links = links
+        self._routes = routes
+        self._gate = gate
+        self._lookup = lookup
+        self._budgets = budgets
+        self._secret = secret
+        self._figures = figures
+        self._clock = clock
+        self._jitter = random.Random()
+
+    async def serve(
+        self,
+        context: request_context.RequestContext,
+        request: inference_request.InferenceRequest,
+        sink: attempts.AnswerSink,
+    ) -> stream_messages.StreamEnd:
+        """Write the whole answer to `sink` and return its figures.
+
+        Raises
+        ------
+        ProblemError
+            If the request is given up.
+        """
+        started_ms = self._clock.now_ms()
+        tokenizer = tokenizers.TOKENIZERS_BY_NAME[context.deployment.tokenizer]
+        keys = self._block_keys(context, request, tokenizer)
+        prompt_tokens = tokenizer.count(request.prompt)
+        timed = _FirstTokenSink(sink, self._clock)
+        try:
+            timeout_s = context.left_ms(self._clock) / clocks.MS_PER_SECOND
+            async with asyncio.timeout(timeout_s):
+                chain = await self._lookup.lookup(context, keys)
+                self._refuse_crasher(context)
+                async with self._gate.admitted(
+                    context, request.adapter, prompt_tokens
+                ) as queue:
+                    progress = _Progress(
+                        context, request, timed, prompt_tokens, keys, chain, queue
+                    )
+                    end = await self._attempts(progress)
+        except TimeoutError:
+            kind = problems.ProblemKind.DEADLINE
+            raise problems.ProblemError(
+                problems.Problem(
+                    kind, "the deadline passed", problems.Ran.UNKNOWN, 1_000
+                )
+            ) from None
+        self._count(context, end, timed.first_ms - started_ms)
+        return end
+
+    def _block_keys(
+        self,
+        context: request_context.RequestContext,
+        request: inference_request.InferenceRequest,
+        tokenizer: tokenizers.Tokenizer,
+    ) -> tuple[ids.BlockKey, ...]:
+        return block_keys.chain(
+            self._secret,
+            context.account.name,
+            context.deployment.name,
+            context.deployment.weight_version,
+            request.adapter,
+            model_backend.ENGINE_FORMAT,
+            tokenizer,
+            request.prompt,
+        )
+
+    def _refuse_crasher(self, context: request_context.RequestContext) -> None:
+        if self._lookup.crash_count(context) < crash_counts.CRASH_LIMIT:
+            return
+        raise problems.ProblemError(
+            problems.Problem(
+                problems.ProblemKind.CRASHES_BACKENDS,
+                "backend servers crashed while they ran this request",
+            )
+        )
+
+    async def _attempts(self, progress: _Progress) -> stream_messages.StreamEnd:
+        self._budgets.first_attempt(progress.context)
+        while True:
+            route = await self._route(progress)
+            attempt, outcome = await self._attempt(progress, route)
+            if outcome.end is not None:
+                route.state.breaker.succeeded()
+                await self._lookup.report_cleared(progress.context, progress.keys)
+                return outcome.end
+            await self._after_failure(progress, route, attempt, outcome)
+
+    async def _route(self, progress: _Progress) -> router.Route:
+        context = progress.context
+        while True:
+            route = self._routes.choose(
+                context,
+                progress.request.adapter,
+                progress.prompt_tokens,
+                progress.chain,
+                progress.keys[0] if progress.keys else None,
+                progress.excluded,
+                alone=self._lookup.crash_count(context) > 0,
+            )
+            if route is not None:
+                return route
+            if not self._routes.candidates(context, progress.request.adapter):
+                raise problems.ProblemError(admission_gate.no_backend_server())
+            progress.excluded = frozenset()
+            await self._clock.sleep(CANDIDATE_WAIT_MS)
+
+    async def _attempt(
+        self, progress: _Progress, route: router.Route
+    ) -> tuple[attempts.Attempt, attempts.Outcome]:
+        order = self._order(progress, route)
+        progress.attempt_count += 1
+        before = progress.sink.data_frames
+        with self._counted(progress, route, order):
+            attempt = self._links.open(route.state, order, progress.sink)
+            try:
+                outcome = await attempt.outcome()
+            finally:
+                self._links.close(route.state, attempt)
+        if outcome.end is not None and progress.sink.data_frames == before:
+            outcome = attempts.Outcome(
+                attempts.OutcomeKind.BROKEN, reason="the answer is empty"
+            )
+        return attempt, outcome
+
+    @contextlib.contextmanager
+    def _counted(
+        self,
+        progress: _Progress,
+        route: router.Route,
+        order: stream_messages.StreamOrder,
+    ) -> Iterator[None]:
+        """Count the attempt wherever decisions depend on it."""
+        now_ms = self._clock.now_ms()
+        sent_id = ids.RequestId(order.attempt_id)
+        is_suspect = self._lookup.crash_count(progress.context) > 0
+        route.state.breaker.sent(now_ms)
+        route.state.estimates.sent(sent_id, route.plan, now_ms)
+        route.state.suspects += is_suspect
+        self._routes.restore_started(route.plan)
+        progress.sink.on_next = functools.partial(
+            self._first_token, progress, route, sent_id
+        )
+        progress.queue.planned(
+            progress.context.request_id, route.plan.recompute_tokens
+        )
+        try:
+            yield
+        finally:
+            progress.sink.on_next = None
+            route.state.suspects -= is_suspect
+            self._routes.restore_ended(route.plan)
+            route.state.estimates.ended(sent_id, self._clock.now_ms())
+
+    def _first_token(
+        self, progress: _Progress, route: router.Route, sent_id: ids.RequestId
+    ) -> None:
+        """Tell the estimates that the first token of an attempt has come."""
+        route.state.estimates.first_token(sent_id, self._clock.now_ms())
+        progress.queue.first_token(progress.context.request_id)
+
+    def _order(
+        self, progress: _Progress, route: router.Route
+    ) -> stream_messages.StreamOrder:
+        context = progress.context
+        request = progress.request
+        deployment = context.deployment
+        limit = min(request.max_tokens or deployment.max_tokens, deployment.max_tokens)
+        keep = ()
+        if self._routes.policy.uses_tiers:
+            keep = placement_rules.blocks_to_keep(
+                progress.keys, progress.chain, self._routes.tiers_of(deployment)
+            )
+        work = stream_messages.Completion(
+            model=request.model,
+            prompt=request.prompt,
+            max_tokens=limit,
+            weight_version=deployment.weight_version,
+            adapter=request.adapter,
+            cache_salt=block_keys.cache_salt(self._secret, context.account.name),
+            block_keys=progress.keys if route.plan.reuse else (),
+            chat=request.chat,
+            streamed=request.streamed,
+            include_usage=request.include_usage,
+            restore=route.plan.restore,
+            keep=keep,
+            resume_after=progress.sink.data_frames if request.streamed else 0,
+        )
+        return stream_messages.StreamOrder(
+            stream=self._links.next_stream(),
+            request_id=context.request_id,
+            attempt_id=ids.AttemptId(ids.random_id("a-")),
+            account=context.account.name,
+            deployment=deployment.name,
+            configuration_version=context.configuration_version,
+            deadline_ms=context.left_ms(self._clock),
+            priority=context.priority,
+            idempotency_key="",
+            fingerprint=context.fingerprint,
+            idempotent=True,
+            work=work,
+        )
+
+    async def _after_failure(
+        self,
+        progress: _Progress,
+        route: router.Route,
+        attempt: attempts.Attempt,
+        outcome: attempts.Outcome,
+    ) -> None:
+        """Prepare the next attempt, or give the request up."""
+        context = progress.context
+        problem = outcome.problem or _broken(outcome)
+        _LOG.info(
+            "attempt failed",
+            request_id=context.request_id,
+            attempt_id=attempt.order.attempt_id,
+            backend_server=attempt.server,
+            kind=problem.kind.value,
+            reason=problem.detail,
+        )
+        progress.excluded |= {attempt.server}
+        if problem.kind is problems.ProblemKind.BACKEND_CRASHED:
+            route.state.healthy = False
+            route.state.breaker.failed(self._clock.now_ms())
+            await self._lookup.report_crash(
+                context, progress.keys, attempt.order.attempt_id
+            )
+            self._refuse_crasher(context)
+        if problem.kind is problems.ProblemKind.LEAVING:
+            route.state.accepting = False
+            return
+        if problem.kind not in _RETRIED_KINDS:
+            raise problems.ProblemError(problem)
+        if not self._budgets.try_spend(context):
+            raise problems.ProblemError(problem)
+        self._figures.retried(context.deployment.name)
+        await self._clock.sleep(
+            retry_budgets.backoff_ms(progress.attempt_count - 1, self._jitter)
+        )
+
+    def _count(
+        self,
+        context: request_context.RequestContext,
+        end: stream_messages.StreamEnd,
+        first_token_ms: int,
+    ) -> None:
+        name = context.deployment.name
+        self._figures.first_token(name, first_token_ms)
+        self._figures.prompt_work(
+            name, end.prompt_tokens, end.cached_tokens, end.restored_tokens
+        )
+        blocks = end.restored_tokens // tokenizers.BLOCK_TOKENS
+        self._routes.restored(blocks, end.link_bytes)
+
+
+_RETRIED_KINDS: Final = frozenset(
+    {
+        problems.ProblemKind.OVERLOADED,
+        problems.ProblemKind.UNAVAILABLE,
+        problems.ProblemKind.BACKEND_CRASHED,
+        problems.ProblemKind.BACKEND_FAILED,
+    }
+)
+
+
+def _broken(outcome: attempts.Outcome) -> problems.Problem:
+    return problems.Problem(
+        problems.ProblemKind.BACKEND_FAILED,
+        outcome.reason,
+        problems.Ran.UNKNOWN,
+        retry_after_ms=1_000,
+    )
--- a/quincecrank/configuration_sync.py
+++ b/quincecrank/configuration_sync.py
@@ -7,7 +7,7 @@
 
 from typing import Final
 
-from quincecrank import configuration, configuration_store, ids, logs, peer_link, rpc
+from quincecrank import configuration, current_configuration, ids, logs, peer_link, rpc
 
 CALL_TIMEOUT_MS: Final = 2_000
 
@@ -17,7 +17,7 @@
 class ConfigurationSync:
     """Fetches rows from peers and hands them on."""
 
-    def __init__(self, current: configuration_store.CurrentConfiguration) -> None:
+    def __init__(self, current: current_configuration.CurrentConfiguration) -> None:
         self._current = current
         self._fetching = False
 
@@ -53,10 +53,10 @@
     def _take(self, reply: rpc.ConfigurationRowsReply) -> None:
         before = self._current.version
         if reply.whole is not None:
-            self._current.offer_whole(reply.whole)
+            self._current.adopt(reply.whole)
         try:
-            self._current.offer(reply.rows)
-        except configuration.VersionGapError as error:
-            _LOG.warning("rows have a gap", reason=str(error))
+            self._current.apply(reply.rows)
+        except current_configuration.DivergedError as error:
+            _LOG.error("rows differ from those in force", reason=str(error))
         if self._current.version != before:
             _LOG.info("configuration in force", version=self._current.version)
--- a/quincecrank/crash_counts.py
+++ b/quincecrank/crash_counts.py
@@ -87,6 +87,10 @@
         """Return whether `request` must not run."""
         return self.count(request, wall_ms) >= CRASH_LIMIT
 
+    def records_of(self, request: RequestFingerprint) -> tuple[CrashRecord, ...]:
+        """Return the records of one request."""
+        return tuple(self._records_by_request.get(request, {}).values())
+
     def clear(self, request: RequestFingerprint) -> tuple[CrashRecord, ...]:
         """Clear a suspect that ran to its end; return the records to share."""
         known = self._records_by_request.get(request, {})
--- /dev/null
+++ b/quincecrank/directory_lookup.py
@@ -0,0 +1,112 @@
+"""Asks the directory agents about prompts and tells them of crashes."""
+
+from typing import Final
+
+from quincecrank import (
+    agent_links,
+    chain_view,
+    crash_counts,
+    directory,
+    directory_client,
+    ids,
+    logs,
+    membership,
+    peer_link,
+    request_context,
+    rpc,
+)
+from quincecrank import clock as clocks
+
+LOOKUP_TIMEOUT_MS: Final = 50
+"""A lookup that takes longer costs more than the hint is worth."""
+
+REPORT_TIMEOUT_MS: Final = 1_000
+
+_LOG: Final = logs.logger("directory-lookup")
+
+
+class DirectoryLookup:
+    """The entry's side of the directory."""
+
+    def __init__(
+        self,
+        links: agent_links.AgentLinks,
+        members: membership.Membership,
+        clock: clocks.Clock,
+    ) -> None:
+        self._links = links
+        self._members = members
+        self._clock = clock
+        self.crashes = crash_counts.CrashCounts()
+
+    async def lookup(
+        self, context: request_context.RequestContext, keys: tuple[ids.BlockKey, ...]
+    ) -> chain_view.ChainView:
+        """Return where the blocks of a prompt are; learns its crashes as well."""
+        request = rpc.LookupRequest(block_keys=keys, request=context.crash_key())
+        for link in self._responsible(context, keys):
+            try:
+                reply = await link.call(
+                    rpc.Method.DIRECTORY_LOOKUP,
+                    request,
+                    rpc.LookupReply,
+                    LOOKUP_TIMEOUT_MS,
+                )
+            except rpc.CallError as error:
+                _LOG.info("lookup failed", peer=link.peer.name, reason=str(error))
+                continue
+            self.crashes.merge(reply.crashes)
+            return reply.chain
+        return chain_view.empty(len(keys))
+
+    async def report_crash(
+        self,
+        context: request_context.RequestContext,
+        keys: tuple[ids.BlockKey, ...],
+        attempt_id: ids.AttemptId,
+    ) -> None:
+        """Count a crash of a backend server under a request and share it."""
+        record = crash_counts.CrashRecord(
+            context.crash_key(), attempt_id, self._clock.wall_ms()
+        )
+        self.crashes.merge((record,))
+        await self._share(context, keys, (record,))
+
+    async def report_cleared(
+        self, context: request_context.RequestContext, keys: tuple[ids.BlockKey, ...]
+    ) -> None:
+        """Clear the crashes of a request that ran to its end and share it."""
+        cleared = self.crashes.clear(context.crash_key())
+        if cleared:
+            await self._share(context, keys, cleared)
+
+    def crash_count(self, context: request_context.RequestContext) -> int:
+        """Return the crashes known to count against a request."""
+        return self.crashes.count(context.crash_key(), self._clock.wall_ms())
+
+    async def _share(
+        self,
+        context: request_context.RequestContext,
+        keys: tuple[ids.BlockKey, ...],
+        records: tuple[crash_counts.CrashRecord, ...],
+    ) -> None:
+        report = rpc.CrashReport(records=records)
+        for link in self._responsible(context, keys):
+            try:
+                await link.call(
+                    rpc.Method.CRASH_REPORT, report, rpc.Empty, REPORT_TIMEOUT_MS
+                )
+            except rpc.CallError as error:
+                _LOG.warning("crash not shared", peer=link.peer.name, reason=str(error))
+
+    def _responsible(
+        self, context: request_context.RequestContext, keys: tuple[ids.BlockKey, ...]
+    ) -> tuple[peer_link.PeerLink, ...]:
+        name = context.deployment.name
+        agents = directory_client.directory_agents(
+            name, self._members.directory_agents(name)
+        )
+        root = keys[0] if keys else ids.BlockKey(context.fingerprint)
+        chosen = directory.responsible_agents(root, agents)
+        states = (self._links.states_by_vm.get(vm) for vm in chosen)
+        return tuple(state.link for state in states if state is not None)
--- a/quincecrank/directory_service.py
+++ b/quincecrank/directory_service.py
@@ -1,7 +1,7 @@
 """The shard of the directory that this agent keeps for its deployment."""
 
-from quincecrank import configuration, crash_counts, directory, metrics, rpc
 from quincecrank import clock as clocks
+from quincecrank import configuration, crash_counts, directory, metrics, rpc
 
 
 class DirectoryService:
@@ -18,7 +18,7 @@
         request = rpc.LookupRequest.model_validate_json(body)
         return rpc.LookupReply(
             chain=self._shard.lookup(request.block_keys),
-            crashes=self._crashes.records_of(request.request, self._clock.wall_ms()),
+            crashes=self._crashes.records_of(request.request),
         )
 
     def announce(self, request: rpc.AnnounceRequest) -> None:
--- a/quincecrank/model_backend.py
+++ b/quincecrank/model_backend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 from typing import Final
 
 from quincecrank import backend as backends
@@ -54,6 +55,7 @@
         engine: engine_client.EngineClient,
         mover: block_mover.BlockMover,
         cache: cache_watch.CacheWatch,
+        fencing_number: Callable[[], ids.FencingNumber],
         clock: clocks.Clock,
     ) -> None:
         self._engine = engine
@@ -64,7 +66,7 @@
         self._prefill_tokens_per_second = _DEFAULT_PREFILL_TOKENS_PER_SECOND
         self._wanted_version = ids.WeightVersion("")
         self._background: set[asyncio.Task[None]] = set()
-        self.fencing_number = ids.FencingNumber(0)
+        self._fencing_number = fencing_number
 
     def load(self) -> backends.BackendLoad:
         """Return the state as last seen."""
@@ -147,7 +149,7 @@
                 answer.texts.append(token.text)
 
         request = engine_messages.EngineRequest(
-            request_id=order.attempt_id,
+            request_id=ids.RequestId(order.attempt_id),
             model=work.model,
             prompt=work.prompt.decode(),
             max_tokens=work.max_tokens,
@@ -263,7 +265,7 @@
         _LOG.info("ordering weight version", decision="order", version=wanted)
         try:
             await self._engine.order(
-                engine_messages.OrderKind.LOAD_VERSION, wanted, self.fencing_number
+                engine_messages.OrderKind.LOAD_VERSION, wanted, self._fencing_number()
             )
         except engine_messages.EngineError as error:
             _LOG.warning("order failed", version=wanted, reason=str(error))
--- /dev/null
+++ b/quincecrank/plain_dispatch.py
@@ -0,0 +1,292 @@
+"""Serves one call to a plain service.
+
+Three classes of calls:
+
+- declared idempotent: repeated within the retry budget like a prompt;
+- not idempotent, with a key: sent only to an agent that first gets a row in the
+  platform table; a repeat with the same key gets the recorded outcome;
+- not idempotent, without a key: sent once and never again by the system.
+
+"Not run" is said only when an agent refused before the call or when this entry's
+own cancellation was committed before any claim.
+"""
+
+import asyncio
+import random
+from typing import Final
+
+from quincecrank import (
+    admission_gate,
+    agent_links,
+    attempt_records,
+    chain_view,
+    crash_counts,
+    directory_lookup,
+    ids,
+    logs,
+    metrics,
+    platform_table,
+    problems,
+    request_context,
+    retry_budgets,
+    router,
+    stream_messages,
+)
+from quincecrank import attempt as attempts
+from quincecrank import attempts as claims
+from quincecrank import clock as clocks
+
+RETRY_AFTER_TABLE_MS: Final = 2_000
+RETRY_AFTER_UNKNOWN_MS: Final = 1_000
+
+_LOG: Final = logs.logger("plain-dispatch")
+
+_NO_ADAPTER: Final = ids.AdapterName("")
+_NO_BLOCKS: Final = chain_view.empty(0)
+
+
+class PlainDispatcher:
+    """The pipeline of plain calls at one entry."""
+
+    def __init__(
+        self,
+        links: agent_links.AgentLinks,
+        routes: router.Router,
+        gate: admission_gate.AdmissionGate,
+        lookup: directory_lookup.DirectoryLookup,
+        budgets: retry_budgets.RetryBudgets,
+        table: platform_table.PlatformTable,
+        figures: metrics.EntryMetrics,
+        clock: clocks.Clock,
+    ) -> None:
+        self._links = links
+        self._routes = routes
+        self._gate = gate
+        self._lookup = lookup
+        self._budgets = budgets
+        self._table = table
+        self._figures = figures
+        self._clock = clock
+        self._jitter = random.Random()
+
+    async def serve(
+        self,
+        context: request_context.RequestContext,
+        call: stream_messages.PlainCall,
+        key: str,
+        *,
+        idempotent: bool,
+        sink: attempts.AnswerSink,
+    ) -> None:
+        """Write the whole answer to `sink`.
+
+        Parameters
+        ----------
+        key : str
+            The caller's idempotency key, empty for none.
+
+        Raises
+        ------
+        ProblemError
+            If the request is given up.
+        """
+        run = _PlainRun(context, call, key, idempotent, sink)
+        timeout_s = context.left_ms(self._clock) / clocks.MS_PER_SECOND
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._lookup.lookup(context, ())
+                if self._lookup.crash_count(context) >= crash_counts.CRASH_LIMIT:
+                    raise problems.ProblemError(_crasher())
+                async with self._gate.admitted(context, _NO_ADAPTER, 0):
+                    await self._attempts(run)
+        except TimeoutError:
+            detail = "the deadline passed"
+            raise problems.ProblemError(
+                await self._given_up(run, problems.ProblemKind.DEADLINE, detail)
+            ) from None
+
+    async def _attempts(self, run: "_PlainRun") -> None:
+        self._budgets.first_attempt(run.context)
+        while True:
+            route = self._route(run)
+            outcome = await self._attempt(run, route)
+            if outcome.end is not None:
+                route.state.breaker.succeeded()
+                await self._lookup.report_cleared(run.context, ())
+                return
+            await self._after_failure(run, route, outcome)
+
+    def _route(self, run: "_PlainRun") -> router.Route:
+        route = self._routes.choose(
+            run.context,
+            _NO_ADAPTER,
+            0,
+            _NO_BLOCKS,
+            None,
+            run.excluded,
+            alone=self._lookup.crash_count(run.context) > 0,
+        )
+        if route is None:
+            raise problems.ProblemError(admission_gate.no_backend_server())
+        return route
+
+    async def _attempt(
+        self, run: "_PlainRun", route: router.Route
+    ) -> attempts.Outcome:
+        order = self._order(run)
+        sent_id = ids.RequestId(order.attempt_id)
+        run.sent_attempts.append(order.attempt_id)
+        route.state.breaker.sent(self._clock.now_ms())
+        route.state.estimates.sent(sent_id, route.plan, self._clock.now_ms())
+        attempt = self._links.open(route.state, order, run.sink)
+        try:
+            return await attempt.outcome()
+        finally:
+            self._links.close(route.state, attempt)
+            route.state.estimates.ended(sent_id, self._clock.now_ms())
+
+    def _order(self, run: "_PlainRun") -> stream_messages.StreamOrder:
+        context = run.context
+        return stream_messages.StreamOrder(
+            stream=self._links.next_stream(),
+            request_id=context.request_id,
+            attempt_id=ids.AttemptId(ids.random_id("a-")),
+            account=context.account.name,
+            deployment=context.deployment.name,
+            configuration_version=context.configuration_version,
+            deadline_ms=context.left_ms(self._clock),
+            priority=context.priority,
+            idempotency_key=run.key,
+            fingerprint=context.fingerprint,
+            idempotent=run.idempotent,
+            work=run.call,
+        )
+
+    async def _after_failure(
+        self, run: "_PlainRun", route: router.Route, outcome: attempts.Outcome
+    ) -> None:
+        """Prepare the next attempt, or give the request up."""
+        problem = outcome.problem or problems.Problem(
+            problems.ProblemKind.BACKEND_FAILED,
+            outcome.reason,
+            problems.Ran.UNKNOWN,
+            RETRY_AFTER_UNKNOWN_MS,
+        )
+        _LOG.info(
+            "attempt failed",
+            request_id=run.context.request_id,
+            attempt_id=run.sent_attempts[-1],
+            backend_server=route.plan.server,
+            kind=problem.kind.value,
+            ran=problem.ran.value,
+            reason=problem.detail,
+        )
+        run.excluded |= {route.plan.server}
+        if problem.kind is problems.ProblemKind.BACKEND_CRASHED:
+            route.state.breaker.failed(self._clock.now_ms())
+            await self._lookup.report_crash(run.context, (), run.sent_attempts[-1])
+        if run.has_bytes:
+            raise problems.ProblemError(problem)
+        if problem.kind is problems.ProblemKind.LEAVING:
+            route.state.accepting = False
+            return
+        may_repeat = run.idempotent or problem.ran is problems.Ran.NOT_RUN
+        if may_repeat and problem.kind in _RETRIED_KINDS:
+            if self._budgets.try_spend(run.context):
+                self._figures.retried(run.context.deployment.name)
+                await self._clock.sleep(retry_budgets.backoff_ms(0, self._jitter))
+                return
+        if problem.ran is problems.Ran.UNKNOWN and outcome.problem is None:
+            detail = "the agent was lost while the call ran"
+            kind = problems.ProblemKind.OUTCOME_UNKNOWN
+            problem = await self._given_up(run, kind, detail)
+        raise problems.ProblemError(problem)
+
+    async def _given_up(
+        self, run: "_PlainRun", kind: problems.ProblemKind, detail: str
+    ) -> problems.Problem:
+        """Return the final answer of a call whose attempts have no end."""
+        if not run.sent_attempts:
+            return problems.Problem(kind, detail, problems.Ran.NOT_RUN, 1_000)
+        if not run.key or run.idempotent:
+            return problems.Problem(
+                kind, detail, problems.Ran.UNKNOWN, RETRY_AFTER_UNKNOWN_MS
+            )
+        cancelled = await claims.cancel(
+            self._table, run.identity(), tuple(run.sent_attempts)
+        )
+        match cancelled.verdict:
+            case claims.CancelVerdict.NOT_RUN:
+                ran = problems.Ran.NOT_RUN
+            case claims.CancelVerdict.FINGERPRINT_MISMATCH:
+                return key_reused()
+            case claims.CancelVerdict.FINISHED:
+                ran = problems.Ran.RAN
+            case _:
+                ran = problems.Ran.UNKNOWN
+        return problems.Problem(kind, detail, ran, RETRY_AFTER_UNKNOWN_MS)
+
+
+class _PlainRun:
+    """One call on its way; also notes whether the caller has got any bytes."""
+
+    def __init__(
+        self,
+        context: request_context.RequestContext,
+        call: stream_messages.PlainCall,
+        key: str,
+        idempotent: bool,
+        sink: attempts.AnswerSink,
+    ) -> None:
+        self.context = context
+        self.call = call
+        self.key = key
+        self.idempotent = idempotent
+        self.sent_attempts: list[ids.AttemptId] = []
+        self.excluded: frozenset[ids.BackendServerName] = frozenset()
+        self.has_bytes = False
+        self.sink: attempts.AnswerSink = self
+        self._sink = sink
+
+    def head(
+        self, status: int, headers: tuple[stream_messages.HeaderField, ...]
+    ) -> None:
+        """Pass status and headers on."""
+        self.has_bytes = True
+        self._sink.head(status, headers)
+
+    def data(self, data: bytes) -> None:
+        """Pass bytes on."""
+        self.has_bytes = True
+        self._sink.data(data)
+
+    def identity(self) -> attempt_records.RequestIdentity:
+        """Return what the request's row is kept under."""
+        return attempt_records.RequestIdentity(
+            self.context.account.name, self.key, self.context.fingerprint
+        )
+
+
+_RETRIED_KINDS: Final = frozenset(
+    {
+        problems.ProblemKind.OVERLOADED,
+        problems.ProblemKind.UNAVAILABLE,
+        problems.ProblemKind.BACKEND_CRASHED,
+        problems.ProblemKind.BACKEND_FAILED,
+    }
+)
+
+
+def key_reused() -> problems.Problem:
+    """Return the refusal of a key that belongs to another request."""
+    return problems.Problem(
+        problems.ProblemKind.KEY_REUSED,
+        "the idempotency key was used for a request with another content",
+    )
+
+
+def _crasher() -> problems.Problem:
+    return problems.Problem(
+        problems.ProblemKind.CRASHES_BACKENDS,
+        "backend servers crashed while they ran this request",
+    )
--- a/quincecrank/service_backend.py
+++ b/quincecrank/service_backend.py
@@ -5,6 +5,7 @@
 here and is never repeated by the system.
 """
 
+import asyncio
 import dataclasses
 from typing import Final
 
@@ -13,20 +14,26 @@
 from quincecrank import backend as backends
 from quincecrank import clock as clocks
 from quincecrank import (
+    attempt_records,
+    attempts,
     http_caller,
     ids,
     logs,
+    platform_table,
     problems,
+    registration,
     stream_messages,
     stream_writer,
 )
 
 HEALTH_INTERVAL_MS: Final = 500
 RETRY_AFTER_FAILURE_MS: Final = 1_000
+RETRY_AFTER_TABLE_MS: Final = 2_000
 DATA_FRAME_BYTES: Final = 64 * 1024
 ACCOUNT_HEADER: Final = "X-Client-Account"
 REQUEST_HEADER: Final = "X-Request-Id"
 KEY_HEADER: Final = "Idempotency-Key"
+REPLAYED_HEADER: Final = "Idempotency-Replayed"
 
 _HOP_HEADERS: Final = frozenset(
     {
@@ -62,7 +69,16 @@
         Longest time that a call may take, whatever its deadline.
     """
 
-    def __init__(self, url: str, timeout_ms: int, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        url: str,
+        timeout_ms: int,
+        claims: attempts.Attempts,
+        table: platform_table.PlatformTable,
+        clock: clocks.Clock,
+    ) -> None:
+        self._table = table
+        self._attempts = claims
         self._caller = http_caller.HttpCaller(url, timeout_ms, clock)
         self._health_caller = http_caller.HttpCaller(url, HEALTH_INTERVAL_MS, clock)
         self._clock = clock
@@ -97,12 +113,88 @@
             writer.refuse(problems.Problem(problems.ProblemKind.BAD_REQUEST, detail))
             return
         try:
-            answer = await self._call(order, work)
+            if order.idempotency_key and not order.idempotent:
+                answer = await self._call_once(order, work)
+            else:
+                answer = await self._call(order, work)
         except problems.ProblemError as error:
             writer.refuse(error.problem)
             return
         send_answer(writer, answer, queue_ms)
 
+    async def _call_once(
+        self, order: stream_messages.StreamOrder, work: stream_messages.PlainCall
+    ) -> ServiceAnswer:
+        """Call the service if no attempt of this request has, and record it."""
+        identity = attempt_records.RequestIdentity(
+            order.account, order.idempotency_key, order.fingerprint
+        )
+        request = attempts.ClaimRequest(identity, order.attempt_id, order.deadline_ms)
+        claim = await self._attempts.claim(request)
+        if claim.verdict is not attempts.ClaimVerdict.GRANTED:
+            return await self._without_run(claim)
+        return await asyncio.shield(self._call_and_record(order, work, claim))
+
+    async def _call_and_record(
+        self,
+        order: stream_messages.StreamOrder,
+        work: stream_messages.PlainCall,
+        claim: attempts.Claim,
+    ) -> ServiceAnswer:
+        try:
+            answer = await self._call(order, work)
+        except problems.ProblemError as error:
+            if error.problem.ran is problems.Ran.NOT_RUN:
+                await self._attempts.withdraw(claim)
+            raise
+        headers = tuple(
+            attempt_records.Header(name=field.name, value=field.value)
+            for field in answer.headers
+        )
+        outcome = attempt_records.Outcome(
+            status=answer.status, headers=headers, body=answer.body
+        )
+        await self._attempts.finish(claim, outcome)
+        return answer
+
+    async def _without_run(self, claim: attempts.Claim) -> ServiceAnswer:
+        """Return the recorded answer of an earlier attempt, or raise why not."""
+        match claim.verdict:
+            case attempts.ClaimVerdict.FINGERPRINT_MISMATCH:
+                kind = problems.ProblemKind.KEY_REUSED
+                detail = "the idempotency key was used for another request"
+                raise _refused(kind, detail, problems.Ran.NOT_RUN, 0)
+            case attempts.ClaimVerdict.TABLE_OUT | attempts.ClaimVerdict.UNCONFIRMED:
+                kind = problems.ProblemKind.TABLE_OUT
+                detail = "the platform table cannot confirm that the call runs once"
+                retry_ms = RETRY_AFTER_TABLE_MS
+                raise _refused(kind, detail, problems.Ran.NOT_RUN, retry_ms)
+        assert claim.stored is not None
+        return await self._replay(claim.stored.record)
+
+    async def _replay(self, record: attempt_records.RequestRecord) -> ServiceAnswer:
+        incarnation = await self._registered_incarnation(record.backend_server)
+        state = record.state_at(self._clock.wall_ms(), incarnation)
+        if state is attempt_records.RequestState.FINISHED and record.outcome:
+            outcome = record.outcome
+            if not outcome.body_kept:
+                kind = problems.ProblemKind.OUTCOME_UNKNOWN
+                detail = "the call ran; its answer was too large to keep"
+                raise _refused(kind, detail, problems.Ran.RAN, 0)
+            headers = tuple(
+                stream_messages.HeaderField(header.name, header.value)
+                for header in outcome.headers
+            )
+            replayed = stream_messages.HeaderField(REPLAYED_HEADER, "true")
+            return ServiceAnswer(outcome.status, (*headers, replayed), outcome.body)
+        if state is attempt_records.RequestState.STARTED:
+            kind = problems.ProblemKind.IN_PROGRESS
+            detail = "an earlier attempt of the same request is still running"
+            raise _refused(kind, detail, problems.Ran.UNKNOWN, RETRY_AFTER_FAILURE_MS)
+        kind = problems.ProblemKind.OUTCOME_UNKNOWN
+        detail = "an earlier attempt was started and its outcome was not recorded"
+        raise _refused(kind, detail, problems.Ran.UNKNOWN, 0)
+
     async def _call(
         self, order: stream_messages.StreamOrder, work: stream_messages.PlainCall
     ) -> ServiceAnswer:
@@ -135,6 +227,16 @@
         headers = response_headers(response.headers)
         return ServiceAnswer(response.code, headers, response.body or b"")
 
+    async def _registered_incarnation(
+        self, server: ids.BackendServerName
+    ) -> ids.Incarnation | None:
+        """Return which process is the agent of `server`, None when not known."""
+        try:
+            registered = await registration.read_registration(self._table, server)
+        except platform_table.TableUnavailableError:
+            return None
+        return None if registered is None else registered.incarnation
+
     async def _is_healthy(self) -> bool:
         try:
             response = await self._health_caller.call("GET", "/health")
@@ -143,6 +245,12 @@
         return response.code == 200
 
 
+def _refused(
+    kind: problems.ProblemKind, detail: str, ran: problems.Ran, retry_after_ms: int
+) -> problems.ProblemError:
+    return problems.ProblemError(problems.Problem(kind, detail, ran, retry_after_ms))
+
+
 def send_answer(
     writer: stream_writer.StreamWriter, answer: ServiceAnswer, queue_ms: int
 ) -> None:
--- /dev/null
+++ b/quincecrank/status_server.py
@@ -0,0 +1,74 @@
+"""Serves `/metrics`, `/healthz` and `/readyz` of a process."""
+
+import socket
+from collections.abc import Callable
+
+import prometheus_client
+from tornado import httpserver, web
+
+
+class MetricsHandler(web.RequestHandler):
+    """Answers with all metrics in Prometheus' format."""
+
+    def initialize(self, registry: prometheus_client.CollectorRegistry) -> None:
+        """Keep the registry to show."""
+        self._registry = registry
+
+    def get(self) -> None:
+        """Write the metrics."""
+        self.set_header("Content-Type", prometheus_client.CONTENT_TYPE_LATEST)
+        self.finish(prometheus_client.generate_latest(self._registry))
+
+
+class HealthHandler(web.RequestHandler):
+    """Answers while the process runs."""
+
+    def get(self) -> None:
+        """Write that the process is alive."""
+        self.finish("ok\n")
+
+
+class ReadyHandler(web.RequestHandler):
+    """Answers whether the process may get requests."""
+
+    def initialize(self, is_ready: Callable[[], bool]) -> None:
+        """Keep the test."""
+        self._is_ready = is_ready
+
+    def get(self) -> None:
+        """Write the state; the status is 503 while not ready."""
+        if self._is_ready():
+            self.finish("ready\n")
+            return
+        self.set_status(503)
+        self.finish("not ready\n")
+
+
+Rule = tuple[str, type[web.RequestHandler], dict[str, object]]
+
+
+def rules(
+    registry: prometheus_client.CollectorRegistry, is_ready: Callable[[], bool]
+) -> list[Rule]:
+    """Return the routing rules of the three paths."""
+    return [
+        (r"/metrics", MetricsHandler, {"registry": registry}),
+        (r"/healthz", HealthHandler, {}),
+        (r"/readyz", ReadyHandler, {"is_ready": is_ready}),
+    ]
+
+
+def start(
+    bound: socket.socket,
+    registry: prometheus_client.CollectorRegistry,
+    is_ready: Callable[[], bool],
+) -> httpserver.HTTPServer:
+    """Serve the three paths on a bound socket."""
+    application = web.Application(rules(registry, is_ready), log_function=_no_log)  # type: ignore[arg-type]
+    server = httpserver.HTTPServer(application)
+    server.add_socket(bound)
+    return server
+
+
+def _no_log(handler: web.RequestHandler) -> None:
+    """Keep probes out of the log."""
