Query and command language over the configuration

Cause: operators inspect and change a fleet in one small language, and need all mistakes of a text at once, each at its line and column.

--- /dev/null
+++ b/quincecrank/command_fields.py
@@ -0,0 +1,121 @@
+"""Fields that commands may set on each kind of entity."""
+
+import dataclasses
+from collections.abc import Callable, Mapping
+from typing import Final
+
+from quincecrank import command_model, command_values, configuration, findings, messages
+
+Scalar = str | int | float | bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Field:
+    """One field of the language.
+
+    Attributes
+    ----------
+    path : tuple of str
+        Attribute path in the entity.
+    read : callable
+        Reads one word; raises `ValueError`.
+    is_list : bool
+        Whether several words may be given.
+    model_only : bool
+        Whether a plain service has no such field.
+    """
+
+    path: tuple[str, ...]
+    read: Callable[[str], Scalar]
+    is_list: bool = False
+    model_only: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Update:
+    """A checked assignment, ready to be put into an entity."""
+
+    field: Field
+    value: Scalar | tuple[Scalar, ...]
+    place: findings.Place
+
+
+ACCOUNT_FIELDS_BY_NAME: Final[Mapping[str, Field]] = {
+    "share": Field(("share",), command_values.number),
+    "max-concurrent": Field(("max_concurrent",), command_values.whole),
+}
+
+DEPLOYMENT_FIELDS_BY_NAME: Final[Mapping[str, Field]] = {
+    "max-concurrent": Field(("max_concurrent",), command_values.whole),
+    "max-tokens": Field(("max_tokens",), command_values.whole, model_only=True),
+    "deadline": Field(("deadline_ms",), command_values.duration),
+    "lateness": Field(("lateness",), command_values.choice(configuration.Lateness)),
+    "tokenizer": Field(("tokenizer",), command_values.name, model_only=True),
+    "checks-fencing": Field(("checks_fencing",), command_values.yes_or_no),
+    "weights.first-token": Field(
+        ("weights", "first_token"), command_values.number, model_only=True
+    ),
+    "weights.recomputed": Field(
+        ("weights", "recomputed"), command_values.number, model_only=True
+    ),
+    "weights.link": Field(("weights", "link"), command_values.number, model_only=True),
+}
+
+NEW_TIER_FIELDS_BY_NAME: Final[Mapping[str, Field]] = {
+    "kind": Field(("kind",), command_values.choice(configuration.TierKind)),
+    "link": Field(("link_bytes_per_second",), command_values.rate),
+    "capacity": Field(("capacity_bytes",), command_values.size),
+    "stores": Field(("stores",), command_values.name, is_list=True),
+}
+
+TIER_FIELDS_BY_NAME: Final[Mapping[str, Field]] = {
+    name: field for name, field in NEW_TIER_FIELDS_BY_NAME.items() if name != "kind"
+}
+
+
+def read_updates(
+    assignments: tuple[command_model.Assignment, ...],
+    fields_by_name: Mapping[str, Field],
+    found: findings.Findings,
+) -> tuple[Update, ...]:
+    """Check assignments against the known fields; mistakes become findings."""
+    updates: list[Update] = []
+    seen: set[str] = set()
+    for assignment in assignments:
+        name = assignment.field.text
+        place = assignment.field.place
+        if name in seen:
+            found.add(place, f"field {name!r} is given twice")
+        seen.add(name)
+        field = fields_by_name.get(name)
+        if field is None:
+            found.add(place, messages.unknown("field", name, fields_by_name))
+            continue
+        update = _read_update(assignment, field, found)
+        if update is not None:
+            updates.append(update)
+    return tuple(updates)
+
+
+def _read_update(
+    assignment: command_model.Assignment, field: Field, found: findings.Findings
+) -> Update | None:
+    values: list[Scalar] = []
+    for word in assignment.values:
+        try:
+            value = field.read(word.text)
+        except ValueError as error:
+            found.add(word.place, str(error))
+            continue
+        if value in values:
+            found.add(word.place, f"{word.text!r} is given twice")
+        values.append(value)
+    place = assignment.values[0].place
+    if len(values) < len(assignment.values):
+        return None
+    if field.is_list:
+        return Update(field, tuple(values), place)
+    if len(values) != 1:
+        found.add(place, f"field {assignment.field.text!r} takes one value")
+        return None
+    return Update(field, values[0], place)
--- /dev/null
+++ b/quincecrank/command_values.py
@@ -0,0 +1,137 @@
+"""Values of the command language: numbers, sizes, rates, durations, names.
+
+Each reader returns the value, or raises `ValueError` whose text completes a
+finding.
+"""
+
+import enum
+import re
+from collections.abc import Callable
+from typing import Final
+
+from quincecrank import messages
+
+_QUANTITY: Final = re.compile(r"([0-9]{1,15}(?:\.[0-9]{1,9})?)\s*([A-Za-z/]*)")
+_WHOLE: Final = re.compile(r"[0-9]{1,15}")
+_NAME: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+_VERSION: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._@/+-]{0,127}")
+_PATH: Final = re.compile(r"/[A-Za-z0-9._~/{}*+@%-]{0,255}")
+_METHODS: Final = ("DELETE", "GET", "HEAD", "PATCH", "POST", "PUT")
+
+_BYTES_BY_UNIT: Final = {
+    "B": 1,
+    "kB": 10**3,
+    "KB": 10**3,
+    "MB": 10**6,
+    "GB": 10**9,
+    "TB": 10**12,
+    "KiB": 2**10,
+    "MiB": 2**20,
+    "GiB": 2**30,
+    "TiB": 2**40,
+}
+_MS_BY_UNIT: Final = {"ms": 1, "s": 1_000, "min": 60_000, "h": 3_600_000}
+_RATE_SUFFIX: Final = "/s"
+
+
+def number(text: str) -> float:
+    """Read a number that is not negative."""
+    match = _QUANTITY.fullmatch(text)
+    if match is None or match[2]:
+        raise ValueError(f"{text!r} is not a number")
+    return float(match[1])
+
+
+def whole(text: str) -> int:
+    """Read a whole number."""
+    if not _WHOLE.fullmatch(text):
+        raise ValueError(f"{text!r} is not a whole number")
+    return int(text)
+
+
+def size(text: str) -> int:
+    """Read a size in bytes, such as ``4GiB``."""
+    return _quantity(text, _BYTES_BY_UNIT, "a size; write B, kB, MiB, GiB, ...")
+
+
+def rate(text: str) -> int:
+    """Read bytes a second, such as ``200MB/s``."""
+    expected = "a rate; write B/s, kB/s, MB/s, MiB/s, ..."
+    if not text.endswith(_RATE_SUFFIX):
+        raise ValueError(f"{text!r} is not {expected}")
+    return _quantity(text.removesuffix(_RATE_SUFFIX), _BYTES_BY_UNIT, expected)
+
+
+def duration(text: str) -> int:
+    """Read a duration in milliseconds, such as ``30s``."""
+    return _quantity(text, _MS_BY_UNIT, "a duration; write ms, s, min or h")
+
+
+def measure(text: str) -> float:
+    """Read a number to compare with, also negative or with a unit."""
+    sign = -1 if text.startswith("-") else 1
+    for read in (number, size, rate, duration):
+        try:
+            return sign * read(text.removeprefix("-"))
+        except ValueError:
+            continue
+    raise ValueError(f"{text!r} is not a number, size, rate or duration")
+
+
+def _quantity(text: str, factor_by_unit: dict[str, int], expected: str) -> int:
+    match = _QUANTITY.fullmatch(text)
+    if match is None or match[2] not in factor_by_unit:
+        raise ValueError(f"{text!r} is not {expected}")
+    return round(float(match[1]) * factor_by_unit[match[2]])
+
+
+def yes_or_no(text: str) -> bool:
+    """Read ``yes`` or ``no``."""
+    if text not in ("yes", "no"):
+        raise ValueError(f"{text!r} is not yes or no")
+    return text == "yes"
+
+
+def name(text: str) -> str:
+    """Read a name of at most 63 letters, digits, dots, underscores and hyphens."""
+    if not _NAME.fullmatch(text):
+        raise ValueError(
+            f"{text!r} is not a name; write up to 63 letters, digits and . _ -,"
+            " the first a letter or digit"
+        )
+    return text
+
+
+def version(text: str) -> str:
+    """Read the name of a weight version."""
+    if not _VERSION.fullmatch(text):
+        raise ValueError(
+            f"{text!r} is not a weight version; write letters, digits and . _ @ / + -"
+        )
+    return text
+
+
+def path(text: str) -> str:
+    """Read the path of a route."""
+    if not _PATH.fullmatch(text):
+        raise ValueError(f"{text!r} is not a path; write / first and no query")
+    return text
+
+
+def method(text: str) -> str:
+    """Read an HTTP method."""
+    if text.upper() not in _METHODS:
+        raise ValueError(f"{text!r} is not one of {', '.join(_METHODS)}")
+    return text.upper()
+
+
+def choice(allowed: type[enum.Enum]) -> Callable[[str], str]:
+    """Return a reader of the values of an Enum of strings."""
+    values = [str(item.value) for item in allowed]
+
+    def read(text: str) -> str:
+        if text not in values:
+            raise ValueError(f"{text!r} is not {messages.alternatives(values)}")
+        return text
+
+    return read
--- /dev/null
+++ b/quincecrank/fleet_view.py
@@ -0,0 +1,147 @@
+"""What queries show that is not in the configuration.
+
+The entry implements `FleetView` from its agents' heartbeats, the VM list and the
+platform table.  Each row class is one table of the query language; its field
+names, with hyphens, are the columns.
+"""
+
+import dataclasses
+import enum
+from typing import Protocol
+
+from quincecrank import ids
+
+
+class ViewUnavailableError(Exception):
+    """The rows cannot be had now, for example while the platform table is out."""
+
+
+class AgentState(enum.Enum):
+    """State of an agent as this entry sees it."""
+
+    SERVING = "serving"
+    LOADING = "loading"
+    DRAINING = "draining"
+    UNHEALTHY = "unhealthy"
+    SILENT = "silent"
+
+
+@dataclasses.dataclass(frozen=True)
+class VmRow:
+    """One VM of the VM list.
+
+    Attributes
+    ----------
+    role : str
+        entry, agent or store.
+    state : str
+        live or leaving; ``not-listed`` for a drained VM that the list lacks.
+    drained : bool
+        Whether an operator drains it; filled in from the configuration.
+    """
+
+    name: ids.VmName
+    data_centre: ids.DataCentre
+    role: str
+    state: str
+    address: str = ""
+    port: int = 0
+    drained: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class AgentRow:
+    """One agent, as its last heartbeat said.
+
+    Attributes
+    ----------
+    heartbeat_age_ms : int
+        Time since the last heartbeat in milliseconds.
+    """
+
+    backend_server: ids.BackendServerName
+    deployment: ids.DeploymentName
+    vm: ids.VmName
+    data_centre: ids.DataCentre
+    state: AgentState
+    weight_version: ids.WeightVersion
+    running: int
+    waiting: int
+    fencing_number: ids.FencingNumber
+    configuration_version: ids.ConfigurationVersion
+    incarnation: ids.Incarnation
+    heartbeat_age_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseRow:
+    """One lease of the platform table.
+
+    Attributes
+    ----------
+    expires_in_ms : int
+        Milliseconds until it lapses; negative when it has.
+    """
+
+    backend_server: ids.BackendServerName
+    vm: ids.VmName
+    holder: ids.Incarnation
+    fencing_number: ids.FencingNumber
+    expires_in_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestRow:
+    """One request that is open at this entry.
+
+    Attributes
+    ----------
+    state : str
+        queued, connecting, running or streaming.
+    """
+
+    id: ids.RequestId
+    account: ids.AccountName
+    deployment: ids.DeploymentName
+    state: str
+    age_ms: int
+    backend_server: ids.BackendServerName
+    attempt: ids.AttemptId
+    tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class HistoryRow:
+    """One committed change of the configuration.
+
+    Attributes
+    ----------
+    wall_ms : int
+        When it was proposed, in milliseconds since the epoch.
+    """
+
+    version: ids.ConfigurationVersion
+    wall_ms: int
+    operator: str
+    command: str
+
+
+class FleetView(Protocol):
+    """The fleet as one entry sees it; any method may raise ViewUnavailableError."""
+
+    async def vms(self) -> tuple[VmRow, ...]:
+        """Return the VMs of the VM list."""
+
+    async def agents(self) -> tuple[AgentRow, ...]:
+        """Return the agents that this entry has heard of."""
+
+    async def leases(self) -> tuple[LeaseRow, ...]:
+        """Return the agents' leases."""
+
+    async def requests(self) -> tuple[RequestRow, ...]:
+        """Return the requests that are open at this entry."""
+
+    async def history(
+        self, after: ids.ConfigurationVersion, limit: int
+    ) -> tuple[HistoryRow, ...]:
+        """Return the first `limit` changes after version `after`, oldest first."""
--- a/quincecrank/settings_file.py
+++ b/quincecrank/settings_file.py
@@ -4,7 +4,6 @@
 checks and, by dotted path, the line and column that a finding names.
 """
 
-import difflib
 import json
 import pathlib
 import typing
@@ -15,7 +14,7 @@
 import pydantic
 import yaml
 
-from quincecrank import configuration, findings
+from quincecrank import configuration, findings, messages
 
 Model = TypeVar("Model", bound=configuration.FrozenModel)
 
@@ -171,9 +170,7 @@
 
 
 def _unknown_key(name: str, model: type[pydantic.BaseModel]) -> str:
-    close = difflib.get_close_matches(name, sorted(set(_field_names(model))), n=1)
-    hint = f"; did you mean {close[0]!r}?" if close else ""
-    return f"unknown key{hint}"
+    return f"unknown key{messages.suggestion(name, _field_names(model))}"
 
 
 def _field_names(annotation: Any) -> Iterator[str]:
