--- a/quincecrank/agent.py
+++ b/quincecrank/agent.py
@@ -92,9 +92,7 @@
             self._table, self._clock, known.backend_server.name, self._incarnation
         )
         self._members = membership.Membership(
-            vm_list.HttpVmList(
-                platform.vm_list_url, platform.timeout_ms, self._clock
-            ),
+            vm_list.HttpVmList(platform.vm_list_url, platform.timeout_ms, self._clock),
             known.backend_server.deployment,
             STORE_TIMEOUT_MS,
             self._clock,
@@ -116,6 +114,7 @@
             self._shard,
             self._clock,
         )
+        self._pool.owner = self._service
         self._server = _LinkServer(self)
 
     def _build_peers(self) -> None:
@@ -126,7 +125,6 @@
         self._pool = peer_pool.PeerPool(
             self._identity,
             self._secret,
-            _LateOwner(self),
             self._limits,
             self._clock,
             linked=lambda link: None,
@@ -142,7 +140,7 @@
         self._stores = store_watch.StoreWatch(
             known.vm_name,
             known.backend_server.deployment,
-            lambda: self._current.configuration,
+            lambda: self._current.in_force,
             self._members,
             self._directory_agents,
             self._announcer,
@@ -156,9 +154,7 @@
             return service_backend.ServiceBackend(
                 server.url, CALL_TIMEOUT_MS, self._claims, self._table, self._clock
             )
-        engine = engine_client.HttpEngineClient(
-            server.url, CALL_TIMEOUT_MS, self._clock
-        )
+        engine = engine_client.HttpEngineClient(server.url)
         self._cache = cache_watch.CacheWatch(
             engine, server.name, self._announcer, self._clock
         )
@@ -166,7 +162,7 @@
             engine,
             self._members,
             self._secret,
-            lambda: self._current.configuration.tiers_by_name,
+            lambda: self._current.in_force.tiers_by_name,
             self._block_stored,
             self._figures,
             self._clock,
@@ -194,8 +190,8 @@
             work = peer_link.repeat(action, interval_ms, self._clock)
             self._background.start(work)
         self._server.add_socket(bound)
-        process.announce_port("agent", bound)
-        process.announce_port("metrics", status)
+        process.announce_port(status, "metrics")
+        process.announce_port(bound)
 
     async def stop(self) -> None:
         """Refuse new work, wait for the running requests, close everything."""
@@ -221,9 +217,7 @@
         except (wire.WireError, iostream.StreamClosedError) as error:
             _LOG.warning("peer refused", reason=str(error))
             return
-        link = peer_link.PeerLink(
-            connection, self._service, self._limits, self._clock
-        )
+        link = peer_link.PeerLink(connection, self._service, self._limits, self._clock)
         self._links.add(link)
         try:
             reason = await link.run()
@@ -232,11 +226,6 @@
             self._links.discard(link)
             self._streams.link_ended(link)
 
-    @property
-    def service(self) -> agent_service.AgentService:
-        """Return the handler of packets and calls."""
-        return self._service
-
     def _identity(self) -> wire.PeerIdentity:
         server = self._settings.backend_server
         return wire.PeerIdentity(
@@ -307,16 +296,6 @@
         return self._current.version > 0 and self._backend.load().healthy
 
 
-class _LateOwner:
-    """Passes the packets of dialled links to a service that is built later."""
-
-    def __init__(self, agent: Agent) -> None:
-        self._agent = agent
-
-    def __getattr__(self, name: str) -> object:
-        return getattr(self._agent.service, name)
-
-
 def run(settings_file: str) -> None:
     """Run an agent.
 
--- a/quincecrank/agent_links.py
+++ b/quincecrank/agent_links.py
@@ -9,8 +9,8 @@
 from quincecrank import (
     breaker,
     configuration,
-    current_configuration,
     configuration_sync,
+    current_configuration,
     ids,
     logs,
     peer_link,
--- a/quincecrank/agent_service.py
+++ b/quincecrank/agent_service.py
@@ -6,8 +6,8 @@
 from quincecrank import clock as clocks
 from quincecrank import (
     configuration,
-    current_configuration,
     configuration_sync,
+    current_configuration,
     directory_service,
     ids,
     logs,
@@ -112,7 +112,7 @@
 
     def refresh(self) -> None:
         """Apply the current configuration and the reasons to leave."""
-        known = self._current.configuration
+        known = self._current.in_force
         deployment = known.deployments_by_name.get(self._deployment)
         if deployment is not None:
             self._queue.set_limit(deployment.max_concurrent)
--- a/quincecrank/cache_watch.py
+++ b/quincecrank/cache_watch.py
@@ -109,5 +109,3 @@
 
     def _holder(self) -> directory.EngineHolder:
         return directory.EngineHolder(self._server, self._incarnation)
-
-
--- a/quincecrank/completion_dispatch.py
+++ b/quincecrank/completion_dispatch.py
@@ -244,9 +244,7 @@
         progress.sink.on_next = functools.partial(
             self._first_token, progress, route, sent_id
         )
-        progress.queue.planned(
-            progress.context.request_id, route.plan.recompute_tokens
-        )
+        progress.queue.planned(progress.context.request_id, route.plan.recompute_tokens)
         try:
             yield
         finally:
@@ -269,7 +267,7 @@
         request = progress.request
         deployment = context.deployment
         limit = min(request.max_tokens or deployment.max_tokens, deployment.max_tokens)
-        keep = ()
+        keep: tuple[chain_view.StoredBlock, ...] = ()
         if self._routes.policy.uses_tiers:
             keep = placement_rules.blocks_to_keep(
                 progress.keys, progress.chain, self._routes.tiers_of(deployment)
--- a/quincecrank/configuration_sync.py
+++ b/quincecrank/configuration_sync.py
@@ -7,7 +7,7 @@
 
 from typing import Final
 
-from quincecrank import configuration, current_configuration, ids, logs, peer_link, rpc
+from quincecrank import current_configuration, ids, logs, peer_link, rpc
 
 CALL_TIMEOUT_MS: Final = 2_000
 
@@ -27,7 +27,7 @@
         rows = self._current.rows_after(request.after)
         if rows is not None:
             return rpc.ConfigurationRowsReply(rows=rows)
-        return rpc.ConfigurationRowsReply(whole=self._current.configuration)
+        return rpc.ConfigurationRowsReply(whole=self._current.in_force)
 
     async def fetch_from(
         self, link: peer_link.PeerLink, version: ids.ConfigurationVersion
--- a/quincecrank/directory_service.py
+++ b/quincecrank/directory_service.py
@@ -40,9 +40,7 @@
         """Take crashes of backend servers and what cleared them."""
         self._crashes.merge(report.records)
 
-    def answer(
-        self, method: rpc.Method, body: bytes
-    ) -> configuration.FrozenModel:
+    def answer(self, method: rpc.Method, body: bytes) -> configuration.FrozenModel:
         """Answer a call of the directory; raises `ValueError` for another one."""
         match method:
             case rpc.Method.DIRECTORY_LOOKUP:
--- a/quincecrank/inference_request.py
+++ b/quincecrank/inference_request.py
@@ -145,9 +145,7 @@
     )
 
 
-def _validate(
-    model: type[Body], body: bytes
-) -> Body | findings.Findings:
+def _validate(model: type[Body], body: bytes) -> Body | findings.Findings:
     found = findings.Findings()
     try:
         return model.model_validate(json.loads(body.decode()))
--- a/quincecrank/membership.py
+++ b/quincecrank/membership.py
@@ -65,7 +65,9 @@
         """Return the VMs that run an agent."""
         return self._with_role(vm_list.VmRole.AGENT)
 
-    def directory_agents(self, deployment: ids.DeploymentName) -> tuple[vm_list.Vm, ...]:
+    def directory_agents(
+        self, deployment: ids.DeploymentName
+    ) -> tuple[vm_list.Vm, ...]:
         """Return the live agents of a deployment, which share its directory."""
         return tuple(
             vm
--- a/quincecrank/model_backend.py
+++ b/quincecrank/model_backend.py
@@ -218,9 +218,7 @@
             RETRY_AFTER_CRASH_MS,
         )
 
-    def _learn_speed(
-        self, usage: engine_messages.EngineUsage, answer: _Answer
-    ) -> None:
+    def _learn_speed(self, usage: engine_messages.EngineUsage, answer: _Answer) -> None:
         computed = usage.prompt_tokens - usage.cached_tokens
         took_ms = answer.first_token_ms - answer.started_ms
         alone = self._load.running <= 1 and self._load.waiting == 0
--- /dev/null
+++ b/quincecrank/openai_api.py
@@ -0,0 +1,180 @@
+"""The OpenAI-compatible API: completions, chat completions and the model list."""
+
+import json
+from typing import Final
+
+from quincecrank import (
+    completion_dispatch,
+    configuration,
+    http_base,
+    ids,
+    inference_request,
+    problems,
+    request_context,
+)
+
+_EVENT_STREAM: Final = "text/event-stream"
+
+
+class InferenceHandler(http_base.CallerHandler):
+    """Base of the two handlers that run prompts."""
+
+    def initialize(  # type: ignore[override]
+        self,
+        services: http_base.CallerServices,
+        dispatcher: completion_dispatch.CompletionDispatcher,
+    ) -> None:
+        """Keep the pipeline."""
+        super().initialize(services)
+        self._dispatcher = dispatcher
+        self._streamed = False
+
+    async def post(self) -> None:
+        """Run a prompt."""
+        await self.serve()
+
+    async def respond(self) -> None:
+        """Check the request, run it, and end the answer."""
+        self.require_ready()
+        account = self.account()
+        parsed = self.parse(self.body())
+        if parsed.is_error():
+            raise problems.ProblemError(http_base.bad_request(parsed.error))
+        request = parsed.ok
+        deployment = self._deployment(account, request)
+        self._streamed = request.streamed
+        content_type = _EVENT_STREAM if request.streamed else "application/json"
+        self.set_header("Content-Type", content_type)
+        self.set_header("Cache-Control", "no-store")
+        sink = http_base.HttpSink(self)
+        context = self._context(account, deployment, request)
+        try:
+            await self._dispatcher.serve(context, request, sink)
+        except problems.ProblemError as error:
+            kind = error.problem.kind.value
+            self.services.figures.answered(deployment.name, kind)
+            raise
+        self.services.figures.answered(deployment.name, "whole")
+        if not self._finished:
+            self.finish()
+
+    def parse(self, body: bytes) -> inference_request.Parsed:
+        """Check the body."""
+        raise NotImplementedError
+
+    def fail_started_answer(self, problem: problems.Problem) -> None:
+        """Tell the failure as an event, then break the answer off."""
+        if self._streamed and not self._finished:
+            document = problem.to_json(self.request_id)
+            self.write(f"data: {document}\n\n")
+            self.flush()
+        super().fail_started_answer(problem)
+
+    def _deployment(
+        self,
+        account: configuration.Account,
+        request: inference_request.InferenceRequest,
+    ) -> configuration.Deployment:
+        known = self.services.current.in_force.deployments_by_name
+        deployment = known.get(request.deployment)
+        if (
+            deployment is None
+            or deployment.kind is not configuration.DeploymentKind.MODEL
+            or account.name not in deployment.accounts
+            or (request.adapter and request.adapter not in deployment.adapters)
+        ):
+            raise problems.ProblemError(_no_model(request.model))
+        return deployment
+
+    def _context(
+        self,
+        account: configuration.Account,
+        deployment: configuration.Deployment,
+        request: inference_request.InferenceRequest,
+    ) -> request_context.RequestContext:
+        left_ms = self.number_header(
+            http_base.DEADLINE_HEADER,
+            deployment.deadline_ms,
+            1,
+            http_base.MAX_DEADLINE_MS,
+        )
+        priority = self.number_header(
+            http_base.PRIORITY_HEADER, 0, 0, http_base.MAX_PRIORITY
+        )
+        limit = str(request.max_tokens)
+        return request_context.RequestContext(
+            request_id=self.request_id,
+            account=account,
+            deployment=deployment,
+            configuration_version=self.services.current.version,
+            deadline_at_ms=self.services.clock.now_ms() + left_ms,
+            priority=priority,
+            fingerprint=request_context.fingerprint(
+                request.model.encode(), request.prompt, limit.encode()
+            ),
+        )
+
+
+class CompletionHandler(InferenceHandler):
+    """``POST /v1/completions``."""
+
+    def parse(self, body: bytes) -> inference_request.Parsed:
+        """Check the body."""
+        return inference_request.parse_completion(body)
+
+
+class ChatHandler(InferenceHandler):
+    """``POST /v1/chat/completions``."""
+
+    def parse(self, body: bytes) -> inference_request.Parsed:
+        """Check the body."""
+        return inference_request.parse_chat(body)
+
+
+class ModelsHandler(http_base.CallerHandler):
+    """``GET /v1/models`` and ``GET /v1/models/NAME``."""
+
+    async def get(self, name: str = "") -> None:
+        """List the account's models, or show one."""
+        await self.serve()
+
+    async def respond(self) -> None:
+        """Write the list or the model."""
+        self.require_ready()
+        models = self._models(self.account())
+        name = self.path_args[0] if self.path_args else ""
+        self.set_header("Content-Type", "application/json")
+        if not name:
+            self.finish(json.dumps({"object": "list", "data": models}))
+            return
+        for model in models:
+            if model["id"] == name:
+                self.finish(json.dumps(model))
+                return
+        raise problems.ProblemError(_no_model(name))
+
+    def _models(self, account: configuration.Account) -> list[dict[str, object]]:
+        known = self.services.current.in_force.deployments_by_name
+        names: list[str] = []
+        for deployment in known.values():
+            is_model = deployment.kind is configuration.DeploymentKind.MODEL
+            if is_model and account.name in deployment.accounts:
+                names.append(deployment.name)
+                names.extend(_adapter_model(deployment, a) for a in deployment.adapters)
+        return [
+            {"id": name, "object": "model", "created": 0, "owned_by": "quincecrank"}
+            for name in sorted(names)
+        ]
+
+
+def _adapter_model(
+    deployment: configuration.Deployment, adapter: ids.AdapterName
+) -> str:
+    return f"{deployment.name}:{adapter}"
+
+
+def _no_model(name: str) -> problems.Problem:
+    return problems.Problem(
+        problems.ProblemKind.NOT_FOUND,
+        f"the client account has no model {name!r}",
+    )
--- a/quincecrank/peer_pool.py
+++ b/quincecrank/peer_pool.py
@@ -29,13 +29,19 @@
     ----------
     linked, unlinked : callable
         Called when a link is up, and when it has ended.
+
+    Attributes
+    ----------
+    owner : LinkOwner
+        Takes the packets of the links; set before the first call of `want`.
     """
 
+    owner: peer_link.LinkOwner
+
     def __init__(
         self,
         own: Callable[[], wire.PeerIdentity],
         fleet_secret: bytes,
-        owner: peer_link.LinkOwner,
         limits: peer_link.HeartbeatLimits,
         clock: clocks.Clock,
         linked: Callable[[peer_link.PeerLink], None],
@@ -43,7 +49,6 @@
     ) -> None:
         self._own = own
         self._fleet_secret = fleet_secret
-        self._owner = owner
         self._limits = limits
         self._clock = clock
         self._linked = linked
@@ -105,7 +110,7 @@
         if refusal:
             connection.close()
             return refusal
-        link = peer_link.PeerLink(connection, self._owner, self._limits, self._clock)
+        link = peer_link.PeerLink(connection, self.owner, self._limits, self._clock)
         self.links_by_name[vm.name] = link
         self._linked(link)
         try:
@@ -139,7 +144,16 @@
         if vm.backend_server and peer.backend_server != vm.backend_server:
             return f"peer serves {peer.backend_server}, not {vm.backend_server}"
         newest = self._fence_by_server.get(peer.backend_server, 0)
+        if not peer.fencing_number:
+            return self._check_unregistered(peer)
         if peer.fencing_number < newest:
             return f"agent has fencing number {peer.fencing_number}, not {newest}"
         self._fence_by_server[peer.backend_server] = peer.fencing_number
         return ""
+
+    def _check_unregistered(self, peer: wire.PeerIdentity) -> str:
+        """Let an agent that could not register yet serve where no other one does."""
+        for link in self.links_by_name.values():
+            if link.peer.backend_server == peer.backend_server and not link.closed:
+                return f"agent has no fencing number and {link.peer.name} serves"
+        return ""
--- a/quincecrank/placement_rules.py
+++ b/quincecrank/placement_rules.py
@@ -38,8 +38,6 @@
     )
 
 
-def _new_name(
-    root: ids.BlockKey, index: int, key: ids.BlockKey
-) -> ids.ObjectName:
+def _new_name(root: ids.BlockKey, index: int, key: ids.BlockKey) -> ids.ObjectName:
     write_id = secrets.token_hex(_WRITE_ID_BYTES)
     return sealed_block.BlockName(root, index, key, write_id).object_name()
--- a/quincecrank/plain_dispatch.py
+++ b/quincecrank/plain_dispatch.py
@@ -130,9 +130,7 @@
             raise problems.ProblemError(admission_gate.no_backend_server())
         return route
 
-    async def _attempt(
-        self, run: "_PlainRun", route: router.Route
-    ) -> attempts.Outcome:
+    async def _attempt(self, run: "_PlainRun", route: router.Route) -> attempts.Outcome:
         order = self._order(run)
         sent_id = ids.RequestId(order.attempt_id)
         run.sent_attempts.append(order.attempt_id)
--- a/quincecrank/problems.py
+++ b/quincecrank/problems.py
@@ -88,7 +88,7 @@
     ----------
     retry_after_ms : int
         When the caller should come back; 0 when coming back is no use.
-    findings : tuple of Finding
+    found : tuple of Finding
         Every mistake found in the request, each with its place.
     """
 
@@ -96,7 +96,7 @@
     detail: str
     ran: Ran = Ran.NOT_RUN
     retry_after_ms: int = 0
-    findings: tuple[findings.Finding, ...] = ()
+    found: tuple[findings.Finding, ...] = ()
 
     @property
     def status(self) -> int:
@@ -131,8 +131,8 @@
         }
         if self.retry_after_ms:
             document["retry_after_ms"] = self.retry_after_ms
-        if self.findings:
-            document["findings"] = [str(finding) for finding in self.findings]
+        if self.found:
+            document["findings"] = [str(finding) for finding in self.found]
         return json.dumps(document, ensure_ascii=False)
 
 
--- a/quincecrank/process.py
+++ b/quincecrank/process.py
@@ -68,6 +68,13 @@
     return sockets[0]
 
 
-def announce_port(name: str, bound: socket.socket) -> None:
-    """Print the line that tells a launcher which port was chosen."""
-    print(f"listening {name} {bound.getsockname()[1]}", flush=True)
+def announce_port(bound: socket.socket, listener: str = "") -> None:
+    """Print the line that tells a launcher which port was chosen.
+
+    Parameters
+    ----------
+    listener : str
+        Name of a further listener; empty for the program's main one.
+    """
+    prefix = f"{listener} " if listener else ""
+    print(f"{prefix}listening {bound.getsockname()[1]}", flush=True)
--- a/quincecrank/router.py
+++ b/quincecrank/router.py
@@ -59,7 +59,7 @@
         excluded: frozenset[ids.BackendServerName] = frozenset(),
     ) -> tuple[agent_links.AgentState, ...]:
         """Return the agents that may take a request now."""
-        drains = self._current.configuration.drains_by_vm
+        drains = self._current.in_force.drains_by_vm
         return tuple(
             state
             for state in self._links.states_by_vm.values()
@@ -118,7 +118,7 @@
         self, deployment: configuration.Deployment
     ) -> tuple[configuration.Tier, ...]:
         """Return the tiers of a deployment in its order of preference."""
-        tiers_by_name = self._current.configuration.tiers_by_name
+        tiers_by_name = self._current.in_force.tiers_by_name
         return tuple(tiers_by_name[t] for t in deployment.tiers if t in tiers_by_name)
 
     def restore_started(self, plan: routing.Plan) -> None:
--- a/quincecrank/service_backend.py
+++ b/quincecrank/service_backend.py
@@ -11,8 +11,6 @@
 
 from tornado import httputil
 
-from quincecrank import backend as backends
-from quincecrank import clock as clocks
 from quincecrank import (
     attempt_records,
     attempts,
@@ -25,6 +23,8 @@
     stream_messages,
     stream_writer,
 )
+from quincecrank import backend as backends
+from quincecrank import clock as clocks
 
 HEALTH_INTERVAL_MS: Final = 500
 RETRY_AFTER_FAILURE_MS: Final = 1_000
@@ -282,5 +282,3 @@
         for name, value in headers.get_all()
         if name.lower() not in _HOP_HEADERS
     )
-
-
--- a/quincecrank/settings.py
+++ b/quincecrank/settings.py
@@ -16,7 +16,7 @@
 import expression
 import pydantic
 
-from quincecrank import configuration, findings, ids, settings_file
+from quincecrank import configuration, findings, ids, policies, settings_file
 
 MIN_SECRET_BYTES: Final = 16
 MAX_PORT: Final = 65_535
@@ -94,6 +94,12 @@
     return text
 
 
+def _policy_name(text: str) -> str:
+    if text not in policies.POLICY_NAMES:
+        raise ValueError(f"expected one of {', '.join(policies.POLICY_NAMES)}")
+    return text
+
+
 def _checked(check: Callable[[str], str]) -> pydantic.AfterValidator:
     return pydantic.AfterValidator(check)
 
@@ -109,6 +115,7 @@
 DataCentre = Annotated[ids.DataCentre, _checked(_no_blanks)]
 BackendServerName = Annotated[ids.BackendServerName, _checked(_no_blanks)]
 DeploymentName = Annotated[ids.DeploymentName, _checked(_no_blanks)]
+PolicyName = Annotated[str, _checked(_policy_name)]
 OperatorName = Annotated[str, _checked(_no_blanks)]
 
 
@@ -224,6 +231,9 @@
         every entry.
     reuse_port : bool
         Whether several entries on one VM share the listening port.
+    policy : str
+        Name of the routing policy; all but the default are baselines for
+        measurements.
     """
 
     vm_name: VmName
@@ -237,6 +247,7 @@
     limits: Limits = Limits()
     heartbeat: Heartbeat = Heartbeat()
     reuse_port: bool = False
+    policy: PolicyName = policies.DEFAULT_POLICY
 
 
 class AgentSettings(configuration.FrozenModel):
--- a/quincecrank/status_server.py
+++ b/quincecrank/status_server.py
@@ -64,7 +64,7 @@
     is_ready: Callable[[], bool],
 ) -> httpserver.HTTPServer:
     """Serve the three paths on a bound socket."""
-    application = web.Application(rules(registry, is_ready), log_function=_no_log)  # type: ignore[arg-type]
+    application = web.Application(rules(registry, is_ready), log_function=_no_log)
     server = httpserver.HTTPServer(application)
     server.add_socket(bound)
     return server
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,173 @@
+"""Shows the whole path: `make demo`.
+
+Starts a fleet of separate processes on loopback, asks prompts of the users' kind,
+asks them again after the engines have evicted them, records a release once, and
+prints where each answer's time and reuse came from.
+"""
+
+import json
+import pathlib
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from typing import Any, Final
+
+from quincecrank import block_keys, ids
+from standins import answers, local_fleet, texts, users
+
+ENGINE_FLAGS: Final = {"cache_blocks": 40, "decode_ms": 10}
+LINK_BYTES_PER_SECOND: Final = 20_000_000
+READY_TIMEOUT_S: Final = 30.0
+SETTLE_S: Final = 1.5
+MAX_TOKENS: Final = 24
+GUIDE_TOKENS: Final = 16_000
+MANIFEST_TOKENS: Final = 24_000
+
+
+class Demo:
+    """A conversation with a running fleet."""
+
+    def __init__(self, fleet: local_fleet.LocalFleet) -> None:
+        self._fleet = fleet
+        self.failures = 0
+
+    def wait_ready(self) -> None:
+        """Wait until the entry takes prompts for both models."""
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        for account, model in (
+            (users.NEWSROOMS[0], "lekhak"),
+            (users.FLEETS[0], "lector-llm"),
+        ):
+            while self._status(account, model) != 200:
+                if time.monotonic() > deadline:
+                    raise TimeoutError(f"{model} does not get ready")
+                time.sleep(0.1)
+
+    def ask(
+        self, title: str, account: ids.AccountName, model: str, prompt: str
+    ) -> None:
+        """Ask a prompt, check its answer and print its figures."""
+        started = time.monotonic()
+        body = {
+            "model": model,
+            "prompt": prompt,
+            "max_tokens": MAX_TOKENS,
+            "stream": True,
+            "stream_options": {"include_usage": True},
+        }
+        first_ms, text, usage = self._stream(account, body, started)
+        expected = answers.expected_answer(
+            prompt,
+            block_keys.cache_salt(self._fleet.account_secret(), account),
+            "v1",
+            "",
+            MAX_TOKENS,
+        )
+        is_right = text == expected
+        self.failures += not is_right
+        cached = usage["prompt_tokens_details"]["cached_tokens"]
+        print(
+            f"{title:<44} {account:<14} {usage['prompt_tokens']:>6} tokens,"
+            f" {cached:>6} reused, first token {first_ms:>5.0f} ms,"
+            f" {'right' if is_right else 'WRONG'}: {text[:32]}..."
+        )
+
+    def record(self, account: ids.AccountName, key: str) -> None:
+        """Record a release and print the answer."""
+        request = self._request(
+            account, "/services/prasaran/releases", {"bulletin": "hourly"}
+        )
+        request.add_header("Idempotency-Key", key)
+        with urllib.request.urlopen(request, timeout=30) as response:
+            replayed = response.headers.get("Idempotency-Replayed", "false")
+            print(
+                f"release with key {key}: status {response.status},"
+                f" replayed {replayed}: {response.read().decode().strip()}"
+            )
+
+    def _status(self, account: ids.AccountName, model: str) -> int:
+        body = {"model": model, "prompt": "ready?", "max_tokens": 1}
+        request = self._request(account, "/v1/completions", body)
+        try:
+            with urllib.request.urlopen(request, timeout=10) as response:
+                return int(response.status)
+        except urllib.error.HTTPError as error:
+            return error.code
+
+    def _stream(
+        self, account: ids.AccountName, body: dict[str, object], started: float
+    ) -> tuple[float, str, dict[str, Any]]:
+        first_ms = 0.0
+        parts: list[str] = []
+        usage: dict[str, Any] = {}
+        request = self._request(account, "/v1/completions", body)
+        with urllib.request.urlopen(request, timeout=60) as response:
+            for line in response:
+                if not line.startswith(b"data: ") or line == b"data: [DONE]\n":
+                    continue
+                event = json.loads(line.removeprefix(b"data: "))
+                first_ms = first_ms or (time.monotonic() - started) * 1000
+                usage = event.get("usage") or usage
+                parts.extend(choice.get("text", "") for choice in event["choices"])
+        return first_ms, "".join(parts), usage
+
+    def _request(
+        self, account: ids.AccountName, path: str, body: dict[str, object]
+    ) -> urllib.request.Request:
+        headers = {
+            "Authorization": f"Bearer {self._fleet.keys_by_account[account]}",
+            "Content-Type": "application/json",
+        }
+        data = json.dumps(body).encode()
+        return urllib.request.Request(self._fleet.url + path, data, headers)
+
+
+def main() -> int:
+    """Run the demo and return the exit code."""
+    spec = users.both(
+        engine_flags=ENGINE_FLAGS,
+        link_bytes_per_second=LINK_BYTES_PER_SECOND,
+        entry_options={},
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        with local_fleet.LocalFleet(spec, pathlib.Path(folder)) as fleet:
+            demo = Demo(fleet)
+            demo.wait_ready()
+            show(demo)
+            print(f"wrong answers: {demo.failures}")
+            return 1 if demo.failures else 0
+
+
+def show(demo: Demo) -> None:
+    """Ask each guide and manifest, push them out of the engines, ask again."""
+    guide = texts.style_guide(1, GUIDE_TOKENS)
+    manifest = texts.release_manifest(1, MANIFEST_TOKENS)
+    room, fleet = users.NEWSROOMS[0], users.FLEETS[0]
+    demo.ask("style guide, first time", room, "lekhak", guide + texts.wire_copy(1))
+    demo.ask("style guide, other wire copy", room, "lekhak", guide + texts.wire_copy(2))
+    demo.ask(
+        "same guide, another account",
+        users.NEWSROOMS[1],
+        "lekhak",
+        guide + texts.wire_copy(2),
+    )
+    question = texts.device_question(1)
+    demo.ask("manifest, first time", fleet, "lector-llm", manifest + question)
+    time.sleep(SETTLE_S)
+    for seed in range(2, 14):
+        other = texts.style_guide(seed, GUIDE_TOKENS) + texts.wire_copy(seed)
+        demo.ask(f"other style guide {seed}", room, "lekhak", other)
+    for seed in range(2, 14):
+        other = texts.release_manifest(seed, MANIFEST_TOKENS) + question
+        demo.ask(f"other manifest {seed}", fleet, "lector-llm", other)
+    time.sleep(SETTLE_S)
+    demo.ask("style guide after eviction", room, "lekhak", guide + texts.wire_copy(3))
+    demo.ask("manifest after eviction", fleet, "lector-llm", manifest + question)
+    demo.record(room, "release-0001")
+    demo.record(room, "release-0001")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
