--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -33,6 +33,11 @@
         The running program.
     log_path : pathlib.Path
         File that takes its standard output and error.
+
+    Attributes
+    ----------
+    port_by_name : dict
+        Port of each listener; a program's only listener may have an empty name.
     """
 
     def __init__(
@@ -40,7 +45,7 @@
     ) -> None:
         self.name = name
         self.log_path = log_path
-        self.port = 0
+        self.port_by_name: dict[str, int] = {}
         self._child = child
 
     @property
@@ -48,9 +53,14 @@
         """Return the process id."""
         return self._child.pid
 
+    @property
+    def port(self) -> int:
+        """Return the port of the first listener."""
+        return next(iter(self.port_by_name.values()))
+
     @property
     def url(self) -> str:
-        """Return the base URL of the program's listener."""
+        """Return the base URL of the first listener."""
         return f"http://127.0.0.1:{self.port}"
 
     @property
@@ -94,28 +104,35 @@
         """
         return self._child.wait(timeout_s)
 
-    def wait_ready(self, timeout_s: float = READY_TIMEOUT_S) -> int:
-        """Wait for the ready line and return the port.
+    def wait_ready(
+        self, listeners: int = 1, timeout_s: float = READY_TIMEOUT_S
+    ) -> None:
+        """Wait until the program has named the ports of its listeners.
 
         Raises
         ------
         StartError
-            If the program ended or stayed silent.
+            If the program ended or named fewer in time.
         """
         deadline = time.monotonic() + timeout_s
         while time.monotonic() < deadline:
-            # The order matters: a program may print its line and end.
+            # The order matters: a program may print its lines and end.
             ended = not self.running
-            for line in self.log().splitlines():
-                if line.startswith(READY_PREFIX):
-                    self.port = int(line[len(READY_PREFIX) :])
-                    return self.port
+            self._read_ports()
+            if len(self.port_by_name) >= listeners:
+                return
             if ended:
                 break
             time.sleep(_POLL_S)
         tail = self.log()[-_LOG_TAIL_CHARACTERS:]
         raise StartError(f"{self.name} is not ready (exit {self.exit_code}):\n{tail}")
 
+    def _read_ports(self) -> None:
+        for line in self.log().splitlines(keepends=True):
+            if line.startswith(READY_PREFIX) and line.endswith("\n"):
+                *names, port = line[len(READY_PREFIX) :].split()
+                self.port_by_name[" ".join(names)] = int(port)
+
     def _signal(self, number: signal.Signals) -> None:
         with contextlib.suppress(ProcessLookupError):
             self._child.send_signal(number)
@@ -182,8 +199,9 @@
         module: str,
         arguments: Sequence[str] = (),
         environment: Mapping[str, str] | None = None,
+        listeners: int = 1,
     ) -> Process:
-        """Start `python -m module` and wait for its ready line.
+        """Start `python -m module` and wait for the lines that name its ports.
 
         Raises
         ------
@@ -191,7 +209,7 @@
             If the program doesn't get ready.
         """
         process = self.launch(name, module, arguments, environment)
-        process.wait_ready()
+        process.wait_ready(listeners)
         return process
 
     def close(self) -> None:
--- a/tests/test_launcher.py
+++ b/tests/test_launcher.py
@@ -20,7 +20,9 @@
             killed = fleet.launch("service", "standins.plain_service")
             frozen = fleet.launch("service", "standins.plain_service")
             running = fleet.launch("engine", "standins.engine", ["--decode-ms", "1"])
-            ports = {process.wait_ready() for process in (killed, frozen, running)}
+            for process in (killed, frozen, running):
+                process.wait_ready()
+            ports = {process.port for process in (killed, frozen, running)}
             self.assertEqual(len(ports), 3)
             record = urllib.request.Request(
                 f"{killed.url}/releases",
