Launcher: take the main listener's line as ready, keep the named ones

The product's programs print "NAME listening PORT" for further listeners and, last, "listening PORT" for the main one. Replaces the count of listeners that callers had to know.

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -11,9 +11,12 @@
 from collections.abc import Mapping, Sequence
 from typing import Final, Self
 
-READY_PREFIX: Final = "listening "
+MAIN_LISTENER: Final = ""
+"""Name of the listener whose line a program prints last."""
+
 READY_TIMEOUT_S: Final = 30.0
 STOP_TIMEOUT_S: Final = 10.0
+_READY_WORD: Final = "listening "
 _POLL_S: Final = 0.01
 _LOG_TAIL_CHARACTERS: Final = 2_000
 
@@ -37,7 +40,7 @@
     Attributes
     ----------
     port_by_name : dict
-        Port of each listener; a program's only listener may have an empty name.
+        Port of each listener, as in `NAME listening PORT`; see `MAIN_LISTENER`.
     """
 
     def __init__(
@@ -55,12 +58,12 @@
 
     @property
     def port(self) -> int:
-        """Return the port of the first listener."""
-        return next(iter(self.port_by_name.values()))
+        """Return the port of the main listener."""
+        return self.port_by_name[MAIN_LISTENER]
 
     @property
     def url(self) -> str:
-        """Return the base URL of the first listener."""
+        """Return the base URL of the main listener."""
         return f"http://127.0.0.1:{self.port}"
 
     @property
@@ -104,22 +107,20 @@
         """
         return self._child.wait(timeout_s)
 
-    def wait_ready(
-        self, listeners: int = 1, timeout_s: float = READY_TIMEOUT_S
-    ) -> None:
-        """Wait until the program has named the ports of its listeners.
+    def wait_ready(self, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Wait until the program has named the port of its main listener.
 
         Raises
         ------
         StartError
-            If the program ended or named fewer in time.
+            If the program ended or stayed silent.
         """
         deadline = time.monotonic() + timeout_s
         while time.monotonic() < deadline:
-            # The order matters: a program may print its lines and end.
+            # The order matters: a program may print its line and end.
             ended = not self.running
             self._read_ports()
-            if len(self.port_by_name) >= listeners:
+            if MAIN_LISTENER in self.port_by_name:
                 return
             if ended:
                 break
@@ -129,9 +130,9 @@
 
     def _read_ports(self) -> None:
         for line in self.log().splitlines(keepends=True):
-            if line.startswith(READY_PREFIX) and line.endswith("\n"):
-                *names, port = line[len(READY_PREFIX) :].split()
-                self.port_by_name[" ".join(names)] = int(port)
+            name, found, port = line.partition(_READY_WORD)
+            if found and port.endswith("\n") and port.strip().isdigit():
+                self.port_by_name[name.strip()] = int(port)
 
     def _signal(self, number: signal.Signals) -> None:
         with contextlib.suppress(ProcessLookupError):
@@ -199,9 +200,8 @@
         module: str,
         arguments: Sequence[str] = (),
         environment: Mapping[str, str] | None = None,
-        listeners: int = 1,
     ) -> Process:
-        """Start `python -m module` and wait for the lines that name its ports.
+        """Start `python -m module` and wait for its main listener.
 
         Raises
         ------
@@ -209,7 +209,7 @@
             If the program doesn't get ready.
         """
         process = self.launch(name, module, arguments, environment)
-        process.wait_ready(listeners)
+        process.wait_ready()
         return process
 
     def close(self) -> None:
