--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -11,12 +11,13 @@
 from collections.abc import Mapping, Sequence
 from typing import Final, Self
 
+READY_PREFIX: Final = "listening "
 MAIN_LISTENER: Final = ""
 """Name of the listener whose line a program prints last."""
 
 READY_TIMEOUT_S: Final = 30.0
 STOP_TIMEOUT_S: Final = 10.0
-_READY_WORD: Final = "listening "
+
 _POLL_S: Final = 0.01
 _LOG_TAIL_CHARACTERS: Final = 2_000
 
@@ -130,7 +131,7 @@
 
     def _read_ports(self) -> None:
         for line in self.log().splitlines(keepends=True):
-            name, found, port = line.partition(_READY_WORD)
+            name, found, port = line.partition(READY_PREFIX)
             if found and port.endswith("\n") and port.strip().isdigit():
                 self.port_by_name[name.strip()] = int(port)
 
