--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -12,8 +12,12 @@
 from typing import Final, Self
 
 READY_PREFIX: Final = "listening "
+MAIN_LISTENER: Final = ""
+"""Name of the listener whose line a program prints last."""
+
 READY_TIMEOUT_S: Final = 30.0
 STOP_TIMEOUT_S: Final = 10.0
+
 _POLL_S: Final = 0.01
 _LOG_TAIL_CHARACTERS: Final = 2_000
 
@@ -33,6 +37,11 @@
         The running program.
     log_path : pathlib.Path
         File that takes its standard output and error.
+
+    Attributes
+    ----------
+    port_by_name : dict
+        Port of each listener, as in `NAME listening PORT`; see `MAIN_LISTENER`.
     """
 
     def __init__(
@@ -40,7 +49,7 @@
     ) -> None:
         self.name = name
         self.log_path = log_path
-        self.port = 0
+        self.port_by_name: dict[str, int] = {}
         self._child = child
 
     @property
@@ -48,9 +57,14 @@
         """Return the process id."""
         return self._child.pid
 
+    @property
+    def port(self) -> int:
+        """Return the port of the main listener."""
+        return self.port_by_name[MAIN_LISTENER]
+
     @property
     def url(self) -> str:
-        """Return the base URL of the program's listener."""
+        """Return the base URL of the main listener."""
         return f"http://127.0.0.1:{self.port}"
 
     @property
@@ -94,8 +108,8 @@
         """
         return self._child.wait(timeout_s)
 
-    def wait_ready(self, timeout_s: float = READY_TIMEOUT_S) -> int:
-        """Wait for the ready line and return the port.
+    def wait_ready(self, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Wait until the program has named the port of its main listener.
 
         Raises
         ------
@@ -106,16 +120,21 @@
         while time.monotonic() < deadline:
             # The order matters: a program may print its line and end.
             ended = not self.running
-            for line in self.log().splitlines():
-                if line.startswith(READY_PREFIX):
-                    self.port = int(line[len(READY_PREFIX) :])
-                    return self.port
+            self._read_ports()
+            if MAIN_LISTENER in self.port_by_name:
+                return
             if ended:
                 break
             time.sleep(_POLL_S)
         tail = self.log()[-_LOG_TAIL_CHARACTERS:]
         raise StartError(f"{self.name} is not ready (exit {self.exit_code}):\n{tail}")
 
+    def _read_ports(self) -> None:
+        for line in self.log().splitlines(keepends=True):
+            name, found, port = line.partition(READY_PREFIX)
+            if found and port.endswith("\n") and port.strip().isdigit():
+                self.port_by_name[name.strip()] = int(port)
+
     def _signal(self, number: signal.Signals) -> None:
         with contextlib.suppress(ProcessLookupError):
             self._child.send_signal(number)
@@ -183,7 +202,7 @@
         arguments: Sequence[str] = (),
         environment: Mapping[str, str] | None = None,
     ) -> Process:
-        """Start `python -m module` and wait for its ready line.
+        """Start `python -m module` and wait for its main listener.
 
         Raises
         ------
