Placement, return history and link budgets

- return_history: gaps and phases of the hour by root, the shared depth of a root's prompts, and the deployment's peaks.
A second-sight rule for writing was ruled out: every block would be computed twice when its gap is longer than the engines' memory.
A prior learned over all roots decides at first sight.
- placement: writes a block when the expected saving is above the cost of the write; claims granted with a lookup let one request write a block; frees the least expected reuse first and each chain from its end; prefetches half of an engine's cache at most.
- link_budget: restores start at once, the rest is paced by an AIMD rate from an equal share.
The entry's estimate of a link follows observed restores.
- sealed_block: the object name no longer carries the index, which the chain gives.

--- a/quincecrank/directory.py
+++ b/quincecrank/directory.py
@@ -255,5 +255,5 @@
 def _stored_block(
     root: ids.BlockKey, index: int, key: ids.BlockKey, holder: StoreHolder
 ) -> chain_view.StoredBlock:
-    name = sealed_block.BlockName(root, index, key, holder.write_id)
+    name = sealed_block.BlockName(root, key, holder.write_id)
     return chain_view.StoredBlock(index, holder.store, name.object_name(), holder.tier)
--- /dev/null
+++ b/quincecrank/return_history.py
@@ -0,0 +1,232 @@
+"""When prompts come back: gaps and times of day by prefix.
+
+Terms
+-----
+root
+    Key of the first block of a chain; prompts that share it share a context.
+period
+    Time after which the load repeats itself, an hour by default.
+phase
+    Position in the period, in `PHASES` steps.
+shared blocks
+    Leading blocks that the prompts of one root have in common.
+"""
+
+import collections
+import dataclasses
+import math
+from collections.abc import Sequence
+from typing import Final
+
+from quincecrank import ids
+
+HOUR_MS: Final = 3_600_000
+PHASES: Final = 60
+MAX_ROOTS: Final = 20_000
+
+_SMOOTHING: Final = 0.3
+"""Weight of a new observation in an average."""
+
+_DECAY: Final = 0.7
+"""Factor on the counts by phase at the end of each period."""
+
+_PRIOR_SEEN: Final = 3.0
+_PRIOR_RETURNED: Final = 2.0
+_PATIENCE: Final = 4.0
+"""Multiple of the usual gap after which a return becomes unlikely."""
+
+_PEAK_FACTOR: Final = 2.0
+"""Multiple of the mean load at which a phase belongs to a peak."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forecast:
+    """What is expected of one prefix.
+
+    Attributes
+    ----------
+    return_probability : float
+        Probability that it is asked for again at all.
+    expected_gap_ms : float
+        Time until then, if it is.
+    shared_blocks : int or None
+        Leading blocks expected to be the same; None when unknown.
+    """
+
+    return_probability: float
+    expected_gap_ms: float
+    shared_blocks: int | None = None
+
+    def value_per_block(self) -> float:
+        """Return the expected reuses of a block in an hour."""
+        gap_ms = max(self.expected_gap_ms, 1.0)
+        return self.return_probability * HOUR_MS / gap_ms
+
+
+class _Root:
+    """History of one root."""
+
+    __slots__ = ("chain", "count", "gap_ms", "last_ms", "phases", "shared_blocks")
+
+    def __init__(self, chain: tuple[ids.BlockKey, ...], wall_ms: int) -> None:
+        self.chain = chain
+        self.count = 1
+        self.gap_ms = 0.0
+        self.last_ms = wall_ms
+        self.phases: dict[int, float] = {}
+        self.shared_blocks: int | None = None
+
+
+class ReturnHistory:
+    """Aggregate of the returns that one directory agent has seen.
+
+    Parameters
+    ----------
+    period_ms : int
+        Length of the period.
+    """
+
+    def __init__(self, period_ms: int = HOUR_MS) -> None:
+        self._period_ms = period_ms
+        self._roots_by_key: collections.OrderedDict[ids.BlockKey, _Root] = (
+            collections.OrderedDict()
+        )
+        self._seen_roots = _PRIOR_SEEN
+        self._returned_roots = _PRIOR_RETURNED
+        self._gap_ms = float(period_ms)
+        self._load_by_phase = [0.0] * PHASES
+        self._period_number = 0
+
+    def __len__(self) -> int:
+        """Return the number of roots."""
+        return len(self._roots_by_key)
+
+    def seen(self, keys: Sequence[ids.BlockKey], wall_ms: int) -> None:
+        """Record that the prompt with the block keys `keys` was asked for."""
+        if not keys:
+            return
+        self._start_period(wall_ms // self._period_ms)
+        phase = self._phase(wall_ms)
+        self._load_by_phase[phase] += 1
+        root = self._roots_by_key.get(keys[0])
+        if root is None:
+            root = _Root(tuple(keys), wall_ms)
+            self._roots_by_key[keys[0]] = root
+            self._seen_roots += 1
+            self._bound()
+        else:
+            self._returned(root, tuple(keys), wall_ms)
+        self._roots_by_key.move_to_end(keys[0])
+        root.phases[phase] = root.phases.get(phase, 0.0) + 1
+
+    def forecast(self, key: ids.BlockKey, wall_ms: int) -> Forecast:
+        """Return what is expected of the prefix with the root `key`."""
+        prior = min(1.0, self._returned_roots / self._seen_roots)
+        root = self._roots_by_key.get(key)
+        if root is None:
+            return Forecast(prior, self._gap_ms)
+        idle_ms = wall_ms - root.last_ms
+        if root.count < 2:
+            probability = prior * math.exp(-idle_ms / (_PATIENCE * self._gap_ms))
+            return Forecast(probability, self._gap_ms, None)
+        usual_ms = max(root.gap_ms, 1.0)
+        probability = root.count / (root.count + 1)
+        overdue_ms = max(0.0, idle_ms - max(usual_ms, self._period_ms))
+        probability *= math.exp(-overdue_ms / (_PATIENCE * usual_ms))
+        gap_ms = self._expected_gap(root, wall_ms)
+        return Forecast(probability, gap_ms, root.shared_blocks)
+
+    def chain(self, key: ids.BlockKey) -> tuple[ids.BlockKey, ...]:
+        """Return the shared blocks of the last prompt of a root, in order."""
+        root = self._roots_by_key.get(key)
+        if root is None:
+            return ()
+        return root.chain[: root.shared_blocks]
+
+    def peak_starts_in(self, wall_ms: int) -> int | None:
+        """Return the time until the next phase of a learned peak; 0 inside one."""
+        mean = sum(self._load_by_phase) / PHASES
+        if not mean or not self._period_number:
+            return None
+        now = self._phase(wall_ms)
+        step_ms = self._period_ms // PHASES
+        for ahead in range(PHASES):
+            if self._load_by_phase[(now + ahead) % PHASES] >= _PEAK_FACTOR * mean:
+                return max(0, ahead * step_ms - wall_ms % step_ms)
+        return None
+
+    def due(self, wall_ms: int, horizon_ms: int) -> tuple[ids.BlockKey, ...]:
+        """Return the roots expected within `horizon_ms`, the likeliest first."""
+        step_ms = self._period_ms // PHASES
+        first = self._phase(wall_ms)
+        window = {
+            (first + ahead) % PHASES for ahead in range(-(-horizon_ms // step_ms) + 1)
+        }
+        weight_by_key = {
+            key: sum(root.phases.get(phase, 0.0) for phase in window)
+            for key, root in self._roots_by_key.items()
+            if root.count > 1
+        }
+        likely = [key for key, weight in weight_by_key.items() if weight >= 1]
+        return tuple(sorted(likely, key=lambda key: (-weight_by_key[key], key)))
+
+    def _returned(
+        self, root: _Root, chain: tuple[ids.BlockKey, ...], wall_ms: int
+    ) -> None:
+        if root.count == 1:
+            self._returned_roots += 1
+        gap_ms = max(0, wall_ms - root.last_ms)
+        smoothing = _SMOOTHING if root.gap_ms else 1.0
+        root.gap_ms += smoothing * (gap_ms - root.gap_ms)
+        self._gap_ms += 0.1 * _SMOOTHING * (gap_ms - self._gap_ms)
+        shared = _common_length(root.chain, chain)
+        known = root.shared_blocks
+        # A prompt shorter than the shared part says nothing about the rest of it.
+        if known is None or shared < min(known, len(chain)):
+            root.shared_blocks = shared
+        elif shared > known:
+            root.shared_blocks = known + 1
+        root.chain = chain
+        root.count += 1
+        root.last_ms = wall_ms
+
+    def _expected_gap(self, root: _Root, wall_ms: int) -> float:
+        idle_ms = wall_ms - root.last_ms
+        by_gap = max(root.gap_ms - idle_ms, 0.1 * root.gap_ms)
+        usual = [phase for phase, weight in root.phases.items() if weight >= 1]
+        if root.gap_ms < self._period_ms / 2 or not usual:
+            return by_gap
+        now = self._phase(wall_ms)
+        step_ms = self._period_ms / PHASES
+        ahead = min((phase - now - 1) % PHASES + 1 for phase in usual)
+        return ahead * step_ms
+
+    def _phase(self, wall_ms: int) -> int:
+        return wall_ms % self._period_ms * PHASES // self._period_ms
+
+    def _start_period(self, number: int) -> None:
+        if number <= self._period_number:
+            return
+        self._period_number = number
+        self._load_by_phase = [load * _DECAY for load in self._load_by_phase]
+        for root in self._roots_by_key.values():
+            root.phases = {
+                phase: weight * _DECAY
+                for phase, weight in root.phases.items()
+                if weight * _DECAY >= 0.3
+            }
+
+    def _bound(self) -> None:
+        while len(self._roots_by_key) > MAX_ROOTS:
+            self._roots_by_key.popitem(last=False)
+
+
+def _common_length(
+    first: Sequence[ids.BlockKey], second: Sequence[ids.BlockKey]
+) -> int:
+    length = 0
+    for one, other in zip(first, second, strict=False):
+        if one != other:
+            break
+        length += 1
+    return length
--- a/quincecrank/sealed_block.py
+++ b/quincecrank/sealed_block.py
@@ -25,7 +25,7 @@
 _IDENTITY_PURPOSE: Final = b"quince.identity"
 _CHECKSUM_PURPOSE: Final = b"quince.seal"
 _NAME_SEPARATOR: Final = "."
-_NAME_PARTS: Final = 4
+_NAME_PARTS: Final = 3
 
 OVERHEAD_BYTES: Final = _HEADER.size + _FOOTER.size
 """Bytes by which a sealed block is longer than its payload."""
@@ -67,8 +67,6 @@
     ----------
     root : BlockKey
         Key of the first block of the chain, which names the directory shard.
-    index : int
-        Position of the block in the chain.
     key : BlockKey
         Key of the block.
     write_id : str
@@ -76,23 +74,22 @@
     """
 
     root: ids.BlockKey
-    index: int
     key: ids.BlockKey
     write_id: str
 
     def object_name(self) -> ids.ObjectName:
         """Return the name under which a store keeps the block."""
-        parts = (self.root, str(self.index), self.key, self.write_id)
+        parts = (self.root, self.key, self.write_id)
         return ids.ObjectName(_NAME_SEPARATOR.join(parts))
 
     @classmethod
     def parse(cls, name: ids.ObjectName) -> Self | None:
         """Return the parts of `name`, or None if it names no block."""
         parts = name.split(_NAME_SEPARATOR)
-        if len(parts) != _NAME_PARTS or not parts[1].isdecimal():
+        if len(parts) != _NAME_PARTS or not all(parts):
             return None
-        root, index, key, write_id = parts
-        return cls(ids.BlockKey(root), int(index), ids.BlockKey(key), write_id)
+        root, key, write_id = parts
+        return cls(ids.BlockKey(root), ids.BlockKey(key), write_id)
 
 
 def _digest(secret: bytes, purpose: bytes, *parts: bytes | memoryview) -> bytes:
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,223 @@
+"""Tests of placement, return history and link budgets."""
+
+import unittest
+
+from quincecrank import (
+    chain_view,
+    configuration,
+    ids,
+    link_budget,
+    placement,
+    return_history,
+    sealed_block,
+)
+from tests import builders_decisions as builders
+
+HOUR_MS = return_history.HOUR_MS
+MINUTE_MS = 60_000
+DISK = ids.TierName("disk")
+SOON = return_history.Forecast(0.9, 1000.0)
+
+
+def tier(
+    used: float = 0.0, kind: str = "memory", rate: float = 1e8
+) -> placement.TierState:
+    return placement.TierState(
+        builders.STORE,
+        builders.MEMORY if kind == "memory" else DISK,
+        configuration.TierKind(kind),
+        rate,
+        100 * builders.BLOCK_BYTES,
+        int(used * 100 * builders.BLOCK_BYTES),
+    )
+
+
+def keep(
+    *tiers: placement.TierState,
+    forecast: return_history.Forecast = SOON,
+    claimed: int = 5,
+    **weights: float,
+) -> list[int]:
+    request = placement.KeepRequest(
+        builders.chain_keys(builders.prompt(5)),
+        frozenset(range(claimed)),
+        "w1",
+        builders.BLOCK_BYTES,
+        20_000,
+        configuration.PolicyWeights(**weights),
+    )
+    plan = placement.keep_plan(request, forecast, tiers)
+    for copy in plan.copies:
+        parsed = sealed_block.BlockName.parse(copy.object_name)
+        assert parsed is not None
+        assert parsed.key == request.keys[copy.index]
+    return [copy.index for copy in plan.copies]
+
+
+class KeepPlanTest(unittest.TestCase):
+    def test_only_blocks_worth_their_write_are_kept(self) -> None:
+        shared = return_history.Forecast(0.9, 1000.0, shared_blocks=3)
+        never = return_history.Forecast(0.0, 1000.0)
+        self.assertEqual(keep(tier()), [0, 1, 2, 3, 4])
+        self.assertEqual(keep(tier(), claimed=2), [0, 1])
+        self.assertEqual(keep(tier(), forecast=shared), [0, 1, 2])
+        self.assertEqual(keep(tier(), forecast=never), [])
+        self.assertEqual(keep(tier(rate=1e5)), [])
+        self.assertEqual(keep(tier(rate=1e5), recomputed=2000.0), [0, 1, 2, 3, 4])
+        self.assertEqual(keep(tier(), link=1e6), [])
+        self.assertEqual(keep(), [])
+
+    def test_a_full_memory_tier_leaves_the_disk(self) -> None:
+        request = placement.KeepRequest(
+            builders.chain_keys(builders.prompt(5)),
+            frozenset({0}),
+            "w1",
+            builders.BLOCK_BYTES,
+            20_000,
+            configuration.PolicyWeights(),
+        )
+        for used, expected in ((0.0, builders.MEMORY), (0.85, DISK)):
+            tiers = (tier(kind="disk"), tier(used))
+            plan = placement.keep_plan(request, SOON, tiers)
+            self.assertEqual([copy.tier for copy in plan.copies], [expected])
+
+    def test_a_block_is_granted_to_one_writer_until_the_claim_expires(self) -> None:
+        claims = placement.WriteClaims()
+        keys = builders.chain_keys(builders.prompt(3))
+        stored = chain_view.ChainView(3, copies=(builders.stored(1),))
+        self.assertEqual(claims.grant(keys, stored, 0), {0, 2})
+        self.assertEqual(claims.grant(keys, stored, 1), frozenset())
+        claims.release(keys[:1])
+        self.assertEqual(claims.grant(keys, stored, 2), {0})
+        later_ms = placement.CLAIM_MS + 1
+        self.assertEqual(claims.grant(keys, stored, later_ms), {2})
+
+
+class EvictionTest(unittest.TestCase):
+    def test_the_least_expected_prefix_goes_first_and_from_its_end(self) -> None:
+        copies = tuple(builders.stored(index) for index in range(4))
+        prefixes = [
+            placement.StoredPrefix(
+                ids.BlockKey(str(gap)), copies, return_history.Forecast(0.9, gap)
+            )
+            for gap in (1000, 9000, 5000)
+        ]
+        size = builders.BLOCK_BYTES
+        chosen = placement.choose_evictions(prefixes, 6 * size, size)
+        self.assertEqual([copy.index for copy in chosen], [3, 2, 1, 0, 3, 2])
+        self.assertEqual(placement.choose_evictions(prefixes, 0, size), ())
+
+    def test_freeing_starts_above_one_mark_and_ends_at_another(self) -> None:
+        self.assertEqual(tier(0.9).bytes_to_free(), 0)
+        self.assertEqual(tier(0.95).bytes_to_free(), 15 * builders.BLOCK_BYTES)
+
+
+class PrefetchTest(unittest.TestCase):
+    def test_prefetches_fill_half_of_the_caches_with_what_is_missing(self) -> None:
+        copies = tuple(builders.stored(index) for index in range(4))
+        missing = chain_view.ChainView(4, copies=copies)
+        held = chain_view.ChainView(
+            4, {builders.ADA: frozenset(range(4))}, copies=copies
+        )
+        due = [
+            placement.DuePrefix(ids.BlockKey(str(number)), missing if number else held)
+            for number in range(20)
+        ]
+        orders = placement.choose_prefetches(due, {builders.ADA: 16, builders.BELA: 16})
+        servers = sorted(order.server for order in orders)
+        self.assertEqual(servers, [builders.ADA, builders.BELA, builders.BELA])
+        self.assertTrue(all(order.copies == copies for order in orders))
+
+
+class ReturnHistoryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.history = return_history.ReturnHistory()
+        self.keys = builders.chain_keys(builders.prompt(5))
+
+    def test_the_shared_part_is_learned_from_two_prompts(self) -> None:
+        other = builders.chain_keys(builders.prompt(5)[: 3 * 4096] + b"x" * 8192)
+        self.history.seen(self.keys, 0)
+        self.assertIsNone(self.history.forecast(self.keys[0], 0).shared_blocks)
+        self.history.seen(other, 1000)
+        self.assertEqual(self.history.forecast(self.keys[0], 0).shared_blocks, 3)
+        self.assertEqual(self.history.chain(self.keys[0]), other[:3])
+
+    def test_what_returned_is_expected_and_what_stays_away_is_forgotten(self) -> None:
+        once = builders.chain_keys(builders.prompt(5, seed=1))
+        self.history.seen(once, 0)
+        for hour in range(4):
+            self.history.seen(self.keys, hour * HOUR_MS)
+        now_ms = 3 * HOUR_MS + 1
+        often = self.history.forecast(self.keys[0], now_ms)
+        rare = self.history.forecast(once[0], now_ms)
+        self.assertGreater(often.return_probability, rare.return_probability)
+        self.assertAlmostEqual(often.expected_gap_ms, HOUR_MS, delta=MINUTE_MS)
+        gone = self.history.forecast(self.keys[0], 40 * HOUR_MS)
+        self.assertLess(gone.return_probability, 0.01)
+
+    def test_a_peak_before_each_hour_is_learned(self) -> None:
+        self.assertIsNone(self.history.peak_starts_in(0))
+        for hour in range(1, 4):
+            for minute in (50, 55):
+                self.history.seen(self.keys, hour * HOUR_MS + minute * MINUTE_MS)
+        quiet_ms = 4 * HOUR_MS + 40 * MINUTE_MS
+        self.assertEqual(self.history.peak_starts_in(quiet_ms), 10 * MINUTE_MS)
+        self.assertEqual(self.history.due(quiet_ms, 5 * MINUTE_MS), ())
+        due = self.history.due(quiet_ms, 12 * MINUTE_MS)
+        self.assertEqual(due, (self.keys[0],))
+
+    def test_the_number_of_roots_is_bounded(self) -> None:
+        for number in range(return_history.MAX_ROOTS + 10):
+            self.history.seen((ids.BlockKey(str(number)),), number)
+        self.assertEqual(len(self.history), return_history.MAX_ROOTS)
+
+
+class LinkBudgetTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.budget = link_budget.LinkBudget(1e6, 0)
+
+    def test_restores_start_at_once_and_hold_back_the_others(self) -> None:
+        restore = link_budget.TransferKind.RESTORE
+        write = link_budget.TransferKind.WRITE_BACK
+        self.assertEqual(self.budget.delay_ms(write, 0), 0)
+        self.budget.started(restore, 1000, 0)
+        self.assertEqual(self.budget.delay_ms(restore, 0), 0)
+        self.assertIsNone(self.budget.delay_ms(write, 0))
+        self.budget.ended(restore, 1000, 1)
+        self.budget.started(write, 100_000, 0)
+        self.assertEqual(self.budget.delay_ms(write, 0), 200)
+
+    def test_agents_that_share_a_link_settle_within_what_restores_leave(self) -> None:
+        write = link_budget.TransferKind.WRITE_BACK
+        budgets = [link_budget.LinkBudget(1e6, 0) for _ in range(4)]
+        totals = []
+        for _ in range(300):
+            total = sum(budget.paced_bytes_per_second for budget in budgets)
+            totals.append(total)
+            congested = total > 0.5e6
+            for budget in budgets:
+                budget.ended(write, 10_000, 100 if congested else 12)
+        settled = totals[100:]
+        self.assertLess(sum(settled) / len(settled), 0.6e6)
+        self.assertGreater(sum(settled) / len(settled), 0.2e6)
+
+    def test_a_joining_agent_lowers_the_rate(self) -> None:
+        self.budget.set_active_agents(5)
+        self.assertEqual(self.budget.paced_bytes_per_second, 1e5)
+
+
+class LinkEstimatesTest(unittest.TestCase):
+    def test_a_slow_link_is_noticed_and_own_restores_are_counted(self) -> None:
+        estimates = link_budget.LinkEstimates()
+        estimates.set_link(builders.STORE, builders.MEMORY, 1e6)
+        copies = tuple(builders.stored(index) for index in range(4))
+        request = ids.RequestId("r1")
+        for _ in range(40):
+            estimates.planned(request, copies, 1000, 0)
+            self.assertEqual(estimates.states()[0].waiting_bytes, 4000)
+            estimates.restored(request, 40)
+        state = estimates.states()[0]
+        self.assertEqual(state.waiting_bytes, 0)
+        self.assertAlmostEqual(state.bytes_per_second, 1e5, delta=1000)
+        estimates.remove_store(builders.STORE)
+        self.assertEqual(estimates.states(), ())
