--- a/quincecrank/crash_counts.py
+++ b/quincecrank/crash_counts.py
@@ -15,7 +15,6 @@
 from collections.abc import Iterable
 from typing import Final
 
-from quincecrank import clock as clocks
 from quincecrank import ids
 
 CRASH_LIMIT: Final = 2
@@ -33,7 +32,7 @@
     """Identifies equal requests of one client account."""
 
     account: ids.AccountName
-    digest: str
+    digest: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,21 +56,11 @@
 class CrashCounts:
     """Aggregate of the crashes known to one process."""
 
-    def __init__(self, clock: clocks.Clock) -> None:
-        self._clock = clock
+    def __init__(self) -> None:
         self._records_by_request: collections.OrderedDict[
             RequestFingerprint, dict[ids.AttemptId, CrashRecord]
         ] = collections.OrderedDict()
 
-    def record(
-        self, account: ids.AccountName, digest: str, attempt_id: ids.AttemptId
-    ) -> CrashRecord:
-        """Count an attempt that was running at a crash just now."""
-        request = RequestFingerprint(account, digest)
-        record = CrashRecord(request, attempt_id, self._clock.wall_ms())
-        self.merge([record])
-        return record
-
     def merge(self, records: Iterable[CrashRecord]) -> bool:
         """Take records of any origin; return whether anything was new."""
         changed = False
@@ -86,22 +75,21 @@
             self._records_by_request.popitem(last=False)
         return changed
 
-    def count(self, account: ids.AccountName, digest: str) -> int:
-        """Return the crashes that count against a request."""
-        known = self._records_by_request.get(RequestFingerprint(account, digest), {})
-        wall_ms = self._clock.wall_ms()
+    def count(self, request: RequestFingerprint, wall_ms: int) -> int:
+        """Return the crashes that count against `request`."""
+        known = self._records_by_request.get(request, {})
         return sum(
             not record.cleared and wall_ms - record.wall_ms < EXPIRY_MS
             for record in known.values()
         )
 
-    def refuses(self, account: ids.AccountName, digest: str) -> bool:
-        """Return whether a request must not run."""
-        return self.count(account, digest) >= CRASH_LIMIT
+    def refuses(self, request: RequestFingerprint, wall_ms: int) -> bool:
+        """Return whether `request` must not run."""
+        return self.count(request, wall_ms) >= CRASH_LIMIT
 
-    def clear(self, account: ids.AccountName, digest: str) -> tuple[CrashRecord, ...]:
+    def clear(self, request: RequestFingerprint) -> tuple[CrashRecord, ...]:
         """Clear a suspect that ran to its end; return the records to share."""
-        known = self._records_by_request.get(RequestFingerprint(account, digest), {})
+        known = self._records_by_request.get(request, {})
         cleared = tuple(
             dataclasses.replace(record, cleared=True)
             for record in known.values()
@@ -110,9 +98,8 @@
         self.merge(cleared)
         return cleared
 
-    def records(self) -> tuple[CrashRecord, ...]:
+    def records(self, wall_ms: int) -> tuple[CrashRecord, ...]:
         """Return all records that still count or clear, without the expired ones."""
-        wall_ms = self._clock.wall_ms()
         for request, known in tuple(self._records_by_request.items()):
             for attempt_id, record in tuple(known.items()):
                 if wall_ms - record.wall_ms >= EXPIRY_MS:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,7 +8,6 @@
 from quincecrank import (
     admission,
     breaker,
-    clock,
     configuration,
     crash_counts,
     ids,
@@ -17,7 +16,6 @@
 
 LARGE = ids.AccountName("large")
 SMALL = ids.AccountName("small")
-DIGEST = "digest"
 NUMBERS = itertools.count()
 
 
@@ -224,36 +222,35 @@
 
 class CrashCountsTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.clock = clock.ManualClock()
-        self.counts = crash_counts.CrashCounts(self.clock)
+        self.counts = crash_counts.CrashCounts()
+        self.request = crash_counts.RequestFingerprint(SMALL, b"digest")
 
-    def crash(self, attempt: str) -> crash_counts.CrashRecord:
-        return self.counts.record(SMALL, DIGEST, ids.AttemptId(attempt))
+    def crash(self, attempt: str, wall_ms: int = 0) -> crash_counts.CrashRecord:
+        return crash_counts.CrashRecord(self.request, ids.AttemptId(attempt), wall_ms)
 
     def test_two_crashes_refuse_the_request_of_that_account_only(self) -> None:
-        self.crash("a1")
-        self.crash("a1")
-        self.assertFalse(self.counts.refuses(SMALL, DIGEST))
-        self.crash("a2")
-        self.assertTrue(self.counts.refuses(SMALL, DIGEST))
-        self.assertFalse(self.counts.refuses(LARGE, DIGEST))
-        self.clock.advance(crash_counts.EXPIRY_MS)
-        self.assertFalse(self.counts.refuses(SMALL, DIGEST))
-        self.assertEqual(self.counts.records(), ())
+        self.counts.merge([self.crash("a1"), self.crash("a1")])
+        self.assertFalse(self.counts.refuses(self.request, 0))
+        self.counts.merge([self.crash("a2")])
+        self.assertTrue(self.counts.refuses(self.request, 0))
+        other = crash_counts.RequestFingerprint(LARGE, b"digest")
+        self.assertFalse(self.counts.refuses(other, 0))
+        self.assertFalse(self.counts.refuses(self.request, crash_counts.EXPIRY_MS))
+        self.assertEqual(self.counts.records(crash_counts.EXPIRY_MS), ())
 
     def test_a_suspect_that_ends_well_is_cleared_everywhere(self) -> None:
-        crash = self.crash("a1")
-        elsewhere = crash_counts.CrashCounts(self.clock)
-        elsewhere.merge(self.counts.clear(SMALL, DIGEST))
-        elsewhere.merge([crash])
+        self.counts.merge([self.crash("a1")])
+        elsewhere = crash_counts.CrashCounts()
+        elsewhere.merge(self.counts.clear(self.request))
+        elsewhere.merge([self.crash("a1")])
         for counts in (self.counts, elsewhere):
-            self.assertEqual(counts.count(SMALL, DIGEST), 0)
+            self.assertEqual(counts.count(self.request, 0), 0)
 
     def test_the_order_of_exchange_does_not_matter(self) -> None:
-        records = [self.crash("a1"), self.crash("a2")]
-        records += self.counts.clear(SMALL, DIGEST)
+        self.counts.merge([self.crash("a1"), self.crash("a2")])
+        records = [*self.counts.records(0), *self.counts.clear(self.request)]
         records.append(self.crash("a3"))
         for order in itertools.permutations(records):
-            merged = crash_counts.CrashCounts(self.clock)
+            merged = crash_counts.CrashCounts()
             merged.merge(order)
-            self.assertEqual(merged.count(SMALL, DIGEST), 1)
+            self.assertEqual(merged.count(self.request, 0), 1)
