--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,305 @@
+"""`quince-load`: drives an entry with a trace and verifies every answer.
+
+Requests leave at their instant in the trace, whether or not earlier ones have been
+answered.  Times count from that instant, so that a late sender hides nothing.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import json
+import pathlib
+from collections.abc import Mapping
+from typing import Final
+
+import fire
+import pycurl
+from tornado import curl_httpclient, httpclient, httputil
+
+from bench import trace
+from quincecrank import block_keys, clock, ids
+from standins import answers
+
+MAX_OPEN_REQUESTS: Final = 512
+WARM_UP_CONCURRENCY: Final = 12
+SETTLE_MS: Final = 1500
+"""Pause after the warm-up, in which blocks are written."""
+
+DEADLINE_HEADER: Final = "X-Request-Deadline-Ms"
+_CLIENT_GRACE_S: Final = 10
+_DATA: Final = b"data:"
+
+
+class Outcome(enum.Enum):
+    """What became of one request."""
+
+    ANSWERED = "answered"
+    WRONG = "wrong"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestRecord:
+    """One request as its caller saw it.
+
+    Attributes
+    ----------
+    first_token_ms, total_ms : float
+        Times from the instant in the trace; 0 without an answer.
+    late : bool
+        Whether the first token of an answer came after the deadline.
+    cached_tokens : int
+        Prompt tokens that were not recomputed.
+    problem : str
+        Kind of a refusal or failure.
+    sent_late_ms : float
+        Delay of the sender itself.
+    """
+
+    number: int
+    account: ids.AccountName
+    at_ms: int
+    outcome: Outcome
+    late: bool = False
+    first_token_ms: float = 0.0
+    total_ms: float = 0.0
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    problem: str = ""
+    retry_after_ms: int = 0
+    sent_late_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Target:
+    """The entry to drive and what is needed to verify its answers.
+
+    Attributes
+    ----------
+    urls : tuple of str
+        Base URLs of the entries, used in turn.
+    keys_by_account : mapping
+        API keys of the client accounts.
+    account_secret : bytes
+        Secret that cache salts are derived from.
+    """
+
+    urls: tuple[str, ...]
+    keys_by_account: Mapping[ids.AccountName, str]
+    account_secret: bytes
+    weight_version: ids.WeightVersion
+
+
+class _Answer:
+    """Collects the server-sent events of one answer."""
+
+    def __init__(self, now: clock.Clock) -> None:
+        self._clock = now
+        self._rest = b""
+        self.first_token_ms = 0
+        self.texts: list[str] = []
+        self.prompt_tokens = 0
+        self.cached_tokens = 0
+        self.done = False
+        self.body = b""
+
+    def receive(self, chunk: bytes) -> None:
+        """Take a piece of the response."""
+        if len(self.body) < 65_536:
+            self.body += chunk
+        *lines, self._rest = (self._rest + chunk).split(b"\n")
+        for line in lines:
+            if line.startswith(_DATA):
+                self._event(line.removeprefix(_DATA).strip())
+
+    def _event(self, data: bytes) -> None:
+        if data == b"[DONE]":
+            self.done = True
+            return
+        event = json.loads(data)
+        usage = event.get("usage")
+        if usage:
+            self.prompt_tokens = usage["prompt_tokens"]
+            self.cached_tokens = usage["prompt_tokens_details"]["cached_tokens"]
+        for choice in event.get("choices", ()):
+            if choice.get("text"):
+                self.first_token_ms = self.first_token_ms or self._clock.now_ms()
+                self.texts.append(choice["text"])
+
+
+class LoadGenerator:
+    """Runs one trace against one target."""
+
+    def __init__(self, traced: trace.Trace, target: Target) -> None:
+        self._trace = traced
+        self._target = target
+        self._clock = clock.SystemClock()
+        self._client = curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_OPEN_REQUESTS
+        )
+
+    async def warm_up(self) -> tuple[RequestRecord, ...]:
+        """Send one request for each context, a few at a time."""
+        places = asyncio.Semaphore(WARM_UP_CONCURRENCY)
+
+        async def send(request: trace.TraceRequest) -> RequestRecord:
+            async with places:
+                return await self._send(request, self._clock.now_ms())
+
+        requests = self._trace.warm_up
+        records = await asyncio.gather(*(send(request) for request in requests))
+        await self._clock.sleep(SETTLE_MS)
+        return tuple(records)
+
+    async def run(self) -> tuple[RequestRecord, ...]:
+        """Send the measured requests, each at its instant."""
+        start_ms = self._clock.now_ms()
+        tasks = []
+        for request in self._trace.measured:
+            at_ms = start_ms + request.at_ms
+            await self._clock.sleep(max(0, at_ms - self._clock.now_ms()))
+            tasks.append(asyncio.ensure_future(self._send(request, at_ms)))
+        return tuple(await asyncio.gather(*tasks))
+
+    def close(self) -> None:
+        """Free the client."""
+        self._client.close()
+
+    async def _send(self, request: trace.TraceRequest, at_ms: int) -> RequestRecord:
+        prompt = request.prompt()
+        answer = _Answer(self._clock)
+        sent_late_ms = self._clock.now_ms() - at_ms
+        record = RequestRecord(
+            request.number,
+            request.context.account,
+            request.at_ms,
+            Outcome.FAILED,
+            sent_late_ms=sent_late_ms,
+        )
+        try:
+            response = await self._client.fetch(
+                self._http_request(request, prompt, answer), raise_error=False
+            )
+        except (httpclient.HTTPError, OSError, pycurl.error) as error:
+            return dataclasses.replace(record, problem=str(error)[:80])
+        if response.code != 200:
+            return _refused(record, response, answer.body)
+        if not answer.done:
+            return dataclasses.replace(record, problem="cut off")
+        return self._judge(record, request, prompt, answer, at_ms)
+
+    def _http_request(
+        self, request: trace.TraceRequest, prompt: str, answer: _Answer
+    ) -> httpclient.HTTPRequest:
+        profile = self._trace.profile
+        body = {
+            "model": profile.deployment,
+            "prompt": prompt,
+            "max_tokens": trace.ANSWER_TOKENS,
+            "stream": True,
+            "stream_options": {"include_usage": True},
+        }
+        key = self._target.keys_by_account[request.context.account]
+        headers = httputil.HTTPHeaders()
+        headers["Authorization"] = f"Bearer {key}"
+        headers["Content-Type"] = "application/json"
+        headers[DEADLINE_HEADER] = str(profile.deadline_ms)
+        url = self._target.urls[request.number % len(self._target.urls)]
+        return httpclient.HTTPRequest(
+            f"{url}/v1/completions",
+            method="POST",
+            headers=headers,
+            body=json.dumps(body, ensure_ascii=False).encode(),
+            streaming_callback=answer.receive,
+            request_timeout=profile.deadline_ms / 1000 + _CLIENT_GRACE_S,
+        )
+
+    def _judge(
+        self,
+        record: RequestRecord,
+        request: trace.TraceRequest,
+        prompt: str,
+        answer: _Answer,
+        at_ms: int,
+    ) -> RequestRecord:
+        salt = block_keys.cache_salt(
+            self._target.account_secret, request.context.account
+        )
+        expected = answers.expected_answer(
+            prompt, salt, self._target.weight_version, "", trace.ANSWER_TOKENS
+        )
+        right = "".join(answer.texts) == expected
+        first_token_ms = answer.first_token_ms - at_ms
+        return dataclasses.replace(
+            record,
+            outcome=Outcome.ANSWERED if right else Outcome.WRONG,
+            late=first_token_ms > self._trace.profile.deadline_ms,
+            first_token_ms=first_token_ms,
+            total_ms=self._clock.now_ms() - at_ms,
+            prompt_tokens=answer.prompt_tokens,
+            cached_tokens=answer.cached_tokens,
+        )
+
+
+def _refused(
+    record: RequestRecord, response: httpclient.HTTPResponse, body: bytes
+) -> RequestRecord:
+    kind, retry_after_ms = f"status {response.code}", 0
+    try:
+        document = json.loads(body or response.body or b"")
+        kind = str(document["type"]).rpartition(":")[2]
+        retry_after_ms = int(document.get("retry_after_ms", 0))
+    except (ValueError, KeyError):
+        return dataclasses.replace(record, problem=kind)
+    return dataclasses.replace(
+        record, outcome=Outcome.REFUSED, problem=kind, retry_after_ms=retry_after_ms
+    )
+
+
+def main(target: str, workload: str = "sajha", seed: int = 1, output: str = "") -> None:
+    """Run one trace against a running fleet.
+
+    Parameters
+    ----------
+    target : str
+        JSON file with ``urls``, ``keys_by_account``, ``account_secret`` and
+        ``weight_version``.
+    workload : str
+        A value of `trace.Workload`.
+    output : str
+        File for the records as JSON; standard output when empty.
+    """
+    document = json.loads(pathlib.Path(target).read_text())
+    goal = Target(
+        tuple(document["urls"]),
+        document["keys_by_account"],
+        document["account_secret"].encode(),
+        ids.WeightVersion(document["weight_version"]),
+    )
+    traced = trace.make_trace(trace.Workload(workload), seed)
+    records = asyncio.run(drive(traced, goal))
+    text = json.dumps([as_document(record) for record in records], indent=1)
+    if output:
+        pathlib.Path(output).write_text(text)
+    else:
+        print(text)
+
+
+async def drive(traced: trace.Trace, target: Target) -> tuple[RequestRecord, ...]:
+    """Run the warm-up and the measured part; return the records of the latter."""
+    generator = LoadGenerator(traced, target)
+    try:
+        await generator.warm_up()
+        return await generator.run()
+    finally:
+        generator.close()
+
+
+def as_document(record: RequestRecord) -> dict[str, object]:
+    """Return a record as JSON types."""
+    return {**dataclasses.asdict(record), "outcome": record.outcome.value}
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/bench/trace.py
+++ b/bench/trace.py
@@ -192,7 +192,7 @@
         return Trace(self._profile, seed, tuple(warm_up), tuple(measured))
 
     def _single_arrivals(self) -> list[tuple[int, int]]:
-        arrivals = []
+        arrivals: list[tuple[int, int]] = []
         at_ms = 0.0
         peak = self._profile.peak_per_second
         while True:
