Routing: find the splits of a prompt once for replicas that hold the same

Building a plan with its log text for every split of every candidate took most of the decision's time. Splits are now found once for each set of held blocks, and a plan is made for the chosen one only. Large deployments are narrowed to 24 holders, idle and preferred replicas.

--- a/quincecrank/policies.py
+++ b/quincecrank/policies.py
@@ -1,19 +1,25 @@
 """Routing policies: the product's own and the baselines it is measured against."""
 
 import dataclasses
+import heapq
 from collections.abc import Callable, Sequence
 from typing import Final
 
-from quincecrank import chain_view, ids, rendezvous, routing
+from quincecrank import chain_view, ids, prompt_split, rendezvous, routing
 
 DEFAULT_POLICY: Final = "cost"
 """Name of the product's policy."""
 
+MAX_CANDIDATES: Final = 24
+"""Replicas that are weighed in full for one request."""
+
 _TIE_MS: Final = 5.0
 _TIE_SHARE: Final = 0.02
 _DOUBT_FACTOR: Final = 1.1
 """Factor on the cost of a plan that relies on blocks of a doubtful engine."""
 
+Key = Callable[[routing.ReplicaState], float]
+
 
 def _preference(request: routing.RoutingRequest, server: ids.BackendServerName) -> int:
     """Return a weight by which all entries prefer the same replica for a prefix."""
@@ -34,6 +40,28 @@
     )
 
 
+def bounded_candidates(
+    request: routing.RoutingRequest,
+    candidates: Sequence[routing.ReplicaState],
+    chain: chain_view.ChainView,
+) -> Sequence[routing.ReplicaState]:
+    """Return at most `MAX_CANDIDATES`: holders, least loaded and preferred ones."""
+    if len(candidates) <= MAX_CANDIDATES:
+        return candidates
+    part = MAX_CANDIDATES // 3
+    chosen: dict[ids.BackendServerName, routing.ReplicaState] = {}
+    holders = [c for c in candidates if c.server in chain.held_by_server]
+    orders: tuple[tuple[Sequence[routing.ReplicaState], Key], ...] = (
+        (holders, lambda c: -chain.held_prefix(c.server)),
+        (candidates, lambda c: c.wait_ms()),
+        (candidates, lambda c: -_preference(request, c.server)),
+    )
+    for replicas, key in orders:
+        left = [c for c in replicas if c.server not in chosen]
+        chosen.update((c.server, c) for c in heapq.nsmallest(part, left, key=key))
+    return tuple(chosen.values())
+
+
 def _least_loaded(candidates: Sequence[routing.ReplicaState]) -> routing.ReplicaState:
     return min(
         candidates,
@@ -51,7 +79,9 @@
     chain: chain_view.ChainView,
 ) -> routing.Plan:
     """Return the plan that uses only what the engine holds."""
-    return next(routing.plans_for(request, replica, chain, {}, {}))
+    splits = prompt_split.SplitFinder(chain, (), 0).splits(replica.server)
+    cost = prompt_split.cost_of(request, replica, splits.options[0])
+    return prompt_split.plan_of(replica, splits, cost)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,15 +111,18 @@
         now_ms: int,
     ) -> routing.Plan | None:
         """Return the cheapest plan, or None without candidates."""
-        copies = chain.copies_by_index() if self.uses_tiers else {}
-        by_place = routing.links_by_place(links)
+        finder = prompt_split.SplitFinder(
+            chain, links if self.uses_tiers else (), request.block_bytes
+        )
         plans = []
-        for replica in candidates:
-            splits = list(routing.plans_for(request, replica, chain, copies, by_place))
+        for replica in bounded_candidates(request, candidates, chain):
+            splits = finder.splits(replica.server)
+            options = splits.options
             if self.restoring is routing.Restoring.ALWAYS:
-                plan = splits[-1]
-            else:
-                plan = min(splits, key=lambda split: split.cost)
+                options = options[-1:]
+            costs = [prompt_split.cost_of(request, replica, s) for s in options]
+            cheapest = min(costs, key=lambda cost: cost.cost)
+            plan = prompt_split.plan_of(replica, splits, cheapest)
             plans.append(_doubted(plan, chain))
         return _best_plan(request, plans)
 
--- /dev/null
+++ b/quincecrank/prompt_split.py
@@ -0,0 +1,174 @@
+"""Ways to split a prompt between engine memory, restore and recomputation.
+
+A prefix cache is usable from its front only.  A split therefore is one number, the
+leading blocks that need no recomputation; those of them that the engine does not
+hold are restored, and everything behind them is recomputed.
+"""
+
+import dataclasses
+from collections.abc import Sequence
+
+from quincecrank import chain_view, ids, routing, tokenizers
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Split:
+    """One way to split a prompt.
+
+    Attributes
+    ----------
+    blocks : int
+        Leading blocks that need no recomputation.
+    restored : int
+        How many of them are restored.
+    restore_ms : float
+        Time until the last of them has been moved.
+    """
+
+    blocks: int
+    restored: int
+    restore_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Splits:
+    """The splits that one set of held blocks allows, the shortest first.
+
+    Attributes
+    ----------
+    options : tuple of Split
+        The first one restores nothing, the last one all that can be restored.
+    copies : tuple of StoredBlock
+        Copies to restore; a split takes the first `Split.restored` of them.
+    """
+
+    options: tuple[Split, ...]
+    copies: tuple[chain_view.StoredBlock, ...]
+
+
+class SplitFinder:
+    """Finds the splits of one prompt; engines that hold the same share the work.
+
+    Restores run on all links at once; each block takes the copy whose link would
+    deliver it first.
+
+    Parameters
+    ----------
+    chain : ChainView
+        Holders of the prompt's blocks.
+    links : sequence of LinkState
+        Links that restores may take; none for a policy without tiers.
+    block_bytes : int
+        Size of one sealed block.
+    """
+
+    def __init__(
+        self,
+        chain: chain_view.ChainView,
+        links: Sequence[routing.LinkState],
+        block_bytes: int,
+    ) -> None:
+        self._chain = chain
+        self._block_bytes = block_bytes
+        self._links = routing.links_by_place(links)
+        self._copies_by_index = chain.copies_by_index() if links else {}
+        self._splits_by_held: dict[frozenset[int], Splits] = {}
+
+    def splits(self, server: ids.BackendServerName) -> Splits:
+        """Return the splits that are possible at `server`."""
+        held = self._chain.held_by_server.get(server, frozenset())
+        known = self._splits_by_held.get(held)
+        if known is None:
+            known = self._find(held)
+            self._splits_by_held[held] = known
+        return known
+
+    def _find(self, held: frozenset[int]) -> Splits:
+        waiting: dict[tuple[ids.VmName, ids.TierName], int] = {}
+        copies: list[chain_view.StoredBlock] = []
+        restore_ms = 0.0
+        options = [Split(0, 0, 0.0)]
+        for index in range(self._chain.block_count):
+            if index not in held:
+                found = self._first_copy(index, waiting)
+                if found is None:
+                    break
+                copy, done_ms = found
+                copies.append(copy)
+                restore_ms = max(restore_ms, done_ms)
+            split = Split(index + 1, len(copies), restore_ms)
+            # A block that is held costs nothing, so the shorter split is of no use.
+            if index in held:
+                options[-1] = split
+            else:
+                options.append(split)
+        return Splits(tuple(options), tuple(copies))
+
+    def _first_copy(
+        self, index: int, waiting: dict[tuple[ids.VmName, ids.TierName], int]
+    ) -> tuple[chain_view.StoredBlock, float] | None:
+        """Return the copy that would arrive first, and when."""
+        best: tuple[chain_view.StoredBlock, float] | None = None
+        for copy in self._copies_by_index.get(index, ()):
+            link = self._links.get((copy.store, copy.tier))
+            if link is None:
+                continue
+            moved = waiting.get((copy.store, copy.tier), 0) + self._block_bytes
+            done_ms = link.transfer_ms(moved)
+            if best is None or done_ms < best[1]:
+                best = (copy, done_ms)
+        if best is not None:
+            place = (best[0].store, best[0].tier)
+            waiting[place] = waiting.get(place, 0) + self._block_bytes
+        return best
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SplitCost:
+    """What one split costs at one replica."""
+
+    split: Split
+    recompute_tokens: int
+    first_token_ms: float
+    cost: float
+
+
+def cost_of(
+    request: routing.RoutingRequest, replica: routing.ReplicaState, split: Split
+) -> SplitCost:
+    """Return the estimated time and the weighted cost of a split.
+
+    A restore runs while the request waits for the replica, so that only the longer
+    of the two counts.
+    """
+    reused = split.blocks * tokenizers.BLOCK_TOKENS
+    recompute = max(0, request.prompt_tokens - reused)
+    ready_ms = max(replica.wait_ms(), split.restore_ms)
+    first_token_ms = ready_ms + replica.compute_ms(recompute) + replica.distance_ms
+    mebibytes = split.restored * request.block_bytes / routing.BYTES_PER_MEBIBYTE
+    weights = request.weights
+    cost = (
+        weights.first_token * first_token_ms * replica.correction
+        + weights.recomputed * recompute / routing.TOKENS_PER_WEIGHT
+        + weights.link * mebibytes
+    )
+    return SplitCost(split, recompute, first_token_ms, cost)
+
+
+def plan_of(
+    replica: routing.ReplicaState, splits: Splits, chosen: SplitCost
+) -> routing.Plan:
+    """Return the plan that follows a split."""
+    split = chosen.split
+    return routing.Plan(
+        replica.server,
+        split.blocks - split.restored,
+        splits.copies[: split.restored],
+        chosen.recompute_tokens,
+        chosen.first_token_ms,
+        chosen.cost,
+        reason=(
+            f"wait={replica.wait_ms():.0f}ms restore={split.restore_ms:.0f}ms "
+            f"recompute={chosen.recompute_tokens} correction={replica.correction:.2f}"
+        ),
+    )
--- a/quincecrank/routing.py
+++ b/quincecrank/routing.py
@@ -5,18 +5,14 @@
 candidate
     A replica that may run the request: live, not leaving, on the right weight
     version, with the adapter loaded and its breaker not open.
-frontier
-    Number of leading blocks of a prompt that need no recomputation.  A prefix
-    cache is usable from its front only, so everything behind the frontier is
-    recomputed.
 """
 
 import dataclasses
 import enum
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final, Protocol
 
-from quincecrank import chain_view, clock, configuration, ids, tokenizers
+from quincecrank import chain_view, clock, configuration, ids
 
 BYTES_PER_MEBIBYTE: Final = 1 << 20
 TOKENS_PER_WEIGHT: Final = 1000
@@ -184,93 +180,3 @@
 def links_by_place(links: Sequence[LinkState]) -> Links:
     """Return `links` by store VM and tier."""
     return {(link.store, link.tier): link for link in links}
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Frontier:
-    """One way to split a prompt: restore these blocks, recompute the rest."""
-
-    blocks: int
-    restore: tuple[chain_view.StoredBlock, ...]
-    restore_ms: float
-
-
-def _frontiers(
-    held: frozenset[int],
-    copies_by_index: Mapping[int, Sequence[chain_view.StoredBlock]],
-    block_count: int,
-    block_bytes: int,
-    links: Links,
-) -> Iterator[_Frontier]:
-    """Yield each reachable frontier, the shortest first.
-
-    Restores run on all links at once; each block takes the copy whose link would
-    deliver it first.
-    """
-    taken_bytes: dict[tuple[ids.VmName, ids.TierName], int] = {}
-    restore: tuple[chain_view.StoredBlock, ...] = ()
-    restore_ms = 0.0
-    yield _Frontier(0, restore, restore_ms)
-    for index in range(block_count):
-        if index not in held:
-            offers = [
-                (links[place].transfer_ms(taken_bytes.get(place, 0) + block_bytes), i)
-                for i, copy in enumerate(copies_by_index.get(index, ()))
-                if (place := (copy.store, copy.tier)) in links
-            ]
-            if not offers:
-                return
-            done_ms, best = min(offers)
-            copy = copies_by_index[index][best]
-            place = (copy.store, copy.tier)
-            taken_bytes[place] = taken_bytes.get(place, 0) + block_bytes
-            restore = (*restore, copy)
-            restore_ms = max(restore_ms, done_ms)
-        yield _Frontier(index + 1, restore, restore_ms)
-
-
-def plans_for(
-    request: RoutingRequest,
-    replica: ReplicaState,
-    chain: chain_view.ChainView,
-    copies_by_index: Mapping[int, Sequence[chain_view.StoredBlock]],
-    links: Links,
-) -> Iterator[Plan]:
-    """Yield a plan for each split of the prompt between restore and recomputation.
-
-    The first plan restores nothing, the last one all that can be restored.  A
-    restore runs while the request waits for the replica, so that only the longer
-    of the two counts.
-    """
-    held = chain.held_by_server.get(replica.server, frozenset())
-    held_prefix = chain.held_prefix(replica.server)
-    frontiers = _frontiers(
-        held, copies_by_index, chain.block_count, request.block_bytes, links
-    )
-    wait_ms = replica.wait_ms()
-    for frontier in frontiers:
-        if frontier.blocks < held_prefix:
-            continue
-        reused = frontier.blocks * tokenizers.BLOCK_TOKENS
-        recompute = max(0, request.prompt_tokens - reused)
-        ready_ms = max(wait_ms, frontier.restore_ms)
-        first_token_ms = ready_ms + replica.compute_ms(recompute) + replica.distance_ms
-        link_bytes = len(frontier.restore) * request.block_bytes
-        weights = request.weights
-        cost = (
-            weights.first_token * first_token_ms * replica.correction
-            + weights.recomputed * recompute / TOKENS_PER_WEIGHT
-            + weights.link * link_bytes / BYTES_PER_MEBIBYTE
-        )
-        yield Plan(
-            replica.server,
-            frontier.blocks - len(frontier.restore),
-            frontier.restore,
-            recompute,
-            first_token_ms,
-            cost,
-            reason=(
-                f"wait={wait_ms:.0f}ms restore={frontier.restore_ms:.0f}ms "
-                f"recompute={recompute} correction={replica.correction:.2f}"
-            ),
-        )
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -103,6 +103,21 @@
             choose(policies.DEFAULT_POLICY, view(), nearly_idle).server,
         )
 
+    def test_a_large_deployment_is_narrowed_to_holders_idle_and_preferred(self) -> None:
+        replicas = [
+            builders.replica(ids.BackendServerName(f"s{number}"), 1000 * number)
+            for number in range(1, 500)
+        ]
+        holder = replicas[400]
+        chain = chain_view.ChainView(10, {holder.server: frozenset(range(10))})
+        request = builders.request()
+        few = policies.bounded_candidates(request, replicas, chain)
+        self.assertLessEqual(len(few), policies.MAX_CANDIDATES)
+        self.assertIn(holder, few)
+        self.assertIn(replicas[0], few)
+        others = policies.bounded_candidates(request, replicas[::-1], chain)
+        self.assertEqual({c.server for c in few}, {c.server for c in others})
+
 
 class BaselineTest(unittest.TestCase):
     def test_each_baseline_differs_as_its_name_says(self) -> None:
