Placement advisor: history, claims, evictions and prefetches beside a shard

The agent that keeps a prefix's directory entry sees every lookup of it, so that it can decide what a request writes and answer with the lookup, without messages of its own. Deciding at the entry was ruled out: it would need the history and the claims on the wire.

--- a/quincecrank/directory.py
+++ b/quincecrank/directory.py
@@ -14,7 +14,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Iterable, Sequence, Set
+from collections.abc import Iterable, Iterator, Mapping, Sequence, Set
 from typing import Final
 
 from quincecrank import chain_view, ids, rendezvous, sealed_block
@@ -70,6 +70,14 @@
     holder: Holder
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredChain:
+    """Copies of the blocks of one root in one tier of a store VM."""
+
+    root: ids.BlockKey
+    holders_by_key: Mapping[ids.BlockKey, StoreHolder]
+
+
 def responsible_agents(
     root: ids.BlockKey, agents: Iterable[ids.VmName]
 ) -> tuple[ids.VmName, ...]:
@@ -203,6 +211,21 @@
             len(keys), held_by_server, frozenset(doubtful), tuple(copies)
         )
 
+    def stored_chains(
+        self, store: ids.VmName, tier: ids.TierName
+    ) -> Iterator[StoredChain]:
+        """Yield the copies that one tier of a store VM keeps, by root."""
+        for root, chain in self._chains_by_root.items():
+            holders_by_key = {
+                ids.BlockKey(key.hex()): holder
+                for key, holders in chain.holders_by_key.items()
+                for holder in holders
+                if isinstance(holder, StoreHolder)
+                and (holder.store, holder.tier) == (store, tier)
+            }
+            if holders_by_key:
+                yield StoredChain(ids.BlockKey(root.hex()), holders_by_key)
+
     def _intern(self, holders: tuple[Holder, ...]) -> tuple[Holder, ...]:
         return self._interned.setdefault(holders, holders)
 
--- /dev/null
+++ b/quincecrank/placement_advisor.py
@@ -0,0 +1,161 @@
+"""Placement decisions at the agent that keeps a prefix's directory entry.
+
+Each lookup of a prompt passes this agent, so that it knows how the prefix returns
+and can see to it that each block is written once.
+"""
+
+import dataclasses
+import secrets
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Final
+
+from quincecrank import (
+    chain_view,
+    configuration,
+    directory,
+    ids,
+    placement,
+    return_history,
+    sealed_block,
+)
+
+PREFETCH_LEAD_SHARE: Final = 1 / 30
+"""Part of the period before a peak in which prefixes are fetched for it."""
+
+_WRITE_ID_BYTES: Final = 9
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a placement decision depends on besides the prompt.
+
+    Attributes
+    ----------
+    block_bytes : int
+        Size of one sealed block.
+    prefill_tokens_per_second : float
+        Speed at which a replica computes prompts.
+    tiers : tuple of TierState
+        Tiers that keep blocks of the deployment.
+    """
+
+    weights: configuration.PolicyWeights
+    block_bytes: int
+    prefill_tokens_per_second: float
+    tiers: tuple[placement.TierState, ...]
+
+
+class PlacementAdvisor:
+    """Aggregate of the history and the write claims of one directory shard.
+
+    Parameters
+    ----------
+    shard : DirectoryShard
+        The shard that this agent keeps.
+    period_ms : int
+        Time after which the load repeats itself.
+    """
+
+    def __init__(
+        self,
+        shard: directory.DirectoryShard,
+        period_ms: int = return_history.HOUR_MS,
+    ) -> None:
+        self._shard = shard
+        self._period_ms = period_ms
+        self._history = return_history.ReturnHistory(period_ms)
+        self._claims = placement.WriteClaims()
+        self._prefetched_for_ms = 0
+
+    def keep_plan(
+        self,
+        keys: tuple[ids.BlockKey, ...],
+        chain: chain_view.ChainView,
+        around: Surroundings,
+        now_ms: int,
+        wall_ms: int,
+    ) -> placement.KeepPlan:
+        """Record a lookup and return which blocks its request should write."""
+        if not keys:
+            return placement.KeepPlan((), "no whole block")
+        self._history.seen(keys, wall_ms)
+        request = placement.KeepRequest(
+            keys,
+            self._claims.grant(keys, chain, now_ms),
+            secrets.token_hex(_WRITE_ID_BYTES),
+            around.block_bytes,
+            around.prefill_tokens_per_second,
+            around.weights,
+        )
+        forecast = self._history.forecast(keys[0], wall_ms)
+        plan = placement.keep_plan(request, forecast, around.tiers)
+        kept = {copy.index for copy in plan.copies}
+        self._claims.release(
+            keys[index] for index in request.claimed if index not in kept
+        )
+        return plan
+
+    def stored(self, keys: Sequence[ids.BlockKey]) -> None:
+        """Release the claims on blocks whose copies have been announced."""
+        self._claims.release(keys)
+
+    def evictions(
+        self, tier: placement.TierState, block_bytes: int, wall_ms: int
+    ) -> tuple[chain_view.StoredBlock, ...]:
+        """Return the copies of this shard that a full tier should free.
+
+        Every shard frees its part of what is too much, so that together they free
+        enough without speaking to each other.
+        """
+        excess = tier.bytes_to_free()
+        if not excess:
+            return ()
+        prefixes = list(self._stored_prefixes(tier, wall_ms))
+        own_bytes = sum(len(prefix.copies) for prefix in prefixes) * block_bytes
+        own_excess = int(excess * min(1.0, own_bytes / tier.used_bytes))
+        return placement.choose_evictions(prefixes, own_excess, block_bytes)
+
+    def prefetches(
+        self,
+        cache_blocks_by_server: Mapping[ids.BackendServerName, int],
+        wall_ms: int,
+    ) -> tuple[placement.PrefetchOrder, ...]:
+        """Return what to import now; something only shortly before a learned peak."""
+        starts_in_ms = self._history.peak_starts_in(wall_ms)
+        lead_ms = self._period_ms * PREFETCH_LEAD_SHARE
+        if not starts_in_ms or starts_in_ms > lead_ms:
+            return ()
+        if wall_ms - self._prefetched_for_ms < 2 * lead_ms:
+            return ()
+        self._prefetched_for_ms = wall_ms
+        horizon_ms = int(starts_in_ms + 2 * lead_ms)
+        due = [
+            placement.DuePrefix(root, self._shard.lookup(self._history.chain(root)))
+            for root in self._history.due(wall_ms, horizon_ms)
+        ]
+        return placement.choose_prefetches(due, dict(cache_blocks_by_server))
+
+    def _stored_prefixes(
+        self, tier: placement.TierState, wall_ms: int
+    ) -> Iterator[placement.StoredPrefix]:
+        for stored in self._shard.stored_chains(tier.store, tier.tier):
+            order = self._history.chain(stored.root)
+            place_by_key = {key: place for place, key in enumerate(order)}
+            # Blocks behind the shared part are not expected back: they go first.
+            keys = sorted(
+                stored.holders_by_key,
+                key=lambda key: place_by_key.get(key, len(place_by_key)),
+            )
+            copies = tuple(
+                chain_view.StoredBlock(
+                    index,
+                    tier.store,
+                    sealed_block.BlockName(
+                        stored.root, key, stored.holders_by_key[key].write_id
+                    ).object_name(),
+                    tier.tier,
+                )
+                for index, key in enumerate(keys)
+            )
+            forecast = self._history.forecast(stored.root, wall_ms)
+            yield placement.StoredPrefix(stored.root, copies, forecast)
