Placement, prefetch, eviction and link budgets wired into agents and entries

The directory agent of a prefix decides with each lookup which blocks the request writes; writes and prefetches are paced by the link budget; freed copies are withdrawn first and deleted after the grace time.

--- a/quincecrank/agent.py
+++ b/quincecrank/agent.py
@@ -26,6 +26,7 @@
     directory_service,
     engine_client,
     ids,
+    link_budget,
     logs,
     membership,
     metrics,
@@ -33,11 +34,11 @@
     peer_link,
     peer_pool,
     platform_table,
+    prefetcher,
     process,
     registration,
     run_queue,
     runner,
-    sealed_block,
     service_backend,
     settings,
     status_server,
@@ -53,6 +54,8 @@
 STORE_TIMEOUT_MS: Final = 20_000
 CALL_TIMEOUT_MS: Final = 120_000
 REFRESH_INTERVAL_MS: Final = 250
+CHECK_REGISTRATION_INTERVAL_MS: Final = 30_000
+"""Time between two looks whether this is still the backend server's agent."""
 
 _LOG: Final = logs.logger("agent")
 
@@ -79,7 +82,7 @@
         self._settings = known
         self._clock = clocks.SystemClock()
         self._incarnation = ids.Incarnation(ids.random_id("i-"))
-        self._fencing_number = ids.FencingNumber(0)
+        self._registration: registration.Registration | None = None
         self._secret = settings.read_secret(known.peer.fleet_secret_file)
         self._background = tasks.BackgroundTasks()
         self._figures = metrics.AgentMetrics(known.backend_server.deployment)
@@ -101,6 +104,7 @@
         self._links: set[peer_link.PeerLink] = set()
         self._queue = run_queue.RunQueue(limit=1, max_waiting=known.max_queue)
         self._cache: cache_watch.CacheWatch | None = None
+        self._mover: block_mover.BlockMover | None = None
         self._build_peers()
         self._backend = self._build_backend()
         self._streams = runner.Runner(self._backend, self._queue, self._clock)
@@ -112,6 +116,7 @@
             self._queue,
             self._streams,
             self._shard,
+            self._prefetch,
             self._clock,
         )
         self._pool.owner = self._service
@@ -144,6 +149,17 @@
             self._members,
             self._directory_agents,
             self._announcer,
+            self._shard,
+            self._clock,
+        )
+        self._shard.around = self._stores.around
+        self._prefetcher = prefetcher.Prefetcher(
+            known.vm_name,
+            known.backend_server.deployment,
+            self._shard.advisor,
+            self._members,
+            self._directory_agents,
+            self._pool.links_by_name,
             self._clock,
         )
         self._known_directory_agents: tuple[ids.VmName, ...] = ()
@@ -158,7 +174,7 @@
         self._cache = cache_watch.CacheWatch(
             engine, server.name, self._announcer, self._clock
         )
-        mover = block_mover.BlockMover(
+        self._mover = block_mover.BlockMover(
             engine,
             self._members,
             self._secret,
@@ -168,7 +184,7 @@
             self._clock,
         )
         return model_backend.ModelBackend(
-            engine, mover, self._cache, lambda: self._fencing_number, self._clock
+            engine, self._mover, self._cache, self._fencing_number, self._clock
         )
 
     async def start(self) -> None:
@@ -186,6 +202,8 @@
             (self._refresh, REFRESH_INTERVAL_MS),
             (self._announcer.flush, directory_client.FLUSH_INTERVAL_MS),
             (self._stores.check, store_watch.CHECK_INTERVAL_MS),
+            (self._prefetcher.check, prefetcher.CHECK_INTERVAL_MS),
+            (self._check_registration, CHECK_REGISTRATION_INTERVAL_MS),
         ):
             work = peer_link.repeat(action, interval_ms, self._clock)
             self._background.start(work)
@@ -233,11 +251,17 @@
             name=self._settings.vm_name,
             incarnation=self._incarnation,
             data_centre=self._settings.data_centre,
-            fencing_number=self._fencing_number,
+            fencing_number=self._fencing_number(),
             backend_server=server.name,
             deployment=server.deployment,
         )
 
+    def _fencing_number(self) -> ids.FencingNumber:
+        """Return the number taken at this start, 0 before it is taken."""
+        if self._registration is None:
+            return ids.FencingNumber(0)
+        return self._registration.fencing_number
+
     async def _register(self) -> None:
         """Take a fencing number; links made before it are made anew."""
         identity = registration.AgentIdentity(
@@ -248,7 +272,7 @@
         )
         while True:
             try:
-                registered = await registration.register(self._table, identity)
+                self._registration = await registration.register(self._table, identity)
                 break
             except (
                 platform_table.TableUnavailableError,
@@ -256,13 +280,15 @@
             ) as error:
                 _LOG.warning("not registered yet", reason=str(error))
                 await self._clock.sleep(REGISTER_INTERVAL_MS)
-        self._fencing_number = registered.fencing_number
-        _LOG.info("registered", fencing_number=registered.fencing_number)
+        _LOG.info("registered", fencing_number=self._fencing_number())
         for link in tuple(self._links):
             link.close()
 
     async def _refresh_members(self) -> None:
         await self._members.refresh()
+        own = self._members.vms_by_name.get(self._settings.vm_name)
+        leaving = own is not None and own.state is vm_list.VmState.LEAVING
+        self._service.platform_says_leaving(leaving)
         agents = self._directory_agents()
         self._pool.want(
             self._members.vms_by_name[name]
@@ -277,6 +303,12 @@
 
     async def _refresh(self) -> None:
         self._service.refresh()
+        state = self._backend.load()
+        self._stores.prefill_tokens_per_second = state.prefill_tokens_per_second
+        if self._mover is not None:
+            self._stores.block_bytes = (
+                self._mover.block_bytes or block_mover.ASSUMED_BLOCK_BYTES
+            )
         self._figures.running.set(self._queue.running)
         self._figures.waiting.set(self._queue.waiting)
 
@@ -287,10 +319,21 @@
         )
 
     def _block_stored(self, copy: chain_view.StoredBlock) -> None:
-        name = sealed_block.BlockName.parse(copy.object_name)
-        if name is not None:
-            news = self._stores.announcement(copy.store, copy.tier, name)
-            self._announcer.announce([news])
+        self._announcer.announce([self._stores.announcement(copy)])
+
+    async def _prefetch(self, copies: tuple[chain_view.StoredBlock, ...]) -> None:
+        if self._mover is not None:
+            version = self._backend.load().weight_version
+            kind = link_budget.TransferKind.PREFETCH
+            await self._mover.restore(copies, version, kind)
+
+    async def _check_registration(self) -> None:
+        """Stop taking work when a newer agent has registered."""
+        if self._registration is None:
+            return
+        currency = await registration.still_current(self._table, self._registration)
+        if currency is registration.Currency.SUPERSEDED:
+            self._service.superseded()
 
     def _is_ready(self) -> bool:
         return self._current.version > 0 and self._backend.load().healthy
--- a/quincecrank/agent_service.py
+++ b/quincecrank/agent_service.py
@@ -1,10 +1,11 @@
 """What an agent does with the packets and calls of its peers."""
 
+from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
 from quincecrank import backend as backends
-from quincecrank import clock as clocks
 from quincecrank import (
+    chain_view,
     configuration,
     configuration_sync,
     current_configuration,
@@ -19,6 +20,10 @@
     tasks,
     wire,
 )
+from quincecrank import clock as clocks
+
+Prefetch = Callable[[tuple[chain_view.StoredBlock, ...]], Coroutine[Any, Any, None]]
+"""Imports blocks into the engine."""
 
 _LOG: Final = logs.logger("agent-service")
 
@@ -32,6 +37,8 @@
         Deployment of the backend server beside this agent.
     vm : VmName
         VM of this agent, which operators may drain.
+    prefetch : callable
+        Imports blocks that are expected soon.
     """
 
     def __init__(
@@ -43,9 +50,11 @@
         queue: run_queue.RunQueue,
         streams: runner.Runner,
         shard: directory_service.DirectoryService,
+        prefetch: Prefetch,
         clock: clocks.Clock,
     ) -> None:
         self._vm = vm
+        self._prefetch = prefetch
         self._deployment = deployment
         self._current = current
         self._sync = configuration_sync.ConfigurationSync(current)
@@ -56,6 +65,7 @@
         self._clock = clock
         self._tasks = tasks.BackgroundTasks()
         self._platform_leaving = False
+        self._superseded = False
         self._stopping = False
 
     def make_heartbeat(self) -> Any:
@@ -103,13 +113,22 @@
                 return self._sync.rows(body)
             case rpc.Method.RUNNING:
                 return rpc.RunningReply(rows=self._streams.rows())
-            case rpc.Method.DRAIN:
-                request = rpc.DrainRequest.model_validate_json(body)
-                self._platform_leaving = request.leaving
-                self.refresh()
+            case rpc.Method.PREFETCH:
+                request = rpc.PrefetchRequest.model_validate_json(body)
+                self._tasks.start(self._prefetch(request.copies))
                 return rpc.Empty()
         return self._shard.answer(method, body)
 
+    def platform_says_leaving(self, leaving: bool) -> None:
+        """Take the state that the platform's list gives this VM."""
+        self._platform_leaving = leaving
+        self.refresh()
+
+    def superseded(self) -> None:
+        """Take no more work, since a newer agent serves the backend server."""
+        self._superseded = True
+        self.refresh()
+
     def refresh(self) -> None:
         """Apply the current configuration and the reasons to leave."""
         known = self._current.in_force
@@ -122,6 +141,8 @@
             reason = "the agent is shutting down"
         elif self._vm in known.drains_by_vm:
             reason = "an operator drains the VM"
+        elif self._superseded:
+            reason = "a newer agent serves the backend server"
         elif self._platform_leaving:
             reason = "the platform takes the VM away"
         if reason != self._streams.leaving:
--- a/quincecrank/block_mover.py
+++ b/quincecrank/block_mover.py
@@ -3,7 +3,8 @@
 A restore reads a sealed object, checks all of it and only then imports it; what
 fails is recomputed by the engine.  A write seals the exported payload under a name
 that was never used before and announces it to the directory after the store has
-confirmed it.
+confirmed it.  Restores that a caller waits for start at once; prefetches and writes
+are paced by the budget of the link.
 """
 
 import asyncio
@@ -18,6 +19,7 @@
     engine_client,
     engine_messages,
     ids,
+    link_budget,
     logs,
     metrics,
     object_client,
@@ -28,6 +30,12 @@
 RESTORE_PARALLEL: Final = 4
 """Objects of one prompt that are read at once."""
 
+ASSUMED_BLOCK_BYTES: Final = 64 * 1024
+"""Size of a sealed block before one has been seen."""
+
+RESTORES_FIRST_WAIT_MS: Final = 20
+"""Time between two looks whether restores have left the link."""
+
 _LOG: Final = logs.logger("block-mover")
 
 
@@ -70,6 +78,11 @@
         Returns the tiers of the current configuration by name.
     stored : callable
         Called with each block that a store has confirmed.
+
+    Attributes
+    ----------
+    block_bytes : int
+        Size of the last sealed block, 0 before the first one.
     """
 
     def __init__(
@@ -90,22 +103,28 @@
         self._figures = figures
         self._clock = clock
         self._kept_now: set[ids.BlockKey] = set()
+        self._budgets: dict[tuple[ids.VmName, ids.TierName], link_budget.LinkBudget]
+        self._budgets = {}
+        self.block_bytes = 0
 
     async def restore(
-        self, copies: tuple[chain_view.StoredBlock, ...], version: ids.WeightVersion
+        self,
+        copies: tuple[chain_view.StoredBlock, ...],
+        version: ids.WeightVersion,
+        kind: link_budget.TransferKind = link_budget.TransferKind.RESTORE,
     ) -> RestoreOutcome:
         """Import `copies` into the engine as far as they can be read and verified."""
         started_ms = self._clock.now_ms()
         slots = asyncio.Semaphore(RESTORE_PARALLEL)
 
-        async def restore_one(copy: chain_view.StoredBlock) -> tuple[bool, int]:
+        async def restore_one(copy: chain_view.StoredBlock) -> RestoreOutcome:
             async with slots:
-                return await self._restore_block(copy, version)
+                return await self._restore_block(copy, version, kind)
 
         results = await asyncio.gather(*(restore_one(copy) for copy in copies))
         return RestoreOutcome(
-            blocks=sum(done for done, _ in results),
-            link_bytes=sum(size for _, size in results),
+            blocks=sum(result.blocks for result in results),
+            link_bytes=sum(result.link_bytes for result in results),
             duration_ms=self._clock.now_ms() - started_ms,
         )
 
@@ -124,31 +143,55 @@
                 self._kept_now.discard(name.key)
 
     async def _restore_block(
-        self, copy: chain_view.StoredBlock, version: ids.WeightVersion
-    ) -> tuple[bool, int]:
-        store = self._stores.store(copy.store, copy.tier)
+        self,
+        copy: chain_view.StoredBlock,
+        version: ids.WeightVersion,
+        kind: link_budget.TransferKind,
+    ) -> RestoreOutcome:
         name = sealed_block.BlockName.parse(copy.object_name)
-        if store is None or name is None:
-            return False, 0
-        try:
-            data = await store.get(copy.object_name)
-        except (object_client.ObjectMissingError, object_client.ObjectStoreError) as e:
-            self._log_failure("restore failed", copy, e)
-            return False, 0
-        self._figures.count_link(copy.tier, metrics.Direction.READ, len(data))
+        data = await self._read(copy, kind)
+        if name is None or data is None:
+            return RestoreOutcome()
+        failed = RestoreOutcome(link_bytes=len(data))
         identity = sealed_block.BlockIdentity(name.key, copy.object_name, version)
         opened = sealed_block.open_sealed(self._secret, identity, data)
         if opened.is_error():
             self._log_failure("sealed block refused", copy, opened.error.value)
-            return False, len(data)
+            return failed
+        self.block_bytes = len(data)
+        engine_name = block_keys.engine_name(name.root, name.key)
         try:
-            await self._engine.import_block(
-                block_keys.engine_name(name.root, name.key), opened.ok, version
-            )
-        except engine_messages.EngineError as e:
-            self._log_failure("import failed", copy, e)
-            return False, len(data)
-        return True, len(data)
+            await self._engine.import_block(engine_name, opened.ok, version)
+        except engine_messages.EngineError as error:
+            self._log_failure("import failed", copy, error)
+            return failed
+        return RestoreOutcome(blocks=1, link_bytes=len(data))
+
+    async def _read(
+        self, copy: chain_view.StoredBlock, kind: link_budget.TransferKind
+    ) -> bytes | None:
+        """Return the content of an object, None when it cannot be had."""
+        store = self._stores.store(copy.store, copy.tier)
+        budget = self._budget(copy)
+        if store is None or budget is None:
+            return None
+        await self._wait_turn(budget, kind)
+        started_ms = self._clock.now_ms()
+        budget.started(kind, self.block_bytes, started_ms)
+        size_bytes = 0
+        try:
+            data = await store.get(copy.object_name)
+            size_bytes = len(data)
+        except (
+            object_client.ObjectMissingError,
+            object_client.ObjectStoreError,
+        ) as error:
+            self._log_failure("restore failed", copy, error)
+            return None
+        finally:
+            budget.ended(kind, size_bytes, self._clock.now_ms() - started_ms)
+        self._figures.count_link(copy.tier, metrics.Direction.READ, size_bytes)
+        return data
 
     async def _keep_block(
         self,
@@ -158,8 +201,11 @@
     ) -> None:
         store = self._stores.store(copy.store, copy.tier)
         tier = self._tiers().get(copy.tier)
-        if store is None or tier is None:
+        budget = self._budget(copy)
+        if store is None or tier is None or budget is None:
             return
+        kind = link_budget.TransferKind.WRITE_BACK
+        await self._wait_turn(budget, kind)
         try:
             engine_name = block_keys.engine_name(name.root, name.key)
             exported = await self._engine.export_block(engine_name)
@@ -167,14 +213,22 @@
                 return
             identity = sealed_block.BlockIdentity(name.key, copy.object_name, version)
             data = sealed_block.seal(self._secret, identity, exported.data)
-            await store.put(copy.object_name, data, tier.kind)
-        except (engine_messages.EngineError, object_client.ObjectStoreError) as e:
-            self._log_failure("write to store failed", copy, e)
+            started_ms = self._clock.now_ms()
+            budget.started(kind, len(data), started_ms)
+            try:
+                await store.put(copy.object_name, data, tier.kind)
+            finally:
+                budget.ended(kind, len(data), self._clock.now_ms() - started_ms)
+        except (
+            engine_messages.EngineError,
+            object_client.ObjectStoreError,
+        ) as error:
+            self._log_failure("write to store failed", copy, error)
             return
+        self.block_bytes = len(data)
         self._figures.count_link(copy.tier, metrics.Direction.WRITE, len(data))
         _LOG.info(
-            "block placed",
-            decision="placement",
+            "block written",
             store=copy.store,
             tier=copy.tier,
             object_name=copy.object_name,
@@ -182,6 +236,30 @@
         )
         self._stored(copy)
 
+    async def _wait_turn(
+        self, budget: link_budget.LinkBudget, kind: link_budget.TransferKind
+    ) -> None:
+        """Wait until the budget lets a transfer start."""
+        while True:
+            delay_ms = budget.delay_ms(kind, self._clock.now_ms())
+            if delay_ms == 0:
+                return
+            wait_ms = RESTORES_FIRST_WAIT_MS if delay_ms is None else delay_ms
+            await self._clock.sleep(wait_ms)
+
+    def _budget(self, copy: chain_view.StoredBlock) -> link_budget.LinkBudget | None:
+        tier = self._tiers().get(copy.tier)
+        if tier is None:
+            return None
+        place = (copy.store, copy.tier)
+        budget = self._budgets.get(place)
+        if budget is None:
+            budget = link_budget.LinkBudget(
+                tier.link_bytes_per_second, self._clock.now_ms()
+            )
+            self._budgets[place] = budget
+        return budget
+
     def _log_failure(
         self, event: str, copy: chain_view.StoredBlock, reason: object
     ) -> None:
--- a/quincecrank/completion_dispatch.py
+++ b/quincecrank/completion_dispatch.py
@@ -20,7 +20,6 @@
     admission_gate,
     agent_links,
     block_keys,
-    chain_view,
     crash_counts,
     directory_lookup,
     ids,
@@ -28,11 +27,11 @@
     logs,
     metrics,
     model_backend,
-    placement_rules,
     problems,
     request_context,
     retry_budgets,
     router,
+    rpc,
     stream_messages,
     tokenizers,
 )
@@ -54,7 +53,7 @@
     sink: "_FirstTokenSink"
     prompt_tokens: int
     keys: tuple[ids.BlockKey, ...]
-    chain: chain_view.ChainView
+    known: rpc.LookupReply
     queue: admission.AdmissionQueue
     excluded: frozenset[ids.BackendServerName] = frozenset()
     attempt_count: int = 0
@@ -132,13 +131,15 @@
         try:
             timeout_s = context.left_ms(self._clock) / clocks.MS_PER_SECOND
             async with asyncio.timeout(timeout_s):
-                chain = await self._lookup.lookup(context, keys)
+                known = await self._lookup.lookup(
+                    context, keys, may_keep=self._routes.policy.uses_tiers
+                )
                 self._refuse_crasher(context)
                 async with self._gate.admitted(
                     context, request.adapter, prompt_tokens
                 ) as queue:
                     progress = _Progress(
-                        context, request, timed, prompt_tokens, keys, chain, queue
+                        context, request, timed, prompt_tokens, keys, known, queue
                     )
                     end = await self._attempts(progress)
         except TimeoutError:
@@ -196,7 +197,7 @@
                 context,
                 progress.request.adapter,
                 progress.prompt_tokens,
-                progress.chain,
+                progress.known.chain,
                 progress.keys[0] if progress.keys else None,
                 progress.excluded,
                 alone=self._lookup.crash_count(context) > 0,
@@ -220,6 +221,9 @@
                 outcome = await attempt.outcome()
             finally:
                 self._links.close(route.state, attempt)
+            if outcome.end is not None:
+                sent_id = ids.RequestId(order.attempt_id)
+                self._routes.restore_ended(sent_id, outcome.end.restore_ms)
         if outcome.end is not None and progress.sink.data_frames == before:
             outcome = attempts.Outcome(
                 attempts.OutcomeKind.BROKEN, reason="the answer is empty"
@@ -240,7 +244,7 @@
         route.state.breaker.sent(now_ms)
         route.state.estimates.sent(sent_id, route.plan, now_ms)
         route.state.suspects += is_suspect
-        self._routes.restore_started(route.plan)
+        self._routes.restore_started(sent_id, route.plan)
         progress.sink.on_next = functools.partial(
             self._first_token, progress, route, sent_id
         )
@@ -250,7 +254,7 @@
         finally:
             progress.sink.on_next = None
             route.state.suspects -= is_suspect
-            self._routes.restore_ended(route.plan)
+            self._routes.restore_ended(sent_id)
             route.state.estimates.ended(sent_id, self._clock.now_ms())
 
     def _first_token(
@@ -267,11 +271,6 @@
         request = progress.request
         deployment = context.deployment
         limit = min(request.max_tokens or deployment.max_tokens, deployment.max_tokens)
-        keep: tuple[chain_view.StoredBlock, ...] = ()
-        if self._routes.policy.uses_tiers:
-            keep = placement_rules.blocks_to_keep(
-                progress.keys, progress.chain, self._routes.tiers_of(deployment)
-            )
         work = stream_messages.Completion(
             model=request.model,
             prompt=request.prompt,
@@ -284,7 +283,7 @@
             streamed=request.streamed,
             include_usage=request.include_usage,
             restore=route.plan.restore,
-            keep=keep,
+            keep=progress.known.keep,
             resume_after=progress.sink.data_frames if request.streamed else 0,
         )
         return stream_messages.StreamOrder(
--- a/quincecrank/directory_lookup.py
+++ b/quincecrank/directory_lookup.py
@@ -40,10 +40,16 @@
         self.crashes = crash_counts.CrashCounts()
 
     async def lookup(
-        self, context: request_context.RequestContext, keys: tuple[ids.BlockKey, ...]
-    ) -> chain_view.ChainView:
-        """Return where the blocks of a prompt are; learns its crashes as well."""
-        request = rpc.LookupRequest(block_keys=keys, request=context.crash_key())
+        self,
+        context: request_context.RequestContext,
+        keys: tuple[ids.BlockKey, ...],
+        *,
+        may_keep: bool,
+    ) -> rpc.LookupReply:
+        """Return what the directory knows of a prompt; learns its crashes as well."""
+        request = rpc.LookupRequest(
+            block_keys=keys, request=context.crash_key(), may_keep=may_keep
+        )
         for link in self._responsible(context, keys):
             try:
                 reply = await link.call(
@@ -56,8 +62,8 @@
                 _LOG.info("lookup failed", peer=link.peer.name, reason=str(error))
                 continue
             self.crashes.merge(reply.crashes)
-            return reply.chain
-        return chain_view.empty(len(keys))
+            return reply
+        return rpc.LookupReply(chain=chain_view.empty(len(keys)))
 
     async def report_crash(
         self,
--- a/quincecrank/plain_dispatch.py
+++ b/quincecrank/plain_dispatch.py
@@ -94,7 +94,7 @@
         timeout_s = context.left_ms(self._clock) / clocks.MS_PER_SECOND
         try:
             async with asyncio.timeout(timeout_s):
-                await self._lookup.lookup(context, ())
+                await self._lookup.lookup(context, (), may_keep=False)
                 if self._lookup.crash_count(context) >= crash_counts.CRASH_LIMIT:
                     raise problems.ProblemError(_crasher())
                 async with self._gate.admitted(context, _NO_ADAPTER, 0):
--- a/quincecrank/router.py
+++ b/quincecrank/router.py
@@ -9,6 +9,7 @@
     configuration,
     current_configuration,
     ids,
+    link_budget,
     logs,
     membership,
     policies,
@@ -18,7 +19,6 @@
 )
 from quincecrank import clock as clocks
 
-LINK_OVERHEAD_MS: Final = 2.0
 DEFAULT_BLOCK_BYTES: Final = 64 * 1024
 _BLOCK_SMOOTHING: Final = 0.2
 
@@ -48,7 +48,7 @@
         self._members = members
         self._current = current
         self._clock = clock
-        self._restoring_bytes: dict[tuple[ids.VmName, ids.TierName], int] = {}
+        self._estimates = link_budget.LinkEstimates()
         self.policy = policy
         self.block_bytes = DEFAULT_BLOCK_BYTES
 
@@ -121,13 +121,17 @@
         tiers_by_name = self._current.in_force.tiers_by_name
         return tuple(tiers_by_name[t] for t in deployment.tiers if t in tiers_by_name)
 
-    def restore_started(self, plan: routing.Plan) -> None:
-        """Count the bytes that a plan takes from the links."""
-        self._count_restore(plan, self.block_bytes)
+    def restore_started(self, sent_id: ids.RequestId, plan: routing.Plan) -> None:
+        """Count the bytes that an attempt takes from the links."""
+        self._estimates.planned(
+            sent_id, plan.restore, self.block_bytes, self._clock.now_ms()
+        )
 
-    def restore_ended(self, plan: routing.Plan) -> None:
-        """Give the bytes of a plan back."""
-        self._count_restore(plan, -self.block_bytes)
+    def restore_ended(
+        self, sent_id: ids.RequestId, duration_ms: float | None = None
+    ) -> None:
+        """Give the bytes of an attempt back; learn from its time when it is known."""
+        self._estimates.restored(sent_id, duration_ms)
 
     def restored(self, blocks: int, link_bytes: int) -> None:
         """Learn the size of a sealed block from a restore."""
@@ -135,12 +139,6 @@
             observed = link_bytes // blocks
             self.block_bytes += int(_BLOCK_SMOOTHING * (observed - self.block_bytes))
 
-    def _count_restore(self, plan: routing.Plan, size_bytes: int) -> None:
-        for copy in plan.restore:
-            place = (copy.store, copy.tier)
-            waiting = self._restoring_bytes.get(place, 0)
-            self._restoring_bytes[place] = max(0, waiting + size_bytes)
-
     def _is_leaving(self, name: ids.VmName) -> bool:
         vm = self._members.vms_by_name.get(name)
         return vm is not None and vm.state is vm_list.VmState.LEAVING
@@ -160,18 +158,17 @@
     def _link_states(
         self, deployment: configuration.Deployment
     ) -> tuple[routing.LinkState, ...]:
-        tiers = self.tiers_of(deployment)
+        """Return the links of the deployment's tiers on stores that are there."""
+        names = {tier.name for tier in self.tiers_of(deployment)}
+        for tier in self.tiers_of(deployment):
+            for store in tier.stores:
+                self._estimates.set_link(store, tier.name, tier.link_bytes_per_second)
         return tuple(
-            routing.LinkState(
-                store=store,
-                tier=tier.name,
-                bytes_per_second=tier.link_bytes_per_second,
-                waiting_bytes=self._restoring_bytes.get((store, tier.name), 0),
-                overhead_ms=LINK_OVERHEAD_MS,
-            )
-            for tier in tiers
-            for store in tier.stores
-            if store in self._members.vms_by_name and not self._is_leaving(store)
+            link
+            for link in self._estimates.states()
+            if link.tier in names
+            and link.store in self._members.vms_by_name
+            and not self._is_leaving(link.store)
         )
 
     def _log(
--- a/quincecrank/rpc.py
+++ b/quincecrank/rpc.py
@@ -16,8 +16,7 @@
     DIRECTORY_LOOKUP = "directory-lookup"
     DIRECTORY_ANNOUNCE = "directory-announce"
     CRASH_REPORT = "crash-report"
-    DRAIN = "drain"
-    ORDER = "order"
+    PREFETCH = "prefetch"
     RUNNING = "running"
 
 
@@ -43,17 +42,32 @@
 
 
 class LookupRequest(configuration.FrozenModel):
-    """Asks where the blocks of one prompt are and how often it crashed an engine."""
+    """Asks where the blocks of one prompt are and how often it crashed an engine.
+
+    Attributes
+    ----------
+    may_keep : bool
+        Whether the request is a return of the prompt and may write its blocks.
+    """
 
     block_keys: tuple[ids.BlockKey, ...]
     request: crash_counts.RequestFingerprint
+    may_keep: bool = False
 
 
 class LookupReply(configuration.FrozenModel):
-    """What the directory knows; a hint, never relied on for correctness."""
+    """What the directory knows; a hint, never relied on for correctness.
+
+    Attributes
+    ----------
+    keep : tuple of StoredBlock
+        Blocks that this request should write to stores after its run, under these
+        names.
+    """
 
     chain: chain_view.ChainView
     crashes: tuple[crash_counts.CrashRecord, ...] = ()
+    keep: tuple[chain_view.StoredBlock, ...] = ()
 
 
 class AnnounceRequest(configuration.FrozenModel):
@@ -83,17 +97,10 @@
     records: tuple[crash_counts.CrashRecord, ...]
 
 
-class DrainRequest(configuration.FrozenModel):
-    """Tells an agent that its VM is leaving, or no longer is."""
-
-    leaving: bool
-    reason: str
-
-
-class OrderRequest(configuration.FrozenModel):
-    """States the weight version that a backend server should run."""
+class PrefetchRequest(configuration.FrozenModel):
+    """Asks an agent to import blocks that are expected to be needed soon."""
 
-    weight_version: ids.WeightVersion
+    copies: tuple[chain_view.StoredBlock, ...]
 
 
 class RunningRow(configuration.FrozenModel):
