--- /dev/null
+++ b/quincecrank/attempt_backlog.py
@@ -0,0 +1,212 @@
+"""Writes to request records that wait until the platform's table takes them.
+
+Two kinds wait: outcomes of requests that ran, and withdrawals of claims that never
+will.  The backlog is bounded; a write that doesn't fit is dropped, which leaves the
+record started, so that readers conclude that the outcome is unknown.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+from typing import Final
+
+import pydantic
+import structlog
+
+from quincecrank import attempt_records, ids, platform_table
+
+MAX_PENDING_WRITES: Final = 4096
+MAX_PENDING_BYTES: Final = 8 * 1024 * 1024
+
+_REQUESTS: Final = platform_table.TableName.REQUESTS
+_CANCEL_TRIES: Final = 5
+
+_log = structlog.get_logger()
+
+ClaimTest = Callable[[str], bool]
+"""Tells of a claim id whether the calling process will never run that claim."""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Outcome:
+    """The outcome of a claim."""
+
+    identity: attempt_records.RequestIdentity
+    stored: attempt_records.StoredRecord
+    outcome: attempt_records.Outcome
+
+    @property
+    def size(self) -> int:
+        return len(self.outcome.body)
+
+    async def write(
+        self, table: platform_table.PlatformTable, is_withdrawn: ClaimTest
+    ) -> None:
+        finished = self.stored.record.finished(self.outcome)
+        row = await platform_table.replace_confirmed(
+            table,
+            _REQUESTS,
+            self.identity.row_key,
+            finished.model_dump_json(),
+            self.stored.revision,
+        )
+        record = attempt_records.parse_row(row).record
+        if record.claim_id != finished.claim_id:
+            _log.error("request record changed under its claim", record=record)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Withdrawal:
+    """A claim that has not run and never will."""
+
+    identity: attempt_records.RequestIdentity
+    record: attempt_records.RequestRecord
+    size: int = 0
+
+    async def write(
+        self, table: platform_table.PlatformTable, is_withdrawn: ClaimTest
+    ) -> None:
+        attempt_ids = (self.record.attempt_id,)
+        await write_cancelled(table, self.identity, attempt_ids, is_withdrawn)
+
+
+class Backlog:
+    """Pending writes of one agent process, at most one for each claim."""
+
+    def __init__(self, table: platform_table.PlatformTable) -> None:
+        self._table = table
+        self._pending_by_claim: dict[str, _Outcome | _Withdrawal] = {}
+        self._bytes = 0
+        self._added = asyncio.Event()
+
+    def __len__(self) -> int:
+        """Return the number of pending writes."""
+        return len(self._pending_by_claim)
+
+    def add_outcome(
+        self,
+        identity: attempt_records.RequestIdentity,
+        stored: attempt_records.StoredRecord,
+        outcome: attempt_records.Outcome,
+    ) -> None:
+        """Add the outcome of a claim."""
+        self._add(stored.record.claim_id, _Outcome(identity, stored, outcome))
+
+    def add_withdrawal(
+        self,
+        identity: attempt_records.RequestIdentity,
+        record: attempt_records.RequestRecord,
+    ) -> None:
+        """Add a claim that has not run and never will."""
+        self._add(record.claim_id, _Withdrawal(identity, record))
+
+    def is_withdrawn(self, claim_id: str) -> bool:
+        """Tell whether this claim's withdrawal is pending."""
+        return isinstance(self._pending_by_claim.get(claim_id), _Withdrawal)
+
+    async def wait_for_writes(self) -> None:
+        """Wait until a write is pending."""
+        while not self._pending_by_claim:
+            self._added.clear()
+            await self._added.wait()
+
+    async def flush(self) -> None:
+        """Try each pending write once; stop at the first that fails."""
+        for claim_id in tuple(self._pending_by_claim):
+            if not await self.flush_claim(claim_id):
+                return
+
+    async def flush_claim(self, claim_id: str) -> bool:
+        """Try the pending write of one claim; return False if the table failed."""
+        pending = self._pending_by_claim.get(claim_id)
+        if pending is None:
+            return True
+        try:
+            await pending.write(self._table, self.is_withdrawn)
+        except (
+            platform_table.TableUnavailableError,
+            platform_table.OutcomeUnknownError,
+        ):
+            self._move_to_end(claim_id)
+            return False
+        except pydantic.ValidationError as error:
+            _log.error("request record is malformed", error=str(error))
+        self._remove(claim_id)
+        return True
+
+    def _add(self, claim_id: str, write: _Outcome | _Withdrawal) -> None:
+        is_full = len(self._pending_by_claim) >= MAX_PENDING_WRITES
+        if is_full or self._bytes + write.size > MAX_PENDING_BYTES:
+            _log.warning("backlog is full; the request's outcome stays unknown")
+            return
+        self._pending_by_claim[claim_id] = write
+        self._bytes += write.size
+        self._added.set()
+
+    def _remove(self, claim_id: str) -> None:
+        removed = self._pending_by_claim.pop(claim_id, None)
+        if removed is not None:
+            self._bytes -= removed.size
+
+    def _move_to_end(self, claim_id: str) -> None:
+        if claim_id in self._pending_by_claim:
+            write = self._pending_by_claim.pop(claim_id)
+            self._pending_by_claim[claim_id] = write
+
+
+def _none_withdrawn(claim_id: str) -> bool:
+    return False
+
+
+async def write_cancelled(
+    table: platform_table.PlatformTable,
+    identity: attempt_records.RequestIdentity,
+    attempt_ids: tuple[ids.AttemptId, ...],
+    is_withdrawn: ClaimTest = _none_withdrawn,
+) -> attempt_records.RequestRecord:
+    """Cancel attempts, unless the request has a claim, and return the record.
+
+    The caller learns from the returned record whether its attempts are listed as
+    cancelled.
+
+    Parameters
+    ----------
+    is_withdrawn : ClaimTest
+        Withdrawn claims are cancelled, too.  A withdrawal must not pass over the
+        row of another withdrawn claim: its own take-over of that row may still be
+        on its way and is ruled out only by the row's next revision.
+
+    Raises
+    ------
+    TableUnavailableError, OutcomeUnknownError
+        If the record can't be confirmed.
+    """
+    record = attempt_records.new_cancelled(identity, attempt_ids)
+    row = await platform_table.insert_confirmed(
+        table, _REQUESTS, identity.row_key, record.model_dump_json()
+    )
+    for _ in range(_CANCEL_TRIES):
+        stored = attempt_records.parse_row(row)
+        record = stored.record
+        if record.fingerprint != identity.fingerprint:
+            return record
+        if record.lists_cancelled(attempt_ids) or not _is_free(record, is_withdrawn):
+            return record
+        cancelled = record.with_cancelled(attempt_ids)
+        if cancelled is None:
+            return record
+        row = await platform_table.replace_confirmed(
+            table,
+            _REQUESTS,
+            identity.row_key,
+            cancelled.model_dump_json(),
+            stored.revision,
+        )
+    raise platform_table.OutcomeUnknownError("too many claims at once")
+
+
+def _is_free(record: attempt_records.RequestRecord, is_withdrawn: ClaimTest) -> bool:
+    if record.state is attempt_records.RequestState.CANCELLED:
+        return True
+    is_started = record.state is attempt_records.RequestState.STARTED
+    return is_started and is_withdrawn(record.claim_id)
--- /dev/null
+++ b/quincecrank/attempt_records.py
@@ -0,0 +1,227 @@
+"""Records of non-idempotent requests: one for each idempotency key of an account.
+
+States
+------
+started
+    An agent has claimed the request and may run it, has run it, or is gone.
+cancelled
+    No claim so far has run or ever will; a further attempt may claim the request.
+finished
+    The request ran; the record keeps its outcome.
+unknown
+    Never stored.  What a reader concludes from a started record whose agent is
+    gone or whose deadline has passed.
+
+A started record is changed only by the agent process that made the claim.  A
+cancelled record lists the attempts that must not run any more, so that a delayed
+or replayed attempt which was answered as not run can't claim the request later.
+"""
+
+import dataclasses
+import enum
+from typing import Final
+from urllib import parse
+
+import pydantic
+
+from quincecrank import ids, platform_table
+
+MAX_OUTCOME_BODY_BYTES: Final = 32 * 1024
+"""Largest body of an answer that a record keeps."""
+
+MAX_CANCELLED_ATTEMPTS: Final = 64
+"""Cancelled attempts that a record lists; then the key admits no attempt more."""
+
+
+class RequestState(enum.Enum):
+    """State of a request, see the module's description."""
+
+    STARTED = "started"
+    CANCELLED = "cancelled"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestIdentity:
+    """What makes two requests the same.
+
+    Attributes
+    ----------
+    account : AccountName
+        Client account that sent the request.
+    idempotency_key : str
+        Key that the caller chose; unique within the account.
+    fingerprint : str
+        Digest of the request, to detect the reuse of a key.
+    """
+
+    account: ids.AccountName
+    idempotency_key: str
+    fingerprint: str
+
+    @property
+    def row_key(self) -> platform_table.RowKey:
+        """Return the key of the record's row; accounts can't reach each other's."""
+        account = parse.quote(self.account, safe="")
+        return platform_table.RowKey(f"{account}/{self.idempotency_key}")
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(
+        frozen=True, ser_json_bytes="base64", val_json_bytes="base64"
+    )
+
+
+class Header(_Model):
+    """One header of an answer."""
+
+    name: str
+    value: str
+
+
+class Outcome(_Model):
+    """The answer of a request that ran.
+
+    Attributes
+    ----------
+    body_kept : bool
+        False if the body was longer than `MAX_OUTCOME_BODY_BYTES`; the request
+        ran with this status, but its body can't be given again.
+    """
+
+    status: int
+    headers: tuple[Header, ...] = ()
+    body: bytes = b""
+    body_kept: bool = True
+
+    def bounded(self) -> "Outcome":
+        """Return the outcome without a body that is too long to keep."""
+        if len(self.body) <= MAX_OUTCOME_BODY_BYTES:
+            return self
+        return self.model_copy(update={"body": b"", "body_kept": False})
+
+
+class RequestRecord(_Model):
+    """The record of one request.
+
+    Attributes
+    ----------
+    attempt_id : AttemptId
+        Attempt that claimed the request last.
+    claim_id : str
+        Random id of that claim, so that a replayed attempt isn't taken for it.
+    backend_server, incarnation : str
+        Where the claim was made, and by which process of its agent.
+    deadline_wall_ms : int
+        Deadline of the request, milliseconds since the epoch.
+    cancelled_attempts : tuple of AttemptId
+        Attempts that must not claim the request any more.
+    """
+
+    state: RequestState
+    fingerprint: str
+    attempt_id: ids.AttemptId = ids.AttemptId("")
+    claim_id: str = ""
+    backend_server: ids.BackendServerName = ids.BackendServerName("")
+    incarnation: ids.Incarnation = ids.Incarnation("")
+    deadline_wall_ms: int = 0
+    outcome: Outcome | None = None
+    cancelled_attempts: tuple[ids.AttemptId, ...] = ()
+
+    def admits(self, attempt_id: ids.AttemptId) -> bool:
+        """Tell whether `attempt_id` may claim the request now."""
+        return (
+            self.state is RequestState.CANCELLED
+            and attempt_id not in self.cancelled_attempts
+            and len(self.cancelled_attempts) < MAX_CANCELLED_ATTEMPTS
+        )
+
+    def lists_cancelled(self, attempt_ids: tuple[ids.AttemptId, ...]) -> bool:
+        """Tell whether no claim is in force and none of `attempt_ids` may make one."""
+        return self.state is RequestState.CANCELLED and set(attempt_ids).issubset(
+            self.cancelled_attempts
+        )
+
+    def with_cancelled(
+        self, attempt_ids: tuple[ids.AttemptId, ...]
+    ) -> "RequestRecord | None":
+        """Return the cancelled record that lists `attempt_ids` and a claim's own.
+
+        None if the list would be too long.
+        """
+        claimed = (self.attempt_id,) if self.attempt_id else ()
+        everyone = (*self.cancelled_attempts, *claimed, *attempt_ids)
+        listed = tuple(dict.fromkeys(everyone))
+        if len(listed) > MAX_CANCELLED_ATTEMPTS:
+            return None
+        return RequestRecord(
+            state=RequestState.CANCELLED,
+            fingerprint=self.fingerprint,
+            cancelled_attempts=listed,
+        )
+
+    def finished(self, outcome: Outcome) -> "RequestRecord":
+        """Return the record of this claim with its outcome."""
+        update = {"state": RequestState.FINISHED, "outcome": outcome}
+        return self.model_copy(update=update)
+
+    def state_at(
+        self, wall_ms: int, current_incarnation: ids.Incarnation | None
+    ) -> RequestState:
+        """Return what a reader may conclude at `wall_ms`.
+
+        Parameters
+        ----------
+        wall_ms : int
+            Milliseconds since the epoch.
+        current_incarnation : Incarnation or None
+            Registered incarnation of the backend server's agent, None if it isn't
+            known to the reader.
+        """
+        if self.state is not RequestState.STARTED:
+            return self.state
+        is_gone = (
+            current_incarnation is not None and current_incarnation != self.incarnation
+        )
+        if is_gone or wall_ms > self.deadline_wall_ms:
+            return RequestState.UNKNOWN
+        return RequestState.STARTED
+
+
+def new_cancelled(
+    identity: RequestIdentity, attempt_ids: tuple[ids.AttemptId, ...]
+) -> RequestRecord:
+    """Return the record of a request whose attempts are cancelled unclaimed.
+
+    Raises
+    ------
+    ValueError
+        If there are more than `MAX_CANCELLED_ATTEMPTS`.
+    """
+    if len(attempt_ids) > MAX_CANCELLED_ATTEMPTS:
+        raise ValueError(f"{len(attempt_ids)} attempts of one request")
+    return RequestRecord(
+        state=RequestState.CANCELLED,
+        fingerprint=identity.fingerprint,
+        cancelled_attempts=attempt_ids,
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class StoredRecord:
+    """A record and the revision of its row."""
+
+    record: RequestRecord
+    revision: int
+
+
+def parse_row(row: platform_table.Row) -> StoredRecord:
+    """Return the record of a row.
+
+    Raises
+    ------
+    pydantic.ValidationError
+        If the row isn't a record.
+    """
+    return StoredRecord(RequestRecord.model_validate_json(row.body), row.revision)
--- /dev/null
+++ b/quincecrank/attempts.py
@@ -0,0 +1,286 @@
+"""At most once: claims of non-idempotent requests in the platform's table.
+
+An agent runs such a request only after its claim, a conditional write of the
+request's record, is confirmed; a lost answer is settled by reading the record
+back.  An entry that gives up writes a cancelled record under the same condition;
+whoever writes first wins, so an entry says "not run" only if its own write won.
+
+A claim that can't be confirmed in time is never run.  Its record may exist all the
+same and would hold up repeats, so the agent withdraws it in the background; until
+that is written, the same agent process still admits a repeat in its place.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import random
+from typing import Final
+
+import structlog
+
+from quincecrank import attempt_backlog, attempt_records, ids, platform_table
+from quincecrank import clock as clocks
+
+FIRST_RETRY_MS: Final = 100
+LAST_RETRY_MS: Final = 5000
+
+_REQUESTS: Final = platform_table.TableName.REQUESTS
+_TAKE_OVER_TRIES: Final = 5
+
+_log = structlog.get_logger()
+
+
+class ClaimVerdict(enum.Enum):
+    """Whether an agent may run a request.
+
+    Attributes
+    ----------
+    GRANTED
+        The agent may run it, once.
+    ALREADY
+        It has a record; the claim carries it.
+    FINGERPRINT_MISMATCH
+        The key was used for another request.
+    TABLE_OUT
+        The table gave no answer and has no trace of the claim; not run.
+    UNCONFIRMED
+        The claim wasn't confirmed in time; not run by this attempt, ever.
+    """
+
+    GRANTED = "granted"
+    ALREADY = "already"
+    FINGERPRINT_MISMATCH = "fingerprint-mismatch"
+    TABLE_OUT = "table-out"
+    UNCONFIRMED = "unconfirmed"
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimRequest:
+    """An attempt's wish to run a request.
+
+    Attributes
+    ----------
+    attempt_id : AttemptId
+        Unique for each try at each agent.
+    time_left_ms : int
+        Time to the request's deadline.
+    """
+
+    identity: attempt_records.RequestIdentity
+    attempt_id: ids.AttemptId
+    time_left_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Claim:
+    """The answer to a claim; `stored` is the record in force, if it is known."""
+
+    verdict: ClaimVerdict
+    identity: attempt_records.RequestIdentity
+    stored: attempt_records.StoredRecord | None = None
+
+
+class Attempts:
+    """Claims of one agent process.
+
+    Parameters
+    ----------
+    table : PlatformTable
+        The platform's table service.
+    clock : Clock
+        Source of time.
+    backend_server : BackendServerName
+        Backend server that runs the requests.
+    incarnation : Incarnation
+        Of this agent process.
+    """
+
+    def __init__(
+        self,
+        table: platform_table.PlatformTable,
+        clock: clocks.Clock,
+        backend_server: ids.BackendServerName,
+        incarnation: ids.Incarnation,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._backend_server = backend_server
+        self._incarnation = incarnation
+        self._backlog = attempt_backlog.Backlog(table)
+
+    @property
+    def pending(self) -> int:
+        """Return the number of outcomes and withdrawals not yet written."""
+        return len(self._backlog)
+
+    async def claim(self, request: ClaimRequest) -> Claim:
+        """Claim a request; the caller runs it only if the verdict is GRANTED.
+
+        A granted claim must end in `finish`, or in `withdraw` if the request was
+        certainly not sent to the backend server.
+        """
+        due_ms = self._clock.now_ms() + request.time_left_ms
+        started = self._started(request)
+        try:
+            claim = await self._try_claim(request, started)
+        except platform_table.TableUnavailableError:
+            return Claim(ClaimVerdict.TABLE_OUT, request.identity)
+        except platform_table.OutcomeUnknownError:
+            self._backlog.add_withdrawal(request.identity, started)
+            return Claim(ClaimVerdict.UNCONFIRMED, request.identity)
+        except asyncio.CancelledError:
+            self._backlog.add_withdrawal(request.identity, started)
+            raise
+        if claim.verdict is ClaimVerdict.GRANTED and self._clock.now_ms() > due_ms:
+            self._backlog.add_withdrawal(request.identity, started)
+            return Claim(ClaimVerdict.UNCONFIRMED, request.identity)
+        return claim
+
+    async def finish(self, claim: Claim, outcome: attempt_records.Outcome) -> None:
+        """Record the outcome of a granted claim, now or in the background.
+
+        If it can't be kept until the table is back, the record stays started and
+        readers conclude that the outcome is unknown.
+        """
+        assert claim.stored is not None
+        self._backlog.add_outcome(claim.identity, claim.stored, outcome.bounded())
+        await self._backlog.flush_claim(claim.stored.record.claim_id)
+
+    async def withdraw(self, claim: Claim) -> None:
+        """Give up a granted claim whose request was certainly never sent."""
+        assert claim.stored is not None
+        self._backlog.add_withdrawal(claim.identity, claim.stored.record)
+        await self._backlog.flush_claim(claim.stored.record.claim_id)
+
+    async def flush(self) -> None:
+        """Try once to write what is pending; stops at the first failure."""
+        await self._backlog.flush()
+
+    async def run(self) -> None:
+        """Write what is pending, with exponential delays, until cancelled."""
+        delay_ms = FIRST_RETRY_MS
+        while True:
+            await self._backlog.wait_for_writes()
+            await self._backlog.flush()
+            if not self._backlog:
+                delay_ms = FIRST_RETRY_MS
+                continue
+            await self._clock.sleep(delay_ms * random.uniform(0.5, 1.0))
+            delay_ms = min(2 * delay_ms, LAST_RETRY_MS)
+
+    def _started(self, request: ClaimRequest) -> attempt_records.RequestRecord:
+        return attempt_records.RequestRecord(
+            state=attempt_records.RequestState.STARTED,
+            fingerprint=request.identity.fingerprint,
+            attempt_id=request.attempt_id,
+            claim_id=ids.random_id("c"),
+            backend_server=self._backend_server,
+            incarnation=self._incarnation,
+            deadline_wall_ms=self._clock.wall_ms() + request.time_left_ms,
+        )
+
+    async def _try_claim(
+        self, request: ClaimRequest, started: attempt_records.RequestRecord
+    ) -> Claim:
+        identity = request.identity
+        row = await platform_table.insert_confirmed(
+            self._table, _REQUESTS, identity.row_key, started.model_dump_json()
+        )
+        for _ in range(_TAKE_OVER_TRIES):
+            stored = attempt_records.parse_row(row)
+            record = stored.record
+            if record.claim_id == started.claim_id:
+                return Claim(ClaimVerdict.GRANTED, identity, stored)
+            if record.fingerprint != identity.fingerprint:
+                return Claim(ClaimVerdict.FINGERPRINT_MISMATCH, identity)
+            free = self._released(record)
+            if not free.admits(request.attempt_id):
+                return Claim(ClaimVerdict.ALREADY, identity, stored)
+            update = {"cancelled_attempts": free.cancelled_attempts}
+            row = await platform_table.replace_confirmed(
+                self._table,
+                _REQUESTS,
+                identity.row_key,
+                started.model_copy(update=update).model_dump_json(),
+                stored.revision,
+            )
+        raise platform_table.OutcomeUnknownError("too many claims at once")
+
+    def _released(
+        self, record: attempt_records.RequestRecord
+    ) -> attempt_records.RequestRecord:
+        """Return the record as it will be once pending withdrawals are written."""
+        if not self._backlog.is_withdrawn(record.claim_id):
+            return record
+        return record.with_cancelled(()) or record
+
+
+class CancelVerdict(enum.Enum):
+    """What an entry may say of attempts that it gave up.
+
+    Attributes
+    ----------
+    NOT_RUN
+        None of the attempts has run or ever will.
+    FINISHED
+        The request ran; the cancellation carries its record.
+    FINGERPRINT_MISMATCH
+        The key was used for another request; none of the attempts can run.
+    UNKNOWN
+        The request may have run or may run yet.
+    """
+
+    NOT_RUN = "not-run"
+    FINISHED = "finished"
+    FINGERPRINT_MISMATCH = "fingerprint-mismatch"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True)
+class Cancellation:
+    """The answer to `cancel`; `record` is the one in force, if it is known."""
+
+    verdict: CancelVerdict
+    record: attempt_records.RequestRecord | None = None
+
+
+async def cancel(
+    table: platform_table.PlatformTable,
+    identity: attempt_records.RequestIdentity,
+    attempt_ids: tuple[ids.AttemptId, ...],
+) -> Cancellation:
+    """Give up a request: keep its attempts from running if none has a claim.
+
+    Parameters
+    ----------
+    attempt_ids : tuple of AttemptId
+        Every attempt of this request that was sent to an agent.
+    """
+    try:
+        record = await attempt_backlog.write_cancelled(table, identity, attempt_ids)
+    except (
+        platform_table.TableUnavailableError,
+        platform_table.OutcomeUnknownError,
+    ):
+        return Cancellation(CancelVerdict.UNKNOWN)
+    if record.fingerprint != identity.fingerprint:
+        return Cancellation(CancelVerdict.FINGERPRINT_MISMATCH)
+    if record.state is attempt_records.RequestState.FINISHED:
+        return Cancellation(CancelVerdict.FINISHED, record)
+    if record.lists_cancelled(attempt_ids):
+        return Cancellation(CancelVerdict.NOT_RUN, record)
+    return Cancellation(CancelVerdict.UNKNOWN, record)
+
+
+async def read_record(
+    table: platform_table.PlatformTable, identity: attempt_records.RequestIdentity
+) -> attempt_records.RequestRecord | None:
+    """Return the record of a request, or None.
+
+    Raises
+    ------
+    TableUnavailableError
+        If the table gives no answer.
+    """
+    row = await table.read(_REQUESTS, identity.row_key)
+    return None if row is None else attempt_records.parse_row(row).record
--- /dev/null
+++ b/quincecrank/configuration_store.py
@@ -0,0 +1,217 @@
+"""The history of the fleet's configuration in the platform's table.
+
+Each version is one row, inserted at its number, so the insert is the commit and of
+operators who race for a version one wins.  A row carries its proposal id, which
+settles a commit whose answer was lost.  Rows are never replaced or deleted.
+
+Snapshots in the object store shorten the load of a long history.  They carry a
+checksum; a damaged or missing one costs time only.
+"""
+
+import dataclasses
+import hashlib
+from collections.abc import Iterable
+from typing import Final
+
+import expression
+import pydantic
+import structlog
+
+from quincecrank import configuration, ids, object_client, platform_table
+
+SNAPSHOT_INTERVAL: Final = 256
+"""Versions from one snapshot to the next."""
+
+_KEPT_SNAPSHOTS: Final = 3
+_PAGE_ROWS: Final = 100
+_TABLE: Final = platform_table.TableName.CONFIGURATION
+_PARTITION: Final = "configuration"
+_SNAPSHOT_PREFIX: Final = "configuration/"
+_VERSION_DIGITS: Final = 12
+
+_log = structlog.get_logger()
+
+
+@dataclasses.dataclass(frozen=True)
+class ProposalConflict:
+    """The rows that were committed from the proposed version on."""
+
+    rows: tuple[configuration.ConfigurationRow, ...]
+
+
+class ConfigurationStore:
+    """Reads and extends the history.
+
+    Parameters
+    ----------
+    table : PlatformTable
+        The platform's table service.
+    objects : ObjectStore, optional
+        Keeps the snapshots; without it every load reads the whole history.
+    """
+
+    def __init__(
+        self,
+        table: platform_table.PlatformTable,
+        objects: object_client.ObjectStore | None = None,
+    ) -> None:
+        self._table = table
+        self._objects = objects
+
+    async def load(self) -> configuration.Configuration:
+        """Return the newest configuration.
+
+        Raises
+        ------
+        TableUnavailableError
+            If the table gives no answer.
+        """
+        loaded = await self._newest_snapshot()
+        return apply_all(loaded, await self.catch_up(loaded))
+
+    async def catch_up(
+        self, known: configuration.Configuration
+    ) -> tuple[configuration.ConfigurationRow, ...]:
+        """Return all rows that were committed after `known`.
+
+        Raises
+        ------
+        TableUnavailableError
+            If the table gives no answer.
+        """
+        rows: list[configuration.ConfigurationRow] = []
+        version = known.version
+        while True:
+            page = await self._table.read_after(_TABLE, _PARTITION, version, _PAGE_ROWS)
+            rows.extend(_parse(row) for row in page)
+            if len(page) < _PAGE_ROWS:
+                return tuple(rows)
+            version = ids.ConfigurationVersion(page[-1].key.sort)
+
+    async def propose(
+        self, row: configuration.ConfigurationRow
+    ) -> expression.Result[configuration.ConfigurationRow, ProposalConflict]:
+        """Commit `row` as its version, unless another row has it.
+
+        Raises
+        ------
+        VersionGapError
+            If the version before the row's isn't committed.
+        TableUnavailableError
+            If the table gives no answer; the row isn't committed.
+        OutcomeUnknownError
+            If the row may be committed, now or later; its proposal id tells.
+        """
+        await self._check_predecessor(row.version)
+        body = row.model_dump_json()
+        stored = await platform_table.insert_confirmed(
+            self._table, _TABLE, _row_key(row.version), body
+        )
+        committed = _parse(stored)
+        if committed.proposal_id == row.proposal_id:
+            return expression.Ok(committed)
+        return expression.Error(ProposalConflict(await self._rows_from(row, committed)))
+
+    async def save_snapshot(self, current: configuration.Configuration) -> bool:
+        """Write a snapshot if `current` is due for one; return whether it was.
+
+        Failures of the object store are logged; the next interval tries again.
+        """
+        is_due = current.version > 0 and current.version % SNAPSHOT_INTERVAL == 0
+        if self._objects is None or not is_due:
+            return False
+        text = current.model_dump_json().encode()
+        name = _snapshot_name(current.version)
+        try:
+            await self._objects.put(name, _digest(text) + b"\n" + text)
+            await self._delete_old_snapshots(self._objects)
+        except object_client.ObjectStoreError as error:
+            _log.warning("snapshot failed", name=name, error=str(error))
+            return False
+        return True
+
+    async def _check_predecessor(self, version: ids.ConfigurationVersion) -> None:
+        if version == configuration.CONFIGURATION_START + 1:
+            return
+        before = ids.ConfigurationVersion(version - 1)
+        if await self._table.read(_TABLE, _row_key(before)) is None:
+            raise configuration.VersionGapError(f"version {before} isn't committed")
+
+    async def _rows_from(
+        self,
+        row: configuration.ConfigurationRow,
+        committed: configuration.ConfigurationRow,
+    ) -> tuple[configuration.ConfigurationRow, ...]:
+        """Return the rows from the proposed version on, at least the winner."""
+        try:
+            page = await self._table.read_after(
+                _TABLE, _PARTITION, row.version, _PAGE_ROWS
+            )
+        except platform_table.TableUnavailableError:
+            return (committed,)
+        return (committed, *(_parse(later) for later in page))
+
+    async def _newest_snapshot(self) -> configuration.Configuration:
+        start = configuration.Configuration()
+        if self._objects is None:
+            return start
+        try:
+            names = await self._objects.list(_SNAPSHOT_PREFIX)
+            for name in sorted(names, reverse=True):
+                found = _parse_snapshot(await self._objects.get(name))
+                if found is not None:
+                    return found
+                _log.warning("snapshot is damaged", name=name)
+        except (
+            object_client.ObjectStoreError,
+            object_client.ObjectMissingError,
+        ) as error:
+            _log.warning("no snapshot; loading the whole history", error=str(error))
+        return start
+
+    async def _delete_old_snapshots(self, objects: object_client.ObjectStore) -> None:
+        names = sorted(await objects.list(_SNAPSHOT_PREFIX))
+        for name in names[:-_KEPT_SNAPSHOTS]:
+            await objects.delete(name)
+
+
+def apply_all(
+    known: configuration.Configuration,
+    rows: Iterable[configuration.ConfigurationRow],
+) -> configuration.Configuration:
+    """Return the configuration after `rows`.
+
+    Raises
+    ------
+    VersionGapError
+        If a row isn't the direct successor of the one before.
+    """
+    for row in rows:
+        known = known.apply(row)
+    return known
+
+
+def _row_key(version: ids.ConfigurationVersion) -> platform_table.RowKey:
+    return platform_table.RowKey(_PARTITION, version)
+
+
+def _parse(row: platform_table.Row) -> configuration.ConfigurationRow:
+    return configuration.ConfigurationRow.model_validate_json(row.body)
+
+
+def _snapshot_name(version: ids.ConfigurationVersion) -> ids.ObjectName:
+    return ids.ObjectName(f"{_SNAPSHOT_PREFIX}{version:0{_VERSION_DIGITS}}")
+
+
+def _digest(text: bytes) -> bytes:
+    return hashlib.sha256(text).hexdigest().encode()
+
+
+def _parse_snapshot(data: bytes) -> configuration.Configuration | None:
+    digest, _, text = data.partition(b"\n")
+    if digest != _digest(text):
+        return None
+    try:
+        return configuration.Configuration.model_validate_json(text)
+    except pydantic.ValidationError:
+        return None
--- /dev/null
+++ b/quincecrank/current_configuration.py
@@ -0,0 +1,150 @@
+"""The configuration that is in force in this process.
+
+It moves only upwards, one committed row at a time or to a newer whole
+configuration, and keeps the last rows to hand on to peers.
+"""
+
+import asyncio
+import collections
+import enum
+from collections.abc import Iterable
+from typing import Final
+
+from quincecrank import clock as clocks
+from quincecrank import configuration, ids
+
+KEPT_ROWS: Final = 256
+
+
+class Progress(enum.Enum):
+    """Result of an update.
+
+    Attributes
+    ----------
+    ADVANCED
+        The version went up.
+    NOTHING_NEW
+        All rows were known.
+    GAP
+        Rows between the known version and these are missing; the version may
+        have gone up by the rows before the gap.
+    """
+
+    ADVANCED = "advanced"
+    NOTHING_NEW = "nothing-new"
+    GAP = "gap"
+
+
+class DivergedError(Exception):
+    """Two different rows claim to be the same version; one was never committed."""
+
+
+class CurrentConfiguration:
+    """Holder of the newest configuration that this process knows.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    known : Configuration, optional
+        Where to start.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        known: configuration.Configuration | None = None,
+    ) -> None:
+        self._clock = clock
+        self._configuration = known or configuration.Configuration()
+        self._rows: collections.deque[configuration.ConfigurationRow] = (
+            collections.deque(maxlen=KEPT_ROWS)
+        )
+        self._known_at_ms: int | None = None
+        self._changed = asyncio.Event()
+
+    @property
+    def in_force(self) -> configuration.Configuration:
+        """Return the configuration in force."""
+        return self._configuration
+
+    @property
+    def version(self) -> ids.ConfigurationVersion:
+        """Return the version in force."""
+        return self._configuration.version
+
+    @property
+    def known_at_ms(self) -> int | None:
+        """Return when the version was last confirmed as the newest, or None."""
+        return self._known_at_ms
+
+    def confirm(self) -> None:
+        """Note that the table was read just now and had nothing newer."""
+        self._known_at_ms = self._clock.now_ms()
+
+    def apply(self, rows: Iterable[configuration.ConfigurationRow]) -> Progress:
+        """Apply committed rows; known ones are skipped, in any order.
+
+        Raises
+        ------
+        DivergedError
+            If a known version comes with another proposal id.
+        """
+        before = self.version
+        has_gap = False
+        for row in sorted(rows, key=lambda row: row.version):
+            if row.version <= self.version:
+                self._check_same(row)
+            elif row.version == self.version + 1:
+                self._configuration = self._configuration.apply(row)
+                self._rows.append(row)
+            else:
+                has_gap = True
+                break
+        if self.version > before:
+            self._notify()
+        if has_gap:
+            return Progress.GAP
+        return Progress.ADVANCED if self.version > before else Progress.NOTHING_NEW
+
+    def adopt(self, whole: configuration.Configuration) -> Progress:
+        """Replace the configuration by `whole` if that is newer."""
+        if whole.version <= self.version:
+            return Progress.NOTHING_NEW
+        self._configuration = whole
+        self._rows.clear()
+        self._notify()
+        return Progress.ADVANCED
+
+    def rows_after(
+        self, version: ids.ConfigurationVersion, limit: int = KEPT_ROWS
+    ) -> tuple[configuration.ConfigurationRow, ...] | None:
+        """Return the kept rows above `version`, or None if some aren't kept."""
+        if version >= self.version:
+            return ()
+        if not self._rows or self._rows[0].version > version + 1:
+            return None
+        first = version + 1 - self._rows[0].version
+        return tuple(self._rows)[first : first + limit]
+
+    async def wait_for(
+        self, version: ids.ConfigurationVersion
+    ) -> configuration.Configuration:
+        """Wait until `version` or a later one is in force, and return it."""
+        while self.version < version:
+            await self._changed.wait()
+        return self._configuration
+
+    def _check_same(self, row: configuration.ConfigurationRow) -> None:
+        if not self._rows or row.version < self._rows[0].version:
+            return
+        known = self._rows[row.version - self._rows[0].version]
+        if known.proposal_id != row.proposal_id:
+            raise DivergedError(
+                f"version {row.version}: {known.proposal_id} and {row.proposal_id}"
+            )
+
+    def _notify(self) -> None:
+        changed = self._changed
+        self._changed = asyncio.Event()
+        changed.set()
--- a/quincecrank/platform_table.py
+++ b/quincecrank/platform_table.py
@@ -278,6 +278,43 @@
     raise OutcomeUnknownError(f"row {key} can't be confirmed")
 
 
+async def replace_confirmed(
+    table_client: PlatformTable,
+    table: TableName,
+    key: RowKey,
+    body: str,
+    expected_revision: int,
+) -> Row:
+    """Replace a row and return the row that is in force afterwards.
+
+    Like `insert_confirmed`; as long as the row has the expected revision the same
+    body is written again, so a copy that is still on its way does no harm.
+
+    Raises
+    ------
+    TableUnavailableError
+        If no write had any effect.
+    OutcomeUnknownError
+        If a write may have taken effect, or may yet, and the row can't be read.
+    """
+    may_have_effect = False
+    for _ in range(_CONFIRM_TRIES):
+        try:
+            outcome = await table_client.replace(table, key, body, expected_revision)
+            if outcome is WriteOutcome.APPLIED:
+                return Row(key, body, expected_revision + 1)
+        except OutcomeUnknownError:
+            may_have_effect = True
+        except TableUnavailableError as error:
+            if may_have_effect:
+                raise OutcomeUnknownError(str(error)) from error
+            raise
+        row = await _read_back(table_client, table, key, may_have_effect)
+        if row is not None and row.revision != expected_revision:
+            return row
+    raise OutcomeUnknownError(f"row {key} can't be confirmed")
+
+
 async def _read_back(
     table_client: PlatformTable, table: TableName, key: RowKey, may_have_effect: bool
 ) -> Row | None:
--- /dev/null
+++ b/quincecrank/registration.py
@@ -0,0 +1,136 @@
+"""Registration of agents: one row for each backend server, with a fencing number.
+
+Each start of an agent process takes the next fencing number by compare-and-set, so
+that of two processes which believe to be the backend server's agent the one with
+the higher number is.  There are no periodic writes: at the size of a fleet they
+would take more of the table than it gives.  An agent that doubts its place, after
+a pause for instance, reads its row again.
+"""
+
+import enum
+from typing import Final
+
+import pydantic
+
+from quincecrank import configuration, ids, platform_table
+
+_AGENTS: Final = platform_table.TableName.AGENTS
+_TRIES: Final = 5
+_FIRST_NUMBER: Final = ids.FencingNumber(1)
+
+
+class Registration(configuration.FrozenModel):
+    """The row of a backend server's agent.
+
+    Attributes
+    ----------
+    fencing_number : FencingNumber
+        Increases by one at each start of an agent process.
+    incarnation : Incarnation
+        Of the agent process.
+    address, port
+        Where the agent listens for entries and other agents.
+    """
+
+    backend_server: ids.BackendServerName
+    fencing_number: ids.FencingNumber
+    incarnation: ids.Incarnation
+    address: str
+    port: int
+
+
+class Currency(enum.Enum):
+    """Whether a registration is the one in force."""
+
+    CURRENT = "current"
+    SUPERSEDED = "superseded"
+    UNKNOWN = "unknown"
+
+
+class AgentIdentity(configuration.FrozenModel):
+    """What an agent process registers."""
+
+    backend_server: ids.BackendServerName
+    incarnation: ids.Incarnation
+    address: str
+    port: int
+
+
+async def register(
+    table: platform_table.PlatformTable, agent: AgentIdentity
+) -> Registration:
+    """Take the next fencing number of the agent's backend server.
+
+    A repeat with the same incarnation, after an error for instance, returns the
+    number that the incarnation holds if the first call took effect.
+
+    Raises
+    ------
+    TableUnavailableError, OutcomeUnknownError
+        If the table gives no answer; a number may have been taken.
+    """
+    row = await table.read(_AGENTS, _row_key(agent.backend_server))
+    for _ in range(_TRIES):
+        if row is not None:
+            registered = _parse(row)
+            if registered.incarnation == agent.incarnation:
+                return registered
+        row = await _take_number(table, agent, row)
+    raise platform_table.OutcomeUnknownError("too many agents register at once")
+
+
+async def read_registration(
+    table: platform_table.PlatformTable, backend_server: ids.BackendServerName
+) -> Registration | None:
+    """Return the registration in force of a backend server's agent.
+
+    Raises
+    ------
+    TableUnavailableError
+        If the table gives no answer.
+    """
+    row = await table.read(_AGENTS, _row_key(backend_server))
+    return None if row is None else _parse(row)
+
+
+async def still_current(
+    table: platform_table.PlatformTable, registration: Registration
+) -> Currency:
+    """Tell whether `registration` is the one in force."""
+    try:
+        found = await read_registration(table, registration.backend_server)
+    except platform_table.TableUnavailableError:
+        return Currency.UNKNOWN
+    return Currency.CURRENT if found == registration else Currency.SUPERSEDED
+
+
+async def _take_number(
+    table: platform_table.PlatformTable,
+    agent: AgentIdentity,
+    row: platform_table.Row | None,
+) -> platform_table.Row:
+    """Write the agent's row after `row` and return the row in force."""
+    key = _row_key(agent.backend_server)
+    if row is None:
+        body = _numbered(agent, _FIRST_NUMBER).model_dump_json()
+        return await platform_table.insert_confirmed(table, _AGENTS, key, body)
+    number = ids.FencingNumber(_parse(row).fencing_number + 1)
+    body = _numbered(agent, number).model_dump_json()
+    return await platform_table.replace_confirmed(
+        table, _AGENTS, key, body, row.revision
+    )
+
+
+def _numbered(agent: AgentIdentity, number: ids.FencingNumber) -> Registration:
+    return Registration(fencing_number=number, **agent.model_dump())
+
+
+def _row_key(backend_server: ids.BackendServerName) -> platform_table.RowKey:
+    return platform_table.RowKey(backend_server)
+
+
+def _parse(row: platform_table.Row) -> Registration:
+    try:
+        return Registration.model_validate_json(row.body)
+    except pydantic.ValidationError as error:
+        raise platform_table.TableUnavailableError("malformed row") from error
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,291 @@
+"""Fakes of the platform: its table and its object store, in memory.
+
+Each has switches for the faults of the real ones, and a log of its calls.
+"""
+
+import asyncio
+import collections
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from quincecrank import configuration, ids, object_client, platform_table
+
+_Key = tuple[platform_table.TableName, platform_table.RowKey]
+
+
+@dataclasses.dataclass(frozen=True)
+class TableCall:
+    """One call of the table."""
+
+    operation: str
+    table: platform_table.TableName
+    key: platform_table.RowKey
+
+
+class FakeTable:
+    """`PlatformTable` in memory.
+
+    Attributes
+    ----------
+    down : bool
+        Every call raises `TableUnavailableError`.
+    reads_down : bool
+        Every read does so.
+    fail_next : int
+        So many next calls raise `TableUnavailableError`.
+    lose_next_answers : int
+        So many next writes take effect and raise `OutcomeUnknownError`.
+    lose_next_requests : int
+        So many next writes have no effect and raise `OutcomeUnknownError`.
+    delay_next : int
+        So many next writes raise `OutcomeUnknownError` and take effect when
+        `deliver_delayed` is called.
+    calls : list of TableCall
+        All calls in their order.
+    """
+
+    def __init__(self) -> None:
+        self.down = False
+        self.reads_down = False
+        self.fail_next = 0
+        self.lose_next_answers = 0
+        self.lose_next_requests = 0
+        self.delay_next = 0
+        self.calls: list[TableCall] = []
+        self._rows_by_key: dict[_Key, platform_table.Row] = {}
+        self._delayed: collections.deque[Callable[[], object]] = collections.deque()
+
+    def deliver_delayed(self) -> None:
+        """Let the delayed writes take effect, if their conditions still hold."""
+        while self._delayed:
+            self._delayed.popleft()()
+
+    async def read(
+        self, table: platform_table.TableName, key: platform_table.RowKey
+    ) -> platform_table.Row | None:
+        await self._begin("read", table, key)
+        self._fail_read()
+        return self._rows_by_key.get((table, key))
+
+    async def read_after(
+        self, table: platform_table.TableName, partition: str, sort: int, limit: int
+    ) -> tuple[platform_table.Row, ...]:
+        key = platform_table.RowKey(partition, sort)
+        await self._begin("read_after", table, key)
+        self._fail_read()
+        found = [
+            row
+            for (row_table, key), row in self._rows_by_key.items()
+            if row_table is table and key.partition == partition and key.sort > sort
+        ]
+        return tuple(sorted(found, key=lambda row: row.key.sort)[:limit])
+
+    async def insert(
+        self,
+        table: platform_table.TableName,
+        key: platform_table.RowKey,
+        body: str,
+    ) -> platform_table.WriteOutcome:
+        await self._begin("insert", table, key)
+        return self._write(lambda: self._put(table, key, body, 0))
+
+    async def replace(
+        self,
+        table: platform_table.TableName,
+        key: platform_table.RowKey,
+        body: str,
+        expected_revision: int,
+    ) -> platform_table.WriteOutcome:
+        await self._begin("replace", table, key)
+        return self._write(lambda: self._put(table, key, body, expected_revision))
+
+    async def delete(
+        self,
+        table: platform_table.TableName,
+        key: platform_table.RowKey,
+        expected_revision: int,
+    ) -> platform_table.WriteOutcome:
+        await self._begin("delete", table, key)
+        return self._write(lambda: self._remove(table, key, expected_revision))
+
+    async def _begin(
+        self,
+        operation: str,
+        table: platform_table.TableName,
+        key: platform_table.RowKey,
+    ) -> None:
+        await asyncio.sleep(0)
+        self.calls.append(TableCall(operation, table, key))
+        if self.fail_next:
+            self.fail_next -= 1
+            raise platform_table.TableUnavailableError("failed once")
+        if self.down:
+            raise platform_table.TableUnavailableError("down")
+
+    def _fail_read(self) -> None:
+        if self.reads_down:
+            raise platform_table.TableUnavailableError("reads are down")
+
+    def _write(
+        self, effect: Callable[[], platform_table.WriteOutcome]
+    ) -> platform_table.WriteOutcome:
+        if self.delay_next:
+            self.delay_next -= 1
+            self._delayed.append(effect)
+            raise platform_table.OutcomeUnknownError("delayed")
+        if self.lose_next_requests:
+            self.lose_next_requests -= 1
+            raise platform_table.OutcomeUnknownError("lost before the effect")
+        outcome = effect()
+        if self.lose_next_answers:
+            self.lose_next_answers -= 1
+            raise platform_table.OutcomeUnknownError("lost after the effect")
+        return outcome
+
+    def _revision(
+        self, table: platform_table.TableName, key: platform_table.RowKey
+    ) -> int:
+        row = self._rows_by_key.get((table, key))
+        return 0 if row is None else row.revision
+
+    def _put(
+        self,
+        table: platform_table.TableName,
+        key: platform_table.RowKey,
+        body: str,
+        expected_revision: int,
+    ) -> platform_table.WriteOutcome:
+        if self._revision(table, key) != expected_revision:
+            return platform_table.WriteOutcome.CONFLICT
+        row = platform_table.Row(key, body, expected_revision + 1)
+        self._rows_by_key[table, key] = row
+        return platform_table.WriteOutcome.APPLIED
+
+    def _remove(
+        self,
+        table: platform_table.TableName,
+        key: platform_table.RowKey,
+        expected_revision: int,
+    ) -> platform_table.WriteOutcome:
+        if self._revision(table, key) != expected_revision:
+            return platform_table.WriteOutcome.CONFLICT
+        del self._rows_by_key[table, key]
+        return platform_table.WriteOutcome.APPLIED
+
+
+async def insert_without_reading_back(
+    table_client: platform_table.PlatformTable,
+    table: platform_table.TableName,
+    key: platform_table.RowKey,
+    body: str,
+) -> platform_table.Row:
+    """Stand for `insert_confirmed` with the fault that a lost answer counts as won."""
+    try:
+        outcome = await table_client.insert(table, key, body)
+    except platform_table.OutcomeUnknownError:
+        return platform_table.Row(key, body, 1)
+    if outcome is platform_table.WriteOutcome.APPLIED:
+        return platform_table.Row(key, body, 1)
+    row = await table_client.read(table, key)
+    assert row is not None
+    return row
+
+
+class FakeObjectStore:
+    """`ObjectStore` in memory.
+
+    Attributes
+    ----------
+    down, full : bool
+        Every call fails, or every write does.
+    torn_next : int
+        So many next writes keep only half of the data.
+    lose_next_answers : int
+        So many next writes take effect and raise `ObjectStoreError`.
+    calls : list of str
+        Operation and name of each call.
+    """
+
+    def __init__(self, capacity_bytes: int = 1 << 30) -> None:
+        self.down = False
+        self.full = False
+        self.torn_next = 0
+        self.lose_next_answers = 0
+        self.calls: list[str] = []
+        self.capacity_bytes = capacity_bytes
+        self.incarnation = ids.Incarnation("fake-1")
+        self._data_by_name: dict[ids.ObjectName, bytes] = {}
+        self._tiers_by_name: dict[ids.ObjectName, configuration.TierKind] = {}
+
+    def restart(self, incarnation: str) -> None:
+        """Forget every object, as a store VM does when it restarts."""
+        self.incarnation = ids.Incarnation(incarnation)
+        self._data_by_name.clear()
+        self._tiers_by_name.clear()
+
+    async def put(
+        self,
+        name: ids.ObjectName,
+        data: bytes,
+        tier: configuration.TierKind | None = None,
+    ) -> None:
+        await self._begin("put", name)
+        if name in self._data_by_name:
+            raise object_client.ObjectExistsError(name)
+        tier = tier or configuration.TierKind.MEMORY
+        if self.full or self._used(tier) + len(data) > self.capacity_bytes:
+            raise object_client.StoreFullError(name)
+        if self.torn_next:
+            self.torn_next -= 1
+            data = data[: len(data) // 2]
+        self._data_by_name[name] = data
+        self._tiers_by_name[name] = tier
+        if self.lose_next_answers:
+            self.lose_next_answers -= 1
+            raise object_client.ObjectStoreError("lost after the effect")
+
+    async def get(self, name: ids.ObjectName) -> bytes:
+        await self._begin("get", name)
+        if name not in self._data_by_name:
+            raise object_client.ObjectMissingError(name)
+        return self._data_by_name[name]
+
+    async def delete(self, name: ids.ObjectName) -> None:
+        await self._begin("delete", name)
+        self._data_by_name.pop(name, None)
+        self._tiers_by_name.pop(name, None)
+
+    async def list(self, prefix: str) -> tuple[ids.ObjectName, ...]:
+        await self._begin("list", prefix)
+        return _with_prefix(self._data_by_name, prefix)
+
+    async def stats(self) -> object_client.StoreStats:
+        await self._begin("stats", "")
+        return object_client.StoreStats(
+            incarnation=self.incarnation,
+            memory_used=self._used(configuration.TierKind.MEMORY),
+            memory_capacity=self.capacity_bytes,
+            memory_link=0,
+            disk_used=self._used(configuration.TierKind.DISK),
+            disk_capacity=self.capacity_bytes,
+            disk_link=0,
+        )
+
+    async def _begin(self, operation: str, name: str) -> None:
+        await asyncio.sleep(0)
+        self.calls.append(f"{operation} {name}")
+        if self.down:
+            raise object_client.ObjectStoreError("down")
+
+    def _used(self, tier: configuration.TierKind) -> int:
+        return sum(
+            len(data)
+            for name, data in self._data_by_name.items()
+            if self._tiers_by_name[name] is tier
+        )
+
+
+def _with_prefix(
+    names: Iterable[ids.ObjectName], prefix: str
+) -> tuple[ids.ObjectName, ...]:
+    return tuple(sorted(name for name in names if name.startswith(prefix)))
--- /dev/null
+++ b/tests/test_attempts_explorer.py
@@ -0,0 +1,219 @@
+"""Random exploration of claims and cancellations under faults.
+
+Each seed plays callers, entries and agents over a faulty table and checks the whole
+history.  Each guard of the protocol is also removed in turn, which the exploration
+must notice.
+"""
+
+import asyncio
+import contextlib
+import random
+import unittest
+from collections.abc import Callable, Iterator
+from unittest import mock
+
+import structlog.testing
+
+from quincecrank import attempt_backlog, attempt_records, attempts, ids, platform_table
+from quincecrank import clock as clocks
+from tests import builders_platform, fakes
+
+GRANTED = attempts.ClaimVerdict.GRANTED
+UNCONFIRMED = attempts.ClaimVerdict.UNCONFIRMED
+NOT_RUN = attempts.CancelVerdict.NOT_RUN
+
+SEEDS = (*range(400), 9517, 87161)
+"""The last two reach a delayed take-over that lands after a withdrawal."""
+
+
+class FaultyTable(fakes.FakeTable):
+    """A table whose calls are reordered and fail at random."""
+
+    def __init__(self, chance: random.Random) -> None:
+        super().__init__()
+        self.chance = chance
+        self.fault_rate = 0.3
+
+    async def _begin(
+        self,
+        operation: str,
+        table: platform_table.TableName,
+        key: platform_table.RowKey,
+    ) -> None:
+        for _ in range(self.chance.randrange(4)):
+            await asyncio.sleep(0)
+        self.reads_down = self.chance.random() < self.fault_rate / 2
+        if self.chance.random() < self.fault_rate:
+            switches = (
+                "fail_next",
+                "lose_next_answers",
+                "lose_next_requests",
+                "delay_next",
+            )
+            setattr(self, self.chance.choice(switches), 1)
+        elif self.chance.random() < self.fault_rate:
+            self.deliver_delayed()
+        await super()._begin(operation, table, key)
+
+
+class Explorer:
+    """Drives one key through random attempts, faults, freezes and deaths.
+
+    Attributes
+    ----------
+    runs : list of AttemptId
+        Attempts that ran.
+    not_run : set of AttemptId
+        Attempts whose caller was told that they did not run.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.chance = random.Random(seed)
+        self.table = FaultyTable(self.chance)
+        self.clock = clocks.ManualClock()
+        self.agents = [self.make_agent("server-1"), self.make_agent("server-2")]
+        self.runs: list[ids.AttemptId] = []
+        self.not_run: set[ids.AttemptId] = set()
+        self.has_death = False
+
+    def make_agent(self, server: str) -> attempts.Attempts:
+        return attempts.Attempts(
+            self.table,
+            self.clock,
+            ids.BackendServerName(server),
+            ids.Incarnation(ids.random_id("i")),
+        )
+
+    async def explore(self) -> str:
+        """Return what went wrong, empty if nothing did."""
+        calls = [self.call(f"r{number}") for number in range(4)]
+        await asyncio.gather(*calls)
+        self.table.fault_rate = 0.0
+        self.table.deliver_delayed()
+        for agent in self.agents:
+            while agent.pending:
+                await agent.flush()
+        last = await self.agents[0].claim(builders_platform.claim_request("last"))
+        if last.verdict is GRANTED:
+            self.runs.append(ids.AttemptId("last"))
+        if len(self.runs) > 1:
+            return f"ran twice: {self.runs}"
+        if self.not_run.intersection(self.runs):
+            return f"ran after it was answered as not run: {self.runs}"
+        if not self.runs and not self.has_death:
+            return "a key that never ran is blocked"
+        return ""
+
+    async def call(self, name: str) -> None:
+        """Send a request in up to two attempts; perhaps give up meanwhile."""
+        await self.pause(12)
+        first, second = ids.AttemptId(f"{name}-1"), ids.AttemptId(f"{name}-2")
+        is_replayed = self.chance.random() < 0.2
+        tasks = [asyncio.create_task(self.attempt(first, is_replayed))]
+        if self.chance.random() < 0.5:
+            await self.pause(6)
+            tasks.append(asyncio.create_task(self.attempt(second)))
+        if is_replayed:
+            tasks.append(asyncio.create_task(self.attempt(first, is_replayed)))
+        if self.chance.random() < 0.6:
+            await self.pause(8)
+            identity = builders_platform.identity()
+            listed = (first, second)
+            result = await attempts.cancel(self.table, identity, listed)
+            if result.verdict is NOT_RUN:
+                self.not_run.update(listed)
+        await asyncio.gather(*tasks)
+
+    async def attempt(
+        self, attempt_id: ids.AttemptId, is_replayed: bool = False
+    ) -> None:
+        """Play the agent: claim, then run, withdraw or die.
+
+        An agent's own refusal of one delivery says nothing of a second delivery,
+        which the connection's authentication rules out; a cancellation does.
+        """
+        agent = self.chance.choice(self.agents)
+        await self.pause(12)
+        claim = await agent.claim(builders_platform.claim_request(attempt_id))
+        await self.pause(12)
+        if claim.verdict is not GRANTED:
+            if not is_replayed and claim.verdict is UNCONFIRMED:
+                self.not_run.add(attempt_id)
+            await agent.flush()
+        elif self.chance.random() < 0.3:
+            await agent.withdraw(claim)
+        else:
+            self.runs.append(attempt_id)
+            if self.chance.random() < 0.3:
+                self.has_death = True
+            else:
+                await agent.finish(claim, builders_platform.outcome())
+
+    async def pause(self, steps: int) -> None:
+        for _ in range(self.chance.randrange(steps)):
+            await asyncio.sleep(0)
+
+
+def _admits_any(
+    record: attempt_records.RequestRecord, attempt_id: ids.AttemptId
+) -> bool:
+    return record.state is attempt_records.RequestState.CANCELLED
+
+
+def _never_withdraws(backlog: attempt_backlog.Backlog, *details: object) -> None:
+    return None
+
+
+def _is_free_always(
+    record: attempt_records.RequestRecord, is_withdrawn: attempt_backlog.ClaimTest
+) -> bool:
+    return record.state is not attempt_records.RequestState.FINISHED
+
+
+@contextlib.contextmanager
+def _claims_named_by_attempt() -> Iterator[None]:
+    original = attempts.Attempts._started
+
+    def started(
+        agent: attempts.Attempts, request: attempts.ClaimRequest
+    ) -> attempt_records.RequestRecord:
+        update = {"claim_id": request.attempt_id}
+        return original(agent, request).model_copy(update=update)
+
+    with mock.patch.object(attempts.Attempts, "_started", started):
+        yield
+
+
+class ExplorerTest(unittest.TestCase):
+    def first_violation(self) -> str:
+        for seed in SEEDS:
+            with structlog.testing.capture_logs():
+                found = asyncio.run(Explorer(seed).explore())
+            if found:
+                return f"seed {seed}: {found}"
+        return ""
+
+    def test_no_double_run_and_no_run_after_not_run(self) -> None:
+        self.assertEqual(self.first_violation(), "")
+
+    def test_explorer_finds_each_missing_guard(self) -> None:
+        record = attempt_records.RequestRecord
+        backlog = attempt_backlog.Backlog
+        mutants: dict[str, Callable[[], contextlib.AbstractContextManager[object]]] = {
+            "no re-read after the insert": lambda: mock.patch.object(
+                platform_table, "insert_confirmed", fakes.insert_without_reading_back
+            ),
+            "cancelled attempts may claim": lambda: mock.patch.object(
+                record, "admits", _admits_any
+            ),
+            "unconfirmed claims aren't withdrawn": lambda: mock.patch.object(
+                backlog, "add_withdrawal", _never_withdraws
+            ),
+            "a cancellation takes any claim": lambda: mock.patch.object(
+                attempt_backlog, "_is_free", _is_free_always
+            ),
+            "a replayed attempt counts as its claim": _claims_named_by_attempt,
+        }
+        for name, mutant in mutants.items():
+            with self.subTest(name), mutant():
+                self.assertNotEqual(self.first_violation(), "")
--- /dev/null
+++ b/tests/test_registration.py
@@ -0,0 +1,66 @@
+"""Tests of agent registration."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from quincecrank import platform_table, registration
+from tests import builders_platform, fakes
+
+CURRENT = registration.Currency.CURRENT
+SUPERSEDED = registration.Currency.SUPERSEDED
+UNKNOWN = registration.Currency.UNKNOWN
+
+
+class RegistrationTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.table = fakes.FakeTable()
+
+    async def register(self, incarnation: str) -> registration.Registration:
+        agent = builders_platform.agent_identity(incarnation)
+        return await registration.register(self.table, agent)
+
+    async def test_each_start_takes_the_next_number_under_faults(self) -> None:
+        switches = (None, "lose_next_answers", "lose_next_requests", "delay_next")
+        for number, switch in enumerate(switches, start=1):
+            with self.subTest(switch):
+                if switch is not None:
+                    setattr(self.table, switch, 1)
+                registered = await self.register(f"i{number}")
+                self.assertEqual(registered.fencing_number, number)
+                self.table.deliver_delayed()
+        again = await self.register("i4")
+        self.assertEqual(again.fencing_number, 4)
+
+    async def test_call_is_repeated_after_the_table_was_out(self) -> None:
+        self.table.lose_next_answers = 1
+        real_read = self.table.read
+        error = platform_table.TableUnavailableError("once")
+        reads = mock.AsyncMock(side_effect=[None, error])
+        with mock.patch.object(self.table, "read", reads):
+            with self.assertRaises(platform_table.OutcomeUnknownError):
+                await self.register("i1")
+        self.assertEqual(self.table.read, real_read)
+        self.assertEqual((await self.register("i1")).fencing_number, 1)
+
+    async def test_racing_starts_get_different_numbers(self) -> None:
+        starts = [self.register(f"i{number}") for number in range(4)]
+        registered = await asyncio.gather(*starts)
+        numbers = sorted(found.fencing_number for found in registered)
+        self.assertEqual(numbers, [1, 2, 3, 4])
+        states = [
+            await registration.still_current(self.table, found) for found in registered
+        ]
+        self.assertEqual(states.count(CURRENT), 1)
+        newest = registered[states.index(CURRENT)]
+        self.assertEqual(newest.fencing_number, 4)
+
+    async def test_paused_agent_learns_that_it_is_superseded(self) -> None:
+        first = await self.register("i1")
+        self.assertEqual(await registration.still_current(self.table, first), CURRENT)
+        await self.register("i2")
+        self.assertEqual(
+            await registration.still_current(self.table, first), SUPERSEDED
+        )
+        self.table.down = True
+        self.assertEqual(await registration.still_current(self.table, first), UNKNOWN)
