--- a/quincecrank/attempt_backlog.py
+++ b/quincecrank/attempt_backlog.py
@@ -202,7 +202,7 @@
             cancelled.model_dump_json(),
             stored.revision,
         )
-    return record
+    raise platform_table.OutcomeUnknownError("too many claims at once")
 
 
 def _is_free(record: attempt_records.RequestRecord, is_withdrawn: ClaimTest) -> bool:
--- a/quincecrank/attempts.py
+++ b/quincecrank/attempts.py
@@ -195,7 +195,7 @@
                 return Claim(ClaimVerdict.FINGERPRINT_MISMATCH, identity)
             free = self._released(record)
             if not free.admits(request.attempt_id):
-                break
+                return Claim(ClaimVerdict.ALREADY, identity, stored)
             update = {"cancelled_attempts": free.cancelled_attempts}
             row = await platform_table.replace_confirmed(
                 self._table,
@@ -204,7 +204,7 @@
                 started.model_copy(update=update).model_dump_json(),
                 stored.revision,
             )
-        return Claim(ClaimVerdict.ALREADY, identity, stored)
+        raise platform_table.OutcomeUnknownError("too many claims at once")
 
     def _released(
         self, record: attempt_records.RequestRecord
