--- /dev/null
+++ b/quincecrank/admin_api.py
@@ -0,0 +1,148 @@
+"""HTTP handler of the administration API."""
+
+from collections.abc import Awaitable
+from typing import Any, Final
+
+import pydantic
+from tornado import web
+
+from quincecrank import (
+    access,
+    admin_messages,
+    commands,
+    findings,
+    ids,
+    problems,
+)
+
+_SOURCE: Final = "body"
+
+
+def application(
+    services: commands.Services, tokens: access.OperatorTokens
+) -> web.Application:
+    """Return the application that serves the administration API."""
+    arguments = {"services": services, "tokens": tokens}
+    return web.Application(
+        [(admin_messages.COMMANDS_PATH, CommandsHandler, arguments)],
+        default_handler_class=_NotFoundHandler,
+    )
+
+
+class _ProblemHandler(web.RequestHandler):
+    """Answers every error with a problem document."""
+
+    def refuse(self, problem: problems.Problem) -> None:
+        """Finish the request with `problem`."""
+        self.set_status(problem.status)
+        self.set_header("Content-Type", problems.PROBLEM_CONTENT_TYPE)
+        if problem.kind is problems.ProblemKind.UNAUTHENTICATED:
+            self.set_header("WWW-Authenticate", "Bearer")
+        if problem.retry_after_ms:
+            self.set_header("Retry-After", str(problem.retry_after_seconds))
+        self.finish(problem.to_json(ids.random_id("req-")))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Turn tornado's own errors into problem documents."""
+        kinds = problems.ProblemKind
+        if status_code == 405:
+            self.refuse(problems.Problem(kinds.METHOD_NOT_ALLOWED, "use POST"))
+        elif status_code == 404:
+            self.refuse(problems.Problem(kinds.NOT_FOUND, "no such path"))
+        elif status_code < 500:
+            self.refuse(problems.Problem(kinds.BAD_REQUEST, "malformed request"))
+        else:
+            detail = "the command failed in an unforeseen way; see the log"
+            ran = problems.Ran.UNKNOWN
+            self.refuse(problems.Problem(kinds.OUTCOME_UNKNOWN, detail, ran))
+
+
+class _NotFoundHandler(_ProblemHandler):
+    def prepare(self) -> None:
+        """Refuse every method."""
+        self.send_error(404)
+
+
+@web.stream_request_body
+class CommandsHandler(_ProblemHandler):
+    """Executes one text of an authenticated operator."""
+
+    def initialize(
+        self, services: commands.Services, tokens: access.OperatorTokens
+    ) -> None:
+        """Take the services that the application was made with."""
+        self._services = services
+        self._tokens = tokens
+        self._body = bytearray()
+        self._operator = ""
+
+    def prepare(self) -> None:
+        """Authenticate before the body is read."""
+        authorization = self.request.headers.get("Authorization")
+        token = access.bearer_credential(authorization)
+        operator = self._tokens.find(token) if token is not None else None
+        if operator is None:
+            kind = problems.ProblemKind.UNAUTHENTICATED
+            self.refuse(problems.Problem(kind, "send an operator's bearer token"))
+            return
+        self._operator = operator
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Keep the body up to one byte beyond its bound."""
+        space = admin_messages.MAX_BODY_BYTES + 1 - len(self._body)
+        self._body += chunk[:space]
+        return None
+
+    async def post(self) -> None:
+        """Execute the text of the body."""
+        if len(self._body) > admin_messages.MAX_BODY_BYTES:
+            detail = f"a body holds at most {admin_messages.MAX_BODY_BYTES} bytes"
+            kind = problems.ProblemKind.TOO_LARGE
+            self.refuse(problems.Problem(kind, detail))
+            return
+        try:
+            request = admin_messages.CommandRequest.model_validate_json(
+                bytes(self._body), strict=True
+            )
+        except pydantic.ValidationError as error:
+            self.refuse(_bad_body(error))
+            return
+        decided_on = None
+        if request.version is not None:
+            decided_on = ids.ConfigurationVersion(request.version)
+        outcome = await commands.execute(
+            request.text, decided_on, self._operator, self._services
+        )
+        if outcome.is_error():
+            self.refuse(outcome.error)
+            return
+        self._answer(outcome.ok)
+
+    def _answer(self, outcome: commands.CommandOutcome) -> None:
+        table = admin_messages.TableBody(
+            columns=outcome.table.columns, rows=outcome.table.rows
+        )
+        created_keys = tuple(
+            admin_messages.CreatedKeyBody(
+                account=key.account, key_id=key.key_id, key=key.key
+            )
+            for key in outcome.created_keys
+        )
+        answer = admin_messages.CommandAnswer(
+            version=outcome.version, table=table, created_keys=created_keys
+        )
+        self.set_header("Content-Type", "application/json")
+        self.set_header("Cache-Control", "no-store")
+        self.finish(answer.model_dump_json())
+
+
+def _bad_body(error: pydantic.ValidationError) -> problems.Problem:
+    found = findings.Findings()
+    for item in error.errors(include_url=False, include_input=False):
+        field = ".".join(str(part) for part in item["loc"])
+        found.add(findings.Place(_SOURCE, field=field), item["msg"])
+    return problems.Problem(
+        problems.ProblemKind.BAD_REQUEST,
+        'the body must be JSON: {"text": ..., "version": N}',
+        found=found.all(),
+    )
--- a/quincecrank/command_fields.py
+++ b/quincecrank/command_fields.py
@@ -19,6 +19,8 @@
         Attribute path in the entity.
     read : callable
         Reads one word; raises `ValueError`.
+    example : str
+        A value as help shows it.
     is_list : bool
         Whether several words may be given.
     model_only : bool
@@ -27,6 +29,7 @@
 
     path: tuple[str, ...]
     read: Callable[[str], Scalar]
+    example: str
     is_list: bool = False
     model_only: bool = False
 
@@ -41,31 +44,35 @@
 
 
 ACCOUNT_FIELDS_BY_NAME: Final[Mapping[str, Field]] = {
-    "share": Field(("share",), command_values.number),
-    "max-concurrent": Field(("max_concurrent",), command_values.whole),
+    "share": Field(("share",), command_values.number, "2.5"),
+    "max-concurrent": Field(("max_concurrent",), command_values.whole, "16"),
 }
 
 DEPLOYMENT_FIELDS_BY_NAME: Final[Mapping[str, Field]] = {
-    "max-concurrent": Field(("max_concurrent",), command_values.whole),
-    "max-tokens": Field(("max_tokens",), command_values.whole, model_only=True),
-    "deadline": Field(("deadline_ms",), command_values.duration),
-    "lateness": Field(("lateness",), command_values.choice(configuration.Lateness)),
-    "tokenizer": Field(("tokenizer",), command_values.name, model_only=True),
-    "checks-fencing": Field(("checks_fencing",), command_values.yes_or_no),
+    "max-concurrent": Field(("max_concurrent",), command_values.whole, "16"),
+    "max-tokens": Field(("max_tokens",), command_values.whole, "512", model_only=True),
+    "deadline": Field(("deadline_ms",), command_values.duration, "30s"),
+    "lateness": Field(
+        ("lateness",), command_values.choice(configuration.Lateness), "late-is-worse"
+    ),
+    "tokenizer": Field(("tokenizer",), command_values.name, "utf8-4", model_only=True),
+    "checks-fencing": Field(("checks_fencing",), command_values.yes_or_no, "yes"),
     "weights.first-token": Field(
-        ("weights", "first_token"), command_values.number, model_only=True
+        ("weights", "first_token"), command_values.number, "1", model_only=True
     ),
     "weights.recomputed": Field(
-        ("weights", "recomputed"), command_values.number, model_only=True
+        ("weights", "recomputed"), command_values.number, "0.5", model_only=True
+    ),
+    "weights.link": Field(
+        ("weights", "link"), command_values.number, "0.5", model_only=True
     ),
-    "weights.link": Field(("weights", "link"), command_values.number, model_only=True),
 }
 
 NEW_TIER_FIELDS_BY_NAME: Final[Mapping[str, Field]] = {
-    "kind": Field(("kind",), command_values.choice(configuration.TierKind)),
-    "link": Field(("link_bytes_per_second",), command_values.rate),
-    "capacity": Field(("capacity_bytes",), command_values.size),
-    "stores": Field(("stores",), command_values.name, is_list=True),
+    "kind": Field(("kind",), command_values.choice(configuration.TierKind), "memory"),
+    "link": Field(("link_bytes_per_second",), command_values.rate, "200MB/s"),
+    "capacity": Field(("capacity_bytes",), command_values.size, "4GiB"),
+    "stores": Field(("stores",), command_values.name, "(VM, VM)", is_list=True),
 }
 
 TIER_FIELDS_BY_NAME: Final[Mapping[str, Field]] = {
--- a/quincecrank/command_queries.py
+++ b/quincecrank/command_queries.py
@@ -88,11 +88,7 @@
     """Return rows of one type as a table."""
     names = [field.name for field in dataclasses.fields(row_type)]
     cells = tuple(tuple(_cell(getattr(row, n)) for n in names) for row in rows)
-    return Table(_columns(row_type), cells)
-
-
-def _columns(row_type: type) -> tuple[str, ...]:
-    return tuple(f.name.replace("_", "-") for f in dataclasses.fields(row_type))
+    return Table(command_tables.columns(row_type), cells)
 
 
 def _cell(value: Any) -> Cell:
@@ -174,7 +170,7 @@
         self, query: command_model.ShowTable, row_type: type, found: findings.Findings
     ) -> None:
         self._row_type = row_type
-        self._columns = _columns(row_type)
+        self._columns = command_tables.columns(row_type)
         self._found = found
         predicates = [self._predicate(condition) for condition in query.conditions]
         self._predicates = [p for p in predicates if p is not None]
@@ -198,7 +194,7 @@
             return self._columns.index(field.text)
         message = messages.unknown("column", field.text, self._columns)
         known = messages.alternatives(self._columns)
-        self._found.add(field.place, f"{message}; known: {known}")
+        self._found.add(field.place, f"{message} (known: {known})")
         return None
 
     def _read(
--- a/quincecrank/command_rules.py
+++ b/quincecrank/command_rules.py
@@ -26,7 +26,7 @@
 MAX_ROW_BYTES: Final = 300_000
 """Bound of the bodies in one row; the platform table takes items of 400 kB."""
 
-MAX_FINDINGS: Final = 50
+MAX_FINDINGS: Final = 20
 """Findings after which the rest of a change is left unchecked."""
 
 
--- a/quincecrank/command_tables.py
+++ b/quincecrank/command_tables.py
@@ -108,6 +108,11 @@
 }
 
 
+def columns(row_type: type) -> tuple[str, ...]:
+    """Return the column names of a row class."""
+    return tuple(f.name.replace("_", "-") for f in dataclasses.fields(row_type))
+
+
 async def rows(
     table: command_model.TableName,
     current: configuration.Configuration,
--- a/quincecrank/command_values.py
+++ b/quincecrank/command_values.py
@@ -38,7 +38,7 @@
     """Read a number that is not negative."""
     match = _QUANTITY.fullmatch(text)
     if match is None or match[2]:
-        raise ValueError(f"{text!r} is not a number")
+        raise ValueError(f"{text!r} is not a number of 0 or more")
     return float(match[1])
 
 
--- a/quincecrank/settings.py
+++ b/quincecrank/settings.py
@@ -8,6 +8,7 @@
 import enum
 import ipaddress
 import pathlib
+import re
 import stat
 import urllib.parse
 from collections.abc import Callable
@@ -21,6 +22,14 @@
 MIN_SECRET_BYTES: Final = 16
 MAX_PORT: Final = 65_535
 DEFAULT_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+_AGENT_KEY: Final = re.compile(r"^backend_server\s*:", re.MULTILINE)
+
+
+class ProgramName(enum.Enum):
+    """Programs that have settings."""
+
+    ENTRY = "quince-entry"
+    AGENT = "quince-agent"
 
 
 class LogFormat(enum.Enum):
@@ -287,3 +296,13 @@
 ) -> expression.Result[AgentSettings, findings.Findings]:
     """Read the settings of an agent."""
     return settings_file.load(path, AgentSettings)
+
+
+def program_of(path: str | pathlib.Path) -> ProgramName:
+    """Tell which program a settings file is for; an entry when it is unclear."""
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, ValueError):
+        return ProgramName.ENTRY
+    is_agent = _AGENT_KEY.search(text) is not None
+    return ProgramName.AGENT if is_agent else ProgramName.ENTRY
--- a/tests/builders_commands.py
+++ b/tests/builders_commands.py
@@ -3,12 +3,18 @@
 import dataclasses
 import itertools
 
+import expression
+
 from quincecrank import (
     access,
+    clock,
     command_model,
     command_parser,
     command_rules,
+    commands,
     configuration,
+    configuration_store,
+    current_configuration,
     fleet_view,
     ids,
 )
@@ -125,3 +131,54 @@
         if self.down:
             raise fleet_view.ViewUnavailableError("the platform table is out")
         return tuple(row for row in self.history_rows if row.version > after)[:limit]
+
+
+class FakeStore:
+    """A committed history in memory; `failure` is raised by the next proposal."""
+
+    def __init__(self) -> None:
+        self.rows: list[configuration.ConfigurationRow] = []
+        self.failure: Exception | None = None
+
+    async def catch_up(
+        self, known: configuration.Configuration
+    ) -> tuple[configuration.ConfigurationRow, ...]:
+        return tuple(self.rows[known.version :])
+
+    async def propose(
+        self, row: configuration.ConfigurationRow
+    ) -> expression.Result[
+        configuration.ConfigurationRow, configuration_store.ProposalConflict
+    ]:
+        if self.failure is not None:
+            raise self.failure
+        later = tuple(self.rows[row.version - 1 :])
+        if later:
+            return expression.Error(configuration_store.ProposalConflict(later))
+        self.rows.append(row)
+        return expression.Ok(row)
+
+
+class StoreFleet(FakeFleet):
+    """A fleet view whose history is that of a fake store."""
+
+    def __init__(self, store: FakeStore) -> None:
+        super().__init__()
+        self._store = store
+
+    async def history(
+        self, after: ids.ConfigurationVersion, limit: int
+    ) -> tuple[fleet_view.HistoryRow, ...]:
+        self.history_rows = tuple(
+            fleet_view.HistoryRow(r.version, r.wall_ms, r.operator, r.command)
+            for r in self._store.rows
+        )
+        return await super().history(after, limit)
+
+
+def services(store: FakeStore) -> commands.Services:
+    """Return the services of one entry beside `store`."""
+    wall = clock.ManualClock(1_700_000_000_000)
+    fleet = StoreFleet(store)
+    current = current_configuration.CurrentConfiguration(wall)
+    return commands.Services(current, store, fleet, wall, key_source())
--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,159 @@
+"""Tests of the executor: versions, races, outages, and the HTTP handler."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+from tornado import httpclient, testing, web
+
+from quincecrank import (
+    access,
+    admin_api,
+    admin_messages,
+    commands,
+    ids,
+    platform_table,
+    problems,
+    settings,
+)
+from tests import builders_commands
+
+TOKEN = "token-of-asha-0123456789"
+
+
+class ExecuteTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.store = builders_commands.FakeStore()
+        self.services = builders_commands.services(self.store)
+
+    async def execute(
+        self, text: str, decided_on: int | None, services: commands.Services
+    ) -> commands.Outcome:
+        version = None if decided_on is None else ids.ConfigurationVersion(decided_on)
+        return await commands.execute(text, version, "asha", services)
+
+    async def problem(self, text: str, decided_on: int | None) -> problems.Problem:
+        outcome = await self.execute(text, decided_on, self.services)
+        self.assertTrue(outcome.is_error(), outcome)
+        return outcome.error
+
+    async def test_a_change_is_committed_whole_and_in_force_at_once(self) -> None:
+        outcome = await self.execute(builders_commands.SAJHA, 0, self.services)
+        self.assertEqual(outcome.ok.version, 1)
+        self.assertIn(("tier", "smriti", "created"), outcome.ok.table.rows)
+        row = self.store.rows[0]
+        self.assertEqual((row.operator, row.wall_ms), ("asha", 1_700_000_000_000))
+        shown = await self.execute("show tiers", None, self.services)
+        self.assertEqual((shown.ok.version, len(shown.ok.table.rows)), (1, 1))
+
+    async def test_of_operators_who_race_the_later_learns_what_changed(self) -> None:
+        other = builders_commands.services(self.store)
+        await self.execute("create account a", 0, other)
+        for case in ("the entry lags behind the store", "the entry knows"):
+            with self.subTest(case):
+                problem = await self.problem("create account b", 0)
+                assert isinstance(problem, commands.StaleVersion)
+                self.assertEqual(problem.ran, problems.Ran.NOT_RUN)
+                changes = json.loads(problem.to_json("req-1"))["changes"]
+                self.assertEqual(changes[0]["command"], "create account a")
+                self.assertEqual(changes[0]["operator"], "asha")
+        self.assertEqual(len(self.store.rows), 1)
+        self.assertEqual(self.services.current.in_force.version, 1)
+
+    async def test_an_entry_that_lags_reads_on_before_it_judges(self) -> None:
+        other = builders_commands.services(self.store)
+        await self.execute("create account a", 0, other)
+        outcome = await self.execute("disable account a", 1, self.services)
+        self.assertEqual(outcome.ok.version, 2)
+
+    async def test_requests_that_cannot_be_judged_are_refused(self) -> None:
+        cases = (
+            ("drain vm-1", None, "a change must name the version"),
+            ("drain vm-1", 5, "version 5 is not known; newest: 0"),
+            ("at version 1: drain vm-1", 0, "the text names version 1, the request 0"),
+            ("drain", 0, "the text has 1 mistake; nothing was changed"),
+            ("roll a to b; undrain c", 0, "the text has 2 mistakes"),
+            ("show acounts", 0, "the text has 1 mistake"),
+        )
+        for text, version, expected in cases:
+            with self.subTest(text):
+                problem = await self.problem(text, version)
+                self.assertEqual(problem.status, 400)
+                self.assertIn(expected, problem.detail)
+        self.assertFalse(self.store.rows)
+
+    async def test_outages_say_whether_the_change_ran(self) -> None:
+        text = "create account a; create key for a"
+        self.store.failure = platform_table.TableUnavailableError("refused")
+        problem = await self.problem(text, 0)
+        self.assertEqual((problem.status, problem.ran), (503, problems.Ran.NOT_RUN))
+        self.assertGreater(problem.retry_after_ms, 0)
+        self.store.failure = platform_table.OutcomeUnknownError("lost")
+        problem = await self.problem(text, 0)
+        self.assertEqual(problem.ran, problems.Ran.UNKNOWN)
+        self.assertRegex(problem.detail, "revoke key-[0-9]+, which were not shown")
+        self.assertEqual(self.services.current.in_force.version, 0)
+
+    async def test_a_failed_fleet_view_is_a_problem_for_its_tables_only(self) -> None:
+        assert isinstance(self.services.fleet, builders_commands.FakeFleet)
+        self.services.fleet.down = True
+        self.assertEqual((await self.problem("show vms", None)).status, 503)
+        outcome = await self.execute("drain vm-1", 0, self.services)
+        self.assertTrue(outcome.is_ok())
+
+
+class AdminApiTest(testing.AsyncHTTPTestCase):
+    def get_app(self) -> web.Application:
+        with tempfile.TemporaryDirectory() as directory:
+            token_file = pathlib.Path(directory) / "token"
+            token_file.write_text(TOKEN + "\n")
+            operator = settings.Operator.model_construct(
+                name="asha", token_file=token_file
+            )
+            tokens = access.OperatorTokens((operator,))
+        store = builders_commands.FakeStore()
+        return admin_api.application(builders_commands.services(store), tokens)
+
+    def post(self, body: str, token: str = TOKEN) -> httpclient.HTTPResponse:
+        return self.fetch(
+            admin_messages.COMMANDS_PATH,
+            method="POST",
+            body=body,
+            headers={"Authorization": f"Bearer {token}"},
+        )
+
+    def test_a_change_and_its_key_are_answered(self) -> None:
+        body = {"text": "create account a; create key for a", "version": 0}
+        response = self.post(json.dumps(body))
+        answer = admin_messages.CommandAnswer.model_validate_json(response.body)
+        self.assertEqual(answer.version, 1)
+        self.assertTrue(answer.created_keys[0].key.startswith(access.KEY_PREFIX))
+        self.assertEqual(response.headers["Cache-Control"], "no-store")
+
+    def test_bad_requests_are_problems_with_the_right_status(self) -> None:
+        large = json.dumps({"text": " " * admin_messages.MAX_BODY_BYTES})
+        cases = (
+            ("{", TOKEN, 400, "bad-request"),
+            ("[]", TOKEN, 400, "bad-request"),
+            ('{"text": "show vms", "extra": 1}', TOKEN, 400, "bad-request"),
+            ('{"text": "drain a", "version": "0"}', TOKEN, 400, "bad-request"),
+            ('{"text": "\\ud800"}', TOKEN, 400, "bad-request"),
+            ('{"text": "show vms"}', "token-of-someone-else", 401, "unauthenticated"),
+            (large, TOKEN, 413, "too-large"),
+            (large, "wrong", 401, "unauthenticated"),
+        )
+        for body, token, status, kind in cases:
+            with self.subTest(body[:40], token=token):
+                response = self.post(body, token)
+                self.assertEqual(response.code, status)
+                document = json.loads(response.body)
+                self.assertEqual(document["type"], f"urn:quincecrank:problem:{kind}")
+                self.assertEqual(document["ran"], "not-run")
+
+    def test_other_paths_and_methods_are_problems_too(self) -> None:
+        headers = {"Authorization": f"Bearer {TOKEN}"}
+        for path, status in (("/", 404), (admin_messages.COMMANDS_PATH, 405)):
+            response = self.fetch(path, headers=headers)
+            self.assertEqual(response.code, status)
+            self.assertEqual(json.loads(response.body)["status"], status)
