--- a/bench/load.py
+++ b/bench/load.py
@@ -17,15 +17,14 @@
 from tornado import curl_httpclient, httpclient, httputil
 
 from bench import trace
-from quincecrank import block_keys, clock, ids
+from quincecrank import block_keys, clock, http_base, ids
 from standins import answers
 
 MAX_OPEN_REQUESTS: Final = 512
 WARM_UP_CONCURRENCY: Final = 12
 SETTLE_MS: Final = 1500
-"""Pause after the warm-up, in which blocks are written."""
+"""Pause in which the blocks of the last requests are written."""
 
-DEADLINE_HEADER: Final = "X-Request-Deadline-Ms"
 _CLIENT_GRACE_S: Final = 10
 _DATA: Final = b"data:"
 
@@ -149,7 +148,7 @@
 
         requests = self._trace.warm_up
         records = await asyncio.gather(*(send(request) for request in requests))
-        await self._clock.sleep(SETTLE_MS)
+        await self.settle()
         return tuple(records)
 
     async def run(self) -> tuple[RequestRecord, ...]:
@@ -162,6 +161,10 @@
             tasks.append(asyncio.ensure_future(self._send(request, at_ms)))
         return tuple(await asyncio.gather(*tasks))
 
+    async def settle(self) -> None:
+        """Wait until the blocks of the last requests have been written."""
+        await self._clock.sleep(SETTLE_MS)
+
     def close(self) -> None:
         """Free the client."""
         self._client.close()
@@ -204,7 +207,7 @@
         headers = httputil.HTTPHeaders()
         headers["Authorization"] = f"Bearer {key}"
         headers["Content-Type"] = "application/json"
-        headers[DEADLINE_HEADER] = str(profile.deadline_ms)
+        headers[http_base.DEADLINE_HEADER] = str(profile.deadline_ms)
         url = self._target.urls[request.number % len(self._target.urls)]
         return httpclient.HTTPRequest(
             f"{url}/v1/completions",
--- a/bench/trace.py
+++ b/bench/trace.py
@@ -20,7 +20,7 @@
 from typing import Final
 
 from quincecrank import ids
-from standins import texts
+from standins import texts, users
 
 HOUR_MS: Final = 10_000
 HOURS: Final = 2
@@ -152,12 +152,9 @@
     measured: tuple[TraceRequest, ...]
 
 
-def account_name(workload: Workload, number: int) -> ids.AccountName:
-    """Return the name of the account `number`, counted from 0; low ones are large."""
-    return ids.AccountName(f"{workload.value}-{number:02d}")
-
-
-ACCOUNT_COUNT: Final = len(_ACCOUNT_WEIGHTS)
+def accounts(workload: Workload) -> tuple[ids.AccountName, ...]:
+    """Return the client accounts of a user, the large ones first."""
+    return users.NEWSROOMS if workload is Workload.SAJHA else users.FLEETS
 
 
 class _Maker:
@@ -169,11 +166,12 @@
         self._next_seed = seed * 1_000_000
         self._number = 0
         self._contexts = [
-            self._new_context(number % ACCOUNT_COUNT)
+            self._new_context(number % len(_ACCOUNT_WEIGHTS))
             for number in range(profile.contexts)
         ]
         self._weights = [
-            _ACCOUNT_WEIGHTS[number % ACCOUNT_COUNT] / (1 + number // ACCOUNT_COUNT)
+            _ACCOUNT_WEIGHTS[number % len(_ACCOUNT_WEIGHTS)]
+            / (1 + number // len(_ACCOUNT_WEIGHTS))
             for number in range(profile.contexts)
         ]
 
@@ -223,13 +221,13 @@
 
     def _replace_context(self, number: int) -> int:
         """Put a new version in the place of a context, as a release does."""
-        self._contexts[number] = self._new_context(number % ACCOUNT_COUNT)
+        self._contexts[number] = self._new_context(number % len(_ACCOUNT_WEIGHTS))
         return number
 
     def _new_context(self, account: int) -> Context:
         self._next_seed += 1
         tokens = self._random.randint(MIN_CONTEXT_TOKENS, MAX_CONTEXT_TOKENS)
-        name = account_name(self._profile.workload, account)
+        name = accounts(self._profile.workload)[account]
         return Context(self._profile.workload, name, self._next_seed, tokens)
 
     def _request(
--- a/quincecrank/placement_rules.py
+++ b/quincecrank/placement_rules.py
@@ -30,7 +30,7 @@
         chain_view.StoredBlock(
             index=index,
             store=rendezvous.ranked(key, store_names, 1)[0],
-            object_name=_new_name(keys[0], index, key),
+            object_name=_new_name(keys[0], key),
             tier=tier.name,
         )
         for index, key in enumerate(keys)
@@ -38,6 +38,6 @@
     )
 
 
-def _new_name(root: ids.BlockKey, index: int, key: ids.BlockKey) -> ids.ObjectName:
+def _new_name(root: ids.BlockKey, key: ids.BlockKey) -> ids.ObjectName:
     write_id = secrets.token_hex(_WRITE_ID_BYTES)
-    return sealed_block.BlockName(root, index, key, write_id).object_name()
+    return sealed_block.BlockName(root, key, write_id).object_name()
