--- a/quincecrank/admin_api.py
+++ b/quincecrank/admin_api.py
@@ -18,15 +18,23 @@
 _SOURCE: Final = "body"
 
 
+Rule = tuple[str, type[web.RequestHandler], dict[str, object]]
+
+
+def rules(services: commands.Services, tokens: access.OperatorTokens) -> list[Rule]:
+    """Return the routing rules of the administration API, the last one for the rest."""
+    arguments: dict[str, object] = {"services": services, "tokens": tokens}
+    return [
+        (admin_messages.COMMANDS_PATH, CommandsHandler, arguments),
+        (r".*", _NotFoundHandler, {}),
+    ]
+
+
 def application(
     services: commands.Services, tokens: access.OperatorTokens
 ) -> web.Application:
-    """Return the application that serves the administration API."""
-    arguments = {"services": services, "tokens": tokens}
-    return web.Application(
-        [(admin_messages.COMMANDS_PATH, CommandsHandler, arguments)],
-        default_handler_class=_NotFoundHandler,
-    )
+    """Return an application that serves the administration API alone."""
+    return web.Application(list(rules(services, tokens)))
 
 
 class _ProblemHandler(web.RequestHandler):
--- a/quincecrank/agent_links.py
+++ b/quincecrank/agent_links.py
@@ -33,6 +33,8 @@
     ----------
     suspects : int
         Requests that run there and were in flight at an earlier crash.
+    heartbeat_ms : int
+        When the last heartbeat came.
     """
 
     link: peer_link.PeerLink
@@ -51,6 +53,7 @@
     max_concurrent: int = 1
     prefill_tokens_per_second: float = 0.0
     suspects: int = 0
+    heartbeat_ms: int = 0
 
     @property
     def peer(self) -> wire.PeerIdentity:
@@ -137,6 +140,7 @@
         state = self.states_by_vm.get(link.peer.name)
         if state is None or state.link is not link:
             return
+        state.heartbeat_ms = self._clock.now_ms()
         load = heartbeat.load
         state.accepting = load.accepting
         state.healthy = load.healthy
--- a/quincecrank/completion_dispatch.py
+++ b/quincecrank/completion_dispatch.py
@@ -214,6 +214,8 @@
     ) -> tuple[attempts.Attempt, attempts.Outcome]:
         order = self._order(progress, route)
         progress.attempt_count += 1
+        server = route.state.peer.backend_server
+        progress.context.shown.running(server, order.attempt_id)
         before = progress.sink.data_frames
         with self._counted(progress, route, order):
             attempt = self._links.open(route.state, order, progress.sink)
@@ -263,6 +265,7 @@
         """Tell the estimates that the first token of an attempt has come."""
         route.state.estimates.first_token(sent_id, self._clock.now_ms())
         progress.queue.first_token(progress.context.request_id)
+        progress.context.shown.state = "streaming"
 
     def _order(
         self, progress: _Progress, route: router.Route
--- a/quincecrank/ctl.py
+++ b/quincecrank/ctl.py
@@ -249,3 +249,7 @@
         return ExitCode.USAGE
     print(text, end="")
     return ExitCode.DONE
+
+
+if __name__ == "__main__":
+    main()
--- a/quincecrank/entry.py
+++ b/quincecrank/entry.py
@@ -16,13 +16,17 @@
 from tornado import httpserver, web
 
 from quincecrank import (
+    access,
+    admin_api,
     admission_gate,
     agent_links,
+    commands,
     completion_dispatch,
     configuration_follower,
     configuration_store,
     current_configuration,
     directory_lookup,
+    entry_view,
     http_base,
     ids,
     logs,
@@ -171,7 +175,7 @@
 
     async def stop(self) -> None:
         """Take no new requests, let the open ones finish, close everything."""
-        _LOG.info("shutting down", open_requests=self._services.open_requests)
+        _LOG.info("shutting down", open_requests=len(self._services.tasks))
         self._services.stopping = True
         self._caller_server.stop()
         while self._services.tasks:
@@ -197,7 +201,20 @@
         ]
 
     def _admin_rules(self) -> list[status_server.Rule]:
-        return status_server.rules(self._figures.registry, self._is_ready)
+        view = entry_view.EntryView(
+            self._members,
+            self._links,
+            self._table,
+            self._store,
+            self._services.requests_by_id.values,
+            self._clock,
+        )
+        services = commands.Services(self._current, self._store, view, self._clock)
+        tokens = access.OperatorTokens(self._settings.admin.operators)
+        return [
+            *status_server.rules(self._figures.registry, self._is_ready),
+            *admin_api.rules(services, tokens),
+        ]
 
     def _identity(self) -> wire.PeerIdentity:
         return wire.PeerIdentity(
--- a/quincecrank/fleet_view.py
+++ b/quincecrank/fleet_view.py
@@ -75,19 +75,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class LeaseRow:
-    """One lease of the platform table.
+    """One agent's registration in the platform table.
 
-    Attributes
-    ----------
-    expires_in_ms : int
-        Milliseconds until it lapses; negative when it has.
+    It holds until another process registers for the same backend server; there is
+    no time to renew it by, see ``docs/DESIGN.md``.
     """
 
     backend_server: ids.BackendServerName
     vm: ids.VmName
     holder: ids.Incarnation
     fencing_number: ids.FencingNumber
-    expires_in_ms: int
 
 
 @dataclasses.dataclass(frozen=True)
--- a/quincecrank/http_base.py
+++ b/quincecrank/http_base.py
@@ -10,6 +10,7 @@
     access,
     configuration,
     current_configuration,
+    entry_view,
     findings,
     ids,
     logs,
@@ -41,7 +42,7 @@
 
     Attributes
     ----------
-    open_requests : int
+    requests_by_id : dict
         Requests being served by this process.
     stopping : bool
         Whether the process finishes its requests and takes no more.
@@ -60,7 +61,7 @@
         self.clock = clock
         self.max_body_bytes = max_body_bytes
         self.max_open_requests = max_open_requests
-        self.open_requests = 0
+        self.requests_by_id: dict[ids.RequestId, entry_view.OpenRequest] = {}
         self.stopping = False
         self.tasks: set[asyncio.Task[Any]] = set()
         self._account_keys = access.AccountKeys(current.in_force)
@@ -114,13 +115,12 @@
         if services.stopping:
             self.write_problem(_stopping())
             return
-        if services.open_requests >= services.max_open_requests:
+        if len(services.tasks) >= services.max_open_requests:
             self.write_problem(_too_many())
             return
-        services.open_requests += 1
-        services.figures.open_requests.set(services.open_requests)
         self._task = asyncio.ensure_future(self.respond())
         services.tasks.add(self._task)
+        services.figures.open_requests.set(len(services.tasks))
         try:
             await self._task
         except problems.ProblemError as error:
@@ -129,8 +129,8 @@
             _LOG.info("caller went away", request_id=self.request_id)
         finally:
             services.tasks.discard(self._task)
-            services.open_requests -= 1
-            services.figures.open_requests.set(services.open_requests)
+            services.requests_by_id.pop(self.request_id, None)
+            services.figures.open_requests.set(len(services.tasks))
 
     async def respond(self) -> None:
         """Answer the request; raises `ProblemError` to refuse it."""
@@ -152,6 +152,17 @@
             raise problems.ProblemError(_unauthenticated("the API key is not known"))
         return _enabled(account)
 
+    def opened(
+        self, account: ids.AccountName, deployment: ids.DeploymentName
+    ) -> entry_view.OpenRequest:
+        """List the request for the operators' queries until it is answered."""
+        services = self.services
+        shown = entry_view.OpenRequest(
+            self.request_id, account, deployment, services.clock.now_ms()
+        )
+        services.requests_by_id[self.request_id] = shown
+        return shown
+
     def require_ready(self) -> None:
         """Refuse while this process has not learned a configuration."""
         if not self.services.current.version:
--- a/quincecrank/logs.py
+++ b/quincecrank/logs.py
@@ -49,4 +49,4 @@
 
 def logger(component: str) -> Any:
     """Return the logger of one component."""
-    return structlog.get_logger().bind(component=component)
+    return structlog.get_logger(component=component)
--- a/quincecrank/openai_api.py
+++ b/quincecrank/openai_api.py
@@ -109,6 +109,7 @@
             configuration_version=self.services.current.version,
             deadline_at_ms=self.services.clock.now_ms() + left_ms,
             priority=priority,
+            shown=self.opened(account.name, deployment.name),
             fingerprint=request_context.fingerprint(
                 request.model.encode(), request.prompt, limit.encode()
             ),
--- a/quincecrank/plain_dispatch.py
+++ b/quincecrank/plain_dispatch.py
@@ -134,6 +134,7 @@
         order = self._order(run)
         sent_id = ids.RequestId(order.attempt_id)
         run.sent_attempts.append(order.attempt_id)
+        run.context.shown.running(route.state.peer.backend_server, order.attempt_id)
         route.state.breaker.sent(self._clock.now_ms())
         route.state.estimates.sent(sent_id, route.plan, self._clock.now_ms())
         attempt = self._links.open(route.state, order, run.sink)
--- a/quincecrank/request_context.py
+++ b/quincecrank/request_context.py
@@ -4,7 +4,7 @@
 import hashlib
 
 from quincecrank import clock as clocks
-from quincecrank import configuration, crash_counts, ids
+from quincecrank import configuration, crash_counts, entry_view, ids
 
 
 @dataclasses.dataclass(frozen=True)
@@ -19,6 +19,8 @@
         Higher runs first.
     fingerprint : str
         Digest of the request in hex; equal requests have equal ones.
+    shown : OpenRequest
+        What operators see of the request.
     """
 
     request_id: ids.RequestId
@@ -28,6 +30,7 @@
     deadline_at_ms: int
     priority: int
     fingerprint: str
+    shown: entry_view.OpenRequest
 
     def left_ms(self, clock: clocks.Clock) -> int:
         """Return the time left, 0 when the deadline has passed."""
--- a/quincecrank/services_api.py
+++ b/quincecrank/services_api.py
@@ -124,6 +124,7 @@
             configuration_version=self.services.current.version,
             deadline_at_ms=self.services.clock.now_ms() + left_ms,
             priority=0,
+            shown=self.opened(account.name, deployment.name),
             fingerprint=request_context.fingerprint(
                 call.method.encode(), call.path.encode(), call.body
             ),
