--- /dev/null
+++ b/quincecrank/router.py
@@ -0,0 +1,197 @@
+"""Chooses the agent for each attempt and logs why."""
+
+import dataclasses
+from typing import Final
+
+from quincecrank import (
+    agent_links,
+    chain_view,
+    configuration,
+    current_configuration,
+    ids,
+    link_budget,
+    logs,
+    membership,
+    policies,
+    request_context,
+    routing,
+    vm_list,
+)
+from quincecrank import clock as clocks
+
+DEFAULT_BLOCK_BYTES: Final = 64 * 1024
+_BLOCK_SMOOTHING: Final = 0.2
+
+_LOG: Final = logs.logger("router")
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """A routing decision: the agent and the plan to follow there."""
+
+    state: agent_links.AgentState
+    plan: routing.Plan
+
+
+class Router:
+    """Applies the routing policy to the agents that may take a request."""
+
+    def __init__(
+        self,
+        links: agent_links.AgentLinks,
+        members: membership.Membership,
+        current: current_configuration.CurrentConfiguration,
+        policy: routing.RoutingPolicy,
+        clock: clocks.Clock,
+    ) -> None:
+        self._links = links
+        self._members = members
+        self._current = current
+        self._clock = clock
+        self._estimates = link_budget.LinkEstimates()
+        self.policy = policy
+        self.block_bytes = DEFAULT_BLOCK_BYTES
+
+    def candidates(
+        self,
+        context: request_context.RequestContext,
+        adapter: ids.AdapterName,
+        excluded: frozenset[ids.BackendServerName] = frozenset(),
+    ) -> tuple[agent_links.AgentState, ...]:
+        """Return the agents that may take a request now."""
+        drains = self._current.in_force.drains_by_vm
+        return tuple(
+            state
+            for state in self._links.states_by_vm.values()
+            if state.peer.deployment == context.deployment.name
+            and state.accepting
+            and state.healthy
+            and state.peer.name not in drains
+            and not self._is_leaving(state.peer.name)
+            and state.peer.backend_server not in excluded
+            and self._fits(state, context.deployment, adapter)
+            and state.breaker.allows(self._clock.now_ms())
+        )
+
+    def choose(
+        self,
+        context: request_context.RequestContext,
+        adapter: ids.AdapterName,
+        prompt_tokens: int,
+        chain: chain_view.ChainView,
+        root: ids.BlockKey | None,
+        excluded: frozenset[ids.BackendServerName] = frozenset(),
+        *,
+        alone: bool = False,
+    ) -> Route | None:
+        """Return the decision for one attempt, None without a candidate.
+
+        Parameters
+        ----------
+        alone : bool
+            Whether the request is suspected of crashing backend servers and must
+            not meet another suspect.
+        """
+        states = self.candidates(context, adapter, excluded)
+        if alone:
+            states = tuple(state for state in states if not state.suspects)
+        now_ms = self._clock.now_ms()
+        replicas = [state.estimates.state(now_ms) for state in states]
+        request = routing.RoutingRequest(
+            request_id=context.request_id,
+            deployment=context.deployment.name,
+            weights=context.deployment.weights,
+            prompt_tokens=prompt_tokens,
+            block_bytes=self.block_bytes,
+            root=root,
+        )
+        known = [replica for replica in replicas if replica is not None]
+        links = self._link_states(context.deployment)
+        plan = self.policy.choose(request, known, chain, links, now_ms)
+        if plan is None:
+            return None
+        state = next(s for s in states if s.peer.backend_server == plan.server)
+        self._log(context, plan, len(known))
+        return Route(state, plan)
+
+    def tiers_of(
+        self, deployment: configuration.Deployment
+    ) -> tuple[configuration.Tier, ...]:
+        """Return the tiers of a deployment in its order of preference."""
+        tiers_by_name = self._current.in_force.tiers_by_name
+        return tuple(tiers_by_name[t] for t in deployment.tiers if t in tiers_by_name)
+
+    def restore_started(self, sent_id: ids.RequestId, plan: routing.Plan) -> None:
+        """Count the bytes that an attempt takes from the links."""
+        self._estimates.planned(
+            sent_id, plan.restore, self.block_bytes, self._clock.now_ms()
+        )
+
+    def restore_ended(
+        self, sent_id: ids.RequestId, duration_ms: float | None = None
+    ) -> None:
+        """Give the bytes of an attempt back; learn from its time when it is known."""
+        self._estimates.restored(sent_id, duration_ms)
+
+    def restored(self, blocks: int, link_bytes: int) -> None:
+        """Learn the size of a sealed block from a restore."""
+        if blocks:
+            observed = link_bytes // blocks
+            self.block_bytes += int(_BLOCK_SMOOTHING * (observed - self.block_bytes))
+
+    def _is_leaving(self, name: ids.VmName) -> bool:
+        vm = self._members.vms_by_name.get(name)
+        return vm is not None and vm.state is vm_list.VmState.LEAVING
+
+    def _fits(
+        self,
+        state: agent_links.AgentState,
+        deployment: configuration.Deployment,
+        adapter: ids.AdapterName,
+    ) -> bool:
+        if deployment.kind is configuration.DeploymentKind.SERVICE:
+            return True
+        if state.weight_version != deployment.weight_version:
+            return False
+        return not adapter or adapter in state.adapters
+
+    def _link_states(
+        self, deployment: configuration.Deployment
+    ) -> tuple[routing.LinkState, ...]:
+        """Return the links of the deployment's tiers on stores that are there."""
+        names = {tier.name for tier in self.tiers_of(deployment)}
+        for tier in self.tiers_of(deployment):
+            for store in tier.stores:
+                self._estimates.set_link(store, tier.name, tier.link_bytes_per_second)
+        return tuple(
+            link
+            for link in self._estimates.states()
+            if link.tier in names
+            and link.store in self._members.vms_by_name
+            and not self._is_leaving(link.store)
+        )
+
+    def _log(
+        self, context: request_context.RequestContext, plan: routing.Plan, count: int
+    ) -> None:
+        _LOG.info(
+            "request routed",
+            decision="routing",
+            policy=self.policy.name,
+            request_id=context.request_id,
+            account=context.account.name,
+            deployment=context.deployment.name,
+            backend_server=plan.server,
+            candidates=count,
+            cached_blocks=plan.cached_blocks,
+            restore_blocks=len(plan.restore),
+            recompute_tokens=plan.recompute_tokens,
+            estimated_first_token_ms=round(plan.estimated_first_token_ms),
+            cost=round(plan.cost, 1),
+            reason=plan.reason,
+        )
+
+
+def default_policy() -> routing.RoutingPolicy:
+    """Return the product's own policy."""
+    return policies.make_policy(policies.DEFAULT_POLICY)
