Bound the time of claims and cancellations; explore restarts of agents

With a silent table a claim took up to six timeouts of the table's client and a cancellation as long, so a request that was given up didn't get its answer at once. Both now end at their own limit; a claim that ends so is withdrawn.

The explorer restarts an agent that dies.

--- a/quincecrank/attempts.py
+++ b/quincecrank/attempts.py
@@ -24,6 +24,9 @@
 FIRST_RETRY_MS: Final = 100
 LAST_RETRY_MS: Final = 5000
 
+CANCEL_LIMIT_MS: Final = 500
+"""Time that a caller whose request is given up waits for its cancellation."""
+
 _REQUESTS: Final = platform_table.TableName.REQUESTS
 _TAKE_OVER_TRIES: Final = 5
 
@@ -122,10 +125,11 @@
         due_ms = self._clock.now_ms() + request.time_left_ms
         started = self._started(request)
         try:
-            claim = await self._try_claim(request, started)
+            async with asyncio.timeout(request.time_left_ms / clocks.MS_PER_SECOND):
+                claim = await self._try_claim(request, started)
         except platform_table.TableUnavailableError:
             return Claim(ClaimVerdict.TABLE_OUT, request.identity)
-        except platform_table.OutcomeUnknownError:
+        except (platform_table.OutcomeUnknownError, TimeoutError):
             self._backlog.add_withdrawal(request.identity, started)
             return Claim(ClaimVerdict.UNCONFIRMED, request.identity)
         except asyncio.CancelledError:
@@ -248,6 +252,7 @@
     table: platform_table.PlatformTable,
     identity: attempt_records.RequestIdentity,
     attempt_ids: tuple[ids.AttemptId, ...],
+    time_limit_ms: int = CANCEL_LIMIT_MS,
 ) -> Cancellation:
     """Give up a request: keep its attempts from running if none has a claim.
 
@@ -255,12 +260,16 @@
     ----------
     attempt_ids : tuple of AttemptId
         Every attempt of this request that was sent to an agent.
+    time_limit_ms : int
+        Without an answer of the table until then, the verdict is UNKNOWN.
     """
     try:
-        record = await attempt_backlog.write_cancelled(table, identity, attempt_ids)
+        async with asyncio.timeout(time_limit_ms / clocks.MS_PER_SECOND):
+            record = await attempt_backlog.write_cancelled(table, identity, attempt_ids)
     except (
         platform_table.TableUnavailableError,
         platform_table.OutcomeUnknownError,
+        TimeoutError,
     ):
         return Cancellation(CancelVerdict.UNKNOWN)
     if record.fingerprint != identity.fingerprint:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -29,6 +29,8 @@
     ----------
     down : bool
         Every call raises `TableUnavailableError`.
+    silent : bool
+        Calls are never answered and have no effect.
     reads_down : bool
         Every read does so.
     fail_next : int
@@ -46,6 +48,7 @@
 
     def __init__(self) -> None:
         self.down = False
+        self.silent = False
         self.reads_down = False
         self.fail_next = 0
         self.lose_next_answers = 0
@@ -116,6 +119,8 @@
     ) -> None:
         await asyncio.sleep(0)
         self.calls.append(TableCall(operation, table, key))
+        if self.silent:
+            await asyncio.Event().wait()
         if self.fail_next:
             self.fail_next -= 1
             raise platform_table.TableUnavailableError("failed once")
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -147,6 +147,25 @@
         self.table.down = True
         self.assertEqual((await self.cancel("a1")).verdict, UNKNOWN)
 
+    async def test_silent_table_holds_nobody_beyond_the_time_limit(self) -> None:
+        self.table.silent = True
+        request = builders_platform.claim_request("a1", time_left_ms=10)
+        self.assertEqual((await self.agent.claim(request)).verdict, UNCONFIRMED)
+        listed = (ids.AttemptId("a2"),)
+        result = await attempts.cancel(self.table, self.identity, listed, 10)
+        self.assertEqual(result.verdict, UNKNOWN)
+        self.table.silent = False
+        self.assertEqual(await self.claim(self.agent, "a3"), GRANTED)
+
+    async def test_restarted_agent_does_not_run_the_request_again(self) -> None:
+        await self.claim(self.agent, "a1")
+        restarted = self.make_agent("server-1", "i2")
+        claim = await restarted.claim(builders_platform.claim_request("a1"))
+        self.assertEqual(claim.verdict, ALREADY)
+        assert claim.stored is not None
+        state = claim.stored.record.state_at(0, ids.Incarnation("i2"))
+        self.assertEqual(state, attempt_records.RequestState.UNKNOWN)
+
     async def test_list_of_cancelled_attempts_is_bounded(self) -> None:
         for number in range(attempt_records.MAX_CANCELLED_ATTEMPTS):
             self.assertEqual((await self.cancel(f"a{number}")).verdict, NOT_RUN)
--- a/tests/test_attempts_explorer.py
+++ b/tests/test_attempts_explorer.py
@@ -132,7 +132,8 @@
         An agent's own refusal of one delivery says nothing of a second delivery,
         which the connection's authentication rules out; a cancellation does.
         """
-        agent = self.chance.choice(self.agents)
+        index = self.chance.randrange(len(self.agents))
+        agent = self.agents[index]
         await self.pause(12)
         claim = await agent.claim(builders_platform.claim_request(attempt_id))
         await self.pause(12)
@@ -146,6 +147,7 @@
             self.runs.append(attempt_id)
             if self.chance.random() < 0.3:
                 self.has_death = True
+                self.agents[index] = self.make_agent(f"server-{index + 1}")
             else:
                 await agent.finish(claim, builders_platform.outcome())
 
