--- a/quincecrank/agent.py
+++ b/quincecrank/agent.py
@@ -43,6 +43,7 @@
     settings,
     status_server,
     store_watch,
+    table_breaker,
     tasks,
     vm_list,
     wire,
@@ -88,8 +89,11 @@
         self._figures = metrics.AgentMetrics(known.backend_server.deployment)
         self._current = current_configuration.CurrentConfiguration(self._clock)
         platform = known.platform
-        self._table = platform_table.HttpTable(
-            platform.table_url, platform.timeout_ms, self._clock
+        self._table = table_breaker.BreakerTable(
+            platform_table.HttpTable(
+                platform.table_url, platform.timeout_ms, self._clock
+            ),
+            self._clock,
         )
         self._claims = attempts.Attempts(
             self._table, self._clock, known.backend_server.name, self._incarnation
--- a/quincecrank/configuration_follower.py
+++ b/quincecrank/configuration_follower.py
@@ -37,7 +37,10 @@
                 self._current.adopt(await self._store.load())
             else:
                 known = self._current.in_force
-                self._current.apply(await self._store.catch_up(known))
+                rows = await self._store.catch_up(known)
+                self._current.apply(rows)
+                if rows:
+                    await self._store.save_snapshot(self._current.in_force)
             self._current.confirm()
             self._is_out = False
         except platform_table.TableUnavailableError as error:
--- a/quincecrank/entry.py
+++ b/quincecrank/entry.py
@@ -46,6 +46,7 @@
     services_api,
     settings,
     status_server,
+    table_breaker,
     tasks,
     vm_list,
     wire,
@@ -73,8 +74,11 @@
         self._figures = metrics.EntryMetrics()
         self._current = current_configuration.CurrentConfiguration(self._clock)
         platform = known.platform
-        self._table = platform_table.HttpTable(
-            platform.table_url, platform.timeout_ms, self._clock
+        self._table = table_breaker.BreakerTable(
+            platform_table.HttpTable(
+                platform.table_url, platform.timeout_ms, self._clock
+            ),
+            self._clock,
         )
         self._store = configuration_store.ConfigurationStore(
             self._table,
--- a/quincecrank/service_backend.py
+++ b/quincecrank/service_backend.py
@@ -191,6 +191,10 @@
             kind = problems.ProblemKind.IN_PROGRESS
             detail = "an earlier attempt of the same request is still running"
             raise _refused(kind, detail, problems.Ran.UNKNOWN, RETRY_AFTER_FAILURE_MS)
+        if state is attempt_records.RequestState.CANCELLED:
+            kind = problems.ProblemKind.UNAVAILABLE
+            detail = "this attempt was given up before it ran"
+            raise _refused(kind, detail, problems.Ran.NOT_RUN, RETRY_AFTER_FAILURE_MS)
         kind = problems.ProblemKind.OUTCOME_UNKNOWN
         detail = "an earlier attempt was started and its outcome was not recorded"
         raise _refused(kind, detail, problems.Ran.UNKNOWN, 0)
