--- /dev/null
+++ b/bench/idle_peers.py
@@ -0,0 +1,89 @@
+"""Agents without a backend server: they link, beat and take no work."""
+
+import asyncio
+from typing import Any
+
+from tornado import iostream, netutil, tcpserver
+
+from quincecrank import clock as clocks
+from quincecrank import configuration, ids, peer_link, rpc, wire
+
+
+class IdleAgent(tcpserver.TCPServer):
+    """Implementation of `peer_link.LinkOwner` that has nothing to offer."""
+
+    def __init__(
+        self,
+        vm: ids.VmName,
+        deployment: ids.DeploymentName,
+        fleet_secret: bytes,
+        limits: peer_link.HeartbeatLimits,
+    ) -> None:
+        super().__init__()
+        self.links = 0
+        self._fleet_secret = fleet_secret
+        self._limits = limits
+        self._identity = wire.PeerIdentity(
+            role=wire.PeerRole.AGENT,
+            name=vm,
+            incarnation=ids.Incarnation(ids.random_id("i-")),
+            data_centre=ids.DataCentre("dc-1"),
+            fencing_number=ids.FencingNumber(1),
+            backend_server=ids.BackendServerName(f"backend-{vm}"),
+            deployment=deployment,
+        )
+        sockets = netutil.bind_sockets(0, "127.0.0.1")
+        self.port: int = sockets[0].getsockname()[1]
+        self.add_sockets(sockets)
+
+    @property
+    def backend_server(self) -> ids.BackendServerName:
+        """Return the name of the backend server that does not exist."""
+        return self._identity.backend_server
+
+    async def handle_stream(
+        self, stream: iostream.IOStream, address: tuple[str, int]
+    ) -> None:
+        """Serve one link until it ends."""
+        try:
+            connection = await wire.handshake_within(
+                stream,
+                self._identity,
+                self._fleet_secret,
+                dialled=False,
+                timeout_ms=5_000,
+            )
+        except (wire.WireError, iostream.StreamClosedError):
+            return
+        self.links += 1
+        link = peer_link.PeerLink(
+            connection, self, self._limits, clocks.SystemClock()
+        )
+        try:
+            await link.run()
+        except asyncio.CancelledError:
+            pass
+        finally:
+            self.links -= 1
+
+    def make_heartbeat(self) -> Any:
+        """Return a heartbeat that takes no work."""
+        packet = wire.new_packet()
+        heartbeat = packet.init("heartbeat")
+        load = heartbeat.init("load")
+        load.accepting = False
+        load.healthy = True
+        return packet
+
+    def heartbeat_received(self, link: peer_link.PeerLink, heartbeat: Any) -> None:
+        """Take the peer's heartbeat."""
+
+    def packet_received(self, link: peer_link.PeerLink, packet: Any) -> None:
+        """Refuse everything else."""
+        raise wire.WireError("an idle agent takes no work")
+
+    async def answer_call(
+        self, peer: wire.PeerIdentity, method: rpc.Method, body: bytes
+    ) -> configuration.FrozenModel:
+        """Refuse every call."""
+        raise rpc.CallError("an idle agent takes no calls")
--- a/quincecrank/curl_client.py
+++ b/quincecrank/curl_client.py
@@ -41,6 +41,8 @@
 
     def abort(self, request: httpclient.HTTPRequest) -> None:
         """End `request`, queued or open; does nothing when it is complete."""
+        if self._closed:
+            return
         for curl in self._curls:
             info = getattr(curl, "info", None)
             if info is not None and _original(info["request"]) is request:
--- a/standins/engine_scheduler.py
+++ b/standins/engine_scheduler.py
@@ -113,7 +113,9 @@
         self, request: engine_sequence.SequenceRequest, sink: engine_sequence.TokenSink
     ) -> engine_sequence.Sequence | None:
         """Queue a request; return None when the queue is full."""
-        if len(self._waiting) >= self._speeds.max_waiting:
+        # Requests that the next step admits don't count as waiting.
+        free = max(0, self._speeds.max_batch - len(self._batch))
+        if len(self._waiting) >= self._speeds.max_waiting + free:
             return None
         sequence = engine_sequence.Sequence(request, sink, next(self._arrivals))
         self._waiting.append(sequence)
