--- a/quincecrank/command_rules.py
+++ b/quincecrank/command_rules.py
@@ -23,9 +23,6 @@
     tier_rules,
 )
 
-MAX_ROW_BYTES: Final = 300_000
-"""Bound of the bodies in one row; the platform table takes items of 400 kB."""
-
 MAX_FINDINGS: Final = 20
 """Findings after which the rest of a change is left unchecked."""
 
@@ -73,22 +70,9 @@
         if found_before >= MAX_FINDINGS:
             draft.found.add(_place(command), "further commands were not checked")
             break
-    writes = draft.writes()
-    _check_size(writes, commands, draft.found)
     if draft.found:
         return expression.Error(draft.found)
-    return expression.Ok(ChangePlan(writes, tuple(draft.created_keys)))
-
-
-def _check_size(
-    writes: tuple[configuration.EntityWrite, ...],
-    commands: tuple[command_model.Command, ...],
-    found: findings.Findings,
-) -> None:
-    row_bytes = sum(len(write.body.encode()) for write in writes)
-    if row_bytes > MAX_ROW_BYTES:
-        message = f"the change writes {row_bytes} bytes of {MAX_ROW_BYTES}; split it"
-        found.add(_place(commands[0]), message)
+    return expression.Ok(ChangePlan(draft.writes(), tuple(draft.created_keys)))
 
 
 def _place(command: command_model.Command) -> findings.Place:
--- a/quincecrank/command_tables.py
+++ b/quincecrank/command_tables.py
@@ -10,6 +10,9 @@
 HISTORY_ROWS: Final = 1_000
 """How many of the latest changes ``show history`` looks at."""
 
+MAX_COMMAND_CHARACTERS: Final = 300
+"""How much of a change's text a row shows."""
+
 _MS_PER_SECOND: Final = 1_000
 
 
@@ -73,7 +76,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ChangeRow:
-    """One change of the configuration; `time` is in UTC."""
+    """One change of the configuration; `time` is in UTC, `command` shortened."""
 
     version: ids.ConfigurationVersion
     time: str
@@ -254,7 +257,7 @@
         change.version,
         moment.isoformat(timespec="seconds").replace("+00:00", "Z"),
         change.operator,
-        change.command,
+        _shortened(change.command),
     )
 
 
@@ -262,3 +265,9 @@
     by_name: dict[configuration.Name, configuration.Entity],
 ) -> list[configuration.Entity]:
     return [by_name[name] for name in sorted(by_name)]
+
+
+def _shortened(command: str) -> str:
+    if len(command) <= MAX_COMMAND_CHARACTERS:
+        return command
+    return command[:MAX_COMMAND_CHARACTERS] + " ..."
--- a/quincecrank/commands.py
+++ b/quincecrank/commands.py
@@ -33,6 +33,9 @@
 
 MAX_CHANGES_SHOWN: Final = 20
 MAX_FINDINGS_SHOWN: Final = 100
+MAX_ROW_BYTES: Final = 380_000
+"""Bound of a row's JSON; the platform's table takes items of 400 kB."""
+
 RETRY_AFTER_MS: Final = 1_000
 
 _LOG: Final = logs.logger("commands")
@@ -249,6 +252,19 @@
             wall_ms=self.services.clock.wall_ms(),
             writes=planned.writes,
         )
+        row_bytes = len(row.model_dump_json().encode())
+        if row_bytes > MAX_ROW_BYTES:
+            detail = f"the change takes {row_bytes} bytes of {MAX_ROW_BYTES}; split it"
+            problem = problems.Problem(problems.ProblemKind.TOO_LARGE, detail)
+            return expression.Error(problem)
+        return await self._commit_row(base, row, planned)
+
+    async def _commit_row(
+        self,
+        base: configuration.Configuration,
+        row: configuration.ConfigurationRow,
+        planned: command_rules.ChangePlan,
+    ) -> Outcome:
         try:
             result = await self.services.store.propose(row)
         except platform_table.OutcomeUnknownError:
--- a/tests/test_command_rules.py
+++ b/tests/test_command_rules.py
@@ -113,7 +113,9 @@
         self.assertIsNotNone(keys.find(second.key))
 
     def test_random_keys_differ_and_bearer_headers_are_read(self) -> None:
-        self.assertNotEqual(access.new_key().key, access.new_key().key)
+        first, second = access.new_key(), access.new_key()
+        self.assertNotEqual(first.key, second.key)
+        self.assertEqual(first.stored.digest, access.digest(first.key))
         cases = {
             None: None,
             "Bearer sk-1": "sk-1",
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -4,8 +4,10 @@
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
-from tornado import httpclient, testing, web
+import structlog
+from tornado import httpclient, log, testing, web
 
 from quincecrank import (
     access,
@@ -24,6 +26,7 @@
 
 class ExecuteTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
+        self.enterContext(structlog.testing.capture_logs())
         self.store = builders_commands.FakeStore()
         self.services = builders_commands.services(self.store)
 
@@ -83,6 +86,13 @@
                 self.assertIn(expected, problem.detail)
         self.assertFalse(self.store.rows)
 
+    async def test_a_change_that_no_row_can_hold_is_refused(self) -> None:
+        comment = "\u0950" * 65_000
+        with mock.patch.object(commands, "MAX_ROW_BYTES", 150_000):
+            problem = await self.problem(f"drain vm-1 # {comment}", 0)
+        self.assertEqual((problem.status, problem.ran), (413, problems.Ran.NOT_RUN))
+        self.assertFalse(self.store.rows)
+
     async def test_outages_say_whether_the_change_ran(self) -> None:
         text = "create account a; create key for a"
         self.store.failure = platform_table.TableUnavailableError("refused")
@@ -104,6 +114,11 @@
 
 
 class AdminApiTest(testing.AsyncHTTPTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.enterContext(structlog.testing.capture_logs())
+        self.enterContext(mock.patch.object(log.access_log, "disabled", True))
+
     def get_app(self) -> web.Application:
         with tempfile.TemporaryDirectory() as directory:
             token_file = pathlib.Path(directory) / "token"
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -10,6 +10,8 @@
 from quincecrank import configuration, settings, settings_file
 from tests import builders_settings
 
+OPERATOR = "    - name: asha\n      token_file: secrets/asha.token\n"
+
 
 class SettingsTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -38,7 +40,8 @@
             ("port: 8080", "prot: 8080", "6:3: listen.prot: unknown key; did you"),
             ("port: 8080", "port: 70000", "6:3: listen.port: Input should be less"),
             ("port: 8080", "port: '80'", "6:3: listen.port: Input should be a valid"),
-            ("data_centre: patan", "vm_name: b", "3:1: vm_name: duplicate key"),
+            ("data_centre", "data_centre: a\ndata_centre", "4:1: data_centre: duplica"),
+            (OPERATOR, OPERATOR * 2, "10:3: admin.operators: operators n"),
             ("address: 127.0.0.1", "address: localhost", "5:3: listen.address: 'loc"),
             ("  port: 8080", "  port: [", "8:10: expected ',' or ']'"),
             ("http://127.0.0.1:9001", "tcp://a", "16:3: platform.table_url: 'tcp://"),
@@ -56,9 +59,9 @@
     def test_all_findings_are_reported_in_the_order_of_the_file(self) -> None:
         text = self.entry.read_text().replace("port: 8080", "port: -1")
         text += "heartbeat: {interval_ms: 10, silence_ms: 15}\nlimit: 3\n"
-        self.entry.write_text(text)
+        self.entry.write_text("first: 1\n" + text)
         fields = [item.split(": ")[1] for item in self.entry_findings()]
-        self.assertEqual(fields, ["listen.port", "heartbeat", "limit"])
+        self.assertEqual(fields, ["first", "listen.port", "heartbeat", "limit"])
 
     def test_a_secret_must_be_private_and_long_enough(self) -> None:
         (self.directory / "secrets" / "fleet.secret").chmod(0o644)
