Weights and adapters loaded under two load slots; heartbeats at once on changes

Cause: every agent ordered its load as soon as it saw the version, so that six loaded at once, and new requests had no candidate until a heartbeat came around. Ruled out: a controller (none may exist), serving the old version on (a new request must not use another version's blocks, and the accepted version is to be in force). Change: two leased slot rows for a deployment; requests wait up to 5 s for the first replica with the weights in force; entries and agents beat at once when version, health or acceptance change.

--- a/quincecrank/agent.py
+++ b/quincecrank/agent.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from typing import Final
 
 import fire
@@ -27,6 +28,7 @@
     engine_client,
     ids,
     link_budget,
+    load_slots,
     logs,
     membership,
     metrics,
@@ -45,6 +47,7 @@
     store_watch,
     table_breaker,
     tasks,
+    version_roll,
     vm_list,
     wire,
 )
@@ -54,7 +57,7 @@
 REGISTER_INTERVAL_MS: Final = 1_000
 STORE_TIMEOUT_MS: Final = 20_000
 CALL_TIMEOUT_MS: Final = 120_000
-REFRESH_INTERVAL_MS: Final = 250
+REFRESH_INTERVAL_MS: Final = 100
 CHECK_REGISTRATION_INTERVAL_MS: Final = 30_000
 """Time between two looks whether this is still the backend server's agent."""
 
@@ -76,6 +79,17 @@
         await self._agent.serve_link(stream)
 
 
+@dataclasses.dataclass(frozen=True)
+class _Told:
+    """The parts of a heartbeat that entries should learn of at once."""
+
+    accepting: bool
+    healthy: bool
+    weight_version: ids.WeightVersion
+    adapters: tuple[ids.AdapterName, ...]
+    configuration_version: int
+
+
 class Agent:
     """Implementation of `process.Program`."""
 
@@ -124,6 +138,7 @@
             self._clock,
         )
         self._pool.owner = self._service
+        self._told: _Told | None = None
         self._server = _LinkServer(self)
 
     def _build_peers(self) -> None:
@@ -187,8 +202,14 @@
             self._figures,
             self._clock,
         )
+        slots = load_slots.LoadSlots(
+            self._table, server.deployment, server.name, self._clock
+        )
+        roll = version_roll.VersionRoll(
+            engine, slots, self._fencing_number, self._clock
+        )
         return model_backend.ModelBackend(
-            engine, self._mover, self._cache, self._fencing_number, self._clock
+            engine, self._mover, self._cache, roll, self._clock
         )
 
     async def start(self) -> None:
@@ -307,6 +328,7 @@
 
     async def _refresh(self) -> None:
         self._service.refresh()
+        self._tell_changes()
         state = self._backend.load()
         self._stores.prefill_tokens_per_second = state.prefill_tokens_per_second
         if self._mover is not None:
@@ -316,6 +338,21 @@
         self._figures.running.set(self._queue.running)
         self._figures.waiting.set(self._queue.waiting)
 
+    def _tell_changes(self) -> None:
+        """Beat at once when what decides over new requests has changed."""
+        state = self._backend.load()
+        told = _Told(
+            self._streams.accepting,
+            state.healthy,
+            state.weight_version,
+            state.adapters,
+            self._current.version,
+        )
+        if told != self._told:
+            self._told = told
+            for link in self._links:
+                link.beat()
+
     def _directory_agents(self) -> tuple[ids.VmName, ...]:
         name = self._settings.backend_server.deployment
         return directory_client.directory_agents(
--- a/quincecrank/agent_links.py
+++ b/quincecrank/agent_links.py
@@ -184,6 +184,11 @@
             return self._sync.rows(body)
         raise rpc.CallError(f"an entry takes no {method.value} calls")
 
+    def beat(self) -> None:
+        """Tell every agent at once what heartbeats say."""
+        for state in self.states_by_vm.values():
+            state.link.beat()
+
     async def _fetch(
         self, link: peer_link.PeerLink, version: ids.ConfigurationVersion
     ) -> None:
--- a/quincecrank/agent_service.py
+++ b/quincecrank/agent_service.py
@@ -135,7 +135,7 @@
         deployment = known.deployments_by_name.get(self._deployment)
         if deployment is not None:
             self._queue.set_limit(deployment.max_concurrent)
-            self._backend.ordered_version(deployment.weight_version)
+            self._backend.ordered(deployment.weight_version, deployment.adapters)
         reason = ""
         if self._stopping:
             reason = "the agent is shutting down"
--- a/quincecrank/backend.py
+++ b/quincecrank/backend.py
@@ -44,5 +44,7 @@
     async def watch(self) -> None:
         """Follow the backend server's state until cancelled."""
 
-    def ordered_version(self, version: ids.WeightVersion) -> None:
-        """State the weight version that the backend server should run."""
+    def ordered(
+        self, version: ids.WeightVersion, adapters: tuple[ids.AdapterName, ...]
+    ) -> None:
+        """State the weight version and the adapters that should be loaded."""
--- a/quincecrank/completion_dispatch.py
+++ b/quincecrank/completion_dispatch.py
@@ -38,6 +38,9 @@
 from quincecrank import attempt as attempts
 from quincecrank import clock as clocks
 
+WEIGHTS_WAIT_MS: Final = 5_000
+"""Time that a request waits for the first replica with the weights in force."""
+
 CANDIDATE_WAIT_MS: Final = 50
 """Time between two looks for a backend server that may take a request."""
 
@@ -135,6 +138,7 @@
                     context, keys, may_keep=self._routes.policy.uses_tiers
                 )
                 self._refuse_crasher(context)
+                await self._wait_for_weights(context, request)
                 async with self._gate.admitted(
                     context, request.adapter, prompt_tokens
                 ) as queue:
@@ -179,6 +183,19 @@
             )
         )
 
+    async def _wait_for_weights(
+        self,
+        context: request_context.RequestContext,
+        request: inference_request.InferenceRequest,
+    ) -> None:
+        """Wait while replicas are there but still load the weights in force."""
+        until_ms = self._clock.now_ms() + WEIGHTS_WAIT_MS
+        while not self._routes.candidates(context, request.adapter):
+            is_over = self._clock.now_ms() >= until_ms
+            if is_over or not self._routes.is_awaited(context):
+                return
+            await self._clock.sleep(CANDIDATE_WAIT_MS)
+
     async def _attempts(self, progress: _Progress) -> stream_messages.StreamEnd:
         self._budgets.first_attempt(progress.context)
         while True:
@@ -205,7 +222,8 @@
             if route is not None:
                 return route
             if not self._routes.candidates(context, progress.request.adapter):
-                raise problems.ProblemError(admission_gate.no_backend_server())
+                if not self._routes.is_awaited(context):
+                    raise problems.ProblemError(admission_gate.no_backend_server())
             progress.excluded = frozenset()
             await self._clock.sleep(CANDIDATE_WAIT_MS)
 
--- a/quincecrank/entry.py
+++ b/quincecrank/entry.py
@@ -59,6 +59,7 @@
 CONFIGURATION_BUCKET: Final = "configuration"
 STORE_TIMEOUT_MS: Final = 5_000
 STOP_POLL_MS: Final = 50
+TELL_INTERVAL_MS: Final = 50
 
 _LOG: Final = logs.logger("entry")
 
@@ -120,6 +121,7 @@
             known.limits.max_body_bytes,
             known.limits.max_open_requests,
         )
+        self._told_version = ids.ConfigurationVersion(0)
         self._build_pipeline()
 
     def _build_pipeline(self) -> None:
@@ -168,6 +170,7 @@
         for action, interval_ms in (
             (self._refresh_members, membership.POLL_INTERVAL_MS),
             (self._follow_table, configuration_follower.POLL_INTERVAL_MS),
+            (self._tell_version, TELL_INTERVAL_MS),
             (self._gate.turn, admission_gate.TURN_INTERVAL_MS),
         ):
             work = peer_link.repeat(action, interval_ms, self._clock)
@@ -253,8 +256,17 @@
         await self._follower.poll()
         self._configuration_changed()
 
+    async def _tell_version(self) -> None:
+        """Notice a version that an operator's command has just put in force."""
+        self._configuration_changed()
+
     def _configuration_changed(self) -> None:
+        """Tell the agents at once of a version that they may not know."""
+        if self._current.version == self._told_version:
+            return
+        self._told_version = self._current.version
         self._figures.configuration_version.set(self._current.version)
+        self._links.beat()
 
 
 def _serve(
--- a/quincecrank/model_backend.py
+++ b/quincecrank/model_backend.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
 from typing import Final
 
 from quincecrank import backend as backends
@@ -19,6 +18,7 @@
     stream_messages,
     stream_writer,
     tokenizers,
+    version_roll,
 )
 from quincecrank import clock as clocks
 
@@ -55,7 +55,7 @@
         engine: engine_client.EngineClient,
         mover: block_mover.BlockMover,
         cache: cache_watch.CacheWatch,
-        fencing_number: Callable[[], ids.FencingNumber],
+        roll: version_roll.VersionRoll,
         clock: clocks.Clock,
     ) -> None:
         self._engine = engine
@@ -64,17 +64,20 @@
         self._clock = clock
         self._load = backends.BackendLoad(healthy=False)
         self._prefill_tokens_per_second = _DEFAULT_PREFILL_TOKENS_PER_SECOND
-        self._wanted_version = ids.WeightVersion("")
         self._background: set[asyncio.Task[None]] = set()
-        self._fencing_number = fencing_number
+        self._roll = roll
+        self._correction: asyncio.Task[None] | None = None
 
     def load(self) -> backends.BackendLoad:
         """Return the state as last seen."""
         return self._load
 
-    def ordered_version(self, version: ids.WeightVersion) -> None:
-        """State the weight version that the engine should run."""
-        self._wanted_version = version
+    def ordered(
+        self, version: ids.WeightVersion, adapters: tuple[ids.AdapterName, ...]
+    ) -> None:
+        """State the weight version and the adapters that the engine should run."""
+        self._roll.wanted = version
+        self._roll.adapters = adapters
 
     async def watch(self) -> None:
         """Follow the engine's load and cache events until cancelled."""
@@ -82,10 +85,11 @@
         try:
             while True:
                 await self._refresh_load()
-                await self._correct_version()
                 await self._clock.sleep(LOAD_INTERVAL_MS)
         finally:
             events.cancel()
+            if self._correction is not None:
+                self._correction.cancel()
 
     async def run(
         self,
@@ -253,17 +257,5 @@
             adapters=load.adapters,
             prefill_tokens_per_second=self._prefill_tokens_per_second,
         )
-
-    async def _correct_version(self) -> None:
-        wanted = self._wanted_version
-        if not wanted or not self._load.healthy:
-            return
-        if self._load.weight_version == wanted:
-            return
-        _LOG.info("ordering weight version", decision="order", version=wanted)
-        try:
-            await self._engine.order(
-                engine_messages.OrderKind.LOAD_VERSION, wanted, self._fencing_number()
-            )
-        except engine_messages.EngineError as error:
-            _LOG.warning("order failed", version=wanted, reason=str(error))
+        if self._correction is None or self._correction.done():
+            self._correction = asyncio.ensure_future(self._roll.correct(load))
--- a/quincecrank/peer_link.py
+++ b/quincecrank/peer_link.py
@@ -82,6 +82,10 @@
         """Queue one packet; does nothing on an ended link."""
         self._connection.send(packet)
 
+    def beat(self) -> None:
+        """Send a heartbeat now, because what it says has changed."""
+        self.send(self._owner.make_heartbeat())
+
     def close(self) -> None:
         """End the link at once."""
         self._connection.close()
@@ -141,7 +145,7 @@
 
     async def _beat(self) -> None:
         while True:
-            self.send(self._owner.make_heartbeat())
+            self.beat()
             await self._clock.sleep(self._limits.interval_ms)
             silent_ms = self._clock.now_ms() - self._received_ms
             if silent_ms > self._limits.silence_ms:
--- a/quincecrank/router.py
+++ b/quincecrank/router.py
@@ -73,6 +73,15 @@
             and state.breaker.allows(self._clock.now_ms())
         )
 
+    def is_awaited(self, context: request_context.RequestContext) -> bool:
+        """Tell whether replicas are there that only lack the weights or adapter."""
+        return any(
+            state.peer.deployment == context.deployment.name
+            and state.accepting
+            and state.healthy
+            for state in self._links.states_by_vm.values()
+        )
+
     def choose(
         self,
         context: request_context.RequestContext,
--- a/quincecrank/service_backend.py
+++ b/quincecrank/service_backend.py
@@ -88,7 +88,9 @@
         """Return the state as last seen."""
         return self._load
 
-    def ordered_version(self, version: ids.WeightVersion) -> None:
+    def ordered(
+        self, version: ids.WeightVersion, adapters: tuple[ids.AdapterName, ...]
+    ) -> None:
         """Do nothing: a plain service has no weights."""
 
     async def watch(self) -> None:
--- /dev/null
+++ b/quincecrank/version_roll.py
@@ -0,0 +1,79 @@
+"""Brings the engine beside this agent to the weight version in force.
+
+The configuration states the wanted version, so the order may be repeated at will.
+While the platform table is out nothing limits the loads; a roll whose commit was
+seen goes on all the same, after a random delay.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+from quincecrank import clock as clocks
+from quincecrank import engine_client, engine_messages, ids, load_slots, logs
+
+MAX_OUTAGE_DELAY_MS: Final = 2_000
+"""Random delay before a load while the table is out."""
+
+_LOG: Final = logs.logger("version-roll")
+
+
+class VersionRoll:
+    """Orders loads for one engine.
+
+    Attributes
+    ----------
+    wanted : WeightVersion
+        Version in force, empty before it is known.
+    adapters : tuple of AdapterName
+        Adapters that the engine should have loaded.
+    """
+
+    def __init__(
+        self,
+        engine: engine_client.EngineClient,
+        slots: load_slots.LoadSlots,
+        fencing_number: Callable[[], ids.FencingNumber],
+        clock: clocks.Clock,
+    ) -> None:
+        self._engine = engine
+        self._slots = slots
+        self._fencing_number = fencing_number
+        self._clock = clock
+        self.wanted = ids.WeightVersion("")
+        self.adapters: tuple[ids.AdapterName, ...] = ()
+
+    async def correct(self, load: engine_messages.EngineLoad) -> None:
+        """Order what the engine lacks, one step at a time."""
+        if self.wanted and load.weight_version != self.wanted:
+            await self._load_version(self.wanted)
+            return
+        for adapter in self.adapters:
+            if adapter not in load.adapters:
+                await self._order(engine_messages.OrderKind.LOAD_ADAPTER, adapter)
+        for adapter in load.adapters:
+            if adapter not in self.adapters:
+                await self._order(engine_messages.OrderKind.UNLOAD_ADAPTER, adapter)
+
+    async def _load_version(self, version: ids.WeightVersion) -> None:
+        answer = await self._slots.take()
+        if answer is load_slots.SlotAnswer.BUSY:
+            return
+        if answer is load_slots.SlotAnswer.TABLE_OUT:
+            await self._clock.sleep(random.uniform(0, MAX_OUTAGE_DELAY_MS))
+        _LOG.info(
+            "loading weight version",
+            decision="order",
+            version=version,
+            slot=answer.value,
+        )
+        await self._order(engine_messages.OrderKind.LOAD_VERSION, version)
+        await self._slots.free()
+
+    async def _order(self, kind: engine_messages.OrderKind, value: str) -> None:
+        try:
+            await self._engine.order(kind, value, self._fencing_number())
+        except engine_messages.EngineError as error:
+            _LOG.warning(
+                "order failed", kind=kind.value, value=value, reason=str(error)
+            )
--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -263,6 +263,10 @@
         """Return the secret that cache salts derive from."""
         return (self._folder / "accounts.secret").read_bytes()
 
+    def fleet_secret(self) -> bytes:
+        """Return the secret by which the processes prove themselves."""
+        return (self._folder / "fleet.secret").read_bytes()
+
     def admin_url(self, number: int = 0) -> str:
         """Return an entry's administration URL."""
         return f"http://{ADDRESS}:{further_port(self.entries[number], 'admin')}"
