--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: install demo test format lint types unit model model-mutants
+.PHONY: install demo fleet test format lint types unit model model-mutants bench-path
 
 $(VENV)/.installed: requirements.lock
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -17,6 +17,9 @@
 demo: install
 	$(PYTHON) -m standins.demo
 
+fleet: install
+	$(PYTHON) -m standins.demo --stay
+
 test: lint types unit
 
 format: install
--- a/quincecrank/completion_format.py
+++ b/quincecrank/completion_format.py
@@ -4,6 +4,7 @@
 server-sent event; the fixed parts of the event are rendered once a request.
 """
 
+import dataclasses
 import json
 from typing import Final
 
@@ -62,15 +63,20 @@
         return b"".join(parts)
 
 
+@dataclasses.dataclass(frozen=True)
 class Usage:
-    """Token counts of one answer, as the API reports them."""
+    """Token counts of one answer, as the API reports them.
 
-    def __init__(
-        self, prompt_tokens: int, completion_tokens: int, cached_tokens: int
-    ) -> None:
-        self.prompt_tokens = prompt_tokens
-        self.completion_tokens = completion_tokens
-        self.cached_tokens = cached_tokens
+    Attributes
+    ----------
+    restored_tokens : int
+        Those of the cached tokens that came from a store VM; an addition to the API.
+    """
+
+    prompt_tokens: int
+    completion_tokens: int
+    cached_tokens: int
+    restored_tokens: int
 
     def document(self) -> dict[str, object]:
         """Return the API's ``usage`` member."""
@@ -78,7 +84,10 @@
             "prompt_tokens": self.prompt_tokens,
             "completion_tokens": self.completion_tokens,
             "total_tokens": self.prompt_tokens + self.completion_tokens,
-            "prompt_tokens_details": {"cached_tokens": self.cached_tokens},
+            "prompt_tokens_details": {
+                "cached_tokens": self.cached_tokens,
+                "restored_tokens": self.restored_tokens,
+            },
         }
 
 
--- a/quincecrank/model_backend.py
+++ b/quincecrank/model_backend.py
@@ -111,15 +111,13 @@
             writer.refuse(self._problem(error))
             return
         self._learn_speed(usage, answer)
-        self._finish(order, work, writer, answer, usage)
+        self._finish(order, work, writer, answer, usage, restored)
         writer.end(
             stream_messages.StreamEnd(
                 frames=0,
                 prompt_tokens=usage.prompt_tokens,
                 cached_tokens=usage.cached_tokens,
-                restored_tokens=min(
-                    restored.blocks * tokenizers.BLOCK_TOKENS, usage.cached_tokens
-                ),
+                restored_tokens=_restored_tokens(restored, usage),
                 completion_tokens=answer.tokens,
                 weight_version=usage.weight_version,
                 queue_ms=queue_ms,
@@ -173,9 +171,13 @@
         writer: stream_writer.StreamWriter,
         answer: _Answer,
         usage: engine_messages.EngineUsage,
+        restored: block_mover.RestoreOutcome,
     ) -> None:
         counts = completion_format.Usage(
-            usage.prompt_tokens, work.resume_after + answer.tokens, usage.cached_tokens
+            prompt_tokens=usage.prompt_tokens,
+            completion_tokens=work.resume_after + answer.tokens,
+            cached_tokens=usage.cached_tokens,
+            restored_tokens=_restored_tokens(restored, usage),
         )
         if work.streamed:
             shown = counts if work.include_usage else None
@@ -259,3 +261,10 @@
         )
         if self._correction is None or self._correction.done():
             self._correction = asyncio.ensure_future(self._roll.correct(load))
+
+
+def _restored_tokens(
+    restored: block_mover.RestoreOutcome, usage: engine_messages.EngineUsage
+) -> int:
+    """Return those of the cached tokens that a restore brought."""
+    return min(restored.blocks * tokenizers.BLOCK_TOKENS, usage.cached_tokens)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -5,15 +5,19 @@
 prints where each answer's time and reuse came from.
 """
 
+import contextlib
 import json
 import pathlib
 import sys
 import tempfile
+import threading
 import time
 import urllib.error
 import urllib.request
 from typing import Any, Final
 
+import fire
+
 from quincecrank import block_keys, ids
 from standins import answers, local_fleet, texts, users
 
@@ -67,10 +71,12 @@
         )
         is_right = text == expected
         self.failures += not is_right
-        cached = usage["prompt_tokens_details"]["cached_tokens"]
+        details = usage["prompt_tokens_details"]
+        cached, restored = details["cached_tokens"], details["restored_tokens"]
         print(
             f"{title:<44} {account:<14} {usage['prompt_tokens']:>6} tokens,"
-            f" {cached:>6} reused, first token {first_ms:>5.0f} ms,"
+            f" {cached - restored:>6} in the engine, {restored:>6} restored,"
+            f" first token {first_ms:>5.0f} ms,"
             f" {'right' if is_right else 'WRONG'}: {text[:32]}..."
         )
 
@@ -124,8 +130,14 @@
         return urllib.request.Request(self._fleet.url + path, data, headers)
 
 
-def main() -> int:
-    """Run the demo and return the exit code."""
+def main(stay: bool = False) -> int:
+    """Run the demo and return the exit code.
+
+    Parameters
+    ----------
+    stay : bool
+        Keep the fleet for other callers until interrupted, instead of the demo.
+    """
     spec = users.both(
         engine_flags=ENGINE_FLAGS,
         link_bytes_per_second=LINK_BYTES_PER_SECOND,
@@ -135,11 +147,25 @@
         with local_fleet.LocalFleet(spec, pathlib.Path(folder)) as fleet:
             demo = Demo(fleet)
             demo.wait_ready()
+            if stay:
+                wait_for_interrupt(fleet)
+                return 0
             show(demo)
             print(f"wrong answers: {demo.failures}")
             return 1 if demo.failures else 0
 
 
+def wait_for_interrupt(fleet: local_fleet.LocalFleet) -> None:
+    """Print how to reach the fleet and wait for Ctrl-C."""
+    print(f"callers:   {fleet.url}")
+    print(f"operators: {fleet.admin_url()}, token file {fleet.operator_token_file}")
+    for account in (users.NEWSROOMS[0], users.FLEETS[0]):
+        print(f"API key of {account}: {fleet.keys_by_account[account]}")
+    print("Ctrl-C ends the fleet.", flush=True)
+    with contextlib.suppress(KeyboardInterrupt):
+        threading.Event().wait()
+
+
 def show(demo: Demo) -> None:
     """Ask each guide and manifest, push them out of the engines, ask again."""
     guide = texts.style_guide(1, GUIDE_TOKENS)
@@ -170,4 +196,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(fire.Fire(main))
--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -254,10 +254,15 @@
         """Return the first entry's base URL."""
         return self.entries[0].url
 
+    @property
+    def operator_token_file(self) -> pathlib.Path:
+        """Return the file of the operator's token."""
+        return self._folder / "operator.token"
+
     @property
     def operator_token(self) -> str:
         """Return the token of the operator."""
-        return (self._folder / "operator.token").read_text()
+        return self.operator_token_file.read_text()
 
     def account_secret(self) -> bytes:
         """Return the secret that cache salts derive from."""
