Test commands against the real configuration store

Cause: the executor's tests used a store of their own, which could not show a lost answer that was read back or a commit that a later attempt runs into.

--- a/quincecrank/commands.py
+++ b/quincecrank/commands.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import dataclasses
-import json
 from typing import Final, Protocol
 
 import expression
@@ -17,12 +16,11 @@
     command_draft,
     command_model,
     command_parser,
+    command_problems,
     command_queries,
     command_rules,
-    command_tables,
     configuration,
     configuration_store,
-    findings,
     fleet_view,
     ids,
     logs,
@@ -31,12 +29,13 @@
 )
 from quincecrank import clock as clocks
 
-MAX_CHANGES_SHOWN: Final = 20
-MAX_FINDINGS_SHOWN: Final = 100
 MAX_ROW_BYTES: Final = 380_000
 """Bound of a row's JSON; the platform's table takes items of 400 kB."""
 
-RETRY_AFTER_MS: Final = 1_000
+_NO_ROWS: Final = (
+    fleet_view.ViewUnavailableError,
+    platform_table.TableUnavailableError,
+)
 
 _LOG: Final = logs.logger("commands")
 
@@ -96,26 +95,6 @@
     created_keys: tuple[command_draft.CreatedKey, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True)
-class StaleVersion(problems.Problem):
-    """Refusal of a change that was decided on an old version.
-
-    Attributes
-    ----------
-    changes : tuple of HistoryRow
-        The changes in between, the oldest first.
-    """
-
-    changes: tuple[fleet_view.HistoryRow, ...] = ()
-
-    def to_json(self, request_id: str) -> str:
-        """Return the problem document with the changes in between."""
-        document = json.loads(super().to_json(request_id))
-        rows = [command_tables.change_row(change) for change in self.changes]
-        document["changes"] = [dataclasses.asdict(row) for row in rows]
-        return json.dumps(document, ensure_ascii=False)
-
-
 Outcome = expression.Result[CommandOutcome, problems.Problem]
 
 
@@ -167,32 +146,32 @@
     # In a thread: a large text must not hold up the entry's streams.
     parsed = await asyncio.to_thread(command_parser.parse, text)
     if parsed.is_error():
-        return expression.Error(_bad_text(parsed.error))
+        return expression.Error(command_problems.bad_text(parsed.error))
     if isinstance(parsed.ok, command_model.QueryText):
         return await _query(parsed.ok.query, services)
     named = parsed.ok.decided_on
     if named is not None and decided_on is not None and named != decided_on:
         detail = f"the text names version {named}, the request {decided_on}"
-        return expression.Error(_bad_request(detail))
+        return expression.Error(command_problems.bad_request(detail))
     base = named if named is not None else decided_on
     if base is None:
         detail = "a change must name the version it was decided on: `at version N:`"
-        return expression.Error(_bad_request(detail))
+        return expression.Error(command_problems.bad_request(detail))
     change = _Change(text.strip(), parsed.ok.commands, base, operator, services)
     try:
         return await change.commit()
     except platform_table.TableUnavailableError as error:
-        return expression.Error(_table_out(str(error)))
+        return expression.Error(command_problems.table_out(str(error)))
 
 
 async def _query(query: command_model.Query, services: Services) -> Outcome:
     current = services.current.in_force
     try:
         table = await command_queries.run(query, current, services.fleet)
-    except fleet_view.ViewUnavailableError as error:
-        return expression.Error(_table_out(str(error)))
+    except _NO_ROWS as error:
+        return expression.Error(command_problems.table_out(str(error)))
     if table.is_error():
-        return expression.Error(_bad_text(table.error))
+        return expression.Error(command_problems.bad_text(table.error))
     return expression.Ok(CommandOutcome(current.version, table.ok))
 
 
@@ -217,7 +196,7 @@
         base = await self._base()
         if self.decided_on > base.version:
             detail = f"version {self.decided_on} is not known; newest: {base.version}"
-            return expression.Error(_bad_request(detail))
+            return expression.Error(command_problems.bad_request(detail))
         if self.decided_on < base.version:
             return expression.Error(self._stale(await self._history()))
         vm_names = await self._vm_names()
@@ -225,7 +204,7 @@
             command_rules.plan, base, self.commands, vm_names, self.services.make_key
         )
         if planned.is_error():
-            return expression.Error(_bad_text(planned.error))
+            return expression.Error(command_problems.bad_text(planned.error))
         return await self._propose(base, planned.ok)
 
     async def _base(self) -> configuration.Configuration:
@@ -238,7 +217,7 @@
     async def _vm_names(self) -> frozenset[ids.VmName]:
         try:
             return frozenset(vm.name for vm in await self.services.fleet.vms())
-        except fleet_view.ViewUnavailableError:
+        except _NO_ROWS:
             return frozenset()
 
     async def _propose(
@@ -268,7 +247,7 @@
         try:
             result = await self.services.store.propose(row)
         except platform_table.OutcomeUnknownError:
-            return expression.Error(_outcome_unknown(row, planned))
+            return expression.Error(command_problems.outcome_unknown(row, planned))
         except configuration.VersionGapError as error:
             problem = problems.Problem(problems.ProblemKind.NOT_READY, str(error))
             return expression.Error(problem)
@@ -285,17 +264,15 @@
     async def _history(self) -> tuple[fleet_view.HistoryRow, ...]:
         """Return the changes since the decision, if they can be had."""
         try:
-            return await self.services.fleet.history(self.decided_on, MAX_CHANGES_SHOWN)
-        except fleet_view.ViewUnavailableError:
+            return await self.services.fleet.history(
+                self.decided_on, command_problems.MAX_CHANGES_SHOWN
+            )
+        except _NO_ROWS:
             return ()
 
-    def _stale(self, changes: tuple[fleet_view.HistoryRow, ...]) -> StaleVersion:
+    def _stale(self, changes: tuple[fleet_view.HistoryRow, ...]) -> problems.Problem:
         newest = self.services.current.in_force.version
-        return StaleVersion(
-            problems.ProblemKind.STALE_VERSION,
-            f"decided on version {self.decided_on}, but version {newest} is in force",
-            changes=changes[:MAX_CHANGES_SHOWN],
-        )
+        return command_problems.stale_version(self.decided_on, newest, changes)
 
 
 def _history_row(row: configuration.ConfigurationRow) -> fleet_view.HistoryRow:
@@ -317,35 +294,3 @@
         change = "changed" if existed else "created"
         rows.append((write.kind.value, write.name, change if write.body else "removed"))
     return command_queries.Table(("kind", "name", "change"), tuple(rows))
-
-
-def _bad_request(detail: str) -> problems.Problem:
-    return problems.Problem(problems.ProblemKind.BAD_REQUEST, detail)
-
-
-def _bad_text(found: findings.Findings) -> problems.Problem:
-    all_found = found.all()
-    mistakes = "1 mistake" if len(all_found) == 1 else f"{len(all_found)} mistakes"
-    return problems.Problem(
-        problems.ProblemKind.BAD_REQUEST,
-        f"the text has {mistakes}; nothing was changed",
-        found=all_found[:MAX_FINDINGS_SHOWN],
-    )
-
-
-def _table_out(reason: str) -> problems.Problem:
-    return problems.Problem(
-        problems.ProblemKind.TABLE_OUT, reason, retry_after_ms=RETRY_AFTER_MS
-    )
-
-
-def _outcome_unknown(
-    row: configuration.ConfigurationRow, planned: command_rules.ChangePlan
-) -> problems.Problem:
-    detail = f"see `show history where version = {row.version}` before trying again"
-    if planned.created_keys:
-        names = ", ".join(key.key_id for key in planned.created_keys)
-        detail += f"; if it was committed, revoke {names}, which were not shown"
-    return problems.Problem(
-        problems.ProblemKind.OUTCOME_UNKNOWN, detail, problems.Ran.UNKNOWN
-    )
--- a/tests/builders_commands.py
+++ b/tests/builders_commands.py
@@ -3,8 +3,6 @@
 import dataclasses
 import itertools
 
-import expression
-
 from quincecrank import (
     access,
     clock,
@@ -17,6 +15,7 @@
     current_configuration,
     fleet_view,
     ids,
+    platform_table,
 )
 
 SAJHA = """
@@ -133,52 +132,27 @@
         return tuple(row for row in self.history_rows if row.version > after)[:limit]
 
 
-class FakeStore:
-    """A committed history in memory; `failure` is raised by the next proposal."""
-
-    def __init__(self) -> None:
-        self.rows: list[configuration.ConfigurationRow] = []
-        self.failure: Exception | None = None
-
-    async def catch_up(
-        self, known: configuration.Configuration
-    ) -> tuple[configuration.ConfigurationRow, ...]:
-        return tuple(self.rows[known.version :])
-
-    async def propose(
-        self, row: configuration.ConfigurationRow
-    ) -> expression.Result[
-        configuration.ConfigurationRow, configuration_store.ProposalConflict
-    ]:
-        if self.failure is not None:
-            raise self.failure
-        later = tuple(self.rows[row.version - 1 :])
-        if later:
-            return expression.Error(configuration_store.ProposalConflict(later))
-        self.rows.append(row)
-        return expression.Ok(row)
-
-
 class StoreFleet(FakeFleet):
-    """A fleet view whose history is that of a fake store."""
+    """A fleet view whose history is that of a configuration store."""
 
-    def __init__(self, store: FakeStore) -> None:
+    def __init__(self, store: configuration_store.ConfigurationStore) -> None:
         super().__init__()
         self._store = store
 
     async def history(
         self, after: ids.ConfigurationVersion, limit: int
     ) -> tuple[fleet_view.HistoryRow, ...]:
+        rows = await self._store.catch_up(configuration.Configuration(version=after))
         self.history_rows = tuple(
             fleet_view.HistoryRow(r.version, r.wall_ms, r.operator, r.command)
-            for r in self._store.rows
+            for r in rows
         )
         return await super().history(after, limit)
 
 
-def services(store: FakeStore) -> commands.Services:
-    """Return the services of one entry beside `store`."""
+def services(table: platform_table.PlatformTable) -> commands.Services:
+    """Return the services of one entry on the platform's `table`."""
     wall = clock.ManualClock(1_700_000_000_000)
-    fleet = StoreFleet(store)
+    store = configuration_store.ConfigurationStore(table)
     current = current_configuration.CurrentConfiguration(wall)
-    return commands.Services(current, store, fleet, wall, key_source())
+    return commands.Services(current, store, StoreFleet(store), wall, key_source())
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -13,13 +13,14 @@
     access,
     admin_api,
     admin_messages,
+    command_problems,
     commands,
+    configuration,
     ids,
-    platform_table,
     problems,
     settings,
 )
-from tests import builders_commands
+from tests import builders_commands, fakes
 
 TOKEN = "token-of-asha-0123456789"
 
@@ -27,8 +28,8 @@
 class ExecuteTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.enterContext(structlog.testing.capture_logs())
-        self.store = builders_commands.FakeStore()
-        self.services = builders_commands.services(self.store)
+        self.table = fakes.FakeTable()
+        self.services = builders_commands.services(self.table)
 
     async def execute(
         self, text: str, decided_on: int | None, services: commands.Services
@@ -41,31 +42,34 @@
         self.assertTrue(outcome.is_error(), outcome)
         return outcome.error
 
+    async def rows(self) -> tuple[configuration.ConfigurationRow, ...]:
+        return await self.services.store.catch_up(configuration.Configuration())
+
     async def test_a_change_is_committed_whole_and_in_force_at_once(self) -> None:
         outcome = await self.execute(builders_commands.SAJHA, 0, self.services)
         self.assertEqual(outcome.ok.version, 1)
         self.assertIn(("tier", "smriti", "created"), outcome.ok.table.rows)
-        row = self.store.rows[0]
+        (row,) = await self.rows()
         self.assertEqual((row.operator, row.wall_ms), ("asha", 1_700_000_000_000))
         shown = await self.execute("show tiers", None, self.services)
         self.assertEqual((shown.ok.version, len(shown.ok.table.rows)), (1, 1))
 
     async def test_of_operators_who_race_the_later_learns_what_changed(self) -> None:
-        other = builders_commands.services(self.store)
+        other = builders_commands.services(self.table)
         await self.execute("create account a", 0, other)
         for case in ("the entry lags behind the store", "the entry knows"):
             with self.subTest(case):
                 problem = await self.problem("create account b", 0)
-                assert isinstance(problem, commands.StaleVersion)
+                assert isinstance(problem, command_problems.StaleVersion)
                 self.assertEqual(problem.ran, problems.Ran.NOT_RUN)
                 changes = json.loads(problem.to_json("req-1"))["changes"]
                 self.assertEqual(changes[0]["command"], "create account a")
                 self.assertEqual(changes[0]["operator"], "asha")
-        self.assertEqual(len(self.store.rows), 1)
+        self.assertEqual(len(await self.rows()), 1)
         self.assertEqual(self.services.current.in_force.version, 1)
 
     async def test_an_entry_that_lags_reads_on_before_it_judges(self) -> None:
-        other = builders_commands.services(self.store)
+        other = builders_commands.services(self.table)
         await self.execute("create account a", 0, other)
         outcome = await self.execute("disable account a", 1, self.services)
         self.assertEqual(outcome.ok.version, 2)
@@ -84,26 +88,38 @@
                 problem = await self.problem(text, version)
                 self.assertEqual(problem.status, 400)
                 self.assertIn(expected, problem.detail)
-        self.assertFalse(self.store.rows)
+        self.assertFalse(await self.rows())
 
     async def test_a_change_that_no_row_can_hold_is_refused(self) -> None:
         comment = "\u0950" * 65_000
         with mock.patch.object(commands, "MAX_ROW_BYTES", 150_000):
             problem = await self.problem(f"drain vm-1 # {comment}", 0)
         self.assertEqual((problem.status, problem.ran), (413, problems.Ran.NOT_RUN))
-        self.assertFalse(self.store.rows)
+        self.assertFalse(await self.rows())
 
     async def test_outages_say_whether_the_change_ran(self) -> None:
         text = "create account a; create key for a"
-        self.store.failure = platform_table.TableUnavailableError("refused")
+        self.table.down = True
         problem = await self.problem(text, 0)
         self.assertEqual((problem.status, problem.ran), (503, problems.Ran.NOT_RUN))
         self.assertGreater(problem.retry_after_ms, 0)
-        self.store.failure = platform_table.OutcomeUnknownError("lost")
+        self.table.down = False
+        self.assertFalse(await self.rows())
+        self.table.lose_next_answers = 1
+        self.table.reads_down = True
         problem = await self.problem(text, 0)
         self.assertEqual(problem.ran, problems.Ran.UNKNOWN)
         self.assertRegex(problem.detail, "revoke key-[0-9]+, which were not shown")
         self.assertEqual(self.services.current.in_force.version, 0)
+        self.table.reads_down = False
+        problem = await self.problem(text, 0)
+        self.assertEqual(problem.kind, problems.ProblemKind.STALE_VERSION)
+
+    async def test_a_lost_answer_is_confirmed_and_the_key_shown(self) -> None:
+        self.table.lose_next_answers = 1
+        text = "create account a; create key for a"
+        outcome = await self.execute(text, 0, self.services)
+        self.assertEqual(len(outcome.ok.created_keys), 1)
 
     async def test_a_failed_fleet_view_is_a_problem_for_its_tables_only(self) -> None:
         assert isinstance(self.services.fleet, builders_commands.FakeFleet)
@@ -127,8 +143,8 @@
                 name="asha", token_file=token_file
             )
             tokens = access.OperatorTokens((operator,))
-        store = builders_commands.FakeStore()
-        return admin_api.application(builders_commands.services(store), tokens)
+        services = builders_commands.services(fakes.FakeTable())
+        return admin_api.application(services, tokens)
 
     def post(self, body: str, token: str = TOKEN) -> httpclient.HTTPResponse:
         return self.fetch(
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -15,8 +15,8 @@
 import structlog
 from tornado import httpserver, log, testing
 
-from quincecrank import access, admin_api, ctl, platform_table, settings
-from tests import builders_commands, builders_settings
+from quincecrank import access, admin_api, ctl, settings
+from tests import builders_commands, builders_settings, fakes
 
 SESSION = (
     ("run", "show accounts"),
@@ -64,7 +64,7 @@
         pathlib.Path("entry-broken.yaml").write_text(broken)
         self.enterContext(structlog.testing.capture_logs())
         self.enterContext(mock.patch.object(log.access_log, "disabled", True))
-        self.store = builders_commands.FakeStore()
+        self.table = fakes.FakeTable()
         self.endpoint = f"http://127.0.0.1:{self.serve()}"
         variables = {
             ctl.ENDPOINT_VARIABLE: self.endpoint,
@@ -75,7 +75,7 @@
     def serve(self) -> int:
         """Serve the administration API in a thread and return its port."""
         operators = settings.load_entry("entry.yaml").ok.admin.operators
-        services = builders_commands.services(self.store)
+        services = builders_commands.services(self.table)
         tokens = access.OperatorTokens(operators)
         listener, port = testing.bind_unused_port()
         loop = asyncio.new_event_loop()
@@ -123,13 +123,11 @@
         )
 
     def test_failures_of_the_table_have_their_own_exit_codes(self) -> None:
-        for failure, code in (
-            (platform_table.TableUnavailableError("refused"), 5),
-            (platform_table.OutcomeUnknownError("lost"), 6),
-        ):
-            self.store.failure = failure
-            shown = self.run_ctl("run", "drain vm-1")
-            self.assertIn(f"[exit code {code}]", shown)
+        self.table.fail_next = 1
+        self.assertIn("[exit code 5]", self.run_ctl("run", "drain vm-1"))
+        self.table.lose_next_requests = 1
+        self.table.reads_down = True
+        self.assertIn("[exit code 6]", self.run_ctl("run", "drain vm-1"))
 
     def test_a_lost_answer_is_not_called_not_run(self) -> None:
         with socket.socket() as listener:
