A refused operator does not also count as a missing one

Cause: `quincectl check` on the example without its secrets reported, besides each missing file, that operators had too few items, which was not so. Change: an empty list is reported only when none of its items was refused.

--- a/quincecrank/settings_file.py
+++ b/quincecrank/settings_file.py
@@ -159,9 +159,14 @@
     places: _Places,
     found: findings.Findings,
 ) -> None:
-    for item in error.errors(include_url=False):
+    items = error.errors(include_url=False)
+    for item in items:
         path = tuple(str(part) for part in item["loc"])
         message = item["msg"].removeprefix("Value error, ")
+        if item["type"] == "too_short":
+            if any(_is_below(item["loc"], other["loc"]) for other in items):
+                continue
+            message = "expected at least one item"
         if item["type"] == "missing":
             message = "required setting is missing"
         if item["type"] == "extra_forbidden":
@@ -169,6 +174,10 @@
         found.add(places.find(path), message)
 
 
+def _is_below(outer: tuple[int | str, ...], inner: tuple[int | str, ...]) -> bool:
+    return len(inner) > len(outer) and inner[: len(outer)] == outer
+
+
 def _unknown_key(name: str, model: type[pydantic.BaseModel]) -> str:
     return f"unknown key{messages.suggestion(name, _field_names(model))}"
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -46,6 +46,11 @@
             ("  port: 8080", "  port: [", "8:10: expected ',' or ']'"),
             ("http://127.0.0.1:9001", "tcp://a", "16:3: platform.table_url: 'tcp://"),
             ("asha.token", "none", "12:7: admin.operators.0.token_file: cannot read"),
+            (
+                f":\n{OPERATOR}",
+                ": []\n",
+                "10:3: admin.operators: expected at leas",
+            ),
             ("- name: asha", "- nam: asha", "11:7: admin.operators.0.name: required"),
             ("vm_name: entry", "vm_name: a b", "2:1: vm_name: expected a name"),
         )
@@ -63,6 +68,10 @@
         fields = [item.split(": ")[1] for item in self.entry_findings()]
         self.assertEqual(fields, ["first", "listen.port", "heartbeat", "limit"])
 
+    def test_a_refused_operator_does_not_count_as_missing(self) -> None:
+        (self.directory / "secrets" / "asha.token").unlink()
+        self.assertEqual(len(self.entry_findings()), 1)
+
     def test_a_secret_must_be_private_and_long_enough(self) -> None:
         (self.directory / "secrets" / "fleet.secret").chmod(0o644)
         (self.directory / "secrets" / "accounts.secret").write_text("short")
