--- a/quincecrank/agent.py
+++ b/quincecrank/agent.py
@@ -226,7 +226,7 @@
             (self._refresh_members, membership.POLL_INTERVAL_MS),
             (self._refresh, REFRESH_INTERVAL_MS),
             (self._announcer.flush, directory_client.FLUSH_INTERVAL_MS),
-            (self._stores.check, store_watch.CHECK_INTERVAL_MS),
+            (self._stores.check, store_watch.TURN_INTERVAL_MS),
             (self._prefetcher.check, prefetcher.CHECK_INTERVAL_MS),
             (self._check_registration, CHECK_REGISTRATION_INTERVAL_MS),
         ):
--- a/quincecrank/store_watch.py
+++ b/quincecrank/store_watch.py
@@ -30,7 +30,10 @@
 )
 from quincecrank import clock as clocks
 
+TURN_INTERVAL_MS: Final = 200
 CHECK_INTERVAL_MS: Final = 2_000
+"""Time between two looks at the stores while the configuration is unchanged."""
+
 LIST_INTERVAL_MS: Final = 30_000
 
 _LOG: Final = logs.logger("store-watch")
@@ -78,6 +81,8 @@
         self._listed_ms_by_place: dict[_Place, int] = {}
         self._state_by_place: dict[_Place, placement.TierState] = {}
         self._withdrawn: list[_Withdrawn] = []
+        self._checked_version = configuration.CONFIGURATION_START
+        self._checked_ms = 0
         self.block_bytes = 0
         self.prefill_tokens_per_second = 0.0
 
@@ -115,7 +120,19 @@
         return directory.Announcement(name.root, (name.key,), holder)
 
     async def check(self) -> None:
-        """Look at each store of the deployment once."""
+        """Look at each store of the deployment when it is due.
+
+        Only directory agents look, since only they decide over placement.
+        """
+        version = self._current().version
+        now_ms = self._clock.now_ms()
+        is_early = now_ms - self._checked_ms < CHECK_INTERVAL_MS
+        if self._own not in self._agents():
+            return
+        if version == self._checked_version and is_early:
+            return
+        self._checked_version = version
+        self._checked_ms = now_ms
         places = self._places()
         for place in set(self._state_by_place) - set(places):
             del self._state_by_place[place]
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -130,8 +130,8 @@
         return urllib.request.Request(self._fleet.url + path, data, headers)
 
 
-def main(stay: bool = False) -> int:
-    """Run the demo and return the exit code.
+def main(stay: bool = False) -> None:
+    """Run the demo; the exit code is 1 after a wrong answer.
 
     Parameters
     ----------
@@ -149,10 +149,11 @@
             demo.wait_ready()
             if stay:
                 wait_for_interrupt(fleet)
-                return 0
+                return
             show(demo)
             print(f"wrong answers: {demo.failures}")
-            return 1 if demo.failures else 0
+            if demo.failures:
+                sys.exit(1)
 
 
 def wait_for_interrupt(fleet: local_fleet.LocalFleet) -> None:
@@ -196,4 +197,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(fire.Fire(main))
+    fire.Fire(main)
