Malformed packets end their link, never the reader's task

Cause: pycapnp reports a malformed message when the context is entered or a field is read, outside of the try in wire.decode, so KjException and ValueError (an unknown refusal kind) left PeerLink.run; the dialling task then ended for good and never dialled again. A call whose answer failed in an unforeseen way was never answered.

Change: PeerLink._dispatch turns these errors into WireError; any other exception ends the link with a log line; open answers of an ended link are cancelled; a failed handshake closes its stream whatever failed.

--- a/quincecrank/peer_link.py
+++ b/quincecrank/peer_link.py
@@ -18,6 +18,8 @@
 
 Reply = TypeVar("Reply", bound=configuration.FrozenModel)
 
+MAX_ERROR_CHARACTERS: Final = 500
+
 _LOG: Final = logs.logger("peer-link")
 
 
@@ -101,11 +103,17 @@
         except iostream.StreamClosedError:
             return "connection closed"
         except wire.WireError as error:
+            _LOG.warning("peer refused", peer=self.peer.name, reason=str(error))
             return str(error)
+        except Exception:
+            _LOG.exception("link failed", peer=self.peer.name)
+            return "this process failed while it took a packet"
         finally:
             beats.cancel()
             self._connection.close()
             self._fail_calls()
+            for answer in tuple(self._answers):
+                answer.cancel()
 
     async def call(
         self,
@@ -154,18 +162,24 @@
                 return
 
     def _dispatch(self, payload: bytes) -> None:
-        with wire.decode(payload) as packet:
-            match packet.which():
-                case "heartbeat":
-                    self._owner.heartbeat_received(self, packet.heartbeat)
-                case "call":
-                    self._start_answer(packet.call)
-                case "reply":
-                    self._take_reply(packet.reply)
-                case "hello" | "proof":
-                    raise wire.WireError("handshake packet after the handshake")
-                case _:
-                    self._owner.packet_received(self, packet)
+        try:
+            with wire.decode(payload) as packet:
+                self._take(packet)
+        except wire.MALFORMED_ERRORS as error:
+            raise wire.WireError(f"packet is malformed: {error}") from error
+
+    def _take(self, packet: Any) -> None:
+        match packet.which():
+            case "heartbeat":
+                self._owner.heartbeat_received(self, packet.heartbeat)
+            case "call":
+                self._start_answer(packet.call)
+            case "reply":
+                self._take_reply(packet.reply)
+            case "hello" | "proof":
+                raise wire.WireError("handshake packet after the handshake")
+            case _:
+                self._owner.packet_received(self, packet)
 
     def _start_answer(self, call: Any) -> None:
         pending = self._answer(int(call.call), str(call.method), bytes(call.body))
@@ -182,7 +196,10 @@
             answer = await self._owner.answer_call(self.peer, known, body)
             reply.body = answer.model_dump_json(exclude_defaults=True).encode()
         except (rpc.CallError, ValueError) as error:
-            reply.error = str(error)[:500] or "call failed"
+            reply.error = str(error)[:MAX_ERROR_CHARACTERS] or "call failed"
+        except Exception:
+            _LOG.exception("call failed", peer=self.peer.name, method=method)
+            reply.error = "the call failed; see the log of the peer"
         self.send(packet)
 
     def _take_reply(self, reply: Any) -> None:
--- a/quincecrank/wire.py
+++ b/quincecrank/wire.py
@@ -46,6 +46,10 @@
     """A peer sent something that this module refuses; the connection ends."""
 
 
+MALFORMED_ERRORS: Final = (capnp.KjException, ValueError)
+"""Raised by reading a malformed packet: at its opening or at the access to a field."""
+
+
 class PeerRole(enum.Enum):
     """Programs that speak this protocol."""
 
@@ -169,17 +173,12 @@
 def decode(payload: bytes) -> Any:
     """Return the context manager of the packet that `payload` holds.
 
-    Raises
-    ------
-    WireError
-        If the payload is not a packet.
+    Packets are checked as they are read: entering the context and every access to a
+    field may raise one of `MALFORMED_ERRORS`.
     """
-    try:
-        return SCHEMA.Packet.from_bytes(
-            payload, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
-        )
-    except (capnp.KjException, ValueError) as error:
-        raise WireError(f"payload is not a packet: {error}") from error
+    return SCHEMA.Packet.from_bytes(
+        payload, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
+    )
 
 
 def new_packet() -> Any:
@@ -244,7 +243,7 @@
     except TimeoutError:
         stream.close()
         raise WireError(f"no handshake within {timeout_ms} ms") from None
-    except (WireError, iostream.StreamClosedError):
+    except BaseException:
         stream.close()
         raise
 
@@ -281,7 +280,7 @@
                 backend_server=ids.BackendServerName(hello.backendServer),
                 deployment=ids.DeploymentName(hello.deployment),
             )
-    except (capnp.KjException, ValueError) as error:
+    except MALFORMED_ERRORS as error:
         raise WireError(f"hello is malformed: {error}") from error
 
 
