Bound what callers can make an entry hold, and never pass a part for a whole

Causes, found by reading and by trials against the parser: - a lone surrogate in a prompt left parse_completion as UnicodeEncodeError (500); - a 4 MB body of 2 million mistakes took 856 MB and 0.7 s to list them (a chat of such parts 5.7 s); - tornado keeps one write future per connection, so the count of unsent bytes of a slow caller never went down, and a cancelled answer was ended as if whole while its connection stayed open; - an answer larger than its caller reads at once counted as unread for ever; - an unforeseen failure after the first bytes ended the answer as if whole; - the refusal of a large body closed the connection under the caller's send.

Change: sizes of lists and objects are checked before their items, at most 20 mistakes are listed, repeated fields and options without effect are refused; the stream's own write buffer is bounded (http_sink.py); cancelled and failed answers cut the connection; large bodies are discarded up to a bound before the refusal, at once with Expect: 100-continue; all bodies together are bounded; a request stays open until its caller has read the end, so that a stop cuts none off; refusals carry WWW-Authenticate and Allow; the priority header works for plain calls; a message's name is part of the prompt.

--- a/quincecrank/http_base.py
+++ b/quincecrank/http_base.py
@@ -1,6 +1,7 @@
 """What the handlers of callers' requests share: identity, limits, refusals."""
 
 import asyncio
+import http
 import http.client
 from typing import Any, Final
 
@@ -16,7 +17,6 @@
     logs,
     metrics,
     problems,
-    stream_messages,
 )
 from quincecrank import clock as clocks
 
@@ -31,8 +31,19 @@
 MAX_HEADER_BYTES: Final = 32 * 1024
 IDLE_TIMEOUT_S: Final = 75.0
 BODY_TIMEOUT_S: Final = 30.0
-MAX_UNSENT_BYTES: Final = 4 * 1024 * 1024
-"""Bytes that a slow caller may leave unread before its request is cancelled."""
+MAX_DISCARDED_BYTES: Final = 16 * 1024 * 1024
+"""Bytes beyond the bound of a body that are read, so that the refusal arrives."""
+
+MAX_HELD_BODY_BYTES: Final = 256 * 1024 * 1024
+"""Bytes of all bodies that one process holds at once."""
+
+MAX_ECHOED_CHARACTERS: Final = 200
+"""Characters of a caller's own text that a refusal repeats."""
+
+SEND_TIMEOUT_MS: Final = 30_000
+"""Time that a caller has to read the end of a whole answer."""
+
+SEND_POLL_MS: Final = 10
 
 _LOG: Final = logs.logger("http")
 
@@ -46,6 +57,8 @@
         Requests being served by this process.
     stopping : bool
         Whether the process finishes its requests and takes no more.
+    held_body_bytes : int
+        Bytes of the bodies of all requests.
     """
 
     def __init__(
@@ -64,6 +77,7 @@
         self.requests_by_id: dict[ids.RequestId, entry_view.OpenRequest] = {}
         self.stopping = False
         self.tasks: set[asyncio.Task[Any]] = set()
+        self.held_body_bytes = 0
         self._account_keys = access.AccountKeys(current.in_force)
 
     def account_keys(self) -> access.AccountKeys:
@@ -85,25 +99,40 @@
         self.request_id = ids.RequestId(ids.random_id("r-"))
         self._body_parts: list[bytes] = []
         self._body_bytes = 0
+        self._held_bytes = 0
+        self._body_problem: problems.Problem | None = None
         self._task: asyncio.Task[None] | None = None
 
     def prepare(self) -> None:
         """Refuse what is too large before its body is read."""
         self.set_header(REQUEST_ID_HEADER, self.request_id)
+        if self.services.stopping:
+            self.set_header("Connection", "close")
         length = self.request.headers.get("Content-Length", "0")
-        if length.isdecimal() and int(length) > self.services.max_body_bytes:
-            self._refuse_large()
+        if not length.isdecimal() or int(length) <= self.services.max_body_bytes:
+            return
+        waits = "100-continue" in self.request.headers.get("Expect", "").lower()
+        if waits or int(length) > self.services.max_body_bytes + MAX_DISCARDED_BYTES:
+            self._refuse_now(self._too_large())
 
     def data_received(self, chunk: bytes) -> None:
-        """Collect the body up to its bound."""
+        """Collect the body up to its bound; discard the rest."""
         if self._finished:
             return
+        services = self.services
         self._body_bytes += len(chunk)
-        if self._body_bytes > self.services.max_body_bytes:
-            self._body_parts.clear()
-            self._refuse_large()
+        if self._body_bytes > services.max_body_bytes:
+            self._body_problem = self._too_large()
+        elif services.held_body_bytes + len(chunk) > MAX_HELD_BODY_BYTES:
+            self._body_problem = _too_many()
+        if self._body_problem is None:
+            self._body_parts.append(chunk)
+            self._held_bytes += len(chunk)
+            services.held_body_bytes += len(chunk)
             return
-        self._body_parts.append(chunk)
+        self._release_body()
+        if self._body_bytes > services.max_body_bytes + MAX_DISCARDED_BYTES:
+            self._refuse_now(self._body_problem)
 
     def body(self) -> bytes:
         """Return the whole body."""
@@ -112,35 +141,82 @@
     async def serve(self) -> None:
         """Serve the request in a task that ends when the caller goes away."""
         services = self.services
+        refusal = self._body_problem
         if services.stopping:
-            self.write_problem(_stopping())
-            return
-        if len(services.tasks) >= services.max_open_requests:
-            self.write_problem(_too_many())
+            refusal = _stopping()
+        elif len(services.tasks) >= services.max_open_requests:
+            refusal = _too_many()
+        if refusal is not None:
+            self.write_problem(refusal)
             return
         self._task = asyncio.ensure_future(self.respond())
         services.tasks.add(self._task)
         services.figures.open_requests.set(len(services.tasks))
         try:
-            await self._task
-        except problems.ProblemError as error:
-            self.write_problem(error.problem)
-        except asyncio.CancelledError:
-            _LOG.info("caller went away", request_id=self.request_id)
+            await self._run(self._task)
+            await self._sent()
         finally:
             services.tasks.discard(self._task)
             services.requests_by_id.pop(self.request_id, None)
             services.figures.open_requests.set(len(services.tasks))
 
+    async def _run(self, task: asyncio.Task[None]) -> None:
+        try:
+            await task
+        except problems.ProblemError as error:
+            self.write_problem(error.problem)
+        except asyncio.CancelledError:
+            _LOG.info("caller went away", request_id=self.request_id)
+            self.cut_off()
+        except Exception:
+            _LOG.exception("handler failed", request_id=self.request_id)
+            self.write_problem(_failed())
+
+    async def _sent(self) -> None:
+        """Wait until the caller has the end of its answer, or cut it off."""
+        clock = self.services.clock
+        stream = self._stream()
+        deadline_ms = clock.now_ms() + SEND_TIMEOUT_MS
+        while stream is not None and not stream.closed() and stream.writing():
+            if clock.now_ms() > deadline_ms:
+                _LOG.info("caller does not read", request_id=self.request_id)
+                stream.close()
+                return
+            await clock.sleep(SEND_POLL_MS)
+
     async def respond(self) -> None:
         """Answer the request; raises `ProblemError` to refuse it."""
         raise NotImplementedError
 
     def on_connection_close(self) -> None:
         """Cancel the work for a caller that went away."""
+        self._release_body()
         if self._task is not None:
             self._task.cancel()
 
+    def on_finish(self) -> None:
+        """Forget the body."""
+        self._release_body()
+
+    def cut_off(self) -> None:
+        """Close the connection, so that a part cannot pass for a whole answer."""
+        if not self._finished:
+            self.detach().close()
+
+    def limit_unsent(self, size: int) -> None:
+        """Bound the bytes that wait for the caller to read them."""
+        stream = self._stream()
+        if stream is not None:
+            stream.max_write_buffer_size = size
+
+    def _stream(self) -> iostream.IOStream | None:
+        return getattr(self.request.connection, "stream", None)
+
+    def _release_body(self) -> None:
+        self._body_parts.clear()
+        self.services.held_body_bytes -= self._held_bytes
+        self._held_bytes = 0
+
     def account(self) -> configuration.Account:
         """Return the client account whose key the request carries."""
         header = self.request.headers.get("Authorization")
@@ -191,7 +267,7 @@
         _LOG.info(
             "request refused",
             request_id=self.request_id,
-            path=self.request.path,
+            path=self.request.path[:MAX_ECHOED_CHARACTERS],
             kind=problem.kind.value,
             ran=problem.ran.value,
             retry_after_ms=problem.retry_after_ms,
@@ -202,16 +278,15 @@
             return
         self.set_status(problem.status)
         self.set_header("Content-Type", problems.PROBLEM_CONTENT_TYPE)
+        if problem.kind is problems.ProblemKind.UNAUTHENTICATED:
+            self.set_header("WWW-Authenticate", "Bearer")
         if problem.retry_after_ms:
             self.set_header("Retry-After", str(problem.retry_after_seconds))
         self.finish(problem.to_json(self.request_id))
 
     def fail_started_answer(self, problem: problems.Problem) -> None:
         """Break a started answer off, so that it cannot pass for a whole one."""
-        connection = self.request.connection
-        if connection is not None:
-            stream = self.detach()
-            stream.close()
+        self.cut_off()
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer errors that tornado found as problems too."""
@@ -220,6 +295,8 @@
         ran = problems.Ran.NOT_RUN if status_code < 500 else problems.Ran.UNKNOWN
         if status_code >= 500:
             kind = problems.ProblemKind.OUTCOME_UNKNOWN
+        if status_code == http.HTTPStatus.METHOD_NOT_ALLOWED:
+            self.set_header("Allow", ", ".join(self._allowed_methods()))
         self.write_problem(problems.Problem(kind, detail, ran))
 
     def log_exception(self, *args: Any) -> None:
@@ -227,60 +304,39 @@
         if not isinstance(args[1], web.HTTPError):
             _LOG.error("handler failed", request_id=self.request_id, exc_info=args)
 
-    def _refuse_large(self) -> None:
+    def _allowed_methods(self) -> list[str]:
+        return [
+            method
+            for method in self.SUPPORTED_METHODS
+            if getattr(type(self), method.lower())
+            is not getattr(web.RequestHandler, method.lower())
+        ]
+
+    def _too_large(self) -> problems.Problem:
         limit = self.services.max_body_bytes
-        self.set_header("Connection", "close")
         kind = problems.ProblemKind.TOO_LARGE
-        self.write_problem(problems.Problem(kind, f"the body exceeds {limit} bytes"))
+        return problems.Problem(kind, f"the body exceeds {limit} bytes")
+
+    def _refuse_now(self, problem: problems.Problem) -> None:
+        """Refuse a request whose body will not be read to its end."""
+        self.set_header("Connection", "close")
+        self.write_problem(problem)
 
 
 class UnknownPathHandler(CallerHandler):
     """Answers every path that the API does not have."""
 
-    def prepare(self) -> None:
+    async def get(self) -> None:
         """Refuse the request."""
-        super().prepare()
-        detail = f"there is no {self.request.path!r}"
-        kind = problems.ProblemKind.NOT_FOUND
-        self.write_problem(problems.Problem(kind, detail))
-
-
-class HttpSink:
-    """Writes an answer to the caller's connection as it arrives."""
+        await self.serve()
 
-    def __init__(self, handler: CallerHandler) -> None:
-        self._handler = handler
-        self._unsent_bytes = 0
+    head = post = delete = patch = put = options = get
 
-    def head(
-        self, status: int, headers: tuple[stream_messages.HeaderField, ...]
-    ) -> None:
-        """Set the status and headers of the answer."""
-        self._handler.set_status(status)
-        self._handler.clear_header("Content-Type")
-        for field in headers:
-            self._handler.add_header(field.name, field.value)
-
-    def data(self, data: bytes) -> None:
-        """Write bytes; a caller that reads too slowly is cut off."""
-        handler = self._handler
-        if handler._finished:
-            return
-        handler.write(data)
-        future = handler.flush()
-        if future.done():
-            return
-        self._unsent_bytes += len(data)
-        if self._unsent_bytes > MAX_UNSENT_BYTES:
-            handler.on_connection_close()
-            return
-        future.add_done_callback(lambda done: self._sent(done, len(data)))
-
-    def _sent(self, future: "asyncio.Future[None]", size: int) -> None:
-        self._unsent_bytes -= size
-        if not future.cancelled() and future.exception() is not None:
-            if not isinstance(future.exception(), iostream.StreamClosedError):
-                _LOG.warning("write failed", reason=str(future.exception()))
+    async def respond(self) -> None:
+        """Refuse the request."""
+        path = self.request.path[:MAX_ECHOED_CHARACTERS]
+        kind = problems.ProblemKind.NOT_FOUND
+        raise problems.ProblemError(problems.Problem(kind, f"there is no {path!r}"))
 
 
 def bad_request(found: findings.Findings) -> problems.Problem:
@@ -311,6 +367,14 @@
     )
 
 
+def _failed() -> problems.Problem:
+    return problems.Problem(
+        problems.ProblemKind.OUTCOME_UNKNOWN,
+        "this entry failed while it served the request; see its log",
+        problems.Ran.UNKNOWN,
+    )
+
+
 def _too_many() -> problems.Problem:
     return problems.Problem(
         problems.ProblemKind.OVERLOADED,
--- /dev/null
+++ b/quincecrank/http_sink.py
@@ -0,0 +1,61 @@
+"""Writes answers to callers, bounded by what a slow caller may leave unread."""
+
+from typing import Final
+
+from tornado import iostream
+
+from quincecrank import http_base, logs, stream_messages
+
+MAX_UNSENT_EVENT_BYTES: Final = 512 * 1024
+"""Bytes of an event stream that a slow caller may leave unread."""
+
+MAX_UNSENT_ANSWER_BYTES: Final = 8 * 1024 * 1024
+"""Bytes of any other answer that a slow caller may leave unread."""
+
+_LOG: Final = logs.logger("http")
+
+
+class HttpSink:
+    """Writes an answer to the caller's connection as it arrives.
+
+    Parameters
+    ----------
+    max_unsent_bytes : int
+        A caller that leaves more than this unread is cut off.
+    """
+
+    def __init__(
+        self,
+        handler: http_base.CallerHandler,
+        max_unsent_bytes: int = MAX_UNSENT_ANSWER_BYTES,
+    ) -> None:
+        self._handler = handler
+        handler.limit_unsent(max_unsent_bytes)
+
+    def head(
+        self, status: int, headers: tuple[stream_messages.HeaderField, ...]
+    ) -> None:
+        """Set the status and headers of the answer."""
+        handler = self._handler
+        if handler._finished:
+            return
+        handler.set_status(status)
+        handler.clear_header("Content-Type")
+        for field in headers:
+            try:
+                handler.add_header(field.name, field.value)
+            except ValueError:
+                _LOG.warning("header not passed on", request_id=handler.request_id)
+
+    def data(self, data: bytes) -> None:
+        """Write bytes; a caller that reads too slowly is cut off."""
+        handler = self._handler
+        if handler._finished:
+            return
+        handler.write(data)
+        try:
+            handler.flush()
+        except iostream.StreamBufferFullError:
+            _LOG.info("caller does not read", request_id=handler.request_id)
+            handler.cut_off()
+            handler.on_connection_close()
--- a/quincecrank/inference_request.py
+++ b/quincecrank/inference_request.py
@@ -6,17 +6,48 @@
 
 import dataclasses
 import json
-from typing import Annotated, Final, Literal, TypeVar
+from typing import Annotated, Final, Literal, Self, TypeVar
 
 import expression
 import pydantic
 
 from quincecrank import configuration, findings, ids
 
+MAX_FINDINGS: Final = 20
+"""Mistakes of one body that are listed; further ones are counted."""
+
+MAX_FIELDS: Final = 64
+"""Fields of one JSON object."""
+
+MAX_MESSAGES: Final = 1_024
+MAX_CONTENT_PARTS: Final = 64
+MAX_FIELD_CHARACTERS: Final = 100
+
 _SOURCE: Final = "body"
 _ADAPTER_SEPARATOR: Final = ":"
 
-Text = Annotated[str, pydantic.Field(strict=True)]
+
+def _encodable(text: str) -> str:
+    try:
+        text.encode()
+    except UnicodeEncodeError as error:
+        message = f"lone surrogate at character {error.start + 1}"
+        raise ValueError(message) from error
+    return text
+
+
+def _at_most(limit: int) -> pydantic.BeforeValidator:
+    """Return a check of a list's length that comes before that of its items."""
+
+    def check(items: object) -> object:
+        if isinstance(items, list) and len(items) > limit:
+            raise ValueError(f"expected at most {limit} items, found {len(items)}")
+        return items
+
+    return pydantic.BeforeValidator(check)
+
+
+Text = Annotated[str, pydantic.Field(strict=True), pydantic.AfterValidator(_encodable)]
 
 
 class _StreamOptions(configuration.FrozenModel):
@@ -26,8 +57,8 @@
 class _CommonBody(configuration.FrozenModel):
     """Fields that both requests have.
 
-    ``temperature`` and ``top_p`` may only have values under which the most likely
-    token is taken, since the answers of this version are deterministic.
+    ``temperature`` may only have the value under which the most likely token is
+    taken: an answer that goes on at another backend server must be the same one.
     """
 
     model: Text
@@ -38,6 +69,12 @@
     n: Literal[1] | None = None
     user: Text | None = None
 
+    @pydantic.model_validator(mode="after")
+    def _options_have_a_stream(self) -> Self:
+        if self.stream_options is not None and not self.stream:
+            raise ValueError("stream_options is only allowed when stream is true")
+        return self
+
 
 Body = TypeVar("Body", bound=_CommonBody)
 
@@ -51,11 +88,18 @@
     text: Text
 
 
+_ContentParts = Annotated[tuple[_ContentPart, ...], _at_most(MAX_CONTENT_PARTS)]
+
+
 class _Message(configuration.FrozenModel):
     role: Literal["system", "developer", "user", "assistant"]
-    content: Text | tuple[_ContentPart, ...]
+    content: Text | _ContentParts
     name: Text | None = None
 
+    def speaker(self) -> str:
+        """Return the role, with the name if there is one."""
+        return self.role if self.name is None else f"{self.role}:{self.name}"
+
     def text(self) -> str:
         """Return the content as one text."""
         if isinstance(self.content, str):
@@ -64,9 +108,17 @@
 
 
 class _ChatBody(_CommonBody):
-    messages: tuple[_Message, ...] = pydantic.Field(min_length=1)
+    messages: Annotated[
+        tuple[_Message, ...], pydantic.Field(min_length=1), _at_most(MAX_MESSAGES)
+    ]
     max_completion_tokens: int | None = pydantic.Field(default=None, ge=1)
 
+    @pydantic.model_validator(mode="after")
+    def _one_limit(self) -> Self:
+        if self.max_tokens is not None and self.max_completion_tokens is not None:
+            raise ValueError("give max_tokens or max_completion_tokens, not both")
+        return self
+
 
 @dataclasses.dataclass(frozen=True)
 class InferenceRequest:
@@ -127,7 +179,7 @@
     A conversation that grows keeps its earlier text as a prefix, so that its blocks
     are reused.
     """
-    turns = [f"<|{message.role}|>\n{message.text()}\n" for message in messages]
+    turns = [f"<|{message.speaker()}|>\n{message.text()}\n" for message in messages]
     return "".join(turns) + "<|assistant|>\n"
 
 
@@ -148,7 +200,7 @@
 def _validate(model: type[Body], body: bytes) -> Body | findings.Findings:
     found = findings.Findings()
     try:
-        return model.model_validate(json.loads(body.decode()))
+        return model.model_validate(_load(body))
     except UnicodeDecodeError as error:
         place = findings.Place(_SOURCE, column=error.start + 1)
         found.add(place, "the body is not UTF-8 at this byte")
@@ -156,9 +208,40 @@
         place = findings.Place(_SOURCE, error.lineno, error.colno)
         found.add(place, f"the body is not JSON: {error.msg}")
     except pydantic.ValidationError as error:
-        for mistake in error.errors():
-            field = ".".join(str(part) for part in mistake["loc"])
-            found.add(findings.Place(_SOURCE, field=field), mistake["msg"])
-    except (RecursionError, UnicodeEncodeError, ValueError) as error:
+        _add_mistakes(found, error)
+    except (RecursionError, ValueError) as error:
         found.add(findings.Place(_SOURCE), f"the body cannot be read: {error}")
     return found
+
+
+def _load(body: bytes) -> object:
+    return json.loads(body.decode(), object_pairs_hook=_unique_fields)
+
+
+def _unique_fields(pairs: list[tuple[str, object]]) -> dict[str, object]:
+    """Refuse objects of which a part would be ignored, and very large ones."""
+    if len(pairs) > MAX_FIELDS:
+        raise ValueError(f"an object has {len(pairs)} fields, more than {MAX_FIELDS}")
+    fields = dict(pairs)
+    if len(fields) < len(pairs):
+        names = [name for name, _ in pairs]
+        repeated = sorted({_shown(n) for n in names if names.count(n) > 1})
+        raise ValueError(f"fields given twice: {', '.join(repeated)}")
+    return fields
+
+
+def _add_mistakes(found: findings.Findings, error: pydantic.ValidationError) -> None:
+    count = error.error_count()
+    mistakes = error.errors(include_url=False, include_context=False)
+    for mistake in mistakes[:MAX_FINDINGS]:
+        field = ".".join(_shown(part) for part in mistake["loc"])
+        found.add(findings.Place(_SOURCE, field=field), mistake["msg"])
+    if count > MAX_FINDINGS:
+        more = count - MAX_FINDINGS
+        found.add(findings.Place(_SOURCE), f"there are {more} more mistakes")
+
+
+def _shown(part: int | str) -> str:
+    """Return one part of a field's path, short and without control characters."""
+    text = str(part)[:MAX_FIELD_CHARACTERS]
+    return text if text.isprintable() else ascii(text)
--- a/quincecrank/openai_api.py
+++ b/quincecrank/openai_api.py
@@ -7,6 +7,7 @@
     completion_dispatch,
     configuration,
     http_base,
+    http_sink,
     ids,
     inference_request,
     problems,
@@ -46,7 +47,10 @@
         content_type = _EVENT_STREAM if request.streamed else "application/json"
         self.set_header("Content-Type", content_type)
         self.set_header("Cache-Control", "no-store")
-        sink = http_base.HttpSink(self)
+        limit = http_sink.MAX_UNSENT_ANSWER_BYTES
+        if request.streamed:
+            limit = http_sink.MAX_UNSENT_EVENT_BYTES
+        sink = http_sink.HttpSink(self, limit)
         context = self._context(account, deployment, request)
         try:
             await self._dispatcher.serve(context, request, sink)
@@ -177,5 +181,5 @@
 def _no_model(name: str) -> problems.Problem:
     return problems.Problem(
         problems.ProblemKind.NOT_FOUND,
-        f"the client account has no model {name!r}",
+        f"the client account has no model {name[: http_base.MAX_ECHOED_CHARACTERS]!r}",
     )
--- a/quincecrank/problems.py
+++ b/quincecrank/problems.py
@@ -133,7 +133,8 @@
             document["retry_after_ms"] = self.retry_after_ms
         if self.found:
             document["findings"] = [str(finding) for finding in self.found]
-        return json.dumps(document, ensure_ascii=False)
+        text = json.dumps(document, ensure_ascii=False)
+        return text.encode(errors="replace").decode()
 
 
 class ProblemError(Exception):
--- a/quincecrank/services_api.py
+++ b/quincecrank/services_api.py
@@ -6,6 +6,7 @@
     configuration,
     findings,
     http_base,
+    http_sink,
     ids,
     plain_dispatch,
     problems,
@@ -51,7 +52,7 @@
         call = self._call()
         key = self._idempotency_key()
         context = self._context(account, deployment, call)
-        sink = http_base.HttpSink(self)
+        sink = http_sink.HttpSink(self)
         try:
             await self._dispatcher.serve(
                 context,
@@ -117,13 +118,16 @@
             1,
             http_base.MAX_DEADLINE_MS,
         )
+        priority = self.number_header(
+            http_base.PRIORITY_HEADER, 0, 0, http_base.MAX_PRIORITY
+        )
         return request_context.RequestContext(
             request_id=self.request_id,
             account=account,
             deployment=deployment,
             configuration_version=self.services.current.version,
             deadline_at_ms=self.services.clock.now_ms() + left_ms,
-            priority=0,
+            priority=priority,
             shown=self.opened(account.name, deployment.name),
             fingerprint=request_context.fingerprint(
                 call.method.encode(), call.path.encode(), call.body
