--- a/bench/load.py
+++ b/bench/load.py
@@ -22,6 +22,9 @@
 
 MAX_OPEN_REQUESTS: Final = 512
 WARM_UP_CONCURRENCY: Final = 12
+START_MS: Final = 3000
+"""Pause before the warm-up, in which agents look at the stores."""
+
 SETTLE_MS: Final = 1500
 """Pause in which the blocks of the last requests are written."""
 
@@ -140,6 +143,7 @@
 
     async def warm_up(self) -> tuple[RequestRecord, ...]:
         """Send one request for each context, a few at a time."""
+        await self._clock.sleep(START_MS)
         places = asyncio.Semaphore(WARM_UP_CONCURRENCY)
 
         async def send(request: trace.TraceRequest) -> RequestRecord:
--- a/quincecrank/placement.py
+++ b/quincecrank/placement.py
@@ -144,7 +144,8 @@
     wanted = [index for index in sorted(request.claimed) if index < depth]
     tier = _choose_tier(request, len(wanted), tiers)
     if not wanted or tier is None:
-        return KeepPlan((), f"blocks={len(wanted)} tier={tier}")
+        place = "none with room" if tier is None else tier.tier
+        return KeepPlan((), f"blocks={len(wanted)} depth={depth} tier={place}")
     saving = _saving_per_block(request, tier)
     link_cost = _link_cost(request)
     expected = forecast.return_probability * saving
