--- a/bench/idle_peers.py
+++ b/bench/idle_peers.py
@@ -36,6 +36,11 @@
         self.port: int = sockets[0].getsockname()[1]
         self.add_sockets(sockets)
 
+    @property
+    def vm(self) -> ids.VmName:
+        """Return the name of the VM."""
+        return self._identity.name
+
     @property
     def backend_server(self) -> ids.BackendServerName:
         """Return the name of the backend server that does not exist."""
@@ -56,9 +61,7 @@
         except (wire.WireError, iostream.StreamClosedError):
             return
         self.links += 1
-        link = peer_link.PeerLink(
-            connection, self, self._limits, clocks.SystemClock()
-        )
+        link = peer_link.PeerLink(connection, self, self._limits, clocks.SystemClock())
         try:
             await link.run()
         except asyncio.CancelledError:
