--- a/standins/demo.py
+++ b/standins/demo.py
@@ -5,15 +5,19 @@
 prints where each answer's time and reuse came from.
 """
 
+import contextlib
 import json
 import pathlib
 import sys
 import tempfile
+import threading
 import time
 import urllib.error
 import urllib.request
 from typing import Any, Final
 
+import fire
+
 from quincecrank import block_keys, ids
 from standins import answers, local_fleet, texts, users
 
@@ -67,10 +71,12 @@
         )
         is_right = text == expected
         self.failures += not is_right
-        cached = usage["prompt_tokens_details"]["cached_tokens"]
+        details = usage["prompt_tokens_details"]
+        cached, restored = details["cached_tokens"], details["restored_tokens"]
         print(
             f"{title:<44} {account:<14} {usage['prompt_tokens']:>6} tokens,"
-            f" {cached:>6} reused, first token {first_ms:>5.0f} ms,"
+            f" {cached - restored:>6} in the engine, {restored:>6} restored,"
+            f" first token {first_ms:>5.0f} ms,"
             f" {'right' if is_right else 'WRONG'}: {text[:32]}..."
         )
 
@@ -124,8 +130,14 @@
         return urllib.request.Request(self._fleet.url + path, data, headers)
 
 
-def main() -> int:
-    """Run the demo and return the exit code."""
+def main(stay: bool = False) -> None:
+    """Run the demo; the exit code is 1 after a wrong answer.
+
+    Parameters
+    ----------
+    stay : bool
+        Keep the fleet for other callers until interrupted, instead of the demo.
+    """
     spec = users.both(
         engine_flags=ENGINE_FLAGS,
         link_bytes_per_second=LINK_BYTES_PER_SECOND,
@@ -135,9 +147,24 @@
         with local_fleet.LocalFleet(spec, pathlib.Path(folder)) as fleet:
             demo = Demo(fleet)
             demo.wait_ready()
+            if stay:
+                wait_for_interrupt(fleet)
+                return
             show(demo)
             print(f"wrong answers: {demo.failures}")
-            return 1 if demo.failures else 0
+            if demo.failures:
+                sys.exit(1)
+
+
+def wait_for_interrupt(fleet: local_fleet.LocalFleet) -> None:
+    """Print how to reach the fleet and wait for Ctrl-C."""
+    print(f"callers:   {fleet.url}")
+    print(f"operators: {fleet.admin_url()}, token file {fleet.operator_token_file}")
+    for account in (users.NEWSROOMS[0], users.FLEETS[0]):
+        print(f"API key of {account}: {fleet.keys_by_account[account]}")
+    print("Ctrl-C ends the fleet.", flush=True)
+    with contextlib.suppress(KeyboardInterrupt):
+        threading.Event().wait()
 
 
 def show(demo: Demo) -> None:
@@ -170,4 +197,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    fire.Fire(main)
