Stalled engines, graceful closes and VMs missing from the list

Read as a reviewer, before the failure tests: (1) a failing sink raised into the link's reader and broke all its streams; (2) a closing agent dropped what its stream had not yet sent, so that a graceful shutdown could cut an answer's end; (3) a VM missing from the lagging list lost its link at once, with the requests on it; it now takes no new work and keeps its link; (4) a hanging engine, or one silent connection to it, held requests to their deadline; a watchdog gives such runs up and the entry resumes them elsewhere.

--- a/quincecrank/agent.py
+++ b/quincecrank/agent.py
@@ -241,8 +241,8 @@
         _LOG.info("shutting down")
         await self._service.stop()
         await self._claims.flush()
-        for link in tuple(self._links):
-            link.close()
+        await asyncio.sleep(0)
+        await asyncio.gather(*(link.close_gracefully() for link in self._links))
         self._server.stop()
         self._pool.close()
         self._background.cancel()
--- a/quincecrank/attempt.py
+++ b/quincecrank/attempt.py
@@ -7,9 +7,11 @@
 import asyncio
 import dataclasses
 import enum
-from typing import Any, Protocol
+from typing import Any, Final, Protocol
 
-from quincecrank import ids, peer_link, problems, stream_messages
+from quincecrank import ids, logs, peer_link, problems, stream_messages
+
+_LOG: Final = logs.logger("attempt")
 
 
 class AnswerSink(Protocol):
@@ -101,7 +103,7 @@
         match frame.which():
             case "data":
                 self.data_frames += 1
-                self._sink.data(frame.data)
+                self._write(frame.data)
             case "head":
                 headers = stream_messages.decode_headers(frame.head.headers)
                 self._sink.head(frame.head.status, headers)
@@ -111,6 +113,14 @@
                 problem = stream_messages.decode_refusal(frame.refusal)
                 self._finish(Outcome(OutcomeKind.REFUSED, problem=problem))
 
+    def _write(self, data: bytes) -> None:
+        """Hand bytes over; a failing sink breaks its own attempt only."""
+        try:
+            self._sink.data(data)
+        except Exception:
+            _LOG.exception("sink failed", request_id=self.order.request_id)
+            self.broken("the answer could not be written")
+
     def broken(self, reason: str) -> None:
         """End the attempt without an answer."""
         self._finish(Outcome(OutcomeKind.BROKEN, reason=reason))
--- a/quincecrank/membership.py
+++ b/quincecrank/membership.py
@@ -56,6 +56,9 @@
         except vm_list.VmListError as error:
             _LOG.warning("VM list is unavailable", reason=str(error))
             return
+        if self.agents() and not any(vm.role is vm_list.VmRole.AGENT for vm in vms):
+            _LOG.warning("VM list names no agent; the last one stays in force")
+            return
         self.vms_by_name = {vm.name: vm for vm in vms}
         for place in tuple(self._stores_by_place):
             if place.vm not in self.vms_by_name:
--- a/quincecrank/model_backend.py
+++ b/quincecrank/model_backend.py
@@ -15,6 +15,7 @@
     ids,
     logs,
     problems,
+    run_watchdog,
     stream_messages,
     stream_writer,
     tokenizers,
@@ -23,9 +24,13 @@
 from quincecrank import clock as clocks
 
 LOAD_INTERVAL_MS: Final = 250
+LOAD_TIMEOUT_MS: Final = 1_000
 RETRY_AFTER_BUSY_MS: Final = 500
 RETRY_AFTER_CRASH_MS: Final = 1_000
 RETRY_AFTER_VERSION_MS: Final = 500
+BYTES_PER_TOKEN: Final = 4
+"""Rough length of a token, for estimates only."""
+
 ENGINE_FORMAT: Final = "standard-1"
 """Layout of the engines' block payloads, part of every block key."""
 
@@ -42,6 +47,7 @@
 
     started_ms: int
     first_token_ms: int = 0
+    last_token_ms: int = 0
     tokens: int = 0
     finish_reason: str = "stop"
     texts: list[str] = dataclasses.field(default_factory=list)
@@ -66,6 +72,8 @@
         self._prefill_tokens_per_second = _DEFAULT_PREFILL_TOKENS_PER_SECOND
         self._background: set[asyncio.Task[None]] = set()
         self._roll = roll
+        self._seen_ms = clock.now_ms()
+        self._watchdog = run_watchdog.RunWatchdog(lambda: self._seen_ms, clock)
         self._correction: asyncio.Task[None] | None = None
 
     def load(self) -> backends.BackendLoad:
@@ -110,6 +118,9 @@
         except engine_messages.EngineError as error:
             writer.refuse(self._problem(error))
             return
+        except run_watchdog.StalledError as error:
+            writer.refuse(_stalled(error))
+            return
         self._learn_speed(usage, answer)
         self._finish(order, work, writer, answer, usage, restored)
         writer.end(
@@ -138,8 +149,9 @@
         events = self._events(order, work)
 
         def on_token(token: engine_messages.EngineToken) -> None:
+            answer.last_token_ms = self._clock.now_ms()
             if answer.tokens == 0:
-                answer.first_token_ms = self._clock.now_ms()
+                answer.first_token_ms = answer.last_token_ms
             if token.finish_reason:
                 answer.finish_reason = token.finish_reason
             if not token.text:
@@ -162,7 +174,15 @@
             block_keys=block_keys.engine_names(work.block_keys),
             resume_after=work.resume_after,
         )
-        return await self._engine.complete(request, on_token)
+        waiting_tokens = self._load.queued_tokens + len(work.prompt) / BYTES_PER_TOKEN
+        estimate_ms = (
+            waiting_tokens * clocks.MS_PER_SECOND / self._prefill_tokens_per_second
+        )
+        return await self._watchdog.guard(
+            self._engine.complete(request, on_token),
+            lambda: answer.last_token_ms,
+            estimate_ms,
+        )
 
     def _finish(
         self,
@@ -244,12 +264,14 @@
 
     async def _refresh_load(self) -> None:
         try:
-            load = await self._engine.load()
-        except engine_messages.EngineError as error:
+            async with asyncio.timeout(LOAD_TIMEOUT_MS / clocks.MS_PER_SECOND):
+                load = await self._engine.load()
+        except (engine_messages.EngineError, TimeoutError) as error:
             if self._load.healthy:
                 _LOG.warning("engine is not healthy", reason=str(error))
             self._load = dataclasses.replace(self._load, healthy=False)
             return
+        self._seen_ms = self._clock.now_ms()
         self._load = backends.BackendLoad(
             healthy=True,
             running=load.running,
@@ -263,6 +285,15 @@
             self._correction = asyncio.ensure_future(self._roll.correct(load))
 
 
+def _stalled(error: run_watchdog.StalledError) -> problems.Problem:
+    return problems.Problem(
+        problems.ProblemKind.BACKEND_FAILED,
+        str(error),
+        problems.Ran.UNKNOWN,
+        RETRY_AFTER_CRASH_MS,
+    )
+
+
 def _restored_tokens(
     restored: block_mover.RestoreOutcome, usage: engine_messages.EngineUsage
 ) -> int:
--- a/quincecrank/openai_api.py
+++ b/quincecrank/openai_api.py
@@ -60,7 +60,7 @@
             raise
         self.services.figures.answered(deployment.name, "whole")
         if not self._finished:
-            self.finish()
+            await self.finish()
 
     def parse(self, body: bytes) -> inference_request.Parsed:
         """Check the body."""
--- a/quincecrank/peer_link.py
+++ b/quincecrank/peer_link.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import itertools
 from collections.abc import Awaitable, Callable
@@ -88,6 +89,13 @@
         """Send a heartbeat now, because what it says has changed."""
         self.send(self._owner.make_heartbeat())
 
+    async def close_gracefully(self) -> None:
+        """End the link after the peer's host has taken what was sent."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._limits.silence_ms / clocks.MS_PER_SECOND):
+                await self._connection.flush()
+        self._connection.close()
+
     def close(self) -> None:
         """End the link at once."""
         self._connection.close()
--- a/quincecrank/peer_pool.py
+++ b/quincecrank/peer_pool.py
@@ -60,10 +60,16 @@
         self.links_by_name: dict[ids.VmName, peer_link.PeerLink] = {}
 
     def want(self, vms: Iterable[vm_list.Vm]) -> None:
-        """Keep links to exactly `vms`; others are closed."""
+        """Keep links to exactly `vms`.
+
+        Others are not dialled again; a live link stays until its other end closes
+        it, so that a VM missing from a list cuts off no request.
+        """
         wanted = {vm.name: vm for vm in vms}
         for name in set(self._tasks_by_name) - set(wanted):
-            self._drop(name)
+            self._vms_by_name.pop(name, None)
+            if name not in self.links_by_name:
+                self._drop(name)
         for name, vm in wanted.items():
             known = self._vms_by_name.get(name)
             moved = known is not None and (known.address, known.port) != (
@@ -79,7 +85,8 @@
 
     def close(self) -> None:
         """End all links."""
-        self.want(())
+        for name in tuple(self._tasks_by_name):
+            self._drop(name)
 
     def _drop(self, name: ids.VmName) -> None:
         self._tasks_by_name.pop(name).cancel()
@@ -90,7 +97,7 @@
 
     async def _keep_link(self, name: ids.VmName) -> None:
         delay_ms = REDIAL_MIN_MS
-        while True:
+        while name in self._vms_by_name:
             started_ms = self._clock.now_ms()
             reason = await self._link_once(self._vms_by_name[name])
             _LOG.info("link ended", peer=name, reason=reason)
@@ -98,6 +105,7 @@
                 delay_ms = REDIAL_MIN_MS
             await self._clock.sleep(delay_ms * self._jitter.uniform(0.5, 1.0))
             delay_ms = min(2 * delay_ms, REDIAL_MAX_MS)
+        self._tasks_by_name.pop(name, None)
 
     async def _link_once(self, vm: vm_list.Vm) -> str:
         try:
--- a/quincecrank/router.py
+++ b/quincecrank/router.py
@@ -149,8 +149,9 @@
             self.block_bytes += int(_BLOCK_SMOOTHING * (observed - self.block_bytes))
 
     def _is_leaving(self, name: ids.VmName) -> bool:
+        """Tell whether a VM is leaving or is no longer in the list."""
         vm = self._members.vms_by_name.get(name)
-        return vm is not None and vm.state is vm_list.VmState.LEAVING
+        return vm is None or vm.state is vm_list.VmState.LEAVING
 
     def _fits(
         self,
@@ -175,9 +176,7 @@
         return tuple(
             link
             for link in self._estimates.states()
-            if link.tier in names
-            and link.store in self._members.vms_by_name
-            and not self._is_leaving(link.store)
+            if link.tier in names and not self._is_leaving(link.store)
         )
 
     def _log(
--- /dev/null
+++ b/quincecrank/run_watchdog.py
@@ -0,0 +1,90 @@
+"""Notices runs whose engine has stopped to answer.
+
+Two signs end a run early: the engine answers no load query for a while, or the run's
+own connection is silent for longer than its next token should take, as when
+something between the two ends has lost track of the connection.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, TypeVar
+
+from quincecrank import clock as clocks
+
+CHECK_INTERVAL_MS: Final = 250
+ENGINE_SILENCE_MS: Final = 3_000
+"""Time without any answer of the engine after which its runs are given up."""
+
+TOKEN_SILENCE_MS: Final = 3_000
+"""Longest time between two tokens of a run."""
+
+FIRST_TOKEN_MIN_MS: Final = 5_000
+FIRST_TOKEN_FACTOR: Final = 4.0
+"""Multiple of the estimated time to first token that a run may take."""
+
+Result = TypeVar("Result")
+
+
+class StalledError(Exception):
+    """A run was given up because its engine does not answer."""
+
+
+class RunWatchdog:
+    """Watches the runs of one engine.
+
+    Parameters
+    ----------
+    engine_seen_ms : callable
+        Returns when the engine last answered anything.
+    """
+
+    def __init__(self, engine_seen_ms: Callable[[], int], clock: clocks.Clock) -> None:
+        self._engine_seen_ms = engine_seen_ms
+        self._clock = clock
+
+    async def guard(
+        self,
+        work: Coroutine[Any, Any, Result],
+        token_ms: Callable[[], int],
+        first_token_estimate_ms: float,
+    ) -> Result:
+        """Return the result of `work`, or cancel it when it has stalled.
+
+        Parameters
+        ----------
+        token_ms : callable
+            Returns when the last token came, 0 before the first one.
+        first_token_estimate_ms : float
+            Estimated time to first token.
+
+        Raises
+        ------
+        StalledError
+            If the run was given up.
+        """
+        started_ms = self._clock.now_ms()
+        first_limit_ms = max(
+            FIRST_TOKEN_MIN_MS, FIRST_TOKEN_FACTOR * first_token_estimate_ms
+        )
+        task = asyncio.ensure_future(work)
+        interval_s = CHECK_INTERVAL_MS / clocks.MS_PER_SECOND
+        try:
+            while True:
+                done, _ = await asyncio.wait({task}, timeout=interval_s)
+                if done:
+                    return task.result()
+                reason = self._stall(started_ms, token_ms(), first_limit_ms)
+                if reason:
+                    raise StalledError(reason)
+        finally:
+            task.cancel()
+
+    def _stall(self, started_ms: int, token_ms: int, first_limit_ms: float) -> str:
+        now_ms = self._clock.now_ms()
+        if now_ms - max(self._engine_seen_ms(), started_ms) > ENGINE_SILENCE_MS:
+            return "the engine does not answer"
+        if token_ms and now_ms - token_ms > TOKEN_SILENCE_MS:
+            return "the engine sends no further token"
+        if not token_ms and now_ms - started_ms > first_limit_ms:
+            return "the engine sends no first token"
+        return ""
--- a/quincecrank/services_api.py
+++ b/quincecrank/services_api.py
@@ -67,7 +67,7 @@
             raise
         self.services.figures.answered(deployment.name, "whole")
         if not self._finished:
-            self.finish()
+            await self.finish()
 
     def _deployment(self, account: configuration.Account) -> configuration.Deployment:
         name = ids.DeploymentName(self.path_args[0])
--- a/quincecrank/wire.py
+++ b/quincecrank/wire.py
@@ -16,6 +16,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import enum
 import hashlib
@@ -111,6 +112,7 @@
         self._outgoing = outgoing
         self._incoming = incoming
         self._buffer = b""
+        self._last_write: asyncio.Future[None] | None = None
 
     @property
     def closed(self) -> bool:
@@ -132,6 +134,13 @@
             self._stream.close()
             return
         future.add_done_callback(_retrieve_exception)
+        self._last_write = future
+
+    async def flush(self) -> None:
+        """Wait until the peer's host has all that was sent."""
+        if self._last_write is not None and not self._stream.closed():
+            with contextlib.suppress(iostream.StreamClosedError):
+                await asyncio.shield(self._last_write)
 
     async def receive(self) -> Any:
         """Return the payload of the next packet.
