Time limits of callers' headers and bodies come from the settings

limits.header_timeout_ms was read and had no effect: a connection without headers stayed open for 75 s. It now bounds the headers and the idle time between two requests; limits.body_timeout_ms, 30 s as the constant before, bounds the body. The listeners move from entry.py to http_server.py, which tests start without a fleet.

--- a/quincecrank/entry.py
+++ b/quincecrank/entry.py
@@ -7,13 +7,9 @@
 
 import asyncio
 import contextlib
-import socket
-import ssl
-from collections.abc import Iterable
 from typing import Final
 
 import fire
-from tornado import httpserver, web
 
 from quincecrank import (
     access,
@@ -28,6 +24,7 @@
     directory_lookup,
     entry_view,
     http_base,
+    http_server,
     ids,
     logs,
     membership,
@@ -175,8 +172,12 @@
         ):
             work = peer_link.repeat(action, interval_ms, self._clock)
             self._background.start(work)
-        self._caller_server = _serve(self._caller_rules(), known.listen, bound)
-        self._admin_server = _serve(self._admin_rules(), known.admin, admin)
+        self._caller_server = http_server.serve(
+            self._caller_rules(), known.listen.tls, known.limits, bound
+        )
+        self._admin_server = http_server.serve(
+            self._admin_rules(), known.admin.tls, known.limits, admin
+        )
         process.announce_port(admin, "admin")
         process.announce_port(bound)
 
@@ -269,33 +270,6 @@
         self._links.beat()
 
 
-def _serve(
-    rules: Iterable[status_server.Rule],
-    listener: settings.Listener,
-    bound: socket.socket,
-) -> httpserver.HTTPServer:
-    """Serve HTTP on a bound socket, with TLS when the settings name it."""
-    context = None
-    if listener.tls is not None:
-        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-        context.load_cert_chain(listener.tls.certificate_file, listener.tls.key_file)
-    application = web.Application(list(rules), log_function=_no_log)
-    server = httpserver.HTTPServer(
-        application,
-        ssl_options=context,
-        max_body_size=http_base.MAX_READ_BYTES,
-        max_header_size=http_base.MAX_HEADER_BYTES,
-        idle_connection_timeout=http_base.IDLE_TIMEOUT_S,
-        body_timeout=http_base.BODY_TIMEOUT_S,
-    )
-    server.add_socket(bound)
-    return server
-
-
-def _no_log(handler: web.RequestHandler) -> None:
-    """Keep tornado's access log out; the pipeline logs its own decisions."""
-
-
 def run(settings_file: str) -> None:
     """Run an entry.
 
--- a/quincecrank/http_base.py
+++ b/quincecrank/http_base.py
@@ -25,12 +25,6 @@
 PRIORITY_HEADER: Final = "Request-Priority"
 MAX_DEADLINE_MS: Final = 3_600_000
 MAX_PRIORITY: Final = 9
-MAX_READ_BYTES: Final = 1 << 40
-"""Bound of the HTTP parser; handlers refuse long before with a problem."""
-
-MAX_HEADER_BYTES: Final = 32 * 1024
-IDLE_TIMEOUT_S: Final = 75.0
-BODY_TIMEOUT_S: Final = 30.0
 MAX_DISCARDED_BYTES: Final = 16 * 1024 * 1024
 """Bytes beyond the bound of a body that are read, so that the refusal arrives."""
 
