--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: install demo fleet test format lint types unit model model-mutants bench-path
+.PHONY: install demo fleet test format lint types unit model model-mutants bench-path bench-slopes bench-policy failures
 
 $(VENV)/.installed: requirements.lock
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -35,3 +35,12 @@
 
 unit: install
 	$(PYTHON) -m tests.run
+
+bench-path: install
+	$(PYTHON) -m bench.path
+
+bench-slopes: install
+	$(PYTHON) -m bench.slopes
+
+bench-policy: install
+	$(PYTHON) -m bench.policy
--- a/quincecrank/wire.py
+++ b/quincecrank/wire.py
@@ -37,7 +37,7 @@
 MAX_UNSENT_BYTES: Final = 64 * 1024 * 1024
 _LENGTH_BYTES: Final = 4
 _TAG_BYTES: Final = 16
-_HEADER_BYTES: Final = _LENGTH_BYTES + _TAG_BYTES
+HEADER_BYTES: Final = _LENGTH_BYTES + _TAG_BYTES
 _NONCE_BYTES: Final = 32
 _READ_CHUNK_BYTES: Final = 256 * 1024
 _TRAVERSAL_LIMIT_WORDS: Final = MAX_PACKET_BYTES
@@ -152,7 +152,7 @@
         tornado.iostream.StreamClosedError
             If the connection ended.
         """
-        header = await self._take(_HEADER_BYTES)
+        header = await self._take(HEADER_BYTES)
         length = int.from_bytes(header[:_LENGTH_BYTES], "little")
         if length > MAX_PACKET_BYTES:
             raise WireError(f"packet of {length} bytes exceeds {MAX_PACKET_BYTES}")
