Less work on idle agents and for each request of a large deployment

Change: load queries every 1 s while idle, woken by work and orders; directory agents ranked once for each VM list; links indexed by deployment.

--- a/quincecrank/agent.py
+++ b/quincecrank/agent.py
@@ -355,9 +355,7 @@
 
     def _directory_agents(self) -> tuple[ids.VmName, ...]:
         name = self._settings.backend_server.deployment
-        return directory_client.directory_agents(
-            name, self._members.directory_agents(name)
-        )
+        return self._members.directory_agents(name)
 
     def _block_stored(self, copy: chain_view.StoredBlock) -> None:
         self._announcer.announce([self._stores.announcement(copy)])
--- a/quincecrank/agent_links.py
+++ b/quincecrank/agent_links.py
@@ -77,6 +77,9 @@
         self._tasks = tasks.BackgroundTasks()
         self._stream_numbers = itertools.count(1)
         self._breakers_by_server: dict[ids.BackendServerName, breaker.Breaker] = {}
+        self._states_by_deployment: dict[
+            ids.DeploymentName, tuple[AgentState, ...]
+        ] = {}
         self.states_by_vm: dict[ids.VmName, AgentState] = {}
 
     def linked(self, link: peer_link.PeerLink) -> None:
@@ -85,6 +88,7 @@
         known = self._breakers_by_server.setdefault(server, breaker.Breaker())
         estimates = routing_estimates.ReplicaEstimates(server)
         self.states_by_vm[link.peer.name] = AgentState(link, estimates, known)
+        self._states_by_deployment.clear()
         _LOG.info("agent linked", peer=link.peer.name, backend_server=server)
 
     def unlinked(self, link: peer_link.PeerLink) -> None:
@@ -93,15 +97,21 @@
         if state is None or state.link is not link:
             return
         del self.states_by_vm[link.peer.name]
+        self._states_by_deployment.clear()
         for attempt in tuple(state.attempts_by_stream.values()):
             attempt.broken("the link to the agent ended")
 
-    def state_of(self, server: ids.BackendServerName) -> AgentState | None:
-        """Return the agent beside a backend server, if it is linked."""
-        for state in self.states_by_vm.values():
-            if state.peer.backend_server == server:
-                return state
-        return None
+    def states_of(self, deployment: ids.DeploymentName) -> tuple[AgentState, ...]:
+        """Return the linked agents of a deployment."""
+        known = self._states_by_deployment.get(deployment)
+        if known is None:
+            known = tuple(
+                state
+                for state in self.states_by_vm.values()
+                if state.peer.deployment == deployment
+            )
+            self._states_by_deployment[deployment] = known
+        return known
 
     def next_stream(self) -> int:
         """Return a stream number that this process has not used."""
--- a/quincecrank/directory_client.py
+++ b/quincecrank/directory_client.py
@@ -1,31 +1,22 @@
 """Finds the directory agents of a prompt and sends them news.
 
-The directory of a deployment is spread over at most `MAX_DIRECTORY_AGENTS` of its
-agents, chosen by rendezvous hash, so that no agent needs links to all others.  News
-is gathered for a short while and sent to the agents responsible for each root.
+The directory of a deployment is spread over a few of its agents, chosen by rendezvous
+hash, so that no agent needs links to all others.  News is gathered for a short while
+and sent to the agents responsible for each root.
 """
 
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 from quincecrank import clock as clocks
-from quincecrank import directory, ids, logs, peer_link, rendezvous, rpc, vm_list
+from quincecrank import directory, ids, logs, peer_link, rpc
 
-MAX_DIRECTORY_AGENTS: Final = 16
 FLUSH_INTERVAL_MS: Final = 100
 CALL_TIMEOUT_MS: Final = 1_000
 
 _LOG: Final = logs.logger("directory-client")
 
 
-def directory_agents(
-    deployment: ids.DeploymentName, agents: Iterable[vm_list.Vm]
-) -> tuple[ids.VmName, ...]:
-    """Return the agents that share the directory of `deployment`."""
-    names = (vm.name for vm in agents)
-    return rendezvous.ranked(deployment, names, MAX_DIRECTORY_AGENTS)
-
-
 class _News:
     """What one directory agent is to be told."""
 
--- a/quincecrank/directory_lookup.py
+++ b/quincecrank/directory_lookup.py
@@ -7,7 +7,6 @@
     chain_view,
     crash_counts,
     directory,
-    directory_client,
     ids,
     logs,
     membership,
@@ -108,10 +107,7 @@
     def _responsible(
         self, context: request_context.RequestContext, keys: tuple[ids.BlockKey, ...]
     ) -> tuple[peer_link.PeerLink, ...]:
-        name = context.deployment.name
-        agents = directory_client.directory_agents(
-            name, self._members.directory_agents(name)
-        )
+        agents = self._members.directory_agents(context.deployment.name)
         root = keys[0] if keys else ids.BlockKey(context.fingerprint)
         chosen = directory.responsible_agents(root, agents)
         states = (self._links.states_by_vm.get(vm) for vm in chosen)
--- a/quincecrank/membership.py
+++ b/quincecrank/membership.py
@@ -8,9 +8,11 @@
 from typing import Final
 
 from quincecrank import clock as clocks
-from quincecrank import ids, logs, object_client, vm_list
+from quincecrank import ids, logs, object_client, rendezvous, vm_list
 
 POLL_INTERVAL_MS: Final = 1_000
+MAX_DIRECTORY_AGENTS: Final = 16
+"""Agents of one deployment that share its directory."""
 
 _LOG: Final = logs.logger("membership")
 
@@ -47,6 +49,9 @@
         self._store_timeout_ms = store_timeout_ms
         self._clock = clock
         self._stores_by_place: dict[_Place, object_client.HttpObjectStore] = {}
+        self._directory_agents_by_deployment: dict[
+            ids.DeploymentName, tuple[ids.VmName, ...]
+        ] = {}
         self.vms_by_name: dict[ids.VmName, vm_list.Vm] = {}
 
     async def refresh(self) -> None:
@@ -60,6 +65,7 @@
             _LOG.warning("VM list names no agent; the last one stays in force")
             return
         self.vms_by_name = {vm.name: vm for vm in vms}
+        self._directory_agents_by_deployment.clear()
         for place in tuple(self._stores_by_place):
             if place.vm not in self.vms_by_name:
                 self._stores_by_place.pop(place).close()
@@ -68,16 +74,30 @@
         """Return the VMs that run an agent."""
         return self._with_role(vm_list.VmRole.AGENT)
 
-    def directory_agents(
+    def live_agents(
         self, deployment: ids.DeploymentName
     ) -> tuple[vm_list.Vm, ...]:
-        """Return the live agents of a deployment, which share its directory."""
+        """Return the live agents of a deployment."""
         return tuple(
             vm
             for vm in self.agents()
             if vm.deployment == deployment and vm.state is vm_list.VmState.LIVE
         )
 
+    def directory_agents(
+        self, deployment: ids.DeploymentName
+    ) -> tuple[ids.VmName, ...]:
+        """Return the agents that share the directory of a deployment.
+
+        They are ranked once for each list, since every request asks for them.
+        """
+        known = self._directory_agents_by_deployment.get(deployment)
+        if known is None:
+            names = (vm.name for vm in self.live_agents(deployment))
+            known = rendezvous.ranked(deployment, names, MAX_DIRECTORY_AGENTS)
+            self._directory_agents_by_deployment[deployment] = known
+        return known
+
     def store(
         self, name: ids.VmName, tier: ids.TierName
     ) -> object_client.ObjectStore | None:
--- a/quincecrank/model_backend.py
+++ b/quincecrank/model_backend.py
@@ -1,6 +1,7 @@
 """Runs completions on the model engine beside this agent."""
 
 import asyncio
+import contextlib
 import dataclasses
 from typing import Final
 
@@ -24,6 +25,9 @@
 from quincecrank import clock as clocks
 
 LOAD_INTERVAL_MS: Final = 250
+"""Time between two load queries while the engine works or loads weights."""
+
+IDLE_LOAD_INTERVAL_MS: Final = 1_000
 LOAD_TIMEOUT_MS: Final = 1_000
 RETRY_AFTER_BUSY_MS: Final = 500
 RETRY_AFTER_CRASH_MS: Final = 1_000
@@ -72,6 +76,8 @@
         self._prefill_tokens_per_second = _DEFAULT_PREFILL_TOKENS_PER_SECOND
         self._background: set[asyncio.Task[None]] = set()
         self._roll = roll
+        self._runs = 0
+        self._woken = asyncio.Event()
         self._seen_ms = clock.now_ms()
         self._watchdog = run_watchdog.RunWatchdog(lambda: self._seen_ms, clock)
         self._correction: asyncio.Task[None] | None = None
@@ -84,6 +90,8 @@
         self, version: ids.WeightVersion, adapters: tuple[ids.AdapterName, ...]
     ) -> None:
         """State the weight version and the adapters that the engine should run."""
+        if version != self._roll.wanted:
+            self._woken.set()
         self._roll.wanted = version
         self._roll.adapters = adapters
 
@@ -93,12 +101,25 @@
         try:
             while True:
                 await self._refresh_load()
-                await self._clock.sleep(LOAD_INTERVAL_MS)
+                await self._wait_for_turn()
         finally:
             events.cancel()
             if self._correction is not None:
                 self._correction.cancel()
 
+    async def _wait_for_turn(self) -> None:
+        """Wait until the next load query is due; work and orders end an idle wait."""
+        load = self._load
+        is_settled = load.healthy and load.weight_version == self._roll.wanted
+        is_idle = is_settled and not self._runs and not load.running
+        self._woken.clear()
+        if not is_idle:
+            await self._clock.sleep(LOAD_INTERVAL_MS)
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_LOAD_INTERVAL_MS / clocks.MS_PER_SECOND):
+                await self._woken.wait()
+
     async def run(
         self,
         order: stream_messages.StreamOrder,
@@ -111,6 +132,20 @@
             detail = "a model engine takes no plain calls"
             writer.refuse(problems.Problem(problems.ProblemKind.BAD_REQUEST, detail))
             return
+        self._runs += 1
+        self._woken.set()
+        try:
+            await self._run(order, work, writer, queue_ms)
+        finally:
+            self._runs -= 1
+
+    async def _run(
+        self,
+        order: stream_messages.StreamOrder,
+        work: stream_messages.Completion,
+        writer: stream_writer.StreamWriter,
+        queue_ms: int,
+    ) -> None:
         restored = await self._mover.restore(work.restore, work.weight_version)
         answer = _Answer(self._clock.now_ms())
         try:
--- a/quincecrank/prefetcher.py
+++ b/quincecrank/prefetcher.py
@@ -49,7 +49,7 @@
 
     async def check(self) -> None:
         """Send what is due now."""
-        vms = self._members.directory_agents(self._deployment)
+        vms = self._members.live_agents(self._deployment)
         vm_by_server = {vm.backend_server: vm.name for vm in vms}
         room = dict.fromkeys(vm_by_server, ASSUMED_CACHE_BLOCKS)
         for order in self._advisor.prefetches(room, self._clock.wall_ms()):
--- a/quincecrank/router.py
+++ b/quincecrank/router.py
@@ -62,9 +62,8 @@
         drains = self._current.in_force.drains_by_vm
         return tuple(
             state
-            for state in self._links.states_by_vm.values()
-            if state.peer.deployment == context.deployment.name
-            and state.accepting
+            for state in self._links.states_of(context.deployment.name)
+            if state.accepting
             and state.healthy
             and state.peer.name not in drains
             and not self._is_leaving(state.peer.name)
