--- a/quincecrank/membership.py
+++ b/quincecrank/membership.py
@@ -74,9 +74,7 @@
         """Return the VMs that run an agent."""
         return self._with_role(vm_list.VmRole.AGENT)
 
-    def live_agents(
-        self, deployment: ids.DeploymentName
-    ) -> tuple[vm_list.Vm, ...]:
+    def live_agents(self, deployment: ids.DeploymentName) -> tuple[vm_list.Vm, ...]:
         """Return the live agents of a deployment."""
         return tuple(
             vm
