--- a/quincecrank/wire.py
+++ b/quincecrank/wire.py
@@ -16,6 +16,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import enum
 import hashlib
@@ -36,7 +37,7 @@
 MAX_UNSENT_BYTES: Final = 64 * 1024 * 1024
 _LENGTH_BYTES: Final = 4
 _TAG_BYTES: Final = 16
-_HEADER_BYTES: Final = _LENGTH_BYTES + _TAG_BYTES
+HEADER_BYTES: Final = _LENGTH_BYTES + _TAG_BYTES
 _NONCE_BYTES: Final = 32
 _READ_CHUNK_BYTES: Final = 256 * 1024
 _TRAVERSAL_LIMIT_WORDS: Final = MAX_PACKET_BYTES
@@ -46,6 +47,10 @@
     """A peer sent something that this module refuses; the connection ends."""
 
 
+MALFORMED_ERRORS: Final = (capnp.KjException, ValueError)
+"""Raised by reading a malformed packet: at its opening or at the access to a field."""
+
+
 class PeerRole(enum.Enum):
     """Programs that speak this protocol."""
 
@@ -107,6 +112,7 @@
         self._outgoing = outgoing
         self._incoming = incoming
         self._buffer = b""
+        self._last_write: asyncio.Future[None] | None = None
 
     @property
     def closed(self) -> bool:
@@ -128,6 +134,13 @@
             self._stream.close()
             return
         future.add_done_callback(_retrieve_exception)
+        self._last_write = future
+
+    async def flush(self) -> None:
+        """Wait until the peer's host has all that was sent."""
+        if self._last_write is not None and not self._stream.closed():
+            with contextlib.suppress(iostream.StreamClosedError):
+                await asyncio.shield(self._last_write)
 
     async def receive(self) -> Any:
         """Return the payload of the next packet.
@@ -139,7 +152,7 @@
         tornado.iostream.StreamClosedError
             If the connection ended.
         """
-        header = await self._take(_HEADER_BYTES)
+        header = await self._take(HEADER_BYTES)
         length = int.from_bytes(header[:_LENGTH_BYTES], "little")
         if length > MAX_PACKET_BYTES:
             raise WireError(f"packet of {length} bytes exceeds {MAX_PACKET_BYTES}")
@@ -169,17 +182,12 @@
 def decode(payload: bytes) -> Any:
     """Return the context manager of the packet that `payload` holds.
 
-    Raises
-    ------
-    WireError
-        If the payload is not a packet.
+    Packets are checked as they are read: entering the context and every access to a
+    field may raise one of `MALFORMED_ERRORS`.
     """
-    try:
-        return SCHEMA.Packet.from_bytes(
-            payload, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
-        )
-    except (capnp.KjException, ValueError) as error:
-        raise WireError(f"payload is not a packet: {error}") from error
+    return SCHEMA.Packet.from_bytes(
+        payload, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
+    )
 
 
 def new_packet() -> Any:
@@ -244,7 +252,7 @@
     except TimeoutError:
         stream.close()
         raise WireError(f"no handshake within {timeout_ms} ms") from None
-    except (WireError, iostream.StreamClosedError):
+    except BaseException:
         stream.close()
         raise
 
@@ -281,7 +289,7 @@
                 backend_server=ids.BackendServerName(hello.backendServer),
                 deployment=ids.DeploymentName(hello.deployment),
             )
-    except (capnp.KjException, ValueError) as error:
+    except MALFORMED_ERRORS as error:
         raise WireError(f"hello is malformed: {error}") from error
 
 
