Engine client: a higher priority number runs first, as in the product's queues

Cause: the agent hands a request's priority on unchanged. The queues of the entry and the agent put higher numbers first, the engine lower ones, so that an urgent request came last in the engine. The client now turns the number round; the test of the order goes through the client and failed with the number handed on unchanged.

--- a/quincecrank/engine_messages.py
+++ b/quincecrank/engine_messages.py
@@ -16,7 +16,7 @@
     Attributes
     ----------
     priority : int
-        Requests with a lower number run first.
+        Requests with a higher number run first.
     weight_version : WeightVersion
         Version that must be loaded.
     block_keys : tuple of BlockKey
@@ -43,7 +43,8 @@
             "prompt": self.prompt,
             "stream": True,
             "max_tokens": self.max_tokens,
-            "priority": self.priority,
+            # Engines run requests with a lower number first.
+            "priority": -self.priority,
             "cache_salt": self.cache_salt,
             "request_id": self.request_id,
             "adapter": self.adapter,
--- a/standins/engine_runtime.py
+++ b/standins/engine_runtime.py
@@ -72,9 +72,13 @@
     async def run(self) -> None:
         """Record the load four times within each lag."""
         while self._lag_ms:
-            self._history.append((self._clock.now_ms(), self._measure()))
+            self.record()
             await self._clock.sleep(max(1.0, self._lag_ms / 4))
 
+    def record(self) -> None:
+        """Record the load now."""
+        self._history.append((self._clock.now_ms(), self._measure()))
+
     def report(self) -> LoadReport:
         """Return the newest load that is at least as old as the lag."""
         oldest_ms = self._clock.now_ms() - self._lag_ms
