Engine client: know whether a request was sent by counting sends

The seek function only covered requests with a body, and a timeout while connecting counted as sent. The guard before the send, as the platform's client has it, covers both. With a guard that allows every send, the test of the lost kept connection sees 3 requests instead of 2.

--- a/quincecrank/curl_client.py
+++ b/quincecrank/curl_client.py
@@ -66,13 +66,27 @@
     return getattr(request, "request", request)
 
 
-def forbid_resend(curl: pycurl.Curl) -> None:
-    """Make a request fail where libcurl would send its body a second time.
+class SendGuard:
+    """Lets one request be sent once, and tells whether it was.
 
-    For use as, or within, a request's `prepare_curl_callback`.  A request without a
-    body has nothing to rewind and needs `connect_afresh`.
+    Attributes
+    ----------
+    sent : bool
+        Whether the request may have reached the server.
     """
-    curl.setopt(pycurl.SEEKFUNCTION, _refuse_to_rewind)
+
+    def __init__(self) -> None:
+        self.sent = False
+
+    def install(self, curl: pycurl.Curl) -> None:
+        """Guard a request; for use as, or within, its `prepare_curl_callback`."""
+        curl.setopt(pycurl.PREREQFUNCTION, self._before_send)
+
+    def _before_send(self, *addresses: object) -> int:
+        if self.sent:
+            return pycurl.PREREQFUNC_ABORT
+        self.sent = True
+        return pycurl.PREREQFUNC_OK
 
 
 def connect_afresh(curl: pycurl.Curl) -> None:
@@ -84,10 +98,6 @@
     curl.setopt(pycurl.FORBID_REUSE, True)
 
 
-def _refuse_to_rewind(offset: int, origin: int) -> int:
-    return pycurl.SEEKFUNC_FAIL
-
-
 def never_connected(error: curl_httpclient.CurlError) -> bool:
     """Tell whether a failed request certainly did not reach the server."""
     return error.errno in _NEVER_CONNECTED
--- a/quincecrank/engine_client.py
+++ b/quincecrank/engine_client.py
@@ -151,7 +151,7 @@
         except curl_httpclient.CurlError as error:
             if answer.failure is not None:
                 raise answer.failure from error
-            raise _failed(error, answer.started) from error
+            raise _failed(error, answer.started, answer.guard.sent) from error
         if response.code != 200:
             raise _completion_error(response, answer.detail())
         if not answer.ended or answer.usage is None:
@@ -231,6 +231,7 @@
     ) -> httpclient.HTTPResponse:
         if timeout_ms is None:
             timeout_ms = self._call_timeout_ms
+        guard = curl_client.SendGuard()
         request = httpclient.HTTPRequest(
             self._base_url + path,
             method=method,
@@ -239,18 +240,19 @@
             connect_timeout=CONNECT_TIMEOUT_MS / clock.MS_PER_SECOND,
             request_timeout=timeout_ms / clock.MS_PER_SECOND,
             decompress_response=False,
-            prepare_curl_callback=curl_client.forbid_resend,
+            prepare_curl_callback=None if body is None else guard.install,
         )
         try:
             return await self._client.fetch_whole(request)
         except curl_httpclient.CurlError as error:
-            raise _failed(error, started=False) from error
+            raise _failed(error, False, guard.sent or body is None) from error
 
 
 class _StreamedAnswer:
     """Reads the events of one answer and hands its tokens on."""
 
     def __init__(self, on_token: OnToken) -> None:
+        self.guard = curl_client.SendGuard()
         self.started = False
         self.ended = False
         self.usage: messages.EngineUsage | None = None
@@ -260,7 +262,7 @@
 
     def attach(self, curl: pycurl.Curl) -> None:
         """Receive the body straight from libcurl, and never send it twice."""
-        curl_client.forbid_resend(curl)
+        self.guard.install(curl)
         curl.setopt(pycurl.WRITEFUNCTION, self._receive)
 
     def detail(self) -> str:
@@ -305,9 +307,8 @@
 
 
 def _failed(
-    error: curl_httpclient.CurlError, started: bool
+    error: curl_httpclient.CurlError, started: bool, sent: bool
 ) -> messages.EngineFailedError:
-    sent = not curl_client.never_connected(error)
     return messages.EngineFailedError(str(error), started=started, sent=sent)
 
 
