A cancelled request cancels its attempt at the agent

Cause: Attempt.outcome awaited the attempt's future itself, so cancelling the request cancelled the future; the attempt then counted as ended and no cancel packet was sent. A caller that went away kept its slot at the engine until the whole answer was made.

Change: the wait is shielded.

Shown: test_edge_callers.VanishingCallersTest fails without it (three subtests time out after 15 s with running 1 at the agent and the engine), passes with it.

--- a/quincecrank/attempt.py
+++ b/quincecrank/attempt.py
@@ -84,8 +84,8 @@
         return self.link.peer.backend_server
 
     async def outcome(self) -> Outcome:
-        """Wait for the end of the attempt."""
-        return await self._outcome
+        """Wait for the end of the attempt; a cancelled wait does not end it."""
+        return await asyncio.shield(self._outcome)
 
     @property
     def ended(self) -> bool:
