--- a/quincecrank/service_backend.py
+++ b/quincecrank/service_backend.py
@@ -45,6 +45,8 @@
         "trailer",
         "transfer-encoding",
         "upgrade",
+        # Set by tornado's libcurl client.
+        "x-http-reason",
     }
 )
 
