--- a/quincecrank/model_backend.py
+++ b/quincecrank/model_backend.py
@@ -202,7 +202,7 @@
             model=work.model,
             prompt=work.prompt.decode(),
             max_tokens=work.max_tokens,
-            priority=-order.priority,  # engines run the lowest number first
+            priority=order.priority,
             cache_salt=work.cache_salt,
             weight_version=work.weight_version,
             adapter=work.adapter,
