Entries link to a bounded set of agents and reach others on demand

Cause: 128 links for each deployment would be 640 links at the design size, over 100 KB/s of heartbeats against 12 KB/s a node. Ruled out: a small fixed set alone (prefixes held elsewhere could not be reused). Change: the directory agents, 16 others by rendezvous hash, and for 60 s any agent that the directory names as holder.

--- a/quincecrank/completion_dispatch.py
+++ b/quincecrank/completion_dispatch.py
@@ -12,7 +12,7 @@
 import dataclasses
 import functools
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Final
 
 from quincecrank import (
@@ -41,6 +41,9 @@
 WEIGHTS_WAIT_MS: Final = 5_000
 """Time that a request waits for the first replica with the weights in force."""
 
+REACH_WAIT_MS: Final = 20
+"""Time given to new links to agents that hold blocks of a prompt."""
+
 CANDIDATE_WAIT_MS: Final = 50
 """Time between two looks for a backend server that may take a request."""
 
@@ -100,6 +103,7 @@
         lookup: directory_lookup.DirectoryLookup,
         budgets: retry_budgets.RetryBudgets,
         secret: bytes,
+        reach: Callable[[Iterable[ids.BackendServerName]], bool],
         figures: metrics.EntryMetrics,
         clock: clocks.Clock,
     ) -> None:
@@ -109,6 +113,7 @@
         self._lookup = lookup
         self._budgets = budgets
         self._secret = secret
+        self._reach = reach
         self._figures = figures
         self._clock = clock
         self._jitter = random.Random()
@@ -138,6 +143,8 @@
                     context, keys, may_keep=self._routes.policy.uses_tiers
                 )
                 self._refuse_crasher(context)
+                if self._reach(known.chain.held_by_server):
+                    await self._clock.sleep(REACH_WAIT_MS)
                 await self._wait_for_weights(context, request)
                 async with self._gate.admitted(
                     context, request.adapter, prompt_tokens
--- a/quincecrank/entry.py
+++ b/quincecrank/entry.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Iterable
 from typing import Final
 
 import fire
@@ -26,6 +27,7 @@
     http_base,
     http_server,
     ids,
+    link_choice,
     logs,
     membership,
     metrics,
@@ -37,7 +39,6 @@
     platform_table,
     policies,
     process,
-    rendezvous,
     retry_budgets,
     router,
     services_api,
@@ -50,9 +51,6 @@
 )
 from quincecrank import clock as clocks
 
-MAX_LINKS_PER_DEPLOYMENT: Final = 128
-"""Agents of one deployment that an entry keeps links to."""
-
 CONFIGURATION_BUCKET: Final = "configuration"
 STORE_TIMEOUT_MS: Final = 5_000
 STOP_POLL_MS: Final = 50
@@ -96,6 +94,12 @@
             STORE_TIMEOUT_MS,
             self._clock,
         )
+        self._choice = link_choice.LinkChoice(
+            known.vm_name,
+            self._members,
+            known.limits.links_per_deployment,
+            self._clock,
+        )
         self._links = agent_links.AgentLinks(
             self._current, self._configuration_changed, self._clock
         )
@@ -142,6 +146,7 @@
             lookup,
             budgets,
             settings.read_secret(known.account_secret_file),
+            self._reach,
             self._figures,
             self._clock,
         )
@@ -240,18 +245,14 @@
         self._want_links()
 
     def _want_links(self) -> None:
-        """Keep links to a bounded set of agents for each deployment."""
-        vms_by_deployment: dict[ids.DeploymentName, list[vm_list.Vm]] = {}
-        for vm in self._members.agents():
-            vms_by_deployment.setdefault(vm.deployment, []).append(vm)
-        wanted: list[vm_list.Vm] = []
-        for vms in vms_by_deployment.values():
-            by_name = {vm.name: vm for vm in vms}
-            chosen = rendezvous.ranked(
-                self._settings.vm_name, by_name, MAX_LINKS_PER_DEPLOYMENT
-            )
-            wanted.extend(by_name[name] for name in chosen)
-        self._pool.want(wanted)
+        self._pool.want(self._choice.wanted())
+
+    def _reach(self, servers: Iterable[ids.BackendServerName]) -> bool:
+        """Want links to the agents of `servers`; tell whether any is new."""
+        is_new = self._choice.reach(servers)
+        if is_new:
+            self._want_links()
+        return is_new
 
     async def _follow_table(self) -> None:
         await self._follower.poll()
--- a/quincecrank/membership.py
+++ b/quincecrank/membership.py
@@ -49,6 +49,7 @@
         self._store_timeout_ms = store_timeout_ms
         self._clock = clock
         self._stores_by_place: dict[_Place, object_client.HttpObjectStore] = {}
+        self._vm_by_server: dict[ids.BackendServerName, ids.VmName] = {}
         self._directory_agents_by_deployment: dict[
             ids.DeploymentName, tuple[ids.VmName, ...]
         ] = {}
@@ -65,6 +66,7 @@
             _LOG.warning("VM list names no agent; the last one stays in force")
             return
         self.vms_by_name = {vm.name: vm for vm in vms}
+        self._vm_by_server = {vm.backend_server: vm.name for vm in self.agents()}
         self._directory_agents_by_deployment.clear()
         for place in tuple(self._stores_by_place):
             if place.vm not in self.vms_by_name:
@@ -96,6 +98,10 @@
             self._directory_agents_by_deployment[deployment] = known
         return known
 
+    def vm_of(self, server: ids.BackendServerName) -> ids.VmName | None:
+        """Return the VM of a backend server's agent, None when it is not listed."""
+        return self._vm_by_server.get(server)
+
     def store(
         self, name: ids.VmName, tier: ids.TierName
     ) -> object_client.ObjectStore | None:
--- a/quincecrank/settings.py
+++ b/quincecrank/settings.py
@@ -198,6 +198,7 @@
     max_body_bytes: PositiveInt = DEFAULT_MAX_BODY_BYTES
     max_open_requests: PositiveInt = 2_000
     header_timeout_ms: PositiveInt = 10_000
+    links_per_deployment: PositiveInt = 16
     body_timeout_ms: PositiveInt = 30_000
 
 
