--- a/quincecrank/service_backend.py
+++ b/quincecrank/service_backend.py
@@ -29,6 +29,9 @@
 HEALTH_INTERVAL_MS: Final = 500
 RETRY_AFTER_FAILURE_MS: Final = 1_000
 RETRY_AFTER_TABLE_MS: Final = 2_000
+MAX_ANSWER_BYTES: Final = 4 * 1024 * 1024
+"""Largest body of an answer that is passed on."""
+
 DATA_FRAME_BYTES: Final = 64 * 1024
 ACCOUNT_HEADER: Final = "X-Client-Account"
 REQUEST_HEADER: Final = "X-Request-Id"
@@ -124,6 +127,11 @@
         except problems.ProblemError as error:
             writer.refuse(error.problem)
             return
+        if len(answer.body) > MAX_ANSWER_BYTES:
+            kind = problems.ProblemKind.OUTCOME_UNKNOWN
+            detail = f"the call ran; its answer exceeds {MAX_ANSWER_BYTES} bytes"
+            writer.refuse(problems.Problem(kind, detail, problems.Ran.RAN))
+            return
         send_answer(writer, answer, queue_ms)
 
     async def _call_once(
--- a/quincecrank/stream_writer.py
+++ b/quincecrank/stream_writer.py
@@ -7,10 +7,13 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Final
 
 from quincecrank import peer_link, problems, stream_messages, wire
 
+MAX_BATCH_BYTES: Final = 1024 * 1024
+"""Bytes of answers after which a batch goes out within its turn."""
+
 Fill = Callable[[Any], None]
 """Fills one ``Frame`` message."""
 
@@ -21,16 +24,29 @@
     def __init__(self, link: peer_link.PeerLink) -> None:
         self._link = link
         self._fills: list[Fill] = []
+        self._size_bytes = 0
+
+    def add(self, fill: Fill, size_bytes: int = 0) -> None:
+        """Queue one frame for the batch of this turn.
 
-    def add(self, fill: Fill) -> None:
-        """Queue one frame for the batch of this turn."""
+        Parameters
+        ----------
+        size_bytes : int
+            Size of the frame's data.
+        """
         if not self._fills:
             asyncio.get_running_loop().call_soon(self._flush)
         self._fills.append(fill)
+        self._size_bytes += size_bytes
+        if self._size_bytes >= MAX_BATCH_BYTES:
+            self._flush()
 
     def _flush(self) -> None:
         fills = self._fills
+        if not fills:
+            return
         self._fills = []
+        self._size_bytes = 0
         packet = wire.new_packet()
         messages = packet.init("frames").init("frames", len(fills))
         for message, fill in zip(messages, fills, strict=True):
@@ -62,7 +78,7 @@
             message.number = number
             message.data = data
 
-        self.batcher.add(fill)
+        self.batcher.add(fill, len(data))
 
     def head(
         self, status: int, headers: tuple[stream_messages.HeaderField, ...]
