--- a/tests/builders_edge.py
+++ b/tests/builders_edge.py
@@ -17,6 +17,7 @@
 from typing import Any, Final
 
 import openai
+import yaml
 
 from quincecrank import block_keys, configuration, ids, inference_request, tokenizers
 from standins import answers, local_fleet, users
@@ -30,6 +31,12 @@
 SERVICE: Final = "prasaran"
 MAX_BODY_BYTES: Final = 256 * 1024
 MAX_TOKENS: Final = 4_096
+CACHE_BLOCKS: Final = 16
+ENGINE_FLAGS: Final = {
+    "decode_ms": 5,
+    "cache_blocks": CACHE_BLOCKS,
+    "prefill_tokens_per_second": 100_000,
+}
 READY_TIMEOUT_S: Final = 30.0
 POLL_S: Final = 0.02
 
@@ -66,7 +73,7 @@
     disabled = configuration.Account(name=DISABLED, enabled=False)
     return local_fleet.FleetSpec(
         backends=(
-            local_fleet.BackendSpec(model, 1, flags={"decode_ms": 5}),
+            local_fleet.BackendSpec(model, 1, flags=ENGINE_FLAGS),
             local_fleet.BackendSpec(service, 1),
             local_fleet.BackendSpec(others, 0),
         ),
@@ -176,6 +183,22 @@
     return b"".join(parts)
 
 
+def write_tls_settings(
+    certificate: pathlib.Path, key: pathlib.Path, header_timeout_ms: int
+) -> pathlib.Path:
+    """Write the settings of a further entry whose two listeners use TLS."""
+    folder = fleet().operator_token_file.parent
+    document = yaml.safe_load((folder / "entry-1.yaml").read_text())
+    tls = {"certificate_file": str(certificate), "key_file": str(key)}
+    document["vm_name"] = "entry-tls"
+    document["listen"]["tls"] = tls
+    document["admin"]["tls"] = tls
+    document["limits"]["header_timeout_ms"] = header_timeout_ms
+    path = folder / "entry-tls.yaml"
+    path.write_text(yaml.safe_dump(document))
+    return path
+
+
 def client(account: ids.AccountName = FIRST) -> openai.OpenAI:
     """Return the official client of the OpenAI API."""
     return openai.OpenAI(
@@ -201,6 +224,21 @@
     return (f"{mark} " * size)[: blocks * size]
 
 
+def engine_keys() -> set[str]:
+    """Return the names of all blocks in the engine's cache."""
+    url = fleet().replicas_by_name[f"{MODEL}-1"].backend.url
+    return set(json.loads(_read(f"{url}/kv/keys"))["keys"])
+
+
+def stored_bytes() -> int:
+    """Return how many bytes of blocks the store VMs hold."""
+    used = 0
+    for store in fleet().stores_by_name.values():
+        stats = json.loads(_read(f"{store.url}/stats"))
+        used += int(stats["memory_used"]) + int(stats["disk_used"])
+    return used
+
+
 def open_requests() -> int:
     """Return the entry's count of open requests from its metrics."""
     text = _read(f"{fleet().admin_url()}/metrics")
