--- a/tests/builders_wire.py
+++ b/tests/builders_wire.py
@@ -109,6 +109,26 @@
     return packet
 
 
+def order(
+    work: stream_messages.Completion | stream_messages.PlainCall,
+) -> stream_messages.StreamOrder:
+    """Return an order on stream 1."""
+    return stream_messages.StreamOrder(
+        stream=1,
+        request_id=ids.RequestId("r-1"),
+        attempt_id=ids.AttemptId("a-1"),
+        account=ids.AccountName("newsroom-1"),
+        deployment=ids.DeploymentName("lekhak"),
+        configuration_version=ids.ConfigurationVersion(1),
+        deadline_ms=1_000,
+        priority=0,
+        idempotency_key="",
+        fingerprint="00",
+        idempotent=True,
+        work=work,
+    )
+
+
 @dataclasses.dataclass
 class RecordingOwner:
     """`peer_link.LinkOwner` that notes what it is given."""
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,7 +10,6 @@
 from quincecrank import (
     agent_links,
     current_configuration,
-    ids,
     peer_pool,
     rpc,
     stream_messages,
@@ -168,21 +167,7 @@
 
 def open_packet() -> bytes:
     work = stream_messages.PlainCall("GET", "/status", (), b"")
-    order = stream_messages.StreamOrder(
-        stream=1,
-        request_id=ids.RequestId("r-1"),
-        attempt_id=ids.AttemptId("a-1"),
-        account=ids.AccountName("newsroom-1"),
-        deployment=ids.DeploymentName("prasaran"),
-        configuration_version=ids.ConfigurationVersion(1),
-        deadline_ms=1_000,
-        priority=0,
-        idempotency_key="",
-        fingerprint="00",
-        idempotent=True,
-        work=work,
-    )
-    return bytes(stream_messages.encode_order(order).to_bytes())
+    return bytes(stream_messages.encode_order(builders.order(work)).to_bytes())
 
 
 def call_packet(method: str, body: bytes) -> bytes:
@@ -249,7 +234,9 @@
         link = builders.link_of(dialler, links)
         links.linked(link)
         state = links.states_by_vm[builders.AGENT.name]
-        attempt = links.open(state, decoded_order(), builders.NullSink())
+        work = stream_messages.PlainCall("GET", "/status", (), b"")
+        order = builders.order(work)
+        attempt = links.open(state, order, builders.NullSink())
         listener.send(_Payload(frames_packet("no-such-kind")))
         reason = await asyncio.wait_for(link.run(), 5)
         links.unlinked(link)
@@ -280,11 +267,6 @@
                     return str(packet.reply.error)
 
 
-def decoded_order() -> stream_messages.StreamOrder:
-    with wire.decode(open_packet()) as packet:
-        return stream_messages.decode_order(packet.open)
-
-
 class PeerPoolTest(unittest.IsolatedAsyncioTestCase):
     async def test_old_agents_and_other_roles_are_refused_and_closed(self) -> None:
         cases = (
