Large answers of plain services neither hang nor lock out small ones

Cause: the frames of one turn went out in one packet; above 16 MB its sending failed inside the event loop, and the caller waited for its deadline (504 after 30 s in the test, 18 MB of records).

--- a/tests/builders_edge.py
+++ b/tests/builders_edge.py
@@ -103,7 +103,7 @@
     prompt = completion("ready?", max_tokens=1)
     for method, path, body in (
         ("POST", "/v1/completions", prompt),
-        ("GET", f"/services/{SERVICE}/filed", None),
+        ("GET", f"/services/{SERVICE}/filed?q=none-of-these", None),
     ):
         if call(method, path, body, headers, account=None, url=url).status != 200:
             return False
--- a/tests/test_edge_callers.py
+++ b/tests/test_edge_callers.py
@@ -263,6 +263,20 @@
         self.assertEqual(again.json()["ran"], "unknown")
         self.assertEqual(self.records("dropped k-3"), 1)
 
+    def test_large_answers_arrive_whole_and_larger_ones_are_refused(self) -> None:
+        path = "/services/prasaran/filed?q=large-answer"
+        mark = b"large-answer " + b"x" * 200_000
+        whole, refused = 16, 90
+        answers = {}
+        for number in range(1, refused + 1):
+            self.assertEqual(self.post("", mark).status, 201)
+            if number in (whole, refused):
+                answers[number] = builders.call("GET", path)
+        self.assertEqual(answers[whole].status, 200)
+        self.assertEqual(len(answers[whole].json()["records"]), whole)
+        self.assertEqual(answers[refused].status, 502)
+        self.assertEqual(answers[refused].json()["ran"], "ran")
+
 
 class StopTest(unittest.TestCase):
     def test_a_stopping_entry_finishes_its_requests_and_takes_no_more(self) -> None:
