Agents refuse streams of agents, and dialling agents that were replaced

An authenticated agent could open streams at another agent, and a replaced agent that dialled was taken by every agent that it reached; only the dialling side compared fencing numbers.

--- a/quincecrank/agent.py
+++ b/quincecrank/agent.py
@@ -260,6 +260,11 @@
         except (wire.WireError, iostream.StreamClosedError) as error:
             _LOG.warning("peer refused", reason=str(error))
             return
+        refusal = self._pool.check_fence(connection.peer)
+        if refusal:
+            _LOG.warning("peer refused", peer=connection.peer.name, reason=refusal)
+            connection.close()
+            return
         link = peer_link.PeerLink(connection, self._service, self._limits, self._clock)
         self._links.add(link)
         try:
--- a/quincecrank/agent_service.py
+++ b/quincecrank/agent_service.py
@@ -94,7 +94,11 @@
             self._tasks.start(self._fetch(link, version))
 
     def packet_received(self, link: peer_link.PeerLink, packet: Any) -> None:
-        """Open or cancel a stream."""
+        """Open or cancel a stream of an entry."""
+        if link.peer.role is not wire.PeerRole.ENTRY:
+            raise wire.WireError(
+                f"a peer of role {link.peer.role.value} has no streams"
+            )
         match packet.which():
             case "open":
                 order = stream_messages.decode_order(packet.open)
--- a/quincecrank/peer_pool.py
+++ b/quincecrank/peer_pool.py
@@ -151,9 +151,15 @@
             return f"peer is no agent but {peer.role.value}"
         if vm.backend_server and peer.backend_server != vm.backend_server:
             return f"peer serves {peer.backend_server}, not {vm.backend_server}"
-        newest = self._fence_by_server.get(peer.backend_server, 0)
         if not peer.fencing_number:
             return self._check_unregistered(peer)
+        return self.check_fence(peer)
+
+    def check_fence(self, peer: wire.PeerIdentity) -> str:
+        """Return why an agent is refused that a newer one has replaced, else empty."""
+        if peer.role is not wire.PeerRole.AGENT or not peer.fencing_number:
+            return ""
+        newest = self._fence_by_server.get(peer.backend_server, 0)
         if peer.fencing_number < newest:
             return f"agent has fencing number {peer.fencing_number}, not {newest}"
         self._fence_by_server[peer.backend_server] = peer.fencing_number
