--- a/tests/builders_wire.py
+++ b/tests/builders_wire.py
@@ -223,3 +223,14 @@
             backend_server=self._shown.backend_server,
             deployment=self._shown.deployment,
         )
+
+
+class Payload:
+    """A payload that `wire.Connection.send` takes as a packet."""
+
+    def __init__(self, payload: bytes) -> None:
+        self._payload = payload
+
+    def to_bytes(self) -> bytes:
+        """Return the payload."""
+        return self._payload
--- a/tests/test_edge_input.py
+++ b/tests/test_edge_input.py
@@ -82,7 +82,9 @@
         ),
     ),
     _Exchange("plain call", "GET", "/services/prasaran/filed?q=nothing-of-this-kind"),
-    _Exchange("head of a plain call", "HEAD", "/services/prasaran/filed?q=none-of-these"),
+    _Exchange(
+        "head of a plain call", "HEAD", "/services/prasaran/filed?q=none-of-these"
+    ),
     _Exchange("health", "GET", "/healthz"),
 )
 
--- a/tests/test_edge_limits.py
+++ b/tests/test_edge_limits.py
@@ -84,9 +84,7 @@
             MAX_BODY_BYTES,
             LIMITS.max_open_requests,
         )
-        logs = testing.capture_logs()
-        self.lines = logs.__enter__()
-        self.addCleanup(logs.__exit__, None, None, None)
+        self.lines = self.enterContext(testing.capture_logs())
         self.serve(LIMITS)
 
     def serve(self, limits: settings.Limits) -> None:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -188,17 +188,10 @@
     return bytes(packet.to_bytes())
 
 
-class _Payload:
-    """A payload that `wire.Connection.send` takes as a packet."""
-
-    def __init__(self, payload: bytes) -> None:
-        self._payload = payload
-
-    def to_bytes(self) -> bytes:
-        return self._payload
-
-
 class MalformedPacketsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.enterContext(testing.capture_logs())
+
     async def test_a_malformed_packet_ends_its_link_with_a_log_line(self) -> None:
         good = open_packet()
         unknown_union = bytearray(builders.heartbeat().to_bytes())
@@ -218,7 +211,7 @@
                 owner = builders.RecordingOwner()
                 sender, receiver = await builders.connection_pair(self)
                 link = builders.link_of(receiver, owner)
-                sender.send(_Payload(payload))
+                sender.send(builders.Payload(payload))
                 with testing.capture_logs() as logged:
                     reason = await asyncio.wait_for(link.run(), 5)
                 self.assertIn("peer refused", [line["event"] for line in logged])
@@ -237,7 +230,7 @@
         work = stream_messages.PlainCall("GET", "/status", (), b"")
         order = builders.order(work)
         attempt = links.open(state, order, builders.NullSink())
-        listener.send(_Payload(frames_packet("no-such-kind")))
+        listener.send(builders.Payload(frames_packet("no-such-kind")))
         reason = await asyncio.wait_for(link.run(), 5)
         links.unlinked(link)
         self.assertIn("no-such-kind", reason)
@@ -255,7 +248,7 @@
         )
         with testing.capture_logs():
             for method, body, expected in cases:
-                sender.send(_Payload(call_packet(method, body)))
+                sender.send(builders.Payload(call_packet(method, body)))
                 self.assertIn(expected, await self.next_error(sender))
         sender.close()
         self.assertEqual(await running, "connection closed")
@@ -268,6 +261,9 @@
 
 
 class PeerPoolTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.enterContext(testing.capture_logs())
+
     async def test_old_agents_and_other_roles_are_refused_and_closed(self) -> None:
         cases = (
             (builders.identity(fencing_number=5), "linked"),
@@ -295,6 +291,16 @@
         pool.close()
         listener.stop()
 
+    async def test_a_dialling_agent_that_was_replaced_is_refused(self) -> None:
+        pool = self.pool()
+        for shown, expected in (
+            (builders.identity(fencing_number=2), ""),
+            (builders.identity(fencing_number=1), "agent has fencing number 1, not 2"),
+            (builders.identity(fencing_number=0), ""),
+            (builders.ENTRY, ""),
+        ):
+            self.assertEqual(pool.check_fence(shown), expected)
+
     def pool(self) -> peer_pool.PeerPool:
         pool = peer_pool.PeerPool(
             lambda: builders.ENTRY,
