--- a/bench/idle_peers.py
+++ b/bench/idle_peers.py
@@ -56,9 +56,7 @@
         except (wire.WireError, iostream.StreamClosedError):
             return
         self.links += 1
-        link = peer_link.PeerLink(
-            connection, self, self._limits, clocks.SystemClock()
-        )
+        link = peer_link.PeerLink(connection, self, self._limits, clocks.SystemClock())
         try:
             await link.run()
         except asyncio.CancelledError:
--- /dev/null
+++ b/tests/builders_fleet.py
@@ -0,0 +1,173 @@
+"""Builders of small fleets of real processes, their callers, and their histories."""
+
+import json
+import pathlib
+import random
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any, Final, TypeVar
+
+from quincecrank import configuration, ids
+from standins import launcher, local_fleet
+from tests import history_checkers
+
+ROOM: Final = ids.AccountName("room")
+RIVAL: Final = ids.AccountName("rival")
+ACCOUNTS: Final = (ROOM, RIVAL)
+MODEL: Final = ids.DeploymentName("desk")
+SERVICE: Final = ids.DeploymentName("air")
+STORE: Final = ids.VmName("shelf-1")
+V1: Final = ids.WeightVersion("v1")
+V2: Final = ids.WeightVersion("v2")
+
+HEARTBEAT: Final = {"interval_ms": 200, "silence_ms": 1_000}
+FREEZE_S: Final = 2.5
+"""Longer than the limit of silence."""
+
+BLOCK_CHARACTERS: Final = 4_096
+MAX_TOKENS: Final = 24
+CALL_TIMEOUT_S: Final = 60.0
+READY_TIMEOUT_S: Final = 20.0
+POLL_S: Final = 0.05
+_WRAPPED: Final = frozenset(
+    {
+        "quincecrank.agent",
+        "quincecrank.entry",
+        "standins.engine",
+        "standins.plain_service",
+    }
+)
+
+Result = TypeVar("Result")
+
+
+def engine_flags(**changed: object) -> dict[str, object]:
+    """Return the flags of a fast engine."""
+    return {
+        "prefill_tokens_per_second": 100_000,
+        "decode_ms": 10,
+        "cache_blocks": 32,
+        "payload_bytes": 4_096,
+        **changed,
+    }
+
+
+def fleet_spec(
+    *,
+    engines: int = 0,
+    services: int = 0,
+    stores: int = 0,
+    entries: int = 2,
+    flags: Mapping[str, object] | None = None,
+    deadline_ms: int = 20_000,
+) -> local_fleet.FleetSpec:
+    """Return a small fleet for two client accounts."""
+    tier = configuration.Tier(
+        name=ids.TierName("shelf-memory"),
+        kind=configuration.TierKind.MEMORY,
+        link_bytes_per_second=50_000_000,
+        capacity_bytes=64 << 20,
+        stores=(STORE,),
+    )
+    backends = []
+    if engines:
+        model = configuration.Deployment(
+            name=MODEL,
+            kind=configuration.DeploymentKind.MODEL,
+            weight_version=V1,
+            accounts=ACCOUNTS,
+            deadline_ms=deadline_ms,
+            tiers=(tier.name,) if stores else (),
+        )
+        chosen = engine_flags(**(flags or {}))
+        backends.append(local_fleet.BackendSpec(model, engines, flags=chosen))
+    if services:
+        route = configuration.Route(method="GET", path="/filed", idempotent=True)
+        service = configuration.Deployment(
+            name=SERVICE,
+            kind=configuration.DeploymentKind.SERVICE,
+            accounts=ACCOUNTS,
+            deadline_ms=deadline_ms,
+            routes=(route,),
+        )
+        backends.append(local_fleet.BackendSpec(service, services))
+    return local_fleet.FleetSpec(
+        backends=tuple(backends),
+        accounts=tuple(configuration.Account(name=name) for name in ACCOUNTS),
+        tiers=(tier,) if stores else (),
+        store_flags={STORE: {}} if stores else {},
+        entries=entries,
+        entry_options={"heartbeat": HEARTBEAT},
+        agent_options={"heartbeat": HEARTBEAT},
+    )
+
+
+class _ObservedLauncher(launcher.Fleet):
+    """Starts programs under observation, see `wrapped_program`."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        super().__init__(folder / "logs")
+        self.record_path = folder / "arrivals.jsonl"
+        self.record_path.touch()
+
+    def launch(
+        self,
+        name: str,
+        module: str,
+        arguments: Sequence[str] = (),
+        environment: Mapping[str, str] | None = None,
+    ) -> launcher.Process:
+        """Start a program, or the observed one in its place."""
+        if module not in _WRAPPED:
+            return super().launch(name, module, arguments, environment)
+        added = {
+            **(environment or {}),
+            "WRAPPED_MODULE": module,
+            "WRAPPED_NAME": name,
+            "WRAPPED_RECORD": str(self.record_path),
+        }
+        return super().launch(name, "tests.wrapped_program", arguments, added)
+
+
+class ObservedFleet(local_fleet.LocalFleet):
+    """A fleet whose backend servers record what reaches them."""
+
+    def __init__(self, spec: local_fleet.FleetSpec, folder: pathlib.Path) -> None:
+        super().__init__(spec, folder)
+        self._observed = _ObservedLauncher(folder)
+        self._fleet = self._observed
+
+    def effects(self) -> list[history_checkers.Effect]:
+        """Return the records that plain services made in all their lives."""
+        return [
+            history_checkers.Effect(
+                server=each["server"],
+                wall_ms=each["wall_ms"],
+                account=each["account"],
+                key=each["key"],
+                body=each["body"],
+                request_id=each["request_id"],
+            )
+            for each in self._lines()
+            if each["kind"] == "call"
+        ]
+
+    def arrivals(self) -> list[history_checkers.Arrival]:
+        """Return when work reached each backend server."""
+        return [
+            history_checkers.Arrival(each["server"], each["wall_ms"])
+            for each in self._lines()
+        ]
+
+    def _lines(self) -> Iterator[dict[str, Any]]:
+        for line in self._observed.record_path.read_text().splitlines():
+            yield json.loads(line)
+
+
+def prompt(seed: str, blocks: int = 0) -> str:
+    """Return a prompt with `blocks` whole blocks and a short rest."""
+    generator = random.Random(seed)
+    body = "".join(
+        f"{generator.getrandbits(60):015x} "
+        for _ in range(blocks * BLOCK_CHARACTERS // 16)
+    )
+    return f"{body}question {seed}"
--- /dev/null
+++ b/tests/fleet_callers.py
@@ -0,0 +1,302 @@
+"""Callers and operators of a fleet of real processes; they keep what they saw."""
+
+import concurrent.futures
+import contextlib
+import dataclasses
+import http.client
+import json
+import threading
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable, Iterator
+from typing import Any, Final, TypeVar
+from urllib import parse
+
+from quincecrank import ids
+from tests import builders_fleet, history_checkers
+
+CALL_TIMEOUT_S: Final = 60.0
+WATCH_INTERVAL_S: Final = 0.05
+
+Result = TypeVar("Result")
+
+
+class Callers:
+    """Callers of a fleet, who keep what they saw."""
+
+    def __init__(self, fleet: builders_fleet.ObservedFleet) -> None:
+        self.fleet = fleet
+        self.prompts: list[history_checkers.PromptResult] = []
+        self.calls: list[history_checkers.CallResult] = []
+        self._pool = concurrent.futures.ThreadPoolExecutor(64)
+
+    def close(self) -> None:
+        """Wait for the callers that are under way."""
+        self._pool.shutdown()
+
+    def start(
+        self, function: Callable[..., Result], *given: Any, **options: Any
+    ) -> "concurrent.futures.Future[Result]":
+        """Call `function` at the same time as whatever follows."""
+        return self._pool.submit(function, *given, **options)
+
+    def ask(
+        self,
+        prompt: str,
+        *,
+        account: ids.AccountName = builders_fleet.ROOM,
+        entry: int = 0,
+        max_tokens: int = builders_fleet.MAX_TOKENS,
+        versions: tuple[ids.WeightVersion, ...] = (builders_fleet.V1,),
+        streamed: bool = True,
+    ) -> history_checkers.PromptResult:
+        """Ask a prompt and keep the answer."""
+        result = history_checkers.PromptResult(account, prompt, max_tokens, versions)
+        body = {
+            "model": builders_fleet.MODEL,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": streamed,
+            "stream_options": {"include_usage": True},
+        }
+        started = time.monotonic()
+        with self._connection(entry) as connection:
+            result = _exchange_prompt(
+                connection, self._headers(account), body, result, streamed
+            )
+        taken_ms = round((time.monotonic() - started) * 1000)
+        result = dataclasses.replace(result, duration_ms=taken_ms)
+        self.prompts.append(result)
+        return result
+
+    def call(
+        self,
+        key: str,
+        body: str = "bulletin",
+        *,
+        account: ids.AccountName = builders_fleet.ROOM,
+        entry: int = 0,
+        deadline_ms: int = 0,
+    ) -> history_checkers.CallResult:
+        """Record a release with an idempotency key (empty for none)."""
+        result = history_checkers.CallResult(account, key, body)
+        headers = self._headers(account)
+        if key:
+            headers["Idempotency-Key"] = key
+        if deadline_ms:
+            headers["Request-Deadline-Ms"] = str(deadline_ms)
+        with self._connection(entry) as connection:
+            result = _exchange_call(connection, headers, body, result)
+        self.calls.append(result)
+        return result
+
+    def call_until_final(
+        self, key: str, body: str = "bulletin", *, seconds: float = 20.0, entry: int = 0
+    ) -> history_checkers.CallResult:
+        """Send the same call again and again, through every entry in turn."""
+        end = time.monotonic() + seconds
+        entries = len(self.fleet.entries)
+        while True:
+            result = self.call(key, body, entry=entry % entries, deadline_ms=3_000)
+            is_final = result.succeeded or result.kind == "outcome-unknown"
+            if is_final or time.monotonic() > end:
+                return result
+            entry += 1
+            time.sleep(0.1)
+
+    def status(self, path: str, document: dict[str, object], entry: int) -> int:
+        """Return the status of a request that isn't part of the history."""
+        data = json.dumps(document).encode()
+        headers = self._headers(builders_fleet.ROOM)
+        headers["Idempotency-Key"] = ids.random_id("ready-")
+        url = self.fleet.entries[entry].url + path
+        request = urllib.request.Request(url, data, headers)
+        try:
+            with urllib.request.urlopen(request, timeout=10) as response:
+                return int(response.status)
+        except urllib.error.HTTPError as error:
+            return error.code
+        except OSError:
+            return 0
+
+    def operate(self, text: str, *, version: int, entry: int = 0) -> dict[str, Any]:
+        """Run a text of the command language and return the answer."""
+        document = {"text": text, "version": version}
+        headers = {
+            "Authorization": f"Bearer {self.fleet.operator_token}",
+            "Content-Type": "application/json",
+        }
+        url = f"{self.fleet.admin_url(entry)}/admin/v1/commands"
+        data = json.dumps(document).encode()
+        request = urllib.request.Request(url, data, headers)
+        try:
+            with urllib.request.urlopen(request, timeout=30) as response:
+                answer: dict[str, Any] = json.loads(response.read())
+                return {"status": response.status, **answer}
+        except urllib.error.HTTPError as error:
+            return {"status": error.code, **json.loads(error.read())}
+
+    def metric(self, name: str, entry: int) -> float:
+        """Return the sum of an entry's metric over its labels."""
+        url = f"{self.fleet.admin_url(entry)}/metrics"
+        with urllib.request.urlopen(url, timeout=10) as response:
+            lines = response.read().decode().splitlines()
+        return sum(
+            float(line.rpartition(" ")[2])
+            for line in lines
+            if line.startswith((f"{name} ", f"{name}{{"))
+        )
+
+    def _headers(self, account: ids.AccountName) -> dict[str, str]:
+        return {
+            "Authorization": f"Bearer {self.fleet.keys_by_account[account]}",
+            "Content-Type": "application/json",
+        }
+
+    @contextlib.contextmanager
+    def _connection(self, entry: int) -> Iterator[http.client.HTTPConnection]:
+        port = parse.urlsplit(self.fleet.entries[entry].url).port
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", port, timeout=CALL_TIMEOUT_S
+        )
+        try:
+            yield connection
+        finally:
+            connection.close()
+
+
+def _exchange_prompt(
+    connection: http.client.HTTPConnection,
+    headers: dict[str, str],
+    body: dict[str, object],
+    result: history_checkers.PromptResult,
+    streamed: bool,
+) -> history_checkers.PromptResult:
+    """Send one prompt and return what came back, in part or whole."""
+    try:
+        connection.request("POST", "/v1/completions", json.dumps(body), headers)
+        response = connection.getresponse()
+        result = dataclasses.replace(result, status=response.status)
+        if response.status != 200:
+            return _refused(result, json.loads(response.read()))
+        if not streamed:
+            document = json.loads(response.read())
+            text = document["choices"][0]["text"]
+            return dataclasses.replace(result, text=text, whole=True)
+        return _read_stream(response, result)
+    except (OSError, http.client.HTTPException, ValueError):
+        return result
+
+
+def _read_stream(
+    response: http.client.HTTPResponse, result: history_checkers.PromptResult
+) -> history_checkers.PromptResult:
+    parts: list[str] = []
+    with contextlib.suppress(OSError, http.client.HTTPException):
+        while line := response.readline():
+            if line.strip() == b"data: [DONE]" and not result.kind:
+                result = dataclasses.replace(result, whole=True)
+            elif line.startswith(b"data: {"):
+                event = json.loads(line.removeprefix(b"data: "))
+                result = _with_event(result, event, parts)
+    return dataclasses.replace(result, text="".join(parts))
+
+
+def _with_event(
+    result: history_checkers.PromptResult, event: dict[str, Any], parts: list[str]
+) -> history_checkers.PromptResult:
+    """Take one event of a stream: tokens, the usage, or why the answer broke off."""
+    if "error" in event:
+        return dataclasses.replace(result, kind=event["error"]["type"])
+    parts.extend(each.get("text", "") for each in event["choices"])
+    usage = event.get("usage")
+    if not usage:
+        return result
+    cached = usage["prompt_tokens_details"]["cached_tokens"]
+    return dataclasses.replace(result, cached_tokens=cached)
+
+
+def _refused(
+    result: history_checkers.PromptResult, problem: dict[str, Any]
+) -> history_checkers.PromptResult:
+    return dataclasses.replace(
+        result,
+        whole=True,
+        ran=problem.get("ran", ""),
+        kind=problem.get("type", "").rpartition(":")[2],
+        retry_after_ms=problem.get("retry_after_ms", 0),
+    )
+
+
+def _exchange_call(
+    connection: http.client.HTTPConnection,
+    headers: dict[str, str],
+    body: str,
+    result: history_checkers.CallResult,
+) -> history_checkers.CallResult:
+    """Send one call and return what came back."""
+    try:
+        path = f"/services/{builders_fleet.SERVICE}/releases"
+        connection.request("POST", path, body, headers)
+        response = connection.getresponse()
+        result = dataclasses.replace(
+            result,
+            status=response.status,
+            request_id=response.headers.get("X-Request-Id", ""),
+            replayed=response.headers.get("Idempotency-Replayed") == "true",
+        )
+        document = json.loads(response.read())
+    except (OSError, http.client.HTTPException, ValueError):
+        return result
+    return dataclasses.replace(
+        result,
+        whole=True,
+        number=document.get("number", 0),
+        ran=document.get("ran", ""),
+        kind=document.get("type", "").rpartition(":")[2],
+        retry_after_ms=document.get("retry_after_ms", 0),
+    )
+
+
+class VersionWatch:
+    """Notes which configuration version each process shows, until stopped."""
+
+    def __init__(self, callers: Callers) -> None:
+        self.observations: list[history_checkers.Observation] = []
+        self._callers = callers
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+
+    def __enter__(self) -> "VersionWatch":
+        self._thread.start()
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        self._stopped.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stopped.wait(WATCH_INTERVAL_S):
+            for number, process in enumerate(self._callers.fleet.entries):
+                with contextlib.suppress(OSError, ValueError):
+                    self._observe(number, f"{process.name}/{process.pid}")
+
+    def _observe(self, number: int, name: str) -> None:
+        sent_ms = time.time_ns() // 1_000_000
+        shown = self._callers.metric("quince_configuration_version", number)
+        self._note(name, sent_ms, int(shown))
+        answer = self._callers.operate("show agents", version=0, entry=number)
+        columns = answer["table"]["columns"]
+        for row in answer["table"]["rows"]:
+            cells = dict(zip(columns, row, strict=True))
+            agent = f"{cells['backend-server']}/{cells['incarnation']} by {name}"
+            # The row is as old as the heartbeat that brought it.
+            at_ms = sent_ms - int(cells["heartbeat-age-ms"])
+            self._note(agent, at_ms, int(cells["configuration-version"]))
+
+    def _note(self, process: str, wall_ms: int, version: int) -> None:
+        # A process that has just started knows none.
+        if version:
+            seen = history_checkers.Observation(process, wall_ms, version)
+            self.observations.append(seen)
