--- a/quincecrank/entry.py
+++ b/quincecrank/entry.py
@@ -7,13 +7,9 @@
 
 import asyncio
 import contextlib
-import socket
-import ssl
-from collections.abc import Iterable
 from typing import Final
 
 import fire
-from tornado import httpserver, web
 
 from quincecrank import (
     access,
@@ -28,6 +24,7 @@
     directory_lookup,
     entry_view,
     http_base,
+    http_server,
     ids,
     logs,
     membership,
@@ -59,6 +56,7 @@
 CONFIGURATION_BUCKET: Final = "configuration"
 STORE_TIMEOUT_MS: Final = 5_000
 STOP_POLL_MS: Final = 50
+TELL_INTERVAL_MS: Final = 50
 
 _LOG: Final = logs.logger("entry")
 
@@ -120,6 +118,7 @@
             known.limits.max_body_bytes,
             known.limits.max_open_requests,
         )
+        self._told_version = ids.ConfigurationVersion(0)
         self._build_pipeline()
 
     def _build_pipeline(self) -> None:
@@ -168,12 +167,17 @@
         for action, interval_ms in (
             (self._refresh_members, membership.POLL_INTERVAL_MS),
             (self._follow_table, configuration_follower.POLL_INTERVAL_MS),
+            (self._tell_version, TELL_INTERVAL_MS),
             (self._gate.turn, admission_gate.TURN_INTERVAL_MS),
         ):
             work = peer_link.repeat(action, interval_ms, self._clock)
             self._background.start(work)
-        self._caller_server = _serve(self._caller_rules(), known.listen, bound)
-        self._admin_server = _serve(self._admin_rules(), known.admin, admin)
+        self._caller_server = http_server.serve(
+            self._caller_rules(), known.listen.tls, known.limits, bound
+        )
+        self._admin_server = http_server.serve(
+            self._admin_rules(), known.admin.tls, known.limits, admin
+        )
         process.announce_port(admin, "admin")
         process.announce_port(bound)
 
@@ -253,35 +257,17 @@
         await self._follower.poll()
         self._configuration_changed()
 
+    async def _tell_version(self) -> None:
+        """Notice a version that an operator's command has just put in force."""
+        self._configuration_changed()
+
     def _configuration_changed(self) -> None:
+        """Tell the agents at once of a version that they may not know."""
+        if self._current.version == self._told_version:
+            return
+        self._told_version = self._current.version
         self._figures.configuration_version.set(self._current.version)
-
-
-def _serve(
-    rules: Iterable[status_server.Rule],
-    listener: settings.Listener,
-    bound: socket.socket,
-) -> httpserver.HTTPServer:
-    """Serve HTTP on a bound socket, with TLS when the settings name it."""
-    context = None
-    if listener.tls is not None:
-        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-        context.load_cert_chain(listener.tls.certificate_file, listener.tls.key_file)
-    application = web.Application(list(rules), log_function=_no_log)
-    server = httpserver.HTTPServer(
-        application,
-        ssl_options=context,
-        max_body_size=http_base.MAX_READ_BYTES,
-        max_header_size=http_base.MAX_HEADER_BYTES,
-        idle_connection_timeout=http_base.IDLE_TIMEOUT_S,
-        body_timeout=http_base.BODY_TIMEOUT_S,
-    )
-    server.add_socket(bound)
-    return server
-
-
-def _no_log(handler: web.RequestHandler) -> None:
-    """Keep tornado's access log out; the pipeline logs its own decisions."""
+        self._links.beat()
 
 
 def run(settings_file: str) -> None:
--- a/quincecrank/model_backend.py
+++ b/quincecrank/model_backend.py
@@ -1,8 +1,8 @@
 """Runs completions on the model engine beside this agent."""
 
 import asyncio
+import contextlib
 import dataclasses
-from collections.abc import Callable
 from typing import Final
 
 from quincecrank import backend as backends
@@ -16,16 +16,25 @@
     ids,
     logs,
     problems,
+    run_watchdog,
     stream_messages,
     stream_writer,
     tokenizers,
+    version_roll,
 )
 from quincecrank import clock as clocks
 
 LOAD_INTERVAL_MS: Final = 250
+"""Time between two load queries while the engine works or loads weights."""
+
+IDLE_LOAD_INTERVAL_MS: Final = 1_000
+LOAD_TIMEOUT_MS: Final = 1_000
 RETRY_AFTER_BUSY_MS: Final = 500
 RETRY_AFTER_CRASH_MS: Final = 1_000
 RETRY_AFTER_VERSION_MS: Final = 500
+BYTES_PER_TOKEN: Final = 4
+"""Rough length of a token, for estimates only."""
+
 ENGINE_FORMAT: Final = "standard-1"
 """Layout of the engines' block payloads, part of every block key."""
 
@@ -42,6 +51,7 @@
 
     started_ms: int
     first_token_ms: int = 0
+    last_token_ms: int = 0
     tokens: int = 0
     finish_reason: str = "stop"
     texts: list[str] = dataclasses.field(default_factory=list)
@@ -55,7 +65,7 @@
         engine: engine_client.EngineClient,
         mover: block_mover.BlockMover,
         cache: cache_watch.CacheWatch,
-        fencing_number: Callable[[], ids.FencingNumber],
+        roll: version_roll.VersionRoll,
         clock: clocks.Clock,
     ) -> None:
         self._engine = engine
@@ -64,17 +74,26 @@
         self._clock = clock
         self._load = backends.BackendLoad(healthy=False)
         self._prefill_tokens_per_second = _DEFAULT_PREFILL_TOKENS_PER_SECOND
-        self._wanted_version = ids.WeightVersion("")
         self._background: set[asyncio.Task[None]] = set()
-        self._fencing_number = fencing_number
+        self._roll = roll
+        self._runs = 0
+        self._woken = asyncio.Event()
+        self._seen_ms = clock.now_ms()
+        self._watchdog = run_watchdog.RunWatchdog(lambda: self._seen_ms, clock)
+        self._correction: asyncio.Task[None] | None = None
 
     def load(self) -> backends.BackendLoad:
         """Return the state as last seen."""
         return self._load
 
-    def ordered_version(self, version: ids.WeightVersion) -> None:
-        """State the weight version that the engine should run."""
-        self._wanted_version = version
+    def ordered(
+        self, version: ids.WeightVersion, adapters: tuple[ids.AdapterName, ...]
+    ) -> None:
+        """State the weight version and the adapters that the engine should run."""
+        if version != self._roll.wanted:
+            self._woken.set()
+        self._roll.wanted = version
+        self._roll.adapters = adapters
 
     async def watch(self) -> None:
         """Follow the engine's load and cache events until cancelled."""
@@ -82,10 +101,24 @@
         try:
             while True:
                 await self._refresh_load()
-                await self._correct_version()
-                await self._clock.sleep(LOAD_INTERVAL_MS)
+                await self._wait_for_turn()
         finally:
             events.cancel()
+            if self._correction is not None:
+                self._correction.cancel()
+
+    async def _wait_for_turn(self) -> None:
+        """Wait until the next load query is due; work and orders end an idle wait."""
+        load = self._load
+        is_settled = load.healthy and load.weight_version == self._roll.wanted
+        is_idle = is_settled and not self._runs and not load.running
+        self._woken.clear()
+        if not is_idle:
+            await self._clock.sleep(LOAD_INTERVAL_MS)
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_LOAD_INTERVAL_MS / clocks.MS_PER_SECOND):
+                await self._woken.wait()
 
     async def run(
         self,
@@ -99,6 +132,20 @@
             detail = "a model engine takes no plain calls"
             writer.refuse(problems.Problem(problems.ProblemKind.BAD_REQUEST, detail))
             return
+        self._runs += 1
+        self._woken.set()
+        try:
+            await self._run(order, work, writer, queue_ms)
+        finally:
+            self._runs -= 1
+
+    async def _run(
+        self,
+        order: stream_messages.StreamOrder,
+        work: stream_messages.Completion,
+        writer: stream_writer.StreamWriter,
+        queue_ms: int,
+    ) -> None:
         restored = await self._mover.restore(work.restore, work.weight_version)
         answer = _Answer(self._clock.now_ms())
         try:
@@ -106,16 +153,17 @@
         except engine_messages.EngineError as error:
             writer.refuse(self._problem(error))
             return
+        except run_watchdog.StalledError as error:
+            writer.refuse(_stalled(error))
+            return
         self._learn_speed(usage, answer)
-        self._finish(order, work, writer, answer, usage)
+        self._finish(order, work, writer, answer, usage, restored)
         writer.end(
             stream_messages.StreamEnd(
                 frames=0,
                 prompt_tokens=usage.prompt_tokens,
                 cached_tokens=usage.cached_tokens,
-                restored_tokens=min(
-                    restored.blocks * tokenizers.BLOCK_TOKENS, usage.cached_tokens
-                ),
+                restored_tokens=_restored_tokens(restored, usage),
                 completion_tokens=answer.tokens,
                 weight_version=usage.weight_version,
                 queue_ms=queue_ms,
@@ -136,8 +184,9 @@
         events = self._events(order, work)
 
         def on_token(token: engine_messages.EngineToken) -> None:
+            answer.last_token_ms = self._clock.now_ms()
             if answer.tokens == 0:
-                answer.first_token_ms = self._clock.now_ms()
+                answer.first_token_ms = answer.last_token_ms
             if token.finish_reason:
                 answer.finish_reason = token.finish_reason
             if not token.text:
@@ -160,7 +209,15 @@
             block_keys=block_keys.engine_names(work.block_keys),
             resume_after=work.resume_after,
         )
-        return await self._engine.complete(request, on_token)
+        waiting_tokens = self._load.queued_tokens + len(work.prompt) / BYTES_PER_TOKEN
+        estimate_ms = (
+            waiting_tokens * clocks.MS_PER_SECOND / self._prefill_tokens_per_second
+        )
+        return await self._watchdog.guard(
+            self._engine.complete(request, on_token),
+            lambda: answer.last_token_ms,
+            estimate_ms,
+        )
 
     def _finish(
         self,
@@ -169,9 +226,13 @@
         writer: stream_writer.StreamWriter,
         answer: _Answer,
         usage: engine_messages.EngineUsage,
+        restored: block_mover.RestoreOutcome,
     ) -> None:
         counts = completion_format.Usage(
-            usage.prompt_tokens, work.resume_after + answer.tokens, usage.cached_tokens
+            prompt_tokens=usage.prompt_tokens,
+            completion_tokens=work.resume_after + answer.tokens,
+            cached_tokens=usage.cached_tokens,
+            restored_tokens=_restored_tokens(restored, usage),
         )
         if work.streamed:
             shown = counts if work.include_usage else None
@@ -238,12 +299,14 @@
 
     async def _refresh_load(self) -> None:
         try:
-            load = await self._engine.load()
-        except engine_messages.EngineError as error:
+            async with asyncio.timeout(LOAD_TIMEOUT_MS / clocks.MS_PER_SECOND):
+                load = await self._engine.load()
+        except (engine_messages.EngineError, TimeoutError) as error:
             if self._load.healthy:
                 _LOG.warning("engine is not healthy", reason=str(error))
             self._load = dataclasses.replace(self._load, healthy=False)
             return
+        self._seen_ms = self._clock.now_ms()
         self._load = backends.BackendLoad(
             healthy=True,
             running=load.running,
@@ -253,17 +316,21 @@
             adapters=load.adapters,
             prefill_tokens_per_second=self._prefill_tokens_per_second,
         )
+        if self._correction is None or self._correction.done():
+            self._correction = asyncio.ensure_future(self._roll.correct(load))
 
-    async def _correct_version(self) -> None:
-        wanted = self._wanted_version
-        if not wanted or not self._load.healthy:
-            return
-        if self._load.weight_version == wanted:
-            return
-        _LOG.info("ordering weight version", decision="order", version=wanted)
-        try:
-            await self._engine.order(
-                engine_messages.OrderKind.LOAD_VERSION, wanted, self._fencing_number()
-            )
-        except engine_messages.EngineError as error:
-            _LOG.warning("order failed", version=wanted, reason=str(error))
+
+def _stalled(error: run_watchdog.StalledError) -> problems.Problem:
+    return problems.Problem(
+        problems.ProblemKind.BACKEND_FAILED,
+        str(error),
+        problems.Ran.UNKNOWN,
+        RETRY_AFTER_CRASH_MS,
+    )
+
+
+def _restored_tokens(
+    restored: block_mover.RestoreOutcome, usage: engine_messages.EngineUsage
+) -> int:
+    """Return those of the cached tokens that a restore brought."""
+    return min(restored.blocks * tokenizers.BLOCK_TOKENS, usage.cached_tokens)
--- a/quincecrank/router.py
+++ b/quincecrank/router.py
@@ -62,9 +62,8 @@
         drains = self._current.in_force.drains_by_vm
         return tuple(
             state
-            for state in self._links.states_by_vm.values()
-            if state.peer.deployment == context.deployment.name
-            and state.accepting
+            for state in self._links.states_of(context.deployment.name)
+            if state.accepting
             and state.healthy
             and state.peer.name not in drains
             and not self._is_leaving(state.peer.name)
@@ -73,6 +72,15 @@
             and state.breaker.allows(self._clock.now_ms())
         )
 
+    def is_awaited(self, context: request_context.RequestContext) -> bool:
+        """Tell whether replicas are there that only lack the weights or adapter."""
+        return any(
+            state.peer.deployment == context.deployment.name
+            and state.accepting
+            and state.healthy
+            for state in self._links.states_by_vm.values()
+        )
+
     def choose(
         self,
         context: request_context.RequestContext,
@@ -140,8 +148,9 @@
             self.block_bytes += int(_BLOCK_SMOOTHING * (observed - self.block_bytes))
 
     def _is_leaving(self, name: ids.VmName) -> bool:
+        """Tell whether a VM is leaving or is no longer in the list."""
         vm = self._members.vms_by_name.get(name)
-        return vm is not None and vm.state is vm_list.VmState.LEAVING
+        return vm is None or vm.state is vm_list.VmState.LEAVING
 
     def _fits(
         self,
@@ -166,9 +175,7 @@
         return tuple(
             link
             for link in self._estimates.states()
-            if link.tier in names
-            and link.store in self._members.vms_by_name
-            and not self._is_leaving(link.store)
+            if link.tier in names and not self._is_leaving(link.store)
         )
 
     def _log(
--- a/quincecrank/service_backend.py
+++ b/quincecrank/service_backend.py
@@ -45,6 +45,8 @@
         "trailer",
         "transfer-encoding",
         "upgrade",
+        # Set by tornado's libcurl client.
+        "x-http-reason",
     }
 )
 
@@ -88,7 +90,9 @@
         """Return the state as last seen."""
         return self._load
 
-    def ordered_version(self, version: ids.WeightVersion) -> None:
+    def ordered(
+        self, version: ids.WeightVersion, adapters: tuple[ids.AdapterName, ...]
+    ) -> None:
         """Do nothing: a plain service has no weights."""
 
     async def watch(self) -> None:
