Learn other entries' crashes before a suspect runs again; count only what ran

Cause: an entry that saw a backend server crash under a prompt knew of the crashes that another entry saw only from the lookup before its first attempt, so that the same prompt sent through two entries ended a third engine. A call that never reached a dead engine was counted as a crash, too, so that requests which ran beside the crashing one were refused with it. A repeated plain call was not checked against the limit at all. Ruled out: the reports themselves; both directory agents have them at once. Change: an entry looks the crashes up again after the delay of a retry, counts an attempt only if it may have run, and plain calls check the limit at each retry. What is left: two entries whose attempts crash further apart than one lookup, each after the other's look, may end a third engine.

--- a/quincecrank/completion_dispatch.py
+++ b/quincecrank/completion_dispatch.py
@@ -344,9 +344,10 @@
         if problem.kind is problems.ProblemKind.BACKEND_CRASHED:
             route.state.healthy = False
             route.state.breaker.failed(self._clock.now_ms())
-            await self._lookup.report_crash(
-                context, progress.keys, attempt.order.attempt_id
-            )
+            if problem.ran is not problems.Ran.NOT_RUN:
+                await self._lookup.report_crash(
+                    context, progress.keys, attempt.order.attempt_id
+                )
             self._refuse_crasher(context)
         if problem.kind is problems.ProblemKind.LEAVING:
             route.state.accepting = False
@@ -359,6 +360,9 @@
         await self._clock.sleep(
             retry_budgets.backoff_ms(progress.attempt_count - 1, self._jitter)
         )
+        if self._lookup.crash_count(context):
+            await self._lookup.learn_crashes(context, progress.keys)
+            self._refuse_crasher(context)
 
     def _count(
         self,
--- a/quincecrank/directory_lookup.py
+++ b/quincecrank/directory_lookup.py
@@ -77,6 +77,12 @@
         self.crashes.merge((record,))
         await self._share(context, keys, (record,))
 
+    async def learn_crashes(
+        self, context: request_context.RequestContext, keys: tuple[ids.BlockKey, ...]
+    ) -> None:
+        """Take what other entries have reported of a request since its lookup."""
+        await self.lookup(context, keys, may_keep=False)
+
     async def report_cleared(
         self, context: request_context.RequestContext, keys: tuple[ids.BlockKey, ...]
     ) -> None:
--- a/quincecrank/plain_dispatch.py
+++ b/quincecrank/plain_dispatch.py
@@ -95,8 +95,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await self._lookup.lookup(context, (), may_keep=False)
-                if self._lookup.crash_count(context) >= crash_counts.CRASH_LIMIT:
-                    raise problems.ProblemError(_crasher())
+                self._refuse_crasher(context)
                 async with self._gate.admitted(context, _NO_ADAPTER, 0):
                     await self._attempts(run)
         except TimeoutError:
@@ -105,6 +104,10 @@
                 await self._given_up(run, problems.ProblemKind.DEADLINE, detail)
             ) from None
 
+    def _refuse_crasher(self, context: request_context.RequestContext) -> None:
+        if self._lookup.crash_count(context) >= crash_counts.CRASH_LIMIT:
+            raise problems.ProblemError(_crasher())
+
     async def _attempts(self, run: "_PlainRun") -> None:
         self._budgets.first_attempt(run.context)
         while True:
@@ -194,6 +197,9 @@
             if self._budgets.try_spend(run.context):
                 self._figures.retried(run.context.deployment.name)
                 await self._clock.sleep(retry_budgets.backoff_ms(0, self._jitter))
+                if self._lookup.crash_count(run.context):
+                    await self._lookup.learn_crashes(run.context, ())
+                    self._refuse_crasher(run.context)
                 return
         if problem.ran is problems.Ran.UNKNOWN and outcome.problem is None:
             detail = "the agent was lost while the call ran"
