--- /dev/null
+++ b/models/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocols in Promela and the program that checks them."""
--- /dev/null
+++ b/models/runs.py
@@ -0,0 +1,73 @@
+"""The checks: which model, within which bounds, and which guards it proves needed."""
+
+import dataclasses
+import pathlib
+import re
+from typing import Final
+
+MODEL_DIRECTORY: Final = pathlib.Path(__file__).parent
+
+_MUTANT: Final = re.compile(r"\b(?:MUTANT|CLAIM)_[A-Z_]+\b")
+
+
+@dataclasses.dataclass(frozen=True)
+class ModelRun:
+    """One exhaustive search of a model.
+
+    Attributes
+    ----------
+    name : str
+        Unique name of the run.
+    model : str
+        File name without its ending.
+    defines : tuple of str
+        Bounds of the model, as `NAME=value`.
+    runs_mutants : bool
+        Whether the mutants are tried with these bounds.
+    """
+
+    name: str
+    model: str
+    defines: tuple[str, ...] = ()
+    runs_mutants: bool = True
+
+    @property
+    def source(self) -> pathlib.Path:
+        """Return the path of the model."""
+        return MODEL_DIRECTORY / f"{self.model}.pml"
+
+    def mutants(self) -> tuple[str, ...]:
+        """Return the switches that remove a guard or claim what does not hold."""
+        return tuple(sorted(set(_MUTANT.findall(self.source.read_text()))))
+
+    def with_mutant(self, mutant: str) -> "ModelRun":
+        """Return the run of the model with `mutant` switched on."""
+        return ModelRun(
+            name=f"{self.name}.{mutant}",
+            model=self.model,
+            defines=(*self.defines, mutant),
+        )
+
+
+RUNS: Final = (
+    ModelRun(
+        "at-most-once-same-agent",
+        "at_most_once",
+        ("SENDS=1", "AGENTS=1"),
+    ),
+    ModelRun(
+        "at-most-once-two-agents",
+        "at_most_once",
+        ("SENDS=1", "AGENTS=2"),
+        runs_mutants=False,
+    ),
+    ModelRun(
+        "at-most-once-three-attempts",
+        "at_most_once",
+        ("SENDS=2", "AGENTS=2", "TABLE_TRIES=1", "ENTRY_TRIES=1"),
+        runs_mutants=False,
+    ),
+    ModelRun("configuration", "configuration", ("RESTARTS=1",)),
+    ModelRun("blocks", "blocks"),
+    ModelRun("leaving", "leaving"),
+)
