--- a/tests/test_interleavings.py
+++ b/tests/test_interleavings.py
@@ -38,7 +38,7 @@
     Parameters
     ----------
     claims : tuple of str
-        Attempts, each at an agent of its own.
+        Attempts, each at an agent of its own or all at one.
     cancels : tuple of str
         Attempts that entries give up.
 
@@ -53,8 +53,13 @@
         choose: Callable[[int], interleavings.Fault],
         claims: tuple[str, ...],
         cancels: tuple[str, ...],
+        has_one_agent: bool = False,
     ) -> None:
         self.table = interleavings.FaultyTable(choose)
+        only_agent = self._make_agent()
+        self._agent_by_attempt = {
+            name: only_agent if has_one_agent else self._make_agent() for name in claims
+        }
         self.answers: dict[str, str] = {}
         self.processes: dict[str, interleavings.Start] = {
             **{f"agent of {x}": functools.partial(self._attempt, x) for x in claims},
@@ -86,11 +91,16 @@
             f"cancelled {cancelled}; ran {self._ran}"
         )
 
-    async def _attempt(self, name: str) -> None:
-        server = ids.BackendServerName(f"server of {name}")
-        agent = attempts.Attempts(
-            self.table, clocks.ManualClock(), server, ids.Incarnation("i")
+    def _make_agent(self) -> attempts.Attempts:
+        return attempts.Attempts(
+            self.table,
+            clocks.ManualClock(),
+            ids.BackendServerName("prasaran-1"),
+            ids.Incarnation(ids.random_id("i")),
         )
+
+    async def _attempt(self, name: str) -> None:
+        agent = self._agent_by_attempt[name]
         request = builders_platform.claim_request(name, time_left_ms=TIME_LEFT_MS)
         claim = await agent.claim(request)
         self.answers[f"agent of {name}"] = claim.verdict.value
@@ -178,10 +188,10 @@
 
 
 def one_key(
-    claims: tuple[str, ...], cancels: tuple[str, ...]
+    claims: tuple[str, ...], cancels: tuple[str, ...], has_one_agent: bool = False
 ) -> interleavings.MakeScenario:
     """Return the maker of a `OneKey` scenario."""
-    return lambda choose: OneKey(choose, claims, cancels)
+    return lambda choose: OneKey(choose, claims, cancels, has_one_agent)
 
 
 async def _replace_unconditionally(
@@ -221,6 +231,7 @@
 SCENARIOS: dict[str, tuple[interleavings.MakeScenario, int]] = {
     "claim and cancellation": (one_key(("a1",), ("a1",)), 2),
     "two claims": (one_key(("a1", "a2"), ()), 2),
+    "two claims at one agent": (one_key(("a1", "a2"), (), has_one_agent=True), 1),
     "two claims and a cancellation": (one_key(("a1", "a2"), ("a1",)), 0),
     "two cancellations and a claim": (one_key(("a1",), ("a1", "a2")), 0),
     "racing operators": (RacingOperators, 1),
