Goodbye on links; a process listens to its peers before it serves without the table; models in make test

Ruled out: a fixed delay before the close (hides it). Change: goodbye; the receiver closes once all it has open is answered; the agent reads and refuses until then. Before: BROKEN; after: REFUSED as not run, test green. Cause 2: with the table out a restarted process served the first peer's version.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 fleet: install
 	$(PYTHON) -m standins.demo --stay
 
-test: lint types unit
+test: lint types unit model model-mutants
 
 format: install
 	$(VENV)/bin/ruff check --fix .
@@ -44,3 +44,14 @@
 
 bench-policy: install
 	$(PYTHON) -m bench.policy
+
+build/.model-checker:
+	mkdir -p build
+	command -v spin gcc >/dev/null || (apt-get update -qq && apt-get install -y -qq spin gcc libc6-dev)
+	touch $@
+
+model: install build/.model-checker
+	$(PYTHON) -m models.check
+
+model-mutants: install build/.model-checker
+	$(PYTHON) -m models.check --mutants
--- a/quincecrank/agent_links.py
+++ b/quincecrank/agent_links.py
@@ -35,6 +35,8 @@
         Requests that run there and were in flight at an earlier crash.
     heartbeat_ms : int
         When the last heartbeat came.
+    said_goodbye : bool
+        Whether the agent takes no more orders and waits for the link to be closed.
     """
 
     link: peer_link.PeerLink
@@ -54,6 +56,7 @@
     prefill_tokens_per_second: float = 0.0
     suspects: int = 0
     heartbeat_ms: int = 0
+    said_goodbye: bool = False
 
     @property
     def peer(self) -> wire.PeerIdentity:
@@ -71,7 +74,7 @@
         clock: clocks.Clock,
     ) -> None:
         self._current = current
-        self._sync = configuration_sync.ConfigurationSync(current)
+        self._sync = configuration_sync.ConfigurationSync(current, clock)
         self._configuration_changed = configuration_changed
         self._clock = clock
         self._tasks = tasks.BackgroundTasks()
@@ -101,6 +104,11 @@
         for attempt in tuple(state.attempts_by_stream.values()):
             attempt.broken("the link to the agent ended")
 
+    @property
+    def configuration_settled(self) -> bool:
+        """Tell whether this entry may serve by the configuration that it knows."""
+        return self._sync.settled
+
     def states_of(self, deployment: ids.DeploymentName) -> tuple[AgentState, ...]:
         """Return the linked agents of a deployment."""
         known = self._states_by_deployment.get(deployment)
@@ -136,6 +144,15 @@
         state.attempts_by_stream.pop(attempt.order.stream, None)
         if not attempt.ended:
             state.link.send(stream_messages.encode_cancel(attempt.order.stream))
+        self._close_if_left(state)
+
+    def _close_if_left(self, state: AgentState) -> None:
+        """Close the link of an agent that said goodbye once it has answered all."""
+        if not state.said_goodbye:
+            return
+        is_open = any(not a.ended for a in state.attempts_by_stream.values())
+        if not is_open:
+            state.link.close()
 
     def make_heartbeat(self) -> Any:
         """Return a heartbeat."""
@@ -152,7 +169,7 @@
             return
         state.heartbeat_ms = self._clock.now_ms()
         load = heartbeat.load
-        state.accepting = load.accepting
+        state.accepting = load.accepting and not state.said_goodbye
         state.healthy = load.healthy
         state.weight_version = ids.WeightVersion(load.weightVersion)
         state.adapters = tuple(ids.AdapterName(name) for name in load.adapters)
@@ -170,21 +187,28 @@
         )
         state.estimates.report(report, self._clock.now_ms())
         version = ids.ConfigurationVersion(heartbeat.configurationVersion)
+        self._sync.heard(version)
         if version > self._current.version:
             self._tasks.start(self._fetch(link, version))
 
     def packet_received(self, link: peer_link.PeerLink, packet: Any) -> None:
         """Hand each frame to its attempt; frames of closed streams are dropped."""
-        if packet.which() != "frames":
-            raise wire.WireError(f"an entry takes no {packet.which()} packets")
         state = self.states_by_vm.get(link.peer.name)
         if state is None or state.link is not link:
             return
+        if packet.which() == "goodbye":
+            state.said_goodbye = True
+            state.accepting = False
+            self._close_if_left(state)
+            return
+        if packet.which() != "frames":
+            raise wire.WireError(f"an entry takes no {packet.which()} packets")
         attempts_by_stream = state.attempts_by_stream
         for frame in packet.frames.frames:
             attempt = attempts_by_stream.get(frame.stream)
             if attempt is not None:
                 attempt.frame_received(frame)
+        self._close_if_left(state)
 
     async def answer_call(
         self, peer: wire.PeerIdentity, method: rpc.Method, body: bytes
--- a/quincecrank/agent_service.py
+++ b/quincecrank/agent_service.py
@@ -57,7 +57,7 @@
         self._prefetch = prefetch
         self._deployment = deployment
         self._current = current
-        self._sync = configuration_sync.ConfigurationSync(current)
+        self._sync = configuration_sync.ConfigurationSync(current, clock)
         self._backend = backend
         self._queue = queue
         self._streams = streams
@@ -76,7 +76,7 @@
         heartbeat.configurationVersion = self._current.version
         state = self._backend.load()
         load = heartbeat.init("load")
-        load.accepting = self._streams.accepting and self._current.version > 0
+        load.accepting = self._streams.accepting and self._sync.settled
         load.healthy = state.healthy
         load.running = self._queue.running
         load.waiting = self._queue.waiting
@@ -90,6 +90,7 @@
     def heartbeat_received(self, link: peer_link.PeerLink, heartbeat: Any) -> None:
         """Fetch the configuration when the peer knows a newer one."""
         version = ids.ConfigurationVersion(heartbeat.configurationVersion)
+        self._sync.heard(version)
         if version > self._current.version:
             self._tasks.start(self._fetch(link, version))
 
@@ -105,6 +106,8 @@
                 self._streams.open(link, order)
             case "cancel":
                 self._streams.cancel(link, packet.cancel.stream)
+            case "goodbye":
+                link.close()
             case other:
                 raise wire.WireError(f"an agent takes no {other} packets")
 
--- a/quincecrank/configuration_sync.py
+++ b/quincecrank/configuration_sync.py
@@ -7,6 +7,7 @@
 
 from typing import Final
 
+from quincecrank import clock as clocks
 from quincecrank import current_configuration, ids, logs, peer_link, rpc
 
 CALL_TIMEOUT_MS: Final = 2_000
@@ -14,13 +15,43 @@
 _LOG: Final = logs.logger("configuration-sync")
 
 
+SETTLE_MS: Final = 1_500
+"""Time given to peers, after the first one was heard, to show a newer version."""
+
+
 class ConfigurationSync:
     """Fetches rows from peers and hands them on."""
 
-    def __init__(self, current: current_configuration.CurrentConfiguration) -> None:
+    def __init__(
+        self,
+        current: current_configuration.CurrentConfiguration,
+        clock: clocks.Clock,
+    ) -> None:
         self._current = current
+        self._clock = clock
+        self._first_heard_ms: int | None = None
         self._fetching = False
 
+    def heard(self, version: ids.ConfigurationVersion) -> None:
+        """Note that a peer has shown its version."""
+        if version and self._first_heard_ms is None:
+            self._first_heard_ms = self._clock.now_ms()
+
+    @property
+    def settled(self) -> bool:
+        """Tell whether this process may serve by the version that it knows.
+
+        It may when it has read the table.  Without the table it first listens to
+        its peers for a while, as the first one heard may be behind the others.
+        """
+        if not self._current.version:
+            return False
+        if self._current.known_at_ms is not None:
+            return True
+        if self._first_heard_ms is None:
+            return False
+        return self._clock.now_ms() - self._first_heard_ms >= SETTLE_MS
+
     def rows(self, body: bytes) -> rpc.ConfigurationRowsReply:
         """Answer a peer's call for rows."""
         request = rpc.ConfigurationRowsRequest.model_validate_json(body)
--- a/quincecrank/entry.py
+++ b/quincecrank/entry.py
@@ -121,6 +121,7 @@
             self._clock,
             known.limits.max_body_bytes,
             known.limits.max_open_requests,
+            lambda: self._links.configuration_settled,
         )
         self._told_version = ids.ConfigurationVersion(0)
         self._build_pipeline()
@@ -238,7 +239,7 @@
         )
 
     def _is_ready(self) -> bool:
-        return self._current.version > 0 and not self._services.stopping
+        return self._links.configuration_settled and not self._services.stopping
 
     async def _refresh_members(self) -> None:
         await self._members.refresh()
--- a/quincecrank/http_base.py
+++ b/quincecrank/http_base.py
@@ -3,6 +3,7 @@
 import asyncio
 import http
 import http.client
+from collections.abc import Callable
 from typing import Any, Final
 
 from tornado import iostream, web
@@ -62,12 +63,14 @@
         clock: clocks.Clock,
         max_body_bytes: int,
         max_open_requests: int,
+        is_settled: Callable[[], bool],
     ) -> None:
         self.current = current
         self.figures = figures
         self.clock = clock
         self.max_body_bytes = max_body_bytes
         self.max_open_requests = max_open_requests
+        self.is_settled = is_settled
         self.requests_by_id: dict[ids.RequestId, entry_view.OpenRequest] = {}
         self.stopping = False
         self.tasks: set[asyncio.Task[Any]] = set()
@@ -238,7 +241,7 @@
 
     def require_ready(self) -> None:
         """Refuse while this process has not learned a configuration."""
-        if not self.services.current.version:
+        if not self.services.is_settled():
             kind = problems.ProblemKind.NOT_READY
             detail = "the process has not learned a configuration yet"
             raise problems.ProblemError(
--- a/quincecrank/peer_link.py
+++ b/quincecrank/peer_link.py
@@ -42,7 +42,7 @@
         """Take the peer's heartbeat; must not keep the reader."""
 
     def packet_received(self, link: "PeerLink", packet: Any) -> None:
-        """Take an open, cancel or frames packet; must not keep the reader."""
+        """Take an open, cancel, frames or goodbye packet; must not keep the reader."""
 
     async def answer_call(
         self, peer: wire.PeerIdentity, method: rpc.Method, body: bytes
@@ -75,6 +75,7 @@
         self._call_numbers = itertools.count(1)
         self._replies_by_call: dict[int, asyncio.Future[bytes]] = {}
         self._answers: set[asyncio.Task[None]] = set()
+        self._ended = asyncio.Event()
 
     @property
     def closed(self) -> bool:
@@ -90,10 +91,17 @@
         self.send(self._owner.make_heartbeat())
 
     async def close_gracefully(self) -> None:
-        """End the link after the peer's host has taken what was sent."""
+        """Say goodbye and go on reading until the peer has closed the link.
+
+        What the peer sent before it knew is still answered, with a refusal as the
+        case may be.  A peer that does not close in time is cut off.
+        """
+        packet = wire.new_packet()
+        packet.goodbye = None
+        self.send(packet)
+        timeout_s = self._limits.silence_ms / clocks.MS_PER_SECOND
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._limits.silence_ms / clocks.MS_PER_SECOND):
-                await self._connection.flush()
+            await asyncio.wait_for(self._ended.wait(), timeout_s)
         self._connection.close()
 
     def close(self) -> None:
@@ -118,6 +126,7 @@
             return "this process failed while it took a packet"
         finally:
             beats.cancel()
+            self._ended.set()
             self._connection.close()
             self._fail_calls()
             for answer in tuple(self._answers):
--- a/tests/test_edge_limits.py
+++ b/tests/test_edge_limits.py
@@ -83,6 +83,7 @@
             clock,
             MAX_BODY_BYTES,
             LIMITS.max_open_requests,
+            is_settled=lambda: True,
         )
         self.lines = self.enterContext(testing.capture_logs())
         self.serve(LIMITS)
