Entry: no wake-ups of the admission gate while no request waits

Cause: the gate looked at its queues every 20 ms, 50 of the idle entry's about 60 wake-ups a second.

Without the wait, and without the signal, the new test fails.

--- a/quincecrank/admission_gate.py
+++ b/quincecrank/admission_gate.py
@@ -27,6 +27,7 @@
         self._clock = clock
         self._queues: dict[ids.DeploymentName, admission.AdmissionQueue] = {}
         self._waiting: dict[ids.RequestId, asyncio.Future[None]] = {}
+        self._someone_waits = asyncio.Event()
 
     @contextlib.asynccontextmanager
     async def admitted(
@@ -64,7 +65,11 @@
             self._start_next(queue)
 
     async def turn(self) -> None:
-        """Refuse what has become too late and start what has room."""
+        """Refuse what has become too late and start what has room.
+
+        Sleeps while no request waits, so that an idle process isn't woken up.
+        """
+        await self._someone_waits.wait()
         for queue in self._queues.values():
             for ticket, refusal in queue.take_expired(self._clock.now_ms()):
                 future = self._waiting.pop(ticket.request_id, None)
@@ -107,6 +112,8 @@
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiting[ticket.request_id] = future
         self._start_next(queue)
+        if not future.done():
+            self._someone_waits.set()
         try:
             await future
         except asyncio.CancelledError:
@@ -116,6 +123,8 @@
             raise
         finally:
             self._waiting.pop(ticket.request_id, None)
+            if not self._waiting:
+                self._someone_waits.clear()
 
     def _start_next(self, queue: admission.AdmissionQueue) -> None:
         while True:
--- /dev/null
+++ b/tests/test_admission_gate.py
@@ -0,0 +1,84 @@
+"""Tests of the waiting for admission."""
+
+import asyncio
+import types
+import unittest
+from unittest import mock
+
+from quincecrank import (
+    admission_gate,
+    clock,
+    configuration,
+    ids,
+    problems,
+    request_context,
+    router,
+)
+
+HANG_TIMEOUT_S = 10
+
+
+class GateTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = clock.ManualClock()
+        state = types.SimpleNamespace(
+            max_concurrent=1, prefill_tokens_per_second=1_000_000.0
+        )
+        routes = mock.create_autospec(router.Router, instance=True)
+        routes.candidates.return_value = (state,)
+        self.gate = admission_gate.AdmissionGate(routes, self.clock)
+        self.admitted: list[str] = []
+
+    def _start(self, name: str, deadline_ms: int) -> "asyncio.Task[None]":
+        context = request_context.RequestContext(
+            request_id=ids.RequestId(name),
+            account=configuration.Account(name=ids.AccountName("kirtipur")),
+            deployment=configuration.Deployment(
+                name=ids.DeploymentName("lekhak"),
+                kind=configuration.DeploymentKind.MODEL,
+            ),
+            configuration_version=ids.ConfigurationVersion(1),
+            deadline_at_ms=deadline_ms,
+            priority=0,
+            fingerprint="",
+            shown=mock.Mock(),
+        )
+
+        async def run() -> None:
+            async with self.gate.admitted(context, ids.AdapterName(""), 10):
+                self.admitted.append(name)
+                await self.ends[name].wait()
+
+        return asyncio.create_task(run())
+
+    async def test_turns_serve_waiting_requests_and_sleep_without_any(self) -> None:
+        names = ("first", "patient", "hasty")
+        self.ends = {name: asyncio.Event() for name in names}
+        turns = asyncio.create_task(self._turn_on_and_on())
+        first = self._start("first", 1_000_000)
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.turns, 0)
+        patient = self._start("patient", 1_000_000)
+        hasty = self._start("hasty", 50_000)
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.admitted, ["first"])
+        self.clock.advance(60_000)
+        with self.assertRaises(problems.ProblemError):
+            await asyncio.wait_for(hasty, HANG_TIMEOUT_S)
+        self.ends["first"].set()
+        await first
+        self.ends["patient"].set()
+        await patient
+        self.assertEqual(self.admitted, ["first", "patient"])
+        await asyncio.sleep(0.01)
+        before = self.turns
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.turns, before)
+        turns.cancel()
+
+    async def _turn_on_and_on(self) -> None:
+        self.turns = 0
+        while True:
+            await self.gate.turn()
+            self.turns += 1
+            await asyncio.sleep(0)
