--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,7 +10,6 @@
 from quincecrank import (
     agent_links,
     current_configuration,
-    ids,
     peer_pool,
     rpc,
     stream_messages,
@@ -168,21 +167,7 @@
 
 def open_packet() -> bytes:
     work = stream_messages.PlainCall("GET", "/status", (), b"")
-    order = stream_messages.StreamOrder(
-        stream=1,
-        request_id=ids.RequestId("r-1"),
-        attempt_id=ids.AttemptId("a-1"),
-        account=ids.AccountName("newsroom-1"),
-        deployment=ids.DeploymentName("prasaran"),
-        configuration_version=ids.ConfigurationVersion(1),
-        deadline_ms=1_000,
-        priority=0,
-        idempotency_key="",
-        fingerprint="00",
-        idempotent=True,
-        work=work,
-    )
-    return bytes(stream_messages.encode_order(order).to_bytes())
+    return bytes(stream_messages.encode_order(builders.order(work)).to_bytes())
 
 
 def call_packet(method: str, body: bytes) -> bytes:
@@ -203,17 +188,10 @@
     return bytes(packet.to_bytes())
 
 
-class _Payload:
-    """A payload that `wire.Connection.send` takes as a packet."""
-
-    def __init__(self, payload: bytes) -> None:
-        self._payload = payload
-
-    def to_bytes(self) -> bytes:
-        return self._payload
-
-
 class MalformedPacketsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.enterContext(testing.capture_logs())
+
     async def test_a_malformed_packet_ends_its_link_with_a_log_line(self) -> None:
         good = open_packet()
         unknown_union = bytearray(builders.heartbeat().to_bytes())
@@ -233,7 +211,7 @@
                 owner = builders.RecordingOwner()
                 sender, receiver = await builders.connection_pair(self)
                 link = builders.link_of(receiver, owner)
-                sender.send(_Payload(payload))
+                sender.send(builders.Payload(payload))
                 with testing.capture_logs() as logged:
                     reason = await asyncio.wait_for(link.run(), 5)
                 self.assertIn("peer refused", [line["event"] for line in logged])
@@ -249,8 +227,10 @@
         link = builders.link_of(dialler, links)
         links.linked(link)
         state = links.states_by_vm[builders.AGENT.name]
-        attempt = links.open(state, decoded_order(), builders.NullSink())
-        listener.send(_Payload(frames_packet("no-such-kind")))
+        work = stream_messages.PlainCall("GET", "/status", (), b"")
+        order = builders.order(work)
+        attempt = links.open(state, order, builders.NullSink())
+        listener.send(builders.Payload(frames_packet("no-such-kind")))
         reason = await asyncio.wait_for(link.run(), 5)
         links.unlinked(link)
         self.assertIn("no-such-kind", reason)
@@ -268,7 +248,7 @@
         )
         with testing.capture_logs():
             for method, body, expected in cases:
-                sender.send(_Payload(call_packet(method, body)))
+                sender.send(builders.Payload(call_packet(method, body)))
                 self.assertIn(expected, await self.next_error(sender))
         sender.close()
         self.assertEqual(await running, "connection closed")
@@ -280,12 +260,10 @@
                     return str(packet.reply.error)
 
 
-def decoded_order() -> stream_messages.StreamOrder:
-    with wire.decode(open_packet()) as packet:
-        return stream_messages.decode_order(packet.open)
-
-
 class PeerPoolTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.enterContext(testing.capture_logs())
+
     async def test_old_agents_and_other_roles_are_refused_and_closed(self) -> None:
         cases = (
             (builders.identity(fencing_number=5), "linked"),
@@ -313,6 +291,16 @@
         pool.close()
         listener.stop()
 
+    async def test_a_dialling_agent_that_was_replaced_is_refused(self) -> None:
+        pool = self.pool()
+        for shown, expected in (
+            (builders.identity(fencing_number=2), ""),
+            (builders.identity(fencing_number=1), "agent has fencing number 1, not 2"),
+            (builders.identity(fencing_number=0), ""),
+            (builders.ENTRY, ""),
+        ):
+            self.assertEqual(pool.check_fence(shown), expected)
+
     def pool(self) -> peer_pool.PeerPool:
         pool = peer_pool.PeerPool(
             lambda: builders.ENTRY,
