Bench of the path: link every idle peer, and give up instead of waiting for ever

Cause: an entry now links to 16 agents of a deployment; the experiment waited without a limit for 40. The bench's entry is allowed 256, and both waits are bounded.

--- a/bench/path_fleet.py
+++ b/bench/path_fleet.py
@@ -20,6 +20,9 @@
 
 _CACHE_BLOCKS: Final = 1024
 _LIMIT: Final = 4096
+_LINKS_PER_DEPLOYMENT: Final = 256
+"""More than any experiment starts, so that every peer is linked."""
+
 _POLL_S: Final = 0.1
 
 
@@ -47,7 +50,12 @@
             local_fleet.BackendSpec(deployments[1], 0),
         ),
         accounts=(configuration.Account(name=ACCOUNT, max_concurrent=_LIMIT),),
-        entry_options={"limits": {"max_open_requests": _LIMIT}},
+        entry_options={
+            "limits": {
+                "max_open_requests": _LIMIT,
+                "links_per_deployment": _LINKS_PER_DEPLOYMENT,
+            }
+        },
     )
 
 
--- a/bench/path_memory.py
+++ b/bench/path_memory.py
@@ -19,6 +19,8 @@
 _WARM_UP_STREAMS: Final = 8
 _ANSWER_TOKENS: Final = 150
 _SETTLE_S: Final = 4.0
+_LINK_TIMEOUT_S: Final = 30.0
+_FIRST_TOKENS_TIMEOUT_S: Final = 60.0
 _US_PER_S: Final = 1_000_000
 _LIMITS: Final = peer_link.HeartbeatLimits(interval_ms=1_000, silence_ms=3_000)
 
@@ -115,8 +117,9 @@
             )
             for _ in range(count)
         ]
-        for _ in range(count):
-            await first_tokens.acquire()
+        async with asyncio.timeout(_FIRST_TOKENS_TIMEOUT_S):
+            for _ in range(count):
+                await first_tokens.acquire()
         used = process_usage.private_bytes(self._pid)
         await asyncio.gather(*asked)
         return used
@@ -137,8 +140,9 @@
             )
             peers.append(peer)
             await asyncio.to_thread(self._list_peer, peer)
-        while sum(peer.links for peer in peers) < count:
-            await asyncio.sleep(0.1)
+        async with asyncio.timeout(_LINK_TIMEOUT_S):
+            while sum(peer.links for peer in peers) < count:
+                await asyncio.sleep(0.1)
         await asyncio.sleep(_SETTLE_S)
 
     def _list_peer(self, peer: idle_peers.IdleAgent) -> None:
