Sampling fields reach the engine

Considered: refusing all but temperature 0 (as before; common callers set these fields and were turned away), or carrying them. Carried end to end: temperature, top_p, seed and stop are checked, travel as one JSON text in the order of a stream and are sent to the engine. Without a temperature the most likely token is taken. With one, the entry draws a seed when the caller names none, so that an answer which goes on at another backend server draws the same tokens. top_p without a temperature is refused, since it would have no effect.

The stand-in engine draws by the seed and stops at stop texts; the caller's tests check both against answers.expected_answer, whole and streamed.

--- a/quincecrank/completion_dispatch.py
+++ b/quincecrank/completion_dispatch.py
@@ -306,6 +306,7 @@
             restore=route.plan.restore,
             keep=progress.known.keep,
             resume_after=progress.sink.data_frames if request.streamed else 0,
+            sampling=request.sampling,
         )
         return stream_messages.StreamOrder(
             stream=self._links.next_stream(),
--- a/quincecrank/engine_messages.py
+++ b/quincecrank/engine_messages.py
@@ -6,7 +6,7 @@
 
 import pydantic
 
-from quincecrank import ids
+from quincecrank import ids, token_sampling
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +35,7 @@
     block_keys: tuple[ids.BlockKey, ...] = ()
     priority: int = 0
     resume_after: int = 0
+    sampling: token_sampling.Sampling = token_sampling.DEFAULT
 
     def to_json(self) -> bytes:
         """Return the body of the completion call."""
@@ -51,6 +52,7 @@
             "weight_version": self.weight_version,
             "block_keys": self.block_keys,
             "resume_after": self.resume_after,
+            **self.sampling.model_dump(exclude_defaults=True),
         }
         return json.dumps(body, ensure_ascii=False).encode()
 
--- a/quincecrank/inference_request.py
+++ b/quincecrank/inference_request.py
@@ -11,7 +11,7 @@
 import expression
 import pydantic
 
-from quincecrank import configuration, findings, ids
+from quincecrank import configuration, findings, ids, token_sampling
 
 MAX_FINDINGS: Final = 20
 """Mistakes of one body that are listed; further ones are counted."""
@@ -24,6 +24,8 @@
 MAX_FIELD_CHARACTERS: Final = 100
 
 _SOURCE: Final = "body"
+_ONE_TAG: Final = "text"
+_LIST_TAG: Final = "list"
 _ADAPTER_SEPARATOR: Final = ":"
 
 
@@ -47,9 +49,24 @@
     return pydantic.BeforeValidator(check)
 
 
+def _tag(value: object) -> str:
+    return _LIST_TAG if isinstance(value, list) else _ONE_TAG
+
+
 Text = Annotated[str, pydantic.Field(strict=True), pydantic.AfterValidator(_encodable)]
 
 
+_StopText = Annotated[
+    Text, pydantic.Field(min_length=1, max_length=token_sampling.MAX_STOP_CHARACTERS)
+]
+_StopTexts = Annotated[tuple[_StopText, ...], _at_most(token_sampling.MAX_STOP_TEXTS)]
+_Stop = Annotated[
+    Annotated[_StopText, pydantic.Tag(_ONE_TAG)]
+    | Annotated[_StopTexts, pydantic.Tag(_LIST_TAG)],
+    pydantic.Discriminator(_tag),
+]
+
+
 class _StreamOptions(configuration.FrozenModel):
     include_usage: bool = False
 
@@ -57,18 +74,40 @@
 class _CommonBody(configuration.FrozenModel):
     """Fields that both requests have.
 
-    ``temperature`` may only have the value under which the most likely token is
-    taken: an answer that goes on at another backend server must be the same one.
+    Tokens are drawn only when ``temperature`` is above 0; see ``token_sampling``.
     """
 
     model: Text
     stream: bool = False
     stream_options: _StreamOptions | None = None
     max_tokens: int | None = pydantic.Field(default=None, ge=1)
-    temperature: Literal[0] | None = None
+    temperature: float | None = pydantic.Field(
+        default=None, ge=0, le=token_sampling.MAX_TEMPERATURE, allow_inf_nan=False
+    )
+    top_p: float | None = pydantic.Field(default=None, gt=0, le=1)
+    seed: int | None = pydantic.Field(default=None, ge=0, le=token_sampling.MAX_SEED)
+    stop: _Stop | None = None
     n: Literal[1] | None = None
     user: Text | None = None
 
+    @pydantic.model_validator(mode="after")
+    def _top_p_has_an_effect(self) -> Self:
+        if self.top_p not in (None, 1) and not self.temperature:
+            raise ValueError("top_p is only allowed with a temperature above 0")
+        return self
+
+    def sampling(self) -> token_sampling.Sampling:
+        """Return how the answer's tokens are chosen."""
+        stop = (self.stop,) if isinstance(self.stop, str) else self.stop
+        if not self.temperature:
+            return token_sampling.Sampling(stop=stop or ())
+        return token_sampling.Sampling(
+            temperature=self.temperature,
+            top_p=self.top_p or 1.0,
+            seed=self.seed,
+            stop=stop or (),
+        )
+
     @pydantic.model_validator(mode="after")
     def _options_have_a_stream(self) -> Self:
         if self.stream_options is not None and not self.stream:
@@ -89,11 +128,16 @@
 
 
 _ContentParts = Annotated[tuple[_ContentPart, ...], _at_most(MAX_CONTENT_PARTS)]
+_Content = Annotated[
+    Annotated[Text, pydantic.Tag(_ONE_TAG)]
+    | Annotated[_ContentParts, pydantic.Tag(_LIST_TAG)],
+    pydantic.Discriminator(_tag),
+]
 
 
 class _Message(configuration.FrozenModel):
     role: Literal["system", "developer", "user", "assistant"]
-    content: Text | _ContentParts
+    content: _Content
     name: Text | None = None
 
     def speaker(self) -> str:
@@ -138,6 +182,11 @@
     chat: bool
     streamed: bool
     include_usage: bool
+    sampling: token_sampling.Sampling = token_sampling.DEFAULT
+
+    def seeded(self) -> Self:
+        """Return the request with a seed where its sampling needs one."""
+        return dataclasses.replace(self, sampling=self.sampling.seeded())
 
     @property
     def deployment(self) -> ids.DeploymentName:
@@ -194,6 +243,7 @@
         chat=chat,
         streamed=body.stream,
         include_usage=options is not None and options.include_usage,
+        sampling=body.sampling(),
     )
 
 
--- a/quincecrank/model_backend.py
+++ b/quincecrank/model_backend.py
@@ -208,6 +208,7 @@
             adapter=work.adapter,
             block_keys=block_keys.engine_names(work.block_keys),
             resume_after=work.resume_after,
+            sampling=work.sampling,
         )
         waiting_tokens = self._load.queued_tokens + len(work.prompt) / BYTES_PER_TOKEN
         estimate_ms = (
--- a/quincecrank/openai_api.py
+++ b/quincecrank/openai_api.py
@@ -52,6 +52,7 @@
             limit = http_sink.MAX_UNSENT_EVENT_BYTES
         sink = http_sink.HttpSink(self, limit)
         context = self._context(account, deployment, request)
+        request = request.seeded()
         try:
             await self._dispatcher.serve(context, request, sink)
         except problems.ProblemError as error:
@@ -105,7 +106,7 @@
         priority = self.number_header(
             http_base.PRIORITY_HEADER, 0, 0, http_base.MAX_PRIORITY
         )
-        limit = str(request.max_tokens)
+        limit = f"{request.max_tokens} {request.sampling.to_text()}"
         return request_context.RequestContext(
             request_id=self.request_id,
             account=account,
--- a/quincecrank/stream_messages.py
+++ b/quincecrank/stream_messages.py
@@ -8,7 +8,7 @@
 import dataclasses
 from typing import Any
 
-from quincecrank import chain_view, ids, problems, wire
+from quincecrank import chain_view, ids, problems, token_sampling, wire
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,6 +50,7 @@
     restore: tuple[chain_view.StoredBlock, ...] = ()
     keep: tuple[chain_view.StoredBlock, ...] = ()
     resume_after: int = 0
+    sampling: token_sampling.Sampling = token_sampling.DEFAULT
 
 
 @dataclasses.dataclass(frozen=True)
@@ -225,6 +226,7 @@
     message.stream = work.streamed
     message.includeUsage = work.include_usage
     message.resumeAfter = work.resume_after
+    message.sampling = work.sampling.to_text()
     _encode_copies(message.init("restore", len(work.restore)), work.restore)
     _encode_copies(message.init("keep", len(work.keep)), work.keep)
 
@@ -242,6 +244,7 @@
         streamed=message.stream,
         include_usage=message.includeUsage,
         resume_after=message.resumeAfter,
+        sampling=token_sampling.Sampling.from_text(message.sampling),
         restore=_decode_copies(message.restore),
         keep=_decode_copies(message.keep),
     )
--- a/quincecrank/wire.capnp
+++ b/quincecrank/wire.capnp
@@ -95,6 +95,7 @@
   stream @10 :Bool;
   includeUsage @12 :Bool;
   keep @11 :List(StoredBlock);    # blocks to write after the run
+  sampling @13 :Text;             # JSON of token_sampling.Sampling, empty: default
 }
 
 struct StoredBlock {
--- a/standins/answers.py
+++ b/standins/answers.py
@@ -44,6 +44,33 @@
     adapter: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Sampling:
+    """How the tokens of an answer are drawn, and where it ends.
+
+    Attributes
+    ----------
+    temperature : float
+        0 for the most likely token; then `top_p` and `seed` have no effect.
+    stop : tuple of str
+        Texts before the first of which the answer ends.
+    """
+
+    temperature: float = 0.0
+    top_p: float = 1.0
+    seed: int = 0
+    stop: tuple[str, ...] = ()
+
+    def encode(self) -> bytes:
+        """Return what the drawn tokens depend on, nothing for the most likely."""
+        if not self.temperature:
+            return b""
+        return f"{self.temperature} {self.top_p} {self.seed}".encode()
+
+
+GREEDY: Final = Sampling()
+
+
 def token_count(data: bytes) -> int:
     """Return the number of tokens of UTF-8 text `data`."""
     return -(-len(data) // TOKEN_BYTES)
@@ -65,9 +92,13 @@
 
 
 def answer_tokens(
-    root: bytes, states: list[bytes], rest: bytes, count: int
+    root: bytes,
+    states: list[bytes],
+    rest: bytes,
+    count: int,
+    sampling: Sampling = GREEDY,
 ) -> list[str]:
-    """Return the first `count` tokens of the answer.
+    """Return the first `count` tokens of the answer, or fewer up to a stop text.
 
     Parameters
     ----------
@@ -82,15 +113,32 @@
     for state in states:
         digest.update(state)
     digest.update(rest)
+    digest.update(sampling.encode())
     choices = digest.digest(_INDEX_BYTES * count)
-    return [
+    tokens = [
         _TOKENS[int.from_bytes(choices[at : at + _INDEX_BYTES], "little") % 1024]
         for at in range(0, len(choices), _INDEX_BYTES)
     ]
+    return _before_stop(tokens, sampling.stop)
+
+
+def _before_stop(tokens: list[str], stop: tuple[str, ...]) -> list[str]:
+    text = "".join(tokens)
+    ends = [at for at in (text.find(each) for each in stop) if at >= 0]
+    if not ends:
+        return tokens
+    kept = text[: min(ends)]
+    size = len(_TOKENS[0])
+    return [kept[at : at + size] for at in range(0, len(kept), size)]
 
 
 def expected_answer(
-    prompt: str, cache_salt: str, weight_version: str, adapter: str, max_tokens: int
+    prompt: str,
+    cache_salt: str,
+    weight_version: str,
+    adapter: str,
+    max_tokens: int,
+    sampling: Sampling = GREEDY,
 ) -> str:
     """Return the whole text that a correct engine answers."""
     data = prompt.encode()
@@ -101,7 +149,8 @@
     for at in range(0, whole, BLOCK_BYTES):
         previous = block_state(previous, data[at : at + BLOCK_BYTES])
         states.append(previous)
-    return "".join(answer_tokens(root, states, data[whole:], max_tokens))
+    rest = data[whole:]
+    return "".join(answer_tokens(root, states, rest, max_tokens, sampling))
 
 
 def payload_from_state(state: bytes, payload_bytes: int) -> bytes:
--- a/standins/engine_completions.py
+++ b/standins/engine_completions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 from typing import Any, Final
 
 import pydantic
@@ -28,6 +29,15 @@
     weight_version: str = ""
     block_keys: tuple[str, ...] = ()
     resume_after: int = pydantic.Field(default=0, ge=0)
+    temperature: float = pydantic.Field(default=0.0, ge=0)
+    top_p: float = pydantic.Field(default=1.0, gt=0, le=1)
+    seed: int | None = None
+    stop: tuple[str, ...] = ()
+
+    def sampling(self) -> answers.Sampling:
+        """Return how tokens are drawn, with a random seed unless one is given."""
+        seed = random.getrandbits(31) if self.seed is None else self.seed
+        return answers.Sampling(self.temperature, self.top_p, seed, self.stop)
 
 
 class EngineHandler(web.RequestHandler):
@@ -89,6 +99,7 @@
             priority=body.priority,
             block_keys=body.block_keys,
             resume_after=body.resume_after,
+            sampling=body.sampling(),
         )
         self.sequence = self.engine.scheduler.submit(request, self)
         if self.sequence is None:
--- a/standins/engine_sequence.py
+++ b/standins/engine_sequence.py
@@ -11,6 +11,7 @@
     """Why an answer ended."""
 
     LENGTH = "length"
+    STOP = "stop"
     ABORT = "abort"
 
 
@@ -57,6 +58,7 @@
     priority: int = 0
     block_keys: tuple[str, ...] = ()
     resume_after: int = 0
+    sampling: answers.Sampling = answers.GREEDY
 
 
 class Sequence:
@@ -78,6 +80,7 @@
         self._whole_blocks = len(self.data) // answers.BLOCK_BYTES
         self._pending: list[str] | None = None
         self._generated = 0
+        self._reason = FinishReason.LENGTH
 
     @property
     def decoding(self) -> bool:
@@ -122,7 +125,7 @@
         if self._pending:
             self.sink.token(text)
         else:
-            self._finish(text, FinishReason.LENGTH)
+            self._finish(text, self._reason)
 
     def abort(self) -> None:
         """End the answer early."""
@@ -160,7 +163,9 @@
         request = self.request
         rest = self.data[self._whole_blocks * answers.BLOCK_BYTES :]
         tokens = answers.answer_tokens(
-            self._root, self._states, rest, request.max_tokens
+            self._root, self._states, rest, request.max_tokens, request.sampling
         )
+        if len("".join(tokens)) < request.max_tokens * answers.TOKEN_BYTES:
+            self._reason = FinishReason.STOP
         self._pending = tokens[request.resume_after :]
         self._pending.reverse()
--- a/tests/builders_edge.py
+++ b/tests/builders_edge.py
@@ -206,10 +206,15 @@
     )
 
 
-def expected(prompt: str, max_tokens: int, account: ids.AccountName = FIRST) -> str:
+def expected(
+    prompt: str,
+    max_tokens: int,
+    account: ids.AccountName = FIRST,
+    sampling: answers.Sampling = answers.GREEDY,
+) -> str:
     """Return the right answer of the model."""
     salt = block_keys.cache_salt(fleet().account_secret(), account)
-    return answers.expected_answer(prompt, salt, "v1", "", max_tokens)
+    return answers.expected_answer(prompt, salt, "v1", "", max_tokens, sampling)
 
 
 def chat_prompt(messages: list[dict[str, str]]) -> str:
--- a/tests/test_edge_callers.py
+++ b/tests/test_edge_callers.py
@@ -6,10 +6,12 @@
 import json
 import subprocess
 import unittest
+from typing import Any
 
 import openai
 
 from quincecrank import ids
+from standins import answers
 from tests import builders_edge as builders
 
 HELLO = [{"role": "user", "content": "नमस्ते, what is the lead?"}]
@@ -53,6 +55,45 @@
         finishes = [c.choices[0].finish_reason for c in chunks if c.choices]
         self.assertEqual(finishes[-1], "length")
 
+    def test_sampling_reaches_the_engine(self) -> None:
+        client = builders.client()
+        greedy = builders.expected("draw", 8)
+        middle = greedy[10:13]
+        sampled = answers.Sampling(0.7, 0.9, 5)
+        cases: tuple[tuple[dict[str, Any], str, str], ...] = (
+            ({"temperature": 0, "top_p": 1, "seed": 5}, greedy, "length"),
+            ({"stop": middle}, greedy[: greedy.find(middle)], "stop"),
+            ({"stop": ["!", greedy[:4]]}, "", "stop"),
+            (
+                {"temperature": 0.7, "top_p": 0.9, "seed": 5},
+                builders.expected("draw", 8, sampling=sampled),
+                "length",
+            ),
+        )
+        for fields, text, reason in cases:
+            for streamed in (False, True):
+                with self.subTest(fields, streamed=streamed):
+                    said = client.completions.create(
+                        model=builders.MODEL,
+                        prompt="draw",
+                        max_tokens=8,
+                        stream=streamed,
+                        **fields,
+                    )
+                    parts: list[Any] = list(said) if streamed else [said]
+                    texts = [part.choices[0].text for part in parts]
+                    self.assertEqual("".join(texts), text)
+                    self.assertEqual(parts[-1].choices[0].finish_reason, reason)
+        drawn = {
+            client.completions.create(
+                model=builders.MODEL, prompt="draw", max_tokens=8, temperature=1
+            )
+            .choices[0]
+            .text
+            for _ in range(3)
+        }
+        self.assertGreater(len(drawn), 1, "each request draws a seed of its own")
+
     def test_models_are_those_of_the_account(self) -> None:
         listed = [m.id for m in builders.client().models.list()]
         self.assertEqual(listed, [builders.MODEL])
--- a/tests/test_edge_input.py
+++ b/tests/test_edge_input.py
@@ -107,11 +107,17 @@
         messages(
             messages=[{"role": "poet", "content": "x"}, {"role": "user"}],
             max_tokens="many",
-            temperature=0.7,
+            temperature=2.1,
+            top_p=0,
+            seed=-1,
+            stop=["a", "b", "c", "d", "e"],
             n=2,
             best_of=3,
         ),
     ),
+    _Exchange(
+        "top_p without effect", "POST", PROMPTS, builders.completion("x", top_p=0.5)
+    ),
     _Exchange(
         "options without a stream",
         "POST",
--- a/tests/test_fuzz_edge.py
+++ b/tests/test_fuzz_edge.py
@@ -17,7 +17,8 @@
 
 FIELDS: Final = (
     "model prompt messages stream stream_options max_tokens max_completion_tokens "
-    "temperature n user role content type text include_usage name \ud800"
+    "temperature top_p seed stop n user role content type text include_usage name "
+    "\ud800"
 ).split(" ")
 VALUES: Final = ("lekhak", "user", "text", "x", "\ud800", "\x00", "", 0, 1, -1, 1e999)
 
--- a/tests/test_fuzz_peers.py
+++ b/tests/test_fuzz_peers.py
@@ -20,6 +20,7 @@
     rpc,
     sealed_block,
     stream_messages,
+    token_sampling,
     wire,
 )
 from quincecrank import clock as clocks
@@ -54,6 +55,7 @@
         streamed=True,
         restore=(COPY,),
         keep=(COPY,),
+        sampling=token_sampling.Sampling(temperature=0.5, seed=1, stop=("x",)),
     )
     return bytes(stream_messages.encode_order(builders.order(work)).to_bytes())
 
