A caller that is gone at the end of its answer is no failure of the handler

The answer's end is awaited; its StreamClosedError was logged as a failure. Seen once in six runs of test_fuzz_edge and once in the whole suite.

--- a/quincecrank/http_base.py
+++ b/quincecrank/http_base.py
@@ -161,7 +161,7 @@
             await task
         except problems.ProblemError as error:
             self.write_problem(error.problem)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, iostream.StreamClosedError):
             _LOG.info("caller went away", request_id=self.request_id)
             self.cut_off()
         except Exception:
--- a/tests/test_fuzz_edge.py
+++ b/tests/test_fuzz_edge.py
@@ -112,8 +112,12 @@
         self.assertTrue(entry.running)
         self.assertEqual(builders.call("GET", "/v1/models").status, 200)
         self.assertLess(resident_kb(entry.pid) - before_kb, MAX_GROWTH_KB)
-        self.assertNotIn("handler failed", entry.log())
-        self.assertNotIn("Traceback", entry.log())
+        failed = [
+            line
+            for line in entry.log().splitlines()
+            if "handler failed" in line or "Traceback" in line
+        ]
+        self.assertEqual(failed, [])
 
     @bounded(200)
     @hypothesis.given(strategies.one_of(strategies.binary(), mutated_requests()))
