Bodies and shared refusals in modules of their own

A length of more than 18 digits is read as too large; int() of 4,300 and more digits would have raised.

--- a/quincecrank/http_base.py
+++ b/quincecrank/http_base.py
@@ -17,6 +17,8 @@
     logs,
     metrics,
     problems,
+    refusals,
+    request_body,
 )
 from quincecrank import clock as clocks
 
@@ -25,12 +27,6 @@
 PRIORITY_HEADER: Final = "Request-Priority"
 MAX_DEADLINE_MS: Final = 3_600_000
 MAX_PRIORITY: Final = 9
-MAX_DISCARDED_BYTES: Final = 16 * 1024 * 1024
-"""Bytes beyond the bound of a body that are read, so that the refusal arrives."""
-
-MAX_HELD_BODY_BYTES: Final = 256 * 1024 * 1024
-"""Bytes of all bodies that one process holds at once."""
-
 MAX_ECHOED_CHARACTERS: Final = 200
 """Characters of a caller's own text that a refusal repeats."""
 
@@ -51,7 +47,7 @@
         Requests being served by this process.
     stopping : bool
         Whether the process finishes its requests and takes no more.
-    held_body_bytes : int
+    held_bodies : HeldBytes
         Bytes of the bodies of all requests.
     """
 
@@ -71,7 +67,7 @@
         self.requests_by_id: dict[ids.RequestId, entry_view.OpenRequest] = {}
         self.stopping = False
         self.tasks: set[asyncio.Task[Any]] = set()
-        self.held_body_bytes = 0
+        self.held_bodies = request_body.HeldBytes()
         self._account_keys = access.AccountKeys(current.in_force)
 
     def account_keys(self) -> access.AccountKeys:
@@ -91,10 +87,9 @@
         """Keep the services of the process."""
         self.services = services
         self.request_id = ids.RequestId(ids.random_id("r-"))
-        self._body_parts: list[bytes] = []
-        self._body_bytes = 0
-        self._held_bytes = 0
-        self._body_problem: problems.Problem | None = None
+        self._body = request_body.RequestBody(
+            services.max_body_bytes, services.held_bodies
+        )
         self._task: asyncio.Task[None] | None = None
 
     def prepare(self) -> None:
@@ -103,45 +98,30 @@
         if self.services.stopping:
             self.set_header("Connection", "close")
         length = self.request.headers.get("Content-Length", "0")
-        if not length.isdecimal() or int(length) <= self.services.max_body_bytes:
-            return
         waits = "100-continue" in self.request.headers.get("Expect", "").lower()
-        if waits or int(length) > self.services.max_body_bytes + MAX_DISCARDED_BYTES:
-            self._refuse_now(self._too_large())
+        if self._body.announced(length, waits=waits):
+            self._refuse_unread()
 
     def data_received(self, chunk: bytes) -> None:
         """Collect the body up to its bound; discard the rest."""
         if self._finished:
             return
-        services = self.services
-        self._body_bytes += len(chunk)
-        if self._body_bytes > services.max_body_bytes:
-            self._body_problem = self._too_large()
-        elif services.held_body_bytes + len(chunk) > MAX_HELD_BODY_BYTES:
-            self._body_problem = _too_many()
-        if self._body_problem is None:
-            self._body_parts.append(chunk)
-            self._held_bytes += len(chunk)
-            services.held_body_bytes += len(chunk)
-            return
-        self._release_body()
-        if self._body_bytes > services.max_body_bytes + MAX_DISCARDED_BYTES:
-            self._refuse_now(self._body_problem)
+        self._body.add(chunk)
+        if self._body.is_endless:
+            self._refuse_unread()
 
     def body(self) -> bytes:
         """Return the whole body; may be called once, and leaves no copy behind."""
-        parts = self._body_parts
-        self._body_parts = []
-        return b"".join(parts)
+        return self._body.take()
 
     async def serve(self) -> None:
         """Serve the request in a task that ends when the caller goes away."""
         services = self.services
-        refusal = self._body_problem
+        refusal = self._body.problem
         if services.stopping:
-            refusal = _stopping()
+            refusal = refusals.stopping()
         elif len(services.tasks) >= services.max_open_requests:
-            refusal = _too_many()
+            refusal = refusals.too_many()
         if refusal is not None:
             self.write_problem(refusal)
             return
@@ -166,7 +146,7 @@
             self.cut_off()
         except Exception:
             _LOG.exception("handler failed", request_id=self.request_id)
-            self.write_problem(_failed())
+            self.write_problem(refusals.failed())
 
     async def _sent(self) -> None:
         """Wait until the caller has the end of its answer, or cut it off."""
@@ -187,13 +167,13 @@
     def on_connection_close(self) -> None:
         """Cancel the work for a caller that went away."""
         super().on_connection_close()
-        self._release_body()
+        self._body.release()
         if self._task is not None:
             self._task.cancel()
 
     def on_finish(self) -> None:
         """Forget the body."""
-        self._release_body()
+        self._body.release()
 
     def cut_off(self) -> None:
         """Close the connection, so that a part cannot pass for a whole answer."""
@@ -209,21 +189,22 @@
     def _stream(self) -> iostream.IOStream | None:
         return getattr(self.request.connection, "stream", None)
 
-    def _release_body(self) -> None:
-        self._body_parts.clear()
-        self.services.held_body_bytes -= self._held_bytes
-        self._held_bytes = 0
-
     def account(self) -> configuration.Account:
         """Return the client account whose key the request carries."""
         header = self.request.headers.get("Authorization")
         key = access.bearer_credential(header)
         if key is None:
-            raise problems.ProblemError(_unauthenticated("an API key is needed"))
+            raise problems.ProblemError(
+                refusals.unauthenticated("an API key is needed")
+            )
         account = self.services.account_keys().find(key)
         if account is None:
-            raise problems.ProblemError(_unauthenticated("the API key is not known"))
-        return _enabled(account)
+            raise problems.ProblemError(
+                refusals.unauthenticated("the API key is not known")
+            )
+        if not account.enabled:
+            raise problems.ProblemError(refusals.account_disabled())
+        return account
 
     def opened(
         self, account: ids.AccountName, deployment: ids.DeploymentName
@@ -239,11 +220,7 @@
     def require_ready(self) -> None:
         """Refuse while this process has not learned a configuration."""
         if not self.services.current.version:
-            kind = problems.ProblemKind.NOT_READY
-            detail = "the process has not learned a configuration yet"
-            raise problems.ProblemError(
-                problems.Problem(kind, detail, retry_after_ms=1_000)
-            )
+            raise problems.ProblemError(refusals.not_ready())
 
     def number_header(self, name: str, default: int, low: int, high: int) -> int:
         """Return a header's whole number; raises `ProblemError` when it is none."""
@@ -255,7 +232,7 @@
         found = findings.Findings()
         place = findings.Place("header", field=name)
         found.add(place, f"expected a whole number from {low} to {high}")
-        raise problems.ProblemError(bad_request(found))
+        raise problems.ProblemError(refusals.bad_request(found))
 
     def write_problem(self, problem: problems.Problem) -> None:
         """Answer with a refusal, or end a started answer as failed."""
@@ -310,15 +287,10 @@
             is not getattr(web.RequestHandler, method.lower())
         ]
 
-    def _too_large(self) -> problems.Problem:
-        limit = self.services.max_body_bytes
-        kind = problems.ProblemKind.TOO_LARGE
-        return problems.Problem(kind, f"the body exceeds {limit} bytes")
-
-    def _refuse_now(self, problem: problems.Problem) -> None:
+    def _refuse_unread(self) -> None:
         """Refuse a request whose body will not be read to its end."""
         self.set_header("Connection", "close")
-        self.write_problem(problem)
+        self.write_problem(refusals.too_large(self.services.max_body_bytes))
 
 
 class UnknownPathHandler(CallerHandler):
@@ -337,50 +309,6 @@
         raise problems.ProblemError(problems.Problem(kind, f"there is no {path!r}"))
 
 
-def bad_request(found: findings.Findings) -> problems.Problem:
-    """Return the refusal of a malformed request with all its findings."""
-    items = found.all()
-    detail = "; ".join(str(item) for item in items)
-    return problems.Problem(problems.ProblemKind.BAD_REQUEST, detail, found=items)
-
-
-def _enabled(account: configuration.Account) -> configuration.Account:
-    if account.enabled:
-        return account
-    kind = problems.ProblemKind.FORBIDDEN
-    raise problems.ProblemError(
-        problems.Problem(kind, "the client account is disabled")
-    )
-
-
-def _unauthenticated(detail: str) -> problems.Problem:
-    return problems.Problem(problems.ProblemKind.UNAUTHENTICATED, detail)
-
-
-def _stopping() -> problems.Problem:
-    return problems.Problem(
-        problems.ProblemKind.LEAVING,
-        "this entry is shutting down",
-        retry_after_ms=100,
-    )
-
-
-def _failed() -> problems.Problem:
-    return problems.Problem(
-        problems.ProblemKind.OUTCOME_UNKNOWN,
-        "this entry failed while it served the request; see its log",
-        problems.Ran.UNKNOWN,
-    )
-
-
-def _too_many() -> problems.Problem:
-    return problems.Problem(
-        problems.ProblemKind.OVERLOADED,
-        "too many requests are open at this entry",
-        retry_after_ms=1_000,
-    )
-
-
 _KIND_BY_STATUS: Final = {
     404: problems.ProblemKind.NOT_FOUND,
     405: problems.ProblemKind.METHOD_NOT_ALLOWED,
--- a/quincecrank/openai_api.py
+++ b/quincecrank/openai_api.py
@@ -11,6 +11,7 @@
     ids,
     inference_request,
     problems,
+    refusals,
     request_context,
 )
 
@@ -40,7 +41,7 @@
         account = self.account()
         parsed = self.parse(self.body())
         if parsed.is_error():
-            raise problems.ProblemError(http_base.bad_request(parsed.error))
+            raise problems.ProblemError(refusals.bad_request(parsed.error))
         request = parsed.ok
         deployment = self._deployment(account, request)
         self._streamed = request.streamed
--- a/quincecrank/services_api.py
+++ b/quincecrank/services_api.py
@@ -10,6 +10,7 @@
     ids,
     plain_dispatch,
     problems,
+    refusals,
     request_context,
     service_backend,
     stream_messages,
@@ -104,7 +105,7 @@
         found = findings.Findings()
         place = findings.Place("header", field=service_backend.KEY_HEADER)
         found.add(place, f"expected at most {MAX_KEY_CHARACTERS} printable characters")
-        raise problems.ProblemError(http_base.bad_request(found))
+        raise problems.ProblemError(refusals.bad_request(found))
 
     def _context(
         self,
--- a/tests/test_edge_input.py
+++ b/tests/test_edge_input.py
@@ -245,6 +245,12 @@
                 "length beyond all bounds",
                 builders.raw_request("POST", PROMPTS, b"", {"Content-Length": large}),
             ),
+            (
+                "length of many digits",
+                builders.raw_request(
+                    "POST", PROMPTS, b"", {"Content-Length": "9" * 5_000}
+                ),
+            ),
             (
                 "waiting for leave",
                 builders.raw_request(
--- a/tests/test_edge_limits.py
+++ b/tests/test_edge_limits.py
@@ -17,6 +17,7 @@
     http_sink,
     metrics,
     problems,
+    request_body,
     settings,
     status_server,
 )
@@ -129,7 +130,7 @@
 
     async def until_idle(self) -> None:
         async with asyncio.timeout(WAIT_S):
-            while self.services.tasks or self.services.held_body_bytes:
+            while self.services.tasks or self.services.held_bodies.count:
                 await asyncio.sleep(0.01)
         self.assertEqual(self.services.requests_by_id, {})
 
@@ -238,7 +239,7 @@
             for at in range(0, len(sent), len(PIECE)):
                 writer.write(sent[at : at + len(PIECE)])
                 await writer.drain()
-                held_bytes = max(held_bytes, self.services.held_body_bytes)
+                held_bytes = max(held_bytes, self.services.held_bodies.count)
             received = await asyncio.wait_for(self.rest(reader), WAIT_S)
             _, peak_bytes = tracemalloc.get_traced_memory()
             self.assertTrue(received.startswith(b"HTTP/1.1 413 "), received[:40])
@@ -248,11 +249,11 @@
 
     async def test_all_bodies_together_are_bounded(self) -> None:
         self.serve(LIMITS.model_copy(update={"body_timeout_ms": 10_000}))
-        self.services.held_body_bytes = http_base.MAX_HELD_BODY_BYTES - 10
+        self.services.held_bodies.count = request_body.MAX_HELD_BYTES - 10
         head = b"POST /size HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
         received = await self.answer(head + b"Content-Length: 11\r\n\r\n" + b"x" * 11)
         self.assertTrue(received.startswith(b"HTTP/1.1 429 "), received[:40])
         received = await self.answer(head + b"Content-Length: 10\r\n\r\n" + b"x" * 10)
         self.assertTrue(received.endswith(b"\r\n\r\n10"), received[-40:])
-        self.services.held_body_bytes -= http_base.MAX_HELD_BODY_BYTES - 10
+        self.services.held_bodies.count -= request_body.MAX_HELD_BYTES - 10
         await self.until_idle()
--- a/tests/test_fuzz_edge.py
+++ b/tests/test_fuzz_edge.py
@@ -10,7 +10,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from quincecrank import http_base, inference_request
+from quincecrank import inference_request, refusals
 from tests import builders_edge as builders
 
 MAX_GROWTH_KB: Final = 64 * 1024
@@ -62,7 +62,7 @@
             if parsed.is_ok():
                 parsed.ok.prompt.decode()
                 continue
-            problem = http_base.bad_request(parsed.error)
+            problem = refusals.bad_request(parsed.error)
             self.assertTrue(problem.found)
             problem.to_json("r-1").encode()
 
