--- a/quincecrank/status_server.py
+++ b/quincecrank/status_server.py
@@ -2,12 +2,24 @@
 
 import socket
 from collections.abc import Callable
+from typing import Final
 
 import prometheus_client
 from tornado import httpserver, web
 
+MAX_BODY_BYTES: Final = 64 * 1024
+IDLE_TIMEOUT_S: Final = 60.0
 
-class MetricsHandler(web.RequestHandler):
+
+@web.stream_request_body
+class DiscardingHandler(web.RequestHandler):
+    """Base of handlers that take no body: what comes is never kept."""
+
+    def data_received(self, chunk: bytes) -> None:
+        """Discard a part of the body."""
+
+
+class MetricsHandler(DiscardingHandler):
     """Answers with all metrics in Prometheus' format."""
 
     def initialize(self, registry: prometheus_client.CollectorRegistry) -> None:
@@ -20,7 +32,7 @@
         self.finish(prometheus_client.generate_latest(self._registry))
 
 
-class HealthHandler(web.RequestHandler):
+class HealthHandler(DiscardingHandler):
     """Answers while the process runs."""
 
     def get(self) -> None:
@@ -28,7 +40,7 @@
         self.finish("ok\n")
 
 
-class ReadyHandler(web.RequestHandler):
+class ReadyHandler(DiscardingHandler):
     """Answers whether the process may get requests."""
 
     def initialize(self, is_ready: Callable[[], bool]) -> None:
@@ -65,7 +77,12 @@
 ) -> httpserver.HTTPServer:
     """Serve the three paths on a bound socket."""
     application = web.Application(rules(registry, is_ready), log_function=_no_log)
-    server = httpserver.HTTPServer(application)
+    server = httpserver.HTTPServer(
+        application,
+        max_body_size=MAX_BODY_BYTES,
+        idle_connection_timeout=IDLE_TIMEOUT_S,
+        body_timeout=IDLE_TIMEOUT_S,
+    )
     server.add_socket(bound)
     return server
 
--- a/tests/test_edge_limits.py
+++ b/tests/test_edge_limits.py
@@ -1,6 +1,7 @@
 """Slow, silent and greedy callers against one HTTP server in this process."""
 
 import asyncio
+import contextlib
 import socket
 import tracemalloc
 import unittest
@@ -9,8 +10,8 @@
 from structlog import testing
 from tornado import netutil
 
-from quincecrank import clock as clocks
 from quincecrank import (
+    admin_api,
     current_configuration,
     http_base,
     http_server,
@@ -21,6 +22,7 @@
     settings,
     status_server,
 )
+from quincecrank import clock as clocks
 
 MAX_BODY_BYTES: Final = 64 * 1024
 LIMITS: Final = settings.Limits(
@@ -93,7 +95,9 @@
         bound = netutil.bind_sockets(0, "127.0.0.1")[0]
         self.port = bound.getsockname()[1]
         rules: list[status_server.Rule] = [
-            (r".*", AnsweringHandler, {"services": self.services})
+            (r"/healthz", status_server.HealthHandler, {}),
+            (r"/admin/nothing", admin_api._NotFoundHandler, {}),
+            (r".*", AnsweringHandler, {"services": self.services}),
         ]
         server = http_server.serve(rules, None, limits, bound)
         self.addCleanup(server.stop)
@@ -247,6 +251,26 @@
             self.assertLess(peak_bytes - start_bytes, size // 2)
             await self.until_idle()
 
+    async def test_paths_that_take_no_body_keep_none(self) -> None:
+        self.serve(LIMITS.model_copy(update={"body_timeout_ms": 10_000}))
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for path, status in ((b"/healthz", b"405"), (b"/admin/nothing", b"404")):
+            with self.subTest(path):
+                head = b"POST " + path + b" HTTP/1.1\r\nHost: x\r\n"
+                reader, writer = await self.open(head)
+                size = 1_024 * len(PIECE)
+                writer.write(b"Connection: close\r\nContent-Length: %d\r\n\r\n" % size)
+                tracemalloc.reset_peak()
+                with contextlib.suppress(ConnectionError):
+                    for _ in range(size // len(PIECE)):
+                        writer.write(PIECE)
+                        await writer.drain()
+                received = await asyncio.wait_for(self.rest(reader), WAIT_S)
+                _, peak_bytes = tracemalloc.get_traced_memory()
+                self.assertIn(received[:13], (b"HTTP/1.1 " + status + b" ", b""))
+                self.assertLess(peak_bytes, size // 4)
+
     async def test_all_bodies_together_are_bounded(self) -> None:
         self.serve(LIMITS.model_copy(update={"body_timeout_ms": 10_000}))
         self.services.held_bodies.count = request_body.MAX_HELD_BYTES - 10
