--- a/quincecrank/completion_format.py
+++ b/quincecrank/completion_format.py
@@ -41,12 +41,17 @@
         opening = json.dumps(common, ensure_ascii=False)[:-1]
         field = '"delta":{"content":' if work.chat else '"text":'
         self._before = f'data: {opening}, "choices":[{{"index":0,{field}'
+        self._before_first = self._before
+        if work.chat and not work.resume_after:
+            first = field.replace("{", '{"role":"assistant",')
+            self._before_first = self._before.replace(field, first)
         closing = "}" if work.chat else ""
         self._after = f'{closing},"finish_reason":null,"logprobs":null}}]}}\n\n'
 
     def token(self, text: str) -> bytes:
-        """Return the event of one token."""
-        return f"{self._before}{json.dumps(text)}{self._after}".encode()
+        """Return the event of the next token; the first one of a chat has a role."""
+        before, self._before_first = self._before_first, self._before
+        return f"{before}{json.dumps(text)}{self._after}".encode()
 
     def finish(self, reason: str, usage: "Usage | None") -> bytes:
         """Return the events that close the answer."""
--- a/tests/test_edge_callers.py
+++ b/tests/test_edge_callers.py
@@ -52,6 +52,8 @@
         self.assertEqual(said, builders.expected(prompt, 8))
         assert chunks[-1].usage is not None
         self.assertEqual(chunks[-1].usage.completion_tokens, 8)
+        roles = [c.choices[0].delta.role for c in chunks if c.choices]
+        self.assertEqual([role for role in roles if role], ["assistant"])
         finishes = [c.choices[0].finish_reason for c in chunks if c.choices]
         self.assertEqual(finishes[-1], "length")
 
