Fields of prompts in a module of their own, without conversions

A number in quotes, a boolean for a number and the like were taken; they are refused by field now (golden session 'wrong types').

--- a/quincecrank/inference_request.py
+++ b/quincecrank/inference_request.py
@@ -6,12 +6,18 @@
 
 import dataclasses
 import json
-from typing import Annotated, Final, Literal, Self, TypeVar
+from typing import Final, Self, TypeVar
 
 import expression
 import pydantic
 
-from quincecrank import configuration, findings, ids, token_sampling
+from quincecrank import (
+    configuration,
+    findings,
+    ids,
+    request_fields,
+    token_sampling,
+)
 
 MAX_FINDINGS: Final = 20
 """Mistakes of one body that are listed; further ones are counted."""
@@ -19,76 +25,28 @@
 MAX_FIELDS: Final = 64
 """Fields of one JSON object."""
 
-MAX_MESSAGES: Final = 1_024
-MAX_CONTENT_PARTS: Final = 64
 MAX_FIELD_CHARACTERS: Final = 100
 
 _SOURCE: Final = "body"
-_ONE_TAG: Final = "text"
-_LIST_TAG: Final = "list"
 _ADAPTER_SEPARATOR: Final = ":"
 
 
-def _encodable(text: str) -> str:
-    try:
-        text.encode()
-    except UnicodeEncodeError as error:
-        message = f"lone surrogate at character {error.start + 1}"
-        raise ValueError(message) from error
-    return text
-
-
-def _at_most(limit: int) -> pydantic.BeforeValidator:
-    """Return a check of a list's length that comes before that of its items."""
-
-    def check(items: object) -> object:
-        if isinstance(items, list) and len(items) > limit:
-            raise ValueError(f"expected at most {limit} items, found {len(items)}")
-        return items
-
-    return pydantic.BeforeValidator(check)
-
-
-def _tag(value: object) -> str:
-    return _LIST_TAG if isinstance(value, list) else _ONE_TAG
-
-
-Text = Annotated[str, pydantic.Field(strict=True), pydantic.AfterValidator(_encodable)]
-
-
-_StopText = Annotated[
-    Text, pydantic.Field(min_length=1, max_length=token_sampling.MAX_STOP_CHARACTERS)
-]
-_StopTexts = Annotated[tuple[_StopText, ...], _at_most(token_sampling.MAX_STOP_TEXTS)]
-_Stop = Annotated[
-    Annotated[_StopText, pydantic.Tag(_ONE_TAG)]
-    | Annotated[_StopTexts, pydantic.Tag(_LIST_TAG)],
-    pydantic.Discriminator(_tag),
-]
-
-
-class _StreamOptions(configuration.FrozenModel):
-    include_usage: bool = False
-
-
 class _CommonBody(configuration.FrozenModel):
     """Fields that both requests have.
 
     Tokens are drawn only when ``temperature`` is above 0; see ``token_sampling``.
     """
 
-    model: Text
-    stream: bool = False
-    stream_options: _StreamOptions | None = None
-    max_tokens: int | None = pydantic.Field(default=None, ge=1)
-    temperature: float | None = pydantic.Field(
-        default=None, ge=0, le=token_sampling.MAX_TEMPERATURE, allow_inf_nan=False
-    )
-    top_p: float | None = pydantic.Field(default=None, gt=0, le=1)
-    seed: int | None = pydantic.Field(default=None, ge=0, le=token_sampling.MAX_SEED)
-    stop: _Stop | None = None
-    n: Literal[1] | None = None
-    user: Text | None = None
+    model: request_fields.Text
+    stream: pydantic.StrictBool = False
+    stream_options: request_fields.StreamOptions | None = None
+    max_tokens: request_fields.TokenLimit | None = None
+    temperature: request_fields.Temperature | None = None
+    top_p: request_fields.TopP | None = None
+    seed: request_fields.Seed | None = None
+    stop: request_fields.Stop | None = None
+    n: request_fields.AnswerCount | None = None
+    user: request_fields.Text | None = None
 
     @pydantic.model_validator(mode="after")
     def _top_p_has_an_effect(self) -> Self:
@@ -119,43 +77,12 @@
 
 
 class _CompletionBody(_CommonBody):
-    prompt: Text
-
-
-class _ContentPart(configuration.FrozenModel):
-    type: Literal["text"]
-    text: Text
-
-
-_ContentParts = Annotated[tuple[_ContentPart, ...], _at_most(MAX_CONTENT_PARTS)]
-_Content = Annotated[
-    Annotated[Text, pydantic.Tag(_ONE_TAG)]
-    | Annotated[_ContentParts, pydantic.Tag(_LIST_TAG)],
-    pydantic.Discriminator(_tag),
-]
-
-
-class _Message(configuration.FrozenModel):
-    role: Literal["system", "developer", "user", "assistant"]
-    content: _Content
-    name: Text | None = None
-
-    def speaker(self) -> str:
-        """Return the role, with the name if there is one."""
-        return self.role if self.name is None else f"{self.role}:{self.name}"
-
-    def text(self) -> str:
-        """Return the content as one text."""
-        if isinstance(self.content, str):
-            return self.content
-        return "".join(part.text for part in self.content)
+    prompt: request_fields.Text
 
 
 class _ChatBody(_CommonBody):
-    messages: Annotated[
-        tuple[_Message, ...], pydantic.Field(min_length=1), _at_most(MAX_MESSAGES)
-    ]
-    max_completion_tokens: int | None = pydantic.Field(default=None, ge=1)
+    messages: request_fields.Messages
+    max_completion_tokens: request_fields.TokenLimit | None = None
 
     @pydantic.model_validator(mode="after")
     def _one_limit(self) -> Self:
@@ -222,7 +149,7 @@
     return expression.Ok(_request(checked, prompt, limit, chat=True))
 
 
-def render_chat(messages: tuple[_Message, ...]) -> str:
+def render_chat(messages: tuple[request_fields.Message, ...]) -> str:
     """Return the prompt of a conversation.
 
     A conversation that grows keeps its earlier text as a prefix, so that its blocks
--- a/tests/test_edge_input.py
+++ b/tests/test_edge_input.py
@@ -115,6 +115,14 @@
             best_of=3,
         ),
     ),
+    _Exchange(
+        "wrong types",
+        "POST",
+        PROMPTS,
+        builders.completion(
+            "x", max_tokens="4", stream="yes", temperature="0", n=True, seed=1.0
+        ),
+    ),
     _Exchange(
         "top_p without effect", "POST", PROMPTS, builders.completion("x", top_p=0.5)
     ),
