--- a/quincecrank/inference_request.py
+++ b/quincecrank/inference_request.py
@@ -6,12 +6,18 @@
 
 import dataclasses
 import json
-from typing import Annotated, Final, Literal, Self, TypeVar
+from typing import Final, Self, TypeVar
 
 import expression
 import pydantic
 
-from quincecrank import configuration, findings, ids
+from quincecrank import (
+    configuration,
+    findings,
+    ids,
+    request_fields,
+    token_sampling,
+)
 
 MAX_FINDINGS: Final = 20
 """Mistakes of one body that are listed; further ones are counted."""
@@ -19,55 +25,46 @@
 MAX_FIELDS: Final = 64
 """Fields of one JSON object."""
 
-MAX_MESSAGES: Final = 1_024
-MAX_CONTENT_PARTS: Final = 64
 MAX_FIELD_CHARACTERS: Final = 100
 
 _SOURCE: Final = "body"
 _ADAPTER_SEPARATOR: Final = ":"
 
 
-def _encodable(text: str) -> str:
-    try:
-        text.encode()
-    except UnicodeEncodeError as error:
-        message = f"lone surrogate at character {error.start + 1}"
-        raise ValueError(message) from error
-    return text
-
-
-def _at_most(limit: int) -> pydantic.BeforeValidator:
-    """Return a check of a list's length that comes before that of its items."""
-
-    def check(items: object) -> object:
-        if isinstance(items, list) and len(items) > limit:
-            raise ValueError(f"expected at most {limit} items, found {len(items)}")
-        return items
-
-    return pydantic.BeforeValidator(check)
-
-
-Text = Annotated[str, pydantic.Field(strict=True), pydantic.AfterValidator(_encodable)]
-
-
-class _StreamOptions(configuration.FrozenModel):
-    include_usage: bool = False
-
-
 class _CommonBody(configuration.FrozenModel):
     """Fields that both requests have.
 
-    ``temperature`` may only have the value under which the most likely token is
-    taken: an answer that goes on at another backend server must be the same one.
+    Tokens are drawn only when ``temperature`` is above 0; see ``token_sampling``.
     """
 
-    model: Text
-    stream: bool = False
-    stream_options: _StreamOptions | None = None
-    max_tokens: int | None = pydantic.Field(default=None, ge=1)
-    temperature: Literal[0] | None = None
-    n: Literal[1] | None = None
-    user: Text | None = None
+    model: request_fields.Text
+    stream: pydantic.StrictBool = False
+    stream_options: request_fields.StreamOptions | None = None
+    max_tokens: request_fields.TokenLimit | None = None
+    temperature: request_fields.Temperature | None = None
+    top_p: request_fields.TopP | None = None
+    seed: request_fields.Seed | None = None
+    stop: request_fields.Stop | None = None
+    n: request_fields.AnswerCount | None = None
+    user: request_fields.Text | None = None
+
+    @pydantic.model_validator(mode="after")
+    def _top_p_has_an_effect(self) -> Self:
+        if self.top_p not in (None, 1) and not self.temperature:
+            raise ValueError("top_p is only allowed with a temperature above 0")
+        return self
+
+    def sampling(self) -> token_sampling.Sampling:
+        """Return how the answer's tokens are chosen."""
+        stop = (self.stop,) if isinstance(self.stop, str) else self.stop
+        if not self.temperature:
+            return token_sampling.Sampling(stop=stop or ())
+        return token_sampling.Sampling(
+            temperature=self.temperature,
+            top_p=self.top_p or 1.0,
+            seed=self.seed,
+            stop=stop or (),
+        )
 
     @pydantic.model_validator(mode="after")
     def _options_have_a_stream(self) -> Self:
@@ -80,38 +77,12 @@
 
 
 class _CompletionBody(_CommonBody):
-    prompt: Text
-
-
-class _ContentPart(configuration.FrozenModel):
-    type: Literal["text"]
-    text: Text
-
-
-_ContentParts = Annotated[tuple[_ContentPart, ...], _at_most(MAX_CONTENT_PARTS)]
-
-
-class _Message(configuration.FrozenModel):
-    role: Literal["system", "developer", "user", "assistant"]
-    content: Text | _ContentParts
-    name: Text | None = None
-
-    def speaker(self) -> str:
-        """Return the role, with the name if there is one."""
-        return self.role if self.name is None else f"{self.role}:{self.name}"
-
-    def text(self) -> str:
-        """Return the content as one text."""
-        if isinstance(self.content, str):
-            return self.content
-        return "".join(part.text for part in self.content)
+    prompt: request_fields.Text
 
 
 class _ChatBody(_CommonBody):
-    messages: Annotated[
-        tuple[_Message, ...], pydantic.Field(min_length=1), _at_most(MAX_MESSAGES)
-    ]
-    max_completion_tokens: int | None = pydantic.Field(default=None, ge=1)
+    messages: request_fields.Messages
+    max_completion_tokens: request_fields.TokenLimit | None = None
 
     @pydantic.model_validator(mode="after")
     def _one_limit(self) -> Self:
@@ -138,6 +109,11 @@
     chat: bool
     streamed: bool
     include_usage: bool
+    sampling: token_sampling.Sampling = token_sampling.DEFAULT
+
+    def seeded(self) -> Self:
+        """Return the request with a seed where its sampling needs one."""
+        return dataclasses.replace(self, sampling=self.sampling.seeded())
 
     @property
     def deployment(self) -> ids.DeploymentName:
@@ -173,7 +149,7 @@
     return expression.Ok(_request(checked, prompt, limit, chat=True))
 
 
-def render_chat(messages: tuple[_Message, ...]) -> str:
+def render_chat(messages: tuple[request_fields.Message, ...]) -> str:
     """Return the prompt of a conversation.
 
     A conversation that grows keeps its earlier text as a prefix, so that its blocks
@@ -194,6 +170,7 @@
         chat=chat,
         streamed=body.stream,
         include_usage=options is not None and options.include_usage,
+        sampling=body.sampling(),
     )
 
 
--- a/quincecrank/openai_api.py
+++ b/quincecrank/openai_api.py
@@ -11,6 +11,7 @@
     ids,
     inference_request,
     problems,
+    refusals,
     request_context,
 )
 
@@ -40,7 +41,7 @@
         account = self.account()
         parsed = self.parse(self.body())
         if parsed.is_error():
-            raise problems.ProblemError(http_base.bad_request(parsed.error))
+            raise problems.ProblemError(refusals.bad_request(parsed.error))
         request = parsed.ok
         deployment = self._deployment(account, request)
         self._streamed = request.streamed
@@ -52,6 +53,7 @@
             limit = http_sink.MAX_UNSENT_EVENT_BYTES
         sink = http_sink.HttpSink(self, limit)
         context = self._context(account, deployment, request)
+        request = request.seeded()
         try:
             await self._dispatcher.serve(context, request, sink)
         except problems.ProblemError as error:
@@ -105,7 +107,7 @@
         priority = self.number_header(
             http_base.PRIORITY_HEADER, 0, 0, http_base.MAX_PRIORITY
         )
-        limit = str(request.max_tokens)
+        limit = f"{request.max_tokens} {request.sampling.to_text()}"
         return request_context.RequestContext(
             request_id=self.request_id,
             account=account,
--- a/tests/builders_edge.py
+++ b/tests/builders_edge.py
@@ -67,7 +67,7 @@
         update={"accounts": newsrooms, "max_tokens": MAX_TOKENS}
     )
     service = users.prasaran().model_copy(
-        update={"accounts": newsrooms, "max_concurrent": 1}
+        update={"accounts": newsrooms, "max_concurrent": 2}
     )
     others = users.lector().model_copy(update={"accounts": (OTHER,), "tiers": ()})
     disabled = configuration.Account(name=DISABLED, enabled=False)
@@ -206,10 +206,15 @@
     )
 
 
-def expected(prompt: str, max_tokens: int, account: ids.AccountName = FIRST) -> str:
+def expected(
+    prompt: str,
+    max_tokens: int,
+    account: ids.AccountName = FIRST,
+    sampling: answers.Sampling = answers.GREEDY,
+) -> str:
     """Return the right answer of the model."""
     salt = block_keys.cache_salt(fleet().account_secret(), account)
-    return answers.expected_answer(prompt, salt, "v1", "", max_tokens)
+    return answers.expected_answer(prompt, salt, "v1", "", max_tokens, sampling)
 
 
 def chat_prompt(messages: list[dict[str, str]]) -> str:
--- a/tests/test_edge_input.py
+++ b/tests/test_edge_input.py
@@ -107,11 +107,25 @@
         messages(
             messages=[{"role": "poet", "content": "x"}, {"role": "user"}],
             max_tokens="many",
-            temperature=0.7,
+            temperature=2.1,
+            top_p=0,
+            seed=-1,
+            stop=["a", "b", "c", "d", "e"],
             n=2,
             best_of=3,
         ),
     ),
+    _Exchange(
+        "wrong types",
+        "POST",
+        PROMPTS,
+        builders.completion(
+            "x", max_tokens="4", stream="yes", temperature="0", n=True, seed=1.0
+        ),
+    ),
+    _Exchange(
+        "top_p without effect", "POST", PROMPTS, builders.completion("x", top_p=0.5)
+    ),
     _Exchange(
         "options without a stream",
         "POST",
@@ -239,6 +253,12 @@
                 "length beyond all bounds",
                 builders.raw_request("POST", PROMPTS, b"", {"Content-Length": large}),
             ),
+            (
+                "length of many digits",
+                builders.raw_request(
+                    "POST", PROMPTS, b"", {"Content-Length": "9" * 5_000}
+                ),
+            ),
             (
                 "waiting for leave",
                 builders.raw_request(
