--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -59,6 +59,7 @@
     entries: int = 2,
     flags: Mapping[str, object] | None = None,
     deadline_ms: int = 20_000,
+    weights: configuration.PolicyWeights | None = None,
 ) -> local_fleet.FleetSpec:
     """Return a small fleet for two client accounts."""
     tier = configuration.Tier(
@@ -76,6 +77,7 @@
             weight_version=V1,
             accounts=ACCOUNTS,
             deadline_ms=deadline_ms,
+            weights=weights or configuration.PolicyWeights(),
             tiers=(tier.name,) if stores else (),
         )
         chosen = engine_flags(**(flags or {}))
--- /dev/null
+++ b/tests/process_blocks.py
@@ -0,0 +1,147 @@
+"""KV blocks in a store VM that fills up, tears writes, dies or comes back empty.
+
+Every answer is checked by content: the stand-in engines take any payload, so that a
+wrong, torn or foreign block makes a wrong answer.  Mutations (`QUINCE_MUTATION`, see
+`wrapped_program`) that make these tests fail: `open-any-block`, `share-one-salt`.
+"""
+
+import time
+from typing import ClassVar, Final
+
+from quincecrank import configuration
+from standins import local_fleet
+from tests import builders_fleet, fleet_case, history_checkers
+
+BLOCKS: Final = 8
+GUIDES: Final = 4
+ROUNDS: Final = 3
+SETTLE_S: Final = 0.6
+
+
+class BlocksTest(fleet_case.FleetTest):
+    spec = builders_fleet.fleet_spec(
+        engines=2,
+        stores=1,
+        flags={
+            "cache_blocks": 16,
+            "prefill_tokens_per_second": 20_000,
+            "event_loss": 0.2,
+            "payload_bytes": 16_384,
+        },
+        weights=configuration.PolicyWeights(first_token=0.2, recomputed=60, link=2),
+    )
+    asked: ClassVar[int] = 0
+
+    def heal(self) -> None:
+        store = self.fleet.stores_by_name[builders_fleet.STORE]
+        store.thaw()
+        if not store.running:
+            self.fleet.start_store(builders_fleet.STORE, {})
+        else:
+            local_fleet.set_faults(
+                store, full=False, torn_writes=0, slow_factor=1, drop_answers=0
+            )
+        super().heal()
+
+    def store_faults(self, **switches: object) -> None:
+        store = self.fleet.stores_by_name[builders_fleet.STORE]
+        local_fleet.set_faults(store, **switches)
+
+    def rounds(self, name: str) -> list[history_checkers.PromptResult]:
+        """Ask about some long texts in turn, each of which evicts the others."""
+        results = []
+        for _ in range(ROUNDS):
+            for guide in range(GUIDES):
+                BlocksTest.asked += 1
+                text = builders_fleet.prompt(f"{name} {guide}", BLOCKS)
+                results.append(
+                    self.callers.ask(
+                        f"{text} {self.asked}",
+                        account=builders_fleet.ACCOUNTS[guide % 2],
+                        entry=self.asked % 2,
+                    )
+                )
+            time.sleep(SETTLE_S)
+        return results
+
+    def check_rounds(self, name: str) -> None:
+        """Check that prompts are answered, and rightly, whatever the store does."""
+        results = self.rounds(name)
+        self.assertEqual(history_checkers.cut_requests(results), [])
+        refused = [result.kind for result in results if result.status != 200]
+        self.assertEqual(refused, [])
+        self.check_prompts()
+
+    def stored_bytes(self) -> int:
+        store = self.fleet.stores_by_name[builders_fleet.STORE]
+        stats = local_fleet.call_json("GET", f"{store.url}/stats")
+        return int(stats["memory_used"])
+
+    def test_blocks_return_from_the_store(self) -> None:
+        """Without a fault, evicted blocks are kept and used again."""
+        self.check_rounds("healthy")
+        self.assertGreater(self.stored_bytes(), 0)
+
+    def test_torn_writes(self) -> None:
+        """Parts of blocks that the store kept are never used."""
+        self.store_faults(torn_writes=0.6)
+        self.check_rounds("torn")
+
+    def test_lost_answers_of_the_store(self) -> None:
+        """A write took effect and its answer is lost."""
+        self.store_faults(drop_answers=0.6)
+        self.check_rounds("lost")
+
+    def test_the_store_is_full(self) -> None:
+        """A store without room costs reuse, not answers."""
+        self.store_faults(full=True)
+        self.check_rounds("full")
+
+    def test_the_store_is_slow(self) -> None:
+        """A slow store does not hold prompts up for good."""
+        self.store_faults(slow_factor=50)
+        self.check_rounds("slow")
+
+    def test_the_store_is_killed_and_restarted_empty(self) -> None:
+        """Blocks of the store's earlier life are not looked for, or not found."""
+        self.check_rounds("killed")
+        store = self.fleet.stores_by_name[builders_fleet.STORE]
+        load = self.callers.start(self.rounds, "killed")
+        self.pause(0.2, 1.0)
+        store.kill()
+        self.pause(0.2, 1.0)
+        self.fleet.start_store(builders_fleet.STORE, {})
+        self.assertEqual(history_checkers.cut_requests(load.result()), [])
+        self.check_rounds("killed")
+
+    def test_the_store_freezes(self) -> None:
+        """A store that answers nothing does not stop prompts."""
+        self.check_rounds("frozen")
+        store = self.fleet.stores_by_name[builders_fleet.STORE]
+        load = self.callers.start(self.rounds, "frozen")
+        self.pause(0.2, 1.0)
+        store.freeze()
+        time.sleep(builders_fleet.FREEZE_S)
+        store.thaw()
+        self.assertEqual(history_checkers.cut_requests(load.result()), [])
+        self.check_prompts()
+
+    def test_weights_are_rolled_between_rounds(self) -> None:
+        """Blocks of the old version, in engines and in the store, are not used."""
+        self.check_rounds("rolled")
+        version = self.callers.operate("show tiers", version=0)["version"]
+        for new in (builders_fleet.V2, builders_fleet.V1):
+            text = f"roll {builders_fleet.MODEL} to {new}"
+            answer = self.callers.operate(text, version=version)
+            self.assertEqual(answer["status"], 200, answer)
+            version = answer["version"]
+            time.sleep(history_checkers.CONFIGURATION_LIMIT_MS / 1_000)
+            self.wait_ready()
+            for guide in range(GUIDES):
+                result = self.callers.ask(
+                    builders_fleet.prompt(f"rolled {guide}", BLOCKS),
+                    account=builders_fleet.ACCOUNTS[guide % 2],
+                    versions=(new,),
+                )
+                self.assertEqual(result.status, 200, result.kind)
+        self.check_prompts()
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -8,6 +8,7 @@
 
 import contextvars
 import importlib
+import itertools
 import json
 import os
 import time
@@ -196,6 +197,18 @@
     _replace(current_configuration.CurrentConfiguration, "apply", careless)
 
 
+def forget_configuration() -> None:
+    """Let processes take an older configuration for a newer one now and then."""
+    current: Any = current_configuration.CurrentConfiguration
+    version = current.version.fget
+    calls = itertools.count()
+
+    def careless(self: Any) -> Any:
+        return max(0, version(self) - (next(calls) % 50 == 0))
+
+    _replace(current, "version", property(careless))
+
+
 def open_any_block() -> None:
     """Let agents use a restored block whatever its seal says."""
 
@@ -231,6 +244,7 @@
     "stop-at-once": stop_at_once,
     "ignore-leaving": ignore_leaving,
     "never-learn": never_learn,
+    "forget-configuration": forget_configuration,
     "open-any-block": open_any_block,
     "retry-without-bound": retry_without_bound,
     "cut-after-head": cut_after_head,
