--- /dev/null
+++ b/tests/process_bounds.py
@@ -0,0 +1,153 @@
+"""Bounds on what is lost, repeated or held up while something is out.
+
+Mutations (`QUINCE_MUTATION`, see `wrapped_program`) that make these tests fail:
+`retry-without-bound`, `hold-without-table`.
+"""
+
+import concurrent.futures
+import time
+from collections.abc import Callable
+from typing import Final
+
+from quincecrank import retry_budget
+from standins import launcher, local_fleet
+from tests import builders_fleet, fleet_case
+from tests import history_checkers as checkers
+
+REPLICAS: Final = 3
+BURST: Final = 48
+ROUNDS: Final = 4
+WARM_UP_CALLS: Final = 12
+DEADLINE_MS: Final = 3_000
+LOAD: Final = 24
+LOAD_ROUNDS: Final = 3
+
+
+class BoundsTest(fleet_case.FleetTest):
+    spec = builders_fleet.fleet_spec(
+        engines=REPLICAS,
+        services=2,
+        flags={"max_batch": 2, "max_waiting": 1, "decode_ms": 20},
+    )
+
+    def test_retries_under_overload(self) -> None:
+        """Retries stay within a tenth of first tries and the budget's floor."""
+        for number, process in enumerate(self.fleet.entries):
+            # A new entry has no retries saved up from earlier requests.
+            process.kill()
+            self.fleet.start_entry(number)
+        started = time.monotonic()
+        self.wait_ready()
+        for number in range(ROUNDS):
+            self.burst(f"overload {number}")
+        elapsed_s = time.monotonic() - started
+        retries = self.count("quince_retries_total")
+        answers = self.count("quince_answers_total")
+        floor = 1 + elapsed_s * retry_budget.FLOOR_PER_SECOND
+        allowed = retry_budget.RETRY_SHARE * answers + floor * len(self.fleet.entries)
+        self.assertGreaterEqual(answers, ROUNDS * BURST)
+        self.assertLessEqual(retries, allowed)
+        self.check_prompts()
+
+    def test_a_dead_engine_costs_its_share(self) -> None:
+        """Of the prompts after the death, at most the engine's share is lost."""
+        engine = self.fleet.replicas_by_name[f"{builders_fleet.MODEL}-1"].backend
+        self.check_share(engine.kill)
+
+    def test_a_silent_agent_costs_its_share(self) -> None:
+        """Of the prompts after an agent froze, at most its share is lost."""
+        self.check_share(self.model_agent().freeze)
+
+    def test_a_dead_agent_costs_its_share(self) -> None:
+        """Of the prompts after the death, at most the agent's share is lost."""
+        self.check_share(self.model_agent().kill)
+
+    def test_the_table_is_out(self) -> None:
+        """Prompts go on; calls with a key are refused as not run, in time."""
+        for fault in ({"down": "refused"}, {"down": "silent"}, {"slow_ms": 30_000}):
+            with self.subTest(fault):
+                local_fleet.set_faults(self.fleet.table, **fault)
+                try:
+                    self.check_without_table(str(fault))
+                finally:
+                    self.heal()
+                self.check_recovered(str(fault))
+
+    def check_without_table(self, name: str) -> None:
+        # The first calls find out that the table is out.
+        for each in self.calls(f"{name} early", WARM_UP_CALLS):
+            self.assertIn(each.ran, ("not-run", "unknown"), each)
+        for each in self.calls(name, WARM_UP_CALLS):
+            seen = (each.kind, each.ran, each.retry_after_ms > 0)
+            self.assertEqual(seen, ("platform-table-out", "not-run", True))
+        prompts = [
+            self.callers.ask(builders_fleet.prompt(f"{name} {number}"), entry=number)
+            for number in range(2)
+        ]
+        self.assertEqual([each.status for each in prompts], [200, 200])
+        self.check_calls()
+        self.check_prompts()
+
+    def check_recovered(self, name: str) -> None:
+        result = self.callers.call_until_final(f"{name} recovered")
+        self.assertTrue(result.succeeded, result)
+        self.check_calls()
+
+    def calls(self, name: str, count: int) -> list[checkers.CallResult]:
+        return [
+            self.callers.call(
+                f"{name} {number}", entry=number % 2, deadline_ms=DEADLINE_MS
+            )
+            for number in range(count)
+        ]
+
+    def model_agent(self) -> launcher.Process:
+        agent = self.fleet.replicas_by_name[f"{builders_fleet.MODEL}-1"].agent
+        assert agent is not None
+        return agent
+
+    def check_share(self, fault: Callable[[], None]) -> None:
+        """Do the fault and count what is lost of the prompts sent after it."""
+        fault()
+        results = []
+        for number in range(LOAD_ROUNDS):
+            results += self.load(f"{self.id()} {number}")
+        lost = [result.kind for result in results if not is_answered(result)]
+        self.assertLessEqual(len(lost), len(results) // REPLICAS, lost)
+        self.check_prompts()
+
+    def load(self, name: str) -> list[checkers.PromptResult]:
+        """Send prompts that two backend servers can take."""
+        sent: list[concurrent.futures.Future[checkers.PromptResult]] = []
+        for number in range(LOAD):
+            text = builders_fleet.prompt(f"{name} {number}")
+            sent.append(
+                self.callers.start(
+                    self.callers.ask, text, entry=number % 2, max_tokens=4
+                )
+            )
+            time.sleep(0.05)
+        return [each.result() for each in sent]
+
+    def burst(self, name: str) -> None:
+        sent = [
+            self.callers.start(
+                self.callers.ask,
+                builders_fleet.prompt(f"{name} {number}", 1),
+                entry=number % 2,
+                max_tokens=8,
+            )
+            for number in range(BURST)
+        ]
+        for each in sent:
+            each.result()
+
+    def count(self, name: str) -> float:
+        return sum(
+            self.callers.metric(name, entry) for entry in range(len(self.fleet.entries))
+        )
+
+
+def is_answered(result: checkers.PromptResult) -> bool:
+    """Tell whether a caller got the whole answer."""
+    return result.whole and result.status == 200
--- /dev/null
+++ b/tests/run_mutations.py
@@ -0,0 +1,75 @@
+"""Shows that the tests with processes can fail: each mutation must fail its test.
+
+Prints one line for each and exits with 1 if a mutation goes unnoticed.
+"""
+
+import concurrent.futures
+import os
+import subprocess
+import sys
+from typing import Final
+
+AT_ONCE: Final = 2
+TIMEOUT_S: Final = 180
+
+_ONCE: Final = "tests.process_at_most_once.AtMostOnceTest"
+_PROMPTS: Final = "tests.process_prompts.PromptsTest"
+_LEAVING: Final = "tests.process_leaving.LeavingTest"
+_CONFIGURATION: Final = "tests.process_configuration.ConfigurationTest"
+_BLOCKS: Final = "tests.process_blocks.BlocksTest"
+_LINKS: Final = "tests.process_links.LinksTest"
+_BOUNDS: Final = "tests.process_bounds.BoundsTest"
+
+TESTS: Final = (
+    ("claim-what-is-taken", f"{_ONCE}.test_answers_of_the_service_are_lost"),
+    ("admit-started", f"{_ONCE}.test_an_agent_is_killed"),
+    ("say-not-run", f"{_ONCE}.test_an_agent_is_killed"),
+    ("reuse-stream-numbers", f"{_PROMPTS}.test_many_prompts_at_once"),
+    ("share-one-salt", f"{_PROMPTS}.test_equal_prompts_of_two_accounts_share_nothing"),
+    ("answer-from-the-start", f"{_PROMPTS}.test_an_engine_is_killed"),
+    ("forget-crashes", f"{_PROMPTS}.test_a_prompt_that_crashes_its_engine"),
+    ("keep-crashes-apart", f"{_PROMPTS}.test_a_prompt_that_crashes_its_engine"),
+    ("stop-at-once", f"{_LEAVING}.test_agents_shut_down_under_load"),
+    ("stop-at-once", f"{_LEAVING}.test_an_entry_shuts_down_under_load"),
+    ("ignore-leaving", f"{_LEAVING}.test_leaving_vms_get_no_work"),
+    ("ignore-leaving", f"{_LEAVING}.test_drained_vms_get_no_work"),
+    ("never-learn", f"{_CONFIGURATION}.test_operators_race"),
+    ("forget-configuration", f"{_CONFIGURATION}.test_operators_race"),
+    ("open-any-block", f"{_BLOCKS}.test_torn_writes"),
+    ("trust-silence", f"{_LINKS}.test_links_to_an_agent_go_silent"),
+    ("retry-without-bound", f"{_BOUNDS}.test_retries_under_overload"),
+    ("hold-without-table", f"{_BOUNDS}.test_the_table_is_out"),
+)
+
+
+def run_one(mutation: str, test: str) -> tuple[bool, str]:
+    """Run a test with a mutation; return whether it failed, and its output."""
+    environment = {**os.environ, "QUINCE_MUTATION": mutation}
+    command = [sys.executable, "-m", "unittest", test]
+    try:
+        done = subprocess.run(
+            command, env=environment, capture_output=True, text=True, timeout=TIMEOUT_S
+        )
+    except subprocess.TimeoutExpired:
+        return False, "no end in time"
+    return "\nFAIL: " in f"\n{done.stderr}", done.stderr
+
+
+def main() -> int:
+    """Run every mutation that the arguments name, or all."""
+    chosen = [pair for pair in TESTS if not sys.argv[1:] or pair[0] in sys.argv[1:]]
+    unnoticed = 0
+    with concurrent.futures.ThreadPoolExecutor(AT_ONCE) as pool:
+        results = pool.map(run_one, *zip(*chosen, strict=True))
+        for (mutation, test), (failed, output) in zip(chosen, results, strict=True):
+            print(f"{mutation:<24} {test}: {'noticed' if failed else 'UNNOTICED'}")
+            if not failed:
+                unnoticed += 1
+                print(output[-1000:])
+            sys.stdout.flush()
+    print(f"{len(chosen) - unnoticed} mutations noticed, {unnoticed} not")
+    return 1 if unnoticed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
