--- a/tests/process_at_most_once.py
+++ b/tests/process_at_most_once.py
@@ -69,6 +69,16 @@
         local_fleet.set_faults(self.fleet.table, slow_ms=SLOW_MS)
         self.disturbed(lambda: self.freeze(self.agent()))
 
+    def test_an_agent_is_killed_during_slow_claims(self) -> None:
+        """An agent is killed while its claims are on their way."""
+        local_fleet.set_faults(self.fleet.table, slow_ms=SLOW_MS)
+        self.disturbed(self.agent().kill)
+
+    def test_processes_restart_while_the_table_is_silent(self) -> None:
+        """An agent and an entry are killed and start again without the table."""
+        self.service_faults(slow_ms=SLOW_MS)
+        self.disturbed(self.restart_without_table)
+
     def test_answers_of_the_table_are_lost(self) -> None:
         """Writes of the table take effect or not, and nobody is told."""
         local_fleet.set_faults(self.fleet.table, lose_answers=0.4, lose_requests=0.2)
@@ -84,6 +94,17 @@
         time.sleep(builders_fleet.FREEZE_S)
         local_fleet.set_faults(self.fleet.table, down="no")
 
+    def restart_without_table(self) -> None:
+        local_fleet.set_faults(self.fleet.table, down="silent")
+        replica = self.replica()
+        assert replica.agent is not None
+        replica.agent.kill()
+        self.fleet.entries[1].kill()
+        self.fleet.start_agent(replica.name)
+        self.fleet.start_entry(1)
+        time.sleep(builders_fleet.FREEZE_S)
+        local_fleet.set_faults(self.fleet.table, down="no")
+
     def disturbed(self, disturb: Callable[[], None], body: str = "bulletin") -> None:
         """Send calls again and again until each is settled, with a fault in between."""
         prefix = self.id().rpartition(".")[2]
--- a/tests/process_prompts.py
+++ b/tests/process_prompts.py
@@ -104,6 +104,21 @@
         self.callers.ask(fatal, entry=0)
         self.assertLessEqual(self.engines_down(), CRASHES_ALLOWED)
 
+    def test_an_engine_is_killed_in_each_phase(self) -> None:
+        """An engine is killed while prompts wait, are computed, and stream."""
+        for phase, seconds in (("waiting", 0.02), ("prefill", 0.1), ("stream", 0.5)):
+            with self.subTest(phase):
+                self.wait_ready()
+                sent: _Sent = []
+                for number in range(PROMPTS):
+                    text = builders_fleet.prompt(f"{phase} {number}", 4)
+                    sent.append(self.send(text, number, builders_fleet.ROOM))
+                time.sleep(seconds)
+                self.replica().backend.kill()
+                self.settle(sent)
+                self.check_prompts()
+                self.heal()
+
     def engines_down(self) -> int:
         return sum(
             not replica.backend.running
