--- a/tests/run_mutations.py
+++ b/tests/run_mutations.py
@@ -31,6 +31,10 @@
     ("keep-crashes-apart", f"{_PROMPTS}.test_a_prompt_that_crashes_its_engine"),
     ("stop-at-once", f"{_LEAVING}.test_agents_shut_down_under_load"),
     ("stop-at-once", f"{_LEAVING}.test_an_entry_shuts_down_under_load"),
+    (
+        "stop-at-once",
+        f"{_LEAVING}.test_an_entry_shuts_down_while_a_caller_reads_slowly",
+    ),
     ("ignore-leaving", f"{_LEAVING}.test_leaving_vms_get_no_work"),
     ("ignore-leaving", f"{_LEAVING}.test_drained_vms_get_no_work"),
     ("never-learn", f"{_CONFIGURATION}.test_operators_race"),
