Expected holders, room in the engine's cache, order of writes, queue replay

Trials with the product's processes showed plans whose blocks were gone or in use elsewhere by the time the request ran.

- placement: blocks are written from the end of the prompt.
An export counts as a use, so that writing from the front left the head of the prefix the least recently used part; engines then held tails without heads.
- expected_holders: an entry counts on its own requests under way until the directory can have learned of their blocks, so that requests for one context that come together meet at one replica.
- cache_room: requests wait until their blocks fit into the engine's cache beside those of the requests before them; the estimate counts that wait.
- routing_estimates: own requests queue behind the reported queue, which drains from the time of the report on.
Before, a request sent within the lag counted in full however long it had run, which sent bursts on a new context to several replicas.

--- a/bench/load.py
+++ b/bench/load.py
@@ -57,6 +57,8 @@
         Kind of a refusal or failure.
     sent_late_ms : float
         Delay of the sender itself.
+    request_id : str
+        Id under which the product's logs show the request.
     """
 
     number: int
@@ -71,6 +73,7 @@
     problem: str = ""
     retry_after_ms: int = 0
     sent_late_ms: float = 0.0
+    request_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -104,6 +107,7 @@
         self.prompt_tokens = 0
         self.cached_tokens = 0
         self.done = False
+        self.request_id = ""
         self.body = b""
 
     def receive(self, chunk: bytes) -> None:
@@ -120,6 +124,7 @@
             self.done = True
             return
         event = json.loads(data)
+        self.request_id = event["id"]
         usage = event.get("usage")
         if usage:
             self.prompt_tokens = usage["prompt_tokens"]
@@ -246,6 +251,7 @@
             total_ms=self._clock.now_ms() - at_ms,
             prompt_tokens=answer.prompt_tokens,
             cached_tokens=answer.cached_tokens,
+            request_id=answer.request_id,
         )
 
 
--- a/quincecrank/placement.py
+++ b/quincecrank/placement.py
@@ -84,7 +84,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeepPlan:
-    """Blocks to write after a run, and why."""
+    """Blocks to write after a run, and why.
+
+    The last block of the prompt comes first: engines evict the end of a prefix
+    first, and an export counts as a use, which must leave the head of the prefix
+    the most recently used part.
+    """
 
     copies: tuple[chain_view.StoredBlock, ...]
     reason: str
@@ -165,7 +170,7 @@
             ).object_name(),
             tier.tier,
         )
-        for index in wanted
+        for index in reversed(wanted)
     )
     return KeepPlan(copies, reason)
 
--- a/quincecrank/routing.py
+++ b/quincecrank/routing.py
@@ -39,6 +39,10 @@
         Observed over estimated time to first token, averaged.
     distance_ms : float
         Round trip between the entry and the backend server.
+    cache_blocks : int
+        Blocks that the engine's memory holds, 0 if unknown.
+    blocks_by_root : mapping of BlockKey to int
+        Blocks that requests under way need, by the root that they share.
     """
 
     server: ids.BackendServerName
@@ -50,6 +54,20 @@
     slot_ms: float = 0.0
     correction: float = 1.0
     distance_ms: float = 0.0
+    cache_blocks: int = 0
+    blocks_by_root: Mapping[ids.BlockKey, int] = dataclasses.field(default_factory=dict)
+
+    def room_wait_ms(self, root: ids.BlockKey | None, blocks: int) -> float:
+        """Return the estimated time until the engine has room for `blocks`."""
+        if not self.cache_blocks:
+            return 0.0
+        in_use = sum(
+            count for other, count in self.blocks_by_root.items() if other != root
+        )
+        excess = in_use + blocks - self.cache_blocks
+        if excess <= 0 or not in_use:
+            return 0.0
+        return self.slot_ms * min(1.0, excess / in_use)
 
     def wait_ms(self) -> float:
         """Return the estimated time until a new request is computed."""
--- a/quincecrank/routing_estimates.py
+++ b/quincecrank/routing_estimates.py
@@ -30,6 +30,7 @@
     queued_tokens: int
     max_concurrent: int
     prefill_tokens_per_second: float
+    cache_blocks: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +40,8 @@
     sent_ms: int
     tokens: int
     estimated_ms: float
+    root: ids.BlockKey | None
+    blocks: int
     first_token_seen: bool = False
 
 
@@ -59,10 +62,26 @@
         self._report = load
         self._reported_ms = now_ms
 
-    def sent(self, request: ids.RequestId, plan: routing.Plan, now_ms: int) -> None:
-        """Count a request that has just been sent to the replica."""
+    def sent(
+        self,
+        request: ids.RequestId,
+        plan: routing.Plan,
+        now_ms: int,
+        keys: tuple[ids.BlockKey, ...] = (),
+    ) -> None:
+        """Count a request that has just been sent to the replica.
+
+        Parameters
+        ----------
+        keys : tuple of BlockKey
+            Blocks that the request needs in the engine's memory.
+        """
         self._own_by_request[request] = _OwnRequest(
-            now_ms, plan.recompute_tokens, plan.estimated_first_token_ms
+            now_ms,
+            plan.recompute_tokens,
+            plan.estimated_first_token_ms,
+            keys[0] if keys else None,
+            len(keys),
         )
 
     def first_token(self, request: ids.RequestId, now_ms: int) -> None:
@@ -103,8 +122,18 @@
             self._slot_ms,
             self._correction,
             self._distance_ms,
+            load.cache_blocks,
+            self._blocks_by_root(),
         )
 
+    def _blocks_by_root(self) -> dict[ids.BlockKey, int]:
+        """Return the blocks that own requests need, by the root they share."""
+        blocks: dict[ids.BlockKey, int] = {}
+        for own in self._own_by_request.values():
+            if own.root is not None:
+                blocks[own.root] = max(blocks.get(own.root, 0), own.blocks)
+        return blocks
+
     def _occupancy(self, load: LoadReport) -> tuple[int, int]:
         newer = len(self._newer_than_report())
         total = max(load.running + load.waiting + newer, len(self._own_by_request))
@@ -118,15 +147,23 @@
         ]
 
     def _queued_tokens(self, load: LoadReport, now_ms: int) -> float:
+        """Return the prompt tokens ahead of a new request.
+
+        The reported queue drains from the time of the report on, joined by the
+        requests that the report cannot contain.  Own requests are never taken for
+        done before the time that they need alone.
+        """
         rate = load.prefill_tokens_per_second / clock.MS_PER_SECOND
-        drained = rate * (now_ms - self._reported_ms)
-        reported = max(0.0, load.queued_tokens - drained)
-        newer = sum(
-            own.tokens for own in self._newer_than_report() if not own.first_token_seen
-        )
-        own = sum(
+        queue = float(load.queued_tokens)
+        at_ms = self._reported_ms - REPORT_LAG_MS
+        pending = [own for own in self._newer_than_report() if not own.first_token_seen]
+        for own in sorted(pending, key=lambda own: own.sent_ms):
+            queue = max(0.0, queue - rate * (own.sent_ms - at_ms)) + own.tokens
+            at_ms = own.sent_ms
+        queue = max(0.0, queue - rate * (now_ms - at_ms))
+        alone = sum(
             max(0.0, own.tokens - rate * (now_ms - own.sent_ms))
             for own in self._own_by_request.values()
             if not own.first_token_seen
         )
-        return max(reported + newer, own)
+        return max(queue, alone)
--- /dev/null
+++ b/tests/test_expected_holders.py
@@ -0,0 +1,108 @@
+"""Tests of expected holders and of the room in an engine's cache."""
+
+import asyncio
+import unittest
+
+from quincecrank import cache_room, chain_view, expected_holders, ids
+from tests import builders_decisions as builders
+
+EMPTY = chain_view.empty(5)
+
+
+class ExpectedHoldersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.expected = expected_holders.ExpectedHolders()
+        self.text = builders.prompt(5)
+        self.keys = builders.chain_keys(self.text)
+
+    def held(self, keys: tuple[ids.BlockKey, ...], now_ms: int) -> int:
+        chain = self.expected.merged(EMPTY, keys, now_ms)
+        return chain.held_prefix(builders.ADA)
+
+    def test_a_request_under_way_draws_others_of_its_context(self) -> None:
+        other = builders.chain_keys(self.text[: 3 * 4096] + b"z" * 8192)
+        self.expected.sent(builders.ADA, self.keys, 0)
+        self.assertEqual(self.held(self.keys, 1), 5)
+        self.assertEqual(self.held(other, 1), 3)
+        self.assertEqual(self.held(builders.chain_keys(b"q" * 8192), 1), 0)
+
+    def test_after_the_first_token_the_directory_decides(self) -> None:
+        self.expected.sent(builders.ADA, self.keys, 0)
+        self.expected.first_token(builders.ADA, self.keys, 900)
+        until_ms = 900 + expected_holders.NEWS_LAG_MS
+        self.assertEqual(self.held(self.keys, until_ms - 1), 5)
+        self.assertEqual(self.held(self.keys, until_ms), 0)
+
+    def test_nothing_is_expected_of_a_failed_or_forgotten_request(self) -> None:
+        self.expected.sent(builders.ADA, self.keys, 0)
+        self.expected.failed(builders.ADA, self.keys)
+        self.assertEqual(self.held(self.keys, 1), 0)
+        self.expected.sent(builders.ADA, self.keys, 0)
+        self.assertEqual(self.held(self.keys, expected_holders.EXPECTATION_MS), 0)
+
+    def test_what_the_directory_knows_is_kept(self) -> None:
+        known = chain_view.ChainView(5, {builders.BELA: frozenset({0, 1})})
+        self.expected.sent(builders.ADA, self.keys, 0)
+        chain = self.expected.merged(known, self.keys, 1)
+        self.assertEqual(chain.held_prefix(builders.BELA), 2)
+        self.assertEqual(chain.held_prefix(builders.ADA), 5)
+
+
+def block(number: int) -> ids.BlockKey:
+    return ids.BlockKey(str(number))
+
+
+class CacheRoomTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.room = cache_room.CacheRoom()
+        self.room.capacity = 10
+        self.running: list[str] = []
+        self.ends: dict[str, asyncio.Event] = {}
+
+    async def start(self, name: str, *numbers: int) -> "asyncio.Task[None]":
+        self.ends[name] = asyncio.Event()
+
+        async def use() -> None:
+            async with self.room.reserved(tuple(map(block, numbers))):
+                self.running.append(name)
+                await self.ends[name].wait()
+                self.running.remove(name)
+
+        task = asyncio.ensure_future(use())
+        await asyncio.sleep(0)
+        return task
+
+    async def end(self, name: str) -> None:
+        self.ends[name].set()
+        for _ in range(4):
+            await asyncio.sleep(0)
+
+    async def test_requests_wait_in_order_until_their_blocks_fit(self) -> None:
+        await self.start("a", *range(6))
+        await self.start("b", *range(10, 16))
+        await self.start("c", 20)
+        self.assertEqual(self.running, ["a"])
+        await self.end("a")
+        self.assertEqual(self.running, ["b", "c"])
+        self.assertEqual(self.room.blocks_in_use, 7)
+
+    async def test_shared_blocks_need_room_once(self) -> None:
+        await self.start("a", *range(8))
+        await self.start("b", *range(8), 20)
+        self.assertEqual(self.running, ["a", "b"])
+
+    async def test_a_prompt_larger_than_the_cache_runs_alone(self) -> None:
+        await self.start("a", *range(20))
+        await self.start("b", 30)
+        self.assertEqual(self.running, ["a"])
+        await self.end("a")
+        self.assertEqual(self.running, ["b"])
+
+    async def test_a_cancelled_waiter_lets_the_next_one_in(self) -> None:
+        await self.start("a", *range(6))
+        waiting = await self.start("b", *range(10, 20))
+        await self.start("c", 20)
+        waiting.cancel()
+        for _ in range(4):
+            await asyncio.sleep(0)
+        self.assertEqual(self.running, ["a", "c"])
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -51,7 +51,9 @@
         parsed = sealed_block.BlockName.parse(copy.object_name)
         assert parsed is not None
         assert parsed.key == request.keys[copy.index]
-    return [copy.index for copy in plan.copies]
+    indexes = [copy.index for copy in plan.copies]
+    assert indexes == sorted(indexes, reverse=True)
+    return indexes[::-1]
 
 
 class KeepPlanTest(unittest.TestCase):
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -1,5 +1,6 @@
 """Tests of the routing policies."""
 
+import dataclasses
 import unittest
 
 from quincecrank import chain_view, ids, policies, routing
@@ -89,6 +90,17 @@
         from_first = [c for c in plan.restore if c.store == builders.STORE]
         self.assertEqual((len(plan.restore), len(from_first)), (10, 5))
 
+    def test_an_engine_without_room_for_the_blocks_is_waited_for_or_avoided(
+        self,
+    ) -> None:
+        crowded = dataclasses.replace(
+            builders.replica(),
+            cache_blocks=48,
+            blocks_by_root={ids.BlockKey("other"): 45},
+        )
+        plan = choose(policies.DEFAULT_POLICY, view(held=2, copies=10), crowded)
+        self.assertEqual((plan.server, len(plan.restore)), (builders.BELA, 10))
+
     def test_unknown_links_and_no_candidates_are_no_plan_to_restore(self) -> None:
         plan = choose(policies.DEFAULT_POLICY, view(copies=10), links=())
         self.assertEqual(plan.restore, ())
