--- a/quincecrank/agent_service.py
+++ b/quincecrank/agent_service.py
@@ -94,7 +94,11 @@
             self._tasks.start(self._fetch(link, version))
 
     def packet_received(self, link: peer_link.PeerLink, packet: Any) -> None:
-        """Open or cancel a stream."""
+        """Open or cancel a stream of an entry."""
+        if link.peer.role is not wire.PeerRole.ENTRY:
+            raise wire.WireError(
+                f"a peer of role {link.peer.role.value} has no streams"
+            )
         match packet.which():
             case "open":
                 order = stream_messages.decode_order(packet.open)
@@ -135,7 +139,7 @@
         deployment = known.deployments_by_name.get(self._deployment)
         if deployment is not None:
             self._queue.set_limit(deployment.max_concurrent)
-            self._backend.ordered_version(deployment.weight_version)
+            self._backend.ordered(deployment.weight_version, deployment.adapters)
         reason = ""
         if self._stopping:
             reason = "the agent is shutting down"
--- a/quincecrank/directory_lookup.py
+++ b/quincecrank/directory_lookup.py
@@ -7,7 +7,6 @@
     chain_view,
     crash_counts,
     directory,
-    directory_client,
     ids,
     logs,
     membership,
@@ -78,6 +77,12 @@
         self.crashes.merge((record,))
         await self._share(context, keys, (record,))
 
+    async def learn_crashes(
+        self, context: request_context.RequestContext, keys: tuple[ids.BlockKey, ...]
+    ) -> None:
+        """Take what other entries have reported of a request since its lookup."""
+        await self.lookup(context, keys, may_keep=False)
+
     async def report_cleared(
         self, context: request_context.RequestContext, keys: tuple[ids.BlockKey, ...]
     ) -> None:
@@ -108,10 +113,7 @@
     def _responsible(
         self, context: request_context.RequestContext, keys: tuple[ids.BlockKey, ...]
     ) -> tuple[peer_link.PeerLink, ...]:
-        name = context.deployment.name
-        agents = directory_client.directory_agents(
-            name, self._members.directory_agents(name)
-        )
+        agents = self._members.directory_agents(context.deployment.name)
         root = keys[0] if keys else ids.BlockKey(context.fingerprint)
         chosen = directory.responsible_agents(root, agents)
         states = (self._links.states_by_vm.get(vm) for vm in chosen)
--- a/quincecrank/entry.py
+++ b/quincecrank/entry.py
@@ -7,13 +7,10 @@
 
 import asyncio
 import contextlib
-import socket
-import ssl
 from collections.abc import Iterable
 from typing import Final
 
 import fire
-from tornado import httpserver, web
 
 from quincecrank import (
     access,
@@ -28,7 +25,9 @@
     directory_lookup,
     entry_view,
     http_base,
+    http_server,
     ids,
+    link_choice,
     logs,
     membership,
     metrics,
@@ -40,7 +39,6 @@
     platform_table,
     policies,
     process,
-    rendezvous,
     retry_budgets,
     router,
     services_api,
@@ -53,12 +51,10 @@
 )
 from quincecrank import clock as clocks
 
-MAX_LINKS_PER_DEPLOYMENT: Final = 128
-"""Agents of one deployment that an entry keeps links to."""
-
 CONFIGURATION_BUCKET: Final = "configuration"
 STORE_TIMEOUT_MS: Final = 5_000
 STOP_POLL_MS: Final = 50
+TELL_INTERVAL_MS: Final = 50
 
 _LOG: Final = logs.logger("entry")
 
@@ -98,6 +94,12 @@
             STORE_TIMEOUT_MS,
             self._clock,
         )
+        self._choice = link_choice.LinkChoice(
+            known.vm_name,
+            self._members,
+            known.limits.links_per_deployment,
+            self._clock,
+        )
         self._links = agent_links.AgentLinks(
             self._current, self._configuration_changed, self._clock
         )
@@ -120,6 +122,7 @@
             known.limits.max_body_bytes,
             known.limits.max_open_requests,
         )
+        self._told_version = ids.ConfigurationVersion(0)
         self._build_pipeline()
 
     def _build_pipeline(self) -> None:
@@ -143,6 +146,7 @@
             lookup,
             budgets,
             settings.read_secret(known.account_secret_file),
+            self._reach,
             self._figures,
             self._clock,
         )
@@ -168,12 +172,17 @@
         for action, interval_ms in (
             (self._refresh_members, membership.POLL_INTERVAL_MS),
             (self._follow_table, configuration_follower.POLL_INTERVAL_MS),
+            (self._tell_version, TELL_INTERVAL_MS),
             (self._gate.turn, admission_gate.TURN_INTERVAL_MS),
         ):
             work = peer_link.repeat(action, interval_ms, self._clock)
             self._background.start(work)
-        self._caller_server = _serve(self._caller_rules(), known.listen, bound)
-        self._admin_server = _serve(self._admin_rules(), known.admin, admin)
+        self._caller_server = http_server.serve(
+            self._caller_rules(), known.listen.tls, known.limits, bound
+        )
+        self._admin_server = http_server.serve(
+            self._admin_rules(), known.admin.tls, known.limits, admin
+        )
         process.announce_port(admin, "admin")
         process.announce_port(bound)
 
@@ -236,52 +245,30 @@
         self._want_links()
 
     def _want_links(self) -> None:
-        """Keep links to a bounded set of agents for each deployment."""
-        vms_by_deployment: dict[ids.DeploymentName, list[vm_list.Vm]] = {}
-        for vm in self._members.agents():
-            vms_by_deployment.setdefault(vm.deployment, []).append(vm)
-        wanted: list[vm_list.Vm] = []
-        for vms in vms_by_deployment.values():
-            by_name = {vm.name: vm for vm in vms}
-            chosen = rendezvous.ranked(
-                self._settings.vm_name, by_name, MAX_LINKS_PER_DEPLOYMENT
-            )
-            wanted.extend(by_name[name] for name in chosen)
-        self._pool.want(wanted)
+        self._pool.want(self._choice.wanted())
+
+    def _reach(self, servers: Iterable[ids.BackendServerName]) -> bool:
+        """Want links to the agents of `servers`; tell whether any is new."""
+        is_new = self._choice.reach(servers)
+        if is_new:
+            self._want_links()
+        return is_new
 
     async def _follow_table(self) -> None:
         await self._follower.poll()
         self._configuration_changed()
 
+    async def _tell_version(self) -> None:
+        """Notice a version that an operator's command has just put in force."""
+        self._configuration_changed()
+
     def _configuration_changed(self) -> None:
+        """Tell the agents at once of a version that they may not know."""
+        if self._current.version == self._told_version:
+            return
+        self._told_version = self._current.version
         self._figures.configuration_version.set(self._current.version)
-
-
-def _serve(
-    rules: Iterable[status_server.Rule],
-    listener: settings.Listener,
-    bound: socket.socket,
-) -> httpserver.HTTPServer:
-    """Serve HTTP on a bound socket, with TLS when the settings name it."""
-    context = None
-    if listener.tls is not None:
-        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-        context.load_cert_chain(listener.tls.certificate_file, listener.tls.key_file)
-    application = web.Application(list(rules), log_function=_no_log)
-    server = httpserver.HTTPServer(
-        application,
-        ssl_options=context,
-        max_body_size=http_base.MAX_READ_BYTES,
-        max_header_size=http_base.MAX_HEADER_BYTES,
-        idle_connection_timeout=http_base.IDLE_TIMEOUT_S,
-        body_timeout=http_base.BODY_TIMEOUT_S,
-    )
-    server.add_socket(bound)
-    return server
-
-
-def _no_log(handler: web.RequestHandler) -> None:
-    """Keep tornado's access log out; the pipeline logs its own decisions."""
+        self._links.beat()
 
 
 def run(settings_file: str) -> None:
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -16,7 +16,7 @@
 from tornado import httpserver, log, testing
 
 from quincecrank import access, admin_api, ctl, settings
-from tests import builders_commands, builders_settings
+from tests import builders_commands, builders_settings, fakes
 
 SESSION = (
     ("run", "show accounts"),
@@ -64,6 +64,7 @@
         pathlib.Path("entry-broken.yaml").write_text(broken)
         self.enterContext(structlog.testing.capture_logs())
         self.enterContext(mock.patch.object(log.access_log, "disabled", True))
+        self.table = fakes.FakeTable()
         self.endpoint = f"http://127.0.0.1:{self.serve()}"
         variables = {
             ctl.ENDPOINT_VARIABLE: self.endpoint,
@@ -74,7 +75,7 @@
     def serve(self) -> int:
         """Serve the administration API in a thread and return its port."""
         operators = settings.load_entry("entry.yaml").ok.admin.operators
-        services = builders_commands.services(builders_commands.FakeStore())
+        services = builders_commands.services(self.table)
         tokens = access.OperatorTokens(operators)
         listener, port = testing.bind_unused_port()
         loop = asyncio.new_event_loop()
@@ -121,6 +122,13 @@
             options=approvaltests.Options().with_reporter(reporter),
         )
 
+    def test_failures_of_the_table_have_their_own_exit_codes(self) -> None:
+        self.table.fail_next = 1
+        self.assertIn("[exit code 5]", self.run_ctl("run", "drain vm-1"))
+        self.table.lose_next_requests = 1
+        self.table.reads_down = True
+        self.assertIn("[exit code 6]", self.run_ctl("run", "drain vm-1"))
+
     def test_a_lost_answer_is_not_called_not_run(self) -> None:
         with socket.socket() as listener:
             listener.bind(("127.0.0.1", 0))
