Baselines look at the time to first token only; weights of the experiment

Always-restore and always-recompute chose replicas by the deployment's weights, so that they shared the product's thrift. The experiment states its weights; Sajha's price of link bytes goes from 2 to 60 a mebibyte.

--- a/bench/experiment_fleet.py
+++ b/bench/experiment_fleet.py
@@ -27,6 +27,13 @@
 READY_TIMEOUT_S: Final = 30.0
 _READY_POLL_S: Final = 0.1
 
+SAJHA_WEIGHTS: Final = configuration.PolicyWeights(
+    first_token=0.2, recomputed=60.0, link=60.0
+)
+TINTA_CLARA_WEIGHTS: Final = configuration.PolicyWeights(
+    first_token=1.0, recomputed=1.0, link=0.1
+)
+
 _REPLICAS: Final = {trace.Workload.SAJHA: 5, trace.Workload.TINTA_CLARA: 6}
 
 
@@ -57,6 +64,8 @@
     """Return the setting of the experiment for the report."""
     return {
         "replicas": ", ".join(f"{w.value} {n}" for w, n in _REPLICAS.items()),
+        "weights of sajha": _weights_text(SAJHA_WEIGHTS),
+        "weights of tinta-clara": _weights_text(TINTA_CLARA_WEIGHTS),
         "prefill, tokens a second and replica": PREFILL_TOKENS_PER_SECOND,
         "decode, ms a token": DECODE_MS,
         "engine memory, blocks a replica": CACHE_BLOCKS,
@@ -72,6 +81,10 @@
     }
 
 
+def _weights_text(weights: configuration.PolicyWeights) -> str:
+    return ", ".join(f"{name} {value:g}" for name, value in weights)
+
+
 def fleet_spec(workload: trace.Workload, variant: Variant) -> local_fleet.FleetSpec:
     """Return the fleet of one user, with model replicas only."""
     if workload is trace.Workload.SAJHA:
@@ -80,6 +93,12 @@
     else:
         deployment, centres = users.lector(), users.TINTA_CENTRES
         names, stores, prefix = users.FLEETS, users.TINTA_STORES, "quince"
+    weights_by_workload = {
+        trace.Workload.SAJHA: SAJHA_WEIGHTS,
+        trace.Workload.TINTA_CLARA: TINTA_CLARA_WEIGHTS,
+    }
+    weights = weights_by_workload[workload]
+    deployment = deployment.model_copy(update={"weights": weights})
     replicas = _REPLICAS[workload]
     backend = local_fleet.BackendSpec(deployment, replicas, centres, _engine_flags())
     return local_fleet.FleetSpec(
--- a/quincecrank/policies.py
+++ b/quincecrank/policies.py
@@ -5,7 +5,14 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
-from quincecrank import chain_view, ids, prompt_split, rendezvous, routing
+from quincecrank import (
+    chain_view,
+    configuration,
+    ids,
+    prompt_split,
+    rendezvous,
+    routing,
+)
 
 DEFAULT_POLICY: Final = "cost"
 """Name of the product's policy."""
@@ -18,6 +25,8 @@
 _DOUBT_FACTOR: Final = 1.1
 """Factor on the cost of a plan that relies on blocks of a doubtful engine."""
 
+_FIRST_TOKEN_ONLY: Final = configuration.PolicyWeights()
+
 Key = Callable[[routing.ReplicaState], float]
 
 
@@ -91,7 +100,8 @@
     Parameters
     ----------
     restoring : Restoring
-        `CHEAPEST` is the product; the others are baselines.
+        `CHEAPEST` is the product.  The others are baselines, which look at the
+        time to first token only.
     """
 
     name: str = DEFAULT_POLICY
@@ -111,6 +121,8 @@
         now_ms: int,
     ) -> routing.Plan | None:
         """Return the cheapest plan, or None without candidates."""
+        if self.restoring is not routing.Restoring.CHEAPEST:
+            request = dataclasses.replace(request, weights=_FIRST_TOKEN_ONLY)
         finder = prompt_split.SplitFinder(
             chain, links if self.uses_tiers else (), request.block_bytes
         )
