Run suspects of a crash one at a time at each backend server

Cause: entries kept suspects apart only among their own requests. A request that ran beside a crashing one and was repeated through the other entry met it again at the next backend server, counted two crashes, and was refused with it. Change: the order says whether its request is a suspect, and the agent runs one suspect at a time; the others wait there and find the engine gone without having run.

--- a/quincecrank/completion_dispatch.py
+++ b/quincecrank/completion_dispatch.py
@@ -327,6 +327,7 @@
             fingerprint=context.fingerprint,
             idempotent=True,
             work=work,
+            suspect=self._lookup.crash_count(context) > 0,
         )
 
     async def _after_failure(
--- a/quincecrank/plain_dispatch.py
+++ b/quincecrank/plain_dispatch.py
@@ -162,6 +162,7 @@
             fingerprint=context.fingerprint,
             idempotent=run.idempotent,
             work=run.call,
+            suspect=self._lookup.crash_count(context) > 0,
         )
 
     async def _after_failure(
--- a/quincecrank/runner.py
+++ b/quincecrank/runner.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 from typing import Final
 
@@ -48,6 +49,7 @@
         self._clock = clock
         self._runs: dict[tuple[int, int], _Run] = {}
         self._batcher_by_link: dict[int, stream_writer.FrameBatcher] = {}
+        self._suspect = asyncio.Lock()
         self.leaving = ""
         """Why no new work is taken; empty while it is."""
 
@@ -122,6 +124,14 @@
             run.task.cancel()
 
     async def _run(self, run: _Run, writer: stream_writer.StreamWriter) -> None:
+        """Run a stream; a suspect waits until no other suspect runs here."""
+        alone = self._suspect if run.order.suspect else contextlib.nullcontext()
+        async with alone:
+            await self._run_admitted(run, writer)
+
+    async def _run_admitted(
+        self, run: _Run, writer: stream_writer.StreamWriter
+    ) -> None:
         order = run.order
         try:
             await self._queue.acquire(order.priority, order.deadline_ms)
--- a/quincecrank/stream_messages.py
+++ b/quincecrank/stream_messages.py
@@ -72,6 +72,8 @@
         Time left when the order was sent.
     fingerprint : str
         Digest of the request in hex.
+    suspect : bool
+        Whether the request was running when a backend server crashed.
     """
 
     stream: int
@@ -86,6 +88,7 @@
     fingerprint: str
     idempotent: bool
     work: Completion | PlainCall
+    suspect: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -129,6 +132,7 @@
     message.idempotencyKey = order.idempotency_key
     message.fingerprint = bytes.fromhex(order.fingerprint)
     message.idempotent = order.idempotent
+    message.suspect = order.suspect
     if isinstance(order.work, Completion):
         _encode_completion(message.init("completion"), order.work)
     else:
@@ -155,6 +159,7 @@
         fingerprint=bytes(message.fingerprint).hex(),
         idempotent=message.idempotent,
         work=work,
+        suspect=message.suspect,
     )
 
 
--- a/quincecrank/wire.capnp
+++ b/quincecrank/wire.capnp
@@ -79,6 +79,7 @@
     completion @11 :Completion;
     plainCall @12 :PlainCall;
   }
+  suspect @13 :Bool;          # ran at a crash before; runs with no other suspect
 }
 
 struct Completion {
