--- a/quincecrank/wire.capnp
+++ b/quincecrank/wire.capnp
@@ -14,6 +14,7 @@
     frames @5 :FrameBatch;
     call @6 :Call;
     reply @7 :Reply;
+    goodbye @8 :Void;           # the sender takes no new orders; the receiver closes
   }
 }
 
@@ -96,6 +97,7 @@
   stream @10 :Bool;
   includeUsage @12 :Bool;
   keep @11 :List(StoredBlock);    # blocks to write after the run
+  sampling @13 :Text;             # JSON of token_sampling.Sampling, empty: default
 }
 
 struct StoredBlock {
--- a/tests/test_edge_callers.py
+++ b/tests/test_edge_callers.py
@@ -6,10 +6,12 @@
 import json
 import subprocess
 import unittest
+from typing import Any
 
 import openai
 
 from quincecrank import ids
+from standins import answers
 from tests import builders_edge as builders
 
 HELLO = [{"role": "user", "content": "नमस्ते, what is the lead?"}]
@@ -50,9 +52,50 @@
         self.assertEqual(said, builders.expected(prompt, 8))
         assert chunks[-1].usage is not None
         self.assertEqual(chunks[-1].usage.completion_tokens, 8)
+        roles = [c.choices[0].delta.role for c in chunks if c.choices]
+        self.assertEqual([role for role in roles if role], ["assistant"])
         finishes = [c.choices[0].finish_reason for c in chunks if c.choices]
         self.assertEqual(finishes[-1], "length")
 
+    def test_sampling_reaches_the_engine(self) -> None:
+        client = builders.client()
+        greedy = builders.expected("draw", 8)
+        middle = greedy[10:13]
+        sampled = answers.Sampling(0.7, 0.9, 5)
+        cases: tuple[tuple[dict[str, Any], str, str], ...] = (
+            ({"temperature": 0, "top_p": 1, "seed": 5}, greedy, "length"),
+            ({"stop": middle}, greedy[: greedy.find(middle)], "stop"),
+            ({"stop": ["!", greedy[:4]]}, "", "stop"),
+            (
+                {"temperature": 0.7, "top_p": 0.9, "seed": 5},
+                builders.expected("draw", 8, sampling=sampled),
+                "length",
+            ),
+        )
+        for fields, text, reason in cases:
+            for streamed in (False, True):
+                with self.subTest(fields, streamed=streamed):
+                    said = client.completions.create(
+                        model=builders.MODEL,
+                        prompt="draw",
+                        max_tokens=8,
+                        stream=streamed,
+                        **fields,
+                    )
+                    parts: list[Any] = list(said) if streamed else [said]
+                    texts = [part.choices[0].text for part in parts]
+                    self.assertEqual("".join(texts), text)
+                    self.assertEqual(parts[-1].choices[0].finish_reason, reason)
+        drawn = {
+            client.completions.create(
+                model=builders.MODEL, prompt="draw", max_tokens=8, temperature=1
+            )
+            .choices[0]
+            .text
+            for _ in range(3)
+        }
+        self.assertGreater(len(drawn), 1, "each request draws a seed of its own")
+
     def test_models_are_those_of_the_account(self) -> None:
         listed = [m.id for m in builders.client().models.list()]
         self.assertEqual(listed, [builders.MODEL])
@@ -180,14 +223,17 @@
                         self.assertEqual(answer.status, 400)
                         self.assertIn(f"header: {name}", answer.json()["detail"])
 
+    def is_running(self, requests: int) -> bool:
+        return builders.running_requests("prasaran-1") >= requests
+
     def is_open(self, requests: int) -> bool:
         return builders.open_requests() >= requests
 
     def test_a_higher_priority_goes_first(self) -> None:
         self.addCleanup(builders.set_service_faults, slow_ms=0)
-        builders.set_service_faults(slow_ms=400)
-        with concurrent.futures.ThreadPoolExecutor(3) as pool:
-            for number, priority in enumerate(("0", "1", "9")):
+        builders.set_service_faults(slow_ms=2_500)
+        with concurrent.futures.ThreadPoolExecutor(4) as pool:
+            for number, priority in enumerate(("0", "0", "1", "9")):
                 pool.submit(
                     builders.call,
                     "POST",
@@ -197,8 +243,14 @@
                 )
                 opened = functools.partial(self.is_open, number + 1)
                 builders.wait_until(opened)
-        bodies = [record["body"] for record in builders.ledger()[-3:]]
-        self.assertEqual(bodies, ["priority 0", "priority 9", "priority 1"])
+                if number == 0:
+                    # The first call holds one of two slots; the others share one.
+                    builders.wait_until(functools.partial(self.is_running, 1))
+                    builders.set_service_faults(slow_ms=400)
+        bodies = [record["body"] for record in builders.ledger()[-4:]]
+        self.assertEqual(
+            bodies, ["priority 0", "priority 9", "priority 1", "priority 0"]
+        )
 
 
 class PlainRoutesTest(unittest.TestCase):
@@ -240,12 +292,11 @@
         with concurrent.futures.ThreadPoolExecutor(1) as pool:
             first = pool.submit(self.post, "k-2", b"slow")
             builders.wait_until(lambda: builders.running_requests("prasaran-1") == 1)
-            headers = {"Idempotency-Key": "k-2", "Request-Deadline-Ms": "1000"}
-            path = "/services/prasaran/releases"
-            second = builders.call("POST", path, b"slow", headers)
+            second = self.post("k-2", b"slow")
             self.assertEqual(first.result().status, 201)
-        self.assertIn(second.kind(), ("in-progress", "deadline-exceeded"))
-        self.assertGreater(int(second.headers["Retry-After"]), 0)
+        self.assertEqual((second.status, second.kind()), (409, "in-progress"))
+        self.assertEqual(second.json()["ran"], "unknown")
+        self.assertEqual(second.headers["Retry-After"], "1")
         self.assertEqual(self.records("slow"), 1)
 
     def test_a_call_that_is_not_declared_idempotent_is_sent_once(self) -> None:
--- a/tests/test_edge_limits.py
+++ b/tests/test_edge_limits.py
@@ -1,6 +1,7 @@
 """Slow, silent and greedy callers against one HTTP server in this process."""
 
 import asyncio
+import contextlib
 import socket
 import tracemalloc
 import unittest
@@ -9,17 +10,19 @@
 from structlog import testing
 from tornado import netutil
 
-from quincecrank import clock as clocks
 from quincecrank import (
+    admin_api,
     current_configuration,
     http_base,
     http_server,
     http_sink,
     metrics,
     problems,
+    request_body,
     settings,
     status_server,
 )
+from quincecrank import clock as clocks
 
 MAX_BODY_BYTES: Final = 64 * 1024
 LIMITS: Final = settings.Limits(
@@ -83,6 +86,7 @@
             clock,
             MAX_BODY_BYTES,
             LIMITS.max_open_requests,
+            is_settled=lambda: True,
         )
         self.lines = self.enterContext(testing.capture_logs())
         self.serve(LIMITS)
@@ -92,7 +96,9 @@
         bound = netutil.bind_sockets(0, "127.0.0.1")[0]
         self.port = bound.getsockname()[1]
         rules: list[status_server.Rule] = [
-            (r".*", AnsweringHandler, {"services": self.services})
+            (r"/healthz", status_server.HealthHandler, {}),
+            (r"/admin/nothing", admin_api._NotFoundHandler, {}),
+            (r".*", AnsweringHandler, {"services": self.services}),
         ]
         server = http_server.serve(rules, None, limits, bound)
         self.addCleanup(server.stop)
@@ -129,7 +135,11 @@
 
     async def until_idle(self) -> None:
         async with asyncio.timeout(WAIT_S):
-            while self.services.tasks or self.services.held_body_bytes:
+            while (
+                self.services.tasks
+                or self.services.held_bodies.count
+                or any("_execute" in repr(t.get_coro()) for t in asyncio.all_tasks())
+            ):
                 await asyncio.sleep(0.01)
         self.assertEqual(self.services.requests_by_id, {})
 
@@ -238,7 +248,7 @@
             for at in range(0, len(sent), len(PIECE)):
                 writer.write(sent[at : at + len(PIECE)])
                 await writer.drain()
-                held_bytes = max(held_bytes, self.services.held_body_bytes)
+                held_bytes = max(held_bytes, self.services.held_bodies.count)
             received = await asyncio.wait_for(self.rest(reader), WAIT_S)
             _, peak_bytes = tracemalloc.get_traced_memory()
             self.assertTrue(received.startswith(b"HTTP/1.1 413 "), received[:40])
@@ -246,13 +256,33 @@
             self.assertLess(peak_bytes - start_bytes, size // 2)
             await self.until_idle()
 
+    async def test_paths_that_take_no_body_keep_none(self) -> None:
+        self.serve(LIMITS.model_copy(update={"body_timeout_ms": 10_000}))
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for path, status in ((b"/healthz", b"405"), (b"/admin/nothing", b"404")):
+            with self.subTest(path):
+                head = b"POST " + path + b" HTTP/1.1\r\nHost: x\r\n"
+                reader, writer = await self.open(head)
+                size = 1_024 * len(PIECE)
+                writer.write(b"Connection: close\r\nContent-Length: %d\r\n\r\n" % size)
+                tracemalloc.reset_peak()
+                with contextlib.suppress(ConnectionError):
+                    for _ in range(size // len(PIECE)):
+                        writer.write(PIECE)
+                        await writer.drain()
+                received = await asyncio.wait_for(self.rest(reader), WAIT_S)
+                _, peak_bytes = tracemalloc.get_traced_memory()
+                self.assertIn(received[:13], (b"HTTP/1.1 " + status + b" ", b""))
+                self.assertLess(peak_bytes, size // 4)
+
     async def test_all_bodies_together_are_bounded(self) -> None:
         self.serve(LIMITS.model_copy(update={"body_timeout_ms": 10_000}))
-        self.services.held_body_bytes = http_base.MAX_HELD_BODY_BYTES - 10
+        self.services.held_bodies.count = request_body.MAX_HELD_BYTES - 10
         head = b"POST /size HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
         received = await self.answer(head + b"Content-Length: 11\r\n\r\n" + b"x" * 11)
         self.assertTrue(received.startswith(b"HTTP/1.1 429 "), received[:40])
         received = await self.answer(head + b"Content-Length: 10\r\n\r\n" + b"x" * 10)
         self.assertTrue(received.endswith(b"\r\n\r\n10"), received[-40:])
-        self.services.held_body_bytes -= http_base.MAX_HELD_BODY_BYTES - 10
+        self.services.held_bodies.count -= request_body.MAX_HELD_BYTES - 10
         await self.until_idle()
--- a/tests/test_fuzz_edge.py
+++ b/tests/test_fuzz_edge.py
@@ -10,14 +10,15 @@
 import hypothesis
 from hypothesis import strategies
 
-from quincecrank import http_base, inference_request
+from quincecrank import inference_request, refusals
 from tests import builders_edge as builders
 
 MAX_GROWTH_KB: Final = 64 * 1024
 
 FIELDS: Final = (
     "model prompt messages stream stream_options max_tokens max_completion_tokens "
-    "temperature n user role content type text include_usage name \ud800"
+    "temperature top_p seed stop n user role content type text include_usage name "
+    "\ud800"
 ).split(" ")
 VALUES: Final = ("lekhak", "user", "text", "x", "\ud800", "\x00", "", 0, 1, -1, 1e999)
 
@@ -61,7 +62,7 @@
             if parsed.is_ok():
                 parsed.ok.prompt.decode()
                 continue
-            problem = http_base.bad_request(parsed.error)
+            problem = refusals.bad_request(parsed.error)
             self.assertTrue(problem.found)
             problem.to_json("r-1").encode()
 
@@ -111,8 +112,12 @@
         self.assertTrue(entry.running)
         self.assertEqual(builders.call("GET", "/v1/models").status, 200)
         self.assertLess(resident_kb(entry.pid) - before_kb, MAX_GROWTH_KB)
-        self.assertNotIn("handler failed", entry.log())
-        self.assertNotIn("Traceback", entry.log())
+        failed = [
+            line
+            for line in entry.log().splitlines()
+            if "handler failed" in line or "Traceback" in line
+        ]
+        self.assertEqual(failed, [])
 
     @bounded(200)
     @hypothesis.given(strategies.one_of(strategies.binary(), mutated_requests()))
