--- a/quincecrank/agent_links.py
+++ b/quincecrank/agent_links.py
@@ -14,7 +14,6 @@
     ids,
     logs,
     peer_link,
-    problems,
     routing_estimates,
     rpc,
     stream_messages,
@@ -23,8 +22,6 @@
 )
 from quincecrank import clock as clocks
 
-RETRY_AFTER_LEAVING_MS: Final = 100
-
 _LOG: Final = logs.logger("agent-links")
 
 
@@ -128,9 +125,6 @@
     ) -> attempts.Attempt:
         """Open a stream on an agent."""
         attempt = attempts.Attempt(state.link, order, sink)
-        if state.link.leaving:
-            attempt.refused(_leaving())
-            return attempt
         state.attempts_by_stream[order.stream] = attempt
         state.link.send(stream_messages.encode_order(order))
         if state.link.closed:
@@ -210,11 +204,3 @@
     ) -> None:
         await self._sync.fetch_from(link, version)
         self._configuration_changed()
-
-
-def _leaving() -> problems.Problem:
-    return problems.Problem(
-        problems.ProblemKind.LEAVING,
-        "the agent has said goodbye",
-        retry_after_ms=RETRY_AFTER_LEAVING_MS,
-    )
--- a/quincecrank/peer_link.py
+++ b/quincecrank/peer_link.py
@@ -1,8 +1,6 @@
 """Keeps one authenticated connection alive: heartbeats, silence and calls.
 
-A link has one task that reads packets and one that beats.  An end that leaves says
-goodbye and reads on, so that what was sent to it before is still answered; the other
-end answers goodbye and sends no streams after it.  The peer's silence for
+A link has one task that reads packets and one that beats.  The peer's silence for
 longer than the limit ends the link, whatever the TCP connection says: something
 between the two ends may have lost track of it.  Whoever dialled dials again.
 """
@@ -59,8 +57,6 @@
     ----------
     peer : PeerIdentity
         Who is at the other end, as proved by the handshake.
-    leaving : bool
-        Whether the peer has said goodbye.
     """
 
     def __init__(
@@ -79,8 +75,6 @@
         self._call_numbers = itertools.count(1)
         self._replies_by_call: dict[int, asyncio.Future[bytes]] = {}
         self._answers: set[asyncio.Task[None]] = set()
-        self._goodbye: asyncio.Future[None] | None = None
-        self.leaving = False
 
     @property
     def closed(self) -> bool:
@@ -96,14 +90,9 @@
         self.send(self._owner.make_heartbeat())
 
     async def close_gracefully(self) -> None:
-        """End the link after all that the peer sent before it knew is answered."""
-        if self._goodbye is None and not self.closed:
-            self._goodbye = asyncio.get_running_loop().create_future()
-            self._say_goodbye()
+        """End the link after the peer's host has taken what was sent."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._limits.silence_ms / clocks.MS_PER_SECOND):
-                if self._goodbye is not None:
-                    await asyncio.shield(self._goodbye)
                 await self._connection.flush()
         self._connection.close()
 
@@ -131,7 +120,6 @@
             beats.cancel()
             self._connection.close()
             self._fail_calls()
-            self._goodbye_answered()
             for answer in tuple(self._answers):
                 answer.cancel()
 
@@ -196,28 +184,11 @@
                 self._start_answer(packet.call)
             case "reply":
                 self._take_reply(packet.reply)
-            case "goodbye":
-                self._take_goodbye()
             case "hello" | "proof":
                 raise wire.WireError("handshake packet after the handshake")
             case _:
                 self._owner.packet_received(self, packet)
 
-    def _say_goodbye(self) -> None:
-        packet = wire.new_packet()
-        packet.goodbye = None
-        self.send(packet)
-
-    def _take_goodbye(self) -> None:
-        self.leaving = True
-        if self._goodbye is None:
-            self._say_goodbye()
-        self._goodbye_answered()
-
-    def _goodbye_answered(self) -> None:
-        if self._goodbye is not None and not self._goodbye.done():
-            self._goodbye.set_result(None)
-
     def _start_answer(self, call: Any) -> None:
         pending = self._answer(int(call.call), str(call.method), bytes(call.body))
         task = asyncio.ensure_future(pending)
--- a/quincecrank/wire.capnp
+++ b/quincecrank/wire.capnp
@@ -14,7 +14,6 @@
     frames @5 :FrameBatch;
     call @6 :Call;
     reply @7 :Reply;
-    goodbye @8 :Void;         # no streams or calls follow; answered by the same
   }
 }
 
--- a/tests/test_answer_frames.py
+++ b/tests/test_answer_frames.py
@@ -32,8 +32,6 @@
     closed = False
     peer = builders_wire.AGENT
 
-    leaving = False
-
     def __init__(self) -> None:
         self.sent: list[bytes] = []
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,6 @@
     agent_links,
     current_configuration,
     peer_pool,
-    problems,
     rpc,
     stream_messages,
     wire,
@@ -238,26 +237,6 @@
         outcome = await attempt.outcome()
         self.assertEqual(outcome.reason, "the link to the agent ended")
 
-    async def test_after_a_goodbye_no_stream_is_sent(self) -> None:
-        clock = clocks.SystemClock()
-        current = current_configuration.CurrentConfiguration(clock)
-        links = agent_links.AgentLinks(current, lambda: None, clock)
-        dialler, listener = await builders.connection_pair(self)
-        link = builders.link_of(dialler, links)
-        owner = builders.RecordingOwner()
-        agent_link = builders.link_of(listener, owner)
-        links.linked(link)
-        running = [asyncio.ensure_future(each.run()) for each in (link, agent_link)]
-        await agent_link.close_gracefully()
-        work = stream_messages.PlainCall("GET", "/status", (), b"")
-        state = links.states_by_vm[builders.AGENT.name]
-        attempt = links.open(state, builders.order(work), builders.NullSink())
-        outcome = await attempt.outcome()
-        assert outcome.problem is not None
-        self.assertIs(outcome.problem.ran, problems.Ran.NOT_RUN)
-        await asyncio.gather(*running)
-        self.assertEqual(owner.packets, [])
-
     async def test_calls_that_fail_are_answered_and_the_link_goes_on(self) -> None:
         owner = builders.RecordingOwner()
         sender, receiver = await builders.connection_pair(self)
