--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -7,7 +7,9 @@
 """
 
 import contextvars
+import dataclasses
 import importlib
+import itertools
 import json
 import os
 import time
@@ -23,15 +25,17 @@
     attempt_records,
     attempts,
     block_keys,
+    completion_dispatch,
     crash_counts,
     current_configuration,
     directory_lookup,
     entry,
-    http_base,
     ids,
+    peer_link,
     retry_budgets,
     router,
     sealed_block,
+    table_breaker,
 )
 from standins import engine_scheduler, plain_service
 
@@ -196,6 +200,18 @@
     _replace(current_configuration.CurrentConfiguration, "apply", careless)
 
 
+def forget_configuration() -> None:
+    """Let processes take an older configuration for a newer one now and then."""
+    current: Any = current_configuration.CurrentConfiguration
+    version = current.version.fget
+    calls = itertools.count()
+
+    def careless(self: Any) -> Any:
+        return max(0, version(self) - (next(calls) % 50 == 0))
+
+    _replace(current, "version", property(careless))
+
+
 def open_any_block() -> None:
     """Let agents use a restored block whatever its seal says."""
 
@@ -211,13 +227,38 @@
     _replace(retry_budgets.RetryBudgets, "try_spend", lambda self, context: True)
 
 
-def cut_after_head() -> None:
-    """Let an entry end an answer that broke off as if it were whole."""
+def answer_from_the_start() -> None:
+    """Let an entry ask for an answer from its start when it goes on elsewhere."""
+    order = completion_dispatch.CompletionDispatcher._order
+
+    def careless(self: Any, *arguments: Any) -> Any:
+        made: Any = order(self, *arguments)
+        work = dataclasses.replace(made.work, resume_after=0)
+        return dataclasses.replace(made, work=work)
+
+    _replace(completion_dispatch.CompletionDispatcher, "_order", careless)
+
+
+def trust_silence() -> None:
+    """Let a process wait for a silent peer as long as it takes."""
+    start = peer_link.PeerLink.__init__
+
+    def careless(self: Any, first: Any, owner: Any, limits: Any, clock: Any) -> None:
+        patient = dataclasses.replace(limits, silence_ms=3_600_000)
+        start(self, first, owner, patient, clock)
+
+    _replace(peer_link.PeerLink, "__init__", careless)
+
+
+def hold_without_table() -> None:
+    """Let calls to the table wait however often it gave no answer."""
+    passing = table_breaker.BreakerTable._pass
 
-    def careless(self: Any, problem: Any) -> None:
-        self.finish()
+    async def careless(self: Any, call: Any) -> Any:
+        self._failures = 0
+        return await passing(self, call)
 
-    _replace(http_base.CallerHandler, "fail_started_answer", careless)
+    _replace(table_breaker.BreakerTable, "_pass", careless)
 
 
 MUTATIONS_BY_NAME: Final[dict[str, Callable[[], None]]] = {
@@ -231,9 +272,12 @@
     "stop-at-once": stop_at_once,
     "ignore-leaving": ignore_leaving,
     "never-learn": never_learn,
+    "forget-configuration": forget_configuration,
     "open-any-block": open_any_block,
     "retry-without-bound": retry_without_bound,
-    "cut-after-head": cut_after_head,
+    "answer-from-the-start": answer_from_the_start,
+    "trust-silence": trust_silence,
+    "hold-without-table": hold_without_table,
 }
 
 
