What was never sent to an agent is answered as not run

An order opened on a link that had just ended counted as lost, so that a call without a key was answered 'unknown' though it had not left the entry.

--- a/quincecrank/agent_links.py
+++ b/quincecrank/agent_links.py
@@ -14,6 +14,7 @@
     ids,
     logs,
     peer_link,
+    problems,
     routing_estimates,
     rpc,
     stream_messages,
@@ -22,6 +23,8 @@
 )
 from quincecrank import clock as clocks
 
+RETRY_AFTER_LEAVING_MS: Final = 100
+
 _LOG: Final = logs.logger("agent-links")
 
 
@@ -133,6 +136,10 @@
     ) -> attempts.Attempt:
         """Open a stream on an agent."""
         attempt = attempts.Attempt(state.link, order, sink)
+        had_ended = state.link.closed
+        if had_ended:
+            attempt.refused(_not_sent())
+            return attempt
         state.attempts_by_stream[order.stream] = attempt
         state.link.send(stream_messages.encode_order(order))
         if state.link.closed:
@@ -228,3 +235,11 @@
     ) -> None:
         await self._sync.fetch_from(link, version)
         self._configuration_changed()
+
+
+def _not_sent() -> problems.Problem:
+    return problems.Problem(
+        problems.ProblemKind.LEAVING,
+        "the link to the agent ended before the request was sent",
+        retry_after_ms=RETRY_AFTER_LEAVING_MS,
+    )
--- a/quincecrank/attempt.py
+++ b/quincecrank/attempt.py
@@ -121,6 +121,10 @@
             _LOG.exception("sink failed", request_id=self.order.request_id)
             self.broken("the answer could not be written")
 
+    def refused(self, problem: problems.Problem) -> None:
+        """End the attempt, which was not sent, with a refusal."""
+        self._finish(Outcome(OutcomeKind.REFUSED, problem=problem))
+
     def broken(self, reason: str) -> None:
         """End the attempt without an answer."""
         self._finish(Outcome(OutcomeKind.BROKEN, reason=reason))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,6 +11,7 @@
     agent_links,
     current_configuration,
     peer_pool,
+    problems,
     rpc,
     stream_messages,
     wire,
@@ -237,6 +238,21 @@
         outcome = await attempt.outcome()
         self.assertEqual(outcome.reason, "the link to the agent ended")
 
+    async def test_what_was_never_sent_is_answered_as_not_run(self) -> None:
+        clock = clocks.SystemClock()
+        current = current_configuration.CurrentConfiguration(clock)
+        links = agent_links.AgentLinks(current, lambda: None, clock)
+        dialler, _ = await builders.connection_pair(self)
+        link = builders.link_of(dialler, links)
+        links.linked(link)
+        link.close()
+        work = stream_messages.PlainCall("GET", "/status", (), b"")
+        state = links.states_by_vm[builders.AGENT.name]
+        attempt = links.open(state, builders.order(work), builders.NullSink())
+        outcome = await attempt.outcome()
+        assert outcome.problem is not None
+        self.assertIs(outcome.problem.ran, problems.Ran.NOT_RUN)
+
     async def test_calls_that_fail_are_answered_and_the_link_goes_on(self) -> None:
         owner = builders.RecordingOwner()
         sender, receiver = await builders.connection_pair(self)
