Engine client: answers and other calls have connections of their own

Cause: all requests to an engine shared 256 connections. Ruled out: the engine's own speed, since its answers went on.

The new test fails by a timeout of the load query when the pools are shared.

--- a/bench/path_caller.py
+++ b/bench/path_caller.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 import pycurl
-from tornado import httpclient
+from tornado import curl_httpclient, httpclient
 
 from quincecrank import curl_client
 
@@ -14,6 +14,7 @@
 _TEXT_FIELD: Final = b'"text":'
 _END: Final = b"data: [DONE]"
 _NS_PER_MS: Final = 1_000_000
+_TAIL_BYTES: Final = 600
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,7 +56,7 @@
         # Milliseconds of a Clock would be too coarse for these differences.
         self.times_ns.append(time.perf_counter_ns())
         self.events += chunk.count(_TEXT_FIELD)
-        self.tail = (self.tail + chunk)[-256:]
+        self.tail = (self.tail + chunk)[-_TAIL_BYTES:]
         if len(self.times_ns) == 1 and self._on_first is not None:
             self._on_first()
         return len(chunk)
@@ -103,7 +104,10 @@
             prepare_curl_callback=arrivals.attach,
         )
         started_ns = time.perf_counter_ns()
-        response = await self._client.fetch_whole(request)
+        try:
+            response = await self._client.fetch_whole(request)
+        except curl_httpclient.CurlError as error:
+            raise IncompleteAnswerError(f"{error}: {arrivals.tail!r}") from error
         if response.code != 200 or _END not in arrivals.tail:
             raise IncompleteAnswerError(f"{response.code}: {arrivals.tail!r}")
         times = arrivals.times_ns
--- a/quincecrank/engine_client.py
+++ b/quincecrank/engine_client.py
@@ -18,8 +18,11 @@
 CONNECT_TIMEOUT_MS: Final = 2_000
 CALL_TIMEOUT_MS: Final = 5_000
 ORDER_TIMEOUT_MS: Final = 60_000
-MAX_CLIENTS: Final = 256
-"""Requests to one engine that may be open at once."""
+MAX_STREAMS: Final = 256
+"""Answers of one engine that may be open at once."""
+
+MAX_CALLS: Final = 32
+"""Other calls to one engine that may be open at once."""
 
 VERSION_HEADER: Final = "x-weight-version"
 
@@ -109,8 +112,9 @@
     ----------
     base_url : str
         Where the engine listens, without a slash at the end.
-    max_clients : int
-        Requests that may be open at once; further ones wait in this process.
+    max_streams : int
+        Answers that may be open at once; further ones wait in this process.  Other
+        calls have connections of their own and never wait for an answer's end.
     call_timeout_ms : int
         Time limit of every call but `complete`, `events` and `order`.
     """
@@ -118,18 +122,22 @@
     def __init__(
         self,
         base_url: str,
-        max_clients: int = MAX_CLIENTS,
+        max_streams: int = MAX_STREAMS,
         call_timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> None:
         self._base_url = base_url
         self._call_timeout_ms = call_timeout_ms
-        self._client = curl_client.AbortableCurlClient(
-            force_instance=True, max_clients=max_clients
+        self._streams = curl_client.AbortableCurlClient(
+            force_instance=True, max_clients=max_streams
+        )
+        self._calls = curl_client.AbortableCurlClient(
+            force_instance=True, max_clients=MAX_CALLS
         )
 
     def close(self) -> None:
         """Close every connection."""
-        self._client.close()
+        self._streams.close()
+        self._calls.close()
 
     async def complete(
         self, request: messages.EngineRequest, on_token: OnToken
@@ -147,7 +155,7 @@
             prepare_curl_callback=answer.attach,
         )
         try:
-            response = await self._client.fetch_whole(http_request)
+            response = await self._streams.fetch_whole(http_request)
         except curl_httpclient.CurlError as error:
             if answer.failure is not None:
                 raise answer.failure from error
@@ -243,7 +251,7 @@
             prepare_curl_callback=None if body is None else guard.install,
         )
         try:
-            return await self._client.fetch_whole(request)
+            return await self._calls.fetch_whole(request)
         except curl_httpclient.CurlError as error:
             raise _failed(error, False, guard.sent or body is None) from error
 
--- a/tests/builders_engine.py
+++ b/tests/builders_engine.py
@@ -37,7 +37,7 @@
 
 def make_client(port: int) -> engine_client.HttpEngineClient:
     """Return a client of the engine at a port."""
-    return engine_client.HttpEngineClient(f"http://127.0.0.1:{port}", max_clients=32)
+    return engine_client.HttpEngineClient(f"http://127.0.0.1:{port}", max_streams=32)
 
 
 def prompt(name: str, blocks: int, rest: str = "What airs at six?") -> str:
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -4,7 +4,7 @@
 import dataclasses
 import unittest
 
-from quincecrank import engine_messages, ids
+from quincecrank import engine_client, engine_messages, ids
 from tests import builders_engine as builders
 
 HEAD = "HTTP/1.1 {status}\r\nConnection: keep-alive\r\n"
@@ -137,3 +137,18 @@
         self.addAsyncCleanup(running.stop)
         with self.assertRaises(engine_messages.BlockMissingError):
             await running.client.export_block(ids.BlockKey("none"))
+
+    async def test_open_answers_hold_no_other_call_up(self) -> None:
+        running = builders.start_engine()
+        self.addAsyncCleanup(running.stop)
+        client = engine_client.HttpEngineClient(running.server.url, max_streams=1)
+        self.addCleanup(client.close)
+        tokens: list[engine_messages.EngineToken] = []
+        asked = builders.request("prompt", "r", 10_000)
+        run = asyncio.create_task(client.complete(asked, tokens.append))
+        while not tokens:
+            await asyncio.sleep(0.001)
+        self.assertEqual((await client.load()).running, 1)
+        self.assertFalse(run.done())
+        run.cancel()
+        await asyncio.gather(run, return_exceptions=True)
