Process tests: an entry's end is awaited, readiness is asked for

process_leaving: the test of a slow caller did not wait for its entry's end, so that the next test's set-up found a fleet without it (2 failed); it now asserts exit code 0, which is stricter. process_configuration: an entry restarted without the table listens to its peers for 1.5 s first and says not-ready meanwhile; the test waits for /readyz, which it also proves to come without the table.

--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -6,6 +6,7 @@
 import tempfile
 import time
 import unittest
+import urllib.request
 from collections.abc import Callable
 from typing import ClassVar, Final
 
@@ -100,6 +101,15 @@
     def _serves(self, entry: int, expected: int) -> bool:
         return self.serving(entry) == expected
 
+    def is_ready(self, entry: int) -> bool:
+        """Return whether an entry says that it takes requests."""
+        url = f"{self.fleet.entries[entry].url}/readyz"
+        try:
+            with urllib.request.urlopen(url, timeout=10) as response:
+                return bool(response.status == 200)
+        except OSError:
+            return False
+
     def serving(self, entry: int) -> int:
         """Return how many agents an entry sees serving."""
         try:
--- a/tests/process_configuration.py
+++ b/tests/process_configuration.py
@@ -112,6 +112,7 @@
                 ),
                 "the new entry has the version in force",
             )
+            self.wait_until(lambda: self.is_ready(1), "the new entry is ready")
             result = self.callers.ask(builders_fleet.prompt("after"), entry=1)
             self.assertTrue(result.whole and result.status == 200, result)
         self.check_versions(watch, {})
--- a/tests/process_leaving.py
+++ b/tests/process_leaving.py
@@ -141,6 +141,7 @@
         length, received = read_answer(caller)
         self.assertGreater(length, size)
         self.assertEqual(received, length)
+        self.assertEqual(self.fleet.entries[0].wait(20), 0)
 
     def test_an_agent_shuts_down_with_unsent_bytes(self) -> None:
         """Bytes that wait in the agent's link are not cut off."""
