Count the crashes that a request saw, not its attempts

Cause: the count of a request grew by one for each equal request in flight at a crash. Equal calls of one client account (a status check, say) that met one dead backend server together were refused for an hour as crashing backend servers. Ruled out: attempts that never reached a server; these were not counted any more. Change: a record names the backend server, and attempts that one server broke off within two seconds count as one crash.

--- a/quincecrank/completion_dispatch.py
+++ b/quincecrank/completion_dispatch.py
@@ -355,7 +355,7 @@
             route.state.breaker.failed(self._clock.now_ms())
             if problem.ran is not problems.Ran.NOT_RUN:
                 await self._lookup.report_crash(
-                    context, progress.keys, attempt.order.attempt_id
+                    context, progress.keys, attempt.order.attempt_id, attempt.server
                 )
             self._refuse_crasher(context)
         if problem.kind is problems.ProblemKind.LEAVING:
--- a/quincecrank/crash_counts.py
+++ b/quincecrank/crash_counts.py
@@ -1,10 +1,10 @@
 """Counts of backend server crashes by request, shared between processes.
 
 All requests that run at a backend server when it crashes are suspects.  The count
-of a request is the number of attempts that were running at a crash and have not
-been cleared since; a suspect that later runs to its end is cleared.  Callers run
-at most one suspect at a time on a backend server, so that a second crash names
-the right one.
+of a request is the number of crashes at which it was running and which have not
+been cleared since, however many equal requests ran there; a suspect that later
+runs to its end is cleared.  Callers run at most one suspect at a time on a backend
+server, so that a second crash names the right one.
 
 Crashes and clearances are sets of attempt ids, so that processes may exchange
 them in any order and any number of times.
@@ -23,6 +23,9 @@
 EXPIRY_MS: Final = 3_600_000
 """Time after which a crash no longer counts."""
 
+SAME_CRASH_MS: Final = 2_000
+"""Attempts that a backend server broke off within this time saw one crash."""
+
 MAX_REQUESTS: Final = 10_000
 """Requests that are remembered."""
 
@@ -45,12 +48,15 @@
         Time of the crash since the epoch.
     cleared : bool
         Whether the request has since run to its end.
+    server : BackendServerName
+        Backend server that crashed; empty if each attempt saw a crash of its own.
     """
 
     request: RequestFingerprint
     attempt_id: ids.AttemptId
     wall_ms: int
     cleared: bool = False
+    server: ids.BackendServerName = ids.BackendServerName("")
 
 
 class CrashCounts:
@@ -78,10 +84,12 @@
     def count(self, request: RequestFingerprint, wall_ms: int) -> int:
         """Return the crashes that count against `request`."""
         known = self._records_by_request.get(request, {})
-        return sum(
-            not record.cleared and wall_ms - record.wall_ms < EXPIRY_MS
+        counted = [
+            record
             for record in known.values()
-        )
+            if not record.cleared and wall_ms - record.wall_ms < EXPIRY_MS
+        ]
+        return _count_crashes(counted)
 
     def refuses(self, request: RequestFingerprint, wall_ms: int) -> bool:
         """Return whether `request` must not run."""
@@ -115,3 +123,15 @@
             for known in self._records_by_request.values()
             for record in known.values()
         )
+
+
+def _count_crashes(records: Iterable[CrashRecord]) -> int:
+    """Return how many crashes the attempts saw."""
+    count = 0
+    last_ms_by_server: dict[ids.BackendServerName, int] = {}
+    for record in sorted(records, key=lambda each: each.wall_ms):
+        last_ms = last_ms_by_server.get(record.server) if record.server else None
+        if last_ms is None or record.wall_ms - last_ms > SAME_CRASH_MS:
+            last_ms_by_server[record.server] = record.wall_ms
+            count += 1
+    return count
--- a/quincecrank/directory_lookup.py
+++ b/quincecrank/directory_lookup.py
@@ -69,10 +69,11 @@
         context: request_context.RequestContext,
         keys: tuple[ids.BlockKey, ...],
         attempt_id: ids.AttemptId,
+        server: ids.BackendServerName,
     ) -> None:
         """Count a crash of a backend server under a request and share it."""
         record = crash_counts.CrashRecord(
-            context.crash_key(), attempt_id, self._clock.wall_ms()
+            context.crash_key(), attempt_id, self._clock.wall_ms(), server=server
         )
         self.crashes.merge((record,))
         await self._share(context, keys, (record,))
--- a/quincecrank/plain_dispatch.py
+++ b/quincecrank/plain_dispatch.py
@@ -187,7 +187,9 @@
         run.excluded |= {route.plan.server}
         if problem.kind is problems.ProblemKind.BACKEND_CRASHED:
             route.state.breaker.failed(self._clock.now_ms())
-            await self._lookup.report_crash(run.context, (), run.sent_attempts[-1])
+            await self._lookup.report_crash(
+                run.context, (), run.sent_attempts[-1], route.plan.server
+            )
         if run.has_bytes:
             raise problems.ProblemError(problem)
         if problem.kind is problems.ProblemKind.LEAVING:
