Entry and agent: expected holders, room in the cache, single restores, ordered news

- directory_client: within one flush the last news of a block counts.
- block_mover: a block is restored once at a time; a request waits for the restores of its blocks that others have begun, instead of computing them.
- model_backend: the held part of a prefix is run for one token before the rest is restored, since a prefix held in part is the next to be evicted and the restore evicts it.
Requests wait for room in the engine's cache.
- router, completion_dispatch: expected holders; keys of requests under way.
- wire: Load carries the size of the engine's cache.

--- a/quincecrank/agent_links.py
+++ b/quincecrank/agent_links.py
@@ -167,6 +167,7 @@
             queued_tokens=load.queuedTokens,
             max_concurrent=load.maxConcurrent,
             prefill_tokens_per_second=load.prefillTokensPerSecond or 1.0,
+            cache_blocks=load.cacheBlocks,
         )
         state.estimates.report(report, self._clock.now_ms())
         version = ids.ConfigurationVersion(heartbeat.configurationVersion)
--- a/quincecrank/agent_service.py
+++ b/quincecrank/agent_service.py
@@ -84,6 +84,7 @@
         load.weightVersion = state.weight_version
         load.adapters = list(state.adapters)
         load.maxConcurrent = self._queue.limit
+        load.cacheBlocks = state.cache_blocks
         load.prefillTokensPerSecond = state.prefill_tokens_per_second
         return packet
 
--- a/quincecrank/backend.py
+++ b/quincecrank/backend.py
@@ -14,6 +14,8 @@
     ----------
     queued_tokens : int
         Prompt tokens not yet computed.
+    cache_blocks : int
+        Blocks that the engine's prefix cache holds.
     prefill_tokens_per_second : float
         Observed speed of prompt work.
     """
@@ -22,6 +24,7 @@
     running: int = 0
     waiting: int = 0
     queued_tokens: int = 0
+    cache_blocks: int = 0
     weight_version: ids.WeightVersion = ids.WeightVersion("")
     adapters: tuple[ids.AdapterName, ...] = ()
     prefill_tokens_per_second: float = 0.0
--- a/quincecrank/block_mover.py
+++ b/quincecrank/block_mover.py
@@ -105,6 +105,7 @@
         self._kept_now: set[ids.BlockKey] = set()
         self._budgets: dict[tuple[ids.VmName, ids.TierName], link_budget.LinkBudget]
         self._budgets = {}
+        self._restoring_by_key: dict[ids.BlockKey, asyncio.Event] = {}
         self.block_bytes = 0
 
     async def restore(
@@ -119,7 +120,7 @@
 
         async def restore_one(copy: chain_view.StoredBlock) -> RestoreOutcome:
             async with slots:
-                return await self._restore_block(copy, version, kind)
+                return await self._restore_once(copy, version, kind)
 
         results = await asyncio.gather(*(restore_one(copy) for copy in copies))
         return RestoreOutcome(
@@ -128,6 +129,13 @@
             duration_ms=self._clock.now_ms() - started_ms,
         )
 
+    async def settled(self, keys: tuple[ids.BlockKey, ...]) -> None:
+        """Wait for the restores of `keys` that other requests have begun."""
+        for key in keys:
+            restoring = self._restoring_by_key.get(key)
+            if restoring is not None:
+                await restoring.wait()
+
     async def keep(
         self, copies: tuple[chain_view.StoredBlock, ...], version: ids.WeightVersion
     ) -> None:
@@ -142,6 +150,27 @@
             finally:
                 self._kept_now.discard(name.key)
 
+    async def _restore_once(
+        self,
+        copy: chain_view.StoredBlock,
+        version: ids.WeightVersion,
+        kind: link_budget.TransferKind,
+    ) -> RestoreOutcome:
+        """Restore a block, or wait for the request that does so already."""
+        name = sealed_block.BlockName.parse(copy.object_name)
+        if name is None:
+            return RestoreOutcome()
+        restoring = self._restoring_by_key.get(name.key)
+        if restoring is not None:
+            await restoring.wait()
+            return RestoreOutcome()
+        restoring = self._restoring_by_key[name.key] = asyncio.Event()
+        try:
+            return await self._restore_block(copy, version, kind)
+        finally:
+            del self._restoring_by_key[name.key]
+            restoring.set()
+
     async def _restore_block(
         self,
         copy: chain_view.StoredBlock,
--- a/quincecrank/completion_dispatch.py
+++ b/quincecrank/completion_dispatch.py
@@ -222,7 +222,7 @@
                 progress.request.adapter,
                 progress.prompt_tokens,
                 progress.known.chain,
-                progress.keys[0] if progress.keys else None,
+                progress.keys,
                 progress.excluded,
                 alone=self._lookup.crash_count(context) > 0,
             )
@@ -269,7 +269,7 @@
         sent_id = ids.RequestId(order.attempt_id)
         is_suspect = self._lookup.crash_count(progress.context) > 0
         route.state.breaker.sent(now_ms)
-        route.state.estimates.sent(sent_id, route.plan, now_ms)
+        route.state.estimates.sent(sent_id, route.plan, now_ms, progress.keys)
         route.state.suspects += is_suspect
         self._routes.restore_started(sent_id, route.plan)
         progress.sink.on_next = functools.partial(
@@ -289,6 +289,7 @@
     ) -> None:
         """Tell the estimates that the first token of an attempt has come."""
         route.state.estimates.first_token(sent_id, self._clock.now_ms())
+        self._routes.first_token(route.plan.server, progress.keys)
         progress.queue.first_token(progress.context.request_id)
         progress.context.shown.state = "streaming"
 
@@ -348,6 +349,7 @@
             reason=problem.detail,
         )
         progress.excluded |= {attempt.server}
+        self._routes.failed(attempt.server, progress.keys)
         if problem.kind is problems.ProblemKind.BACKEND_CRASHED:
             route.state.healthy = False
             route.state.breaker.failed(self._clock.now_ms())
--- a/quincecrank/directory_client.py
+++ b/quincecrank/directory_client.py
@@ -5,6 +5,7 @@
 and sent to the agents responsible for each root.
 """
 
+import dataclasses
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
@@ -17,20 +18,48 @@
 _LOG: Final = logs.logger("directory-client")
 
 
+@dataclasses.dataclass(frozen=True)
+class _Chain:
+    """Blocks of one root at one holder."""
+
+    root: ids.BlockKey
+    holder: directory.Holder
+
+
 class _News:
-    """What one directory agent is to be told."""
+    """What one directory agent is to be told; the last news of a block counts."""
 
     def __init__(self) -> None:
-        self.announced: list[directory.Announcement] = []
-        self.withdrawn: list[directory.Announcement] = []
+        self._held_by_key: dict[_Chain, dict[ids.BlockKey, bool]] = {}
         self.doubtful: set[directory.EngineHolder] = set()
         self.snapshot_of: directory.EngineHolder | None = None
 
+    def add(self, item: directory.Announcement, *, held: bool) -> None:
+        """Take news that a holder has blocks, or no longer has them."""
+        chain = _Chain(item.root, item.holder)
+        held_by_key = self._held_by_key.setdefault(chain, {})
+        held_by_key.update(dict.fromkeys(item.keys, held))
+
+    def start_snapshot(self, holder: directory.EngineHolder) -> None:
+        """Drop the news of `holder`, all of whose blocks are announced next."""
+        self.snapshot_of = holder
+        for chain in tuple(self._held_by_key):
+            if chain.holder == holder:
+                del self._held_by_key[chain]
+
+    def _items(self, *, held: bool) -> tuple[directory.Announcement, ...]:
+        items = []
+        for chain, held_by_key in self._held_by_key.items():
+            keys = tuple(key for key, value in held_by_key.items() if value is held)
+            if keys:
+                items.append(directory.Announcement(chain.root, keys, chain.holder))
+        return tuple(items)
+
     def request(self) -> rpc.AnnounceRequest:
         """Return the call's request."""
         return rpc.AnnounceRequest(
-            announced=tuple(self.announced),
-            withdrawn=tuple(self.withdrawn),
+            announced=self._items(held=True),
+            withdrawn=self._items(held=False),
             doubtful=tuple(self.doubtful),
             snapshot_of=self.snapshot_of,
         )
@@ -70,13 +99,13 @@
         """Queue blocks that a holder has."""
         for item in news:
             for agent in self._responsible(item.root):
-                self._news(agent).announced.append(item)
+                self._news(agent).add(item, held=True)
 
     def withdraw(self, news: Iterable[directory.Announcement]) -> None:
         """Queue blocks that a holder no longer has."""
         for item in news:
             for agent in self._responsible(item.root):
-                self._news(agent).withdrawn.append(item)
+                self._news(agent).add(item, held=False)
 
     def doubtful(self, holder: directory.EngineHolder) -> None:
         """Queue the news that events of `holder` were lost."""
@@ -90,7 +119,7 @@
     ) -> None:
         """Queue all that `holder` has, in place of what was announced before."""
         for agent in self._agents():
-            self._news(agent).snapshot_of = holder
+            self._news(agent).start_snapshot(holder)
         self.announce(announcements)
 
     async def flush(self) -> None:
--- a/quincecrank/model_backend.py
+++ b/quincecrank/model_backend.py
@@ -9,6 +9,7 @@
 from quincecrank import (
     block_keys,
     block_mover,
+    cache_room,
     cache_watch,
     completion_format,
     engine_client,
@@ -42,6 +43,12 @@
 _PREFILL_SMOOTHING: Final = 0.2
 _MIN_PREFILL_SAMPLE_TOKENS: Final = 1_024
 
+_TOUCH_PRIORITY: Final = -1_000
+"""Goes before all other requests at the engine, which runs low numbers first."""
+
+_UTF8_MASK: Final = 0xC0
+_UTF8_CONTINUATION: Final = 0x80
+
 _LOG: Final = logs.logger("model-backend")
 
 
@@ -57,6 +64,14 @@
     texts: list[str] = dataclasses.field(default_factory=list)
 
 
+def _leading_blocks(prompt: bytes, count: int) -> str:
+    """Return the first `count` blocks of a prompt, and the character they cut."""
+    end = tokenizers.Utf8GroupTokenizer().block_ends(prompt)[count - 1]
+    while end < len(prompt) and prompt[end] & _UTF8_MASK == _UTF8_CONTINUATION:
+        end += 1
+    return prompt[:end].decode()
+
+
 class ModelBackend:
     """Implementation of `backend.Backend` for a model engine."""
 
@@ -72,6 +87,7 @@
         self._mover = mover
         self._cache = cache
         self._clock = clock
+        self._room = cache_room.CacheRoom()
         self._load = backends.BackendLoad(healthy=False)
         self._prefill_tokens_per_second = _DEFAULT_PREFILL_TOKENS_PER_SECOND
         self._background: set[asyncio.Task[None]] = set()
@@ -135,7 +151,8 @@
         self._runs += 1
         self._woken.set()
         try:
-            await self._run(order, work, writer, queue_ms)
+            async with self._room.reserved(work.block_keys):
+                await self._run(order, work, writer, queue_ms)
         finally:
             self._runs -= 1
 
@@ -146,7 +163,9 @@
         writer: stream_writer.StreamWriter,
         queue_ms: int,
     ) -> None:
+        await self._touch(order, work)
         restored = await self._mover.restore(work.restore, work.weight_version)
+        await self._mover.settled(work.block_keys)
         answer = _Answer(self._clock.now_ms())
         try:
             usage = await self._complete(order, work, writer, answer)
@@ -174,6 +193,33 @@
         )
         self._keep_later(work)
 
+    async def _touch(
+        self, order: stream_messages.StreamOrder, work: stream_messages.Completion
+    ) -> None:
+        """Make the held blocks of a prompt the engine's most recently used ones.
+
+        A prefix that is held in part is the next to be evicted, so that restoring
+        the rest of it would evict what is held.  Running the held part alone, for
+        one token, counts as its use.
+        """
+        held = min((copy.index for copy in work.restore), default=0)
+        if not held:
+            return
+        keys = work.block_keys[:held]
+        request = engine_messages.EngineRequest(
+            request_id=ids.RequestId(f"{order.attempt_id}-touch"),
+            model=work.model,
+            prompt=_leading_blocks(work.prompt, held),
+            max_tokens=1,
+            priority=_TOUCH_PRIORITY,
+            cache_salt=work.cache_salt,
+            weight_version=work.weight_version,
+            adapter=work.adapter,
+            block_keys=block_keys.engine_names(keys),
+        )
+        with contextlib.suppress(engine_messages.EngineError):
+            await self._engine.complete(request, lambda token: None)
+
     async def _complete(
         self,
         order: stream_messages.StreamOrder,
@@ -306,9 +352,11 @@
                 _LOG.warning("engine is not healthy", reason=str(error))
             self._load = dataclasses.replace(self._load, healthy=False)
             return
+        self._room.capacity = load.cache_capacity_blocks
         self._seen_ms = self._clock.now_ms()
         self._load = backends.BackendLoad(
             healthy=True,
+            cache_blocks=load.cache_capacity_blocks,
             running=load.running,
             waiting=load.waiting,
             queued_tokens=load.queued_tokens,
--- a/quincecrank/plain_dispatch.py
+++ b/quincecrank/plain_dispatch.py
@@ -125,7 +125,7 @@
             _NO_ADAPTER,
             0,
             _NO_BLOCKS,
-            None,
+            (),
             run.excluded,
             alone=self._lookup.crash_count(run.context) > 0,
         )
--- a/quincecrank/router.py
+++ b/quincecrank/router.py
@@ -8,6 +8,7 @@
     chain_view,
     configuration,
     current_configuration,
+    expected_holders,
     ids,
     link_budget,
     logs,
@@ -49,6 +50,7 @@
         self._current = current
         self._clock = clock
         self._estimates = link_budget.LinkEstimates()
+        self._expected = expected_holders.ExpectedHolders()
         self.policy = policy
         self.block_bytes = DEFAULT_BLOCK_BYTES
 
@@ -87,7 +89,7 @@
         adapter: ids.AdapterName,
         prompt_tokens: int,
         chain: chain_view.ChainView,
-        root: ids.BlockKey | None,
+        keys: tuple[ids.BlockKey, ...],
         excluded: frozenset[ids.BackendServerName] = frozenset(),
         *,
         alone: bool = False,
@@ -111,17 +113,32 @@
             weights=context.deployment.weights,
             prompt_tokens=prompt_tokens,
             block_bytes=self.block_bytes,
-            root=root,
+            root=keys[0] if keys else None,
         )
         known = [replica for replica in replicas if replica is not None]
         links = self._link_states(context.deployment)
-        plan = self.policy.choose(request, known, chain, links, now_ms)
+        expected = self._expected.merged(chain, keys, now_ms)
+        plan = self.policy.choose(request, known, expected, links, now_ms)
         if plan is None:
             return None
+        if plan.reuse:
+            self._expected.sent(plan.server, keys, now_ms)
         state = next(s for s in states if s.peer.backend_server == plan.server)
         self._log(context, plan, len(known))
         return Route(state, plan)
 
+    def first_token(
+        self, server: ids.BackendServerName, keys: tuple[ids.BlockKey, ...]
+    ) -> None:
+        """Leave the blocks of a computed prompt to the directory."""
+        self._expected.first_token(server, keys, self._clock.now_ms())
+
+    def failed(
+        self, server: ids.BackendServerName, keys: tuple[ids.BlockKey, ...]
+    ) -> None:
+        """Expect no blocks from an attempt that failed."""
+        self._expected.failed(server, keys)
+
     def tiers_of(
         self, deployment: configuration.Deployment
     ) -> tuple[configuration.Tier, ...]:
--- a/quincecrank/wire.capnp
+++ b/quincecrank/wire.capnp
@@ -56,6 +56,7 @@
   healthy @6 :Bool;
   maxConcurrent @7 :UInt32;
   prefillTokensPerSecond @8 :Float64;
+  cacheBlocks @9 :UInt32;
 }
 
 struct Header {
--- a/tests/builders_decisions.py
+++ b/tests/builders_decisions.py
@@ -4,6 +4,7 @@
     block_keys,
     chain_view,
     configuration,
+    crash_counts,
     directory,
     ids,
     routing,
@@ -59,6 +60,11 @@
     return directory.Announcement(keys[0], keys, holder)
 
 
+def fingerprint() -> crash_counts.RequestFingerprint:
+    """Return the fingerprint of a request of one newsroom."""
+    return crash_counts.RequestFingerprint(ids.AccountName("radio-himal"), b"digest")
+
+
 def replica(
     server: ids.BackendServerName = ADA,
     queued_tokens: float = 0,
