Tell a lost answer of a plain service from its crash

Cause: every answer that a plain service lost counted as a crash, so that two lost answers to equal calls refused the call for an hour although no service had ended. Change: after a lost answer the agent asks for the service's health and reports a crash only if there is none.

--- a/quincecrank/service_backend.py
+++ b/quincecrank/service_backend.py
@@ -232,9 +232,12 @@
                 )
             ) from error
         except http_caller.AnswerLostError as error:
+            # A lost answer alone does not tell a crash from a broken connection.
+            is_running = await self._is_healthy()
+            kinds = problems.ProblemKind
             raise problems.ProblemError(
                 problems.Problem(
-                    problems.ProblemKind.BACKEND_CRASHED,
+                    kinds.BACKEND_FAILED if is_running else kinds.BACKEND_CRASHED,
                     f"the answer was lost: {error}",
                     problems.Ran.UNKNOWN,
                     RETRY_AFTER_FAILURE_MS,
