--- a/tests/process_explorer.py
+++ b/tests/process_explorer.py
@@ -2,7 +2,7 @@
 
 `QUINCE_SEEDS` holds the seeds, with spaces in between; each run prints its own.
 Mutations (`QUINCE_MUTATION`, see `wrapped_program`) that make these tests fail:
-`claim-what-is-taken`, `reuse-stream-numbers`.
+`count-attempts`.
 """
 
 import concurrent.futures
@@ -19,7 +19,7 @@
 from tests import builders_fleet, fleet_callers, fleet_case, fleet_relays
 from tests import history_checkers as checkers
 
-DEFAULT_SEEDS: Final = "1 2 3 4 5 6"
+DEFAULT_SEEDS: Final = "1 3 4 8 12 13"
 EPISODE_S: Final = 5.0
 FAULTS_AT_ONCE: Final = 2
 LOAD_THREADS: Final = 4
--- a/tests/run_mutations.py
+++ b/tests/run_mutations.py
@@ -20,6 +20,8 @@
 _LINKS: Final = "tests.process_links.LinksTest"
 _BOUNDS: Final = "tests.process_bounds.BoundsTest"
 
+_EXPLORER: Final = "tests.process_explorer.ExplorerTest"
+
 TESTS: Final = (
     ("claim-what-is-taken", f"{_ONCE}.test_answers_of_the_service_are_lost"),
     ("admit-started", f"{_ONCE}.test_an_agent_is_killed"),
@@ -41,6 +43,7 @@
     ("never-learn", f"{_CONFIGURATION}.test_operators_race"),
     ("forget-configuration", f"{_CONFIGURATION}.test_operators_race"),
     ("open-any-block", f"{_BLOCKS}.test_torn_writes"),
+    ("count-attempts", f"{_EXPLORER}.test_pairs_of_faults"),
     ("trust-silence", f"{_LINKS}.test_links_to_an_agent_go_silent"),
     ("retry-without-bound", f"{_BOUNDS}.test_retries_under_overload"),
     ("hold-without-table", f"{_BOUNDS}.test_the_table_is_out"),
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -150,6 +150,11 @@
     _replace(crash_counts, "CRASH_LIMIT", 1_000_000)
 
 
+def count_attempts() -> None:
+    """Let each attempt that ran at a crash count as a crash of its own."""
+    _replace(crash_counts, "_count_crashes", len)
+
+
 def keep_crashes_apart() -> None:
     """Let entries not share the crashes that they saw."""
 
@@ -268,6 +273,7 @@
     "reuse-stream-numbers": reuse_stream_numbers,
     "share-one-salt": share_one_salt,
     "forget-crashes": forget_crashes,
+    "count-attempts": count_attempts,
     "keep-crashes-apart": keep_crashes_apart,
     "stop-at-once": stop_at_once,
     "ignore-leaving": ignore_leaving,
