A lost connection to a healthy engine is no crash of it

Ruled out: the engines (same incarnation, healthy), the watchdog (no silence logged). Change: after a failed run the agent asks the engine for its incarnation over another connection; the same one means that only the connection was lost, and the prompt runs once more if the caller has no token yet.

--- a/quincecrank/model_backend.py
+++ b/quincecrank/model_backend.py
@@ -30,6 +30,9 @@
 
 IDLE_LOAD_INTERVAL_MS: Final = 1_000
 LOAD_TIMEOUT_MS: Final = 1_000
+MAX_RUNS: Final = 2
+"""Runs of one attempt whose connections to the engine are lost before a token."""
+
 RETRY_AFTER_BUSY_MS: Final = 500
 RETRY_AFTER_CRASH_MS: Final = 1_000
 RETRY_AFTER_VERSION_MS: Final = 500
@@ -93,6 +96,7 @@
         self._background: set[asyncio.Task[None]] = set()
         self._roll = roll
         self._runs = 0
+        self._incarnation = ids.Incarnation("")
         self._woken = asyncio.Event()
         self._seen_ms = clock.now_ms()
         self._watchdog = run_watchdog.RunWatchdog(lambda: self._seen_ms, clock)
@@ -168,7 +172,7 @@
         await self._mover.settled(work.block_keys)
         answer = _Answer(self._clock.now_ms())
         try:
-            usage = await self._complete(order, work, writer, answer)
+            usage = await self._complete_or_repeat(order, work, writer, answer)
         except engine_messages.EngineError as error:
             writer.refuse(self._problem(error))
             return
@@ -220,12 +224,47 @@
         with contextlib.suppress(engine_messages.EngineError):
             await self._engine.complete(request, lambda token: None)
 
+    async def _complete_or_repeat(
+        self,
+        order: stream_messages.StreamOrder,
+        work: stream_messages.Completion,
+        writer: stream_writer.StreamWriter,
+        answer: _Answer,
+    ) -> engine_messages.EngineUsage:
+        """Run a prompt; repeat it once when only its connection was lost.
+
+        A connection that was kept open may have been reset long ago.  The engine
+        counts as crashed only if it is gone or has another incarnation; otherwise
+        the prompt would be blamed for what the network did.
+        """
+        for number in range(MAX_RUNS):
+            try:
+                return await self._complete(order, work, writer, answer, number)
+            except engine_messages.EngineFailedError as error:
+                if not await self._survived():
+                    raise
+                _LOG.warning("connection to the engine lost", reason=str(error))
+                if answer.tokens:
+                    break
+        raise run_watchdog.StalledError("the connection to the engine was lost")
+
+    async def _survived(self) -> bool:
+        """Tell whether the engine answers and has not been started again."""
+        known = self._incarnation
+        try:
+            async with asyncio.timeout(LOAD_TIMEOUT_MS / clocks.MS_PER_SECOND):
+                load = await self._engine.load()
+        except (engine_messages.EngineError, TimeoutError):
+            return False
+        return load.incarnation == known
+
     async def _complete(
         self,
         order: stream_messages.StreamOrder,
         work: stream_messages.Completion,
         writer: stream_writer.StreamWriter,
         answer: _Answer,
+        number: int,
     ) -> engine_messages.EngineUsage:
         events = self._events(order, work)
 
@@ -244,7 +283,7 @@
                 answer.texts.append(token.text)
 
         request = engine_messages.EngineRequest(
-            request_id=ids.RequestId(order.attempt_id),
+            request_id=ids.RequestId(f"{order.attempt_id}.{number}"),
             model=work.model,
             prompt=work.prompt.decode(),
             max_tokens=work.max_tokens,
@@ -353,6 +392,7 @@
                 _LOG.warning("engine is not healthy", reason=str(error))
             self._load = dataclasses.replace(self._load, healthy=False)
             return
+        self._incarnation = load.incarnation
         self._room.capacity = load.cache_capacity_blocks
         self._seen_ms = self._clock.now_ms()
         self._load = backends.BackendLoad(
--- a/tests/builders_wire.py
+++ b/tests/builders_wire.py
@@ -129,6 +129,21 @@
     )
 
 
+def completion(prompt: bytes = b"a question") -> stream_messages.Completion:
+    """Return a short prompt without blocks."""
+    return stream_messages.Completion(
+        model="lekhak",
+        prompt=prompt,
+        max_tokens=1,
+        weight_version=ids.WeightVersion("v1"),
+        adapter=ids.AdapterName(""),
+        cache_salt="",
+        block_keys=(),
+        chat=False,
+        streamed=True,
+    )
+
+
 @dataclasses.dataclass
 class RecordingOwner:
     """`peer_link.LinkOwner` that notes what it is given."""
