'Not run' is said only when no earlier attempt may have run; rules shared by both pipelines

Cause (found while reading the two pipelines side by side): after a lost attempt and a refused one, the caller of an idempotent call or a prompt heard the refusal's 'not-run', although the first attempt may have run; a prompt past its deadline heard 'unknown' even when nothing was sent. Ruled out for keyed calls: the cancellation in the table decides. Change: each request notes whether an attempt may have run, and the final answer says so. Test: tests.test_dispatch_rules.

--- a/quincecrank/completion_dispatch.py
+++ b/quincecrank/completion_dispatch.py
@@ -22,6 +22,7 @@
     block_keys,
     crash_counts,
     directory_lookup,
+    dispatch_rules,
     ids,
     inference_request,
     logs,
@@ -154,14 +155,13 @@
                     )
                     end = await self._attempts(progress)
         except TimeoutError:
-            kind = problems.ProblemKind.DEADLINE
-            raise problems.ProblemError(
-                problems.Problem(
-                    kind, "the deadline passed", problems.Ran.UNKNOWN, 1_000
-                )
-            ) from None
-        self._count(context, end, timed.first_ms - started_ms)
-        return end
+            problem = dispatch_rules.deadline_passed()
+        except problems.ProblemError as error:
+            problem = error.problem
+        else:
+            self._count(context, end, timed.first_ms - started_ms)
+            return end
+        raise problems.ProblemError(dispatch_rules.final_answer(problem, context.shown))
 
     def _block_keys(
         self,
@@ -183,12 +183,7 @@
     def _refuse_crasher(self, context: request_context.RequestContext) -> None:
         if self._lookup.crash_count(context) < crash_counts.CRASH_LIMIT:
             return
-        raise problems.ProblemError(
-            problems.Problem(
-                problems.ProblemKind.CRASHES_BACKENDS,
-                "backend servers crashed while they ran this request",
-            )
-        )
+        raise problems.ProblemError(dispatch_rules.crasher())
 
     async def _wait_for_weights(
         self,
@@ -237,15 +232,18 @@
     async def _attempt(
         self, progress: _Progress, route: router.Route
     ) -> tuple[attempts.Attempt, attempts.Outcome]:
+        context = progress.context
         order = self._order(progress, route)
         progress.attempt_count += 1
         server = route.state.peer.backend_server
-        progress.context.shown.running(server, order.attempt_id)
+        context.shown.running(server, order.attempt_id)
         before = progress.sink.data_frames
         with self._counted(progress, route, order):
+            earlier = dispatch_rules.note_sent(context.shown)
             attempt = self._links.open(route.state, order, progress.sink)
             try:
                 outcome = await attempt.outcome()
+                dispatch_rules.note_outcome(context.shown, outcome, earlier)
             finally:
                 self._links.close(route.state, attempt)
             if outcome.end is not None:
@@ -341,7 +339,7 @@
     ) -> None:
         """Prepare the next attempt, or give the request up."""
         context = progress.context
-        problem = outcome.problem or _broken(outcome)
+        problem = outcome.problem or dispatch_rules.broken(outcome)
         _LOG.info(
             "attempt failed",
             request_id=context.request_id,
@@ -363,7 +361,7 @@
         if problem.kind is problems.ProblemKind.LEAVING:
             route.state.accepting = False
             return
-        if problem.kind not in _RETRIED_KINDS:
+        if problem.kind not in dispatch_rules.RETRIED_KINDS:
             raise problems.ProblemError(problem)
         if not self._budgets.try_spend(context):
             raise problems.ProblemError(problem)
@@ -388,22 +386,3 @@
         )
         blocks = end.restored_tokens // tokenizers.BLOCK_TOKENS
         self._routes.restored(blocks, end.link_bytes)
-
-
-_RETRIED_KINDS: Final = frozenset(
-    {
-        problems.ProblemKind.OVERLOADED,
-        problems.ProblemKind.UNAVAILABLE,
-        problems.ProblemKind.BACKEND_CRASHED,
-        problems.ProblemKind.BACKEND_FAILED,
-    }
-)
-
-
-def _broken(outcome: attempts.Outcome) -> problems.Problem:
-    return problems.Problem(
-        problems.ProblemKind.BACKEND_FAILED,
-        outcome.reason,
-        problems.Ran.UNKNOWN,
-        retry_after_ms=1_000,
-    )
--- a/quincecrank/entry_view.py
+++ b/quincecrank/entry_view.py
@@ -18,7 +18,13 @@
 
 @dataclasses.dataclass
 class OpenRequest:
-    """One request that is open at this entry; `state` follows its progress."""
+    """One request that is open at this entry; `state` follows its progress.
+
+    Attributes
+    ----------
+    may_have_run : bool
+        Whether any attempt was sent that has not been refused as not run.
+    """
 
     request_id: ids.RequestId
     account: ids.AccountName
@@ -27,6 +33,7 @@
     state: str = "queued"
     backend_server: ids.BackendServerName = ids.BackendServerName("")
     attempt_id: ids.AttemptId = ids.AttemptId("")
+    may_have_run: bool = False
 
     def running(self, server: ids.BackendServerName, attempt_id: ids.AttemptId) -> None:
         """Note that an attempt has been sent."""
--- a/quincecrank/plain_dispatch.py
+++ b/quincecrank/plain_dispatch.py
@@ -22,6 +22,7 @@
     chain_view,
     crash_counts,
     directory_lookup,
+    dispatch_rules,
     ids,
     logs,
     metrics,
@@ -100,13 +101,17 @@
                     await self._attempts(run)
         except TimeoutError:
             detail = "the deadline passed"
-            raise problems.ProblemError(
-                await self._given_up(run, problems.ProblemKind.DEADLINE, detail)
-            ) from None
+            kind = problems.ProblemKind.DEADLINE
+            problem = await self._given_up(run, kind, detail)
+        except problems.ProblemError as error:
+            problem = error.problem
+        else:
+            return
+        raise problems.ProblemError(dispatch_rules.final_answer(problem, context.shown))
 
     def _refuse_crasher(self, context: request_context.RequestContext) -> None:
         if self._lookup.crash_count(context) >= crash_counts.CRASH_LIMIT:
-            raise problems.ProblemError(_crasher())
+            raise problems.ProblemError(dispatch_rules.crasher())
 
     async def _attempts(self, run: "_PlainRun") -> None:
         self._budgets.first_attempt(run.context)
@@ -140,9 +145,12 @@
         run.context.shown.running(route.state.peer.backend_server, order.attempt_id)
         route.state.breaker.sent(self._clock.now_ms())
         route.state.estimates.sent(sent_id, route.plan, self._clock.now_ms())
+        earlier = dispatch_rules.note_sent(run.context.shown)
         attempt = self._links.open(route.state, order, run.sink)
         try:
-            return await attempt.outcome()
+            outcome = await attempt.outcome()
+            dispatch_rules.note_outcome(run.context.shown, outcome, earlier)
+            return outcome
         finally:
             self._links.close(route.state, attempt)
             route.state.estimates.ended(sent_id, self._clock.now_ms())
@@ -169,12 +177,7 @@
         self, run: "_PlainRun", route: router.Route, outcome: attempts.Outcome
     ) -> None:
         """Prepare the next attempt, or give the request up."""
-        problem = outcome.problem or problems.Problem(
-            problems.ProblemKind.BACKEND_FAILED,
-            outcome.reason,
-            problems.Ran.UNKNOWN,
-            RETRY_AFTER_UNKNOWN_MS,
-        )
+        problem = outcome.problem or dispatch_rules.broken(outcome)
         _LOG.info(
             "attempt failed",
             request_id=run.context.request_id,
@@ -196,7 +199,7 @@
             route.state.accepting = False
             return
         may_repeat = run.idempotent or problem.ran is problems.Ran.NOT_RUN
-        if may_repeat and problem.kind in _RETRIED_KINDS:
+        if may_repeat and problem.kind in dispatch_rules.RETRIED_KINDS:
             if self._budgets.try_spend(run.context):
                 self._figures.retried(run.context.deployment.name)
                 await self._clock.sleep(retry_budgets.backoff_ms(0, self._jitter))
@@ -225,8 +228,10 @@
         )
         match cancelled.verdict:
             case claims.CancelVerdict.NOT_RUN:
+                run.context.shown.may_have_run = False
                 ran = problems.Ran.NOT_RUN
             case claims.CancelVerdict.FINGERPRINT_MISMATCH:
+                run.context.shown.may_have_run = False
                 return key_reused()
             case claims.CancelVerdict.FINISHED:
                 ran = problems.Ran.RAN
@@ -275,26 +280,9 @@
         )
 
 
-_RETRIED_KINDS: Final = frozenset(
-    {
-        problems.ProblemKind.OVERLOADED,
-        problems.ProblemKind.UNAVAILABLE,
-        problems.ProblemKind.BACKEND_CRASHED,
-        problems.ProblemKind.BACKEND_FAILED,
-    }
-)
-
-
 def key_reused() -> problems.Problem:
     """Return the refusal of a key that belongs to another request."""
     return problems.Problem(
         problems.ProblemKind.KEY_REUSED,
         "the idempotency key was used for a request with another content",
     )
-
-
-def _crasher() -> problems.Problem:
-    return problems.Problem(
-        problems.ProblemKind.CRASHES_BACKENDS,
-        "backend servers crashed while they ran this request",
-    )
--- /dev/null
+++ b/tests/test_dispatch_rules.py
@@ -0,0 +1,51 @@
+"""Tests of what a caller is told of a request's effect."""
+
+import unittest
+
+from quincecrank import attempt, dispatch_rules, entry_view, ids, problems
+
+NOT_RUN = attempt.Outcome(
+    attempt.OutcomeKind.REFUSED,
+    problem=problems.Problem(problems.ProblemKind.OVERLOADED, "busy"),
+)
+LOST = attempt.Outcome(attempt.OutcomeKind.BROKEN, reason="the link ended")
+UNCLEAR = attempt.Outcome(
+    attempt.OutcomeKind.REFUSED,
+    problem=problems.Problem(
+        problems.ProblemKind.BACKEND_FAILED, "reset", problems.Ran.UNKNOWN
+    ),
+)
+
+
+class FinalAnswerTest(unittest.TestCase):
+    def test_not_run_is_said_only_if_no_attempt_may_have_run(self) -> None:
+        cases = (
+            ((), problems.Ran.NOT_RUN),
+            ((NOT_RUN,), problems.Ran.NOT_RUN),
+            ((NOT_RUN, NOT_RUN), problems.Ran.NOT_RUN),
+            ((LOST, NOT_RUN), problems.Ran.UNKNOWN),
+            ((UNCLEAR, NOT_RUN), problems.Ran.UNKNOWN),
+            ((NOT_RUN, LOST), problems.Ran.UNKNOWN),
+        )
+        for outcomes, expected in cases:
+            with self.subTest(outcomes):
+                shown = entry_view.OpenRequest(
+                    ids.RequestId("r"),
+                    ids.AccountName("a"),
+                    ids.DeploymentName("d"),
+                    0,
+                )
+                for outcome in outcomes:
+                    earlier = dispatch_rules.note_sent(shown)
+                    dispatch_rules.note_outcome(shown, outcome, earlier)
+                refusal = problems.Problem(problems.ProblemKind.OVERLOADED, "busy")
+                answer = dispatch_rules.final_answer(refusal, shown)
+                self.assertIs(answer.ran, expected)
+
+    def test_an_attempt_that_is_still_running_may_have_run(self) -> None:
+        shown = entry_view.OpenRequest(
+            ids.RequestId("r"), ids.AccountName("a"), ids.DeploymentName("d"), 0
+        )
+        dispatch_rules.note_sent(shown)
+        answer = dispatch_rules.final_answer(dispatch_rules.deadline_passed(), shown)
+        self.assertIs(answer.ran, problems.Ran.UNKNOWN)
