--- a/quincecrank/agent.py
+++ b/quincecrank/agent.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import contextlib
 import dataclasses
 from typing import Final
 
@@ -391,14 +390,7 @@
     settings_file : str
         Path of the YAML settings.
     """
-    known = process.load_or_exit(settings.load_agent, settings_file)
-    logs.configure(
-        as_json=known.logging.format is settings.LogFormat.JSON,
-        level=known.logging.level.value,
-        vm=known.vm_name,
-    )
-    with contextlib.suppress(asyncio.CancelledError):
-        process.serve(lambda: Agent(known))
+    process.run_program(settings.load_agent, settings_file, Agent)
 
 
 def main() -> None:
--- a/quincecrank/entry.py
+++ b/quincecrank/entry.py
@@ -5,8 +5,6 @@
 callers: authenticate, admit, look up, route, stream the answer.
 """
 
-import asyncio
-import contextlib
 from collections.abc import Iterable
 from typing import Final
 
@@ -280,14 +278,7 @@
     settings_file : str
         Path of the YAML settings.
     """
-    known = process.load_or_exit(settings.load_entry, settings_file)
-    logs.configure(
-        as_json=known.logging.format is settings.LogFormat.JSON,
-        level=known.logging.level.value,
-        vm=known.vm_name,
-    )
-    with contextlib.suppress(asyncio.CancelledError):
-        process.serve(lambda: Entry(known))
+    process.run_program(settings.load_entry, settings_file, Entry)
 
 
 def main() -> None:
--- a/quincecrank/http_caller.py
+++ b/quincecrank/http_caller.py
@@ -13,10 +13,10 @@
 from collections.abc import Mapping
 from typing import Final
 
-import pycurl
 from tornado import curl_httpclient, httpclient
 
 from quincecrank import clock as clocks
+from quincecrank import curl_client
 
 MAX_CONNECTIONS: Final = 64
 
@@ -48,20 +48,6 @@
             self.client.close()
 
 
-class _SendCount:
-    """Counts the sends of one call and refuses all but the first."""
-
-    def __init__(self) -> None:
-        self.sends = 0
-
-    def install(self, curl: pycurl.Curl) -> None:
-        curl.setopt(pycurl.PREREQFUNCTION, self._before_send)
-
-    def _before_send(self, *addresses: object) -> int:
-        self.sends += 1
-        return pycurl.PREREQFUNC_OK if self.sends == 1 else pycurl.PREREQFUNC_ABORT
-
-
 class HttpCaller:
     """Calls one service over pooled connections.
 
@@ -124,15 +110,15 @@
             self._pool = None
 
     async def _fetch(self, request: httpclient.HTTPRequest) -> httpclient.HTTPResponse:
-        sent = _SendCount()
-        request.prepare_curl_callback = sent.install
+        guard = curl_client.SendGuard()
+        request.prepare_curl_callback = guard.install
         pool = self._pool or _Pool()
         self._pool = pool
         pool.calls += 1
         try:
             return await pool.client.fetch(request, raise_error=False)
         except (httpclient.HTTPError, OSError) as error:
-            if sent.sends == 0:
+            if not guard.sent:
                 raise NotSentError(str(error)) from error
             if pool is self._pool:
                 self.close()
--- a/quincecrank/process.py
+++ b/quincecrank/process.py
@@ -1,9 +1,11 @@
 """What every program of the project does around its pipeline.
 
-`serve` runs a program until SIGTERM or SIGINT and then lets it leave gracefully.
+`run_program` checks the settings, sets up the log, runs the program until SIGTERM or
+SIGINT and then lets it leave gracefully.
 """
 
 import asyncio
+import contextlib
 import signal
 import socket
 import sys
@@ -13,9 +15,9 @@
 import expression
 from tornado import httpclient, netutil
 
-from quincecrank import findings, settings
+from quincecrank import findings, logs, settings
 
-Loaded = TypeVar("Loaded")
+Loaded = TypeVar("Loaded", settings.EntrySettings, settings.AgentSettings)
 
 MAX_HTTP_CLIENTS: Final = 1024
 
@@ -30,20 +32,28 @@
         """Refuse new work, wait for the running requests, close everything."""
 
 
-def load_or_exit(
-    load: Callable[[str], expression.Result[Loaded, findings.Findings]], path: str
-) -> Loaded:
-    """Return the settings at `path`, or print every finding and exit with 1."""
-    result = load(path)
-    if result.is_ok():
-        return result.ok
-    print(result.error, file=sys.stderr)
-    sys.exit(1)
+def run_program(
+    load: Callable[[str], expression.Result[Loaded, findings.Findings]],
+    settings_file: str,
+    make_program: Callable[[Loaded], Program],
+) -> None:
+    """Run a program by its settings until it is told to end.
 
-
-def serve(make_program: Callable[[], Program]) -> None:
-    """Run a program until it is told to end."""
-    asyncio.run(_serve(make_program))
+    Every finding in the settings is printed, and the process exits with 1, before
+    anything is started.
+    """
+    result = load(settings_file)
+    if result.is_error():
+        print(result.error, file=sys.stderr)
+        sys.exit(1)
+    known = result.ok
+    logs.configure(
+        as_json=known.logging.format is settings.LogFormat.JSON,
+        level=known.logging.level.value,
+        vm=known.vm_name,
+    )
+    with contextlib.suppress(asyncio.CancelledError):
+        asyncio.run(_serve(lambda: make_program(known)))
 
 
 async def _serve(make_program: Callable[[], Program]) -> None:
