No wait for links that are already there

Cause: once a minute for each agent, a request that found its blocks there slept 20 ms for a link that was in the base set already. Change: sleep only while a wanted agent is not linked.

--- a/quincecrank/entry.py
+++ b/quincecrank/entry.py
@@ -247,11 +247,12 @@
         self._pool.want(self._choice.wanted())
 
     def _reach(self, servers: Iterable[ids.BackendServerName]) -> bool:
-        """Want links to the agents of `servers`; tell whether any is new."""
-        is_new = self._choice.reach(servers)
-        if is_new:
-            self._want_links()
-        return is_new
+        """Want links to the agents of `servers`; tell whether one is being made."""
+        if not self._choice.reach(servers):
+            return False
+        self._want_links()
+        linked = self._links.states_by_vm
+        return any(self._members.vm_of(server) not in linked for server in servers)
 
     async def _follow_table(self) -> None:
         await self._follower.poll()
