The held part of a prefix runs first again; model backend in smaller modules

Cause (found while splitting model_backend): the run that keeps the held part of a prefix asked for priority -1,000, meant as the engine's order; since the client turns numbers round, it came last at a busy engine and held its prompt up. Change: 1,000. Test: tests.test_held_prefix fails with -1,000.

--- a/quincecrank/model_backend.py
+++ b/quincecrank/model_backend.py
@@ -5,24 +5,24 @@
 import dataclasses
 from typing import Final
 
-from quincecrank import backend as backends
 from quincecrank import (
+    answer_writer,
     block_keys,
     block_mover,
     cache_room,
     cache_watch,
-    completion_format,
     engine_client,
     engine_messages,
+    held_prefix,
     ids,
     logs,
     problems,
     run_watchdog,
     stream_messages,
     stream_writer,
-    tokenizers,
     version_roll,
 )
+from quincecrank import backend as backends
 from quincecrank import clock as clocks
 
 LOAD_INTERVAL_MS: Final = 250
@@ -46,35 +46,10 @@
 _PREFILL_SMOOTHING: Final = 0.2
 _MIN_PREFILL_SAMPLE_TOKENS: Final = 1_024
 
-_TOUCH_PRIORITY: Final = -1_000
-"""Goes before all other requests at the engine, which runs low numbers first."""
-
-_UTF8_MASK: Final = 0xC0
-_UTF8_CONTINUATION: Final = 0x80
 
 _LOG: Final = logs.logger("model-backend")
 
 
-@dataclasses.dataclass
-class _Answer:
-    """The answer of one run as it arrives."""
-
-    started_ms: int
-    first_token_ms: int = 0
-    last_token_ms: int = 0
-    tokens: int = 0
-    finish_reason: str = "stop"
-    texts: list[str] = dataclasses.field(default_factory=list)
-
-
-def _leading_blocks(prompt: bytes, count: int) -> str:
-    """Return the first `count` blocks of a prompt, and the character they cut."""
-    end = tokenizers.Utf8GroupTokenizer().block_ends(prompt)[count - 1]
-    while end < len(prompt) and prompt[end] & _UTF8_MASK == _UTF8_CONTINUATION:
-        end += 1
-    return prompt[:end].decode()
-
-
 class ModelBackend:
     """Implementation of `backend.Backend` for a model engine."""
 
@@ -167,12 +142,12 @@
         writer: stream_writer.StreamWriter,
         queue_ms: int,
     ) -> None:
-        await self._touch(order, work)
+        await held_prefix.touch_held_prefix(self._engine, order, work)
         restored = await self._mover.restore(work.restore, work.weight_version)
         await self._mover.settled(work.block_keys)
-        answer = _Answer(self._clock.now_ms())
+        answer = answer_writer.AnswerWriter(order, work, writer, self._clock)
         try:
-            usage = await self._complete_or_repeat(order, work, writer, answer)
+            usage = await self._complete_or_repeat(order, work, answer)
         except engine_messages.EngineError as error:
             writer.refuse(self._problem(error))
             return
@@ -180,56 +155,14 @@
             writer.refuse(_stalled(error))
             return
         self._learn_speed(usage, answer)
-        self._finish(order, work, writer, answer, usage, restored)
-        writer.end(
-            stream_messages.StreamEnd(
-                frames=0,
-                prompt_tokens=usage.prompt_tokens,
-                cached_tokens=usage.cached_tokens,
-                restored_tokens=_restored_tokens(restored, usage),
-                completion_tokens=answer.tokens,
-                weight_version=usage.weight_version,
-                queue_ms=queue_ms,
-                restore_ms=restored.duration_ms,
-                first_token_ms=answer.first_token_ms - answer.started_ms,
-                link_bytes=restored.link_bytes,
-            )
-        )
+        answer.finish(usage, restored, queue_ms)
         self._keep_later(work)
 
-    async def _touch(
-        self, order: stream_messages.StreamOrder, work: stream_messages.Completion
-    ) -> None:
-        """Make the held blocks of a prompt the engine's most recently used ones.
-
-        A prefix that is held in part is the next to be evicted, so that restoring
-        the rest of it would evict what is held.  Running the held part alone, for
-        one token, counts as its use.
-        """
-        held = min((copy.index for copy in work.restore), default=0)
-        if not held:
-            return
-        keys = work.block_keys[:held]
-        request = engine_messages.EngineRequest(
-            request_id=ids.RequestId(f"{order.attempt_id}-touch"),
-            model=work.model,
-            prompt=_leading_blocks(work.prompt, held),
-            max_tokens=1,
-            priority=_TOUCH_PRIORITY,
-            cache_salt=work.cache_salt,
-            weight_version=work.weight_version,
-            adapter=work.adapter,
-            block_keys=block_keys.engine_names(keys),
-        )
-        with contextlib.suppress(engine_messages.EngineError):
-            await self._engine.complete(request, lambda token: None)
-
     async def _complete_or_repeat(
         self,
         order: stream_messages.StreamOrder,
         work: stream_messages.Completion,
-        writer: stream_writer.StreamWriter,
-        answer: _Answer,
+        answer: answer_writer.AnswerWriter,
     ) -> engine_messages.EngineUsage:
         """Run a prompt; repeat it once when only its connection was lost.
 
@@ -239,7 +172,7 @@
         """
         for number in range(MAX_RUNS):
             try:
-                return await self._complete(order, work, writer, answer, number)
+                return await self._complete(order, work, answer, number)
             except engine_messages.EngineFailedError as error:
                 if not await self._survived():
                     raise
@@ -262,26 +195,9 @@
         self,
         order: stream_messages.StreamOrder,
         work: stream_messages.Completion,
-        writer: stream_writer.StreamWriter,
-        answer: _Answer,
+        answer: answer_writer.AnswerWriter,
         number: int,
     ) -> engine_messages.EngineUsage:
-        events = self._events(order, work)
-
-        def on_token(token: engine_messages.EngineToken) -> None:
-            answer.last_token_ms = self._clock.now_ms()
-            if answer.tokens == 0:
-                answer.first_token_ms = answer.last_token_ms
-            if token.finish_reason:
-                answer.finish_reason = token.finish_reason
-            if not token.text:
-                return
-            answer.tokens += 1
-            if work.streamed:
-                writer.data(events.token(token.text))
-            else:
-                answer.texts.append(token.text)
-
         request = engine_messages.EngineRequest(
             request_id=ids.RequestId(f"{order.attempt_id}.{number}"),
             model=work.model,
@@ -300,47 +216,11 @@
             waiting_tokens * clocks.MS_PER_SECOND / self._prefill_tokens_per_second
         )
         return await self._watchdog.guard(
-            self._engine.complete(request, on_token),
+            self._engine.complete(request, answer.take_token),
             lambda: answer.last_token_ms,
             estimate_ms,
         )
 
-    def _finish(
-        self,
-        order: stream_messages.StreamOrder,
-        work: stream_messages.Completion,
-        writer: stream_writer.StreamWriter,
-        answer: _Answer,
-        usage: engine_messages.EngineUsage,
-        restored: block_mover.RestoreOutcome,
-    ) -> None:
-        counts = completion_format.Usage(
-            prompt_tokens=usage.prompt_tokens,
-            completion_tokens=work.resume_after + answer.tokens,
-            cached_tokens=usage.cached_tokens,
-            restored_tokens=_restored_tokens(restored, usage),
-        )
-        if work.streamed:
-            shown = counts if work.include_usage else None
-            events = self._events(order, work)
-            writer.data(events.finish(answer.finish_reason, shown))
-            return
-        body = completion_format.whole_answer(
-            order.request_id,
-            work,
-            self._clock.wall_ms() // clocks.MS_PER_SECOND,
-            "".join(answer.texts),
-            answer.finish_reason,
-            counts,
-        )
-        writer.data(body)
-
-    def _events(
-        self, order: stream_messages.StreamOrder, work: stream_messages.Completion
-    ) -> completion_format.EventFormat:
-        created_s = self._clock.wall_ms() // clocks.MS_PER_SECOND
-        return completion_format.EventFormat(order.request_id, work, created_s)
-
     def _problem(self, error: engine_messages.EngineError) -> problems.Problem:
         match error:
             case engine_messages.EngineBusyError():
@@ -365,7 +245,11 @@
             RETRY_AFTER_CRASH_MS,
         )
 
-    def _learn_speed(self, usage: engine_messages.EngineUsage, answer: _Answer) -> None:
+    def _learn_speed(
+        self,
+        usage: engine_messages.EngineUsage,
+        answer: answer_writer.AnswerWriter,
+    ) -> None:
         computed = usage.prompt_tokens - usage.cached_tokens
         took_ms = answer.first_token_ms - answer.started_ms
         alone = self._load.running <= 1 and self._load.waiting == 0
@@ -416,10 +300,3 @@
         problems.Ran.UNKNOWN,
         RETRY_AFTER_CRASH_MS,
     )
-
-
-def _restored_tokens(
-    restored: block_mover.RestoreOutcome, usage: engine_messages.EngineUsage
-) -> int:
-    """Return those of the cached tokens that a restore brought."""
-    return min(restored.blocks * tokenizers.BLOCK_TOKENS, usage.cached_tokens)
--- /dev/null
+++ b/tests/test_held_prefix.py
@@ -0,0 +1,45 @@
+"""Tests of the run that keeps the held part of a prefix in an engine."""
+
+import dataclasses
+import unittest
+from unittest import mock
+
+from quincecrank import chain_view, held_prefix, http_base, ids
+from tests import builders_wire
+
+BLOCK_BYTES = 4_096
+
+
+class HeldPrefixTest(unittest.IsolatedAsyncioTestCase):
+    async def touch(self, first_restored: int | None) -> mock.AsyncMock:
+        engine = mock.AsyncMock()
+        prompt = ("ना" * BLOCK_BYTES).encode()[: 3 * BLOCK_BYTES]
+        restore: tuple[chain_view.StoredBlock, ...] = ()
+        if first_restored is not None:
+            copy = chain_view.StoredBlock(
+                first_restored,
+                ids.VmName("s"),
+                ids.ObjectName("o"),
+                ids.TierName("t"),
+            )
+            restore = (copy,)
+        work = dataclasses.replace(
+            builders_wire.completion(prompt),
+            block_keys=tuple(ids.BlockKey(c * 32) for c in "abc"),
+            restore=restore,
+        )
+        await held_prefix.touch_held_prefix(engine, builders_wire.order(work), work)
+        return engine
+
+    async def test_the_held_part_runs_before_every_caller(self) -> None:
+        engine = await self.touch(first_restored=2)
+        request = engine.complete.call_args.args[0]
+        self.assertGreater(request.priority, http_base.MAX_PRIORITY)
+        self.assertEqual(len(request.block_keys), 2)
+        self.assertGreaterEqual(len(request.prompt.encode()), 2 * BLOCK_BYTES)
+
+    async def test_nothing_runs_without_a_held_part(self) -> None:
+        for first_restored in (None, 0):
+            with self.subTest(first_restored):
+                engine = await self.touch(first_restored)
+                engine.complete.assert_not_called()
