One place builds a request's context from its headers

Cause: the handlers of prompts and of plain calls read deadline and priority and built the context with the same lines; default_policy of the router had no caller. Change: the base handler's context(); default_policy removed. Behaviour unchanged, no test touched.

--- a/quincecrank/http_base.py
+++ b/quincecrank/http_base.py
@@ -20,6 +20,7 @@
     problems,
     refusals,
     request_body,
+    request_context,
 )
 from quincecrank import clock as clocks
 
@@ -212,6 +213,34 @@
             raise problems.ProblemError(refusals.account_disabled())
         return account
 
+    def context(
+        self,
+        account: configuration.Account,
+        deployment: configuration.Deployment,
+        fingerprint: str,
+    ) -> request_context.RequestContext:
+        """Return what the pipelines need to know of this request.
+
+        Raises
+        ------
+        ProblemError
+            If the deadline or the priority in the headers is none.
+        """
+        left_ms = self.number_header(
+            DEADLINE_HEADER, deployment.deadline_ms, 1, MAX_DEADLINE_MS
+        )
+        priority = self.number_header(PRIORITY_HEADER, 0, 0, MAX_PRIORITY)
+        return request_context.RequestContext(
+            request_id=self.request_id,
+            account=account,
+            deployment=deployment,
+            configuration_version=self.services.current.version,
+            deadline_at_ms=self.services.clock.now_ms() + left_ms,
+            priority=priority,
+            shown=self.opened(account.name, deployment.name),
+            fingerprint=fingerprint,
+        )
+
     def opened(
         self, account: ids.AccountName, deployment: ids.DeploymentName
     ) -> entry_view.OpenRequest:
--- a/quincecrank/openai_api.py
+++ b/quincecrank/openai_api.py
@@ -98,28 +98,11 @@
         deployment: configuration.Deployment,
         request: inference_request.InferenceRequest,
     ) -> request_context.RequestContext:
-        left_ms = self.number_header(
-            http_base.DEADLINE_HEADER,
-            deployment.deadline_ms,
-            1,
-            http_base.MAX_DEADLINE_MS,
-        )
-        priority = self.number_header(
-            http_base.PRIORITY_HEADER, 0, 0, http_base.MAX_PRIORITY
-        )
         limit = f"{request.max_tokens} {request.sampling.to_text()}"
-        return request_context.RequestContext(
-            request_id=self.request_id,
-            account=account,
-            deployment=deployment,
-            configuration_version=self.services.current.version,
-            deadline_at_ms=self.services.clock.now_ms() + left_ms,
-            priority=priority,
-            shown=self.opened(account.name, deployment.name),
-            fingerprint=request_context.fingerprint(
-                request.model.encode(), request.prompt, limit.encode()
-            ),
+        fingerprint = request_context.fingerprint(
+            request.model.encode(), request.prompt, limit.encode()
         )
+        return self.context(account, deployment, fingerprint)
 
 
 class CompletionHandler(InferenceHandler):
--- a/quincecrank/router.py
+++ b/quincecrank/router.py
@@ -13,7 +13,6 @@
     link_budget,
     logs,
     membership,
-    policies,
     request_context,
     routing,
     vm_list,
@@ -214,8 +213,3 @@
             cost=round(plan.cost, 1),
             reason=plan.reason,
         )
-
-
-def default_policy() -> routing.RoutingPolicy:
-    """Return the product's own policy."""
-    return policies.make_policy(policies.DEFAULT_POLICY)
