--- /dev/null
+++ b/quincecrank/gateway/callers.py
@@ -0,0 +1,286 @@
+"""The listener for callers: requests come in whole, answers go out as they come."""
+
+import asyncio
+import dataclasses
+import http.client
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from tornado import http1connection, httpserver, httputil, iostream
+
+from quincecrank import clock as clocks
+from quincecrank import tasks
+from quincecrank.gateway import deployment
+
+MAX_HEADER_BYTES: Final = 64 * 1024
+"""Most that is read of a request's headers; the configuration may allow less."""
+
+MAX_BODY_BYTES: Final = 64 * 1024 * 1024
+"""Most that is read of a request's body; the configuration may allow less."""
+
+IDLE_TIMEOUT_S: Final = 120.0
+"""Time that an idle connection of a caller is kept before a configuration is known;
+longer than any idle time that a configuration lets callers count on."""
+
+BODY_TIMEOUT_S: Final = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A request that has been read whole.
+
+    Attributes
+    ----------
+    target : str
+        Path and query, as sent.
+    has_body : bool
+        Whether the request had a body, which may be empty.
+    """
+
+    method: str
+    target: str
+    headers: httputil.HTTPHeaders
+    body: bytes
+    has_body: bool
+    received_ms: int
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+
+class CallerAnswer:
+    """The answer to one request.
+
+    Attributes
+    ----------
+    has_begun : bool
+        Whether a status has been sent.
+    has_ended : bool
+        Whether the whole answer has been sent, or its connection is closed.
+    """
+
+    def __init__(
+        self, connection: http1connection.HTTP1Connection, is_leaving: bool
+    ) -> None:
+        self._connection = connection
+        self._is_leaving = is_leaving
+        self.has_begun = False
+        self.has_ended = False
+
+    def send(self, status: int, headers: httputil.HTTPHeaders, body: bytes) -> None:
+        """Send a whole answer."""
+        headers["Content-Length"] = str(len(body))
+        self._begin(status, headers, body)
+        self._finish()
+
+    def begin(self, status: int, headers: httputil.HTTPHeaders) -> None:
+        """Send the status and headers of an answer whose body follows."""
+        self._begin(status, headers, None)
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body.
+
+        Raises
+        ------
+        StreamClosedError
+            If the caller has left.
+        """
+        await self._connection.write(chunk)
+
+    def finish(self) -> None:
+        """Mark the answer as whole."""
+        self._finish()
+
+    def abort(self) -> None:
+        """Close the connection, so that the answer can't look whole."""
+        self.has_ended = True
+        if self._connection.stream is not None:
+            self._connection.close()
+
+    def _begin(
+        self, status: int, headers: httputil.HTTPHeaders, body: bytes | None
+    ) -> None:
+        self.has_begun = True
+        if self._is_leaving:
+            headers["Connection"] = "close"
+        reason = http.client.responses.get(status, "Unknown")
+        start = httputil.ResponseStartLine("HTTP/1.1", status, reason)
+        written = self._connection.write_headers(start, headers, body)
+        asyncio.ensure_future(written).add_done_callback(_retrieve_exception)
+
+    def _finish(self) -> None:
+        self.has_ended = True
+        try:
+            self._connection.finish()
+        except iostream.StreamClosedError:
+            # The caller has left; there is nobody to tell.
+            return
+
+
+Handler = Callable[[CallerRequest, CallerAnswer], Awaitable[None]]
+
+
+@dataclasses.dataclass(slots=True)
+class ListenerState:
+    """What the listener shares with its connections.
+
+    Attributes
+    ----------
+    limits : ClientLimits or None
+        Limits of the configuration in force.
+    is_leaving : bool
+        Whether the process is shutting down.
+    """
+
+    handler: Handler
+    clock: clocks.Clock
+    limits: deployment.ClientLimits | None = None
+    is_leaving: bool = False
+
+
+class CallerListener(httputil.HTTPServerConnectionDelegate):
+    """Accepts callers' connections and runs one task for each request.
+
+    Parameters
+    ----------
+    handler : callable
+        Answers a request.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, handler: Handler, clock: clocks.Clock) -> None:
+        self.state = ListenerState(handler, clock)
+        self._tasks = tasks.BackgroundTasks()
+        self._open: set[_Receiver] = set()
+        self._connections: set[http1connection.HTTP1Connection] = set()
+        self._server = httpserver.HTTPServer(
+            self,
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+            body_timeout=BODY_TIMEOUT_S,
+        )
+
+    @property
+    def open_requests(self) -> int:
+        """Requests that are read or answered now."""
+        return len(self._open)
+
+    def start(self, bound: socket.socket) -> None:
+        """Accept connections."""
+        self._server.add_socket(bound)
+
+    def stop_accepting(self) -> None:
+        """Accept no more connections; open ones go on."""
+        self._server.stop()
+
+    async def close_all(self) -> None:
+        """Close every connection."""
+        await self._server.close_all_connections()
+
+    def start_request(  # type: ignore[override]
+        self, server_conn: object, request_conn: http1connection.HTTP1Connection
+    ) -> httputil.HTTPMessageDelegate:
+        """Return the receiver of a new request."""
+        return _Receiver(self.state, request_conn, self._tasks, self._open)
+
+    def on_close(self, server_conn: object) -> None:
+        """Take the end of a connection."""
+
+
+class _Receiver(httputil.HTTPMessageDelegate):
+    """Reads one request and starts its task."""
+
+    def __init__(
+        self,
+        state: ListenerState,
+        connection: http1connection.HTTP1Connection,
+        background: tasks.BackgroundTasks,
+        open_receivers: "set[_Receiver]",
+    ) -> None:
+        self._state = state
+        self._connection = connection
+        self._background = background
+        self._open = open_receivers
+        self._task: asyncio.Task[None] | None = None
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._is_refused = False
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        assert isinstance(start_line, httputil.RequestStartLine)
+        self._open.add(self)
+        self._start_line = start_line
+        self._headers = headers
+        limits = self._state.limits
+        if limits is None:
+            return
+        length = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
+        if length + len(start_line.path) > limits.max_header_bytes:
+            self._refuse(431)
+            return
+        declared = headers.get("Content-Length", "0")
+        if declared.isdigit() and int(declared) > limits.max_body_bytes:
+            self._refuse(413)
+
+    def data_received(self, chunk: bytes) -> None:
+        if self._is_refused:
+            return
+        self._chunks.append(chunk)
+        self._size += len(chunk)
+        limits = self._state.limits
+        if limits is not None and self._size > limits.max_body_bytes:
+            self._refuse(413)
+
+    def finish(self) -> None:
+        if self._is_refused:
+            self._open.discard(self)
+            return
+        headers = self._headers
+        request = CallerRequest(
+            method=self._start_line.method,
+            target=self._start_line.path,
+            headers=headers,
+            body=b"".join(self._chunks),
+            has_body="Content-Length" in headers or "Transfer-Encoding" in headers,
+            received_ms=self._state.clock.now_ms(),
+        )
+        answer = CallerAnswer(self._connection, self._state.is_leaving)
+        self._task = self._background.start(self._serve(request, answer))
+        # The library calls this when the caller closes before the answer is whole.
+        self._connection.set_close_callback(self._caller_left)
+
+    def on_connection_close(self) -> None:
+        self._open.discard(self)
+
+    async def _serve(self, request: CallerRequest, answer: CallerAnswer) -> None:
+        try:
+            await self._state.handler(request, answer)
+        finally:
+            self._open.discard(self)
+            if not answer.has_ended:
+                answer.abort()
+
+    def _caller_left(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
+    def _refuse(self, status: int) -> None:
+        """Answer a request that exceeds a limit without reading the rest."""
+        self._is_refused = True
+        answer = CallerAnswer(self._connection, is_leaving=True)
+        answer.send(status, httputil.HTTPHeaders(), b"")
+
+
+def _retrieve_exception(future: "asyncio.Future[None]") -> None:
+    """Mark a failed write as seen: the caller has left, its task is cancelled."""
+    if not future.cancelled():
+        future.exception()
--- /dev/null
+++ b/quincecrank/gateway/dispatcher.py
@@ -0,0 +1,342 @@
+"""Finds a backend server for each request, or has it wait or refuses it.
+
+Holds the waiting lines and applies the decisions of `placement`, `waiting` and
+`weights` to what the gateway knows.
+"""
+
+import asyncio
+import dataclasses
+import random
+from typing import Final
+
+from quincecrank import ids
+from quincecrank.gateway import (
+    cache_directory,
+    decision_log,
+    deployment,
+    kept_parts,
+    knowledge,
+    placement,
+    prompts,
+    servers,
+    waiting,
+    weights,
+)
+
+PUMP_INTERVAL_MS: Final = 40
+"""Interval at which waiting requests are tried again without an ended request: a
+fraction of the interval of the peers' load reports."""
+
+MAX_OVERTAKING: Final = 8
+"""Waiting requests that may be tried while the first one does not fit."""
+
+OVERTAKING_LIMIT_MS: Final = 150
+"""Wait of the first request after which no later one may overtake it."""
+
+NO_SERVER_RETRY_MS: Final = 800
+"""Time to come back while a service has no usable backend server: about the time
+between two reports of a server."""
+
+_LOG: Final = decision_log.logger("dispatcher")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Want:
+    """A request that needs a backend server.
+
+    Attributes
+    ----------
+    tried : frozenset of ServerId
+        Servers that have already failed it.
+    """
+
+    ticket: waiting.Ticket
+    service: deployment.Service
+    account: deployment.Account | None
+    prompt: prompts.Prompt | None
+    tried: frozenset[servers.ServerId] = frozenset()
+
+    @property
+    def request_id(self) -> ids.RequestId:
+        """Id of the request."""
+        return self.ticket.request_id
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed:
+    """The backend server of a request, and what it is told.
+
+    Attributes
+    ----------
+    weights_version : int or None
+        Version of the weights without which the request must not run.
+    expected_ms : float
+        Estimated time to the first part of the answer.
+    """
+
+    server: servers.ServerEntry
+    weights_version: int | None
+    salt: cache_directory.CacheSalt | None
+    transfers: kept_parts.Transfers
+    expected_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """A request that does not run, and when its caller may come back."""
+
+    reason: str
+    retry_after_ms: int
+
+
+PLAIN_EXPECTED_MS: Final = 80.0
+"""Answer time of a plain service against which slowness is measured."""
+
+
+class Dispatcher:
+    """Places the requests of all services.
+
+    Parameters
+    ----------
+    known : Knowledge
+        What the gateway knows.
+    generator : Random
+        Source of jitter.
+    """
+
+    def __init__(self, known: knowledge.Knowledge, generator: random.Random) -> None:
+        self._known = known
+        self._generator = generator
+        self._line_by_service: dict[deployment.ServiceName, waiting.WaitingLine] = {}
+        self._future_by_request: dict[
+            ids.RequestId, asyncio.Future[Placed | Refused]
+        ] = {}
+        self._want_by_request: dict[ids.RequestId, Want] = {}
+
+    @property
+    def waiting_requests(self) -> int:
+        """Requests that wait for a backend server."""
+        return len(self._want_by_request)
+
+    async def place(self, want: Want) -> Placed | Refused:
+        """Return a backend server for a request, after a wait if need be."""
+        now_ms = self._known.clock.now_ms()
+        line = self._line(want.service.name)
+        if not self._usable(want):
+            return self._refuse(want, "no backend server", NO_SERVER_RETRY_MS)
+        if line.expected_wait_ms(want.ticket, now_ms) == 0:
+            placed = self._try_place(want)
+            if placed is not None:
+                return placed
+        if not line.accepts(want.ticket, now_ms):
+            return self._refuse_late(want, line)
+        return await self._wait(want, line)
+
+    async def run(self) -> None:
+        """Try waiting requests again at intervals."""
+        while True:
+            await self._known.clock.sleep(PUMP_INTERVAL_MS)
+            for service in tuple(self._line_by_service):
+                self.pump(service)
+
+    def pump(self, service: deployment.ServiceName) -> None:
+        """Start the waiting requests for which there is room."""
+        line = self._line(service)
+        if not len(line):
+            return
+        now_ms = self._known.clock.now_ms()
+        for ticket in line.take_late(now_ms):
+            want = self._want_by_request[ticket.request_id]
+            self._resolve(ticket.request_id, self._refuse_late(want, line))
+        for index, ticket in enumerate(line.in_order()[:MAX_OVERTAKING]):
+            placed = self._try_place(self._want_by_request[ticket.request_id])
+            if placed is not None:
+                line.remove(ticket.request_id)
+                self._resolve(ticket.request_id, placed)
+            elif index == 0 and now_ms - ticket.arrived_ms > OVERTAKING_LIMIT_MS:
+                return
+
+    async def _wait(self, want: Want, line: waiting.WaitingLine) -> Placed | Refused:
+        future: asyncio.Future[Placed | Refused] = (
+            asyncio.get_running_loop().create_future()
+        )
+        line.push(want.ticket)
+        self._future_by_request[want.request_id] = future
+        self._want_by_request[want.request_id] = want
+        try:
+            return await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                self._release_unused(want, future.result())
+            raise
+        finally:
+            line.remove(want.request_id)
+            self._future_by_request.pop(want.request_id, None)
+            self._want_by_request.pop(want.request_id, None)
+
+    def _release_unused(self, want: Want, result: Placed | Refused) -> None:
+        """Free a place that was found just as the caller left."""
+        if isinstance(result, Placed):
+            self._known.loads.ended(result.server.server_id, want.request_id)
+
+    def _resolve(self, request_id: ids.RequestId, result: Placed | Refused) -> None:
+        future = self._future_by_request.get(request_id)
+        if future is None or future.done():
+            return
+        future.set_result(result)
+
+    def _try_place(self, want: Want) -> Placed | None:
+        placed = (
+            self._place_plain(want)
+            if want.prompt is None or want.service.engine is None
+            else self._place_engine(want, want.prompt, want.service.engine)
+        )
+        if placed is not None:
+            self._line(want.service.name).started(self._known.clock.now_ms())
+        return placed
+
+    def _place_plain(self, want: Want) -> Placed | None:
+        now_ms = self._known.clock.now_ms()
+        candidates = [
+            placement.Candidate(
+                each,
+                self._known.loads.of(each.server_id, now_ms),
+                self._known.health.of(each).slowness,
+            )
+            for each in self._usable(want)
+        ]
+        chosen = placement.choose_plain(candidates, want.request_id)
+        if chosen is None:
+            return None
+        self._known.loads.started(chosen.server.server_id, want.request_id, 0, 0)
+        _LOG.info(
+            "placed",
+            request=want.request_id,
+            server=chosen.server.server_id,
+            running=chosen.load.requests,
+            slowness=round(chosen.slowness, 2),
+        )
+        return Placed(
+            chosen.server, None, None, kept_parts.NO_TRANSFERS, PLAIN_EXPECTED_MS
+        )
+
+    def _place_engine(
+        self, want: Want, prompt: prompts.Prompt, engine: deployment.EngineFacts
+    ) -> Placed | None:
+        now_ms = self._known.clock.now_ms()
+        plans = {
+            each.server_id: self._plan(want, prompt, each)
+            for each in self._usable(want)
+        }
+        candidates = [
+            placement.Candidate(
+                each,
+                self._known.loads.of(each.server_id, now_ms),
+                self._known.health.of(each).slowness,
+                plans[each.server_id].missing_tokens,
+                plans[each.server_id].transfers.expected_ms,
+            )
+            for each in self._usable(want)
+        ]
+        need = placement.EngineNeed(
+            home_key=_home_key(prompt),
+            memory_tokens=prompt.memory_tokens,
+            engine_memory_tokens=engine.memory_tokens,
+        )
+        chosen = placement.choose_engine(candidates, need)
+        if chosen is None:
+            return None
+        plan = plans[chosen.server.server_id]
+        self._known.loads.started(
+            chosen.server.server_id,
+            want.request_id,
+            prompt.memory_tokens,
+            plan.missing_tokens,
+        )
+        _LOG.info(
+            "placed",
+            request=want.request_id,
+            server=chosen.server.server_id,
+            running=chosen.load.requests,
+            memory=chosen.load.memory_tokens,
+            backlog=chosen.load.prefill_tokens,
+            missing=plan.missing_tokens,
+            prompt=prompt.input_tokens,
+            weights=plan.version,
+            slowness=round(chosen.slowness, 2),
+        )
+        return Placed(
+            chosen.server,
+            plan.version,
+            plan.salt,
+            plan.transfers,
+            placement.engine_cost_ms(chosen) / chosen.slowness,
+        )
+
+    def _plan(
+        self, want: Want, prompt: prompts.Prompt, server: servers.ServerEntry
+    ) -> "_EnginePlan":
+        version = server.weight_versions_by_model[prompt.model]
+        salt = self._known.salt_of(want.account, version)
+        held = self._known.directory.held_prefix(
+            cache_directory.HolderName(server.server_id), salt, prompt.parts
+        )
+        transfers = kept_parts.NO_TRANSFERS
+        cached = sum(part.tokens for part in prompt.parts[:held])
+        missing = max(1, prompt.input_tokens - cached - transfers.fetched_tokens)
+        return _EnginePlan(version, salt, missing, transfers)
+
+    def _usable(self, want: Want) -> tuple[servers.ServerEntry, ...]:
+        now_ms = self._known.clock.now_ms()
+        able = tuple(
+            each
+            for each in self._known.registry.ready(want.service.name)
+            if each.server_id not in want.tried
+            and self._known.health.of(each).allows(now_ms)
+        )
+        if want.prompt is None or want.service.engine is None:
+            return able
+        return weights.current_first(
+            able,
+            want.prompt.model,
+            self._known.versions.newest(want.prompt.model),
+            self._known.versions.may_serve_replaced(
+                want.prompt.model,
+                now_ms,
+                self._known.facts.bounds.weights_deadline_ms,
+            ),
+        )
+
+    def _refuse_late(self, want: Want, line: waiting.WaitingLine) -> Refused:
+        now_ms = self._known.clock.now_ms()
+        after_ms = line.retry_after_ms(want.ticket, now_ms, self._generator.random())
+        return self._refuse(want, "all backend servers are busy", after_ms)
+
+    def _refuse(self, want: Want, reason: str, retry_after_ms: int) -> Refused:
+        now_ms = self._known.clock.now_ms()
+        _LOG.info(
+            "refused",
+            request=want.request_id,
+            service=want.service.name,
+            reason=reason,
+            waited_ms=now_ms - want.ticket.arrived_ms,
+            waiting=len(self._line(want.service.name)),
+            retry_after_ms=retry_after_ms,
+        )
+        return Refused(reason, retry_after_ms)
+
+    def _line(self, service: deployment.ServiceName) -> waiting.WaitingLine:
+        return self._line_by_service.setdefault(service, waiting.WaitingLine())
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _EnginePlan:
+    version: int
+    salt: cache_directory.CacheSalt
+    missing_tokens: int
+    transfers: kept_parts.Transfers
+
+
+def _home_key(prompt: prompts.Prompt) -> str:
+    shared = prompt.shared_parts or prompt.parts
+    return shared[-1].part_id if shared else ""
--- /dev/null
+++ b/quincecrank/gateway/forwarding.py
@@ -0,0 +1,594 @@
+"""Serves one caller's request: route, account, backend server, answer.
+
+The truth of refusals
+    A caller hears "not run" (503 with a time to come back) only if no byte of the
+    request was sent, or if each backend server that got it said that it did not
+    run it.  Otherwise the failure promises nothing (502, or 504 after the time
+    limit).
+"""
+
+import asyncio
+import dataclasses
+import hashlib
+import random
+from typing import Final
+
+from tornado import httputil, iostream
+
+from quincecrank import clock as clocks
+from quincecrank import crash_counts, ids
+from quincecrank.gateway import (
+    callers,
+    decision_log,
+    deployment,
+    dispatcher,
+    event_stream,
+    gateway_metrics,
+    knowledge,
+    links,
+    retry_share,
+    servers,
+    waiting,
+)
+from quincecrank.platform import answers, requests
+
+CONNECT_TIMEOUT_MS: Final = 250
+"""Many round trips inside one region; a live server accepts within one."""
+
+MAX_SAFE_IDLE_MS: Final = 1_500
+"""Idle time up to which a link carries a request that may not be repeated: a server
+that closes idle links early would leave its outcome unknown."""
+
+MAX_IDLE_MS: Final = 8_000
+"""Idle time up to which a link carries a request that may be repeated."""
+
+MAX_REFUSALS: Final = 3
+"""Sends of one request that backend servers may refuse before its caller does."""
+
+NOT_READY_RETRY_MS: Final = 500
+"""Time to come back while no configuration is known yet."""
+
+POISON_RETRY_MS: Final = 5_000
+"""Time to come back with a request that crashed the servers that ran it."""
+
+SILENT_SHARE: Final = 0.4
+"""Part of its remaining time after which a repeatable request leaves a silent
+server, if it may go to another one."""
+
+STREAM_SILENCE_MS: Final = 1_200
+"""Silence after which a resumable stream goes on at another server; callers leave
+after two seconds."""
+
+WATCH_INTERVAL_MS: Final = 100
+
+END_MARGIN_MS: Final = 20
+"""Time by which the final answer goes out before the time limit."""
+
+_LOG: Final = decision_log.logger("forwarding")
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """One caller's request while it is served.
+
+    Attributes
+    ----------
+    deadline_ms : int
+        Instant at which the caller or the operator no longer waits.
+    has_maybe_run : bool
+        Whether a backend server may have begun to run it.
+    sends, refusals : int
+        Backend servers that it was sent to, and how many refused it.
+    """
+
+    request: callers.CallerRequest
+    answer: callers.CallerAnswer
+    said: requests.CallerHeaders
+    route: deployment.Route
+    service: deployment.Service
+    account: deployment.Account | None
+    deadline_ms: int
+    fingerprint: crash_counts.RequestFingerprint
+    tried: set[servers.ServerId] = dataclasses.field(default_factory=set)
+    has_maybe_run: bool = False
+    sends: int = 0
+    refusals: int = 0
+    cutter: event_stream.EventCutter = dataclasses.field(
+        default_factory=event_stream.EventCutter
+    )
+    last_failure: "AnswerBuffer | None" = None
+
+    @property
+    def runs(self) -> int:
+        """Backend servers that may have run it."""
+        return self.sends - self.refusals
+
+
+@dataclasses.dataclass(slots=True)
+class AnswerBuffer:
+    """A whole answer of a backend server that was not streamed."""
+
+    status: int
+    headers: httputil.HTTPHeaders
+    body: bytes = b""
+
+
+class _Sink:
+    """Passes events on at once and keeps other answers until they are whole."""
+
+    def __init__(self, job: Job, clock: clocks.Clock) -> None:
+        self._job = job
+        self._clock = clock
+        self.head: answers.AnswerHead | None = None
+        self.buffer: AnswerBuffer | None = None
+        self.is_streaming = False
+        self.first_part_ms: int | None = None
+        self.progress_ms = clock.now_ms()
+
+    def accepts(self, headers: httputil.HTTPHeaders) -> bool:
+        return answers.belongs_to(headers, self._job.said.request_id)
+
+    async def begin(self, status: int, headers: httputil.HTTPHeaders) -> None:
+        self.head = answers.decode(status, headers)
+        self.buffer = AnswerBuffer(status, headers)
+        self.progress_ms = self._clock.now_ms()
+        self.is_streaming = (
+            self._job.route.is_stream
+            and self.head.is_success
+            and self.head.is_sealed
+            and not self.head.is_encoded
+        )
+
+    async def data(self, chunk: bytes) -> None:
+        assert self.buffer is not None
+        if self.first_part_ms is None:
+            self.first_part_ms = self._clock.now_ms()
+        self.progress_ms = self._clock.now_ms()
+        if not self.is_streaming:
+            self.buffer.body += chunk
+            return
+        events = self._job.cutter.feed(chunk)
+        if events:
+            await self._pass_on(events)
+
+    async def end(self) -> bool:
+        """Take the end of the answer; return whether the stream is whole."""
+        if not self.is_streaming:
+            return True
+        if self._job.cutter.has_partial_event:
+            return False
+        if not self._job.answer.has_begun:
+            await self._pass_on(b"")
+        self._job.answer.finish()
+        return True
+
+    async def _pass_on(self, events: bytes) -> None:
+        assert self.buffer is not None
+        answer = self._job.answer
+        if not answer.has_begun:
+            headers = answers.returned_headers(self.buffer.headers)
+            answer.begin(self.buffer.status, headers)
+        if events:
+            await answer.write(events)
+
+
+class Forwarder:
+    """Serves callers' requests.
+
+    Parameters
+    ----------
+    known : Knowledge
+        What the gateway knows.
+    places : Dispatcher
+        Finds backend servers.
+    crashes : CrashCounts
+        Crashes by request, shared with the peers.
+    counted : GatewayMetrics
+        What the gateway counts.
+    """
+
+    def __init__(
+        self,
+        known: knowledge.Knowledge,
+        places: dispatcher.Dispatcher,
+        crashes: crash_counts.CrashCounts,
+        counted: gateway_metrics.GatewayMetrics,
+        generator: random.Random,
+    ) -> None:
+        self._known = known
+        self._clock = known.clock
+        self._places = places
+        self._crashes = crashes
+        self._metrics = counted
+        self._generator = generator
+        self._retries_by_service: dict[
+            deployment.ServiceName, retry_share.RetryShare
+        ] = {}
+
+    async def handle(
+        self, request: callers.CallerRequest, answer: callers.CallerAnswer
+    ) -> None:
+        """Answer one request."""
+        job = self._admit(request, answer)
+        if job is None:
+            return
+        try:
+            await self._serve(job)
+        except asyncio.CancelledError:
+            self._log_end(job, "caller left")
+            raise
+        except iostream.StreamClosedError:
+            self._log_end(job, "caller left")
+
+    def _admit(
+        self, request: callers.CallerRequest, answer: callers.CallerAnswer
+    ) -> Job | None:
+        """Check a request; answer it at once if it can't be served."""
+        current = self._known.current
+        try:
+            said = requests.decode(request.headers)
+        except requests.HeaderError as error:
+            self._reject(answer, "", 400, str(error))
+            return None
+        if current is None or not self._known.is_complete:
+            self._reject(answer, said.request_id, 503, "not ready", NOT_READY_RETRY_MS)
+            return None
+        route = current.find_route(said.host, request.path)
+        if route is None:
+            self._reject(answer, said.request_id, 404, "no route")
+            return None
+        account = current.find_account(said.api_key)
+        if account is None and current.requires_keys and not route.is_public:
+            self._reject(answer, said.request_id, 401, "unknown key")
+            return None
+        service = self._target(current, route, said.request_id)
+        if service is None:
+            self._reject(answer, said.request_id, 503, "no service", NOT_READY_RETRY_MS)
+            return None
+        allowed_ms = route.timeout_ms
+        if said.remaining_ms is not None:
+            allowed_ms = min(allowed_ms, said.remaining_ms)
+        return Job(
+            request=request,
+            answer=answer,
+            said=said,
+            route=route,
+            service=service,
+            account=account,
+            deadline_ms=request.received_ms + allowed_ms - END_MARGIN_MS,
+            fingerprint=_fingerprint(request, account),
+        )
+
+    async def _serve(self, job: Job) -> None:
+        if self._crashes.refuses(job.fingerprint, self._clock.wall_ms()):
+            self._reject(
+                job.answer, job.said.request_id, 503,
+                "the request crashed the servers that ran it", POISON_RETRY_MS,
+            )  # fmt: skip
+            return
+        while not job.answer.has_ended:
+            placed = await self._places.place(self._want(job))
+            if isinstance(placed, dispatcher.Refused):
+                self._give_up(job, placed.reason, placed.retry_after_ms)
+                return
+            try:
+                is_done = await self._attempt(job, placed)
+            finally:
+                self._known.loads.ended(placed.server.server_id, job.said.request_id)
+                self._places.pump(job.service.name)
+            if is_done:
+                return
+            reason = self._why_not_again(job)
+            if reason is not None:
+                self._give_up(job, reason, waiting.MIN_RETRY_AFTER_MS)
+                return
+
+    async def _attempt(self, job: Job, placed: dispatcher.Placed) -> bool:
+        """Send the request once; return whether its caller has been answered."""
+        server = placed.server
+        health = self._known.health.of(server)
+        job.tried.add(server.server_id)
+        link = await self._open_link(job, server)
+        if link is None:
+            return False
+        now_ms = self._clock.now_ms()
+        health.sent(now_ms)
+        if job.sends == 0:
+            self._retries(job.service.name).first_send(now_ms)
+        job.sends += 1
+        sink = _Sink(job, self._clock)
+        outgoing = self._outgoing(job, placed)
+        end = await self._exchange(job, link, outgoing, sink, placed)
+        return await self._conclude(job, placed, sink, end, now_ms)
+
+    async def _open_link(
+        self, job: Job, server: servers.ServerEntry
+    ) -> links.Link | None:
+        pool = self._known.links
+        max_idle_ms = MAX_IDLE_MS if job.route.may_repeat else MAX_SAFE_IDLE_MS
+        link = pool.take_idle(server, max_idle_ms)
+        if link is not None:
+            return link
+        left_ms = job.deadline_ms - self._clock.now_ms()
+        try:
+            return await pool.connect(server, min(CONNECT_TIMEOUT_MS, left_ms))
+        except (OSError, TimeoutError) as error:
+            self._known.health.of(server).unreachable(self._clock.now_ms())
+            _LOG.warning(
+                "server unreachable",
+                request=job.said.request_id,
+                server=server.server_id,
+                error=repr(error),
+            )
+            return None
+
+    def _outgoing(self, job: Job, placed: dispatcher.Placed) -> links.OutgoingRequest:
+        request = job.request
+        left_ms = max(1, job.deadline_ms - self._clock.now_ms())
+        transfers = placed.transfers
+        orders = requests.ForwardingOrders(
+            server_id=placed.server.server_id,
+            remaining_ms=left_ms,
+            account=job.account.name if job.account else None,
+            urgency=_urgency(job) if job.said.prompt is not None else None,
+            cache_salt=placed.salt,
+            expected_weights=placed.weights_version,
+            fetch_from=transfers.fetch_from or None,
+            save_to=transfers.save_to or None,
+            resume_after=job.cutter.last_id,
+        )
+        body_bytes = len(request.body) if request.has_body else None
+        headers = requests.encode(request.headers, orders, body_bytes)
+        return links.OutgoingRequest(
+            request.method, request.target, headers, request.body
+        )
+
+    async def _exchange(
+        self,
+        job: Job,
+        link: links.Link,
+        outgoing: links.OutgoingRequest,
+        sink: _Sink,
+        placed: dispatcher.Placed,
+    ) -> links.ExchangeEnd:
+        """Run an exchange until it ends, falls silent or its time is over."""
+        running = asyncio.ensure_future(link.exchange(outgoing, sink, self._clock))
+        try:
+            while not running.done():
+                now_ms = self._clock.now_ms()
+                left_ms = job.deadline_ms - now_ms
+                if left_ms <= 0 or self._is_silent(job, sink, now_ms):
+                    break
+                if sink.first_part_ms is not None:
+                    self._known.loads.prompt_computed(
+                        placed.server.server_id, job.said.request_id
+                    )
+                wait_s = min(WATCH_INTERVAL_MS, left_ms) / clocks.MS_PER_SECOND
+                await asyncio.wait({running}, timeout=wait_s)
+            if not running.done():
+                return links.ExchangeEnd.BROKEN
+            return running.result()
+        finally:
+            if not running.done():
+                # Closing the link tells the server to stop its work.
+                link.close()
+                running.cancel()
+                await asyncio.wait({running})
+            self._known.links.give_back(placed.server, link)
+
+    def _is_silent(self, job: Job, sink: _Sink, now_ms: int) -> bool:
+        """Return whether a request that may go elsewhere gets nothing here."""
+        if not job.route.may_repeat or job.runs >= job.route.max_attempts:
+            return False
+        silent_ms = now_ms - sink.progress_ms
+        if job.route.is_stream:
+            return silent_ms > max(STREAM_SILENCE_MS, 3 * job.route.target_ms)
+        total_ms = job.deadline_ms - job.request.received_ms
+        return silent_ms > total_ms * SILENT_SHARE
+
+    async def _conclude(
+        self,
+        job: Job,
+        placed: dispatcher.Placed,
+        sink: _Sink,
+        end: links.ExchangeEnd,
+        sent_ms: int,
+    ) -> bool:
+        """Judge an exchange; return whether its caller has been answered."""
+        now_ms = self._clock.now_ms()
+        health = self._known.health.of(placed.server)
+        head = sink.head
+        if end is links.ExchangeEnd.UNSENT:
+            job.sends -= 1
+            job.tried.discard(placed.server.server_id)
+            return False
+        if end is links.ExchangeEnd.COMPLETE and head is not None:
+            if head.was_refused:
+                job.refusals += 1
+                health.refused(now_ms)
+                self._log_attempt(job, placed, "refused", head.status, sent_ms)
+                return False
+            job.has_maybe_run = True
+            if head.is_success and (not head.is_sealed or head.is_encoded):
+                health.failed(now_ms)
+                self._log_attempt(job, placed, "unsealed", head.status, sent_ms)
+                return False
+            if not head.is_success:
+                return self._conclude_failure(job, placed, sink, sent_ms)
+            if await sink.end():
+                first_ms = (sink.first_part_ms or now_ms) - sent_ms
+                health.answered(first_ms, placed.expected_ms)
+                self._finish_whole(job, sink)
+                self._log_attempt(job, placed, "answered", head.status, sent_ms)
+                self._log_end(job, "answered")
+                return True
+        job.has_maybe_run = True
+        health.failed(now_ms)
+        status = head.status if head else 0
+        self._log_attempt(job, placed, "broken off", status, sent_ms)
+        job.cutter.restart()
+        return False
+
+    def _conclude_failure(
+        self,
+        job: Job,
+        placed: dispatcher.Placed,
+        sink: _Sink,
+        sent_ms: int,
+    ) -> bool:
+        """Take a server's own failure; another server may do better."""
+        assert sink.buffer is not None
+        self._known.health.of(placed.server).failed(self._clock.now_ms())
+        self._log_attempt(job, placed, "failed", sink.buffer.status, sent_ms)
+        job.last_failure = sink.buffer
+        is_final = sink.buffer.status < 500 or not job.route.may_repeat
+        if is_final and not job.answer.has_begun:
+            self._send_server_failure(job, sink.buffer)
+            return True
+        return False
+
+    def _finish_whole(self, job: Job, sink: _Sink) -> None:
+        if sink.is_streaming:
+            return
+        assert sink.buffer is not None
+        headers = answers.returned_headers(sink.buffer.headers)
+        job.answer.send(sink.buffer.status, headers, sink.buffer.body)
+
+    def _send_server_failure(self, job: Job, failure: AnswerBuffer) -> None:
+        headers = answers.returned_headers(failure.headers)
+        job.answer.send(failure.status, headers, failure.body)
+        self._log_end(job, f"server's {failure.status}")
+
+    def _why_not_again(self, job: Job) -> str | None:
+        """Return why the request is not sent to another server, or None."""
+        now_ms = self._clock.now_ms()
+        if now_ms >= job.deadline_ms:
+            return "time limit"
+        if job.has_maybe_run and not job.route.may_repeat:
+            return "outcome unknown"
+        if job.runs >= job.route.max_attempts:
+            return "no attempts left"
+        if job.refusals >= MAX_REFUSALS:
+            return "refused by servers"
+        if job.sends and not self._retries(job.service.name).try_further_send(
+            now_ms, self._known.gateways
+        ):
+            return "retry budget"
+        return None
+
+    def _give_up(self, job: Job, reason: str, retry_after_ms: int) -> None:
+        """Send the final answer of a request that no server answered."""
+        self._log_end(job, reason)
+        if job.answer.has_begun:
+            job.answer.abort()
+        elif job.last_failure is not None:
+            self._send_server_failure(job, job.last_failure)
+        elif not job.has_maybe_run:
+            self._reject(job.answer, job.said.request_id, 503, reason, retry_after_ms)
+        else:
+            is_late = self._clock.now_ms() >= job.deadline_ms
+            self._reject(
+                job.answer, job.said.request_id, 504 if is_late else 502, reason
+            )
+
+    def _reject(
+        self,
+        answer: callers.CallerAnswer,
+        request_id: str,
+        status: int,
+        reason: str,
+        retry_after_ms: int | None = None,
+    ) -> None:
+        _LOG.info(
+            "own answer",
+            request=request_id,
+            status=status,
+            reason=reason,
+            retry_after_ms=retry_after_ms,
+            configuration=self._known.current.version if self._known.current else None,
+        )
+        self._metrics.answered_itself(status, reason)
+        answer.send(
+            status,
+            answers.own_headers(request_id, retry_after_ms),
+            reason.encode() + b"\n",
+        )
+
+    def _want(self, job: Job) -> dispatcher.Want:
+        ticket = waiting.Ticket(
+            request_id=job.said.request_id,
+            urgency=_urgency(job),
+            arrived_ms=job.request.received_ms,
+            deadline_ms=job.deadline_ms,
+            target_ms=job.route.target_ms,
+        )
+        return dispatcher.Want(
+            ticket, job.service, job.account, job.said.prompt, frozenset(job.tried)
+        )
+
+    def _target(
+        self,
+        current: deployment.Deployment,
+        route: deployment.Route,
+        request_id: ids.RequestId,
+    ) -> deployment.Service | None:
+        """Return the service of a request, drawn by the weights of the targets."""
+        weights = [target.weight for target in route.targets]
+        if not any(weight > 0 for weight in weights):
+            return None
+        drawn = self._generator.choices(route.targets, weights)[0]
+        return current.services_by_name.get(drawn.service)
+
+    def _retries(self, service: deployment.ServiceName) -> retry_share.RetryShare:
+        return self._retries_by_service.setdefault(
+            service, retry_share.RetryShare(self._known.facts.bounds)
+        )
+
+    def _log_attempt(
+        self,
+        job: Job,
+        placed: dispatcher.Placed,
+        outcome: str,
+        status: int,
+        sent_ms: int,
+    ) -> None:
+        _LOG.info(
+            "attempt",
+            request=job.said.request_id,
+            server=placed.server.server_id,
+            attempt=job.sends,
+            outcome=outcome,
+            status=status,
+            took_ms=self._clock.now_ms() - sent_ms,
+            expected_ms=round(placed.expected_ms),
+        )
+
+    def _log_end(self, job: Job, outcome: str) -> None:
+        took_ms = self._clock.now_ms() - job.request.received_ms
+        self._metrics.ended(job.service.name, outcome, took_ms)
+        _LOG.info(
+            "request ended",
+            request=job.said.request_id,
+            route=job.route.name,
+            outcome=outcome,
+            sends=job.sends,
+            events=job.cutter.events,
+            took_ms=took_ms,
+        )
+
+
+def _urgency(job: Job) -> int:
+    if job.account is not None and job.account.urgency is not None:
+        return job.account.urgency
+    return job.route.urgency
+
+
+def _fingerprint(
+    request: callers.CallerRequest, account: deployment.Account | None
+) -> crash_counts.RequestFingerprint:
+    """Return what makes requests equal: method, target, caller and body."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (request.method.encode(), request.target.encode(), request.body):
+        digest.update(len(part).to_bytes(8, "little") + part)
+    name = account.name if account is not None else ids.AccountName("")
+    return crash_counts.RequestFingerprint(name, digest.digest())
--- /dev/null
+++ b/quincecrank/gateway/gateway_metrics.py
@@ -0,0 +1,61 @@
+"""Metrics of a gateway, in Prometheus' format."""
+
+from typing import Final
+
+import prometheus_client
+
+from quincecrank import clock
+from quincecrank.gateway import deployment
+
+_BUCKETS_S: Final = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 5.0, 15.0)
+"""Around the on-time targets and the deadlines of the users' requests."""
+
+
+class GatewayMetrics:
+    """What a gateway counts."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self._ended = prometheus_client.Histogram(
+            "quince_gateway_request_seconds",
+            "Time from a request to its end, by how it ended",
+            ["service", "outcome"],
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._own_answers = prometheus_client.Counter(
+            "quince_gateway_own_answers",
+            "Answers that the gateway gave itself, by status and reason",
+            ["status", "reason"],
+            registry=self.registry,
+        )
+        self.waiting = prometheus_client.Gauge(
+            "quince_gateway_waiting",
+            "Requests that wait for a backend server",
+            registry=self.registry,
+        )
+        self.configuration_version = prometheus_client.Gauge(
+            "quince_gateway_configuration_version",
+            "Version in force",
+            registry=self.registry,
+        )
+        self.store_failures = prometheus_client.Counter(
+            "quince_gateway_store_failures",
+            "Calls to the platform's store that failed, by table",
+            ["table"],
+            registry=self.registry,
+        )
+        self.peers = prometheus_client.Gauge(
+            "quince_gateway_peers", "Live other gateways", registry=self.registry
+        )
+
+    def ended(
+        self, service: deployment.ServiceName, outcome: str, duration_ms: int
+    ) -> None:
+        """Record the end of a request."""
+        seconds = duration_ms / clock.MS_PER_SECOND
+        self._ended.labels(service, outcome).observe(seconds)
+
+    def answered_itself(self, status: int, reason: str) -> None:
+        """Count an answer that no backend server gave."""
+        self._own_answers.labels(str(status), reason).inc()
--- /dev/null
+++ b/quincecrank/gateway/links.py
@@ -0,0 +1,355 @@
+"""Connections to backend servers, and one exchange on such a connection.
+
+Terms
+-----
+link
+    A connection to one incarnation of a backend server.
+exchange
+    One request and its answer on a link.
+sink
+    Takes the answer of an exchange while it arrives.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import socket
+from collections.abc import Awaitable
+from typing import Any, Final, Protocol
+
+from tornado import http1connection, httputil, iostream
+
+from quincecrank import clock as clocks
+from quincecrank.gateway import servers
+
+MAX_HEADER_BYTES: Final = 64 * 1024
+MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
+MAX_STRAY_ANSWERS: Final = 3
+"""Late answers to earlier requests that are skipped before the link is given up."""
+
+
+class ExchangeEnd(enum.Enum):
+    """How an exchange ended.
+
+    `COMPLETE` means that the whole answer arrived.  `UNSENT` means that no byte of
+    the request was written.  `BROKEN` means that the request may have run.
+    """
+
+    COMPLETE = "complete"
+    UNSENT = "unsent"
+    BROKEN = "broken"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutgoingRequest:
+    """A request as it is sent to a backend server."""
+
+    method: str
+    target: str
+    headers: httputil.HTTPHeaders
+    body: bytes
+
+
+class AnswerSink(Protocol):
+    """Takes an answer while it arrives."""
+
+    def accepts(self, headers: httputil.HTTPHeaders) -> bool:
+        """Return whether the answer belongs to the request."""
+
+    async def begin(self, status: int, headers: httputil.HTTPHeaders) -> None:
+        """Take the status and headers of the answer."""
+
+    async def data(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+
+
+class LinkStream(iostream.IOStream):
+    """A stream that tells whether bytes have arrived that nothing has read."""
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether received bytes wait to be read."""
+        return self._read_buffer_size > 0
+
+
+class Link:
+    """One connection to a backend server; carries one exchange at a time.
+
+    Attributes
+    ----------
+    idle_since_ms : int
+        Instant at which the last exchange ended.
+    idle_limit_ms : int or None
+        Time for which the server keeps an idle connection, if it says so.
+    """
+
+    def __init__(self, stream: LinkStream, now_ms: int) -> None:
+        self._stream = stream
+        self._is_reusable = True
+        self.idle_since_ms = now_ms
+        self.idle_limit_ms: int | None = None
+        self.has_served = False
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether a further exchange may start."""
+        return (
+            self._is_reusable
+            and not self._stream.closed()
+            and not self._stream.has_unread_bytes
+        )
+
+    def close(self) -> None:
+        """Close the connection, which also stops a running exchange."""
+        self._is_reusable = False
+        self._stream.close()
+
+    async def exchange(
+        self, request: OutgoingRequest, sink: AnswerSink, clock: clocks.Clock
+    ) -> ExchangeEnd:
+        """Send a request and pass its answer to `sink`."""
+        if not self.is_usable:
+            return ExchangeEnd.UNSENT
+        parameters = http1connection.HTTP1ConnectionParameters(
+            max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_ANSWER_BYTES
+        )
+        connection = http1connection.HTTP1Connection(self._stream, True, parameters)
+        sent = _send(connection, request)
+        try:
+            end = await self._receive(connection, sink)
+        except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
+            end = ExchangeEnd.BROKEN
+        finally:
+            # An answer that comes before the whole request was read leaves the
+            # rest of the request in flight; the link can't be used again then.
+            if not sent.done():
+                self._is_reusable = False
+                sent.add_done_callback(_retrieve_exception)
+            else:
+                _retrieve_exception(sent)
+        if end is not ExchangeEnd.COMPLETE or not self._is_reusable:
+            self.close()
+        self.has_served = True
+        self.idle_since_ms = clock.now_ms()
+        return end
+
+    async def _receive(
+        self, connection: http1connection.HTTP1Connection, sink: AnswerSink
+    ) -> ExchangeEnd:
+        for _ in range(MAX_STRAY_ANSWERS):
+            reader = _AnswerReader(sink)
+            reading = asyncio.ensure_future(connection.read_response(reader))
+            try:
+                # The read itself ends only when the request is written, too.
+                futures: set[asyncio.Future[Any]] = {reading, reader.ended}
+                await asyncio.wait(futures, return_when=asyncio.FIRST_COMPLETED)
+                if not reader.ended.done():
+                    reading.result()
+            finally:
+                if not reading.done():
+                    await asyncio.sleep(0)
+                reading.add_done_callback(_retrieve_exception)
+            if reader.failure is not None:
+                raise reader.failure
+            if not reader.is_finished:
+                return ExchangeEnd.BROKEN
+            if reader.is_unframed and self._stream.error is not None:
+                return ExchangeEnd.BROKEN
+            self._note_keep_alive(reader)
+            if reader.is_accepted:
+                return ExchangeEnd.COMPLETE
+            if not self._is_reusable or not reading.done():
+                return ExchangeEnd.BROKEN
+        return ExchangeEnd.BROKEN
+
+    def _note_keep_alive(self, reader: "_AnswerReader") -> None:
+        if reader.is_unframed or self._stream.closed():
+            self._is_reusable = False
+            return
+        headers = reader.headers
+        if "close" in headers.get("Connection", "").lower():
+            self._is_reusable = False
+        for field in headers.get("Keep-Alive", "").split(","):
+            name, _, value = field.strip().partition("=")
+            if name.lower() == "timeout" and value.isdigit():
+                self.idle_limit_ms = int(value) * clocks.MS_PER_SECOND
+
+
+class _AnswerReader(httputil.HTTPMessageDelegate):
+    """Passes an answer to the sink if it belongs to the request."""
+
+    def __init__(self, sink: AnswerSink) -> None:
+        self._sink = sink
+        self.headers = httputil.HTTPHeaders()
+        self.is_accepted = False
+        self.is_finished = False
+        self.is_unframed = False
+        self.failure: BaseException | None = None
+        self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    async def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        assert isinstance(start_line, httputil.ResponseStartLine)
+        if 100 <= start_line.code < 200:
+            return
+        self.headers = headers
+        self.is_unframed = (
+            "Content-Length" not in headers and "Transfer-Encoding" not in headers
+        )
+        self.is_accepted = self._sink.accepts(headers)
+        if self.is_accepted:
+            await self._guard(self._sink.begin(start_line.code, headers))
+
+    async def data_received(self, chunk: bytes) -> None:
+        if self.is_accepted and self.failure is None:
+            await self._guard(self._sink.data(chunk))
+
+    def finish(self) -> None:
+        self.is_finished = True
+        self._end()
+
+    def on_connection_close(self) -> None:
+        self._end()
+
+    def _end(self) -> None:
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+    async def _guard(self, work: Awaitable[None]) -> None:
+        # The library logs and hides what a delegate raises; it is raised again
+        # by the exchange.
+        try:
+            await work
+        except Exception as error:
+            self.failure = error
+
+
+def _send(
+    connection: http1connection.HTTP1Connection, request: OutgoingRequest
+) -> "asyncio.Future[None]":
+    start = httputil.RequestStartLine(request.method, request.target, "")
+    written = connection.write_headers(start, request.headers, request.body)
+    connection.finish()
+    return asyncio.ensure_future(written)
+
+
+def _retrieve_exception(future: "asyncio.Future[Any]") -> None:
+    """Mark the exception of a read or write as seen; its link is closed."""
+    if not future.cancelled():
+        future.exception()
+
+
+@dataclasses.dataclass(slots=True)
+class _ServerLinks:
+    """Idle links to one incarnation of a backend server, newest last."""
+
+    started_wall_ms: int
+    idle: list[Link] = dataclasses.field(default_factory=list)
+    open_count: int = 0
+
+
+class LinkPool:
+    """Keeps idle links for reuse.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    max_idle_ms : int
+        Time after which an idle link is closed.
+    """
+
+    def __init__(self, clock: clocks.Clock, max_idle_ms: int) -> None:
+        self._clock = clock
+        self._max_idle_ms = max_idle_ms
+        self._links_by_server: dict[servers.ServerId, _ServerLinks] = {}
+
+    def take_idle(self, server: servers.ServerEntry, max_idle_ms: int) -> Link | None:
+        """Return a link that has been idle for at most `max_idle_ms`."""
+        kept = self._kept(server)
+        while kept.idle:
+            link = kept.idle.pop()
+            idle_ms = self._clock.now_ms() - link.idle_since_ms
+            if link.is_usable and idle_ms <= _idle_limit_ms(link, max_idle_ms):
+                return link
+            if link.is_usable and idle_ms <= _idle_limit_ms(link, self._max_idle_ms):
+                kept.idle.append(link)
+                return None
+            self._drop(kept, link)
+        return None
+
+    async def connect(self, server: servers.ServerEntry, timeout_ms: float) -> Link:
+        """Open a link.
+
+        Raises
+        ------
+        OSError
+            If the server refuses.
+        TimeoutError
+            If it does not answer in time.
+        """
+        ip, _, port = server.address.rpartition(":")
+        raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = LinkStream(raw)
+        try:
+            await asyncio.wait_for(
+                stream.connect((ip, int(port))), timeout_ms / clocks.MS_PER_SECOND
+            )
+        except BaseException:
+            stream.close()
+            raise
+        self._kept(server).open_count += 1
+        return Link(stream, self._clock.now_ms())
+
+    def give_back(self, server: servers.ServerEntry, link: Link) -> None:
+        """Keep a link for reuse, or close it if it can't be used again."""
+        kept = self._kept(server)
+        if link.is_usable:
+            kept.idle.append(link)
+        else:
+            self._drop(kept, link)
+
+    def forget(self, server_id: servers.ServerId) -> None:
+        """Close the idle links to a server that has left."""
+        kept = self._links_by_server.pop(server_id, None)
+        for link in kept.idle if kept else ():
+            link.close()
+
+    def close_stale(self) -> None:
+        """Close links that have been idle for too long."""
+        now_ms = self._clock.now_ms()
+        for kept in self._links_by_server.values():
+            for link in tuple(kept.idle):
+                limit_ms = _idle_limit_ms(link, self._max_idle_ms)
+                if not link.is_usable or now_ms - link.idle_since_ms > limit_ms:
+                    kept.idle.remove(link)
+                    self._drop(kept, link)
+
+    def _kept(self, server: servers.ServerEntry) -> _ServerLinks:
+        kept = self._links_by_server.get(server.server_id)
+        if kept is None or kept.started_wall_ms != server.started_wall_ms:
+            self.forget(server.server_id)
+            kept = _ServerLinks(server.started_wall_ms)
+            self._links_by_server[server.server_id] = kept
+        return kept
+
+    @staticmethod
+    def _drop(kept: _ServerLinks, link: Link) -> None:
+        link.close()
+        kept.open_count -= 1
+
+
+def _idle_limit_ms(link: Link, max_idle_ms: int) -> float:
+    """Return the idle time after which a link may be closed by the server."""
+    if link.idle_limit_ms is None:
+        return max_idle_ms
+    return min(max_idle_ms, link.idle_limit_ms * IDLE_SHARE)
+
+
+IDLE_SHARE: Final = 0.5
+"""Part of a server's announced idle time for which a link is used: the rest covers
+the way of the closing packet and delays of either process."""
--- /dev/null
+++ b/quincecrank/gateway/main.py
@@ -0,0 +1,255 @@
+"""The gateway program: wires the parts together and runs until it is told to end.
+
+Reading order: `forwarding` (a request's way), `dispatcher` (where it goes),
+`followers` and `table_users` (how the fleet becomes known), `weight_roll` (orders to
+engines), `peers` (what gateways tell each other).
+"""
+
+import asyncio
+import gc
+import random
+import signal
+import sys
+from typing import Final
+
+from tornado import httpserver, netutil, web
+
+from quincecrank import clock as clocks
+from quincecrank import crash_counts, status_server, tasks
+from quincecrank.gateway import (
+    callers,
+    decision_log,
+    dispatcher,
+    environment,
+    followers,
+    forwarding,
+    gateway_metrics,
+    knowledge,
+    order_lease,
+    peer_messages,
+    peers,
+    table_users,
+    tables,
+    weight_roll,
+)
+from quincecrank.platform import engines, names, settings, store
+
+SERVERS_PAUSE_MS: Final = 200
+"""Pause between reads of the backend servers' table, which changes all the time."""
+
+MEMBERS_PAUSE_MS: Final = 1_000
+
+HOUSEKEEPING_MS: Final = 250
+
+ACCEPT_MS: Final = 3_000
+"""Time after SIGTERM in which connections still come: the balancer takes the machine
+out of rotation after two failed checks, a second apart."""
+
+IDLE_CLOSE_MS: Final = 4_000
+"""Time after SIGTERM at which idle connections are closed."""
+
+END_SHARE: Final = 0.93
+"""Part of the shutdown's grace time after which the process ends in any case."""
+
+_LOG: Final = decision_log.logger("gateway")
+
+
+class Gateway:
+    """One gateway process.
+
+    Parameters
+    ----------
+    facts : Environment
+        Settings of the process.
+    """
+
+    def __init__(self, facts: environment.Environment, clock: clocks.Clock) -> None:
+        self._facts = facts
+        self._clock = clock
+        self._tasks = tasks.BackgroundTasks()
+        self._generator = random.Random()
+        self._metrics = gateway_metrics.GatewayMetrics()
+        self._crashes = crash_counts.CrashCounts()
+        self._known = knowledge.Knowledge(facts, clock)
+        self._store = store.PlatformStore(facts.store.endpoint)
+        self._peers = peers.PeerTables(facts, clock)
+        self._places = dispatcher.Dispatcher(self._known, self._generator)
+        self._forwarder = forwarding.Forwarder(
+            self._known, self._places, self._crashes, self._metrics, self._generator
+        )
+        self._listener = callers.CallerListener(self._forwarder.handle, clock)
+        self._reporter = peers.PeerReporter(
+            facts, self._peers, self._make_report, self._use_report, clock
+        )
+        self._followers_by_table = self._make_followers()
+        self._roll = weight_roll.WeightRoll(
+            self._known,
+            engines.EngineCalls(),
+            order_lease.OrderLease(
+                self._store, facts.vm, facts.bounds.order_lease_ms, clock
+            ),
+            self._peers,
+            clock,
+        )
+        self._is_leaving = False
+
+    async def start(self) -> None:
+        """Open the listeners and begin to learn about the fleet."""
+        facts = self._facts
+        self._serve_readiness()
+        callers_socket = netutil.bind_sockets(
+            facts.callers.port, facts.callers.ip, backlog=512
+        )[0]
+        self._listener.start(callers_socket)
+        peers.serve_rows(facts, self._rows)
+        status_server.start(
+            netutil.bind_sockets(facts.metrics_port, facts.ip)[0],
+            self._metrics.registry,
+            lambda: self._is_ready,
+        )
+        self._reporter.start()
+        for follower in self._followers_by_table.values():
+            self._tasks.start(follower.run())
+        for table in (tables.TableName.OPERATOR, tables.TableName.SERVERS):
+            self._tasks.start(self._followers_by_table[table].run_from_peers())
+        self._tasks.start(self._reporter.run())
+        self._tasks.start(self._places.run())
+        self._tasks.start(self._roll.run())
+        self._tasks.start(self._register())
+        self._tasks.start(self._keep_house())
+        _LOG.info("started", ip=facts.ip, data_centre=facts.data_centre)
+
+    async def stop(self) -> None:
+        """Leave the rotation, finish the open requests and close."""
+        began_ms = self._clock.now_ms()
+        self._is_leaving = True
+        self._listener.state.is_leaving = True
+        _LOG.info("leaving", open_requests=self._listener.open_requests)
+        grace_ms = self._facts.bounds.shutdown_grace_ms * END_SHARE
+        await self._clock.sleep(ACCEPT_MS)
+        self._listener.stop_accepting()
+        await self._clock.sleep(IDLE_CLOSE_MS - ACCEPT_MS)
+        while self._listener.open_requests:
+            if self._clock.now_ms() - began_ms > grace_ms:
+                break
+            await self._clock.sleep(20)
+        _LOG.info("ended", open_requests=self._listener.open_requests)
+        self._tasks.cancel()
+
+    @property
+    def _is_ready(self) -> bool:
+        return self._known.is_complete and not self._is_leaving
+
+    def _make_followers(
+        self,
+    ) -> dict[tables.TableName, followers.TableFollower]:
+        user_by_table: dict[tables.TableName, followers.RowUser] = {
+            tables.TableName.OPERATOR: table_users.OperatorRows(self._known),
+            tables.TableName.SERVERS: table_users.ServerRows(self._known),
+            tables.TableName.MEMBERS: table_users.MemberRows(self._peers),
+        }
+        pause_by_table = {
+            tables.TableName.SERVERS: SERVERS_PAUSE_MS,
+            tables.TableName.MEMBERS: MEMBERS_PAUSE_MS,
+        }
+        return {
+            table: followers.TableFollower(
+                table,
+                self._store,
+                user,
+                self._peers,
+                self._clock,
+                pause_by_table.get(table, 0),
+                lambda name: self._metrics.store_failures.labels(name).inc(),
+            )
+            for table, user in user_by_table.items()
+        }
+
+    def _rows(self, table: tables.TableName) -> tables.Rows:
+        follower = self._followers_by_table.get(table)
+        return follower.rows if follower else tables.Rows((), 0)
+
+    def _make_report(self) -> peer_messages.Report:
+        versions = {
+            table: follower.version
+            for table, follower in self._followers_by_table.items()
+        }
+        return peer_messages.Report(
+            vm=self._facts.vm,
+            is_leaving=self._is_leaving,
+            operator_version=versions[tables.TableName.OPERATOR],
+            servers_version=versions[tables.TableName.SERVERS],
+            load_by_server=self._known.loads.own(),
+        )
+
+    def _use_report(self, report: peer_messages.Report) -> None:
+        now_ms = self._clock.now_ms()
+        self._known.loads.peer_reported(report.vm, report.load_by_server, now_ms)
+        self._crashes.merge(report.crashes)
+
+    async def _register(self) -> None:
+        """Tell the other gateways, through the store, where this one is."""
+        while True:
+            try:
+                await self._store.write(
+                    tables.TableName.MEMBERS, self._facts.vm, self._facts.ip, None
+                )
+                return
+            except tables.StoreUnavailableError as error:
+                _LOG.warning("not registered", reason=str(error))
+                await self._clock.sleep(followers.RETRY_MS * 4)
+
+    async def _keep_house(self) -> None:
+        while True:
+            await self._clock.sleep(HOUSEKEEPING_MS)
+            for server_id in self._known.registry.expire(self._clock.now_ms()):
+                _LOG.info("server gone", server=server_id, reason="lapsed")
+                self._known.forget_server(server_id)
+            self._known.links.close_stale()
+            self._known.gateways = 1 + len(self._peers.live_members())
+            current = self._known.current
+            if current is not None:
+                self._listener.state.limits = current.limits
+                self._metrics.configuration_version.set(current.version)
+            self._metrics.peers.set(self._known.gateways - 1)
+            self._metrics.waiting.set(self._places.waiting_requests)
+
+    def _serve_readiness(self) -> None:
+        application = web.Application(
+            [
+                (
+                    names.READY,
+                    status_server.ReadyHandler,
+                    {"is_ready": lambda: self._is_ready},
+                )
+            ],
+            log_function=lambda _handler: None,
+        )
+        server = httpserver.HTTPServer(application)
+        readiness = self._facts.readiness
+        server.add_sockets(netutil.bind_sockets(readiness.port, readiness.ip))
+
+
+async def _serve(facts: environment.Environment) -> None:
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    # Settings only hold what belongs to the machine: a reload changes nothing.
+    loop.add_signal_handler(signal.SIGHUP, lambda: _LOG.info("settings reloaded"))
+    gateway = Gateway(facts, clocks.SystemClock())
+    await gateway.start()
+    await ended.wait()
+    await gateway.stop()
+
+
+def main() -> None:
+    """Run a gateway by the platform's settings file."""
+    try:
+        facts = settings.load(settings.settings_path())
+    except settings.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(1)
+    decision_log.configure(facts.vm)
+    gc.freeze()
+    asyncio.run(_serve(facts))
--- /dev/null
+++ b/quincecrank/gateway/peer_messages.py
@@ -0,0 +1,112 @@
+"""Datagrams between gateways: encoded with Cap'n Proto, typed here."""
+
+import dataclasses
+import pathlib
+from collections.abc import Mapping
+from typing import Any, Final
+
+import capnp
+
+from quincecrank import crash_counts, ids
+from quincecrank.gateway import loads, servers
+
+capnp.remove_import_hook()
+_SCHEMA: Final[Any] = capnp.load(str(pathlib.Path(__file__).with_name("peers.capnp")))
+
+MAX_DATAGRAM_BYTES: Final = 1_400
+"""Fits one packet of an Ethernet link."""
+
+
+class MessageError(Exception):
+    """A datagram that is no report of a gateway."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What a gateway tells its peers at short intervals.
+
+    Attributes
+    ----------
+    operator_version, servers_version : int
+        Newest versions of the tables that it has read.
+    """
+
+    vm: ids.VmName
+    is_leaving: bool
+    operator_version: int
+    servers_version: int
+    load_by_server: Mapping[servers.ServerId, loads.Load]
+    crashes: tuple[crash_counts.CrashRecord, ...] = ()
+
+
+def encode(report: Report) -> bytes:
+    """Return the datagram of a report."""
+    message = _SCHEMA.Report.new_message(
+        vm=report.vm,
+        isLeaving=report.is_leaving,
+        operatorVersion=report.operator_version,
+        serversVersion=report.servers_version,
+        loads=[
+            {
+                "server": server,
+                "requests": load.requests,
+                "memoryTokens": load.memory_tokens,
+                "prefillTokens": load.prefill_tokens,
+            }
+            for server, load in report.load_by_server.items()
+        ],
+        crashes=[
+            {
+                "account": crash.request.account,
+                "digest": crash.request.digest,
+                "attempt": crash.attempt_id,
+                "wallMs": crash.wall_ms,
+                "cleared": crash.cleared,
+                "server": crash.server,
+            }
+            for crash in report.crashes
+        ],
+    )
+    return bytes(message.to_bytes_packed())
+
+
+def decode(datagram: bytes) -> Report:
+    """Return the report of a datagram.
+
+    Raises
+    ------
+    MessageError
+        If it holds none.
+    """
+    try:
+        message = _SCHEMA.Report.from_bytes_packed(datagram)
+        return _report(message)
+    except (capnp.KjException, ValueError) as error:
+        raise MessageError(str(error)) from error
+
+
+def _report(message: Any) -> Report:
+    return Report(
+        vm=ids.VmName(message.vm),
+        is_leaving=message.isLeaving,
+        operator_version=message.operatorVersion,
+        servers_version=message.serversVersion,
+        load_by_server={
+            servers.ServerId(each.server): loads.Load(
+                each.requests, each.memoryTokens, each.prefillTokens
+            )
+            for each in message.loads
+        },
+        crashes=tuple(
+            crash_counts.CrashRecord(
+                request=crash_counts.RequestFingerprint(
+                    ids.AccountName(each.account), bytes(each.digest)
+                ),
+                attempt_id=ids.AttemptId(each.attempt),
+                wall_ms=each.wallMs,
+                cleared=each.cleared,
+                server=ids.BackendServerName(each.server),
+            )
+            for each in message.crashes
+        ),
+    )
--- /dev/null
+++ b/quincecrank/gateway/peers.capnp
@@ -0,0 +1,28 @@
+@0xb1f0c2a9d7e45c13;
+
+# Datagrams between gateways.
+
+struct ServerLoad {
+  server @0 :Text;
+  requests @1 :UInt32;
+  memoryTokens @2 :UInt32;
+  prefillTokens @3 :UInt32;
+}
+
+struct Crash {
+  account @0 :Text;
+  digest @1 :Data;
+  attempt @2 :Text;
+  wallMs @3 :UInt64;
+  cleared @4 :Bool;
+  server @5 :Text;
+}
+
+struct Report {
+  vm @0 :Text;
+  isLeaving @1 :Bool;
+  operatorVersion @2 :UInt64;
+  serversVersion @3 :UInt64;
+  loads @4 :List(ServerLoad);
+  crashes @5 :List(Crash);
+}
--- /dev/null
+++ b/quincecrank/gateway/peers.py
@@ -0,0 +1,277 @@
+"""The other gateways: who they are, and what they report.
+
+Each gateway sends a datagram to each peer at a short interval and serves the rows
+that it has read from the store, for peers that the store turns away.
+
+Terms
+-----
+seed
+    A machine that the settings name; it is asked before any member is known.
+"""
+
+import json
+import random
+import socket
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final
+
+from tornado import httpclient, httpserver, ioloop, netutil, simple_httpclient, web
+
+from quincecrank import clock as clocks
+from quincecrank import ids
+from quincecrank.gateway import decision_log, environment, peer_messages, tables
+
+REPORT_INTERVAL_MS: Final = 150
+"""A fraction of the time that a model request takes, so that load reports count."""
+
+SILENCE_MS: Final = 1_500
+"""Time without a report after which a peer counts as gone: ten lost datagrams."""
+
+FORGET_MS: Final = 30_000
+"""Time without a report after which a member gets no datagrams any more."""
+
+ROWS_TIMEOUT_S: Final = 1.0
+
+_LOG: Final = decision_log.logger("peers")
+
+ReportUser = Callable[[peer_messages.Report], None]
+RowsReader = Callable[[tables.TableName], tables.Rows]
+
+
+class PeerTables:
+    """Aggregate of the live peers and the versions of the tables that they have.
+
+    Parameters
+    ----------
+    facts : Environment
+        Addresses of this process and of the seeds.
+    """
+
+    def __init__(self, facts: environment.Environment, clock: clocks.Clock) -> None:
+        self._facts = facts
+        self._clock = clock
+        self._ip_by_member: dict[ids.VmName, str] = {}
+        self._report_by_ip: dict[str, peer_messages.Report] = {}
+        self._heard_ms_by_ip: dict[str, int] = {}
+        self._added_ms_by_ip: dict[str, int] = {}
+        self._client = simple_httpclient.SimpleAsyncHTTPClient(force_instance=True)
+
+    def set_members(self, ip_by_member: Mapping[ids.VmName, str]) -> None:
+        """Take the members that registered in the store."""
+        self._ip_by_member = dict(ip_by_member)
+        now_ms = self._clock.now_ms()
+        for ip in self._ip_by_member.values():
+            self._added_ms_by_ip.setdefault(ip, now_ms)
+
+    def heard(self, ip: str, report: peer_messages.Report) -> None:
+        """Take a report."""
+        self._report_by_ip[ip] = report
+        self._heard_ms_by_ip[ip] = self._clock.now_ms()
+
+    def live_ips(self) -> tuple[str, ...]:
+        """Return the addresses of the peers that reported lately."""
+        now_ms = self._clock.now_ms()
+        return tuple(
+            ip
+            for ip, heard_ms in self._heard_ms_by_ip.items()
+            if now_ms - heard_ms < SILENCE_MS
+        )
+
+    def live_members(self) -> tuple[ids.VmName, ...]:
+        """Return the live peers that stay, by name."""
+        return tuple(
+            sorted(
+                self._report_by_ip[ip].vm
+                for ip in self.live_ips()
+                if not self._report_by_ip[ip].is_leaving
+            )
+        )
+
+    def destinations(self) -> tuple[str, ...]:
+        """Return the addresses that get reports."""
+        now_ms = self._clock.now_ms()
+        known = {*self._ip_by_member.values(), *self._facts.seed_ips}
+        known.update(self._heard_ms_by_ip)
+        known.discard(self._facts.ip)
+        return tuple(
+            ip
+            for ip in sorted(known)
+            if now_ms
+            - max(self._heard_ms_by_ip.get(ip, 0), self._added_ms_by_ip.get(ip, 0))
+            < FORGET_MS
+            or ip in self._facts.seed_ips
+        )
+
+    def newest_version(self, table: tables.TableName) -> int:
+        """Return the newest version of a table that a live peer has."""
+        return max(
+            (_version(self._report_by_ip[ip], table) for ip in self.live_ips()),
+            default=0,
+        )
+
+    async def read_all(self, table: tables.TableName) -> tables.Rows | None:
+        """Return a live peer's rows of a table; None if it did not answer."""
+        newest = self.newest_version(table)
+        holders = [
+            ip
+            for ip in self.live_ips()
+            if _version(self._report_by_ip[ip], table) == newest
+        ]
+        if not holders:
+            return None
+        ip = random.choice(holders)
+        url = f"http://{ip}:{self._facts.peer_port}/tables/{table.value}"
+        request = httpclient.HTTPRequest(
+            url, connect_timeout=ROWS_TIMEOUT_S, request_timeout=ROWS_TIMEOUT_S
+        )
+        try:
+            response = await self._client.fetch(request)
+            return decode_rows(response.body)
+        except (OSError, httpclient.HTTPError, ValueError, KeyError) as error:
+            _LOG.warning("peer gave no rows", peer=ip, error=repr(error))
+            return None
+
+
+class PeerReporter:
+    """Sends and receives the datagrams between gateways.
+
+    Parameters
+    ----------
+    make_report : callable
+        Returns what to tell now.
+    use_report : callable
+        Takes a peer's report.
+    """
+
+    def __init__(
+        self,
+        facts: environment.Environment,
+        directory: PeerTables,
+        make_report: Callable[[], peer_messages.Report],
+        use_report: ReportUser,
+        clock: clocks.Clock,
+    ) -> None:
+        self._facts = facts
+        self._directory = directory
+        self._make_report = make_report
+        self._use_report = use_report
+        self._clock = clock
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+
+    def start(self) -> None:
+        """Open the port."""
+        self._socket.setblocking(False)
+        self._socket.bind((self._facts.ip, self._facts.peer_port))
+        loop = ioloop.IOLoop.current()
+        loop.add_handler(self._socket, self._receive, ioloop.IOLoop.READ)
+
+    async def run(self) -> None:
+        """Send reports at intervals."""
+        while True:
+            self.send()
+            await self._clock.sleep(REPORT_INTERVAL_MS)
+
+    def send(self) -> None:
+        """Send a report to every peer."""
+        datagram = peer_messages.encode(self._make_report())
+        for ip in self._directory.destinations():
+            try:
+                self._socket.sendto(datagram, (ip, self._facts.peer_port))
+            except OSError as error:
+                # A report that can't be sent is made up for by the next one.
+                _LOG.debug("report not sent", peer=ip, error=str(error))
+
+    def _receive(self, _socket: object, _events: int) -> None:
+        while True:
+            try:
+                datagram, (ip, _port) = self._socket.recvfrom(65_535)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # An earlier datagram met a closed port; nothing is to be read.
+                _LOG.debug("datagram refused", error=str(error))
+                continue
+            try:
+                report = peer_messages.decode(datagram)
+            except peer_messages.MessageError as error:
+                _LOG.warning("not a report", peer=ip, error=str(error))
+                continue
+            self._directory.heard(ip, report)
+            self._use_report(report)
+
+
+class _RowsHandler(web.RequestHandler):
+    """`GET /tables/NAME`: the rows that this gateway has read."""
+
+    def initialize(self, read: RowsReader) -> None:
+        self._read = read
+
+    def get(self, name: str) -> None:
+        try:
+            table = tables.TableName(name)
+        except ValueError:
+            self.set_status(404)
+            return
+        rows = self._read(table)
+        if not rows.version:
+            self.set_status(503)
+            return
+        self.finish(encode_rows(rows))
+
+
+def serve_rows(
+    facts: environment.Environment, read: RowsReader
+) -> httpserver.HTTPServer:
+    """Serve rows to peers."""
+    application = web.Application(
+        [(r"/tables/([a-z]+)", _RowsHandler, {"read": read})],
+        log_function=lambda _handler: None,
+    )
+    server = httpserver.HTTPServer(application)
+    server.add_sockets(netutil.bind_sockets(facts.peer_port, facts.ip))
+    return server
+
+
+def encode_rows(rows: tables.Rows) -> bytes:
+    """Return rows as a document for peers."""
+    document = {
+        "version": rows.version,
+        "rows": [[row.key, row.text, row.version] for row in rows.rows],
+    }
+    return json.dumps(document).encode()
+
+
+def decode_rows(document: bytes) -> tables.Rows:
+    """Return the rows of a peer's document.
+
+    Raises
+    ------
+    ValueError, KeyError
+        If it has another form.
+    """
+    decoded = json.loads(document)
+    return tables.Rows(
+        tuple(
+            tables.Row(str(key), str(text), int(version))
+            for key, text, version in decoded["rows"]
+        ),
+        int(decoded["version"]),
+    )
+
+
+def member_ips(rows: Iterable[tables.Row]) -> dict[ids.VmName, str]:
+    """Return the addresses of registered members, skipping malformed rows."""
+    ip_by_member = {}
+    for row in rows:
+        if not row.text or row.is_removed:
+            continue
+        ip_by_member[ids.VmName(row.key)] = row.text
+    return ip_by_member
+
+
+def _version(report: peer_messages.Report, table: tables.TableName) -> int:
+    if table is tables.TableName.OPERATOR:
+        return report.operator_version
+    if table is tables.TableName.SERVERS:
+        return report.servers_version
+    return 0
--- /dev/null
+++ b/quincecrank/gateway/server_health.py
@@ -0,0 +1,73 @@
+"""Health of backend servers, judged by their answers to requests.
+
+Load pattern: a replica passes its health check and fails, drops or delays part of
+its requests; or it hangs, and each request sent there is lost until its deadline.
+"""
+
+from typing import Final
+
+from quincecrank import breaker
+from quincecrank.gateway import servers
+
+SMOOTHING: Final = 0.15
+"""Weight of a new observation in the slowness of a server."""
+
+MAX_SLOWNESS: Final = 8.0
+FULL_PAUSE_MS: Final = 150
+"""Time for which a server that refused a request as full gets no other one."""
+
+
+class ServerHealth:
+    """Aggregate of the recent behaviour of one incarnation of a backend server."""
+
+    def __init__(self, started_wall_ms: int) -> None:
+        self.started_wall_ms = started_wall_ms
+        self.slowness = 1.0
+        self._breaker = breaker.Breaker()
+        self._paused_until_ms = 0
+
+    def allows(self, now_ms: int) -> bool:
+        """Return whether a request may be sent now."""
+        return now_ms >= self._paused_until_ms and self._breaker.allows(now_ms)
+
+    def sent(self, now_ms: int) -> None:
+        """Record that a request is sent."""
+        self._breaker.sent(now_ms)
+
+    def answered(self, observed_ms: float, expected_ms: float) -> None:
+        """Record an answer, and how long its first part took."""
+        self._breaker.succeeded()
+        ratio = min(MAX_SLOWNESS, max(0.5, observed_ms / max(1.0, expected_ms)))
+        self.slowness += SMOOTHING * (ratio - self.slowness)
+
+    def failed(self, now_ms: int) -> None:
+        """Record an error, a broken answer or none."""
+        self._breaker.failed(now_ms)
+
+    def refused(self, now_ms: int, pause_ms: int = FULL_PAUSE_MS) -> None:
+        """Record that the server refused a request without running it."""
+        self._paused_until_ms = now_ms + pause_ms
+
+    def unreachable(self, now_ms: int) -> None:
+        """Record that no connection could be opened."""
+        for _ in range(breaker.FAILURES_TO_OPEN):
+            self._breaker.failed(now_ms)
+
+
+class HealthBook:
+    """The health of all backend servers, by id and incarnation."""
+
+    def __init__(self) -> None:
+        self._health_by_server: dict[servers.ServerId, ServerHealth] = {}
+
+    def of(self, server: servers.ServerEntry) -> ServerHealth:
+        """Return the health of a server; a new incarnation starts without any."""
+        health = self._health_by_server.get(server.server_id)
+        if health is None or health.started_wall_ms != server.started_wall_ms:
+            health = ServerHealth(server.started_wall_ms)
+            self._health_by_server[server.server_id] = health
+        return health
+
+    def forget(self, server_id: servers.ServerId) -> None:
+        """Forget a server that has left."""
+        self._health_by_server.pop(server_id, None)
--- /dev/null
+++ b/quincecrank/gateway/servers.py
@@ -0,0 +1,143 @@
+"""Backend servers as they report themselves, and which of them get new work.
+
+Terms
+-----
+incarnation
+    One start of a backend server.  A server may start again under its id; it then
+    knows nothing of its earlier incarnation.
+lapse
+    Removal of an entry because the store did not hear from the server for some
+    time, which also happens to live servers while the store is out.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Iterable, Mapping
+from typing import Final, NewType
+
+from quincecrank import ids
+from quincecrank.gateway import deployment
+
+ServerId = NewType("ServerId", str)
+
+LAPSE_GRACE_MS: Final = 2_500
+"""Time after the store's return in which live servers re-appear: two seconds by
+the platform's rules, and half a second for the entries to reach this process."""
+
+
+class ServerState(enum.Enum):
+    """Whether a backend server accepts new work, by its own report."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerEntry:
+    """What a backend server says of itself.
+
+    Attributes
+    ----------
+    address : str
+        IP address and port.
+    slots : int
+        Requests that it runs at once.
+    started_wall_ms : int
+        Time of its start since the epoch; names the incarnation.
+    weight_versions_by_model : mapping of ModelName to int
+        Versions of the weights that a model engine has loaded.
+    """
+
+    server_id: ServerId
+    service: deployment.ServiceName
+    address: str
+    data_centre: ids.DataCentre
+    slots: int
+    state: ServerState
+    started_wall_ms: int
+    weight_versions_by_model: Mapping[deployment.ModelName, int]
+
+
+class ServerRegistry:
+    """Aggregate of the backend servers known to this process.
+
+    Invariant: a server that was reported as draining or removed while the store
+    was stable gets no new work, until an entry of a later report says `READY`.
+    """
+
+    def __init__(self) -> None:
+        self._entries_by_id: dict[ServerId, ServerEntry] = {}
+        self._lapsed_until_ms_by_id: dict[ServerId, int] = {}
+        self._store_back_ms: int | None = None
+        self._store_is_out = False
+
+    def store_lost(self) -> None:
+        """Record that the store can't be read."""
+        self._store_is_out = True
+
+    def store_regained(self, now_ms: int) -> None:
+        """Record that the store can be read again."""
+        if self._store_is_out:
+            self._store_is_out = False
+            self._store_back_ms = now_ms
+
+    def update(self, entry: ServerEntry) -> ServerEntry | None:
+        """Take an entry; return the one that it replaces."""
+        before = self._entries_by_id.get(entry.server_id)
+        self._entries_by_id[entry.server_id] = entry
+        self._lapsed_until_ms_by_id.pop(entry.server_id, None)
+        return before
+
+    def remove(self, server_id: ServerId, now_ms: int) -> bool:
+        """Take the removal of an entry; return whether the server lost its work.
+
+        A removal that is seen soon after an outage of the store may be a lapse: the
+        server keeps its work until the grace time has passed.
+        """
+        entry = self._entries_by_id.get(server_id)
+        if entry is None:
+            return False
+        back_ms = self._store_back_ms
+        is_lapse = back_ms is not None and now_ms - back_ms < LAPSE_GRACE_MS
+        if is_lapse and entry.state is ServerState.READY:
+            assert back_ms is not None
+            self._lapsed_until_ms_by_id[server_id] = back_ms + LAPSE_GRACE_MS
+            return False
+        self._forget(server_id)
+        return True
+
+    def retain(self, present: Iterable[ServerId], now_ms: int) -> tuple[ServerId, ...]:
+        """Remove all servers that a full list lacks; return those that lost work."""
+        missing = set(self._entries_by_id) - set(present)
+        return tuple(each for each in sorted(missing) if self.remove(each, now_ms))
+
+    def expire(self, now_ms: int) -> tuple[ServerId, ...]:
+        """Remove lapsed servers that did not come back in time; return them."""
+        expired = tuple(
+            server_id
+            for server_id, until_ms in self._lapsed_until_ms_by_id.items()
+            if now_ms >= until_ms
+        )
+        for server_id in expired:
+            self._forget(server_id)
+        return expired
+
+    def find(self, server_id: ServerId) -> ServerEntry | None:
+        """Return the entry of a server."""
+        return self._entries_by_id.get(server_id)
+
+    def ready(self, service: deployment.ServiceName) -> tuple[ServerEntry, ...]:
+        """Return the servers of `service` that may get new work, by id."""
+        return tuple(
+            entry
+            for _, entry in sorted(self._entries_by_id.items())
+            if entry.service == service and entry.state is ServerState.READY
+        )
+
+    def all(self) -> tuple[ServerEntry, ...]:
+        """Return all known servers."""
+        return tuple(self._entries_by_id.values())
+
+    def _forget(self, server_id: ServerId) -> None:
+        self._entries_by_id.pop(server_id, None)
+        self._lapsed_until_ms_by_id.pop(server_id, None)
--- /dev/null
+++ b/quincecrank/gateway/table_users.py
@@ -0,0 +1,150 @@
+"""Bring rows of the store into the gateway's knowledge.
+
+A row that can't be decoded is logged with its place and skipped; the others hold.
+"""
+
+from typing import Final
+
+from quincecrank.gateway import decision_log, knowledge, peers, servers, tables
+from quincecrank.platform import documents, feeds
+
+_LOG: Final = decision_log.logger("tables")
+
+
+class OperatorRows:
+    """Takes the operator's configuration and named weights."""
+
+    def __init__(self, known: knowledge.Knowledge) -> None:
+        self._known = known
+
+    def take_all(self, rows: tuple[tables.Row, ...]) -> None:
+        """Take all rows that exist."""
+        self.take_changes(rows)
+
+    def take_changes(self, rows: tuple[tables.Row, ...]) -> None:
+        """Take changed rows."""
+        for row in rows:
+            try:
+                update = feeds.operator_update(row)
+            except documents.DocumentError as error:
+                _LOG.error(
+                    "row refused", table="operator", key=row.key, error=str(error)
+                )
+                continue
+            if isinstance(update, feeds.NamedWeights):
+                self._name(update, row)
+            elif update is not None and self._known.take_configuration(update):
+                _LOG.info(
+                    "configuration in force", version=update.version, row=row.version
+                )
+
+    def store_lost(self) -> None:
+        """Nothing changes: what the operator wrote stays in force."""
+
+    def store_regained(self) -> None:
+        """Nothing changes."""
+
+    def _name(self, named: feeds.NamedWeights, row: tables.Row) -> None:
+        now_ms = self._known.clock.now_ms()
+        if self._known.versions.name(named.model, named.version, now_ms):
+            _LOG.info(
+                "weights named",
+                model=named.model,
+                version=named.version,
+                row=row.version,
+            )
+
+
+class ServerRows:
+    """Takes the entries of backend servers."""
+
+    def __init__(self, known: knowledge.Knowledge) -> None:
+        self._known = known
+
+    def take_all(self, rows: tuple[tables.Row, ...]) -> None:
+        """Take all entries; servers without one are gone."""
+        now_ms = self._known.clock.now_ms()
+        present = [servers.ServerId(row.key) for row in rows]
+        for server_id in self._known.registry.retain(present, now_ms):
+            self._gone(server_id)
+        self.take_changes(rows)
+        self._known.servers_known()
+
+    def take_changes(self, rows: tuple[tables.Row, ...]) -> None:
+        """Take changed and removed entries."""
+        for row in rows:
+            try:
+                entry = feeds.server_update(row)
+            except documents.DocumentError as error:
+                _LOG.warning(
+                    "row refused", table="servers", key=row.key, error=str(error)
+                )
+                continue
+            if entry is None:
+                self._removed(servers.ServerId(row.key))
+            else:
+                self._update(entry)
+
+    def store_lost(self) -> None:
+        """Entries may lapse from now on though their servers live."""
+        self._known.registry.store_lost()
+
+    def store_regained(self) -> None:
+        """Entries that lapsed come back within a short time."""
+        self._known.registry.store_regained(self._known.clock.now_ms())
+
+    def _update(self, entry: servers.ServerEntry) -> None:
+        before = self._known.registry.update(entry)
+        if before is None or _is_news(before, entry):
+            _LOG.info(
+                "server entry",
+                server=entry.server_id,
+                service=entry.service,
+                state=entry.state.value,
+                address=entry.address,
+                weights=dict(entry.weight_versions_by_model),
+                started_wall_ms=entry.started_wall_ms,
+            )
+        if before is not None and before.started_wall_ms != entry.started_wall_ms:
+            self._known.forget_server(entry.server_id)
+
+    def _removed(self, server_id: servers.ServerId) -> None:
+        if self._known.registry.remove(server_id, self._known.clock.now_ms()):
+            self._gone(server_id)
+
+    def _gone(self, server_id: servers.ServerId) -> None:
+        _LOG.info("server gone", server=server_id)
+        self._known.forget_server(server_id)
+
+
+class MemberRows:
+    """Takes the addresses of the other gateways."""
+
+    def __init__(self, directory: peers.PeerTables) -> None:
+        self._directory = directory
+        self._text_by_key: dict[str, tables.Row] = {}
+
+    def take_all(self, rows: tuple[tables.Row, ...]) -> None:
+        """Take all members."""
+        self._text_by_key = {row.key: row for row in rows}
+        self._directory.set_members(peers.member_ips(self._text_by_key.values()))
+
+    def take_changes(self, rows: tuple[tables.Row, ...]) -> None:
+        """Take changed members."""
+        self._text_by_key.update({row.key: row for row in rows})
+        self._directory.set_members(peers.member_ips(self._text_by_key.values()))
+
+    def store_lost(self) -> None:
+        """Nothing changes: members are judged by their reports."""
+
+    def store_regained(self) -> None:
+        """Nothing changes."""
+
+
+def _is_news(before: servers.ServerEntry, now: servers.ServerEntry) -> bool:
+    return (
+        before.state is not now.state
+        or before.started_wall_ms != now.started_wall_ms
+        or dict(before.weight_versions_by_model) != dict(now.weight_versions_by_model)
+        or before.address != now.address
+    )
--- /dev/null
+++ b/quincecrank/gateway/weights.py
@@ -0,0 +1,81 @@
+"""Versions of model weights: which one operators named, and which one may serve.
+
+Load pattern: a new version is named while requests arrive.  For a short time
+replicas of both versions serve; requests go to the new one as soon as a replica has
+it, and to the replaced one only until the operator's deadline.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+from typing import Final
+
+from quincecrank.gateway import deployment, servers
+
+STOP_SHARE: Final = 0.8
+"""Part of the operator's deadline after which replaced weights get no requests; the
+rest covers the time that the news and a sent request are under way."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Naming:
+    version: int
+    seen_ms: int
+
+
+class NamedVersions:
+    """Aggregate of the newest named version of each model; never goes back."""
+
+    def __init__(self) -> None:
+        self._naming_by_model: dict[deployment.ModelName, _Naming] = {}
+
+    def name(self, model: deployment.ModelName, version: int, now_ms: int) -> bool:
+        """Take a version that an operator named; return whether it is newer."""
+        known = self._naming_by_model.get(model)
+        if known is not None and known.version >= version:
+            return False
+        self._naming_by_model[model] = _Naming(version, now_ms)
+        return True
+
+    def newest(self, model: deployment.ModelName) -> int | None:
+        """Return the newest named version."""
+        naming = self._naming_by_model.get(model)
+        return naming.version if naming else None
+
+    def all(self) -> dict[deployment.ModelName, int]:
+        """Return the newest named version of each model."""
+        return {
+            model: naming.version for model, naming in self._naming_by_model.items()
+        }
+
+    def may_serve_replaced(
+        self, model: deployment.ModelName, now_ms: int, deadline_ms: int
+    ) -> bool:
+        """Return whether replaced weights may still get requests."""
+        naming = self._naming_by_model.get(model)
+        return naming is None or now_ms - naming.seen_ms < deadline_ms * STOP_SHARE
+
+
+def current_first(
+    candidates: Iterable[servers.ServerEntry],
+    model: deployment.ModelName,
+    newest: int | None,
+    may_use_replaced: bool,
+) -> tuple[servers.ServerEntry, ...]:
+    """Return the replicas that may serve a model: the newest weights only, if any.
+
+    Parameters
+    ----------
+    newest : int or None
+        Newest named version; None if none was named.
+    may_use_replaced : bool
+        Whether replicas of older versions serve while none has the newest.
+    """
+    able = tuple(each for each in candidates if model in each.weight_versions_by_model)
+    if newest is None:
+        return able
+    current = tuple(
+        each for each in able if each.weight_versions_by_model[model] >= newest
+    )
+    if current or not may_use_replaced:
+        return current
+    return able
--- /dev/null
+++ b/quincecrank/platform/documents.py
@@ -0,0 +1,217 @@
+"""Decodes what operators and backend servers write into the platform's store."""
+
+import json
+from typing import Any
+
+from quincecrank import ids
+from quincecrank.gateway import deployment, servers
+
+DEFAULT_EVENT_CALLS = 12
+"""Event calls that a server holds where its service names no limit."""
+
+
+class DocumentError(Exception):
+    """A document lacks a field or has one of another type."""
+
+
+def configuration(text: str) -> deployment.Deployment:
+    """Decode the operator's configuration.
+
+    Raises
+    ------
+    DocumentError
+        If it has another form.
+    """
+    try:
+        return _deployment(json.loads(text))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise DocumentError(f"configuration: {error!r}") from error
+
+
+def named_weights(text: str) -> tuple[deployment.ModelName, int]:
+    """Decode the operator's choice of a model's weights.
+
+    Raises
+    ------
+    DocumentError
+        If it has another form.
+    """
+    try:
+        document = json.loads(text)
+        return deployment.ModelName(document["model"]), int(document["version"])
+    except (KeyError, TypeError, ValueError) as error:
+        raise DocumentError(f"weights: {error!r}") from error
+
+
+def server_entry(server_id: str, text: str) -> servers.ServerEntry:
+    """Decode the entry of a backend server.
+
+    Raises
+    ------
+    DocumentError
+        If the entry has another form, as entries of other writers may have.
+    """
+    try:
+        document = json.loads(text)
+        # Entries of other writers may lack any field; one that lacks a field which
+        # every backend server writes is refused as a whole.
+        _text(document["version"])
+        _count(document["seq"])
+        _count(document["coldRemainingMs"])
+        return servers.ServerEntry(
+            server_id=servers.ServerId(server_id),
+            service=deployment.ServiceName(_text(document["service"])),
+            address=_address(document["address"]),
+            data_centre=ids.DataCentre(_text(document["zone"])),
+            slots=_count(document["slots"]),
+            state=servers.ServerState(document["state"]),
+            started_wall_ms=_count(document["born"]),
+            weight_versions_by_model={
+                deployment.ModelName(_text(model["name"])): _count(model["version"])
+                for model in document.get("models", ())
+            },
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise DocumentError(f"server {server_id}: {error!r}") from error
+
+
+def _deployment(document: dict[str, Any]) -> deployment.Deployment:
+    routes_by_host: dict[str, list[deployment.Route]] = {}
+    for each in document["routes"]:
+        route = _route(each)
+        routes_by_host.setdefault(route.host, []).append(route)
+    accounts = document.get("tenants")
+    plain, stores = _services(document["services"])
+    return deployment.Deployment(
+        version=ids.ConfigurationVersion(int(document["version"])),
+        routes_by_host={host: tuple(each) for host, each in routes_by_host.items()},
+        services_by_name=plain,
+        stores_by_name=stores,
+        limits=_limits(document["limits"]),
+        accounts_by_key={
+            key: account
+            for each in accounts or ()
+            for account in (_account(each),)
+            for key in each["apiKeys"]
+        },
+        requires_keys=accounts is not None,
+    )
+
+
+def _route(document: dict[str, Any]) -> deployment.Route:
+    kind = document["routeKind"]
+    is_idempotent = kind == "idempotent"
+    # A route names one service, or several with the share of each.
+    split = document.get("trafficSplit") or [
+        {"service": document["service"], "weight": 1}
+    ]
+    return deployment.Route(
+        name=deployment.RouteName(document["name"]),
+        host=document["host"].lower(),
+        prefix=document["prefix"],
+        targets=tuple(
+            deployment.WeightedService(
+                deployment.ServiceName(each["service"]), float(each["weight"])
+            )
+            for each in split
+        ),
+        repeatability=(
+            deployment.Repeatability.IDEMPOTENT
+            if is_idempotent
+            else deployment.Repeatability.NON_IDEMPOTENT
+        ),
+        is_stream=kind == "streaming",
+        is_resumable=bool(document.get("resumable", False)),
+        timeout_ms=int(document["timeoutMs"]),
+        target_ms=int(document.get("targetLatencyMs") or document["timeoutMs"]),
+        gap_target_ms=int(document.get("gapTargetMs") or document["timeoutMs"]),
+        max_attempts=max(1, int(document.get("maxAttempts") or 1)),
+        urgency=int(document.get("priority") or 0),
+        is_public=bool(document.get("public", False)),
+    )
+
+
+def _services(
+    documents: list[dict[str, Any]],
+) -> tuple[
+    dict[deployment.ServiceName, deployment.Service],
+    dict[deployment.ServiceName, deployment.CacheStore],
+]:
+    plain = {}
+    stores = {}
+    for each in documents:
+        name = deployment.ServiceName(each["name"])
+        if each.get("kvStoreAddr"):
+            stores[name] = _store(name, each)
+        else:
+            plain[name] = deployment.Service(
+                name, int(each.get("maxConns") or 1), _engine(each.get("engine"))
+            )
+    return plain, stores
+
+
+def _engine(document: dict[str, Any] | None) -> deployment.EngineFacts | None:
+    if not document:
+        return None
+    return deployment.EngineFacts(
+        slots=int(document["slots"]),
+        memory_tokens=int(document["kvCapacityTokens"]),
+        token_bytes=int(document["kvTokenBytes"]),
+        max_event_calls=int(document.get("maxInflight") or DEFAULT_EVENT_CALLS),
+        models=tuple(
+            deployment.ModelName(model["name"]) for model in document["models"]
+        ),
+    )
+
+
+def _store(
+    name: deployment.ServiceName, document: dict[str, Any]
+) -> deployment.CacheStore:
+    return deployment.CacheStore(
+        name=name,
+        address=document["kvStoreAddr"],
+        data_centre=ids.DataCentre(document["zone"]),
+        capacity_tokens=int(document["kvCapacityTokens"]),
+        link_mbps=float(document["linkMbps"]),
+        transfer_delay_ms=float(document.get("first_ms") or 0.0),
+        max_event_calls=int(document.get("maxInflight") or DEFAULT_EVENT_CALLS),
+        is_managed=bool(document.get("managed", False)),
+    )
+
+
+def _limits(document: dict[str, Any]) -> deployment.ClientLimits:
+    return deployment.ClientLimits(
+        max_header_bytes=int(document["maxHeaderBytes"]),
+        max_body_bytes=int(document["maxBodyBytes"]),
+        header_timeout_ms=int(document["headerTimeoutMs"]),
+        idle_timeout_ms=int(document["idleTimeoutMs"]),
+    )
+
+
+def _account(document: dict[str, Any]) -> deployment.Account:
+    urgency = document.get("priority")
+    return deployment.Account(
+        name=ids.AccountName(document["name"]),
+        urgency=None if urgency is None else int(urgency),
+        is_isolated=bool(document.get("isolated", False)),
+    )
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{value!r} is not a text")
+    return value
+
+
+def _count(value: object) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise ValueError(f"{value!r} is not a whole number")
+    return value
+
+
+def _address(value: object) -> str:
+    text = _text(value)
+    ip, separator, port = text.rpartition(":")
+    if not separator or not ip or not port.isdigit():
+        raise ValueError(f"{text!r} is not IP:PORT")
+    return text
--- /dev/null
+++ b/quincecrank/platform/engines.py
@@ -0,0 +1,226 @@
+"""Calls to model engines and kept-cache stores beside requests."""
+
+import dataclasses
+import enum
+import json
+from typing import Any, Final
+
+from tornado import httpclient, simple_httpclient
+
+from quincecrank import clock
+from quincecrank.gateway import cache_directory, deployment, prompts, servers
+from quincecrank.platform import names
+
+CALL_TIMEOUT_MS: Final = 1_000
+"""Many times the answer time of a live engine."""
+
+EVENTS_WAIT_MS: Final = 1_000
+"""Longest wait of an event call that the protocol allows."""
+
+_MAX_CLIENTS: Final = 64
+
+
+class EngineCallError(Exception):
+    """The call failed or got no answer; an order may have been accepted."""
+
+
+class OrderAnswer(enum.Enum):
+    """What an engine says to an order."""
+
+    ACCEPTED = 202
+    HOLDS_ALREADY = 200
+    CONFLICT = 409
+    FENCED = 412
+    REFUSED = 400
+    OTHER_SERVER = 421
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WeightOrder:
+    """An order to load a version of a model's weights.
+
+    Attributes
+    ----------
+    holder : str
+        Machine that gives the order.
+    fencing_number : int
+        Number of the lease under which it is given.
+    expected_orders : int
+        Orders that the engine must have accepted before; an order that arrives
+        late is refused by it.
+    """
+
+    server: servers.ServerEntry
+    model: deployment.ModelName
+    version: int
+    holder: str
+    fencing_number: int
+    expected_orders: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineReport:
+    """State of an engine.
+
+    Attributes
+    ----------
+    is_busy : bool
+        Whether it carries out an order.
+    accepted_orders : int
+        Orders accepted since its start.
+    """
+
+    is_busy: bool
+    accepted_orders: int
+    weight_versions_by_model: dict[deployment.ModelName, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvents:
+    """Changes of what an engine or a store keeps.
+
+    Attributes
+    ----------
+    epoch : int
+        Changes when the holder starts anew with nothing.
+    next_number : int
+        Where the next call goes on.
+    has_gap : bool
+        Whether changes before these were lost.
+    """
+
+    epoch: int
+    next_number: int
+    has_gap: bool
+    changes: tuple[cache_directory.CacheChange, ...]
+
+
+class EngineCalls:
+    """Calls engines and stores over HTTP, each on a connection of its own."""
+
+    def __init__(self) -> None:
+        self._client = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=_MAX_CLIENTS
+        )
+
+    async def order_weights(self, order: WeightOrder) -> OrderAnswer:
+        """Order an engine to load weights; running requests finish first."""
+        document = {
+            "op": "version",
+            "model": order.model,
+            "version": order.version,
+            "switchMode": "wait",
+            "holder": order.holder,
+            "fencingToken": order.fencing_number,
+            "expected": order.expected_orders,
+        }
+        headers = {
+            "Content-Type": "application/json",
+            names.EXPECTED_SERVER: order.server.server_id,
+        }
+        request = self._request(
+            order.server.address + names.ORDER,
+            CALL_TIMEOUT_MS,
+            method="POST",
+            headers=headers,
+            body=json.dumps(document),
+        )
+        response = await self._fetch(request)
+        try:
+            return OrderAnswer(response.code)
+        except ValueError as error:
+            raise EngineCallError(f"status {response.code}") from error
+
+    async def report(self, address: str) -> EngineReport:
+        """Read the state of an engine."""
+        response = await self._fetch(
+            self._request(address + names.REPORT, CALL_TIMEOUT_MS)
+        )
+        document = _document(response)
+        try:
+            return EngineReport(
+                is_busy=bool(document["busy"]),
+                accepted_orders=int(document["seq"]),
+                weight_versions_by_model={
+                    deployment.ModelName(each["name"]): int(each["version"])
+                    for each in document["models"]
+                },
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise EngineCallError(f"report: {error!r}") from error
+
+    async def cache_events(self, address: str, since: int) -> CacheEvents:
+        """Return the changes from a number on, waiting for the first one."""
+        request = self._request(
+            f"{address}{names.CACHE_EVENTS}?since={since}",
+            EVENTS_WAIT_MS + CALL_TIMEOUT_MS,
+            headers={"Wait-Ms": str(EVENTS_WAIT_MS)},
+        )
+        document = _document(await self._fetch(request))
+        try:
+            return CacheEvents(
+                epoch=int(document["bootEpoch"]),
+                next_number=int(document["next"]),
+                has_gap=bool(document.get("lost", False)),
+                changes=tuple(_change(each) for each in document["events"]),
+            )
+        except (KeyError, TypeError, ValueError, IndexError) as error:
+            raise EngineCallError(f"events: {error!r}") from error
+
+    async def free_parts(
+        self, address: str, epoch: int, parts: tuple[cache_directory.PartKey, ...]
+    ) -> None:
+        """Free parts at a managed store, unless it has started anew."""
+        document = {
+            "parts": [[part.salt, part.part_id] for part in parts],
+            "bootEpoch": epoch,
+        }
+        request = self._request(
+            address + names.CACHE_FREE,
+            CALL_TIMEOUT_MS,
+            method="POST",
+            headers={"Content-Type": "application/json"},
+            body=json.dumps(document),
+        )
+        response = await self._fetch(request)
+        if response.code != 200:
+            raise EngineCallError(f"free: status {response.code}")
+
+    def _request(
+        self, location: str, timeout_ms: int, **options: Any
+    ) -> httpclient.HTTPRequest:
+        return httpclient.HTTPRequest(
+            f"http://{location}",
+            connect_timeout=CALL_TIMEOUT_MS / clock.MS_PER_SECOND,
+            request_timeout=timeout_ms / clock.MS_PER_SECOND,
+            **options,
+        )
+
+    async def _fetch(self, request: httpclient.HTTPRequest) -> httpclient.HTTPResponse:
+        try:
+            return await self._client.fetch(request, raise_error=False)
+        except (OSError, httpclient.HTTPError) as error:
+            raise EngineCallError(str(error)) from error
+
+
+def _document(response: httpclient.HTTPResponse) -> dict[str, Any]:
+    if response.code != 200:
+        raise EngineCallError(f"status {response.code}")
+    try:
+        document = json.loads(response.body)
+    except ValueError as error:
+        raise EngineCallError("the answer is not JSON") from error
+    if not isinstance(document, dict):
+        raise EngineCallError("the answer is no object")
+    return document
+
+
+def _change(event: list[Any]) -> cache_directory.CacheChange:
+    _number, sign, salt, part_id, tokens, _model = event
+    return cache_directory.CacheChange(
+        part=cache_directory.PartKey(
+            cache_directory.CacheSalt(salt), prompts.PartId(part_id)
+        ),
+        tokens=int(tokens),
+        is_removal=sign == "-",
+    )
--- /dev/null
+++ b/quincecrank/platform/names.py
@@ -0,0 +1,55 @@
+"""Header names and call paths of the platform's protocol."""
+
+from typing import Final
+
+REQUEST_ID: Final = "Request-Id"
+DEADLINE: Final = "Deadline-Ms"
+AUTHORIZATION: Final = "Authorization"
+AUTHORIZATION_SCHEME: Final = "Token "
+LAST_EVENT_ID: Final = "Last-Event-Id"
+RETRY_AFTER: Final = "Retry-After"
+
+MODEL: Final = "Model"
+TOKEN_COUNT: Final = "Token-Count"
+PROMPT_PARTS: Final = "Prompt-Prefix"
+LENGTH_HINT: Final = "Length-Hint"
+
+ACCOUNT: Final = "Tenant"
+CACHE_SALT: Final = "Cache-Salt"
+EXPECTED_SERVER: Final = "Expect-Instance"
+EXPECTED_WEIGHTS: Final = "Expect-Version"
+URGENCY: Final = "Request-Priority"
+FETCH_FROM: Final = "Kv-Fetch"
+SAVE_TO: Final = "Kv-Save"
+FETCH_UNTIL: Final = "Kv-Until"
+
+SEAL: Final = "Server-Seal"
+NOT_EXECUTED: Final = "Not-Executed"
+SERVER_ID: Final = "Instance-Id"
+
+CLIENT_MUST_NOT_SET: Final = frozenset(
+    name.lower()
+    for name in (
+        AUTHORIZATION, ACCOUNT, CACHE_SALT, EXPECTED_SERVER, EXPECTED_WEIGHTS,
+        URGENCY, FETCH_FROM, SAVE_TO, FETCH_UNTIL, DEADLINE,
+        "Hold", "Pin-Ms", "Kv-Backup", "Kv-From",
+    )
+)  # fmt: skip
+"""Headers that only the gateway may set towards a backend server."""
+
+CONFIGURATION_KEY: Final = "config"
+WEIGHTS_KEY_PREFIX: Final = "version/"
+OPERATOR_TABLE: Final = "op"
+SERVERS_TABLE: Final = "servers"
+
+ROWS_GET: Final = "/rows-get"
+ROWS_FEED: Final = "/rows-feed"
+ROWS_WRITE: Final = "/rows-tx"
+ORDER: Final = "/order"
+REPORT: Final = "/report"
+CACHE_EVENTS: Final = "/kv-events"
+CACHE_LIST: Final = "/kv-list"
+CACHE_FREE: Final = "/kv-free"
+READY: Final = "/ready"
+
+SETTINGS_VARIABLE: Final = "QUINCECRANK_CONFIG"
--- /dev/null
+++ b/quincecrank/platform/requests.py
@@ -0,0 +1,183 @@
+"""Decodes callers' request headers and encodes those for backend servers."""
+
+import dataclasses
+from typing import Final
+
+from tornado import httputil
+
+from quincecrank import ids
+from quincecrank.gateway import deployment, prompts, servers
+from quincecrank.platform import names
+
+HOP_BY_HOP: Final = frozenset(
+    (
+        "connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
+        "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
+        "content-length", "expect",
+    )
+)  # fmt: skip
+"""Headers that concern one connection, or the framing of one message."""
+
+
+class HeaderError(Exception):
+    """A header of a request has another form than the protocol says."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerHeaders:
+    """What the headers of a caller's request say.
+
+    Attributes
+    ----------
+    host : str
+        Name of the host, in lower case and without a port.
+    remaining_ms : int or None
+        Time that the caller will wait.
+    prompt : Prompt or None
+        Description of the prompt of a model request.
+    """
+
+    request_id: ids.RequestId
+    host: str
+    api_key: str | None
+    remaining_ms: int | None
+    prompt: prompts.Prompt | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardingOrders:
+    """What the gateway tells a backend server about a request.
+
+    Attributes
+    ----------
+    cache_salt : str or None
+        Engines share KV cache only among requests of one salt.
+    expected_weights : int or None
+        Version of the weights without which the request must not run.
+    fetch_from, save_to : tuple of str or None
+        For each part of the prompt, the address that the engine reads it from or
+        writes it to; None for no transfer.
+    fetch_until_wall_ms : int or None
+        Instant of the engine's clock after which a fetch is not used.
+    resume_after : str or None
+        Id of the last event of a stream that the caller has got.
+    """
+
+    server_id: servers.ServerId
+    remaining_ms: int
+    account: ids.AccountName | None
+    urgency: int | None = None
+    cache_salt: str | None = None
+    expected_weights: int | None = None
+    fetch_from: tuple[str | None, ...] | None = None
+    save_to: tuple[str | None, ...] | None = None
+    fetch_until_wall_ms: int | None = None
+    resume_after: str | None = None
+
+
+def decode(headers: httputil.HTTPHeaders) -> CallerHeaders:
+    """Decode the headers of a caller's request.
+
+    Raises
+    ------
+    HeaderError
+        If a header has another form; names the header.
+    """
+    return CallerHeaders(
+        request_id=ids.RequestId(headers.get(names.REQUEST_ID, "")),
+        host=headers.get("Host", "").rpartition(":")[0].lower()
+        or headers.get("Host", "").lower(),
+        api_key=_api_key(headers.get(names.AUTHORIZATION)),
+        remaining_ms=_count(headers, names.DEADLINE),
+        prompt=_prompt(headers),
+    )
+
+
+def encode(
+    headers: httputil.HTTPHeaders, orders: ForwardingOrders, body_bytes: int | None
+) -> httputil.HTTPHeaders:
+    """Return the headers to forward.
+
+    Parameters
+    ----------
+    body_bytes : int or None
+        Length of the body; None for a request without one.
+    """
+    connection_names = {
+        name.strip().lower()
+        for value in headers.get_list("Connection")
+        for name in value.split(",")
+    }
+    removed = HOP_BY_HOP | names.CLIENT_MUST_NOT_SET | connection_names
+    forwarded = httputil.HTTPHeaders()
+    for name, value in headers.get_all():
+        if name.lower() not in removed:
+            forwarded.add(name, value)
+    forwarded[names.DEADLINE] = str(orders.remaining_ms)
+    forwarded[names.EXPECTED_SERVER] = orders.server_id
+    optional = {
+        names.ACCOUNT: orders.account,
+        names.URGENCY: orders.urgency,
+        names.CACHE_SALT: orders.cache_salt,
+        names.EXPECTED_WEIGHTS: orders.expected_weights,
+        names.FETCH_FROM: _addresses(orders.fetch_from),
+        names.SAVE_TO: _addresses(orders.save_to),
+        names.FETCH_UNTIL: orders.fetch_until_wall_ms,
+        names.LAST_EVENT_ID: orders.resume_after,
+        "Content-Length": body_bytes,
+    }
+    for name, setting in optional.items():
+        if setting is not None:
+            forwarded[name] = str(setting)
+    return forwarded
+
+
+def _api_key(value: str | None) -> str | None:
+    if value is None:
+        return None
+    scheme, _, key = value.partition(" ")
+    if scheme.lower() != names.AUTHORIZATION_SCHEME.strip().lower():
+        return None
+    return key.strip()
+
+
+def _count(headers: httputil.HTTPHeaders, name: str) -> int | None:
+    value = headers.get(name)
+    if value is None:
+        return None
+    if not value.isdigit():
+        raise HeaderError(f"{name}: {value!r} is not a whole number")
+    return int(value)
+
+
+def _prompt(headers: httputil.HTTPHeaders) -> prompts.Prompt | None:
+    model = headers.get(names.MODEL)
+    counts = headers.get(names.TOKEN_COUNT)
+    if model is None or counts is None:
+        return None
+    try:
+        input_tokens, _, max_output_tokens = counts.partition(",")
+        return prompts.Prompt(
+            model=deployment.ModelName(model),
+            input_tokens=int(input_tokens),
+            max_output_tokens=int(max_output_tokens or 0),
+            parts=_parts(headers.get(names.PROMPT_PARTS, "")),
+            expected_output_tokens=_count(headers, names.LENGTH_HINT),
+        )
+    except ValueError as error:
+        raise HeaderError(f"prompt headers: {error}") from error
+
+
+def _parts(value: str) -> tuple[prompts.PromptPart, ...]:
+    parts = []
+    for entry in value.split(","):
+        if entry.strip():
+            part_id, _, tokens = entry.strip().partition(":")
+            parts.append(prompts.PromptPart(prompts.PartId(part_id), int(tokens)))
+    return tuple(parts)
+
+
+def _addresses(addresses: tuple[str | None, ...] | None) -> str | None:
+    if addresses is None or not any(addresses):
+        return None
+    return ",".join(address or "-" for address in addresses)
--- /dev/null
+++ b/quincecrank/platform/settings.py
@@ -0,0 +1,88 @@
+"""Decodes the settings file that the platform writes for a process."""
+
+import json
+import os
+import pathlib
+from typing import Any
+
+from quincecrank import clock, ids
+from quincecrank.gateway import environment
+from quincecrank.platform import names
+
+
+class SettingsError(Exception):
+    """The settings file lacks a field or has one of another type."""
+
+
+def settings_path() -> pathlib.Path:
+    """Return the path of the settings file.
+
+    Raises
+    ------
+    SettingsError
+        If the variable that holds it is not set.
+    """
+    path = os.environ.get(names.SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(f"{names.SETTINGS_VARIABLE} is not set")
+    return pathlib.Path(path)
+
+
+def load(path: pathlib.Path) -> environment.Environment:
+    """Read and decode the settings file.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read or decoded; names the file and the field.
+    """
+    try:
+        return _decode(json.loads(path.read_text()))
+    except KeyError as error:
+        raise SettingsError(f"{path}: field {error} is missing") from error
+    except (OSError, TypeError, ValueError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+
+
+def _decode(document: dict[str, Any]) -> environment.Environment:
+    listen = document["listen"]
+    first_port, last_port = document["internalPorts"]
+    limits = document["limits"]
+    seeds = [environment.Endpoint.parse(seed) for seed in document["seedNodes"]]
+    return environment.Environment(
+        vm=ids.VmName(document["nodeName"]),
+        data_centre=ids.DataCentre(document["zone"]),
+        ip=document["ip"],
+        callers=environment.Endpoint.parse(listen["frontend"]),
+        readiness=environment.Endpoint.parse(listen["readiness"]),
+        peer_port=int(first_port),
+        metrics_port=int(last_port),
+        # Seeds name the port for control; gateways meet on their own port.
+        seed_ips=tuple(seed.ip for seed in seeds),
+        memory_mb=int(limits["memoryMb"]),
+        max_descriptors=int(limits["maxFds"]),
+        store=_store(document["platformSettings"]),
+        bounds=_bounds(document["bounds"]),
+    )
+
+
+def _store(document: dict[str, Any]) -> environment.StoreFacts:
+    return environment.StoreFacts(
+        endpoint=environment.Endpoint.parse(document["address"]),
+        writes_per_second=int(document["writesPerS"]),
+        reads_per_second=int(document["readsPerS"]),
+        max_row_bytes=int(document["rowBytes"]),
+    )
+
+
+def _bounds(document: dict[str, Any]) -> environment.Bounds:
+    return environment.Bounds(
+        shutdown_grace_ms=int(document["graceS"] * clock.MS_PER_SECOND),
+        drain_ms=int(document["drainMs"]),
+        order_lease_ms=int(document["leaseMs"]),
+        weights_deadline_ms=int(document["versionMs"]),
+        retry_ratio=float(document["retryBudgetRatio"]),
+        retry_floor=int(document["budgetMinRetries"]),
+        retry_window_ms=int(document["budgetWindowS"] * clock.MS_PER_SECOND),
+        thaw_ms=int(document["thawMs"]),
+    )
