--- a/quincecrank/gateway/cache_directory.py
+++ b/quincecrank/gateway/cache_directory.py
@@ -58,6 +58,10 @@
             else:
                 held.pop(change.part, None)
 
+    def is_known(self, holder: HolderName) -> bool:
+        """Return whether the holder answers, whatever it holds."""
+        return holder in self._tokens_by_holder
+
     def forget(self, holder: HolderName) -> None:
         """Forget what a holder has."""
         self._tokens_by_holder.pop(holder, None)
--- a/quincecrank/gateway/deployment.py
+++ b/quincecrank/gateway/deployment.py
@@ -97,6 +97,8 @@
         Tokens of KV cache that one engine holds, running requests included.
     token_bytes : int
         Size of the KV cache of one token.
+    link_mbps : float
+        Bandwidth of an engine's link in megabits a second.
     max_event_calls : int
         Cache event calls that one engine holds at once, from all callers.
     """
@@ -104,6 +106,7 @@
     slots: int
     memory_tokens: int
     token_bytes: int
+    link_mbps: float
     max_event_calls: int
     models: tuple[ModelName, ...]
 
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -224,9 +224,14 @@
         self, want: Want, prompt: prompts.Prompt, engine: deployment.EngineFacts
     ) -> Placed | None:
         now_ms = self._known.clock.now_ms()
+        usable = self._usable(want)
+        current = self._known.current
+        sources = (
+            self._known.sources(want.service, prompt.model, current) if current else ()
+        )
         plans = {
-            each.server_id: self._plan(want, prompt, each)
-            for each in self._usable(want)
+            each.server_id: self._plan(want, prompt, engine, each, sources)
+            for each in usable
         }
         candidates = [
             placement.Candidate(
@@ -236,7 +241,7 @@
                 plans[each.server_id].missing_tokens,
                 plans[each.server_id].transfers.expected_ms,
             )
-            for each in self._usable(want)
+            for each in usable
         ]
         need = placement.EngineNeed(
             home_key=_home_key(prompt),
@@ -247,6 +252,9 @@
         if chosen is None:
             return None
         plan = plans[chosen.server.server_id]
+        transfers = plan.transfers
+        if plan.version >= (self._known.versions.newest(prompt.model) or 0):
+            transfers = self._with_saves(plan, prompt, sources)
         self._known.loads.started(
             chosen.server.server_id,
             want.request_id,
@@ -261,7 +269,10 @@
             memory=chosen.load.memory_tokens,
             backlog=chosen.load.prefill_tokens,
             missing=plan.missing_tokens,
+            fetched=plan.transfers.fetched_tokens,
             prompt=prompt.input_tokens,
+            home=need.home_key,
+            saved=sum(each is not None for each in transfers.save_to),
             weights=plan.version,
             slowness=round(chosen.slowness, 2),
         )
@@ -269,19 +280,54 @@
             chosen.server,
             plan.version,
             plan.salt,
-            plan.transfers,
+            transfers,
             placement.engine_cost_ms(chosen) / chosen.slowness,
         )
 
+    def _with_saves(
+        self,
+        plan: "_EnginePlan",
+        prompt: prompts.Prompt,
+        sources: tuple[kept_parts.Source, ...],
+    ) -> kept_parts.Transfers:
+        stores = tuple(each for each in sources if each.is_store)
+        save_to = kept_parts.plan_save(
+            prompt,
+            plan.salt,
+            stores,
+            self._known.directory,
+            self._known.saves,
+            self._known.clock.now_ms(),
+        )
+        return dataclasses.replace(plan.transfers, save_to=save_to)
+
     def _plan(
-        self, want: Want, prompt: prompts.Prompt, server: servers.ServerEntry
+        self,
+        want: Want,
+        prompt: prompts.Prompt,
+        engine: deployment.EngineFacts,
+        server: servers.ServerEntry,
+        sources: tuple[kept_parts.Source, ...],
     ) -> "_EnginePlan":
         version = server.weight_versions_by_model[prompt.model]
         salt = self._known.salt_of(want.account, version)
         held = self._known.directory.held_prefix(
             cache_directory.HolderName(server.server_id), salt, prompt.parts
         )
-        transfers = kept_parts.NO_TRANSFERS
+        others = tuple(
+            each
+            for each in sources
+            if each.address != server.address
+            and each.weights_version in (None, version)
+        )
+        transfers = kept_parts.plan_fetch(
+            prompt.parts,
+            held,
+            salt,
+            others,
+            self._known.directory,
+            engine.token_bytes,
+        )
         cached = sum(part.tokens for part in prompt.parts[:held])
         missing = max(1, prompt.input_tokens - cached - transfers.fetched_tokens)
         return _EnginePlan(version, salt, missing, transfers)
@@ -293,6 +339,7 @@
             for each in self._known.registry.ready(want.service.name)
             if each.server_id not in want.tried
             and self._known.health.of(each).allows(now_ms)
+            and not self._known.weight_news.is_loading(each, now_ms)
         )
         if want.prompt is None or want.service.engine is None:
             return able
--- a/quincecrank/gateway/knowledge.py
+++ b/quincecrank/gateway/knowledge.py
@@ -6,10 +6,12 @@
     cache_directory,
     deployment,
     environment,
+    kept_parts,
     links,
     loads,
     server_health,
     servers,
+    weight_news,
     weights,
 )
 
@@ -39,6 +41,8 @@
         self.loads = loads.Loads()
         self.health = server_health.HealthBook()
         self.links = links.LinkPool(clock, MAX_IDLE_LINK_MS)
+        self.weight_news = weight_news.WeightNewsBook()
+        self.saves = kept_parts.SaveNotes()
         self._has_servers = False
 
     @property
@@ -63,6 +67,15 @@
         self.health.forget(server_id)
         self.directory.forget(cache_directory.HolderName(server_id))
 
+    def take_weight_news(self, news: weight_news.WeightNews) -> bool:
+        """Take the news of an engine's weights; return whether they are new."""
+        is_new = self.weight_news.take(news, self.clock.now_ms())
+        if news.is_loaded:
+            self.registry.weights_loaded(
+                news.server_id, news.started_wall_ms, news.model, news.version
+            )
+        return is_new
+
     def salt_of(
         self, account: deployment.Account | None, version: int
     ) -> cache_directory.CacheSalt:
@@ -75,3 +88,43 @@
         if account is not None and account.is_isolated:
             owner = account.name
         return cache_directory.CacheSalt(f"v{version}.{owner}")
+
+    def sources(
+        self,
+        service: deployment.Service,
+        model: deployment.ModelName,
+        current: deployment.Deployment,
+    ) -> tuple[kept_parts.Source, ...]:
+        """Return where the engines of a service may fetch KV cache from."""
+        now_ms = self.clock.now_ms()
+        engine = service.engine
+        if engine is None:
+            return ()
+        replicas = tuple(
+            kept_parts.Source(
+                holder=cache_directory.HolderName(entry.server_id),
+                address=entry.address,
+                link_mbps=engine.link_mbps,
+                delay_ms=0.0,
+                is_store=False,
+                capacity_tokens=engine.memory_tokens,
+                is_managed=False,
+                weights_version=entry.weight_versions_by_model.get(model, 0),
+            )
+            for entry in self.registry.ready(service.name)
+            if self.health.of(entry).allows(now_ms)
+        )
+        stores = tuple(
+            kept_parts.Source(
+                holder=cache_directory.HolderName(store.name),
+                address=store.address,
+                link_mbps=min(store.link_mbps, engine.link_mbps),
+                delay_ms=store.transfer_delay_ms,
+                is_store=True,
+                capacity_tokens=store.capacity_tokens,
+                is_managed=store.is_managed,
+            )
+            for store in current.stores_by_name.values()
+            if self.directory.is_known(cache_directory.HolderName(store.name))
+        )
+        return replicas + stores
--- a/quincecrank/gateway/links.py
+++ b/quincecrank/gateway/links.py
@@ -227,6 +227,30 @@
             self.failure = error
 
 
+async def connect(address: str, timeout_ms: float, clock: clocks.Clock) -> Link:
+    """Open a link to IP:PORT.
+
+    Raises
+    ------
+    OSError
+        If the connection is refused.
+    TimeoutError
+        If there is no answer in time.
+    """
+    ip, _, port = address.rpartition(":")
+    raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    stream = LinkStream(raw)
+    try:
+        await asyncio.wait_for(
+            stream.connect((ip, int(port))), timeout_ms / clocks.MS_PER_SECOND
+        )
+    except BaseException:
+        stream.close()
+        raise
+    return Link(stream, clock.now_ms())
+
+
 def _send(
     connection: http1connection.HTTP1Connection, request: OutgoingRequest
 ) -> "asyncio.Future[None]":
@@ -291,19 +315,9 @@
         TimeoutError
             If it does not answer in time.
         """
-        ip, _, port = server.address.rpartition(":")
-        raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        stream = LinkStream(raw)
-        try:
-            await asyncio.wait_for(
-                stream.connect((ip, int(port))), timeout_ms / clocks.MS_PER_SECOND
-            )
-        except BaseException:
-            stream.close()
-            raise
+        link = await connect(server.address, timeout_ms, self._clock)
         self._kept(server).open_count += 1
-        return Link(stream, self._clock.now_ms())
+        return link
 
     def give_back(self, server: servers.ServerEntry, link: Link) -> None:
         """Keep a link for reuse, or close it if it can't be used again."""
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -17,6 +17,7 @@
 from quincecrank import clock as clocks
 from quincecrank import crash_counts, status_server, tasks
 from quincecrank.gateway import (
+    cache_followers,
     callers,
     decision_log,
     dispatcher,
@@ -81,14 +82,17 @@
         self._reporter = peers.PeerReporter(
             facts, self._peers, self._make_report, self._use_report, clock
         )
+        self._lease = order_lease.OrderLease(
+            self._store, facts.vm, facts.bounds.order_lease_ms, clock
+        )
         self._followers_by_table = self._make_followers()
+        self._caches = cache_followers.CacheFollowers(self._known, self._peers, clock)
         self._roll = weight_roll.WeightRoll(
             self._known,
             engines.EngineCalls(),
-            order_lease.OrderLease(
-                self._store, facts.vm, facts.bounds.order_lease_ms, clock
-            ),
+            self._lease,
             self._peers,
+            self._reporter.send,
             clock,
         )
         self._is_leaving = False
@@ -101,7 +105,17 @@
             facts.callers.port, facts.callers.ip, backlog=512
         )[0]
         self._listener.start(callers_socket)
-        peers.serve_rows(facts, self._rows)
+        peers.serve(
+            facts,
+            [
+                peers.rows_rule(self._rows),
+                (
+                    r"/cache/([^/]+)",
+                    cache_followers.CacheHandler,
+                    {"find": self._caches.history},
+                ),
+            ],
+        )
         status_server.start(
             netutil.bind_sockets(facts.metrics_port, facts.ip)[0],
             self._metrics.registry,
@@ -115,6 +129,7 @@
         self._tasks.start(self._reporter.run())
         self._tasks.start(self._places.run())
         self._tasks.start(self._roll.run())
+        self._tasks.start(self._caches.run())
         self._tasks.start(self._register())
         self._tasks.start(self._keep_house())
         _LOG.info("started", ip=facts.ip, data_centre=facts.data_centre)
@@ -146,7 +161,7 @@
         user_by_table: dict[tables.TableName, followers.RowUser] = {
             tables.TableName.OPERATOR: table_users.OperatorRows(self._known),
             tables.TableName.SERVERS: table_users.ServerRows(self._known),
-            tables.TableName.MEMBERS: table_users.MemberRows(self._peers),
+            tables.TableName.MEMBERS: table_users.MemberRows(self._peers, self._lease),
         }
         pause_by_table = {
             tables.TableName.SERVERS: SERVERS_PAUSE_MS,
@@ -180,19 +195,25 @@
             operator_version=versions[tables.TableName.OPERATOR],
             servers_version=versions[tables.TableName.SERVERS],
             load_by_server=self._known.loads.own(),
+            news=self._known.weight_news.to_tell(self._clock.now_ms()),
         )
 
     def _use_report(self, report: peer_messages.Report) -> None:
         now_ms = self._clock.now_ms()
         self._known.loads.peer_reported(report.vm, report.load_by_server, now_ms)
         self._crashes.merge(report.crashes)
+        for news in report.news:
+            self._known.take_weight_news(news)
 
     async def _register(self) -> None:
         """Tell the other gateways, through the store, where this one is."""
         while True:
             try:
                 await self._store.write(
-                    tables.TableName.MEMBERS, self._facts.vm, self._facts.ip, None
+                    tables.TableName.MEMBERS,
+                    peers.member_key(self._facts.vm),
+                    self._facts.ip,
+                    None,
                 )
                 return
             except tables.StoreUnavailableError as error:
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -8,7 +8,7 @@
 import capnp
 
 from quincecrank import crash_counts, ids
-from quincecrank.gateway import loads, servers
+from quincecrank.gateway import deployment, loads, servers, weight_news
 
 capnp.remove_import_hook()
 _SCHEMA: Final[Any] = capnp.load(str(pathlib.Path(__file__).with_name("peers.capnp")))
@@ -37,6 +37,7 @@
     servers_version: int
     load_by_server: Mapping[servers.ServerId, loads.Load]
     crashes: tuple[crash_counts.CrashRecord, ...] = ()
+    news: tuple[weight_news.WeightNews, ...] = ()
 
 
 def encode(report: Report) -> bytes:
@@ -66,6 +67,16 @@
             }
             for crash in report.crashes
         ],
+        weightNews=[
+            {
+                "server": news.server_id,
+                "startedWallMs": news.started_wall_ms,
+                "model": news.model,
+                "version": news.version,
+                "isLoaded": news.is_loaded,
+            }
+            for news in report.news
+        ],
     )
     return bytes(message.to_bytes_packed())
 
@@ -109,4 +120,14 @@
             )
             for each in message.crashes
         ),
+        news=tuple(
+            weight_news.WeightNews(
+                servers.ServerId(each.server),
+                each.startedWallMs,
+                deployment.ModelName(each.model),
+                each.version,
+                each.isLoaded,
+            )
+            for each in message.weightNews
+        ),
     )
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -18,6 +18,14 @@
   server @5 :Text;
 }
 
+struct WeightNews {
+  server @0 :Text;
+  startedWallMs @1 :UInt64;
+  model @2 :Text;
+  version @3 :UInt32;
+  isLoaded @4 :Bool;
+}
+
 struct Report {
   vm @0 :Text;
   isLeaving @1 :Bool;
@@ -25,4 +33,5 @@
   serversVersion @3 :UInt64;
   loads @4 :List(ServerLoad);
   crashes @5 :List(Crash);
+  weightNews @6 :List(WeightNews);
 }
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -30,6 +30,8 @@
 FORGET_MS: Final = 30_000
 """Time without a report after which a member gets no datagrams any more."""
 
+_MEMBER_PREFIX: Final = "gateway:"
+
 ROWS_TIMEOUT_S: Final = 1.0
 
 _LOG: Final = decision_log.logger("peers")
@@ -87,6 +89,13 @@
             )
         )
 
+    def ip_of(self, member: ids.VmName) -> str | None:
+        """Return the address of a live peer."""
+        for ip in self.live_ips():
+            if self._report_by_ip[ip].vm == member:
+                return ip
+        return None
+
     def destinations(self) -> tuple[str, ...]:
         """Return the addresses that get reports."""
         now_ms = self._clock.now_ms()
@@ -219,12 +228,18 @@
         self.finish(encode_rows(rows))
 
 
-def serve_rows(
-    facts: environment.Environment, read: RowsReader
-) -> httpserver.HTTPServer:
-    """Serve rows to peers."""
+Rule = tuple[str, type[web.RequestHandler], dict[str, object]]
+
+
+def rows_rule(read: RowsReader) -> Rule:
+    """Return the routing rule under which peers read rows."""
+    return (r"/tables/([a-z]+)", _RowsHandler, {"read": read})
+
+
+def serve(facts: environment.Environment, rules: list[Rule]) -> httpserver.HTTPServer:
+    """Serve peers on the port between gateways."""
     application = web.Application(
-        [(r"/tables/([a-z]+)", _RowsHandler, {"read": read})],
+        rules,
         log_function=lambda _handler: None,
     )
     server = httpserver.HTTPServer(application)
@@ -259,14 +274,18 @@
     )
 
 
+def member_key(vm: ids.VmName) -> str:
+    """Return the key of a gateway's row."""
+    return _MEMBER_PREFIX + vm
+
+
 def member_ips(rows: Iterable[tables.Row]) -> dict[ids.VmName, str]:
-    """Return the addresses of registered members, skipping malformed rows."""
-    ip_by_member = {}
-    for row in rows:
-        if not row.text or row.is_removed:
-            continue
-        ip_by_member[ids.VmName(row.key)] = row.text
-    return ip_by_member
+    """Return the addresses of registered members."""
+    return {
+        ids.VmName(row.key.removeprefix(_MEMBER_PREFIX)): row.text
+        for row in rows
+        if row.key.startswith(_MEMBER_PREFIX) and not row.is_removed
+    }
 
 
 def _version(report: peer_messages.Report, table: tables.TableName) -> int:
--- a/quincecrank/gateway/retry_share.py
+++ b/quincecrank/gateway/retry_share.py
@@ -1,4 +1,4 @@
-"""This gateway's part of the retries that all gateways may make on a service.
+"""Part of the retries on a service that this gateway may make.
 
 Load pattern: many backend servers of a service fail at once, and every gateway
 wants to send its requests a second time.  Without a coordinator each gateway keeps
--- a/quincecrank/gateway/servers.py
+++ b/quincecrank/gateway/servers.py
@@ -81,12 +81,38 @@
             self._store_is_out = False
             self._store_back_ms = now_ms
 
-    def update(self, entry: ServerEntry) -> ServerEntry | None:
-        """Take an entry; return the one that it replaces."""
+    def update(self, entry: ServerEntry) -> ServerEntry:
+        """Take an entry; return it as it is in force.
+
+        The weights of one incarnation only move up: peers may have told of newer
+        ones before the server's own entry does.
+        """
         before = self._entries_by_id.get(entry.server_id)
+        if before is not None and before.started_wall_ms == entry.started_wall_ms:
+            versions = dict(entry.weight_versions_by_model)
+            for model, version in before.weight_versions_by_model.items():
+                versions[model] = max(version, versions.get(model, 0))
+            entry = dataclasses.replace(entry, weight_versions_by_model=versions)
         self._entries_by_id[entry.server_id] = entry
         self._lapsed_until_ms_by_id.pop(entry.server_id, None)
-        return before
+        return entry
+
+    def weights_loaded(
+        self,
+        server_id: ServerId,
+        started_wall_ms: int,
+        model: deployment.ModelName,
+        version: int,
+    ) -> None:
+        """Take the news that a server has loaded weights."""
+        entry = self._entries_by_id.get(server_id)
+        if entry is None or entry.started_wall_ms != started_wall_ms:
+            return
+        if entry.weight_versions_by_model.get(model, version) < version:
+            versions = {**entry.weight_versions_by_model, model: version}
+            self._entries_by_id[server_id] = dataclasses.replace(
+                entry, weight_versions_by_model=versions
+            )
 
     def remove(self, server_id: ServerId, now_ms: int) -> bool:
         """Take the removal of an entry; return whether the server lost its work.
--- a/quincecrank/gateway/table_users.py
+++ b/quincecrank/gateway/table_users.py
@@ -5,7 +5,14 @@
 
 from typing import Final
 
-from quincecrank.gateway import decision_log, knowledge, peers, servers, tables
+from quincecrank.gateway import (
+    decision_log,
+    knowledge,
+    order_lease,
+    peers,
+    servers,
+    tables,
+)
 from quincecrank.platform import documents, feeds
 
 _LOG: Final = decision_log.logger("tables")
@@ -79,6 +86,8 @@
                 _LOG.warning(
                     "row refused", table="servers", key=row.key, error=str(error)
                 )
+                # Whatever it was before, the entry names no server to use now.
+                self._removed(servers.ServerId(row.key))
                 continue
             if entry is None:
                 self._removed(servers.ServerId(row.key))
@@ -94,7 +103,8 @@
         self._known.registry.store_regained(self._known.clock.now_ms())
 
     def _update(self, entry: servers.ServerEntry) -> None:
-        before = self._known.registry.update(entry)
+        before = self._known.registry.find(entry.server_id)
+        entry = self._known.registry.update(entry)
         if before is None or _is_news(before, entry):
             _LOG.info(
                 "server entry",
@@ -118,21 +128,27 @@
 
 
 class MemberRows:
-    """Takes the addresses of the other gateways."""
+    """Takes the addresses of the other gateways, and the order lease."""
 
-    def __init__(self, directory: peers.PeerTables) -> None:
+    def __init__(
+        self, directory: peers.PeerTables, lease: order_lease.OrderLease
+    ) -> None:
         self._directory = directory
-        self._text_by_key: dict[str, tables.Row] = {}
+        self._lease = lease
+        self._row_by_key: dict[str, tables.Row] = {}
 
     def take_all(self, rows: tuple[tables.Row, ...]) -> None:
         """Take all members."""
-        self._text_by_key = {row.key: row for row in rows}
-        self._directory.set_members(peers.member_ips(self._text_by_key.values()))
+        self._row_by_key = {}
+        self.take_changes(rows)
 
     def take_changes(self, rows: tuple[tables.Row, ...]) -> None:
         """Take changed members."""
-        self._text_by_key.update({row.key: row for row in rows})
-        self._directory.set_members(peers.member_ips(self._text_by_key.values()))
+        self._row_by_key.update({row.key: row for row in rows})
+        self._directory.set_members(peers.member_ips(self._row_by_key.values()))
+        lease_row = self._row_by_key.get(order_lease.LEASE_KEY)
+        if lease_row is not None:
+            self._lease.observe(lease_row.version)
 
     def store_lost(self) -> None:
         """Nothing changes: members are judged by their reports."""
--- a/quincecrank/gateway/tables.py
+++ b/quincecrank/gateway/tables.py
@@ -16,7 +16,6 @@
     OPERATOR = "operator"
     SERVERS = "servers"
     MEMBERS = "members"
-    LEASES = "leases"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/quincecrank/gateway/weight_roll.py
+++ b/quincecrank/gateway/weight_roll.py
@@ -8,11 +8,11 @@
 """
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from quincecrank import clock as clocks
-from quincecrank import rendezvous
+from quincecrank import rendezvous, tasks
 from quincecrank.gateway import (
     decision_log,
     deployment,
@@ -21,6 +21,7 @@
     peers,
     servers,
     tables,
+    weight_news,
 )
 from quincecrank.platform import engines
 
@@ -30,12 +31,28 @@
 LOADING_SHARE: Final = 0.4
 """Part of a service's engines that may load at once when there are more."""
 
-LOAD_TIMEOUT_MS: Final = 4_000
+LOAD_TIMEOUT_MS: Final = 3_000
 """Time after which an order without effect is given again."""
 
-INTERVAL_MS: Final = 150
+INTERVAL_MS: Final = 100
 """Interval of the checks while there is something to order."""
 
+NOTICE_MS: Final = 150
+"""Time between the announcement of a load and its order: a datagram's way, and the
+requests that are being sent at that moment."""
+
+DRAIN_MS: Final = 400
+"""Time for which an engine that gets no new requests may finish those it has; longer
+would cost more of the others' time than the rest of these requests is worth."""
+
+PREFILL_WAIT_MS: Final = 1_500
+"""Time after which an engine that still reads prompts is told to finish its requests
+before it loads."""
+
+REPORT_INTERVAL_MS: Final = 100
+"""Interval at which a loading engine is asked for its weights; its reports are some
+hundred milliseconds old."""
+
 IDLE_INTERVAL_MS: Final = 300
 """Interval of the checks while all engines are up to date."""
 
@@ -54,13 +71,6 @@
     version: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Ordered:
-    version: int
-    started_wall_ms: int
-    at_ms: int
-
-
 def lagging_engines(
     entries: Iterable[servers.ServerEntry],
     newest_by_model: dict[deployment.ModelName, int],
@@ -77,7 +87,8 @@
 
 def load_limit(engine_count: int) -> int:
     """Return how many of a service's engines may load weights at once."""
-    return max(MAX_LOADING, int(engine_count * LOADING_SHARE))
+    at_once = max(MAX_LOADING, int(engine_count * LOADING_SHARE))
+    return max(1, min(at_once, engine_count - 1))
 
 
 class WeightRoll:
@@ -91,6 +102,8 @@
         Allows one gateway at a time to order.
     directory : PeerTables
         The live gateways, whose ranks stagger their attempts at the lease.
+    tell_peers : callable
+        Sends a report to the peers at once.
     """
 
     def __init__(
@@ -99,6 +112,7 @@
         calls: engines.EngineCalls,
         lease: order_lease.OrderLease,
         directory: peers.PeerTables,
+        tell_peers: Callable[[], None],
         clock: clocks.Clock,
     ) -> None:
         self._known = known
@@ -106,7 +120,9 @@
         self._lease = lease
         self._peers = directory
         self._clock = clock
-        self._ordered_by_server: dict[servers.ServerId, _Ordered] = {}
+        self._tell_peers = tell_peers
+        self._background = tasks.BackgroundTasks()
+        self._loading: dict[servers.ServerId, Lagging] = {}
         self._lag_since_ms: int | None = None
 
     async def run(self) -> None:
@@ -136,7 +152,8 @@
         if not await self._lease.acquire_or_renew():
             return
         for each in self._due(lagging):
-            await self._order(each)
+            self._loading[each.server.server_id] = each
+            self._background.start(self._load(each))
 
     def _rank(self) -> int:
         """Return how many live gateways go before this one."""
@@ -148,52 +165,75 @@
     def _due(self, lagging: tuple[Lagging, ...]) -> tuple[Lagging, ...]:
         """Return the engines to order now, within the limit of loads at once."""
         now_ms = self._clock.now_ms()
-        loading = [each for each in lagging if self._is_loading(each, now_ms)]
-        idle = [each for each in lagging if each not in loading]
+        idle = [each for each in lagging if each.server.server_id not in self._loading]
         due: list[Lagging] = []
         for each in sorted(idle, key=lambda one: self._busyness(one, now_ms)):
             service = each.server.service
-            engines_of = self._known.registry.ready(service)
-            running = sum(one.server.service == service for one in [*loading, *due])
-            if running < load_limit(len(engines_of)):
+            engine_count = len(self._known.registry.ready(service))
+            loading = [*self._loading.values(), *due]
+            running = sum(one.server.service == service for one in loading)
+            if running < load_limit(engine_count):
                 due.append(each)
         return tuple(due)
 
     def _busyness(self, each: Lagging, now_ms: int) -> int:
         return self._known.loads.of(each.server.server_id, now_ms).requests
 
-    def _is_loading(self, each: Lagging, now_ms: int) -> bool:
-        ordered = self._ordered_by_server.get(each.server.server_id)
-        return (
-            ordered is not None
-            and ordered.version == each.version
-            and ordered.started_wall_ms == each.server.started_wall_ms
-            and now_ms - ordered.at_ms < LOAD_TIMEOUT_MS
-        )
-
-    async def _order(self, lagging: Lagging) -> None:
+    async def _load(self, lagging: Lagging) -> None:
+        """Announce, order and await one load."""
         server = lagging.server
+        self._announce(lagging, is_loaded=False)
         try:
-            report = await self._calls.report(server.address)
-            if report.is_busy:
-                self._note(lagging)
-                return
-            order = engines.WeightOrder(
-                server=server,
-                model=lagging.model,
-                version=lagging.version,
-                holder=self._known.facts.vm,
-                fencing_number=self._lease.fencing_number,
-                expected_orders=report.accepted_orders,
-            )
-            if not self._lease.is_valid and not await self._lease.acquire_or_renew():
-                return
-            answer = await self._calls.order_weights(order)
-        except engines.EngineCallError as error:
+            running = await self._drain(lagging)
+            if await self._order(lagging, running):
+                await self._await_weights(lagging)
+        except (engines.EngineCallError, tables.StoreUnavailableError) as error:
             _LOG.warning("order failed", server=server.server_id, error=str(error))
-            self._note(lagging)
-            return
-        self._note(lagging)
+            # The engine may or may not load: it gets requests again, with the
+            # version that they expect.
+            self._known.weight_news.forget(server.server_id)
+            await self._clock.sleep(INTERVAL_MS)
+        finally:
+            self._loading.pop(server.server_id, None)
+
+    async def _drain(self, lagging: Lagging) -> engines.RunningRequests:
+        """Let an engine finish requests; return what is to happen to the rest.
+
+        Requests go on under the new weights only if all their prompts have been
+        read: what an engine keeps of a prompt must come from one version.
+        """
+        began_ms = self._clock.now_ms()
+        await self._clock.sleep(NOTICE_MS)
+        while True:
+            now_ms = self._clock.now_ms()
+            load = self._known.loads.of(lagging.server.server_id, now_ms)
+            waited_ms = now_ms - began_ms
+            if not load.requests:
+                return engines.RunningRequests.GO_ON
+            if waited_ms >= DRAIN_MS and not load.prefill_tokens:
+                return engines.RunningRequests.GO_ON
+            if waited_ms >= PREFILL_WAIT_MS:
+                return engines.RunningRequests.FINISH_FIRST
+            await self._clock.sleep(NOTICE_MS / 2)
+
+    async def _order(self, lagging: Lagging, running: engines.RunningRequests) -> bool:
+        """Give the order; return whether the weights are to be awaited."""
+        server = lagging.server
+        report = await self._calls.report(server.address)
+        if report.weight_versions_by_model.get(lagging.model, 0) >= lagging.version:
+            return True
+        order = engines.WeightOrder(
+            server=server,
+            model=lagging.model,
+            version=lagging.version,
+            holder=self._known.facts.vm,
+            fencing_number=self._lease.fencing_number,
+            expected_orders=report.accepted_orders,
+            running=running,
+        )
+        if not self._lease.is_valid:
+            return False
+        answer = await self._calls.order_weights(order)
         _LOG.info(
             "weights ordered",
             server=server.server_id,
@@ -201,10 +241,35 @@
             version=lagging.version,
             fencing_number=order.fencing_number,
             expected_orders=order.expected_orders,
+            running=running.name,
             answer=answer.name,
         )
-
-    def _note(self, lagging: Lagging) -> None:
-        self._ordered_by_server[lagging.server.server_id] = _Ordered(
-            lagging.version, lagging.server.started_wall_ms, self._clock.now_ms()
+        return answer is not engines.OrderAnswer.OTHER_SERVER
+
+    async def _await_weights(self, lagging: Lagging) -> None:
+        until_ms = self._clock.now_ms() + LOAD_TIMEOUT_MS
+        while self._clock.now_ms() < until_ms:
+            report = await self._calls.report(lagging.server.address)
+            version = report.weight_versions_by_model.get(lagging.model, 0)
+            if version >= lagging.version and not report.is_busy:
+                self._announce(lagging, is_loaded=True)
+                return
+            await self._clock.sleep(REPORT_INTERVAL_MS)
+
+    def _announce(self, lagging: Lagging, *, is_loaded: bool) -> None:
+        self._known.take_weight_news(
+            weight_news.WeightNews(
+                lagging.server.server_id,
+                lagging.server.started_wall_ms,
+                lagging.model,
+                lagging.version,
+                is_loaded,
+            )
+        )
+        self._tell_peers()
+        _LOG.info(
+            "weights announced",
+            server=lagging.server.server_id,
+            version=lagging.version,
+            loaded=is_loaded,
         )
--- a/quincecrank/platform/documents.py
+++ b/quincecrank/platform/documents.py
@@ -157,6 +157,7 @@
         slots=int(document["slots"]),
         memory_tokens=int(document["kvCapacityTokens"]),
         token_bytes=int(document["kvTokenBytes"]),
+        link_mbps=float(document["linkMbps"]),
         max_event_calls=int(document.get("maxInflight") or DEFAULT_EVENT_CALLS),
         models=tuple(
             deployment.ModelName(model["name"]) for model in document["models"]
--- a/quincecrank/platform/engines.py
+++ b/quincecrank/platform/engines.py
@@ -1,14 +1,15 @@
 """Calls to model engines and kept-cache stores beside requests."""
 
+import asyncio
 import dataclasses
 import enum
 import json
 from typing import Any, Final
 
-from tornado import httpclient, simple_httpclient
+from tornado import httpclient, httputil, simple_httpclient
 
-from quincecrank import clock
-from quincecrank.gateway import cache_directory, deployment, prompts, servers
+from quincecrank import clock as clocks
+from quincecrank.gateway import cache_directory, deployment, links, prompts, servers
 from quincecrank.platform import names
 
 CALL_TIMEOUT_MS: Final = 1_000
@@ -18,6 +19,7 @@
 """Longest wait of an event call that the protocol allows."""
 
 _MAX_CLIENTS: Final = 64
+_OK: Final = 200
 
 
 class EngineCallError(Exception):
@@ -35,12 +37,21 @@
     OTHER_SERVER = 421
 
 
+class RunningRequests(enum.Enum):
+    """What happens to the requests that run when new weights are loaded."""
+
+    FINISH_FIRST = "wait"
+    GO_ON = "keep"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WeightOrder:
     """An order to load a version of a model's weights.
 
     Attributes
     ----------
+    running : RunningRequests
+        What happens to the requests that run.
     holder : str
         Machine that gives the order.
     fencing_number : int
@@ -56,6 +67,7 @@
     holder: str
     fencing_number: int
     expected_orders: int
+    running: RunningRequests
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +87,71 @@
     weight_versions_by_model: dict[deployment.ModelName, int]
 
 
+class EventChannel:
+    """Reads cache events from one holder over a connection that is kept.
+
+    Parameters
+    ----------
+    address : str
+        IP address and port of an engine or a store.
+    """
+
+    def __init__(self, address: str, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._address = address
+        self._link: links.Link | None = None
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._link is not None:
+            self._link.close()
+
+    async def events(self, since: int) -> "CacheEvents":
+        """Return the changes from a number on, waiting for the first one."""
+        try:
+            return await asyncio.wait_for(
+                self._read(since),
+                (EVENTS_WAIT_MS + CALL_TIMEOUT_MS) / clocks.MS_PER_SECOND,
+            )
+        except (OSError, TimeoutError) as error:
+            self.close()
+            raise EngineCallError(repr(error)) from error
+
+    async def _read(self, since: int) -> "CacheEvents":
+        if self._link is None or not self._link.is_usable:
+            self._link = await links.connect(
+                self._address, CALL_TIMEOUT_MS, self._clock
+            )
+        headers = httputil.HTTPHeaders(
+            {"Host": self._address, "Wait-Ms": str(EVENTS_WAIT_MS)}
+        )
+        request = links.OutgoingRequest(
+            "GET", f"{names.CACHE_EVENTS}?since={since}", headers, b""
+        )
+        sink = _DocumentSink()
+        end = await self._link.exchange(request, sink, self._clock)
+        if end is not links.ExchangeEnd.COMPLETE or sink.status != _OK:
+            raise EngineCallError(f"events: {end.value}, status {sink.status}")
+        return _events(sink.body)
+
+
+class _DocumentSink:
+    """Keeps a whole answer."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.body = b""
+
+    def accepts(self, headers: httputil.HTTPHeaders) -> bool:
+        return True
+
+    async def begin(self, status: int, headers: httputil.HTTPHeaders) -> None:
+        self.status = status
+
+    async def data(self, chunk: bytes) -> None:
+        self.body += chunk
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CacheEvents:
     """Changes of what an engine or a store keeps.
@@ -87,12 +164,15 @@
         Where the next call goes on.
     has_gap : bool
         Whether changes before these were lost.
+    clock_ms : int
+        The holder's own clock; 0 if it does not say.
     """
 
     epoch: int
     next_number: int
     has_gap: bool
     changes: tuple[cache_directory.CacheChange, ...]
+    clock_ms: int = 0
 
 
 class EngineCalls:
@@ -104,12 +184,12 @@
         )
 
     async def order_weights(self, order: WeightOrder) -> OrderAnswer:
-        """Order an engine to load weights; running requests finish first."""
+        """Order an engine to load weights."""
         document = {
             "op": "version",
             "model": order.model,
             "version": order.version,
-            "switchMode": "wait",
+            "switchMode": order.running.value,
             "holder": order.holder,
             "fencingToken": order.fencing_number,
             "expected": order.expected_orders,
@@ -149,24 +229,6 @@
         except (KeyError, TypeError, ValueError) as error:
             raise EngineCallError(f"report: {error!r}") from error
 
-    async def cache_events(self, address: str, since: int) -> CacheEvents:
-        """Return the changes from a number on, waiting for the first one."""
-        request = self._request(
-            f"{address}{names.CACHE_EVENTS}?since={since}",
-            EVENTS_WAIT_MS + CALL_TIMEOUT_MS,
-            headers={"Wait-Ms": str(EVENTS_WAIT_MS)},
-        )
-        document = _document(await self._fetch(request))
-        try:
-            return CacheEvents(
-                epoch=int(document["bootEpoch"]),
-                next_number=int(document["next"]),
-                has_gap=bool(document.get("lost", False)),
-                changes=tuple(_change(each) for each in document["events"]),
-            )
-        except (KeyError, TypeError, ValueError, IndexError) as error:
-            raise EngineCallError(f"events: {error!r}") from error
-
     async def free_parts(
         self, address: str, epoch: int, parts: tuple[cache_directory.PartKey, ...]
     ) -> None:
@@ -183,7 +245,7 @@
             body=json.dumps(document),
         )
         response = await self._fetch(request)
-        if response.code != 200:
+        if response.code != _OK:
             raise EngineCallError(f"free: status {response.code}")
 
     def _request(
@@ -191,8 +253,8 @@
     ) -> httpclient.HTTPRequest:
         return httpclient.HTTPRequest(
             f"http://{location}",
-            connect_timeout=CALL_TIMEOUT_MS / clock.MS_PER_SECOND,
-            request_timeout=timeout_ms / clock.MS_PER_SECOND,
+            connect_timeout=CALL_TIMEOUT_MS / clocks.MS_PER_SECOND,
+            request_timeout=timeout_ms / clocks.MS_PER_SECOND,
             **options,
         )
 
@@ -203,8 +265,22 @@
             raise EngineCallError(str(error)) from error
 
 
+def _events(body: bytes) -> CacheEvents:
+    try:
+        document = json.loads(body)
+        return CacheEvents(
+            epoch=int(document["bootEpoch"]),
+            next_number=int(document["next"]),
+            has_gap=bool(document.get("lost", False)),
+            changes=tuple(_change(each) for each in document["events"]),
+            clock_ms=int(document.get("clock_ms") or 0),
+        )
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        raise EngineCallError(f"events: {error!r}") from error
+
+
 def _document(response: httpclient.HTTPResponse) -> dict[str, Any]:
-    if response.code != 200:
+    if response.code != _OK:
         raise EngineCallError(f"status {response.code}")
     try:
         document = json.loads(response.body)
--- a/quincecrank/platform/store.py
+++ b/quincecrank/platform/store.py
@@ -35,7 +35,6 @@
     tables.TableName.OPERATOR: names.OPERATOR_TABLE,
     tables.TableName.SERVERS: names.SERVERS_TABLE,
     tables.TableName.MEMBERS: "gateways",
-    tables.TableName.LEASES: "leases",
 }
 
 _Document = dict[str, Any]
