--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -240,6 +240,9 @@
                 self._known.health.of(each).slowness,
                 plans[each.server_id].missing_tokens,
                 plans[each.server_id].transfers.expected_ms,
+                self._known.versions.replaced_cost_ms(
+                    prompt.model, plans[each.server_id].version, now_ms
+                ),
             )
             for each in usable
         ]
@@ -344,7 +347,7 @@
         )
         if want.prompt is None or want.service.engine is None:
             return able
-        return weights.current_first(
+        return weights.able_replicas(
             able,
             want.prompt.model,
             self._known.versions.newest(want.prompt.model),
--- a/quincecrank/gateway/placement.py
+++ b/quincecrank/gateway/placement.py
@@ -48,6 +48,8 @@
         Tokens of the prompt that it would have to compute.
     transfer_ms : float
         Time to fetch parts that it doesn't hold but need not compute.
+    handicap_ms : float
+        Delay that is accepted to have the request served elsewhere.
     """
 
     server: servers.ServerEntry
@@ -55,6 +57,7 @@
     slowness: float = 1.0
     missing_tokens: int = 0
     transfer_ms: float = 0.0
+    handicap_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,7 +89,9 @@
     return min(
         able,
         key=lambda each: (
-            engine_cost_ms(each) - HOME_BONUS_MS * (each.server.server_id == home),
+            engine_cost_ms(each)
+            + each.handicap_ms
+            - HOME_BONUS_MS * (each.server.server_id == home),
             each.server.server_id,
         ),
     )
--- a/quincecrank/gateway/weights.py
+++ b/quincecrank/gateway/weights.py
@@ -1,8 +1,9 @@
 """Versions of model weights: which one operators named, and which one may serve.
 
-Load pattern: a new version is named while requests arrive.  For a short time
-replicas of both versions serve; requests go to the new one as soon as a replica has
-it, and to the replaced one only until the operator's deadline.
+Load pattern: a new version is named under load.  For some seconds replicas of both
+versions serve.  The first ones that have the new weights have no kept cache and would
+drown if they got every request; so replicas with replaced weights go on serving, at
+a disadvantage, until the operator's deadline.
 """
 
 import dataclasses
@@ -16,6 +17,15 @@
 rest covers the time that the news and a sent request are under way."""
 
 
+FULL_VALUE_MS: Final = 1_200
+"""Time after the naming for which answers of replaced weights have their full worth
+to the users: 1.5 seconds, less the way of the news and of a request."""
+
+REPLACED_COST_MS: Final = 150.0
+"""Delay that is accepted for an answer of the newest weights: half of the users'
+shortest target for a first event."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Naming:
     version: int
@@ -47,6 +57,17 @@
             model: naming.version for model, naming in self._naming_by_model.items()
         }
 
+    def replaced_cost_ms(
+        self, model: deployment.ModelName, version: int, now_ms: int
+    ) -> float:
+        """Return the disadvantage of a replica with this version of the weights."""
+        naming = self._naming_by_model.get(model)
+        if naming is None or version >= naming.version:
+            return 0.0
+        if now_ms - naming.seen_ms < FULL_VALUE_MS:
+            return 0.0
+        return REPLACED_COST_MS
+
     def may_serve_replaced(
         self, model: deployment.ModelName, now_ms: int, deadline_ms: int
     ) -> bool:
@@ -55,27 +76,24 @@
         return naming is None or now_ms - naming.seen_ms < deadline_ms * STOP_SHARE
 
 
-def current_first(
+def able_replicas(
     candidates: Iterable[servers.ServerEntry],
     model: deployment.ModelName,
     newest: int | None,
     may_use_replaced: bool,
 ) -> tuple[servers.ServerEntry, ...]:
-    """Return the replicas that may serve a model: the newest weights only, if any.
+    """Return the replicas that may serve a model.
 
     Parameters
     ----------
     newest : int or None
         Newest named version; None if none was named.
     may_use_replaced : bool
-        Whether replicas of older versions serve while none has the newest.
+        Whether replicas of older versions serve as well.
     """
     able = tuple(each for each in candidates if model in each.weight_versions_by_model)
-    if newest is None:
+    if newest is None or may_use_replaced:
         return able
-    current = tuple(
+    return tuple(
         each for each in able if each.weight_versions_by_model[model] >= newest
     )
-    if current or not may_use_replaced:
-        return current
-    return able
