--- a/quincecrank/gateway/cache_followers.py
+++ b/quincecrank/gateway/cache_followers.py
@@ -25,8 +25,9 @@
 )
 from quincecrank.platform import engines
 
-PAUSE_MS: Final = 150
-"""Pause between calls: events are late by about as much anyway."""
+PAUSE_MS: Final = 300
+"""Pause between calls, which bounds them to a few a second for each holder; events
+are late by a third of it anyway."""
 
 RETRY_MS: Final = 300
 CHECK_MS: Final = 250
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -112,6 +112,7 @@
             ids.RequestId, asyncio.Future[Placed | Refused]
         ] = {}
         self._want_by_request: dict[ids.RequestId, Want] = {}
+        self._has_waiting = asyncio.Event()
 
     @property
     def waiting_requests(self) -> int:
@@ -135,6 +136,8 @@
     async def run(self) -> None:
         """Try waiting requests again at intervals."""
         while True:
+            await self._has_waiting.wait()
+            self._has_waiting.clear()
             await self._known.clock.sleep(PUMP_INTERVAL_MS)
             for service in tuple(self._line_by_service):
                 self.pump(service)
@@ -144,6 +147,7 @@
         line = self._line(service)
         if not len(line):
             return
+        self._has_waiting.set()
         now_ms = self._known.clock.now_ms()
         for ticket in line.take_late(now_ms):
             want = self._want_by_request[ticket.request_id]
@@ -161,6 +165,7 @@
             asyncio.get_running_loop().create_future()
         )
         line.push(want.ticket)
+        self._has_waiting.set()
         self._future_by_request[want.request_id] = future
         self._want_by_request[want.request_id] = want
         try:
