One client for the platform's store; the table's old dialect goes

Cause: the table client and its stand-in spoke a dialect of their own beside the platform's store. Ruled out: two clients side by side. Change: quincecrank/platform/store.py is the one client; HttpTable keeps the product's rows through it; the stand-in speaks rows and feed (standins/platform_store.py). A write's answer names the row's revision, since versions are the store's own now. Open: object store, store VMs and VM list keep their stand-ins' own protocols.

--- a/quincecrank/agent.py
+++ b/quincecrank/agent.py
@@ -103,9 +103,7 @@
         self._current = current_configuration.CurrentConfiguration(self._clock)
         platform = known.platform
         self._table = table_breaker.BreakerTable(
-            platform_table.HttpTable(
-                platform.table_url, platform.timeout_ms, self._clock
-            ),
+            platform_table.HttpTable(platform.table_url, platform.timeout_ms),
             self._clock,
         )
         self._claims = attempts.Attempts(
--- a/quincecrank/gateway/environment.py
+++ b/quincecrank/gateway/environment.py
@@ -12,6 +12,11 @@
     ip: str
     port: int
 
+    @property
+    def url(self) -> str:
+        """Base of URLs at this endpoint."""
+        return f"http://{self.ip}:{self.port}"
+
     @classmethod
     def parse(cls, text: str) -> "Endpoint":
         """Return the endpoint that `text` names as IP:PORT.
--- a/quincecrank/gateway/followers.py
+++ b/quincecrank/gateway/followers.py
@@ -9,6 +9,7 @@
 from typing import Final, Protocol
 
 from quincecrank import clock as clocks
+from quincecrank import store_rows
 from quincecrank.gateway import decision_log, peers, tables
 
 FEED_WAIT_MS: Final = 1_000
@@ -30,10 +31,10 @@
 class RowUser(Protocol):
     """Takes the rows of a table."""
 
-    def take_all(self, rows: tuple[tables.Row, ...]) -> None:
+    def take_all(self, rows: tuple[store_rows.Row, ...]) -> None:
         """Take all rows that exist."""
 
-    def take_changes(self, rows: tuple[tables.Row, ...]) -> None:
+    def take_changes(self, rows: tuple[store_rows.Row, ...]) -> None:
         """Take changed and removed rows."""
 
     def store_lost(self) -> None:
@@ -74,24 +75,24 @@
         self._clock = clock
         self._pause_ms = pause_ms
         self._count_failure = count_failure
-        self._rows_by_key: dict[str, tables.Row] = {}
+        self._rows_by_key: dict[str, store_rows.Row] = {}
         self._is_lost = False
         self.version = 0
 
     @property
-    def rows(self) -> tables.Rows:
+    def rows(self) -> store_rows.Rows:
         """All rows as known now."""
-        return tables.Rows(tuple(self._rows_by_key.values()), self.version)
+        return store_rows.Rows(tuple(self._rows_by_key.values()), self.version)
 
     async def run(self) -> None:
         """Follow the store."""
         while True:
             try:
                 await self._step()
-            except tables.HistoryLostError:
+            except store_rows.HistoryLostError:
                 _LOG.warning("history lost", table=self._table.value)
                 await self._read_all()
-            except tables.StoreUnavailableError as error:
+            except store_rows.StoreUnavailableError as error:
                 self._lost(str(error))
                 await self._clock.sleep(RETRY_MS * random.uniform(0.8, 1.2))
 
@@ -121,7 +122,7 @@
     async def _read_all(self) -> None:
         try:
             everything = await self._source.read_all(self._table)
-        except tables.StoreUnavailableError as error:
+        except store_rows.StoreUnavailableError as error:
             self._lost(str(error))
             await self._clock.sleep(RETRY_MS)
             return
@@ -133,7 +134,7 @@
         if everything is not None and everything.version > self.version:
             self._replace(everything, "peer")
 
-    def _replace(self, everything: tables.Rows, origin: str) -> None:
+    def _replace(self, everything: store_rows.Rows, origin: str) -> None:
         if everything.version < self.version:
             return
         _LOG.info(
@@ -147,7 +148,7 @@
         self.version = everything.version
         self._user.take_all(everything.rows)
 
-    def _apply_changes(self, changed: tables.Rows) -> None:
+    def _apply_changes(self, changed: store_rows.Rows) -> None:
         # A peer may have told the same rows, or newer ones, in the meantime.
         fresh = tuple(
             row for row in changed.rows if row.version > self._known_version(row.key)
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -15,7 +15,7 @@
 from tornado import httpserver, netutil, web
 
 from quincecrank import clock as clocks
-from quincecrank import status_server, tasks
+from quincecrank import status_server, store_rows, tasks
 from quincecrank.gateway import (
     cache_followers,
     callers,
@@ -35,7 +35,7 @@
     tables,
     weight_roll,
 )
-from quincecrank.platform import engines, names, settings, store
+from quincecrank.platform import engines, gateway_tables, names, settings, store
 
 SERVERS_PAUSE_MS: Final = 200
 """Pause between reads of the backend servers' table, which changes all the time."""
@@ -74,7 +74,9 @@
         self._metrics = gateway_metrics.GatewayMetrics()
         self._known = knowledge.Knowledge(facts, clock)
         self._crashes = crash_suspicions.CrashSuspicions(self._known.has_crashed)
-        self._store = store.PlatformStore(facts.store.endpoint)
+        self._store = gateway_tables.GatewayTables(
+            store.PlatformStore(facts.store.endpoint.url)
+        )
         self._peers = peers.PeerTables(facts, clock)
         self._places = dispatcher.Dispatcher(self._known, self._generator)
         self._forwarder = forwarding.Forwarder(
@@ -187,9 +189,9 @@
             for table, user in user_by_table.items()
         }
 
-    def _rows(self, table: tables.TableName) -> tables.Rows:
+    def _rows(self, table: tables.TableName) -> store_rows.Rows:
         follower = self._followers_by_table.get(table)
-        return follower.rows if follower else tables.Rows((), 0)
+        return follower.rows if follower else store_rows.Rows((), 0)
 
     def _make_report(self) -> peer_messages.Report:
         versions = {
@@ -224,7 +226,7 @@
                     None,
                 )
                 return
-            except tables.StoreUnavailableError as error:
+            except store_rows.StoreUnavailableError as error:
                 _LOG.warning("not registered", reason=str(error))
                 await self._clock.sleep(followers.RETRY_MS * 4)
 
--- a/quincecrank/gateway/order_lease.py
+++ b/quincecrank/gateway/order_lease.py
@@ -16,7 +16,7 @@
 from typing import Final
 
 from quincecrank import clock as clocks
-from quincecrank import ids
+from quincecrank import ids, store_rows
 from quincecrank.gateway import tables
 
 VALIDITY_MS: Final = 600
@@ -108,7 +108,7 @@
         sent_ms = self._clock.now_ms()
         try:
             result = await self._put(held_version)
-        except tables.OutcomeUnknownError:
+        except store_rows.OutcomeUnknownError:
             # The renewal may have been done: the row's version is unknown now.
             self._held_version = None
             raise
@@ -129,7 +129,7 @@
         self._hold(result.version, sent_ms)
         return self.is_valid
 
-    async def _put(self, expected_version: int) -> tables.WriteResult:
+    async def _put(self, expected_version: int) -> store_rows.WriteResult:
         return await self._store.write(
             tables.TableName.MEMBERS, LEASE_KEY, self._text, expected_version
         )
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -18,7 +18,7 @@
 from tornado import httpclient, httpserver, ioloop, netutil, simple_httpclient, web
 
 from quincecrank import clock as clocks
-from quincecrank import ids
+from quincecrank import ids, store_rows
 from quincecrank.gateway import decision_log, environment, peer_messages, tables
 
 REPORT_INTERVAL_MS: Final = 150
@@ -37,7 +37,7 @@
 _LOG: Final = decision_log.logger("peers")
 
 ReportUser = Callable[[peer_messages.Report], None]
-RowsReader = Callable[[tables.TableName], tables.Rows]
+RowsReader = Callable[[tables.TableName], store_rows.Rows]
 
 
 class PeerTables:
@@ -118,7 +118,7 @@
             default=0,
         )
 
-    async def read_all(self, table: tables.TableName) -> tables.Rows | None:
+    async def read_all(self, table: tables.TableName) -> store_rows.Rows | None:
         """Return a live peer's rows of a table; None if it did not answer."""
         newest = self.newest_version(table)
         holders = [
@@ -247,7 +247,7 @@
     return server
 
 
-def encode_rows(rows: tables.Rows) -> bytes:
+def encode_rows(rows: store_rows.Rows) -> bytes:
     """Return rows as a document for peers."""
     document = {
         "version": rows.version,
@@ -256,7 +256,7 @@
     return json.dumps(document).encode()
 
 
-def decode_rows(document: bytes) -> tables.Rows:
+def decode_rows(document: bytes) -> store_rows.Rows:
     """Return the rows of a peer's document.
 
     Raises
@@ -265,9 +265,9 @@
         If it has another form.
     """
     decoded = json.loads(document)
-    return tables.Rows(
+    return store_rows.Rows(
         tuple(
-            tables.Row(str(key), str(text), int(version))
+            store_rows.Row(str(key), str(text), int(version))
             for key, text, version in decoded["rows"]
         ),
         int(decoded["version"]),
@@ -279,7 +279,7 @@
     return _MEMBER_PREFIX + vm
 
 
-def member_ips(rows: Iterable[tables.Row]) -> dict[ids.VmName, str]:
+def member_ips(rows: Iterable[store_rows.Row]) -> dict[ids.VmName, str]:
     """Return the addresses of registered members."""
     return {
         ids.VmName(row.key.removeprefix(_MEMBER_PREFIX)): row.text
--- a/quincecrank/gateway/table_users.py
+++ b/quincecrank/gateway/table_users.py
@@ -5,13 +5,13 @@
 
 from typing import Final
 
+from quincecrank import store_rows
 from quincecrank.gateway import (
     decision_log,
     knowledge,
     order_lease,
     peers,
     servers,
-    tables,
 )
 from quincecrank.platform import documents, feeds
 
@@ -24,11 +24,11 @@
     def __init__(self, known: knowledge.Knowledge) -> None:
         self._known = known
 
-    def take_all(self, rows: tuple[tables.Row, ...]) -> None:
+    def take_all(self, rows: tuple[store_rows.Row, ...]) -> None:
         """Take all rows that exist."""
         self.take_changes(rows)
 
-    def take_changes(self, rows: tuple[tables.Row, ...]) -> None:
+    def take_changes(self, rows: tuple[store_rows.Row, ...]) -> None:
         """Take changed rows."""
         for row in rows:
             try:
@@ -51,7 +51,7 @@
     def store_regained(self) -> None:
         """Nothing changes."""
 
-    def _name(self, named: feeds.NamedWeights, row: tables.Row) -> None:
+    def _name(self, named: feeds.NamedWeights, row: store_rows.Row) -> None:
         now_ms = self._known.clock.now_ms()
         if self._known.versions.name(named.model, named.version, now_ms):
             _LOG.info(
@@ -68,7 +68,7 @@
     def __init__(self, known: knowledge.Knowledge) -> None:
         self._known = known
 
-    def take_all(self, rows: tuple[tables.Row, ...]) -> None:
+    def take_all(self, rows: tuple[store_rows.Row, ...]) -> None:
         """Take all entries; servers without one are gone."""
         now_ms = self._known.clock.now_ms()
         present = [servers.ServerId(row.key) for row in rows]
@@ -77,7 +77,7 @@
         self.take_changes(rows)
         self._known.servers_known()
 
-    def take_changes(self, rows: tuple[tables.Row, ...]) -> None:
+    def take_changes(self, rows: tuple[store_rows.Row, ...]) -> None:
         """Take changed and removed entries."""
         for row in rows:
             try:
@@ -135,14 +135,14 @@
     ) -> None:
         self._directory = directory
         self._lease = lease
-        self._row_by_key: dict[str, tables.Row] = {}
+        self._row_by_key: dict[str, store_rows.Row] = {}
 
-    def take_all(self, rows: tuple[tables.Row, ...]) -> None:
+    def take_all(self, rows: tuple[store_rows.Row, ...]) -> None:
         """Take all members."""
         self._row_by_key = {}
         self.take_changes(rows)
 
-    def take_changes(self, rows: tuple[tables.Row, ...]) -> None:
+    def take_changes(self, rows: tuple[store_rows.Row, ...]) -> None:
         """Take changed members."""
         self._row_by_key.update({row.key: row for row in rows})
         self._directory.set_members(peers.member_ips(self._row_by_key.values()))
--- a/quincecrank/gateway/weight_roll.py
+++ b/quincecrank/gateway/weight_roll.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 from quincecrank import clock as clocks
-from quincecrank import rendezvous, tasks
+from quincecrank import rendezvous, store_rows, tasks
 from quincecrank.gateway import (
     decision_log,
     deployment,
@@ -20,7 +20,6 @@
     order_lease,
     peers,
     servers,
-    tables,
     weight_news,
 )
 from quincecrank.platform import engines
@@ -135,7 +134,7 @@
                 continue
             try:
                 await self._bring_up(lagging)
-            except tables.StoreUnavailableError as error:
+            except store_rows.StoreUnavailableError as error:
                 _LOG.warning("lease not renewed", reason=str(error))
             await self._clock.sleep(INTERVAL_MS)
 
@@ -187,7 +186,7 @@
             running = await self._drain(lagging)
             if await self._order(lagging, running):
                 await self._await_weights(lagging)
-        except (engines.EngineCallError, tables.StoreUnavailableError) as error:
+        except (engines.EngineCallError, store_rows.StoreUnavailableError) as error:
             _LOG.warning("order failed", server=server.server_id, error=str(error))
             # The engine may or may not load: it gets requests again, with the
             # version that they expect.
--- a/quincecrank/load_slots.py
+++ b/quincecrank/load_slots.py
@@ -116,8 +116,8 @@
             return _parse(stored).holder == self._own
         if not _parse(row).is_free(self._own, wall_ms):
             return False
-        outcome = await self._table.replace(_SLOTS, key, body, row.revision)
-        return outcome is platform_table.WriteOutcome.APPLIED
+        answer = await self._table.replace(_SLOTS, key, body, row.revision)
+        return answer.outcome is platform_table.WriteOutcome.APPLIED
 
 
 def _parse(row: platform_table.Row) -> Slot:
--- a/quincecrank/platform/feeds.py
+++ b/quincecrank/platform/feeds.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-from quincecrank.gateway import deployment, servers, tables
+from quincecrank import store_rows
+from quincecrank.gateway import deployment, servers
 from quincecrank.platform import documents, names
 
 
@@ -17,7 +18,7 @@
 OperatorUpdate = deployment.Deployment | NamedWeights
 
 
-def operator_update(row: tables.Row) -> OperatorUpdate | None:
+def operator_update(row: store_rows.Row) -> OperatorUpdate | None:
     """Decode a row of the operator; None for a row that gateways don't use.
 
     Raises
@@ -34,7 +35,7 @@
     return None
 
 
-def server_update(row: tables.Row) -> servers.ServerEntry | None:
+def server_update(row: store_rows.Row) -> servers.ServerEntry | None:
     """Decode a row of a backend server; None if the row was removed.
 
     Raises
--- a/quincecrank/platform/store.py
+++ b/quincecrank/platform/store.py
@@ -6,14 +6,14 @@
 
 import base64
 import binascii
+import dataclasses
 import json
 from typing import Any, Final
 from urllib import parse
 
 from tornado import httpclient, simple_httpclient
 
-from quincecrank import clock
-from quincecrank.gateway import environment, tables
+from quincecrank import clock, store_rows
 from quincecrank.platform import names
 
 CONNECT_TIMEOUT_MS: Final = 500
@@ -28,92 +28,106 @@
 _PRECONDITION_FAILED: Final = 412
 _GONE: Final = 410
 _OK: Final = 200
-_SERVER_ERROR: Final = 500
-_MAX_CLIENTS: Final = 16
-
-_WIRE_NAME_BY_TABLE: Final = {
-    tables.TableName.OPERATOR: names.OPERATOR_TABLE,
-    tables.TableName.SERVERS: names.SERVERS_TABLE,
-    tables.TableName.MEMBERS: "gateways",
-}
+_MAX_CLIENTS: Final = 64
 
 _Document = dict[str, Any]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where a row lies.
+
+    Attributes
+    ----------
+    part : str
+        Rows of one part are changed together; may be empty.
+    """
+
+    table: str
+    key: str
+    part: str = ""
+
+
 class PlatformStore:
-    """The tables of the platform's store over HTTP.
+    """Rows of the platform's store over HTTP.
 
     Parameters
     ----------
-    endpoint : Endpoint
+    base_url : str
         Address of the store.
+    timeout_ms : int
+        Limit of each call, beside the time that a call asks to wait.
     """
 
-    def __init__(self, endpoint: environment.Endpoint) -> None:
-        self._base = f"http://{endpoint.ip}:{endpoint.port}"
+    def __init__(self, base_url: str, timeout_ms: int = CALL_TIMEOUT_MS) -> None:
+        self._base = base_url.rstrip("/")
+        self._timeout_ms = timeout_ms
         self._client = simple_httpclient.SimpleAsyncHTTPClient(
             force_instance=True, max_clients=_MAX_CLIENTS
         )
 
-    async def read_all(self, table: tables.TableName) -> tables.Rows:
-        """Return all rows of a table."""
-        rows: list[tables.Row] = []
-        first_version = None
-        query: _Document = {
-            "table": _WIRE_NAME_BY_TABLE[table],
-            "part": "",
-            "limit": PAGE_ROWS,
-        }
-        while True:
-            _, page = await self._get(names.ROWS_GET, query, CALL_TIMEOUT_MS)
-            # Later pages may be newer; changes are asked for after the first one.
-            first_version = first_version or int(page["rowVersion"])
-            rows += [_row(each) for each in page["rows"]]
-            if not page.get("hasMore"):
-                return tables.Rows(tuple(rows), first_version)
-            query["from"] = rows[-1].key + "\0"
-
-    async def changes(
-        self, table: tables.TableName, after: int, wait_ms: int
-    ) -> tables.Rows:
-        """Return the rows changed after a version, waiting for the first one."""
-        query = {
-            "table": _WIRE_NAME_BY_TABLE[table],
-            "after": after,
-            "waitMs": wait_ms,
-        }
-        status, page = await self._get(
-            names.ROWS_FEED, query, wait_ms + CALL_TIMEOUT_MS
-        )
+    def close(self) -> None:
+        """Close the client."""
+        self._client.close()
+
+    async def read(
+        self,
+        table: str,
+        part: str = "",
+        first: str = "",
+        end: str | None = None,
+        limit: int = PAGE_ROWS,
+    ) -> store_rows.Rows:
+        """Return rows of one part from key `first` to before key `end`, in order."""
+        query: _Document = {"table": table, "part": part, "limit": limit}
+        if first:
+            query["from"] = first
+        if end is not None:
+            query["to"] = end
+        _, page = await self._get(names.ROWS_GET, query, self._timeout_ms)
+        return _rows(page)
+
+    async def changes(self, table: str, after: int, wait_ms: int) -> store_rows.Rows:
+        """Return the rows changed after a version, waiting for the first one.
+
+        Raises
+        ------
+        HistoryLostError
+            If the store no longer has the changes.
+        """
+        query = {"table": table, "after": after, "waitMs": wait_ms}
+        timeout_ms = wait_ms + self._timeout_ms
+        status, page = await self._get(names.ROWS_FEED, query, timeout_ms)
         if status == _GONE:
-            raise tables.HistoryLostError(table.value)
-        rows = tuple(_row(each) for each in page["rows"])
-        return tables.Rows(rows, int(page["rowVersion"]))
+            raise store_rows.HistoryLostError(table)
+        return _rows(page)
 
     async def write(
-        self,
-        table: tables.TableName,
-        key: str,
-        text: str,
-        expected_version: int | None,
-    ) -> tables.WriteResult:
-        """Write a row; only if it has the expected version, unless that is None."""
-        place = {"table": _WIRE_NAME_BY_TABLE[table], "part": "", "key": key}
-        expected = (
-            []
-            if expected_version is None
-            else [{**place, "rowVersion": expected_version}]
-        )
-        value = base64.b64encode(text.encode()).decode()
-        document = {
-            "expected": expected,
-            "put": [{**place, "value": value}],
-            "remove": [],
-        }
+        self, place: Place, text: str | None, expected_version: int | None
+    ) -> store_rows.WriteResult:
+        """Write a row, or remove it if `text` is None.
+
+        The write is conditional on the row's version unless that is None; version 0
+        stands for a row that doesn't exist.
+
+        Raises
+        ------
+        OutcomeUnknownError
+            If the write may have been done, or may be done yet.
+        """
+        row = {"table": place.table, "part": place.part, "key": place.key}
+        document: _Document = {"expected": [], "put": [], "remove": []}
+        if expected_version is not None:
+            document["expected"] = [{**row, "rowVersion": expected_version}]
+        if text is None:
+            document["remove"] = [row]
+        else:
+            value = base64.b64encode(text.encode()).decode()
+            document["put"] = [{**row, "value": value}]
         status, answer = await self._post(names.ROWS_WRITE, document)
         if status == _PRECONDITION_FAILED:
             return _conflict(answer)
-        return tables.WriteResult(True, int(answer["rowVersion"]))
+        return store_rows.WriteResult(True, int(answer["rowVersion"]))
 
     async def _get(
         self, path: str, query: _Document, timeout_ms: int
@@ -126,7 +140,7 @@
         try:
             response = await self._client.fetch(request, raise_error=False)
         except (OSError, httpclient.HTTPError) as error:
-            raise tables.StoreUnavailableError(str(error)) from error
+            raise store_rows.StoreUnavailableError(str(error)) from error
         return _decode(response, {_OK, _GONE})
 
     async def _post(self, path: str, document: _Document) -> tuple[int, _Document]:
@@ -136,12 +150,14 @@
             headers={"Content-Type": "application/json"},
             body=json.dumps(document),
             connect_timeout=CONNECT_TIMEOUT_MS / clock.MS_PER_SECOND,
-            request_timeout=CALL_TIMEOUT_MS / clock.MS_PER_SECOND,
+            request_timeout=self._timeout_ms / clock.MS_PER_SECOND,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
+        except ConnectionRefusedError as error:
+            raise store_rows.StoreUnavailableError(str(error)) from error
         except (OSError, httpclient.HTTPError) as error:
-            raise tables.OutcomeUnknownError(str(error)) from error
+            raise store_rows.OutcomeUnknownError(str(error)) from error
         return _decode(response, {_OK, _PRECONDITION_FAILED})
 
 
@@ -149,17 +165,25 @@
     response: httpclient.HTTPResponse, accepted: set[int]
 ) -> tuple[int, _Document]:
     if response.code not in accepted:
-        raise tables.StoreUnavailableError(f"{response.code} {response.error}")
+        raise store_rows.StoreUnavailableError(f"{response.code} {response.error}")
     if response.code == _GONE:
         return response.code, {}
     try:
         return response.code, json.loads(response.body)
     except ValueError as error:
-        raise tables.OutcomeUnknownError("the answer is not JSON") from error
+        raise store_rows.OutcomeUnknownError("the answer is not JSON") from error
+
+
+def _rows(page: _Document) -> store_rows.Rows:
+    return store_rows.Rows(
+        tuple(_row(each) for each in page["rows"]),
+        int(page["rowVersion"]),
+        bool(page.get("hasMore", False)),
+    )
 
 
-def _row(document: _Document) -> tables.Row:
-    return tables.Row(
+def _row(document: _Document) -> store_rows.Row:
+    return store_rows.Row(
         key=document["key"],
         text=_text(document.get("value")),
         version=int(document["rowVersion"]),
@@ -178,9 +202,9 @@
         return "undecodable value"
 
 
-def _conflict(answer: _Document) -> tables.WriteResult:
+def _conflict(answer: _Document) -> store_rows.WriteResult:
     rows = answer.get("rows") or []
     if not rows or rows[0].get("tombstone"):
-        return tables.WriteResult(False, 0)
+        return store_rows.WriteResult(False, 0)
     row = _row(rows[0])
-    return tables.WriteResult(False, row.version, row.text)
+    return store_rows.WriteResult(False, row.version, row.text)
--- a/quincecrank/platform_table.py
+++ b/quincecrank/platform_table.py
@@ -1,8 +1,8 @@
 """Client of the platform's table service.
 
-The service speaks DynamoDB's JSON protocol.  Each row has a partition, a sort
-number, a text body and a revision that every write increases by one, so that a
-conditional write on the revision is a compare-and-set.
+Each row has a partition, a sort number, a text body and a revision that grows with
+every write, so that a conditional write on the revision is a compare-and-set.
+`HttpTable` keeps the rows in the platform's store, a table each.
 
 A failed write is either certain to have had no effect (`TableUnavailableError`) or
 it is not (`OutcomeUnknownError`); the two are never confused.
@@ -10,21 +10,14 @@
 
 import dataclasses
 import enum
-import json
-from collections.abc import Mapping
-from typing import Any, Final, Protocol
-
-from quincecrank import clock as clocks
-from quincecrank import http_caller
-
-_TARGET_PREFIX: Final = "DynamoDB_20120810."
-_CONTENT_TYPE: Final = "application/x-amz-json-1.0"
-_CONDITION_FAILED: Final = "ConditionalCheckFailedException"
-_SERVER_ERROR: Final = 500
-_FIRST_REVISION: Final = 1
-_CONFIRM_TRIES: Final = 3
+from typing import Final, Protocol
+
+from quincecrank import store_rows
+from quincecrank.platform import store
 
-_Document = dict[str, Any]
+_CONFIRM_TRIES: Final = 3
+_SORT_DIGITS: Final = 20
+"""Digits of the largest sort number."""
 
 
 class TableName(enum.Enum):
@@ -60,6 +53,21 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True)
+class WriteAnswer:
+    """Answer to a conditional write.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the row after the write, or of the row that stood in the way; 0
+        if there is none.
+    """
+
+    outcome: WriteOutcome
+    revision: int
+
+
 class TableUnavailableError(Exception):
     """The call failed and certainly had no effect."""
 
@@ -83,13 +91,13 @@
     ) -> tuple[Row, ...]:
         """Return up to `limit` rows of `partition` above `sort`, in order."""
 
-    async def insert(self, table: TableName, key: RowKey, body: str) -> WriteOutcome:
-        """Insert a row with revision 1; CONFLICT if the key is taken."""
+    async def insert(self, table: TableName, key: RowKey, body: str) -> WriteAnswer:
+        """Insert a row; CONFLICT if the key is taken."""
 
     async def replace(
         self, table: TableName, key: RowKey, body: str, expected_revision: int
-    ) -> WriteOutcome:
-        """Replace the body and increase the revision by one, if it is as expected."""
+    ) -> WriteAnswer:
+        """Replace the body and increase the revision, if it is as expected."""
 
     async def delete(
         self, table: TableName, key: RowKey, expected_revision: int
@@ -98,149 +106,81 @@
 
 
 class HttpTable:
-    """`PlatformTable` over HTTP.
+    """`PlatformTable` in the platform's store.
 
     Parameters
     ----------
     base_url : str
-        Address of the service.
+        Address of the store.
     timeout_ms : int
         Limit of each call.
-    clock : Clock
-        Source of time.
     """
 
-    def __init__(self, base_url: str, timeout_ms: int, clock: clocks.Clock) -> None:
-        self._caller = http_caller.HttpCaller(base_url, timeout_ms, clock)
+    def __init__(self, base_url: str, timeout_ms: int) -> None:
+        self._store = store.PlatformStore(base_url, timeout_ms)
 
     def close(self) -> None:
-        """Close the connections to the service."""
-        self._caller.close()
+        """Close the client."""
+        self._store.close()
 
     async def read(self, table: TableName, key: RowKey) -> Row | None:
         """Return the row, or None if there is none."""
-        request = {
-            "TableName": table.value,
-            "Key": _key_document(key),
-            "ConsistentRead": True,
-        }
-        answer = await self._read("GetItem", request)
-        return _row(answer["Item"]) if "Item" in answer else None
+        name = _sort_name(key.sort)
+        rows = await self._read(table, key.partition, name, name + "\0", 1)
+        return rows[0] if rows else None
 
     async def read_after(
         self, table: TableName, partition: str, sort: int, limit: int
     ) -> tuple[Row, ...]:
         """Return up to `limit` rows of `partition` above `sort`, in order."""
-        request = {
-            "TableName": table.value,
-            "KeyConditionExpression": "pk = :pk AND sk > :sk",
-            "ExpressionAttributeValues": {
-                ":pk": {"S": partition},
-                ":sk": {"N": str(sort)},
-            },
-            "Limit": limit,
-            "ConsistentRead": True,
-        }
-        answer = await self._read("Query", request)
-        return tuple(_row(item) for item in answer["Items"])
-
-    async def insert(self, table: TableName, key: RowKey, body: str) -> WriteOutcome:
-        """Insert a row with revision 1; CONFLICT if the key is taken."""
-        request = {
-            "TableName": table.value,
-            "Item": _item_document(key, body, _FIRST_REVISION),
-            "ConditionExpression": "attribute_not_exists(pk)",
-        }
-        return await self._write("PutItem", request)
+        return await self._read(table, partition, _sort_name(sort + 1), None, limit)
+
+    async def insert(self, table: TableName, key: RowKey, body: str) -> WriteAnswer:
+        """Insert a row; CONFLICT if the key is taken."""
+        return await self._write(table, key, body, 0)
 
     async def replace(
         self, table: TableName, key: RowKey, body: str, expected_revision: int
-    ) -> WriteOutcome:
-        """Replace the body and increase the revision by one, if it is as expected."""
-        request = {
-            "TableName": table.value,
-            "Item": _item_document(key, body, expected_revision + 1),
-            **_revision_condition(expected_revision),
-        }
-        return await self._write("PutItem", request)
+    ) -> WriteAnswer:
+        """Replace the body and increase the revision, if it is as expected."""
+        return await self._write(table, key, body, expected_revision)
 
     async def delete(
         self, table: TableName, key: RowKey, expected_revision: int
     ) -> WriteOutcome:
         """Delete the row if its revision is as expected."""
-        request = {
-            "TableName": table.value,
-            "Key": _key_document(key),
-            **_revision_condition(expected_revision),
-        }
-        return await self._write("DeleteItem", request)
-
-    async def _read(self, operation: str, request: _Document) -> _Document:
-        try:
-            status, answer = await self._execute(operation, request)
-        except (http_caller.NotSentError, http_caller.AnswerLostError) as error:
-            raise TableUnavailableError(str(error)) from error
-        if status >= _SERVER_ERROR or "__type" in answer:
-            raise TableUnavailableError(f"{operation}: {status} {_code(answer)}")
-        return answer
+        answer = await self._write(table, key, None, expected_revision)
+        return answer.outcome
 
-    async def _write(self, operation: str, request: _Document) -> WriteOutcome:
+    async def _read(
+        self, table: TableName, part: str, first: str, end: str | None, limit: int
+    ) -> tuple[Row, ...]:
         try:
-            status, answer = await self._execute(operation, request)
-        except http_caller.NotSentError as error:
+            page = await self._store.read(table.value, part, first, end, limit)
+        except store_rows.StoreUnavailableError as error:
             raise TableUnavailableError(str(error)) from error
-        except http_caller.AnswerLostError as error:
-            raise OutcomeUnknownError(str(error)) from error
-        if status >= _SERVER_ERROR:
-            raise OutcomeUnknownError(f"{operation}: {status} {_code(answer)}")
-        if _code(answer) == _CONDITION_FAILED:
-            return WriteOutcome.CONFLICT
-        if "__type" in answer:
-            raise TableUnavailableError(f"{operation}: {status} {_code(answer)}")
-        return WriteOutcome.APPLIED
-
-    async def _execute(
-        self, operation: str, request: _Document
-    ) -> tuple[int, _Document]:
-        headers = {
-            "X-Amz-Target": _TARGET_PREFIX + operation,
-            "Content-Type": _CONTENT_TYPE,
-        }
-        body = json.dumps(request).encode()
-        response = await self._caller.call("POST", "/", headers, body)
+        return tuple(
+            Row(RowKey(part, int(row.key)), row.text, row.version) for row in page.rows
+        )
+
+    async def _write(
+        self, table: TableName, key: RowKey, body: str | None, expected_revision: int
+    ) -> WriteAnswer:
+        place = store.Place(table.value, _sort_name(key.sort), key.partition)
         try:
-            answer = json.loads(response.body)
-        except ValueError as error:
-            raise http_caller.AnswerLostError("the answer is not JSON") from error
-        return response.code, answer
-
-
-def _code(answer: Mapping[str, Any]) -> str:
-    return str(answer.get("__type", "")).rpartition("#")[2]
-
-
-def _key_document(key: RowKey) -> _Document:
-    return {"pk": {"S": key.partition}, "sk": {"N": str(key.sort)}}
-
-
-def _item_document(key: RowKey, body: str, revision: int) -> _Document:
-    return {
-        **_key_document(key),
-        "rev": {"N": str(revision)},
-        "body": {"S": body},
-    }
-
-
-def _revision_condition(expected_revision: int) -> _Document:
-    return {
-        "ConditionExpression": "rev = :expected",
-        "ExpressionAttributeValues": {":expected": {"N": str(expected_revision)}},
-    }
+            result = await self._store.write(place, body, expected_revision)
+        except store_rows.OutcomeUnknownError as error:
+            raise OutcomeUnknownError(str(error)) from error
+        except store_rows.StoreUnavailableError as error:
+            raise TableUnavailableError(str(error)) from error
+        if not result.is_applied:
+            return WriteAnswer(WriteOutcome.CONFLICT, result.version)
+        return WriteAnswer(WriteOutcome.APPLIED, result.version)
 
 
-def _row(item: _Document) -> Row:
-    key = RowKey(item["pk"]["S"], int(item["sk"]["N"]))
-    return Row(key, item["body"]["S"], int(item["rev"]["N"]))
+def _sort_name(sort: int) -> str:
+    """Return the key of a sort number; keys are ordered as texts."""
+    return f"{sort:0{_SORT_DIGITS}d}"
 
 
 async def insert_confirmed(
@@ -264,8 +204,9 @@
     may_have_effect = False
     for _ in range(_CONFIRM_TRIES):
         try:
-            if await table_client.insert(table, key, body) is WriteOutcome.APPLIED:
-                return Row(key, body, _FIRST_REVISION)
+            answer = await table_client.insert(table, key, body)
+            if answer.outcome is WriteOutcome.APPLIED:
+                return Row(key, body, answer.revision)
         except OutcomeUnknownError:
             may_have_effect = True
         except TableUnavailableError as error:
@@ -300,9 +241,9 @@
     may_have_effect = False
     for _ in range(_CONFIRM_TRIES):
         try:
-            outcome = await table_client.replace(table, key, body, expected_revision)
-            if outcome is WriteOutcome.APPLIED:
-                return Row(key, body, expected_revision + 1)
+            answer = await table_client.replace(table, key, body, expected_revision)
+            if answer.outcome is WriteOutcome.APPLIED:
+                return Row(key, body, answer.revision)
         except OutcomeUnknownError:
             may_have_effect = True
         except TableUnavailableError as error:
--- a/quincecrank/table_breaker.py
+++ b/quincecrank/table_breaker.py
@@ -71,8 +71,8 @@
         table: platform_table.TableName,
         key: platform_table.RowKey,
         body: str,
-    ) -> platform_table.WriteOutcome:
-        """Insert a row with revision 1; CONFLICT if the key is taken."""
+    ) -> platform_table.WriteAnswer:
+        """Insert a row; CONFLICT if the key is taken."""
         return await self._pass(lambda: self._table.insert(table, key, body))
 
     async def replace(
@@ -81,8 +81,8 @@
         key: platform_table.RowKey,
         body: str,
         expected_revision: int,
-    ) -> platform_table.WriteOutcome:
-        """Replace the body and increase the revision by one, if it is as expected."""
+    ) -> platform_table.WriteAnswer:
+        """Replace the body and increase the revision, if it is as expected."""
         return await self._pass(
             lambda: self._table.replace(table, key, body, expected_revision)
         )
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,362 @@
+"""Stand-in of the platform's store: rows in tables, with a feed of their changes.
+
+Rows live in memory for as long as the process does.  Every transaction takes one
+version; a removed row leaves a tombstone for the feed.
+
+Faults
+------
+down : "no", "silent", "refused"
+    Requests are never answered, or refused at once with 503; neither has effect.
+slow_ms : int
+    Delay of every answer, before the effect.
+lose_requests : float
+    Probability that a write has no effect and its connection closes.
+lose_answers : float
+    Probability that a write takes effect and its connection closes.
+reads_per_second, writes_per_second : int
+    Rate limits; 0 is unlimited.  A transaction counts once.
+forgets_history : bool
+    The feed answers that the requested changes are no longer there.
+"""
+
+import asyncio
+import base64
+import dataclasses
+import enum
+import json
+import random
+from typing import Any, Final
+
+import fire
+import pydantic
+from tornado import web
+
+from quincecrank import clock as clocks
+from standins import serving
+
+READS_PER_SECOND: Final = 2000
+WRITES_PER_SECOND: Final = 400
+MAX_ENTRIES: Final = 100
+MAX_PAGE_ROWS: Final = 500
+
+Document = dict[str, Any]
+Place = tuple[str, str, str]
+
+
+class Down(enum.Enum):
+    """How the service is out."""
+
+    NO = "no"
+    SILENT = "silent"
+    REFUSED = "refused"
+
+
+class StoreFaults(serving.Faults):
+    """Fault switches of the store."""
+
+    down: Down = Down.NO
+    slow_ms: int = pydantic.Field(default=0, ge=0)
+    lose_requests: float = pydantic.Field(default=0.0, ge=0, le=1)
+    lose_answers: float = pydantic.Field(default=0.0, ge=0, le=1)
+    reads_per_second: int = pydantic.Field(default=READS_PER_SECOND, ge=0)
+    writes_per_second: int = pydantic.Field(default=WRITES_PER_SECOND, ge=0)
+    forgets_history: bool = False
+
+
+class CallError(Exception):
+    """An answer with an error status."""
+
+    def __init__(self, status: int, document: Document | None = None) -> None:
+        super().__init__(status)
+        self.status = status
+        self.document = document or {}
+
+
+class RateLimit:
+    """Token bucket that holds one second's worth of operations."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._tokens: float | None = None
+        self._at_ms = clock.now_ms()
+
+    def take(self, per_second: int) -> None:
+        """Take one operation or raise the answer of a busy store."""
+        if per_second == 0:
+            return
+        now = self._clock.now_ms()
+        earned = (now - self._at_ms) * per_second / clocks.MS_PER_SECOND
+        self._at_ms = now
+        held = per_second if self._tokens is None else self._tokens + earned
+        self._tokens = min(float(per_second), held)
+        if self._tokens < 1:
+            raise CallError(429)
+        self._tokens -= 1
+
+
+@dataclasses.dataclass(frozen=True)
+class StoredRow:
+    """A row, or the tombstone of one."""
+
+    place: Place
+    value: str | None
+    version: int
+
+    def document(self) -> Document:
+        """Return the row as it is answered."""
+        table, part, key = self.place
+        document = {
+            "table": table,
+            "part": part,
+            "key": key,
+            "rowVersion": self.version,
+        }
+        if self.value is None:
+            return {**document, "tombstone": True}
+        return {**document, "value": self.value}
+
+
+class Tables:
+    """All rows, with the operations on them."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self._row_by_place: dict[Place, StoredRow] = {}
+
+    def transact(self, document: Document) -> Document:
+        """Apply all entries of a transaction, or none."""
+        expected, put, remove = (
+            document.get(name) or [] for name in ("expected", "put", "remove")
+        )
+        entries = [*expected, *put, *remove]
+        if len(entries) > MAX_ENTRIES or len({each["part"] for each in entries}) > 1:
+            raise CallError(400)
+        for each in put:
+            base64.b64decode(each["value"], validate=True)
+        broken = [
+            each for each in expected if self._version_of(each) != each["rowVersion"]
+        ]
+        if broken:
+            raise CallError(412, {"rows": self._present(expected)})
+        self.version += 1
+        for each in put:
+            self._store(_place(each), each["value"])
+        for each in remove:
+            self._store(_place(each), None)
+        return {"rowVersion": self.version}
+
+    def get(self, table: str, part: str, first: str, end: str, limit: int) -> Document:
+        """Return rows of one part, in order of their keys."""
+        found = sorted(
+            (
+                row
+                for (in_table, in_part, key), row in self._row_by_place.items()
+                if in_table == table
+                and in_part == part
+                and row.value is not None
+                and key >= first
+                and (not end or key < end)
+            ),
+            key=lambda row: row.place[2].encode(),
+        )
+        return {
+            "rows": [row.document() for row in found[:limit]],
+            "hasMore": len(found) > limit,
+            "rowVersion": self.version,
+        }
+
+    def changes(self, table: str, after: int) -> Document:
+        """Return the rows of a table that changed after a version, in that order."""
+        found = sorted(
+            (
+                row
+                for row in self._row_by_place.values()
+                if row.place[0] == table and row.version > after
+            ),
+            key=lambda row: row.version,
+        )
+        return {"rows": [row.document() for row in found], "rowVersion": self.version}
+
+    def _present(self, entries: list[Document]) -> list[Document]:
+        rows = [self._row_by_place.get(_place(each)) for each in entries]
+        return [row.document() for row in rows if row and row.value is not None]
+
+    def _version_of(self, entry: Document) -> int:
+        row = self._row_by_place.get(_place(entry))
+        return row.version if row and row.value is not None else 0
+
+    def _store(self, place: Place, value: str | None) -> None:
+        self._row_by_place[place] = StoredRow(place, value, self.version)
+
+
+class StoreService:
+    """The tables behind their rate limits and faults."""
+
+    def __init__(self, clock: clocks.Clock, seed: int = 0) -> None:
+        self.faults = StoreFaults()
+        self.clock = clock
+        self.tables = Tables()
+        self.changed = asyncio.Event()
+        self._random = random.Random(seed)
+        self._reads = RateLimit(clock)
+        self._writes = RateLimit(clock)
+
+    def loses(self, probability: float) -> bool:
+        """Draw whether a fault of this probability strikes."""
+        return self._random.random() < probability
+
+    def transact(self, document: Document) -> Document:
+        """Carry out a transaction."""
+        self._writes.take(self.faults.writes_per_second)
+        answer = self.tables.transact(document)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return answer
+
+    def take_read(self) -> None:
+        """Count a reading call."""
+        self._reads.take(self.faults.reads_per_second)
+
+
+class StoreHandler(web.RequestHandler):
+    """Base of the calls."""
+
+    def initialize(self, service: StoreService) -> None:
+        """Keep the service."""
+        self.service = service
+        self.closed = asyncio.Event()
+
+    def on_connection_close(self) -> None:
+        """End a request that is never answered."""
+        self.closed.set()
+
+    async def strike(self) -> bool:
+        """Apply the faults of every call; return whether the call ends here."""
+        faults = self.service.faults
+        if faults.down is Down.SILENT:
+            await self.closed.wait()
+            return True
+        if faults.down is Down.REFUSED:
+            self.send(503, {})
+            return True
+        if faults.slow_ms:
+            await self.service.clock.sleep(faults.slow_ms)
+        return False
+
+    def send(self, status: int, document: Document) -> None:
+        """Send an answer."""
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps({**document, "nowMs": self.service.clock.now_ms()}))
+
+
+class TransactionHandler(StoreHandler):
+    """`POST /rows-tx`."""
+
+    async def post(self) -> None:
+        """Carry out a transaction."""
+        if await self.strike():
+            return
+        faults = self.service.faults
+        if self.service.loses(faults.lose_requests):
+            serving.drop_connection(self)
+            return
+        try:
+            answer = self.service.transact(json.loads(self.request.body))
+        except CallError as error:
+            self.send(error.status, error.document)
+            return
+        except (KeyError, TypeError, ValueError):
+            self.send(400, {})
+            return
+        if self.service.loses(faults.lose_answers):
+            serving.drop_connection(self)
+            return
+        self.send(200, answer)
+
+
+class ReadHandler(StoreHandler):
+    """`GET /rows-get`."""
+
+    async def get(self) -> None:
+        """Answer with rows of one part."""
+        if await self.strike():
+            return
+        try:
+            self.service.take_read()
+        except CallError as error:
+            self.send(error.status, error.document)
+            return
+        limit = min(int(self.get_query_argument("limit", "500")), MAX_PAGE_ROWS)
+        # Keys may hold any character, so the arguments are taken as they are.
+        first, end = (self._raw_argument(name) for name in ("from", "to"))
+        self.send(
+            200,
+            self.service.tables.get(
+                self._raw_argument("table"),
+                self._raw_argument("part"),
+                first,
+                end,
+                limit,
+            ),
+        )
+
+    def _raw_argument(self, name: str) -> str:
+        values = self.request.query_arguments.get(name, [b""])
+        return values[-1].decode()
+
+
+class FeedHandler(StoreHandler):
+    """`GET /rows-feed`."""
+
+    async def get(self) -> None:
+        """Answer with changed rows, after a wait for the first one."""
+        if await self.strike():
+            return
+        try:
+            self.service.take_read()
+        except CallError as error:
+            self.send(error.status, error.document)
+            return
+        if self.service.faults.forgets_history:
+            self.send(410, {})
+            return
+        table = self.get_query_argument("table")
+        after = int(self.get_query_argument("after"))
+        deadline_ms = self.service.clock.now_ms() + int(
+            self.get_query_argument("waitMs", "0")
+        )
+        while not self.service.tables.changes(table, after)["rows"]:
+            left_ms = deadline_ms - self.service.clock.now_ms()
+            if left_ms <= 0 or self.closed.is_set():
+                break
+            changed = asyncio.ensure_future(self.service.changed.wait())
+            await asyncio.wait({changed}, timeout=left_ms / clocks.MS_PER_SECOND)
+            changed.cancel()
+        if not self.closed.is_set() and not await self.strike():
+            self.send(200, self.service.tables.changes(table, after))
+
+
+def _place(entry: Document) -> Place:
+    return entry["table"], entry["part"], entry["key"]
+
+
+def make_application(service: StoreService) -> web.Application:
+    """Return the HTTP application of a store."""
+    return web.Application(
+        [
+            (r"/rows-tx", TransactionHandler, {"service": service}),
+            (r"/rows-get", ReadHandler, {"service": service}),
+            (r"/rows-feed", FeedHandler, {"service": service}),
+            serving.faults_rule(service.faults),
+        ]
+    )
+
+
+def main(port: int = 0, seed: int = 0) -> None:
+    """Serve a store on `port`; `seed` drives its random faults."""
+    serving.run(make_application(StoreService(clocks.SystemClock(), seed)), port)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
