--- /dev/null
+++ b/standins/platform_fleet.py
@@ -0,0 +1,189 @@
+"""A fleet of gateways on one machine, with stand-ins of the platform around them.
+
+Each gateway has a loopback address of its own, as its port for peers is the same on
+all machines.
+"""
+
+import base64
+import json
+import pathlib
+import socket
+import urllib.request
+from typing import Any, Final
+
+from standins import launcher
+
+HOST: Final = "desk.example"
+KEY: Final = "key-of-patan"
+MODEL: Final = "model-a"
+
+Document = dict[str, Any]
+
+
+def free_port(ip: str) -> int:
+    """Return a port that is free on `ip`."""
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return int(probe.getsockname()[1])
+
+
+def http(url: str, body: bytes | None = None) -> bytes:
+    """Call a stand-in and return the answer's body."""
+    request = urllib.request.Request(url, data=body)
+    with urllib.request.urlopen(request, timeout=10) as response:
+        return bytes(response.read())
+
+
+def route(name: str, prefix: str, service: str, kind: str, **more: Any) -> Document:
+    """Return a route of the configuration."""
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": prefix,
+        "routeKind": kind,
+        "timeoutMs": 8_000,
+        "targetLatencyMs": 500,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+        "public": False,
+        **more,
+    }
+
+
+def configuration(version: int, *routes: Document) -> Document:
+    """Return a configuration with two services and the given further routes."""
+    return {
+        "version": version,
+        "routes": [
+            route("r-1", "/draft/", "drafting", "streaming", resumable=True),
+            route("r-2", "/verdict/", "drafting", "streaming", maxAttempts=1),
+            route("r-3", "/record/", "records", "non_idempotent", maxAttempts=1),
+            route("r-4", "/look/", "records", "idempotent"),
+            *routes,
+        ],
+        "services": [
+            {
+                "name": "drafting",
+                "healthPath": "/health",
+                "maxConns": 100,
+                "engine": {
+                    "slots": 8,
+                    "kvCapacityTokens": 60_000,
+                    "kvTokenBytes": 96_256,
+                    "linkMbps": 1_000_000.0,
+                    "maxInflight": 12,
+                    "models": [{"name": MODEL}],
+                },
+            },
+            {"name": "records", "healthPath": "/health", "maxConns": 100},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 1_000_000,
+            "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000,
+        },
+        "tenants": [{"name": "patan", "apiKeys": [KEY]}],
+    }
+
+
+class PlatformFleet(launcher.Fleet):
+    """The store, backend servers and gateways as processes.
+
+    Attributes
+    ----------
+    ip_by_gateway : dict
+        Loopback address of each gateway.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        super().__init__(folder)
+        self._folder = folder
+        self.store = self.start("store", "standins.platform_store")
+        self.ip_by_gateway: dict[str, str] = {}
+        self.callers_port_by_gateway: dict[str, int] = {}
+        self.ready_port_by_gateway: dict[str, int] = {}
+        self.process_by_name: dict[str, launcher.Process] = {}
+        self._peer_port = free_port("127.0.0.1")
+        self._metrics_port = free_port("127.0.0.1")
+        self.write_operator("config", configuration(1))
+
+    def write_operator(self, key: str, document: Document) -> None:
+        """Write a row of the operator."""
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        row = {"table": "op", "part": "", "key": key, "value": value}
+        http(f"{self.store.url}/rows-tx", json.dumps({"put": [row]}).encode())
+
+    def name_weights(self, version: int) -> None:
+        """Name new weights of the model."""
+        document = {"model": MODEL, "version": version}
+        self.write_operator(f"version/{MODEL}", document)
+
+    def set_faults(self, process: launcher.Process, **faults: Any) -> None:
+        """Switch faults of a stand-in."""
+        http(f"{process.url}/faults", json.dumps(faults).encode())
+
+    def add_server(self, server_id: str, service: str) -> launcher.Process:
+        """Start a backend server."""
+        arguments = [server_id, service, self.store.url]
+        if service == "drafting":
+            arguments += ["--model", MODEL]
+        process = self.start(server_id, "standins.platform_server", arguments)
+        self.process_by_name[server_id] = process
+        return process
+
+    def add_gateway(self, name: str) -> launcher.Process:
+        """Start a gateway, or start it again; it may not be ready yet."""
+        if name not in self.ip_by_gateway:
+            ip = f"127.0.0.{len(self.ip_by_gateway) + 2}"
+            self.ip_by_gateway[name] = ip
+            self.callers_port_by_gateway[name] = free_port(ip)
+            self.ready_port_by_gateway[name] = free_port(ip)
+        path = self._folder / f"{name}.json"
+        path.write_text(json.dumps(self._settings(name)))
+        process = self.launch(
+            name, "quincecrank.gateway", environment={"QUINCECRANK_CONFIG": str(path)}
+        )
+        self.process_by_name[name] = process
+        return process
+
+    def is_ready(self, name: str) -> bool:
+        """Return whether a gateway says that it is ready."""
+        address = f"{self.ip_by_gateway[name]}:{self.ready_port_by_gateway[name]}"
+        try:
+            http(f"http://{address}/ready")
+        except OSError:
+            return False
+        return True
+
+    def _settings(self, name: str) -> Document:
+        ip = self.ip_by_gateway[name]
+        return {
+            "nodeName": name,
+            "ip": ip,
+            "zone": "patan",
+            "listen": {
+                "frontend": f"{ip}:{self.callers_port_by_gateway[name]}",
+                "readiness": f"{ip}:{self.ready_port_by_gateway[name]}",
+            },
+            "internalPorts": [self._peer_port, self._metrics_port],
+            "seedNodes": [f"{each}:1" for each in self.ip_by_gateway.values()],
+            "limits": {"memoryMb": 200, "maxFds": 1_000},
+            "bounds": {
+                "graceS": 8,
+                "drainMs": 2_000,
+                "leaseMs": 3_000,
+                "versionMs": 8_000,
+                "retryBudgetRatio": 0.2,
+                "budgetMinRetries": 100,
+                "budgetWindowS": 10,
+                "thawMs": 300,
+            },
+            "platformSettings": {
+                "address": f"127.0.0.1:{self.store.port}",
+                "writesPerS": 400,
+                "readsPerS": 2_000,
+                "rowBytes": 65_536,
+            },
+        }
--- /dev/null
+++ b/standins/platform_server.py
@@ -0,0 +1,327 @@
+"""Stand-in of a backend server of the platform: a model engine or a plain service.
+
+Registers itself in the platform's store at start and at every heartbeat, and tells
+each request that it ran on standard output as ``ran ID``.
+
+A stream has one event every `event_ms`; the caller's `Token-Count` gives the number.
+Kept parts are those of the requests that ran, without eviction.
+
+Faults
+------
+full : bool
+    Requests are refused as not run.
+lose_answers : float
+    Probability that a request runs and its connection closes without an answer.
+crash_on : str
+    The process ends when it runs a request whose body holds this text.
+"""
+
+import asyncio
+import base64
+import collections
+import json
+import os
+import random
+import sys
+from typing import Any, Final
+
+import fire
+import pydantic
+from tornado import httpclient, httputil, simple_httpclient, web
+
+from quincecrank import clock as clocks
+from standins import serving
+
+HEARTBEAT_MS: Final = 300
+LOAD_MS: Final = 200
+SEAL: Final = "5ea1"
+
+Document = dict[str, Any]
+
+
+class ServerFaults(serving.Faults):
+    """Fault switches of a backend server."""
+
+    full: bool = False
+    lose_answers: float = pydantic.Field(default=0.0, ge=0, le=1)
+    crash_on: str = ""
+
+
+class Server:
+    """State of one incarnation.
+
+    Attributes
+    ----------
+    model : str
+        Model of an engine; empty for a plain service.
+    holders : list of str
+        Who gave the orders that were accepted.
+    """
+
+    def __init__(
+        self, server_id: str, service: str, model: str, clock: clocks.Clock, seed: int
+    ) -> None:
+        self.server_id = server_id
+        self.service = service
+        self.model = model
+        self.clock = clock
+        self.faults = ServerFaults()
+        self.started_wall_ms = clock.wall_ms()
+        self.weights = 1
+        self.is_loading = False
+        self.orders = 0
+        self.holders: list[str] = []
+        self.state = "ready"
+        self.running = 0
+        self.heartbeats = 0
+        self.address = ""
+        self.events: collections.deque[list[Any]] = collections.deque()
+        self._random = random.Random(seed)
+
+    def loses(self) -> bool:
+        """Draw whether an answer is lost."""
+        return self._random.random() < self.faults.lose_answers
+
+    def entry(self) -> Document:
+        """Return what lies in the store about this server."""
+        self.heartbeats += 1
+        entry: Document = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "patan",
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "coldRemainingMs": 0,
+            "seq": self.heartbeats,
+            "born": self.started_wall_ms,
+        }
+        if self.model:
+            entry |= {"stage": "colocated", "models": [self._model_document()]}
+        return entry
+
+    def report(self) -> Document:
+        """Return the answer to a report call."""
+        return {
+            "stage": "colocated",
+            "models": [self._model_document()] if self.model else [],
+            "busy": self.is_loading,
+            "seq": self.orders,
+            "queued": 0,
+            "active": self.running,
+            "kvUsed": 0,
+            "kvTotal": 60_000,
+            "handles": 0,
+        }
+
+    async def load(self, version: int) -> None:
+        """Load weights; what was kept is gone."""
+        self.is_loading = True
+        await self.clock.sleep(LOAD_MS)
+        self.weights = version
+        self.is_loading = False
+        self.events.clear()
+
+    def keep(self, salt: str, parts: str) -> None:
+        """Note the parts of a prompt as kept."""
+        for part in filter(None, parts.split(",")):
+            part_id, _, tokens = part.partition(":")
+            number = len(self.events) + 1
+            self.events.append([number, "+", salt, part_id, int(tokens), self.model])
+
+    def _model_document(self) -> Document:
+        return {"name": self.model, "version": self.weights, "adapters": []}
+
+
+class RequestHandler(web.RequestHandler):
+    """Any request of a caller."""
+
+    def initialize(self, server: Server) -> None:
+        """Keep the server."""
+        self._server = server
+        self._has_left = False
+
+    def on_connection_close(self) -> None:
+        """Stop the work."""
+        self._has_left = True
+
+    async def get(self) -> None:
+        """Serve a request."""
+        await self._serve()
+
+    async def post(self) -> None:
+        """Serve a request."""
+        await self._serve()
+
+    async def _serve(self) -> None:
+        server = self._server
+        headers = self.request.headers
+        if headers.get("Expect-Instance", server.server_id) != server.server_id:
+            self._refuse(421)
+            return
+        wanted = headers.get("Expect-Version")
+        if wanted is not None and int(wanted) != server.weights:
+            self._refuse(421)
+            return
+        if server.faults.full or server.is_loading:
+            self._refuse(503)
+            return
+        await self._run()
+
+    async def _run(self) -> None:
+        server = self._server
+        crash_on = server.faults.crash_on
+        request_id = self.request.headers.get("Request-Id", "")
+        print(f"ran {request_id}", flush=True)
+        if crash_on and crash_on.encode() in self.request.body:
+            os._exit(1)
+        if server.loses():
+            serving.drop_connection(self)
+            return
+        server.running += 1
+        try:
+            self.set_header("Request-Id", request_id)
+            self.set_header("Server-Seal", SEAL)
+            if server.model and "Token-Count" in self.request.headers:
+                await self._stream()
+            else:
+                self.finish(f"{self.request.method} {self.request.path}")
+        finally:
+            server.running -= 1
+
+    async def _stream(self) -> None:
+        headers = self.request.headers
+        self._server.keep(
+            headers.get("Cache-Salt", ""), headers.get("Prompt-Prefix", "")
+        )
+        self.set_header("Content-Type", "text/event-stream")
+        count = int(headers["Token-Count"].partition(",")[2])
+        first = int(headers.get("Last-Event-Id", "0")) + 1
+        for number in range(first, count + 1):
+            if self._has_left:
+                return
+            self.write(f"id: {number}\ndata: token {number}\n\n")
+            await self.flush()
+            await self._server.clock.sleep(EVENT_MS)
+
+    def _refuse(self, status: int) -> None:
+        self.set_status(status)
+        self.set_header("Not-Executed", "1")
+        self.set_header("Instance-Id", self._server.server_id)
+        self.finish()
+
+
+EVENT_MS: Final = 20
+
+
+class ReportHandler(web.RequestHandler):
+    """`GET /report`."""
+
+    def initialize(self, server: Server) -> None:
+        """Keep the server."""
+        self._server = server
+
+    def get(self) -> None:
+        """Answer with the state."""
+        self.finish(self._server.report())
+
+
+class OrderHandler(web.RequestHandler):
+    """`POST /order`."""
+
+    def initialize(self, server: Server) -> None:
+        """Keep the server."""
+        self._server = server
+
+    def post(self) -> None:
+        """Accept an order to load weights."""
+        server = self._server
+        order = json.loads(self.request.body)
+        if order.get("expected", server.orders) != server.orders or server.is_loading:
+            self.set_status(409)
+            return
+        if order["version"] <= server.weights:
+            return
+        server.orders += 1
+        server.holders.append(order["holder"])
+        print(f"order {order['version']} of {order['holder']}", flush=True)
+        asyncio.ensure_future(server.load(order["version"]))
+        self.set_status(202)
+
+
+class EventsHandler(web.RequestHandler):
+    """`GET /kv-events`."""
+
+    def initialize(self, server: Server) -> None:
+        """Keep the server."""
+        self._server = server
+
+    async def get(self) -> None:
+        """Answer with the changes from a number on."""
+        server = self._server
+        since = int(self.get_query_argument("since", "0"))
+        wait_ms = int(self.request.headers.get("Wait-Ms", "0"))
+        while wait_ms > 0 and len(server.events) <= since:
+            await server.clock.sleep(20)
+            wait_ms -= 20
+        self.finish(
+            {
+                "bootEpoch": server.started_wall_ms,
+                "next": len(server.events),
+                "lost": False,
+                "clock_ms": server.clock.wall_ms(),
+                "events": list(server.events)[since:],
+            }
+        )
+
+
+async def _register(server: Server, store_url: str) -> None:
+    """Write the server's entry at every heartbeat, as the platform's servers do."""
+    client = simple_httpclient.SimpleAsyncHTTPClient(force_instance=True)
+    while True:
+        value = base64.b64encode(json.dumps(server.entry()).encode()).decode()
+        row = {"table": "servers", "part": "", "key": server.server_id, "value": value}
+        request = httpclient.HTTPRequest(
+            f"{store_url}/rows-tx",
+            method="POST",
+            headers=httputil.HTTPHeaders({"Content-Type": "application/json"}),
+            body=json.dumps({"put": [row]}),
+            request_timeout=1.0,
+        )
+        try:
+            await client.fetch(request)
+        except (OSError, httpclient.HTTPError) as error:
+            print(f"heartbeat lost: {error}", file=sys.stderr, flush=True)
+        await server.clock.sleep(HEARTBEAT_MS)
+
+
+def make_application(server: Server) -> web.Application:
+    """Return the HTTP application of a backend server."""
+    return web.Application(
+        [
+            serving.faults_rule(server.faults),
+            (r"/report", ReportHandler, {"server": server}),
+            (r"/order", OrderHandler, {"server": server}),
+            (r"/kv-events", EventsHandler, {"server": server}),
+            (r"/.*", RequestHandler, {"server": server}),
+        ]
+    )
+
+
+async def _serve(server: Server, store_url: str) -> None:
+    running = serving.start(make_application(server))
+    server.address = f"{serving.LISTEN_ADDRESS}:{running.port}"
+    print(f"listening {running.port}", flush=True)
+    await _register(server, store_url)
+
+
+def main(
+    server_id: str, service: str, store_url: str, model: str = "", seed: int = 0
+) -> None:
+    """Serve as `server_id` of `service`; with `model`, as an engine."""
+    server = Server(server_id, service, model, clocks.SystemClock(), seed)
+    asyncio.run(_serve(server, store_url))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
