A few gateways read the store, the others read from them; slowness relative to a service's median

A prompt of 700 tokens was expected in 9 ms and took 90, so all engines counted as eight times slow, and the limit of the backlog shrank with it. Found on the way: a row that a peer's full read lacked could come back by a feed answer that was under way (a gone server would have got work); test_a_row_that_a_full_read_lacks fails on the version before. Change: three readers a table by rendezvous; all others read from peers when there is news, and from the store when no peer heard from it within a second; 60 ms to the first event, slowness over the median.

--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -89,6 +89,9 @@
     retry_after_ms: int
 
 
+FIRST_EVENT_MS: Final = 60.0
+"""Time from a request to the first event of an idle engine that holds its prompt."""
+
 PLAIN_EXPECTED_MS: Final = 80.0
 """Answer time of a plain service against which slowness is measured."""
 
@@ -202,13 +205,15 @@
 
     def _place_plain(self, want: Want) -> Placed | None:
         now_ms = self._known.clock.now_ms()
+        usable = self._usable(want)
+        slowness_by_server = self._known.health.relative_slowness(usable)
         candidates = [
             placement.Candidate(
                 each,
                 self._known.loads.of(each.server_id, now_ms),
-                self._known.health.of(each).slowness,
+                slowness_by_server[each.server_id],
             )
-            for each in self._usable(want)
+            for each in usable
         ]
         chosen = placement.choose_plain(candidates, want.request_id)
         if chosen is None:
@@ -230,6 +235,7 @@
     ) -> Placed | None:
         now_ms = self._known.clock.now_ms()
         usable = self._usable(want)
+        slowness_by_server = self._known.health.relative_slowness(usable)
         current = self._known.current
         sources = (
             self._known.sources(want.service, prompt.model, current) if current else ()
@@ -242,7 +248,7 @@
             placement.Candidate(
                 each,
                 self._known.loads.of(each.server_id, now_ms),
-                self._known.health.of(each).slowness,
+                slowness_by_server[each.server_id],
                 plans[each.server_id].missing_tokens,
                 plans[each.server_id].transfers.expected_ms,
                 self._known.versions.replaced_cost_ms(
@@ -289,7 +295,7 @@
             plan.version,
             plan.salt,
             transfers,
-            placement.engine_cost_ms(chosen) / chosen.slowness,
+            FIRST_EVENT_MS + placement.engine_cost_ms(chosen) / chosen.slowness,
         )
 
     def _with_saves(
--- a/quincecrank/gateway/followers.py
+++ b/quincecrank/gateway/followers.py
@@ -1,41 +1,71 @@
-"""Follows a table of the platform's store; from peers while the store is away.
+"""Follows a table of the platform's store, or a peer that does.
 
-The store may refuse or cut off this machine while it serves others.  A peer that
-has newer rows tells so in its reports; the rows are then read from that peer.
+Load pattern: every gateway wants every change within a second, and the store's calls
+are limited and paid for.  A few gateways, on which all agree, read each table from
+the store; the others read from them when there is news.  Any gateway reads the store
+itself as soon as no peer has lately heard from it: the store may refuse or cut off
+some machines while it serves others.
+
+Terms
+-----
+news
+    Changed rows that matter; most changes are heartbeats of backend servers.
 """
 
+import dataclasses
 import random
 from collections.abc import Callable
 from typing import Final, Protocol
 
 from quincecrank import clock as clocks
-from quincecrank import store_rows
+from quincecrank import ids, rendezvous, store_rows
 from quincecrank.gateway import decision_log, peers, tables
 
-FEED_WAIT_MS: Final = 1_000
-"""Longest wait of one call.  A connection that falls silent hides changes for this
-time and the call's time limit; operators' changes must apply within two seconds."""
+READERS: Final = 3
+"""Gateways that read a table from the store: two may be lost at once."""
 
 RETRY_MS: Final = 250
 """Pause after a failed call: four calls a second for each table and process."""
 
-PEER_INTERVAL_MS: Final = 200
-"""Interval at which missing rows are asked from peers."""
+PEER_INTERVAL_MS: Final = 100
+"""Interval at which the reports of peers are compared with what is known."""
 
 PEER_DELAY_MS: Final = 300
-"""Time for which the store may be behind a peer before the peer is asked."""
+"""Time for which a reader of the store may be behind a peer before it asks it."""
+
+BEHIND_LIMIT_MS: Final = 600
+"""Time after which a gateway that its peers leave behind reads the store itself."""
 
 _LOG: Final = decision_log.logger("followers")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How often a table is read.
+
+    Attributes
+    ----------
+    wait_ms : int
+        Longest wait of a call of a reader.
+    pause_ms : int
+        Pause between two calls, which bounds their rate on busy tables.
+    max_age_ms : int
+        Age of what the readers have at which others read the store themselves.
+    """
+
+    wait_ms: int
+    pause_ms: int
+    max_age_ms: int
+
+
 class RowUser(Protocol):
     """Takes the rows of a table."""
 
     def take_all(self, rows: tuple[store_rows.Row, ...]) -> None:
         """Take all rows that exist."""
 
-    def take_changes(self, rows: tuple[store_rows.Row, ...]) -> None:
-        """Take changed and removed rows."""
+    def take_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
+        """Take changed and removed rows; return whether they are news."""
 
     def store_lost(self) -> None:
         """Take the news that the store can't be read."""
@@ -49,13 +79,22 @@
 
     Parameters
     ----------
-    pause_ms : int
-        Pause between two calls, which bounds their rate on busy tables.
+    own_name : VmName
+        Name of this gateway among its peers.
+    tell_peers : callable
+        Sends a report to the peers at once.
 
     Attributes
     ----------
     version : int
         Version of the store up to which the rows are known; 0 before the first.
+    news_version : int
+        Version of the last news.
+
+    Notes
+    -----
+    Invariant: a row that a full read of version V lacks does not come back by an
+    answer that was under way meanwhile, as changes up to V are ignored afterwards.
     """
 
     def __init__(
@@ -64,29 +103,47 @@
         source: tables.TableSource,
         user: RowUser,
         directory: "peers.PeerTables",
+        own_name: ids.VmName,
         clock: clocks.Clock,
-        pause_ms: int,
+        pace: Pace,
+        tell_peers: Callable[[], None],
         count_failure: Callable[[str], None],
     ) -> None:
         self._table = table
         self._source = source
         self._user = user
         self._peers = directory
+        self._own_name = own_name
         self._clock = clock
-        self._pause_ms = pause_ms
+        self._pace = pace
+        self._tell_peers = tell_peers
         self._count_failure = count_failure
         self._rows_by_key: dict[str, store_rows.Row] = {}
         self._is_lost = False
+        self._full_version = 0
+        self._confirmed_ms: int | None = None
+        self._behind_since_ms: int | None = None
         self.version = 0
+        self.news_version = 0
 
     @property
     def rows(self) -> store_rows.Rows:
         """All rows as known now."""
         return store_rows.Rows(tuple(self._rows_by_key.values()), self.version)
 
+    @property
+    def age_ms(self) -> int | None:
+        """Time since the store last answered this gateway; None if it never did."""
+        if self._confirmed_ms is None:
+            return None
+        return self._clock.now_ms() - self._confirmed_ms
+
     async def run(self) -> None:
-        """Follow the store."""
+        """Follow the store while this gateway reads it."""
         while True:
+            if not self.reads_store():
+                await self._clock.sleep(PEER_INTERVAL_MS)
+                continue
             try:
                 await self._step()
             except store_rows.HistoryLostError:
@@ -97,27 +154,45 @@
                 await self._clock.sleep(RETRY_MS * random.uniform(0.8, 1.2))
 
     async def run_from_peers(self) -> None:
-        """Read rows from a peer that has newer ones than the store gives."""
-        behind_since_ms: int | None = None
+        """Read rows from a peer that has news."""
         while True:
             await self._clock.sleep(PEER_INTERVAL_MS)
-            newest = self._peers.newest_version(self._table)
-            if newest <= self.version:
-                behind_since_ms = None
+            if self._peers.news_version(self._table) <= self.version:
+                self._behind_since_ms = None
                 continue
             now_ms = self._clock.now_ms()
-            behind_since_ms = behind_since_ms or now_ms
-            if now_ms - behind_since_ms >= PEER_DELAY_MS:
+            if self._behind_since_ms is None:
+                self._behind_since_ms = now_ms
+            delay_ms = PEER_DELAY_MS if self._is_reader() else 0
+            if now_ms - self._behind_since_ms >= delay_ms:
                 await self._read_from_peer()
 
+    def reads_store(self) -> bool:
+        """Return whether this gateway is to read the store itself now."""
+        if not self.version or self._is_reader():
+            return True
+        now_ms = self._clock.now_ms()
+        behind_since_ms = self._behind_since_ms
+        if behind_since_ms is not None and now_ms - behind_since_ms > BEHIND_LIMIT_MS:
+            return True
+        age_ms = self._peers.age_ms(self._table)
+        return age_ms is None or age_ms > self._pace.max_age_ms
+
+    def _is_reader(self) -> bool:
+        gateways = [self._own_name, *self._peers.live_members()]
+        readers = rendezvous.ranked(self._table.value, gateways, READERS)
+        return self._own_name in readers
+
     async def _step(self) -> None:
         if not self.version:
             await self._read_all()
             return
-        changed = await self._source.changes(self._table, self.version, FEED_WAIT_MS)
-        self._regained()
+        changed = await self._source.changes(
+            self._table, self.version, self._pace.wait_ms
+        )
+        self._confirm()
         self._apply_changes(changed)
-        await self._clock.sleep(self._pause_ms)
+        await self._clock.sleep(self._pace.pause_ms)
 
     async def _read_all(self) -> None:
         try:
@@ -126,7 +201,7 @@
             self._lost(str(error))
             await self._clock.sleep(RETRY_MS)
             return
-        self._regained()
+        self._confirm()
         self._replace(everything, "store")
 
     async def _read_from_peer(self) -> None:
@@ -145,13 +220,15 @@
             version=everything.version,
         )
         self._rows_by_key = {row.key: row for row in everything.rows}
-        self.version = everything.version
+        self.version = self._full_version = everything.version
         self._user.take_all(everything.rows)
+        self._note_news()
 
     def _apply_changes(self, changed: store_rows.Rows) -> None:
-        # A peer may have told the same rows, or newer ones, in the meantime.
         fresh = tuple(
-            row for row in changed.rows if row.version > self._known_version(row.key)
+            row
+            for row in changed.rows
+            if row.version > max(self._full_version, self._known_version(row.key))
         )
         for row in fresh:
             if row.is_removed:
@@ -159,8 +236,12 @@
             else:
                 self._rows_by_key[row.key] = row
         self.version = max(self.version, changed.version)
-        if fresh:
-            self._user.take_changes(fresh)
+        if fresh and self._user.take_changes(fresh):
+            self._note_news()
+
+    def _note_news(self) -> None:
+        self.news_version = self.version
+        self._tell_peers()
 
     def _known_version(self, key: str) -> int:
         row = self._rows_by_key.get(key)
@@ -173,7 +254,8 @@
             _LOG.warning("store lost", table=self._table.value, reason=reason)
         self._user.store_lost()
 
-    def _regained(self) -> None:
+    def _confirm(self) -> None:
+        self._confirmed_ms = self._clock.now_ms()
         if self._is_lost:
             self._is_lost = False
             _LOG.info("store regained", table=self._table.value)
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -37,10 +37,15 @@
 )
 from quincecrank.platform import engines, gateway_tables, names, settings, store
 
-SERVERS_PAUSE_MS: Final = 200
-"""Pause between reads of the backend servers' table, which changes all the time."""
-
-MEMBERS_PAUSE_MS: Final = 1_000
+PACE_BY_TABLE: Final = {
+    # Changes of the operator must apply within two seconds, also when all readers
+    # of the store lose it at that moment.
+    tables.TableName.OPERATOR: followers.Pace(500, 0, 1_000),
+    # Leaving servers must get nothing after two seconds; the table changes with
+    # every heartbeat, so calls seldom wait.
+    tables.TableName.SERVERS: followers.Pace(500, 200, 1_000),
+    tables.TableName.MEMBERS: followers.Pace(2_000, 500, 4_000),
+}
 
 HOUSEKEEPING_MS: Final = 250
 
@@ -132,8 +137,7 @@
         self._reporter.start()
         for follower in self._followers_by_table.values():
             self._tasks.start(follower.run())
-        for table in (tables.TableName.OPERATOR, tables.TableName.SERVERS):
-            self._tasks.start(self._followers_by_table[table].run_from_peers())
+            self._tasks.start(follower.run_from_peers())
         self._tasks.start(self._reporter.run())
         self._tasks.start(self._places.run())
         self._tasks.start(self._roll.run())
@@ -172,18 +176,16 @@
             tables.TableName.SERVERS: table_users.ServerRows(self._known),
             tables.TableName.MEMBERS: table_users.MemberRows(self._peers, self._lease),
         }
-        pause_by_table = {
-            tables.TableName.SERVERS: SERVERS_PAUSE_MS,
-            tables.TableName.MEMBERS: MEMBERS_PAUSE_MS,
-        }
         return {
             table: followers.TableFollower(
                 table,
                 self._store,
                 user,
                 self._peers,
+                self._facts.vm,
                 self._clock,
-                pause_by_table.get(table, 0),
+                PACE_BY_TABLE[table],
+                self._reporter.send,
                 lambda name: self._metrics.store_failures.labels(name).inc(),
             )
             for table, user in user_by_table.items()
@@ -194,15 +196,13 @@
         return follower.rows if follower else store_rows.Rows((), 0)
 
     def _make_report(self) -> peer_messages.Report:
-        versions = {
-            table: follower.version
-            for table, follower in self._followers_by_table.items()
-        }
         return peer_messages.Report(
             vm=self._facts.vm,
             is_leaving=self._is_leaving,
-            operator_version=versions[tables.TableName.OPERATOR],
-            servers_version=versions[tables.TableName.SERVERS],
+            states=tuple(
+                peer_messages.TableState(table, follower.news_version, follower.age_ms)
+                for table, follower in self._followers_by_table.items()
+            ),
             load_by_server=self._known.loads.own(),
             crashes=self._crashes.to_share(self._clock.now_ms()),
             news=self._known.weight_news.to_tell(self._clock.now_ms()),
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -8,7 +8,7 @@
 import capnp
 
 from quincecrank import crash_counts, ids
-from quincecrank.gateway import deployment, loads, servers, weight_news
+from quincecrank.gateway import deployment, loads, servers, tables, weight_news
 
 capnp.remove_import_hook()
 _SCHEMA: Final[Any] = capnp.load(str(pathlib.Path(__file__).with_name("peers.capnp")))
@@ -21,20 +21,39 @@
     """A datagram that is no report of a gateway."""
 
 
+_NO_AGE: Final = 0xFFFFFFFF
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableState:
+    """What a gateway has of one table of the store.
+
+    Attributes
+    ----------
+    news_version : int
+        Version of the last change that mattered.
+    age_ms : int or None
+        Time since the store answered that gateway; None if it never did.
+    """
+
+    table: tables.TableName
+    news_version: int
+    age_ms: int | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """What a gateway tells its peers at short intervals.
 
     Attributes
     ----------
-    operator_version, servers_version : int
-        Newest versions of the tables that it has read.
+    states : tuple of TableState
+        What it has of each table of the store.
     """
 
     vm: ids.VmName
     is_leaving: bool
-    operator_version: int
-    servers_version: int
+    states: tuple[TableState, ...]
     load_by_server: Mapping[servers.ServerId, loads.Load]
     crashes: tuple[crash_counts.CrashRecord, ...] = ()
     news: tuple[weight_news.WeightNews, ...] = ()
@@ -45,8 +64,7 @@
     message = _SCHEMA.Report.new_message(
         vm=report.vm,
         isLeaving=report.is_leaving,
-        operatorVersion=report.operator_version,
-        serversVersion=report.servers_version,
+        tables=[_state_fields(state) for state in report.states],
         loads=[
             {
                 "server": server,
@@ -96,12 +114,27 @@
         raise MessageError(str(error)) from error
 
 
+def _state_fields(state: TableState) -> dict[str, Any]:
+    age_ms = _NO_AGE if state.age_ms is None else min(state.age_ms, _NO_AGE - 1)
+    return {
+        "name": state.table.value,
+        "newsVersion": state.news_version,
+        "ageMs": age_ms,
+    }
+
+
 def _report(message: Any) -> Report:
     return Report(
         vm=ids.VmName(message.vm),
         is_leaving=message.isLeaving,
-        operator_version=message.operatorVersion,
-        servers_version=message.serversVersion,
+        states=tuple(
+            TableState(
+                tables.TableName(each.name),
+                each.newsVersion,
+                None if each.ageMs == _NO_AGE else each.ageMs,
+            )
+            for each in message.tables
+        ),
         load_by_server={
             servers.ServerId(each.server): loads.Load(
                 each.requests, each.memoryTokens, each.prefillTokens
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -2,6 +2,13 @@
 
 # Datagrams between gateways.
 
+struct TableState {
+  name @0 :Text;
+  newsVersion @1 :UInt64;
+  # Milliseconds since the store answered; the largest value if it never did.
+  ageMs @2 :UInt32 = 0xffffffff;
+}
+
 struct ServerLoad {
   server @0 :Text;
   requests @1 :UInt32;
@@ -29,9 +36,8 @@
 struct Report {
   vm @0 :Text;
   isLeaving @1 :Bool;
-  operatorVersion @2 :UInt64;
-  serversVersion @3 :UInt64;
-  loads @4 :List(ServerLoad);
-  crashes @5 :List(Crash);
-  weightNews @6 :List(WeightNews);
+  tables @2 :List(TableState);
+  loads @3 :List(ServerLoad);
+  crashes @4 :List(Crash);
+  weightNews @5 :List(WeightNews);
 }
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -111,20 +111,36 @@
             or ip in self._facts.seed_ips
         )
 
-    def newest_version(self, table: tables.TableName) -> int:
-        """Return the newest version of a table that a live peer has."""
+    def news_version(self, table: tables.TableName) -> int:
+        """Return the newest version of a table of which a live peer has news."""
         return max(
-            (_version(self._report_by_ip[ip], table) for ip in self.live_ips()),
+            (_news_version(self._report_by_ip[ip], table) for ip in self.live_ips()),
             default=0,
         )
 
+    def age_ms(self, table: tables.TableName) -> int | None:
+        """Return for how long no live peer has heard from the store.
+
+        None if none ever did.
+        """
+        now_ms = self._clock.now_ms()
+        return min(
+            (
+                state.age_ms + now_ms - self._heard_ms_by_ip[ip]
+                for ip in self.live_ips()
+                for state in self._report_by_ip[ip].states
+                if state.table is table and state.age_ms is not None
+            ),
+            default=None,
+        )
+
     async def read_all(self, table: tables.TableName) -> store_rows.Rows | None:
         """Return a live peer's rows of a table; None if it did not answer."""
-        newest = self.newest_version(table)
+        newest = self.news_version(table)
         holders = [
             ip
             for ip in self.live_ips()
-            if _version(self._report_by_ip[ip], table) == newest
+            if _news_version(self._report_by_ip[ip], table) == newest
         ]
         if not holders:
             return None
@@ -288,9 +304,8 @@
     }
 
 
-def _version(report: peer_messages.Report, table: tables.TableName) -> int:
-    if table is tables.TableName.OPERATOR:
-        return report.operator_version
-    if table is tables.TableName.SERVERS:
-        return report.servers_version
-    return 0
+def _news_version(report: peer_messages.Report, table: tables.TableName) -> int:
+    return max(
+        (state.news_version for state in report.states if state.table is table),
+        default=0,
+    )
--- a/quincecrank/gateway/server_health.py
+++ b/quincecrank/gateway/server_health.py
@@ -4,6 +4,8 @@
 its requests; or it hangs, and each request sent there is lost until its deadline.
 """
 
+import statistics
+from collections.abc import Sequence
 from typing import Final
 
 from quincecrank import breaker
@@ -12,6 +14,7 @@
 SMOOTHING: Final = 0.15
 """Weight of a new observation in the slowness of a server."""
 
+MIN_SLOWNESS: Final = 0.5
 MAX_SLOWNESS: Final = 8.0
 FULL_PAUSE_MS: Final = 150
 """Time for which a server that refused a request as full gets no other one."""
@@ -38,7 +41,9 @@
     def answered(self, observed_ms: float, expected_ms: float) -> None:
         """Record an answer, and how long its first part took."""
         self._breaker.succeeded()
-        ratio = min(MAX_SLOWNESS, max(0.5, observed_ms / max(1.0, expected_ms)))
+        ratio = min(
+            MAX_SLOWNESS, max(MIN_SLOWNESS, observed_ms / max(1.0, expected_ms))
+        )
         self.slowness += SMOOTHING * (ratio - self.slowness)
 
     def failed(self, now_ms: int) -> None:
@@ -70,6 +75,25 @@
             self._health_by_server[server.server_id] = health
         return health
 
+    def relative_slowness(
+        self, entries: Sequence[servers.ServerEntry]
+    ) -> dict[servers.ServerId, float]:
+        """Return how much slower than the median each server of a service answers.
+
+        What an answer should take is known only roughly for a service that was not
+        seen before; an error of that kind is the same for all its servers.
+        """
+        slowness_by_server = {
+            entry.server_id: self.of(entry).slowness for entry in entries
+        }
+        if not slowness_by_server:
+            return {}
+        median = statistics.median(slowness_by_server.values())
+        return {
+            server_id: max(MIN_SLOWNESS, slowness / median)
+            for server_id, slowness in slowness_by_server.items()
+        }
+
     def forget(self, server_id: servers.ServerId) -> None:
         """Forget a server that has left."""
         self._health_by_server.pop(server_id, None)
--- a/quincecrank/gateway/table_users.py
+++ b/quincecrank/gateway/table_users.py
@@ -28,8 +28,8 @@
         """Take all rows that exist."""
         self.take_changes(rows)
 
-    def take_changes(self, rows: tuple[store_rows.Row, ...]) -> None:
-        """Take changed rows."""
+    def take_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
+        """Take changed rows; whatever an operator writes is news."""
         for row in rows:
             try:
                 update = feeds.operator_update(row)
@@ -44,6 +44,7 @@
                 _LOG.info(
                     "configuration in force", version=update.version, row=row.version
                 )
+        return bool(rows)
 
     def store_lost(self) -> None:
         """Nothing changes: what the operator wrote stays in force."""
@@ -77,8 +78,9 @@
         self.take_changes(rows)
         self._known.servers_known()
 
-    def take_changes(self, rows: tuple[store_rows.Row, ...]) -> None:
-        """Take changed and removed entries."""
+    def take_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
+        """Take changed and removed entries; a mere heartbeat is no news."""
+        is_news = False
         for row in rows:
             try:
                 entry = feeds.server_update(row)
@@ -87,12 +89,12 @@
                     "row refused", table="servers", key=row.key, error=str(error)
                 )
                 # Whatever it was before, the entry names no server to use now.
-                self._removed(servers.ServerId(row.key))
-                continue
+                entry = None
             if entry is None:
-                self._removed(servers.ServerId(row.key))
+                is_news |= self._removed(servers.ServerId(row.key))
             else:
-                self._update(entry)
+                is_news |= self._update(entry)
+        return is_news
 
     def store_lost(self) -> None:
         """Entries may lapse from now on though their servers live."""
@@ -102,10 +104,11 @@
         """Entries that lapsed come back within a short time."""
         self._known.registry.store_regained(self._known.clock.now_ms())
 
-    def _update(self, entry: servers.ServerEntry) -> None:
+    def _update(self, entry: servers.ServerEntry) -> bool:
         before = self._known.registry.find(entry.server_id)
         entry = self._known.registry.update(entry)
-        if before is None or _is_news(before, entry):
+        is_news = before is None or _is_news(before, entry)
+        if is_news:
             _LOG.info(
                 "server entry",
                 server=entry.server_id,
@@ -117,10 +120,13 @@
             )
         if before is not None and before.started_wall_ms != entry.started_wall_ms:
             self._known.forget_server(entry.server_id)
+        return is_news
 
-    def _removed(self, server_id: servers.ServerId) -> None:
+    def _removed(self, server_id: servers.ServerId) -> bool:
+        was_known = self._known.registry.find(server_id) is not None
         if self._known.registry.remove(server_id, self._known.clock.now_ms()):
             self._gone(server_id)
+        return was_known
 
     def _gone(self, server_id: servers.ServerId) -> None:
         _LOG.info("server gone", server=server_id)
@@ -142,13 +148,14 @@
         self._row_by_key = {}
         self.take_changes(rows)
 
-    def take_changes(self, rows: tuple[store_rows.Row, ...]) -> None:
+    def take_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
         """Take changed members."""
         self._row_by_key.update({row.key: row for row in rows})
         self._directory.set_members(peers.member_ips(self._row_by_key.values()))
         lease_row = self._row_by_key.get(order_lease.LEASE_KEY)
         if lease_row is not None:
             self._lease.observe(lease_row.version)
+        return bool(rows)
 
     def store_lost(self) -> None:
         """Nothing changes: members are judged by their reports."""
--- a/tests/process_gateway.py
+++ b/tests/process_gateway.py
@@ -106,6 +106,14 @@
         finally:
             connection.close()
 
+    def busy_engines(self) -> list[str]:
+        busy = []
+        for name in ENGINES:
+            url = self.fleet.process_by_name[name].url
+            if json.loads(platform_fleet.http(f"{url}/report"))["active"]:
+                busy.append(name)
+        return busy
+
     def runs_of(self, request_id: str) -> int:
         names = (*ENGINES, "record-1", "record-2")
         logs = [self.fleet.process_by_name[name].log() for name in names]
@@ -129,14 +137,14 @@
         threads = [threading.Thread(target=ask) for _ in range(6)]
         for thread in threads:
             thread.start()
-        victim = self.fleet.process_by_name["engine-1"]
-        wait_until(lambda: "ran " in victim.log(), "work at the victim")
-        victim.kill()
+        wait_until(lambda: bool(self.busy_engines()), "work at an engine")
+        victim = self.busy_engines()[0]
+        self.fleet.process_by_name[victim].kill()
         for thread in threads:
             thread.join()
         expected = "".join(f"id: {n}\ndata: token {n}\n\n" for n in range(1, 101))
         self.assertEqual({body.decode() for _, body in results}, {expected})
-        self.fleet.add_server("engine-1", "drafting")
+        self.fleet.add_server(victim, "drafting")
 
     def test_a_frozen_store_stops_no_request(self) -> None:
         self.fleet.store.freeze()
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -415,6 +415,18 @@
         self.assertFalse(health.allows(server_health.FULL_PAUSE_MS - 1))
         self.assertTrue(health.allows(server_health.FULL_PAUSE_MS))
 
+    def test_slowness_is_relative_to_the_servers_of_a_service(self) -> None:
+        # All answers take five times as long as expected, those of one server more.
+        book = server_health.HealthBook()
+        entries = [builders.make_entry(f"i-{number}") for number in range(5)]
+        for _ in range(60):
+            for number, entry in enumerate(entries):
+                book.of(entry).answered(150.0 if number else 240.0, 30.0)
+        slowness = book.relative_slowness(entries)
+        self.assertAlmostEqual(slowness[entries[0].server_id], 1.6, places=1)
+        self.assertEqual({slowness[entry.server_id] for entry in entries[1:]}, {1.0})
+        self.assertEqual(book.relative_slowness([]), {})
+
     def test_a_new_incarnation_starts_without_a_past(self) -> None:
         book = server_health.HealthBook()
         book.of(builders.make_entry()).unreachable(0)
--- /dev/null
+++ b/tests/test_gateway_followers.py
@@ -0,0 +1,291 @@
+"""Tests of following tables, of the order lease and of messages between gateways."""
+
+import asyncio
+import unittest
+
+from quincecrank import clock as clocks
+from quincecrank import crash_counts, ids, store_rows
+from quincecrank.gateway import (
+    followers,
+    loads,
+    order_lease,
+    peer_messages,
+    peers,
+    servers,
+    tables,
+)
+from tests import builders_gateway as builders
+
+OPERATOR = tables.TableName.OPERATOR
+PACE = followers.Pace(wait_ms=100, pause_ms=0, max_age_ms=1_000)
+
+
+class FakeStore:
+    """A store whose answers a test prepares.
+
+    Attributes
+    ----------
+    everything : Rows
+        Answer to a full read.
+    answers : list
+        Answers to feed calls, or exceptions to raise, in turn.
+    """
+
+    def __init__(self) -> None:
+        self.everything = store_rows.Rows((), 1)
+        self.answers: list[store_rows.Rows | Exception] = []
+        self.reads = 0
+        self.row_version = 0
+        self.writes: list[int | None] = []
+        self.fail_writes: list[Exception] = []
+
+    async def read_all(self, _table: tables.TableName) -> store_rows.Rows:
+        self.reads += 1
+        return self.everything
+
+    async def changes(
+        self, _table: tables.TableName, _after: int, _wait_ms: int
+    ) -> store_rows.Rows:
+        self.reads += 1
+        if not self.answers:
+            await asyncio.Event().wait()
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def write(
+        self,
+        _table: tables.TableName,
+        _key: str,
+        _text: str,
+        expected_version: int | None,
+    ) -> store_rows.WriteResult:
+        self.writes.append(expected_version)
+        if self.fail_writes:
+            raise self.fail_writes.pop(0)
+        if expected_version != self.row_version:
+            return store_rows.WriteResult(False, self.row_version)
+        self.row_version += 10
+        return store_rows.WriteResult(True, self.row_version)
+
+
+class FakeUser:
+    """Keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[str, tuple[str, ...]]] = []
+        self.is_news = True
+
+    def take_all(self, rows: tuple[store_rows.Row, ...]) -> None:
+        self.calls.append(("all", tuple(row.key for row in rows)))
+
+    def take_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
+        self.calls.append(("changes", tuple(row.key for row in rows)))
+        return self.is_news
+
+    def store_lost(self) -> None:
+        self.calls.append(("lost", ()))
+
+    def store_regained(self) -> None:
+        self.calls.append(("regained", ()))
+
+
+def make_report(vm: str, news_version: int, age_ms: int | None) -> peer_messages.Report:
+    """Return a peer's report of the operator's table."""
+    state = peer_messages.TableState(OPERATOR, news_version, age_ms)
+    return peer_messages.Report(ids.VmName(vm), False, (state,), {})
+
+
+class FollowerTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = clocks.ManualClock(1_000)
+        self.store = FakeStore()
+        self.user = FakeUser()
+        self.directory = peers.PeerTables(builders.make_environment(), self.clock)
+        self.told = 0
+
+    def make_follower(self, name: str = "entry-1") -> followers.TableFollower:
+        def tell() -> None:
+            self.told += 1
+
+        return followers.TableFollower(
+            OPERATOR,
+            self.store,
+            self.user,
+            self.directory,
+            ids.VmName(name),
+            self.clock,
+            PACE,
+            tell,
+            lambda _table: None,
+        )
+
+    async def follow(self, follower: followers.TableFollower) -> None:
+        """Let the follower work until the prepared answers are used up."""
+        task = asyncio.ensure_future(follower.run())
+        for _ in range(50):
+            await asyncio.sleep(0)
+        task.cancel()
+
+    def add_peers(self, count: int, age_ms: int | None) -> None:
+        for number in range(count):
+            report = make_report(f"peer-{number}", 1, age_ms)
+            self.directory.heard(f"10.0.0.{number}", report)
+
+    async def test_changes_are_taken_and_told(self) -> None:
+        self.store.everything = store_rows.Rows((store_rows.Row("a", "1", 3),), 3)
+        self.store.answers = [
+            store_rows.Rows((store_rows.Row("b", "2", 5),), 5),
+            store_rows.Rows((store_rows.Row("a", "", 6, True),), 6),
+        ]
+        follower = self.make_follower()
+        await self.follow(follower)
+        expected = [("all", ("a",)), ("changes", ("b",)), ("changes", ("a",))]
+        self.assertEqual(self.user.calls, expected)
+        self.assertEqual([row.key for row in follower.rows.rows], ["b"])
+        self.assertEqual((follower.version, follower.news_version), (6, 6))
+        self.assertEqual(self.told, 3)
+
+    async def test_heartbeats_are_no_news(self) -> None:
+        self.store.answers = [store_rows.Rows((store_rows.Row("a", "1", 9),), 9)]
+        self.user.is_news = False
+        follower = self.make_follower()
+        await self.follow(follower)
+        self.assertEqual((follower.version, follower.news_version), (9, 1))
+
+    async def test_a_row_that_a_full_read_lacks_does_not_come_back(self) -> None:
+        # The feed's answer was under way while a peer gave newer rows without it.
+        self.store.everything = store_rows.Rows((store_rows.Row("a", "1", 20),), 20)
+        self.store.answers = [
+            store_rows.Rows((store_rows.Row("gone", "1", 15),), 19),
+            store_rows.Rows((store_rows.Row("new", "1", 21),), 21),
+        ]
+        follower = self.make_follower()
+        await self.follow(follower)
+        self.assertEqual([row.key for row in follower.rows.rows], ["a", "new"])
+        self.assertEqual(follower.version, 21)
+
+    async def test_lost_history_and_an_outage(self) -> None:
+        self.store.answers = [
+            store_rows.HistoryLostError("old"),
+            store_rows.StoreUnavailableError("down"),
+            store_rows.Rows((), 1),
+        ]
+        await self.follow(self.make_follower())
+        kinds = [kind for kind, _ in self.user.calls]
+        self.assertEqual(kinds, ["all", "all", "lost", "regained"])
+
+    async def test_few_gateways_read_the_store(self) -> None:
+        names = [f"entry-{number}" for number in range(40)]
+        for number, name in enumerate(names):
+            report = make_report(name, 1, 100)
+            self.directory.heard(f"10.0.1.{number}", report)
+        readers = []
+        for name in names:
+            follower = self.make_follower(name)
+            follower.version = 1
+            if follower.reads_store():
+                readers.append(name)
+        self.assertEqual(len(readers), followers.READERS)
+
+    async def test_a_gateway_reads_itself_when_the_readers_are_cut_off(self) -> None:
+        follower = self.make_follower("zz")
+        follower.version = 1
+        self.add_peers(9, age_ms=200)
+        self.assertFalse(follower.reads_store())
+        self.clock.advance(801)
+        self.assertTrue(follower.reads_store())
+        self.add_peers(9, age_ms=None)
+        self.assertTrue(follower.reads_store())
+
+
+class OrderLeaseTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = clocks.ManualClock(0)
+        self.store = FakeStore()
+
+    def make_lease(self) -> order_lease.OrderLease:
+        return order_lease.OrderLease(
+            self.store, ids.VmName("entry-1"), 3_000, self.clock
+        )
+
+    async def test_orders_are_allowed_only_shortly_after_a_renewal(self) -> None:
+        lease = self.make_lease()
+        self.assertTrue(await lease.acquire_or_renew())
+        self.assertEqual(lease.fencing_number, 10)
+        self.clock.advance(order_lease.VALIDITY_MS - 1)
+        self.assertTrue(lease.is_valid)
+        self.clock.advance(1)
+        self.assertFalse(lease.is_valid)
+        self.assertTrue(await lease.acquire_or_renew())
+        self.assertEqual(lease.fencing_number, 10)
+
+    async def test_a_holder_that_was_frozen_orders_nothing(self) -> None:
+        holder, other = self.make_lease(), self.make_lease()
+        await holder.acquire_or_renew()
+        other.observe(self.store.row_version)
+        self.clock.advance(order_lease.VALIDITY_MS + 3_000 + order_lease.MARGIN_MS)
+        self.assertTrue(await other.acquire_or_renew())
+        self.assertGreater(other.fencing_number, holder.fencing_number)
+        self.assertFalse(holder.is_valid)
+        self.assertFalse(await holder.acquire_or_renew())
+
+    async def test_two_holders_are_apart_by_the_lease(self) -> None:
+        holder, other = self.make_lease(), self.make_lease()
+        await holder.acquire_or_renew()
+        other.observe(self.store.row_version)
+        last_order_ms = 0
+        while not await other.acquire_or_renew():
+            if holder.is_valid:
+                last_order_ms = self.clock.now_ms()
+            self.clock.advance(10)
+        self.assertGreaterEqual(self.clock.now_ms() - last_order_ms, 3_000)
+
+    async def test_a_renewal_restarts_the_wait_of_the_others(self) -> None:
+        holder, other = self.make_lease(), self.make_lease()
+        for _ in range(20):
+            await holder.acquire_or_renew()
+            other.observe(self.store.row_version)
+            self.clock.advance(500)
+            self.assertFalse(await other.acquire_or_renew())
+
+    async def test_a_renewal_of_unknown_outcome_gives_the_lease_up(self) -> None:
+        lease = self.make_lease()
+        await lease.acquire_or_renew()
+        self.clock.advance(order_lease.RENEWAL_MS)
+        self.store.fail_writes = [store_rows.OutcomeUnknownError("lost")]
+        with self.assertRaises(store_rows.OutcomeUnknownError):
+            await lease.acquire_or_renew()
+        self.assertFalse(lease.is_valid)
+        self.assertFalse(await lease.acquire_or_renew())
+
+
+class MessagesTest(unittest.TestCase):
+    def test_a_report_keeps_its_fields(self) -> None:
+        report = peer_messages.Report(
+            vm=ids.VmName("entry-1"),
+            is_leaving=True,
+            states=(
+                peer_messages.TableState(OPERATOR, 7, None),
+                peer_messages.TableState(tables.TableName.SERVERS, 9, 0),
+            ),
+            load_by_server={servers.ServerId("i-1"): loads.Load(1, 2, 3)},
+            crashes=(
+                crash_counts.CrashRecord(
+                    builders.make_fingerprint(), ids.AttemptId("a"), 5, True
+                ),
+            ),
+            news=(builders.make_news(is_loaded=True),),
+        )
+        self.assertEqual(peer_messages.decode(peer_messages.encode(report)), report)
+
+    def test_other_datagrams_are_refused(self) -> None:
+        whole = peer_messages.encode(make_report("entry-1", 1, 2))
+        for datagram in (b"\xff" * 64, whole[: len(whole) // 2]):
+            with self.subTest(datagram), self.assertRaises(peer_messages.MessageError):
+                peer_messages.decode(datagram)
+
+    def test_rows_keep_their_fields(self) -> None:
+        rows = store_rows.Rows((store_rows.Row("a", "é", 3),), 4)
+        self.assertEqual(peers.decode_rows(peers.encode_rows(rows)), rows)
