--- a/quincecrank/ctl.py
+++ b/quincecrank/ctl.py
@@ -26,6 +26,7 @@
     ctl_output,
     findings,
     problems,
+    request_story,
     settings,
 )
 
@@ -100,13 +101,23 @@
         """Check the settings file of an entry or an agent."""
         return Task(lambda: _check(file))
 
+    def explain(self, request_id: str, logs: str) -> Task:
+        """Tell what happened to a request, from a folder of collected logs."""
+        return Task(lambda: _explain(request_id, pathlib.Path(logs)))
+
     def help(self, topic: str | None = None) -> Task:
         """Explain the language and this program."""
         return Task(lambda: _help(topic))
 
 
 # Fire would read texts such as `a, b` or `7` as Python values.
-for _method in (Quincectl.run, Quincectl.apply, Quincectl.check, Quincectl.help):
+for _method in (
+    Quincectl.run,
+    Quincectl.apply,
+    Quincectl.check,
+    Quincectl.explain,
+    Quincectl.help,
+):
     decorators.SetParseFn(str)(_method)
 
 
@@ -242,6 +253,17 @@
     return ExitCode.DONE
 
 
+def _explain(request_id: str, folder: pathlib.Path) -> ExitCode:
+    try:
+        lines = tuple(request_story.read_lines(folder))
+    except OSError as error:
+        print(f"quincectl: --logs: {error}", file=sys.stderr)
+        return ExitCode.USAGE
+    story = request_story.find_story(lines, request_id)
+    print(story.render())
+    return ExitCode.DONE if story.lines else ExitCode.MISTAKES
+
+
 def _help(topic: str | None) -> ExitCode:
     text = ctl_help.text(topic)
     if text is None:
--- a/quincecrank/ctl_help.py
+++ b/quincecrank/ctl_help.py
@@ -79,6 +79,7 @@
 quincectl run "TEXT" [--json] [--version N]   run a query or a change
 quincectl apply FILE [--json] [--version N]   run the text of a file
 quincectl check FILE                          check an entry's or agent's settings
+quincectl explain REQUEST_ID --logs FOLDER    tell what happened to a request
 quincectl help TOPIC                          topics: {topics}
 
 --endpoint URL and --token-file FILE say which administration API to use; the
