--- a/quincecrank/request_story.py
+++ b/quincecrank/request_story.py
@@ -141,17 +141,19 @@
         return Story(request_id, (), "")
     servers = {str(line.fields["server"]) for line in own if "server" in line.fields}
     first, last = own[0].at - CONTEXT, own[-1].at
-    beliefs = [
+    story = tuple(
         line
         for line in known
-        if not line.request_id
-        and first <= line.at <= last
-        and str(line.fields.get("server", "")).partition("/")[0] in servers
-    ]
+        if line.request_id == request_id
+        or (
+            not line.request_id
+            and first <= line.at <= last
+            and str(line.fields.get("server", "")).partition("/")[0] in servers
+        )
+    )
     outcomes = [
         str(line.fields["outcome"]) for line in own if line.event == "request ended"
     ]
     reasons = [str(line.fields["reason"]) for line in own if "reason" in line.fields]
     outcome = (outcomes or reasons or [""])[-1]
-    story = sorted([*own, *beliefs], key=lambda line: line.at)
-    return Story(request_id, tuple(story), outcome)
+    return Story(request_id, story, outcome)
