A caller that leaves in mid-stream is no failure of its server; errors of the gateway promise nothing

Cause, found by reading: a write to a caller that had left raised the same error as a broken server, so the server's breaker counted it; the link could be kept with the rest of the answer on it; an unexpected error closed the caller's connection without an answer; a server's 4xx counted as its failure. Change: an error of its own for callers, links closed on any error, 502 for errors of the gateway. Measured: unit tests.

--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -26,6 +26,10 @@
 BODY_TIMEOUT_S: Final = 60.0
 
 
+class CallerLeftError(Exception):
+    """The caller has closed its connection before the end of its answer."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerRequest:
     """A request that has been read whole.
@@ -85,10 +89,13 @@
 
         Raises
         ------
-        StreamClosedError
-            If the caller has left.
+        CallerLeftError
+            If the caller has closed the connection.
         """
-        await self._connection.write(chunk)
+        try:
+            await self._connection.write(chunk)
+        except iostream.StreamClosedError as error:
+            raise CallerLeftError from error
 
     def finish(self) -> None:
         """Mark the answer as whole."""
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -13,7 +13,7 @@
 import random
 from typing import Final
 
-from tornado import httputil, iostream
+from tornado import httputil
 
 from quincecrank import clock as clocks
 from quincecrank import crash_counts, ids
@@ -67,6 +67,8 @@
 
 WATCH_INTERVAL_MS: Final = 100
 
+_SERVER_ERROR: Final = 500
+
 END_MARGIN_MS: Final = 20
 """Time by which the final answer goes out before the time limit."""
 
@@ -223,8 +225,13 @@
         except asyncio.CancelledError:
             self._log_end(job, "caller left")
             raise
-        except iostream.StreamClosedError:
+        except callers.CallerLeftError:
             self._log_end(job, "caller left")
+        except Exception:
+            _LOG.exception("request failed", request=job.said.request_id)
+            # Where it failed is not known, so nothing can be promised.
+            job.has_maybe_run = True
+            self._give_up(job, "internal error", waiting.MIN_RETRY_AFTER_MS)
 
     def _admit(
         self, request: callers.CallerRequest, answer: callers.CallerAnswer
@@ -461,10 +468,11 @@
     ) -> bool:
         """Take a server's own failure; another server may do better."""
         assert sink.buffer is not None
-        self._known.health.of(placed.server).failed(self._clock.now_ms())
+        if sink.buffer.status >= _SERVER_ERROR:
+            self._known.health.of(placed.server).failed(self._clock.now_ms())
         self._log_attempt(job, placed, "failed", sink.buffer.status, sent_ms)
         job.last_failure = sink.buffer
-        is_final = sink.buffer.status < 500 or not job.route.may_repeat
+        is_final = sink.buffer.status < _SERVER_ERROR or not job.route.may_repeat
         if is_final and not job.answer.has_begun:
             self._send_server_failure(job, sink.buffer)
             return True
--- a/quincecrank/gateway/links.py
+++ b/quincecrank/gateway/links.py
@@ -119,6 +119,10 @@
             end = await self._receive(connection, sink)
         except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
             end = ExchangeEnd.BROKEN
+        except BaseException:
+            # The rest of the answer is still to come on this link.
+            self.close()
+            raise
         finally:
             # An answer that comes before the whole request was read leaves the
             # rest of the request in flight; the link can't be used again then.
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -1,6 +1,7 @@
 """Tests of a request's way through a gateway, with real sockets at both ends."""
 
 import asyncio
+from unittest import mock
 
 from quincecrank.gateway import servers
 from tests import builders_gateway as builders
@@ -283,6 +284,30 @@
         caller.close()
         await asyncio.wait_for(server.closed.wait(), case.WAIT_S)
         self.assertEqual(self.known.loads.own(), {})
+        self.assertEqual(self.crashes.review(self.clock.now_ms()), ())
+
+    async def test_a_caller_that_leaves_while_events_come(self) -> None:
+        async def script(_request: case.Received, writer: asyncio.StreamWriter) -> None:
+            writer.write(case.stream_head())
+            for _ in range(2_000):
+                writer.write(case.chunk("id: 1\ndata: " + "x" * 4_000 + "\n\n"))
+                await writer.drain()
+
+        server = await self.add_server(script, service="drafting")
+        caller = await case.Caller.connect(self.port)
+        await caller.send("/draft/", b"prompt", **PROMPT)
+        await asyncio.wait_for(caller.reader.readuntil(b"id: 1"), case.WAIT_S)
+        caller.writer.transport.abort()
+        await asyncio.wait_for(server.closed.wait(), case.WAIT_S)
+        entry = self.known.registry.all()[0]
+        self.assertTrue(self.known.health.of(entry).allows(self.clock.now_ms()))
+        self.assertIsNone(self.known.links.take_idle(entry, 10_000))
+
+    async def test_an_error_of_the_gateway_promises_nothing(self) -> None:
+        await self.add_server(case.says(case.answer()), service="drafting")
+        with mock.patch.object(self.places, "place", side_effect=ValueError("bug")):
+            got = await self.ask("/draft/", b"prompt", **PROMPT)
+        self.assertEqual(got.status, 502)
 
     async def test_the_weights_that_are_expected_are_named(self) -> None:
         whole = case.stream_head() + case.chunk(EVENTS[0]) + case.chunk("")
