Forwarding in three modules; settings are read again on SIGHUP; log lines written in part are completed

Change: jobs.py, answer_sink.py; bounds take effect on reload, a file that can't be read leaves them.

--- a/quincecrank/gateway/decision_log.py
+++ b/quincecrank/gateway/decision_log.py
@@ -48,14 +48,11 @@
     log = debug = info = warning = error = critical = exception = msg
 
     def _write(self, message: str) -> None:
-        data = self._rest + message.encode() + b"\n"
-        self._rest = b""
+        line = message.encode() + b"\n"
         if self.dropped:
-            data = (
-                json.dumps({"event": "lines dropped", "count": self.dropped}).encode()
-                + b"\n"
-                + data
-            )
+            note = {"event": "lines dropped", "count": self.dropped}
+            line = json.dumps(note).encode() + b"\n" + line
+        data = self._rest + line
         try:
             written = os.write(self._descriptor, data)
         except BlockingIOError:
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -8,24 +8,22 @@
 """
 
 import asyncio
-import dataclasses
 import hashlib
 import random
 from typing import Final
 
-from tornado import httputil
-
 from quincecrank import clock as clocks
 from quincecrank import crash_counts, ids
 from quincecrank.gateway import (
+    answer_sink,
     cache_directory,
     callers,
     crash_suspicions,
     decision_log,
     deployment,
     dispatcher,
-    event_stream,
     gateway_metrics,
+    jobs,
     knowledge,
     links,
     retry_share,
@@ -78,111 +76,6 @@
 _LOG: Final = decision_log.logger("forwarding")
 
 
-@dataclasses.dataclass(slots=True)
-class Job:
-    """One caller's request while it is served.
-
-    Attributes
-    ----------
-    deadline_ms : int
-        Instant at which the caller or the operator no longer waits.
-    has_maybe_run : bool
-        Whether a backend server may have begun to run it.
-    sends, refusals : int
-        Backend servers that it was sent to, and how many refused it.
-    """
-
-    request: callers.CallerRequest
-    answer: callers.CallerAnswer
-    said: requests.CallerHeaders
-    route: deployment.Route
-    service: deployment.Service
-    account: deployment.Account | None
-    deadline_ms: int
-    fingerprint: crash_counts.RequestFingerprint
-    tried: set[servers.ServerId] = dataclasses.field(default_factory=set)
-    has_maybe_run: bool = False
-    sends: int = 0
-    refusals: int = 0
-    cutter: event_stream.EventCutter = dataclasses.field(
-        default_factory=event_stream.EventCutter
-    )
-    last_failure: "AnswerBuffer | None" = None
-
-    @property
-    def runs(self) -> int:
-        """Backend servers that may have run it."""
-        return self.sends - self.refusals
-
-
-@dataclasses.dataclass(slots=True)
-class AnswerBuffer:
-    """A whole answer of a backend server that was not streamed."""
-
-    status: int
-    headers: httputil.HTTPHeaders
-    body: bytes = b""
-
-
-class _Sink:
-    """Passes events on at once and keeps other answers until they are whole."""
-
-    def __init__(self, job: Job, clock: clocks.Clock) -> None:
-        self._job = job
-        self._clock = clock
-        self.head: answers.AnswerHead | None = None
-        self.buffer: AnswerBuffer | None = None
-        self.is_streaming = False
-        self.first_part_ms: int | None = None
-        self.progress_ms = clock.now_ms()
-
-    def accepts(self, headers: httputil.HTTPHeaders) -> bool:
-        return answers.belongs_to(headers, self._job.said.request_id)
-
-    async def begin(self, status: int, headers: httputil.HTTPHeaders) -> None:
-        self.head = answers.decode(status, headers)
-        self.buffer = AnswerBuffer(status, headers)
-        self.progress_ms = self._clock.now_ms()
-        self.is_streaming = (
-            self._job.route.is_stream
-            and self.head.is_success
-            and self.head.is_sealed
-            and not self.head.is_encoded
-        )
-
-    async def data(self, chunk: bytes) -> None:
-        assert self.buffer is not None
-        if self.first_part_ms is None:
-            self.first_part_ms = self._clock.now_ms()
-        self.progress_ms = self._clock.now_ms()
-        if not self.is_streaming:
-            self.buffer.body += chunk
-            return
-        events = self._job.cutter.feed(chunk)
-        if events:
-            await self._pass_on(events)
-
-    async def end(self) -> bool:
-        """Take the end of the answer; return whether the stream is whole."""
-        if not self.is_streaming:
-            return True
-        if self._job.cutter.has_partial_event:
-            return False
-        if not self._job.answer.has_begun:
-            await self._pass_on(b"")
-        self._job.answer.finish()
-        return True
-
-    async def _pass_on(self, events: bytes) -> None:
-        assert self.buffer is not None
-        answer = self._job.answer
-        if not answer.has_begun:
-            headers = answers.returned_headers(self.buffer.headers)
-            answer.begin(self.buffer.status, headers)
-        if events:
-            await answer.write(events)
-
-
 class Forwarder:
     """Serves callers' requests.
 
@@ -238,7 +131,7 @@
 
     def _admit(
         self, request: callers.CallerRequest, answer: callers.CallerAnswer
-    ) -> Job | None:
+    ) -> jobs.Job | None:
         """Check a request; answer it at once if it can't be served."""
         current = self._known.current
         try:
@@ -267,7 +160,7 @@
         allowed_ms = route.timeout_ms
         if said.remaining_ms is not None:
             allowed_ms = min(allowed_ms, said.remaining_ms)
-        return Job(
+        return jobs.Job(
             request=request,
             answer=answer,
             said=said,
@@ -278,7 +171,7 @@
             fingerprint=_fingerprint(request, account),
         )
 
-    async def _serve(self, job: Job) -> None:
+    async def _serve(self, job: jobs.Job) -> None:
         if self._crashes.refuses(job.fingerprint, self._clock.wall_ms()):
             self._reject(
                 job.answer, job.said.request_id, 503,
@@ -302,7 +195,7 @@
                 self._give_up(job, reason, waiting.MIN_RETRY_AFTER_MS)
                 return
 
-    async def _attempt(self, job: Job, placed: dispatcher.Placed) -> bool:
+    async def _attempt(self, job: jobs.Job, placed: dispatcher.Placed) -> bool:
         """Send the request once; return whether its caller has been answered."""
         server = placed.server
         health = self._known.health.of(server)
@@ -315,13 +208,13 @@
         if job.sends == 0:
             self._retries(job.service.name).first_send(now_ms)
         job.sends += 1
-        sink = _Sink(job, self._clock)
+        sink = answer_sink.AnswerSink(job, self._clock)
         outgoing = self._outgoing(job, placed)
         end = await self._exchange(job, link, outgoing, sink, placed)
         return await self._conclude(job, placed, sink, end, now_ms)
 
     async def _open_link(
-        self, job: Job, server: servers.ServerEntry
+        self, job: jobs.Job, server: servers.ServerEntry
     ) -> links.Link | None:
         pool = self._known.links
         max_idle_ms = MAX_IDLE_MS if job.route.may_repeat else MAX_SAFE_IDLE_MS
@@ -341,7 +234,9 @@
             )
             return None
 
-    def _outgoing(self, job: Job, placed: dispatcher.Placed) -> links.OutgoingRequest:
+    def _outgoing(
+        self, job: jobs.Job, placed: dispatcher.Placed
+    ) -> links.OutgoingRequest:
         request = job.request
         left_ms = max(1, job.deadline_ms - self._clock.now_ms())
         transfers = placed.transfers
@@ -349,7 +244,7 @@
             server_id=placed.server.server_id,
             remaining_ms=left_ms,
             account=job.account.name if job.account else None,
-            urgency=_urgency(job) if job.said.prompt is not None else None,
+            urgency=job.urgency if job.said.prompt is not None else None,
             cache_salt=placed.salt,
             expected_weights=placed.weights_version,
             fetch_from=transfers.fetch_from or None,
@@ -373,10 +268,10 @@
 
     async def _exchange(
         self,
-        job: Job,
+        job: jobs.Job,
         link: links.Link,
         outgoing: links.OutgoingRequest,
-        sink: _Sink,
+        sink: answer_sink.AnswerSink,
         placed: dispatcher.Placed,
     ) -> links.ExchangeEnd:
         """Run an exchange until it ends, falls silent or its time is over."""
@@ -404,7 +299,9 @@
                 await asyncio.wait({running})
             self._known.links.give_back(placed.server, link)
 
-    def _is_silent(self, job: Job, sink: _Sink, now_ms: int) -> bool:
+    def _is_silent(
+        self, job: jobs.Job, sink: answer_sink.AnswerSink, now_ms: int
+    ) -> bool:
         """Return whether a request that may go elsewhere gets nothing here."""
         if not job.route.may_repeat or job.runs >= job.route.max_attempts:
             return False
@@ -416,9 +313,9 @@
 
     async def _conclude(
         self,
-        job: Job,
+        job: jobs.Job,
         placed: dispatcher.Placed,
-        sink: _Sink,
+        sink: answer_sink.AnswerSink,
         end: links.ExchangeEnd,
         sent_ms: int,
     ) -> bool:
@@ -467,9 +364,9 @@
 
     def _conclude_failure(
         self,
-        job: Job,
+        job: jobs.Job,
         placed: dispatcher.Placed,
-        sink: _Sink,
+        sink: answer_sink.AnswerSink,
         sent_ms: int,
     ) -> bool:
         """Take a server's own failure; another server may do better."""
@@ -484,19 +381,19 @@
             return True
         return False
 
-    def _finish_whole(self, job: Job, sink: _Sink) -> None:
+    def _finish_whole(self, job: jobs.Job, sink: answer_sink.AnswerSink) -> None:
         if sink.is_streaming:
             return
         assert sink.buffer is not None
         headers = answers.returned_headers(sink.buffer.headers)
         job.answer.send(sink.buffer.status, headers, sink.buffer.body)
 
-    def _send_server_failure(self, job: Job, failure: AnswerBuffer) -> None:
+    def _send_server_failure(self, job: jobs.Job, failure: jobs.AnswerBuffer) -> None:
         headers = answers.returned_headers(failure.headers)
         job.answer.send(failure.status, headers, failure.body)
         self._log_end(job, f"server's {failure.status}")
 
-    def _why_not_again(self, job: Job) -> str | None:
+    def _why_not_again(self, job: jobs.Job) -> str | None:
         """Return why the request is not sent to another server, or None."""
         now_ms = self._clock.now_ms()
         if now_ms >= job.deadline_ms:
@@ -513,7 +410,7 @@
             return "retry budget"
         return None
 
-    def _give_up(self, job: Job, reason: str, retry_after_ms: int) -> None:
+    def _give_up(self, job: jobs.Job, reason: str, retry_after_ms: int) -> None:
         """Send the final answer of a request that no server answered."""
         self._log_end(job, reason)
         if job.answer.has_begun:
@@ -551,10 +448,10 @@
             reason.encode() + b"\n",
         )
 
-    def _want(self, job: Job) -> dispatcher.Want:
+    def _want(self, job: jobs.Job) -> dispatcher.Want:
         ticket = waiting.Ticket(
             request_id=job.said.request_id,
-            urgency=_urgency(job),
+            urgency=job.urgency,
             arrived_ms=job.request.received_ms,
             deadline_ms=job.deadline_ms,
             target_ms=job.route.target_ms,
@@ -577,13 +474,15 @@
         return current.services_by_name.get(drawn.service)
 
     def _retries(self, service: deployment.ServiceName) -> retry_share.RetryShare:
-        return self._retries_by_service.setdefault(
+        share = self._retries_by_service.setdefault(
             service, retry_share.RetryShare(self._known.facts.bounds)
         )
+        share.bounds = self._known.facts.bounds
+        return share
 
     def _log_attempt(
         self,
-        job: Job,
+        job: jobs.Job,
         placed: dispatcher.Placed,
         outcome: str,
         status: int,
@@ -600,7 +499,7 @@
             expected_ms=round(placed.expected_ms),
         )
 
-    def _log_end(self, job: Job, outcome: str) -> None:
+    def _log_end(self, job: jobs.Job, outcome: str) -> None:
         took_ms = self._clock.now_ms() - job.request.received_ms
         self._metrics.ended(job.service.name, outcome, took_ms)
         _LOG.info(
@@ -614,12 +513,6 @@
         )
 
 
-def _urgency(job: Job) -> int:
-    if job.account is not None and job.account.urgency is not None:
-        return job.account.urgency
-    return job.route.urgency
-
-
 def _fingerprint(
     request: callers.CallerRequest, account: deployment.Account | None
 ) -> crash_counts.RequestFingerprint:
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -164,6 +164,21 @@
         _LOG.info("ended", open_requests=self._listener.open_requests)
         self._tasks.cancel()
 
+    def reload(self) -> None:
+        """Read the settings file again.
+
+        Bounds take effect at once, addresses at the next start.  A file that can't
+        be read leaves the settings as they are.
+        """
+        try:
+            facts = settings.load(settings.settings_path())
+        except settings.SettingsError as error:
+            _LOG.error("settings not reloaded", error=str(error))
+            return
+        changed = facts != self._known.facts
+        self._known.facts = facts
+        _LOG.info("settings reloaded", changed=changed)
+
     @property
     def _is_ready(self) -> bool:
         return self._known.is_complete and not self._is_leaving
@@ -276,9 +291,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
-    # Settings only hold what belongs to the machine: a reload changes nothing.
-    loop.add_signal_handler(signal.SIGHUP, lambda: _LOG.info("settings reloaded"))
     gateway = Gateway(facts, clocks.SystemClock())
+    loop.add_signal_handler(signal.SIGHUP, gateway.reload)
     await gateway.start()
     await ended.wait()
     await gateway.stop()
--- a/quincecrank/gateway/retry_share.py
+++ b/quincecrank/gateway/retry_share.py
@@ -18,12 +18,19 @@
 class RetryShare:
     """Aggregate of the sends to one service in the budget's window.
 
+    Attributes
+    ----------
+    bounds : Bounds
+        The operator's ratio, floor and window; a reload may change them.
+
+    Notes
+    -----
     Invariant: the further sends of any window are at most the ratio of the first
     sends of that window plus this gateway's part of the floor.
     """
 
     def __init__(self, bounds: environment.Bounds) -> None:
-        self._bounds = bounds
+        self.bounds = bounds
         self._first_ms: collections.deque[int] = collections.deque()
         self._further_ms: collections.deque[int] = collections.deque()
 
@@ -42,8 +49,8 @@
         """
         self._expire(now_ms)
         allowed = SAFETY * (
-            self._bounds.retry_ratio * len(self._first_ms)
-            + self._bounds.retry_floor / max(1, gateways)
+            self.bounds.retry_ratio * len(self._first_ms)
+            + self.bounds.retry_floor / max(1, gateways)
         )
         if len(self._further_ms) + 1 > allowed:
             return False
@@ -51,7 +58,7 @@
         return True
 
     def _expire(self, now_ms: int) -> None:
-        oldest_ms = now_ms - self._bounds.retry_window_ms
+        oldest_ms = now_ms - self.bounds.retry_window_ms
         for times in (self._first_ms, self._further_ms):
             while times and times[0] <= oldest_ms:
                 times.popleft()
