--- /dev/null
+++ b/bench/gateway_slopes.py
@@ -0,0 +1,115 @@
+"""Slopes of a gateway's control work: bytes and processor time by size.
+
+``python -m bench.gateway_slopes`` prints one line a slope; each time is the least of
+five rounds, which a busy machine disturbs least.
+"""
+
+import random
+import time
+from collections.abc import Callable
+from typing import Final
+
+from quincecrank import clock as clocks
+from quincecrank import ids
+from quincecrank.gateway import (
+    cache_directory,
+    dispatcher,
+    knowledge,
+    loads,
+    peer_messages,
+    servers,
+    tables,
+)
+from quincecrank.platform import documents
+from tests import builders_gateway as builders
+
+ROUNDS: Final = 5
+REPEATS: Final = 200
+
+
+def least_us(work: Callable[[], object]) -> float:
+    """Return the least processor time of `work` in microseconds."""
+    times = []
+    for _ in range(ROUNDS):
+        began = time.process_time()
+        for _ in range(REPEATS):
+            work()
+        times.append((time.process_time() - began) / REPEATS)
+    return min(times) * 1e6
+
+
+def make_report(server_count: int) -> peer_messages.Report:
+    """Return a report about work at `server_count` servers."""
+    states = tuple(
+        peer_messages.TableState(table, 1_000, 200) for table in tables.TableName
+    )
+    load_by_server = {
+        servers.ServerId(f"i-{number:010x}"): loads.Load(7, 30_000, 2_000)
+        for number in range(server_count)
+    }
+    return peer_messages.Report(ids.VmName("entry-1"), False, states, load_by_server)
+
+
+def make_dispatcher(engine_count: int) -> tuple[dispatcher.Dispatcher, dispatcher.Want]:
+    """Return a dispatcher that knows engines, and a request for one."""
+    known = knowledge.Knowledge(builders.make_environment(), clocks.SystemClock())
+    known.take_configuration(
+        documents.configuration(builders.make_configuration_text())
+    )
+    for number in range(engine_count):
+        known.registry.update(builders.make_entry(f"i-{number}"))
+    assert known.current is not None
+    prompt = builders.make_prompt(("guide", 2_500), ("station", 5_000), ("own", 1_700))
+    want = dispatcher.Want(
+        builders.make_ticket(deadline_ms=1 << 40),
+        known.current.services_by_name[builders.LLM],
+        None,
+        prompt,
+    )
+    return dispatcher.Dispatcher(known, random.Random(1)), want
+
+
+def report_slopes() -> None:
+    """Print the slopes of reports."""
+    for count in (0, 10, 30):
+        report = make_report(count)
+        datagram = peer_messages.encode(report)
+        encode_us = least_us(lambda made=report: peer_messages.encode(made))  # type: ignore[misc]
+        decode_us = least_us(lambda sent=datagram: peer_messages.decode(sent))  # type: ignore[misc]
+        print(
+            f"report, {count} servers: {len(datagram)} bytes, "
+            f"encode {encode_us:.0f} us, decode {decode_us:.0f} us"
+        )
+
+
+def placement_slopes() -> None:
+    """Print the slopes of a placement."""
+    for count in (5, 20, 80):
+        places, want = make_dispatcher(count)
+        place_us = least_us(lambda: places._try_place(want))  # noqa: B023
+        print(f"placement, {count} engines: {place_us:.0f} us")
+
+
+def directory_slopes() -> None:
+    """Print the cost of a cache event."""
+    salt = cache_directory.make_salt(builders.MODEL, 1, None)
+    directory = builders.make_directory(salt, {"s": {}})
+    holder = cache_directory.HolderName("s")
+    changes = [
+        cache_directory.CacheChange(
+            cache_directory.PartKey(
+                salt, builders.make_prompt((str(n), 1)).parts[0].part_id
+            ),
+            100,
+            False,
+        )
+        for n in range(100)
+    ]
+    event_us = least_us(lambda: directory.apply(holder, changes)) / len(changes)
+    print(f"cache event, applied: {event_us:.2f} us")
+
+
+if __name__ == "__main__":
+    report_slopes()
+    placement_slopes()
+    directory_slopes()
