--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -331,12 +331,12 @@
             if head.was_refused:
                 job.refusals += 1
                 health.refused(now_ms)
-                self._log_attempt(job, placed, "refused", head.status, sent_ms)
+                self._log_attempt(job, placed, sink, "refused", head.status, sent_ms)
                 return False
             job.has_maybe_run = True
             if head.is_success and (not head.is_sealed or head.is_encoded):
                 health.failed(now_ms)
-                self._log_attempt(job, placed, "unsealed", head.status, sent_ms)
+                self._log_attempt(job, placed, sink, "unsealed", head.status, sent_ms)
                 return False
             if not head.is_success:
                 return self._conclude_failure(job, placed, sink, sent_ms)
@@ -345,7 +345,7 @@
                 health.answered(first_ms, placed.expected_ms)
                 self._crashes.ran_to_end(job.fingerprint, now_ms)
                 self._finish_whole(job, sink)
-                self._log_attempt(job, placed, "answered", head.status, sent_ms)
+                self._log_attempt(job, placed, sink, "answered", head.status, sent_ms)
                 self._log_end(job, "answered")
                 return True
         job.has_maybe_run = True
@@ -358,7 +358,7 @@
             self._clock.wall_ms(),
         )
         status = head.status if head else 0
-        self._log_attempt(job, placed, "broken off", status, sent_ms)
+        self._log_attempt(job, placed, sink, "broken off", status, sent_ms)
         job.cutter.restart()
         return False
 
@@ -373,7 +373,7 @@
         assert sink.buffer is not None
         if sink.buffer.status >= _SERVER_ERROR:
             self._known.health.of(placed.server).failed(self._clock.now_ms())
-        self._log_attempt(job, placed, "failed", sink.buffer.status, sent_ms)
+        self._log_attempt(job, placed, sink, "failed", sink.buffer.status, sent_ms)
         job.last_failure = sink.buffer
         is_final = sink.buffer.status < _SERVER_ERROR or not job.route.may_repeat
         if is_final and not job.answer.has_begun:
@@ -484,10 +484,12 @@
         self,
         job: jobs.Job,
         placed: dispatcher.Placed,
+        sink: answer_sink.AnswerSink,
         outcome: str,
         status: int,
         sent_ms: int,
     ) -> None:
+        first_ms = sink.first_part_ms
         _LOG.info(
             "attempt",
             request=job.said.request_id,
@@ -496,6 +498,7 @@
             outcome=outcome,
             status=status,
             took_ms=self._clock.now_ms() - sent_ms,
+            first_ms=None if first_ms is None else first_ms - sent_ms,
             expected_ms=round(placed.expected_ms),
         )
 
