The log test waits for the end of the request

Traced: the gateway writes 'attempt' and 'request ended' after the answer has gone out, so the caller can read the log before. Ruled out: dropped lines (none counted). Change: the test waits until the log has the request's end, then compares the whole list as before; a last line that is still being written is left out. Measured: the file's nine tests passed.

--- a/tests/process_gateway.py
+++ b/tests/process_gateway.py
@@ -244,12 +244,23 @@
         connection.request("POST", "/record/x", b"r", headers)
         connection.getresponse().read()
         connection.close()
-        log = self.fleet.process_by_name["entry-1"].log()
-        lines = [json.loads(line) for line in log.splitlines() if line[:1] == "{"]
-        request_id = headers["Request-Id"]
-        events = [line["event"] for line in lines if line.get("request") == request_id]
+        # The last lines are written after the answer has gone out.
+        wait_until(
+            lambda: "request ended" in self.events_of(headers["Request-Id"]),
+            "the end of the request in the log",
+        )
+        events = self.events_of(headers["Request-Id"])
         self.assertEqual(events, ["placed", "attempt", "request ended"])
 
+    def events_of(self, request_id: str) -> list[str]:
+        log = self.fleet.process_by_name["entry-1"].log()
+        lines = [
+            json.loads(line)
+            for line in log.splitlines()
+            if line.startswith("{") and line.endswith("}")
+        ]
+        return [line["event"] for line in lines if line.get("request") == request_id]
+
 
 def load_tests(
     loader: unittest.TestLoader, tests: unittest.TestSuite, pattern: str | None
