--- a/quincecrank/gateway/links.py
+++ b/quincecrank/gateway/links.py
@@ -88,7 +88,6 @@
         self._is_reusable = True
         self.idle_since_ms = now_ms
         self.idle_limit_ms: int | None = None
-        self.has_served = False
 
     @property
     def is_usable(self) -> bool:
@@ -133,7 +132,6 @@
                 _retrieve_exception(sent)
         if end is not ExchangeEnd.COMPLETE or not self._is_reusable:
             self.close()
-        self.has_served = True
         self.idle_since_ms = clock.now_ms()
         return end
 
@@ -276,7 +274,6 @@
 
     started_wall_ms: int
     idle: list[Link] = dataclasses.field(default_factory=list)
-    open_count: int = 0
 
 
 class LinkPool:
@@ -306,7 +303,7 @@
             if link.is_usable and idle_ms <= _idle_limit_ms(link, self._max_idle_ms):
                 kept.idle.append(link)
                 return None
-            self._drop(kept, link)
+            link.close()
         return None
 
     async def connect(self, server: servers.ServerEntry, timeout_ms: float) -> Link:
@@ -320,7 +317,6 @@
             If it does not answer in time.
         """
         link = await connect(server.address, timeout_ms, self._clock)
-        self._kept(server).open_count += 1
         return link
 
     def give_back(self, server: servers.ServerEntry, link: Link) -> None:
@@ -329,7 +325,7 @@
         if link.is_usable:
             kept.idle.append(link)
         else:
-            self._drop(kept, link)
+            link.close()
 
     def forget(self, server_id: servers.ServerId) -> None:
         """Close the idle links to a server that has left."""
@@ -350,7 +346,7 @@
                 limit_ms = _idle_limit_ms(link, self._max_idle_ms)
                 if not link.is_usable or now_ms - link.idle_since_ms > limit_ms:
                     kept.idle.remove(link)
-                    self._drop(kept, link)
+                    link.close()
 
     def _kept(self, server: servers.ServerEntry) -> _ServerLinks:
         kept = self._links_by_server.get(server.server_id)
@@ -360,11 +356,6 @@
             self._links_by_server[server.server_id] = kept
         return kept
 
-    @staticmethod
-    def _drop(kept: _ServerLinks, link: Link) -> None:
-        link.close()
-        kept.open_count -= 1
-
 
 def _idle_limit_ms(link: Link, max_idle_ms: int) -> float:
     """Return the idle time after which a link may be closed by the server."""
--- a/tests/test_gateway_log.py
+++ b/tests/test_gateway_log.py
@@ -22,13 +22,7 @@
         self.output = decision_log.BoundedOutput(writer)
 
     def read(self) -> list[dict[str, object]]:
-        data = b""
-        try:
-            while part := os.read(self.reader, 1 << 16):
-                data += part
-        except BlockingIOError:
-            pass
-        return [json.loads(line) for line in data.splitlines()]
+        return [json.loads(line) for line in self.read_raw().splitlines()]
 
     def test_a_burst_is_bounded_and_counted(self) -> None:
         for number in range(decision_log.MAX_LINES_PER_SECOND + 50):
