Gateways tell each other of long prompts at once

The log shows seven gateways placing eight prompts of 6,000 to 13,000 tokens on one engine within 100 ms, each with the same view (45,781 tokens in use): loads reached the peers with the reports every 150 ms only. First events came after 300 to 1,040 ms.

Change: the start, the first event and the end of a request of 1,024 tokens or more are told to the peers at once, as the whole load of one server, so that a lost or repeated message does no harm; reports repeat all loads. A first event is noticed when it comes, not at the next look 100 ms later. At most 64 peers are told.

--- /dev/null
+++ b/bench/gateway_model.py
@@ -0,0 +1,431 @@
+"""Replays load patterns through the gateways' own decisions, in virtual time.
+
+Several dispatchers place seeded arrivals on model engines.  They know each other's
+load by messages that take time, as in a fleet; everything else is the product's code.
+"""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+from bench import model_engine, virtual_time
+from quincecrank import clock as clocks
+from quincecrank import ids
+from quincecrank.gateway import (
+    cache_directory,
+    deployment,
+    dispatcher,
+    environment,
+    knowledge,
+    loads,
+    peers,
+    prompts,
+    servers,
+    waiting,
+)
+
+MESSAGE_MS: Final = 1.0
+"""Way of a datagram, and the wait of its receiver for the processor."""
+
+CACHE_EVENT_MS: Final = 300.0
+"""Way of a cache event: the engine's lag and half of the pause between calls."""
+
+MODEL: Final = deployment.ModelName("model")
+SERVICE: Final = deployment.ServiceName("drafting")
+SALT: Final = cache_directory.make_salt(MODEL, 1, None)
+DATA_CENTRE: Final = ids.DataCentre("east")
+END_MARGIN_MS: Final = 20_000
+"""Time after the last arrival in which everything has ended."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of requests.
+
+    Attributes
+    ----------
+    per_second : float
+        Mean arrivals at the whole fleet.
+    guides, guide_tokens : int
+        Long texts, one of which each prompt begins with, and their size.
+    subjects, subject_tokens : int
+        Texts that follow the guide.
+    own_tokens, answer_tokens : int
+        Mean sizes of the rest of the prompt and of the answer.
+    worth, late_worth : float
+        Value of an answer on time and of a late one.
+    """
+
+    name: str
+    per_second: float
+    guides: int
+    guide_tokens: int
+    subjects: int
+    subject_tokens: int
+    own_tokens: int
+    answer_tokens: int
+    target_ms: int
+    deadline_ms: int
+    urgency: int
+    worth: float
+    late_worth: float
+
+
+VERDICTS: Final = Kind(
+    "verdict", 32.0, 4, 2_520, 700, 5_000, 1_670, 52, 500, 5_000, 1, 3.2, 0.64
+)
+NOTES: Final = Kind(
+    "note", 50.0, 8, 119, 1_095, 531, 177, 290, 300, 15_000, 0, 2.2, 0.44
+)
+"""Long and short prompts of the firmware readers' site, by its sheet."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pattern:
+    """A load pattern and the fleet that it meets.
+
+    Attributes
+    ----------
+    tells_at_once : bool
+        Whether gateways tell each other of large changes of load at once.
+    burst_from_ms, burst_until_ms : int
+        Time in which arrivals are multiplied.
+    """
+
+    seed: int
+    duration_ms: int = 8_000
+    gateways: int = 10
+    engines: int = 4
+    slots: int = 128
+    memory_tokens: int = 64_414
+    kinds: tuple[Kind, ...] = (VERDICTS, NOTES)
+    tells_at_once: bool = True
+    burst_from_ms: int = 0
+    burst_until_ms: int = 0
+    burst_factor: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request of a caller."""
+
+    at_ms: float
+    kind: Kind
+    prompt: prompts.Prompt
+    answer_tokens: int
+    gateway: int
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What became of the requests of a kind.
+
+    Attributes
+    ----------
+    returned_in_vain : int
+        Requests that came back after a refusal and were refused again.
+    """
+
+    asked: int = 0
+    on_time: int = 0
+    late: int = 0
+    refused: int = 0
+    returned_in_vain: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """Outcome of a replay.
+
+    Attributes
+    ----------
+    most_unread_tokens : int
+        Largest sum of prompts that one engine had to read at a time.
+    """
+
+    outcome_by_kind: dict[str, Outcome]
+    value: float
+    owed: float
+    preempted: int
+    read_tokens: int
+    most_unread_tokens: int
+
+    @property
+    def share(self) -> float:
+        """Value of the answers as a part of what was owed."""
+        return self.value / self.owed
+
+
+def make_arrivals(pattern: Pattern) -> tuple[Arrival, ...]:
+    """Return the seeded arrivals of a pattern, in order."""
+    generator = random.Random(pattern.seed)
+    arrivals = [
+        arrival
+        for kind in pattern.kinds
+        for arrival in _arrivals_of(kind, pattern, generator)
+    ]
+    return tuple(sorted(arrivals, key=lambda each: each.at_ms))
+
+
+def _arrivals_of(
+    kind: Kind, pattern: Pattern, generator: random.Random
+) -> Iterable[Arrival]:
+    at_ms = 0.0
+    while True:
+        is_burst = pattern.burst_from_ms <= at_ms < pattern.burst_until_ms
+        rate = kind.per_second * (pattern.burst_factor if is_burst else 1.0)
+        at_ms += generator.expovariate(rate) * clocks.MS_PER_SECOND
+        if at_ms >= pattern.duration_ms:
+            return
+        # Popularity falls with the square root of the rank.
+        subject = int(kind.subjects * generator.random() ** 2)
+        guide = subject % kind.guides
+        own = max(1, int(generator.lognormvariate(-0.2, 0.6) * kind.own_tokens))
+        answer = max(1, int(generator.lognormvariate(-0.2, 0.6) * kind.answer_tokens))
+        parts = (
+            prompts.PromptPart(
+                prompts.PartId(f"{kind.name}-g{guide}"), kind.guide_tokens
+            ),
+            prompts.PromptPart(
+                prompts.PartId(f"{kind.name}-s{subject}"), kind.subject_tokens
+            ),
+            prompts.PromptPart(prompts.PartId(f"{kind.name}-{at_ms}"), own),
+        )
+        prompt = prompts.Prompt(
+            model=MODEL,
+            input_tokens=sum(part.tokens for part in parts),
+            max_output_tokens=4 * kind.answer_tokens,
+            parts=parts,
+            expected_output_tokens=max(1, int(answer * generator.uniform(0.6, 1.6))),
+        )
+        yield Arrival(at_ms, kind, prompt, answer, generator.randrange(100_000))
+
+
+def make_environment(number: int) -> environment.Environment:
+    """Return the settings of a gateway that opens no ports."""
+    nowhere = environment.Endpoint("127.0.0.1", 0)
+    return environment.Environment(
+        vm=ids.VmName(f"gateway-{number}"),
+        data_centre=DATA_CENTRE,
+        ip="127.0.0.1",
+        callers=nowhere,
+        readiness=nowhere,
+        peer_port=0,
+        metrics_port=0,
+        seed_ips=(),
+        memory_mb=200,
+        max_descriptors=1_000,
+        store=environment.StoreFacts(nowhere, 400, 2_000, 65_536),
+        bounds=environment.Bounds(
+            shutdown_grace_ms=8_000,
+            drain_ms=2_000,
+            order_lease_ms=3_000,
+            weights_deadline_ms=8_000,
+            retry_ratio=0.2,
+            retry_floor=100,
+            retry_window_ms=10_000,
+            thaw_ms=300,
+        ),
+    )
+
+
+class Replay:
+    """One replay of a pattern."""
+
+    def __init__(self, pattern: Pattern) -> None:
+        self._pattern = pattern
+        self._clock = virtual_time.LoopClock()
+        self._generator = random.Random(pattern.seed + 1)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._unread_by_server: dict[servers.ServerId, int] = {}
+        self._most_unread_tokens = 0
+        facts = deployment.EngineFacts(
+            pattern.slots, pattern.memory_tokens, 96_256, 1_100_000.0, 12, (MODEL,)
+        )
+        self._service = deployment.Service(SERVICE, 1_000, facts)
+        self._knowledge = [
+            knowledge.Knowledge(make_environment(number), self._clock)
+            for number in range(pattern.gateways)
+        ]
+        self._dispatchers = [
+            dispatcher.Dispatcher(known, random.Random(pattern.seed + number))
+            for number, known in enumerate(self._knowledge)
+        ]
+        self._engine_by_server: dict[servers.ServerId, model_engine.ModelEngine] = {}
+        self._outcome_by_kind = {kind.name: Outcome() for kind in pattern.kinds}
+        self._value = 0.0
+        self._owed = 0.0
+
+    async def run(self) -> Result:
+        """Play all arrivals."""
+        self._start_engines()
+        for number in range(len(self._knowledge)):
+            self._connect(number)
+            self._start(self._report(number))
+            self._start(self._dispatchers[number].run())
+        for arrival in make_arrivals(self._pattern):
+            now_ms = asyncio.get_running_loop().time() * clocks.MS_PER_SECOND
+            await self._clock.sleep(max(0.0, arrival.at_ms - now_ms))
+            self._start(self._call(arrival))
+        await self._clock.sleep(END_MARGIN_MS)
+        return Result(
+            self._outcome_by_kind,
+            self._value,
+            self._owed,
+            sum(each.preempted for each in self._engine_by_server.values()),
+            sum(each.read_tokens for each in self._engine_by_server.values()),
+            self._most_unread_tokens,
+        )
+
+    def _start(self, work: object) -> None:
+        task = asyncio.ensure_future(work)  # type: ignore[call-overload]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _start_engines(self) -> None:
+        for number in range(self._pattern.engines):
+            server_id = servers.ServerId(f"i-{number}")
+            entry = servers.ServerEntry(
+                server_id=server_id,
+                service=SERVICE,
+                address=f"10.0.0.{number}:80",
+                data_centre=DATA_CENTRE,
+                slots=self._pattern.slots,
+                state=servers.ServerState.READY,
+                started_wall_ms=1,
+                weight_versions_by_model={MODEL: 1},
+            )
+            holder = cache_directory.HolderName(server_id)
+            for known in self._knowledge:
+                known.registry.update(entry)
+                known.directory.restart(holder, 1, 0)
+            engine = model_engine.ModelEngine(
+                self._pattern.slots,
+                self._pattern.memory_tokens,
+                self._part_teller(holder),
+                self._clock,
+            )
+            self._engine_by_server[server_id] = engine
+            self._start(engine.work())
+
+    def _part_teller(
+        self, holder: cache_directory.HolderName
+    ) -> model_engine.PartsUser:
+        def tell(part: prompts.PromptPart, is_held: bool) -> None:
+            change = cache_directory.CacheChange(
+                cache_directory.PartKey(SALT, part.part_id),
+                part.tokens if is_held else 0,
+                not is_held,
+            )
+            for known in self._knowledge:
+                self._later(CACHE_EVENT_MS, known.directory.apply, holder, [change])
+
+        return tell
+
+    def _later(self, delay_ms: float, call: object, *arguments: object) -> None:
+        asyncio.get_running_loop().call_later(
+            delay_ms / clocks.MS_PER_SECOND,
+            call,  # type: ignore[arg-type]
+            *arguments,
+        )
+
+    def _connect(self, number: int) -> None:
+        if not self._pattern.tells_at_once:
+            return
+        vm = self._knowledge[number].facts.vm
+
+        def tell(server_id: servers.ServerId, load: loads.Load) -> None:
+            for known in self._others(number):
+                self._later(MESSAGE_MS, known.loads.peer_changed, vm, server_id, load)
+
+        self._knowledge[number].loads.tell = tell
+
+    def _others(self, number: int) -> Sequence[knowledge.Knowledge]:
+        return [*self._knowledge[:number], *self._knowledge[number + 1 :]]
+
+    async def _report(self, number: int) -> None:
+        await self._clock.sleep(self._generator.uniform(0, peers.REPORT_INTERVAL_MS))
+        known = self._knowledge[number]
+        while True:
+            for other in self._others(number):
+                self._later(
+                    MESSAGE_MS, self._take_report, other, known, known.loads.own()
+                )
+            await self._clock.sleep(peers.REPORT_INTERVAL_MS)
+
+    def _take_report(
+        self,
+        receiver: knowledge.Knowledge,
+        sender: knowledge.Knowledge,
+        own: dict[servers.ServerId, loads.Load],
+    ) -> None:
+        receiver.loads.peer_reported(sender.facts.vm, own, self._clock.now_ms())
+
+    async def _call(self, arrival: Arrival) -> None:
+        """Send a caller's request, and once more after a refusal."""
+        outcome = self._outcome_by_kind[arrival.kind.name]
+        outcome.asked += 1
+        self._owed += arrival.kind.worth
+        began_ms = self._clock.now_ms()
+        for attempt in range(2):
+            number = (arrival.gateway + attempt) % len(self._dispatchers)
+            refused = await self._attempt(arrival, number, attempt, began_ms)
+            if refused is None:
+                return
+            if not attempt:
+                await self._clock.sleep(refused.retry_after_ms)
+        outcome.refused += 1
+        outcome.returned_in_vain += 1
+
+    async def _attempt(
+        self, arrival: Arrival, number: int, attempt: int, began_ms: int
+    ) -> dispatcher.Refused | None:
+        known = self._knowledge[number]
+        kind = arrival.kind
+        request_id = ids.RequestId(f"{arrival.at_ms}-{attempt}")
+        now_ms = self._clock.now_ms()
+        ticket = waiting.Ticket(
+            request_id,
+            kind.urgency,
+            now_ms,
+            began_ms + kind.deadline_ms,
+            kind.target_ms,
+        )
+        want = dispatcher.Want(ticket, self._service, None, arrival.prompt)
+        placed = await self._dispatchers[number].place(want)
+        if isinstance(placed, dispatcher.Refused):
+            return placed
+        server_id = placed.server.server_id
+        run = model_engine.Run(arrival.prompt, arrival.answer_tokens)
+        self._engine_by_server[server_id].submit(run)
+        self._add_unread(server_id, arrival.prompt.input_tokens)
+        await run.has_begun.wait()
+        self._add_unread(server_id, -arrival.prompt.input_tokens)
+        known.loads.prompt_computed(server_id, request_id)
+        self._count(arrival.kind, began_ms)
+        await run.has_ended.wait()
+        known.loads.ended(server_id, request_id)
+        self._dispatchers[number].pump(SERVICE)
+        return None
+
+    def _add_unread(self, server_id: servers.ServerId, tokens: int) -> None:
+        unread = self._unread_by_server.get(server_id, 0) + tokens
+        self._unread_by_server[server_id] = unread
+        self._most_unread_tokens = max(self._most_unread_tokens, unread)
+
+    def _count(self, kind: Kind, began_ms: int) -> None:
+        outcome = self._outcome_by_kind[kind.name]
+        took_ms = self._clock.now_ms() - began_ms + model_engine.FIRST_EVENT_MS
+        if took_ms <= kind.target_ms:
+            outcome.on_time += 1
+            self._value += kind.worth
+        else:
+            outcome.late += 1
+            self._value += kind.late_worth
+
+
+def play(pattern: Pattern) -> Result:
+    """Replay a pattern."""
+    return virtual_time.run(Replay(pattern).run())
--- a/quincecrank/gateway/answer_sink.py
+++ b/quincecrank/gateway/answer_sink.py
@@ -1,5 +1,7 @@
 """Takes the answer of a backend server and passes it to the caller."""
 
+from collections.abc import Callable
+
 from tornado import httputil
 
 from quincecrank import clock as clocks
@@ -10,6 +12,11 @@
 class AnswerSink:
     """Passes events on at once and keeps other answers until they are whole.
 
+    Parameters
+    ----------
+    on_first_part : callable
+        Called when the first part of the body has come.
+
     Attributes
     ----------
     head : AnswerHead or None
@@ -22,8 +29,14 @@
         Instant at which anything came last.
     """
 
-    def __init__(self, job: jobs.Job, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        job: jobs.Job,
+        clock: clocks.Clock,
+        on_first_part: Callable[[], None],
+    ) -> None:
         self._job = job
+        self._on_first_part = on_first_part
         self._clock = clock
         self.head: answers.AnswerHead | None = None
         self.buffer: jobs.AnswerBuffer | None = None
@@ -52,6 +65,7 @@
         assert self.buffer is not None
         if self.first_part_ms is None:
             self.first_part_ms = self._clock.now_ms()
+            self._on_first_part()
         self.progress_ms = self._clock.now_ms()
         if not self.is_streaming:
             self.buffer.body += chunk
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -208,9 +208,15 @@
         if job.sends == 0:
             self._retries(job.service.name).first_send(now_ms)
         job.sends += 1
-        sink = answer_sink.AnswerSink(job, self._clock)
+        sink = answer_sink.AnswerSink(
+            job,
+            self._clock,
+            lambda: self._known.loads.prompt_computed(
+                server.server_id, job.said.request_id
+            ),
+        )
         outgoing = self._outgoing(job, placed)
-        end = await self._exchange(job, link, outgoing, sink, placed)
+        end = await self._exchange(job, link, outgoing, sink, server)
         return await self._conclude(job, placed, sink, end, now_ms)
 
     async def _open_link(
@@ -272,7 +278,7 @@
         link: links.Link,
         outgoing: links.OutgoingRequest,
         sink: answer_sink.AnswerSink,
-        placed: dispatcher.Placed,
+        server: servers.ServerEntry,
     ) -> links.ExchangeEnd:
         """Run an exchange until it ends, falls silent or its time is over."""
         running = asyncio.ensure_future(link.exchange(outgoing, sink, self._clock))
@@ -282,10 +288,6 @@
                 left_ms = job.deadline_ms - now_ms
                 if left_ms <= 0 or self._is_silent(job, sink, now_ms):
                     break
-                if sink.first_part_ms is not None:
-                    self._known.loads.prompt_computed(
-                        placed.server.server_id, job.said.request_id
-                    )
                 wait_s = min(WATCH_INTERVAL_MS, left_ms) / clocks.MS_PER_SECOND
                 await asyncio.wait({running}, timeout=wait_s)
             if not running.done():
@@ -297,7 +299,7 @@
                 link.close()
                 running.cancel()
                 await asyncio.wait({running})
-            self._known.links.give_back(placed.server, link)
+            self._known.links.give_back(server, link)
 
     def _is_silent(
         self, job: jobs.Job, sink: answer_sink.AnswerSink, now_ms: int
--- a/quincecrank/gateway/loads.py
+++ b/quincecrank/gateway/loads.py
@@ -1,7 +1,13 @@
-"""Work under way at each backend server, from this gateway and from its peers."""
+"""Work under way at each backend server, from this gateway and from its peers.
+
+Load pattern: engines are nearly full, and one gets room for a long prompt.  Every
+gateway has such a prompt waiting.  If the peers learned of each other's choices with
+the periodic reports only, all would send theirs to the same engine.  So a change of
+some size is told at once; a report repeats all loads and makes up for lost messages.
+"""
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from quincecrank import ids
@@ -11,6 +17,11 @@
 """Age at which a peer's load report no longer counts: several report intervals."""
 
 
+MIN_TOLD_TOKENS: Final = 1_024
+"""Size from which the start or end of a request is told at once: an engine computes
+prompts in pieces of this size, so smaller ones hardly delay another."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
     """Work at one backend server.
@@ -47,13 +58,28 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _PeerReport:
     received_ms: int
-    load_by_server: Mapping[servers.ServerId, Load]
+    load_by_server: dict[servers.ServerId, Load]
+
+
+LoadTeller = Callable[[servers.ServerId, Load], None]
+
+
+def tell_nobody(server_id: servers.ServerId, load: Load) -> None:
+    """Stand in for the peers of a gateway that has none."""
 
 
 class Loads:
-    """Aggregate of the work that this gateway and its peers have sent out."""
+    """Aggregate of the work that this gateway and its peers have sent out.
+
+    Attributes
+    ----------
+    tell : callable
+        Gets this gateway's load of one server after a change that peers must know
+        of at once.
+    """
 
     def __init__(self) -> None:
+        self.tell: LoadTeller = tell_nobody
         self._runs_by_server: dict[servers.ServerId, dict[ids.RequestId, _Run]] = {}
         self._report_by_peer: dict[ids.VmName, _PeerReport] = {}
 
@@ -67,21 +93,26 @@
         """Count a request that is about to be sent."""
         runs = self._runs_by_server.setdefault(server_id, {})
         runs[request_id] = _Run(memory_tokens, prefill_tokens)
+        self._tell_change(server_id, memory_tokens)
 
     def prompt_computed(
         self, server_id: servers.ServerId, request_id: ids.RequestId
     ) -> None:
         """Record the first event of an answer."""
         run = self._runs_by_server.get(server_id, {}).get(request_id)
-        if run is not None:
+        if run is not None and run.prefill_tokens:
+            computed_tokens = run.prefill_tokens
             run.prefill_tokens = 0
+            self._tell_change(server_id, computed_tokens)
 
     def ended(self, server_id: servers.ServerId, request_id: ids.RequestId) -> None:
         """Count a request out."""
         runs = self._runs_by_server.get(server_id, {})
-        runs.pop(request_id, None)
+        run = runs.pop(request_id, None)
         if not runs:
             self._runs_by_server.pop(server_id, None)
+        if run is not None:
+            self._tell_change(server_id, run.memory_tokens)
 
     def peer_reported(
         self,
@@ -92,6 +123,18 @@
         """Take the load report of a peer."""
         self._report_by_peer[peer] = _PeerReport(now_ms, dict(load_by_server))
 
+    def peer_changed(
+        self, peer: ids.VmName, server_id: servers.ServerId, load: Load
+    ) -> None:
+        """Take a peer's new load of one server; counts until its next report.
+
+        Changes of a peer whose reports do not arrive are not used, as nothing would
+        correct them.
+        """
+        report = self._report_by_peer.get(peer)
+        if report is not None:
+            report.load_by_server[server_id] = load
+
     def own(self) -> dict[servers.ServerId, Load]:
         """Return this gateway's work by backend server."""
         return {server: self._own(server) for server in self._runs_by_server}
@@ -104,6 +147,10 @@
                 total = total.plus(report.load_by_server.get(server_id, Load()))
         return total
 
+    def _tell_change(self, server_id: servers.ServerId, tokens: int) -> None:
+        if tokens >= MIN_TOLD_TOKENS:
+            self.tell(server_id, self._own(server_id))
+
     def _own(self, server_id: servers.ServerId) -> Load:
         runs = self._runs_by_server.get(server_id, {}).values()
         return Load(
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -89,8 +89,14 @@
         )
         self._listener = callers.CallerListener(self._forwarder.handle, clock)
         self._reporter = peers.PeerReporter(
-            facts, self._peers, self._make_report, self._use_report, clock
+            facts,
+            self._peers,
+            self._make_report,
+            self._use_report,
+            self._use_change,
+            clock,
         )
+        self._known.loads.tell = self._reporter.tell_load
         self._lease = order_lease.OrderLease(
             self._store, facts.vm, facts.bounds.order_lease_ms, clock
         )
@@ -233,6 +239,9 @@
         for news in report.news:
             self._known.take_weight_news(news)
 
+    def _use_change(self, change: peer_messages.LoadChange) -> None:
+        self._known.loads.peer_changed(change.vm, change.server_id, change.load)
+
     async def _register(self) -> None:
         """Tell the other gateways, through the store, where this one is."""
         while True:
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -60,20 +60,24 @@
     named: tuple[weights.NamedWeights, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadChange:
+    """The whole load that a gateway now puts on one backend server."""
+
+    vm: ids.VmName
+    server_id: servers.ServerId
+    load: loads.Load
+
+
 def encode(report: Report) -> bytes:
     """Return the datagram of a report."""
-    message = _SCHEMA.Report.new_message(
+    message = _SCHEMA.Datagram.new_message()
+    message.report = _SCHEMA.Report.new_message(
         vm=report.vm,
         isLeaving=report.is_leaving,
         tables=[_state_fields(state) for state in report.states],
         loads=[
-            {
-                "server": server,
-                "requests": load.requests,
-                "memoryTokens": load.memory_tokens,
-                "prefillTokens": load.prefill_tokens,
-            }
-            for server, load in report.load_by_server.items()
+            _load_fields(server, load) for server, load in report.load_by_server.items()
         ],
         crashes=[
             {
@@ -108,17 +112,28 @@
     return bytes(message.to_bytes_packed())
 
 
-def decode(datagram: bytes) -> Report:
-    """Return the report of a datagram.
+def encode_change(change: LoadChange) -> bytes:
+    """Return the datagram of a change of load."""
+    message = _SCHEMA.Datagram.new_message()
+    message.loadChange = _SCHEMA.LoadChange.new_message(
+        vm=change.vm, load=_load_fields(change.server_id, change.load)
+    )
+    return bytes(message.to_bytes_packed())
+
+
+def decode(datagram: bytes) -> Report | LoadChange:
+    """Return what a datagram tells.
 
     Raises
     ------
     MessageError
-        If it holds none.
+        If it tells nothing known.
     """
     try:
-        message = _SCHEMA.Report.from_bytes_packed(datagram)
-        return _report(message)
+        message = _SCHEMA.Datagram.from_bytes_packed(datagram)
+        if message.which() == "loadChange":
+            return _load_change(message.loadChange)
+        return _report(message.report)
     except (capnp.KjException, ValueError) as error:
         raise MessageError(str(error)) from error
 
@@ -132,6 +147,27 @@
     }
 
 
+def _load_fields(server_id: servers.ServerId, load: loads.Load) -> dict[str, Any]:
+    return {
+        "server": server_id,
+        "requests": load.requests,
+        "memoryTokens": load.memory_tokens,
+        "prefillTokens": load.prefill_tokens,
+    }
+
+
+def _load(message: Any) -> loads.Load:
+    return loads.Load(message.requests, message.memoryTokens, message.prefillTokens)
+
+
+def _load_change(message: Any) -> LoadChange:
+    return LoadChange(
+        ids.VmName(message.vm),
+        servers.ServerId(message.load.server),
+        _load(message.load),
+    )
+
+
 def _report(message: Any) -> Report:
     return Report(
         vm=ids.VmName(message.vm),
@@ -145,10 +181,7 @@
             for each in message.tables
         ),
         load_by_server={
-            servers.ServerId(each.server): loads.Load(
-                each.requests, each.memoryTokens, each.prefillTokens
-            )
-            for each in message.loads
+            servers.ServerId(each.server): _load(each) for each in message.loads
         },
         crashes=tuple(
             crash_counts.CrashRecord(
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -39,6 +39,12 @@
   ageMs @2 :UInt32;
 }
 
+# The load that one gateway puts on one server, sent when it changes by much.
+struct LoadChange {
+  vm @0 :Text;
+  load @1 :ServerLoad;
+}
+
 struct Report {
   vm @0 :Text;
   isLeaving @1 :Bool;
@@ -48,3 +54,10 @@
   weightNews @5 :List(WeightNews);
   named @6 :List(NamedWeights);
 }
+
+struct Datagram {
+  union {
+    report @0 :Report;
+    loadChange @1 :LoadChange;
+  }
+}
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -19,7 +19,14 @@
 
 from quincecrank import clock as clocks
 from quincecrank import ids, store_rows
-from quincecrank.gateway import decision_log, environment, peer_messages, tables
+from quincecrank.gateway import (
+    decision_log,
+    environment,
+    loads,
+    peer_messages,
+    servers,
+    tables,
+)
 
 REPORT_INTERVAL_MS: Final = 150
 """A fraction of the time that a model request takes, so that load reports count."""
@@ -36,7 +43,12 @@
 
 _LOG: Final = decision_log.logger("peers")
 
+MAX_TOLD_PEERS: Final = 64
+"""Peers that are told a change of load at once.  It bounds the messages of a large
+fleet, whose many engines are seldom chosen by two gateways at the same moment."""
+
 ReportUser = Callable[[peer_messages.Report], None]
+ChangeUser = Callable[[peer_messages.LoadChange], None]
 RowsReader = Callable[[tables.TableName], store_rows.Rows]
 
 
@@ -166,6 +178,8 @@
         Returns what to tell now.
     use_report : callable
         Takes a peer's report.
+    use_change : callable
+        Takes a peer's change of load.
     """
 
     def __init__(
@@ -174,12 +188,14 @@
         directory: PeerTables,
         make_report: Callable[[], peer_messages.Report],
         use_report: ReportUser,
+        use_change: ChangeUser,
         clock: clocks.Clock,
     ) -> None:
         self._facts = facts
         self._directory = directory
         self._make_report = make_report
         self._use_report = use_report
+        self._use_change = use_change
         self._clock = clock
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
 
@@ -199,12 +215,23 @@
     def send(self) -> None:
         """Send a report to every peer."""
         datagram = peer_messages.encode(self._make_report())
-        for ip in self._directory.destinations():
+        self._send_to(self._directory.destinations(), datagram)
+
+    def tell_load(self, server_id: servers.ServerId, load: loads.Load) -> None:
+        """Send this gateway's load of a server to the live peers at once."""
+        change = peer_messages.LoadChange(self._facts.vm, server_id, load)
+        live = self._directory.live_ips()
+        if len(live) > MAX_TOLD_PEERS:
+            live = tuple(random.sample(live, MAX_TOLD_PEERS))
+        self._send_to(live, peer_messages.encode_change(change))
+
+    def _send_to(self, destinations: Iterable[str], datagram: bytes) -> None:
+        for ip in destinations:
             try:
                 self._socket.sendto(datagram, (ip, self._facts.peer_port))
             except OSError as error:
-                # A report that can't be sent is made up for by the next one.
-                _LOG.debug("report not sent", peer=ip, error=str(error))
+                # The next report makes up for it.
+                _LOG.debug("datagram not sent", peer=ip, error=str(error))
 
     def _receive(self, _socket: object, _events: int) -> None:
         while True:
@@ -217,12 +244,15 @@
                 _LOG.debug("datagram refused", error=str(error))
                 continue
             try:
-                report = peer_messages.decode(datagram)
+                message = peer_messages.decode(datagram)
             except peer_messages.MessageError as error:
-                _LOG.warning("not a report", peer=ip, error=str(error))
+                _LOG.warning("unknown datagram", peer=ip, error=str(error))
+                continue
+            if isinstance(message, peer_messages.LoadChange):
+                self._use_change(message)
                 continue
-            self._directory.heard(ip, report)
-            self._use_report(report)
+            self._directory.heard(ip, message)
+            self._use_report(message)
 
 
 class _RowsHandler(web.RequestHandler):
--- /dev/null
+++ b/tests/test_gateway_load.py
@@ -0,0 +1,97 @@
+"""Replays of load patterns through the gateways' decisions, in virtual time."""
+
+import asyncio
+import unittest
+
+import structlog
+
+from bench import gateway_model, virtual_time
+from quincecrank import clock as clocks
+from quincecrank import ids
+from quincecrank.gateway import loads, peer_messages, servers
+
+SEEDS = (1, 2, 3)
+ENGINE = servers.ServerId("i-1")
+PEER = ids.VmName("entry-2")
+
+
+def _drop(
+    _logger: object, _name: str, _event: structlog.typing.EventDict
+) -> structlog.typing.EventDict:
+    raise structlog.DropEvent
+
+
+class ReplayCase(unittest.TestCase):
+    """Replays without the log lines of thousands of decisions."""
+
+    def setUp(self) -> None:
+        configured = structlog.get_config()
+        self.addCleanup(structlog.configure, **configured)
+        structlog.configure(processors=[_drop])
+
+
+class HerdTest(ReplayCase):
+    def test_no_engine_is_sent_more_prompts_than_it_holds(self) -> None:
+        # Ten gateways, four nearly full engines, long prompts waiting everywhere.
+        for seed in SEEDS:
+            with self.subTest(seed):
+                pattern = gateway_model.Pattern(seed)
+                result = gateway_model.play(pattern)
+                self.assertLessEqual(result.most_unread_tokens, pattern.memory_tokens)
+
+
+class ToldLoadsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.told: list[loads.Load] = []
+        self.loads = loads.Loads()
+        self.loads.tell = lambda _server, load: self.told.append(load)
+
+    def test_a_long_prompt_is_told_at_each_change(self) -> None:
+        request = ids.RequestId("a")
+        self.loads.started(ENGINE, request, 9_000, 7_000)
+        self.loads.prompt_computed(ENGINE, request)
+        self.loads.prompt_computed(ENGINE, request)
+        self.loads.ended(ENGINE, request)
+        self.loads.ended(ENGINE, request)
+        expected = [loads.Load(1, 9_000, 7_000), loads.Load(1, 9_000, 0), loads.Load()]
+        self.assertEqual(self.told, expected)
+
+    def test_short_prompts_are_left_to_the_reports(self) -> None:
+        self.loads.started(ENGINE, ids.RequestId("a"), 1_023, 900)
+        self.loads.ended(ENGINE, ids.RequestId("a"))
+        self.assertEqual(self.told, [])
+
+    def test_a_change_counts_until_the_next_report(self) -> None:
+        self.loads.peer_changed(PEER, ENGINE, loads.Load(9, 9, 9))
+        self.assertEqual(self.loads.of(ENGINE, 0), loads.Load())
+        self.loads.peer_reported(PEER, {ENGINE: loads.Load(1, 10, 5)}, 0)
+        self.loads.peer_changed(PEER, ENGINE, loads.Load(2, 9_010, 7_005))
+        self.assertEqual(self.loads.of(ENGINE, 1), loads.Load(2, 9_010, 7_005))
+        self.loads.peer_reported(PEER, {}, 150)
+        self.assertEqual(self.loads.of(ENGINE, 150), loads.Load())
+
+    def test_a_message_keeps_its_fields(self) -> None:
+        change = peer_messages.LoadChange(PEER, ENGINE, loads.Load(3, 20_000, 9_000))
+        datagram = peer_messages.encode_change(change)
+        self.assertEqual(peer_messages.decode(datagram), change)
+
+
+class VirtualTimeTest(unittest.TestCase):
+    def test_an_hour_passes_at_once(self) -> None:
+        clock = virtual_time.LoopClock()
+
+        async def sleep() -> int:
+            await clock.sleep(3_600 * clocks.MS_PER_SECOND)
+            return clock.now_ms()
+
+        self.assertEqual(virtual_time.run(sleep()), 3_600_000)
+
+    def test_a_wait_without_a_timer_is_an_error(self) -> None:
+        async def stall() -> None:
+            await clock.sleep(0)
+            await forever.wait()
+
+        clock = virtual_time.LoopClock()
+        forever = asyncio.Event()
+        with self.assertRaises(virtual_time.StalledError):
+            virtual_time.run(stall())
