A few gateways read all cache events; the others ask one of them

Each gateway made one HTTP call a holder every 0.3 to 1.3 s, to the holder or to a peer: some 3,400 calls a second in the fleet, growing with gateways times holders. Besides, the numbering of the changes that a gateway passed on was its own, so that a peer that changed from one gateway to another went on at a wrong place.

Change: four gateways, the same for all holders, read the events; each other gateway asks one of them for all holders in one call. Positions are the holder's own numbers, so any reader can answer; a peer that is too far behind gets all that the holder has, which also serves gateways that have just started. Fewer changes are kept (256 a holder instead of 4,000).

--- a/quincecrank/gateway/cache_directory.py
+++ b/quincecrank/gateway/cache_directory.py
@@ -105,6 +105,12 @@
             else:
                 held.pop(change.part, None)
 
+    def all_held(self, holder: HolderName) -> tuple[CacheChange, ...]:
+        """Return all that a holder has, as changes to a holder with nothing."""
+        held = self._held_by_holder.get(holder)
+        parts = held.tokens_by_part if held else {}
+        return tuple(CacheChange(part, tokens, False) for part, tokens in parts.items())
+
     def is_known(self, holder: HolderName) -> bool:
         """Return whether the holder answers, whatever it holds."""
         return holder in self._held_by_holder
--- a/quincecrank/gateway/cache_followers.py
+++ b/quincecrank/gateway/cache_followers.py
@@ -1,46 +1,51 @@
 """Follows what engines and kept-cache stores keep, through their cache events.
 
-A holder takes a few event calls at once from all callers together.  While there
-are more gateways than that, the first ones in a ranking that all gateways agree on
-ask the holder, and the others ask one of these.
+Load pattern: every gateway wants the changes of every holder, and a holder takes a few
+event calls at once from all callers together.  So a few gateways, on which all agree,
+read the holders; each of the others asks one of these for all holders in one call.  The
+calls of a fleet grow with its gateways plus its holders, not with their product.
 """
 
 import asyncio
-import collections
 import dataclasses
-import json
-from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
-from tornado import httpclient, simple_httpclient, web
+from tornado import httpclient, simple_httpclient
 
 from quincecrank import clock as clocks
 from quincecrank import ids, rendezvous, tasks
 from quincecrank.gateway import (
     cache_directory,
+    cache_history,
     decision_log,
     knowledge,
     peers,
-    prompts,
 )
 from quincecrank.platform import engines
 
+READERS: Final = 4
+"""Gateways that read the holders: three may be lost at once."""
+
+RESERVED_CALLS: Final = 4
+"""Event calls of a holder left free for gateways that rank the peers differently
+for a moment, and for calls that ended at one side only."""
+
 PAUSE_MS: Final = 300
 """Pause between calls, which bounds them to a few a second for each holder; events
 are late by a third of it anyway."""
 
 RETRY_MS: Final = 300
+
 CHECK_MS: Final = 250
 """Interval at which followers are started and ended."""
 
-RESERVED_CALLS: Final = 4
-"""Event calls of a holder left free for gateways that rank the peers differently
-for a moment, and for calls that ended at one side only."""
+PEER_TIMEOUT_MS: Final = 1_000
+"""Limit of a call to a peer: the longest wait of its answer, and as much again."""
 
-KEPT_EVENTS: Final = 4_000
-"""Changes of a holder kept for peers; the holders keep as many."""
+PEER_SILENCE_MS: Final = 2_500
+"""Time without an answer of any reader after which holders count as unknown."""
 
-RELAY_TIMEOUT_S: Final = 2.5
+_RANKING_KEY: Final = "cache-readers"
 
 _LOG: Final = decision_log.logger("cache-followers")
 
@@ -60,56 +65,15 @@
     max_event_calls: int
 
 
-class HolderHistory:
-    """Aggregate of the newest changes of one holder, as they are passed to peers."""
-
-    def __init__(self) -> None:
-        self.epoch = 0
-        self.next_number = 0
-        self.clock_ms = 0
-        self.changed = asyncio.Event()
-        self._changes: collections.deque[cache_directory.CacheChange] = (
-            collections.deque(maxlen=KEPT_EVENTS)
-        )
-
-    def restart(self, epoch: int) -> None:
-        """Begin anew with a holder that has nothing."""
-        self.epoch = epoch
-        self.next_number = 0
-        self._changes.clear()
-        self._notify()
-
-    def append(self, changes: tuple[cache_directory.CacheChange, ...]) -> None:
-        """Add changes."""
-        self._changes.extend(changes)
-        self.next_number += len(changes)
-        if changes:
-            self._notify()
-
-    def since(self, number: int) -> engines.CacheEvents:
-        """Return the changes from a number on."""
-        first = self.next_number - len(self._changes)
-        skipped = max(0, number - first)
-        changes = tuple(self._changes)[skipped:]
-        has_gap = number < first
-        return engines.CacheEvents(
-            self.epoch, self.next_number, has_gap, changes, self.clock_ms
-        )
-
-    def _notify(self) -> None:
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-
 class CacheFollowers:
-    """Runs one task for each holder.
+    """Reads the holders, or asks a gateway that does.
 
     Parameters
     ----------
     known : Knowledge
         Names the holders, and takes what they hold.
     directory : PeerTables
-        The live gateways, among which the holders are shared.
+        The live gateways.
     """
 
     def __init__(
@@ -123,26 +87,34 @@
         self._clock = clock
         self._background = tasks.BackgroundTasks()
         self._task_by_holder: dict[Holder, asyncio.Task[None]] = {}
-        self._history_by_holder: dict[cache_directory.HolderName, HolderHistory] = {}
+        self._position_by_holder: dict[
+            cache_directory.HolderName, cache_history.Position
+        ] = {}
         self._client = simple_httpclient.SimpleAsyncHTTPClient(force_instance=True)
+        self._answered_ms = clock.now_ms()
+        self._failed_peer: ids.VmName | None = None
+        self.histories = cache_history.Histories(known)
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this gateway reads the holders itself."""
+        return self._known.facts.vm in self._readers(self._holders())
 
     async def run(self) -> None:
         """Start and end followers as holders come and go."""
+        self._background.start(self._ask_peers())
         while True:
-            present = set(self._holders())
-            for holder in set(self._task_by_holder) - present:
+            present = self._holders()
+            self._forget_all_but({holder.name for holder in present})
+            wanted = set(present) if self.is_reader else set()
+            for holder in set(self._task_by_holder) - wanted:
                 self._task_by_holder.pop(holder).cancel()
-                self._lose(holder.name)
-            for holder in present - set(self._task_by_holder):
+                self.histories.drop(holder.name)
+            for holder in wanted - set(self._task_by_holder):
                 task = self._background.start(self._follow(holder))
                 self._task_by_holder[holder] = task
             await self._clock.sleep(CHECK_MS)
 
-    def history(self, name: str) -> HolderHistory | None:
-        """Return the changes of a holder that this gateway asks itself."""
-        history = self._history_by_holder.get(cache_directory.HolderName(name))
-        return history if history and history.epoch else None
-
     def _holders(self) -> tuple[Holder, ...]:
         current = self._known.current
         if current is None:
@@ -167,151 +139,124 @@
         )
         return stores + replicas
 
+    def _readers(self, holders: tuple[Holder, ...]) -> tuple[ids.VmName, ...]:
+        """Return the gateways that read the holders."""
+        gateways = [self._known.facts.vm, *self._peers.live_members()]
+        fewest = min((each.max_event_calls for each in holders), default=0)
+        count = max(1, min(READERS, fewest - RESERVED_CALLS))
+        return rendezvous.ranked(_RANKING_KEY, gateways, count)
+
     async def _follow(self, holder: Holder) -> None:
+        """Read a holder until it leaves or this gateway is no reader any more."""
         channel = engines.EventChannel(holder.address, self._clock)
+        self.histories.begin(holder.name, self._position(holder.name))
         try:
-            await self._follow_over(channel, holder)
+            while True:
+                position = self._position(holder.name)
+                try:
+                    events = await channel.events(position.next_number)
+                except engines.EngineCallError as error:
+                    self._lose(holder.name, str(error))
+                    await self._clock.sleep(RETRY_MS)
+                    continue
+                self._take(holder.name, events)
+                self.histories.append(holder.name, events)
+                await self._clock.sleep(PAUSE_MS)
         finally:
             channel.close()
 
-    async def _follow_over(self, channel: engines.EventChannel, holder: Holder) -> None:
-        history = HolderHistory()
-        self._history_by_holder[holder.name] = history
-        epoch = 0
-        number = 0
+    async def _ask_peers(self) -> None:
+        """Ask a reader for all holders while this gateway reads none."""
         while True:
-            try:
-                events = await self._ask(channel, holder, epoch, number)
-            except engines.EngineCallError as error:
-                if epoch:
-                    _LOG.warning("holder lost", holder=holder.name, error=str(error))
-                self._lose(holder.name)
-                epoch = number = 0
-                await self._clock.sleep(RETRY_MS)
+            holders = self._holders()
+            if not holders or self.is_reader:
+                self._answered_ms = self._clock.now_ms()
+                await self._clock.sleep(PAUSE_MS)
                 continue
-            if events.epoch != epoch or events.has_gap:
-                # What is held is not known any more; later events build it up.
-                _LOG.info(
-                    "holder read anew",
-                    holder=holder.name,
-                    epoch=events.epoch,
-                    gap=events.has_gap,
-                )
-                self._known.directory.restart(
-                    holder.name, events.epoch, self._clock.now_ms()
-                )
-                history.restart(events.epoch)
-            epoch, number = events.epoch, events.next_number
-            if events.clock_ms:
-                self._known.clock_offset_ms_by_holder[holder.name] = (
-                    events.clock_ms - self._clock.now_ms()
-                )
-            self._known.directory.apply(holder.name, events.changes)
-            history.clock_ms = events.clock_ms
-            history.append(events.changes)
-            await self._clock.sleep(PAUSE_MS)
+            reader = self._choose_reader(holders)
+            news = await self._ask(reader, holders) if reader else None
+            self._failed_peer = reader if news is None else None
+            if news is not None:
+                self._answered_ms = self._clock.now_ms()
+                self._take_news(news)
+                await self._clock.sleep(PAUSE_MS)
+                continue
+            if self._clock.now_ms() - self._answered_ms > PEER_SILENCE_MS:
+                for holder in holders:
+                    self._lose(holder.name, "no reader answers")
+            await self._clock.sleep(RETRY_MS)
+
+    def _choose_reader(self, holders: tuple[Holder, ...]) -> ids.VmName | None:
+        """Return the reader to ask: always the same one, until it fails."""
+        own = self._known.facts.vm
+        readers = self._readers(holders)
+        ranked = rendezvous.ranked(own, readers, len(readers))
+        answering = [each for each in ranked if each != self._failed_peer]
+        return next(iter(answering or ranked), None)
 
     async def _ask(
-        self, channel: engines.EventChannel, holder: Holder, epoch: int, number: int
-    ) -> engines.CacheEvents:
-        askers = self._askers(holder)
-        if self._known.facts.vm in askers:
-            return await channel.events(number)
-        ip = self._peers.ip_of(askers[0]) if askers else None
+        self, reader: ids.VmName, holders: tuple[Holder, ...]
+    ) -> cache_history.CacheNews | None:
+        """Return what a reader knows beyond the own positions; None if it fails."""
+        ip = self._peers.ip_of(reader)
         if ip is None:
-            raise engines.EngineCallError("no peer follows the holder")
-        return await self._ask_peer(ip, holder.name, epoch, number)
-
-    def _askers(self, holder: Holder) -> tuple[ids.VmName, ...]:
-        """Return the gateways that ask a holder themselves."""
-        gateways = [self._known.facts.vm, *self._peers.live_members()]
-        count = max(1, holder.max_event_calls - RESERVED_CALLS)
-        return rendezvous.ranked(holder.name, gateways, count)
-
-    async def _ask_peer(
-        self, ip: str, name: str, epoch: int, number: int
-    ) -> engines.CacheEvents:
-        port = self._known.facts.peer_port
+            return None
+        position_by_holder = {each.name: self._position(each.name) for each in holders}
+        timeout_s = PEER_TIMEOUT_MS / clocks.MS_PER_SECOND
         request = httpclient.HTTPRequest(
-            f"http://{ip}:{port}/cache/{name}?epoch={epoch}&since={number}",
-            connect_timeout=RELAY_TIMEOUT_S,
-            request_timeout=RELAY_TIMEOUT_S,
+            f"http://{ip}:{self._known.facts.peer_port}/cache",
+            method="POST",
+            body=cache_history.encode_positions(position_by_holder),
+            connect_timeout=timeout_s,
+            request_timeout=timeout_s,
         )
         try:
             response = await self._client.fetch(request)
-            return decode_events(response.body)
-        except (OSError, httpclient.HTTPError, ValueError, KeyError) as error:
-            raise engines.EngineCallError(f"peer {ip}: {error!r}") from error
+            return cache_history.decode_news(response.body)
+        except (
+            OSError,
+            httpclient.HTTPError,
+            ValueError,
+            KeyError,
+            TypeError,
+        ) as error:
+            _LOG.warning("reader gave no cache events", peer=reader, error=repr(error))
+            return None
+
+    def _take_news(self, news: cache_history.CacheNews) -> None:
+        for name in news.unknown:
+            self._lose(name, "not known to the reader")
+        for name, events in news.events_by_holder.items():
+            self._take(name, events)
+
+    def _take(
+        self, name: cache_directory.HolderName, events: engines.CacheEvents
+    ) -> None:
+        position = self._position(name)
+        if events.epoch != position.epoch or events.has_gap:
+            # What is held is not known any more; later events build it up.
+            _LOG.info(
+                "holder read anew", holder=name, epoch=events.epoch, gap=events.has_gap
+            )
+            now_ms = self._clock.now_ms()
+            self._known.directory.restart(name, events.epoch, now_ms)
+        if events.clock_ms:
+            offset_ms = events.clock_ms - self._clock.now_ms()
+            self._known.clock_offset_ms_by_holder[name] = offset_ms
+        self._known.directory.apply(name, events.changes)
+        self._position_by_holder[name] = cache_history.Position(
+            events.epoch, events.next_number
+        )
+
+    def _position(self, name: cache_directory.HolderName) -> cache_history.Position:
+        return self._position_by_holder.get(name, cache_history.Position())
 
-    def _lose(self, name: cache_directory.HolderName) -> None:
+    def _lose(self, name: cache_directory.HolderName, reason: str) -> None:
+        if self._position_by_holder.pop(name, None) is not None:
+            _LOG.warning("holder lost", holder=name, reason=reason)
         self._known.directory.forget(name)
-        history = self._history_by_holder.get(name)
-        if history is not None:
-            history.restart(0)
-
-
-class CacheHandler(web.RequestHandler):
-    """`GET /cache/HOLDER`: changes of a holder, for peers."""
-
-    def initialize(self, find: Callable[[str], HolderHistory | None]) -> None:
-        """Keep the reader of histories."""
-        self._find = find
-
-    async def get(self, name: str) -> None:
-        """Answer with the changes from a number on, after a wait if there are none."""
-        history = self._find(name)
-        if history is None:
-            self.set_status(404)
-            return
-        since = int(self.get_query_argument("since", "0"))
-        if int(self.get_query_argument("epoch", "0")) != history.epoch:
-            since = 0
-        elif since >= history.next_number:
-            try:
-                timeout_s = engines.EVENTS_WAIT_MS / clocks.MS_PER_SECOND
-                await asyncio.wait_for(history.changed.wait(), timeout_s)
-            except TimeoutError:
-                pass  # No change is an answer, too.
-        self.finish(encode_events(history.since(since)))
-
-
-def encode_events(events: engines.CacheEvents) -> bytes:
-    """Return events as a document for peers."""
-    document = {
-        "epoch": events.epoch,
-        "next": events.next_number,
-        "gap": events.has_gap,
-        "clock_ms": events.clock_ms,
-        "changes": [
-            [each.part.salt, each.part.part_id, each.tokens, each.is_removal]
-            for each in events.changes
-        ],
-    }
-    return json.dumps(document).encode()
-
-
-def decode_events(document: bytes) -> engines.CacheEvents:
-    """Return the events of a peer's document.
-
-    Raises
-    ------
-    ValueError, KeyError
-        If it has another form.
-    """
-    decoded: dict[str, Any] = json.loads(document)
-    return engines.CacheEvents(
-        epoch=int(decoded["epoch"]),
-        next_number=int(decoded["next"]),
-        has_gap=bool(decoded["gap"]),
-        changes=tuple(
-            cache_directory.CacheChange(
-                cache_directory.PartKey(
-                    cache_directory.CacheSalt(salt), prompts.PartId(part_id)
-                ),
-                int(tokens),
-                bool(is_removal),
-            )
-            for salt, part_id, tokens, is_removal in decoded["changes"]
-        ),
-        clock_ms=int(decoded["clock_ms"]),
-    )
+        self.histories.drop(name)
+
+    def _forget_all_but(self, present: set[cache_directory.HolderName]) -> None:
+        for name in set(self._position_by_holder) - present:
+            self._lose(name, "not a holder any more")
--- /dev/null
+++ b/quincecrank/gateway/cache_history.py
@@ -0,0 +1,296 @@
+"""Changes of what holders keep, as gateways pass them on to each other.
+
+Terms
+-----
+position
+    The point in a holder's changes up to which a gateway knows them: the holder's
+    epoch and its own number of the next change.  Any gateway understands it.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import json
+from collections.abc import Iterable, Mapping
+from typing import Any, Final
+
+from tornado import web
+
+from quincecrank import clock as clocks
+from quincecrank.gateway import cache_directory, knowledge, prompts
+from quincecrank.platform import engines
+
+KEPT_CHANGES: Final = 256
+"""Changes of a holder kept for peers: many times what it makes between two calls.  A
+peer that is further behind gets all that the holder has."""
+
+_BAD_REQUEST: Final = 400
+_UNAVAILABLE: Final = 503
+
+PEER_WAIT_MS: Final = 500
+"""Longest wait of a peer's call for the first change."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Position:
+    """Up to where the changes of a holder are known; nothing is by default."""
+
+    epoch: int = 0
+    next_number: int = 0
+
+
+class HolderHistory:
+    """Aggregate of the newest changes of one holder, in the answers that they came in.
+
+    A peer at a position inside an answer gets the whole answer again: changes say
+    what is held now, so taking them twice in order does no harm.
+
+    Parameters
+    ----------
+    position : Position
+        Up to where the holder is known when the history begins.
+    """
+
+    def __init__(self, position: Position) -> None:
+        self.position = position
+        self._start = position
+        self._answers: collections.deque[engines.CacheEvents] = collections.deque()
+        self._kept = 0
+
+    def append(self, events: engines.CacheEvents) -> None:
+        """Add the answer to an event call; begin anew after a gap or a restart."""
+        is_new = events.has_gap or events.epoch != self.position.epoch
+        self.position = Position(events.epoch, events.next_number)
+        if is_new:
+            self._answers.clear()
+            self._kept = 0
+            self._start = self.position
+            return
+        if events.changes:
+            self._answers.append(events)
+            self._kept += len(events.changes)
+        while self._kept > KEPT_CHANGES:
+            oldest = self._answers.popleft()
+            self._kept -= len(oldest.changes)
+            self._start = Position(events.epoch, oldest.next_number)
+
+    def since(
+        self, position: Position
+    ) -> tuple[cache_directory.CacheChange, ...] | None:
+        """Return the changes from a position on; None if they are not kept."""
+        if (
+            position.epoch != self._start.epoch
+            or not self._start.next_number
+            <= position.next_number
+            <= self.position.next_number
+        ):
+            return None
+        return tuple(
+            change
+            for answer in self._answers
+            if answer.next_number > position.next_number
+            for change in answer.changes
+        )
+
+
+class Histories:
+    """The histories of all holders that this gateway reads itself.
+
+    Parameters
+    ----------
+    known : Knowledge
+        What the holders have, and their clocks.
+    """
+
+    def __init__(self, known: knowledge.Knowledge) -> None:
+        self._known = known
+        self._history_by_holder: dict[cache_directory.HolderName, HolderHistory] = {}
+        self._changed = asyncio.Event()
+
+    def __len__(self) -> int:
+        return len(self._history_by_holder)
+
+    def begin(self, holder: cache_directory.HolderName, position: Position) -> None:
+        """Begin with a holder that is known up to a position."""
+        self._history_by_holder[holder] = HolderHistory(position)
+
+    def append(
+        self, holder: cache_directory.HolderName, events: engines.CacheEvents
+    ) -> None:
+        """Add an answer of a holder, after it was taken."""
+        if holder not in self._history_by_holder:
+            self.begin(holder, Position())
+        self._history_by_holder[holder].append(events)
+        if events.changes or events.has_gap:
+            self._changed.set()
+            self._changed = asyncio.Event()
+
+    def drop(self, holder: cache_directory.HolderName) -> None:
+        """Forget a holder that does not answer or is not read any more."""
+        self._history_by_holder.pop(holder, None)
+
+    def news(
+        self, position_by_holder: Mapping[cache_directory.HolderName, Position]
+    ) -> "CacheNews":
+        """Return what a peer at these positions lacks."""
+        unknown = tuple(
+            holder
+            for holder in position_by_holder
+            if holder not in self._history_by_holder
+        )
+        events_by_holder = {}
+        for holder, position in position_by_holder.items():
+            history = self._history_by_holder.get(holder)
+            if history is not None and history.position != position:
+                events_by_holder[holder] = self._events(holder, history, position)
+        return CacheNews(events_by_holder, unknown)
+
+    async def wait_for_change(self) -> None:
+        """Return after the next change of any holder, or after a while."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(
+                self._changed.wait(), PEER_WAIT_MS / clocks.MS_PER_SECOND
+            )
+
+    def _events(
+        self,
+        holder: cache_directory.HolderName,
+        history: HolderHistory,
+        position: Position,
+    ) -> engines.CacheEvents:
+        """Return the changes after a position, or all that the holder has."""
+        changes = history.since(position)
+        has_gap = changes is None
+        if changes is None:
+            changes = self._known.directory.all_held(holder)
+        return engines.CacheEvents(
+            history.position.epoch,
+            history.position.next_number,
+            has_gap,
+            changes,
+            self._known.holder_clock_ms(holder) or 0,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheNews:
+    """What one gateway tells another of the holders.
+
+    Attributes
+    ----------
+    unknown : tuple of HolderName
+        Holders asked for that the teller does not read, or that do not answer.
+    """
+
+    events_by_holder: Mapping[cache_directory.HolderName, engines.CacheEvents]
+    unknown: tuple[cache_directory.HolderName, ...]
+
+
+class CacheHandler(web.RequestHandler):
+    """`POST /cache`: changes of many holders after the positions in the body."""
+
+    def initialize(self, histories: Histories) -> None:
+        """Keep the histories."""
+        self._histories = histories
+
+    async def post(self) -> None:
+        """Answer with what the peer lacks, after a wait if it lacks nothing."""
+        try:
+            position_by_holder = decode_positions(self.request.body)
+        except (ValueError, TypeError) as error:
+            self.set_status(_BAD_REQUEST, str(error))
+            return
+        if not len(self._histories):
+            self.set_status(_UNAVAILABLE, "reads no holders")
+            return
+        news = self._histories.news(position_by_holder)
+        if not news.events_by_holder and not news.unknown:
+            await self._histories.wait_for_change()
+            news = self._histories.news(position_by_holder)
+        self.finish(encode_news(news))
+
+
+def encode_positions(
+    position_by_holder: Mapping[cache_directory.HolderName, Position],
+) -> bytes:
+    """Return positions as a document for a peer."""
+    return json.dumps(
+        [
+            [holder, position.epoch, position.next_number]
+            for holder, position in position_by_holder.items()
+        ]
+    ).encode()
+
+
+def decode_positions(
+    document: bytes,
+) -> dict[cache_directory.HolderName, Position]:
+    """Return the positions of a peer's document.
+
+    Raises
+    ------
+    ValueError, TypeError
+        If it has another form.
+    """
+    return {
+        cache_directory.HolderName(str(holder)): Position(int(epoch), int(number))
+        for holder, epoch, number in json.loads(document)
+    }
+
+
+def encode_news(news: CacheNews) -> bytes:
+    """Return news as a document for a peer."""
+    document = {
+        "unknown": news.unknown,
+        "holders": [
+            {
+                "name": holder,
+                "epoch": events.epoch,
+                "next": events.next_number,
+                "gap": events.has_gap,
+                "clock_ms": events.clock_ms,
+                "changes": [
+                    [each.part.salt, each.part.part_id, each.tokens, each.is_removal]
+                    for each in events.changes
+                ],
+            }
+            for holder, events in news.events_by_holder.items()
+        ],
+    }
+    return json.dumps(document).encode()
+
+
+def decode_news(document: bytes) -> CacheNews:
+    """Return the news of a peer's document.
+
+    Raises
+    ------
+    ValueError, KeyError, TypeError
+        If it has another form.
+    """
+    decoded: dict[str, Any] = json.loads(document)
+    return CacheNews(
+        {
+            cache_directory.HolderName(str(each["name"])): engines.CacheEvents(
+                epoch=int(each["epoch"]),
+                next_number=int(each["next"]),
+                has_gap=bool(each["gap"]),
+                changes=tuple(_changes(each["changes"])),
+                clock_ms=int(each["clock_ms"]),
+            )
+            for each in decoded["holders"]
+        },
+        tuple(cache_directory.HolderName(str(each)) for each in decoded["unknown"]),
+    )
+
+
+def _changes(rows: Iterable[Any]) -> Iterable[cache_directory.CacheChange]:
+    for salt, part_id, tokens, is_removal in rows:
+        yield cache_directory.CacheChange(
+            cache_directory.PartKey(
+                cache_directory.CacheSalt(salt), prompts.PartId(part_id)
+            ),
+            int(tokens),
+            bool(is_removal),
+        )
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -18,6 +18,7 @@
 from quincecrank import status_server, store_rows, tasks
 from quincecrank.gateway import (
     cache_followers,
+    cache_history,
     callers,
     crash_suspicions,
     decision_log,
@@ -129,9 +130,9 @@
             [
                 peers.rows_rule(self._rows),
                 (
-                    r"/cache/([^/]+)",
-                    cache_followers.CacheHandler,
-                    {"find": self._caches.history},
+                    "/cache",
+                    cache_history.CacheHandler,
+                    {"histories": self._caches.histories},
                 ),
             ],
         )
--- /dev/null
+++ b/tests/test_gateway_caches.py
@@ -0,0 +1,241 @@
+"""Tests of how gateways learn from each other what the holders keep."""
+
+import asyncio
+import dataclasses
+import random
+import unittest
+
+from tornado import httpserver, netutil, web
+
+from quincecrank import clock as clocks
+from quincecrank import ids
+from quincecrank.gateway import (
+    cache_directory,
+    cache_followers,
+    cache_history,
+    knowledge,
+    peers,
+    prompts,
+)
+from quincecrank.platform import documents, engines
+from tests import builders_gateway as builders
+
+HOLDER = cache_directory.HolderName("store-a")
+SALT = cache_directory.make_salt(builders.MODEL, 1, None)
+
+
+def make_change(
+    number: int, *, is_removal: bool = False
+) -> cache_directory.CacheChange:
+    """Return the change of one of seven parts."""
+    part = cache_directory.PartKey(SALT, prompts.PartId(f"p{number % 7}"))
+    return cache_directory.CacheChange(part, 0 if is_removal else 100, is_removal)
+
+
+def make_events(
+    first: int, count: int, *, epoch: int = 9, has_gap: bool = False
+) -> engines.CacheEvents:
+    """Return the answer with the changes from a number on; each third is a removal."""
+    changes = tuple(
+        make_change(number, is_removal=number % 3 == 0)
+        for number in range(first, first + count)
+    )
+    return engines.CacheEvents(epoch, first + count, has_gap, changes, 1_000)
+
+
+def make_knowledge(peer_port: int = 1) -> knowledge.Knowledge:
+    """Return what a gateway knows that has read its configuration."""
+    known = knowledge.Knowledge(
+        builders.make_environment(peer_port), clocks.SystemClock()
+    )
+    known.take_configuration(
+        documents.configuration(builders.make_configuration_text())
+    )
+    return known
+
+
+class HistoryTest(unittest.TestCase):
+    def test_a_peer_anywhere_ends_with_the_same_parts(self) -> None:
+        generator = random.Random(5)
+        reader = make_knowledge()
+        histories = cache_history.Histories(reader)
+        peer = cache_directory.CacheDirectory()
+        position = cache_history.Position()
+        number, epoch = 0, 9
+        for _ in range(400):
+            has_restarted = generator.random() < 0.05
+            has_gap = generator.random() < 0.05
+            if has_restarted:
+                number, epoch = 0, epoch + 1
+            number += generator.randrange(50) if has_gap else 0
+            events = make_events(
+                number, generator.randrange(60), epoch=epoch, has_gap=has_gap
+            )
+            number = events.next_number
+            if has_gap or reader.directory.epoch_of(HOLDER) != epoch:
+                reader.directory.restart(HOLDER, epoch, 0)
+            reader.directory.apply(HOLDER, events.changes)
+            histories.append(HOLDER, events)
+            if generator.random() < 0.5:
+                continue
+            news = histories.news({HOLDER: position})
+            told = news.events_by_holder.get(HOLDER)
+            if told is not None:
+                if told.has_gap or told.epoch != position.epoch:
+                    peer.restart(HOLDER, told.epoch, 0)
+                peer.apply(HOLDER, told.changes)
+                position = cache_history.Position(told.epoch, told.next_number)
+            self.assertEqual(
+                set(peer.all_held(HOLDER)), set(reader.directory.all_held(HOLDER))
+            )
+
+    def test_a_peer_that_is_up_to_date_gets_nothing(self) -> None:
+        histories = cache_history.Histories(make_knowledge())
+        histories.begin(HOLDER, cache_history.Position(9, 40))
+        news = histories.news({HOLDER: cache_history.Position(9, 40)})
+        self.assertEqual(news, cache_history.CacheNews({}, ()))
+
+    def test_a_holder_that_is_not_read_is_named(self) -> None:
+        histories = cache_history.Histories(make_knowledge())
+        news = histories.news({HOLDER: cache_history.Position()})
+        self.assertEqual(news.unknown, (HOLDER,))
+
+    def test_a_reader_keeps_a_bounded_number_of_changes(self) -> None:
+        history = cache_history.HolderHistory(cache_history.Position(9, 0))
+        for first in range(0, 10 * cache_history.KEPT_CHANGES, 50):
+            history.append(make_events(first, 50))
+        self.assertIsNone(history.since(cache_history.Position(9, 0)))
+        newest = history.position.next_number
+        known = cache_history.Position(9, newest - cache_history.KEPT_CHANGES + 50)
+        changes = history.since(known)
+        assert changes is not None
+        self.assertLessEqual(len(changes), cache_history.KEPT_CHANGES)
+        self.assertGreaterEqual(len(changes), newest - known.next_number)
+
+    def test_documents_keep_their_fields(self) -> None:
+        position_by_holder = {HOLDER: cache_history.Position(9, 40)}
+        document = cache_history.encode_positions(position_by_holder)
+        self.assertEqual(cache_history.decode_positions(document), position_by_holder)
+        news = cache_history.CacheNews({HOLDER: make_events(3, 4)}, (HOLDER,))
+        document = cache_history.encode_news(news)
+        self.assertEqual(cache_history.decode_news(document), news)
+        for text in (b"5", b"[[1]]", b"{", b'[["a", "b", 1]]'):
+            with self.subTest(text), self.assertRaises((ValueError, TypeError)):
+                cache_history.decode_positions(text)
+
+
+class _Members(peers.PeerTables):
+    """Live peers at one address."""
+
+    def __init__(self, known: knowledge.Knowledge, names: tuple[str, ...]) -> None:
+        super().__init__(known.facts, known.clock)
+        self.names = tuple(ids.VmName(name) for name in names)
+
+    def live_members(self) -> tuple[ids.VmName, ...]:
+        return self.names
+
+    def ip_of(self, member: ids.VmName) -> str | None:
+        return "127.0.0.1" if member in self.names else None
+
+
+class FollowersTest(unittest.IsolatedAsyncioTestCase):
+    """A gateway that reads no holder asks one reader for all of them."""
+
+    async def asyncSetUp(self) -> None:
+        self.reader = make_knowledge()
+        self.histories = cache_history.Histories(self.reader)
+        application = web.Application(
+            [("/cache", cache_history.CacheHandler, {"histories": self.histories})],
+            log_function=lambda _handler: None,
+        )
+        server = httpserver.HTTPServer(application)
+        sockets = netutil.bind_sockets(0, "127.0.0.1")
+        server.add_sockets(sockets)
+        self.addCleanup(server.stop)
+        self.known = make_knowledge(sockets[0].getsockname()[1])
+        names = tuple(f"reader-{number}" for number in range(40))
+        members = _Members(self.known, names)
+        self.followers = cache_followers.CacheFollowers(
+            self.known, members, self.known.clock
+        )
+        for number in range(20):
+            self.known.registry.update(builders.make_entry(f"i-{number}"))
+
+    def read(self, holder: cache_directory.HolderName, count: int) -> None:
+        """Have the reader learn of the first changes of a holder."""
+        events = make_events(0, count)
+        self.reader.directory.restart(holder, events.epoch, 0)
+        self.reader.directory.apply(holder, events.changes)
+        self.histories.append(holder, events)
+
+    async def run_until_known(self, holders: int) -> None:
+        """Run the followers until they know as many holders."""
+        running = asyncio.ensure_future(self.followers.run())
+        try:
+            async with asyncio.timeout(10):
+                while not self.known_holders() >= holders:
+                    await asyncio.sleep(0.01)
+        finally:
+            running.cancel()
+
+    def known_holders(self) -> int:
+        return sum(
+            self.known.directory.is_known(cache_directory.HolderName(f"i-{number}"))
+            for number in range(20)
+        )
+
+    async def test_one_call_brings_all_holders(self) -> None:
+        for number in range(20):
+            self.read(cache_directory.HolderName(f"i-{number}"), 30)
+        asked = []
+        news = self.histories.news
+        self.histories.news = lambda at: asked.append(at) or news(at)  # type: ignore[func-returns-value,method-assign,assignment]
+        await self.run_until_known(20)
+        self.assertEqual(len(asked), 1)
+        self.assertEqual(
+            set(self.known.directory.all_held(cache_directory.HolderName("i-3"))),
+            set(self.reader.directory.all_held(cache_directory.HolderName("i-3"))),
+        )
+
+    async def test_a_holder_that_the_reader_lost_is_forgotten(self) -> None:
+        for number in range(20):
+            self.read(cache_directory.HolderName(f"i-{number}"), 30)
+        await self.run_until_known(20)
+        self.histories.drop(cache_directory.HolderName("i-3"))
+        running = asyncio.ensure_future(self.followers.run())
+        async with asyncio.timeout(10):
+            while self.known_holders() == 20:
+                await asyncio.sleep(0.01)
+        running.cancel()
+        self.assertEqual(self.known_holders(), 19)
+
+    async def test_holders_are_kept_while_a_reader_changes(self) -> None:
+        # A gateway that has just become a reader has no changes yet, but goes on from
+        # where it was; one that has stopped reading answers that it reads nothing.
+        self.read(cache_directory.HolderName("i-3"), 30)
+        await self.run_until_known(1)
+        position = cache_history.Position(9, 30)
+        self.histories.drop(cache_directory.HolderName("i-3"))
+        self.histories.begin(cache_directory.HolderName("i-3"), position)
+        running = asyncio.ensure_future(self.followers.run())
+        await asyncio.sleep(0.5)
+        self.histories.drop(cache_directory.HolderName("i-3"))
+        await asyncio.sleep(0.5)
+        running.cancel()
+        self.assertEqual(self.known_holders(), 1)
+
+
+class ReadersTest(unittest.TestCase):
+    def test_a_few_gateways_read_all_holders(self) -> None:
+        names = [f"gateway-{number}" for number in range(45)]
+        reader_names = set()
+        for own in names:
+            known = make_knowledge()
+            known.facts = dataclasses.replace(known.facts, vm=ids.VmName(own))
+            known.registry.update(builders.make_entry())
+            others = tuple(each for each in names if each != own)
+            members = _Members(known, others)
+            followers = cache_followers.CacheFollowers(known, members, known.clock)
+            if followers.is_reader:
+                reader_names.add(own)
+        self.assertEqual(len(reader_names), cache_followers.READERS)
