The waiting line puts requests that can be on time first

The replay in bench/gateway_model.py shows the same with four engines for the load of five and a half, and three reasons: (1) the expected wait divided by the starts of all requests, and the many short urgent ones hid that long ones hardly moved; (2) requests were sent to engines with up to 400 ms of prompts before them, whatever their target; (3) late requests took places for which others, still on time, had to wait and became late in turn.

Ruled out: memory (no preemption), herds (mended before), the figure of 4 ms for each running request as a delay: it is a preference for idle engines, and made short prompts seem late at engines with 40 requests.

Change: the line goes by chance (on time or late), urgency and arrival; waits are estimated for each rank by its own starts; a request goes only to an engine that would compute its prompt in 0.8 of its time; a late one only where no prompt is being read, and not within a second after one that could be on time found no place. The estimate of an engine follows its data sheet (pieces of 1,024 tokens between steps). Requests that would come too late for their turn are refused when that is known. Engines without room are left out before the costly part of placement, and loads of peers are kept by server.

Failed try: the time before a request's arrival, guessed from the time that its caller has left, to recognise those that were refused and came back.

--- a/bench/gateway_model.py
+++ b/bench/gateway_model.py
@@ -135,6 +135,15 @@
     returned_in_vain: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """A request that was answered, by the time of its first attempt."""
+
+    asked_ms: int
+    kind: str
+    is_on_time: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Result:
     """Outcome of a replay.
@@ -146,6 +155,7 @@
     """
 
     outcome_by_kind: dict[str, Outcome]
+    answered: tuple[Answered, ...]
     value: float
     owed: float
     preempted: int
@@ -255,6 +265,7 @@
         ]
         self._engine_by_server: dict[servers.ServerId, model_engine.ModelEngine] = {}
         self._outcome_by_kind = {kind.name: Outcome() for kind in pattern.kinds}
+        self._answered: list[Answered] = []
         self._value = 0.0
         self._owed = 0.0
 
@@ -272,6 +283,7 @@
         await self._clock.sleep(END_MARGIN_MS)
         return Result(
             self._outcome_by_kind,
+            tuple(self._answered),
             self._value,
             self._owed,
             sum(each.preempted for each in self._engine_by_server.values()),
@@ -392,6 +404,7 @@
             now_ms,
             began_ms + kind.deadline_ms,
             kind.target_ms,
+            dispatcher.least_run_ms(arrival.prompt),
         )
         want = dispatcher.Want(ticket, self._service, None, arrival.prompt)
         placed = await self._dispatchers[number].place(want)
@@ -418,7 +431,9 @@
     def _count(self, kind: Kind, began_ms: int) -> None:
         outcome = self._outcome_by_kind[kind.name]
         took_ms = self._clock.now_ms() - began_ms + model_engine.FIRST_EVENT_MS
-        if took_ms <= kind.target_ms:
+        is_on_time = took_ms <= kind.target_ms
+        self._answered.append(Answered(began_ms, kind.name, is_on_time))
+        if is_on_time:
             outcome.on_time += 1
             self._value += kind.worth
         else:
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -7,9 +7,10 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Sequence
 from typing import Final
 
-from quincecrank import ids
+from quincecrank import ids, rendezvous
 from quincecrank.gateway import (
     cache_directory,
     decision_log,
@@ -96,6 +97,12 @@
 """Answer time of a plain service against which slowness is measured."""
 
 
+def least_run_ms(prompt: prompts.Prompt) -> float:
+    """Return the time to the first event at an idle engine with the shared parts."""
+    own_tokens = prompt.input_tokens - prompt.shared_tokens
+    return FIRST_EVENT_MS + own_tokens / placement.PREFILL_TOKENS_PER_MS
+
+
 class Dispatcher:
     """Places the requests of all services.
 
@@ -132,6 +139,7 @@
             placed = self._try_place(want)
             if placed is not None:
                 return placed
+        line.found_no_place(want.ticket, now_ms)
         if not line.accepts(want.ticket, now_ms):
             return self._refuse_late(want, line)
         return await self._wait(want, line)
@@ -152,10 +160,10 @@
             return
         self._has_waiting.set()
         now_ms = self._known.clock.now_ms()
-        for ticket in line.take_late(now_ms):
+        for ticket in line.take_hopeless(now_ms):
             want = self._want_by_request[ticket.request_id]
             self._resolve(ticket.request_id, self._refuse_late(want, line))
-        for index, ticket in enumerate(line.in_order()[:MAX_OVERTAKING]):
+        for index, ticket in enumerate(line.in_order(now_ms)[:MAX_OVERTAKING]):
             placed = self._try_place(self._want_by_request[ticket.request_id])
             if placed is not None:
                 line.remove(ticket.request_id)
@@ -194,13 +202,17 @@
         future.set_result(result)
 
     def _try_place(self, want: Want) -> Placed | None:
+        now_ms = self._known.clock.now_ms()
+        line = self._line(want.service.name)
+        if not line.may_start(want.ticket, now_ms):
+            return None
         placed = (
             self._place_plain(want)
             if want.prompt is None or want.service.engine is None
             else self._place_engine(want, want.prompt, want.service.engine)
         )
         if placed is not None:
-            self._line(want.service.name).started(self._known.clock.now_ms())
+            line.started(want.ticket, now_ms)
         return placed
 
     def _place_plain(self, want: Want) -> Placed | None:
@@ -240,14 +252,30 @@
         sources = (
             self._known.sources(want.service, prompt.model, current) if current else ()
         )
+        need = placement.EngineNeed(
+            home=_home(prompt, usable),
+            memory_tokens=prompt.memory_tokens,
+            engine_memory_tokens=engine.memory_tokens,
+            slack_ms=_slack_ms(want.ticket, now_ms),
+        )
+        load_by_server = {
+            each.server_id: self._known.loads.of(each.server_id, now_ms)
+            for each in usable
+        }
+        # Plans take the most time, and under overload few engines have room.
+        roomy = [
+            each
+            for each in usable
+            if placement.has_room(load_by_server[each.server_id], each.slots, need)
+        ]
         plans = {
             each.server_id: self._plan(want, prompt, engine, each, sources)
-            for each in usable
+            for each in roomy
         }
         candidates = [
             placement.Candidate(
                 each,
-                self._known.loads.of(each.server_id, now_ms),
+                load_by_server[each.server_id],
                 slowness_by_server[each.server_id],
                 plans[each.server_id].missing_tokens,
                 plans[each.server_id].transfers.expected_ms,
@@ -255,13 +283,8 @@
                     prompt.model, plans[each.server_id].version, now_ms
                 ),
             )
-            for each in usable
+            for each in roomy
         ]
-        need = placement.EngineNeed(
-            home_key=_home_key(prompt),
-            memory_tokens=prompt.memory_tokens,
-            engine_memory_tokens=engine.memory_tokens,
-        )
         chosen = placement.choose_engine(candidates, need)
         if chosen is None:
             return None
@@ -285,7 +308,10 @@
             missing=plan.missing_tokens,
             fetched=plan.transfers.fetched_tokens,
             prompt=prompt.input_tokens,
-            home=need.home_key,
+            waited_ms=now_ms - want.ticket.arrived_ms,
+            chance=want.ticket.chance(now_ms).name,
+            expected_ms=round(placement.engine_cost_ms(chosen)),
+            home=need.home,
             saved=sum(each is not None for each in transfers.save_to),
             weights=plan.version,
             slowness=round(chosen.slowness, 2),
@@ -382,6 +408,7 @@
             service=want.service.name,
             reason=reason,
             waited_ms=now_ms - want.ticket.arrived_ms,
+            chance=want.ticket.chance(now_ms).name,
             waiting=len(self._line(want.service.name)),
             retry_after_ms=retry_after_ms,
         )
@@ -399,6 +426,17 @@
     transfers: kept_parts.Transfers
 
 
-def _home_key(prompt: prompts.Prompt) -> str:
+def _slack_ms(ticket: waiting.Ticket, now_ms: int) -> float | None:
+    """Return how long an engine may take to compute a prompt that can be on time."""
+    if ticket.chance(now_ms) is waiting.Chance.LATE:
+        return None
+    return ticket.on_time_until_ms - now_ms - FIRST_EVENT_MS
+
+
+def _home(
+    prompt: prompts.Prompt, usable: Sequence[servers.ServerEntry]
+) -> servers.ServerId:
+    """Return the replica that the prompt's shared parts hash to."""
     shared = prompt.shared_parts or prompt.parts
-    return shared[-1].part_id if shared else ""
+    key = shared[-1].part_id if shared else ""
+    return rendezvous.ranked(key, [each.server_id for each in usable], 1)[0]
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -451,15 +451,17 @@
         )
 
     def _want(self, job: jobs.Job) -> dispatcher.Want:
+        prompt = job.said.prompt
         ticket = waiting.Ticket(
             request_id=job.said.request_id,
             urgency=job.urgency,
             arrived_ms=job.request.received_ms,
             deadline_ms=job.deadline_ms,
             target_ms=job.route.target_ms,
+            least_run_ms=dispatcher.least_run_ms(prompt) if prompt else 0.0,
         )
         return dispatcher.Want(
-            ticket, job.service, job.account, job.said.prompt, frozenset(job.tried)
+            ticket, job.service, job.account, prompt, frozenset(job.tried)
         )
 
     def _target(
--- a/quincecrank/gateway/knowledge.py
+++ b/quincecrank/gateway/knowledge.py
@@ -69,6 +69,7 @@
         """Forget all that is known of a server that has left."""
         self.links.forget(server_id)
         self.health.forget(server_id)
+        self.loads.forget_server(server_id)
         self.directory.forget(cache_directory.HolderName(server_id))
 
     def has_crashed(self, suspicion: crash_suspicions.Suspicion) -> bool:
--- a/quincecrank/gateway/loads.py
+++ b/quincecrank/gateway/loads.py
@@ -55,12 +55,6 @@
     prefill_tokens: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _PeerReport:
-    received_ms: int
-    load_by_server: dict[servers.ServerId, Load]
-
-
 LoadTeller = Callable[[servers.ServerId, Load], None]
 
 
@@ -81,7 +75,8 @@
     def __init__(self) -> None:
         self.tell: LoadTeller = tell_nobody
         self._runs_by_server: dict[servers.ServerId, dict[ids.RequestId, _Run]] = {}
-        self._report_by_peer: dict[ids.VmName, _PeerReport] = {}
+        self._reported_ms_by_peer: dict[ids.VmName, int] = {}
+        self._peer_loads_by_server: dict[servers.ServerId, dict[ids.VmName, Load]] = {}
 
     def started(
         self,
@@ -121,7 +116,11 @@
         now_ms: int,
     ) -> None:
         """Take the load report of a peer."""
-        self._report_by_peer[peer] = _PeerReport(now_ms, dict(load_by_server))
+        self._reported_ms_by_peer[peer] = now_ms
+        for load_by_peer in self._peer_loads_by_server.values():
+            load_by_peer.pop(peer, None)
+        for server_id, load in load_by_server.items():
+            self._peer_loads_by_server.setdefault(server_id, {})[peer] = load
 
     def peer_changed(
         self, peer: ids.VmName, server_id: servers.ServerId, load: Load
@@ -131,9 +130,8 @@
         Changes of a peer whose reports do not arrive are not used, as nothing would
         correct them.
         """
-        report = self._report_by_peer.get(peer)
-        if report is not None:
-            report.load_by_server[server_id] = load
+        if peer in self._reported_ms_by_peer:
+            self._peer_loads_by_server.setdefault(server_id, {})[peer] = load
 
     def own(self) -> dict[servers.ServerId, Load]:
         """Return this gateway's work by backend server."""
@@ -142,11 +140,15 @@
     def of(self, server_id: servers.ServerId, now_ms: int) -> Load:
         """Return all known work at a backend server."""
         total = self._own(server_id)
-        for report in self._report_by_peer.values():
-            if now_ms - report.received_ms < PEER_EXPIRY_MS:
-                total = total.plus(report.load_by_server.get(server_id, Load()))
+        for peer, load in self._peer_loads_by_server.get(server_id, {}).items():
+            if now_ms - self._reported_ms_by_peer[peer] < PEER_EXPIRY_MS:
+                total = total.plus(load)
         return total
 
+    def forget_server(self, server_id: servers.ServerId) -> None:
+        """Forget what peers have sent to a server that has left."""
+        self._peer_loads_by_server.pop(server_id, None)
+
     def _tell_change(self, server_id: servers.ServerId, tokens: int) -> None:
         if tokens >= MIN_TOLD_TOKENS:
             self.tell(server_id, self._own(server_id))
--- a/quincecrank/gateway/placement.py
+++ b/quincecrank/gateway/placement.py
@@ -13,20 +13,33 @@
 from quincecrank import rendezvous
 from quincecrank.gateway import loads, servers
 
-PREFILL_TOKENS_PER_MS: Final = 80.0
-"""Prompt tokens that an engine computes in a millisecond before its speed is
-observed; a little below the engines' data sheet, which ignores running requests."""
+PREFILL_TOKENS_PER_MS: Final = 92.0
+"""Prompt tokens that an engine computes in a millisecond, by its data sheet."""
 
-REQUEST_COST_MS: Final = 4.0
-"""Delay that each running request adds to a new one: one engine step."""
+PIECE_TOKENS: Final = 1_024
+"""Prompt tokens that an engine computes between two tokens of the running requests,
+by its data sheet."""
+
+STEP_MS: Final = 4.0
+STEP_MS_PER_REQUEST: Final = 0.05
+"""Time of an engine's step without a prompt, and what each running request adds, by
+its data sheet."""
+
+SPREAD_COST_MS: Final = 4.0
+"""Disadvantage of a replica for each request that it runs, in the choice among those
+that can take another: fewer requests make all their answers faster."""
 
 MEMORY_SHARE: Final = 0.95
 """Part of an engine's memory that requests may fill; the rest covers answers that
 grow longer than expected, as running out of memory restarts a request."""
 
-MAX_BACKLOG_MS: Final = 400.0
-"""Computation that is handed to an engine in advance; more waits at the gateway,
-where it can still go elsewhere or be refused."""
+SLACK_SHARE: Final = 0.8
+"""Part of the time until a prompt must be computed that its estimate may take; the
+rest is for what the estimate misses."""
+
+MAX_LATE_BACKLOG_MS: Final = 0.0
+"""Computation before a late request at an engine: small beside the target of requests
+that are still on time and come after it."""
 
 PLAIN_QUEUE_SHARE: Final = 1.0
 """Requests that may queue at a plain backend server, as a part of its slots."""
@@ -66,32 +79,48 @@
 
     Attributes
     ----------
-    home_key : str
-        Hash key of the shared parts.
+    home : ServerId
+        Replica that the prompt's shared parts hash to.
     engine_memory_tokens : int
         Memory of one engine.
+    slack_ms : float or None
+        Time until the prompt must be computed for an answer on time; None if it
+        can't be on time any more.
     """
 
-    home_key: str
+    home: servers.ServerId
     memory_tokens: int
     engine_memory_tokens: int
+    slack_ms: float | None = None
+
+
+def has_room(load: loads.Load, slots: int, need: EngineNeed) -> bool:
+    """Return whether an engine has a slot and memory for a request."""
+    if load.requests == 0:
+        return True
+    room = need.engine_memory_tokens * MEMORY_SHARE - load.memory_tokens
+    return load.requests < slots and need.memory_tokens <= room
 
 
 def choose_engine(
     candidates: Sequence[Candidate], need: EngineNeed
 ) -> Candidate | None:
     """Return the replica that computes the prompt first; None if all are full."""
-    able = [each for each in candidates if _engine_has_room(each, need)]
+    able = [
+        each
+        for each in candidates
+        if has_room(each.load, each.server.slots, need)
+        and _computes_in_time(each, need)
+    ]
     if not able:
         return None
-    names = [each.server.server_id for each in candidates]
-    home = rendezvous.ranked(need.home_key, names, 1)[0]
     return min(
         able,
         key=lambda each: (
             engine_cost_ms(each)
+            + each.load.requests * SPREAD_COST_MS
             + each.handicap_ms
-            - HOME_BONUS_MS * (each.server.server_id == home),
+            - HOME_BONUS_MS * (each.server.server_id == need.home),
             each.server.server_id,
         ),
     )
@@ -99,10 +128,9 @@
 
 def engine_cost_ms(candidate: Candidate) -> float:
     """Return the estimated time until a replica would have computed the prompt."""
-    tokens = candidate.load.prefill_tokens + candidate.missing_tokens
-    compute_ms = tokens / PREFILL_TOKENS_PER_MS
-    step_ms = candidate.load.requests * REQUEST_COST_MS
-    return (compute_ms + step_ms) * candidate.slowness + candidate.transfer_ms
+    load = candidate.load
+    compute_ms = _compute_ms(load.prefill_tokens + candidate.missing_tokens, load)
+    return compute_ms * candidate.slowness + candidate.transfer_ms
 
 
 def choose_plain(candidates: Sequence[Candidate], request_key: str) -> Candidate | None:
@@ -122,12 +150,18 @@
     )
 
 
-def _engine_has_room(candidate: Candidate, need: EngineNeed) -> bool:
+def _computes_in_time(candidate: Candidate, need: EngineNeed) -> bool:
     load = candidate.load
     if load.requests == 0:
         return True
-    if load.requests >= candidate.server.slots:
-        return False
-    room = need.engine_memory_tokens * MEMORY_SHARE - load.memory_tokens
-    backlog_ms = load.prefill_tokens / PREFILL_TOKENS_PER_MS * candidate.slowness
-    return need.memory_tokens <= room and backlog_ms <= MAX_BACKLOG_MS
+    if need.slack_ms is not None:
+        return engine_cost_ms(candidate) <= need.slack_ms * SLACK_SHARE
+    backlog_ms = _compute_ms(load.prefill_tokens, load) * candidate.slowness
+    return backlog_ms <= MAX_LATE_BACKLOG_MS
+
+
+def _compute_ms(tokens: int, load: loads.Load) -> float:
+    """Return the time to compute prompts between the steps of running requests."""
+    steps = -(-tokens // PIECE_TOKENS)
+    step_ms = STEP_MS + STEP_MS_PER_REQUEST * load.requests
+    return tokens / PREFILL_TOKENS_PER_MS + steps * step_ms
--- a/quincecrank/gateway/waiting.py
+++ b/quincecrank/gateway/waiting.py
@@ -1,14 +1,16 @@
 """The waiting line of one service at one gateway, and when a request is refused.
 
-Load pattern: a burst brings more than the backend servers can take.  Requests wait
-in order of urgency while they can still be on time; one that would be late before
-its turn is refused at once, with the time in which the line will have moved on, so
-that the burst is spread instead of being held until it is worthless.
+Load pattern: a burst brings more than the backend servers can take.  Each late
+answer takes the place of one that could have been on time, so requests that can still
+be on time go first, by urgency; late ones get what is left.  A request whose turn
+would come too late is refused at once, with the time in which the line will have
+moved on, so that the burst is spread instead of being held until it is worthless.
 """
 
 import dataclasses
-import heapq
-import itertools
+import enum
+import math
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from quincecrank import ids
@@ -20,14 +22,21 @@
 """Part of the time that a request has for which it may wait; the rest is for its
 run."""
 
-ON_TIME_SHARE: Final = 0.5
-"""Part of the on-time target for which a new request may be expected to wait while
-others wait as well."""
+LATE_PAUSE_MS: Final = 1_000
+"""Time after a request that could be on time found no place, in which late ones are
+not started: two to three times the target of the model requests."""
 
 MIN_RETRY_AFTER_MS: Final = 200
 MAX_RETRY_AFTER_MS: Final = 4_000
 
 
+class Chance(enum.IntEnum):
+    """Whether a request that starts now can be on time; lower goes first."""
+
+    ON_TIME = 0
+    LATE = 1
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticket:
     """A request that asks for a backend server.
@@ -40,6 +49,8 @@
         Instants of its arrival and of the end of the time that it has.
     target_ms : int
         Time within which its answer is on time.
+    least_run_ms : float
+        Time to its answer, or its first event, at an idle backend server.
     """
 
     request_id: ids.RequestId
@@ -47,6 +58,7 @@
     arrived_ms: int
     deadline_ms: int
     target_ms: int
+    least_run_ms: float = 0.0
 
     @property
     def latest_start_ms(self) -> float:
@@ -54,31 +66,56 @@
         whole_ms = self.deadline_ms - self.arrived_ms
         return self.arrived_ms + whole_ms * MAX_WAIT_SHARE
 
+    @property
+    def on_time_until_ms(self) -> float:
+        """Instant at which its answer stops being on time."""
+        return self.arrived_ms + self.target_ms
+
+    def chance(self, now_ms: float) -> Chance:
+        """Return whether it can be on time if it starts now."""
+        if now_ms + self.least_run_ms <= self.on_time_until_ms:
+            return Chance.ON_TIME
+        return Chance.LATE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Start:
+    at_ms: int
+    chance: Chance
+    urgency: int
+
 
 class WaitingLine:
-    """Aggregate of the requests that wait for a service, by urgency and arrival."""
+    """Aggregate of the requests that wait for a service.
+
+    They go by chance, urgency and arrival, in this order.
+    """
 
     def __init__(self) -> None:
-        self._heap: list[tuple[int, int, Ticket]] = []
-        self._sequence = itertools.count()
-        self._starts_ms: list[int] = []
+        self._ticket_by_id: dict[ids.RequestId, Ticket] = {}
+        self._starts: list[_Start] = []
+        self._full_ms: int | None = None
 
     def __len__(self) -> int:
-        return len(self._heap)
+        return len(self._ticket_by_id)
 
     def expected_wait_ms(self, ticket: Ticket, now_ms: int) -> float:
-        """Return the time after which a request would be started."""
-        ahead = sum(1 for each in self._heap if each[0] <= ticket.urgency)
-        if not ahead:
-            return 0.0
-        starts = sum(1 for at_ms in self._starts_ms if now_ms - at_ms < RATE_WINDOW_MS)
-        return ahead * RATE_WINDOW_MS / max(1, starts)
+        """Return the time after which a request would be started.
+
+        Zero if nothing goes before it; infinite if something does and nothing of
+        that rank was started lately.
+        """
+        return self._wait_ms(self._before(ticket, now_ms), now_ms)
 
     def accepts(self, ticket: Ticket, now_ms: int) -> bool:
         """Return whether a request may wait."""
-        wait_ms = self.expected_wait_ms(ticket, now_ms)
-        limit_ms = ticket.target_ms * ON_TIME_SHARE
-        return wait_ms <= limit_ms and now_ms + wait_ms < ticket.latest_start_ms
+        starts_ms = now_ms + self.expected_wait_ms(ticket, now_ms)
+        if starts_ms >= ticket.latest_start_ms:
+            return False
+        if ticket.chance(now_ms) is ticket.chance(starts_ms):
+            return True
+        late_wait_ms = self._late_wait_ms(now_ms)
+        return now_ms + late_wait_ms < ticket.latest_start_ms
 
     def retry_after_ms(self, ticket: Ticket, now_ms: int, jitter: float) -> int:
         """Return when a refused request may come back.
@@ -93,34 +130,91 @@
         spread_ms = MIN_RETRY_AFTER_MS + wait_ms * (0.5 + jitter)
         return int(min(MAX_RETRY_AFTER_MS, spread_ms))
 
+    def found_no_place(self, ticket: Ticket, now_ms: int) -> None:
+        """Record that a request arrived and no backend server had room for it."""
+        if ticket.chance(now_ms) is Chance.ON_TIME:
+            self._full_ms = now_ms
+
+    def may_start(self, ticket: Ticket, now_ms: int) -> bool:
+        """Return whether a request may take a place if there is one."""
+        if ticket.chance(now_ms) is Chance.ON_TIME or self._full_ms is None:
+            return True
+        return now_ms - self._full_ms >= LATE_PAUSE_MS
+
     def push(self, ticket: Ticket) -> None:
         """Add a request."""
-        heapq.heappush(self._heap, (ticket.urgency, next(self._sequence), ticket))
-
-    def first(self) -> Ticket | None:
-        """Return the request whose turn it is."""
-        return self._heap[0][2] if self._heap else None
+        self._ticket_by_id[ticket.request_id] = ticket
 
-    def in_order(self) -> tuple[Ticket, ...]:
+    def in_order(self, now_ms: int) -> tuple[Ticket, ...]:
         """Return the waiting requests in the order of their turns."""
-        return tuple(ticket for _, _, ticket in sorted(self._heap)[:])
+        return tuple(
+            sorted(self._ticket_by_id.values(), key=lambda each: _rank(each, now_ms))
+        )
 
     def remove(self, request_id: ids.RequestId) -> None:
         """Remove a request that starts, gave up or is refused."""
-        self._heap = [e for e in self._heap if e[2].request_id != request_id]
-        heapq.heapify(self._heap)
+        self._ticket_by_id.pop(request_id, None)
 
-    def started(self, now_ms: int) -> None:
+    def started(self, ticket: Ticket, now_ms: int) -> None:
         """Count a request that got a backend server, whether it waited or not."""
-        self._starts_ms.append(now_ms)
-        if len(self._starts_ms) > 2 * RATE_WINDOW_MS:
-            self._starts_ms = [
-                at_ms for at_ms in self._starts_ms if now_ms - at_ms < RATE_WINDOW_MS
-            ]
-
-    def take_late(self, now_ms: int) -> tuple[Ticket, ...]:
-        """Remove and return the requests that waited for too long."""
-        late = tuple(e[2] for e in self._heap if now_ms >= e[2].latest_start_ms)
-        for ticket in late:
+        self._starts = [
+            each for each in self._starts if now_ms - each.at_ms < RATE_WINDOW_MS
+        ]
+        self._starts.append(_Start(now_ms, ticket.chance(now_ms), ticket.urgency))
+
+    def take_hopeless(self, now_ms: int) -> tuple[Ticket, ...]:
+        """Remove and return the requests whose turn would come too late."""
+        ordered = self.in_order(now_ms)
+        taken = [each for each in ordered if now_ms >= each.latest_start_ms]
+        for ticket in taken:
             self.remove(ticket.request_id)
-        return late
+        for ticket in reversed(self.in_order(now_ms)):
+            self.remove(ticket.request_id)
+            if self.accepts(ticket, now_ms):
+                self.push(ticket)
+            else:
+                taken.append(ticket)
+        return tuple(taken)
+
+    def _late_wait_ms(self, now_ms: int) -> float:
+        """Return the time in which all those are started that will be late."""
+        turn_ms = float(now_ms)
+        late_count = 0
+        for ticket in self.in_order(now_ms):
+            turn_ms += self._wait_ms([ticket], now_ms)
+            late_count += ticket.chance(turn_ms) is Chance.LATE
+        if not late_count:
+            return 0.0
+        late_starts = self._count_starts(
+            now_ms, lambda start: start.chance is Chance.LATE
+        )
+        return late_count * RATE_WINDOW_MS / late_starts if late_starts else math.inf
+
+    def _before(self, ticket: Ticket, now_ms: int) -> list[Ticket]:
+        rank = _rank(ticket, now_ms)
+        return [t for t in self._ticket_by_id.values() if _rank(t, now_ms) <= rank]
+
+    def _wait_ms(self, before: Iterable[Ticket], now_ms: int) -> float:
+        """Return the time in which all these are started, each rank at its rate."""
+        wait_ms = 0.0
+        for ticket in before:
+            starts = self._starts_like(ticket, now_ms)
+            wait_ms += RATE_WINDOW_MS / starts if starts else math.inf
+        return wait_ms
+
+    def _starts_like(self, ticket: Ticket, now_ms: int) -> int:
+        chance = ticket.chance(now_ms)
+        return self._count_starts(
+            now_ms,
+            lambda start: start.chance is chance and start.urgency == ticket.urgency,
+        )
+
+    def _count_starts(self, now_ms: int, accepts: Callable[[_Start], bool]) -> int:
+        return sum(
+            now_ms - each.at_ms < RATE_WINDOW_MS and accepts(each)
+            for each in self._starts
+        )
+
+
+def _rank(ticket: Ticket, now_ms: int) -> tuple[Chance, int, int]:
+    return ticket.chance(now_ms), ticket.urgency, ticket.arrived_ms
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -222,10 +222,16 @@
     arrived_ms: int = 0,
     deadline_ms: int = 5_000,
     target_ms: int = 500,
+    least_run_ms: float = 0.0,
 ) -> waiting.Ticket:
     """Return a request that asks for a backend server."""
     return waiting.Ticket(
-        ids.RequestId(request_id), urgency, arrived_ms, deadline_ms, target_ms
+        ids.RequestId(request_id),
+        urgency,
+        arrived_ms,
+        deadline_ms,
+        target_ms,
+        least_run_ms,
     )
 
 
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -22,19 +22,25 @@
 )
 from tests import builders_gateway as builders
 
+HOME = servers.ServerId("home")
 SALT = cache_directory.make_salt(builders.MODEL, 1, None)
 
 
 class PlacementTest(unittest.TestCase):
-    def choose(self, *candidates: placement.Candidate, memory: int = 9_000) -> str:
-        need = placement.EngineNeed("guide", memory, 64_000)
+    def choose(
+        self,
+        *candidates: placement.Candidate,
+        memory: int = 9_000,
+        slack_ms: float | None = None,
+    ) -> str:
+        need = placement.EngineNeed(HOME, memory, 64_000, slack_ms)
         chosen = placement.choose_engine(candidates, need)
         return chosen.server.server_id if chosen else ""
 
     def test_a_prompt_goes_where_its_parts_are(self) -> None:
         warm = builders.make_candidate("warm", requests=3, missing_tokens=1_700)
         cold = builders.make_candidate("cold", missing_tokens=9_200)
-        self.assertEqual(self.choose(warm, cold), "warm")
+        self.assertEqual(self.choose(warm, cold, slack_ms=400.0), "warm")
 
     def test_a_popular_prompt_does_not_wait_behind_a_backlog(self) -> None:
         warm = builders.make_candidate(
@@ -67,12 +73,25 @@
         full = builders.make_candidate("full", requests=4, slots=2)
         self.assertIsNone(placement.choose_plain([full], "r"))
 
+    def test_a_request_is_not_sent_where_it_would_be_late(self) -> None:
+        busy = builders.make_candidate("busy", requests=4, prefill_tokens=20_000)
+        need = placement.EngineNeed(HOME, 9_000, 64_000, slack_ms=200.0)
+        self.assertIsNone(placement.choose_engine([busy], need))
+        idle = builders.make_candidate("idle", missing_tokens=40_000)
+        self.assertEqual(placement.choose_engine([busy, idle], need), idle)
+
+    def test_a_late_request_delays_nobody(self) -> None:
+        reading = builders.make_candidate("reading", requests=1, prefill_tokens=500)
+        writing = builders.make_candidate("writing", requests=7, missing_tokens=9_000)
+        self.assertEqual(self.choose(reading), "")
+        self.assertEqual(self.choose(reading, writing), "writing")
+
 
 class WaitingTest(unittest.TestCase):
     def make_line(self, starts: int, waiting_count: int) -> waiting.WaitingLine:
         line = waiting.WaitingLine()
-        for _ in range(starts):
-            line.started(1_000)
+        for number in range(starts):
+            line.started(builders.make_ticket(f"s{number}", arrived_ms=1_000), 1_000)
         for number in range(waiting_count):
             line.push(builders.make_ticket(f"w{number}", arrived_ms=900))
         return line
@@ -90,7 +109,7 @@
         urgent = builders.make_ticket("urgent", urgency=0, arrived_ms=1_000)
         self.assertTrue(line.accepts(urgent, 1_000))
         line.push(urgent)
-        self.assertEqual(line.first(), urgent)
+        self.assertEqual(line.in_order(1_000)[0], urgent)
 
     def test_refused_callers_come_back_spread_over_the_backlog(self) -> None:
         line = self.make_line(starts=20, waiting_count=20)
@@ -104,9 +123,47 @@
         line = waiting.WaitingLine()
         line.push(builders.make_ticket("soon", deadline_ms=1_000))
         line.push(builders.make_ticket("later", deadline_ms=9_000))
-        self.assertEqual([t.request_id for t in line.take_late(400)], ["soon"])
+        line.started(builders.make_ticket(), 400)
+        self.assertEqual([t.request_id for t in line.take_hopeless(400)], ["soon"])
         self.assertEqual(len(line), 1)
 
+    def test_requests_that_can_be_on_time_go_before_late_ones(self) -> None:
+        line = waiting.WaitingLine()
+        tickets = {
+            "late": builders.make_ticket("late", urgency=0, arrived_ms=0),
+            "slow": builders.make_ticket("slow", arrived_ms=860, least_run_ms=400),
+            "new": builders.make_ticket("new", arrived_ms=890),
+            "urgent": builders.make_ticket("urgent", urgency=0, arrived_ms=895),
+        }
+        for ticket in tickets.values():
+            line.push(ticket)
+        order = [ticket.request_id for ticket in line.in_order(900)]
+        self.assertEqual(order, ["urgent", "slow", "new", "late"])
+
+    def test_starts_of_more_urgent_requests_do_not_shorten_the_wait(self) -> None:
+        # Short urgent requests start at once all the time; two long ones wait for
+        # memory, of which one has started within the window.
+        line = waiting.WaitingLine()
+        for number in range(100):
+            urgent = builders.make_ticket(f"u{number}", urgency=0, arrived_ms=1_000)
+            line.started(urgent, 1_000)
+        line.started(builders.make_ticket("s", arrived_ms=1_000), 1_000)
+        line.push(builders.make_ticket("w", arrived_ms=1_000))
+        ticket = builders.make_ticket("r", arrived_ms=1_001)
+        self.assertEqual(line.expected_wait_ms(ticket, 1_001), waiting.RATE_WINDOW_MS)
+        self.assertFalse(line.accepts(ticket, 1_001))
+
+    def test_late_requests_start_only_when_others_find_places(self) -> None:
+        line = waiting.WaitingLine()
+        late = builders.make_ticket("late", arrived_ms=0)
+        self.assertTrue(line.may_start(late, 1_000))
+        fresh = builders.make_ticket("fresh", arrived_ms=1_000)
+        line.found_no_place(fresh, 1_000)
+        self.assertTrue(line.may_start(fresh, 1_001))
+        self.assertFalse(line.may_start(late, 1_001))
+        line.found_no_place(late, 1_500)
+        self.assertTrue(line.may_start(late, 1_000 + waiting.LATE_PAUSE_MS))
+
 
 class RetryShareTest(unittest.TestCase):
     def test_all_gateways_together_keep_to_the_budget(self) -> None:
@@ -241,7 +298,7 @@
                 )
                 for name in ("old", "new")
             ]
-            need = placement.EngineNeed("guide", 9_200, 64_000)
+            need = placement.EngineNeed(HOME, 9_200, 64_000)
             best = placement.choose_engine(candidates, need)
             assert best is not None
             chosen.append(str(best.server.server_id))
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -30,6 +30,19 @@
         structlog.configure(processors=[_drop])
 
 
+def worst_second(result: gateway_model.Result, from_ms: int, until_ms: int) -> float:
+    """Return the lowest share of answers on time among the seconds of a time."""
+    shares = []
+    for start_ms in range(from_ms, until_ms, clocks.MS_PER_SECOND):
+        answers = [
+            each.is_on_time
+            for each in result.answered
+            if start_ms <= each.asked_ms < start_ms + clocks.MS_PER_SECOND
+        ]
+        shares.append(sum(answers) / len(answers))
+    return min(shares)
+
+
 class HerdTest(ReplayCase):
     def test_no_engine_is_sent_more_prompts_than_it_holds(self) -> None:
         # Ten gateways, four nearly full engines, long prompts waiting everywhere.
@@ -40,6 +53,34 @@
                 self.assertLessEqual(result.most_unread_tokens, pattern.memory_tokens)
 
 
+class OverloadTest(ReplayCase):
+    def test_most_answers_of_overloaded_engines_are_on_time(self) -> None:
+        # Prompts for five and a half engines meet four for eight seconds.
+        for seed in SEEDS:
+            with self.subTest(seed):
+                result = gateway_model.play(gateway_model.Pattern(seed))
+                verdicts = result.outcome_by_kind["verdict"]
+                notes = result.outcome_by_kind["note"]
+                self.assertGreater(verdicts.on_time, verdicts.late)
+                self.assertGreater(notes.on_time, 0.9 * notes.asked)
+
+    def test_no_second_wave_follows_a_burst(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed):
+                pattern = gateway_model.Pattern(
+                    seed,
+                    engines=7,
+                    burst_from_ms=2_000,
+                    burst_until_ms=4_000,
+                    burst_factor=1.7,
+                )
+                result = gateway_model.play(pattern)
+                end_ms = pattern.burst_until_ms + 1_000
+                during = worst_second(result, pattern.burst_from_ms, end_ms)
+                after = worst_second(result, end_ms, pattern.duration_ms)
+                self.assertGreaterEqual(after, during)
+
+
 class ToldLoadsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.told: list[loads.Load] = []
