Reports are paced by the fleet's size; only long prompts are told at once

Change: reports go every 300 ms from 31 gateways on (150 ms up to 16); changes are told from 2,048 tokens on instead of 1,024.

Placement lines of the log name the prompt's last shared part.

--- /dev/null
+++ b/bench/gateway_policy.py
@@ -0,0 +1,194 @@
+"""The gateways' decisions under overload, against simple policies and a bound.
+
+    python -m bench.gateway_policy
+
+Replays the same seeded patterns (see `gateway_model`) through each policy and writes
+docs/REPORT-GATEWAYS.md with its plot.
+"""
+
+import concurrent.futures
+import dataclasses
+import pathlib
+import statistics
+from collections.abc import Sequence
+from typing import Final
+
+import matplotlib
+import structlog
+
+from bench import gateway_model, model_engine
+
+matplotlib.use("Agg")
+from matplotlib import pyplot
+
+SEEDS: Final = (1, 2, 3, 4, 5)
+WORKERS: Final = 3
+REPORT: Final = pathlib.Path("docs/REPORT-GATEWAYS.md")
+PICTURE: Final = pathlib.Path("docs/pictures/gateways-share.png")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """A load pattern by its name, with any seed."""
+
+    name: str
+    pattern: gateway_model.Pattern
+
+
+LOADS: Final = (
+    Load(
+        "six engines for the load of five and a half",
+        gateway_model.Pattern(0, engines=6),
+    ),
+    Load("four engines for it", gateway_model.Pattern(0)),
+    Load(
+        "seven engines, two seconds of 1.7 times the load",
+        gateway_model.Pattern(
+            0, engines=7, burst_from_ms=2_000, burst_until_ms=4_000, burst_factor=1.7
+        ),
+    ),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A policy, as a change of the pattern."""
+
+    name: str
+    policy: gateway_model.Policy = gateway_model.Policy.GATEWAYS
+    tells_at_once: bool = True
+    gateways: int = 10
+
+
+CANDIDATES: Final = (
+    Candidate("ten gateways"),
+    Candidate("ten gateways, loads by reports only", tells_at_once=False),
+    Candidate("one gateway that sees all", gateways=1),
+    Candidate("fewest requests", gateway_model.Policy.LEAST_REQUESTS),
+    Candidate("random engine", gateway_model.Policy.RANDOM),
+)
+
+
+def bound(pattern: gateway_model.Pattern) -> float:
+    """Return a share of the worth that no policy can exceed.
+
+    Engines compute at least each answered prompt's own part, in full pieces, in the
+    time from the first arrival to the last target; the requests with the most worth
+    for a token are taken first.
+    """
+    arrivals = gateway_model.make_arrivals(pattern)
+    piece_ms = model_engine.STEP_MS + (
+        model_engine.PIECE_TOKENS / model_engine.PREFILL_TOKENS_PER_MS
+    )
+    longest_ms = max(kind.target_ms for kind in pattern.kinds)
+    time_ms = pattern.duration_ms + longest_ms
+    left = pattern.engines * time_ms * model_engine.PIECE_TOKENS / piece_ms
+    value = 0.0
+    for arrival in sorted(
+        arrivals, key=lambda each: _own_tokens(each) / each.kind.worth
+    ):
+        left -= _own_tokens(arrival)
+        value += arrival.kind.worth if left >= 0 else arrival.kind.late_worth
+    return value / sum(arrival.kind.worth for arrival in arrivals)
+
+
+def _own_tokens(arrival: gateway_model.Arrival) -> int:
+    return arrival.prompt.input_tokens - arrival.prompt.shared_tokens
+
+
+def _drop(
+    _logger: object, _name: str, _event: structlog.typing.EventDict
+) -> structlog.typing.EventDict:
+    raise structlog.DropEvent
+
+
+def play(pattern: gateway_model.Pattern) -> gateway_model.Result:
+    """Replay a pattern without log lines."""
+    structlog.configure(processors=[_drop])
+    return gateway_model.play(pattern)
+
+
+def main() -> None:
+    """Run the experiment and write the report."""
+    patterns = [
+        dataclasses.replace(
+            load.pattern,
+            seed=seed,
+            policy=candidate.policy,
+            tells_at_once=candidate.tells_at_once,
+            gateways=candidate.gateways,
+        )
+        for load in LOADS
+        for candidate in CANDIDATES
+        for seed in SEEDS
+    ]
+    with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
+        results = list(pool.map(play, patterns))
+    lines = [
+        "# The gateways' decisions under overload",
+        "",
+        "Written by `python -m bench.gateway_policy`: seeded arrivals of eight",
+        f"seconds in virtual time, seeds {SEEDS[0]} to {SEEDS[-1]}, engines by their",
+        "data sheet. The share is the worth of the answers over that of all requests",
+        "(a late answer counts a fifth): mean, least and greatest of the seeds;",
+        "counts are sums. The bound is what the engines' reading speed allows with",
+        "all shared parts kept.",
+    ]
+    shares_by_load: dict[str, list[float]] = {}
+    rows = iter(results)
+    for load in LOADS:
+        bounds = [bound(dataclasses.replace(load.pattern, seed=seed)) for seed in SEEDS]
+        lines += _table_head(load.name)
+        shares_by_load[load.name] = []
+        for candidate in CANDIDATES:
+            own = [next(rows) for _ in SEEDS]
+            lines.append(_row(candidate.name, own))
+            shares_by_load[load.name].append(statistics.mean(r.share for r in own))
+        lines.append(f"| bound | {statistics.mean(bounds):.3f} | | | |")
+        shares_by_load[load.name].append(statistics.mean(bounds))
+    lines += ["", f"![share of the worth]({PICTURE.relative_to(REPORT.parent)})"]
+    REPORT.write_text("\n".join(lines) + "\n")
+    _plot(shares_by_load)
+
+
+def _table_head(name: str) -> list[str]:
+    return [
+        "",
+        f"## {name[0].upper()}{name[1:]}",
+        "",
+        "| policy | share | verdicts on time / late / refused "
+        "| notes on time / late / refused | preempted |",
+        "|---|---|---|---|---|",
+    ]
+
+
+def _row(name: str, results: Sequence[gateway_model.Result]) -> str:
+    shares = [result.share for result in results]
+    cells = [f"{statistics.mean(shares):.3f} ({min(shares):.3f}-{max(shares):.3f})"]
+    for kind in (gateway_model.VERDICTS, gateway_model.NOTES):
+        outcomes = [result.outcome_by_kind[kind.name] for result in results]
+        cells.append(
+            f"{sum(each.on_time for each in outcomes)} / "
+            f"{sum(each.late for each in outcomes)} / "
+            f"{sum(each.refused for each in outcomes)}"
+        )
+    cells.append(str(sum(result.preempted for result in results)))
+    return f"| {name} | {' | '.join(cells)} |"
+
+
+def _plot(shares_by_load: dict[str, list[float]]) -> None:
+    figure, axes = pyplot.subplots(figsize=(9, 4))
+    names = [candidate.name for candidate in CANDIDATES] + ["bound"]
+    for index, (load, shares) in enumerate(shares_by_load.items()):
+        places = [number + index * 0.27 for number in range(len(names))]
+        axes.bar(places, shares, 0.25, label=load)
+    axes.set_xticks([number + 0.27 for number in range(len(names))], names, fontsize=7)
+    axes.set_ylabel("share of the worth")
+    axes.legend(fontsize=7)
+    figure.tight_layout()
+    PICTURE.parent.mkdir(parents=True, exist_ok=True)
+    figure.savefig(PICTURE, dpi=100)
+
+
+if __name__ == "__main__":
+    main()
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -311,6 +311,7 @@
             waited_ms=now_ms - want.ticket.arrived_ms,
             chance=want.ticket.chance(now_ms).name,
             expected_ms=round(placement.engine_cost_ms(chosen)),
+            shared=_last_shared_part(prompt),
             home=need.home,
             saved=sum(each is not None for each in transfers.save_to),
             weights=plan.version,
@@ -437,6 +438,10 @@
     prompt: prompts.Prompt, usable: Sequence[servers.ServerEntry]
 ) -> servers.ServerId:
     """Return the replica that the prompt's shared parts hash to."""
+    names = [each.server_id for each in usable]
+    return rendezvous.ranked(_last_shared_part(prompt), names, 1)[0]
+
+
+def _last_shared_part(prompt: prompts.Prompt) -> str:
     shared = prompt.shared_parts or prompt.parts
-    key = shared[-1].part_id if shared else ""
-    return rendezvous.ranked(key, [each.server_id for each in usable], 1)[0]
+    return shared[-1].part_id if shared else ""
--- a/quincecrank/gateway/loads.py
+++ b/quincecrank/gateway/loads.py
@@ -17,9 +17,9 @@
 """Age at which a peer's load report no longer counts: several report intervals."""
 
 
-MIN_TOLD_TOKENS: Final = 1_024
-"""Size from which the start or end of a request is told at once: an engine computes
-prompts in pieces of this size, so smaller ones hardly delay another."""
+MIN_TOLD_TOKENS: Final = 2_048
+"""Size from which the start or end of a request is told at once: two pieces in which
+engines compute prompts, so that smaller ones hardly delay another."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -31,8 +31,15 @@
 REPORT_INTERVAL_MS: Final = 150
 """A fraction of the time that a model request takes, so that load reports count."""
 
+MAX_REPORT_INTERVAL_MS: Final = 300
+"""Interval in a large fleet, where large changes of load are still told at once: a
+fifth of the silence after which a peer counts as gone."""
+
+FULL_PACE_PEERS: Final = 15
+"""Peers up to which reports keep the shortest interval: 100 datagrams a second."""
+
 SILENCE_MS: Final = 1_500
-"""Time without a report after which a peer counts as gone: ten lost datagrams."""
+"""Time without a report after which a peer counts as gone: five to ten lost ones."""
 
 FORGET_MS: Final = 30_000
 """Time without a report after which a member gets no datagrams any more."""
@@ -169,6 +176,12 @@
             return None
 
 
+def report_interval_ms(live_peers: int) -> float:
+    """Return the time between two reports, longer in a large fleet."""
+    paced_ms = REPORT_INTERVAL_MS * live_peers / FULL_PACE_PEERS
+    return min(MAX_REPORT_INTERVAL_MS, max(REPORT_INTERVAL_MS, paced_ms))
+
+
 class PeerReporter:
     """Sends and receives the datagrams between gateways.
 
@@ -210,7 +223,7 @@
         """Send reports at intervals."""
         while True:
             self.send()
-            await self._clock.sleep(REPORT_INTERVAL_MS)
+            await self._clock.sleep(report_interval_ms(len(self._directory.live_ips())))
 
     def send(self) -> None:
         """Send a report to every peer."""
