--- a/quincecrank/gateway/waiting.py
+++ b/quincecrank/gateway/waiting.py
@@ -7,10 +7,10 @@
 moved on, so that the burst is spread instead of being held until it is worthless.
 """
 
+import collections
 import dataclasses
 import enum
 import math
-from collections.abc import Callable, Iterable
 from typing import Final
 
 from quincecrank import ids
@@ -79,12 +79,23 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Start:
-    at_ms: int
+class _Kind:
+    """Requests that wait for the same time."""
+
     chance: Chance
     urgency: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Start:
+    at_ms: int
+    kind: _Kind
+
+
+_Starts = collections.Counter[_Kind]
+"""Starts within the window."""
+
+
 class WaitingLine:
     """Aggregate of the requests that wait for a service.
 
@@ -105,17 +116,11 @@
         Zero if nothing goes before it; infinite if something does and nothing of
         that rank was started lately.
         """
-        return self._wait_ms(self._before(ticket, now_ms), now_ms)
+        return self._expected_wait_ms(ticket, now_ms, self._recent_starts(now_ms))
 
     def accepts(self, ticket: Ticket, now_ms: int) -> bool:
         """Return whether a request may wait."""
-        starts_ms = now_ms + self.expected_wait_ms(ticket, now_ms)
-        if starts_ms >= ticket.latest_start_ms:
-            return False
-        if ticket.chance(now_ms) is ticket.chance(starts_ms):
-            return True
-        late_wait_ms = self._late_wait_ms(now_ms)
-        return now_ms + late_wait_ms < ticket.latest_start_ms
+        return self._accepts(ticket, now_ms, self._recent_starts(now_ms))
 
     def retry_after_ms(self, ticket: Ticket, now_ms: int, jitter: float) -> int:
         """Return when a refused request may come back.
@@ -160,7 +165,7 @@
         self._starts = [
             each for each in self._starts if now_ms - each.at_ms < RATE_WINDOW_MS
         ]
-        self._starts.append(_Start(now_ms, ticket.chance(now_ms), ticket.urgency))
+        self._starts.append(_Start(now_ms, _kind(ticket, now_ms)))
 
     def take_hopeless(self, now_ms: int) -> tuple[Ticket, ...]:
         """Remove and return the requests whose turn would come too late."""
@@ -168,52 +173,61 @@
         taken = [each for each in ordered if now_ms >= each.latest_start_ms]
         for ticket in taken:
             self.remove(ticket.request_id)
+        starts = self._recent_starts(now_ms)
         for ticket in reversed(self.in_order(now_ms)):
             self.remove(ticket.request_id)
-            if self.accepts(ticket, now_ms):
+            if self._accepts(ticket, now_ms, starts):
                 self.push(ticket)
             else:
                 taken.append(ticket)
         return tuple(taken)
 
-    def _late_wait_ms(self, now_ms: int) -> float:
+    def _accepts(self, ticket: Ticket, now_ms: int, starts: _Starts) -> bool:
+        turn_ms = now_ms + self._expected_wait_ms(ticket, now_ms, starts)
+        if turn_ms >= ticket.latest_start_ms:
+            return False
+        if ticket.chance(now_ms) is ticket.chance(turn_ms):
+            return True
+        # It would be late at its turn, behind the others that are.
+        late_wait_ms = self._late_wait_ms(now_ms, starts)
+        return now_ms + late_wait_ms < ticket.latest_start_ms
+
+    def _expected_wait_ms(self, ticket: Ticket, now_ms: int, starts: _Starts) -> float:
+        rank = _rank(ticket, now_ms)
+        return sum(
+            _turn_ms(each, now_ms, starts)
+            for each in self._ticket_by_id.values()
+            if _rank(each, now_ms) <= rank
+        )
+
+    def _late_wait_ms(self, now_ms: int, starts: _Starts) -> float:
         """Return the time in which all those are started that will be late."""
         turn_ms = float(now_ms)
         late_count = 0
         for ticket in self.in_order(now_ms):
-            turn_ms += self._wait_ms([ticket], now_ms)
+            turn_ms += _turn_ms(ticket, now_ms, starts)
             late_count += ticket.chance(turn_ms) is Chance.LATE
         if not late_count:
             return 0.0
-        late_starts = self._count_starts(
-            now_ms, lambda start: start.chance is Chance.LATE
+        late_starts = sum(
+            count for kind, count in starts.items() if kind.chance is Chance.LATE
         )
         return late_count * RATE_WINDOW_MS / late_starts if late_starts else math.inf
 
-    def _before(self, ticket: Ticket, now_ms: int) -> list[Ticket]:
-        rank = _rank(ticket, now_ms)
-        return [t for t in self._ticket_by_id.values() if _rank(t, now_ms) <= rank]
-
-    def _wait_ms(self, before: Iterable[Ticket], now_ms: int) -> float:
-        """Return the time in which all these are started, each rank at its rate."""
-        wait_ms = 0.0
-        for ticket in before:
-            starts = self._starts_like(ticket, now_ms)
-            wait_ms += RATE_WINDOW_MS / starts if starts else math.inf
-        return wait_ms
-
-    def _starts_like(self, ticket: Ticket, now_ms: int) -> int:
-        chance = ticket.chance(now_ms)
-        return self._count_starts(
-            now_ms,
-            lambda start: start.chance is chance and start.urgency == ticket.urgency,
+    def _recent_starts(self, now_ms: int) -> _Starts:
+        return collections.Counter(
+            each.kind for each in self._starts if now_ms - each.at_ms < RATE_WINDOW_MS
         )
 
-    def _count_starts(self, now_ms: int, accepts: Callable[[_Start], bool]) -> int:
-        return sum(
-            now_ms - each.at_ms < RATE_WINDOW_MS and accepts(each)
-            for each in self._starts
-        )
+
+def _turn_ms(ticket: Ticket, now_ms: int, starts: _Starts) -> float:
+    """Return the time in which one request of this kind is started."""
+    count = starts[_kind(ticket, now_ms)]
+    return RATE_WINDOW_MS / count if count else math.inf
+
+
+def _kind(ticket: Ticket, now_ms: int) -> _Kind:
+    return _Kind(ticket.chance(now_ms), ticket.urgency)
 
 
 def _rank(ticket: Ticket, now_ms: int) -> tuple[Chance, int, int]:
