--- /dev/null
+++ b/models/order_lease.pml
@@ -0,0 +1,238 @@
+/*
+ * The lease under which one gateway gives orders to engines.
+ *
+ * The lease is a row of the store with a version.  A put takes effect at any time
+ * after it was sent, also when its sender has given up the answer, but only if the
+ * row still has the version that the sender expects.  A gateway may stand still at
+ * any place for any time.  An order arrives at most MARGIN after it was sent: later
+ * ones are refused by the engine's own count, which is not part of this model.
+ *
+ * Orders of two holders arrive at least LEASE apart, and fencing numbers never fall.
+ * Clocks run equally; the real margin covers differences.
+ */
+
+#define GATEWAYS 2
+#define NOBODY 7
+#define VERSIONS 3
+
+#define VALIDITY 2
+#define LEASE 2
+#define MARGIN 1
+#ifdef MUTANT_TAKES_OVER_WITHOUT_VALIDITY
+#define TAKEOVER (LEASE + MARGIN)
+#else
+#define TAKEOVER (VALIDITY + LEASE + MARGIN)
+#endif
+#ifdef MUTANT_ORDERS_WITHOUT_VALIDITY
+#define IS_VALID(g) true
+#else
+#define IS_VALID(g) (renewed_age[g] < VALIDITY)
+#endif
+
+mtype = { NONE, SENT, DONE };      /* state of a put */
+mtype = { TAKE, RENEW };
+
+byte version;                      /* of the row; 0 before the first put */
+
+mtype put[GATEWAYS] = NONE;
+mtype purpose[GATEWAYS];
+byte expected[GATEWAYS];
+byte sent_age[GATEWAYS];           /* ages stop growing where they no longer matter */
+byte answer[GATEWAYS];
+bool applied[GATEWAYS];
+bool waits[GATEWAYS];              /* for the answer of its put */
+
+byte held[GATEWAYS];               /* version; 0: not the holder */
+byte renewed_age[GATEWAYS] = VALIDITY;
+byte fence[GATEWAYS];
+byte seen[GATEWAYS];
+byte seen_age[GATEWAYS];
+
+bool under_way[GATEWAYS];          /* an order */
+byte left_age[GATEWAYS];
+byte carried[GATEWAYS];            /* its fencing number */
+
+byte last_holder = NOBODY;
+byte last_age;
+byte last_fence;
+
+/* code: order_lease.OrderLease.observe */
+inline observe(g, seen_version) {
+  if
+  :: seen_version > seen[g] ->
+    seen[g] = seen_version;
+#ifndef MUTANT_COUNTS_FROM_FIRST_SIGHT
+    seen_age[g] = 0
+#endif
+  :: else
+  fi;
+  if
+  :: held[g] != 0 && seen_version > held[g] -> held[g] = 0
+  :: else
+  fi
+}
+
+/* code: order_lease.OrderLease._put */
+inline send_put(g, why, expected_version) {
+  put[g] = SENT;
+  purpose[g] = why;
+  expected[g] = expected_version;
+  sent_age[g] = 0;
+  waits[g] = true
+}
+
+/* Keeps the number of states small. */
+inline forget_put(g) {
+  put[g] = NONE;
+  expected[g] = 0;
+  sent_age[g] = 0;
+  answer[g] = 0;
+  applied[g] = false
+}
+
+/* code: order_lease.OrderLease._hold, ._take, ._renew */
+inline take_answer(g) {
+  waits[g] = false;
+  if
+  :: applied[g] ->
+    if
+    :: purpose[g] == TAKE -> fence[g] = answer[g]
+    :: else
+    fi;
+    held[g] = answer[g];
+#ifdef MUTANT_VALID_FROM_ANSWER
+    renewed_age[g] = 0;
+#else
+    renewed_age[g] = sent_age[g];
+#endif
+    if
+    :: answer[g] > seen[g] ->
+      seen[g] = answer[g];
+      seen_age[g] = 0
+    :: else
+    fi
+  :: else ->
+    held[g] = 0;
+    observe(g, answer[g])
+  fi;
+  forget_put(g)
+}
+
+proctype Gateway(byte g) {
+end:
+  do
+  :: atomic { version > seen[g] -> observe(g, version) }
+  :: atomic {
+       held[g] == 0 && put[g] == NONE && !waits[g] &&
+       (seen[g] == 0 || seen_age[g] >= TAKEOVER) ->
+         send_put(g, TAKE, seen[g])
+     }
+  :: atomic {
+       held[g] != 0 && put[g] == NONE && !waits[g] -> send_put(g, RENEW, held[g])
+     }
+  :: atomic { waits[g] && put[g] == DONE -> take_answer(g) }
+  :: atomic {                      /* the answer is lost */
+       waits[g] ->
+         waits[g] = false;
+         held[g] = 0;
+         if
+         :: put[g] == DONE -> forget_put(g)
+         :: else
+         fi
+     }
+  :: atomic {
+       held[g] != 0 && !under_way[g] && IS_VALID(g) ->
+         under_way[g] = true;
+         left_age[g] = 0;
+         carried[g] = fence[g]
+     }
+  od
+}
+
+proctype Store() {
+  byte g;
+end:
+  do
+  :: atomic {
+       version < VERSIONS && (put[0] == SENT || put[1] == SENT) ->
+         if
+         :: put[0] == SENT -> g = 0
+         :: put[1] == SENT -> g = 1
+         fi;
+         applied[g] = (version == expected[g]);
+#ifdef MUTANT_PUTS_BLINDLY
+         applied[g] = true;
+#endif
+         if
+         :: applied[g] -> version++
+         :: else
+         fi;
+         answer[g] = version;
+         if
+         :: waits[g] -> put[g] = DONE
+         :: else -> forget_put(g)
+         fi;
+         g = 0                     /* keeps the number of states small */
+     }
+  od
+}
+
+/* An engine, which takes each order once within MARGIN. */
+proctype Engine() {
+  byte g;
+end:
+  do
+  :: atomic {
+       under_way[0] || under_way[1] ->
+         if
+         :: under_way[0] -> g = 0
+         :: under_way[1] -> g = 1
+         fi;
+         under_way[g] = false;
+         assert(last_holder == NOBODY || last_holder == g || last_age >= LEASE);
+         assert(carried[g] >= last_fence);
+         last_holder = g;
+         last_age = 0;
+         last_fence = carried[g];
+         carried[g] = 0;
+         left_age[g] = 0;
+         g = 0
+     }
+  od
+}
+
+inline grow(age, most) {
+  if
+  :: age < most -> age++
+  :: else
+  fi
+}
+
+proctype Clock() {
+end:
+  do
+  :: atomic {
+       (!under_way[0] || left_age[0] < MARGIN) &&
+       (!under_way[1] || left_age[1] < MARGIN) ->
+         grow(sent_age[0], VALIDITY);
+         grow(sent_age[1], VALIDITY);
+         grow(renewed_age[0], VALIDITY);
+         grow(renewed_age[1], VALIDITY);
+         grow(seen_age[0], TAKEOVER);
+         grow(seen_age[1], TAKEOVER);
+         grow(left_age[0], MARGIN);
+         grow(left_age[1], MARGIN);
+         grow(last_age, LEASE)
+     }
+  od
+}
+
+init {
+  atomic {
+    run Gateway(0);
+    run Gateway(1);
+    run Store();
+    run Engine();
+    run Clock()
+  }
+}
--- a/models/runs.py
+++ b/models/runs.py
@@ -70,4 +70,5 @@
     ModelRun("configuration", "configuration", ("RESTARTS=1",)),
     ModelRun("blocks", "blocks"),
     ModelRun("leaving", "leaving"),
+    ModelRun("order-lease", "order_lease"),
 )
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -8,7 +8,7 @@
 from bench import gateway_model, virtual_time
 from quincecrank import clock as clocks
 from quincecrank import ids
-from quincecrank.gateway import loads, peer_messages, servers
+from quincecrank.gateway import loads, peer_messages, peers, servers
 
 SEEDS = (1, 2, 3)
 ENGINE = servers.ServerId("i-1")
@@ -117,6 +117,17 @@
         self.assertEqual(peer_messages.decode(datagram), change)
 
 
+class ReportIntervalTest(unittest.TestCase):
+    def test_reports_of_a_large_fleet_are_bounded(self) -> None:
+        for others in (0, 9, 15, 44, 299):
+            with self.subTest(others):
+                interval_ms = peers.report_interval_ms(others)
+                self.assertGreaterEqual(interval_ms, peers.REPORT_INTERVAL_MS)
+                self.assertLessEqual(5 * interval_ms, peers.SILENCE_MS)
+        self.assertEqual(peers.report_interval_ms(9), peers.REPORT_INTERVAL_MS)
+        self.assertGreater(peers.report_interval_ms(44), peers.REPORT_INTERVAL_MS)
+
+
 class VirtualTimeTest(unittest.TestCase):
     def test_an_hour_passes_at_once(self) -> None:
         clock = virtual_time.LoopClock()
