Callers refused by a line that stands still come back spread

Cause, found when reading the diff: where no request of a rank has started for two seconds the expected wait is infinite, and every refused caller was told the same 4.0 s, so that all would have come back at the same moment.

Change: the wait is bounded before the jitter. The new test fails on the version before.

--- a/quincecrank/gateway/placement.py
+++ b/quincecrank/gateway/placement.py
@@ -38,8 +38,8 @@
 rest is for what the estimate misses."""
 
 MAX_LATE_BACKLOG_MS: Final = 0.0
-"""Computation before a late request at an engine: small beside the target of requests
-that are still on time and come after it."""
+"""Computation before a late request at an engine: none, so that it takes no time from
+requests that are still on time."""
 
 PLAIN_QUEUE_SHARE: Final = 1.0
 """Requests that may queue at a plain backend server, as a part of its slots."""
--- a/quincecrank/gateway/waiting.py
+++ b/quincecrank/gateway/waiting.py
@@ -27,7 +27,14 @@
 not started: two to three times the target of the model requests."""
 
 MIN_RETRY_AFTER_MS: Final = 200
+"""Shortest time to come back: about the time that a model request takes."""
+
 MAX_RETRY_AFTER_MS: Final = 4_000
+"""Longest time to come back: the shortest time that callers of engines allow."""
+
+MAX_BACKLOG_MS: Final = (MAX_RETRY_AFTER_MS - MIN_RETRY_AFTER_MS) / 1.5
+"""Longest wait of the line over which refused callers are spread; the last of them
+comes back one and a half times as late."""
 
 
 class Chance(enum.IntEnum):
@@ -131,9 +138,8 @@
             Uniform number from 0 to 1, which spreads callers over the time that the
             line needs.
         """
-        wait_ms = self.expected_wait_ms(ticket, now_ms)
-        spread_ms = MIN_RETRY_AFTER_MS + wait_ms * (0.5 + jitter)
-        return int(min(MAX_RETRY_AFTER_MS, spread_ms))
+        wait_ms = min(self.expected_wait_ms(ticket, now_ms), MAX_BACKLOG_MS)
+        return int(MIN_RETRY_AFTER_MS + wait_ms * (0.5 + jitter))
 
     def found_no_place(self, ticket: Ticket, now_ms: int) -> None:
         """Record that a request arrived and no backend server had room for it."""
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -119,6 +119,16 @@
         self.assertGreaterEqual(times[-1] - times[0], 1_900)
         self.assertLessEqual(times[-1], waiting.MAX_RETRY_AFTER_MS)
 
+    def test_refused_callers_are_spread_while_nothing_starts(self) -> None:
+        # The line stands still: its wait is not known, but they must not come back
+        # all at the same moment.
+        line = self.make_line(starts=0, waiting_count=3)
+        ticket = builders.make_ticket(arrived_ms=1_000)
+        times = [line.retry_after_ms(ticket, 1_000, j / 10) for j in range(11)]
+        self.assertEqual(len(set(times)), len(times))
+        self.assertLessEqual(times[-1], waiting.MAX_RETRY_AFTER_MS)
+        self.assertGreater(times[-1] - times[0], waiting.MAX_RETRY_AFTER_MS / 2)
+
     def test_a_request_leaves_before_its_time_is_used_up(self) -> None:
         line = waiting.WaitingLine()
         line.push(builders.make_ticket("soon", deadline_ms=1_000))
