Modules are imported, not names; unused pieces go

ElementTree and MappingProxyType are reached through their modules. A datagram limit that nothing used, a list of loaded engines that nobody asked for and an unused parameter are removed. Found when the change was read again.

--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -153,7 +153,7 @@
         if account is None and current.requires_keys and not route.is_public:
             self._reject(answer, said.request_id, 401, "unknown key")
             return None
-        service = self._target(current, route, said.request_id)
+        service = self._target(current, route)
         if service is None:
             self._reject(answer, said.request_id, 503, "no service", NOT_READY_RETRY_MS)
             return None
@@ -468,7 +468,6 @@
         self,
         current: deployment.Deployment,
         route: deployment.Route,
-        request_id: ids.RequestId,
     ) -> deployment.Service | None:
         """Return the service of a request, drawn by the weights of the targets."""
         weights = [target.weight for target in route.targets]
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -13,9 +13,6 @@
 capnp.remove_import_hook()
 _SCHEMA: Final[Any] = capnp.load(str(pathlib.Path(__file__).with_name("peers.capnp")))
 
-MAX_DATAGRAM_BYTES: Final = 1_400
-"""Fits one packet of an Ethernet link."""
-
 
 class MessageError(Exception):
     """A datagram that is no report of a gateway."""
--- a/quincecrank/gateway/weight_news.py
+++ b/quincecrank/gateway/weight_news.py
@@ -7,7 +7,6 @@
 """
 
 import dataclasses
-from collections.abc import Iterable
 from typing import Final
 
 from quincecrank.gateway import deployment, servers
@@ -79,14 +78,6 @@
             if now_ms - heard.at_ms < REPEAT_MS
         )
 
-    def loaded(self) -> Iterable[WeightNews]:
-        """Return the engines that have loaded weights."""
-        return (
-            heard.news
-            for heard in self._heard_by_server.values()
-            if heard.news.is_loaded
-        )
-
 
 def _rank(news: WeightNews) -> tuple[int, int, bool]:
     return news.started_wall_ms, news.version, news.is_loaded
--- a/quincecrank/object_client.py
+++ b/quincecrank/object_client.py
@@ -5,10 +5,10 @@
 """
 
 import dataclasses
+import xml.etree.ElementTree as element_tree
 from collections.abc import Mapping
 from typing import Final, Protocol
 from urllib import parse
-from xml.etree import ElementTree
 
 import pydantic
 from tornado import httpclient
@@ -209,8 +209,8 @@
 
 def _parse_page(document: bytes) -> _Page:
     try:
-        root = ElementTree.fromstring(document)
-    except ElementTree.ParseError as error:
+        root = element_tree.fromstring(document)
+    except element_tree.ParseError as error:
         raise ObjectStoreError("malformed listing") from error
     keys = root.iterfind(f"{_XML_NAMESPACE}Contents/{_XML_NAMESPACE}Key")
     names = tuple(ids.ObjectName(key.text or "") for key in keys)
--- a/quincecrank/tokenizers.py
+++ b/quincecrank/tokenizers.py
@@ -8,8 +8,8 @@
     `BLOCK_TOKENS` consecutive tokens; engines cache whole blocks only.
 """
 
+import types
 from collections.abc import Mapping, Sequence
-from types import MappingProxyType
 from typing import Final, Protocol
 
 BLOCK_TOKENS: Final = 1024
@@ -54,7 +54,7 @@
         return range(block_bytes, len(prompt) + 1, block_bytes)
 
 
-TOKENIZERS_BY_NAME: Final[Mapping[str, Tokenizer]] = MappingProxyType(
+TOKENIZERS_BY_NAME: Final[Mapping[str, Tokenizer]] = types.MappingProxyType(
     {Utf8GroupTokenizer.name: Utf8GroupTokenizer()}
 )
 """Tokenizers that a deployment may name."""
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -20,8 +20,8 @@
 import enum
 import hashlib
 import random
+import xml.etree.ElementTree as element_tree
 from typing import Final
-from xml.etree import ElementTree
 
 import fire
 import pydantic
@@ -221,9 +221,9 @@
         """Answer with an error document."""
         self.set_status(error.status)
         self.set_header("Content-Type", "application/xml")
-        document = ElementTree.Element("Error")
-        ElementTree.SubElement(document, "Code").text = error.code
-        self.finish(ElementTree.tostring(document))
+        document = element_tree.Element("Error")
+        element_tree.SubElement(document, "Code").text = error.code
+        self.finish(element_tree.tostring(document))
 
 
 class ObjectHandler(StoreHandler):
@@ -292,17 +292,17 @@
         paths = self._store.paths_after(f"{bucket}/{prefix}", f"{bucket}/{after}")
         names = [path.removeprefix(f"{bucket}/") for path in paths]
         page = names[: min(limit, MAX_KEYS)]
-        document = ElementTree.Element("ListBucketResult", xmlns=XML_NAMESPACE)
+        document = element_tree.Element("ListBucketResult", xmlns=XML_NAMESPACE)
         truncated = len(page) < len(names)
-        ElementTree.SubElement(document, "IsTruncated").text = str(truncated).lower()
+        element_tree.SubElement(document, "IsTruncated").text = str(truncated).lower()
         for name in page:
-            contents = ElementTree.SubElement(document, "Contents")
-            ElementTree.SubElement(contents, "Key").text = name
+            contents = element_tree.SubElement(document, "Contents")
+            element_tree.SubElement(contents, "Key").text = name
         if truncated and page:
-            token = ElementTree.SubElement(document, "NextContinuationToken")
+            token = element_tree.SubElement(document, "NextContinuationToken")
             token.text = page[-1]
         self.set_header("Content-Type", "application/xml")
-        self.finish(ElementTree.tostring(document))
+        self.finish(element_tree.tostring(document))
 
 
 class StatsHandler(StoreHandler):
