Live gateways are ranked in one place; a cache change holds only what is kept now

Each follower, the store's cleaner and the weight roll built the same ranked list of live gateways; a change of a cache carried a removal flag that its token count already says; tests and slopes built random changes twice. Ruled out: a change of behaviour; only equal changes were applied to the directory.

--- a/bench/gateway_model.py
+++ b/bench/gateway_model.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
+import structlog
+
 from bench import model_engine, virtual_time
 from quincecrank import clock as clocks
 from quincecrank import ids
@@ -27,6 +29,7 @@
     servers,
     waiting,
 )
+from tests import builders_gateway as builders
 
 MESSAGE_MS: Final = 1.0
 """Way of a datagram, and the wait of its receiver for the processor."""
@@ -34,10 +37,9 @@
 CACHE_EVENT_MS: Final = 300.0
 """Way of a cache event: the engine's lag and half of the pause between calls."""
 
-MODEL: Final = deployment.ModelName("model")
-SERVICE: Final = deployment.ServiceName("drafting")
+MODEL: Final = builders.MODEL
+SERVICE: Final = builders.LLM
 SALT: Final = cache_directory.make_salt(MODEL, 1, None)
-DATA_CENTRE: Final = ids.DataCentre("east")
 END_MARGIN_MS: Final = 20_000
 """Time after the last arrival in which everything has ended."""
 
@@ -230,33 +232,18 @@
 
 
 def make_environment(number: int) -> environment.Environment:
-    """Return the settings of a gateway that opens no ports."""
-    nowhere = environment.Endpoint("127.0.0.1", 0)
-    return environment.Environment(
-        vm=ids.VmName(f"gateway-{number}"),
-        data_centre=DATA_CENTRE,
-        ip="127.0.0.1",
-        callers=nowhere,
-        readiness=nowhere,
-        peer_port=0,
-        metrics_port=0,
-        seed_ips=(),
-        memory_mb=200,
-        max_descriptors=1_000,
-        store=environment.StoreFacts(nowhere, 400, 2_000, 65_536),
-        bounds=environment.Bounds(
-            shutdown_grace_ms=8_000,
-            drain_ms=2_000,
-            order_lease_ms=3_000,
-            weights_deadline_ms=8_000,
-            retry_ratio=0.2,
-            retry_floor=100,
-            retry_window_ms=10_000,
-            thaw_ms=300,
-        ),
+    """Return the settings of a gateway."""
+    return dataclasses.replace(
+        builders.make_environment(), vm=ids.VmName(f"gateway-{number}")
     )
 
 
+def _drop(
+    _logger: object, _name: str, _event: structlog.typing.EventDict
+) -> structlog.typing.EventDict:
+    raise structlog.DropEvent
+
+
 class Replay:
     """One replay of a pattern."""
 
@@ -318,15 +305,11 @@
     def _start_engines(self) -> None:
         for number in range(self._pattern.engines):
             server_id = servers.ServerId(f"i-{number}")
-            entry = servers.ServerEntry(
-                server_id=server_id,
+            entry = builders.make_entry(
+                server_id,
                 service=SERVICE,
                 address=f"10.0.0.{number}:80",
-                data_centre=DATA_CENTRE,
                 slots=self._pattern.slots,
-                state=servers.ServerState.READY,
-                started_wall_ms=1,
-                weight_versions_by_model={MODEL: 1},
             )
             holder = cache_directory.HolderName(server_id)
             for known in self._knowledge:
@@ -348,7 +331,6 @@
             change = cache_directory.CacheChange(
                 cache_directory.PartKey(SALT, part.part_id),
                 part.tokens if is_held else 0,
-                not is_held,
             )
             for known in self._knowledge:
                 self._later(CACHE_EVENT_MS, known.directory.apply, holder, [change])
@@ -490,5 +472,10 @@
 
 
 def play(pattern: Pattern) -> Result:
-    """Replay a pattern."""
-    return virtual_time.run(Replay(pattern).run())
+    """Replay a pattern, without the log lines of thousands of decisions."""
+    configured = structlog.get_config()
+    structlog.configure(processors=[_drop])
+    try:
+        return virtual_time.run(Replay(pattern).run())
+    finally:
+        structlog.configure(**configured)
--- a/bench/gateway_policy.py
+++ b/bench/gateway_policy.py
@@ -14,7 +14,6 @@
 from typing import Final
 
 import matplotlib
-import structlog
 
 from bench import gateway_model, model_engine
 
@@ -96,18 +95,6 @@
     return arrival.prompt.input_tokens - arrival.prompt.shared_tokens
 
 
-def _drop(
-    _logger: object, _name: str, _event: structlog.typing.EventDict
-) -> structlog.typing.EventDict:
-    raise structlog.DropEvent
-
-
-def play(pattern: gateway_model.Pattern) -> gateway_model.Result:
-    """Replay a pattern without log lines."""
-    structlog.configure(processors=[_drop])
-    return gateway_model.play(pattern)
-
-
 def main() -> None:
     """Run the experiment and write the report."""
     patterns = [
@@ -123,7 +110,7 @@
         for seed in SEEDS
     ]
     with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
-        results = list(pool.map(play, patterns))
+        results = list(pool.map(gateway_model.play, patterns))
     lines = [
         "# The gateways' decisions under overload",
         "",
--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -19,7 +19,6 @@
     knowledge,
     loads,
     peer_messages,
-    prompts,
     servers,
     tables,
     waiting,
@@ -99,16 +98,7 @@
     salt = cache_directory.make_salt(builders.MODEL, 1, None)
     directory = builders.make_directory(salt, {"s": {}})
     holder = cache_directory.HolderName("s")
-    changes = [
-        cache_directory.CacheChange(
-            cache_directory.PartKey(
-                salt, builders.make_prompt((str(n), 1)).parts[0].part_id
-            ),
-            100,
-            False,
-        )
-        for n in range(100)
-    ]
+    changes = builders.make_changes(salt, 100)
     event_us = least_us(lambda: directory.apply(holder, changes)) / len(changes)
     print(f"cache event, applied: {event_us:.2f} us")
 
@@ -147,18 +137,8 @@
 
 def news_slope() -> None:
     """Print the size of a change of a cache between gateways."""
-    generator = random.Random(1)
     salt = cache_directory.make_salt(builders.MODEL, 1, None)
-    changes = tuple(
-        cache_directory.CacheChange(
-            cache_directory.PartKey(
-                salt, prompts.PartId(f"{generator.randrange(16**12):012x}")
-            ),
-            generator.randrange(9_000),
-            generator.random() < 0.5,
-        )
-        for _ in range(1_000)
-    )
+    changes = builders.make_changes(salt, 1_000)
     events = engines.CacheEvents(9, 1_000, False, changes, 1_000)
     news = cache_history.CacheNews({cache_directory.HolderName("s"): events}, ())
     document = cache_history.encode_news(news)
--- a/quincecrank/gateway/cache_directory.py
+++ b/quincecrank/gateway/cache_directory.py
@@ -36,12 +36,11 @@
     Attributes
     ----------
     tokens : int
-        Tokens that the holder has of the part now.
+        Tokens that the holder has of the part now; 0 once it has none.
     """
 
     part: PartKey
     tokens: int
-    is_removal: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,9 +97,7 @@
             return
         held = known.tokens_by_part
         for change in changes:
-            if change.is_removal and change.tokens == 0:
-                held.pop(change.part, None)
-            elif change.tokens:
+            if change.tokens:
                 held[change.part] = change.tokens
             else:
                 held.pop(change.part, None)
@@ -109,7 +106,7 @@
         """Return all that a holder has, as changes to a holder with nothing."""
         held = self._held_by_holder.get(holder)
         parts = held.tokens_by_part if held else {}
-        return tuple(CacheChange(part, tokens, False) for part, tokens in parts.items())
+        return tuple(CacheChange(part, tokens) for part, tokens in parts.items())
 
     def is_known(self, holder: HolderName) -> bool:
         """Return whether the holder answers, whatever it holds."""
--- a/quincecrank/gateway/cache_followers.py
+++ b/quincecrank/gateway/cache_followers.py
@@ -102,7 +102,7 @@
     @property
     def is_reader(self) -> bool:
         """Whether this gateway reads the holders itself."""
-        return self._known.facts.vm in self._readers(self._holders())
+        return self._reads(self._holders())
 
     async def run(self) -> None:
         """Start and end followers as holders come and go."""
@@ -110,7 +110,7 @@
         while True:
             present = self._holders()
             self._forget_all_but({holder.name for holder in present})
-            wanted = set(present) if self.is_reader else set()
+            wanted = set(present) if self._reads(present) else set()
             for holder in set(self._task_by_holder) - wanted:
                 self._task_by_holder.pop(holder).cancel()
                 self.histories.drop(holder.name)
@@ -145,11 +145,14 @@
 
     def _readers(self, holders: tuple[Holder, ...]) -> tuple[ids.VmName, ...]:
         """Return the gateways that read the holders."""
-        gateways = [self._known.facts.vm, *self._peers.live_members()]
+        gateways = 1 + len(self._peers.live_members())
         fewest = min((each.max_event_calls for each in holders), default=0)
-        wanted = max(MIN_READERS, len(gateways) // GATEWAYS_PER_READER)
+        wanted = max(MIN_READERS, gateways // GATEWAYS_PER_READER)
         count = max(1, min(wanted, fewest - RESERVED_CALLS))
-        return rendezvous.ranked(_RANKING_KEY, gateways, count)
+        return self._peers.first_ranked(_RANKING_KEY, count)
+
+    def _reads(self, holders: tuple[Holder, ...]) -> bool:
+        return self._known.facts.vm in self._readers(holders)
 
     async def _follow(self, holder: Holder) -> None:
         """Read a holder until it leaves or this gateway is no reader any more."""
@@ -174,7 +177,7 @@
         """Ask a reader for all holders while this gateway reads none."""
         while True:
             holders = self._holders()
-            if not holders or self.is_reader:
+            if not holders or self._reads(holders):
                 self._answered_ms = self._clock.now_ms()
                 await self._clock.sleep(PAUSE_MS)
                 continue
--- a/quincecrank/gateway/cache_history.py
+++ b/quincecrank/gateway/cache_history.py
@@ -251,7 +251,7 @@
                 "gap": events.has_gap,
                 "clock_ms": events.clock_ms,
                 "changes": [
-                    [each.part.salt, each.part.part_id, each.tokens, each.is_removal]
+                    [each.part.salt, each.part.part_id, each.tokens]
                     for each in events.changes
                 ],
             }
@@ -286,11 +286,10 @@
 
 
 def _changes(rows: Iterable[Any]) -> Iterable[cache_directory.CacheChange]:
-    for salt, part_id, tokens, is_removal in rows:
+    for salt, part_id, tokens in rows:
         yield cache_directory.CacheChange(
             cache_directory.PartKey(
                 cache_directory.CacheSalt(salt), prompts.PartId(part_id)
             ),
             int(tokens),
-            bool(is_removal),
         )
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import random
 from collections.abc import Sequence
@@ -117,7 +118,9 @@
     def __init__(self, known: knowledge.Knowledge, generator: random.Random) -> None:
         self._known = known
         self._generator = generator
-        self._line_by_service: dict[deployment.ServiceName, waiting.WaitingLine] = {}
+        self._line_by_service: collections.defaultdict[
+            deployment.ServiceName, waiting.WaitingLine
+        ] = collections.defaultdict(waiting.WaitingLine)
         self._future_by_request: dict[
             ids.RequestId, asyncio.Future[Placed | Refused]
         ] = {}
@@ -132,7 +135,7 @@
     async def place(self, want: Want) -> Placed | Refused:
         """Return a backend server for a request, after a wait if need be."""
         now_ms = self._known.clock.now_ms()
-        line = self._line(want.service.name)
+        line = self._line_by_service[want.service.name]
         if not self._usable(want):
             return self._refuse(want, "no backend server", NO_SERVER_RETRY_MS)
         if line.expected_wait_ms(want.ticket, now_ms) == 0:
@@ -155,7 +158,7 @@
 
     def pump(self, service: deployment.ServiceName) -> None:
         """Start the waiting requests for which there is room."""
-        line = self._line(service)
+        line = self._line_by_service[service]
         if not len(line):
             return
         self._has_waiting.set()
@@ -203,7 +206,7 @@
 
     def _try_place(self, want: Want) -> Placed | None:
         now_ms = self._known.clock.now_ms()
-        line = self._line(want.service.name)
+        line = self._line_by_service[want.service.name]
         if not line.may_start(want.ticket, now_ms):
             return None
         placed = (
@@ -410,14 +413,11 @@
             reason=reason,
             waited_ms=now_ms - want.ticket.arrived_ms,
             chance=want.ticket.chance(now_ms).name,
-            waiting=len(self._line(want.service.name)),
+            waiting=len(self._line_by_service[want.service.name]),
             retry_after_ms=retry_after_ms,
         )
         return Refused(reason, retry_after_ms)
 
-    def _line(self, service: deployment.ServiceName) -> waiting.WaitingLine:
-        return self._line_by_service.setdefault(service, waiting.WaitingLine())
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _EnginePlan:
--- a/quincecrank/gateway/followers.py
+++ b/quincecrank/gateway/followers.py
@@ -18,7 +18,7 @@
 from typing import Final, Protocol
 
 from quincecrank import clock as clocks
-from quincecrank import ids, rendezvous, store_rows
+from quincecrank import store_rows
 from quincecrank.gateway import decision_log, peers, tables
 
 READERS: Final = 3
@@ -79,8 +79,6 @@
 
     Parameters
     ----------
-    own_name : VmName
-        Name of this gateway among its peers.
     tell_peers : callable
         Sends a report to the peers at once.
 
@@ -103,7 +101,6 @@
         source: tables.TableSource,
         user: RowUser,
         directory: "peers.PeerTables",
-        own_name: ids.VmName,
         clock: clocks.Clock,
         pace: Pace,
         tell_peers: Callable[[], None],
@@ -113,7 +110,6 @@
         self._source = source
         self._user = user
         self._peers = directory
-        self._own_name = own_name
         self._clock = clock
         self._pace = pace
         self._tell_peers = tell_peers
@@ -179,9 +175,9 @@
         return age_ms is None or age_ms > self._pace.max_age_ms
 
     def _is_reader(self) -> bool:
-        gateways = [self._own_name, *self._peers.live_members()]
-        readers = rendezvous.ranked(self._table.value, gateways, READERS)
-        return self._own_name in readers
+        return self._peers.own_name in self._peers.first_ranked(
+            self._table.value, READERS
+        )
 
     async def _step(self) -> None:
         if not self.version:
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -204,7 +204,6 @@
                 self._store,
                 user,
                 self._peers,
-                self._facts.vm,
                 self._clock,
                 PACE_BY_TABLE[table],
                 self._reporter.send,
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -18,7 +18,7 @@
 from tornado import httpclient, httpserver, ioloop, netutil, simple_httpclient, web
 
 from quincecrank import clock as clocks
-from quincecrank import ids, store_rows
+from quincecrank import ids, rendezvous, store_rows
 from quincecrank.gateway import (
     decision_log,
     environment,
@@ -108,6 +108,19 @@
             )
         )
 
+    @property
+    def own_name(self) -> ids.VmName:
+        """Name of this gateway."""
+        return self._facts.vm
+
+    def first_ranked(self, key: str, count: int) -> tuple[ids.VmName, ...]:
+        """Return the first live gateways in the ranking for a key, this one included.
+
+        All gateways that know the same peers agree on it.
+        """
+        gateways = (self._facts.vm, *self.live_members())
+        return rendezvous.ranked(key, gateways, count)
+
     def ip_of(self, member: ids.VmName) -> str | None:
         """Return the address of a live peer."""
         for ip in self.live_ips():
--- a/quincecrank/gateway/store_cleaner.py
+++ b/quincecrank/gateway/store_cleaner.py
@@ -9,7 +9,6 @@
 from typing import Final
 
 from quincecrank import clock as clocks
-from quincecrank import rendezvous
 from quincecrank.gateway import (
     cache_directory,
     decision_log,
@@ -91,9 +90,7 @@
         return settled
 
     def _is_first(self, store: deployment.ServiceName) -> bool:
-        own = self._known.facts.vm
-        gateways = [own, *self._peers.live_members()]
-        return rendezvous.ranked(store, gateways, 1)[0] == own
+        return self._known.facts.vm in self._peers.first_ranked(store, 1)
 
     async def _clean(
         self,
--- a/quincecrank/gateway/weight_roll.py
+++ b/quincecrank/gateway/weight_roll.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 from quincecrank import clock as clocks
-from quincecrank import rendezvous, store_rows, tasks
+from quincecrank import store_rows, tasks
 from quincecrank.gateway import (
     decision_log,
     deployment,
@@ -156,10 +156,10 @@
 
     def _rank(self) -> int:
         """Return how many live gateways go before this one."""
-        own = self._known.facts.vm
         newest = max(self._known.versions.all().values(), default=0)
-        names = [own, *self._peers.live_members()]
-        return rendezvous.ranked(str(newest), names, len(names)).index(own)
+        everyone = 1 + len(self._peers.live_members())
+        ranked = self._peers.first_ranked(str(newest), everyone)
+        return ranked.index(self._known.facts.vm)
 
     def _due(self, lagging: tuple[Lagging, ...]) -> tuple[Lagging, ...]:
         """Return the engines to order now, within the limit of loads at once."""
--- a/quincecrank/platform/engines.py
+++ b/quincecrank/platform/engines.py
@@ -292,11 +292,10 @@
 
 
 def _change(event: list[Any]) -> cache_directory.CacheChange:
-    _number, sign, salt, part_id, tokens, _model = event
+    _number, _sign, salt, part_id, tokens, _model = event
     return cache_directory.CacheChange(
         part=cache_directory.PartKey(
             cache_directory.CacheSalt(salt), prompts.PartId(part_id)
         ),
         tokens=int(tokens),
-        is_removal=sign == "-",
     )
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -275,17 +275,27 @@
         self.send(200, answer)
 
 
-class ReadHandler(StoreHandler):
-    """`GET /rows-get`."""
+class ReadingHandler(StoreHandler):
+    """Base of the calls that read."""
 
-    async def get(self) -> None:
-        """Answer with rows of one part."""
+    async def begin_read(self) -> bool:
+        """Count a call; return False if a fault or the rate has answered it."""
         if await self.strike():
-            return
+            return False
         try:
             self.service.take_read()
         except CallError as error:
             self.send(error.status, error.document)
+            return False
+        return True
+
+
+class ReadHandler(ReadingHandler):
+    """`GET /rows-get`."""
+
+    async def get(self) -> None:
+        """Answer with rows of one part."""
+        if not await self.begin_read():
             return
         limit = min(int(self.get_query_argument("limit", "500")), MAX_PAGE_ROWS)
         # Keys may hold any character, so the arguments are taken as they are.
@@ -306,17 +316,12 @@
         return values[-1].decode()
 
 
-class FeedHandler(StoreHandler):
+class FeedHandler(ReadingHandler):
     """`GET /rows-feed`."""
 
     async def get(self) -> None:
         """Answer with changed rows, after a wait for the first one."""
-        if await self.strike():
-            return
-        try:
-            self.service.take_read()
-        except CallError as error:
-            self.send(error.status, error.document)
+        if not await self.begin_read():
             return
         if self.service.faults.forgets_history:
             self.send(410, {})
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -1,6 +1,7 @@
 """Builders of what a gateway works with."""
 
 import json
+import random
 from collections.abc import Mapping
 from typing import Any
 
@@ -288,7 +289,7 @@
             holder,
             [
                 cache_directory.CacheChange(
-                    cache_directory.PartKey(salt, prompts.PartId(part)), tokens, False
+                    cache_directory.PartKey(salt, prompts.PartId(part)), tokens
                 )
                 for part, tokens in tokens_by_part.items()
             ],
@@ -296,6 +297,22 @@
     return directory
 
 
+def make_changes(
+    salt: cache_directory.CacheSalt, count: int, seed: int = 1
+) -> tuple[cache_directory.CacheChange, ...]:
+    """Return changes of different parts, whose names do not compress well."""
+    generator = random.Random(seed)
+    return tuple(
+        cache_directory.CacheChange(
+            cache_directory.PartKey(
+                salt, prompts.PartId(f"{generator.randrange(16**12):012x}")
+            ),
+            generator.randrange(9_000),
+        )
+        for _ in range(count)
+    )
+
+
 def make_news(
     server_id: str = "i-1",
     *,
--- a/tests/test_gateway_caches.py
+++ b/tests/test_gateway_caches.py
@@ -30,7 +30,7 @@
 ) -> cache_directory.CacheChange:
     """Return the change of one of seven parts."""
     part = cache_directory.PartKey(SALT, prompts.PartId(f"p{number % 7}"))
-    return cache_directory.CacheChange(part, 0 if is_removal else 100, is_removal)
+    return cache_directory.CacheChange(part, 0 if is_removal else 100)
 
 
 def make_events(
@@ -198,23 +198,13 @@
 
     async def test_news_of_many_changes_are_small(self) -> None:
         # The smallest machines have links of 600 kB/s for the changes of all holders.
-        generator = random.Random(1)
         start = cache_history.Position(9, 0)
         positions = {}
         for number in range(20):
             holder = cache_directory.HolderName(f"i-{number}")
             positions[holder] = start
             self.histories.begin(holder, start)
-            changes = tuple(
-                cache_directory.CacheChange(
-                    cache_directory.PartKey(
-                        SALT, prompts.PartId(f"{generator.randrange(16**12):012x}")
-                    ),
-                    generator.randrange(9_000),
-                    generator.random() < 0.5,
-                )
-                for _ in range(200)
-            )
+            changes = builders.make_changes(SALT, 200, seed=number)
             events = engines.CacheEvents(9, 200, False, changes, 1_000)
             self.histories.append(holder, events)
         port = self.known.facts.peer_port
--- a/tests/test_gateway_followers.py
+++ b/tests/test_gateway_followers.py
@@ -1,6 +1,7 @@
 """Tests of following tables, of the order lease and of messages between gateways."""
 
 import asyncio
+import dataclasses
 import json
 import unittest
 
@@ -106,19 +107,21 @@
         self.clock = clocks.ManualClock(1_000)
         self.store = FakeStore()
         self.user = FakeUser()
-        self.directory = peers.PeerTables(builders.make_environment(), self.clock)
         self.told = 0
 
     def make_follower(self, name: str = "entry-1") -> followers.TableFollower:
         def tell() -> None:
             self.told += 1
 
+        self.directory = peers.PeerTables(
+            dataclasses.replace(builders.make_environment(), vm=ids.VmName(name)),
+            self.clock,
+        )
         return followers.TableFollower(
             OPERATOR,
             self.store,
             self.user,
             self.directory,
-            ids.VmName(name),
             self.clock,
             PACE,
             tell,
@@ -182,12 +185,11 @@
 
     async def test_few_gateways_read_the_store(self) -> None:
         names = [f"entry-{number}" for number in range(40)]
-        for number, name in enumerate(names):
-            report = make_report(name, 1, 100)
-            self.directory.heard(f"10.0.1.{number}", report)
         readers = []
         for name in names:
             follower = self.make_follower(name)
+            for number, peer in enumerate(names):
+                self.directory.heard(f"10.0.1.{number}", make_report(peer, 1, 100))
             follower.version = 1
             if follower.reads_store():
                 readers.append(name)
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -3,8 +3,6 @@
 import asyncio
 import unittest
 
-import structlog
-
 from bench import gateway_model, virtual_time
 from quincecrank import clock as clocks
 from quincecrank import ids
@@ -15,21 +13,6 @@
 PEER = ids.VmName("entry-2")
 
 
-def _drop(
-    _logger: object, _name: str, _event: structlog.typing.EventDict
-) -> structlog.typing.EventDict:
-    raise structlog.DropEvent
-
-
-class ReplayCase(unittest.TestCase):
-    """Replays without the log lines of thousands of decisions."""
-
-    def setUp(self) -> None:
-        configured = structlog.get_config()
-        self.addCleanup(structlog.configure, **configured)
-        structlog.configure(processors=[_drop])
-
-
 def worst_second(result: gateway_model.Result, from_ms: int, until_ms: int) -> float:
     """Return the lowest share of answers on time among the seconds of a time."""
     shares = []
@@ -43,7 +26,7 @@
     return min(shares)
 
 
-class HerdTest(ReplayCase):
+class HerdTest(unittest.TestCase):
     def test_no_engine_is_sent_more_prompts_than_it_holds(self) -> None:
         # Ten gateways, four nearly full engines, long prompts waiting everywhere.
         for seed in SEEDS:
@@ -53,7 +36,7 @@
                 self.assertLessEqual(result.most_unread_tokens, pattern.memory_tokens)
 
 
-class OverloadTest(ReplayCase):
+class OverloadTest(unittest.TestCase):
     def test_most_answers_of_overloaded_engines_are_on_time(self) -> None:
         # Prompts for five and a half engines meet four for eight seconds.
         for seed in SEEDS:
