First events are learned from each service's answers instead of a data sheet

Cause: placement and refusals used the figures of one engine (92 tokens a ms, pieces of 1,024, 60 ms to the first event, whole backlogs). Ruled out: other constants (wrong for the next engine); a fit by replica (too few answers each; slowness relative to the service stays what tells replicas apart). Change: `service_times` fits base, missing token, backlog token, running request and transfers by least squares with bounded outliers, a prior of a dozen answers and a memory of some hundred; reports tell it to new gateways.

--- a/bench/gateway_model.py
+++ b/bench/gateway_model.py
@@ -409,19 +409,21 @@
             now_ms,
             began_ms + kind.deadline_ms,
             kind.target_ms,
-            dispatcher.least_run_ms(arrival.prompt),
+            self._dispatchers[number].least_run_ms(self._service, arrival.prompt),
         )
         want = dispatcher.Want(ticket, self._service, None, arrival.prompt)
         placed = await self._dispatchers[number].place(want)
         if isinstance(placed, dispatcher.Refused):
             return placed
         server_id = placed.server.server_id
-        await self._run_at(
-            server_id,
-            arrival,
-            began_ms,
-            lambda: known.loads.prompt_computed(server_id, request_id),
-        )
+        sent_ms = self._clock.now_ms()
+
+        def take_first_event() -> None:
+            known.loads.prompt_computed(server_id, request_id)
+            took_ms = self._clock.now_ms() - sent_ms + model_engine.FIRST_EVENT_MS
+            known.service_times.observe(SERVICE, placed.work, took_ms)
+
+        await self._run_at(server_id, arrival, began_ms, take_first_event)
         known.loads.ended(server_id, request_id)
         self._dispatchers[number].pump(SERVICE)
         return None
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -21,6 +21,7 @@
     placement,
     prompts,
     servers,
+    service_times,
     waiting,
     weights,
 )
@@ -72,14 +73,18 @@
     ----------
     weights_version : int or None
         Version of the weights without which the request must not run.
+    work : Work
+        What the backend server has to do before the first part of the answer.
     expected_ms : float
-        Estimated time to the first part of the answer.
+        Estimated time to the first part of the answer by a server as fast as the
+        others.
     """
 
     server: servers.ServerEntry
     weights_version: int | None
     salt: cache_directory.CacheSalt | None
     transfers: kept_parts.Transfers
+    work: service_times.Work
     expected_ms: float
 
 
@@ -91,19 +96,6 @@
     retry_after_ms: int
 
 
-FIRST_EVENT_MS: Final = 60.0
-"""Time from a request to the first event of an idle engine that holds its prompt."""
-
-PLAIN_EXPECTED_MS: Final = 80.0
-"""Answer time of a plain service against which slowness is measured."""
-
-
-def least_run_ms(prompt: prompts.Prompt) -> float:
-    """Return the time to the first event at an idle engine with the shared parts."""
-    own_tokens = prompt.input_tokens - prompt.shared_tokens
-    return FIRST_EVENT_MS + own_tokens / placement.PREFILL_TOKENS_PER_MS
-
-
 class Dispatcher:
     """Places the requests of all services.
 
@@ -132,6 +124,22 @@
         """Requests that wait for a backend server."""
         return len(self._want_by_request)
 
+    def least_run_ms(
+        self, service: deployment.Service, prompt: prompts.Prompt | None
+    ) -> float:
+        """Return the time to the answer, or the first event, at an idle server.
+
+        Parameters
+        ----------
+        prompt : Prompt or None
+            Its shared parts count as held.
+        """
+        if prompt is None:
+            return 0.0
+        own_tokens = prompt.input_tokens - prompt.shared_tokens
+        times = self._known.service_times.of(service.name)
+        return times.expected_ms(service_times.Work(missing_tokens=own_tokens))
+
     async def place(self, want: Want) -> Placed | Refused:
         """Return a backend server for a request, after a wait if need be."""
         now_ms = self._known.clock.now_ms()
@@ -241,8 +249,10 @@
             running=chosen.load.requests,
             slowness=round(chosen.slowness, 2),
         )
+        work = chosen.work
+        expected_ms = self._known.service_times.of(want.service.name).expected_ms(work)
         return Placed(
-            chosen.server, None, None, kept_parts.NO_TRANSFERS, PLAIN_EXPECTED_MS
+            chosen.server, None, None, kept_parts.NO_TRANSFERS, work, expected_ms
         )
 
     def _place_engine(
@@ -255,11 +265,13 @@
         sources = (
             self._known.sources(want.service, prompt.model, current) if current else ()
         )
+        times = self._known.service_times.of(want.service.name)
         need = placement.EngineNeed(
             home=_home(prompt, usable),
             memory_tokens=prompt.memory_tokens,
             engine_memory_tokens=engine.memory_tokens,
-            slack_ms=_slack_ms(want.ticket, now_ms),
+            slack_ms=_slack_ms(want.ticket, now_ms, times),
+            times=times,
         )
         load_by_server = {
             each.server_id: self._known.loads.of(each.server_id, now_ms)
@@ -313,7 +325,7 @@
             prompt=prompt.input_tokens,
             waited_ms=now_ms - want.ticket.arrived_ms,
             chance=want.ticket.chance(now_ms).name,
-            expected_ms=round(placement.engine_cost_ms(chosen)),
+            expected_ms=round(times.expected_ms(chosen.work, chosen.slowness)),
             shared=_last_shared_part(prompt),
             home=need.home,
             saved=sum(each is not None for each in transfers.save_to),
@@ -325,7 +337,8 @@
             plan.version,
             plan.salt,
             transfers,
-            FIRST_EVENT_MS + placement.engine_cost_ms(chosen) / chosen.slowness,
+            chosen.work,
+            times.expected_ms(chosen.work),
         )
 
     def _with_saves(
@@ -427,11 +440,13 @@
     transfers: kept_parts.Transfers
 
 
-def _slack_ms(ticket: waiting.Ticket, now_ms: int) -> float | None:
+def _slack_ms(
+    ticket: waiting.Ticket, now_ms: int, times: service_times.Times
+) -> float | None:
     """Return how long an engine may take to compute a prompt that can be on time."""
     if ticket.chance(now_ms) is waiting.Chance.LATE:
         return None
-    return ticket.on_time_until_ms - now_ms - FIRST_EVENT_MS
+    return ticket.on_time_until_ms - now_ms - times.base_ms
 
 
 def _home(
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -345,6 +345,9 @@
             if await sink.end():
                 first_ms = (sink.first_part_ms or now_ms) - sent_ms
                 health.answered(first_ms, placed.expected_ms)
+                self._known.service_times.observe(
+                    job.service.name, placed.work, first_ms
+                )
                 self._crashes.ran_to_end(job.fingerprint, now_ms)
                 self._finish_whole(job, sink)
                 self._log_attempt(job, placed, sink, "answered", head.status, sent_ms)
@@ -458,7 +461,7 @@
             arrived_ms=job.request.received_ms,
             deadline_ms=job.deadline_ms,
             target_ms=job.route.target_ms,
-            least_run_ms=dispatcher.least_run_ms(prompt) if prompt else 0.0,
+            least_run_ms=self._places.least_run_ms(job.service, prompt),
         )
         return dispatcher.Want(
             ticket, job.service, job.account, prompt, frozenset(job.tried)
--- a/quincecrank/gateway/knowledge.py
+++ b/quincecrank/gateway/knowledge.py
@@ -11,6 +11,7 @@
     loads,
     server_health,
     servers,
+    service_times,
     weight_news,
     weights,
 )
@@ -43,6 +44,7 @@
         self.directory = cache_directory.CacheDirectory()
         self.loads = loads.Loads()
         self.health = server_health.HealthBook()
+        self.service_times = service_times.ServiceTimes()
         self.links = links.LinkPool(clock, MAX_IDLE_LINK_MS)
         self.weight_news = weight_news.WeightNewsBook()
         self.saves = kept_parts.SaveNotes()
@@ -63,6 +65,7 @@
         if self.current is not None and update.version <= self.current.version:
             return False
         self.current = update
+        self.service_times.retain(tuple(update.services_by_name))
         return True
 
     def forget_server(self, server_id: servers.ServerId) -> None:
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -10,6 +10,7 @@
 import random
 import signal
 import sys
+from collections.abc import Mapping
 from typing import Final
 
 from tornado import httpserver, netutil, web
@@ -31,6 +32,7 @@
     order_lease,
     peer_messages,
     peers,
+    service_times,
     store_cleaner,
     table_users,
     tables,
@@ -50,6 +52,10 @@
 
 HOUSEKEEPING_MS: Final = 250
 
+TIMES_EVERY: Final = 4
+"""Reports of which one tells what was learned of the services: a gateway that starts
+hears it within a second, from many peers within a report's interval."""
+
 ACCEPT_MS: Final = 2_800
 """Time after SIGTERM in which requests still come: the balancer takes the machine out
 of rotation after two failed checks, a second apart.  A later one could not be sure to
@@ -116,6 +122,7 @@
             clock,
         )
         self._is_leaving = False
+        self._reports_made = 0
 
     async def start(self) -> None:
         """Open the listeners and begin to learn about the fleet."""
@@ -228,6 +235,7 @@
             crashes=self._crashes.to_share(self._clock.now_ms()),
             named=self._known.versions.to_tell(self._clock.now_ms()),
             news=self._known.weight_news.to_tell(self._clock.now_ms()),
+            times_by_service=self._times_to_tell(),
         )
 
     def _use_report(self, report: peer_messages.Report) -> None:
@@ -236,9 +244,18 @@
         self._crashes.merge(report.crashes)
         for named in report.named:
             self._known.versions.name(named.model, named.version, now_ms, named.age_ms)
+        for service, times in report.times_by_service.items():
+            self._known.service_times.take(service, times)
         for news in report.news:
             self._known.take_weight_news(news)
 
+    def _times_to_tell(self) -> Mapping[str, service_times.Times]:
+        """Return the learned times in some of the reports: they change slowly."""
+        self._reports_made += 1
+        if self._reports_made % TIMES_EVERY:
+            return {}
+        return self._known.service_times.to_tell()
+
     def _use_change(self, change: peer_messages.LoadChange) -> None:
         self._known.loads.peer_changed(change.vm, change.server_id, change.load)
 
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -8,7 +8,15 @@
 import capnp
 
 from quincecrank import crash_counts, ids
-from quincecrank.gateway import deployment, loads, servers, tables, weight_news, weights
+from quincecrank.gateway import (
+    deployment,
+    loads,
+    servers,
+    service_times,
+    tables,
+    weight_news,
+    weights,
+)
 
 capnp.remove_import_hook()
 _SCHEMA: Final[Any] = capnp.load(str(pathlib.Path(__file__).with_name("peers.capnp")))
@@ -55,6 +63,9 @@
     crashes: tuple[crash_counts.CrashRecord, ...] = ()
     news: tuple[weight_news.WeightNews, ...] = ()
     named: tuple[weights.NamedWeights, ...] = ()
+    times_by_service: Mapping[str, service_times.Times] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +116,10 @@
             }
             for named in report.named
         ],
+        times=[
+            _times_fields(service, times)
+            for service, times in report.times_by_service.items()
+        ],
     )
     return bytes(message.to_bytes_packed())
 
@@ -153,6 +168,31 @@
     }
 
 
+def _times_fields(service: str, times: service_times.Times) -> dict[str, Any]:
+    return {
+        "service": service,
+        "baseMs": times.base_ms,
+        "tokenMs": times.token_ms,
+        "backlogTokenMs": times.backlog_token_ms,
+        "runningMs": times.running_ms,
+        "transferShare": times.transfer_share,
+        "spreadMs": times.spread_ms,
+        "answers": times.answers,
+    }
+
+
+def _times(message: Any) -> service_times.Times:
+    return service_times.Times(
+        base_ms=message.baseMs,
+        token_ms=message.tokenMs,
+        backlog_token_ms=message.backlogTokenMs,
+        running_ms=message.runningMs,
+        transfer_share=message.transferShare,
+        spread_ms=message.spreadMs,
+        answers=message.answers,
+    )
+
+
 def _load(message: Any) -> loads.Load:
     return loads.Load(message.requests, message.memoryTokens, message.prefillTokens)
 
@@ -208,4 +248,5 @@
             )
             for each in message.named
         ),
+        times_by_service={each.service: _times(each) for each in message.times},
     )
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -45,6 +45,18 @@
   load @1 :ServerLoad;
 }
 
+# What a gateway has learned of how long a service takes.
+struct ServiceTimes {
+  service @0 :Text;
+  baseMs @1 :Float32;
+  tokenMs @2 :Float32;
+  backlogTokenMs @3 :Float32;
+  runningMs @4 :Float32;
+  transferShare @5 :Float32;
+  spreadMs @6 :Float32;
+  answers @7 :Float32;
+}
+
 struct Report {
   vm @0 :Text;
   isLeaving @1 :Bool;
@@ -53,6 +65,7 @@
   crashes @4 :List(Crash);
   weightNews @5 :List(WeightNews);
   named @6 :List(NamedWeights);
+  times @7 :List(ServiceTimes);
 }
 
 struct Datagram {
--- a/quincecrank/gateway/placement.py
+++ b/quincecrank/gateway/placement.py
@@ -11,19 +11,7 @@
 from typing import Final
 
 from quincecrank import rendezvous
-from quincecrank.gateway import loads, servers
-
-PREFILL_TOKENS_PER_MS: Final = 92.0
-"""Prompt tokens that an engine computes in a millisecond, by its data sheet."""
-
-PIECE_TOKENS: Final = 1_024
-"""Prompt tokens that an engine computes between two tokens of the running requests,
-by its data sheet."""
-
-STEP_MS: Final = 4.0
-STEP_MS_PER_REQUEST: Final = 0.05
-"""Time of an engine's step without a prompt, and what each running request adds, by
-its data sheet."""
+from quincecrank.gateway import loads, servers, service_times
 
 SPREAD_COST_MS: Final = 4.0
 """Disadvantage of a replica for each request that it runs, in the choice among those
@@ -72,6 +60,16 @@
     transfer_ms: float = 0.0
     handicap_ms: float = 0.0
 
+    @property
+    def work(self) -> service_times.Work:
+        """What the backend server has to do before the first event."""
+        return service_times.Work(
+            self.missing_tokens,
+            self.load.prefill_tokens,
+            self.load.requests,
+            self.transfer_ms,
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineNeed:
@@ -86,12 +84,15 @@
     slack_ms : float or None
         Time until the prompt must be computed for an answer on time; None if it
         can't be on time any more.
+    times : Times
+        Times of the service's engines.
     """
 
     home: servers.ServerId
     memory_tokens: int
     engine_memory_tokens: int
     slack_ms: float | None = None
+    times: service_times.Times = service_times.PRIOR
 
 
 def has_room(load: loads.Load, slots: int, need: EngineNeed) -> bool:
@@ -117,7 +118,7 @@
     return min(
         able,
         key=lambda each: (
-            engine_cost_ms(each)
+            engine_cost_ms(each, need.times)
             + each.load.requests * SPREAD_COST_MS
             + each.handicap_ms
             - HOME_BONUS_MS * (each.server.server_id == need.home),
@@ -126,11 +127,10 @@
     )
 
 
-def engine_cost_ms(candidate: Candidate) -> float:
+def engine_cost_ms(candidate: Candidate, times: service_times.Times) -> float:
     """Return the estimated time until a replica would have computed the prompt."""
-    load = candidate.load
-    compute_ms = _compute_ms(load.prefill_tokens + candidate.missing_tokens, load)
-    return compute_ms * candidate.slowness + candidate.transfer_ms
+    expected_ms = times.expected_ms(candidate.work, candidate.slowness)
+    return expected_ms - times.base_ms
 
 
 def choose_plain(candidates: Sequence[Candidate], request_key: str) -> Candidate | None:
@@ -155,13 +155,6 @@
     if load.requests == 0:
         return True
     if need.slack_ms is not None:
-        return engine_cost_ms(candidate) <= need.slack_ms * SLACK_SHARE
-    backlog_ms = _compute_ms(load.prefill_tokens, load) * candidate.slowness
+        return engine_cost_ms(candidate, need.times) <= need.slack_ms * SLACK_SHARE
+    backlog_ms = need.times.backlog_ms(candidate.work, candidate.slowness)
     return backlog_ms <= MAX_LATE_BACKLOG_MS
-
-
-def _compute_ms(tokens: int, load: loads.Load) -> float:
-    """Return the time to compute prompts between the steps of running requests."""
-    steps = -(-tokens // PIECE_TOKENS)
-    step_ms = STEP_MS + STEP_MS_PER_REQUEST * load.requests
-    return tokens / PREFILL_TOKENS_PER_MS + steps * step_ms
