Servers that leave or want a pause say so in answers; endless bytes and jumping clocks harm nothing

Ruled out: raising limits by bytes alone (a long sound answer must pass: it is passed on as it comes from 1 MB on). Change: answers' heads tell the registry and the health book at once, reports tell the peers; every reader has a longest size; `json_text` parses what others send; one client for calls between gateways; crashes are counted by incarnation with the gateway's own clock; news are kept by incarnation, unordered. A feed that fails three times is followed by a full read in pages, as its answer may be longer than what is read.

--- a/quincecrank/gateway/cache_followers.py
+++ b/quincecrank/gateway/cache_followers.py
@@ -10,8 +10,6 @@
 import dataclasses
 from typing import Final
 
-from tornado import httpclient, simple_httpclient
-
 from quincecrank import clock as clocks
 from quincecrank import ids, rendezvous, tasks
 from quincecrank.gateway import (
@@ -19,7 +17,9 @@
     cache_history,
     decision_log,
     knowledge,
+    peer_calls,
     peers,
+    servers,
 )
 from quincecrank.platform import engines
 
@@ -94,7 +94,7 @@
         self._position_by_holder: dict[
             cache_directory.HolderName, cache_history.Position
         ] = {}
-        self._client = simple_httpclient.SimpleAsyncHTTPClient(force_instance=True)
+        self._calls = peer_calls.PeerCalls(known.facts.peer_port, PEER_TIMEOUT_MS)
         self._answered_ms = clock.now_ms()
         self._failed_peer: ids.VmName | None = None
         self.histories = cache_history.Histories(known)
@@ -168,11 +168,18 @@
                     await self._clock.sleep(RETRY_MS)
                     continue
                 self._take(holder.name, events)
+                if events.is_leaving:
+                    self._server_leaves(holder.name)
                 self.histories.append(holder.name, events)
                 await self._clock.sleep(PAUSE_MS)
         finally:
             channel.close()
 
+    def _server_leaves(self, name: cache_directory.HolderName) -> None:
+        entry = self._known.registry.find(servers.ServerId(name))
+        if entry is not None:
+            self._known.server_leaves(entry.incarnation, is_own=True)
+
     async def _ask_peers(self) -> None:
         """Ask a reader for all holders while this gateway reads none."""
         while True:
@@ -210,20 +217,12 @@
         if ip is None:
             return None
         position_by_holder = {each.name: self._position(each.name) for each in holders}
-        timeout_s = PEER_TIMEOUT_MS / clocks.MS_PER_SECOND
-        request = httpclient.HTTPRequest(
-            f"http://{ip}:{self._known.facts.peer_port}/cache",
-            method="POST",
-            body=cache_history.encode_positions(position_by_holder),
-            connect_timeout=timeout_s,
-            request_timeout=timeout_s,
-        )
+        body = cache_history.encode_positions(position_by_holder)
         try:
-            response = await self._client.fetch(request)
-            return cache_history.decode_news(response.body)
+            document = await self._calls.post(ip, "/cache", body)
+            return cache_history.decode_news(document)
         except (
-            OSError,
-            httpclient.HTTPError,
+            peer_calls.PeerCallError,
             ValueError,
             KeyError,
             TypeError,
--- a/quincecrank/gateway/cache_history.py
+++ b/quincecrank/gateway/cache_history.py
@@ -18,6 +18,7 @@
 from tornado import web
 
 from quincecrank import clock as clocks
+from quincecrank import json_text
 from quincecrank.gateway import cache_directory, knowledge, prompts
 from quincecrank.platform import engines
 
@@ -235,7 +236,7 @@
     """
     return {
         cache_directory.HolderName(str(holder)): Position(int(epoch), int(number))
-        for holder, epoch, number in json.loads(document)
+        for holder, epoch, number in json_text.parse(document)
     }
 
 
@@ -269,7 +270,7 @@
     ValueError, KeyError, TypeError
         If it has another form.
     """
-    decoded: dict[str, Any] = json.loads(document)
+    decoded: dict[str, Any] = json_text.parse(document)
     return CacheNews(
         {
             cache_directory.HolderName(str(each["name"])): engines.CacheEvents(
--- a/quincecrank/gateway/crash_suspicions.py
+++ b/quincecrank/gateway/crash_suspicions.py
@@ -59,9 +59,17 @@
         self._counts = crash_counts.CrashCounts()
         self._to_share: list[tuple[int, crash_counts.CrashRecord]] = []
 
-    def refuses(self, request: crash_counts.RequestFingerprint, wall_ms: int) -> bool:
-        """Return whether a request has crashed too many servers."""
-        return self._counts.count(request, wall_ms) >= CRASH_LIMIT
+    def refuses(self, request: crash_counts.RequestFingerprint, now_ms: int) -> bool:
+        """Return whether a request has crashed too many servers.
+
+        An incarnation of a server crashes once, whoever tells of it and when.
+        """
+        crashed = {
+            record.server or record.attempt_id
+            for record in self._counts.records_of(request)
+            if not record.cleared and now_ms - record.wall_ms < crash_counts.EXPIRY_MS
+        }
+        return len(crashed) >= CRASH_LIMIT
 
     def suspect(
         self,
@@ -98,13 +106,19 @@
             if each not in confirmed and now_ms - each.at_ms < CONFIRM_MS
         ]
         records = tuple(each.record for each in confirmed)
-        self._counts.merge(records)
+        self.merge(records, now_ms)
         self._to_share += [(now_ms, record) for record in records]
         return records
 
-    def merge(self, records: tuple[crash_counts.CrashRecord, ...]) -> None:
-        """Take the crashes that a peer tells of."""
-        self._counts.merge(records)
+    def merge(self, records: tuple[crash_counts.CrashRecord, ...], now_ms: int) -> None:
+        """Take crashes, also those that a peer tells of.
+
+        They are kept with the instant at which this gateway learned of them, as the
+        time of day differs between machines and may jump.
+        """
+        self._counts.merge(
+            dataclasses.replace(record, wall_ms=now_ms) for record in records
+        )
 
     def to_share(self, now_ms: int) -> tuple[crash_counts.CrashRecord, ...]:
         """Return the newest crashes to tell the peers."""
--- a/quincecrank/gateway/event_stream.py
+++ b/quincecrank/gateway/event_stream.py
@@ -6,6 +6,11 @@
 
 from typing import Final
 
+from quincecrank.gateway import links
+
+MAX_EVENT_BYTES: Final = 256 * 1024
+"""Longest event: many times the tokens of a whole answer."""
+
 _EVENT_END: Final = b"\n\n"
 _ID_FIELD: Final = b"id:"
 
@@ -32,14 +37,21 @@
         return bool(self._partial.strip())
 
     def feed(self, chunk: bytes) -> bytes:
-        """Take received bytes; return the whole events among all that is there."""
+        """Take received bytes; return the whole events among all that is there.
+
+        Raises
+        ------
+        AnswerLimitError
+            If an event does not end within the longest size.
+        """
         received = self._partial + chunk
         end = received.rfind(_EVENT_END)
-        if end < 0:
-            self._partial = received
-            return b""
-        end += len(_EVENT_END)
+        end = 0 if end < 0 else end + len(_EVENT_END)
         whole, self._partial = received[:end], received[end:]
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise links.AnswerLimitError("an event without an end")
+        if not whole:
+            return b""
         self._note(whole)
         return whole
 
--- a/quincecrank/gateway/followers.py
+++ b/quincecrank/gateway/followers.py
@@ -36,6 +36,10 @@
 BEHIND_LIMIT_MS: Final = 600
 """Time after which a gateway that its peers leave behind reads the store itself."""
 
+FAILURES_TO_FULL_READ: Final = 3
+"""Failed calls for changes after which all rows are read once, in pages: the changes of
+a long outage may be more than one answer may hold."""
+
 _LOG: Final = decision_log.logger("followers")
 
 
@@ -116,6 +120,7 @@
         self._count_failure = count_failure
         self._rows_by_key: dict[str, store_rows.Row] = {}
         self._is_lost = False
+        self._failures = 0
         self._full_version = 0
         self._confirmed_ms: int | None = None
         self._behind_since_ms: int | None = None
@@ -147,7 +152,10 @@
                 await self._read_all()
             except store_rows.StoreUnavailableError as error:
                 self._lost(str(error))
+                self._failures += 1
                 await self._clock.sleep(RETRY_MS * random.uniform(0.8, 1.2))
+                if self._failures % FAILURES_TO_FULL_READ == 0:
+                    await self._read_all()
 
     async def run_from_peers(self) -> None:
         """Read rows from a peer that has news."""
@@ -252,6 +260,7 @@
 
     def _confirm(self) -> None:
         self._confirmed_ms = self._clock.now_ms()
+        self._failures = 0
         if self._is_lost:
             self._is_lost = False
             _LOG.info("store regained", table=self._table.value)
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -172,7 +172,7 @@
         )
 
     async def _serve(self, job: jobs.Job) -> None:
-        if self._crashes.refuses(job.fingerprint, self._clock.wall_ms()):
+        if self._crashes.refuses(job.fingerprint, self._clock.now_ms()):
             self._reject(
                 job.answer, job.said.request_id, 503,
                 "the request crashed the servers that ran it", POISON_RETRY_MS,
@@ -211,6 +211,7 @@
         sink = answer_sink.AnswerSink(
             job,
             self._clock,
+            lambda head: self._take_head(server, head),
             lambda: self._known.loads.prompt_computed(
                 server.server_id, job.said.request_id
             ),
@@ -219,6 +220,19 @@
         end = await self._exchange(job, link, outgoing, sink, server)
         return await self._conclude(job, placed, sink, end, now_ms)
 
+    def _take_head(self, server: servers.ServerEntry, head: answers.AnswerHead) -> None:
+        """Take what an answer says of its server."""
+        now_ms = self._clock.now_ms()
+        if head.is_leaving:
+            self._known.server_leaves(server.incarnation, is_own=True)
+        if head.pause_ms is not None:
+            self._known.health.of(server).asked_for_pause(now_ms, head.pause_ms)
+            _LOG.info(
+                "server wants a pause",
+                server=server.server_id,
+                pause_ms=head.pause_ms,
+            )
+
     async def _open_link(
         self, job: jobs.Job, server: servers.ServerEntry
     ) -> links.Link | None:
@@ -387,7 +401,7 @@
         return False
 
     def _finish_whole(self, job: jobs.Job, sink: answer_sink.AnswerSink) -> None:
-        if sink.is_streaming:
+        if job.answer.has_ended:
             return
         assert sink.buffer is not None
         headers = answers.returned_headers(sink.buffer.headers)
--- a/quincecrank/gateway/knowledge.py
+++ b/quincecrank/gateway/knowledge.py
@@ -1,9 +1,12 @@
 """Everything that one gateway knows about the fleet."""
 
+from typing import Final
+
 from quincecrank import clock as clocks
 from quincecrank.gateway import (
     cache_directory,
     crash_suspicions,
+    decision_log,
     deployment,
     environment,
     kept_parts,
@@ -16,10 +19,13 @@
     weights,
 )
 
-MAX_IDLE_LINK_MS = 10_000
+MAX_IDLE_LINK_MS: Final = 10_000
 """Time after which an unused link is closed; idle links cost memory at both ends."""
 
 
+_LOG: Final = decision_log.logger("knowledge")
+
+
 class Knowledge:
     """Aggregate of what the tables, the peers and the backend servers have told.
 
@@ -75,6 +81,16 @@
         self.loads.forget_server(server_id)
         self.directory.forget(cache_directory.HolderName(server_id))
 
+    def server_leaves(self, incarnation: servers.Incarnation, *, is_own: bool) -> None:
+        """Take the news that a server is about to leave."""
+        if self.registry.leaves(incarnation, self.clock.now_ms(), is_own=is_own):
+            _LOG.info(
+                "server leaves",
+                server=incarnation.server_id,
+                started_wall_ms=incarnation.started_wall_ms,
+                origin="answer" if is_own else "peer",
+            )
+
     def has_crashed(self, suspicion: crash_suspicions.Suspicion) -> bool:
         """Return whether the incarnation of a suspicion's server has ended."""
         entry = self.registry.find(suspicion.server_id)
--- a/quincecrank/gateway/links.py
+++ b/quincecrank/gateway/links.py
@@ -24,10 +24,20 @@
 
 MAX_HEADER_BYTES: Final = 64 * 1024
 MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
+MAX_UNREAD_BYTES: Final = 1024 * 1024
+"""Received bytes that wait to be used."""
+
+MAX_INTERIM_ANSWERS: Final = 8
+"""Heads with a status below 200 before an answer; servers send one or two."""
+
 MAX_STRAY_ANSWERS: Final = 3
 """Late answers to earlier requests that are skipped before the link is given up."""
 
 
+class AnswerLimitError(Exception):
+    """An answer is longer than anything that a sound server sends."""
+
+
 class ExchangeEnd(enum.Enum):
     """How an exchange ended.
 
@@ -116,7 +126,11 @@
         sent = _send(connection, request)
         try:
             end = await self._receive(connection, sink)
-        except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
+        except (
+            iostream.StreamClosedError,
+            iostream.UnsatisfiableReadError,
+            AnswerLimitError,
+        ):
             end = ExchangeEnd.BROKEN
         except BaseException:
             # The rest of the answer is still to come on this link.
@@ -186,6 +200,7 @@
         self.is_accepted = False
         self.is_finished = False
         self.is_unframed = False
+        self._interim_answers = 0
         self.failure: BaseException | None = None
         self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
@@ -196,6 +211,10 @@
     ) -> None:
         assert isinstance(start_line, httputil.ResponseStartLine)
         if 100 <= start_line.code < 200:
+            self._interim_answers += 1
+            if self._interim_answers > MAX_INTERIM_ANSWERS:
+                # Ends the connection; the library would wait for the answer.
+                raise httputil.HTTPInputError("too many interim answers")
             return
         self.headers = headers
         self.is_unframed = (
@@ -227,6 +246,7 @@
             await work
         except Exception as error:
             self.failure = error
+            self._end()
 
 
 async def connect(address: str, timeout_ms: float, clock: clocks.Clock) -> Link:
@@ -242,7 +262,7 @@
     ip, _, port = address.rpartition(":")
     raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    stream = LinkStream(raw)
+    stream = LinkStream(raw, max_buffer_size=MAX_UNREAD_BYTES)
     try:
         await asyncio.wait_for(
             stream.connect((ip, int(port))), timeout_ms / clocks.MS_PER_SECOND
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -236,14 +236,20 @@
             named=self._known.versions.to_tell(self._clock.now_ms()),
             news=self._known.weight_news.to_tell(self._clock.now_ms()),
             times_by_service=self._times_to_tell(),
+            leaving=self._known.registry.leaving_to_tell(self._clock.now_ms()),
+            pauses=self._known.health.pauses_to_tell(self._clock.now_ms()),
         )
 
     def _use_report(self, report: peer_messages.Report) -> None:
         now_ms = self._clock.now_ms()
         self._known.loads.peer_reported(report.vm, report.load_by_server, now_ms)
-        self._crashes.merge(report.crashes)
+        self._crashes.merge(report.crashes, now_ms)
         for named in report.named:
             self._known.versions.name(named.model, named.version, now_ms, named.age_ms)
+        for incarnation in report.leaving:
+            self._known.server_leaves(incarnation, is_own=False)
+        for pause in report.pauses:
+            self._known.health.take_pause(pause, now_ms)
         for service, times in report.times_by_service.items():
             self._known.service_times.take(service, times)
         for news in report.news:
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -11,6 +11,7 @@
 from quincecrank.gateway import (
     deployment,
     loads,
+    server_health,
     servers,
     service_times,
     tables,
@@ -66,6 +67,8 @@
     times_by_service: Mapping[str, service_times.Times] = dataclasses.field(
         default_factory=dict
     )
+    leaving: tuple[servers.Incarnation, ...] = ()
+    pauses: tuple[server_health.ToldPause, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,6 +123,11 @@
             _times_fields(service, times)
             for service, times in report.times_by_service.items()
         ],
+        leaving=[_incarnation_fields(each) for each in report.leaving],
+        pauses=[
+            {"server": _incarnation_fields(each.incarnation), "leftMs": each.left_ms}
+            for each in report.pauses
+        ],
     )
     return bytes(message.to_bytes_packed())
 
@@ -168,6 +176,17 @@
     }
 
 
+def _incarnation_fields(incarnation: servers.Incarnation) -> dict[str, Any]:
+    return {
+        "server": incarnation.server_id,
+        "startedWallMs": incarnation.started_wall_ms,
+    }
+
+
+def _incarnation(message: Any) -> servers.Incarnation:
+    return servers.Incarnation(servers.ServerId(message.server), message.startedWallMs)
+
+
 def _times_fields(service: str, times: service_times.Times) -> dict[str, Any]:
     return {
         "service": service,
@@ -249,4 +268,9 @@
             for each in message.named
         ),
         times_by_service={each.service: _times(each) for each in message.times},
+        leaving=tuple(_incarnation(each) for each in message.leaving),
+        pauses=tuple(
+            server_health.ToldPause(_incarnation(each.server), each.leftMs)
+            for each in message.pauses
+        ),
     )
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -57,6 +57,17 @@
   answers @7 :Float32;
 }
 
+# One start of a backend server.
+struct Incarnation {
+  server @0 :Text;
+  startedWallMs @1 :UInt64;
+}
+
+struct Pause {
+  server @0 :Incarnation;
+  leftMs @1 :UInt32;
+}
+
 struct Report {
   vm @0 :Text;
   isLeaving @1 :Bool;
@@ -66,6 +77,8 @@
   weightNews @5 :List(WeightNews);
   named @6 :List(NamedWeights);
   times @7 :List(ServiceTimes);
+  leaving @8 :List(Incarnation);
+  pauses @9 :List(Pause);
 }
 
 struct Datagram {
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -15,14 +15,15 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
-from tornado import httpclient, httpserver, ioloop, netutil, simple_httpclient, web
+from tornado import httpserver, ioloop, netutil, web
 
 from quincecrank import clock as clocks
-from quincecrank import ids, rendezvous, store_rows
+from quincecrank import ids, json_text, rendezvous, store_rows
 from quincecrank.gateway import (
     decision_log,
     environment,
     loads,
+    peer_calls,
     peer_messages,
     servers,
     tables,
@@ -46,7 +47,7 @@
 
 _MEMBER_PREFIX: Final = "gateway:"
 
-ROWS_TIMEOUT_S: Final = 1.0
+ROWS_TIMEOUT_MS: Final = 1_000
 
 _LOG: Final = decision_log.logger("peers")
 
@@ -75,7 +76,7 @@
         self._report_by_ip: dict[str, peer_messages.Report] = {}
         self._heard_ms_by_ip: dict[str, int] = {}
         self._added_ms_by_ip: dict[str, int] = {}
-        self._client = simple_httpclient.SimpleAsyncHTTPClient(force_instance=True)
+        self._calls = peer_calls.PeerCalls(facts.peer_port, ROWS_TIMEOUT_MS)
 
     def set_members(self, ip_by_member: Mapping[ids.VmName, str]) -> None:
         """Take the members that registered in the store."""
@@ -177,14 +178,9 @@
         if not holders:
             return None
         ip = random.choice(holders)
-        url = f"http://{ip}:{self._facts.peer_port}/tables/{table.value}"
-        request = httpclient.HTTPRequest(
-            url, connect_timeout=ROWS_TIMEOUT_S, request_timeout=ROWS_TIMEOUT_S
-        )
         try:
-            response = await self._client.fetch(request)
-            return decode_rows(response.body)
-        except (OSError, httpclient.HTTPError, ValueError, KeyError) as error:
+            return decode_rows(await self._calls.get(ip, f"/tables/{table.value}"))
+        except (peer_calls.PeerCallError, ValueError, KeyError, TypeError) as error:
             _LOG.warning("peer gave no rows", peer=ip, error=repr(error))
             return None
 
@@ -337,7 +333,7 @@
     ValueError, KeyError
         If it has another form.
     """
-    decoded = json.loads(document)
+    decoded = json_text.parse(document)
     return store_rows.Rows(
         tuple(
             store_rows.Row(str(key), str(text), int(version))
--- a/quincecrank/gateway/server_health.py
+++ b/quincecrank/gateway/server_health.py
@@ -4,6 +4,7 @@
 its requests; or it hangs, and each request sent there is lost until its deadline.
 """
 
+import dataclasses
 import statistics
 from collections.abc import Sequence
 from typing import Final
@@ -17,7 +18,23 @@
 MIN_SLOWNESS: Final = 0.5
 MAX_SLOWNESS: Final = 8.0
 FULL_PAUSE_MS: Final = 150
-"""Time for which a server that refused a request as full gets no other one."""
+"""Time for which a server that refused a request as full gets no other one, if it does
+not say for how long."""
+
+MIN_TOLD_PAUSE_MS: Final = 300
+"""Pauses from this length on are told to the peers: the longest interval of reports."""
+
+MAX_PEER_PAUSE_MS: Final = 1_000
+"""Longest pause that is taken from a peer: the server asked only that gateway for it,
+and may have room again sooner."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToldPause:
+    """A server that wants no requests for some time."""
+
+    incarnation: servers.Incarnation
+    left_ms: int
 
 
 class ServerHealth:
@@ -29,6 +46,7 @@
         self.unreachable_ms = 0
         self._breaker = breaker.Breaker()
         self._paused_until_ms = 0
+        self._asked_until_ms = 0
 
     def allows(self, now_ms: int) -> bool:
         """Return whether a request may be sent now."""
@@ -50,9 +68,29 @@
         """Record an error, a broken answer or none."""
         self._breaker.failed(now_ms)
 
-    def refused(self, now_ms: int, pause_ms: int = FULL_PAUSE_MS) -> None:
+    def refused(self, now_ms: int) -> None:
         """Record that the server refused a request without running it."""
-        self._paused_until_ms = now_ms + pause_ms
+        self._pause(now_ms + FULL_PAUSE_MS)
+
+    def asked_for_pause(self, now_ms: int, pause_ms: int) -> None:
+        """Record for how long the server wants no requests from this gateway.
+
+        An answer that was under way does not shorten an earlier pause.
+        """
+        self._asked_until_ms = max(self._asked_until_ms, now_ms + pause_ms)
+        self._pause(self._asked_until_ms)
+
+    def peer_was_asked(self, now_ms: int, pause_ms: int) -> None:
+        """Record for how long the server wants no requests from a peer."""
+        self._pause(now_ms + min(pause_ms, MAX_PEER_PAUSE_MS))
+
+    def pause_left_ms(self, now_ms: int) -> int:
+        """Return for how long the server gets no requests."""
+        return max(0, self._paused_until_ms - now_ms)
+
+    def asked_left_ms(self, now_ms: int) -> int:
+        """Return for how long the server wants no requests from this gateway."""
+        return max(0, self._asked_until_ms - now_ms)
 
     def unreachable(self, now_ms: int) -> None:
         """Record that no connection could be opened."""
@@ -60,6 +98,9 @@
         for _ in range(breaker.FAILURES_TO_OPEN):
             self._breaker.failed(now_ms)
 
+    def _pause(self, until_ms: int) -> None:
+        self._paused_until_ms = max(self._paused_until_ms, until_ms)
+
 
 class HealthBook:
     """The health of all backend servers, by id and incarnation."""
@@ -94,6 +135,22 @@
             for server_id, slowness in slowness_by_server.items()
         }
 
+    def pauses_to_tell(self, now_ms: int) -> tuple[ToldPause, ...]:
+        """Return the pauses that the peers are told of."""
+        return tuple(
+            ToldPause(servers.Incarnation(server_id, health.started_wall_ms), left_ms)
+            for server_id, health in self._health_by_server.items()
+            if (left_ms := health.asked_left_ms(now_ms)) >= MIN_TOLD_PAUSE_MS
+        )
+
+    def take_pause(self, told: ToldPause, now_ms: int) -> None:
+        """Take a pause that a peer tells of."""
+        health = self._health_by_server.get(told.incarnation.server_id)
+        if health is None:
+            return
+        if health.started_wall_ms == told.incarnation.started_wall_ms:
+            health.peer_was_asked(now_ms, told.left_ms)
+
     def forget(self, server_id: servers.ServerId) -> None:
         """Forget a server that has left."""
         self._health_by_server.pop(server_id, None)
--- a/quincecrank/gateway/servers.py
+++ b/quincecrank/gateway/servers.py
@@ -20,6 +20,12 @@
 
 ServerId = NewType("ServerId", str)
 
+TELL_LEAVING_MS: Final = 3_000
+"""Time for which peers are told that a server leaves, since datagrams get lost."""
+
+MAX_LEAVING: Final = 1_024
+"""Servers remembered as leaving: more than leave a large fleet within minutes."""
+
 LAPSE_GRACE_MS: Final = 2_500
 """Time after the store's return in which live servers re-appear: two seconds by
 the platform's rules, and half a second for the entries to reach this process."""
@@ -32,6 +38,14 @@
     DRAINING = "draining"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Incarnation:
+    """One start of a backend server."""
+
+    server_id: ServerId
+    started_wall_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerEntry:
     """What a backend server says of itself.
@@ -57,17 +71,26 @@
     started_wall_ms: int
     weight_versions_by_model: Mapping[deployment.ModelName, int]
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The start that the entry is about."""
+        return Incarnation(self.server_id, self.started_wall_ms)
+
 
 class ServerRegistry:
     """Aggregate of the backend servers known to this process.
 
     Invariant: a server that was reported as draining or removed while the store
-    was stable gets no new work, until an entry of a later report says `READY`.
+    was stable gets no new work, until an entry of a later report says `READY`.  One
+    that said in an answer that it leaves gets none as long as that incarnation lives,
+    whatever its entry says.
     """
 
     def __init__(self) -> None:
         self._entries_by_id: dict[ServerId, ServerEntry] = {}
         self._lapsed_until_ms_by_id: dict[ServerId, int] = {}
+        self._leaving_since_ms: dict[Incarnation, int] = {}
+        self._told_leaving: set[Incarnation] = set()
         self._store_back_ms: int | None = None
         self._store_is_out = False
 
@@ -93,10 +116,44 @@
             for model, version in before.weight_versions_by_model.items():
                 versions[model] = max(version, versions.get(model, 0))
             entry = dataclasses.replace(entry, weight_versions_by_model=versions)
+        if entry.incarnation in self._leaving_since_ms:
+            entry = dataclasses.replace(entry, state=ServerState.DRAINING)
         self._entries_by_id[entry.server_id] = entry
         self._lapsed_until_ms_by_id.pop(entry.server_id, None)
         return entry
 
+    def leaves(self, incarnation: Incarnation, now_ms: int, *, is_own: bool) -> bool:
+        """Take the news that a server is about to leave; return whether it is new.
+
+        Parameters
+        ----------
+        is_own : bool
+            Whether the server said so to this gateway, which then tells its peers.
+        """
+        if incarnation in self._leaving_since_ms:
+            return False
+        while len(self._leaving_since_ms) >= MAX_LEAVING:
+            self._told_leaving.discard(oldest := next(iter(self._leaving_since_ms)))
+            del self._leaving_since_ms[oldest]
+        self._leaving_since_ms[incarnation] = now_ms
+        if is_own:
+            self._told_leaving.add(incarnation)
+        entry = self._entries_by_id.get(incarnation.server_id)
+        if entry is not None and entry.incarnation == incarnation:
+            self._entries_by_id[entry.server_id] = dataclasses.replace(
+                entry, state=ServerState.DRAINING
+            )
+        return True
+
+    def leaving_to_tell(self, now_ms: int) -> tuple[Incarnation, ...]:
+        """Return the servers whose leaving the peers are told of."""
+        self._told_leaving = {
+            each
+            for each in self._told_leaving
+            if now_ms - self._leaving_since_ms[each] < TELL_LEAVING_MS
+        }
+        return tuple(self._told_leaving)
+
     def weights_loaded(
         self,
         server_id: ServerId,
--- a/quincecrank/gateway/weight_roll.py
+++ b/quincecrank/gateway/weight_roll.py
@@ -190,7 +190,7 @@
             _LOG.warning("order failed", server=server.server_id, error=str(error))
             # The engine may or may not load: it gets requests again, with the
             # version that they expect.
-            self._known.weight_news.forget(server.server_id)
+            self._known.weight_news.forget(server.incarnation)
             await self._clock.sleep(INTERVAL_MS)
         finally:
             self._loading.pop(server.server_id, None)
--- a/quincecrank/platform/answers.py
+++ b/quincecrank/platform/answers.py
@@ -1,15 +1,22 @@
 """Decodes the headers of backend servers' answers, and encodes the gateway's own."""
 
 import dataclasses
+import math
+from typing import Final
 
 from tornado import httputil
 
 from quincecrank import clock
 from quincecrank.platform import names, requests
 
-_MISDIRECTED = 421
-_MIN_SUCCESS = 200
-_MIN_REDIRECT = 300
+MAX_PAUSE_MS: Final = 60_000
+"""Longest time for which a server's wish to get nothing is followed: a larger one is
+taken for a mistake, as the server would be lost to all callers."""
+
+_MISDIRECTED: Final = 421
+_UNAVAILABLE: Final = 503
+_MIN_SUCCESS: Final = 200
+_MIN_REDIRECT: Final = 300
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,6 +35,11 @@
         Whether the request was carried out.
     is_encoded : bool
         Whether the body is not the server's own bytes.
+    is_leaving : bool
+        Whether the server is about to leave and wants no new requests.
+    pause_ms : int or None
+        Time for which the server wants no requests from this machine; None if it
+        does not say.
     """
 
     status: int
@@ -36,6 +48,8 @@
     is_sealed: bool
     is_success: bool
     is_encoded: bool
+    is_leaving: bool = False
+    pause_ms: int | None = None
 
 
 def decode(status: int, headers: httputil.HTTPHeaders) -> AnswerHead:
@@ -48,9 +62,29 @@
         is_sealed=names.SEAL in headers,
         is_success=_MIN_SUCCESS <= status < _MIN_REDIRECT,
         is_encoded="Content-Encoding" in headers,
+        is_leaving=says_leaving(headers) and not is_misdirected,
+        pause_ms=_pause_ms(status, headers),
     )
 
 
+def says_leaving(headers: httputil.HTTPHeaders) -> bool:
+    """Return whether the server that answers is about to leave."""
+    return headers.get(names.SERVER_LEAVING, "").strip() == "1"
+
+
+def _pause_ms(status: int, headers: httputil.HTTPHeaders) -> int | None:
+    value = headers.get(names.RETRY_AFTER)
+    if status != _UNAVAILABLE or value is None:
+        return None
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    if math.isnan(seconds) or seconds < 0:
+        return None
+    return round(min(seconds * clock.MS_PER_SECOND, MAX_PAUSE_MS))
+
+
 def belongs_to(headers: httputil.HTTPHeaders, request_id: str) -> bool:
     """Return whether an answer is the one to `request_id`."""
     return headers.get(names.REQUEST_ID, request_id) == request_id
--- a/quincecrank/platform/documents.py
+++ b/quincecrank/platform/documents.py
@@ -1,14 +1,15 @@
 """Decodes what operators and backend servers write into the platform's store."""
 
-import json
-from typing import Any
+from typing import Any, Final
 
-from quincecrank import ids
+from quincecrank import ids, json_text
 from quincecrank.gateway import deployment, servers
 
-DEFAULT_EVENT_CALLS = 12
+DEFAULT_EVENT_CALLS: Final = 12
 """Event calls that a server holds where its service names no limit."""
 
+_MAX_PORT: Final = 65_535
+
 
 class DocumentError(Exception):
     """A document lacks a field or has one of another type."""
@@ -23,7 +24,7 @@
         If it has another form.
     """
     try:
-        return _deployment(json.loads(text))
+        return _deployment(json_text.parse(text))
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise DocumentError(f"configuration: {error!r}") from error
 
@@ -37,7 +38,7 @@
         If it has another form.
     """
     try:
-        document = json.loads(text)
+        document = json_text.parse(text)
         return deployment.ModelName(document["model"]), int(document["version"])
     except (KeyError, TypeError, ValueError) as error:
         raise DocumentError(f"weights: {error!r}") from error
@@ -52,7 +53,7 @@
         If the entry has another form, as entries of other writers may have.
     """
     try:
-        document = json.loads(text)
+        document = json_text.parse(text)
         # Entries of other writers may lack any field; one that lacks a field which
         # every backend server writes is refused as a whole.
         _text(document["version"])
@@ -213,6 +214,7 @@
 def _address(value: object) -> str:
     text = _text(value)
     ip, separator, port = text.rpartition(":")
-    if not separator or not ip or not port.isdigit():
+    is_port = port.isascii() and port.isdigit() and 0 < int(port) <= _MAX_PORT
+    if not separator or not ip or not is_port:
         raise ValueError(f"{text!r} is not IP:PORT")
     return text
--- a/quincecrank/platform/engines.py
+++ b/quincecrank/platform/engines.py
@@ -6,11 +6,12 @@
 import json
 from typing import Any, Final
 
-from tornado import httpclient, httputil, simple_httpclient
+from tornado import httpclient, httputil, iostream, simple_httpclient
 
 from quincecrank import clock as clocks
+from quincecrank import json_text
 from quincecrank.gateway import cache_directory, deployment, links, prompts, servers
-from quincecrank.platform import names
+from quincecrank.platform import answers, names
 
 CALL_TIMEOUT_MS: Final = 1_000
 """Many times the answer time of a live engine."""
@@ -18,6 +19,9 @@
 EVENTS_WAIT_MS: Final = 1_000
 """Longest wait of an event call that the protocol allows."""
 
+MAX_DOCUMENT_BYTES: Final = 1024 * 1024
+"""Longest document of an engine or a store: events of some ten thousand parts."""
+
 _MAX_CLIENTS: Final = 64
 _OK: Final = 200
 
@@ -132,7 +136,8 @@
         end = await self._link.exchange(request, sink, self._clock)
         if end is not links.ExchangeEnd.COMPLETE or sink.status != _OK:
             raise EngineCallError(f"events: {end.value}, status {sink.status}")
-        return _events(sink.body)
+        events = _events(bytes(sink.body))
+        return dataclasses.replace(events, is_leaving=sink.is_leaving)
 
 
 class _DocumentSink:
@@ -140,15 +145,19 @@
 
     def __init__(self) -> None:
         self.status = 0
-        self.body = b""
+        self.is_leaving = False
+        self.body = bytearray()
 
     def accepts(self, headers: httputil.HTTPHeaders) -> bool:
         return True
 
     async def begin(self, status: int, headers: httputil.HTTPHeaders) -> None:
         self.status = status
+        self.is_leaving = answers.says_leaving(headers)
 
     async def data(self, chunk: bytes) -> None:
+        if len(self.body) + len(chunk) > MAX_DOCUMENT_BYTES:
+            raise links.AnswerLimitError("a document of more than the longest size")
         self.body += chunk
 
 
@@ -166,6 +175,8 @@
         Whether changes before these were lost.
     clock_ms : int
         The holder's own clock; 0 if it does not say.
+    is_leaving : bool
+        Whether the holder is about to leave.
     """
 
     epoch: int
@@ -173,6 +184,7 @@
     has_gap: bool
     changes: tuple[cache_directory.CacheChange, ...]
     clock_ms: int = 0
+    is_leaving: bool = False
 
 
 class EngineCalls:
@@ -180,7 +192,10 @@
 
     def __init__(self) -> None:
         self._client = simple_httpclient.SimpleAsyncHTTPClient(
-            force_instance=True, max_clients=_MAX_CLIENTS
+            force_instance=True,
+            max_clients=_MAX_CLIENTS,
+            max_buffer_size=MAX_DOCUMENT_BYTES,
+            max_body_size=MAX_DOCUMENT_BYTES,
         )
 
     async def order_weights(self, order: WeightOrder) -> OrderAnswer:
@@ -261,13 +276,17 @@
     async def _fetch(self, request: httpclient.HTTPRequest) -> httpclient.HTTPResponse:
         try:
             return await self._client.fetch(request, raise_error=False)
-        except (OSError, httpclient.HTTPError) as error:
+        except (
+            OSError,
+            httpclient.HTTPError,
+            iostream.UnsatisfiableReadError,
+        ) as error:
             raise EngineCallError(str(error)) from error
 
 
 def _events(body: bytes) -> CacheEvents:
     try:
-        document = json.loads(body)
+        document = json_text.parse(body)
         return CacheEvents(
             epoch=int(document["bootEpoch"]),
             next_number=int(document["next"]),
@@ -283,7 +302,7 @@
     if response.code != _OK:
         raise EngineCallError(f"status {response.code}")
     try:
-        document = json.loads(response.body)
+        document = json_text.parse(response.body)
     except ValueError as error:
         raise EngineCallError("the answer is not JSON") from error
     if not isinstance(document, dict):
--- a/quincecrank/platform/names.py
+++ b/quincecrank/platform/names.py
@@ -25,6 +25,7 @@
 
 SEAL: Final = "Server-Seal"
 NOT_EXECUTED: Final = "Not-Executed"
+SERVER_LEAVING: Final = "Server-Leaving"
 SERVER_ID: Final = "Instance-Id"
 
 CLIENT_MUST_NOT_SET: Final = frozenset(
--- a/quincecrank/platform/settings.py
+++ b/quincecrank/platform/settings.py
@@ -1,11 +1,10 @@
 """Decodes the settings file that the platform writes for a process."""
 
-import json
 import os
 import pathlib
 from typing import Any
 
-from quincecrank import clock, ids
+from quincecrank import clock, ids, json_text
 from quincecrank.gateway import environment
 from quincecrank.platform import names
 
@@ -37,7 +36,7 @@
         If the file can't be read or decoded; names the file and the field.
     """
     try:
-        return _decode(json.loads(path.read_text()))
+        return _decode(json_text.parse(path.read_text()))
     except KeyError as error:
         raise SettingsError(f"{path}: field {error} is missing") from error
     except (OSError, TypeError, ValueError) as error:
--- a/quincecrank/platform/store.py
+++ b/quincecrank/platform/store.py
@@ -11,9 +11,9 @@
 from typing import Any, Final
 from urllib import parse
 
-from tornado import httpclient, simple_httpclient
+from tornado import httpclient, iostream, simple_httpclient
 
-from quincecrank import clock, store_rows
+from quincecrank import clock, json_text, store_rows
 from quincecrank.platform import names
 
 CONNECT_TIMEOUT_MS: Final = 500
@@ -25,6 +25,17 @@
 PAGE_ROWS: Final = 500
 """Rows of one answer, the most that the store gives."""
 
+MAX_DOCUMENT_BYTES: Final = 3 * 1024 * 1024
+"""Longest answer that is read: pages have at most 1 MB before encoding.  Changes that
+come to more are read as a whole, in pages."""
+
+_CALL_ERRORS: Final = (
+    OSError,
+    httpclient.HTTPError,
+    # A head that does not end; the library lets it through.
+    iostream.UnsatisfiableReadError,
+)
+
 _PRECONDITION_FAILED: Final = 412
 _GONE: Final = 410
 _OK: Final = 200
@@ -71,7 +82,10 @@
         self._timeout_ms = timeout_ms
         self._connect_timeout_ms = connect_timeout_ms
         self._client = simple_httpclient.SimpleAsyncHTTPClient(
-            force_instance=True, max_clients=_MAX_CLIENTS
+            force_instance=True,
+            max_clients=_MAX_CLIENTS,
+            max_buffer_size=MAX_DOCUMENT_BYTES,
+            max_body_size=MAX_DOCUMENT_BYTES,
         )
 
     def close(self) -> None:
@@ -135,7 +149,7 @@
         status, answer = await self._post(names.ROWS_WRITE, document)
         if status == _PRECONDITION_FAILED:
             return _conflict(answer)
-        return store_rows.WriteResult(True, int(answer["rowVersion"]))
+        return _written(answer)
 
     async def _get(
         self, path: str, query: _Document, timeout_ms: int
@@ -147,7 +161,7 @@
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
-        except (OSError, httpclient.HTTPError) as error:
+        except _CALL_ERRORS as error:
             raise store_rows.StoreUnavailableError(str(error)) from error
         return _decode(response, {_OK, _GONE})
 
@@ -164,7 +178,7 @@
             response = await self._client.fetch(request, raise_error=False)
         except ConnectionRefusedError as error:
             raise store_rows.StoreUnavailableError(str(error)) from error
-        except (OSError, httpclient.HTTPError) as error:
+        except _CALL_ERRORS as error:
             raise store_rows.OutcomeUnknownError(str(error)) from error
         return _decode(response, {_OK, _PRECONDITION_FAILED})
 
@@ -177,17 +191,23 @@
     if response.code == _GONE:
         return response.code, {}
     try:
-        return response.code, json.loads(response.body)
+        document = json_text.parse(response.body)
     except ValueError as error:
         raise store_rows.OutcomeUnknownError("the answer is not JSON") from error
+    if not isinstance(document, dict):
+        raise store_rows.OutcomeUnknownError("the answer is no object")
+    return response.code, document
 
 
 def _rows(page: _Document) -> store_rows.Rows:
-    return store_rows.Rows(
-        tuple(_row(each) for each in page["rows"]),
-        int(page["rowVersion"]),
-        bool(page.get("hasMore", False)),
-    )
+    try:
+        return store_rows.Rows(
+            tuple(_row(each) for each in page["rows"]),
+            int(page["rowVersion"]),
+            bool(page.get("hasMore", False)),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise store_rows.StoreUnavailableError(f"rows: {error!r}") from error
 
 
 def _row(document: _Document) -> store_rows.Row:
@@ -210,9 +230,19 @@
         return "undecodable value"
 
 
+def _written(answer: _Document) -> store_rows.WriteResult:
+    try:
+        return store_rows.WriteResult(True, int(answer["rowVersion"]))
+    except (KeyError, TypeError, ValueError) as error:
+        raise store_rows.OutcomeUnknownError(f"written: {error!r}") from error
+
+
 def _conflict(answer: _Document) -> store_rows.WriteResult:
-    rows = answer.get("rows") or []
-    if not rows or rows[0].get("tombstone"):
-        return store_rows.WriteResult(False, 0)
-    row = _row(rows[0])
+    try:
+        rows = answer.get("rows") or []
+        if not rows or rows[0].get("tombstone"):
+            return store_rows.WriteResult(False, 0)
+        row = _row(rows[0])
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise store_rows.OutcomeUnknownError(f"conflict: {error!r}") from error
     return store_rows.WriteResult(False, row.version, row.text)
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -10,6 +10,7 @@
 from quincecrank import crash_counts, ids
 from quincecrank.gateway import (
     cache_directory,
+    crash_suspicions,
     deployment,
     environment,
     kept_parts,
@@ -344,3 +345,8 @@
     for name, value in extra.items():
         headers[name.replace("_", "-")] = value
     return headers
+
+
+def make_suspicions() -> crash_suspicions.CrashSuspicions:
+    """Return suspicions at a gateway where each suspected server has crashed."""
+    return crash_suspicions.CrashSuspicions(lambda _suspicion: True)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -455,7 +455,7 @@
             )
             for number in range(3)
         )
-        self.suspicions.merge(records)
+        self.suspicions.merge(records, 0)
         self.assertTrue(self.suspicions.refuses(self.request, 15_000))
 
     def test_a_suspect_that_runs_to_its_end_is_cleared(self) -> None:
