A size of prompt that is refused more often than its kind goes like one that can be on time

A large prompt's estimate is the first beyond the time in which it could be on time; late requests start only where no prompt is read and not within a second after another found no place, which under load is never. Ruled out: reserving memory for large prompts (they find room, not time); a larger share of the time for all (more of the small ones late). Change: `size_shares` counts placed and refused prompts by route and power of two of their size, with a memory of 20 s; below .9 of the kind's share a prompt is owed a place and needs only to be computed by its latest start.

--- a/bench/gateway_model.py
+++ b/bench/gateway_model.py
@@ -60,6 +60,8 @@
         Mean sizes of the rest of the prompt and of the answer.
     worth, late_worth : float
         Value of an answer on time and of a late one.
+    own_spread : float
+        Standard deviation of the logarithm of the rest of the prompt.
     """
 
     name: str
@@ -75,6 +77,7 @@
     urgency: int
     worth: float
     late_worth: float
+    own_spread: float = 0.6
 
 
 VERDICTS: Final = Kind(
@@ -160,6 +163,7 @@
     asked_ms: int
     kind: str
     is_on_time: bool
+    input_tokens: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -210,7 +214,9 @@
         # Popularity falls with the square root of the rank.
         subject = int(kind.subjects * generator.random() ** 2)
         guide = subject % kind.guides
-        own = max(1, int(generator.lognormvariate(-0.2, 0.6) * kind.own_tokens))
+        own = max(
+            1, int(generator.lognormvariate(-0.2, kind.own_spread) * kind.own_tokens)
+        )
         answer = max(1, int(generator.lognormvariate(-0.2, 0.6) * kind.answer_tokens))
         parts = (
             prompts.PromptPart(
@@ -411,7 +417,7 @@
             kind.target_ms,
             self._dispatchers[number].least_run_ms(self._service, arrival.prompt),
         )
-        want = dispatcher.Want(ticket, self._service, None, arrival.prompt)
+        want = dispatcher.Want(ticket, self._service, None, arrival.prompt, kind.name)
         placed = await self._dispatchers[number].place(want)
         if isinstance(placed, dispatcher.Refused):
             return placed
@@ -443,7 +449,7 @@
         await run.has_begun.wait()
         self._add_unread(server_id, -arrival.prompt.input_tokens)
         on_first_event()
-        self._count(arrival.kind, began_ms)
+        self._count(arrival, began_ms)
         await run.has_ended.wait()
         self._requests_by_server[server_id] -= 1
 
@@ -460,11 +466,14 @@
         self._unread_by_server[server_id] = unread
         self._most_unread_tokens = max(self._most_unread_tokens, unread)
 
-    def _count(self, kind: Kind, began_ms: int) -> None:
+    def _count(self, arrival: Arrival, began_ms: int) -> None:
+        kind = arrival.kind
         outcome = self._outcome_by_kind[kind.name]
         took_ms = self._clock.now_ms() - began_ms + model_engine.FIRST_EVENT_MS
         is_on_time = took_ms <= kind.target_ms
-        self._answered.append(Answered(began_ms, kind.name, is_on_time))
+        self._answered.append(
+            Answered(began_ms, kind.name, is_on_time, arrival.prompt.input_tokens)
+        )
         if is_on_time:
             outcome.on_time += 1
             self._value += kind.worth
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -22,6 +22,7 @@
     prompts,
     servers,
     service_times,
+    size_shares,
     waiting,
     weights,
 )
@@ -49,6 +50,8 @@
 
     Attributes
     ----------
+    kind : str
+        Requests of one kind are of equal importance, whatever their size.
     tried : frozenset of ServerId
         Servers that have already failed it.
     """
@@ -57,6 +60,7 @@
     service: deployment.Service
     account: deployment.Account | None
     prompt: prompts.Prompt | None
+    kind: str = ""
     tried: frozenset[servers.ServerId] = frozenset()
 
     @property
@@ -117,6 +121,7 @@
             ids.RequestId, asyncio.Future[Placed | Refused]
         ] = {}
         self._want_by_request: dict[ids.RequestId, Want] = {}
+        self._size_shares = size_shares.SizeShares()
         self._has_waiting = asyncio.Event()
 
     @property
@@ -142,6 +147,22 @@
 
     async def place(self, want: Want) -> Placed | Refused:
         """Return a backend server for a request, after a wait if need be."""
+        if want.prompt is None:
+            return await self._find_place(want)
+        tokens = want.prompt.input_tokens
+        shares = self._size_shares
+        now_ms = self._known.clock.now_ms()
+        if shares.is_owed(want.kind, tokens, now_ms):
+            ticket = dataclasses.replace(want.ticket, is_owed=True)
+            want = dataclasses.replace(want, ticket=ticket)
+        result = await self._find_place(want)
+        if not want.tried:
+            is_placed = isinstance(result, Placed)
+            now_ms = self._known.clock.now_ms()
+            shares.ended(want.kind, tokens, now_ms, is_placed=is_placed)
+        return result
+
+    async def _find_place(self, want: Want) -> Placed | Refused:
         now_ms = self._known.clock.now_ms()
         line = self._line_by_service[want.service.name]
         if not self._usable(want):
@@ -325,6 +346,7 @@
             prompt=prompt.input_tokens,
             waited_ms=now_ms - want.ticket.arrived_ms,
             chance=want.ticket.chance(now_ms).name,
+            is_owed=want.ticket.is_owed,
             expected_ms=round(times.expected_ms(chosen.work, chosen.slowness)),
             shared=_last_shared_part(prompt),
             home=need.home,
@@ -426,6 +448,8 @@
             reason=reason,
             waited_ms=now_ms - want.ticket.arrived_ms,
             chance=want.ticket.chance(now_ms).name,
+            is_owed=want.ticket.is_owed,
+            prompt=want.prompt.input_tokens if want.prompt else None,
             waiting=len(self._line_by_service[want.service.name]),
             retry_after_ms=retry_after_ms,
         )
@@ -443,10 +467,17 @@
 def _slack_ms(
     ticket: waiting.Ticket, now_ms: int, times: service_times.Times
 ) -> float | None:
-    """Return how long an engine may take to compute a prompt that can be on time."""
+    """Return how long an engine may take to compute a prompt that can be on time.
+
+    One that is owed a place and can't be on time only has to be computed soon enough
+    to be answered.
+    """
     if ticket.chance(now_ms) is waiting.Chance.LATE:
         return None
-    return ticket.on_time_until_ms - now_ms - times.base_ms
+    until_ms = ticket.on_time_until_ms
+    if now_ms + ticket.least_run_ms > until_ms:
+        until_ms = ticket.latest_start_ms
+    return until_ms - now_ms - times.base_ms
 
 
 def _home(
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -478,7 +478,12 @@
             least_run_ms=self._places.least_run_ms(job.service, prompt),
         )
         return dispatcher.Want(
-            ticket, job.service, job.account, prompt, frozenset(job.tried)
+            ticket,
+            job.service,
+            job.account,
+            prompt,
+            job.route.name,
+            frozenset(job.tried),
         )
 
     def _target(
--- a/quincecrank/gateway/waiting.py
+++ b/quincecrank/gateway/waiting.py
@@ -58,6 +58,9 @@
         Time within which its answer is on time.
     least_run_ms : float
         Time to its answer, or its first event, at an idle backend server.
+    is_owed : bool
+        Whether it goes like one that can be on time, because requests of its size
+        are served too seldom.
     """
 
     request_id: ids.RequestId
@@ -66,6 +69,7 @@
     deadline_ms: int
     target_ms: int
     least_run_ms: float = 0.0
+    is_owed: bool = False
 
     @property
     def latest_start_ms(self) -> float:
@@ -79,8 +83,8 @@
         return self.arrived_ms + self.target_ms
 
     def chance(self, now_ms: float) -> Chance:
-        """Return whether it can be on time if it starts now."""
-        if now_ms + self.least_run_ms <= self.on_time_until_ms:
+        """Return whether it can be on time, or is to go so, if it starts now."""
+        if self.is_owed or now_ms + self.least_run_ms <= self.on_time_until_ms:
             return Chance.ON_TIME
         return Chance.LATE
 
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -64,6 +64,41 @@
                 self.assertGreaterEqual(after, during)
 
 
+REVIEWS = gateway_model.Kind(
+    "review", 30.0, 4, 2_500, 600, 6_600, 2_870, 55, 401, 12_000, 1, 2.4, 0.48, 1.2
+)
+"""Long prompts of very different size, for short times."""
+
+
+def served_share_of_largest(pattern: gateway_model.Pattern) -> float:
+    """Return the served share of the largest tenth of reviews, relative to all."""
+    result = gateway_model.play(pattern)
+    asked = sorted(
+        arrival.prompt.input_tokens
+        for arrival in gateway_model.make_arrivals(pattern)
+        if arrival.kind is REVIEWS
+    )
+    served = [each.input_tokens for each in result.answered if each.kind == "review"]
+    limit_tokens = asked[len(asked) * 9 // 10]
+    largest_asked = sum(tokens >= limit_tokens for tokens in asked)
+    largest_served = sum(tokens >= limit_tokens for tokens in served)
+    return (largest_served / largest_asked) / (len(served) / len(asked))
+
+
+class SizeTest(unittest.TestCase):
+    def test_the_largest_prompts_are_served_at_least_half_as_often(self) -> None:
+        # Five gateways; engines full of long prompts, for 16 seconds.
+        for seed in SEEDS:
+            with self.subTest(seed):
+                pattern = gateway_model.Pattern(
+                    seed,
+                    duration_ms=16_000,
+                    gateways=5,
+                    kinds=(REVIEWS, gateway_model.NOTES),
+                )
+                self.assertGreaterEqual(served_share_of_largest(pattern), 0.5)
+
+
 class ToldLoadsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.told: list[loads.Load] = []
