Requests wait for the end of a short pause; those without any backend server are refused at once

Cause: found while reading. (1) When all engines paused, loaded or left while requests waited, placing one raised IndexError (no name to rank) and ended the task that starts waiting requests: from then on they waited until another request ended. (2) A plain service whose few servers had all just said that they are full was "no backend server": refused for 800 ms though they have room again in 150. (3) What waited for a service that had lost all its servers waited until it was hopeless.

--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -166,7 +166,10 @@
         now_ms = self._known.clock.now_ms()
         line = self._line_by_service[want.service.name]
         if not self._usable(want):
-            return self._refuse(want, "no backend server", NO_SERVER_RETRY_MS)
+            pause_ms = self._shortest_pause_ms(want)
+            if pause_ms is None or now_ms + pause_ms >= want.ticket.latest_start_ms:
+                retry_ms = NO_SERVER_RETRY_MS if pause_ms is None else pause_ms
+                return self._refuse(want, "no backend server", retry_ms)
         if line.expected_wait_ms(want.ticket, now_ms) == 0:
             placed = self._try_place(want)
             if placed is not None:
@@ -191,6 +194,9 @@
         if not len(line):
             return
         self._has_waiting.set()
+        if not self._known.registry.ready(service):
+            self._refuse_all(line)
+            return
         now_ms = self._known.clock.now_ms()
         for ticket in line.take_hopeless(now_ms):
             want = self._want_by_request[ticket.request_id]
@@ -203,6 +209,14 @@
             elif index == 0 and now_ms - ticket.arrived_ms > OVERTAKING_LIMIT_MS:
                 return
 
+    def _refuse_all(self, line: waiting.WaitingLine) -> None:
+        """Refuse what waits for a service that has no backend server any more."""
+        for ticket in line.in_order(self._known.clock.now_ms()):
+            line.remove(ticket.request_id)
+            want = self._want_by_request[ticket.request_id]
+            refused = self._refuse(want, "no backend server", NO_SERVER_RETRY_MS)
+            self._resolve(ticket.request_id, refused)
+
     async def _wait(self, want: Want, line: waiting.WaitingLine) -> Placed | Refused:
         future: asyncio.Future[Placed | Refused] = (
             asyncio.get_running_loop().create_future()
@@ -281,6 +295,8 @@
     ) -> Placed | None:
         now_ms = self._known.clock.now_ms()
         usable = self._usable(want)
+        if not usable:
+            return None
         slowness_by_server = self._known.health.relative_slowness(usable)
         current = self._known.current
         sources = (
@@ -434,6 +450,21 @@
             ),
         )
 
+    def _shortest_pause_ms(self, want: Want) -> int | None:
+        """Return when the first server ends its pause; None if none is in one.
+
+        A server that is full pauses for a moment; refusing at once what could wait
+        for it would send callers away from a service that runs at its limit.
+        """
+        now_ms = self._known.clock.now_ms()
+        pauses_ms = [
+            pause_ms
+            for each in self._known.registry.ready(want.service.name)
+            if each.server_id not in want.tried
+            and (pause_ms := self._known.health.of(each).pause_left_ms(now_ms))
+        ]
+        return min(pauses_ms, default=None)
+
     def _refuse_late(self, want: Want, line: waiting.WaitingLine) -> Refused:
         now_ms = self._known.clock.now_ms()
         after_ms = line.retry_after_ms(want.ticket, now_ms, self._generator.random())
