Few replicas are judged in full for each request, and who holds a prompt's parts is looked up once

Cause: every replica with room had its transfers planned for each request, and each plan went through all replicas again as sources: of a service of m engines, m x m looks for each part. Ready servers were sorted anew at each of several looks. Ruled out: sampling engines before their load is known (finds no room where there is some). Change: `placement.shortlist` keeps 16: up to six holders of the last shared part, the home, the least busy ones; sources that have a part of the prompt are found once for each version; ready servers are kept until an entry changes.

--- a/quincecrank/gateway/cache_directory.py
+++ b/quincecrank/gateway/cache_directory.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 from collections.abc import Iterable, Sequence
-from typing import Final, NewType
+from typing import Final, NamedTuple, NewType
 
 from quincecrank import ids
 from quincecrank.gateway import deployment, prompts
@@ -21,8 +21,7 @@
 _SEPARATOR: Final = "."
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PartKey:
+class PartKey(NamedTuple):
     """A part as caches name it: parts are shared only under one salt."""
 
     salt: CacheSalt
@@ -136,6 +135,11 @@
         key = PartKey(salt, part.part_id)
         return held.tokens_by_part.get(key, 0) >= part.tokens
 
+    def holds_any(self, holder: HolderName, keys: Iterable[PartKey]) -> bool:
+        """Return whether a holder has something of one of the parts."""
+        held = self._held_by_holder.get(holder)
+        return held is not None and not held.tokens_by_part.keys().isdisjoint(keys)
+
     def held_prefix(
         self,
         holder: HolderName,
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -8,7 +8,7 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 from quincecrank import ids, rendezvous
@@ -320,9 +320,13 @@
             for each in usable
             if placement.has_room(load_by_server[each.server_id], each.slots, need)
         ]
+        sources_by_version = self._sources_by_version(want, prompt, roomy, sources)
+        judged = placement.shortlist(
+            roomy, load_by_server, self._holders(want, prompt, roomy), need.home
+        )
         plans = {
-            each.server_id: self._plan(want, prompt, engine, each, sources)
-            for each in roomy
+            each.server_id: self._plan(want, prompt, engine, each, sources_by_version)
+            for each in judged
         }
         candidates = [
             placement.Candidate(
@@ -335,7 +339,7 @@
                     prompt.model, plans[each.server_id].version, now_ms
                 ),
             )
-            for each in roomy
+            for each in judged
         ]
         chosen = placement.choose_engine(candidates, need)
         if chosen is None:
@@ -396,25 +400,73 @@
         )
         return dataclasses.replace(plan.transfers, save_to=save_to)
 
+    def _holders(
+        self,
+        want: Want,
+        prompt: prompts.Prompt,
+        replicas: Iterable[servers.ServerEntry],
+    ) -> frozenset[servers.ServerId]:
+        """Return the replicas that hold the last shared part of a prompt."""
+        if not prompt.shared_parts:
+            return frozenset()
+        part = prompt.shared_parts[-1]
+        return frozenset(
+            each.server_id
+            for each in replicas
+            if self._known.directory.holds(
+                cache_directory.HolderName(each.server_id),
+                _salt(want, prompt, each.weight_versions_by_model[prompt.model]),
+                part,
+            )
+        )
+
+    def _sources_by_version(
+        self,
+        want: Want,
+        prompt: prompts.Prompt,
+        replicas: Iterable[servers.ServerEntry],
+        sources: tuple[kept_parts.Source, ...],
+    ) -> dict[int, tuple[kept_parts.Source, ...]]:
+        """Return who has a part of a prompt, by the version of the weights.
+
+        Looked up once for all replicas: of many sources few have a part of one prompt.
+        """
+        versions = {each.weight_versions_by_model[prompt.model] for each in replicas}
+        keys_by_version = {
+            version: [
+                cache_directory.PartKey(_salt(want, prompt, version), part.part_id)
+                for part in prompt.parts
+            ]
+            for version in versions
+        }
+        holds_any = self._known.directory.holds_any
+        return {
+            version: tuple(
+                each
+                for each in sources
+                if each.weights_version in (None, version)
+                and holds_any(each.holder, keys)
+            )
+            for version, keys in keys_by_version.items()
+        }
+
     def _plan(
         self,
         want: Want,
         prompt: prompts.Prompt,
         engine: deployment.EngineFacts,
         server: servers.ServerEntry,
-        sources: tuple[kept_parts.Source, ...],
+        sources_by_version: Mapping[int, tuple[kept_parts.Source, ...]],
     ) -> "_EnginePlan":
         version = server.weight_versions_by_model[prompt.model]
-        owner = want.account.name if want.account and want.account.is_isolated else None
-        salt = cache_directory.make_salt(prompt.model, version, owner)
+        salt = _salt(want, prompt, version)
         held = self._known.directory.held_prefix(
             cache_directory.HolderName(server.server_id), salt, prompt.parts
         )
         others = tuple(
             each
-            for each in sources
+            for each in sources_by_version[version]
             if each.address != server.address
-            and each.weights_version in (None, version)
         )
         transfers = kept_parts.plan_fetch(
             prompt.parts,
@@ -511,6 +563,13 @@
     return until_ms - now_ms - times.base_ms
 
 
+def _salt(
+    want: Want, prompt: prompts.Prompt, version: int
+) -> cache_directory.CacheSalt:
+    owner = want.account.name if want.account and want.account.is_isolated else None
+    return cache_directory.make_salt(prompt.model, version, owner)
+
+
 def _home(
     prompt: prompts.Prompt, usable: Sequence[servers.ServerEntry]
 ) -> servers.ServerId:
--- a/quincecrank/gateway/placement.py
+++ b/quincecrank/gateway/placement.py
@@ -7,7 +7,7 @@
 """
 
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence, Set
 from typing import Final
 
 from quincecrank import rendezvous
@@ -32,6 +32,14 @@
 PLAIN_QUEUE_SHARE: Final = 1.0
 """Requests that may queue at a plain backend server, as a part of its slots."""
 
+MAX_JUDGED: Final = 16
+"""Replicas that are judged in full for one request, whatever the size of the service:
+planning the transfers of one takes as long as looking at the load of ten."""
+
+MAX_JUDGED_HOLDERS: Final = 6
+"""Replicas among these that hold the prompt's shared parts; the others have the least
+to do."""
+
 HOME_BONUS_MS: Final = 15.0
 """Advantage of the replica that a prompt's shared parts hash to, where no replica
 holds them: later requests of any gateway find them there."""
@@ -103,6 +111,33 @@
     return load.requests < slots and need.memory_tokens <= room
 
 
+def shortlist(
+    able: Sequence[servers.ServerEntry],
+    load_by_server: Mapping[servers.ServerId, loads.Load],
+    holders: Set[servers.ServerId],
+    home: servers.ServerId,
+) -> tuple[servers.ServerEntry, ...]:
+    """Return the replicas that are worth judging in full.
+
+    Load pattern: a large service, of which a few replicas hold the prompt's parts and
+    the others differ only in what they have to do.
+
+    Parameters
+    ----------
+    holders : set of ServerId
+        Replicas that hold the prompt's last shared part.
+    """
+    if len(able) <= MAX_JUDGED:
+        return tuple(able)
+    by_load = sorted(able, key=lambda each: _busyness(each, load_by_server))
+    judged = [each for each in by_load if each.server_id in holders]
+    judged = judged[:MAX_JUDGED_HOLDERS]
+    judged += [each for each in by_load if each.server_id == home]
+    chosen = {each.server_id for each in judged}
+    others = [each for each in by_load if each.server_id not in chosen]
+    return tuple((judged + others)[:MAX_JUDGED])
+
+
 def choose_engine(
     candidates: Sequence[Candidate], need: EngineNeed
 ) -> Candidate | None:
@@ -133,6 +168,13 @@
     return expected_ms - times.base_ms
 
 
+def _busyness(
+    server: servers.ServerEntry, load_by_server: Mapping[servers.ServerId, loads.Load]
+) -> tuple[int, int, str]:
+    load = load_by_server[server.server_id]
+    return load.prefill_tokens, load.requests, server.server_id
+
+
 def choose_plain(candidates: Sequence[Candidate], request_key: str) -> Candidate | None:
     """Return the least busy backend server; None if all are full."""
     able = [
--- a/quincecrank/gateway/servers.py
+++ b/quincecrank/gateway/servers.py
@@ -88,6 +88,9 @@
 
     def __init__(self) -> None:
         self._entries_by_id: dict[ServerId, ServerEntry] = {}
+        self._ready_by_service: dict[
+            deployment.ServiceName, tuple[ServerEntry, ...]
+        ] = {}
         self._lapsed_until_ms_by_id: dict[ServerId, int] = {}
         self._leaving_since_ms: dict[Incarnation, int] = {}
         self._told_leaving: set[Incarnation] = set()
@@ -118,7 +121,7 @@
             entry = dataclasses.replace(entry, weight_versions_by_model=versions)
         if entry.incarnation in self._leaving_since_ms:
             entry = dataclasses.replace(entry, state=ServerState.DRAINING)
-        self._entries_by_id[entry.server_id] = entry
+        self._set(entry)
         self._lapsed_until_ms_by_id.pop(entry.server_id, None)
         return entry
 
@@ -140,9 +143,7 @@
             self._told_leaving.add(incarnation)
         entry = self._entries_by_id.get(incarnation.server_id)
         if entry is not None and entry.incarnation == incarnation:
-            self._entries_by_id[entry.server_id] = dataclasses.replace(
-                entry, state=ServerState.DRAINING
-            )
+            self._set(dataclasses.replace(entry, state=ServerState.DRAINING))
         return True
 
     def leaving_to_tell(self, now_ms: int) -> tuple[Incarnation, ...]:
@@ -167,9 +168,7 @@
             return
         if entry.weight_versions_by_model.get(model, version) < version:
             versions = {**entry.weight_versions_by_model, model: version}
-            self._entries_by_id[server_id] = dataclasses.replace(
-                entry, weight_versions_by_model=versions
-            )
+            self._set(dataclasses.replace(entry, weight_versions_by_model=versions))
 
     def remove(self, server_id: ServerId, now_ms: int) -> bool:
         """Take the removal of an entry; return whether the server lost its work.
@@ -211,16 +210,24 @@
 
     def ready(self, service: deployment.ServiceName) -> tuple[ServerEntry, ...]:
         """Return the servers of `service` that may get new work, by id."""
-        return tuple(
-            entry
-            for _, entry in sorted(self._entries_by_id.items())
-            if entry.service == service and entry.state is ServerState.READY
-        )
+        ready = self._ready_by_service.get(service)
+        if ready is None:
+            ready = self._ready_by_service[service] = tuple(
+                entry
+                for _, entry in sorted(self._entries_by_id.items())
+                if entry.service == service and entry.state is ServerState.READY
+            )
+        return ready
 
     def all(self) -> tuple[ServerEntry, ...]:
         """Return all known servers."""
         return tuple(self._entries_by_id.values())
 
+    def _set(self, entry: ServerEntry) -> None:
+        self._entries_by_id[entry.server_id] = entry
+        self._ready_by_service.clear()
+
     def _forget(self, server_id: ServerId) -> None:
+        self._ready_by_service.clear()
         self._entries_by_id.pop(server_id, None)
         self._lapsed_until_ms_by_id.pop(server_id, None)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -87,6 +87,40 @@
         self.assertEqual(self.choose(reading, writing), "writing")
 
 
+class ShortlistTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.entries = [builders.make_entry(f"i-{number:02}") for number in range(60)]
+        self.load_by_server = {
+            entry.server_id: loads.Load(number % 7, 0, 1_000 + 100 * number)
+            for number, entry in enumerate(self.entries)
+        }
+
+    def shortlist(self, count: int, *holders: str) -> set[str]:
+        judged = placement.shortlist(
+            self.entries[:count],
+            self.load_by_server,
+            {servers.ServerId(each) for each in holders},
+            servers.ServerId("i-55"),
+        )
+        self.assertEqual(len({each.server_id for each in judged}), len(judged))
+        return {each.server_id for each in judged}
+
+    def test_a_small_service_is_judged_whole(self) -> None:
+        self.assertEqual(
+            len(self.shortlist(placement.MAX_JUDGED)), placement.MAX_JUDGED
+        )
+
+    def test_holders_home_and_the_least_busy_are_judged(self) -> None:
+        judged = self.shortlist(60, "i-40", "i-41")
+        self.assertEqual(len(judged), placement.MAX_JUDGED)
+        self.assertLessEqual({"i-40", "i-41", "i-55", "i-00", "i-12"}, judged)
+
+    def test_many_holders_leave_room_for_idle_ones(self) -> None:
+        judged = self.shortlist(60, *(f"i-{number}" for number in range(20, 60)))
+        self.assertIn("i-20", judged)
+        self.assertLessEqual({"i-00", "i-08"}, judged)
+
+
 class WaitingTest(unittest.TestCase):
     def make_line(self, starts: int, waiting_count: int) -> waiting.WaitingLine:
         line = waiting.WaitingLine()
