A long answer that breaks off after its beginning was passed on is not begun again

Cause: found while reading the change that passes long answers on: a request that may be repeated went to a second server after its caller had got part of the first answer, and both ran into one. Change: an answer that has begun and is no stream ends there. The new test got two heads before.

--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -419,6 +419,8 @@
             return "time limit"
         if job.has_maybe_run and not job.route.may_repeat:
             return "outcome unknown"
+        if job.answer.has_begun and not job.route.is_stream:
+            return "broken off"
         if job.runs >= job.route.max_attempts:
             return "no attempts left"
         if job.refusals >= MAX_REFUSALS:
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -158,6 +158,20 @@
         self.assertNotIn(b"\r\n0\r\n\r\n", received[-16:])
         caller.close()
 
+    async def test_a_long_answer_that_breaks_off_is_not_begun_again(self) -> None:
+        # The route allows a second server, and the request may be repeated.
+        beginning = CHUNKED.encode() + b"200000\r\n" + b"a" * 0x180000
+        for number in range(2):
+            await self.add_server(
+                case.says_and_closes(beginning), server_id=f"i-{number}"
+            )
+        caller = await case.Caller.connect(self.port)
+        await caller.send("/look/", b"")
+        received = await asyncio.wait_for(caller.reader.read(), case.WAIT_S)
+        self.assertEqual(received.count(b"HTTP/1.1"), 1)
+        self.assertEqual(sum(len(each.received) for each in self.servers), 1)
+        caller.close()
+
     async def test_an_event_without_an_end_breaks_the_stream_off(self) -> None:
         head = CHUNKED.replace(
             "\r\n\r\n", "\r\nContent-Type: text/event-stream\r\n\r\n"
