--- a/bench/gateway_model.py
+++ b/bench/gateway_model.py
@@ -112,6 +112,12 @@
         Whether gateways tell each other of large changes of load at once.
     burst_from_ms, burst_until_ms : int
         Time in which arrivals are multiplied.
+    slowness : float
+        Time that all engines take, relative to their data sheet.
+    slow_from_ms : int
+        Time from which all engines take `slow_factor` times as long; 0 for never.
+    grey_slowness : float
+        Time that one of the engines takes, relative to the others.
     """
 
     seed: int
@@ -125,6 +131,10 @@
     burst_from_ms: int = 0
     burst_until_ms: int = 0
     burst_factor: float = 1.0
+    slowness: float = 1.0
+    slow_from_ms: int = 0
+    slow_factor: float = 1.0
+    grey_slowness: float = 1.0
     policy: Policy = Policy.GATEWAYS
 
 
@@ -166,6 +176,15 @@
     input_tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prediction:
+    """The time to a first event, as a gateway estimated it and as it was."""
+
+    at_ms: int
+    expected_ms: float
+    observed_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Result:
     """Outcome of a replay.
@@ -178,6 +197,7 @@
 
     outcome_by_kind: dict[str, Outcome]
     answered: tuple[Answered, ...]
+    predictions: tuple[Prediction, ...]
     value: float
     owed: float
     preempted: int
@@ -278,6 +298,7 @@
         self._engine_by_server: dict[servers.ServerId, model_engine.ModelEngine] = {}
         self._outcome_by_kind = {kind.name: Outcome() for kind in pattern.kinds}
         self._answered: list[Answered] = []
+        self._predictions: list[Prediction] = []
         self._value = 0.0
         self._owed = 0.0
 
@@ -296,6 +317,7 @@
         return Result(
             self._outcome_by_kind,
             tuple(self._answered),
+            tuple(self._predictions),
             self._value,
             self._owed,
             sum(each.preempted for each in self._engine_by_server.values()),
@@ -327,8 +349,17 @@
                 self._part_teller(holder),
                 self._clock,
             )
+            engine.slowness = self._pattern.slowness
+            if number == 0:
+                engine.slowness *= self._pattern.grey_slowness
             self._engine_by_server[server_id] = engine
             self._start(engine.work())
+        if self._pattern.slow_from_ms:
+            self._later(self._pattern.slow_from_ms, self._slow_down)
+
+    def _slow_down(self) -> None:
+        for engine in self._engine_by_server.values():
+            engine.slowness *= self._pattern.slow_factor
 
     def _part_teller(
         self, holder: cache_directory.HolderName
@@ -427,6 +458,7 @@
         def take_first_event() -> None:
             known.loads.prompt_computed(server_id, request_id)
             took_ms = self._clock.now_ms() - sent_ms + model_engine.FIRST_EVENT_MS
+            self._predictions.append(Prediction(sent_ms, placed.expected_ms, took_ms))
             known.service_times.observe(SERVICE, placed.work, took_ms)
 
         await self._run_at(server_id, arrival, began_ms, take_first_event)
--- a/bench/gateway_policy.py
+++ b/bench/gateway_policy.py
@@ -15,7 +15,7 @@
 
 import matplotlib
 
-from bench import gateway_model, model_engine
+from bench import gateway_model, gateway_times, model_engine
 
 matplotlib.use("Agg")
 from matplotlib import pyplot
@@ -111,6 +111,7 @@
     ]
     with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
         results = list(pool.map(gateway_model.play, patterns))
+        errors = list(pool.map(gateway_times.measure, gateway_times.CASES))
     lines = [
         "# The gateways' decisions under overload",
         "",
@@ -134,6 +135,7 @@
         lines.append(f"| bound | {statistics.mean(bounds):.3f} | | | |")
         shares_by_load[load.name].append(statistics.mean(bounds))
     lines += ["", f"![share of the worth]({PICTURE.relative_to(REPORT.parent)})"]
+    lines += gateway_times.section(errors)
     REPORT.write_text("\n".join(lines) + "\n")
     _plot(shares_by_load)
 
--- /dev/null
+++ b/bench/gateway_times.py
@@ -0,0 +1,114 @@
+"""Measures how well gateways predict first events, for engines of different kinds."""
+
+import dataclasses
+import statistics
+from collections.abc import Sequence
+from typing import Final
+
+from bench import gateway_model
+
+SEEDS: Final = (1, 2, 3)
+
+LEARNING_MS: Final = 4_000
+"""Time after which predictions count: some dozen answers at each gateway."""
+
+MEAN_LOAD: Final = 0.6
+"""Arrivals relative to the pattern's, for engines that are not full."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    """Engines of one kind.
+
+    Attributes
+    ----------
+    from_ms : int
+        Time from which predictions are measured.
+    """
+
+    name: str
+    pattern: gateway_model.Pattern
+    from_ms: int = LEARNING_MS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Errors:
+    """Errors of the predictions of one case."""
+
+    name: str
+    count: int
+    observed_ms: float
+    median_ms: float
+    high_ms: float
+    bias: float
+
+
+def _pattern(load: float, **changes: float) -> gateway_model.Pattern:
+    pattern = gateway_model.Pattern(
+        seed=0,
+        duration_ms=16_000,
+        gateways=6,
+        engines=8,
+        kinds=tuple(
+            dataclasses.replace(kind, per_second=kind.per_second * load)
+            for kind in (gateway_model.VERDICTS, gateway_model.NOTES)
+        ),
+    )
+    return dataclasses.replace(pattern, **changes)  # type: ignore[arg-type]
+
+
+CASES: Final = (
+    Case("engines of the data sheet", _pattern(MEAN_LOAD)),
+    Case("four times as fast", _pattern(MEAN_LOAD, slowness=0.25)),
+    Case("four times as slow", _pattern(MEAN_LOAD / 4, slowness=4.0)),
+    Case(
+        "three times as slow from the middle on",
+        _pattern(MEAN_LOAD / 3, slow_from_ms=6_000, slow_factor=3.0),
+        from_ms=10_000,
+    ),
+    Case(
+        "one of eight takes six times as long", _pattern(MEAN_LOAD, grey_slowness=6.0)
+    ),
+    Case("nearly full engines", _pattern(1.3)),
+)
+
+
+def measure(case: Case) -> Errors:
+    """Replay a case with each seed and return the errors of its predictions."""
+    predictions = [
+        prediction
+        for seed in SEEDS
+        for prediction in gateway_model.play(
+            dataclasses.replace(case.pattern, seed=seed)
+        ).predictions
+        if prediction.at_ms >= case.from_ms
+    ]
+    errors = sorted(abs(each.expected_ms - each.observed_ms) for each in predictions)
+    return Errors(
+        case.name,
+        len(predictions),
+        statistics.median(each.observed_ms for each in predictions),
+        errors[len(errors) // 2],
+        errors[len(errors) * 95 // 100],
+        statistics.median(each.expected_ms / each.observed_ms for each in predictions),
+    )
+
+
+def section(measured: Sequence[Errors]) -> list[str]:
+    """Return the report's section on predictions."""
+    return [
+        "",
+        "## How well first events are predicted",
+        "",
+        "Six gateways learn the times of eight model engines from their answers;",
+        f"predictions of seeds {SEEDS[0]} to {SEEDS[-1]}, after the first seconds.",
+        "",
+        "| engines | answers | observed, median | error, median | error, 95th "
+        "percentile | predicted over observed, median |",
+        "|---|---|---|---|---|---|",
+        *(
+            f"| {each.name} | {each.count} | {each.observed_ms:.0f} ms "
+            f"| {each.median_ms:.0f} ms | {each.high_ms:.0f} ms | {each.bias:.2f} |"
+            for each in measured
+        ),
+    ]
--- a/bench/model_engine.py
+++ b/bench/model_engine.py
@@ -68,6 +68,8 @@
         Requests that lost their memory and were read again.
     read_tokens : int
         Prompt tokens computed.
+    slowness : float
+        Time of a step relative to that of the data sheet; may change at any time.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         self._has_work = asyncio.Event()
         self.preempted = 0
         self.read_tokens = 0
+        self.slowness = 1.0
 
     def submit(self, run: Run) -> None:
         """Queue a request."""
@@ -109,7 +112,7 @@
                 + STEP_MS_PER_REQUEST * len(self._running)
                 + read / PREFILL_TOKENS_PER_MS
             )
-            await self._clock.sleep(step_ms)
+            await self._clock.sleep(step_ms * self.slowness)
             self._make_tokens()
             self._preempt()
 
