Peers hear of a pause for a moment only

Cause: found while reading. A pause was told in every report until its end, and each report kept the peers away for another second: a server that wanted nothing from one gateway for 30 s got nothing from any. Change: it is told for two reports' time; the test checks that it ends.

--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -132,7 +132,7 @@
     def least_run_ms(
         self, service: deployment.Service, prompt: prompts.Prompt | None
     ) -> float:
-        """Return the time to the answer, or the first event, at an idle server.
+        """Return the time to the first event at an idle engine; 0 for a plain service.
 
         Parameters
         ----------
--- a/quincecrank/gateway/server_health.py
+++ b/quincecrank/gateway/server_health.py
@@ -24,6 +24,9 @@
 MIN_TOLD_PAUSE_MS: Final = 300
 """Pauses from this length on are told to the peers: the longest interval of reports."""
 
+TELL_PAUSE_MS: Final = 700
+"""Time for which the peers are told of a pause: two reports, as datagrams get lost."""
+
 MAX_PEER_PAUSE_MS: Final = 1_000
 """Longest pause that is taken from a peer: the server asked only that gateway for it,
 and may have room again sooner."""
@@ -47,6 +50,7 @@
         self._breaker = breaker.Breaker()
         self._paused_until_ms = 0
         self._asked_until_ms = 0
+        self._asked_ms = 0
 
     def allows(self, now_ms: int) -> bool:
         """Return whether a request may be sent now."""
@@ -77,6 +81,7 @@
 
         An answer that was under way does not shorten an earlier pause.
         """
+        self._asked_ms = now_ms
         self._asked_until_ms = max(self._asked_until_ms, now_ms + pause_ms)
         self._pause(self._asked_until_ms)
 
@@ -88,8 +93,10 @@
         """Return for how long the server gets no requests."""
         return max(0, self._paused_until_ms - now_ms)
 
-    def asked_left_ms(self, now_ms: int) -> int:
-        """Return for how long the server wants no requests from this gateway."""
+    def to_tell_ms(self, now_ms: int) -> int:
+        """Return what is left of a pause that the peers are to hear of."""
+        if now_ms - self._asked_ms >= TELL_PAUSE_MS:
+            return 0
         return max(0, self._asked_until_ms - now_ms)
 
     def unreachable(self, now_ms: int) -> None:
@@ -140,7 +147,7 @@
         return tuple(
             ToldPause(servers.Incarnation(server_id, health.started_wall_ms), left_ms)
             for server_id, health in self._health_by_server.items()
-            if (left_ms := health.asked_left_ms(now_ms)) >= MIN_TOLD_PAUSE_MS
+            if (left_ms := health.to_tell_ms(now_ms)) >= MIN_TOLD_PAUSE_MS
         )
 
     def take_pause(self, told: ToldPause, now_ms: int) -> None:
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -139,9 +139,11 @@
         before = builders.make_entry(SERVER, started_wall_ms=1)
         book.of(before).asked_for_pause(0, 5_000)
         self.assertEqual(
-            book.pauses_to_tell(1_000),
-            (server_health.ToldPause(before.incarnation, 4_000),),
+            book.pauses_to_tell(600),
+            (server_health.ToldPause(before.incarnation, 4_400),),
         )
+        # Peers are told for a moment, so that they stay away for a short time only.
+        self.assertEqual(book.pauses_to_tell(server_health.TELL_PAUSE_MS), ())
         after = builders.make_entry(SERVER, started_wall_ms=2)
         self.assertTrue(book.of(after).allows(1_000))
         book.take_pause(server_health.ToldPause(before.incarnation, 4_000), 1_000)
