--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from quincecrank import clock as clocks
-from quincecrank import ids
+from quincecrank import ids, store_rows
 from quincecrank.gateway import (
     cache_directory,
     cache_history,
@@ -44,7 +44,8 @@
 def make_report(server_count: int) -> peer_messages.Report:
     """Return a report about work at `server_count` servers."""
     states = tuple(
-        peer_messages.TableState(table, 1_000, 200) for table in tables.TableName
+        peer_messages.TableState(table, store_rows.Position(0, 1_000), 200)
+        for table in tables.TableName
     )
     load_by_server = {
         servers.ServerId(f"i-{number:010x}"): loads.Load(7, 30_000, 2_000)
--- a/models/order_lease.pml
+++ b/models/order_lease.pml
@@ -7,16 +7,33 @@
  * any place for any time.  An order arrives at most MARGIN after it was sent: later
  * ones are refused by the engine's own count, which is not part of this model.
  *
+ * A restore brings the store back from a copy: its era rises, and its version falls
+ * to any earlier one, which the next puts give out again.  A position is an era and a
+ * version in one number.  Puts that were sent before take effect after it if the row
+ * has the version that they expect, whatever its era.
+ *
  * Orders of two holders arrive at least LEASE apart, and fencing numbers never fall.
  * Clocks run equally; the real margin covers differences.
  */
 
 #define GATEWAYS 2
 #define NOBODY 7
+#ifndef VERSIONS
 #define VERSIONS 3
+#endif
+#ifndef RESTORES
+#define RESTORES 0
+#endif
+#define ERA_STEP 4
+#define POSITION (era * ERA_STEP + version)
+#define ERA_OF(position) ((position) / ERA_STEP)
 
+#ifndef VALIDITY
 #define VALIDITY 2
+#endif
+#ifndef LEASE
 #define LEASE 2
+#endif
 #define MARGIN 1
 #ifdef MUTANT_TAKES_OVER_WITHOUT_VALIDITY
 #define TAKEOVER (LEASE + MARGIN)
@@ -34,6 +51,7 @@
 mtype = { TAKE, RENEW };
 
 byte version;                      /* of the row; 0 before the first put */
+byte era;                          /* restores so far */
 
 mtype put[GATEWAYS] = NONE;
 mtype purpose[GATEWAYS];
@@ -43,7 +61,7 @@
 bool applied[GATEWAYS];
 bool waits[GATEWAYS];              /* for the answer of its put */
 
-byte held[GATEWAYS];               /* version; 0: not the holder */
+byte held[GATEWAYS];               /* position; 0: not the holder */
 byte renewed_age[GATEWAYS] = VALIDITY;
 byte fence[GATEWAYS];
 byte seen[GATEWAYS];
@@ -57,27 +75,30 @@
 byte last_age;
 byte last_fence;
 
-/* code: gateway.order_lease.OrderLease.observe */
-inline observe(g, seen_version) {
+/*
+ * code: gateway.order_lease.OrderLease.observe
+ * code: gateway.order_lease.OrderLease.era_began
+ */
+inline observe(g, position) {
   if
-  :: seen_version > seen[g] ->
-    seen[g] = seen_version;
+  :: position > seen[g] ->
+    seen[g] = position;
 #ifndef MUTANT_COUNTS_FROM_FIRST_SIGHT
     seen_age[g] = 0
 #endif
   :: else
   fi;
   if
-  :: held[g] != 0 && seen_version > held[g] -> held[g] = 0
+  :: held[g] != 0 && position > held[g] -> held[g] = 0
   :: else
   fi
 }
 
 /* code: gateway.order_lease.OrderLease._put */
-inline send_put(g, why, expected_version) {
+inline send_put(g, why, expected_position) {
   put[g] = SENT;
   purpose[g] = why;
-  expected[g] = expected_version;
+  expected[g] = expected_position;
   sent_age[g] = 0;
   waits[g] = true
 }
@@ -91,17 +112,36 @@
   applied[g] = false
 }
 
+#ifdef MUTANT_FENCE_WITHOUT_ERA
+#define FENCE(position) ((position) % ERA_STEP)
+#else
+#define FENCE(position) (position)
+#endif
+
+#ifdef MUTANT_CHANCE_MATCH_BELIEVED
+#define MET_ITS_ROW(g) true
+#else
+#define MET_ITS_ROW(g) (ERA_OF(answer[g]) == ERA_OF(expected[g]))
+#endif
+#define IS_IN_TIME(g) (ERA_OF(answer[g]) >= ERA_OF(seen[g]))
+
+#ifdef MUTANT_FREE_AT_ONCE_AFTER_RESTORE
+#define IS_FREE(position) ((position) % ERA_STEP == 0)
+#else
+#define IS_FREE(position) ((position) == 0)
+#endif
+
 /*
  * code: gateway.order_lease.OrderLease._take
  * code: gateway.order_lease.OrderLease._renew
- * code: gateway.order_lease.OrderLease._hold
+ * code: gateway.order_lease.OrderLease._take_result
  */
 inline take_answer(g) {
   waits[g] = false;
   if
-  :: applied[g] ->
+  :: applied[g] && MET_ITS_ROW(g) && IS_IN_TIME(g) ->
     if
-    :: purpose[g] == TAKE -> fence[g] = answer[g]
+    :: purpose[g] == TAKE -> fence[g] = FENCE(answer[g])
     :: else
     fi;
     held[g] = answer[g];
@@ -127,10 +167,10 @@
 proctype Gateway(byte g) {
 end:
   do
-  :: atomic { version > seen[g] -> observe(g, version) }
+  :: atomic { POSITION > seen[g] -> observe(g, POSITION) }
   :: atomic {
        held[g] == 0 && put[g] == NONE && !waits[g] &&
-       (seen[g] == 0 || seen_age[g] >= TAKEOVER) ->
+       (IS_FREE(seen[g]) || seen_age[g] >= TAKEOVER) ->
          send_put(g, TAKE, seen[g])
      }
   :: atomic {
@@ -165,7 +205,7 @@
          :: put[0] == SENT -> g = 0
          :: put[1] == SENT -> g = 1
          fi;
-         applied[g] = (version == expected[g]);
+         applied[g] = (version == expected[g] % ERA_STEP);
 #ifdef MUTANT_PUTS_BLINDLY
          applied[g] = true;
 #endif
@@ -173,7 +213,7 @@
          :: applied[g] -> version++
          :: else
          fi;
-         answer[g] = version;
+         answer[g] = POSITION;
          if
          :: waits[g] -> put[g] = DONE
          :: else -> forget_put(g)
@@ -183,6 +223,15 @@
   od
 }
 
+/* A restore from a copy; the row may be missing in it. */
+proctype Operator() {
+end:
+  do
+  :: atomic { era < RESTORES && version > 0 -> era++; version-- }
+  :: atomic { era < RESTORES -> era++; version = 0 }
+  od
+}
+
 /* An engine, which takes each order once within MARGIN. */
 proctype Engine() {
   byte g;
@@ -238,6 +287,7 @@
     run Gateway(0);
     run Gateway(1);
     run Store();
+    run Operator();
     run Engine();
     run Clock()
   }
--- a/models/runs.py
+++ b/models/runs.py
@@ -70,5 +70,23 @@
     ModelRun("configuration", "configuration", ("RESTARTS=1",)),
     ModelRun("blocks", "blocks"),
     ModelRun("leaving", "leaving"),
-    ModelRun("order-lease", "order_lease"),
+    ModelRun("order-lease", "order_lease", runs_mutants=False),
+    ModelRun(
+        "order-lease-two-restores",
+        "order_lease",
+        ("VERSIONS=1", "RESTORES=2"),
+        runs_mutants=False,
+    ),
+    ModelRun(
+        "order-lease-restore",
+        "order_lease",
+        ("VERSIONS=2", "RESTORES=1", "VALIDITY=2", "LEASE=1"),
+    ),
+    ModelRun("table-followers", "table_followers", ("RESTORES=1",)),
+    ModelRun(
+        "table-followers-two-restores",
+        "table_followers",
+        ("VERSIONS=2", "RESTORES=2"),
+        runs_mutants=False,
+    ),
 )
--- a/quincecrank/gateway/followers.py
+++ b/quincecrank/gateway/followers.py
@@ -19,7 +19,7 @@
 
 from quincecrank import clock as clocks
 from quincecrank import store_rows
-from quincecrank.gateway import decision_log, peers, tables
+from quincecrank.gateway import decision_log, peers, restores, tables
 
 READERS: Final = 3
 """Gateways that read a table from the store: two may be lost at once."""
@@ -65,7 +65,7 @@
 class RowUser(Protocol):
     """Takes the rows of a table."""
 
-    def take_all(self, rows: tuple[store_rows.Row, ...]) -> None:
+    def take_all(self, everything: store_rows.Rows) -> None:
         """Take all rows that exist."""
 
     def take_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
@@ -85,18 +85,22 @@
     ----------
     tell_peers : callable
         Sends a report to the peers at once.
+    progress : RestoreProgress
+        Is told of each full read.
 
     Attributes
     ----------
-    version : int
-        Version of the store up to which the rows are known; 0 before the first.
-    news_version : int
-        Version of the last news.
+    position : Position or None
+        Position of the store up to which the rows are known; None before the first.
+    news_position : Position or None
+        Position of the last news.
 
     Notes
     -----
-    Invariant: a row that a full read of version V lacks does not come back by an
-    answer that was under way meanwhile, as changes up to V are ignored afterwards.
+    Invariant: a row that a full read at position P lacks does not come back by an
+    answer that was under way meanwhile, as changes up to P are ignored afterwards.
+    All rows are of one era: a restore of the store from a copy makes changes useless,
+    and all rows are read anew.
     """
 
     def __init__(
@@ -109,6 +113,7 @@
         pace: Pace,
         tell_peers: Callable[[], None],
         count_failure: Callable[[str], None],
+        progress: restores.RestoreProgress,
     ) -> None:
         self._table = table
         self._source = source
@@ -118,19 +123,22 @@
         self._pace = pace
         self._tell_peers = tell_peers
         self._count_failure = count_failure
+        self._progress = progress
         self._rows_by_key: dict[str, store_rows.Row] = {}
         self._is_lost = False
         self._failures = 0
-        self._full_version = 0
         self._confirmed_ms: int | None = None
         self._behind_since_ms: int | None = None
-        self.version = 0
-        self.news_version = 0
+        self._full_position: store_rows.Position | None = None
+        self.position: store_rows.Position | None = None
+        self.news_position: store_rows.Position | None = None
 
     @property
-    def rows(self) -> store_rows.Rows:
-        """All rows as known now."""
-        return store_rows.Rows(tuple(self._rows_by_key.values()), self.version)
+    def rows(self) -> store_rows.Rows | None:
+        """All rows as known now; None before the first."""
+        if self.position is None:
+            return None
+        return store_rows.Rows(tuple(self._rows_by_key.values()), self.position)
 
     @property
     def age_ms(self) -> int | None:
@@ -148,8 +156,10 @@
             try:
                 await self._step()
             except store_rows.HistoryLostError:
-                _LOG.warning("history lost", table=self._table.value)
-                await self._read_all()
+                _LOG.warning(
+                    "history lost", table=self._table.value, position=self.position
+                )
+                await self._read_anew()
             except store_rows.StoreUnavailableError as error:
                 self._lost(str(error))
                 self._failures += 1
@@ -161,7 +171,8 @@
         """Read rows from a peer that has news."""
         while True:
             await self._clock.sleep(PEER_INTERVAL_MS)
-            if self._peers.news_version(self._table) <= self.version:
+            news = self._peers.news_position(self._table)
+            if not _is_newer(news, self.position):
                 self._behind_since_ms = None
                 continue
             now_ms = self._clock.now_ms()
@@ -173,7 +184,7 @@
 
     def reads_store(self) -> bool:
         """Return whether this gateway is to read the store itself now."""
-        if not self.version or self._is_reader():
+        if self.position is None or self._is_reader():
             return True
         now_ms = self._clock.now_ms()
         behind_since_ms = self._behind_since_ms
@@ -188,16 +199,29 @@
         )
 
     async def _step(self) -> None:
-        if not self.version:
+        if self.position is None:
             await self._read_all()
             return
         changed = await self._source.changes(
-            self._table, self.version, self._pace.wait_ms
+            self._table, self.position, self._pace.wait_ms
         )
         self._confirm()
         self._apply_changes(changed)
         await self._clock.sleep(self._pace.pause_ms)
 
+    async def _read_anew(self) -> None:
+        """Read all rows after a lost history, unless a peer gives them meanwhile.
+
+        A restore of the store loses the history of the whole fleet in one instant.
+        """
+        before = self.position
+        gateways = 1 + len(self._peers.live_ips())
+        await self._clock.sleep(restores.read_delay_ms(self._is_reader(), gateways))
+        if self.position == before:
+            await self._read_all()
+            # A history that is lost again and again must not cost a read each time.
+            await self._clock.sleep(RETRY_MS)
+
     async def _read_all(self) -> None:
         try:
             everything = await self._source.read_all(self._table)
@@ -210,46 +234,53 @@
 
     async def _read_from_peer(self) -> None:
         everything = await self._peers.read_all(self._table)
-        if everything is not None and everything.version > self.version:
+        if everything is not None and _is_newer(everything.position, self.position):
             self._replace(everything, "peer")
 
     def _replace(self, everything: store_rows.Rows, origin: str) -> None:
-        if everything.version < self.version:
+        if _is_newer(self.position, everything.position):
             return
+        rows_by_key = {row.key: row for row in everything.rows}
+        lost = len(self._rows_by_key.keys() - rows_by_key.keys())
         _LOG.info(
             "table read",
             table=self._table.value,
             origin=origin,
             rows=len(everything.rows),
-            version=everything.version,
+            missing=lost,
+            era=everything.position.era,
+            version=everything.position.version,
         )
-        self._rows_by_key = {row.key: row for row in everything.rows}
-        self.version = self._full_version = everything.version
-        self._user.take_all(everything.rows)
+        self._rows_by_key = rows_by_key
+        self.position = self._full_position = everything.position
+        self._user.take_all(everything)
+        self._progress.table_read(self._table, everything.position.era, lost)
         self._note_news()
 
     def _apply_changes(self, changed: store_rows.Rows) -> None:
-        fresh = tuple(
-            row
-            for row in changed.rows
-            if row.version > max(self._full_version, self._known_version(row.key))
-        )
+        if self.position is not None and changed.position.era != self.position.era:
+            # A peer's rows of a later era came while the call was under way.
+            return
+        fresh = tuple(row for row in changed.rows if self._is_fresh(row))
         for row in fresh:
             if row.is_removed:
                 self._rows_by_key.pop(row.key, None)
             else:
                 self._rows_by_key[row.key] = row
-        self.version = max(self.version, changed.version)
+        if _is_newer(changed.position, self.position):
+            self.position = changed.position
         if fresh and self._user.take_changes(fresh):
             self._note_news()
 
     def _note_news(self) -> None:
-        self.news_version = self.version
+        self.news_position = self.position
         self._tell_peers()
 
-    def _known_version(self, key: str) -> int:
-        row = self._rows_by_key.get(key)
-        return row.version if row is not None else 0
+    def _is_fresh(self, row: store_rows.Row) -> bool:
+        known = self._rows_by_key.get(row.key)
+        if known is not None and row.position <= known.position:
+            return False
+        return _is_newer(row.position, self._full_position)
 
     def _lost(self, reason: str) -> None:
         self._count_failure(self._table.value)
@@ -265,3 +296,12 @@
             self._is_lost = False
             _LOG.info("store regained", table=self._table.value)
             self._user.store_regained()
+
+
+def _is_newer(
+    position: store_rows.Position | None, than: store_rows.Position | None
+) -> bool:
+    """Return whether a position is later than another; None is before all."""
+    if position is None:
+        return False
+    return than is None or position > than
--- a/quincecrank/gateway/gateway_metrics.py
+++ b/quincecrank/gateway/gateway_metrics.py
@@ -45,6 +45,28 @@
             ["table"],
             registry=self.registry,
         )
+        self.store_era = prometheus_client.Gauge(
+            "quince_gateway_store_era",
+            "Restores of the platform's store from a copy",
+            registry=self.registry,
+        )
+        self.store_rows_lost = prometheus_client.Counter(
+            "quince_gateway_store_rows_lost",
+            "Rows that were known and that a restored store lacks, by table",
+            ["table"],
+            registry=self.registry,
+        )
+        self.registrations = prometheus_client.Counter(
+            "quince_gateway_registrations",
+            "Writes of this gateway's own row",
+            registry=self.registry,
+        )
+        self.restore_seconds = prometheus_client.Histogram(
+            "quince_gateway_restore_seconds",
+            "Time from a restore of the store until all tables are known again",
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
         self.peers = prometheus_client.Gauge(
             "quince_gateway_peers", "Live other gateways", registry=self.registry
         )
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -16,7 +16,7 @@
 from tornado import httpserver, netutil, web
 
 from quincecrank import clock as clocks
-from quincecrank import status_server, store_rows, tasks
+from quincecrank import status_server, store_era, store_rows, tasks
 from quincecrank.gateway import (
     cache_followers,
     cache_history,
@@ -29,9 +29,11 @@
     forwarding,
     gateway_metrics,
     knowledge,
+    member_registration,
     order_lease,
     peer_messages,
     peers,
+    restores,
     service_times,
     store_cleaner,
     table_users,
@@ -86,10 +88,11 @@
         self._metrics = gateway_metrics.GatewayMetrics()
         self._known = knowledge.Knowledge(facts, clock)
         self._crashes = crash_suspicions.CrashSuspicions(self._known.has_crashed)
+        self._era = store_era.StoreEra()
         self._store = gateway_tables.GatewayTables(
-            store.PlatformStore(facts.store.endpoint.url)
+            store.PlatformStore(facts.store.endpoint.url, era=self._era)
         )
-        self._peers = peers.PeerTables(facts, clock)
+        self._peers = peers.PeerTables(facts, clock, self._era)
         self._places = dispatcher.Dispatcher(self._known, self._generator)
         self._forwarder = forwarding.Forwarder(
             self._known, self._places, self._crashes, self._metrics, self._generator
@@ -107,7 +110,19 @@
         self._lease = order_lease.OrderLease(
             self._store, facts.vm, facts.bounds.order_lease_ms, clock
         )
+        self._members = table_users.MemberRows(self._peers, self._lease)
+        self._registration = member_registration.Registration(
+            facts.vm,
+            facts.ip,
+            self._store,
+            self._members,
+            lambda: self._known.gateways,
+            self._metrics.registrations.inc,
+            clock,
+        )
+        self._restore_progress = restores.RestoreProgress(clock, self._metrics)
         self._followers_by_table = self._make_followers()
+        self._tell_of_restores()
         self._caches = cache_followers.CacheFollowers(self._known, self._peers, clock)
         calls = engines.EngineCalls()
         self._cleaner = store_cleaner.StoreCleaner(
@@ -124,6 +139,14 @@
         self._is_leaving = False
         self._reports_made = 0
 
+    def _tell_of_restores(self) -> None:
+        """Tell all who keep something by the store's versions; orders end first."""
+        self._era.tell(self._lease.era_began)
+        self._era.tell(
+            lambda _era: self._known.registry.store_restored(self._clock.now_ms())
+        )
+        self._era.tell(self._restore_progress.era_began)
+
     async def start(self) -> None:
         """Open the listeners and begin to learn about the fleet."""
         facts = self._facts
@@ -157,7 +180,7 @@
         self._tasks.start(self._roll.run())
         self._tasks.start(self._caches.run())
         self._tasks.start(self._cleaner.run())
-        self._tasks.start(self._register())
+        self._tasks.start(self._registration.run())
         self._tasks.start(self._keep_house())
         _LOG.info("started", ip=facts.ip, data_centre=facts.data_centre)
 
@@ -203,7 +226,7 @@
         user_by_table: dict[tables.TableName, followers.RowUser] = {
             tables.TableName.OPERATOR: table_users.OperatorRows(self._known),
             tables.TableName.SERVERS: table_users.ServerRows(self._known),
-            tables.TableName.MEMBERS: table_users.MemberRows(self._peers, self._lease),
+            tables.TableName.MEMBERS: self._members,
         }
         return {
             table: followers.TableFollower(
@@ -215,20 +238,21 @@
                 PACE_BY_TABLE[table],
                 self._reporter.send,
                 lambda name: self._metrics.store_failures.labels(name).inc(),
+                self._restore_progress,
             )
             for table, user in user_by_table.items()
         }
 
-    def _rows(self, table: tables.TableName) -> store_rows.Rows:
+    def _rows(self, table: tables.TableName) -> store_rows.Rows | None:
         follower = self._followers_by_table.get(table)
-        return follower.rows if follower else store_rows.Rows((), 0)
+        return follower.rows if follower else None
 
     def _make_report(self) -> peer_messages.Report:
         return peer_messages.Report(
             vm=self._facts.vm,
             is_leaving=self._is_leaving,
             states=tuple(
-                peer_messages.TableState(table, follower.news_version, follower.age_ms)
+                peer_messages.TableState(table, follower.news_position, follower.age_ms)
                 for table, follower in self._followers_by_table.items()
             ),
             load_by_server=self._known.loads.own(),
@@ -265,21 +289,6 @@
     def _use_change(self, change: peer_messages.LoadChange) -> None:
         self._known.loads.peer_changed(change.vm, change.server_id, change.load)
 
-    async def _register(self) -> None:
-        """Tell the other gateways, through the store, where this one is."""
-        while True:
-            try:
-                await self._store.write(
-                    tables.TableName.MEMBERS,
-                    peers.member_key(self._facts.vm),
-                    self._facts.ip,
-                    None,
-                )
-                return
-            except store_rows.StoreUnavailableError as error:
-                _LOG.warning("not registered", reason=str(error))
-                await self._clock.sleep(followers.RETRY_MS * 4)
-
     async def _keep_house(self) -> None:
         while True:
             await self._clock.sleep(HOUSEKEEPING_MS)
--- /dev/null
+++ b/quincecrank/gateway/member_registration.py
@@ -0,0 +1,109 @@
+"""Tells the other gateways, through the store, where this one is.
+
+Load pattern: one write at the start of each process.  A restore of the store from a
+copy loses the rows of the gateways that started since; these write them again, spread
+over time.
+"""
+
+import dataclasses
+from collections.abc import Callable
+from typing import Final, Protocol
+
+from quincecrank import clock as clocks
+from quincecrank import ids, store_rows
+from quincecrank.gateway import decision_log, peers, restores, tables
+
+RETRY_MS: Final = 1_000
+"""Pause after a write that failed."""
+
+CHECK_MS: Final = 250
+"""Interval of the checks whether the row is still there."""
+
+_LOG: Final = decision_log.logger("registration")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """A gateway as it registered itself.
+
+    Attributes
+    ----------
+    written : Position
+        Of the row, as the store acknowledged it.
+    """
+
+    vm: ids.VmName
+    ip: str
+    written: store_rows.Position
+
+
+class MemberTable(Protocol):
+    """The members as followed from the store."""
+
+    def lacks(self, member: Member) -> bool:
+        """Return whether a restored store has lost what a member wrote of itself."""
+
+
+class Registration:
+    """Keeps this gateway's row in the store.
+
+    Parameters
+    ----------
+    gateways : callable
+        Returns the number of live gateways, this one included.
+    count_write : callable
+        Counts a write that was acknowledged.
+
+    Notes
+    -----
+    Invariant: at most one write for each era is acknowledged, so two processes of one
+    name never overwrite each other's rows in turn.
+    """
+
+    def __init__(
+        self,
+        vm: ids.VmName,
+        ip: str,
+        store: tables.TableStore,
+        members: MemberTable,
+        gateways: Callable[[], int],
+        count_write: Callable[[], None],
+        clock: clocks.Clock,
+    ) -> None:
+        self._vm = vm
+        self._ip = ip
+        self._store = store
+        self._members = members
+        self._gateways = gateways
+        self._count_write = count_write
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Write the row, and write it again after each restore that lost it."""
+        while True:
+            member = await self._write()
+            while not await self._is_lost(member):
+                await self._clock.sleep(CHECK_MS)
+
+    async def _is_lost(self, member: Member) -> bool:
+        if not self._members.lacks(member):
+            return False
+        await self._clock.sleep(restores.write_delay_ms(self._gateways()))
+        return self._members.lacks(member)
+
+    async def _write(self) -> Member:
+        while True:
+            try:
+                result = await self._store.write(
+                    tables.TableName.MEMBERS,
+                    peers.member_key(self._vm),
+                    self._ip,
+                    None,
+                )
+            except store_rows.StoreUnavailableError as error:
+                _LOG.warning("not registered", reason=str(error))
+                await self._clock.sleep(RETRY_MS)
+                continue
+            self._count_write()
+            _LOG.info("registered", era=result.position.era)
+            return Member(self._vm, self._ip, result.position)
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -7,7 +7,7 @@
 
 import capnp
 
-from quincecrank import crash_counts, ids
+from quincecrank import crash_counts, ids, store_rows
 from quincecrank.gateway import (
     deployment,
     loads,
@@ -36,14 +36,14 @@
 
     Attributes
     ----------
-    news_version : int
-        Version of the last change that mattered.
+    news_position : Position or None
+        Position of the last change that mattered; None before the first one.
     age_ms : int or None
         Time since the store answered that gateway; None if it never did.
     """
 
     table: tables.TableName
-    news_version: int
+    news_position: store_rows.Position | None
     age_ms: int | None
 
 
@@ -159,14 +159,25 @@
 
 
 def _state_fields(state: TableState) -> dict[str, Any]:
+    news = state.news_position
     age_ms = _NO_AGE if state.age_ms is None else min(state.age_ms, _NO_AGE - 1)
     return {
         "name": state.table.value,
-        "newsVersion": state.news_version,
+        "newsVersion": news.version if news is not None else 0,
+        "newsEra": news.era if news is not None else 0,
         "ageMs": age_ms,
     }
 
 
+def _news_position(message: Any) -> store_rows.Position | None:
+    """Decode a position; the first one of all stands for none, as nothing is there."""
+    position = store_rows.Position(message.newsEra, message.newsVersion)
+    if position.era > store_rows.MAX_ERA:
+        raise ValueError(f"no era can be {position.era}")
+    nothing = store_rows.Position(store_rows.FIRST_ERA, 0)
+    return None if position == nothing else position
+
+
 def _load_fields(server_id: servers.ServerId, load: loads.Load) -> dict[str, Any]:
     return {
         "server": server_id,
@@ -231,7 +242,7 @@
         states=tuple(
             TableState(
                 tables.TableName(each.name),
-                each.newsVersion,
+                _news_position(each),
                 None if each.ageMs == _NO_AGE else each.ageMs,
             )
             for each in message.tables
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -7,6 +7,8 @@
   newsVersion @1 :UInt64;
   # Milliseconds since the store answered; the largest value if it never did.
   ageMs @2 :UInt32 = 0xffffffff;
+  # Era of the version; releases that know no eras leave it out.
+  newsEra @3 :UInt16;
 }
 
 struct ServerLoad {
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -18,7 +18,7 @@
 from tornado import httpserver, ioloop, netutil, web
 
 from quincecrank import clock as clocks
-from quincecrank import ids, json_text, rendezvous, store_rows
+from quincecrank import ids, json_text, rendezvous, store_era, store_rows
 from quincecrank.gateway import (
     decision_log,
     environment,
@@ -57,7 +57,7 @@
 
 ReportUser = Callable[[peer_messages.Report], None]
 ChangeUser = Callable[[peer_messages.LoadChange], None]
-RowsReader = Callable[[tables.TableName], store_rows.Rows]
+RowsReader = Callable[[tables.TableName], store_rows.Rows | None]
 
 
 class PeerTables:
@@ -67,11 +67,20 @@
     ----------
     facts : Environment
         Addresses of this process and of the seeds.
+    era : StoreEra
+        Is told the eras of which peers know; a gateway that is cut off from the store
+        learns so that it was restored.
     """
 
-    def __init__(self, facts: environment.Environment, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        facts: environment.Environment,
+        clock: clocks.Clock,
+        era: store_era.StoreEra,
+    ) -> None:
         self._facts = facts
         self._clock = clock
+        self._era = era
         self._ip_by_member: dict[ids.VmName, str] = {}
         self._report_by_ip: dict[str, peer_messages.Report] = {}
         self._heard_ms_by_ip: dict[str, int] = {}
@@ -87,6 +96,9 @@
 
     def heard(self, ip: str, report: peer_messages.Report) -> None:
         """Take a report."""
+        for state in report.states:
+            if state.news_position is not None:
+                self._era.observe(state.news_position.era)
         self._report_by_ip[ip] = report
         self._heard_ms_by_ip[ip] = self._clock.now_ms()
 
@@ -144,12 +156,12 @@
             or ip in self._facts.seed_ips
         )
 
-    def news_version(self, table: tables.TableName) -> int:
-        """Return the newest version of a table of which a live peer has news."""
-        return max(
-            (_news_version(self._report_by_ip[ip], table) for ip in self.live_ips()),
-            default=0,
-        )
+    def news_position(self, table: tables.TableName) -> store_rows.Position | None:
+        """Return the newest position of a table of which a live peer has news."""
+        positions = [
+            _news_position(self._report_by_ip[ip], table) for ip in self.live_ips()
+        ]
+        return max((each for each in positions if each is not None), default=None)
 
     def age_ms(self, table: tables.TableName) -> int | None:
         """Return for how long no live peer has heard from the store.
@@ -169,20 +181,21 @@
 
     async def read_all(self, table: tables.TableName) -> store_rows.Rows | None:
         """Return a live peer's rows of a table; None if it did not answer."""
-        newest = self.news_version(table)
+        newest = self.news_position(table)
+        if newest is None:
+            return None
         holders = [
             ip
             for ip in self.live_ips()
-            if _news_version(self._report_by_ip[ip], table) == newest
+            if _news_position(self._report_by_ip[ip], table) == newest
         ]
-        if not holders:
-            return None
         ip = random.choice(holders)
         try:
-            return decode_rows(await self._calls.get(ip, f"/tables/{table.value}"))
+            rows = decode_rows(await self._calls.get(ip, f"/tables/{table.value}"))
         except (peer_calls.PeerCallError, ValueError, KeyError, TypeError) as error:
             _LOG.warning("peer gave no rows", peer=ip, error=repr(error))
             return None
+        return rows if self._era.observe(rows.position.era) else None
 
 
 def report_interval_ms(live_peers: int) -> float:
@@ -290,7 +303,7 @@
             self.set_status(404)
             return
         rows = self._read(table)
-        if not rows.version:
+        if rows is None:
             self.set_status(503)
             return
         self.finish(encode_rows(rows))
@@ -317,10 +330,11 @@
 
 
 def encode_rows(rows: store_rows.Rows) -> bytes:
-    """Return rows as a document for peers."""
+    """Return rows, all of one era, as a document for peers."""
     document = {
-        "version": rows.version,
-        "rows": [[row.key, row.text, row.version] for row in rows.rows],
+        "era": rows.position.era,
+        "version": rows.position.version,
+        "rows": [[row.key, row.text, row.position.version] for row in rows.rows],
     }
     return json.dumps(document).encode()
 
@@ -330,16 +344,21 @@
 
     Raises
     ------
-    ValueError, KeyError
+    ValueError, KeyError, TypeError
         If it has another form.
     """
     decoded = json_text.parse(document)
+    rows = decoded["rows"]
+    # Releases that know no eras leave it out.
+    era = int(decoded.get("era", store_rows.FIRST_ERA))
+    if not store_rows.FIRST_ERA <= era <= store_rows.MAX_ERA:
+        raise ValueError(f"no era can be {era}")
     return store_rows.Rows(
         tuple(
-            store_rows.Row(str(key), str(text), int(version))
-            for key, text, version in decoded["rows"]
+            store_rows.Row(str(key), str(text), store_rows.Position(era, int(version)))
+            for key, text, version in rows
         ),
-        int(decoded["version"]),
+        store_rows.Position(era, int(decoded["version"])),
     )
 
 
@@ -357,8 +376,10 @@
     }
 
 
-def _news_version(report: peer_messages.Report, table: tables.TableName) -> int:
-    return max(
-        (state.news_version for state in report.states if state.table is table),
-        default=0,
-    )
+def _news_position(
+    report: peer_messages.Report, table: tables.TableName
+) -> store_rows.Position | None:
+    for state in report.states:
+        if state.table is table:
+            return state.news_position
+    return None
--- a/quincecrank/gateway/servers.py
+++ b/quincecrank/gateway/servers.py
@@ -26,6 +26,9 @@
 MAX_LEAVING: Final = 1_024
 """Servers remembered as leaving: more than leave a large fleet within minutes."""
 
+_NO_FURTHER_REPORT: Final = 2**63
+"""Above the number of every report: a start that was followed by another one."""
+
 LAPSE_GRACE_MS: Final = 2_500
 """Time after the store's return in which live servers re-appear: two seconds by
 the platform's rules, and half a second for the entries to reach this process."""
@@ -58,6 +61,8 @@
         Requests that it runs at once.
     started_wall_ms : int
         Time of its start since the epoch; names the incarnation.
+    report_number : int
+        Number of this report of the incarnation; later ones have higher numbers.
     weight_versions_by_model : mapping of ModelName to int
         Versions of the weights that a model engine has loaded.
     """
@@ -70,6 +75,7 @@
     state: ServerState
     started_wall_ms: int
     weight_versions_by_model: Mapping[deployment.ModelName, int]
+    report_number: int = 0
 
     @property
     def incarnation(self) -> Incarnation:
@@ -83,7 +89,9 @@
     Invariant: a server that was reported as draining or removed while the store
     was stable gets no new work, until an entry of a later report says `READY`.  One
     that said in an answer that it leaves gets none as long as that incarnation lives,
-    whatever its entry says.
+    whatever its entry says.  When the store was restored from a copy, an incarnation
+    that had left or had been followed by another one before gets none until it reports
+    anew.
     """
 
     def __init__(self) -> None:
@@ -94,6 +102,8 @@
         self._lapsed_until_ms_by_id: dict[ServerId, int] = {}
         self._leaving_since_ms: dict[Incarnation, int] = {}
         self._told_leaving: set[Incarnation] = set()
+        self._last_report_by_left: dict[Incarnation, int] = {}
+        self._outdated_until_report: dict[Incarnation, int] = {}
         self._store_back_ms: int | None = None
         self._store_is_out = False
 
@@ -107,6 +117,21 @@
             self._store_is_out = False
             self._store_back_ms = now_ms
 
+    def store_restored(self, now_ms: int) -> None:
+        """Record that the store was restored from a copy, with entries of before.
+
+        Servers that have registered since the copy write their entries again, as
+        after an outage.
+        """
+        self._store_is_out = False
+        self._store_back_ms = now_ms
+        self._outdated_until_report = dict(self._last_report_by_left)
+
+    def is_outdated(self, entry: ServerEntry) -> bool:
+        """Return whether an entry of a copy is older than what was known before."""
+        last = self._outdated_until_report.get(entry.incarnation)
+        return last is not None and entry.report_number <= last
+
     def update(self, entry: ServerEntry) -> ServerEntry:
         """Take an entry; return it as it is in force.
 
@@ -114,6 +139,13 @@
         ones before the server's own entry does.
         """
         before = self._entries_by_id.get(entry.server_id)
+        if before is not None and before.incarnation != entry.incarnation:
+            self._note_left(before.incarnation, _NO_FURTHER_REPORT)
+        self._outdated_until_report.pop(entry.incarnation, None)
+        if entry.state is ServerState.DRAINING:
+            self._note_left(entry.incarnation, entry.report_number)
+        else:
+            self._last_report_by_left.pop(entry.incarnation, None)
         if before is not None and before.started_wall_ms == entry.started_wall_ms:
             versions = dict(entry.weight_versions_by_model)
             for model, version in before.weight_versions_by_model.items():
@@ -227,7 +259,14 @@
         self._entries_by_id[entry.server_id] = entry
         self._ready_by_service.clear()
 
+    def _note_left(self, incarnation: Incarnation, last_report: int) -> None:
+        while len(self._last_report_by_left) >= MAX_LEAVING:
+            del self._last_report_by_left[next(iter(self._last_report_by_left))]
+        self._last_report_by_left[incarnation] = last_report
+
     def _forget(self, server_id: ServerId) -> None:
         self._ready_by_service.clear()
-        self._entries_by_id.pop(server_id, None)
+        entry = self._entries_by_id.pop(server_id, None)
+        if entry is not None:
+            self._note_left(entry.incarnation, entry.report_number)
         self._lapsed_until_ms_by_id.pop(server_id, None)
--- a/quincecrank/gateway/table_users.py
+++ b/quincecrank/gateway/table_users.py
@@ -9,6 +9,7 @@
 from quincecrank.gateway import (
     decision_log,
     knowledge,
+    member_registration,
     order_lease,
     peers,
     servers,
@@ -26,9 +27,9 @@
         self._known = known
         self._has_read = False
 
-    def take_all(self, rows: tuple[store_rows.Row, ...]) -> None:
+    def take_all(self, everything: store_rows.Rows) -> None:
         """Take all rows that exist."""
-        self.take_changes(rows)
+        self.take_changes(everything.rows)
         self._has_read = True
 
     def take_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
@@ -45,7 +46,9 @@
                 self._name(update, row)
             elif update is not None and self._known.take_configuration(update):
                 _LOG.info(
-                    "configuration in force", version=update.version, row=row.version
+                    "configuration in force",
+                    version=update.version,
+                    row=row.position.number,
                 )
         return bool(rows)
 
@@ -64,7 +67,7 @@
                 "weights named",
                 model=named.model,
                 version=named.version,
-                row=row.version,
+                row=row.position.number,
             )
 
 
@@ -74,13 +77,13 @@
     def __init__(self, known: knowledge.Knowledge) -> None:
         self._known = known
 
-    def take_all(self, rows: tuple[store_rows.Row, ...]) -> None:
+    def take_all(self, everything: store_rows.Rows) -> None:
         """Take all entries; servers without one are gone."""
         now_ms = self._known.clock.now_ms()
-        present = [servers.ServerId(row.key) for row in rows]
+        present = [servers.ServerId(row.key) for row in everything.rows]
         for server_id in self._known.registry.retain(present, now_ms):
             self._gone(server_id)
-        self.take_changes(rows)
+        self.take_changes(everything.rows)
         self._known.servers_known()
 
     def take_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
@@ -110,6 +113,14 @@
         self._known.registry.store_regained(self._known.clock.now_ms())
 
     def _update(self, entry: servers.ServerEntry) -> bool:
+        if self._known.registry.is_outdated(entry):
+            _LOG.info(
+                "server entry of a copy ignored",
+                server=entry.server_id,
+                started_wall_ms=entry.started_wall_ms,
+                report=entry.report_number,
+            )
+            return self._removed(entry.server_id)
         before = self._known.registry.find(entry.server_id)
         entry = self._known.registry.update(entry)
         is_news = before is None or _is_news(before, entry)
@@ -147,11 +158,19 @@
         self._directory = directory
         self._lease = lease
         self._row_by_key: dict[str, store_rows.Row] = {}
+        self._full_era = store_rows.FIRST_ERA
+
+    def lacks(self, member: member_registration.Member) -> bool:
+        """Return whether a restored store has lost what a member wrote of itself."""
+        row = self._row_by_key.get(peers.member_key(member.vm))
+        is_there = row is not None and not row.is_removed and row.text == member.ip
+        return self._full_era > member.written.era and not is_there
 
-    def take_all(self, rows: tuple[store_rows.Row, ...]) -> None:
+    def take_all(self, everything: store_rows.Rows) -> None:
         """Take all members."""
         self._row_by_key = {}
-        self.take_changes(rows)
+        self._full_era = everything.position.era
+        self.take_changes(everything.rows)
 
     def take_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
         """Take changed members."""
@@ -159,7 +178,7 @@
         self._directory.set_members(peers.member_ips(self._row_by_key.values()))
         lease_row = self._row_by_key.get(order_lease.LEASE_KEY)
         if lease_row is not None:
-            self._lease.observe(lease_row.version)
+            self._lease.observe(lease_row.position)
         return bool(rows)
 
     def store_lost(self) -> None:
--- a/quincecrank/gateway/tables.py
+++ b/quincecrank/gateway/tables.py
@@ -21,14 +21,15 @@
         """Return all rows of a table."""
 
     async def changes(
-        self, table: TableName, after: int, wait_ms: int
+        self, table: TableName, after: store_rows.Position, wait_ms: int
     ) -> store_rows.Rows:
-        """Return the rows changed after a version, waiting for the first one.
+        """Return the rows changed after a position, waiting for the first one.
 
         Raises
         ------
         HistoryLostError
-            If the store no longer has the changes.
+            If the store no longer has the changes, or never had the position because
+            it was restored from a copy.
         """
 
 
@@ -36,9 +37,13 @@
     """Reads and writes tables."""
 
     async def write(
-        self, table: TableName, key: str, text: str, expected_version: int | None
+        self,
+        table: TableName,
+        key: str,
+        text: str,
+        expected: store_rows.Position | None,
     ) -> store_rows.WriteResult:
-        """Write a row; only if it has the expected version, unless that is None.
+        """Write a row; only if it has the expected position, unless that is None.
 
         An expected version of 0 stands for a row that doesn't exist.
 
--- a/quincecrank/platform/documents.py
+++ b/quincecrank/platform/documents.py
@@ -57,7 +57,6 @@
         # Entries of other writers may lack any field; one that lacks a field which
         # every backend server writes is refused as a whole.
         _text(document["version"])
-        _count(document["seq"])
         _count(document["coldRemainingMs"])
         return servers.ServerEntry(
             server_id=servers.ServerId(server_id),
@@ -67,6 +66,8 @@
             slots=_count(document["slots"]),
             state=servers.ServerState(document["state"]),
             started_wall_ms=_count(document["born"]),
+            # Counts the server's writes; the page's name suggests an order of all.
+            report_number=_count(document["seq"]),
             weight_versions_by_model={
                 deployment.ModelName(_text(model["name"])): _count(model["version"])
                 for model in document.get("models", ())
--- a/quincecrank/platform/names.py
+++ b/quincecrank/platform/names.py
@@ -38,6 +38,8 @@
 )  # fmt: skip
 """Headers that only the gateway may set towards a backend server."""
 
+STORE_ERA: Final = "Store-Era"
+
 CONFIGURATION_KEY: Final = "config"
 WEIGHTS_KEY_PREFIX: Final = "version/"
 OPERATOR_TABLE: Final = "op"
--- a/quincecrank/platform_table.py
+++ b/quincecrank/platform_table.py
@@ -160,22 +160,29 @@
         except store_rows.StoreUnavailableError as error:
             raise TableUnavailableError(str(error)) from error
         return tuple(
-            Row(RowKey(part, int(row.key)), row.text, row.version) for row in page.rows
+            Row(RowKey(part, int(row.key)), row.text, row.position.number)
+            for row in page.rows
         )
 
     async def _write(
         self, table: TableName, key: RowKey, body: str | None, expected_revision: int
     ) -> WriteAnswer:
         place = store.Place(table.value, _sort_name(key.sort), key.partition)
+        expected = store_rows.Position.of_number(expected_revision)
         try:
-            result = await self._store.write(place, body, expected_revision)
+            result = await self._store.write(place, body, expected)
         except store_rows.OutcomeUnknownError as error:
             raise OutcomeUnknownError(str(error)) from error
         except store_rows.StoreUnavailableError as error:
             raise TableUnavailableError(str(error)) from error
         if not result.is_applied:
-            return WriteAnswer(WriteOutcome.CONFLICT, result.version)
-        return WriteAnswer(WriteOutcome.APPLIED, result.version)
+            return WriteAnswer(WriteOutcome.CONFLICT, _revision(result.position))
+        return WriteAnswer(WriteOutcome.APPLIED, _revision(result.position))
+
+
+def _revision(position: store_rows.Position) -> int:
+    """Return the revision of a row; 0 for none, also after a restore of the store."""
+    return position.number if position.version else 0
 
 
 def _sort_name(sort: int) -> str:
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -109,11 +109,15 @@
         self._metrics_port = free_port("127.0.0.1")
         self.write_operator("config", configuration(1))
 
+    def write_row(self, table: str, key: str, text: str) -> None:
+        """Write a row of any table."""
+        value = base64.b64encode(text.encode()).decode()
+        row = {"table": table, "part": "", "key": key, "value": value}
+        http(f"{self.store.url}/rows-tx", json.dumps({"put": [row]}).encode())
+
     def write_operator(self, key: str, document: Document) -> None:
         """Write a row of the operator."""
-        value = base64.b64encode(json.dumps(document).encode()).decode()
-        row = {"table": "op", "part": "", "key": key, "value": value}
-        http(f"{self.store.url}/rows-tx", json.dumps({"put": [row]}).encode())
+        self.write_row("op", key, json.dumps(document))
 
     def name_weights(self, version: int) -> None:
         """Name new weights of the model."""
@@ -124,6 +128,23 @@
         """Switch faults of a stand-in."""
         http(f"{process.url}/faults", json.dumps(faults).encode())
 
+    def copy_store(self) -> None:
+        """Take a copy of the store's rows."""
+        http(f"{self.store.url}/copy", b"")
+
+    def restore_store(self, age_ms: int | None = None, rewrite_ms: int = 0) -> None:
+        """Bring the store back from its copy, or from its state of some time ago."""
+        document: Document = {"rewrite_ms": rewrite_ms}
+        if age_ms is not None:
+            document["age_ms"] = age_ms
+        http(f"{self.store.url}/restore", json.dumps(document).encode())
+
+    def store_rows(self, table: str) -> dict[str, str]:
+        """Return the texts of a table by key."""
+        url = f"{self.store.url}/rows-get?table={table}&part="
+        rows = json.loads(http(url))["rows"]
+        return {row["key"]: base64.b64decode(row["value"]).decode() for row in rows}
+
     def add_server(self, server_id: str, service: str) -> launcher.Process:
         """Start a backend server."""
         arguments = [server_id, service, self.store.url]
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -14,6 +14,10 @@
     Probability that a request runs and its connection closes without an answer.
 crash_on : str
     The process ends when it runs a request whose body holds this text.
+draining : bool
+    The entry says that the server leaves; it goes on serving.
+no_heartbeats : bool
+    The entry is not written any more.
 """
 
 import asyncio
@@ -45,6 +49,8 @@
     full: bool = False
     lose_answers: float = pydantic.Field(default=0.0, ge=0, le=1)
     crash_on: str = ""
+    draining: bool = False
+    no_heartbeats: bool = False
 
 
 class Server:
@@ -71,7 +77,6 @@
         self.is_loading = False
         self.orders = 0
         self.holders: list[str] = []
-        self.state = "ready"
         self.running = 0
         self.heartbeats = 0
         self.address = ""
@@ -91,7 +96,7 @@
             "zone": "patan",
             "version": "v1",
             "slots": 8,
-            "state": self.state,
+            "state": "draining" if self.faults.draining else "ready",
             "coldRemainingMs": 0,
             "seq": self.heartbeats,
             "born": self.started_wall_ms,
@@ -245,6 +250,7 @@
         server.orders += 1
         server.holders.append(order["holder"])
         print(f"order {order['version']} of {order['holder']}", flush=True)
+        print(f"fence {order['fencingToken']} of {order['holder']}", flush=True)
         asyncio.ensure_future(server.load(order["version"]))
         self.set_status(202)
 
@@ -279,6 +285,9 @@
     """Write the server's entry at every heartbeat, as the platform's servers do."""
     client = simple_httpclient.SimpleAsyncHTTPClient(force_instance=True)
     while True:
+        if server.faults.no_heartbeats:
+            await server.clock.sleep(HEARTBEAT_MS)
+            continue
         value = base64.b64encode(json.dumps(server.entry()).encode()).decode()
         row = {"table": "servers", "part": "", "key": server.server_id, "value": value}
         request = httpclient.HTTPRequest(
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -17,11 +17,17 @@
     Rate limits; 0 is unlimited.  A transaction counts once.
 forgets_history : bool
     The feed answers that the requested changes are no longer there.
+
+Drill
+-----
+``POST /copy`` takes a copy of all rows.  ``POST /restore`` replaces the rows by those
+of that copy, or with `age_ms` by those of so long ago: versions are given out again,
+and `Store-Era`, in all answers, rises by one.  With `rewrite_ms` the operator's lost
+rows are written again, in any order and each within that time.
 """
 
 import asyncio
 import base64
-import dataclasses
 import enum
 import json
 import random
@@ -32,7 +38,7 @@
 from tornado import web
 
 from quincecrank import clock as clocks
-from standins import serving
+from standins import serving, store_copies
 
 READS_PER_SECOND: Final = 2000
 WRITES_PER_SECOND: Final = 400
@@ -40,7 +46,7 @@
 MAX_PAGE_ROWS: Final = 500
 
 Document = dict[str, Any]
-Place = tuple[str, str, str]
+OPERATOR_TABLE: Final = "op"
 
 
 class Down(enum.Enum):
@@ -94,34 +100,23 @@
         self._tokens -= 1
 
 
-@dataclasses.dataclass(frozen=True)
-class StoredRow:
-    """A row, or the tombstone of one."""
-
-    place: Place
-    value: str | None
-    version: int
-
-    def document(self) -> Document:
-        """Return the row as it is answered."""
-        table, part, key = self.place
-        document = {
-            "table": table,
-            "part": part,
-            "key": key,
-            "rowVersion": self.version,
-        }
-        if self.value is None:
-            return {**document, "tombstone": True}
-        return {**document, "value": self.value}
-
-
 class Tables:
     """All rows, with the operations on them."""
 
     def __init__(self) -> None:
         self.version = 0
-        self._row_by_place: dict[Place, StoredRow] = {}
+        self._row_by_place: dict[store_copies.Place, store_copies.StoredRow] = {}
+
+    def copy(self) -> store_copies.Copy:
+        """Return a copy of all rows."""
+        return store_copies.Copy(self.version, dict(self._row_by_place))
+
+    def restore(self, copy: store_copies.Copy) -> tuple[store_copies.StoredRow, ...]:
+        """Go back to a copy; return the rows of the operator that are lost."""
+        lost = store_copies.lost_rows(self._row_by_place, copy, OPERATOR_TABLE)
+        self.version = copy.version
+        self._row_by_place = dict(copy.row_by_place)
+        return lost
 
     def transact(self, document: Document) -> Document:
         """Apply all entries of a transaction, or none."""
@@ -185,8 +180,9 @@
         row = self._row_by_place.get(_place(entry))
         return row.version if row and row.value is not None else 0
 
-    def _store(self, place: Place, value: str | None) -> None:
-        self._row_by_place[place] = StoredRow(place, value, self.version)
+    def _store(self, place: store_copies.Place, value: str | None) -> None:
+        row = store_copies.StoredRow(place, value, self.version)
+        self._row_by_place[place] = row
 
 
 class StoreService:
@@ -196,6 +192,9 @@
         self.faults = StoreFaults()
         self.clock = clock
         self.tables = Tables()
+        self.era = 0
+        self.copy = store_copies.EMPTY
+        self._history = store_copies.CopyHistory()
         self.changed = asyncio.Event()
         self._random = random.Random(seed)
         self._reads = RateLimit(clock)
@@ -209,9 +208,34 @@
         """Carry out a transaction."""
         self._writes.take(self.faults.writes_per_second)
         answer = self.tables.transact(document)
+        self._history.add(self.tables.copy(), self.clock.now_ms())
+        self._wake()
+        return answer
+
+    def restore(self, age_ms: int | None, rewrite_ms: int) -> None:
+        """Go back to the last copy, or to what was there some time ago."""
+        now_ms = self.clock.now_ms()
+        copy = self.copy if age_ms is None else self._history.as_of(now_ms - age_ms)
+        lost = self.tables.restore(copy)
+        self._history.restart(copy, now_ms)
+        self.era += 1
+        self._wake()
+        if rewrite_ms:
+            for row in lost:
+                asyncio.ensure_future(self._rewrite(row, rewrite_ms))
+
+    def _wake(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
-        return answer
+
+    async def _rewrite(self, row: store_copies.StoredRow, within_ms: int) -> None:
+        """Write a lost row of the operator again, unless a later one is there."""
+        era = self.era
+        await self.clock.sleep(self._random.uniform(0, within_ms))
+        if self.era == era:
+            table, part, key = row.place
+            put = {"table": table, "part": part, "key": key, "value": row.value}
+            self.transact({"put": [put]})
 
     def take_read(self) -> None:
         """Count a reading call."""
@@ -247,6 +271,7 @@
         """Send an answer."""
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
+        self.set_header("Store-Era", str(self.service.era))
         self.finish(json.dumps({**document, "nowMs": self.service.clock.now_ms()}))
 
 
@@ -328,21 +353,52 @@
             return
         table = self.get_query_argument("table")
         after = int(self.get_query_argument("after"))
+        era = self.service.era
+        if after > self.service.tables.version:
+            self.send(410, {})
+            return
         deadline_ms = self.service.clock.now_ms() + int(
             self.get_query_argument("waitMs", "0")
         )
-        while not self.service.tables.changes(table, after)["rows"]:
+        while (
+            era == self.service.era
+            and not self.service.tables.changes(table, after)["rows"]
+        ):
             left_ms = deadline_ms - self.service.clock.now_ms()
             if left_ms <= 0 or self.closed.is_set():
                 break
             changed = asyncio.ensure_future(self.service.changed.wait())
             await asyncio.wait({changed}, timeout=left_ms / clocks.MS_PER_SECOND)
             changed.cancel()
-        if not self.closed.is_set() and not await self.strike():
-            self.send(200, self.service.tables.changes(table, after))
+        if self.closed.is_set() or await self.strike():
+            return
+        if after > self.service.tables.version:
+            self.send(410, {})
+            return
+        self.send(200, self.service.tables.changes(table, after))
+
+
+class CopyHandler(StoreHandler):
+    """`POST /copy`."""
+
+    def post(self) -> None:
+        """Take a copy."""
+        self.service.copy = self.service.tables.copy()
+        self.send(200, {"rowVersion": self.service.copy.version})
+
+
+class RestoreHandler(StoreHandler):
+    """`POST /restore`."""
+
+    def post(self) -> None:
+        """Go back to a copy."""
+        document = json.loads(self.request.body or b"{}")
+        age_ms = document.get("age_ms")
+        self.service.restore(age_ms, int(document.get("rewrite_ms", 0)))
+        self.send(200, {"rowVersion": self.service.tables.version})
 
 
-def _place(entry: Document) -> Place:
+def _place(entry: Document) -> store_copies.Place:
     return entry["table"], entry["part"], entry["key"]
 
 
@@ -353,6 +409,8 @@
             (r"/rows-tx", TransactionHandler, {"service": service}),
             (r"/rows-get", ReadHandler, {"service": service}),
             (r"/rows-feed", FeedHandler, {"service": service}),
+            (r"/copy", CopyHandler, {"service": service}),
+            (r"/restore", RestoreHandler, {"service": service}),
             serving.faults_rule(service.faults),
         ]
     )
--- /dev/null
+++ b/tests/builders_store.py
@@ -0,0 +1,27 @@
+"""Builders of what the platform's store tells."""
+
+from quincecrank import store_rows
+
+
+def at(version: int, era: int = store_rows.FIRST_ERA) -> store_rows.Position:
+    """Return a position."""
+    return store_rows.Position(era, version)
+
+
+def make_row(
+    key: str,
+    text: str,
+    version: int,
+    *,
+    era: int = store_rows.FIRST_ERA,
+    is_removed: bool = False,
+) -> store_rows.Row:
+    """Return a row as the store tells it."""
+    return store_rows.Row(key, text, at(version, era), is_removed)
+
+
+def make_rows(
+    version: int, *rows: store_rows.Row, era: int = store_rows.FIRST_ERA
+) -> store_rows.Rows:
+    """Return an answer with rows."""
+    return store_rows.Rows(rows, at(version, era))
--- a/tests/process_gateway.py
+++ b/tests/process_gateway.py
@@ -31,30 +31,12 @@
         time.sleep(POLL_S)
 
 
-class GatewayProcessesTest(unittest.TestCase):
-    """One fleet for all tests; each ends with everything running."""
+class GatewayCallsCase(unittest.TestCase):
+    """Base of tests that call the gateways of a fleet."""
 
-    fleet: ClassVar[platform_fleet.PlatformFleet]
+    fleet: platform_fleet.PlatformFleet
     numbers: ClassVar[int] = 0
 
-    @classmethod
-    def setUpClass(cls) -> None:
-        folder = cls.enterClassContext(tempfile.TemporaryDirectory())
-        cls.fleet = platform_fleet.PlatformFleet(pathlib.Path(folder))
-        cls.enterClassContext(cls.fleet)
-        for engine in ENGINES:
-            cls.fleet.add_server(engine, "drafting")
-        for server in ("record-1", "record-2"):
-            cls.fleet.add_server(server, "records")
-        for gateway in GATEWAYS:
-            cls.fleet.add_gateway(gateway)
-
-    def setUp(self) -> None:
-        for gateway in GATEWAYS:
-            wait_until(lambda name=gateway: self.fleet.is_ready(name), gateway)  # type: ignore[misc]
-        wait_until(lambda: self.ask("/look/x")[0] == 200, "records served")
-        wait_until(lambda: self.stream("/verdict/", 2)[0] == 200, "drafts served")
-
     def new_id(self) -> str:
         type(self).numbers += 1
         return f"q-{self.numbers}"
@@ -106,6 +88,28 @@
         finally:
             connection.close()
 
+
+class GatewayProcessesTest(GatewayCallsCase):
+    """One fleet for all tests; each ends with everything running."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        folder = cls.enterClassContext(tempfile.TemporaryDirectory())
+        cls.fleet = platform_fleet.PlatformFleet(pathlib.Path(folder))
+        cls.enterClassContext(cls.fleet)
+        for engine in ENGINES:
+            cls.fleet.add_server(engine, "drafting")
+        for server in ("record-1", "record-2"):
+            cls.fleet.add_server(server, "records")
+        for gateway in GATEWAYS:
+            cls.fleet.add_gateway(gateway)
+
+    def setUp(self) -> None:
+        for gateway in GATEWAYS:
+            wait_until(lambda name=gateway: self.fleet.is_ready(name), gateway)  # type: ignore[misc]
+        wait_until(lambda: self.ask("/look/x")[0] == 200, "records served")
+        wait_until(lambda: self.stream("/verdict/", 2)[0] == 200, "drafts served")
+
     def busy_engines(self) -> list[str]:
         busy = []
         for name in ENGINES:
--- /dev/null
+++ b/tests/process_store_drill.py
@@ -0,0 +1,225 @@
+"""Tests of gateways as real processes while their store comes back from a copy.
+
+Nothing here asserts how long something takes: a step waits until it holds, up to a
+limit that only a hang reaches.
+"""
+
+import json
+import pathlib
+import tempfile
+import threading
+import time
+import unittest
+from typing import Final
+
+from standins import platform_fleet
+from tests import process_gateway
+
+GATEWAYS: Final = ("entry-1", "entry-2")
+ENGINES: Final = ("engine-1", "engine-2", "engine-3")
+RECORDS: Final = ("record-1", "record-2")
+
+wait_until = process_gateway.wait_until
+
+
+class SteadyCaller:
+    """Asks one gateway again and again, and keeps the statuses.
+
+    Parameters
+    ----------
+    case : StoreDrillTest
+        Knows the fleet.
+    """
+
+    def __init__(self, case: "StoreDrillTest", gateway: str) -> None:
+        self._case = case
+        self._gateway = gateway
+        self._ended = threading.Event()
+        self._thread = threading.Thread(target=self._ask)
+        self.statuses: list[int] = []
+
+    def __enter__(self) -> "SteadyCaller":
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_details: object) -> None:
+        self._ended.set()
+        self._thread.join()
+
+    def _ask(self) -> None:
+        while not self._ended.wait(0.02):
+            self.statuses.append(self._case.ask("/look/x", gateway=self._gateway)[0])
+
+
+class StoreDrillTest(process_gateway.GatewayCallsCase):
+    """A fleet of its own for each test, as eras and versions only rise."""
+
+    def setUp(self) -> None:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.fleet = platform_fleet.PlatformFleet(pathlib.Path(folder))
+        self.enterContext(self.fleet)
+        for engine in ENGINES:
+            self.fleet.add_server(engine, "drafting")
+        for server in RECORDS:
+            self.fleet.add_server(server, "records")
+        for gateway in GATEWAYS:
+            self.fleet.add_gateway(gateway)
+        self.configuration = 1
+        self.await_service()
+
+    def await_service(self) -> None:
+        for gateway in GATEWAYS:
+            wait_until(lambda name=gateway: self.fleet.is_ready(name), gateway)  # type: ignore[misc]
+            wait_until(
+                lambda name=gateway: self.ask("/look/x", gateway=name)[0] == 200,  # type: ignore[misc]
+                f"records served at {gateway}",
+            )
+        wait_until(lambda: self.stream("/verdict/", 2)[0] == 200, "drafts served")
+
+    def add_route(self, prefix: str) -> None:
+        """Write the next configuration, which has a further route."""
+        self.configuration += 4
+        route = platform_fleet.route(prefix, prefix, "records", "idempotent")
+        self.fleet.write_operator(
+            "config", platform_fleet.configuration(self.configuration, route)
+        )
+
+    def await_route(self, prefix: str) -> None:
+        for gateway in GATEWAYS:
+            wait_until(
+                lambda name=gateway: self.ask(prefix, gateway=name)[0] == 200,  # type: ignore[misc]
+                f"{prefix} at {gateway}",
+            )
+
+    def raise_versions(self, count: int = 200) -> None:
+        """Write rows that nobody follows."""
+        self.fleet.set_faults(self.fleet.store, writes_per_second=0)
+        for number in range(count):
+            self.fleet.write_row("other", f"row-{number}", "x")
+
+    def fences_of(self, engine: str) -> list[int]:
+        log = self.fleet.process_by_name[engine].log()
+        return [
+            int(line.split()[1])
+            for line in log.splitlines()
+            if line.startswith("fence ")
+        ]
+
+    def await_weights(self, version: int) -> None:
+        for engine in ENGINES:
+            url = self.fleet.process_by_name[engine].url
+            wait_until(
+                lambda url=url: (
+                    version  # type: ignore[misc]
+                    == json.loads(platform_fleet.http(f"{url}/report"))["models"][0][
+                        "version"
+                    ]
+                ),
+                f"weights {version} at {engine}",
+            )
+
+    def test_changes_after_a_restore_are_followed_and_none_goes_back(self) -> None:
+        self.fleet.copy_store()
+        # More than heartbeats give out within the limit of a step.
+        self.raise_versions(1_200)
+        self.add_route("/added/")
+        self.await_route("/added/")
+        with SteadyCaller(self, "entry-1") as one, SteadyCaller(self, "entry-2") as two:
+            self.fleet.restore_store()
+            for _ in range(30):
+                self.assertEqual(self.ask("/added/")[0], 200)
+            self.add_route("/later/")
+            self.await_route("/later/")
+        self.assertEqual({*one.statuses, *two.statuses}, {200})
+
+    def test_a_change_is_not_lost_where_versions_have_passed_the_old_ones(self) -> None:
+        self.fleet.copy_store()
+        self.raise_versions()
+        self.add_route("/added/")
+        self.await_route("/added/")
+        for gateway in GATEWAYS:
+            self.fleet.process_by_name[gateway].freeze()
+        # Calls that wait for changes end; what they would have told is lost.
+        time.sleep(2.0)
+        self.fleet.restore_store()
+        self.add_route("/meanwhile/")
+        self.raise_versions()
+        self.raise_versions()
+        for gateway in GATEWAYS:
+            self.fleet.process_by_name[gateway].thaw()
+        self.await_route("/meanwhile/")
+
+    def test_two_restores_in_a_row_and_one_in_an_outage(self) -> None:
+        self.fleet.copy_store()
+        self.add_route("/added/")
+        self.await_route("/added/")
+        for _ in range(2):
+            self.fleet.restore_store(rewrite_ms=200)
+        self.fleet.set_faults(self.fleet.store, down="refused")
+        self.fleet.restore_store(rewrite_ms=400)
+        self.fleet.set_faults(self.fleet.store, down="no")
+        self.add_route("/later/")
+        self.await_route("/later/")
+
+    def test_members_of_after_the_copy_register_again(self) -> None:
+        self.fleet.copy_store()
+        self.fleet.add_gateway("entry-3")
+        wait_until(lambda: self.fleet.is_ready("entry-3"), "entry-3")
+        self.assertIn("gateway:entry-3", self.fleet.store_rows("gateways"))
+        self.fleet.restore_store()
+        wait_until(
+            lambda: "gateway:entry-3" in self.fleet.store_rows("gateways"),
+            "the row of entry-3",
+        )
+
+    def test_fencing_numbers_rise_through_a_restore(self) -> None:
+        self.fleet.copy_store()
+        self.fleet.name_weights(2)
+        self.await_weights(2)
+        self.fleet.restore_store()
+        self.fleet.name_weights(3)
+        self.await_weights(3)
+        for engine in ENGINES:
+            fences = self.fences_of(engine)
+            self.assertEqual(len(fences), 2)
+            self.assertLess(fences[0], fences[1])
+
+    def test_a_restore_in_a_roll_of_weights(self) -> None:
+        self.fleet.copy_store()
+        self.fleet.name_weights(2)
+        wait_until(lambda: any(map(self.fences_of, ENGINES)), "a first order")
+        self.fleet.restore_store(rewrite_ms=300)
+        self.await_weights(2)
+        for engine in ENGINES:
+            self.assertEqual(len(self.fences_of(engine)), 1)
+        wait_until(lambda: self.stream("/verdict/", 2)[0] == 200, "served on 2")
+
+    def test_a_server_that_has_left_does_not_come_back_by_the_copy(self) -> None:
+        self.fleet.copy_store()
+        victim = self.fleet.process_by_name["record-1"]
+        self.fleet.set_faults(victim, draining=True)
+        wait_until(
+            lambda: "draining" in self.fleet.store_rows("servers")["record-1"],
+            "the server's notice",
+        )
+        self.fleet.set_faults(victim, no_heartbeats=True)
+        for gateway in GATEWAYS:
+            wait_until(
+                lambda name=gateway: (
+                    "draining"  # type: ignore[misc]
+                    in self.fleet.process_by_name[name].log()
+                ),
+                f"the notice at {gateway}",
+            )
+        ran_before = victim.log().count("ran ")
+        self.fleet.restore_store()
+        self.assertNotIn("draining", self.fleet.store_rows("servers")["record-1"])
+        self.add_route("/later/")
+        self.await_route("/later/")
+        for _ in range(40):
+            self.assertEqual(self.ask("/look/x")[0], 200)
+        self.assertEqual(victim.log().count("ran "), ran_before)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_gateway_caches.py
+++ b/tests/test_gateway_caches.py
@@ -8,7 +8,7 @@
 from tornado import httpclient
 
 from quincecrank import clock as clocks
-from quincecrank import ids
+from quincecrank import ids, store_era
 from quincecrank.gateway import (
     cache_directory,
     cache_followers,
@@ -129,7 +129,7 @@
     """Live peers at one address."""
 
     def __init__(self, known: knowledge.Knowledge, names: tuple[str, ...]) -> None:
-        super().__init__(known.facts, known.clock)
+        super().__init__(known.facts, known.clock, store_era.StoreEra())
         self.names = tuple(ids.VmName(name) for name in names)
 
     def live_members(self) -> tuple[ids.VmName, ...]:
--- a/tests/test_gateway_documents.py
+++ b/tests/test_gateway_documents.py
@@ -5,10 +5,11 @@
 import tempfile
 import unittest
 
-from quincecrank import ids, store_rows
+from quincecrank import ids
 from quincecrank.gateway import deployment, servers
 from quincecrank.platform import documents, feeds, requests, settings
 from tests import builders_gateway as builders
+from tests import builders_store as stored
 
 
 class ServerEntryTest(unittest.TestCase):
@@ -43,7 +44,9 @@
                 documents.server_entry("i-1", text)
 
     def test_a_removed_row_names_no_server(self) -> None:
-        self.assertIsNone(feeds.server_update(store_rows.Row("i-1", "", 3, True)))
+        self.assertIsNone(
+            feeds.server_update(stored.make_row("i-1", "", 3, is_removed=True))
+        )
 
 
 class ConfigurationTest(unittest.TestCase):
--- a/tests/test_gateway_followers.py
+++ b/tests/test_gateway_followers.py
@@ -6,20 +6,23 @@
 import unittest
 
 from quincecrank import clock as clocks
-from quincecrank import crash_counts, ids, store_rows
+from quincecrank import crash_counts, ids, store_era, store_rows
 from quincecrank.gateway import (
     followers,
+    gateway_metrics,
     knowledge,
     loads,
     order_lease,
     peer_messages,
     peers,
+    restores,
     servers,
     table_users,
     tables,
     weights,
 )
 from tests import builders_gateway as builders
+from tests import builders_store as stored
 
 OPERATOR = tables.TableName.OPERATOR
 PACE = followers.Pace(wait_ms=100, pause_ms=0, max_age_ms=1_000)
@@ -37,11 +40,11 @@
     """
 
     def __init__(self) -> None:
-        self.everything = store_rows.Rows((), 1)
+        self.everything = stored.make_rows(1)
         self.answers: list[store_rows.Rows | Exception] = []
         self.reads = 0
-        self.row_version = 0
-        self.writes: list[int | None] = []
+        self.row_position = stored.at(0)
+        self.writes: list[store_rows.Position | None] = []
         self.fail_writes: list[Exception] = []
 
     async def read_all(self, _table: tables.TableName) -> store_rows.Rows:
@@ -49,7 +52,7 @@
         return self.everything
 
     async def changes(
-        self, _table: tables.TableName, _after: int, _wait_ms: int
+        self, _table: tables.TableName, _after: store_rows.Position, _wait_ms: int
     ) -> store_rows.Rows:
         self.reads += 1
         if not self.answers:
@@ -64,15 +67,16 @@
         _table: tables.TableName,
         _key: str,
         _text: str,
-        expected_version: int | None,
+        expected: store_rows.Position | None,
     ) -> store_rows.WriteResult:
-        self.writes.append(expected_version)
+        self.writes.append(expected)
         if self.fail_writes:
             raise self.fail_writes.pop(0)
-        if expected_version != self.row_version:
-            return store_rows.WriteResult(False, self.row_version)
-        self.row_version += 10
-        return store_rows.WriteResult(True, self.row_version)
+        row = self.row_position
+        if expected is not None and expected.version != row.version:
+            return store_rows.WriteResult(False, row)
+        self.row_position = stored.at(row.version + 10, row.era)
+        return store_rows.WriteResult(True, self.row_position)
 
 
 class FakeUser:
@@ -82,8 +86,8 @@
         self.calls: list[tuple[str, tuple[str, ...]]] = []
         self.is_news = True
 
-    def take_all(self, rows: tuple[store_rows.Row, ...]) -> None:
-        self.calls.append(("all", tuple(row.key for row in rows)))
+    def take_all(self, everything: store_rows.Rows) -> None:
+        self.calls.append(("all", tuple(row.key for row in everything.rows)))
 
     def take_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
         self.calls.append(("changes", tuple(row.key for row in rows)))
@@ -96,17 +100,28 @@
         self.calls.append(("regained", ()))
 
 
-def make_report(vm: str, news_version: int, age_ms: int | None) -> peer_messages.Report:
+def make_report(
+    vm: str, news_version: int, age_ms: int | None, era: int = 0
+) -> peer_messages.Report:
     """Return a peer's report of the operator's table."""
-    state = peer_messages.TableState(OPERATOR, news_version, age_ms)
+    news = stored.at(news_version, era)
+    state = peer_messages.TableState(OPERATOR, news, age_ms)
     return peer_messages.Report(ids.VmName(vm), False, (state,), {})
 
 
-class FollowerTest(unittest.IsolatedAsyncioTestCase):
+def keys_of(follower: followers.TableFollower) -> list[str]:
+    """Return the keys of the rows that a follower knows."""
+    return [row.key for row in follower.rows.rows] if follower.rows else []
+
+
+class FollowerCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests with a follower between a prepared store and peers."""
+
     def setUp(self) -> None:
         self.clock = clocks.ManualClock(1_000)
         self.store = FakeStore()
         self.user = FakeUser()
+        self.era = store_era.StoreEra()
         self.told = 0
 
     def make_follower(self, name: str = "entry-1") -> followers.TableFollower:
@@ -116,6 +131,7 @@
         self.directory = peers.PeerTables(
             dataclasses.replace(builders.make_environment(), vm=ids.VmName(name)),
             self.clock,
+            self.era,
         )
         return followers.TableFollower(
             OPERATOR,
@@ -126,6 +142,7 @@
             PACE,
             tell,
             lambda _table: None,
+            restores.RestoreProgress(self.clock, gateway_metrics.GatewayMetrics()),
         )
 
     async def follow(self, follower: followers.TableFollower) -> None:
@@ -140,44 +157,48 @@
             report = make_report(f"peer-{number}", 1, age_ms)
             self.directory.heard(f"10.0.0.{number}", report)
 
+
+class FollowerTest(FollowerCase):
     async def test_changes_are_taken_and_told(self) -> None:
-        self.store.everything = store_rows.Rows((store_rows.Row("a", "1", 3),), 3)
+        self.store.everything = stored.make_rows(3, stored.make_row("a", "1", 3))
         self.store.answers = [
-            store_rows.Rows((store_rows.Row("b", "2", 5),), 5),
-            store_rows.Rows((store_rows.Row("a", "", 6, True),), 6),
+            stored.make_rows(5, stored.make_row("b", "2", 5)),
+            stored.make_rows(6, stored.make_row("a", "", 6, is_removed=True)),
         ]
         follower = self.make_follower()
         await self.follow(follower)
         expected = [("all", ("a",)), ("changes", ("b",)), ("changes", ("a",))]
         self.assertEqual(self.user.calls, expected)
-        self.assertEqual([row.key for row in follower.rows.rows], ["b"])
-        self.assertEqual((follower.version, follower.news_version), (6, 6))
+        self.assertEqual(keys_of(follower), ["b"])
+        self.assertEqual(follower.position, stored.at(6))
+        self.assertEqual(follower.news_position, stored.at(6))
         self.assertEqual(self.told, 3)
 
     async def test_heartbeats_are_no_news(self) -> None:
-        self.store.answers = [store_rows.Rows((store_rows.Row("a", "1", 9),), 9)]
+        self.store.answers = [stored.make_rows(9, stored.make_row("a", "1", 9))]
         self.user.is_news = False
         follower = self.make_follower()
         await self.follow(follower)
-        self.assertEqual((follower.version, follower.news_version), (9, 1))
+        self.assertEqual(follower.position, stored.at(9))
+        self.assertEqual(follower.news_position, stored.at(1))
 
     async def test_a_row_that_a_full_read_lacks_does_not_come_back(self) -> None:
         # The feed's answer was under way while a peer gave newer rows without it.
-        self.store.everything = store_rows.Rows((store_rows.Row("a", "1", 20),), 20)
+        self.store.everything = stored.make_rows(20, stored.make_row("a", "1", 20))
         self.store.answers = [
-            store_rows.Rows((store_rows.Row("gone", "1", 15),), 19),
-            store_rows.Rows((store_rows.Row("new", "1", 21),), 21),
+            stored.make_rows(19, stored.make_row("gone", "1", 15)),
+            stored.make_rows(21, stored.make_row("new", "1", 21)),
         ]
         follower = self.make_follower()
         await self.follow(follower)
-        self.assertEqual([row.key for row in follower.rows.rows], ["a", "new"])
-        self.assertEqual(follower.version, 21)
+        self.assertEqual(keys_of(follower), ["a", "new"])
+        self.assertEqual(follower.position, stored.at(21))
 
     async def test_lost_history_and_an_outage(self) -> None:
         self.store.answers = [
             store_rows.HistoryLostError("old"),
             store_rows.StoreUnavailableError("down"),
-            store_rows.Rows((), 1),
+            stored.make_rows(1),
         ]
         await self.follow(self.make_follower())
         kinds = [kind for kind, _ in self.user.calls]
@@ -190,14 +211,14 @@
             follower = self.make_follower(name)
             for number, peer in enumerate(names):
                 self.directory.heard(f"10.0.1.{number}", make_report(peer, 1, 100))
-            follower.version = 1
+            follower.position = stored.at(1)
             if follower.reads_store():
                 readers.append(name)
         self.assertEqual(len(readers), followers.READERS)
 
     async def test_a_gateway_reads_itself_when_the_readers_are_cut_off(self) -> None:
         follower = self.make_follower("zz")
-        follower.version = 1
+        follower.position = stored.at(1)
         self.add_peers(9, age_ms=200)
         self.assertFalse(follower.reads_store())
         self.clock.advance(801)
@@ -214,14 +235,14 @@
 
         def row(version: int) -> store_rows.Row:
             text = json.dumps({"model": builders.MODEL, "version": version})
-            return store_rows.Row(f"version/{builders.MODEL}", text, version)
+            return stored.make_row(f"version/{builders.MODEL}", text, version)
 
         def may_use_replaced() -> bool:
             return known.versions.may_serve_replaced(
                 builders.MODEL, clock.now_ms(), 8_000
             )
 
-        user.take_all((row(2),))
+        user.take_all(stored.make_rows(2, row(2)))
         self.assertFalse(may_use_replaced())
         self.assertTrue(user.take_changes((row(3),)))
         self.assertTrue(may_use_replaced())
@@ -251,7 +272,7 @@
     async def test_a_holder_that_was_frozen_orders_nothing(self) -> None:
         holder, other = self.make_lease(), self.make_lease()
         await holder.acquire_or_renew()
-        other.observe(self.store.row_version)
+        other.observe(self.store.row_position)
         self.clock.advance(order_lease.VALIDITY_MS + 3_000 + order_lease.MARGIN_MS)
         self.assertTrue(await other.acquire_or_renew())
         self.assertGreater(other.fencing_number, holder.fencing_number)
@@ -261,7 +282,7 @@
     async def test_two_holders_are_apart_by_the_lease(self) -> None:
         holder, other = self.make_lease(), self.make_lease()
         await holder.acquire_or_renew()
-        other.observe(self.store.row_version)
+        other.observe(self.store.row_position)
         last_order_ms = 0
         while not await other.acquire_or_renew():
             if holder.is_valid:
@@ -273,7 +294,7 @@
         holder, other = self.make_lease(), self.make_lease()
         for _ in range(20):
             await holder.acquire_or_renew()
-            other.observe(self.store.row_version)
+            other.observe(self.store.row_position)
             self.clock.advance(500)
             self.assertFalse(await other.acquire_or_renew())
 
@@ -294,8 +315,8 @@
             vm=ids.VmName("entry-1"),
             is_leaving=True,
             states=(
-                peer_messages.TableState(OPERATOR, 7, None),
-                peer_messages.TableState(tables.TableName.SERVERS, 9, 0),
+                peer_messages.TableState(OPERATOR, stored.at(7, 3), None),
+                peer_messages.TableState(tables.TableName.SERVERS, None, 0),
             ),
             load_by_server={servers.ServerId("i-1"): loads.Load(1, 2, 3)},
             crashes=(
@@ -315,5 +336,5 @@
                 peer_messages.decode(datagram)
 
     def test_rows_keep_their_fields(self) -> None:
-        rows = store_rows.Rows((store_rows.Row("a", "é", 3),), 4)
+        rows = stored.make_rows(4, stored.make_row("a", "é", 3))
         self.assertEqual(peers.decode_rows(peers.encode_rows(rows)), rows)
