Engines are listed once after lost events, and the list is handed on

Cause: engines keep only their newest events.

A list goes on to the others as news. Gateways that read nothing ask for everything of such engines once a second. A holder that started anew is read from its first event.

--- a/quincecrank/gateway/cache_directory.py
+++ b/quincecrank/gateway/cache_directory.py
@@ -76,6 +76,7 @@
 
     epoch: int
     since_ms: int
+    is_whole: bool
     tokens_by_part: dict[PartKey, int] = dataclasses.field(default_factory=dict)
 
 
@@ -85,9 +86,20 @@
     def __init__(self) -> None:
         self._held_by_holder: dict[HolderName, _Held] = {}
 
-    def restart(self, holder: HolderName, epoch: int, now_ms: int) -> None:
-        """Begin anew with a holder of which nothing is known."""
-        self._held_by_holder[holder] = _Held(epoch, now_ms)
+    def restart(
+        self, holder: HolderName, epoch: int, now_ms: int, *, is_whole: bool = False
+    ) -> None:
+        """Begin anew with a holder.
+
+        Parameters
+        ----------
+        is_whole : bool
+            Whether the changes that follow tell all that it holds.
+        """
+        known = self._held_by_holder.get(holder)
+        if known is not None and known.epoch == epoch:
+            now_ms = known.since_ms
+        self._held_by_holder[holder] = _Held(epoch, now_ms, is_whole)
 
     def apply(self, holder: HolderName, changes: Iterable[CacheChange]) -> None:
         """Take changes in the order in which the holder made them."""
@@ -111,6 +123,11 @@
         """Return whether the holder answers, whatever it holds."""
         return holder in self._held_by_holder
 
+    def is_whole(self, holder: HolderName) -> bool:
+        """Return whether all that a holder has is known, but for lost events."""
+        held = self._held_by_holder.get(holder)
+        return held is not None and held.is_whole
+
     def known_for_ms(self, holder: HolderName, now_ms: int) -> int:
         """Return for how long a holder has been known since its start."""
         held = self._held_by_holder.get(holder)
--- a/quincecrank/gateway/cache_followers.py
+++ b/quincecrank/gateway/cache_followers.py
@@ -8,11 +8,14 @@
 
 import asyncio
 import dataclasses
+import random
+from collections.abc import Mapping
 from typing import Final
 
 from quincecrank import clock as clocks
 from quincecrank import ids, rendezvous, tasks
 from quincecrank.gateway import (
+    cache_completion,
     cache_directory,
     cache_history,
     decision_log,
@@ -43,6 +46,9 @@
 CHECK_MS: Final = 250
 """Interval at which followers are started and ended."""
 
+WHOLE_INTERVAL_MS: Final = 1_000
+"""Interval at which everything is asked for of engines that are not known whole."""
+
 PEER_TIMEOUT_MS: Final = 1_000
 """Limit of a call to a peer: the longest wait of its answer, and as much again."""
 
@@ -62,11 +68,15 @@
     ----------
     max_event_calls : int
         Event calls that it takes at once.
+    is_engine : bool
+        Whether it can be listed: of a store's list it is not known whether it tells
+        parts that are being written.
     """
 
     name: cache_directory.HolderName
     address: str
     max_event_calls: int
+    is_engine: bool
 
 
 class CacheFollowers:
@@ -78,16 +88,21 @@
         Names the holders, and takes what they hold.
     directory : PeerTables
         The live gateways.
+    engine_calls : EngineCalls
+        Lists engines.
     """
 
     def __init__(
         self,
         known: knowledge.Knowledge,
         directory: peers.PeerTables,
+        engine_calls: engines.EngineCalls,
         clock: clocks.Clock,
     ) -> None:
         self._known = known
         self._peers = directory
+        self._engine_calls = engine_calls
+        self._completion = cache_completion.CacheCompletion(known.facts.vm)
         self._clock = clock
         self._background = tasks.BackgroundTasks()
         self._task_by_holder: dict[Holder, asyncio.Task[None]] = {}
@@ -96,6 +111,7 @@
         ] = {}
         self._calls = peer_calls.PeerCalls(known.facts.peer_port, PEER_TIMEOUT_MS)
         self._answered_ms = clock.now_ms()
+        self._asked_for_whole_ms = clock.now_ms()
         self._failed_peer: ids.VmName | None = None
         self.histories = cache_history.Histories(known)
 
@@ -107,6 +123,7 @@
     async def run(self) -> None:
         """Start and end followers as holders come and go."""
         self._background.start(self._ask_peers())
+        self._background.start(self._complete())
         while True:
             present = self._holders()
             self._forget_all_but({holder.name for holder in present})
@@ -128,6 +145,7 @@
                 cache_directory.HolderName(store.name),
                 store.address,
                 store.max_event_calls,
+                is_engine=False,
             )
             for store in current.stores_by_name.values()
         )
@@ -136,6 +154,7 @@
                 cache_directory.HolderName(entry.server_id),
                 entry.address,
                 service.engine.max_event_calls,
+                is_engine=True,
             )
             for service in current.services_by_name.values()
             if service.engine is not None
@@ -167,6 +186,10 @@
                     self._lose(holder.name, str(error))
                     await self._clock.sleep(RETRY_MS)
                     continue
+                if position.next_number and events.epoch != position.epoch:
+                    # It has started anew; the numbers of its changes, too.
+                    self._lose(holder.name, "started anew")
+                    continue
                 self._take(holder.name, events)
                 if events.is_leaving:
                     self._server_leaves(holder.name)
@@ -180,6 +203,65 @@
         if entry is not None:
             self._known.server_leaves(entry.incarnation, is_own=True)
 
+    async def _complete(self) -> None:
+        """Learn all that engines hold of which changes were lost."""
+        while True:
+            await self._clock.sleep(cache_completion.STEP_MS)
+            holders = self._holders()
+            lacking = {
+                each.name: each
+                for each in self._task_by_holder
+                if each.is_engine
+                and self._known.directory.is_known(each.name)
+                and not self._known.directory.is_whole(each.name)
+            }
+            readers = self._readers(holders)
+            if self._known.facts.vm not in readers:
+                continue
+            step = self._completion.plan(lacking, readers, self._clock.now_ms())
+            if step.to_ask:
+                await self._ask_for_whole([lacking[name] for name in step.to_ask])
+            for name in step.to_list:
+                if not self._known.directory.is_whole(name):
+                    await self._list(lacking[name])
+
+    async def _ask_for_whole(self, lacking: list[Holder]) -> None:
+        """Take from another reader the engines that it knows whole."""
+        others = [
+            each
+            for each in self._readers(self._holders())
+            if each != self._known.facts.vm
+        ]
+        if not others:
+            return
+        unknown = {each.name: cache_history.Position() for each in lacking}
+        news = await self._ask(random.choice(others), unknown)
+        for name, events in news.events_by_holder.items() if news else ():
+            if events.is_whole:
+                self._take_whole(name, events, "peer")
+
+    async def _list(self, holder: Holder) -> None:
+        try:
+            held = await self._engine_calls.list_held(holder.address)
+        except engines.EngineCallError as error:
+            _LOG.warning("engine not listed", holder=holder.name, error=str(error))
+            return
+        self._take_whole(holder.name, held, "engine")
+
+    def _take_whole(
+        self, name: cache_directory.HolderName, held: engines.CacheEvents, origin: str
+    ) -> None:
+        """Take all that an engine holds, unless it has started anew meanwhile.
+
+        An event call that is under way repeats changes from before; taken in order
+        they do no harm.
+        """
+        if self._known.directory.epoch_of(name) != held.epoch:
+            return
+        _LOG.info("holder known whole", holder=name, parts=len(held.changes), of=origin)
+        self._take(name, held)
+        self.histories.append(name, held)
+
     async def _ask_peers(self) -> None:
         """Ask a reader for all holders while this gateway reads none."""
         while True:
@@ -189,7 +271,8 @@
                 await self._clock.sleep(PAUSE_MS)
                 continue
             reader = self._choose_reader(holders)
-            news = await self._ask(reader, holders) if reader else None
+            positions = self._positions_to_ask(holders)
+            news = await self._ask(reader, positions) if reader else None
             self._failed_peer = reader if news is None else None
             if news is not None:
                 self._answered_ms = self._clock.now_ms()
@@ -201,6 +284,29 @@
                     self._lose(holder.name, "no reader answers")
             await self._clock.sleep(RETRY_MS)
 
+    def _positions_to_ask(
+        self, holders: tuple[Holder, ...]
+    ) -> dict[cache_directory.HolderName, cache_history.Position]:
+        """Return from where on to ask for changes.
+
+        Of engines that are not known whole everything is asked for now and then: a
+        reader that has listed one meanwhile has no changes to tell.
+        """
+        now_ms = self._clock.now_ms()
+        asks_for_whole = now_ms - self._asked_for_whole_ms >= WHOLE_INTERVAL_MS
+        if asks_for_whole:
+            self._asked_for_whole_ms = now_ms
+        return {
+            each.name: (
+                cache_history.Position()
+                if asks_for_whole
+                and each.is_engine
+                and not self._known.directory.is_whole(each.name)
+                else self._position(each.name)
+            )
+            for each in holders
+        }
+
     def _choose_reader(self, holders: tuple[Holder, ...]) -> ids.VmName | None:
         """Return the reader to ask: always the same one, until it fails."""
         own = self._known.facts.vm
@@ -210,13 +316,14 @@
         return next(iter(answering or ranked), None)
 
     async def _ask(
-        self, reader: ids.VmName, holders: tuple[Holder, ...]
+        self,
+        reader: ids.VmName,
+        position_by_holder: Mapping[cache_directory.HolderName, cache_history.Position],
     ) -> cache_history.CacheNews | None:
-        """Return what a reader knows beyond the own positions; None if it fails."""
+        """Return what a reader knows beyond positions; None if it fails."""
         ip = self._peers.ip_of(reader)
         if ip is None:
             return None
-        position_by_holder = {each.name: self._position(each.name) for each in holders}
         body = cache_history.encode_positions(position_by_holder)
         try:
             document = await self._calls.post(ip, "/cache", body)
@@ -241,12 +348,14 @@
     ) -> None:
         position = self._position(name)
         if events.epoch != position.epoch or events.has_gap:
-            # What is held is not known any more; later events build it up.
+            # What is held is not known any more, unless the answer tells it all.
             _LOG.info(
                 "holder read anew", holder=name, epoch=events.epoch, gap=events.has_gap
             )
             now_ms = self._clock.now_ms()
-            self._known.directory.restart(name, events.epoch, now_ms)
+            self._known.directory.restart(
+                name, events.epoch, now_ms, is_whole=events.is_whole
+            )
         if events.clock_ms:
             offset_ms = events.clock_ms - self._clock.now_ms()
             self._known.clock_offset_ms_by_holder[name] = offset_ms
--- a/quincecrank/gateway/cache_history.py
+++ b/quincecrank/gateway/cache_history.py
@@ -171,6 +171,7 @@
             has_gap,
             changes,
             self._known.holder_clock_ms(holder) or 0,
+            is_whole=has_gap and self._known.directory.is_whole(holder),
         )
 
 
@@ -250,6 +251,7 @@
                 "epoch": events.epoch,
                 "next": events.next_number,
                 "gap": events.has_gap,
+                "whole": events.is_whole,
                 "clock_ms": events.clock_ms,
                 "changes": [
                     [each.part.salt, each.part.part_id, each.tokens]
@@ -279,6 +281,7 @@
                 has_gap=bool(each["gap"]),
                 changes=tuple(_changes(each["changes"])),
                 clock_ms=int(each["clock_ms"]),
+                is_whole=bool(each.get("whole", False)),
             )
             for each in decoded["holders"]
         },
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -123,8 +123,10 @@
         self._restore_progress = restores.RestoreProgress(clock, self._metrics)
         self._followers_by_table = self._make_followers()
         self._tell_of_restores()
-        self._caches = cache_followers.CacheFollowers(self._known, self._peers, clock)
         calls = engines.EngineCalls()
+        self._caches = cache_followers.CacheFollowers(
+            self._known, self._peers, calls, clock
+        )
         self._cleaner = store_cleaner.StoreCleaner(
             self._known, calls, self._peers, clock
         )
--- a/quincecrank/platform/engines.py
+++ b/quincecrank/platform/engines.py
@@ -113,13 +113,15 @@
     async def events(self, since: int) -> "CacheEvents":
         """Return the changes from a number on, waiting for the first one."""
         try:
-            return await asyncio.wait_for(
+            events = await asyncio.wait_for(
                 self._read(since),
                 (EVENTS_WAIT_MS + CALL_TIMEOUT_MS) / clocks.MS_PER_SECOND,
             )
         except (OSError, TimeoutError) as error:
             self.close()
             raise EngineCallError(repr(error)) from error
+        is_whole = since == 0 and not events.has_gap
+        return dataclasses.replace(events, is_whole=is_whole)
 
     async def _read(self, since: int) -> "CacheEvents":
         if self._link is None or not self._link.is_usable:
@@ -177,6 +179,8 @@
         The holder's own clock; 0 if it does not say.
     is_leaving : bool
         Whether the holder is about to leave.
+    is_whole : bool
+        Whether the changes, taken from nothing, give all that the holder has.
     """
 
     epoch: int
@@ -185,6 +189,7 @@
     changes: tuple[cache_directory.CacheChange, ...]
     clock_ms: int = 0
     is_leaving: bool = False
+    is_whole: bool = False
 
 
 class EngineCalls:
@@ -244,6 +249,29 @@
         except (KeyError, TypeError, ValueError) as error:
             raise EngineCallError(f"report: {error!r}") from error
 
+    async def list_held(self, address: str) -> "CacheEvents":
+        """Return all that an engine holds, as changes to one with nothing.
+
+        The engine does nothing else meanwhile.
+        """
+        response = await self._fetch(
+            self._request(address + names.CACHE_LIST, CALL_TIMEOUT_MS)
+        )
+        document = _document(response)
+        try:
+            return CacheEvents(
+                epoch=int(document["bootEpoch"]),
+                next_number=int(document["next"]),
+                has_gap=True,
+                changes=tuple(
+                    _held_part(salt, part_id, tokens)
+                    for salt, part_id, tokens, _model in document["held"]
+                ),
+                is_whole=True,
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise EngineCallError(f"list: {error!r}") from error
+
     async def free_parts(
         self, address: str, epoch: int, parts: tuple[cache_directory.PartKey, ...]
     ) -> None:
@@ -312,6 +340,10 @@
 
 def _change(event: list[Any]) -> cache_directory.CacheChange:
     _number, _sign, salt, part_id, tokens, _model = event
+    return _held_part(salt, part_id, tokens)
+
+
+def _held_part(salt: str, part_id: str, tokens: int) -> cache_directory.CacheChange:
     return cache_directory.CacheChange(
         part=cache_directory.PartKey(
             cache_directory.CacheSalt(salt), prompts.PartId(part_id)
--- a/quincecrank/platform/names.py
+++ b/quincecrank/platform/names.py
@@ -51,6 +51,7 @@
 ORDER: Final = "/order"
 REPORT: Final = "/report"
 CACHE_EVENTS: Final = "/kv-events"
+CACHE_LIST: Final = "/kv-list"
 CACHE_FREE: Final = "/kv-free"
 READY: Final = "/ready"
 
--- /dev/null
+++ b/tests/test_gateway_cache_completion.py
@@ -0,0 +1,196 @@
+"""Tests of learning all that engines keep after changes of it were lost."""
+
+import asyncio
+import json
+import unittest
+
+from tornado import httpserver, netutil, web
+
+from quincecrank import ids
+from quincecrank.gateway import (
+    cache_completion,
+    cache_directory,
+    cache_followers,
+    cache_history,
+    peers,
+)
+from quincecrank.platform import engines
+from standins import platform_fleet
+from tests import builders_gateway as builders
+from tests import test_gateway_caches as cases
+
+OWN = ids.VmName("entry-1")
+HOLDER = cache_directory.HolderName("i-1")
+PARTS = ("a1", "b2", "c3")
+
+
+def holders(count: int) -> list[cache_directory.HolderName]:
+    return [cache_directory.HolderName(f"i-{number}") for number in range(count)]
+
+
+class PlanTest(unittest.TestCase):
+    def test_one_gateway_lists_each_engine_first(self) -> None:
+        readers = [ids.VmName(f"entry-{number}") for number in range(4)]
+        listed: list[cache_directory.HolderName] = []
+        for own in readers:
+            completion = cache_completion.CacheCompletion(own)
+            step = completion.plan(holders(4), readers, 1_000)
+            self.assertEqual(len(step.to_ask), 4)
+            listed += step.to_list
+        self.assertEqual(sorted(listed), sorted(holders(4)))
+
+    def test_the_others_list_only_when_the_first_does_not(self) -> None:
+        readers = [OWN, *(ids.VmName(f"entry-{number}") for number in range(2, 6))]
+        completion = cache_completion.CacheCompletion(OWN)
+        due_ms = []
+        for now_ms in range(0, 5_000, 100):
+            step = completion.plan([HOLDER], readers, now_ms)
+            due_ms += [now_ms] if step.to_list else []
+        self.assertEqual(due_ms[0] % cache_completion.RANK_DELAY_MS, 0)
+        self.assertEqual(due_ms[-1], 4_900)
+        # What is known again and lost again counts anew.
+        completion.plan([], readers, 5_000)
+        step = completion.plan([HOLDER], readers, 5_100)
+        self.assertEqual(bool(step.to_list), due_ms[0] == 0)
+
+    def test_few_engines_stall_together(self) -> None:
+        completion = cache_completion.CacheCompletion(OWN)
+        step = completion.plan(holders(50), [OWN], 0)
+        self.assertEqual(len(step.to_list), cache_completion.LISTS_AT_ONCE)
+
+    def test_a_gateway_alone_asks_nobody(self) -> None:
+        completion = cache_completion.CacheCompletion(OWN)
+        self.assertEqual(completion.plan([HOLDER], [OWN], 0).to_ask, ())
+
+
+class _Engine(web.RequestHandler):
+    """An engine whose early events are lost; lists are counted."""
+
+    def initialize(self, calls: list[str]) -> None:
+        self._calls = calls
+
+    async def get(self, path: str) -> None:
+        self._calls.append(path)
+        if path == "kv-list":
+            held = [[cases.SALT, part, 100, builders.MODEL] for part in PARTS]
+            self.finish(json.dumps({"bootEpoch": 9, "next": 500, "held": held}))
+            return
+        since = int(self.get_query_argument("since"))
+        if since >= 500:
+            await asyncio.sleep(0.2)
+        events = [[499, "+", cases.SALT, PARTS[0], 100, builders.MODEL]]
+        document = {
+            "bootEpoch": 9,
+            "next": 500,
+            "lost": since < 400,
+            "events": [] if since >= 500 else events,
+        }
+        self.finish(json.dumps(document))
+
+
+class CompletionTest(unittest.IsolatedAsyncioTestCase):
+    """An engine that runs for long, and gateways that have just started."""
+
+    async def asyncSetUp(self) -> None:
+        self.calls: list[str] = []
+        application = web.Application(
+            [(r"/(.*)", _Engine, {"calls": self.calls})],
+            log_function=lambda _handler: None,
+        )
+        server = httpserver.HTTPServer(application)
+        sockets = netutil.bind_sockets(0, "127.0.0.1")
+        server.add_sockets(sockets)
+        self.addCleanup(server.stop)
+        self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+        self.peer_port = platform_fleet.free_port("127.0.0.1")
+
+    def make_followers(self, names: tuple[str, ...]) -> cache_followers.CacheFollowers:
+        known = cases.make_knowledge(self.peer_port)
+        known.registry.update(builders.make_entry("i-1", address=self.address))
+        members = cases._Members(known, names)
+        self.known = known
+        return cache_followers.CacheFollowers(
+            known, members, engines.EngineCalls(), known.clock
+        )
+
+    async def run_until_whole(self, followers: cache_followers.CacheFollowers) -> None:
+        running = asyncio.ensure_future(followers.run())
+        self.addCleanup(running.cancel)
+        async with asyncio.timeout(10):
+            while not self.known.directory.is_whole(HOLDER):
+                await asyncio.sleep(0.01)
+
+    def held(self) -> set[str]:
+        changes = self.known.directory.all_held(HOLDER)
+        return {change.part.part_id for change in changes}
+
+    async def test_a_gateway_alone_lists_the_engine(self) -> None:
+        await self.run_until_whole(self.make_followers(()))
+        self.assertEqual(self.held(), set(PARTS))
+        self.assertEqual(self.calls.count("kv-list"), 1)
+
+    async def test_another_gateway_takes_the_list_from_it(self) -> None:
+        first = self.make_followers(())
+        await self.run_until_whole(first)
+        facts = builders.make_environment(self.peer_port)
+        server = peers.serve(
+            facts,
+            [("/cache", cache_history.CacheHandler, {"histories": first.histories})],
+        )
+        self.addCleanup(server.stop)
+        await self.run_until_whole(self.make_followers(("entry-0",)))
+        self.assertEqual(self.held(), set(PARTS))
+        self.assertEqual(self.calls.count("kv-list"), 1)
+
+    async def test_a_gateway_that_reads_no_engine_hears_of_the_list(self) -> None:
+        # It was at the same position before the reader had listed the engine.
+        first = self.make_followers(())
+        reader = self.known
+        await self.run_until_whole(first)
+        position = cache_history.Position(9, 500)
+        facts = builders.make_environment(self.peer_port)
+        server = peers.serve(
+            facts,
+            [("/cache", cache_history.CacheHandler, {"histories": first.histories})],
+        )
+        self.addCleanup(server.stop)
+        names = tuple(f"reader-{number}" for number in range(40))
+        other = self.make_followers(names)
+        self.assertFalse(other.is_reader)
+        self.known.directory.restart(HOLDER, 9, 0)
+        other._position_by_holder[HOLDER] = position
+        await self.run_until_whole(other)
+        self.assertEqual(
+            set(self.known.directory.all_held(HOLDER)),
+            set(reader.directory.all_held(HOLDER)),
+        )
+
+
+class HistoryTest(unittest.TestCase):
+    def test_a_list_is_handed_on_whole(self) -> None:
+        known = cases.make_knowledge()
+        histories = cache_history.Histories(known)
+        known.directory.restart(HOLDER, 9, 0)
+        histories.append(HOLDER, cases.make_events(400, 3, has_gap=True))
+        whole = engines.CacheEvents(
+            9, 403, True, (cases.make_change(1),), is_whole=True
+        )
+        known.directory.restart(HOLDER, 9, 0, is_whole=True)
+        known.directory.apply(HOLDER, whole.changes)
+        histories.append(HOLDER, whole)
+        news = histories.news({HOLDER: cache_history.Position(9, 402)})
+        self.assertTrue(news.events_by_holder[HOLDER].is_whole)
+        decoded = cache_history.decode_news(cache_history.encode_news(news))
+        self.assertEqual(decoded, news)
+
+    def test_a_store_keeps_the_time_since_its_start(self) -> None:
+        directory = cache_directory.CacheDirectory()
+        directory.restart(HOLDER, 9, 1_000)
+        directory.restart(HOLDER, 9, 5_000, is_whole=True)
+        self.assertEqual(directory.known_for_ms(HOLDER, 6_000), 5_000)
+        directory.restart(HOLDER, 10, 5_500)
+        self.assertEqual(directory.known_for_ms(HOLDER, 6_000), 500)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_gateway_caches.py
+++ b/tests/test_gateway_caches.py
@@ -155,7 +155,7 @@
         names = tuple(f"reader-{number}" for number in range(40))
         members = _Members(self.known, names)
         self.followers = cache_followers.CacheFollowers(
-            self.known, members, self.known.clock
+            self.known, members, engines.EngineCalls(), self.known.clock
         )
         for number in range(20):
             self.known.registry.update(builders.make_entry(f"i-{number}"))
@@ -263,7 +263,9 @@
             known.registry.update(builders.make_entry())
             others = tuple(each for each in names if each != own)
             members = _Members(known, others)
-            followers = cache_followers.CacheFollowers(known, members, known.clock)
+            followers = cache_followers.CacheFollowers(
+                known, members, engines.EngineCalls(), known.clock
+            )
             if followers.is_reader:
                 reader_names.add(own)
         return len(reader_names)
