Entries and agents recover when their table comes back from a copy

Cause: an agent whose registration a restore had lost read another row or none, took itself for superseded and refused all work. Configuration rows in force were gone, so no later version could be committed (its predecessor was missing) and a new process served an older one.

Change: a missing or older registration is lost, not superseded, and is written again; processes that know configuration rows commit them again before they ask for newer ones, and a row of another proposal in their place is an error for the operator, never followed. Revisions carry the era.

Ruled out: to go back to what the copy has (a configuration in force never goes back).

--- a/quincecrank/agent.py
+++ b/quincecrank/agent.py
@@ -375,6 +375,19 @@
         currency = await registration.still_current(self._table, self._registration)
         if currency is registration.Currency.SUPERSEDED:
             self._service.superseded()
+        elif currency is registration.Currency.LOST:
+            await self._register_again(self._registration)
+
+    async def _register_again(self, lost: registration.Registration) -> None:
+        _LOG.warning("registration lost", fencing_number=lost.fencing_number)
+        try:
+            await registration.write_again(self._table, lost)
+        except (
+            platform_table.TableUnavailableError,
+            platform_table.OutcomeUnknownError,
+        ) as error:
+            # The next check finds it lost again.
+            _LOG.warning("registration not written", reason=str(error))
 
     def _is_ready(self) -> bool:
         return self._current.version > 0 and self._backend.load().healthy
--- a/quincecrank/configuration_store.py
+++ b/quincecrank/configuration_store.py
@@ -39,6 +39,10 @@
     rows: tuple[configuration.ConfigurationRow, ...]
 
 
+class HistoryDivergedError(Exception):
+    """A restored table has another row where one had been in force."""
+
+
 class ConfigurationStore:
     """Reads and extends the history.
 
@@ -112,6 +116,49 @@
             return expression.Ok(committed)
         return expression.Error(ProposalConflict(await self._rows_from(row, committed)))
 
+    async def commit_again(
+        self, rows: tuple[configuration.ConfigurationRow, ...]
+    ) -> int:
+        """Insert committed rows that a restore of the table has lost.
+
+        Parameters
+        ----------
+        rows : tuple of ConfigurationRow
+            Rows known to have been committed, by version without a gap.
+
+        Returns
+        -------
+        int
+            Rows that the table lacked.
+
+        Raises
+        ------
+        HistoryDivergedError
+            If another row was committed meanwhile at the version of a lost one.
+        TableUnavailableError, OutcomeUnknownError
+            If the table gives no answer; rows up to some version may be back.
+        """
+        if not rows:
+            return 0
+        before = ids.ConfigurationVersion(rows[0].version - 1)
+        start = configuration.Configuration(version=before)
+        present = {row.version: row for row in await self.catch_up(start)}
+        lacking = 0
+        for row in rows:
+            stored = present.get(row.version)
+            if stored is None:
+                lacking += 1
+                inserted = await platform_table.insert_confirmed(
+                    self._table, _TABLE, _row_key(row.version), row.model_dump_json()
+                )
+                stored = _parse(inserted)
+            if stored.proposal_id != row.proposal_id:
+                raise HistoryDivergedError(
+                    f"version {row.version}: {row.proposal_id} was in force,"
+                    f" {stored.proposal_id} is committed"
+                )
+        return lacking
+
     async def save_snapshot(self, current: configuration.Configuration) -> bool:
         """Write a snapshot if `current` is due for one; return whether it was.
 
--- a/quincecrank/current_configuration.py
+++ b/quincecrank/current_configuration.py
@@ -116,6 +116,11 @@
         self._notify()
         return Progress.ADVANCED
 
+    @property
+    def kept_rows(self) -> tuple[configuration.ConfigurationRow, ...]:
+        """Return the last rows applied, by version without a gap."""
+        return tuple(self._rows)
+
     def rows_after(
         self, version: ids.ConfigurationVersion, limit: int = KEPT_ROWS
     ) -> tuple[configuration.ConfigurationRow, ...] | None:
--- a/quincecrank/entry.py
+++ b/quincecrank/entry.py
@@ -42,6 +42,7 @@
     services_api,
     settings,
     status_server,
+    store_era,
     table_breaker,
     tasks,
     vm_list,
@@ -68,8 +69,11 @@
         self._figures = metrics.EntryMetrics()
         self._current = current_configuration.CurrentConfiguration(self._clock)
         platform = known.platform
+        table_era = store_era.StoreEra()
         self._table = table_breaker.BreakerTable(
-            platform_table.HttpTable(platform.table_url, platform.timeout_ms),
+            platform_table.HttpTable(
+                platform.table_url, platform.timeout_ms, table_era
+            ),
             self._clock,
         )
         self._store = configuration_store.ConfigurationStore(
@@ -82,7 +86,7 @@
             ),
         )
         self._follower = configuration_follower.ConfigurationFollower(
-            self._current, self._store, self._clock
+            self._current, self._store, self._clock, table_era
         )
         self._members = membership.Membership(
             vm_list.HttpVmList(platform.vm_list_url, platform.timeout_ms, self._clock),
--- a/quincecrank/platform_table.py
+++ b/quincecrank/platform_table.py
@@ -12,7 +12,7 @@
 import enum
 from typing import Final, Protocol
 
-from quincecrank import store_rows
+from quincecrank import store_era, store_rows
 from quincecrank.platform import store
 
 _CONFIRM_TRIES: Final = 3
@@ -114,10 +114,17 @@
         Address of the store.
     timeout_ms : int
         Limit of each call.
+    era : StoreEra, optional
+        Is told the eras of the store.
     """
 
-    def __init__(self, base_url: str, timeout_ms: int) -> None:
-        self._store = store.PlatformStore(base_url, timeout_ms, timeout_ms)
+    def __init__(
+        self,
+        base_url: str,
+        timeout_ms: int,
+        era: store_era.StoreEra | None = None,
+    ) -> None:
+        self._store = store.PlatformStore(base_url, timeout_ms, timeout_ms, era)
 
     def close(self) -> None:
         """Close the client."""
--- a/quincecrank/registration.py
+++ b/quincecrank/registration.py
@@ -44,6 +44,9 @@
 
     CURRENT = "current"
     SUPERSEDED = "superseded"
+    LOST = "lost"
+    """The table was restored from a copy that is older than the registration."""
+
     UNKNOWN = "unknown"
 
 
@@ -101,7 +104,30 @@
         found = await read_registration(table, registration.backend_server)
     except platform_table.TableUnavailableError:
         return Currency.UNKNOWN
-    return Currency.CURRENT if found == registration else Currency.SUPERSEDED
+    if found == registration:
+        return Currency.CURRENT
+    if found is None or found.fencing_number < registration.fencing_number:
+        return Currency.LOST
+    return Currency.SUPERSEDED
+
+
+async def write_again(
+    table: platform_table.PlatformTable, registration: Registration
+) -> None:
+    """Write a lost registration again, unless a newer agent has registered.
+
+    Raises
+    ------
+    TableUnavailableError, OutcomeUnknownError
+        If the table gives no answer; the row may be there.
+    """
+    key = _row_key(registration.backend_server)
+    body = registration.model_dump_json()
+    row = await table.read(_AGENTS, key)
+    if row is None:
+        await platform_table.insert_confirmed(table, _AGENTS, key, body)
+    elif _parse(row).fencing_number < registration.fencing_number:
+        await platform_table.replace_confirmed(table, _AGENTS, key, body, row.revision)
 
 
 async def _take_number(
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -58,6 +58,11 @@
         self._rows_by_key: dict[_Key, platform_table.Row] = {}
         self._delayed: collections.deque[Callable[[], object]] = collections.deque()
 
+    def restore_rows(self, keep: int) -> None:
+        """Lose all rows but the first ones, as a restore from a copy does."""
+        rows = tuple(self._rows_by_key.items())[:keep]
+        self._rows_by_key = dict(rows)
+
     def deliver_delayed(self) -> None:
         """Let the delayed writes take effect, if their conditions still hold."""
         while self._delayed:
