The time of a request counts from its first attempt, at any gateway

Cause, from the replay of twice the load that the engines carry (six gateways, nine engines, the concrete dispatchers' requests): of 819 late answers 643 were late when they were placed. They had been refused before and came back, mostly at another gateway, which took them for new ones and gave them the places of requests that could still be on time.

Ruled out: the estimate (answers on time: 270 ms expected, 269 observed in the median; 176 unforeseen late ones), and the time that callers have left (tried earlier: they differ in it from the start).

Change: gateways tell each other in their reports which requests they turned away (64-bit key of account, method, target, body and prompt, and the age; at most 48 in a report, for 700 ms). A request that comes back counts from its first attempt, so it goes behind those that can be on time.

--- /dev/null
+++ b/bench/ablation.py
@@ -0,0 +1,161 @@
+"""What each mechanism of the gateways' decisions is worth under overload.
+
+``python -m bench.ablation`` replays the patterns of `PATTERN_BY_NAME` with all
+mechanisms and with each one switched off, and prints the change of the worth's share:
+its mean over the seeds, and how many of the seeds it made worse.  Mechanisms are
+switched off from outside; the product has no settings for it.
+"""
+
+import concurrent.futures
+import dataclasses
+import statistics
+import sys
+from collections.abc import Mapping
+from typing import Final
+from unittest import mock
+
+import fire
+
+from bench import gateway_model
+from quincecrank.gateway import (
+    dispatcher,
+    placement,
+    service_times,
+    size_shares,
+    waiting,
+)
+
+SEEDS: Final = (1, 2, 3)
+WORKERS: Final = 3
+
+REVIEWS: Final = gateway_model.Kind(
+    "review", 37.2, 3, 512, 595, 8_610, 2_870, 55, 401, 12_000, 2, 2.4, 0.48, 0.8
+)
+QUESTIONS: Final = gateway_model.Kind(
+    "question", 37.8, 20, 119, 605, 531, 177, 42, 250, 10_000, 1, 2.1, 0.42
+)
+CALLS: Final = gateway_model.Kind(
+    "call", 72.4, 8, 341, 1_158, 1_520, 507, 3, 250, 2_500, 0, 1.3, 0.26
+)
+"""The concrete dispatchers' requests, by their sheet."""
+
+_FLEET: Final = gateway_model.Pattern(
+    seed=0,
+    duration_ms=10_000,
+    gateways=6,
+    engines=9,
+    slots=32,
+    memory_tokens=174_122,
+    kinds=(REVIEWS, QUESTIONS, CALLS),
+)
+
+
+def _overloaded(factor: float, **changes: float) -> gateway_model.Pattern:
+    return dataclasses.replace(
+        _FLEET,
+        burst_until_ms=_FLEET.duration_ms,
+        burst_factor=factor,
+        **changes,  # type: ignore[arg-type]
+    )
+
+
+PATTERN_BY_NAME: Final[Mapping[str, gateway_model.Pattern]] = {
+    "load as usual": _overloaded(1.0, slowness=0.6),
+    "1.3 times the load": _overloaded(1.3, slowness=0.6),
+    "twice the load": _overloaded(2.0, slowness=0.6),
+    "three times the load": _overloaded(3.0, slowness=0.6),
+    "slow engines, small pieces": _overloaded(1.0, slowness=1.3, piece_tokens=512),
+    "slow engines, 1.5 times the load": _overloaded(
+        1.5, slowness=1.3, piece_tokens=512
+    ),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Switch:
+    """How one mechanism is switched off: a name in a module, and its value then."""
+
+    module: object
+    name: str
+    value: object
+
+
+SWITCH_BY_MECHANISM: Final[Mapping[str, Switch]] = {
+    "owed sizes": Switch(size_shares, "OWED_SHARE", 0.0),
+    "shortlist": Switch(placement, "MAX_JUDGED", sys.maxsize),
+    "late pause": Switch(waiting, "LATE_PAUSE_MS", 0),
+    "home bonus": Switch(placement, "HOME_BONUS_MS", 0.0),
+    "spread cost": Switch(placement, "SPREAD_COST_MS", 0.0),
+    "slack share": Switch(placement, "SLACK_SHARE", 1.0),
+    "overtaking": Switch(dispatcher, "MAX_OVERTAKING", 1),
+    "learned times": Switch(service_times, "ENOUGH_ANSWERS", float("inf")),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Trial:
+    """One replay to run; with all mechanisms if `mechanism` is empty."""
+
+    pattern: str
+    mechanism: str
+    seed: int
+
+
+def run_trial(trial: Trial) -> gateway_model.Result:
+    """Replay a pattern with one mechanism switched off."""
+    pattern = dataclasses.replace(PATTERN_BY_NAME[trial.pattern], seed=trial.seed)
+    switch = SWITCH_BY_MECHANISM.get(trial.mechanism)
+    if switch is None:
+        return gateway_model.play(pattern)
+    with mock.patch.object(switch.module, switch.name, switch.value):
+        return gateway_model.play(pattern)
+
+
+def describe(result: gateway_model.Result) -> str:
+    """Return the shares of a replay's requests, by kind."""
+    return ", ".join(
+        f"{name} {each.on_time / each.asked:.2f} on time"
+        f" {each.late / each.asked:.2f} late {each.refused / each.asked:.2f} refused"
+        for name, each in result.outcome_by_kind.items()
+    )
+
+
+def main(pattern: str = "", mechanism: str = "", workers: int = WORKERS) -> None:
+    """Print the worth of each mechanism.
+
+    Parameters
+    ----------
+    pattern, mechanism : str
+        Part of the names of those to run, empty for all.
+    workers : int
+        Replays at the same time.
+    """
+    patterns = [name for name in PATTERN_BY_NAME if pattern in name]
+    mechanisms = ["", *(name for name in SWITCH_BY_MECHANISM if mechanism in name)]
+    trials = [
+        Trial(each, switched, seed)
+        for each in patterns
+        for switched in mechanisms
+        for seed in SEEDS
+    ]
+    with concurrent.futures.ProcessPoolExecutor(workers) as pool:
+        result_by_trial = dict(zip(trials, pool.map(run_trial, trials), strict=True))
+    for each in patterns:
+        whole = [result_by_trial[Trial(each, "", seed)] for seed in SEEDS]
+        shares = [result.share for result in whole]
+        print(f"{each}: {statistics.mean(shares):.3f}; {describe(whole[0])}")
+        for switched in mechanisms[1:]:
+            changes = [
+                result_by_trial[Trial(each, switched, seed)].share - share
+                for seed, share in zip(SEEDS, shares, strict=True)
+            ]
+            worse = sum(change < 0 for change in changes)
+            print(
+                f"  without {switched:<16} {statistics.mean(changes):+.3f}"
+                f"  ({min(changes):+.3f} to {max(changes):+.3f}),"
+                f" worse in {worse} of {len(changes)}"
+            )
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/bench/gateway_model.py
+++ b/bench/gateway_model.py
@@ -22,6 +22,7 @@
     deployment,
     dispatcher,
     environment,
+    first_attempts,
     knowledge,
     loads,
     peers,
@@ -118,6 +119,8 @@
         Time from which all engines take `slow_factor` times as long; 0 for never.
     grey_slowness : float
         Time that one of the engines takes, relative to the others.
+    piece_tokens : int
+        Prompt tokens that an engine reads in one step.
     """
 
     seed: int
@@ -135,6 +138,7 @@
     slow_from_ms: int = 0
     slow_factor: float = 1.0
     grey_slowness: float = 1.0
+    piece_tokens: int = model_engine.PIECE_TOKENS
     policy: Policy = Policy.GATEWAYS
 
 
@@ -350,6 +354,7 @@
                 self._clock,
             )
             engine.slowness = self._pattern.slowness
+            engine.piece_tokens = self._pattern.piece_tokens
             if number == 0:
                 engine.slowness *= self._pattern.grey_slowness
             self._engine_by_server[server_id] = engine
@@ -401,7 +406,12 @@
         while True:
             for other in self._others(number):
                 self._later(
-                    MESSAGE_MS, self._take_report, other, known, known.loads.own()
+                    MESSAGE_MS,
+                    self._take_report,
+                    other,
+                    known,
+                    known.loads.own(),
+                    known.first_attempts.to_tell(self._clock.now_ms()),
                 )
             interval_ms = peers.report_interval_ms(self._pattern.gateways - 1)
             await self._clock.sleep(interval_ms)
@@ -411,7 +421,9 @@
         receiver: knowledge.Knowledge,
         sender: knowledge.Knowledge,
         own: dict[servers.ServerId, loads.Load],
+        turned_away: tuple[first_attempts.TurnedAway, ...],
     ) -> None:
+        receiver.first_attempts.take(turned_away, self._clock.now_ms())
         receiver.loads.peer_reported(sender.facts.vm, own, self._clock.now_ms())
 
     async def _call(self, arrival: Arrival) -> None:
@@ -439,6 +451,7 @@
         known = self._knowledge[number]
         kind = arrival.kind
         request_id = ids.RequestId(f"{arrival.at_ms}-{attempt}")
+        key = first_attempts.RequestKey(hash(arrival.at_ms))
         now_ms = self._clock.now_ms()
         ticket = waiting.Ticket(
             request_id,
@@ -447,10 +460,12 @@
             began_ms + kind.deadline_ms,
             kind.target_ms,
             self._dispatchers[number].least_run_ms(self._service, arrival.prompt),
+            began_ms=known.first_attempts.began_ms(key, now_ms),
         )
         want = dispatcher.Want(ticket, self._service, None, arrival.prompt, kind.name)
         placed = await self._dispatchers[number].place(want)
         if isinstance(placed, dispatcher.Refused):
+            known.first_attempts.turned_away(key, began_ms, self._clock.now_ms())
             return placed
         server_id = placed.server.server_id
         sent_ms = self._clock.now_ms()
--- a/bench/model_engine.py
+++ b/bench/model_engine.py
@@ -70,6 +70,8 @@
         Prompt tokens computed.
     slowness : float
         Time of a step relative to that of the data sheet; may change at any time.
+    piece_tokens : int
+        Prompt tokens read in one step.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         self.preempted = 0
         self.read_tokens = 0
         self.slowness = 1.0
+        self.piece_tokens = PIECE_TOKENS
 
     def submit(self, run: Run) -> None:
         """Queue a request."""
@@ -137,15 +140,16 @@
         return kept
 
     def _read_piece(self) -> int:
-        left = PIECE_TOKENS
+        left = self.piece_tokens
         for run in self._running:
             read = min(left, run.unread_tokens)
             run.unread_tokens -= read
             left -= read
             if read and not run.unread_tokens:
                 self._keep(run.prompt.shared_parts)
-        self.read_tokens += PIECE_TOKENS - left
-        return PIECE_TOKENS - left
+        read_tokens = self.piece_tokens - left
+        self.read_tokens += read_tokens
+        return read_tokens
 
     def _make_tokens(self) -> None:
         for run in tuple(self._running):
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -22,6 +22,7 @@
     decision_log,
     deployment,
     dispatcher,
+    first_attempts,
     gateway_metrics,
     jobs,
     knowledge,
@@ -160,6 +161,11 @@
         allowed_ms = route.timeout_ms
         if said.remaining_ms is not None:
             allowed_ms = min(allowed_ms, said.remaining_ms)
+        fingerprint = _fingerprint(request, account)
+        key, began_ms = None, request.received_ms
+        if said.prompt is not None:
+            key = first_attempts.request_key(fingerprint, said.prompt)
+            began_ms = self._known.first_attempts.began_ms(key, began_ms)
         return jobs.Job(
             request=request,
             answer=answer,
@@ -168,7 +174,9 @@
             service=service,
             account=account,
             deadline_ms=request.received_ms + allowed_ms - END_MARGIN_MS,
-            fingerprint=_fingerprint(request, account),
+            fingerprint=fingerprint,
+            key=key,
+            began_ms=began_ms,
         )
 
     async def _serve(self, job: jobs.Job) -> None:
@@ -434,6 +442,9 @@
     def _give_up(self, job: jobs.Job, reason: str, retry_after_ms: int) -> None:
         """Send the final answer of a request that no server answered."""
         self._log_end(job, reason)
+        if job.key is not None:
+            now_ms = self._clock.now_ms()
+            self._known.first_attempts.turned_away(job.key, job.began_ms, now_ms)
         if job.answer.has_begun:
             job.answer.abort()
         elif job.last_failure is not None:
@@ -478,6 +489,7 @@
             deadline_ms=job.deadline_ms,
             target_ms=job.route.target_ms,
             least_run_ms=self._places.least_run_ms(job.service, prompt),
+            began_ms=job.began_ms,
         )
         return dispatcher.Want(
             ticket,
--- a/quincecrank/gateway/jobs.py
+++ b/quincecrank/gateway/jobs.py
@@ -5,7 +5,13 @@
 from tornado import httputil
 
 from quincecrank import crash_counts
-from quincecrank.gateway import callers, deployment, event_stream, servers
+from quincecrank.gateway import (
+    callers,
+    deployment,
+    event_stream,
+    first_attempts,
+    servers,
+)
 from quincecrank.platform import requests
 
 
@@ -26,6 +32,10 @@
     ----------
     deadline_ms : int
         Instant at which the caller or the operator no longer waits.
+    key : RequestKey or None
+        Recognizes a later attempt; None for a plain service.
+    began_ms : int
+        Instant of the caller's first attempt, as far as it is known.
     has_maybe_run : bool
         Whether a backend server may have begun to run it.
     sends, refusals : int
@@ -40,6 +50,8 @@
     account: deployment.Account | None
     deadline_ms: int
     fingerprint: crash_counts.RequestFingerprint
+    key: first_attempts.RequestKey | None
+    began_ms: int
     tried: set[servers.ServerId] = dataclasses.field(default_factory=set)
     has_maybe_run: bool = False
     sends: int = 0
--- a/quincecrank/gateway/knowledge.py
+++ b/quincecrank/gateway/knowledge.py
@@ -9,6 +9,7 @@
     decision_log,
     deployment,
     environment,
+    first_attempts,
     kept_parts,
     links,
     loads,
@@ -53,6 +54,7 @@
         self.service_times = service_times.ServiceTimes()
         self.links = links.LinkPool(clock, MAX_IDLE_LINK_MS)
         self.weight_news = weight_news.WeightNewsBook()
+        self.first_attempts = first_attempts.FirstAttempts()
         self.saves = kept_parts.SaveNotes()
         self.clock_offset_ms_by_holder: dict[cache_directory.HolderName, int] = {}
         self._has_servers = False
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -264,6 +264,7 @@
             times_by_service=self._times_to_tell(),
             leaving=self._known.registry.leaving_to_tell(self._clock.now_ms()),
             pauses=self._known.health.pauses_to_tell(self._clock.now_ms()),
+            turned_away=self._known.first_attempts.to_tell(self._clock.now_ms()),
         )
 
     def _use_report(self, report: peer_messages.Report) -> None:
@@ -276,6 +277,7 @@
             self._known.server_leaves(incarnation, is_own=False)
         for pause in report.pauses:
             self._known.health.take_pause(pause, now_ms)
+        self._known.first_attempts.take(report.turned_away, now_ms)
         for service, times in report.times_by_service.items():
             self._known.service_times.take(service, times)
         for news in report.news:
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -10,6 +10,7 @@
 from quincecrank import crash_counts, ids, store_rows
 from quincecrank.gateway import (
     deployment,
+    first_attempts,
     loads,
     server_health,
     servers,
@@ -69,6 +70,7 @@
     )
     leaving: tuple[servers.Incarnation, ...] = ()
     pauses: tuple[server_health.ToldPause, ...] = ()
+    turned_away: tuple[first_attempts.TurnedAway, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,6 +130,10 @@
             {"server": _incarnation_fields(each.incarnation), "leftMs": each.left_ms}
             for each in report.pauses
         ],
+        turnedAway=[
+            {"key": each.key, "ageMs": min(each.age_ms, _NO_AGE)}
+            for each in report.turned_away
+        ],
     )
     return bytes(message.to_bytes_packed())
 
@@ -284,4 +290,8 @@
             server_health.ToldPause(_incarnation(each.server), each.leftMs)
             for each in message.pauses
         ),
+        turned_away=tuple(
+            first_attempts.TurnedAway(first_attempts.RequestKey(each.key), each.ageMs)
+            for each in message.turnedAway
+        ),
     )
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -70,6 +70,12 @@
   leftMs @1 :UInt32;
 }
 
+# A request that got no answer of a server, and the time since its first attempt.
+struct TurnedAway {
+  key @0 :UInt64;
+  ageMs @1 :UInt32;
+}
+
 struct Report {
   vm @0 :Text;
   isLeaving @1 :Bool;
@@ -81,6 +87,7 @@
   times @7 :List(ServiceTimes);
   leaving @8 :List(Incarnation);
   pauses @9 :List(Pause);
+  turnedAway @10 :List(TurnedAway);
 }
 
 struct Datagram {
--- a/quincecrank/gateway/waiting.py
+++ b/quincecrank/gateway/waiting.py
@@ -55,12 +55,14 @@
     arrived_ms, deadline_ms : int
         Instants of its arrival and of the end of the time that it has.
     target_ms : int
-        Time within which its answer is on time.
+        Time within which its answer is on time, from its first attempt.
     least_run_ms : float
         Time to its answer, or its first event, at an idle backend server.
     is_owed : bool
         Whether it goes like one that can be on time, because requests of its size
         are served too seldom.
+    began_ms : int or None
+        Instant of its first attempt if it was turned away before.
     """
 
     request_id: ids.RequestId
@@ -70,6 +72,7 @@
     target_ms: int
     least_run_ms: float = 0.0
     is_owed: bool = False
+    began_ms: int | None = None
 
     @property
     def latest_start_ms(self) -> float:
@@ -80,7 +83,8 @@
     @property
     def on_time_until_ms(self) -> float:
         """Instant at which its answer stops being on time."""
-        return self.arrived_ms + self.target_ms
+        began_ms = self.arrived_ms if self.began_ms is None else self.began_ms
+        return began_ms + self.target_ms
 
     def chance(self, now_ms: float) -> Chance:
         """Return whether it can be on time, or is to go so, if it starts now."""
--- /dev/null
+++ b/tests/test_gateway_first_attempts.py
@@ -0,0 +1,131 @@
+"""Tests of how requests that come back after a refusal are recognized."""
+
+import dataclasses
+import statistics
+import unittest
+from unittest import mock
+
+from bench import ablation, gateway_model
+from quincecrank import crash_counts, ids
+from quincecrank.gateway import first_attempts, peer_messages, waiting
+from tests import builders_gateway as builders
+from tests import test_gateway_followers as followers_cases
+
+KEY = first_attempts.RequestKey(7)
+SEEDS = (1, 2, 3)
+
+
+class RequestKeyTest(unittest.TestCase):
+    def test_attempts_of_one_request_have_one_key(self) -> None:
+        fingerprint = builders.make_fingerprint()
+        prompt = builders.make_prompt(("a1", 60), ("b2", 40))
+        key = first_attempts.request_key(fingerprint, prompt)
+        self.assertEqual(key, first_attempts.request_key(fingerprint, prompt))
+        other_account = crash_counts.RequestFingerprint(
+            ids.AccountName("other"), fingerprint.digest
+        )
+        other_body = crash_counts.RequestFingerprint(fingerprint.account, b"x" * 16)
+        others = {
+            first_attempts.request_key(other_account, prompt),
+            first_attempts.request_key(other_body, prompt),
+            first_attempts.request_key(
+                fingerprint, builders.make_prompt(("a1", 60), ("c3", 40))
+            ),
+            first_attempts.request_key(
+                fingerprint, builders.make_prompt(("a1", 60), ("b2", 40), ("c3", 9))
+            ),
+        }
+        self.assertEqual(len(others - {key}), 4)
+
+
+class FirstAttemptsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.own = first_attempts.FirstAttempts()
+        self.peer = first_attempts.FirstAttempts()
+
+    def test_a_new_request_begins_when_it_arrives(self) -> None:
+        self.assertEqual(self.own.began_ms(KEY, 500), 500)
+
+    def test_a_request_that_comes_back_began_with_its_first_attempt(self) -> None:
+        self.own.turned_away(KEY, 1_000, 1_040)
+        self.assertEqual(self.own.began_ms(KEY, 1_300), 1_000)
+
+    def test_peers_recognize_it(self) -> None:
+        self.own.turned_away(KEY, 1_000, 1_040)
+        # Clocks of two machines differ; only ages are told.
+        self.peer.take(self.own.to_tell(1_100), 77_000)
+        self.assertEqual(self.peer.began_ms(KEY, 77_150), 76_900)
+        # What a peer told is not told on.
+        self.assertEqual(self.peer.to_tell(77_001), ())
+
+    def test_repeated_news_do_not_make_it_older(self) -> None:
+        self.own.turned_away(KEY, 1_000, 1_040)
+        for now_ms in (1_100, 1_250, 1_400):
+            self.peer.take(self.own.to_tell(now_ms), now_ms)
+        self.assertEqual(self.peer.began_ms(KEY, 1_500), 1_000)
+
+    def test_it_is_forgotten(self) -> None:
+        self.own.turned_away(KEY, 1_000, 1_040)
+        late_ms = 1_040 + first_attempts.KEEP_MS + 1
+        self.assertEqual(self.own.began_ms(KEY, late_ms), late_ms)
+        self.assertEqual(self.own.to_tell(1_041 + first_attempts.TELL_MS), ())
+
+    def test_memory_and_reports_are_bounded(self) -> None:
+        for number in range(3 * first_attempts.MAX_KEPT):
+            self.own.turned_away(first_attempts.RequestKey(number), 0, 0)
+        told = self.own.to_tell(0)
+        self.assertEqual(len(told), first_attempts.MAX_TOLD)
+        self.assertEqual(told[0].key, 3 * first_attempts.MAX_KEPT - 1)
+        oldest = first_attempts.RequestKey(2 * first_attempts.MAX_KEPT)
+        self.assertEqual(self.own.began_ms(oldest, 5), 0)
+        before = first_attempts.RequestKey(oldest - 1)
+        self.assertEqual(self.own.began_ms(before, 5), 5)
+
+    def test_a_report_keeps_them(self) -> None:
+        told = (first_attempts.TurnedAway(first_attempts.RequestKey(2**64 - 1), 900),)
+        report = dataclasses.replace(
+            followers_cases.make_report("entry-1", 1, 2), turned_away=told
+        )
+        decoded = peer_messages.decode(peer_messages.encode(report))
+        self.assertEqual(decoded, report)
+
+
+class TicketTest(unittest.TestCase):
+    def test_the_time_counts_from_the_first_attempt(self) -> None:
+        ticket = waiting.Ticket(ids.RequestId("q"), 0, 1_000, 9_000, 400)
+        self.assertIs(ticket.chance(1_300), waiting.Chance.ON_TIME)
+        returned = dataclasses.replace(ticket, began_ms=700)
+        self.assertIs(returned.chance(1_050), waiting.Chance.ON_TIME)
+        self.assertIs(returned.chance(1_300), waiting.Chance.LATE)
+        # The time that it has left counts from now.
+        self.assertEqual(returned.latest_start_ms, ticket.latest_start_ms)
+
+
+class OverloadReplayTest(unittest.TestCase):
+    """Twice the load that the engines carry, for ten seconds."""
+
+    def play(self) -> list[gateway_model.Result]:
+        pattern = ablation.PATTERN_BY_NAME["twice the load"]
+        return [
+            gateway_model.play(dataclasses.replace(pattern, seed=seed))
+            for seed in SEEDS
+        ]
+
+    def test_most_of_what_is_answered_is_on_time(self) -> None:
+        for result in self.play():
+            outcomes = result.outcome_by_kind.values()
+            on_time = sum(each.on_time for each in outcomes)
+            late = sum(each.late for each in outcomes)
+            self.assertGreaterEqual(on_time, 0.9 * (on_time + late))
+
+    def test_it_is_worth_more_than_to_take_them_for_new_ones(self) -> None:
+        known = statistics.mean(result.share for result in self.play())
+        with mock.patch.object(
+            first_attempts.FirstAttempts, "began_ms", lambda _self, _key, at_ms: at_ms
+        ):
+            unknown = statistics.mean(result.share for result in self.play())
+        self.assertGreater(known, unknown)
+
+
+if __name__ == "__main__":
+    unittest.main()
