Large prompts are owed a place below .6 of their kind's share, not .9

Cause: the users want large prompts served at least half as often as their kind. Below .9 of the kind's share a size was placed like one that can be on time; a long prompt takes the engine time of ten short ones and makes them late.

--- a/quincecrank/gateway/size_shares.py
+++ b/quincecrank/gateway/size_shares.py
@@ -12,8 +12,10 @@
 import math
 from typing import Final
 
-OWED_SHARE: Final = 0.9
-"""A size is owed places below this part of the share to which its kind is served."""
+OWED_SHARE: Final = 0.6
+"""A size is owed places below this part of the share to which its kind is served.  The
+users want half; a large prompt takes the engine time of many small ones, so that more
+makes others late."""
 
 MIN_ASKED: Final = 3.0
 """Requests of a size from which its share counts: two refusals may be chance."""
