--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: install demo fleet test format lint types unit model model-mutants bench-path bench-slopes bench-policy bench-gateways bench-recovery failures mutations explore
+.PHONY: install demo fleet test format lint types unit model model-mutants bench-path bench-slopes bench-policy bench-gateways bench-recovery bench-drill ablation failures mutations explore
 
 $(VENV)/.installed: requirements.lock
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -60,6 +60,13 @@
 bench-recovery: install
 	$(PYTHON) -m bench.recovery
 
+bench-drill: install
+	$(PYTHON) -m bench.store_drill --gateways 10
+	$(PYTHON) -m bench.store_drill --gateways 45
+
+ablation: install
+	$(PYTHON) -m bench.ablation
+
 build/.model-checker:
 	mkdir -p build
 	command -v spin gcc >/dev/null || (apt-get update -qq && apt-get install -y -qq spin gcc libc6-dev)
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -139,6 +139,11 @@
             document["age_ms"] = age_ms
         http(f"{self.store.url}/restore", json.dumps(document).encode())
 
+    def store_calls(self) -> dict[str, int]:
+        """Return the calls that the store has got, by kind."""
+        counts = json.loads(http(f"{self.store.url}/calls"))
+        return {name: count for name, count in counts.items() if name != "nowMs"}
+
     def store_rows(self, table: str) -> dict[str, str]:
         """Return the texts of a table by key."""
         url = f"{self.store.url}/rows-get?table={table}&part="
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -27,7 +27,7 @@
 """
 
 import asyncio
-import base64
+import collections
 import enum
 import json
 import random
@@ -38,15 +38,12 @@
 from tornado import web
 
 from quincecrank import clock as clocks
-from standins import serving, store_copies
+from standins import serving, store_tables
 
 READS_PER_SECOND: Final = 2000
 WRITES_PER_SECOND: Final = 400
-MAX_ENTRIES: Final = 100
-MAX_PAGE_ROWS: Final = 500
 
 Document = dict[str, Any]
-OPERATOR_TABLE: Final = "op"
 
 
 class Down(enum.Enum):
@@ -69,15 +66,6 @@
     forgets_history: bool = False
 
 
-class CallError(Exception):
-    """An answer with an error status."""
-
-    def __init__(self, status: int, document: Document | None = None) -> None:
-        super().__init__(status)
-        self.status = status
-        self.document = document or {}
-
-
 class RateLimit:
     """Token bucket that holds one second's worth of operations."""
 
@@ -96,106 +84,22 @@
         held = per_second if self._tokens is None else self._tokens + earned
         self._tokens = min(float(per_second), held)
         if self._tokens < 1:
-            raise CallError(429)
+            raise store_tables.CallError(429)
         self._tokens -= 1
 
 
-class Tables:
-    """All rows, with the operations on them."""
-
-    def __init__(self) -> None:
-        self.version = 0
-        self._row_by_place: dict[store_copies.Place, store_copies.StoredRow] = {}
-
-    def copy(self) -> store_copies.Copy:
-        """Return a copy of all rows."""
-        return store_copies.Copy(self.version, dict(self._row_by_place))
-
-    def restore(self, copy: store_copies.Copy) -> tuple[store_copies.StoredRow, ...]:
-        """Go back to a copy; return the rows of the operator that are lost."""
-        lost = store_copies.lost_rows(self._row_by_place, copy, OPERATOR_TABLE)
-        self.version = copy.version
-        self._row_by_place = dict(copy.row_by_place)
-        return lost
-
-    def transact(self, document: Document) -> Document:
-        """Apply all entries of a transaction, or none."""
-        expected, put, remove = (
-            document.get(name) or [] for name in ("expected", "put", "remove")
-        )
-        entries = [*expected, *put, *remove]
-        if len(entries) > MAX_ENTRIES or len({each["part"] for each in entries}) > 1:
-            raise CallError(400)
-        for each in put:
-            base64.b64decode(each["value"], validate=True)
-        broken = [
-            each for each in expected if self._version_of(each) != each["rowVersion"]
-        ]
-        if broken:
-            raise CallError(412, {"rows": self._present(expected)})
-        self.version += 1
-        for each in put:
-            self._store(_place(each), each["value"])
-        for each in remove:
-            self._store(_place(each), None)
-        return {"rowVersion": self.version}
-
-    def get(self, table: str, part: str, first: str, end: str, limit: int) -> Document:
-        """Return rows of one part, in order of their keys."""
-        found = sorted(
-            (
-                row
-                for (in_table, in_part, key), row in self._row_by_place.items()
-                if in_table == table
-                and in_part == part
-                and row.value is not None
-                and key >= first
-                and (not end or key < end)
-            ),
-            key=lambda row: row.place[2].encode(),
-        )
-        return {
-            "rows": [row.document() for row in found[:limit]],
-            "hasMore": len(found) > limit,
-            "rowVersion": self.version,
-        }
-
-    def changes(self, table: str, after: int) -> Document:
-        """Return the rows of a table that changed after a version, in that order."""
-        found = sorted(
-            (
-                row
-                for row in self._row_by_place.values()
-                if row.place[0] == table and row.version > after
-            ),
-            key=lambda row: row.version,
-        )
-        return {"rows": [row.document() for row in found], "rowVersion": self.version}
-
-    def _present(self, entries: list[Document]) -> list[Document]:
-        rows = [self._row_by_place.get(_place(each)) for each in entries]
-        return [row.document() for row in rows if row and row.value is not None]
-
-    def _version_of(self, entry: Document) -> int:
-        row = self._row_by_place.get(_place(entry))
-        return row.version if row and row.value is not None else 0
-
-    def _store(self, place: store_copies.Place, value: str | None) -> None:
-        row = store_copies.StoredRow(place, value, self.version)
-        self._row_by_place[place] = row
-
-
 class StoreService:
     """The tables behind their rate limits and faults."""
 
     def __init__(self, clock: clocks.Clock, seed: int = 0) -> None:
         self.faults = StoreFaults()
         self.clock = clock
-        self.tables = Tables()
+        self.tables = store_tables.Tables()
         self.era = 0
-        self.copy = store_copies.EMPTY
-        self._history = store_copies.CopyHistory()
+        self.copy = store_tables.EMPTY
+        self._history = store_tables.CopyHistory()
         self.changed = asyncio.Event()
+        self.calls: collections.Counter[str] = collections.Counter()
         self._random = random.Random(seed)
         self._reads = RateLimit(clock)
         self._writes = RateLimit(clock)
@@ -206,6 +110,7 @@
 
     def transact(self, document: Document) -> Document:
         """Carry out a transaction."""
+        self.calls["writes"] += 1
         self._writes.take(self.faults.writes_per_second)
         answer = self.tables.transact(document)
         self._history.add(self.tables.copy(), self.clock.now_ms())
@@ -228,7 +133,7 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def _rewrite(self, row: store_copies.StoredRow, within_ms: int) -> None:
+    async def _rewrite(self, row: store_tables.StoredRow, within_ms: int) -> None:
         """Write a lost row of the operator again, unless a later one is there."""
         era = self.era
         await self.clock.sleep(self._random.uniform(0, within_ms))
@@ -237,8 +142,9 @@
             put = {"table": table, "part": part, "key": key, "value": row.value}
             self.transact({"put": [put]})
 
-    def take_read(self) -> None:
+    def take_read(self, name: str) -> None:
         """Count a reading call."""
+        self.calls[name] += 1
         self._reads.take(self.faults.reads_per_second)
 
 
@@ -288,7 +194,7 @@
             return
         try:
             answer = self.service.transact(json.loads(self.request.body))
-        except CallError as error:
+        except store_tables.CallError as error:
             self.send(error.status, error.document)
             return
         except (KeyError, TypeError, ValueError):
@@ -303,13 +209,13 @@
 class ReadingHandler(StoreHandler):
     """Base of the calls that read."""
 
-    async def begin_read(self) -> bool:
+    async def begin_read(self, name: str) -> bool:
         """Count a call; return False if a fault or the rate has answered it."""
         if await self.strike():
             return False
         try:
-            self.service.take_read()
-        except CallError as error:
+            self.service.take_read(name)
+        except store_tables.CallError as error:
             self.send(error.status, error.document)
             return False
         return True
@@ -320,9 +226,11 @@
 
     async def get(self) -> None:
         """Answer with rows of one part."""
-        if not await self.begin_read():
+        if not await self.begin_read("full reads"):
             return
-        limit = min(int(self.get_query_argument("limit", "500")), MAX_PAGE_ROWS)
+        limit = min(
+            int(self.get_query_argument("limit", "500")), store_tables.MAX_PAGE_ROWS
+        )
         # Keys may hold any character, so the arguments are taken as they are.
         first, end = (self._raw_argument(name) for name in ("from", "to"))
         self.send(
@@ -346,7 +254,7 @@
 
     async def get(self) -> None:
         """Answer with changed rows, after a wait for the first one."""
-        if not await self.begin_read():
+        if not await self.begin_read("feed calls"):
             return
         if self.service.faults.forgets_history:
             self.send(410, {})
@@ -378,6 +286,14 @@
         self.send(200, self.service.tables.changes(table, after))
 
 
+class CallsHandler(StoreHandler):
+    """`GET /calls`: the calls so far, by kind."""
+
+    def get(self) -> None:
+        """Answer with the counts."""
+        self.send(200, dict(self.service.calls))
+
+
 class CopyHandler(StoreHandler):
     """`POST /copy`."""
 
@@ -398,10 +314,6 @@
         self.send(200, {"rowVersion": self.service.tables.version})
 
 
-def _place(entry: Document) -> store_copies.Place:
-    return entry["table"], entry["part"], entry["key"]
-
-
 def make_application(service: StoreService) -> web.Application:
     """Return the HTTP application of a store."""
     return web.Application(
@@ -409,6 +321,7 @@
             (r"/rows-tx", TransactionHandler, {"service": service}),
             (r"/rows-get", ReadHandler, {"service": service}),
             (r"/rows-feed", FeedHandler, {"service": service}),
+            (r"/calls", CallsHandler, {"service": service}),
             (r"/copy", CopyHandler, {"service": service}),
             (r"/restore", RestoreHandler, {"service": service}),
             serving.faults_rule(service.faults),
--- /dev/null
+++ b/standins/store_tables.py
@@ -0,0 +1,188 @@
+"""Rows of the stand-in store, copies of them, and what a restore from one undoes."""
+
+import base64
+import collections
+import dataclasses
+from collections.abc import Mapping
+from typing import Any, Final
+
+KEPT_MS: Final = 60_000
+"""Age up to which the state of the store can be restored."""
+
+MAX_ENTRIES: Final = 100
+MAX_PAGE_ROWS: Final = 500
+OPERATOR_TABLE: Final = "op"
+
+Document = dict[str, Any]
+Place = tuple[str, str, str]
+
+
+class CallError(Exception):
+    """An answer with an error status."""
+
+    def __init__(self, status: int, document: Document | None = None) -> None:
+        super().__init__(status)
+        self.status = status
+        self.document = document or {}
+
+
+@dataclasses.dataclass(frozen=True)
+class StoredRow:
+    """A row, or the tombstone of one, whose value is None."""
+
+    place: Place
+    value: str | None
+    version: int
+
+    def document(self) -> dict[str, object]:
+        """Return the row as it is answered."""
+        table, part, key = self.place
+        document: dict[str, object] = {
+            "table": table,
+            "part": part,
+            "key": key,
+            "rowVersion": self.version,
+        }
+        if self.value is None:
+            return {**document, "tombstone": True}
+        return {**document, "value": self.value}
+
+
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """All rows as of one moment."""
+
+    version: int
+    row_by_place: Mapping[Place, StoredRow]
+
+
+EMPTY: Final = Copy(0, {})
+
+
+class CopyHistory:
+    """Copies taken after each transaction, as long as they are young enough."""
+
+    def __init__(self) -> None:
+        self._copies: collections.deque[tuple[int, Copy]] = collections.deque()
+
+    def add(self, copy: Copy, now_ms: int) -> None:
+        """Keep a copy; the newest of those that are too old stays, too."""
+        self._copies.append((now_ms, copy))
+        while len(self._copies) > 1 and self._copies[1][0] < now_ms - KEPT_MS:
+            self._copies.popleft()
+
+    def as_of(self, at_ms: int) -> Copy:
+        """Return the rows as they were at a time."""
+        found = EMPTY
+        for taken_ms, copy in self._copies:
+            if taken_ms > at_ms:
+                break
+            found = copy
+        return found
+
+    def restart(self, copy: Copy, now_ms: int) -> None:
+        """Begin anew with a copy that was restored."""
+        self._copies.clear()
+        self.add(copy, now_ms)
+
+
+def lost_rows(
+    before: Mapping[Place, StoredRow], copy: Copy, table: str
+) -> tuple[StoredRow, ...]:
+    """Return the rows of a table that a restore of `copy` loses or sets back."""
+    return tuple(
+        row
+        for place, row in before.items()
+        if place[0] == table
+        and row.value is not None
+        and getattr(copy.row_by_place.get(place), "value", None) != row.value
+    )
+
+
+class Tables:
+    """All rows, with the operations on them."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self._row_by_place: dict[Place, StoredRow] = {}
+
+    def copy(self) -> Copy:
+        """Return a copy of all rows."""
+        return Copy(self.version, dict(self._row_by_place))
+
+    def restore(self, copy: Copy) -> tuple[StoredRow, ...]:
+        """Go back to a copy; return the rows of the operator that are lost."""
+        lost = lost_rows(self._row_by_place, copy, OPERATOR_TABLE)
+        self.version = copy.version
+        self._row_by_place = dict(copy.row_by_place)
+        return lost
+
+    def transact(self, document: Document) -> Document:
+        """Apply all entries of a transaction, or none."""
+        expected, put, remove = (
+            document.get(name) or [] for name in ("expected", "put", "remove")
+        )
+        entries = [*expected, *put, *remove]
+        if len(entries) > MAX_ENTRIES or len({each["part"] for each in entries}) > 1:
+            raise CallError(400)
+        for each in put:
+            base64.b64decode(each["value"], validate=True)
+        broken = [
+            each for each in expected if self._version_of(each) != each["rowVersion"]
+        ]
+        if broken:
+            raise CallError(412, {"rows": self._present(expected)})
+        self.version += 1
+        for each in put:
+            self._store(_place(each), each["value"])
+        for each in remove:
+            self._store(_place(each), None)
+        return {"rowVersion": self.version}
+
+    def get(self, table: str, part: str, first: str, end: str, limit: int) -> Document:
+        """Return rows of one part, in order of their keys."""
+        found = sorted(
+            (
+                row
+                for (in_table, in_part, key), row in self._row_by_place.items()
+                if in_table == table
+                and in_part == part
+                and row.value is not None
+                and key >= first
+                and (not end or key < end)
+            ),
+            key=lambda row: row.place[2].encode(),
+        )
+        return {
+            "rows": [row.document() for row in found[:limit]],
+            "hasMore": len(found) > limit,
+            "rowVersion": self.version,
+        }
+
+    def changes(self, table: str, after: int) -> Document:
+        """Return the rows of a table that changed after a version, in that order."""
+        found = sorted(
+            (
+                row
+                for row in self._row_by_place.values()
+                if row.place[0] == table and row.version > after
+            ),
+            key=lambda row: row.version,
+        )
+        return {"rows": [row.document() for row in found], "rowVersion": self.version}
+
+    def _present(self, entries: list[Document]) -> list[Document]:
+        rows = [self._row_by_place.get(_place(each)) for each in entries]
+        return [row.document() for row in rows if row and row.value is not None]
+
+    def _version_of(self, entry: Document) -> int:
+        row = self._row_by_place.get(_place(entry))
+        return row.version if row and row.value is not None else 0
+
+    def _store(self, place: Place, value: str | None) -> None:
+        row = StoredRow(place, value, self.version)
+        self._row_by_place[place] = row
+
+
+def _place(entry: Document) -> Place:
+    return entry["table"], entry["part"], entry["key"]
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -18,7 +18,7 @@
     platform_table,
     vm_list,
 )
-from standins import object_store, platform_store, serving
+from standins import object_store, platform_store, serving, store_tables
 from standins import vm_list as vm_list_standin
 
 CONFIGURATION = platform_table.TableName.CONFIGURATION
@@ -97,7 +97,7 @@
 
         self.service.transact({"put": [put("a")]})
         both = {"expected": [absent("b"), absent("a")], "put": [put("b"), put("a")]}
-        with self.assertRaises(platform_store.CallError):
+        with self.assertRaises(store_tables.CallError):
             self.service.transact(both)
         self.assertEqual(keys(), ["a"])
         both = {"expected": [absent("b"), absent("c")], "put": [put("b"), put("c")]}
