--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -92,7 +92,9 @@
         first_attempts.FirstAttempts, "began_ms", lambda _self, _key, at_ms: at_ms
     ),
     "large changes told": Switch(loads, "MIN_TOLD_TOKENS", sys.maxsize),
-    "learned times": Switch(service_times, "ENOUGH_ANSWERS", float("inf")),
+    "learned times": Switch(
+        service_times.ServiceTimes, "observe", lambda *_observation: None
+    ),
 }
 
 
