A list is not kept of an engine that is not read any more; news of a forgotten request count

Found by reading: a list that came back after its reader had stopped began a history that nobody continues; what a peer turned away was ignored while an older note of the same request, long forgotten, was still in memory. Test for the second; the first needs the reader to change within one call and has none.

--- a/quincecrank/gateway/cache_followers.py
+++ b/quincecrank/gateway/cache_followers.py
@@ -251,14 +251,18 @@
     def _take_whole(
         self, name: cache_directory.HolderName, held: engines.CacheEvents, origin: str
     ) -> None:
-        """Take all that an engine holds, unless it has started anew meanwhile.
+        """Take all that an engine holds.
 
-        An event call that is under way repeats changes from before; taken in order
-        they do no harm.
+        Not if it has started anew meanwhile, or is not read here any more.  An event
+        call that is under way repeats changes from before; taken in order they do no
+        harm.
         """
-        if self._known.directory.epoch_of(name) != held.epoch:
+        is_read = any(each.name == name for each in self._task_by_holder)
+        if not is_read or self._known.directory.epoch_of(name) != held.epoch:
             return
-        _LOG.info("holder known whole", holder=name, parts=len(held.changes), of=origin)
+        _LOG.info(
+            "holder known whole", holder=name, parts=len(held.changes), origin=origin
+        )
         self._take(name, held)
         self.histories.append(name, held)
 
--- a/quincecrank/gateway/first_attempts.py
+++ b/quincecrank/gateway/first_attempts.py
@@ -88,7 +88,7 @@
         for each in told:
             began_ms = now_ms - each.age_ms
             known = self._attempt_by_key.get(each.key)
-            if known is None:
+            if known is None or now_ms - known.heard_ms > KEEP_MS:
                 self._keep(each.key, _Attempt(began_ms, now_ms, is_own=False))
 
     def to_tell(self, now_ms: int) -> tuple[TurnedAway, ...]:
--- a/quincecrank/platform/documents.py
+++ b/quincecrank/platform/documents.py
@@ -66,7 +66,7 @@
             slots=_count(document["slots"]),
             state=servers.ServerState(document["state"]),
             started_wall_ms=_count(document["born"]),
-            # Counts the server's writes; the page's name suggests an order of all.
+            # Numbers the writes of one start of the server.
             report_number=_count(document["seq"]),
             weight_versions_by_model={
                 deployment.ModelName(_text(model["name"])): _count(model["version"])
--- a/tests/test_gateway_first_attempts.py
+++ b/tests/test_gateway_first_attempts.py
@@ -70,6 +70,13 @@
         self.assertEqual(self.own.began_ms(KEY, late_ms), late_ms)
         self.assertEqual(self.own.to_tell(1_041 + first_attempts.TELL_MS), ())
 
+    def test_news_of_a_forgotten_request_are_taken(self) -> None:
+        told = (first_attempts.TurnedAway(KEY, 30),)
+        self.own.take(told, 1_000)
+        late_ms = 1_000 + first_attempts.KEEP_MS + 1
+        self.own.take(told, late_ms)
+        self.assertEqual(self.own.began_ms(KEY, late_ms + 5), late_ms - 30)
+
     def test_memory_and_reports_are_bounded(self) -> None:
         for number in range(3 * first_attempts.MAX_KEPT):
             self.own.turned_away(first_attempts.RequestKey(number), 0, 0)
