What the change had written twice is written once

Read again as a whole. The instant from which a request's time counts was resolved in the ticket and in the dispatcher: `Ticket.first_asked_ms`. The lease repeated what `observe` does. A configuration row was inserted and parsed in two places: `ConfigurationStore._insert`. Each gateway ranked the readers of the caches five times a second though nothing was lacking, and ranked them again to ask one: once, and only while something is. A caller that asks gateways steadily stood in bench and tests, each with the headers that the process tests build, too: `standins/platform_callers`, `platform_fleet.connect` and `caller_headers`. The drill's bench read its log with two patterns.

Behaviour as before, but for one edge: a gateway that stops reading engines and begins again counts from anew how long it has lacked one.

--- a/bench/store_drill.py
+++ b/bench/store_drill.py
@@ -10,61 +10,15 @@
 import pathlib
 import re
 import tempfile
-import threading
 import time
 from typing import Final
 
 import fire
 
-from standins import platform_fleet
+from standins import platform_callers, platform_fleet
 
 WINDOW_S: Final = 6.0
 READY_LIMIT_S: Final = 120.0
-ASK_INTERVAL_S: Final = 0.02
-
-
-class Caller:
-    """Asks the gateways in turn until it is ended; counts what it gets."""
-
-    def __init__(self, fleet: platform_fleet.PlatformFleet) -> None:
-        self._fleet = fleet
-        self._ended = threading.Event()
-        self._thread = threading.Thread(target=self._run)
-        self.asked = 0
-        self.served = 0
-        self._thread.start()
-
-    def end(self) -> None:
-        """Stop asking."""
-        self._ended.set()
-        self._thread.join()
-
-    def _run(self) -> None:
-        gateways = tuple(self._fleet.ip_by_gateway)
-        while not self._ended.wait(ASK_INTERVAL_S):
-            gateway = gateways[self.asked % len(gateways)]
-            self.asked += 1
-            self.served += self._ask(gateway)
-
-    def _ask(self, gateway: str) -> bool:
-        connection = http.client.HTTPConnection(
-            self._fleet.ip_by_gateway[gateway],
-            self._fleet.callers_port_by_gateway[gateway],
-            timeout=5.0,
-        )
-        headers = {
-            "Host": platform_fleet.HOST,
-            "Request-Id": f"drill-{self.asked}",
-            "Authorization": f"Token {platform_fleet.KEY}",
-            "Deadline-Ms": "4000",
-        }
-        try:
-            connection.request("GET", "/look/x", None, headers)
-            return connection.getresponse().status == http.client.OK
-        except (http.client.HTTPException, OSError):
-            return False
-        finally:
-            connection.close()
 
 
 def main(gateways: int = 10) -> None:
@@ -103,24 +57,25 @@
 
 def _window(fleet: platform_fleet.PlatformFleet, name: str) -> None:
     before = fleet.store_calls()
-    caller = Caller(fleet)
-    time.sleep(WINDOW_S)
-    caller.end()
+    with platform_callers.SteadyCaller(fleet, tuple(fleet.ip_by_gateway)) as caller:
+        time.sleep(WINDOW_S)
     after = fleet.store_calls()
     calls = {kind: after[kind] - before.get(kind, 0) for kind in sorted(after)}
     print(
         f"{name}, {WINDOW_S:.0f} s:"
-        f" served {caller.served} of {caller.asked}; calls {calls}"
+        f" served {caller.statuses.count(http.client.OK)} of {len(caller.statuses)};"
+        f" calls {calls}"
     )
 
 
 def _whole_times_ms(fleet: platform_fleet.PlatformFleet) -> str:
-    times = []
-    for name in fleet.ip_by_gateway:
-        log = fleet.process_by_name[name].log()
-        found = re.findall(r'"took_ms": ?(\d+), ?"event": ?"tables whole', log)
-        found += re.findall(r'tables whole after a restore".*?"took_ms": ?(\d+)', log)
-        times += [int(each) for each in found]
+    times = [
+        int(found)
+        for name in fleet.ip_by_gateway
+        for line in fleet.process_by_name[name].log().splitlines()
+        if '"tables whole after a restore"' in line
+        for found in re.findall(r'"took_ms": ?(\d+)', line)
+    ]
     if not times:
         return "never"
     return f"{min(times)} to {max(times)}, at {len(times)} gateways"
--- a/quincecrank/configuration_store.py
+++ b/quincecrank/configuration_store.py
@@ -107,11 +107,7 @@
             If the row may be committed, now or later; its proposal id tells.
         """
         await self._check_predecessor(row.version)
-        body = row.model_dump_json()
-        stored = await platform_table.insert_confirmed(
-            self._table, _TABLE, _row_key(row.version), body
-        )
-        committed = _parse(stored)
+        committed = await self._insert(row)
         if committed.proposal_id == row.proposal_id:
             return expression.Ok(committed)
         return expression.Error(ProposalConflict(await self._rows_from(row, committed)))
@@ -148,10 +144,7 @@
             stored = present.get(row.version)
             if stored is None:
                 lacking += 1
-                inserted = await platform_table.insert_confirmed(
-                    self._table, _TABLE, _row_key(row.version), row.model_dump_json()
-                )
-                stored = _parse(inserted)
+                stored = await self._insert(row)
             if stored.proposal_id != row.proposal_id:
                 raise HistoryDivergedError(
                     f"version {row.version}: {row.proposal_id} was in force,"
@@ -177,6 +170,15 @@
             return False
         return True
 
+    async def _insert(
+        self, row: configuration.ConfigurationRow
+    ) -> configuration.ConfigurationRow:
+        """Insert a row; return the one that is committed at its version."""
+        stored = await platform_table.insert_confirmed(
+            self._table, _TABLE, _row_key(row.version), row.model_dump_json()
+        )
+        return _parse(stored)
+
     async def _check_predecessor(self, version: ids.ConfigurationVersion) -> None:
         if version == configuration.CONFIGURATION_START + 1:
             return
--- a/quincecrank/gateway/cache_followers.py
+++ b/quincecrank/gateway/cache_followers.py
@@ -207,7 +207,6 @@
         """Learn all that engines hold of which changes were lost."""
         while True:
             await self._clock.sleep(cache_completion.STEP_MS)
-            holders = self._holders()
             lacking = {
                 each.name: each
                 for each in self._task_by_holder
@@ -215,26 +214,24 @@
                 and self._known.directory.is_known(each.name)
                 and not self._known.directory.is_whole(each.name)
             }
-            readers = self._readers(holders)
-            if self._known.facts.vm not in readers:
+            readers = self._readers(self._holders()) if lacking else ()
+            if lacking and self._known.facts.vm not in readers:
                 continue
             step = self._completion.plan(lacking, readers, self._clock.now_ms())
             if step.to_ask:
-                await self._ask_for_whole([lacking[name] for name in step.to_ask])
+                await self._ask_for_whole(step.to_ask, readers)
             for name in step.to_list:
                 if not self._known.directory.is_whole(name):
                     await self._list(lacking[name])
 
-    async def _ask_for_whole(self, lacking: list[Holder]) -> None:
+    async def _ask_for_whole(
+        self,
+        lacking: tuple[cache_directory.HolderName, ...],
+        readers: tuple[ids.VmName, ...],
+    ) -> None:
         """Take from another reader the engines that it knows whole."""
-        others = [
-            each
-            for each in self._readers(self._holders())
-            if each != self._known.facts.vm
-        ]
-        if not others:
-            return
-        unknown = {each.name: cache_history.Position() for each in lacking}
+        others = [each for each in readers if each != self._known.facts.vm]
+        unknown = {name: cache_history.Position() for name in lacking}
         news = await self._ask(random.choice(others), unknown)
         for name, events in news.events_by_holder.items() if news else ():
             if events.is_whole:
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -378,7 +378,7 @@
             waited_ms=now_ms - want.ticket.arrived_ms,
             chance=want.ticket.chance(now_ms).name,
             is_owed=want.ticket.is_owed,
-            first_ago_ms=_first_ago_ms(want.ticket, now_ms),
+            first_ago_ms=now_ms - want.ticket.first_asked_ms,
             expected_ms=round(times.expected_ms(chosen.work, chosen.slowness)),
             shared=_last_shared_part(prompt),
             home=need.home,
@@ -544,7 +544,7 @@
             waited_ms=now_ms - want.ticket.arrived_ms,
             chance=want.ticket.chance(now_ms).name,
             is_owed=want.ticket.is_owed,
-            first_ago_ms=_first_ago_ms(want.ticket, now_ms),
+            first_ago_ms=now_ms - want.ticket.first_asked_ms,
             prompt=want.prompt.input_tokens if want.prompt else None,
             waiting=len(self._line_by_service[want.service.name]),
             retry_after_ms=retry_after_ms,
@@ -560,11 +560,6 @@
     transfers: kept_parts.Transfers
 
 
-def _first_ago_ms(ticket: waiting.Ticket, now_ms: int) -> int:
-    """Return the time since the first attempt of a request."""
-    return now_ms - (ticket.arrived_ms if ticket.began_ms is None else ticket.began_ms)
-
-
 def _slack_ms(
     ticket: waiting.Ticket, now_ms: int, times: service_times.Times
 ) -> float | None:
--- a/quincecrank/gateway/order_lease.py
+++ b/quincecrank/gateway/order_lease.py
@@ -151,12 +151,9 @@
         that became known meanwhile.
         """
         is_current = result.position.era == expected.era == self._seen.position.era
-        if not result.is_applied or not is_current:
-            self._held = None
-            self.observe(result.position)
-            return False
-        self._held = result.position
-        self._renewed_ms = sent_ms
-        if result.position > self._seen.position:
-            self._seen = _Seen(result.position, self._clock.now_ms())
+        is_held = result.is_applied and is_current
+        self._held = result.position if is_held else None
+        if is_held:
+            self._renewed_ms = sent_ms
+        self.observe(result.position)
         return self.is_valid
--- a/quincecrank/gateway/waiting.py
+++ b/quincecrank/gateway/waiting.py
@@ -80,11 +80,15 @@
         whole_ms = self.deadline_ms - self.arrived_ms
         return self.arrived_ms + whole_ms * MAX_WAIT_SHARE
 
+    @property
+    def first_asked_ms(self) -> int:
+        """Instant from which its time counts."""
+        return self.arrived_ms if self.began_ms is None else self.began_ms
+
     @property
     def on_time_until_ms(self) -> float:
         """Instant at which its answer stops being on time."""
-        began_ms = self.arrived_ms if self.began_ms is None else self.began_ms
-        return began_ms + self.target_ms
+        return self.first_asked_ms + self.target_ms
 
     def chance(self, now_ms: float) -> Chance:
         """Return whether it can be on time, or is to go so, if it starts now."""
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import http.client
 import json
 import pathlib
 import socket
@@ -27,13 +28,23 @@
         return int(probe.getsockname()[1])
 
 
-def http(url: str, body: bytes | None = None) -> bytes:
+def call(url: str, body: bytes | None = None) -> bytes:
     """Call a stand-in and return the answer's body."""
     request = urllib.request.Request(url, data=body)
     with urllib.request.urlopen(request, timeout=10) as response:
         return bytes(response.read())
 
 
+def caller_headers(request_id: str) -> dict[str, str]:
+    """Return the headers of a caller's request."""
+    return {
+        "Host": HOST,
+        "Request-Id": request_id,
+        "Authorization": f"Token {KEY}",
+        "Deadline-Ms": "7000",
+    }
+
+
 def route(name: str, prefix: str, service: str, kind: str, **more: Any) -> Document:
     """Return a route of the configuration."""
     return {
@@ -113,7 +124,7 @@
         """Write a row of any table."""
         value = base64.b64encode(text.encode()).decode()
         row = {"table": table, "part": "", "key": key, "value": value}
-        http(f"{self.store.url}/rows-tx", json.dumps({"put": [row]}).encode())
+        call(f"{self.store.url}/rows-tx", json.dumps({"put": [row]}).encode())
 
     def write_operator(self, key: str, document: Document) -> None:
         """Write a row of the operator."""
@@ -126,28 +137,28 @@
 
     def set_faults(self, process: launcher.Process, **faults: Any) -> None:
         """Switch faults of a stand-in."""
-        http(f"{process.url}/faults", json.dumps(faults).encode())
+        call(f"{process.url}/faults", json.dumps(faults).encode())
 
     def copy_store(self) -> None:
         """Take a copy of the store's rows."""
-        http(f"{self.store.url}/copy", b"")
+        call(f"{self.store.url}/copy", b"")
 
     def restore_store(self, age_ms: int | None = None, rewrite_ms: int = 0) -> None:
         """Bring the store back from its copy, or from its state of some time ago."""
         document: Document = {"rewrite_ms": rewrite_ms}
         if age_ms is not None:
             document["age_ms"] = age_ms
-        http(f"{self.store.url}/restore", json.dumps(document).encode())
+        call(f"{self.store.url}/restore", json.dumps(document).encode())
 
     def store_calls(self) -> dict[str, int]:
         """Return the calls that the store has got, by kind."""
-        counts = json.loads(http(f"{self.store.url}/calls"))
+        counts = json.loads(call(f"{self.store.url}/calls"))
         return {name: count for name, count in counts.items() if name != "nowMs"}
 
     def store_rows(self, table: str) -> dict[str, str]:
         """Return the texts of a table by key."""
         url = f"{self.store.url}/rows-get?table={table}&part="
-        rows = json.loads(http(url))["rows"]
+        rows = json.loads(call(url))["rows"]
         return {row["key"]: base64.b64decode(row["value"]).decode() for row in rows}
 
     def add_server(self, server_id: str, service: str) -> launcher.Process:
@@ -174,11 +185,19 @@
         self.process_by_name[name] = process
         return process
 
+    def connect(self, gateway: str, timeout_s: float) -> http.client.HTTPConnection:
+        """Return a connection to a gateway, which opens with its first call."""
+        return http.client.HTTPConnection(
+            self.ip_by_gateway[gateway],
+            self.callers_port_by_gateway[gateway],
+            timeout=timeout_s,
+        )
+
     def is_ready(self, name: str) -> bool:
         """Return whether a gateway says that it is ready."""
         address = f"{self.ip_by_gateway[name]}:{self.ready_port_by_gateway[name]}"
         try:
-            http(f"http://{address}/ready")
+            call(f"http://{address}/ready")
         except OSError:
             return False
         return True
--- a/tests/process_gateway.py
+++ b/tests/process_gateway.py
@@ -42,16 +42,11 @@
         return f"q-{self.numbers}"
 
     def connect(self, gateway: str = "entry-1") -> http.client.HTTPConnection:
-        ip = self.fleet.ip_by_gateway[gateway]
-        port = self.fleet.callers_port_by_gateway[gateway]
-        return http.client.HTTPConnection(ip, port, timeout=LIMIT_S)
+        return self.fleet.connect(gateway, LIMIT_S)
 
     def headers(self, **more: str) -> dict[str, str]:
         return {
-            "Host": platform_fleet.HOST,
-            "Request-Id": self.new_id(),
-            "Authorization": f"Token {platform_fleet.KEY}",
-            "Deadline-Ms": "7000",
+            **platform_fleet.caller_headers(self.new_id()),
             **{name.replace("_", "-"): value for name, value in more.items()},
         }
 
@@ -114,7 +109,7 @@
         busy = []
         for name in ENGINES:
             url = self.fleet.process_by_name[name].url
-            if json.loads(platform_fleet.http(f"{url}/report"))["active"]:
+            if json.loads(platform_fleet.call(f"{url}/report"))["active"]:
                 busy.append(name)
         return busy
 
--- a/tests/process_store_drill.py
+++ b/tests/process_store_drill.py
@@ -7,12 +7,11 @@
 import json
 import pathlib
 import tempfile
-import threading
 import time
 import unittest
 from typing import Final
 
-from standins import platform_fleet
+from standins import platform_callers, platform_fleet
 from tests import process_gateway
 
 GATEWAYS: Final = ("entry-1", "entry-2")
@@ -22,35 +21,6 @@
 wait_until = process_gateway.wait_until
 
 
-class SteadyCaller:
-    """Asks one gateway again and again, and keeps the statuses.
-
-    Parameters
-    ----------
-    case : StoreDrillTest
-        Knows the fleet.
-    """
-
-    def __init__(self, case: "StoreDrillTest", gateway: str) -> None:
-        self._case = case
-        self._gateway = gateway
-        self._ended = threading.Event()
-        self._thread = threading.Thread(target=self._ask)
-        self.statuses: list[int] = []
-
-    def __enter__(self) -> "SteadyCaller":
-        self._thread.start()
-        return self
-
-    def __exit__(self, *_details: object) -> None:
-        self._ended.set()
-        self._thread.join()
-
-    def _ask(self) -> None:
-        while not self._ended.wait(0.02):
-            self.statuses.append(self._case.ask("/look/x", gateway=self._gateway)[0])
-
-
 class StoreDrillTest(process_gateway.GatewayCallsCase):
     """A fleet of its own for each test, as eras and versions only rise."""
 
@@ -111,7 +81,7 @@
             wait_until(
                 lambda url=url: (
                     version  # type: ignore[misc]
-                    == json.loads(platform_fleet.http(f"{url}/report"))["models"][0][
+                    == json.loads(platform_fleet.call(f"{url}/report"))["models"][0][
                         "version"
                     ]
                 ),
@@ -124,7 +94,10 @@
         self.raise_versions(1_200)
         self.add_route("/added/")
         self.await_route("/added/")
-        with SteadyCaller(self, "entry-1") as one, SteadyCaller(self, "entry-2") as two:
+        with (
+            platform_callers.SteadyCaller(self.fleet, GATEWAYS[:1]) as one,
+            platform_callers.SteadyCaller(self.fleet, GATEWAYS[1:]) as two,
+        ):
             self.fleet.restore_store()
             for _ in range(30):
                 self.assertEqual(self.ask("/added/")[0], 200)
