Log and measure the rate limits that backend servers name

Change: the header is decoded in quincecrank/platform/, the state of a limit is kept by incarnation (rate_limits.py), its start, change and end are log lines with their origin, and two gauges show the limits in force and their age. Nothing obeys a limit yet. Answers are ordered by when their requests were sent, as answers on different connections overtake each other.

--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -13,6 +13,7 @@
     environment,
     failed_request_records,
     loads,
+    rate_limits,
     server_health,
     server_links,
     servers,
@@ -58,6 +59,7 @@
         self.loads = loads.Loads()
         self.health = server_health.HealthRegistry()
         self.service_times = service_times.ServiceTimes()
+        self.rate_limits = rate_limits.RateLimits()
         self.links = server_links.LinkPool(clock, MAX_IDLE_LINK_MS)
         self.weight_updates = engine_weight_updates.WeightUpdates()
         self.failed_requests = failed_request_records.FailedRequests()
@@ -89,13 +91,14 @@
         return True
 
     def remove_server(self, server_id: servers.ServerId) -> None:
-        """Remove the links, health, load and cache state of a server.
+        """Remove the links, health, load, rate limit and cache state of a server.
 
         For a server that has left or started again; its registry entry is not touched.
         """
         self.links.close_server(server_id)
         self.health.remove(server_id)
         self.loads.remove_server(server_id)
+        self.rate_limits.remove_server(server_id)
         self.cache_index.remove(cache_part_index.HolderName(server_id))
 
     def mark_leaving(
@@ -118,6 +121,37 @@
                 origin="answer" if is_direct else "peer",
             )
 
+    def record_rate_limit(
+        self,
+        incarnation: servers.Incarnation,
+        per_second: float | None,
+        sent_ms: int,
+    ) -> bool:
+        """Record what an answer states of a rate limit; return whether it changed.
+
+        Ignored for an incarnation that is not the registered one.
+        """
+        if per_second is None and not self.rate_limits.is_any_limited:
+            return False
+        entry = self.registry.find(incarnation.server_id)
+        if entry is None or entry.incarnation != incarnation:
+            return False
+        is_changed = self.rate_limits.record_answer(
+            incarnation, per_second, sent_ms, self.clock.now_ms()
+        )
+        if is_changed:
+            self._log_rate_limit(incarnation, "answer")
+        return is_changed
+
+    def _log_rate_limit(self, incarnation: servers.Incarnation, origin: str) -> None:
+        per_second = self.rate_limits.limit_of(incarnation)
+        _LOG.info(
+            "rate limit ended" if per_second is None else "rate limit in force",
+            server=incarnation.server_id,
+            per_second=per_second,
+            origin=origin,
+        )
+
     def has_ended(self, suspicion: crash_suspicions.Suspicion) -> bool:
         """Return whether a suspicion's incarnation ended or was unreachable since."""
         entry = self.registry.find(suspicion.server_id)
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -242,7 +242,7 @@
         sink = answer_sink.AnswerSink(
             active,
             self._clock,
-            lambda head: self._record_head(server, head),
+            lambda head: self._record_head(server, head, now_ms),
             lambda: self._fleet.loads.record_prefill_end(
                 server.server_id, active.caller_headers.request_id
             ),
@@ -252,10 +252,17 @@
         return await self._conclude(active, placement, sink, outcome, now_ms)
 
     def _record_head(
-        self, server: servers.ServerEntry, head: answers.AnswerHead
+        self, server: servers.ServerEntry, head: answers.AnswerHead, sent_ms: int
     ) -> None:
-        """Record what an answer's head states about its server's condition."""
+        """Record what an answer's head states about its server's condition.
+
+        Parameters
+        ----------
+        sent_ms : int
+            Time at which the request was sent.
+        """
         now_ms = self._clock.now_ms()
+        self._record_rate_limit(server, head, sent_ms)
         if head.is_leaving:
             self._fleet.mark_leaving(server.incarnation, is_direct=True)
         if head.pause_ms is not None:
@@ -268,6 +275,22 @@
                 pause_ms=head.pause_ms,
             )
 
+    def _record_rate_limit(
+        self, server: servers.ServerEntry, head: answers.AnswerHead, sent_ms: int
+    ) -> None:
+        if head.unreadable_rate_limit is not None:
+            _LOG.warning(
+                "unreadable rate limit",
+                server=server.server_id,
+                value=head.unreadable_rate_limit,
+            )
+            return
+        # A misdirected request was answered by another server.
+        if head.actual_server in (None, server.server_id):
+            self._fleet.record_rate_limit(
+                server.incarnation, head.rate_limit_per_s, sent_ms
+            )
+
     async def _open_link(
         self, active: active_requests.ActiveRequest, server: servers.ServerEntry
     ) -> server_links.Link | None:
--- a/quincecrank/gateway/gateway_metrics.py
+++ b/quincecrank/gateway/gateway_metrics.py
@@ -1,11 +1,12 @@
 """Prometheus metrics of a gateway."""
 
+from collections.abc import Iterable
 from typing import Final
 
 import prometheus_client
 
 from quincecrank import clock
-from quincecrank.gateway import deployment
+from quincecrank.gateway import deployment, rate_limits
 
 _BUCKETS_S: Final = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 5.0, 15.0)
 """Bucket bounds near the on-time targets and the deadlines of requests."""
@@ -67,6 +68,18 @@
             buckets=_BUCKETS_S,
             registry=self.registry,
         )
+        self.rate_limit = prometheus_client.Gauge(
+            "quince_gateway_server_rate_limit",
+            "Requests a second that a server takes from all gateways, while limited",
+            ["server"],
+            registry=self.registry,
+        )
+        self.rate_limit_age_seconds = prometheus_client.Gauge(
+            "quince_gateway_server_rate_limit_age_seconds",
+            "Time since an answer last confirmed the rate limit of a server",
+            ["server"],
+            registry=self.registry,
+        )
         self.peers = prometheus_client.Gauge(
             "quince_gateway_peers", "Live other gateways", registry=self.registry
         )
@@ -78,6 +91,19 @@
         seconds = duration_ms / clock.MS_PER_SECOND
         self._ended.labels(service, outcome).observe(seconds)
 
+    def set_rate_limits(self, states: Iterable[rate_limits.LimitState]) -> None:
+        """Replace the rate limits in force."""
+        self.rate_limit.clear()
+        self.rate_limit_age_seconds.clear()
+        for state in states:
+            if state.per_second is None:
+                continue
+            server = state.incarnation.server_id
+            self.rate_limit.labels(server).set(state.per_second)
+            self.rate_limit_age_seconds.labels(server).set(
+                state.answer_age_ms / clock.MS_PER_SECOND
+            )
+
     def record_own_answer(self, status: int, reason: str) -> None:
         """Count an answer that the gateway gave without a backend server."""
         self._own_answers.labels(str(status), reason).inc()
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -338,6 +338,9 @@
                 self._listener.state.limits = current.limits
                 self._metrics.configuration_version.set(current.version)
             self._metrics.peers.set(self._fleet.gateway_count - 1)
+            self._metrics.set_rate_limits(
+                self._fleet.rate_limits.states(self._clock.now_ms())
+            )
             self._metrics.waiting.set(self._dispatcher.waiting_requests)
 
     def _serve_readiness(self) -> None:
--- /dev/null
+++ b/quincecrank/gateway/rate_limits.py
@@ -0,0 +1,186 @@
+"""The rate limits that backend servers state in their answers.
+
+Load pattern: a backend server in need takes only a few requests a second from all
+gateways together, for as long as its answers say so.  The answers come on many
+connections to many gateways and overtake each other, so the state of a limit is
+ordered by when requests were sent, not by when answers arrive.
+
+Terms
+-----
+rate limit
+    Requests a second that one incarnation of a backend server takes from all gateways
+    together.
+revision
+    Number of a change of a server's limit.  It orders the states of one limit among
+    gateways, whose clocks can't be compared.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+from typing import Final
+
+from quincecrank.gateway import servers
+
+MAX_AGE_MS: Final = 0xFFFFFFFF
+"""Longest age of an answer that is published to the peers."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitState:
+    """State of the rate limit of one incarnation of a backend server.
+
+    Attributes
+    ----------
+    per_second : float or None
+        The limit; None after its end.
+    revision : int
+        Number of the change that led to this state, 1 for the first.
+    answer_age_ms : int
+        Time since the last answer that confirmed the state at any gateway.
+    """
+
+    incarnation: servers.Incarnation
+    per_second: float | None
+    revision: int
+    answer_age_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    """A state with the local times that order answers.
+
+    Attributes
+    ----------
+    recorded_ms : int
+        Time at which this gateway recorded the state.
+    confirmed_ms : int
+        Time of the last answer that confirmed the state at any gateway.
+    """
+
+    per_second: float | None
+    revision: int
+    recorded_ms: int
+    confirmed_ms: int
+
+
+class RateLimits:
+    """The rate limits that this gateway knows, by incarnation.
+
+    Invariant: an answer changes or ends a limit only if its request was sent after the
+    present state was recorded here, and ends it only if no answer to a later request
+    has confirmed the limit.  A peer's state replaces this gateway's only if its
+    revision is higher, or if it is equal and the limit is lower.
+    """
+
+    def __init__(self) -> None:
+        self._record_by_incarnation: dict[servers.Incarnation, _Record] = {}
+        self._limited_count = 0
+
+    @property
+    def is_any_limited(self) -> bool:
+        """Whether a limit is in force at any server."""
+        return self._limited_count > 0
+
+    def limit_of(self, incarnation: servers.Incarnation) -> float | None:
+        """Return the limit in force, in requests a second; None without one."""
+        record = self._record_by_incarnation.get(incarnation)
+        return record.per_second if record is not None else None
+
+    def limited(self) -> tuple[servers.Incarnation, ...]:
+        """Return the servers with a limit in force."""
+        if not self._limited_count:
+            return ()
+        return tuple(
+            incarnation
+            for incarnation, record in self._record_by_incarnation.items()
+            if record.per_second is not None
+        )
+
+    def confirmed_ms(self, incarnation: servers.Incarnation) -> int:
+        """Return the time of the last answer that confirmed the state of a server."""
+        return self._record_by_incarnation[incarnation].confirmed_ms
+
+    def record_answer(
+        self,
+        incarnation: servers.Incarnation,
+        per_second: float | None,
+        sent_ms: int,
+        now_ms: int,
+    ) -> bool:
+        """Record what an answer states; return whether the limit in force changed.
+
+        Parameters
+        ----------
+        per_second : float or None
+            The limit that the answer names; None if it names none.
+        sent_ms : int
+            Time at which the answered request was sent.
+        """
+        record = self._record_by_incarnation.get(incarnation)
+        if record is None:
+            if per_second is None:
+                return False
+            self._set(incarnation, _Record(per_second, 1, now_ms, now_ms))
+            return True
+        if sent_ms < record.recorded_ms:
+            return False
+        if per_second == record.per_second:
+            record.confirmed_ms = max(record.confirmed_ms, now_ms)
+            return False
+        if per_second is None and sent_ms < record.confirmed_ms:
+            return False
+        self._set(incarnation, _Record(per_second, record.revision + 1, now_ms, now_ms))
+        return True
+
+    def apply_peer_state(self, state: LimitState, now_ms: int) -> bool:
+        """Apply a peer's state; return whether the limit in force changed."""
+        confirmed_ms = now_ms - state.answer_age_ms
+        record = self._record_by_incarnation.get(state.incarnation)
+        if record is not None and record.revision == state.revision:
+            if record.per_second == state.per_second:
+                record.confirmed_ms = max(record.confirmed_ms, confirmed_ms)
+                return False
+            if _strictness(record.per_second) <= _strictness(state.per_second):
+                return False
+        elif record is not None and record.revision > state.revision:
+            return False
+        previous = record.per_second if record is not None else None
+        self._set(
+            state.incarnation,
+            _Record(state.per_second, state.revision, now_ms, confirmed_ms),
+        )
+        return previous != state.per_second
+
+    def states(self, now_ms: int) -> Iterable[LimitState]:
+        """Return all states, ended limits included, for the peers."""
+        return tuple(
+            LimitState(
+                incarnation,
+                record.per_second,
+                record.revision,
+                min(MAX_AGE_MS, max(0, now_ms - record.confirmed_ms)),
+            )
+            for incarnation, record in self._record_by_incarnation.items()
+        )
+
+    def remove_server(self, server_id: servers.ServerId) -> None:
+        """Remove the states of all incarnations of a server."""
+        for incarnation in tuple(self._record_by_incarnation):
+            if incarnation.server_id == server_id:
+                del self._record_by_incarnation[incarnation]
+        self._count_limited()
+
+    def _set(self, incarnation: servers.Incarnation, record: _Record) -> None:
+        self._record_by_incarnation[incarnation] = record
+        self._count_limited()
+
+    def _count_limited(self) -> None:
+        self._limited_count = sum(
+            record.per_second is not None
+            for record in self._record_by_incarnation.values()
+        )
+
+
+def _strictness(per_second: float | None) -> float:
+    """Return a number by which states sort, the lowest limit first."""
+    return float("inf") if per_second is None else per_second
--- a/quincecrank/platform/answers.py
+++ b/quincecrank/platform/answers.py
@@ -13,8 +13,12 @@
 """Longest pause that a server can request.  A longer one is treated as a mistake and
 shortened to this, as the server would be unavailable to all callers."""
 
+MAX_RATE_LIMIT_PER_S: Final = 100_000.0
+"""Highest rate limit; a higher one is lowered to this, which no server reaches."""
+
 _MISDIRECTED: Final = 421
 _UNAVAILABLE: Final = 503
+_MAX_LOGGED_CHARACTERS: Final = 64
 _MIN_SUCCESS: Final = 200
 _MIN_REDIRECT: Final = 300
 
@@ -40,6 +44,12 @@
     pause_ms : int or None
         Time for which this VM should send the server no requests; None if it requests
         no pause.
+    rate_limit_per_s : float or None
+        Requests a second that the server takes from all gateways together; None if it
+        names no limit.
+    unreadable_rate_limit : str or None
+        Value of a rate limit that is not a finite number of at least 0.  The answer
+        then tells nothing about the limit.
     """
 
     status: int
@@ -50,11 +60,14 @@
     is_encoded: bool
     is_leaving: bool = False
     pause_ms: int | None = None
+    rate_limit_per_s: float | None = None
+    unreadable_rate_limit: str | None = None
 
 
 def decode(status: int, headers: httputil.HTTPHeaders) -> AnswerHead:
     """Decode the head of an answer."""
     is_misdirected = status == _MISDIRECTED
+    rate_limit_per_s, unreadable_rate_limit = _rate_limit(headers)
     return AnswerHead(
         status=status,
         was_refused=names.NOT_EXECUTED in headers or is_misdirected,
@@ -64,6 +77,8 @@
         is_encoded="Content-Encoding" in headers,
         is_leaving=declares_leaving(headers) and not is_misdirected,
         pause_ms=_pause_ms(status, headers),
+        rate_limit_per_s=rate_limit_per_s,
+        unreadable_rate_limit=unreadable_rate_limit,
     )
 
 
@@ -85,6 +100,29 @@
     return round(min(seconds * clock.MS_PER_SECOND, MAX_PAUSE_MS))
 
 
+def _rate_limit(headers: httputil.HTTPHeaders) -> tuple[float | None, str | None]:
+    """Return the lowest readable rate limit, or the text of an unreadable one."""
+    texts = [
+        text.strip()
+        for value in headers.get_list(names.SERVER_RATE_LIMIT)
+        for text in value.split(",")
+    ]
+    readable = [limit for text in texts if (limit := _parse_limit(text)) is not None]
+    if readable:
+        return min(readable), None
+    return None, ",".join(texts)[:_MAX_LOGGED_CHARACTERS] if texts else None
+
+
+def _parse_limit(text: str) -> float | None:
+    try:
+        limit = float(text)
+    except ValueError:
+        return None
+    if not math.isfinite(limit) or limit < 0:
+        return None
+    return min(limit, MAX_RATE_LIMIT_PER_S)
+
+
 def matches_request(headers: httputil.HTTPHeaders, request_id: str) -> bool:
     """Return whether the answer carries `request_id` or no request id."""
     return headers.get(names.REQUEST_ID, request_id) == request_id
--- a/quincecrank/platform/names.py
+++ b/quincecrank/platform/names.py
@@ -26,6 +26,7 @@
 SEAL: Final = "Server-Seal"
 NOT_EXECUTED: Final = "Not-Executed"
 SERVER_LEAVING: Final = "Server-Leaving"
+SERVER_RATE_LIMIT: Final = "Server-Limit"
 SERVER_ID: Final = "Instance-Id"
 
 GATEWAY_ONLY_HEADERS: Final = frozenset(
