--- a/bench/gateway_simulation.py
+++ b/bench/gateway_simulation.py
@@ -8,10 +8,11 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import enum
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Final
 
 import structlog
@@ -598,11 +599,18 @@
             self._value += kind.late_value
 
 
-def replay(pattern: Pattern) -> Result:
-    """Replay a pattern; the log lines of its thousands of decisions are dropped."""
+@contextlib.contextmanager
+def without_logs() -> Iterator[None]:
+    """Drop the log lines of the decisions that are made in this context."""
     configured = structlog.get_config()
     structlog.configure(processors=[_drop_log_event])
     try:
-        return virtual_time.run(Replay(pattern).run())
+        yield
     finally:
         structlog.configure(**configured)
+
+
+def replay(pattern: Pattern) -> Result:
+    """Replay a pattern; the log lines of its thousands of decisions are dropped."""
+    with without_logs():
+        return virtual_time.run(Replay(pattern).run())
--- /dev/null
+++ b/bench/rate_limit_simulation.py
@@ -0,0 +1,406 @@
+"""Simulates gateways that share the rate limits of backend servers, in virtual time.
+
+Each gateway decides by the product's own code: fleet state, dispatcher and peer
+directory.  Callers, backend servers and the network between gateways are simulated:
+messages take time, some are lost, and gateways freeze, are cut off, end and start
+again.  Arrivals and random choices are seeded.
+"""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Sequence
+from typing import Final
+
+from bench import gateway_simulation, virtual_time
+from quincecrank import clock as clocks
+from quincecrank import ids, store_era
+from quincecrank.gateway import (
+    deployment,
+    dispatcher,
+    fleet_state,
+    peer_messages,
+    peers,
+    servers,
+)
+from tests import builders_gateway as builders
+from tests import rate_limit_checker
+
+SERVICE: Final = builders.PLAIN
+MIN_DELAY_MS: Final = 1.0
+MAX_DELAY_MS: Final = 5.0
+"""Bounds of the travel time of a message or request."""
+
+MIN_ANSWER_MS: Final = 30.0
+MAX_ANSWER_MS: Final = 250.0
+"""Bounds of the time that a server takes to answer."""
+
+DEADLINE_MS: Final = 5_000
+TARGET_MS: Final = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Freeze:
+    """Time in which a gateway's processes are suspended."""
+
+    gateway: int
+    from_ms: float
+    until_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cut:
+    """Time in which messages of gateways to others are lost.
+
+    Attributes
+    ----------
+    senders, receivers : frozenset of int
+        Messages from a sender to a receiver are lost.
+    """
+
+    senders: frozenset[int]
+    receivers: frozenset[int]
+    from_ms: float
+    until_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Restart:
+    """A gateway that ends at one time and starts at another; never if infinite."""
+
+    gateway: int
+    ends_ms: float
+    starts_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pattern:
+    """Load, limits and faults of one run.
+
+    Attributes
+    ----------
+    per_second : float
+        Requests a second at the whole fleet.
+    busy_gateways : int
+        Gateways that callers use; 0 for all.
+    limits_by_server : tuple of tuple of LimitChange
+        For each server, the limits that it names.
+    loss : float
+        Probability that a message between gateways is lost.
+    """
+
+    seed: int
+    gateways: int
+    per_second: float
+    limits_by_server: tuple[tuple[rate_limit_checker.LimitChange, ...], ...]
+    duration_ms: int = 16_000
+    busy_gateways: int = 0
+    slots: int = 64
+    loss: float = 0.03
+    freezes: tuple[Freeze, ...] = ()
+    cuts: tuple[Cut, ...] = ()
+    restarts: tuple[Restart, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerResult:
+    """What one server got.
+
+    Attributes
+    ----------
+    arrivals : tuple of Arrival
+        Requests that reached the server, ascending by time.
+    answers : tuple of Answer
+        Its answers as gateways received them.
+    """
+
+    changes: tuple[rate_limit_checker.LimitChange, ...]
+    arrivals: tuple[rate_limit_checker.Arrival, ...]
+    answers: tuple[rate_limit_checker.Answer, ...]
+
+    def worst_window(
+        self, excuses: Sequence[rate_limit_checker.Excuse] = ()
+    ) -> rate_limit_checker.Window | None:
+        """Return the window with the most requests relative to the allowance."""
+        return rate_limit_checker.worst_window(
+            self.changes, self.arrivals, self.answers, excuses
+        )
+
+    def requests_between(self, from_ms: float, until_ms: float) -> int:
+        """Return the number of arrivals in a time."""
+        return sum(from_ms <= each.at_ms < until_ms for each in self.arrivals)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """Outcome of one run.
+
+    Attributes
+    ----------
+    messages : int
+        Datagrams that the gateways sent, without reports.
+    requests, rejected : int
+        Requests of callers, and those that were rejected.
+    """
+
+    servers: tuple[ServerResult, ...]
+    messages: int
+    requests: int
+    rejected: int
+
+
+class FreezableClock(virtual_time.LoopClock):
+    """Clock of a gateway; its tasks do not wake up while the gateway is frozen."""
+
+    def __init__(self) -> None:
+        self.frozen_until_ms = 0.0
+
+    async def sleep(self, duration_ms: float) -> None:
+        """Suspend the calling task, at least until the gateway is not frozen."""
+        await super().sleep(duration_ms)
+        await self.wait_thawed()
+
+    async def wait_thawed(self) -> None:
+        """Suspend the calling task while the gateway is frozen."""
+        while self.now_ms() < self.frozen_until_ms:
+            await super().sleep(self.frozen_until_ms - self.now_ms() + 1)
+
+
+class SimulatedServer:
+    """A backend server that records arrivals and names its limit in all answers."""
+
+    def __init__(
+        self,
+        changes: tuple[rate_limit_checker.LimitChange, ...],
+        generator: random.Random,
+    ) -> None:
+        self.changes = changes
+        self.arrivals: list[rate_limit_checker.Arrival] = []
+        self.answers: list[rate_limit_checker.Answer] = []
+        self._generator = generator
+
+    def limit_at(self, now_ms: float) -> float | None:
+        """Return the limit that the server names at a time."""
+        limit = None
+        for change in self.changes:
+            if change.at_ms <= now_ms:
+                limit = change.per_second
+        return limit
+
+    def draw_answer_ms(self) -> float:
+        """Return the time that the server takes to answer one request."""
+        return self._generator.uniform(MIN_ANSWER_MS, MAX_ANSWER_MS)
+
+
+class SimulatedGateway:
+    """One start of a gateway: the product's decisions on a simulated network."""
+
+    def __init__(self, number: int, simulation: "Simulation") -> None:
+        self.number = number
+        self.name = f"gateway-{number}"
+        self.clock = FreezableClock()
+        self.has_ended = False
+        self._simulation = simulation
+        self._settings = dataclasses.replace(
+            gateway_simulation.make_environment(number), ip=f"10.0.0.{number}"
+        )
+        self.fleet = fleet_state.FleetState(self._settings, self.clock)
+        self.dispatcher = dispatcher.Dispatcher(
+            self.fleet, random.Random(simulation.pattern.seed * 1_000 + number)
+        )
+        self.peers = peers.PeerDirectory(
+            self._settings, self.clock, store_era.StoreEra()
+        )
+        for server_number in range(len(simulation.pattern.limits_by_server)):
+            self.fleet.registry.update(
+                builders.make_entry(
+                    f"i-{server_number}",
+                    service=SERVICE,
+                    slots=simulation.pattern.slots,
+                    weights=None,
+                )
+            )
+
+    def start(self) -> None:
+        """Start the gateway's tasks."""
+        self._simulation.start(self.dispatcher.run())
+        self._simulation.start(self._send_reports())
+
+    async def _send_reports(self) -> None:
+        await self.clock.sleep(
+            self._simulation.generator.uniform(0, peers.REPORT_INTERVAL_MS)
+        )
+        while not self.has_ended:
+            report = self.make_report()
+            for other in range(self._simulation.pattern.gateways):
+                if other != self.number:
+                    self._simulation.send(self.number, other, report)
+            await self.clock.sleep(peers.report_interval_ms(len(self.peers.live_ips())))
+
+    def make_report(self) -> peer_messages.Report:
+        """Return the gateway's report."""
+        return peer_messages.Report(
+            self._settings.vm, False, (), self.fleet.loads.own_load_by_server()
+        )
+
+    async def receive(self, sender: int, report: peer_messages.Report) -> None:
+        """Apply a peer's report, once the gateway is not frozen."""
+        await self.clock.wait_thawed()
+        if self.has_ended:
+            return
+        self.peers.record_report(f"10.0.0.{sender}", report)
+        self.fleet.loads.apply_peer_report(
+            report.vm, report.load_by_server, self.clock.now_ms()
+        )
+
+    async def serve(self, request_id: ids.RequestId) -> bool:
+        """Serve a caller's request; return False if it was rejected."""
+        now_ms = self.clock.now_ms()
+        queued = builders.make_queued_request(
+            request_id,
+            arrived_ms=now_ms,
+            deadline_ms=now_ms + DEADLINE_MS,
+            target_ms=TARGET_MS,
+        )
+        service = deployment.Service(SERVICE, 1_000)
+        request = dispatcher.PlacementRequest(queued, service, None, None)
+        placement = await self.dispatcher.place(request)
+        await self.clock.wait_thawed()
+        if isinstance(placement, dispatcher.Rejection):
+            return False
+        if not self.has_ended:
+            await self._send(placement)
+        self.fleet.loads.record_end(placement.server.server_id, request_id)
+        self.dispatcher.start_queued(SERVICE)
+        return True
+
+    async def _send(self, placement: dispatcher.Placement) -> None:
+        server_id = placement.server.server_id
+        server = self._simulation.server_by_id[server_id]
+        sent_ms = self.clock.now_ms()
+        travel = virtual_time.LoopClock()
+        await travel.sleep(self._simulation.draw_delay_ms())
+        server.arrivals.append(
+            rate_limit_checker.Arrival(float(travel.now_ms()), self.name)
+        )
+        await travel.sleep(server.draw_answer_ms())
+        limit = server.limit_at(travel.now_ms())
+        await travel.sleep(self._simulation.draw_delay_ms())
+        await self.clock.wait_thawed()
+        if self.has_ended:
+            return
+        server.answers.append(
+            rate_limit_checker.Answer(float(travel.now_ms()), self.name, limit)
+        )
+        self.fleet.record_rate_limit(placement.server.incarnation, limit, sent_ms)
+
+
+class Simulation:
+    """One run of a pattern, on an event loop in virtual time."""
+
+    def __init__(self, pattern: Pattern) -> None:
+        self.pattern = pattern
+        self.generator = random.Random(pattern.seed)
+        self.server_by_id = {
+            servers.ServerId(f"i-{number}"): SimulatedServer(changes, self.generator)
+            for number, changes in enumerate(pattern.limits_by_server)
+        }
+        self.messages = 0
+        self._gateway_by_number: dict[int, SimulatedGateway] = {}
+        self._tasks: set[asyncio.Task[object]] = set()
+        self._rejected = 0
+
+    async def run(self) -> Result:
+        """Run the pattern."""
+        for number in range(self.pattern.gateways):
+            self._start_gateway(number)
+        for restart in self.pattern.restarts:
+            self.start(self._restart(restart))
+        for freeze in self.pattern.freezes:
+            self.start(self._freeze(freeze))
+        clock = virtual_time.LoopClock()
+        busy = self.pattern.busy_gateways or self.pattern.gateways
+        count = 0
+        while clock.now_ms() < self.pattern.duration_ms:
+            interval_s = self.generator.expovariate(self.pattern.per_second)
+            await clock.sleep(interval_s * clocks.MS_PER_SECOND)
+            gateway = self._gateway_by_number[self.generator.randrange(busy)]
+            if not gateway.has_ended:
+                count += 1
+                self.start(self._serve(gateway, ids.RequestId(f"r-{count}")))
+        return Result(
+            tuple(
+                ServerResult(each.changes, tuple(each.arrivals), tuple(each.answers))
+                for each in self.server_by_id.values()
+            ),
+            self.messages,
+            count,
+            self._rejected,
+        )
+
+    def start(self, work: object) -> None:
+        """Start a task and keep a reference to it."""
+        task = asyncio.ensure_future(work)  # type: ignore[call-overload]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def draw_delay_ms(self) -> float:
+        """Return the travel time of one message or request."""
+        return self.generator.uniform(MIN_DELAY_MS, MAX_DELAY_MS)
+
+    def send(self, sender: int, receiver: int, report: peer_messages.Report) -> None:
+        """Deliver a report after its travel time, unless it is lost."""
+        now_ms = virtual_time.LoopClock().now_ms()
+        is_cut = any(
+            sender in cut.senders
+            and receiver in cut.receivers
+            and cut.from_ms <= now_ms < cut.until_ms
+            for cut in self.pattern.cuts
+        )
+        if is_cut or self.generator.random() < self.pattern.loss:
+            return
+        asyncio.get_running_loop().call_later(
+            self.draw_delay_ms() / clocks.MS_PER_SECOND,
+            self._deliver,
+            sender,
+            receiver,
+            report,
+        )
+
+    def _deliver(
+        self, sender: int, receiver: int, report: peer_messages.Report
+    ) -> None:
+        gateway = self._gateway_by_number[receiver]
+        if not gateway.has_ended:
+            self.start(gateway.receive(sender, report))
+
+    def _start_gateway(self, number: int) -> None:
+        gateway = SimulatedGateway(number, self)
+        self._gateway_by_number[number] = gateway
+        gateway.start()
+
+    async def _serve(
+        self, gateway: SimulatedGateway, request_id: ids.RequestId
+    ) -> None:
+        await gateway.clock.wait_thawed()
+        if not await gateway.serve(request_id):
+            self._rejected += 1
+
+    async def _restart(self, restart: Restart) -> None:
+        clock = virtual_time.LoopClock()
+        await clock.sleep(restart.ends_ms)
+        self._gateway_by_number[restart.gateway].has_ended = True
+        if restart.starts_ms < self.pattern.duration_ms:
+            await clock.sleep(restart.starts_ms - restart.ends_ms)
+            self._start_gateway(restart.gateway)
+
+    async def _freeze(self, freeze: Freeze) -> None:
+        await virtual_time.LoopClock().sleep(freeze.from_ms)
+        gateway = self._gateway_by_number[freeze.gateway]
+        gateway.clock.frozen_until_ms = freeze.until_ms
+
+
+def simulate(pattern: Pattern) -> Result:
+    """Run a pattern without log lines."""
+    with gateway_simulation.without_logs():
+        return virtual_time.run(Simulation(pattern).run())
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -1,7 +1,9 @@
 """Stand-in of a backend server of the platform: a model engine or a plain service.
 
 Writes its entry into the platform's store at start and at every heartbeat, and prints
-``ran ID`` on standard output for each request that it runs.
+on standard output ``arrived WALL_MS ID`` for each request of a caller that reaches it,
+``ran ID`` for each that it runs, and ``named WALL_MS ID LIMIT`` for each answer that
+names a rate limit.
 
 A stream sends one event every `EVENT_MS` milliseconds; the caller's `Token-Count`
 header gives the number of events after a comma.  The prompt parts of every streamed
@@ -20,6 +22,9 @@
     The entry says that the server is shutting down, but it still serves requests.
 no_heartbeats : bool
     The entry is no longer written to the store.
+rate_limit : str
+    Rate limit that all answers to callers' requests name, whatever their status; empty
+    for none.  Any text is named as it is.  The limit is not enforced.
 """
 
 import asyncio
@@ -53,6 +58,7 @@
     crash_on: str = ""
     draining: bool = False
     no_heartbeats: bool = False
+    rate_limit: str = ""
 
 
 class Server:
@@ -178,6 +184,10 @@
     async def _serve(self) -> None:
         server = self._server
         headers = self.request.headers
+        request_id = headers.get("Request-Id", "")
+        print(f"arrived {server.clock.wall_ms()} {request_id}", flush=True)
+        if server.faults.rate_limit:
+            self.set_header("Server-Limit", server.faults.rate_limit)
         if headers.get("Expect-Instance", server.server_id) != server.server_id:
             self._refuse(421)
             return
@@ -195,6 +205,7 @@
         crash_on = server.faults.crash_on
         request_id = self.request.headers.get("Request-Id", "")
         print(f"ran {request_id}", flush=True)
+        self._print_naming()
         if crash_on and crash_on.encode() in self.request.body:
             os._exit(1)
         if server.draw_lost_answer():
@@ -226,7 +237,16 @@
             await self.flush()
             await self._server.clock.sleep(EVENT_MS)
 
+    def _print_naming(self) -> None:
+        """Print the limit that the answer names, just before it is sent."""
+        server = self._server
+        if server.faults.rate_limit:
+            request_id = self.request.headers.get("Request-Id", "")
+            limit = server.faults.rate_limit
+            print(f"named {server.clock.wall_ms()} {request_id} {limit}", flush=True)
+
     def _refuse(self, status: int) -> None:
+        self._print_naming()
         self.set_status(status)
         self.set_header("Not-Executed", "1")
         self.set_header("Instance-Id", self._server.server_id)
