--- a/bench/rate_limit_simulation.py
+++ b/bench/rate_limit_simulation.py
@@ -9,7 +9,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from bench import gateway_simulation, virtual_time
@@ -21,6 +21,9 @@
     fleet_state,
     peer_messages,
     peers,
+    permit_exchange,
+    rate_limits,
+    send_permits,
     servers,
 )
 from tests import builders_gateway as builders
@@ -38,6 +41,9 @@
 DEADLINE_MS: Final = 5_000
 TARGET_MS: Final = 1_000
 
+PermitsMaker = Callable[[ids.VmName, rate_limits.RateLimits], send_permits.SendPermits]
+Message = peer_messages.Report | send_permits.PermitMessage
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Freeze:
@@ -87,6 +93,8 @@
         For each server, the limits that it names.
     loss : float
         Probability that a message between gateways is lost.
+    make_permits : callable
+        Makes the part of a gateway that decides whether it may send.
     """
 
     seed: int
@@ -97,6 +105,7 @@
     busy_gateways: int = 0
     slots: int = 64
     loss: float = 0.03
+    make_permits: PermitsMaker = send_permits.SendPermits
     freezes: tuple[Freeze, ...] = ()
     cuts: tuple[Cut, ...] = ()
     restarts: tuple[Restart, ...] = ()
@@ -205,12 +214,29 @@
             gateway_simulation.make_environment(number), ip=f"10.0.0.{number}"
         )
         self.fleet = fleet_state.FleetState(self._settings, self.clock)
+        self.fleet.send_permits = simulation.pattern.make_permits(
+            self._settings.vm, self.fleet.rate_limits
+        )
         self.dispatcher = dispatcher.Dispatcher(
             self.fleet, random.Random(simulation.pattern.seed * 1_000 + number)
         )
         self.peers = peers.PeerDirectory(
             self._settings, self.clock, store_era.StoreEra()
         )
+        self.peers.set_members(
+            {
+                ids.VmName(f"gateway-{each}"): f"10.0.0.{each}"
+                for each in range(simulation.pattern.gateways)
+            }
+        )
+        self.permits = permit_exchange.PermitExchange(
+            self.fleet,
+            self.peers,
+            self._send_permits,
+            self.dispatcher.start_queued,
+            self.clock,
+        )
+        self.fleet.notify_rate_limit = self._send_report
         for server_number in range(len(simulation.pattern.limits_by_server)):
             self.fleet.registry.update(
                 builders.make_entry(
@@ -224,6 +250,7 @@
     def start(self) -> None:
         """Start the gateway's tasks."""
         self._simulation.start(self.dispatcher.run())
+        self._simulation.start(self.permits.run())
         self._simulation.start(self._send_reports())
 
     async def _send_reports(self) -> None:
@@ -231,24 +258,37 @@
             self._simulation.generator.uniform(0, peers.REPORT_INTERVAL_MS)
         )
         while not self.has_ended:
-            report = self.make_report()
-            for other in range(self._simulation.pattern.gateways):
-                if other != self.number:
-                    self._simulation.send(self.number, other, report)
+            self._send_report()
             await self.clock.sleep(peers.report_interval_ms(len(self.peers.live_ips())))
 
-    def make_report(self) -> peer_messages.Report:
-        """Return the gateway's report."""
-        return peer_messages.Report(
-            self._settings.vm, False, (), self.fleet.loads.own_load_by_server()
+    def _send_report(self) -> None:
+        report = self.permits.complete_report(
+            peer_messages.Report(
+                self._settings.vm, False, (), self.fleet.loads.own_load_by_server()
+            )
         )
+        for other in range(self._simulation.pattern.gateways):
+            if other != self.number:
+                self._simulation.send(self.number, other, report)
 
-    async def receive(self, sender: int, report: peer_messages.Report) -> None:
-        """Apply a peer's report, once the gateway is not frozen."""
+    def _send_permits(
+        self, member: ids.VmName, message: send_permits.PermitMessage
+    ) -> None:
+        self._simulation.messages += 1
+        receiver = int(member.rpartition("-")[2])
+        self._simulation.send(self.number, receiver, message)
+
+    async def receive(self, sender: int, message: Message) -> None:
+        """Handle a peer's message, once the gateway is not frozen."""
         await self.clock.wait_thawed()
         if self.has_ended:
             return
+        if isinstance(message, send_permits.PermitMessage):
+            self.permits.handle(message)
+            return
+        report = message
         self.peers.record_report(f"10.0.0.{sender}", report)
+        self.permits.apply_report(report)
         self.fleet.loads.apply_peer_report(
             report.vm, report.load_by_server, self.clock.now_ms()
         )
@@ -268,7 +308,10 @@
         await self.clock.wait_thawed()
         if isinstance(placement, dispatcher.Rejection):
             return False
-        if not self.has_ended:
+        may_send = self.fleet.send_permits.may_send(
+            placement.server.incarnation, placement.permit, self.clock.now_ms()
+        )
+        if may_send and not self.has_ended:
             await self._send(placement)
         self.fleet.loads.record_end(placement.server.server_id, request_id)
         self.dispatcher.start_queued(SERVICE)
@@ -348,8 +391,8 @@
         """Return the travel time of one message or request."""
         return self.generator.uniform(MIN_DELAY_MS, MAX_DELAY_MS)
 
-    def send(self, sender: int, receiver: int, report: peer_messages.Report) -> None:
-        """Deliver a report after its travel time, unless it is lost."""
+    def send(self, sender: int, receiver: int, message: Message) -> None:
+        """Deliver a message after its travel time, unless it is lost."""
         now_ms = virtual_time.LoopClock().now_ms()
         is_cut = any(
             sender in cut.senders
@@ -364,15 +407,13 @@
             self._deliver,
             sender,
             receiver,
-            report,
+            message,
         )
 
-    def _deliver(
-        self, sender: int, receiver: int, report: peer_messages.Report
-    ) -> None:
+    def _deliver(self, sender: int, receiver: int, message: Message) -> None:
         gateway = self._gateway_by_number[receiver]
         if not gateway.has_ended:
-            self.start(gateway.receive(sender, report))
+            self.start(gateway.receive(sender, message))
 
     def _start_gateway(self, number: int) -> None:
         gateway = SimulatedGateway(number, self)
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import dataclasses
+import math
 import random
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
@@ -21,6 +22,7 @@
     placement,
     prompts,
     request_queue,
+    send_permits,
     servers,
     service_times,
     size_fairness,
@@ -85,6 +87,8 @@
         What the backend server has to do before the first event of the answer.
     expected_first_event_ms : float
         Estimated time to the first event at a server of the service's usual speed.
+    permit : Permit or None
+        Permit with which the request is sent; None for a server without a rate limit.
     """
 
     server: servers.ServerEntry
@@ -93,6 +97,7 @@
     transfers: cache_transfers.Transfers
     work: service_times.Work
     expected_first_event_ms: float
+    permit: send_permits.Permit | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -171,11 +176,11 @@
     async def _place_or_queue(self, request: PlacementRequest) -> Placement | Rejection:
         now_ms = self._fleet.clock.now_ms()
         queue = self._queue_by_service[request.service.name]
+        self._record_interest(request.service.name)
         if not self._usable_servers(request):
-            pause_ms = self._shortest_pause_ms(request)
-            if pause_ms is None or now_ms + pause_ms >= request.queued.latest_start_ms:
-                retry_ms = NO_SERVER_RETRY_MS if pause_ms is None else pause_ms
-                return self._reject(request, "no backend server", retry_ms)
+            rejection = self._reject_unless_soon_usable(request)
+            if rejection is not None:
+                return rejection
         if queue.expected_wait_ms(request.queued, now_ms) == 0:
             placed = self._try_place(request)
             if placed is not None:
@@ -185,6 +190,21 @@
             return self._reject_busy(request, queue)
         return await self._wait(request, queue)
 
+    def _reject_unless_soon_usable(self, request: PlacementRequest) -> Rejection | None:
+        """Reject a request if no server will be usable before its latest start time."""
+        now_ms = self._fleet.clock.now_ms()
+        remaining_ms = request.queued.latest_start_ms - now_ms
+        pause_ms = self._shortest_pause_ms(request)
+        if pause_ms is not None and pause_ms < remaining_ms:
+            return None
+        permit_ms = self._shortest_permit_wait_ms(request)
+        if permit_ms is None:
+            retry_ms = NO_SERVER_RETRY_MS if pause_ms is None else pause_ms
+            return self._reject(request, "no backend server", retry_ms)
+        if permit_ms < remaining_ms:
+            return None
+        return self._reject_for_limits(request, permit_ms)
+
     async def run(self) -> None:
         """Try queued requests again at intervals, until cancelled."""
         while True:
@@ -205,6 +225,7 @@
         """
         queue = self._queue_by_service[service]
         if not len(queue):
+            self._update_permit_demand(service)
             return
         self._has_waiting.set()
         if not self._fleet.registry.ready_entries(service):
@@ -214,19 +235,103 @@
         for queued in queue.remove_too_late(now_ms):
             request = self._placement_request_by_id[queued.request_id]
             self._resolve(queued.request_id, self._reject_busy(request, queue))
+        self._reject_if_blocked(service, queue)
         blocked: request_queue.QueueClass | None = None
         for index, queued in enumerate(queue.ordered(now_ms)[:MAX_TRIED_PER_PASS]):
             queue_class = request_queue.queue_class_of(queued, now_ms)
             if blocked not in (None, queue_class):
-                return
+                break
             placed = self._try_place(self._placement_request_by_id[queued.request_id])
             if placed is not None:
                 queue.remove(queued.request_id)
                 self._resolve(queued.request_id, placed)
                 continue
             if index == 0 and now_ms - queued.arrived_ms > OVERTAKING_LIMIT_MS:
-                return
+                break
             blocked = queue_class
+        self._update_permit_demand(service)
+
+    def _update_permit_demand(self, service: deployment.ServiceName) -> None:
+        """Set the demand for permits of a service's limited servers.
+
+        A gateway with fewer waiting requests than limited servers asks only some of
+        them, chosen by a hash, so that few permits remain unused.
+        """
+        if not self._fleet.rate_limits.is_any_limited:
+            return
+        limited_by_id = self._limited_by_id(service)
+        if not limited_by_id:
+            return
+        now_ms = self._fleet.clock.now_ms()
+        waiting = self._queue_by_service[service].ordered(now_ms)
+        demand: send_permits.Demand | None = None
+        asked: tuple[servers.ServerId, ...] = ()
+        if waiting:
+            first = waiting[0]
+            asked = rendezvous.ranked(first.request_id, limited_by_id, len(waiting) + 1)
+            demand = send_permits.Demand(
+                math.ceil(len(waiting) / len(asked)),
+                request_queue.queue_class_of(first, now_ms).rank,
+                first.arrived_ms,
+            )
+        is_due = False
+        for server_id, entry in limited_by_id.items():
+            is_due |= self._fleet.send_permits.set_demand(
+                entry.incarnation, demand if server_id in asked else None, now_ms
+            )
+        if is_due:
+            self._fleet.notify_permit_demand()
+
+    def _limited_by_id(
+        self, service: deployment.ServiceName
+    ) -> dict[servers.ServerId, servers.ServerEntry]:
+        """Return the servers of a service that may be used but for a rate limit."""
+        now_ms = self._fleet.clock.now_ms()
+        return {
+            each.server_id: each
+            for each in self._fleet.registry.ready_entries(service)
+            if self._fleet.rate_limits.limit_of(each.incarnation) is not None
+            and self._fleet.health.health_of(each).allows(now_ms)
+        }
+
+    def _record_interest(self, service: deployment.ServiceName) -> None:
+        """Record that a request could have gone to the limited servers of a service."""
+        if not self._fleet.rate_limits.is_any_limited:
+            return
+        now_ms = self._fleet.clock.now_ms()
+        for entry in self._limited_by_id(service).values():
+            self._fleet.send_permits.record_interest(entry.incarnation, now_ms)
+
+    def _shortest_permit_wait_ms(self, request: PlacementRequest) -> float | None:
+        """Return the shortest expected wait for a permit; None if none is needed."""
+        now_ms = self._fleet.clock.now_ms()
+        return min(
+            (
+                self._fleet.send_permits.expected_wait_ms(each.incarnation, now_ms)
+                for each in self._limited_by_id(request.service.name).values()
+                if each.server_id not in request.tried_servers
+            ),
+            default=None,
+        )
+
+    def _take_permit(
+        self, request: PlacementRequest, server: servers.ServerEntry
+    ) -> send_permits.Permit | None:
+        """Take the permit for a placed request, if its server is limited."""
+        if not self._fleet.rate_limits.is_any_limited:
+            return None
+        now_ms = self._fleet.clock.now_ms()
+        permit = self._fleet.send_permits.take(server.incarnation, now_ms)
+        if permit is not None:
+            _LOG.info(
+                "permit used",
+                request=request.request_id,
+                server=server.server_id,
+                per_second=self._fleet.rate_limits.limit_of(server.incarnation),
+                is_trial=permit.is_trial,
+                left_ms=permit.expires_ms - now_ms,
+            )
+        return permit
 
     def _reject_all(self, queue: request_queue.RequestQueue) -> None:
         """Reject all queued requests of a service without a ready backend server."""
@@ -236,6 +341,34 @@
             rejection = self._reject(request, "no backend server", NO_SERVER_RETRY_MS)
             self._resolve(queued.request_id, rejection)
 
+    def _reject_if_blocked(
+        self, service: deployment.ServiceName, queue: request_queue.RequestQueue
+    ) -> None:
+        """Reject all queued requests of a service whose servers all have a limit of 0.
+
+        Only trials are sent to them, and a new request can make the next one.
+        """
+        if not self._fleet.rate_limits.is_any_limited:
+            return
+        now_ms = self._fleet.clock.now_ms()
+        for entry in self._fleet.registry.ready_entries(service):
+            if self._fleet.rate_limits.limit_of(entry.incarnation) != 0:
+                return
+            if self._fleet.send_permits.allows(entry.incarnation, now_ms):
+                return
+        for queued in queue.ordered(now_ms):
+            queue.remove(queued.request_id)
+            request = self._placement_request_by_id[queued.request_id]
+            rejection = self._reject_for_limits(request, send_permits.MAX_WAIT_MS)
+            self._resolve(queued.request_id, rejection)
+
+    def _reject_for_limits(
+        self, request: PlacementRequest, wait_ms: float
+    ) -> Rejection:
+        """Reject a request that would wait too long for a permit."""
+        retry_ms = request_queue.spread_retry_ms(wait_ms, self._generator.random())
+        return self._reject(request, "rate limits of the backend servers", retry_ms)
+
     async def _wait(
         self, request: PlacementRequest, queue: request_queue.RequestQueue
     ) -> Placement | Rejection:
@@ -246,6 +379,7 @@
         self._has_waiting.set()
         self._future_by_id[request.request_id] = future
         self._placement_request_by_id[request.request_id] = request
+        self._update_permit_demand(request.service.name)
         try:
             return await future
         except asyncio.CancelledError:
@@ -260,9 +394,11 @@
     def _release_unused(
         self, request: PlacementRequest, result: Placement | Rejection
     ) -> None:
-        """Release the slot of a request that was placed just as its caller left."""
+        """Release the slot and permit of a request whose caller left just then."""
         if isinstance(result, Placement):
             self._fleet.loads.record_end(result.server.server_id, request.request_id)
+            if result.permit is not None:
+                self._fleet.send_permits.give_back(result.permit)
 
     def _resolve(
         self, request_id: ids.RequestId, result: Placement | Rejection
@@ -277,18 +413,46 @@
         queue = self._queue_by_service[request.service.name]
         if not queue.may_start(request.queued, now_ms):
             return None
-        placed = (
-            self._place_plain(request)
-            if request.prompt is None or request.service.engine is None
-            else self._place_engine(request, request.prompt, request.service.engine)
-        )
+        usable = self._usable_servers(request)
+        placed = self._place_on(request, self._trial_servers(request, usable))
+        if placed is None:
+            placed = self._place_on(request, usable)
         if placed is not None:
             queue.record_start(request.queued, now_ms)
         return placed
 
-    def _place_plain(self, request: PlacementRequest) -> Placement | None:
+    def _trial_servers(
+        self, request: PlacementRequest, usable: tuple[servers.ServerEntry, ...]
+    ) -> tuple[servers.ServerEntry, ...]:
+        """Return the limited servers that the request should try, see `send_permits`.
+
+        None for a request that a server has already failed.
+        """
+        if not self._fleet.rate_limits.is_any_limited or request.tried_servers:
+            return ()
+        now_ms = self._fleet.clock.now_ms()
+        return tuple(
+            each
+            for each in usable
+            if self._fleet.send_permits.has_trial(each.incarnation, now_ms)
+        )
+
+    def _place_on(
+        self, request: PlacementRequest, usable: tuple[servers.ServerEntry, ...]
+    ) -> Placement | None:
+        """Place a request on one of some servers; return None if none has capacity."""
+        if not usable:
+            return None
+        if request.prompt is None or request.service.engine is None:
+            return self._place_plain(request, usable)
+        return self._place_engine(
+            request, request.prompt, request.service.engine, usable
+        )
+
+    def _place_plain(
+        self, request: PlacementRequest, usable: tuple[servers.ServerEntry, ...]
+    ) -> Placement | None:
         now_ms = self._fleet.clock.now_ms()
-        usable = self._usable_servers(request)
         slowness_by_server = self._fleet.health.relative_slowness(usable)
         candidates = [
             placement.Candidate(
@@ -316,7 +480,13 @@
             request.service.name
         ).expected_ms(work)
         return Placement(
-            chosen.server, None, None, cache_transfers.NO_TRANSFERS, work, expected_ms
+            chosen.server,
+            None,
+            None,
+            cache_transfers.NO_TRANSFERS,
+            work,
+            expected_ms,
+            self._take_permit(request, chosen.server),
         )
 
     def _place_engine(
@@ -324,11 +494,9 @@
         request: PlacementRequest,
         prompt: prompts.Prompt,
         engine: deployment.EngineLimits,
+        usable: tuple[servers.ServerEntry, ...],
     ) -> Placement | None:
         now_ms = self._fleet.clock.now_ms()
-        usable = self._usable_servers(request)
-        if not usable:
-            return None
         slowness_by_server = self._fleet.health.relative_slowness(usable)
         current = self._fleet.configuration
         sources = (
@@ -429,6 +597,7 @@
             transfers,
             chosen.work,
             times.expected_ms(chosen.work),
+            self._take_permit(request, chosen.server),
         )
 
     def _with_saves(
@@ -533,11 +702,16 @@
         self, request: PlacementRequest
     ) -> tuple[servers.ServerEntry, ...]:
         now_ms = self._fleet.clock.now_ms()
+        is_any_limited = self._fleet.rate_limits.is_any_limited
         allowed = tuple(
             each
             for each in self._fleet.registry.ready_entries(request.service.name)
             if each.server_id not in request.tried_servers
             and self._fleet.health.health_of(each).allows(now_ms)
+            and (
+                not is_any_limited
+                or self._fleet.send_permits.allows(each.incarnation, now_ms)
+            )
             and not self._fleet.weight_updates.is_loading(each, now_ms)
         )
         if request.prompt is None or request.service.engine is None:
--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -1,5 +1,6 @@
 """State of the fleet as one gateway knows it."""
 
+from collections.abc import Callable
 from typing import Final
 
 from quincecrank import clock as clocks
@@ -14,6 +15,7 @@
     failed_request_records,
     loads,
     rate_limits,
+    send_permits,
     server_health,
     server_links,
     servers,
@@ -27,6 +29,10 @@
 _LOG: Final = decision_log.logger("knowledge")
 
 
+def _ignore() -> None:
+    """Do nothing: the listener of a gateway without peers."""
+
+
 class FleetState:
     """Aggregate of the state reported by tables, peers and backend servers.
 
@@ -43,6 +49,10 @@
     clock_offset_ms_by_holder : dict of HolderName to int
         Clock of an engine or cache store minus the monotonic clock of this process;
         for deadlines that a holder checks by its own clock.
+    notify_permit_demand : callable
+        Called when an ask for permits is due.
+    notify_rate_limit : callable
+        Called when an answer to this gateway has changed a rate limit.
     """
 
     def __init__(
@@ -60,6 +70,9 @@
         self.health = server_health.HealthRegistry()
         self.service_times = service_times.ServiceTimes()
         self.rate_limits = rate_limits.RateLimits()
+        self.send_permits = send_permits.SendPermits(own_settings.vm, self.rate_limits)
+        self.notify_permit_demand: Callable[[], None] = _ignore
+        self.notify_rate_limit: Callable[[], None] = _ignore
         self.links = server_links.LinkPool(clock, MAX_IDLE_LINK_MS)
         self.weight_updates = engine_weight_updates.WeightUpdates()
         self.failed_requests = failed_request_records.FailedRequests()
@@ -140,16 +153,29 @@
             incarnation, per_second, sent_ms, self.clock.now_ms()
         )
         if is_changed:
-            self._log_rate_limit(incarnation, "answer")
+            self._handle_limit_change(incarnation, "answer")
+            self.notify_rate_limit()
         return is_changed
 
-    def _log_rate_limit(self, incarnation: servers.Incarnation, origin: str) -> None:
+    def apply_peer_limit(self, state: rate_limits.LimitState) -> None:
+        """Apply a peer's state of a rate limit, as in `record_rate_limit`."""
+        entry = self.registry.find(state.incarnation.server_id)
+        if entry is None or entry.incarnation != state.incarnation:
+            return
+        if self.rate_limits.apply_peer_state(state, self.clock.now_ms()):
+            self._handle_limit_change(state.incarnation, "peer")
+
+    def _handle_limit_change(
+        self, incarnation: servers.Incarnation, origin: str
+    ) -> None:
+        self.send_permits.apply_limit_change(self.clock.now_ms())
         per_second = self.rate_limits.limit_of(incarnation)
         _LOG.info(
             "rate limit ended" if per_second is None else "rate limit in force",
             server=incarnation.server_id,
             per_second=per_second,
             origin=origin,
+            issuer=self.send_permits.issuer_of(incarnation),
         )
 
     def has_ended(self, suspicion: crash_suspicions.Suspicion) -> bool:
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -235,6 +235,13 @@
         if link is None:
             return False
         now_ms = self._clock.now_ms()
+        if not self._fleet.send_permits.may_send(
+            server.incarnation, placement.permit, now_ms
+        ):
+            # Its permit has expired, or the server has named a limit meanwhile.
+            active.tried_servers.discard(server.server_id)
+            self._fleet.links.release(server, link)
+            return False
         health.record_send(now_ms)
         if active.sends == 0:
             self._retry_budget(active.service.name).record_first_send(now_ms)
@@ -417,6 +424,8 @@
             # may be chosen again.
             active.sends -= 1
             active.tried_servers.discard(placement.server.server_id)
+            if placement.permit is not None:
+                self._fleet.send_permits.give_back(placement.permit)
             return False
         if outcome is server_links.ExchangeOutcome.COMPLETE and head is not None:
             if head.was_refused:
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -33,6 +33,7 @@
     order_lease,
     peer_messages,
     peers,
+    permit_exchange,
     row_consumers,
     service_times,
     store_cleaner,
@@ -110,9 +111,19 @@
             self._make_report,
             self._apply_report,
             self._apply_load_change,
+            lambda message: self._permits.handle(message),
             clock,
         )
         self._fleet.loads.notify_peers = self._reporter.send_load_change
+        self._permits = permit_exchange.PermitExchange(
+            self._fleet,
+            self._peers,
+            self._reporter.send_permits,
+            self._dispatcher.start_queued,
+            clock,
+        )
+        # The peers learn of a limit at once, as it binds all gateways together.
+        self._fleet.notify_rate_limit = self._reporter.send
         self._order_lease = order_lease.OrderLease(
             self._store, own_settings.vm, own_settings.bounds.order_lease_ms, clock
         )
@@ -190,6 +201,7 @@
             self._tasks.start(follower.run_from_peers())
         self._tasks.start(self._reporter.run())
         self._tasks.start(self._dispatcher.run())
+        self._tasks.start(self._permits.run())
         self._tasks.start(self._weight_rollout.run())
         self._tasks.start(self._cache_followers.run())
         self._tasks.start(self._store_cleaner.run())
@@ -205,6 +217,7 @@
         """
         began_ms = self._clock.now_ms()
         self._is_leaving = True
+        self._permits.is_leaving = True
         self._listener.state.is_leaving = True
         _LOG.info("leaving", open_requests=self._listener.open_requests)
         grace_ms = self._own_settings.bounds.shutdown_grace_ms * SHUTDOWN_FRACTION
@@ -265,7 +278,7 @@
         return follower.rows if follower else None
 
     def _make_report(self) -> peer_messages.Report:
-        return peer_messages.Report(
+        report = peer_messages.Report(
             vm=self._own_settings.vm,
             is_leaving=self._is_leaving,
             states=tuple(
@@ -285,6 +298,7 @@
                 self._clock.now_ms()
             ),
         )
+        return self._permits.complete_report(report)
 
     def _apply_report(self, report: peer_messages.Report) -> None:
         now_ms = self._clock.now_ms()
@@ -303,6 +317,7 @@
             self._fleet.service_times.apply_peer_times(service, times)
         for update in report.weight_updates:
             self._fleet.apply_weight_update(update)
+        self._permits.apply_report(report)
 
     def _times_to_publish(self) -> Mapping[str, service_times.Times]:
         """Return the service times in one of `REPORTS_PER_TIMES` reports, else nothing.
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -1,6 +1,7 @@
 """Datagrams between gateways: typed messages and their Cap'n Proto encoding."""
 
 import dataclasses
+import math
 import pathlib
 from collections.abc import Mapping
 from typing import Any, Final
@@ -13,6 +14,8 @@
     engine_weight_updates,
     failed_request_records,
     loads,
+    rate_limits,
+    send_permits,
     server_health,
     servers,
     service_times,
@@ -75,6 +78,14 @@
         Pauses that backend servers have asked for.
     failed_requests : tuple of FailedRequest
         Rejected requests, with the time since their first attempt.
+    limit_states : tuple of LimitState
+        Rate limits of backend servers, ended ones included.
+    issuer_reports : tuple of IssuerReport
+        Issuers of the limited servers, as the gateway sees them.
+    permit_asks : tuple of Ask
+        What the gateway asks of the issuers.
+    issues_permits : bool
+        Whether the gateway shares rate limits by permits.
     """
 
     vm: ids.VmName
@@ -90,6 +101,10 @@
     leaving: tuple[servers.Incarnation, ...] = ()
     pauses: tuple[server_health.PeerPause, ...] = ()
     failed_requests: tuple[failed_request_records.FailedRequest, ...] = ()
+    limit_states: tuple[rate_limits.LimitState, ...] = ()
+    issuer_reports: tuple[send_permits.IssuerReport, ...] = ()
+    permit_asks: tuple[send_permits.Ask, ...] = ()
+    issues_permits: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -156,6 +171,9 @@
             {"key": each.key, "ageMs": min(each.age_ms, _NO_AGE)}
             for each in report.failed_requests
         ],
+        rateLimits=_rate_limit_fields(report),
+        permitAsks=[_ask_fields(each) for each in report.permit_asks],
+        issuesPermits=report.issues_permits,
     )
     return bytes(message.to_bytes_packed())
 
@@ -169,7 +187,27 @@
     return bytes(message.to_bytes_packed())
 
 
-def decode(datagram: bytes) -> Report | LoadChange:
+def encode_permits(permits: send_permits.PermitMessage) -> bytes:
+    """Return the datagram of asks and grants."""
+    message = _SCHEMA.Datagram.new_message()
+    message.permits = _SCHEMA.Permits.new_message(
+        vm=permits.vm,
+        asks=[_ask_fields(each) for each in permits.asks],
+        grants=[
+            {
+                "server": _incarnation_fields(each.incarnation),
+                "count": each.count,
+                "askedMs": each.asked_ms,
+                "number": each.number,
+                "isTrial": each.is_trial,
+            }
+            for each in permits.grants
+        ],
+    )
+    return bytes(message.to_bytes_packed())
+
+
+def decode(datagram: bytes) -> Report | LoadChange | send_permits.PermitMessage:
     """Return the message of a datagram.
 
     Raises
@@ -181,6 +219,8 @@
         message = _SCHEMA.Datagram.from_bytes_packed(datagram)
         if message.which() == "loadChange":
             return _load_change(message.loadChange)
+        if message.which() == "permits":
+            return _permits(message.permits)
         return _report(message.report)
     except (capnp.KjException, ValueError) as error:
         raise MessageError(str(error)) from error
@@ -233,6 +273,85 @@
     return servers.Incarnation(servers.ServerId(message.server), message.startedWallMs)
 
 
+def _rate_limit_fields(report: Report) -> list[dict[str, Any]]:
+    issuer_report_by_incarnation = {
+        each.incarnation: each for each in report.issuer_reports
+    }
+    fields = []
+    for state in report.limit_states:
+        issuer_report = issuer_report_by_incarnation.get(state.incarnation)
+        wait_ms = issuer_report.wait_ms if issuer_report is not None else None
+        fields.append(
+            {
+                "server": _incarnation_fields(state.incarnation),
+                "perSecond": state.per_second or 0.0,
+                "hasEnded": state.per_second is None,
+                "revision": state.revision,
+                "answerAgeMs": min(state.answer_age_ms, _NO_AGE),
+                "issuer": (issuer_report and issuer_report.issuer) or "",
+                "waitMs": _NO_AGE if wait_ms is None else wait_ms,
+            }
+        )
+    return fields
+
+
+def _limit_state(message: Any) -> rate_limits.LimitState:
+    per_second = None if message.hasEnded else message.perSecond
+    if per_second is not None and not 0 <= per_second < math.inf:
+        raise ValueError(f"no rate limit can be {per_second}")
+    return rate_limits.LimitState(
+        _incarnation(message.server),
+        per_second,
+        message.revision,
+        message.answerAgeMs,
+    )
+
+
+def _issuer_report(message: Any) -> send_permits.IssuerReport:
+    return send_permits.IssuerReport(
+        _incarnation(message.server),
+        ids.VmName(message.issuer) if message.issuer else None,
+        None if message.waitMs == _NO_AGE else message.waitMs,
+    )
+
+
+def _ask_fields(ask: send_permits.Ask) -> dict[str, Any]:
+    return {
+        "server": _incarnation_fields(ask.incarnation),
+        "wanted": ask.wanted,
+        "rank": ask.rank,
+        "waitedMs": min(ask.waited_ms, _NO_AGE),
+        "askedMs": ask.asked_ms,
+    }
+
+
+def _ask(message: Any) -> send_permits.Ask:
+    return send_permits.Ask(
+        _incarnation(message.server),
+        message.wanted,
+        message.rank,
+        message.waitedMs,
+        message.askedMs,
+    )
+
+
+def _permits(message: Any) -> send_permits.PermitMessage:
+    return send_permits.PermitMessage(
+        ids.VmName(message.vm),
+        tuple(_ask(each) for each in message.asks),
+        tuple(
+            send_permits.Grant(
+                _incarnation(each.server),
+                each.count,
+                each.askedMs,
+                each.number,
+                each.isTrial,
+            )
+            for each in message.grants
+        ),
+    )
+
+
 def _times_fields(service: str, times: service_times.Times) -> dict[str, Any]:
     return {
         "service": service,
@@ -325,4 +444,10 @@
             )
             for each in message.turnedAway
         ),
+        limit_states=tuple(_limit_state(each) for each in message.rateLimits),
+        issuer_reports=tuple(
+            _issuer_report(each) for each in message.rateLimits if not each.hasEnded
+        ),
+        permit_asks=tuple(_ask(each) for each in message.permitAsks),
+        issues_permits=message.issuesPermits,
     )
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -76,6 +76,43 @@
   ageMs @1 :UInt32;
 }
 
+# The rate limit of a backend server, and the reporting gateway's view of its issuer.
+struct RateLimit {
+  server @0 :Incarnation;
+  perSecond @1 :Float64;
+  hasEnded @2 :Bool;
+  revision @3 :UInt32;
+  answerAgeMs @4 :UInt32;
+  # Issuer that the reporting gateway supports; empty for none.
+  issuer @5 :Text;
+  # Wait for a permit, if the reporting gateway is the issuer; else the largest value.
+  waitMs @6 :UInt32 = 0xffffffff;
+}
+
+struct PermitAsk {
+  server @0 :Incarnation;
+  wanted @1 :UInt16;
+  rank @2 :UInt16;
+  waitedMs @3 :UInt32;
+  # On the clock of the asking gateway; a grant repeats it.
+  askedMs @4 :UInt64;
+}
+
+struct PermitGrant {
+  server @0 :Incarnation;
+  count @1 :UInt16;
+  askedMs @2 :UInt64;
+  number @3 :UInt32;
+  isTrial @4 :Bool;
+}
+
+# Sent only to gateways whose reports have issuesPermits.
+struct Permits {
+  vm @0 :Text;
+  asks @1 :List(PermitAsk);
+  grants @2 :List(PermitGrant);
+}
+
 struct Report {
   vm @0 :Text;
   isLeaving @1 :Bool;
@@ -88,11 +125,16 @@
   leaving @8 :List(Incarnation);
   pauses @9 :List(Pause);
   turnedAway @10 :List(TurnedAway);
+  rateLimits @11 :List(RateLimit);
+  permitAsks @12 :List(PermitAsk);
+  # Whether the gateway shares rate limits by permits; earlier releases don't.
+  issuesPermits @13 :Bool;
 }
 
 struct Datagram {
   union {
     report @0 :Report;
     loadChange @1 :LoadChange;
+    permits @2 :Permits;
   }
 }
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -30,6 +30,7 @@
     loads,
     peer_calls,
     peer_messages,
+    send_permits,
     servers,
     tables,
 )
@@ -53,6 +54,10 @@
 MEMBER_EXPIRY_MS: Final = 30_000
 """Time without a report after which a member gets no more datagrams."""
 
+MAX_ABSENCE_MS: Final = 300_000
+"""Time without a report after which a gateway that hears only a minority of its peers
+no longer counts a peer as one that may be alive."""
+
 _MEMBER_PREFIX: Final = "gateway:"
 
 ROWS_TIMEOUT_MS: Final = 1_000
@@ -66,6 +71,7 @@
 
 ReportHandler = Callable[[peer_messages.Report], None]
 LoadChangeHandler = Callable[[peer_messages.LoadChange], None]
+PermitHandler = Callable[[send_permits.PermitMessage], None]
 RowsReader = Callable[[tables.TableName], store_rows.Rows | None]
 
 
@@ -138,6 +144,42 @@
         """Name of this gateway."""
         return self._own_settings.vm
 
+    def issuer_candidates(self) -> tuple[ids.VmName, ...]:
+        """Return the live peers that share rate limits by permits, sorted."""
+        return tuple(
+            sorted(
+                self._report_by_ip[ip].vm
+                for ip in self.live_ips()
+                if self._report_by_ip[ip].issues_permits
+                and not self._report_by_ip[ip].is_leaving
+            )
+        )
+
+    def known_gateways(self) -> int:
+        """Return the number of gateways that may be alive, this one included.
+
+        Peers that are silent but have not announced their shutdown count: for
+        `MEMBER_EXPIRY_MS` while this gateway receives reports of most of them, else for
+        `MAX_ABSENCE_MS`, and always while it receives none, since it is then more
+        likely to be cut off than to be the last one.
+        """
+        now_ms = self._clock.now_ms()
+        live = frozenset(self.live_ips())
+        absent_ms = [
+            now_ms
+            - max(self._report_ms_by_ip.get(ip, 0), self._added_ms_by_ip.get(ip, 0))
+            for ip in {*self._ip_by_member.values(), *self._report_ms_by_ip}
+            if ip != self._own_settings.ip
+            and ip not in live
+            and not (ip in self._report_by_ip and self._report_by_ip[ip].is_leaving)
+        ]
+        if not live:
+            return 1 + len(absent_ms)
+        counted = sum(each < MAX_ABSENCE_MS for each in absent_ms)
+        if 1 + len(live) > (1 + len(live) + counted) / 2:
+            counted = sum(each < MEMBER_EXPIRY_MS for each in absent_ms)
+        return 1 + len(live) + counted
+
     def first_ranked(self, key: str, count: int) -> tuple[ids.VmName, ...]:
         """Return the first `count` live gateways in the ranking for a key.
 
@@ -241,6 +283,8 @@
         Handles a peer's report.
     handle_change : callable
         Handles a peer's change of load.
+    handle_permits : callable
+        Handles a peer's asks and grants of permits.
     """
 
     def __init__(
@@ -250,9 +294,11 @@
         make_report: Callable[[], peer_messages.Report],
         handle_report: ReportHandler,
         handle_change: LoadChangeHandler,
+        handle_permits: PermitHandler,
         clock: clocks.Clock,
     ) -> None:
         self._own_settings = own_settings
+        self._handle_permits = handle_permits
         self._peers = peer_directory
         self._make_report = make_report
         self._handle_report = handle_report
@@ -289,6 +335,14 @@
             live = tuple(random.sample(live, MAX_NOTIFIED_PEERS))
         self._send_to(live, peer_messages.encode_change(change))
 
+    def send_permits(
+        self, member: ids.VmName, permits: send_permits.PermitMessage
+    ) -> None:
+        """Send asks and grants to a live peer; without effect if it is not live."""
+        ip = self._peers.ip_of(member)
+        if ip is not None:
+            self._send_to((ip,), peer_messages.encode_permits(permits))
+
     def _send_to(self, destinations: Iterable[str], datagram: bytes) -> None:
         for ip in destinations:
             try:
@@ -315,6 +369,9 @@
             if isinstance(message, peer_messages.LoadChange):
                 self._handle_change(message)
                 continue
+            if isinstance(message, send_permits.PermitMessage):
+                self._handle_permits(message)
+                continue
             self._peers.record_report(ip, message)
             self._handle_report(message)
 
--- a/quincecrank/gateway/rate_limits.py
+++ b/quincecrank/gateway/rate_limits.py
@@ -76,6 +76,11 @@
         self._record_by_incarnation: dict[servers.Incarnation, _Record] = {}
         self._limited_count = 0
 
+    @property
+    def is_any_known(self) -> bool:
+        """Whether any state is known, ended limits included."""
+        return bool(self._record_by_incarnation)
+
     @property
     def is_any_limited(self) -> bool:
         """Whether a limit is in force at any server."""
--- a/quincecrank/gateway/request_queue.py
+++ b/quincecrank/gateway/request_queue.py
@@ -51,6 +51,10 @@
 1.5 times this wait, it is `MAX_RETRY_AFTER_MS`."""
 
 
+RANKS_PER_TIMELINESS: Final = 256
+"""Urgencies that are distinguished in the rank of a queue class."""
+
+
 class Timeliness(enum.IntEnum):
     """Whether a request that starts now can be on time; lower goes first."""
 
@@ -125,6 +129,13 @@
     timeliness: Timeliness
     urgency: int
 
+    @property
+    def rank(self) -> int:
+        """Return a number by which gateways compare classes; lower goes first."""
+        return self.timeliness * RANKS_PER_TIMELINESS + min(
+            self.urgency, RANKS_PER_TIMELINESS - 1
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Start:
@@ -173,8 +184,7 @@
             Uniform random number from 0 to 1, which spreads the retries over 0.5 to
             1.5 times the expected wait.
         """
-        wait_ms = min(self.expected_wait_ms(request, now_ms), MAX_COUNTED_WAIT_MS)
-        return int(MIN_RETRY_AFTER_MS + wait_ms * (0.5 + jitter_fraction))
+        return spread_retry_ms(self.expected_wait_ms(request, now_ms), jitter_fraction)
 
     def record_unplaced(self, request: QueuedRequest, now_ms: int) -> None:
         """Record that a request could not be started on arrival.
@@ -285,6 +295,12 @@
         )
 
 
+def spread_retry_ms(wait_ms: float, jitter_fraction: float) -> int:
+    """Return the retry time for an expected wait, see "retry time" above."""
+    counted_ms = min(wait_ms, MAX_COUNTED_WAIT_MS)
+    return int(MIN_RETRY_AFTER_MS + counted_ms * (0.5 + jitter_fraction))
+
+
 def _start_interval_ms(
     request: QueuedRequest, now_ms: int, starts: _StartCounts
 ) -> float:
--- /dev/null
+++ b/quincecrank/gateway/send_permits.py
@@ -0,0 +1,691 @@
+"""Permits to send requests to backend servers that limit their rate.
+
+Load pattern: one, several or all servers of a service take only a few requests a second
+from all gateways together, while requests wait at some of many gateways.  An equal
+share of such a limit is less than a request in some seconds: most gateways have no
+work for theirs, and shares that were saved up are used at the same moment.  So one
+gateway issues the permits for a server at its rate, to the gateways that ask.
+
+Terms
+-----
+permit
+    Right of a gateway to send one request to an incarnation of a backend server, for a
+    short time.
+issuer
+    The gateway that issues the permits for a server: the first in the ranking of the
+    live gateways for the server's id.
+supporter
+    A gateway that reports another one, or itself, as the issuer for a server.
+trial
+    A permit that the limit need not allow.  It is issued when no answer of the server
+    has arrived for some time, since only an answer shows the end of a limit.
+stock
+    Permits that a gateway asks for in advance, as it sends many requests to a server.
+"""
+
+import collections
+import dataclasses
+import random
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+from quincecrank import clock as clocks
+from quincecrank import ids, rendezvous
+from quincecrank.gateway import rate_limits, servers
+
+PERMIT_MS: Final = 600
+"""Time after an ask, on the clock of the asking gateway, in which its permits are
+valid."""
+
+ASK_MS: Final = 400
+"""Time after its arrival in which an ask gets permits: longer than the longest interval
+of reports, which repeat it, and shorter than `PERMIT_MS`."""
+
+SUPPORT_MS: Final = 700
+"""Time for which an issuer counts a supporter after its report: two of the longest
+report intervals.  A gateway supports no issuer for this time after a change."""
+
+QUORUM: Final = 0.8
+"""Fraction of the known gateways whose support gives an issuer the whole limit.  With
+fewer, its rate is proportional to their number."""
+
+MIN_TRIAL_SUPPORT: Final = 0.4
+"""Fraction of the known gateways whose support an issuer needs for trials, so that at
+most two issuers make them."""
+
+TRIAL_INTERVAL_MS: Final = 2_000
+"""Time without an answer of a limited server after which one request tries it."""
+
+SPARSE_TRIAL_INTERVAL_MS: Final = 3_000
+"""The same for a limit that allows fewer requests than one each `TRIAL_INTERVAL_MS`."""
+
+TRIAL_PERMIT_MS: Final = 2_000
+"""Time after an ask in which a trial is valid: a gateway of a large fleet may get no
+request for a second."""
+
+MAX_SAVED_MS: Final = 50
+"""Time whose permits an issuer may issue late, for the delays of its own process."""
+
+MIN_ASK_INTERVAL_MS: Final = 20
+"""Shortest time between two asks of a gateway for one server."""
+
+STOCK_MS: Final = 150
+"""Time whose sends a gateway keeps in stock: an interval of reports."""
+
+USE_WINDOW_MS: Final = 1_000
+"""Time whose sends give the rate for the stock, and in which a gateway that had
+requests for a service takes part in trials."""
+
+MAX_WANTED: Final = 1_000
+"""Most permits that one ask names."""
+
+MAX_WAIT_MS: Final = 60_000
+"""Longest wait for a permit that is reported."""
+
+STOCK_RANK: Final = 0xFFFE
+"""Rank of asks for stock, behind all requests that wait."""
+
+STANDING_RANK: Final = 0xFFFF
+"""Rank of asks that want nothing but trials."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Permit:
+    """Right to send one request; `expires_ms` is on this gateway's clock."""
+
+    incarnation: servers.Incarnation
+    expires_ms: int
+    is_trial: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """What a gateway asks of the issuer of a server; replaces its earlier asks.
+
+    Attributes
+    ----------
+    wanted : int
+        Permits that it can use now; 0 if it only takes part in trials.
+    rank : int
+        Rank of its first waiting request; lower goes first.
+    waited_ms : int
+        Time for which that request has waited.
+    asked_ms : int
+        Time of the ask on the clock of the asking gateway.
+    """
+
+    incarnation: servers.Incarnation
+    wanted: int
+    rank: int
+    waited_ms: int
+    asked_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """Permits for one gateway.
+
+    Attributes
+    ----------
+    asked_ms : int
+        Time of the ask, from which the permits are valid for `PERMIT_MS`, and a trial
+        for `TRIAL_PERMIT_MS`.
+    number : int
+        Distinguishes the grant from others, as datagrams may arrive twice.
+    """
+
+    incarnation: servers.Incarnation
+    count: int
+    asked_ms: int
+    number: int
+    is_trial: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitMessage:
+    """Asks and grants that one gateway sends to another."""
+
+    vm: ids.VmName
+    asks: tuple[Ask, ...] = ()
+    grants: tuple[Grant, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IssuerReport:
+    """What a gateway reports of the issuer of a limited server.
+
+    Attributes
+    ----------
+    issuer : VmName or None
+        Issuer that the gateway supports; None while it supports none.
+    wait_ms : int or None
+        Time after which a new ask would get a permit, if the gateway is the issuer.
+    """
+
+    incarnation: servers.Incarnation
+    issuer: ids.VmName | None
+    wait_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """The requests of this gateway that could use permits of a server now."""
+
+    waiting: int
+    rank: int
+    since_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class _PendingAsk:
+    wanted: int
+    rank: int
+    since_ms: int
+    asked_ms: int
+    received_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class _IssuerState:
+    """State of a server for which this gateway issues permits.
+
+    Attributes
+    ----------
+    paced_ms : float
+        Time up to which the limit's rate is used up.
+    """
+
+    since_ms: int
+    paced_ms: float
+    last_trial_ms: int
+    ask_by_gateway: dict[ids.VmName, _PendingAsk] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class _HolderState:
+    """State of a server that this gateway sends to."""
+
+    permits: collections.deque[Permit] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    demand: Demand | None = None
+    outstanding: int = 0
+    asked_ms: int | None = None
+    interest_ms: int | None = None
+    sends_ms: collections.deque[int] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    number_expiry_ms: dict[int, int] = dataclasses.field(default_factory=dict)
+    issuer: ids.VmName | None = None
+    supports_from_ms: int = 0
+    issuer_by_peer: dict[ids.VmName, tuple[ids.VmName, int]] = dataclasses.field(
+        default_factory=dict
+    )
+    issuer_wait_until_ms: int = 0
+
+
+class SendPermits:
+    """Issues, asks for and uses the permits for limited backend servers.
+
+    Invariants:
+
+    - A request goes to a limited server only with a permit for it that was issued no
+      longer than `PERMIT_MS` ago, `TRIAL_PERMIT_MS` for a trial.
+    - Each gateway supports one issuer of a server at a time, and an issuer's rate is
+      the limit times its supporters' fraction of the known gateways over `QUORUM`, at
+      most the limit.  So in any time the issuers together issue at most 1 / `QUORUM`
+      times what the limit allows, and one permit and the trials of each issuer more,
+      whatever each gateway assumes of the others.
+
+    Parameters
+    ----------
+    limits : RateLimits
+        The limits in force.
+    """
+
+    def __init__(self, own_name: ids.VmName, limits: rate_limits.RateLimits) -> None:
+        self._own_name = own_name
+        self._limits = limits
+        self._holder_by_incarnation: dict[servers.Incarnation, _HolderState] = {}
+        self._issuer_by_incarnation: dict[servers.Incarnation, _IssuerState] = {}
+        self._candidates: tuple[ids.VmName, ...] = (own_name,)
+        self._known_count = 1
+        self._support_blocked_until_ms: int | None = None
+        self._next_number = random.getrandbits(32)
+        self.issued_count = 0
+        self.used_count = 0
+        self.expired_count = 0
+
+    def set_gateways(
+        self, candidates: Sequence[ids.VmName], known_count: int, now_ms: int
+    ) -> None:
+        """Set the gateways that may issue permits, and choose the issuers.
+
+        Parameters
+        ----------
+        candidates : sequence of VmName
+            The live gateways that may be issuers.
+        known_count : int
+            Number of gateways that may be alive, this one included.
+        """
+        if self._support_blocked_until_ms is None:
+            # An earlier process of this gateway may have supported other issuers.
+            self._support_blocked_until_ms = now_ms + SUPPORT_MS
+        self._known_count = known_count
+        is_changed = tuple(candidates) != self._candidates
+        # A gateway that leaves alone has no other to ask.
+        self._candidates = tuple(candidates) or (self._own_name,)
+        self._update_issuers(now_ms, is_changed=is_changed)
+
+    def apply_limit_change(self, now_ms: int) -> None:
+        """Choose issuers for servers with a new limit; discard those without one."""
+        self._update_issuers(now_ms, is_changed=False)
+
+    def _update_issuers(self, now_ms: int, *, is_changed: bool) -> None:
+        limited = self._limits.limited()
+        self._remove_unlimited(limited)
+        for incarnation in limited:
+            holder = self._holder(incarnation)
+            if holder.issuer is None or is_changed:
+                self._choose_issuer(incarnation, holder, now_ms)
+
+    def allows(self, incarnation: servers.Incarnation, now_ms: int) -> bool:
+        """Return whether a request may be sent to a server now."""
+        if self._limits.limit_of(incarnation) is None:
+            return True
+        return bool(self._valid_permits(incarnation, now_ms))
+
+    def has_trial(self, incarnation: servers.Incarnation, now_ms: int) -> bool:
+        """Return whether the next request to a server is a trial."""
+        if self._limits.limit_of(incarnation) is None:
+            return False
+        permits = self._valid_permits(incarnation, now_ms)
+        return bool(permits) and permits[0].is_trial
+
+    def take(self, incarnation: servers.Incarnation, now_ms: int) -> Permit | None:
+        """Take a permit for a request; None if the server has no limit.
+
+        Raises
+        ------
+        IndexError
+            If the server is limited and `allows` is False.
+        """
+        if self._limits.limit_of(incarnation) is None:
+            return None
+        permit = self._valid_permits(incarnation, now_ms).popleft()
+        self._holder(incarnation).sends_ms.append(now_ms)
+        self.used_count += 1
+        return permit
+
+    def may_send(
+        self, incarnation: servers.Incarnation, permit: Permit | None, now_ms: int
+    ) -> bool:
+        """Return whether a request that was placed with a permit may be sent now."""
+        if permit is not None and now_ms < permit.expires_ms:
+            return True
+        return self._limits.limit_of(incarnation) is None
+
+    def give_back(self, permit: Permit) -> None:
+        """Return a permit whose request was not sent."""
+        if self._limits.limit_of(permit.incarnation) is not None:
+            self._holder(permit.incarnation).permits.append(permit)
+            self.used_count -= 1
+
+    def set_demand(
+        self, incarnation: servers.Incarnation, demand: Demand | None, now_ms: int
+    ) -> bool:
+        """Set the demand for a server; return whether an ask is due."""
+        if self._limits.limit_of(incarnation) is None:
+            return False
+        holder = self._holder(incarnation)
+        holder.demand = demand
+        return self._wanted(incarnation, holder, now_ms) != holder.outstanding
+
+    def record_interest(self, incarnation: servers.Incarnation, now_ms: int) -> None:
+        """Record that a request could have gone to a limited server."""
+        if self._limits.limit_of(incarnation) is not None:
+            self._holder(incarnation).interest_ms = now_ms
+
+    def due_asks(self, now_ms: int) -> dict[ids.VmName, tuple[Ask, ...]]:
+        """Return the asks to send at once, by issuer, which may be this gateway."""
+        asks_by_issuer: dict[ids.VmName, list[Ask]] = {}
+        for incarnation in self._limits.limited():
+            holder = self._holder(incarnation)
+            if holder.issuer is None or not self._is_ask_due(
+                incarnation, holder, now_ms
+            ):
+                continue
+            ask = self._make_ask(incarnation, holder, now_ms)
+            asks_by_issuer.setdefault(holder.issuer, []).append(ask)
+        return {name: tuple(asks) for name, asks in asks_by_issuer.items()}
+
+    def asks_to_report(self, now_ms: int) -> tuple[Ask, ...]:
+        """Return the asks that a report to all gateways repeats."""
+        asks = []
+        for incarnation in self._limits.limited():
+            holder = self._holder(incarnation)
+            is_interested = (
+                holder.interest_ms is not None
+                and now_ms - holder.interest_ms < USE_WINDOW_MS
+            )
+            if is_interested or holder.demand is not None:
+                asks.append(self._make_ask(incarnation, holder, now_ms))
+        return tuple(asks)
+
+    def apply_asks(self, gateway: ids.VmName, asks: Iterable[Ask], now_ms: int) -> bool:
+        """Record the asks of a gateway for servers of which this one is the issuer.
+
+        Returns whether there are any.
+        """
+        is_any = False
+        for ask in asks:
+            state = self._issuer_by_incarnation.get(ask.incarnation)
+            if state is None:
+                continue
+            pending = state.ask_by_gateway.get(gateway)
+            if (
+                pending is not None
+                and pending.asked_ms >= ask.asked_ms
+                and now_ms - pending.received_ms < ASK_MS
+            ):
+                continue  # A repeated or overtaken datagram.
+            is_any = True
+            state.ask_by_gateway[gateway] = _PendingAsk(
+                min(ask.wanted, MAX_WANTED),
+                ask.rank,
+                now_ms - ask.waited_ms,
+                ask.asked_ms,
+                now_ms,
+            )
+        return is_any
+
+    def issue(self, now_ms: int) -> dict[ids.VmName, tuple[Grant, ...]]:
+        """Issue and return the permits that are due, by gateway."""
+        grants_by_gateway: dict[ids.VmName, list[Grant]] = {}
+        for incarnation, state in self._issuer_by_incarnation.items():
+            self._remove_old_asks(state, now_ms)
+            if not state.ask_by_gateway:
+                continue
+            for gateway, grant in self._issue_for(incarnation, state, now_ms):
+                grants_by_gateway.setdefault(gateway, []).append(grant)
+        return {name: tuple(grants) for name, grants in grants_by_gateway.items()}
+
+    def ms_until_due(self, now_ms: int) -> float | None:
+        """Return the time until permits or asks are due; None if nothing waits."""
+        due_ms: list[float] = []
+        for incarnation, state in self._issuer_by_incarnation.items():
+            interval_ms = self._interval_ms(incarnation, now_ms)
+            if interval_ms is not None and any(
+                ask.wanted for ask in state.ask_by_gateway.values()
+            ):
+                due_ms.append(state.paced_ms + interval_ms - now_ms)
+        for incarnation in self._limits.limited():
+            holder = self._holder(incarnation)
+            if holder.issuer is None or holder.demand is None:
+                continue
+            if self._wanted(incarnation, holder, now_ms) != holder.outstanding:
+                asked_ms = holder.asked_ms or 0
+                due_ms.append(asked_ms + MIN_ASK_INTERVAL_MS - now_ms)
+        return min(due_ms, default=None)
+
+    def apply_grants(
+        self, grants: Iterable[Grant], now_ms: int
+    ) -> tuple[servers.Incarnation, ...]:
+        """Add permits; return the servers for which there are new ones."""
+        granted = []
+        for grant in grants:
+            holder = self._holder_by_incarnation.get(grant.incarnation)
+            valid_ms = TRIAL_PERMIT_MS if grant.is_trial else PERMIT_MS
+            expires_ms = grant.asked_ms + valid_ms
+            if (
+                holder is None
+                or not grant.asked_ms <= now_ms < expires_ms
+                or grant.number in holder.number_expiry_ms
+            ):
+                continue
+            holder.number_expiry_ms[grant.number] = expires_ms
+            holder.outstanding = max(0, holder.outstanding - grant.count)
+            permit = Permit(grant.incarnation, expires_ms, grant.is_trial)
+            holder.permits.extend([permit] * grant.count)
+            granted.append(grant.incarnation)
+        return tuple(granted)
+
+    def issuer_reports(self, now_ms: int) -> tuple[IssuerReport, ...]:
+        """Return what to report of the issuers of the limited servers."""
+        return tuple(
+            IssuerReport(
+                incarnation,
+                self._supported(self._holder(incarnation), now_ms),
+                self._issuer_wait_ms(incarnation, now_ms),
+            )
+            for incarnation in self._limits.limited()
+        )
+
+    def apply_issuer_reports(
+        self, gateway: ids.VmName, reports: Iterable[IssuerReport], now_ms: int
+    ) -> None:
+        """Record which issuers a peer supports, and the wait that an issuer reports."""
+        for report in reports:
+            if self._limits.limit_of(report.incarnation) is None:
+                continue
+            holder = self._holder(report.incarnation)
+            if report.issuer is None:
+                holder.issuer_by_peer.pop(gateway, None)
+            else:
+                holder.issuer_by_peer[gateway] = (report.issuer, now_ms)
+            if report.wait_ms is not None and gateway == holder.issuer:
+                holder.issuer_wait_until_ms = now_ms + report.wait_ms
+
+    def expected_wait_ms(self, incarnation: servers.Incarnation, now_ms: int) -> float:
+        """Return the estimated time until a new request gets a permit."""
+        if self._valid_permits(incarnation, now_ms):
+            return 0.0
+        if not self._limits.limit_of(incarnation):
+            return float(MAX_WAIT_MS)
+        holder = self._holder(incarnation)
+        if holder.issuer == self._own_name:
+            return self._issuer_wait_ms(incarnation, now_ms) or 0.0
+        return max(0.0, holder.issuer_wait_until_ms - now_ms)
+
+    def issuer_of(self, incarnation: servers.Incarnation) -> ids.VmName | None:
+        """Return the issuer for a server as this gateway sees it."""
+        holder = self._holder_by_incarnation.get(incarnation)
+        return holder.issuer if holder is not None else None
+
+    def _holder(self, incarnation: servers.Incarnation) -> _HolderState:
+        return self._holder_by_incarnation.setdefault(incarnation, _HolderState())
+
+    def _remove_unlimited(self, limited: Sequence[servers.Incarnation]) -> None:
+        kept = frozenset(limited)
+        for state_by_incarnation in (
+            self._holder_by_incarnation,
+            self._issuer_by_incarnation,
+        ):
+            for incarnation in tuple(state_by_incarnation):
+                if incarnation not in kept:
+                    del state_by_incarnation[incarnation]
+
+    def _choose_issuer(
+        self, incarnation: servers.Incarnation, holder: _HolderState, now_ms: int
+    ) -> None:
+        ranked = rendezvous.ranked(incarnation.server_id, self._candidates, 1)
+        issuer = ranked[0] if ranked else None
+        if issuer == holder.issuer:
+            return
+        if holder.issuer is not None:
+            holder.supports_from_ms = now_ms + SUPPORT_MS
+        elif self._support_blocked_until_ms is not None:
+            holder.supports_from_ms = max(now_ms, self._support_blocked_until_ms)
+        holder.issuer = issuer
+        holder.outstanding = 0
+        holder.asked_ms = None
+        holder.issuer_wait_until_ms = now_ms
+        if issuer == self._own_name:
+            self._issuer_by_incarnation[incarnation] = _IssuerState(
+                now_ms, float(now_ms), now_ms
+            )
+        else:
+            self._issuer_by_incarnation.pop(incarnation, None)
+
+    def _supported(self, holder: _HolderState, now_ms: int) -> ids.VmName | None:
+        return holder.issuer if now_ms >= holder.supports_from_ms else None
+
+    def _supporter_fraction(
+        self, incarnation: servers.Incarnation, now_ms: int
+    ) -> float:
+        """Return the supporters of this gateway as a fraction of the known gateways."""
+        holder = self._holder(incarnation)
+        count = int(self._supported(holder, now_ms) == self._own_name)
+        count += sum(
+            issuer == self._own_name and now_ms - reported_ms < SUPPORT_MS
+            for issuer, reported_ms in holder.issuer_by_peer.values()
+        )
+        return count / max(self._known_count, count, 1)
+
+    def _interval_ms(
+        self, incarnation: servers.Incarnation, now_ms: int
+    ) -> float | None:
+        """Return the time between two permits; None if none may be issued."""
+        per_second = self._limits.limit_of(incarnation)
+        if not per_second:
+            return None
+        share = min(1.0, self._supporter_fraction(incarnation, now_ms) / QUORUM)
+        return clocks.MS_PER_SECOND / (per_second * share) if share else None
+
+    def _issue_for(
+        self, incarnation: servers.Incarnation, state: _IssuerState, now_ms: int
+    ) -> Iterable[tuple[ids.VmName, Grant]]:
+        """Yield the grants for one server that are due."""
+        counts: collections.Counter[ids.VmName] = collections.Counter()
+        interval_ms = self._interval_ms(incarnation, now_ms)
+        while interval_ms is not None and state.paced_ms + interval_ms <= now_ms:
+            gateway = _first_asking(state)
+            if gateway is None:
+                break
+            counts[gateway] += 1
+            ask = state.ask_by_gateway[gateway]
+            ask.wanted -= 1
+            # The asking gateway's further requests arrived later.
+            ask.since_ms = now_ms
+            earliest_ms = now_ms - MAX_SAVED_MS - interval_ms
+            state.paced_ms = max(state.paced_ms, earliest_ms) + interval_ms
+        for gateway, count in counts.items():
+            ask = state.ask_by_gateway[gateway]
+            yield gateway, self._make_grant(incarnation, ask, count, is_trial=False)
+        if not counts and self._is_trial_due(incarnation, state, now_ms):
+            state.last_trial_ms = now_ms
+            state.paced_ms = max(state.paced_ms, float(now_ms))
+            gateway = _first_asking(state) or random.choice(tuple(state.ask_by_gateway))
+            ask = state.ask_by_gateway[gateway]
+            ask.wanted = max(0, ask.wanted - 1)
+            yield gateway, self._make_grant(incarnation, ask, 1, is_trial=True)
+
+    def _make_grant(
+        self,
+        incarnation: servers.Incarnation,
+        ask: _PendingAsk,
+        count: int,
+        *,
+        is_trial: bool,
+    ) -> Grant:
+        self._next_number = (self._next_number + 1) % 2**32
+        self.issued_count += count
+        return Grant(incarnation, count, ask.asked_ms, self._next_number, is_trial)
+
+    def _is_trial_due(
+        self, incarnation: servers.Incarnation, state: _IssuerState, now_ms: int
+    ) -> bool:
+        last_ms = max(
+            self._limits.confirmed_ms(incarnation), state.last_trial_ms, state.since_ms
+        )
+        per_second = self._limits.limit_of(incarnation) or 0.0
+        is_sparse = per_second * TRIAL_INTERVAL_MS < clocks.MS_PER_SECOND
+        return (
+            now_ms - last_ms
+            >= (SPARSE_TRIAL_INTERVAL_MS if is_sparse else TRIAL_INTERVAL_MS)
+            and self._supporter_fraction(incarnation, now_ms) >= MIN_TRIAL_SUPPORT
+        )
+
+    def _issuer_wait_ms(
+        self, incarnation: servers.Incarnation, now_ms: int
+    ) -> int | None:
+        """Return the time after which a new ask gets a permit; None if not issuer."""
+        state = self._issuer_by_incarnation.get(incarnation)
+        if state is None:
+            return None
+        interval_ms = self._interval_ms(incarnation, now_ms)
+        if interval_ms is None:
+            return MAX_WAIT_MS
+        wanted = sum(
+            ask.wanted
+            for ask in state.ask_by_gateway.values()
+            if ask.rank < STOCK_RANK and now_ms - ask.received_ms < ASK_MS
+        )
+        wait_ms = max(0.0, state.paced_ms + interval_ms * (1 + wanted) - now_ms)
+        return round(min(wait_ms, MAX_WAIT_MS))
+
+    def _remove_old_asks(self, state: _IssuerState, now_ms: int) -> None:
+        for gateway, ask in tuple(state.ask_by_gateway.items()):
+            if now_ms - ask.received_ms >= ASK_MS:
+                del state.ask_by_gateway[gateway]
+
+    def _valid_permits(
+        self, incarnation: servers.Incarnation, now_ms: int
+    ) -> collections.deque[Permit]:
+        holder = self._holder(incarnation)
+        while holder.permits and holder.permits[0].expires_ms <= now_ms:
+            holder.permits.popleft()
+            self.expired_count += 1
+        return holder.permits
+
+    def _wanted(
+        self, incarnation: servers.Incarnation, holder: _HolderState, now_ms: int
+    ) -> int:
+        """Return the permits to ask for, less those in hand."""
+        while holder.sends_ms and holder.sends_ms[0] <= now_ms - USE_WINDOW_MS:
+            holder.sends_ms.popleft()
+        stock = len(holder.sends_ms) * STOCK_MS // USE_WINDOW_MS
+        waiting = holder.demand.waiting if holder.demand is not None else 0
+        in_hand = len(self._valid_permits(incarnation, now_ms))
+        return min(MAX_WANTED, max(0, waiting + stock - in_hand))
+
+    def _is_ask_due(
+        self, incarnation: servers.Incarnation, holder: _HolderState, now_ms: int
+    ) -> bool:
+        if holder.asked_ms is not None:
+            if now_ms - holder.asked_ms < MIN_ASK_INTERVAL_MS:
+                return False
+            if now_ms - holder.asked_ms >= ASK_MS:
+                holder.outstanding = 0
+        return self._wanted(incarnation, holder, now_ms) != holder.outstanding
+
+    def _make_ask(
+        self, incarnation: servers.Incarnation, holder: _HolderState, now_ms: int
+    ) -> Ask:
+        for number, expires_ms in tuple(holder.number_expiry_ms.items()):
+            if expires_ms <= now_ms:
+                del holder.number_expiry_ms[number]
+        wanted = self._wanted(incarnation, holder, now_ms)
+        holder.outstanding = wanted
+        holder.asked_ms = now_ms
+        demand = holder.demand
+        if demand is not None:
+            waited_ms = max(0, now_ms - demand.since_ms)
+            return Ask(incarnation, wanted, demand.rank, waited_ms, now_ms)
+        rank = STOCK_RANK if wanted else STANDING_RANK
+        return Ask(incarnation, wanted, rank, 0, now_ms)
+
+
+def _first_asking(state: _IssuerState) -> ids.VmName | None:
+    """Return the gateway whose request goes first; None if none wants a permit."""
+    return min(
+        (name for name, ask in state.ask_by_gateway.items() if ask.wanted),
+        key=lambda name: (
+            state.ask_by_gateway[name].rank,
+            state.ask_by_gateway[name].since_ms,
+            name,
+        ),
+        default=None,
+    )
