--- a/bench/rate_limit_simulation.py
+++ b/bench/rate_limit_simulation.py
@@ -150,12 +150,15 @@
         Datagrams that the gateways sent, without reports.
     requests, rejected : int
         Requests of callers, and those that were rejected.
+    believing : tuple of frozenset of str
+        For each server, the gateways that assume a limit of it at the end of the run.
     """
 
     servers: tuple[ServerResult, ...]
     messages: int
     requests: int
     rejected: int
+    believing: tuple[frozenset[str], ...]
 
 
 class FreezableClock(virtual_time.LoopClock):
@@ -379,6 +382,16 @@
             self.messages,
             count,
             self._rejected,
+            tuple(self._believing(server_id) for server_id in self.server_by_id),
+        )
+
+    def _believing(self, server_id: servers.ServerId) -> frozenset[str]:
+        """Return the running gateways that assume a limit of a server."""
+        return frozenset(
+            gateway.name
+            for gateway in self._gateway_by_number.values()
+            for incarnation in gateway.fleet.rate_limits.limited()
+            if incarnation.server_id == server_id and not gateway.has_ended
         )
 
     def start(self, work: object) -> None:
