Return unused permits, and pace a limited server in a module of its own

Cause: a gateway with one waiting request asks two issuers, as one may be dead, and the second permit expired unused while others waited.

Change: the next ask returns permits that no request can use, once, as asks are applied in order; the issuer then issues them to others. The pacing of one server moves to permit_pacer.py. The simulation raises errors of its tasks.

--- a/bench/rate_limit_shapes.py
+++ b/bench/rate_limit_shapes.py
@@ -6,6 +6,7 @@
 counted.
 """
 
+import random
 import sys
 from collections.abc import Mapping
 from typing import Final
@@ -13,7 +14,7 @@
 from bench import rate_limit_simulation
 from quincecrank import clock as clocks
 from quincecrank import ids, rendezvous
-from quincecrank.gateway import rate_limits, send_permits, servers
+from quincecrank.gateway import permit_pacer, rate_limits, send_permits, servers
 from tests import rate_limit_checker
 
 LIMITS_PER_S: Final = (0.5, 2.0, 10.0, 100.0)
@@ -27,8 +28,13 @@
 class LocalPermits(send_permits.SendPermits):
     """Base of the ways in which each gateway decides alone by its view of the fleet."""
 
-    def __init__(self, own_name: ids.VmName, limits: rate_limits.RateLimits) -> None:
-        super().__init__(own_name, limits)
+    def __init__(
+        self,
+        own_name: ids.VmName,
+        limits: rate_limits.RateLimits,
+        generator: random.Random,
+    ) -> None:
+        super().__init__(own_name, limits, generator)
         self._paced_ms_by_incarnation: dict[servers.Incarnation, float] = {}
 
     def share(self, incarnation: servers.Incarnation, per_second: float) -> float:
@@ -62,11 +68,11 @@
         self._paced_ms_by_incarnation[incarnation] = float(now_ms)
         return send_permits.Permit(incarnation, now_ms + send_permits.PERMIT_MS)
 
-    def due_asks(self, now_ms: int) -> dict[ids.VmName, tuple[send_permits.Ask, ...]]:
+    def due_asks(self, now_ms: int) -> dict[ids.VmName, tuple[permit_pacer.Ask, ...]]:
         """Return nothing: no gateway asks another."""
         return {}
 
-    def asks_to_report(self, now_ms: int) -> tuple[send_permits.Ask, ...]:
+    def asks_to_report(self, now_ms: int) -> tuple[permit_pacer.Ask, ...]:
         """Return nothing: no gateway asks another."""
         return ()
 
--- a/bench/rate_limit_simulation.py
+++ b/bench/rate_limit_simulation.py
@@ -41,7 +41,9 @@
 DEADLINE_MS: Final = 5_000
 TARGET_MS: Final = 1_000
 
-PermitsMaker = Callable[[ids.VmName, rate_limits.RateLimits], send_permits.SendPermits]
+PermitsMaker = Callable[
+    [ids.VmName, rate_limits.RateLimits, random.Random], send_permits.SendPermits
+]
 Message = peer_messages.Report | send_permits.PermitMessage
 
 
@@ -218,7 +220,9 @@
         )
         self.fleet = fleet_state.FleetState(self._settings, self.clock)
         self.fleet.send_permits = simulation.pattern.make_permits(
-            self._settings.vm, self.fleet.rate_limits
+            self._settings.vm,
+            self.fleet.rate_limits,
+            random.Random(simulation.pattern.seed * 1_000 + number),
         )
         self.dispatcher = dispatcher.Dispatcher(
             self.fleet, random.Random(simulation.pattern.seed * 1_000 + number)
@@ -355,9 +359,10 @@
         self._gateway_by_number: dict[int, SimulatedGateway] = {}
         self._tasks: set[asyncio.Task[object]] = set()
         self._rejected = 0
+        self._errors: list[BaseException] = []
 
     async def run(self) -> Result:
-        """Run the pattern."""
+        """Run the pattern; raise the first error of a task."""
         for number in range(self.pattern.gateways):
             self._start_gateway(number)
         for restart in self.pattern.restarts:
@@ -374,6 +379,8 @@
             if not gateway.has_ended:
                 count += 1
                 self.start(self._serve(gateway, ids.RequestId(f"r-{count}")))
+        if self._errors:
+            raise self._errors[0]
         return Result(
             tuple(
                 ServerResult(each.changes, tuple(each.arrivals), tuple(each.answers))
@@ -398,7 +405,12 @@
         """Start a task and keep a reference to it."""
         task = asyncio.ensure_future(work)  # type: ignore[call-overload]
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._handle_end)
+
+    def _handle_end(self, task: asyncio.Task[object]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._errors.append(error)
 
     def draw_delay_ms(self) -> float:
         """Return the travel time of one message or request."""
--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -1,5 +1,6 @@
 """State of the fleet as one gateway knows it."""
 
+import random
 from collections.abc import Callable
 from typing import Final
 
@@ -70,7 +71,9 @@
         self.health = server_health.HealthRegistry()
         self.service_times = service_times.ServiceTimes()
         self.rate_limits = rate_limits.RateLimits()
-        self.send_permits = send_permits.SendPermits(own_settings.vm, self.rate_limits)
+        self.send_permits = send_permits.SendPermits(
+            own_settings.vm, self.rate_limits, random.Random()
+        )
         self.notify_permit_demand: Callable[[], None] = _ignore
         self.notify_rate_limit: Callable[[], None] = _ignore
         self.links = server_links.LinkPool(clock, MAX_IDLE_LINK_MS)
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -14,6 +14,7 @@
     engine_weight_updates,
     failed_request_records,
     loads,
+    permit_pacer,
     rate_limits,
     send_permits,
     server_health,
@@ -103,7 +104,7 @@
     failed_requests: tuple[failed_request_records.FailedRequest, ...] = ()
     limit_states: tuple[rate_limits.LimitState, ...] = ()
     issuer_reports: tuple[send_permits.IssuerReport, ...] = ()
-    permit_asks: tuple[send_permits.Ask, ...] = ()
+    permit_asks: tuple[permit_pacer.Ask, ...] = ()
     issues_permits: bool = True
 
 
@@ -315,23 +316,25 @@
     )
 
 
-def _ask_fields(ask: send_permits.Ask) -> dict[str, Any]:
+def _ask_fields(ask: permit_pacer.Ask) -> dict[str, Any]:
     return {
         "server": _incarnation_fields(ask.incarnation),
         "wanted": ask.wanted,
         "rank": ask.rank,
         "waitedMs": min(ask.waited_ms, _NO_AGE),
         "askedMs": ask.asked_ms,
+        "returned": ask.returned,
     }
 
 
-def _ask(message: Any) -> send_permits.Ask:
-    return send_permits.Ask(
+def _ask(message: Any) -> permit_pacer.Ask:
+    return permit_pacer.Ask(
         _incarnation(message.server),
         message.wanted,
         message.rank,
         message.waitedMs,
         message.askedMs,
+        message.returned,
     )
 
 
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -96,6 +96,8 @@
   waitedMs @3 :UInt32;
   # On the clock of the asking gateway; a grant repeats it.
   askedMs @4 :UInt64;
+  # Permits that the gateway returns unused.
+  returned @5 :UInt16;
 }
 
 struct PermitGrant {
--- a/quincecrank/gateway/permit_exchange.py
+++ b/quincecrank/gateway/permit_exchange.py
@@ -146,7 +146,7 @@
         permits.apply_asks(own_name, asks_by_issuer.pop(own_name, ()), now_ms)
         grants_by_gateway = permits.issue(now_ms)
         own_grants = grants_by_gateway.pop(own_name, ())
-        for name in {*asks_by_issuer, *grants_by_gateway}:
+        for name in sorted({*asks_by_issuer, *grants_by_gateway}):
             self._send(
                 name,
                 send_permits.PermitMessage(
--- a/quincecrank/gateway/send_permits.py
+++ b/quincecrank/gateway/send_permits.py
@@ -32,16 +32,12 @@
 
 from quincecrank import clock as clocks
 from quincecrank import ids, rendezvous
-from quincecrank.gateway import rate_limits, servers
+from quincecrank.gateway import permit_pacer, rate_limits, servers
 
 PERMIT_MS: Final = 600
 """Time after an ask, on the clock of the asking gateway, in which its permits are
 valid."""
 
-ASK_MS: Final = 400
-"""Time after its arrival in which an ask gets permits: longer than the longest interval
-of reports, which repeat it, and shorter than `PERMIT_MS`."""
-
 SUPPORT_MS: Final = 700
 """Time for which an issuer counts a supporter after its report: two of the longest
 report intervals.  A gateway supports no issuer for this time after a change."""
@@ -54,19 +50,10 @@
 """Fraction of the known gateways whose support an issuer needs for trials, so that at
 most two issuers make them."""
 
-TRIAL_INTERVAL_MS: Final = 2_000
-"""Time without an answer of a limited server after which one request tries it."""
-
-SPARSE_TRIAL_INTERVAL_MS: Final = 3_000
-"""The same for a limit that allows fewer requests than one each `TRIAL_INTERVAL_MS`."""
-
 TRIAL_PERMIT_MS: Final = 2_000
 """Time after an ask in which a trial is valid: a gateway of a large fleet may get no
 request for a second."""
 
-MAX_SAVED_MS: Final = 50
-"""Time whose permits an issuer may issue late, for the delays of its own process."""
-
 MIN_ASK_INTERVAL_MS: Final = 20
 """Shortest time between two asks of a gateway for one server."""
 
@@ -77,25 +64,22 @@
 """Time whose sends give the rate for the stock, and in which a gateway that had
 requests for a service takes part in trials."""
 
-MAX_WANTED: Final = 1_000
-"""Most permits that one ask names."""
 
 MAX_WAIT_MS: Final = 60_000
 """Longest wait for a permit that is reported."""
 
-STOCK_RANK: Final = 0xFFFE
-"""Rank of asks for stock, behind all requests that wait."""
-
-STANDING_RANK: Final = 0xFFFF
-"""Rank of asks that want nothing but trials."""
-
 
 class PermitEvent(enum.Enum):
-    """What happens to a permit: the issuer issues it, a gateway uses it or does not."""
+    """What happens to a permit.
+
+    The issuer issues it; the gateway that gets it uses it, returns it to the issuer for
+    others, or lets it expire.
+    """
 
     ISSUED = "issued"
     USED = "used"
     EXPIRED = "expired"
+    RETURNED = "returned"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,29 +91,6 @@
     is_trial: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ask:
-    """What a gateway asks of the issuer of a server; replaces its earlier asks.
-
-    Attributes
-    ----------
-    wanted : int
-        Permits that it can use now; 0 if it only takes part in trials.
-    rank : int
-        Rank of its first waiting request; lower goes first.
-    waited_ms : int
-        Time for which that request has waited.
-    asked_ms : int
-        Time of the ask on the clock of the asking gateway.
-    """
-
-    incarnation: servers.Incarnation
-    wanted: int
-    rank: int
-    waited_ms: int
-    asked_ms: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
     """Permits for one gateway.
@@ -155,7 +116,7 @@
     """Asks and grants that one gateway sends to another."""
 
     vm: ids.VmName
-    asks: tuple[Ask, ...] = ()
+    asks: tuple[permit_pacer.Ask, ...] = ()
     grants: tuple[Grant, ...] = ()
 
 
@@ -185,33 +146,6 @@
     since_ms: int
 
 
-@dataclasses.dataclass(slots=True)
-class _PendingAsk:
-    wanted: int
-    rank: int
-    since_ms: int
-    asked_ms: int
-    received_ms: int
-
-
-@dataclasses.dataclass(slots=True)
-class _IssuerState:
-    """State of a server for which this gateway issues permits.
-
-    Attributes
-    ----------
-    paced_ms : float
-        Time up to which the limit's rate is used up.
-    """
-
-    since_ms: int
-    paced_ms: float
-    last_trial_ms: int
-    ask_by_gateway: dict[ids.VmName, _PendingAsk] = dataclasses.field(
-        default_factory=dict
-    )
-
-
 @dataclasses.dataclass(slots=True)
 class _HolderState:
     """State of a server that this gateway sends to."""
@@ -252,17 +186,27 @@
     ----------
     limits : RateLimits
         The limits in force.
+    generator : Random
+        Source of the numbers of grants and of the gateways that make trials.
     """
 
-    def __init__(self, own_name: ids.VmName, limits: rate_limits.RateLimits) -> None:
+    def __init__(
+        self,
+        own_name: ids.VmName,
+        limits: rate_limits.RateLimits,
+        generator: random.Random,
+    ) -> None:
         self._own_name = own_name
         self._limits = limits
+        self._generator = generator
         self._holder_by_incarnation: dict[servers.Incarnation, _HolderState] = {}
-        self._issuer_by_incarnation: dict[servers.Incarnation, _IssuerState] = {}
+        self._pacer_by_incarnation: dict[
+            servers.Incarnation, permit_pacer.PermitPacer
+        ] = {}
         self._candidates: tuple[ids.VmName, ...] = (own_name,)
         self._known_count = 1
         self._support_blocked_until_ms: int | None = None
-        self._next_number = random.getrandbits(32)
+        self._next_number = generator.getrandbits(32)
         self._count_by_event = dict.fromkeys(PermitEvent, 0)
 
     @property
@@ -359,16 +303,16 @@
             return False
         holder = self._holder(incarnation)
         holder.demand = demand
-        return self._wanted(incarnation, holder, now_ms) != holder.outstanding
+        return self._has_news(incarnation, holder, now_ms)
 
     def record_interest(self, incarnation: servers.Incarnation, now_ms: int) -> None:
         """Record that a request could have gone to a limited server."""
         if self._limits.limit_of(incarnation) is not None:
             self._holder(incarnation).interest_ms = now_ms
 
-    def due_asks(self, now_ms: int) -> dict[ids.VmName, tuple[Ask, ...]]:
+    def due_asks(self, now_ms: int) -> dict[ids.VmName, tuple[permit_pacer.Ask, ...]]:
         """Return the asks to send at once, by issuer, which may be this gateway."""
-        asks_by_issuer: dict[ids.VmName, list[Ask]] = {}
+        asks_by_issuer: dict[ids.VmName, list[permit_pacer.Ask]] = {}
         for incarnation in self._limits.limited():
             holder = self._holder(incarnation)
             if holder.issuer is None or not self._is_ask_due(
@@ -379,7 +323,7 @@
             asks_by_issuer.setdefault(holder.issuer, []).append(ask)
         return {name: tuple(asks) for name, asks in asks_by_issuer.items()}
 
-    def asks_to_report(self, now_ms: int) -> tuple[Ask, ...]:
+    def asks_to_report(self, now_ms: int) -> tuple[permit_pacer.Ask, ...]:
         """Return the asks that a report to all gateways repeats."""
         asks = []
         for incarnation in self._limits.limited():
@@ -392,58 +336,57 @@
                 asks.append(self._make_ask(incarnation, holder, now_ms))
         return tuple(asks)
 
-    def apply_asks(self, gateway: ids.VmName, asks: Iterable[Ask], now_ms: int) -> bool:
+    def apply_asks(
+        self, gateway: ids.VmName, asks: Iterable[permit_pacer.Ask], now_ms: int
+    ) -> bool:
         """Record the asks of a gateway for servers of which this one is the issuer.
 
         Returns whether there are any.
         """
         is_any = False
         for ask in asks:
-            state = self._issuer_by_incarnation.get(ask.incarnation)
-            if state is None:
-                continue
-            pending = state.ask_by_gateway.get(gateway)
-            if (
-                pending is not None
-                and pending.asked_ms >= ask.asked_ms
-                and now_ms - pending.received_ms < ASK_MS
-            ):
-                continue  # A repeated or overtaken datagram.
-            is_any = True
-            state.ask_by_gateway[gateway] = _PendingAsk(
-                min(ask.wanted, MAX_WANTED),
-                ask.rank,
-                now_ms - ask.waited_ms,
-                ask.asked_ms,
-                now_ms,
-            )
+            pacer = self._pacer_by_incarnation.get(ask.incarnation)
+            if pacer is not None:
+                is_any |= pacer.record_ask(gateway, ask, now_ms)
         return is_any
 
     def issue(self, now_ms: int) -> dict[ids.VmName, tuple[Grant, ...]]:
         """Issue and return the permits that are due, by gateway."""
         grants_by_gateway: dict[ids.VmName, list[Grant]] = {}
-        for incarnation, state in self._issuer_by_incarnation.items():
-            self._remove_old_asks(state, now_ms)
-            if not state.ask_by_gateway:
-                continue
-            for gateway, grant in self._issue_for(incarnation, state, now_ms):
-                grants_by_gateway.setdefault(gateway, []).append(grant)
+        for incarnation, pacer in self._pacer_by_incarnation.items():
+            fraction = self._supporter_fraction(incarnation, now_ms)
+            issued = pacer.issue(self._interval_ms(incarnation, now_ms), now_ms)
+            if not issued and fraction >= MIN_TRIAL_SUPPORT:
+                issued = pacer.issue_trial(
+                    self._limits.limit_of(incarnation) or 0.0,
+                    self._limits.confirmed_ms(incarnation),
+                    now_ms,
+                )
+            for each in issued:
+                self._next_number = (self._next_number + 1) % 2**32
+                self._count_by_event[PermitEvent.ISSUED] += each.count
+                grant = Grant(
+                    incarnation,
+                    each.count,
+                    each.asked_ms,
+                    self._next_number,
+                    each.is_trial,
+                )
+                grants_by_gateway.setdefault(each.gateway, []).append(grant)
         return {name: tuple(grants) for name, grants in grants_by_gateway.items()}
 
     def ms_until_due(self, now_ms: int) -> float | None:
         """Return the time until permits or asks are due; None if nothing waits."""
         due_ms: list[float] = []
-        for incarnation, state in self._issuer_by_incarnation.items():
-            interval_ms = self._interval_ms(incarnation, now_ms)
-            if interval_ms is not None and any(
-                ask.wanted for ask in state.ask_by_gateway.values()
-            ):
-                due_ms.append(state.paced_ms + interval_ms - now_ms)
+        for incarnation, pacer in self._pacer_by_incarnation.items():
+            next_ms = pacer.next_issue_ms(self._interval_ms(incarnation, now_ms))
+            if next_ms is not None:
+                due_ms.append(next_ms - now_ms)
         for incarnation in self._limits.limited():
             holder = self._holder(incarnation)
-            if holder.issuer is None or holder.demand is None:
+            if holder.issuer is None:
                 continue
-            if self._wanted(incarnation, holder, now_ms) != holder.outstanding:
+            if self._has_news(incarnation, holder, now_ms):
                 asked_ms = holder.asked_ms or 0
                 due_ms.append(asked_ms + MIN_ASK_INTERVAL_MS - now_ms)
         return min(due_ms, default=None)
@@ -519,7 +462,7 @@
         kept = frozenset(limited)
         for state_by_incarnation in (
             self._holder_by_incarnation,
-            self._issuer_by_incarnation,
+            self._pacer_by_incarnation,
         ):
             for incarnation in tuple(state_by_incarnation):
                 if incarnation not in kept:
@@ -541,11 +484,11 @@
         holder.asked_ms = None
         holder.issuer_wait_until_ms = now_ms
         if issuer == self._own_name:
-            self._issuer_by_incarnation[incarnation] = _IssuerState(
-                now_ms, float(now_ms), now_ms
+            self._pacer_by_incarnation[incarnation] = permit_pacer.PermitPacer(
+                now_ms, self._generator
             )
         else:
-            self._issuer_by_incarnation.pop(incarnation, None)
+            self._pacer_by_incarnation.pop(incarnation, None)
 
     def _supported(self, holder: _HolderState, now_ms: int) -> ids.VmName | None:
         return holder.issuer if now_ms >= holder.supports_from_ms else None
@@ -572,83 +515,17 @@
         share = min(1.0, self._supporter_fraction(incarnation, now_ms) / QUORUM)
         return clocks.MS_PER_SECOND / (per_second * share) if share else None
 
-    def _issue_for(
-        self, incarnation: servers.Incarnation, state: _IssuerState, now_ms: int
-    ) -> Iterable[tuple[ids.VmName, Grant]]:
-        """Yield the grants for one server that are due."""
-        counts: collections.Counter[ids.VmName] = collections.Counter()
-        interval_ms = self._interval_ms(incarnation, now_ms)
-        while interval_ms is not None and state.paced_ms + interval_ms <= now_ms:
-            gateway = _first_asking(state)
-            if gateway is None:
-                break
-            counts[gateway] += 1
-            ask = state.ask_by_gateway[gateway]
-            ask.wanted -= 1
-            # The asking gateway's further requests arrived later.
-            ask.since_ms = now_ms
-            earliest_ms = now_ms - MAX_SAVED_MS - interval_ms
-            state.paced_ms = max(state.paced_ms, earliest_ms) + interval_ms
-        for gateway, count in counts.items():
-            ask = state.ask_by_gateway[gateway]
-            yield gateway, self._make_grant(incarnation, ask, count, is_trial=False)
-        if not counts and self._is_trial_due(incarnation, state, now_ms):
-            state.last_trial_ms = now_ms
-            state.paced_ms = max(state.paced_ms, float(now_ms))
-            gateway = _first_asking(state) or random.choice(tuple(state.ask_by_gateway))
-            ask = state.ask_by_gateway[gateway]
-            ask.wanted = max(0, ask.wanted - 1)
-            yield gateway, self._make_grant(incarnation, ask, 1, is_trial=True)
-
-    def _make_grant(
-        self,
-        incarnation: servers.Incarnation,
-        ask: _PendingAsk,
-        count: int,
-        *,
-        is_trial: bool,
-    ) -> Grant:
-        self._next_number = (self._next_number + 1) % 2**32
-        self._count_by_event[PermitEvent.ISSUED] += count
-        return Grant(incarnation, count, ask.asked_ms, self._next_number, is_trial)
-
-    def _is_trial_due(
-        self, incarnation: servers.Incarnation, state: _IssuerState, now_ms: int
-    ) -> bool:
-        last_ms = max(
-            self._limits.confirmed_ms(incarnation), state.last_trial_ms, state.since_ms
-        )
-        per_second = self._limits.limit_of(incarnation) or 0.0
-        is_sparse = per_second * TRIAL_INTERVAL_MS < clocks.MS_PER_SECOND
-        return (
-            now_ms - last_ms
-            >= (SPARSE_TRIAL_INTERVAL_MS if is_sparse else TRIAL_INTERVAL_MS)
-            and self._supporter_fraction(incarnation, now_ms) >= MIN_TRIAL_SUPPORT
-        )
-
     def _issuer_wait_ms(
         self, incarnation: servers.Incarnation, now_ms: int
     ) -> int | None:
         """Return the time after which a new ask gets a permit; None if not issuer."""
-        state = self._issuer_by_incarnation.get(incarnation)
-        if state is None:
+        pacer = self._pacer_by_incarnation.get(incarnation)
+        if pacer is None:
             return None
         interval_ms = self._interval_ms(incarnation, now_ms)
-        if interval_ms is None:
-            return MAX_WAIT_MS
-        wanted = sum(
-            ask.wanted
-            for ask in state.ask_by_gateway.values()
-            if ask.rank < STOCK_RANK and now_ms - ask.received_ms < ASK_MS
-        )
-        wait_ms = max(0.0, state.paced_ms + interval_ms * (1 + wanted) - now_ms)
+        wait_ms = pacer.wait_ms(interval_ms, now_ms)
         return round(min(wait_ms, MAX_WAIT_MS))
 
-    def _remove_old_asks(self, state: _IssuerState, now_ms: int) -> None:
-        for gateway, ask in tuple(state.ask_by_gateway.items()):
-            if now_ms - ask.received_ms >= ASK_MS:
-                del state.ask_by_gateway[gateway]
-
     def _valid_permits(
         self, incarnation: servers.Incarnation, now_ms: int
     ) -> collections.deque[Permit]:
@@ -658,16 +535,30 @@
             self._count_by_event[PermitEvent.EXPIRED] += 1
         return holder.permits
 
-    def _wanted(
-        self, incarnation: servers.Incarnation, holder: _HolderState, now_ms: int
-    ) -> int:
-        """Return the permits to ask for, less those in hand."""
+    def _usable(self, holder: _HolderState, now_ms: int) -> int:
+        """Return the permits that waiting requests and the stock can use."""
         while holder.sends_ms and holder.sends_ms[0] <= now_ms - USE_WINDOW_MS:
             holder.sends_ms.popleft()
         stock = len(holder.sends_ms) * STOCK_MS // USE_WINDOW_MS
         waiting = holder.demand.waiting if holder.demand is not None else 0
+        return waiting + stock
+
+    def _wanted(
+        self, incarnation: servers.Incarnation, holder: _HolderState, now_ms: int
+    ) -> int:
+        """Return the permits to ask for, less those in hand."""
+        usable = self._usable(holder, now_ms)
         in_hand = len(self._valid_permits(incarnation, now_ms))
-        return min(MAX_WANTED, max(0, waiting + stock - in_hand))
+        return min(permit_pacer.MAX_WANTED, max(0, usable - in_hand))
+
+    def _surplus(
+        self, incarnation: servers.Incarnation, holder: _HolderState, now_ms: int
+    ) -> int:
+        """Return the permits in hand that can't be used; a trial is kept."""
+        permits = self._valid_permits(incarnation, now_ms)
+        if any(permit.is_trial for permit in permits):
+            return 0
+        return max(0, len(permits) - self._usable(holder, now_ms))
 
     def _is_ask_due(
         self, incarnation: servers.Incarnation, holder: _HolderState, now_ms: int
@@ -675,35 +566,38 @@
         if holder.asked_ms is not None:
             if now_ms - holder.asked_ms < MIN_ASK_INTERVAL_MS:
                 return False
-            if now_ms - holder.asked_ms >= ASK_MS:
+            if now_ms - holder.asked_ms >= permit_pacer.ASK_MS:
                 holder.outstanding = 0
-        return self._wanted(incarnation, holder, now_ms) != holder.outstanding
+        return self._has_news(incarnation, holder, now_ms)
+
+    def _has_news(
+        self, incarnation: servers.Incarnation, holder: _HolderState, now_ms: int
+    ) -> bool:
+        """Return whether the issuer should know of another demand or a surplus."""
+        wanted = self._wanted(incarnation, holder, now_ms)
+        return wanted != holder.outstanding or bool(
+            self._surplus(incarnation, holder, now_ms)
+        )
 
     def _make_ask(
         self, incarnation: servers.Incarnation, holder: _HolderState, now_ms: int
-    ) -> Ask:
+    ) -> permit_pacer.Ask:
         for number, expires_ms in tuple(holder.number_expiry_ms.items()):
             if expires_ms <= now_ms:
                 del holder.number_expiry_ms[number]
+        surplus = self._surplus(incarnation, holder, now_ms)
+        for _ in range(surplus):
+            holder.permits.popleft()
+        self._count_by_event[PermitEvent.RETURNED] += surplus
         wanted = self._wanted(incarnation, holder, now_ms)
         holder.outstanding = wanted
         holder.asked_ms = now_ms
         demand = holder.demand
+        rank = permit_pacer.STOCK_RANK if wanted else permit_pacer.STANDING_RANK
+        waited_ms = 0
         if demand is not None:
+            rank = demand.rank
             waited_ms = max(0, now_ms - demand.since_ms)
-            return Ask(incarnation, wanted, demand.rank, waited_ms, now_ms)
-        rank = STOCK_RANK if wanted else STANDING_RANK
-        return Ask(incarnation, wanted, rank, 0, now_ms)
-
-
-def _first_asking(state: _IssuerState) -> ids.VmName | None:
-    """Return the gateway whose request goes first; None if none wants a permit."""
-    return min(
-        (name for name, ask in state.ask_by_gateway.items() if ask.wanted),
-        key=lambda name: (
-            state.ask_by_gateway[name].rank,
-            state.ask_by_gateway[name].since_ms,
-            name,
-        ),
-        default=None,
-    )
+        return permit_pacer.Ask(
+            incarnation, wanted, rank, waited_ms, now_ms, returned=surplus
+        )
--- a/tests/test_rate_limited_requests.py
+++ b/tests/test_rate_limited_requests.py
@@ -14,7 +14,14 @@
 import capnp
 
 from quincecrank import ids
-from quincecrank.gateway import loads, peer_messages, rate_limits, send_permits, servers
+from quincecrank.gateway import (
+    loads,
+    peer_messages,
+    permit_pacer,
+    rate_limits,
+    send_permits,
+    servers,
+)
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 
@@ -156,7 +163,7 @@
             issuer_reports=(
                 send_permits.IssuerReport(incarnation, ids.VmName("entry-3"), 40),
             ),
-            permit_asks=(send_permits.Ask(incarnation, 2, 1, 30, 99),),
+            permit_asks=(permit_pacer.Ask(incarnation, 2, 1, 30, 99, returned=1),),
         )
         encoded = peer_messages.encode(report)
         self.assertEqual(peer_messages.decode(encoded), report)
@@ -176,7 +183,7 @@
         incarnation = servers.Incarnation(servers.ServerId("i-1"), 1)
         message = send_permits.PermitMessage(
             ids.VmName("entry-2"),
-            (send_permits.Ask(incarnation, 2, 1, 30, 99),),
+            (permit_pacer.Ask(incarnation, 2, 1, 30, 99, returned=1),),
             (send_permits.Grant(incarnation, 1, 98, 2**31, is_trial=True),),
         )
         encoded = peer_messages.encode_permits(message)
--- a/tests/test_send_permits.py
+++ b/tests/test_send_permits.py
@@ -1,9 +1,10 @@
 """Tests of permits for limited servers: issuers, asks, grants and trials."""
 
+import random
 import unittest
 
 from quincecrank import ids, rendezvous
-from quincecrank.gateway import rate_limits, send_permits, servers
+from quincecrank.gateway import permit_pacer, rate_limits, send_permits, servers
 
 SERVER = servers.Incarnation(servers.ServerId("i-1"), 1)
 NAMES = tuple(ids.VmName(f"entry-{n}") for n in range(4))
@@ -17,7 +18,7 @@
         self.now_ms = START_MS
         self.limits_by_name = {name: rate_limits.RateLimits() for name in NAMES}
         self.permits_by_name = {
-            name: send_permits.SendPermits(name, limits)
+            name: send_permits.SendPermits(name, limits, random.Random(name))
             for name, limits in self.limits_by_name.items()
         }
         self.issuer = rendezvous.ranked(SERVER.server_id, NAMES, 1)[0]
@@ -72,7 +73,7 @@
         for _ in range(0, duration_ms, 50):
             self.fleet.now_ms += 50
             self.fleet.report()
-            ask = send_permits.Ask(SERVER, 50, 0, 0, self.fleet.now_ms)
+            ask = permit_pacer.Ask(SERVER, 50, 0, 0, self.fleet.now_ms)
             self.fleet.permits_by_name[issuer].apply_asks(
                 self.other, (ask,), self.fleet.now_ms
             )
@@ -136,6 +137,21 @@
         issued = self.count_issued(self.fleet.issuer, 4_000)
         self.assertIn(issued, (8, 9))
 
+    def test_a_permit_that_is_not_used_goes_to_another_gateway(self) -> None:
+        one, two, _ = [name for name in NAMES if name != self.fleet.issuer]
+        self.fleet.now_ms += 1_000
+        self.fleet.report()
+        self.fleet.ask(one, 1)
+        self.assertEqual(self.fleet.issue(self.fleet.issuer), {one: 1})
+        self.fleet.now_ms += 30
+        self.fleet.ask(two, 1)
+        self.assertEqual(self.fleet.issue(self.fleet.issuer), {})
+        self.fleet.ask(one, 0)
+        self.assertFalse(
+            self.fleet.permits_by_name[one].allows(SERVER, self.fleet.now_ms)
+        )
+        self.assertEqual(self.fleet.issue(self.fleet.issuer), {two: 1})
+
     def test_two_issuers_share_the_limit_by_their_supporters(self) -> None:
         """Two groups that don't hear each other stay below 1 / QUORUM of the limit."""
         rest = tuple(name for name in NAMES if name != self.fleet.issuer)
@@ -168,7 +184,7 @@
         issued = 0
         for _ in range(0, 8_000, 50):
             self.fleet.now_ms += 50
-            ask = send_permits.Ask(SERVER, 9, 0, 0, self.fleet.now_ms)
+            ask = permit_pacer.Ask(SERVER, 9, 0, 0, self.fleet.now_ms)
             issuer.apply_asks(self.fleet.issuer, (ask,), self.fleet.now_ms)
             issued += sum(self.fleet.issue(self.fleet.issuer).values())
         self.assertLessEqual(issued, 16 / len(NAMES) / send_permits.QUORUM + 1)
@@ -180,12 +196,12 @@
         for _ in range(0, 12_000, 50):
             fleet.now_ms += 50
             fleet.report()
-            ask = send_permits.Ask(
-                SERVER, 0, send_permits.STANDING_RANK, 0, fleet.now_ms
+            ask = permit_pacer.Ask(
+                SERVER, 0, permit_pacer.STANDING_RANK, 0, fleet.now_ms
             )
             issuer.apply_asks(self.other, (ask,), fleet.now_ms)
             trials += sum(fleet.issue(fleet.issuer).values())
-        self.assertEqual(trials, 12_000 // send_permits.SPARSE_TRIAL_INTERVAL_MS)
+        self.assertEqual(trials, 12_000 // permit_pacer.SPARSE_TRIAL_INTERVAL_MS)
 
     def test_a_server_without_a_limit_needs_no_permit(self) -> None:
         limits = self.fleet.limits_by_name[self.other]
