--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -176,7 +176,8 @@
     async def _place_or_queue(self, request: PlacementRequest) -> Placement | Rejection:
         now_ms = self._fleet.clock.now_ms()
         queue = self._queue_by_service[request.service.name]
-        self._record_interest(request.service.name)
+        if self._fleet.rate_limits.is_any_limited:
+            self._record_interest(request.service.name)
         if not self._usable_servers(request):
             rejection = self._reject_unless_soon_usable(request)
             if rejection is not None:
@@ -225,7 +226,8 @@
         """
         queue = self._queue_by_service[service]
         if not len(queue):
-            self._update_permit_demand(service)
+            if self._fleet.rate_limits.is_any_limited:
+                self._update_permit_demand(service)
             return
         self._has_waiting.set()
         if not self._fleet.registry.ready_entries(service):
@@ -235,7 +237,8 @@
         for queued in queue.remove_too_late(now_ms):
             request = self._placement_request_by_id[queued.request_id]
             self._resolve(queued.request_id, self._reject_busy(request, queue))
-        self._reject_if_blocked(service, queue)
+        if self._fleet.rate_limits.is_any_limited:
+            self._reject_if_blocked(service, queue)
         blocked: request_queue.QueueClass | None = None
         for index, queued in enumerate(queue.ordered(now_ms)[:MAX_TRIED_PER_PASS]):
             queue_class = request_queue.queue_class_of(queued, now_ms)
@@ -249,24 +252,21 @@
             if index == 0 and now_ms - queued.arrived_ms > OVERTAKING_LIMIT_MS:
                 break
             blocked = queue_class
-        self._update_permit_demand(service)
+        if self._fleet.rate_limits.is_any_limited:
+            self._update_permit_demand(service)
 
     def _update_permit_demand(self, service: deployment.ServiceName) -> None:
         """Set the demand for permits of a service's limited servers.
 
         A gateway with fewer waiting requests than limited servers asks only some of
-        them, chosen by a hash, so that few permits remain unused.
+        them, selected by a hash, so that few permits remain unused.
         """
-        if not self._fleet.rate_limits.is_any_limited:
-            return
-        limited_by_id = self._limited_by_id(service)
-        if not limited_by_id:
-            return
         now_ms = self._fleet.clock.now_ms()
         waiting = self._queue_by_service[service].ordered(now_ms)
         demand: send_permits.Demand | None = None
         asked: tuple[servers.ServerId, ...] = ()
-        if waiting:
+        limited_by_id = self._limited_by_id(service)
+        if waiting and limited_by_id:
             first = waiting[0]
             asked = rendezvous.ranked(first.request_id, limited_by_id, len(waiting) + 1)
             demand = send_permits.Demand(
@@ -275,9 +275,9 @@
                 first.arrived_ms,
             )
         is_due = False
-        for server_id, entry in limited_by_id.items():
+        for entry in self._fleet.registry.ready_entries(service):
             is_due |= self._fleet.send_permits.set_demand(
-                entry.incarnation, demand if server_id in asked else None, now_ms
+                entry.incarnation, demand if entry.server_id in asked else None, now_ms
             )
         if is_due:
             self._fleet.notify_permit_demand()
@@ -296,8 +296,6 @@
 
     def _record_interest(self, service: deployment.ServiceName) -> None:
         """Record that a request could have gone to the limited servers of a service."""
-        if not self._fleet.rate_limits.is_any_limited:
-            return
         now_ms = self._fleet.clock.now_ms()
         for entry in self._limited_by_id(service).values():
             self._fleet.send_permits.record_interest(entry.incarnation, now_ms)
@@ -348,8 +346,6 @@
 
         Only trials are sent to them, and a new request can make the next one.
         """
-        if not self._fleet.rate_limits.is_any_limited:
-            return
         now_ms = self._fleet.clock.now_ms()
         for entry in self._fleet.registry.ready_entries(service):
             if self._fleet.rate_limits.limit_of(entry.incarnation) != 0:
@@ -379,7 +375,8 @@
         self._has_waiting.set()
         self._future_by_id[request.request_id] = future
         self._placement_request_by_id[request.request_id] = request
-        self._update_permit_demand(request.service.name)
+        if self._fleet.rate_limits.is_any_limited:
+            self._update_permit_demand(request.service.name)
         try:
             return await future
         except asyncio.CancelledError:
@@ -414,7 +411,9 @@
         if not queue.may_start(request.queued, now_ms):
             return None
         usable = self._usable_servers(request)
-        placed = self._place_on(request, self._trial_servers(request, usable))
+        placed: Placement | None = None
+        if self._fleet.rate_limits.is_any_limited:
+            placed = self._place_on(request, self._trial_servers(request, usable))
         if placed is None:
             placed = self._place_on(request, usable)
         if placed is not None:
@@ -428,7 +427,7 @@
 
         None for a request that a server has already failed.
         """
-        if not self._fleet.rate_limits.is_any_limited or request.tried_servers:
+        if request.tried_servers:
             return ()
         now_ms = self._fleet.clock.now_ms()
         return tuple(
@@ -702,18 +701,19 @@
         self, request: PlacementRequest
     ) -> tuple[servers.ServerEntry, ...]:
         now_ms = self._fleet.clock.now_ms()
-        is_any_limited = self._fleet.rate_limits.is_any_limited
         allowed = tuple(
             each
             for each in self._fleet.registry.ready_entries(request.service.name)
             if each.server_id not in request.tried_servers
             and self._fleet.health.health_of(each).allows(now_ms)
-            and (
-                not is_any_limited
-                or self._fleet.send_permits.allows(each.incarnation, now_ms)
-            )
             and not self._fleet.weight_updates.is_loading(each, now_ms)
         )
+        if self._fleet.rate_limits.is_any_limited:
+            allowed = tuple(
+                each
+                for each in allowed
+                if self._fleet.send_permits.allows(each.incarnation, now_ms)
+            )
         if request.prompt is None or request.service.engine is None:
             return allowed
         return weights.eligible_replicas(
--- a/quincecrank/gateway/rate_limits.py
+++ b/quincecrank/gateway/rate_limits.py
@@ -70,22 +70,22 @@
     present state was recorded here, and ends it only if no answer to a later request
     has confirmed the limit.  A peer's state replaces this gateway's only if its
     revision is higher, or if it is equal and the limit is lower.
+
+    Attributes
+    ----------
+    is_any_limited : bool
+        Whether a limit is in force at any server.
     """
 
     def __init__(self) -> None:
         self._record_by_incarnation: dict[servers.Incarnation, _Record] = {}
-        self._limited_count = 0
+        self.is_any_limited = False
 
     @property
     def is_any_known(self) -> bool:
         """Whether any state is known, ended limits included."""
         return bool(self._record_by_incarnation)
 
-    @property
-    def is_any_limited(self) -> bool:
-        """Whether a limit is in force at any server."""
-        return self._limited_count > 0
-
     def limit_of(self, incarnation: servers.Incarnation) -> float | None:
         """Return the limit in force, in requests a second; None without one."""
         record = self._record_by_incarnation.get(incarnation)
@@ -93,7 +93,7 @@
 
     def limited(self) -> tuple[servers.Incarnation, ...]:
         """Return the servers with a limit in force."""
-        if not self._limited_count:
+        if not self.is_any_limited:
             return ()
         return tuple(
             incarnation
@@ -173,14 +173,14 @@
         for incarnation in tuple(self._record_by_incarnation):
             if incarnation.server_id == server_id:
                 del self._record_by_incarnation[incarnation]
-        self._count_limited()
+        self._update_is_any_limited()
 
     def _set(self, incarnation: servers.Incarnation, record: _Record) -> None:
         self._record_by_incarnation[incarnation] = record
-        self._count_limited()
+        self._update_is_any_limited()
 
-    def _count_limited(self) -> None:
-        self._limited_count = sum(
+    def _update_is_any_limited(self) -> None:
+        self.is_any_limited = any(
             record.per_second is not None
             for record in self._record_by_incarnation.values()
         )
--- a/quincecrank/gateway/send_permits.py
+++ b/quincecrank/gateway/send_permits.py
@@ -303,7 +303,7 @@
             return False
         holder = self._holder(incarnation)
         holder.demand = demand
-        return self._has_news(incarnation, holder, now_ms)
+        return self._needs_ask(incarnation, holder, now_ms)
 
     def record_interest(self, incarnation: servers.Incarnation, now_ms: int) -> None:
         """Record that a request could have gone to a limited server."""
@@ -386,7 +386,7 @@
             holder = self._holder(incarnation)
             if holder.issuer is None:
                 continue
-            if self._has_news(incarnation, holder, now_ms):
+            if self._needs_ask(incarnation, holder, now_ms):
                 asked_ms = holder.asked_ms or 0
                 due_ms.append(asked_ms + MIN_ASK_INTERVAL_MS - now_ms)
         return min(due_ms, default=None)
@@ -568,9 +568,9 @@
                 return False
             if now_ms - holder.asked_ms >= permit_pacer.ASK_MS:
                 holder.outstanding = 0
-        return self._has_news(incarnation, holder, now_ms)
+        return self._needs_ask(incarnation, holder, now_ms)
 
-    def _has_news(
+    def _needs_ask(
         self, incarnation: servers.Incarnation, holder: _HolderState, now_ms: int
     ) -> bool:
         """Return whether the issuer should know of another demand or a surplus."""
