Keep a permit in stock while a limit is not reached

Change: while the issuer's pace allows a permit within 100 ms, each gateway with requests for the service keeps one. Waiting requests still go first, and a limit that is reached leaves no stock.

The rate is bounded as before: stock takes the same pace.

--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -295,7 +295,7 @@
         }
 
     def _record_interest(self, service: deployment.ServiceName) -> None:
-        """Record that a request could have gone to the limited servers of a service."""
+        """Record that a request could have used the limited servers of a service."""
         now_ms = self._fleet.clock.now_ms()
         for entry in self._limited_by_id(service).values():
             self._fleet.send_permits.record_interest(entry.incarnation, now_ms)
--- a/quincecrank/gateway/send_permits.py
+++ b/quincecrank/gateway/send_permits.py
@@ -60,6 +60,10 @@
 STOCK_MS: Final = 150
 """Time whose sends a gateway keeps in stock: an interval of reports."""
 
+MAX_STOCK_WAIT_MS: Final = 100
+"""Longest wait for a permit at which gateways keep one in stock: the limit is then not
+reached, and requests should not wait for an ask."""
+
 USE_WINDOW_MS: Final = 1_000
 """Time whose sends give the rate for the stock, and in which a gateway that had
 requests for a service takes part in trials."""
@@ -306,7 +310,7 @@
         return self._needs_ask(incarnation, holder, now_ms)
 
     def record_interest(self, incarnation: servers.Incarnation, now_ms: int) -> None:
-        """Record that a request could have gone to a limited server."""
+        """Record that a request could have used a limited server."""
         if self._limits.limit_of(incarnation) is not None:
             self._holder(incarnation).interest_ms = now_ms
 
@@ -328,11 +332,7 @@
         asks = []
         for incarnation in self._limits.limited():
             holder = self._holder(incarnation)
-            is_interested = (
-                holder.interest_ms is not None
-                and now_ms - holder.interest_ms < USE_WINDOW_MS
-            )
-            if is_interested or holder.demand is not None:
+            if self._is_interested(holder, now_ms) or holder.demand is not None:
                 asks.append(self._make_ask(incarnation, holder, now_ms))
         return tuple(asks)
 
@@ -443,9 +443,14 @@
         """Return the estimated time until a new request gets a permit."""
         if self._valid_permits(incarnation, now_ms):
             return 0.0
+        return self._pace_wait_ms(incarnation, self._holder(incarnation), now_ms)
+
+    def _pace_wait_ms(
+        self, incarnation: servers.Incarnation, holder: _HolderState, now_ms: int
+    ) -> float:
+        """Return the time until the issuer's pace allows a new ask a permit."""
         if not self._limits.limit_of(incarnation):
             return float(MAX_WAIT_MS)
-        holder = self._holder(incarnation)
         if holder.issuer == self._own_name:
             return self._issuer_wait_ms(incarnation, now_ms) or 0.0
         return max(0.0, holder.issuer_wait_until_ms - now_ms)
@@ -535,22 +540,39 @@
             self._count_by_event[PermitEvent.EXPIRED] += 1
         return holder.permits
 
-    def _usable(self, holder: _HolderState, now_ms: int) -> int:
+    def _usable(
+        self, incarnation: servers.Incarnation, holder: _HolderState, now_ms: int
+    ) -> int:
         """Return the permits that waiting requests and the stock can use."""
+        is_stocked = (
+            self._is_interested(holder, now_ms)
+            and self._pace_wait_ms(incarnation, holder, now_ms) <= MAX_STOCK_WAIT_MS
+        )
+        return max(int(is_stocked), self._waiting_or_busy(holder, now_ms))
+
+    def _waiting_or_busy(self, holder: _HolderState, now_ms: int) -> int:
+        """Return the permits that waiting requests and recent sends call for."""
         while holder.sends_ms and holder.sends_ms[0] <= now_ms - USE_WINDOW_MS:
             holder.sends_ms.popleft()
         stock = len(holder.sends_ms) * STOCK_MS // USE_WINDOW_MS
         waiting = holder.demand.waiting if holder.demand is not None else 0
-        return waiting + stock
+        return max(waiting, stock)
 
     def _wanted(
         self, incarnation: servers.Incarnation, holder: _HolderState, now_ms: int
     ) -> int:
         """Return the permits to ask for, less those in hand."""
-        usable = self._usable(holder, now_ms)
+        usable = self._usable(incarnation, holder, now_ms)
         in_hand = len(self._valid_permits(incarnation, now_ms))
         return min(permit_pacer.MAX_WANTED, max(0, usable - in_hand))
 
+    def _is_interested(self, holder: _HolderState, now_ms: int) -> bool:
+        """Return whether a request could lately have used a permit."""
+        return (
+            holder.interest_ms is not None
+            and now_ms - holder.interest_ms < USE_WINDOW_MS
+        )
+
     def _surplus(
         self, incarnation: servers.Incarnation, holder: _HolderState, now_ms: int
     ) -> int:
@@ -558,7 +580,7 @@
         permits = self._valid_permits(incarnation, now_ms)
         if any(permit.is_trial for permit in permits):
             return 0
-        return max(0, len(permits) - self._usable(holder, now_ms))
+        return max(0, len(permits) - self._usable(incarnation, holder, now_ms))
 
     def _is_ask_due(
         self, incarnation: servers.Incarnation, holder: _HolderState, now_ms: int
@@ -575,8 +597,12 @@
     ) -> bool:
         """Return whether the issuer should know of another demand or a surplus."""
         wanted = self._wanted(incarnation, holder, now_ms)
-        return wanted != holder.outstanding or bool(
-            self._surplus(incarnation, holder, now_ms)
+        in_hand = len(self._valid_permits(incarnation, now_ms))
+        needed = self._waiting_or_busy(holder, now_ms) - in_hand
+        return (
+            needed > holder.outstanding
+            or wanted < holder.outstanding
+            or self._surplus(incarnation, holder, now_ms) > 0
         )
 
     def _make_ask(
--- a/tests/test_send_permits.py
+++ b/tests/test_send_permits.py
@@ -152,6 +152,23 @@
         )
         self.assertEqual(self.fleet.issue(self.fleet.issuer), {two: 1})
 
+    def test_a_permit_is_kept_in_stock_unless_the_limit_is_reached(self) -> None:
+        one, two, _ = [name for name in NAMES if name != self.fleet.issuer]
+        self.fleet.now_ms += 1_000
+        self.fleet.report()
+        for name in (one, two):
+            permits = self.fleet.permits_by_name[name]
+            permits.record_interest(SERVER, self.fleet.now_ms)
+            asks = permits.asks_to_report(self.fleet.now_ms)
+            self.assertEqual([ask.wanted for ask in asks], [1])
+            self.fleet.permits_by_name[self.fleet.issuer].apply_asks(
+                name, asks, self.fleet.now_ms
+            )
+        self.assertEqual(self.fleet.issue(self.fleet.issuer), {one: 1})
+        self.fleet.report()
+        asks = self.fleet.permits_by_name[two].asks_to_report(self.fleet.now_ms)
+        self.assertEqual([ask.wanted for ask in asks], [0])
+
     def test_two_issuers_share_the_limit_by_their_supporters(self) -> None:
         """Two groups that don't hear each other stay below 1 / QUORUM of the limit."""
         rest = tuple(name for name in NAMES if name != self.fleet.issuer)
