Return an expired permit instead of failing when one expires while it is taken

What callers would have seen: a 502 if a permit expired in the millisecond between the choice of a server and the use of its permit. Found by reading; the new test failed with an IndexError before.

Peers are notified at once only of a limit of a server that had none: a server that names another value in each answer would have caused a report for each.

--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -53,7 +53,7 @@
     notify_permit_demand : callable
         Called when an ask for permits is due.
     notify_rate_limit : callable
-        Called when an answer to this gateway has changed a rate limit.
+        Called when an answer to this gateway names a limit of a server that had none.
     """
 
     def __init__(
@@ -152,12 +152,14 @@
         entry = self.registry.find(incarnation.server_id)
         if entry is None or entry.incarnation != incarnation:
             return False
+        was_limited = self.rate_limits.limit_of(incarnation) is not None
         is_changed = self.rate_limits.record_answer(
             incarnation, per_second, sent_ms, self.clock.now_ms()
         )
         if is_changed:
             self._handle_limit_change(incarnation, "answer")
-            self.notify_rate_limit()
+            if not was_limited:
+                self.notify_rate_limit()
         return is_changed
 
     def apply_peer_limit(self, state: rate_limits.LimitState) -> None:
--- a/quincecrank/gateway/send_permits.py
+++ b/quincecrank/gateway/send_permits.py
@@ -20,7 +20,8 @@
     A permit that the limit need not allow.  It is issued when no answer of the server
     has arrived for some time, since only an answer shows the end of a limit.
 stock
-    Permits that a gateway asks for in advance, as it sends many requests to a server.
+    Permits that a gateway asks for in advance: for the requests that it usually sends
+    to a server, and one while the limit is not reached.
 """
 
 import collections
@@ -68,7 +69,6 @@
 """Time whose sends give the rate for the stock, and in which a gateway that had
 requests for a service takes part in trials."""
 
-
 MAX_WAIT_MS: Final = 60_000
 """Longest wait for a permit that is reported."""
 
@@ -152,7 +152,31 @@
 
 @dataclasses.dataclass(slots=True)
 class _HolderState:
-    """State of a server that this gateway sends to."""
+    """State of a limited server at a gateway that sends to it.
+
+    Attributes
+    ----------
+    permits : deque of Permit
+        Permits in hand, in the order of their arrival.
+    demand : Demand or None
+        The requests that wait; None without any.
+    outstanding : int
+        Permits wanted by the last ask and not granted yet.
+    asked_ms : int or None
+        Time of the last ask to the present issuer.
+    interest_ms : int or None
+        Time of the last request that could have used a permit.
+    sends_ms : deque of int
+        Times of the recent sends to the server.
+    number_expiry_ms : dict of int to int
+        Numbers of the grants received, with the time until which they are kept.
+    supports_from_ms : int
+        Time from which the gateway supports the issuer.
+    issuer_by_peer : dict
+        Issuer that each peer supports, with the time of its last report.
+    issuer_wait_until_ms : int
+        Time at which a new ask would get a permit, by the issuer's last report.
+    """
 
     permits: collections.deque[Permit] = dataclasses.field(
         default_factory=collections.deque
@@ -273,14 +297,15 @@
     def take(self, incarnation: servers.Incarnation, now_ms: int) -> Permit | None:
         """Take a permit for a request; None if the server has no limit.
 
-        Raises
-        ------
-        IndexError
-            If the server is limited and `allows` is False.
+        A permit that has expired since the call of `allows` is returned as such, and
+        `may_send` rejects it.
         """
         if self._limits.limit_of(incarnation) is None:
             return None
-        permit = self._valid_permits(incarnation, now_ms).popleft()
+        permits = self._valid_permits(incarnation, now_ms)
+        if not permits:
+            return Permit(incarnation, now_ms)
+        permit = permits.popleft()
         self._holder(incarnation).sends_ms.append(now_ms)
         self._count_by_event[PermitEvent.USED] += 1
         return permit
--- a/tests/test_send_permits.py
+++ b/tests/test_send_permits.py
@@ -101,6 +101,10 @@
         self.assertFalse(self.permits.allows(SERVER, self.fleet.now_ms))
         self.assertFalse(self.permits.may_send(SERVER, permit, self.fleet.now_ms))
 
+    def test_a_permit_that_expires_before_it_is_taken_sends_nothing(self) -> None:
+        permit = self.permits.take(SERVER, self.fleet.now_ms)
+        self.assertFalse(self.permits.may_send(SERVER, permit, self.fleet.now_ms))
+
     def test_a_grant_that_arrives_twice_counts_once(self) -> None:
         grant = send_permits.Grant(SERVER, 1, self.fleet.now_ms, 7)
         self.permits.apply_grants((grant, grant), self.fleet.now_ms)
