--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -1,9 +1,9 @@
 """Stand-in of a backend server of the platform: a model engine or a plain service.
 
 Writes its entry into the platform's store at start and at every heartbeat, and prints
-on standard output ``arrived WALL_MS ID`` for each request of a caller that reaches it,
-``ran ID`` for each that it runs, and ``named WALL_MS ID LIMIT`` for each answer that
-names a rate limit.
+on standard output ``arrived WALL_MS id=ID`` for each request of a caller that reaches
+it, ``ran ID`` for each that it runs, and ``named WALL_MS id=ID LIMIT`` for each answer
+that names a rate limit.
 
 A stream sends one event every `EVENT_MS` milliseconds; the caller's `Token-Count`
 header gives the number of events after a comma.  The prompt parts of every streamed
@@ -186,7 +186,7 @@
         headers = self.request.headers
         request_id = headers.get("Request-Id", "")
         if request_id:  # Calls of gateways, such as for cache lists, have none.
-            print(f"arrived {server.clock.wall_ms()} {request_id}", flush=True)
+            print(f"arrived {server.clock.wall_ms()} id={request_id}", flush=True)
         if server.faults.rate_limit:
             self.set_header("Server-Limit", server.faults.rate_limit)
         if headers.get("Expect-Instance", server.server_id) != server.server_id:
@@ -244,7 +244,8 @@
         request_id = self.request.headers.get("Request-Id", "")
         if server.faults.rate_limit and request_id:
             limit = server.faults.rate_limit
-            print(f"named {server.clock.wall_ms()} {request_id} {limit}", flush=True)
+            at_ms = server.clock.wall_ms()
+            print(f"named {at_ms} id={request_id} {limit}", flush=True)
 
     def _refuse(self, status: int) -> None:
         self._print_naming()
--- a/tests/process_rate_limits.py
+++ b/tests/process_rate_limits.py
@@ -88,14 +88,18 @@
 
     def arrivals(self, server: str) -> list[rate_limit_checker.Arrival]:
         return [
-            rate_limit_checker.Arrival(float(words[1]), words[2].partition("/")[0])
+            rate_limit_checker.Arrival(
+                float(words[1]), rate_limit_checker.gateway_of(words[2])
+            )
             for words in self.log_words(server, "arrived")
         ]
 
     def answers(self, server: str) -> list[rate_limit_checker.Answer]:
         return [
             rate_limit_checker.Answer(
-                float(words[1]), words[2].partition("/")[0], float(words[3])
+                float(words[1]),
+                rate_limit_checker.gateway_of(words[2]),
+                float(words[3]),
             )
             for words in self.log_words(server, "named")
         ]
@@ -139,7 +143,9 @@
             for server in RECORDS:
                 self.set_limit(server, "")
         named = [
-            rate_limit_checker.Answer(float(words[1]), words[2].partition("/")[0], 2.0)
+            rate_limit_checker.Answer(
+                float(words[1]), rate_limit_checker.gateway_of(words[2]), 2.0
+            )
             for words in self.log_words("record-1", "named")
         ]
         found = rate_limit_checker.excess_requests(
--- a/tests/rate_limit_checker.py
+++ b/tests/rate_limit_checker.py
@@ -134,6 +134,11 @@
     ]
 
 
+def gateway_of(field: str) -> str:
+    """Return the gateway that the id of a request names, `id=GATEWAY/...`."""
+    return field.removeprefix("id=").partition("/")[0]
+
+
 def _limited_stretches(
     changes: Sequence[LimitChange],
 ) -> Iterable[tuple[float, float]]:
--- a/tests/rate_limit_process_soak.py
+++ b/tests/rate_limit_process_soak.py
@@ -226,14 +226,18 @@
 
     def _arrivals(self, server: str) -> list[rate_limit_checker.Arrival]:
         return [
-            rate_limit_checker.Arrival(float(words[1]), words[2].partition("/")[0])
+            rate_limit_checker.Arrival(
+                float(words[1]), rate_limit_checker.gateway_of(words[2])
+            )
             for words in self._log_words(server, "arrived")
         ]
 
     def _answers(self, server: str) -> list[rate_limit_checker.Answer]:
         return [
             rate_limit_checker.Answer(
-                float(words[1]), words[2].partition("/")[0], float(words[3])
+                float(words[1]),
+                rate_limit_checker.gateway_of(words[2]),
+                float(words[3]),
             )
             for words in self._log_words(server, "named")
         ]
