--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -384,7 +384,7 @@
     ) -> server_links.ExchangeOutcome:
         """Run an exchange until it ends, makes no progress or reaches the deadline.
 
-        Returns `BROKEN` in the last two cases, after closing the link.
+        Returns `ABANDONED` in the last two cases, after closing the link.
         """
         running = asyncio.ensure_future(link.exchange(outgoing, sink, self._clock))
         try:
@@ -396,7 +396,7 @@
                 wait_s = min(WATCH_INTERVAL_MS, remaining_ms) / clocks.MS_PER_SECOND
                 await asyncio.wait({running}, timeout=wait_s)
             if not running.done():
-                return server_links.ExchangeOutcome.BROKEN
+                return server_links.ExchangeOutcome.ABANDONED
             return running.result()
         finally:
             if not running.done():
@@ -488,6 +488,17 @@
         )
         status = head.status if head else 0
         self._log_attempt(active, placement, sink, "broken off", status, sent_ms)
+        prompt = active.caller_headers.prompt
+        _LOG.info(
+            "answer broken off",
+            request=active.caller_headers.request_id,
+            server=placement.server.server_id,
+            started_wall_ms=placement.server.started_wall_ms,
+            was_abandoned=outcome is server_links.ExchangeOutcome.ABANDONED,
+            has_begun=sink.first_part_ms is not None,
+            sent_ago_ms=now_ms - sent_ms,
+            parts=[part.part_id for part in prompt.parts] if prompt else [],
+        )
         active.event_splitter.drop_partial_event()
         return False
 
--- a/quincecrank/gateway/server_links.py
+++ b/quincecrank/gateway/server_links.py
@@ -45,12 +45,15 @@
     """Outcome of an exchange.
 
     `COMPLETE`: the complete answer arrived.  `UNSENT`: no byte of the request was
-    written.  `BROKEN`: no complete answer arrived, and the request may have run.
+    written.  `BROKEN`: the server ended the answer before it was complete, and the
+    request may have run.  `ABANDONED`: this gateway closed the link before that, and
+    the request may have run.
     """
 
     COMPLETE = "complete"
     UNSENT = "unsent"
     BROKEN = "broken"
+    ABANDONED = "abandoned"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
