--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -18,6 +18,9 @@
 crash_on : str
     The process ends when it runs a request whose body contains this text; empty for
     none.
+crash_parts : str
+    Comma-separated ids of prompt parts: the process ends when it begins to write an
+    answer to a prompt with one of them, after it has printed ``crashed WALL_MS id=ID``.
 draining : bool
     The entry says that the server is shutting down, but it still serves requests.
 no_heartbeats : bool
@@ -56,6 +59,7 @@
     full: bool = False
     lose_answers: float = pydantic.Field(default=0.0, ge=0, le=1)
     crash_on: str = ""
+    crash_parts: str = ""
     draining: bool = False
     no_heartbeats: bool = False
     rate_limit: str = ""
@@ -187,6 +191,8 @@
         request_id = headers.get("Request-Id", "")
         if request_id:  # Calls of gateways, such as for cache lists, have none.
             print(f"arrived {server.clock.wall_ms()} id={request_id}", flush=True)
+        if server.faults.crash_parts:
+            await self._crash_on_parts(request_id)
         if server.faults.rate_limit:
             self.set_header("Server-Limit", server.faults.rate_limit)
         if headers.get("Expect-Instance", server.server_id) != server.server_id:
@@ -201,6 +207,17 @@
             return
         await self._run()
 
+    async def _crash_on_parts(self, request_id: str) -> None:
+        """End the process if a part of the prompt crashes it."""
+        server = self._server
+        crash_parts = set(server.faults.crash_parts.split(","))
+        entries = self.request.headers.get("Prompt-Prefix", "").split(",")
+        if not crash_parts.intersection(each.partition(":")[0] for each in entries):
+            return
+        await server.clock.sleep(BEGIN_MS)
+        print(f"crashed {server.clock.wall_ms()} id={request_id}", flush=True)
+        os._exit(1)
+
     async def _run(self) -> None:
         server = self._server
         crash_on = server.faults.crash_on
@@ -256,6 +273,8 @@
 
 
 EVENT_MS: Final = 20
+BEGIN_MS: Final = 80
+"""Time from a request's arrival to the beginning of an answer that crashes."""
 
 
 class ReportHandler(web.RequestHandler):
