Find the part of prompts that crashes servers, and reject it at all gateways

What callers saw: requests with one part in their prompts ended one server after the other, with 13 to 44 answers that ran beside each time.

Cause: crashes were counted for a whole request, and no two of these were equal. Records of 3 s could not reach gateways that started later, and a crash was confirmed up to 4 s late.

Change: one object counts crashes of whole requests and of parts. A part is found after three crashes of different requests since it was last answered. Of parts in the same crashes the last one is blamed, and a crash that is explained accuses nothing else. A gateway connects once to a server that closed a connection, and publishes its records at once. Findings stand in every report and in a row of the store, written once each; they end by an answer, a retest that the row grants, or the row's removal.

Why it works: a part that crashes servers is never answered, so nothing clears it, and its neighbours are answered or explained.

--- a/quincecrank/gateway/active_requests.py
+++ b/quincecrank/gateway/active_requests.py
@@ -4,9 +4,9 @@
 
 from tornado import httputil
 
-from quincecrank import crash_counts
 from quincecrank.gateway import (
     callers,
+    crash_suspicions,
     deployment,
     event_stream,
     failed_request_records,
@@ -35,8 +35,8 @@
     deadline_ms : int
         Time limit of the answer, set by the caller or the route, whichever is
         earlier, less a margin to send it.
-    fingerprint : CrashKey
-        Identity of the request for crash counts.
+    subject : Subject
+        The request as evidence of crashes.
     key : RequestKey or None
         Identifies later attempts of the same request; None for a request without
         a prompt.
@@ -44,6 +44,8 @@
         Time of the request's first attempt; its own arrival if it is no known retry.
     tried_servers : set of ServerId
         Backend servers chosen for it so far, unreachable ones included.
+    is_retest : bool
+        Whether it is sent, once, although a crash finding rejects it.
     may_have_run : bool
         Whether a backend server may have begun to run it.
     sends, refusals : int
@@ -61,10 +63,11 @@
     service: deployment.Service
     account: deployment.Account | None
     deadline_ms: int
-    fingerprint: crash_counts.CrashKey
+    subject: crash_suspicions.Subject
     key: failed_request_records.RequestKey | None
     first_attempt_ms: int
     tried_servers: set[servers.ServerId] = dataclasses.field(default_factory=set)
+    is_retest: bool = False
     may_have_run: bool = False
     sends: int = 0
     refusals: int = 0
--- a/quincecrank/gateway/answer_sink.py
+++ b/quincecrank/gateway/answer_sink.py
@@ -6,7 +6,7 @@
 from tornado import httputil
 
 from quincecrank import clock as clocks
-from quincecrank.gateway import active_requests, server_links
+from quincecrank.gateway import active_requests, crash_suspicions, server_links
 from quincecrank.platform import answers
 
 MAX_BUFFERED_BYTES: Final = 1024 * 1024
@@ -23,6 +23,9 @@
         Called with the parsed status and headers when they have arrived.
     on_first_part : callable
         Called when the first part of the body has arrived.
+    on_established : callable
+        Called once, when a part arrives `crash_suspicions.ESTABLISHED_MS` or more after
+        the first one.
 
     Attributes
     ----------
@@ -32,6 +35,8 @@
         The answer, without a body if that is passed on; None until its head arrives.
     is_streaming : bool
         Whether the body is passed on event by event.
+    is_established : bool
+        Whether `on_established` was called.
     first_part_ms : int or None
         Time at which the first part of the body arrived.
     progress_ms : int
@@ -45,10 +50,13 @@
         clock: clocks.Clock,
         on_head: Callable[[answers.AnswerHead], None],
         on_first_part: Callable[[], None],
+        on_established: Callable[[], None],
     ) -> None:
         self._active = active
         self._on_head = on_head
         self._on_first_part = on_first_part
+        self._on_established = on_established
+        self.is_established = False
         self._clock = clock
         self.head: answers.AnswerHead | None = None
         self.buffer: active_requests.AnswerBuffer | None = None
@@ -89,6 +97,8 @@
         if self.first_part_ms is None:
             self.first_part_ms = self._clock.now_ms()
             self._on_first_part()
+        elif not self.is_established:
+            self._check_established(self.first_part_ms)
         if self.is_streaming:
             events = self._active.event_splitter.feed(chunk)
             if events:
@@ -115,6 +125,11 @@
         self._active.answer.finish()
         return True
 
+    def _check_established(self, first_part_ms: int) -> None:
+        if self._clock.now_ms() - first_part_ms >= crash_suspicions.ESTABLISHED_MS:
+            self.is_established = True
+            self._on_established()
+
     async def _add_to_buffer(self, chunk: bytes) -> None:
         """Add to the buffered answer; pass it on once it is too long for the buffer."""
         assert self.buffer is not None
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -339,6 +339,16 @@
             rejection = self._reject(request, "no backend server", NO_SERVER_RETRY_MS)
             self._resolve(queued.request_id, rejection)
 
+    def reject_queued(
+        self, request_id: ids.RequestId, reason: str, retry_after_ms: int
+    ) -> None:
+        """Reject a request if it is queued."""
+        request = self._placement_request_by_id.get(request_id)
+        if request is not None:
+            self._queue_by_service[request.service.name].remove(request_id)
+            rejection = self._reject(request, reason, retry_after_ms)
+            self._resolve(request_id, rejection)
+
     def _reject_if_blocked(
         self, service: deployment.ServiceName, queue: request_queue.RequestQueue
     ) -> None:
--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -184,11 +184,11 @@
         )
 
     def has_ended(self, suspicion: crash_suspicions.Suspicion) -> bool:
-        """Return whether a suspicion's incarnation ended or was unreachable since."""
+        """Return whether a suspicion's incarnation has ended."""
         entry = self.registry.find(suspicion.server_id)
         if entry is None or entry.started_wall_ms != suspicion.started_wall_ms:
             return True
-        return self.health.health_of(entry).unreachable_at_ms >= suspicion.at_ms
+        return self.health.health_of(entry).has_ended
 
     def holder_clock_ms(self, holder: cache_part_index.HolderName) -> int | None:
         """Return the time on the clock of an engine or a store; None if unknown."""
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -11,6 +11,7 @@
 import asyncio
 import hashlib
 import random
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from quincecrank import clock as clocks
@@ -20,6 +21,7 @@
     answer_sink,
     cache_part_index,
     callers,
+    crash_findings,
     crash_suspicions,
     decision_log,
     deployment,
@@ -55,8 +57,10 @@
 """Retry-after time while this gateway shuts down; another one can serve the request
 at once."""
 
-CRASHING_REQUEST_RETRY_MS: Final = 5_000
-"""Retry-after time of a request that crashed the servers that ran it."""
+CRASHING_REQUEST_RETRY_MS: Final = crash_findings.RETEST_DELAYS_MS[0]
+"""Retry-after time of a request that a crash finding rejects."""
+
+CRASH_REASON: Final = "the request crashes backend servers"
 
 MAX_SILENT_FRACTION: Final = 0.4
 """A repeatable request that makes no progress for this fraction of its total time is
@@ -96,6 +100,13 @@
         Metrics of this process.
     generator : Random
         Draws the service of a request among the targets of its route.
+
+    Attributes
+    ----------
+    check_server : callable
+        Called when a server has ended an answer before it was complete.
+    claim_retest : callable
+        Returns whether a request that a crash finding rejects may be sent as a retest.
     """
 
     def __init__(
@@ -112,6 +123,11 @@
         self._crashes = crashes
         self._metrics = metrics
         self._generator = generator
+        self.check_server: Callable[[servers.ServerEntry], None] = _ignore_server
+        self.claim_retest: Callable[[crash_findings.Finding], Awaitable[bool]] = (
+            _claim_no_retest
+        )
+        self._unplaced_by_id: dict[ids.RequestId, active_requests.ActiveRequest] = {}
         self._retry_budget_by_service: dict[
             deployment.ServiceName, retry_share.RetryBudgetShare
         ] = {}
@@ -192,21 +208,21 @@
             service=service,
             account=account,
             deadline_ms=request.received_ms + allowed_ms - END_MARGIN_MS,
-            fingerprint=fingerprint,
+            subject=crash_suspicions.Subject(
+                fingerprint, crash_findings.part_keys(caller_headers.prompt)
+            ),
             key=key,
             first_attempt_ms=first_attempt_ms,
         )
 
     async def _serve(self, active: active_requests.ActiveRequest) -> None:
-        if self._crashes.rejects(active.fingerprint, self._clock.now_ms()):
-            self._send_own_answer(
-                active.answer, active.caller_headers.request_id, 503,
-                "the request crashed the servers that ran it",
-                CRASHING_REQUEST_RETRY_MS,
-            )  # fmt: skip
-            return
+        finding = self._crashes.finding_against(active.subject)
+        if finding is not None:
+            active.is_retest = await self.claim_retest(finding)
         while not active.answer.has_ended:
-            placement = await self._dispatcher.place(self._placement_request(active))
+            if self._reject_crashing(active):
+                return
+            placement = await self._place(active)
             if isinstance(placement, dispatcher.Rejection):
                 self._fail(active, placement.reason, placement.retry_after_ms)
                 return
@@ -217,13 +233,53 @@
                     placement.server.server_id, active.caller_headers.request_id
                 )
                 self._dispatcher.start_queued(active.service.name)
-            if is_done:
+            if is_done or self._reject_crashing(active):
                 return
             reason = self._retry_obstacle(active)
             if reason is not None:
                 self._fail(active, reason, request_queue.MIN_RETRY_AFTER_MS)
                 return
 
+    async def _place(
+        self, active: active_requests.ActiveRequest
+    ) -> dispatcher.Placement | dispatcher.Rejection:
+        request_id = active.caller_headers.request_id
+        self._unplaced_by_id[request_id] = active
+        try:
+            return await self._dispatcher.place(self._placement_request(active))
+        finally:
+            self._unplaced_by_id.pop(request_id, None)
+
+    def reject_crashing(self) -> None:
+        """Reject the queued requests that a crash finding concerns."""
+        for request_id, active in tuple(self._unplaced_by_id.items()):
+            if self._is_rejected(active):
+                self._dispatcher.reject_queued(
+                    request_id, CRASH_REASON, CRASHING_REQUEST_RETRY_MS
+                )
+
+    def _is_rejected(self, active: active_requests.ActiveRequest) -> bool:
+        """Return whether a crash finding rejects a request."""
+        if active.is_retest:
+            return False
+        return self._crashes.finding_against(active.subject) is not None
+
+    def _reject_crashing(self, active: active_requests.ActiveRequest) -> bool:
+        """Answer a request that a crash finding rejects; return False if none does."""
+        if not self._is_rejected(active):
+            return False
+        finding = self._crashes.finding_against(active.subject)
+        assert finding is not None
+        _LOG.info(
+            "crashing request rejected",
+            request=active.caller_headers.request_id,
+            suspect=finding.scope.key,
+            servers=list(finding.servers),
+        )
+        self._metrics.record_crash_rejection()
+        self._fail(active, CRASH_REASON, CRASHING_REQUEST_RETRY_MS)
+        return True
+
     async def _attempt(
         self, active: active_requests.ActiveRequest, placement: dispatcher.Placement
     ) -> bool:
@@ -234,6 +290,10 @@
         link = await self._open_link(active, server)
         if link is None:
             return False
+        if self._is_rejected(active):
+            # The finding was made while the request waited for a server or link.
+            self._fleet.links.release(server, link)
+            return False
         now_ms = self._clock.now_ms()
         if not self._fleet.send_permits.may_send(
             server.incarnation, placement.permit, now_ms
@@ -253,6 +313,7 @@
             lambda: self._fleet.loads.record_prefill_end(
                 server.server_id, active.caller_headers.request_id
             ),
+            lambda: self._crashes.record_answer(active.subject, self._clock.now_ms()),
         )
         outgoing = self._outgoing(active, placement)
         outcome = await self._exchange(active, link, outgoing, sink, server)
@@ -469,7 +530,7 @@
                 self._fleet.service_times.observe(
                     active.service.name, placement.work, first_ms
                 )
-                self._crashes.record_success(active.fingerprint, now_ms)
+                self._crashes.record_answer(active.subject, now_ms)
                 self._send_buffered(active, sink)
                 self._log_attempt(
                     active, placement, sink, "answered", head.status, sent_ms
@@ -479,13 +540,15 @@
             # A stream that ends inside an event counts as broken off.
         active.may_have_run = True
         health.record_failure(now_ms)
-        self._crashes.record_broken_answer(
-            active.fingerprint,
-            ids.AttemptId(f"{active.caller_headers.request_id}/{active.sends}"),
-            placement.server,
-            now_ms,
-            self._clock.wall_ms(),
-        )
+        if outcome is server_links.ExchangeOutcome.BROKEN:
+            self._crashes.record_broken_answer(
+                active.subject,
+                placement.server,
+                sent_ms,
+                now_ms,
+                is_established=sink.is_established,
+            )
+            self.check_server(placement.server)
         status = head.status if head else 0
         self._log_attempt(active, placement, sink, "broken off", status, sent_ms)
         prompt = active.caller_headers.prompt
@@ -564,6 +627,10 @@
             return "no attempts left"
         if active.refusals >= MAX_REFUSALS:
             return "refused by servers"
+        if active.is_retest and active.sends:
+            return "retest of a crash finding"
+        if active.may_have_run and not self._crashes.may_repeat(active.subject):
+            return "ran at a crash"
         if active.sends and not self._retry_budget(active.service.name).try_retry(
             now_ms, self._fleet.gateway_count
         ):
@@ -712,6 +779,15 @@
         )
 
 
+def _ignore_server(_server: servers.ServerEntry) -> None:
+    """Do nothing: without a crash monitor, entries alone show that servers ended."""
+
+
+async def _claim_no_retest(_finding: crash_findings.Finding) -> bool:
+    """Return False: without a crash monitor there are no retests."""
+    return False
+
+
 def _fingerprint(
     request: callers.CallerRequest, account: deployment.Account | None
 ) -> crash_counts.CrashKey:
--- a/quincecrank/gateway/gateway_metrics.py
+++ b/quincecrank/gateway/gateway_metrics.py
@@ -91,6 +91,16 @@
             ["event"],
             registry=self.registry,
         )
+        self.crash_findings = prometheus_client.Gauge(
+            "quince_gateway_crash_findings",
+            "Requests and parts of prompts that are rejected as they crash servers",
+            registry=self.registry,
+        )
+        self._crash_rejections = prometheus_client.Counter(
+            "quince_gateway_crash_rejections",
+            "Requests rejected because of a crash finding",
+            registry=self.registry,
+        )
         self._permit_counts: dict[str, int] = {}
         self.peers = prometheus_client.Gauge(
             "quince_gateway_peers", "Live other gateways", registry=self.registry
@@ -116,6 +126,10 @@
                 state.answer_age_ms / clock.MS_PER_SECOND
             )
 
+    def record_crash_rejection(self) -> None:
+        """Count a request that a crash finding rejected."""
+        self._crash_rejections.inc()
+
     def set_permit_counts(self, count_by_event: Mapping[str, int]) -> None:
         """Set the number of permits since the start of the process, by event."""
         for event, count in count_by_event.items():
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -21,6 +21,7 @@
     cache_followers,
     cache_history,
     callers,
+    crash_monitor,
     crash_suspicions,
     decision_log,
     dispatcher,
@@ -114,6 +115,17 @@
             lambda message: self._permits.handle(message),
             clock,
         )
+        self._crash_monitor = crash_monitor.CrashMonitor(
+            self._fleet,
+            self._crashes,
+            self._peers,
+            self._store,
+            self._reporter.send,
+            self._forwarder.reject_crashing,
+            clock,
+        )
+        self._forwarder.check_server = self._crash_monitor.check_server
+        self._forwarder.claim_retest = self._crash_monitor.claim_retest
         self._fleet.loads.notify_peers = self._reporter.send_load_change
         self._permits = permit_exchange.PermitExchange(
             self._fleet,
@@ -127,7 +139,9 @@
         self._order_lease = order_lease.OrderLease(
             self._store, own_settings.vm, own_settings.bounds.order_lease_ms, clock
         )
-        self._members = row_consumers.MemberRowConsumer(self._peers, self._order_lease)
+        self._members = row_consumers.MemberRowConsumer(
+            self._peers, self._order_lease, self._crash_monitor
+        )
         self._registration = member_registration.Registration(
             own_settings.vm,
             own_settings.ip,
@@ -202,6 +216,8 @@
         self._tasks.start(self._reporter.run())
         self._tasks.start(self._dispatcher.run())
         self._tasks.start(self._permits.run())
+        self._tasks.start(self._crash_monitor.run())
+        self._tasks.start(self._crash_monitor.run_writes())
         self._tasks.start(self._weight_rollout.run())
         self._tasks.start(self._cache_followers.run())
         self._tasks.start(self._store_cleaner.run())
@@ -288,7 +304,6 @@
                 for table, follower in self._followers_by_table.items()
             ),
             load_by_server=self._fleet.loads.own_load_by_server(),
-            crashes=self._crashes.to_publish(self._clock.now_ms()),
             target_weights=self._fleet.target_versions.to_publish(self._clock.now_ms()),
             weight_updates=self._fleet.weight_updates.to_publish(self._clock.now_ms()),
             times_by_service=self._times_to_publish(),
@@ -298,12 +313,14 @@
                 self._clock.now_ms()
             ),
         )
-        return self._permits.complete_report(report)
+        return self._permits.complete_report(
+            self._crash_monitor.complete_report(report)
+        )
 
     def _apply_report(self, report: peer_messages.Report) -> None:
         now_ms = self._clock.now_ms()
         self._fleet.loads.apply_peer_report(report.vm, report.load_by_server, now_ms)
-        self._crashes.merge(report.crashes, now_ms)
+        self._crash_monitor.apply_report(report)
         for target in report.target_weights:
             self._fleet.target_versions.record_target(
                 target.model, target.version, now_ms, target.age_ms
@@ -333,19 +350,12 @@
         self._fleet.loads.apply_peer_change(change.vm, change.server_id, change.load)
 
     async def _run_maintenance(self) -> None:
-        """Expire servers, confirm crashes, close idle links and update metrics."""
+        """Expire servers, close idle links and update metrics."""
         while True:
             await self._clock.sleep(MAINTENANCE_INTERVAL_MS)
             for server_id in self._fleet.registry.remove_expired(self._clock.now_ms()):
                 _LOG.info("server gone", server=server_id, reason="lapsed")
                 self._fleet.remove_server(server_id)
-            for crash in self._crashes.confirm_crashes(self._clock.now_ms()):
-                _LOG.warning(
-                    "request ran at a crash",
-                    attempt=crash.attempt_id,
-                    server=crash.server,
-                    digest=crash.request.digest.hex(),
-                )
             self._fleet.links.close_stale()
             self._fleet.gateway_count = 1 + len(self._peers.live_members())
             current = self._fleet.configuration
@@ -359,6 +369,7 @@
             permits = self._fleet.send_permits
             self._metrics.set_permit_counts(permits.count_by_event)
             self._metrics.waiting_for_permits.set(permits.waiting_count)
+            self._metrics.crash_findings.set(self._crashes.findings.active_count)
             self._metrics.waiting.set(self._dispatcher.waiting_requests)
 
     def _serve_readiness(self) -> None:
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -10,6 +10,7 @@
 
 from quincecrank import crash_counts, ids, store_rows
 from quincecrank.gateway import (
+    crash_findings,
     deployment,
     engine_weight_updates,
     failed_request_records,
@@ -53,6 +54,32 @@
     store_answer_age_ms: int | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedCrash:
+    """A crash record, with the time since the crash instead of a time.
+
+    Attributes
+    ----------
+    was_cleared : bool
+        Whether an equal request was answered since; of earlier releases only.
+    """
+
+    request: crash_counts.CrashKey
+    server: str
+    age_ms: int
+    ran_ms: int
+    parts: tuple[crash_findings.SuspectKey, ...] = ()
+    was_cleared: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedAnswer:
+    """A suspect of crashes that was answered `age_ms` ago."""
+
+    key: crash_findings.SuspectKey
+    age_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """State that a gateway sends to its peers at short intervals.
@@ -65,8 +92,12 @@
         State of each table of the store.
     load_by_server : mapping of ServerId to Load
         Load that this gateway alone puts on each backend server.
-    crashes : tuple of CrashRecord
-        Crash suspicions and crashes, by request.
+    crashes : tuple of ReportedCrash
+        Requests that ran at servers when these crashed.
+    answered : tuple of ReportedAnswer
+        Suspects of crashes that were answered.
+    findings : tuple of Finding
+        What is rejected because it crashes servers, ended findings included.
     weight_updates : tuple of WeightUpdate
         Changes of the weights of engines.
     target_weights : tuple of TargetWeights
@@ -93,7 +124,9 @@
     is_leaving: bool
     states: tuple[TableState, ...]
     load_by_server: Mapping[servers.ServerId, loads.Load]
-    crashes: tuple[crash_counts.CrashRecord, ...] = ()
+    crashes: tuple[ReportedCrash, ...] = ()
+    answered: tuple[ReportedAnswer, ...] = ()
+    findings: tuple[crash_findings.Finding, ...] = ()
     weight_updates: tuple[engine_weight_updates.WeightUpdate, ...] = ()
     target_weights: tuple[weights.TargetWeights, ...] = ()
     times_by_service: Mapping[str, service_times.Times] = dataclasses.field(
@@ -127,17 +160,12 @@
         loads=[
             _load_fields(server, load) for server, load in report.load_by_server.items()
         ],
-        crashes=[
-            {
-                "account": crash.request.account,
-                "digest": crash.request.digest,
-                "attempt": crash.attempt_id,
-                "wallMs": crash.wall_ms,
-                "cleared": crash.cleared,
-                "server": crash.server,
-            }
-            for crash in report.crashes
+        crashes=[_crash_fields(each) for each in report.crashes],
+        answered=[
+            {"key": each.key, "ageMs": min(each.age_ms, _NO_AGE)}
+            for each in report.answered
         ],
+        findings=[_finding_fields(each) for each in report.findings],
         weightNews=[
             {
                 "server": update.server_id,
@@ -263,6 +291,56 @@
     }
 
 
+def _crash_fields(crash: ReportedCrash) -> dict[str, Any]:
+    return {
+        "account": crash.request.account,
+        "digest": crash.request.digest,
+        # Earlier releases tell records apart by this text.
+        "attempt": f"{crash.request.digest.hex()}@{crash.server}",
+        "cleared": crash.was_cleared,
+        "server": crash.server,
+        "ageMs": min(crash.age_ms, _NO_AGE),
+        "ranMs": min(crash.ran_ms, _NO_AGE),
+        "parts": list(crash.parts),
+    }
+
+
+def _crash(message: Any) -> ReportedCrash:
+    return ReportedCrash(
+        crash_counts.CrashKey(ids.AccountName(message.account), bytes(message.digest)),
+        # Earlier releases omit the server of some records.
+        message.server or message.attempt,
+        message.ageMs,
+        message.ranMs,
+        tuple(crash_findings.SuspectKey(each) for each in message.parts),
+        message.cleared,
+    )
+
+
+def _finding_fields(finding: crash_findings.Finding) -> dict[str, Any]:
+    return {
+        "key": finding.scope.key,
+        "account": finding.scope.account or "",
+        "revision": finding.revision,
+        "hasEnded": finding.has_ended,
+        "retests": finding.retests,
+        "ageMs": min(finding.age_ms, _NO_AGE),
+        "servers": list(finding.servers),
+    }
+
+
+def _finding(message: Any) -> crash_findings.Finding:
+    account = ids.AccountName(message.account) if message.account else None
+    return crash_findings.Finding(
+        crash_findings.Scope(crash_findings.SuspectKey(message.key), account),
+        message.revision,
+        message.hasEnded,
+        message.retests,
+        message.ageMs,
+        tuple(message.servers),
+    )
+
+
 def _incarnation_fields(incarnation: servers.Incarnation) -> dict[str, Any]:
     return {
         "server": incarnation.server_id,
@@ -407,18 +485,12 @@
         load_by_server={
             servers.ServerId(each.server): _load(each) for each in message.loads
         },
-        crashes=tuple(
-            crash_counts.CrashRecord(
-                request=crash_counts.CrashKey(
-                    ids.AccountName(each.account), bytes(each.digest)
-                ),
-                attempt_id=ids.AttemptId(each.attempt),
-                wall_ms=each.wallMs,
-                cleared=each.cleared,
-                server=ids.BackendServerName(each.server),
-            )
-            for each in message.crashes
+        crashes=tuple(_crash(each) for each in message.crashes),
+        answered=tuple(
+            ReportedAnswer(crash_findings.SuspectKey(each.key), each.ageMs)
+            for each in message.answered
         ),
+        findings=tuple(_finding(each) for each in message.findings),
         weight_updates=tuple(
             engine_weight_updates.WeightUpdate(
                 servers.ServerId(each.server),
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -23,8 +23,32 @@
   digest @1 :Data;
   attempt @2 :Text;
   wallMs @3 :UInt64;
+  # An equal request was answered since; sent by earlier releases only.
   cleared @4 :Bool;
   server @5 :Text;
+  ageMs @6 :UInt32;
+  # Time from the send to the crash.
+  ranMs @7 :UInt32;
+  # Shared parts of the prompt, in order.
+  parts @8 :List(Text);
+}
+
+# A suspect of crashes that was answered.
+struct AnsweredSuspect {
+  key @0 :Text;
+  ageMs @1 :UInt32;
+}
+
+# A suspect whose requests are rejected, or no longer.
+struct CrashFinding {
+  key @0 :Text;
+  # Empty for all accounts.
+  account @1 :Text;
+  revision @2 :UInt32;
+  hasEnded @3 :Bool;
+  retests @4 :UInt16;
+  ageMs @5 :UInt32;
+  servers @6 :List(Text);
 }
 
 struct WeightNews {
@@ -131,6 +155,8 @@
   permitAsks @12 :List(PermitAsk);
   # Whether the gateway shares rate limits by permits; earlier releases don't.
   issuesPermits @13 :Bool;
+  answered @14 :List(AnsweredSuspect);
+  findings @15 :List(CrashFinding);
 }
 
 struct Datagram {
--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -8,6 +8,7 @@
 
 from quincecrank import store_rows
 from quincecrank.gateway import (
+    crash_monitor,
     decision_log,
     fleet_state,
     member_registration,
@@ -168,13 +169,17 @@
 
 
 class MemberRowConsumer:
-    """Applies the addresses of the other gateways, and the order lease."""
+    """Applies the other gateways' addresses, the order lease and crash findings."""
 
     def __init__(
-        self, peer_directory: peers.PeerDirectory, lease: order_lease.OrderLease
+        self,
+        peer_directory: peers.PeerDirectory,
+        lease: order_lease.OrderLease,
+        monitor: crash_monitor.CrashMonitor | None = None,
     ) -> None:
         self._peers = peer_directory
         self._lease = lease
+        self._crash_monitor = monitor
         self._row_by_key: dict[str, store_rows.Row] = {}
         self._full_era = store_rows.FIRST_ERA
 
@@ -188,6 +193,8 @@
         """Apply a snapshot of all members."""
         self._row_by_key = {}
         self._full_era = snapshot.position.era
+        if self._crash_monitor is not None:
+            self._crash_monitor.forget_rows()
         self.apply_changes(snapshot.rows)
 
     def apply_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
@@ -197,6 +204,8 @@
         lease_row = self._row_by_key.get(order_lease.LEASE_KEY)
         if lease_row is not None:
             self._lease.observe(lease_row.position)
+        if self._crash_monitor is not None:
+            self._crash_monitor.apply_rows(rows)
         return bool(rows)
 
     def handle_store_unavailable(self) -> None:
--- a/quincecrank/gateway/server_health.py
+++ b/quincecrank/gateway/server_health.py
@@ -54,14 +54,14 @@
         Start time of the server, which identifies the incarnation.
     slowness : float
         Moving average of the ratio of observed to expected time of its answers.
-    unreachable_at_ms : int
-        Time at which a connection last could not be opened; 0 if that never happened.
+    has_ended : bool
+        Whether it refused a connection after it had closed one.
     """
 
     def __init__(self, started_wall_ms: int) -> None:
         self.started_wall_ms = started_wall_ms
         self.slowness = 1.0
-        self.unreachable_at_ms = 0
+        self.has_ended = False
         self._breaker = breaker.Breaker()
         self._paused_until_ms = 0
         self._requested_until_ms = 0
@@ -116,10 +116,14 @@
 
     def mark_unreachable(self, now_ms: int) -> None:
         """Record that no connection could be opened; opens the circuit breaker."""
-        self.unreachable_at_ms = now_ms
         for _ in range(breaker.FAILURES_TO_OPEN):
             self._breaker.record_failure(now_ms)
 
+    def mark_ended(self, now_ms: int) -> None:
+        """Record that this incarnation no longer accepts connections."""
+        self.has_ended = True
+        self.mark_unreachable(now_ms)
+
     def _pause(self, until_ms: int) -> None:
         self._paused_until_ms = max(self._paused_until_ms, until_ms)
 
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -11,6 +11,7 @@
 from quincecrank.gateway import (
     cache_part_index,
     cache_transfers,
+    crash_findings,
     crash_suspicions,
     deployment,
     engine_weight_updates,
@@ -332,6 +333,21 @@
     return crash_counts.CrashKey(ACCOUNT, name.encode())
 
 
+def make_subject(
+    name: str = "a", *parts: str, account: ids.AccountName = ACCOUNT
+) -> crash_suspicions.Subject:
+    """Return a request with shared prompt parts as evidence of crashes."""
+    return crash_suspicions.Subject(
+        crash_counts.CrashKey(account, name.encode()),
+        tuple(make_part_key(part) for part in parts),
+    )
+
+
+def make_part_key(part: str) -> crash_findings.SuspectKey:
+    """Return the key of a prompt part of the test model as a suspect."""
+    return crash_findings.SuspectKey(f"part {MODEL} {part}")
+
+
 def make_headers(**extra: str) -> httputil.HTTPHeaders:
     """Return the headers of a caller's request; underscores stand for dashes."""
     headers = httputil.HTTPHeaders(
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -3,7 +3,7 @@
 import dataclasses
 import unittest
 
-from quincecrank import crash_counts, ids
+from quincecrank import ids
 from quincecrank.gateway import (
     cache_part_index,
     cache_transfers,
@@ -496,22 +496,24 @@
         self.suspicions = crash_suspicions.CrashSuspicions(
             lambda each: each.started_wall_ms in self.crashed
         )
-        self.request = builders.make_fingerprint()
+        self.request = builders.make_subject()
 
     def suspect(self, number: int, now_ms: int) -> None:
         entry = builders.make_entry(started_wall_ms=number)
-        attempt = ids.AttemptId(str(number))
-        self.suspicions.record_broken_answer(
-            self.request, attempt, entry, now_ms, now_ms
-        )
+        self.suspicions.record_broken_answer(self.request, entry, now_ms - 50, now_ms)
+
+    def is_rejected(self) -> bool:
+        return self.suspicions.finding_against(self.request) is not None
 
     def test_a_request_is_rejected_after_three_crashes(self) -> None:
         for number in range(3):
-            self.assertFalse(self.suspicions.rejects(self.request, 0))
+            self.suspicions.decide(number * 1_000)
+            self.assertFalse(self.is_rejected())
             self.suspect(number, number * 1_000)
             self.crashed.add(number)
             self.suspicions.confirm_crashes(number * 1_000 + 500)
-        self.assertTrue(self.suspicions.rejects(self.request, 3_000))
+        self.suspicions.decide(2_500)
+        self.assertTrue(self.is_rejected())
         self.assertEqual(len(self.suspicions.to_publish(2_600)), 3)
 
     def test_a_broken_answer_of_a_live_server_does_not_count(self) -> None:
@@ -530,21 +532,25 @@
 
     def test_crashes_of_peers_count(self) -> None:
         records = tuple(
-            crash_counts.CrashRecord(
-                self.request, ids.AttemptId(f"peer-{number}"), number * 5_000
+            crash_suspicions.CrashRecord(
+                self.request.request, f"i-{number}/1", number * 5_000, 50
             )
             for number in range(3)
         )
-        self.suspicions.merge(records, 0)
-        self.assertTrue(self.suspicions.rejects(self.request, 15_000))
+        self.suspicions.merge(records, 10_000)
+        self.suspicions.decide(15_000)
+        self.assertTrue(self.is_rejected())
 
     def test_a_completed_request_is_cleared(self) -> None:
         for number in range(3):
             self.suspect(number, number * 5_000)
             self.crashed.add(number)
         self.suspicions.confirm_crashes(10_500)
-        self.suspicions.record_success(self.request, 11_000)
-        self.assertFalse(self.suspicions.rejects(self.request, 11_000))
+        self.suspicions.decide(10_600)
+        self.assertTrue(self.is_rejected())
+        self.suspicions.record_answer(self.request, 11_000)
+        self.suspicions.decide(11_500)
+        self.assertFalse(self.is_rejected())
 
 
 class LoadsTest(unittest.TestCase):
--- a/tests/test_gateway_followers.py
+++ b/tests/test_gateway_followers.py
@@ -6,8 +6,9 @@
 import unittest
 
 from quincecrank import clock as clocks
-from quincecrank import crash_counts, ids, store_era, store_rows
+from quincecrank import ids, store_era, store_rows
 from quincecrank.gateway import (
+    crash_findings,
     fleet_state,
     followers,
     gateway_metrics,
@@ -341,8 +342,24 @@
             ),
             load_by_server={servers.ServerId("i-1"): loads.Load(1, 2, 3)},
             crashes=(
-                crash_counts.CrashRecord(
-                    builders.make_fingerprint(), ids.AttemptId("a"), 5, True
+                peer_messages.ReportedCrash(
+                    builders.make_fingerprint(),
+                    "i-1/5",
+                    40,
+                    120,
+                    (builders.make_part_key("a"), builders.make_part_key("b")),
+                    was_cleared=True,
+                ),
+            ),
+            answered=(peer_messages.ReportedAnswer(builders.make_part_key("c"), 700),),
+            findings=(
+                crash_findings.Finding(
+                    crash_findings.Scope(builders.make_part_key("b"), builders.ACCOUNT),
+                    2,
+                    True,
+                    1,
+                    5_000,
+                    ("i-1/5", "i-2/6"),
                 ),
             ),
             weight_updates=(builders.make_weight_update(is_loaded=True),),
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -193,6 +193,7 @@
                 )
             )
             self.crashes.confirm_crashes(self.clock.now_ms())
+            self.crashes.decide(self.clock.now_ms())
         self.assertEqual((await self.ask("/record/", b"poison")).status, 503)
         self.assertEqual(len(server.received), 3)
 
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -241,26 +241,35 @@
 
 class CrashTest(unittest.TestCase):
     def test_clock_jumps_neither_drop_nor_duplicate_crashes(self) -> None:
+        # No wall time enters the records, so a jump can't change them: the servers'
+        # start times, which do, only tell incarnations apart.
         for jumps_ms in ((0, 0), (7_200_000, 0), (0, 7_200_000), (-9_000, 9_000)):
             with self.subTest(jumps_ms):
+                clock_by_gateway = [JumpingClock(), JumpingClock()]
+                for clock, jump_ms in zip(clock_by_gateway, jumps_ms, strict=True):
+                    clock.jump(jump_ms)
                 one = builders.make_suspicions()
                 other = builders.make_suspicions()
-                request = builders.make_fingerprint()
+                request = builders.make_subject()
                 for number in range(2):
                     entry = builders.make_entry(started_wall_ms=number)
-                    for suspicions, jump_ms in zip((one, other), jumps_ms, strict=True):
-                        attempt = ids.AttemptId(f"{number}-{id(suspicions)}")
+                    for suspicions, clock in zip(
+                        (one, other), clock_by_gateway, strict=True
+                    ):
+                        now_ms = clock.now_ms()
                         suspicions.record_broken_answer(
-                            request, attempt, entry, 1_000, 1_000 + jump_ms
+                            request, entry, now_ms - 50, now_ms
                         )
                 one.merge(other.confirm_crashes(1_500), 5_000)
                 one.confirm_crashes(5_000)
+                one.decide(5_000)
                 # Two servers crashed, each seen by two gateways.
-                self.assertFalse(one.rejects(request, 5_000))
+                self.assertIsNone(one.finding_against(request))
                 entry = builders.make_entry(started_wall_ms=2)
-                one.record_broken_answer(request, ids.AttemptId("2"), entry, 6_000, 0)
+                one.record_broken_answer(request, entry, 5_900, 6_000)
                 one.confirm_crashes(6_500)
-                self.assertTrue(one.rejects(request, 6_500))
+                one.decide(6_500)
+                self.assertIsNotNone(one.finding_against(request))
 
 
 if __name__ == "__main__":
