Break off a resumed stream that does not continue after its last event

Cause: ids of events were recorded, not compared. The first id of a further attempt must now follow the last one; otherwise the answer counts as broken, and nothing of it is passed on.

--- a/quincecrank/gateway/event_stream.py
+++ b/quincecrank/gateway/event_stream.py
@@ -4,6 +4,7 @@
 can then continue at another backend server after the last complete event.
 """
 
+from collections.abc import Iterator
 from typing import Final
 
 from quincecrank.gateway import server_links
@@ -28,6 +29,7 @@
 
     def __init__(self) -> None:
         self._partial = b""
+        self._is_resuming = False
         self.last_id: str | None = None
         self.event_count = 0
 
@@ -43,6 +45,8 @@
         ------
         AnswerLimitError
             If an event is longer than `MAX_EVENT_BYTES`.
+        EventOrderError
+            If the first event of another attempt is not the one after the last event.
         """
         received = self._partial + chunk
         end = received.rfind(_EVENT_END)
@@ -52,23 +56,43 @@
             raise server_links.AnswerLimitError("event exceeds the size limit")
         if not complete:
             return b""
+        if self._is_resuming:
+            self._check_continuation(complete)
         self._record(complete)
         return complete
 
     def drop_partial_event(self) -> None:
         """Drop an incomplete event; another backend server continues before it."""
         self._partial = b""
+        self._is_resuming = self.last_id is not None
 
     def take_rest(self) -> bytes:
         """Return and drop the bytes after the last complete event."""
         rest, self._partial = self._partial, b""
         return rest
 
+    def _check_continuation(self, complete: bytes) -> None:
+        """Check the first id after a resumption; ids that are no numbers pass."""
+        first_id = next(_ids(complete), None)
+        if first_id is None:
+            return
+        last_id = self.last_id or ""
+        if first_id.isdecimal() and last_id.isdecimal():
+            if int(first_id) != int(last_id) + 1:
+                raise server_links.EventOrderError(f"{first_id} after {last_id}")
+        self._is_resuming = False
+
     def _record(self, complete: bytes) -> None:
         for event in complete.split(_EVENT_END):
             if not event.strip():
                 continue
             self.event_count += 1
-            for line in event.split(b"\n"):
-                if line.startswith(_ID_FIELD):
-                    self.last_id = line[len(_ID_FIELD) :].strip().decode("latin1")
+        for event_id in _ids(complete):
+            self.last_id = event_id
+
+
+def _ids(events: bytes) -> Iterator[str]:
+    """Return the ids of complete events, in order."""
+    for line in events.split(b"\n"):
+        if line.startswith(_ID_FIELD):
+            yield line[len(_ID_FIELD) :].strip().decode("latin1")
--- a/quincecrank/gateway/server_links.py
+++ b/quincecrank/gateway/server_links.py
@@ -45,6 +45,10 @@
     """Outcome of an exchange.
 
     `COMPLETE`: the complete answer arrived.  `UNSENT`: no byte of the request was
+class EventOrderError(Exception):
+    """A resumed stream does not continue after the last event that was received."""
+
+
     written.  `BROKEN`: the server ended the answer before it was complete, and the
     request may have run.  `ABANDONED`: this gateway closed the link before that, and
     the request may have run.
@@ -125,8 +129,8 @@
     ) -> ExchangeOutcome:
         """Send a request, pass its answer to `sink`, and return the outcome.
 
-        An exception of the sink other than `AnswerLimitError` is raised again, after
-        the link was closed.
+        An exception of the sink other than `AnswerLimitError` and `EventOrderError` is
+        raised again, after the link was closed.
         """
         if not self.is_usable:
             return ExchangeOutcome.UNSENT
@@ -170,6 +174,7 @@
                 # `reading` ends only when the request is completely written, too.
                 futures: set[asyncio.Future[Any]] = {reading, reader.ended}
                 await asyncio.wait(futures, return_when=asyncio.FIRST_COMPLETED)
+            EventOrderError,
                 if not reader.ended.done():
                     reading.result()
             finally:
