Take a stream without a length as broken if its server has ended

An answer may end with its connection, and a crash closes connections in order, too. The gateway now connects once to the server of such a stream when it ends; if the connection is refused, the stream is resumed elsewhere or broken off. Other answers pay nothing.

--- a/quincecrank/gateway/answer_sink.py
+++ b/quincecrank/gateway/answer_sink.py
@@ -33,6 +33,8 @@
         Parsed status and headers; None until they arrive.
     buffer : AnswerBuffer or None
         The answer, without a body if that is passed on; None until its head arrives.
+    is_unframed : bool
+        Whether the answer declares no length, so that it ends with its connection.
     is_streaming : bool
         Whether the body is passed on event by event.
     is_established : bool
@@ -60,6 +62,7 @@
         self._clock = clock
         self.head: answers.AnswerHead | None = None
         self.buffer: active_requests.AnswerBuffer | None = None
+        self.is_unframed = False
         self.is_streaming = False
         self._is_passed_on = False
         self.first_part_ms: int | None = None
@@ -85,6 +88,7 @@
     async def handle_body(self, chunk: bytes) -> None:
         """Handle a part of the body.
 
+        self.is_unframed = server_links.is_unframed(headers)
         Raises
         ------
         AnswerLimitError
--- a/quincecrank/gateway/crash_monitor.py
+++ b/quincecrank/gateway/crash_monitor.py
@@ -149,19 +149,31 @@
         self._checks[server.incarnation] = task
         task.add_done_callback(lambda _task: self._checks.pop(server.incarnation, None))
 
-    async def _check(self, server: servers.ServerEntry) -> None:
+    async def is_running(self, server: servers.ServerEntry) -> bool:
+        """Return whether a server accepts connections; True if it does not answer."""
+        return await self._accepts_connections(server) is not False
+
+    async def _accepts_connections(self, server: servers.ServerEntry) -> bool | None:
+        """Return whether a server accepts a connection; None without an answer."""
         try:
             link = await server_links.connect(
                 server.address, CHECK_TIMEOUT_MS, self._clock
             )
         except TimeoutError:
-            return
+            return None
         except OSError:
+            return False
+        link.close()
+        return True
+
+    async def _check(self, server: servers.ServerEntry) -> None:
+        """Confirm or discard the suspicions of a server; neither if it is silent."""
+        accepts = await self._accepts_connections(server)
+        if accepts is False:
             self._fleet.health.health_of(server).mark_ended(self._clock.now_ms())
             self.confirm_crashes()
-            return
-        link.close()
-        self._crashes.discard_suspicions(server.incarnation)
+        elif accepts:
+            self._crashes.discard_suspicions(server.incarnation)
 
     async def run(self) -> None:
         """Confirm crashes and make findings; never returns."""
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -105,6 +105,8 @@
     ----------
     check_server : callable
         Called when a server has ended an answer before it was complete.
+    is_running : callable
+        Returns whether a server still accepts connections.
     claim_retest : callable
         Returns whether a request that a crash finding rejects may be sent as a retest.
     """
@@ -124,6 +126,9 @@
         self._metrics = metrics
         self._generator = generator
         self.check_server: Callable[[servers.ServerEntry], None] = _ignore_server
+        self.is_running: Callable[[servers.ServerEntry], Awaitable[bool]] = (
+            _assume_running
+        )
         self.claim_retest: Callable[[crash_findings.Finding], Awaitable[bool]] = (
             _claim_no_retest
         )
@@ -524,7 +529,7 @@
                 return False
             if not head.is_success:
                 return self._conclude_failure(active, placement, sink, sent_ms)
-            if await sink.handle_end():
+            if await self._ended_well(sink, placement.server):
                 first_ms = (sink.first_part_ms or now_ms) - sent_ms
                 health.record_answer(first_ms, placement.expected_first_event_ms)
                 self._fleet.service_times.observe(
@@ -537,7 +542,7 @@
                 )
                 self._log_end(active, "answered")
                 return True
-            # A stream that ends inside an event counts as broken off.
+            outcome = server_links.ExchangeOutcome.BROKEN
         active.may_have_run = True
         health.record_failure(now_ms)
         if outcome is server_links.ExchangeOutcome.BROKEN:
@@ -570,6 +575,18 @@
         active: active_requests.ActiveRequest,
         placement: dispatcher.Placement,
         sink: answer_sink.AnswerSink,
+    async def _ended_well(
+        self, sink: answer_sink.AnswerSink, server: servers.ServerEntry
+    ) -> bool:
+        """Finish an answer; return False if it has broken off all the same.
+
+        A stream that ends inside an event has broken off.  One that ends with its
+        connection, between two events, has broken off if its server has ended, too.
+        """
+        if sink.is_streaming and sink.is_unframed and not await self.is_running(server):
+            return False
+        return await sink.handle_end()
+
         sent_ms: int,
     ) -> bool:
         """Record a server's error answer; return whether it went to the caller.
@@ -788,6 +805,11 @@
     return False
 
 
+async def _assume_running(_server: servers.ServerEntry) -> bool:
+    """Return True: without a crash monitor, only entries show that servers ended."""
+    return True
+
+
 def _fingerprint(
     request: callers.CallerRequest, account: deployment.Account | None
 ) -> crash_counts.CrashKey:
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -125,6 +125,7 @@
             clock,
         )
         self._forwarder.check_server = self._crash_monitor.check_server
+        self._forwarder.is_running = self._crash_monitor.is_running
         self._forwarder.claim_retest = self._crash_monitor.claim_retest
         self._fleet.loads.notify_peers = self._reporter.send_load_change
         self._permits = permit_exchange.PermitExchange(
--- a/quincecrank/gateway/server_links.py
+++ b/quincecrank/gateway/server_links.py
@@ -247,10 +247,8 @@
                 raise httputil.HTTPInputError("too many interim answers")
             return
         self.headers = headers
-        self.is_unframed = (
-            "Content-Length" not in headers and "Transfer-Encoding" not in headers
-        )
-        self.is_accepted = self._sink.accepts(headers)
+        self.is_unframed = is_unframed(headers)
+        self.is_accepted = self._sink.accepts(headers, is_reused=self._is_reused)
         if self.is_accepted:
             await self._guard(self._sink.handle_head(start_line.code, headers))
 
@@ -312,6 +310,11 @@
     return asyncio.ensure_future(written)
 
 
+def is_unframed(headers: httputil.HTTPHeaders) -> bool:
+    """Return whether an answer declares no length and ends with its connection."""
+    return "Content-Length" not in headers and "Transfer-Encoding" not in headers
+
+
 def _retrieve_exception(future: "asyncio.Future[Any]") -> None:
     """Retrieve the exception, so that asyncio does not log it as never retrieved."""
     if not future.cancelled():
