Tell a late copy of an answer from the answer to the next request

Cause: an answer without an id matched any request.

A connection is reused only after answers that name their request; on a reused one an answer without an id is skipped as a late one; and no connection carries one id twice.

--- a/quincecrank/gateway/answer_sink.py
+++ b/quincecrank/gateway/answer_sink.py
@@ -68,16 +68,27 @@
         self.first_part_ms: int | None = None
         self.progress_ms = clock.now_ms()
 
-    def accepts(self, headers: httputil.HTTPHeaders) -> bool:
-        """Return whether the answer belongs to the request."""
+    def accepts(self, headers: httputil.HTTPHeaders, *, is_reused: bool) -> bool:
+        """Return whether the answer belongs to the request.
+
+        On a link that has carried earlier requests, one without a request id may be a
+        late answer to any of them.
+        """
+        if is_reused and not answers.names_request(headers):
+            return False
         return answers.matches_request(headers, self._active.caller_headers.request_id)
 
+    def may_reuse(self, headers: httputil.HTTPHeaders) -> bool:
+        """Return whether the answer names its request."""
+        return answers.names_request(headers)
+
     async def handle_head(self, status: int, headers: httputil.HTTPHeaders) -> None:
         """Handle the status and headers."""
         self.head = answers.decode(status, headers)
         self._on_head(self.head)
         self.buffer = active_requests.AnswerBuffer(status, headers)
         self.progress_ms = self._clock.now_ms()
+        self.is_unframed = server_links.is_unframed(headers)
         self.is_streaming = (
             self._active.route.is_stream
             and self.head.is_success
@@ -88,7 +99,6 @@
     async def handle_body(self, chunk: bytes) -> None:
         """Handle a part of the body.
 
-        self.is_unframed = server_links.is_unframed(headers)
         Raises
         ------
         AnswerLimitError
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -387,7 +387,8 @@
         """Return an idle or new link; None if the server can't be reached."""
         pool = self._fleet.links
         max_idle_ms = MAX_IDLE_MS if active.route.may_repeat else MAX_SAFE_IDLE_MS
-        link = pool.acquire_idle(server, max_idle_ms)
+        request_id = active.caller_headers.request_id
+        link = pool.acquire_idle(server, max_idle_ms, request_id)
         if link is not None:
             return link
         remaining_ms = active.deadline_ms - self._clock.now_ms()
@@ -426,7 +427,11 @@
         body_bytes = len(request.body) if request.has_body else None
         headers = requests.encode(request.headers, gateway_headers, body_bytes)
         return server_links.OutgoingRequest(
-            request.method, request.target, headers, request.body
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            active.caller_headers.request_id,
         )
 
     def _fetch_deadline_ms(self, placement: dispatcher.Placement) -> int | None:
@@ -570,11 +575,6 @@
         active.event_splitter.drop_partial_event()
         return False
 
-    def _conclude_failure(
-        self,
-        active: active_requests.ActiveRequest,
-        placement: dispatcher.Placement,
-        sink: answer_sink.AnswerSink,
     async def _ended_well(
         self, sink: answer_sink.AnswerSink, server: servers.ServerEntry
     ) -> bool:
@@ -587,6 +587,11 @@
             return False
         return await sink.handle_end()
 
+    def _conclude_failure(
+        self,
+        active: active_requests.ActiveRequest,
+        placement: dispatcher.Placement,
+        sink: answer_sink.AnswerSink,
         sent_ms: int,
     ) -> bool:
         """Record a server's error answer; return whether it went to the caller.
@@ -800,16 +805,16 @@
     """Do nothing: without a crash monitor, entries alone show that servers ended."""
 
 
-async def _claim_no_retest(_finding: crash_findings.Finding) -> bool:
-    """Return False: without a crash monitor there are no retests."""
-    return False
-
-
 async def _assume_running(_server: servers.ServerEntry) -> bool:
     """Return True: without a crash monitor, only entries show that servers ended."""
     return True
 
 
+async def _claim_no_retest(_finding: crash_findings.Finding) -> bool:
+    """Return False: without a crash monitor there are no retests."""
+    return False
+
+
 def _fingerprint(
     request: callers.CallerRequest, account: deployment.Account | None
 ) -> crash_counts.CrashKey:
--- a/quincecrank/gateway/server_links.py
+++ b/quincecrank/gateway/server_links.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import enum
 import socket
@@ -32,6 +33,9 @@
 MAX_INTERIM_ANSWERS: Final = 8
 """Most heads with a status below 200 before an answer; servers send one or two."""
 
+MAX_LINK_REQUESTS: Final = 512
+"""Requests after which a link is closed; it bounds the ids that a link remembers."""
+
 MAX_STRAY_ANSWERS: Final = 3
 """Most answers read in one exchange before the link is closed.  Late answers to earlier
 requests are skipped."""
@@ -41,14 +45,14 @@
     """An answer, or a part of it, is longer than a limit."""
 
 
-class ExchangeOutcome(enum.Enum):
-    """Outcome of an exchange.
-
-    `COMPLETE`: the complete answer arrived.  `UNSENT`: no byte of the request was
 class EventOrderError(Exception):
     """A resumed stream does not continue after the last event that was received."""
 
 
+class ExchangeOutcome(enum.Enum):
+    """Outcome of an exchange.
+
+    `COMPLETE`: the complete answer arrived.  `UNSENT`: no byte of the request was
     written.  `BROKEN`: the server ended the answer before it was complete, and the
     request may have run.  `ABANDONED`: this gateway closed the link before that, and
     the request may have run.
@@ -62,19 +66,36 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OutgoingRequest:
-    """A request in the form in which it is sent to a backend server."""
+    """A request in the form in which it is sent to a backend server.
+
+    Attributes
+    ----------
+    request_id : str
+        Id that its answer repeats; empty for a call that has none.
+    """
 
     method: str
     target: str
     headers: httputil.HTTPHeaders
     body: bytes
+    request_id: str = ""
 
 
 class AnswerSink(Protocol):
     """Handles an answer while it arrives."""
 
-    def accepts(self, headers: httputil.HTTPHeaders) -> bool:
-        """Return whether the answer belongs to the request."""
+    def accepts(self, headers: httputil.HTTPHeaders, *, is_reused: bool) -> bool:
+        """Return whether the answer belongs to the request.
+
+        Parameters
+        ----------
+        is_reused : bool
+            Whether the link has carried earlier requests, to which late answers may
+            arrive.
+        """
+
+    def may_reuse(self, headers: httputil.HTTPHeaders) -> bool:
+        """Return whether late copies of the answer can be told from other answers."""
 
     async def handle_head(self, status: int, headers: httputil.HTTPHeaders) -> None:
         """Handle the status and headers of the answer."""
@@ -102,11 +123,15 @@
     idle_limit_ms : int or None
         Time for which the server keeps an idle connection open; None if its answers
         do not declare it.
+    request_ids : deque of str
+        Ids of the requests that the link has carried, at most `MAX_LINK_REQUESTS`.
     """
 
     def __init__(self, stream: LinkStream, now_ms: int) -> None:
         self._stream = stream
         self._is_reusable = True
+        self._has_carried_request = False
+        self.request_ids: collections.deque[str] = collections.deque()
         self.idle_since_ms = now_ms
         self.idle_limit_ms: int | None = None
 
@@ -139,12 +164,17 @@
         )
         connection = http1connection.HTTP1Connection(self._stream, True, parameters)
         sent = _send(connection, request)
+        if request.request_id:
+            self.request_ids.append(request.request_id)
+        if len(self.request_ids) >= MAX_LINK_REQUESTS:
+            self._is_reusable = False
         try:
             outcome = await self._receive(connection, sink)
         except (
             iostream.StreamClosedError,
             iostream.UnsatisfiableReadError,
             AnswerLimitError,
+            EventOrderError,
         ):
             outcome = ExchangeOutcome.BROKEN
         except BaseException:
@@ -161,6 +191,7 @@
                 _retrieve_exception(sent)
         if outcome is not ExchangeOutcome.COMPLETE or not self._is_reusable:
             self.close()
+        self._has_carried_request = True
         self.idle_since_ms = clock.now_ms()
         return outcome
 
@@ -168,13 +199,12 @@
         self, connection: http1connection.HTTP1Connection, sink: AnswerSink
     ) -> ExchangeOutcome:
         for _ in range(MAX_STRAY_ANSWERS):
-            reader = _AnswerReader(sink)
+            reader = _AnswerReader(sink, is_reused=self._has_carried_request)
             reading = asyncio.ensure_future(connection.read_response(reader))
             try:
                 # `reading` ends only when the request is completely written, too.
                 futures: set[asyncio.Future[Any]] = {reading, reader.ended}
                 await asyncio.wait(futures, return_when=asyncio.FIRST_COMPLETED)
-            EventOrderError,
                 if not reader.ended.done():
                     reading.result()
             finally:
@@ -189,6 +219,8 @@
                 return ExchangeOutcome.BROKEN
             self._record_keep_alive(reader)
             if reader.is_accepted:
+                if not sink.may_reuse(reader.headers):
+                    self._is_reusable = False
                 return ExchangeOutcome.COMPLETE
             if not self._is_reusable or not reading.done():
                 return ExchangeOutcome.BROKEN
@@ -224,8 +256,9 @@
         Done when the answer has ended, the sink has failed or the connection is closed.
     """
 
-    def __init__(self, sink: AnswerSink) -> None:
+    def __init__(self, sink: AnswerSink, *, is_reused: bool) -> None:
         self._sink = sink
+        self._is_reused = is_reused
         self.headers = httputil.HTTPHeaders()
         self.is_accepted = False
         self.is_finished = False
@@ -277,6 +310,11 @@
             self._end()
 
 
+def is_unframed(headers: httputil.HTTPHeaders) -> bool:
+    """Return whether an answer declares no length and ends with its connection."""
+    return "Content-Length" not in headers and "Transfer-Encoding" not in headers
+
+
 async def connect(address: str, timeout_ms: float, clock: clocks.Clock) -> Link:
     """Open a link to IP:PORT.
 
@@ -310,11 +348,6 @@
     return asyncio.ensure_future(written)
 
 
-def is_unframed(headers: httputil.HTTPHeaders) -> bool:
-    """Return whether an answer declares no length and ends with its connection."""
-    return "Content-Length" not in headers and "Transfer-Encoding" not in headers
-
-
 def _retrieve_exception(future: "asyncio.Future[Any]") -> None:
     """Retrieve the exception, so that asyncio does not log it as never retrieved."""
     if not future.cancelled():
@@ -346,16 +379,20 @@
         self._links_by_server: dict[servers.ServerId, _ServerLinks] = {}
 
     def acquire_idle(
-        self, server: servers.ServerEntry, max_idle_ms: int
+        self, server: servers.ServerEntry, max_idle_ms: int, request_id: str
     ) -> Link | None:
         """Return a link that has been idle for at most `max_idle_ms`; None if none has.
 
-        Links that can't be used any more are closed.
+        Links that can't be used any more are closed, and so are links that have carried
+        a request of the same id: a late answer to it would be taken for a new one.
         """
         server_links = self._links_to(server)
         while server_links.idle:
             link = server_links.idle.pop()
             idle_ms = self._clock.now_ms() - link.idle_since_ms
+            if request_id in link.request_ids:
+                link.close()
+                continue
             if link.is_usable and idle_ms <= _idle_limit_ms(link, max_idle_ms):
                 return link
             if link.is_usable and idle_ms <= _idle_limit_ms(link, self._max_idle_ms):
--- a/quincecrank/platform/answers.py
+++ b/quincecrank/platform/answers.py
@@ -123,6 +123,11 @@
     return min(limit, MAX_RATE_LIMIT_PER_S)
 
 
+def names_request(headers: httputil.HTTPHeaders) -> bool:
+    """Return whether the answer carries a request id."""
+    return names.REQUEST_ID in headers
+
+
 def matches_request(headers: httputil.HTTPHeaders, request_id: str) -> bool:
     """Return whether the answer carries `request_id` or no request id."""
     return headers.get(names.REQUEST_ID, request_id) == request_id
--- a/quincecrank/platform/engines.py
+++ b/quincecrank/platform/engines.py
@@ -191,7 +191,10 @@
         self.is_leaving = False
         self.body = bytearray()
 
-    def accepts(self, headers: httputil.HTTPHeaders) -> bool:
+    def accepts(self, headers: httputil.HTTPHeaders, *, is_reused: bool) -> bool:
+        return True
+
+    def may_reuse(self, headers: httputil.HTTPHeaders) -> bool:
         return True
 
     async def handle_head(self, status: int, headers: httputil.HTTPHeaders) -> None:
