--- a/quincecrank/gateway/crash_findings.py
+++ b/quincecrank/gateway/crash_findings.py
@@ -28,9 +28,6 @@
 are few, as each retest of a true finding ends a server and the answers that run there.
 """
 
-MAX_RETESTS: Final = len(RETEST_DELAYS_MS) + 1
-"""Bound of the retests of a finding; one of them is for newer weights."""
-
 MAX_FINDINGS: Final = 256
 """Bound of the findings in memory; the oldest are removed."""
 
