Ask for more crashes of suspects that were answered or are in a minority

Found by tests.test_crash_load: with one crash a second and four of nine servers ending together every 4 s, for other reasons, two shared parts of sound prompts and 17 to 23 sound requests a run were rejected. Cause: three crashes count the same whether they are all crashes or a few of many, and whether the suspect was once answered or never. Change: below five crashes, a suspect is not found that any gateway remembers as answered, or that stands in less than half of the crashes meanwhile; the answers are published when a crash names the suspect.

--- a/quincecrank/gateway/crash_suspicions.py
+++ b/quincecrank/gateway/crash_suspicions.py
@@ -26,6 +26,10 @@
 """Crashes from which a request, or a part of prompts, is rejected.  Two may be
 coincidence, as other requests run beside the one that crashes a server."""
 
+DOUBTFUL_CRASH_LIMIT: Final = 5
+"""Crashes from which a suspect is rejected that was once answered, or that stands in
+less than half of the crashes meanwhile, as servers then crash for other reasons."""
+
 SUSPECT_CRASHES: Final = 1
 """Crashes from which requests with a part of prompts are not sent a second time."""
 
@@ -145,6 +149,8 @@
     - The crashes of a part of prompts are those of different requests, and
       `SIMULTANEOUS_MS` apart.  So servers that end together, or one request that is
       repeated while servers end, make one crash.
+    - A suspect that was once answered, or that stands in less than half of the crashes,
+      needs more of them.
     - A request that was sent after its server had crashed is no evidence.
     - A crash with a request that a finding rejects counts for no other suspect.  Of the
       parts that stand in the same crashes, the last one is found first: the parts
@@ -175,7 +181,9 @@
         self._crash_ms_by_server: dict[str, int] = {}
         self._explaining_key_by_server: dict[str, crash_findings.SuspectKey] = {}
         self._to_publish: list[tuple[int, CrashRecord]] = []
-        self._answered_to_publish: list[tuple[int, Answered]] = []
+        self._answered_to_publish: dict[
+            crash_findings.SuspectKey, tuple[int, Answered]
+        ] = {}
         self._candidates: dict[crash_findings.SuspectKey, None] = {}
         self.findings = crash_findings.Findings()
 
@@ -329,10 +337,17 @@
 
     def answers_to_publish(self, now_ms: int) -> tuple[Answered, ...]:
         """Return the newest cleared suspects to publish to the peers."""
-        self._answered_to_publish = [
-            each for each in self._answered_to_publish if now_ms - each[0] < PUBLISH_MS
-        ]
-        return tuple(each for _, each in self._answered_to_publish[-MAX_PUBLISHED:])
+        self._answered_to_publish = {
+            key: each
+            for key, each in self._answered_to_publish.items()
+            if now_ms - each[0] < PUBLISH_MS
+        }
+        published = tuple(each for _, each in self._answered_to_publish.values())
+        return published[-MAX_PUBLISHED:]
+
+    def _publish_answer(self, answered: Answered, now_ms: int) -> None:
+        self._answered_to_publish.pop(answered.key, None)
+        self._answered_to_publish[answered.key] = (now_ms, answered)
 
     def _record_crash_time(self, record: CrashRecord) -> None:
         known_ms = self._crash_ms_by_server.pop(record.server, record.at_ms)
@@ -345,9 +360,11 @@
     ) -> bool:
         """Add a record to a suspect; return whether it is new and not cleared."""
         answered_ms = self._answered_ms_by_key.get(key)
-        if answered_ms is not None and answered_ms >= record.at_ms:
-            self._answered_to_publish.append((now_ms, Answered(key, answered_ms)))
-            return False
+        if answered_ms is not None:
+            # The peers may not know that it was ever answered.
+            self._publish_answer(Answered(key, answered_ms), now_ms)
+            if answered_ms >= record.at_ms:
+                return False
         records = self._records_by_key.setdefault(key, [])
         self._records_by_key.move_to_end(key)
         if any(
@@ -388,7 +405,7 @@
         if len(kept) == len(records):
             return
         if is_own:
-            self._answered_to_publish.append((now_ms, answered))
+            self._publish_answer(answered, now_ms)
         if kept:
             self._records_by_key[key] = kept
         else:
@@ -427,6 +444,25 @@
             counted.append(record)
         return counted
 
+    def _count_crashes_since(self, key: crash_findings.SuspectKey, at_ms: int) -> int:
+        """Return the crashes since a time that no finding of another key explains.
+
+        Those within `SIMULTANEOUS_MS` count once.
+        """
+        times_ms = sorted(
+            crash_ms
+            for server, crash_ms in self._crash_ms_by_server.items()
+            if crash_ms >= at_ms
+            and self._explaining_key_by_server.get(server, key) == key
+        )
+        count = 0
+        last_ms: int | None = None
+        for crash_ms in times_ms:
+            if last_ms is None or crash_ms - last_ms >= SIMULTANEOUS_MS:
+                count += 1
+                last_ms = crash_ms
+        return count
+
     def _found_scope(
         self, key: crash_findings.SuspectKey
     ) -> tuple[crash_findings.Scope, list[CrashRecord]] | None:
@@ -439,6 +475,10 @@
         counted = self._counted(key) if key in self._records_by_key else []
         if len(counted) < self._crash_limit:
             return None
+        if len(counted) < DOUBTFUL_CRASH_LIMIT:
+            crashes = self._count_crashes_since(key, counted[0].at_ms)
+            if key in self._answered_ms_by_key or 2 * len(counted) < crashes:
+                return None
         accounts = {each.request.account for each in counted}
         if not crash_findings.is_part(key) or len(accounts) > 1:
             scope = crash_findings.Scope(key)
--- a/tests/process_crash_parts.py
+++ b/tests/process_crash_parts.py
@@ -1,4 +1,8 @@
-"""Tests of gateway processes with a prompt part that crashes backend servers."""
+"""Tests of gateway processes with a prompt part that crashes backend servers.
+
+Mutations (`QUINCE_MUTATION`, see `wrapped_program`) that make these tests fail:
+`count-whole-requests` (BUDGET) and `blame-first-parts` (LOST).
+"""
 
 import unittest
 
--- a/tests/run_mutations.py
+++ b/tests/run_mutations.py
@@ -19,7 +19,7 @@
 _BLOCKS: Final = "tests.process_blocks.BlocksTest"
 _LINKS: Final = "tests.process_links.LinksTest"
 _BOUNDS: Final = "tests.process_bounds.BoundsTest"
-
+_CRASH_PARTS: Final = "tests.process_crash_parts.CrashPartTest"
 _EXPLORER: Final = "tests.process_explorer.ExplorerTest"
 
 TESTS: Final = (
@@ -47,6 +47,16 @@
     ("trust-silence", f"{_LINKS}.test_links_to_an_agent_go_silent"),
     ("retry-without-bound", f"{_BOUNDS}.test_retries_under_overload"),
     ("hold-without-table", f"{_BOUNDS}.test_the_table_is_out"),
+    (
+        "count-whole-requests",
+        f"{_CRASH_PARTS}"
+        ".test_requests_with_one_part_crashed_one_server_after_the_other",
+    ),
+    (
+        "blame-first-parts",
+        f"{_CRASH_PARTS}"
+        ".test_requests_with_one_part_crashed_one_server_after_the_other",
+    ),
 )
 
 
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -38,6 +38,7 @@
     sealed_block,
     table_breaker,
 )
+from quincecrank.gateway import crash_findings, crash_suspicions
 from standins import engine_scheduler, plain_service
 
 _REQUEST_ID: Final = contextvars.ContextVar("request_id", default="")
@@ -272,6 +273,22 @@
     _replace(table_breaker.BreakerTable, "_pass", mutated)
 
 
+def count_whole_requests() -> None:
+    """Make gateways count crashes of whole requests only."""
+    _replace(crash_findings, "part_keys", lambda prompt: ())
+
+
+def blame_first_parts() -> None:
+    """Make gateways find the first part of a prompt, whether it was answered or not."""
+
+    def do_nothing(self: Any, *arguments: Any) -> None:
+        return None
+
+    _replace(crash_suspicions.CrashSuspicions, "record_answer", do_nothing)
+    depth = crash_suspicions._depth
+    _replace(crash_suspicions, "_depth", lambda *given: -depth(*given))
+
+
 MUTATIONS_BY_NAME: Final[dict[str, Callable[[], None]]] = {
     "claim-what-is-taken": claim_what_is_taken,
     "say-not-run": say_not_run,
@@ -290,6 +307,8 @@
     "answer-from-the-start": answer_from_the_start,
     "trust-silence": trust_silence,
     "hold-without-table": hold_without_table,
+    "count-whole-requests": count_whole_requests,
+    "blame-first-parts": blame_first_parts,
 }
 
 
