Put crash findings into every fourth report instead of every one

Eight findings take 1.1 kB and 268 us to decode; 32 of them in each report of 68 gateways would take a quarter of a core. A change is still published in every report for a second, and a gateway that starts gets all of them from each peer within 1.2 s, where 3 s are allowed.

--- a/quincecrank/gateway/crash_findings.py
+++ b/quincecrank/gateway/crash_findings.py
@@ -187,10 +187,10 @@
         )
 
     def to_publish(self, now_ms: int) -> tuple[Finding, ...]:
-        """Return the states for the next report.
+        """Return the states for the next report that contains findings.
 
-        Each report has them, not only those after a change: a gateway that starts,
-        wakes or was cut off learns them from any peer's report.
+        All of them, not only changes: a gateway that starts, wakes or was cut off
+        learns them from any peer's report.
         """
         states = self.states(now_ms)
         if len(states) <= MAX_PUBLISHED:
--- a/quincecrank/gateway/crash_monitor.py
+++ b/quincecrank/gateway/crash_monitor.py
@@ -51,6 +51,14 @@
 """Time after which a gateway that is not ranked first writes a finding; up to twice
 this time, at random."""
 
+REPORTS_PER_FINDINGS: Final = 4
+"""Every fourth report contains the findings.  A gateway that starts or wakes gets them
+from each peer within 1.2 s, and from one of many peers within one interval of reports.
+"""
+
+FRESH_MS: Final = 1_000
+"""Time after a change of the findings in which every report contains them."""
+
 ROW_PREFIX: Final = "finding:"
 
 _LOG: Final = decision_log.logger("crashes")
@@ -136,6 +144,8 @@
         self._publish = publish
         self._reject_queued = reject_queued
         self._clock = clock
+        self._reports_made = 0
+        self._last_change_ms = -FRESH_MS
         self._checks: dict[servers.Incarnation, asyncio.Task[None]] = {}
         self._position_by_row: dict[str, store_rows.Position] = {}
         self._stored_by_row: dict[str, crash_findings.Finding] = {}
@@ -232,9 +242,16 @@
                 peer_messages.ReportedAnswer(each.key, now_ms - each.at_ms)
                 for each in self._crashes.answers_to_publish(now_ms)
             ),
-            findings=self._crashes.findings.to_publish(now_ms),
+            findings=self._findings_to_publish(now_ms),
         )
 
+    def _findings_to_publish(self, now_ms: int) -> tuple[crash_findings.Finding, ...]:
+        self._reports_made += 1
+        is_fresh = now_ms - self._last_change_ms < FRESH_MS
+        if not is_fresh and self._reports_made % REPORTS_PER_FINDINGS:
+            return ()
+        return self._crashes.findings.to_publish(now_ms)
+
     def apply_report(self, report: peer_messages.Report) -> None:
         """Apply what a peer reports of crashes."""
         now_ms = self._clock.now_ms()
@@ -326,6 +343,7 @@
             self._publish()
 
     def _handle_change(self, finding: crash_findings.Finding, origin: str) -> None:
+        self._last_change_ms = self._clock.now_ms()
         _LOG.warning(
             "crash finding ended" if finding.has_ended else "crash finding in force",
             suspect=finding.scope.key,
