--- a/tests/test_crash_load.py
+++ b/tests/test_crash_load.py
@@ -3,7 +3,7 @@
 import unittest
 
 from bench import crash_shapes, crash_simulation
-from tests import crash_part_checker
+from tests import crash_part_checker, crash_part_soak
 
 SEEDS = (1, 2, 3)
 
@@ -49,6 +49,15 @@
             result = crash_simulation.simulate(pattern)
             self.assertEqual(result.wrong_parts, set())
 
+    def test_seeds_of_the_soak_that_failed(self) -> None:
+        """A later part found first (2, 16); five servers ended within 126 ms (10)."""
+        for seed in (2, 10, 16):
+            self.assertEqual(crash_part_soak.violations(seed), [])
+
+    def test_a_part_that_always_follows_the_one_at_fault_was_found(self) -> None:
+        """Both parts stand in the same prompts, and neither was answered before."""
+        self.assertEqual(crash_part_soak.violations(47), [])
+
     def test_the_checker_counts_sends_of_gateways_that_count_whole_requests(
         self,
     ) -> None:
