Let only an answer later than a finding end it

Found by reading: since answers are published again to show that a suspect was ever answered, an answer from before the crashes ended the finding of a suspect that was once answered, at each gateway that received it. The regression test fails without the comparison of times. Findings that an answer ends are logged and published at once now, like the others.

--- a/quincecrank/gateway/crash_suspicions.py
+++ b/quincecrank/gateway/crash_suspicions.py
@@ -45,7 +45,7 @@
 
 DECISION_DELAY_MS: Final = 200
 """Time from the last crash that a finding needs to the finding: the records of all
-gateways must arrive, as they tell the part at fault from the parts beside it."""
+gateways must arrive, as they distinguish the part at fault from those beside it."""
 
 PUBLISH_MS: Final = 3_000
 """Time for which a crash is published to the peers, since datagrams get lost."""
@@ -188,6 +188,7 @@
         self._answered_to_publish: dict[
             crash_findings.SuspectKey, tuple[int, Answered]
         ] = {}
+        self._ended: list[crash_findings.Finding] = []
         self._candidates: dict[crash_findings.SuspectKey, None] = {}
         self.findings = crash_findings.Findings()
 
@@ -285,17 +286,16 @@
 
     @property
     def is_decision_pending(self) -> bool:
-        """Whether `decide` has records to consider."""
-        return bool(self._candidates)
+        """Whether `decide` has something to consider or to return."""
+        return bool(self._candidates or self._ended)
 
     def decide(self, now_ms: int) -> tuple[crash_findings.Finding, ...]:
         """Make the findings for which there are enough crashes.
 
-        Returns them, and those that they end.
-
         One after the other, as a finding explains crashes of the parts beside it.
+        Returns them, and those that have ended since the last call.
         """
-        made: list[crash_findings.Finding] = []
+        made, self._ended = self._ended, []
         while True:
             counted_by_scope = {}
             for key in tuple(self._candidates):
@@ -404,7 +404,7 @@
         if len(self._answered_ms_by_key) > MAX_ANSWERED:
             self._answered_ms_by_key.popitem(last=False)
         if self.findings.active_count:
-            self._end_findings(key, now_ms)
+            self._end_answered_findings(answered, now_ms)
         records = self._records_by_key.get(key)
         if records is None:
             return
@@ -418,11 +418,21 @@
         else:
             del self._records_by_key[key]
 
-    def _end_findings(self, key: crash_findings.SuspectKey, now_ms: int) -> None:
+    def _end_answered_findings(self, answered: Answered, now_ms: int) -> None:
+        """End the findings that an answer shows to be wrong; earlier ones show nothing.
+
+        `decide` returns them.
+        """
         for finding in self.findings.states(now_ms):
-            if finding.scope.key == key and not finding.has_ended:
-                self.findings.end(finding.scope, now_ms)
-                self._forget(key)
+            if (
+                finding.scope.key != answered.key
+                or answered.at_ms <= now_ms - finding.age_ms
+            ):
+                continue
+            ended = self.findings.end(finding.scope, now_ms)
+            if ended is not None:
+                self._forget(answered.key)
+                self._ended.append(ended)
 
     def _end_covered_findings(
         self, key: crash_findings.SuspectKey, now_ms: int
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -295,7 +295,7 @@
     return {
         "account": crash.request.account,
         "digest": crash.request.digest,
-        # Earlier releases tell records apart by this text.
+        # Earlier releases identify records by this text.
         "attempt": f"{crash.request.digest.hex()}@{crash.server}",
         "cleared": crash.was_cleared,
         "server": crash.server,
--- a/quincecrank/gateway/server_links.py
+++ b/quincecrank/gateway/server_links.py
@@ -95,7 +95,7 @@
         """
 
     def may_reuse(self, headers: httputil.HTTPHeaders) -> bool:
-        """Return whether late copies of the answer can be told from other answers."""
+        """Return whether a late copy of the answer would be recognized."""
 
     async def handle_head(self, status: int, headers: httputil.HTTPHeaders) -> None:
         """Handle the status and headers of the answer."""
--- a/tests/test_crash_suspicions.py
+++ b/tests/test_crash_suspicions.py
@@ -212,6 +212,26 @@
         self.crash(self.bad(7))
         self.assertEqual(self.decide(), ())
 
+    def test_an_old_answer_that_a_peer_published_ended_a_finding(self) -> None:
+        """Answers are also published to show that a suspect was ever answered."""
+        answered = crash_suspicions.Answered(BAD, self.now_ms - 5_000)
+        first = crash_suspicions.Answered(
+            builders.make_part_key("system"), answered.at_ms
+        )
+        self.suspicions.apply_peer_answers([first, answered], self.now_ms)
+        for number in range(5):
+            self.crash(self.bad(number))
+        found = {each.scope.key for each in self.decide()}
+        self.assertIn(BAD, found)
+        self.suspicions.apply_peer_answers([answered], self.now_ms)
+        self.assertTrue(self.is_rejected(self.bad(9)))
+        newer = crash_suspicions.Answered(BAD, self.now_ms + 1)
+        self.now_ms += 10
+        self.suspicions.apply_peer_answers([newer], self.now_ms)
+        self.assertFalse(self.is_rejected(self.bad(9)))
+        (ended,) = self.decide()
+        self.assertTrue(ended.has_ended)
+
     def test_a_retest_is_due_after_a_time_and_only_twice(self) -> None:
         findings = crash_findings.Findings()
         finding = findings.add(crash_findings.Scope(BAD), (), 0)
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -242,7 +242,7 @@
 class CrashTest(unittest.TestCase):
     def test_clock_jumps_neither_drop_nor_duplicate_crashes(self) -> None:
         # No wall time enters the records, so a jump can't change them: the servers'
-        # start times, which do, only tell incarnations apart.
+        # start times, which do, only identify incarnations.
         for jumps_ms in ((0, 0), (7_200_000, 0), (0, 7_200_000), (-9_000, 9_000)):
             with self.subTest(jumps_ms):
                 clock_by_gateway = [JumpingClock(), JumpingClock()]
