--- a/bench/crash_simulation.py
+++ b/bench/crash_simulation.py
@@ -116,6 +116,8 @@
         Times at which a part crashed a server.
     bad_sends_ms : list of int
         Times at which requests with such a part were sent, by gateways in touch.
+    crash_ms_by_part, bad_sends_ms_by_part : dict of str to list of int
+        The same by the part that crashes servers.
     found_ms : list of int
         Times of true findings, at the first gateway.
     wrong_parts, wrong_requests : set of SuspectKey
@@ -126,6 +128,12 @@
 
     crash_ms: list[int] = dataclasses.field(default_factory=list)
     bad_sends_ms: list[int] = dataclasses.field(default_factory=list)
+    crash_ms_by_part: dict[str, list[int]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+    bad_sends_ms_by_part: dict[str, list[int]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
     found_ms: list[int] = dataclasses.field(default_factory=list)
     wrong_parts: set[crash_findings.SuspectKey] = dataclasses.field(default_factory=set)
     wrong_requests: set[crash_findings.SuspectKey] = dataclasses.field(
@@ -161,6 +169,12 @@
     attempts: int = 0
 
 
+def _bad_part(request: _Request) -> str:
+    """Return the part of a prompt that crashes servers."""
+    names = (key.rpartition(" ")[2] for key in request.subject.parts)
+    return next(name for name in names if name.startswith("bad"))
+
+
 class _Server:
     def __init__(self, number: int) -> None:
         self.number = number
@@ -279,6 +293,7 @@
         server.runs[number] = run
         if request.is_bad and self._is_in_touch(gateway):
             self.result.bad_sends_ms.append(self._now_ms)
+            self.result.bad_sends_ms_by_part[_bad_part(request)].append(self._now_ms)
         delay_ms = self._generator.uniform(MIN_BEGIN_MS, MAX_BEGIN_MS)
         self._at(delay_ms, lambda: self._begin(server, number, run))
 
@@ -296,6 +311,7 @@
             return
         if run.request.is_bad:
             self.result.crash_ms.append(self._now_ms)
+            self.result.crash_ms_by_part[_bad_part(run.request)].append(self._now_ms)
             self._end(server)
             return
         run.begun_ms = self._now_ms
