--- a/tests/test_rate_limited_requests.py
+++ b/tests/test_rate_limited_requests.py
@@ -15,6 +15,7 @@
 
 from quincecrank import ids
 from quincecrank.gateway import (
+    crash_findings,
     loads,
     peer_messages,
     permit_pacer,
@@ -132,7 +133,7 @@
 
 
 class OtherReleasesTest(unittest.TestCase):
-    """Reports between this release and one that knows no rate limits."""
+    """Reports between this release and one without rate limits and crash findings."""
 
     schema: ClassVar[Any]
 
@@ -144,7 +145,7 @@
         earlier = "\n".join(
             line
             for line in lines.splitlines()
-            if not any(f"@{number} " in line for number in (11, 12, 13))
+            if not any(f"@{number} " in line for number in range(11, 16))
             and "permits @2" not in line
         )
         folder = cls.enterClassContext(tempfile.TemporaryDirectory())
@@ -164,6 +165,12 @@
                 send_permits.IssuerReport(incarnation, ids.VmName("entry-3"), 40),
             ),
             permit_asks=(permit_pacer.Ask(incarnation, 2, 1, 30, 99, returned=1),),
+            answered=(peer_messages.ReportedAnswer(builders.make_part_key("a"), 7),),
+            findings=(
+                crash_findings.Finding(
+                    crash_findings.Scope(builders.make_part_key("b")), 1, False, 0, 9
+                ),
+            ),
         )
         encoded = peer_messages.encode(report)
         self.assertEqual(peer_messages.decode(encoded), report)
