--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -570,6 +570,8 @@
             was_abandoned=outcome is server_links.ExchangeOutcome.ABANDONED,
             has_begun=sink.first_part_ms is not None,
             sent_ago_ms=now_ms - sent_ms,
+            silent_ms=now_ms - sink.progress_ms,
+            left_ms=active.deadline_ms - now_ms,
             parts=[part.part_id for part in prompt.parts] if prompt else [],
         )
         active.event_splitter.drop_partial_event()
@@ -674,6 +676,7 @@
                 active.key, active.first_attempt_ms, now_ms
             )
         if active.answer.has_begun:
+            self._metrics.record_aborted_answer(reason)
             active.answer.abort()
         elif active.last_failure is not None:
             self._send_server_failure(active, active.last_failure)
--- a/quincecrank/gateway/gateway_metrics.py
+++ b/quincecrank/gateway/gateway_metrics.py
@@ -101,6 +101,13 @@
             "Requests rejected because of a crash finding",
             registry=self.registry,
         )
+        self._aborted_answers = prometheus_client.Counter(
+            "quince_gateway_aborted_answers",
+            "Answers that callers received in part only, by what kept them from going "
+            "on at another server",
+            ["reason"],
+            registry=self.registry,
+        )
         self._permit_counts: dict[str, int] = {}
         self.peers = prometheus_client.Gauge(
             "quince_gateway_peers", "Live other gateways", registry=self.registry
@@ -130,6 +137,10 @@
         """Count a request that a crash finding rejected."""
         self._crash_rejections.inc()
 
+    def record_aborted_answer(self, reason: str) -> None:
+        """Count an answer that was ended before it was complete."""
+        self._aborted_answers.labels(reason).inc()
+
     def set_permit_counts(self, count_by_event: Mapping[str, int]) -> None:
         """Set the number of permits since the start of the process, by event."""
         for event, count in count_by_event.items():
