--- a/quincecrank/gateway/answer_sink.py
+++ b/quincecrank/gateway/answer_sink.py
@@ -20,7 +20,8 @@
     Parameters
     ----------
     on_head : callable
-        Called with the parsed status and headers when they have arrived.
+        Called with the parsed status and headers when they have arrived; returns
+        whether the answer may be passed on.
     on_first_part : callable
         Called when the first part of the body has arrived.
     on_established : callable
@@ -39,6 +40,8 @@
         Whether the body is passed on event by event.
     is_established : bool
         Whether `on_established` was called.
+    is_stopped : bool
+        Whether the rest of the answer is discarded.
     first_part_ms : int or None
         Time at which the first part of the body arrived.
     progress_ms : int
@@ -50,7 +53,7 @@
         self,
         active: active_requests.ActiveRequest,
         clock: clocks.Clock,
-        on_head: Callable[[answers.AnswerHead], None],
+        on_head: Callable[[answers.AnswerHead], bool],
         on_first_part: Callable[[], None],
         on_established: Callable[[], None],
     ) -> None:
@@ -59,6 +62,7 @@
         self._on_first_part = on_first_part
         self._on_established = on_established
         self.is_established = False
+        self.is_stopped = False
         self._clock = clock
         self.head: answers.AnswerHead | None = None
         self.buffer: active_requests.AnswerBuffer | None = None
@@ -68,6 +72,10 @@
         self.first_part_ms: int | None = None
         self.progress_ms = clock.now_ms()
 
+    def stop(self) -> None:
+        """Discard the rest of the answer: another one goes on in its place."""
+        self.is_stopped = True
+
     def accepts(self, headers: httputil.HTTPHeaders, *, is_reused: bool) -> bool:
         """Return whether the answer belongs to the request.
 
@@ -85,7 +93,8 @@
     async def handle_head(self, status: int, headers: httputil.HTTPHeaders) -> None:
         """Handle the status and headers."""
         self.head = answers.decode(status, headers)
-        self._on_head(self.head)
+        if not self._on_head(self.head):
+            self.stop()
         self.buffer = active_requests.AnswerBuffer(status, headers)
         self.progress_ms = self._clock.now_ms()
         self.is_unframed = server_links.is_unframed(headers)
@@ -108,6 +117,8 @@
             If the caller has closed its connection.
         """
         assert self.buffer is not None
+        if self.is_stopped:
+            return
         if self.first_part_ms is None:
             self.first_part_ms = self._clock.now_ms()
             self._on_first_part()
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -173,6 +173,15 @@
             fairness.record_outcome(request.route, tokens, now_ms, is_placed=is_placed)
         return result
 
+    def place_now(self, request: PlacementRequest) -> Placement | None:
+        """Return a backend server that has capacity now; None if there is none."""
+        return self._try_place(request)
+
+    def give_back(self, placed: Placement) -> None:
+        """Return the permit of a request that was not sent."""
+        if placed.permit is not None:
+            self._fleet.send_permits.give_back(placed.permit)
+
     async def _place_or_queue(self, request: PlacementRequest) -> Placement | Rejection:
         now_ms = self._fleet.clock.now_ms()
         queue = self._queue_by_service[request.service.name]
@@ -404,8 +413,7 @@
         """Release the slot and permit of a request whose caller left just then."""
         if isinstance(result, Placement):
             self._fleet.loads.record_end(result.server.server_id, request.request_id)
-            if result.permit is not None:
-                self._fleet.send_permits.give_back(result.permit)
+            self.give_back(result)
 
     def _resolve(
         self, request_id: ids.RequestId, result: Placement | Rejection
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import dataclasses
 import hashlib
 import random
 from collections.abc import Awaitable, Callable
@@ -64,10 +65,10 @@
 
 MAX_SILENT_FRACTION: Final = 0.4
 """A repeatable request that makes no progress for this fraction of its total time is
-aborted, if it may be sent to another server."""
+sent to another server too, if it may be."""
 
 STREAM_SILENCE_MS: Final = 1_200
-"""Shortest silence after which a resumable stream continues at another server; three
+"""Shortest silence after which a resumable stream is sent to another server too; three
 times the route's target if that is longer.  Callers disconnect after two seconds."""
 
 FETCH_TIMEOUT_MS: Final = 2_000
@@ -85,6 +86,46 @@
 _LOG: Final = decision_log.logger("forwarding")
 
 
+@dataclasses.dataclass(slots=True)
+class _Exchange:
+    """One send of a request to a backend server, and its answer.
+
+    Attributes
+    ----------
+    running : Future
+        Done when the exchange has ended.
+    resume_after : str or None
+        Id of the last event that the caller had received when it was sent.
+    predecessor : _Exchange or None
+        Exchange with a silent server that ends once this one succeeds; None for the
+        exchange whose answer is passed on.
+    is_superseded : bool
+        Whether another exchange goes on in its place.
+    was_abandoned : bool
+        Whether its link was closed for that before it had ended.
+    """
+
+    placement: dispatcher.Placement
+    link: server_links.Link
+    sink: answer_sink.AnswerSink
+    running: "asyncio.Future[server_links.ExchangeOutcome]"
+    sent_ms: int
+    resume_after: str | None
+    predecessor: "_Exchange | None" = None
+    is_superseded: bool = False
+    was_abandoned: bool = False
+
+    @property
+    def has_completed(self) -> bool:
+        """Whether the complete answer has arrived."""
+        return (
+            self.running.done()
+            and not self.running.cancelled()
+            and self.running.exception() is None
+            and self.running.result() is server_links.ExchangeOutcome.COMPLETE
+        )
+
+
 class Forwarder:
     """Serves callers' requests.
 
@@ -231,16 +272,9 @@
             if isinstance(placement, dispatcher.Rejection):
                 self._fail(active, placement.reason, placement.retry_after_ms)
                 return
-            try:
-                is_done = await self._attempt(active, placement)
-            finally:
-                self._fleet.loads.record_end(
-                    placement.server.server_id, active.caller_headers.request_id
-                )
-                self._dispatcher.start_queued(active.service.name)
-            if is_done or self._reject_crashing(active):
+            if await self._attempt(active, placement) or self._reject_crashing(active):
                 return
-            reason = self._retry_obstacle(active)
+            reason = self._spend_retry(active)
             if reason is not None:
                 self._fail(active, reason, request_queue.MIN_RETRY_AFTER_MS)
                 return
@@ -288,41 +322,172 @@
     async def _attempt(
         self, active: active_requests.ActiveRequest, placement: dispatcher.Placement
     ) -> bool:
-        """Send the request to one server; return whether the caller was answered."""
+        """Send the request to a server; return whether the caller was answered.
+
+        While that server is silent, the request may go on at another one.
+        """
+        exchange = await self._begin_exchange(active, placement)
+        while exchange is not None:
+            outcome, successor = await self._run_exchange(active, exchange)
+            is_done = await self._conclude(active, exchange, outcome)
+            # The other server may have given a final answer.
+            is_done = is_done or active.answer.has_ended
+            if successor is not None and (is_done or successor.sink.is_stopped):
+                await self._end_exchange(active, successor)
+                successor = None
+            if is_done:
+                return True
+            exchange = successor
+        return False
+
+    async def _begin_exchange(
+        self,
+        active: active_requests.ActiveRequest,
+        placement: dispatcher.Placement,
+        predecessor: _Exchange | None = None,
+    ) -> _Exchange | None:
+        """Send the request to a server; None if it could not be sent.
+
+        Parameters
+        ----------
+        predecessor : _Exchange or None
+            Exchange with a silent server, which ends once this one succeeds.
+        """
+        exchange: _Exchange | None = None
+        try:
+            link = await self._acquire_link(active, placement)
+            if link is None:
+                return None
+            if predecessor is not None and not self._may_follow(active, predecessor):
+                self._fleet.links.release(placement.server, link)
+                self._dispatcher.give_back(placement)
+                return None
+            exchange = self._send(active, placement, link, predecessor)
+            return exchange
+        finally:
+            if exchange is None:
+                self._release(active, placement)
+
+    def _may_follow(
+        self, active: active_requests.ActiveRequest, predecessor: _Exchange
+    ) -> bool:
+        """Spend a retry if a server is still silent; return whether both hold."""
+        now_ms = self._clock.now_ms()
+        if predecessor.running.done():
+            return False
+        if not self._is_silent(active, predecessor.sink, now_ms):
+            return False
+        return self._retry_budget(active.service.name).try_retry(
+            now_ms, self._fleet.gateway_count
+        )
+
+    async def _acquire_link(
+        self, active: active_requests.ActiveRequest, placement: dispatcher.Placement
+    ) -> server_links.Link | None:
+        """Return a link on which the request may be sent now; None if there is none."""
         server = placement.server
-        health = self._fleet.health.health_of(server)
         active.tried_servers.add(server.server_id)
         link = await self._open_link(active, server)
         if link is None:
-            return False
+            return None
         if self._is_rejected(active):
             # The finding was made while the request waited for a server or link.
             self._fleet.links.release(server, link)
-            return False
-        now_ms = self._clock.now_ms()
+            return None
         if not self._fleet.send_permits.may_send(
-            server.incarnation, placement.permit, now_ms
+            server.incarnation, placement.permit, self._clock.now_ms()
         ):
             # Its permit has expired, or the server has named a limit meanwhile.
             active.tried_servers.discard(server.server_id)
             self._fleet.links.release(server, link)
-            return False
-        health.record_send(now_ms)
+            return None
+        return link
+
+    def _send(
+        self,
+        active: active_requests.ActiveRequest,
+        placement: dispatcher.Placement,
+        link: server_links.Link,
+        predecessor: _Exchange | None,
+    ) -> _Exchange:
+        server = placement.server
+        now_ms = self._clock.now_ms()
+        self._fleet.health.health_of(server).record_send(now_ms)
         if active.sends == 0:
             self._retry_budget(active.service.name).record_first_send(now_ms)
         active.sends += 1
+
+        def handle_head(head: answers.AnswerHead) -> bool:
+            self._record_head(active, server, head, now_ms)
+            return self._supersede(active, exchange, head)
+
         sink = answer_sink.AnswerSink(
             active,
             self._clock,
-            lambda head: self._record_head(active, server, head, now_ms),
+            handle_head,
             lambda: self._fleet.loads.record_prefill_end(
                 server.server_id, active.caller_headers.request_id
             ),
             lambda: self._crashes.record_answer(active.subject, self._clock.now_ms()),
         )
         outgoing = self._outgoing(active, placement)
-        outcome = await self._exchange(active, link, outgoing, sink, server)
-        return await self._conclude(active, placement, sink, outcome, now_ms)
+        running = asyncio.ensure_future(link.exchange(outgoing, sink, self._clock))
+        exchange = _Exchange(
+            placement,
+            link,
+            sink,
+            running,
+            now_ms,
+            active.event_splitter.last_id,
+            predecessor,
+        )
+        return exchange
+
+    def _supersede(
+        self,
+        active: active_requests.ActiveRequest,
+        exchange: _Exchange,
+        head: answers.AnswerHead,
+    ) -> bool:
+        """End the exchange with the silent server if the next one has succeeded.
+
+        Returns whether the answer with this head is the one to pass on.
+        """
+        predecessor = exchange.predecessor
+        if predecessor is None:
+            return True
+        if not head.is_success or not head.is_sealed or head.is_encoded:
+            return True  # Nothing of it is passed on.
+        if (
+            predecessor.has_completed
+            or predecessor.sink.progress_ms > exchange.sent_ms
+            or active.event_splitter.last_id != exchange.resume_after
+        ):
+            return False  # The silent server has gone on meanwhile.
+        exchange.predecessor = None
+        predecessor.is_superseded = True
+        predecessor.sink.stop()
+        if not predecessor.running.done():
+            predecessor.was_abandoned = True
+            predecessor.link.close()
+        active.event_splitter.drop_partial_event()
+        _LOG.info(
+            "silent server replaced",
+            request=active.caller_headers.request_id,
+            server=predecessor.placement.server.server_id,
+            next_server=exchange.placement.server.server_id,
+            silent_ms=self._clock.now_ms() - predecessor.sink.progress_ms,
+        )
+        return True
+
+    def _release(
+        self, active: active_requests.ActiveRequest, placement: dispatcher.Placement
+    ) -> None:
+        """Release the capacity that a request had at a server."""
+        self._fleet.loads.record_end(
+            placement.server.server_id, active.caller_headers.request_id
+        )
+        self._dispatcher.start_queued(active.service.name)
 
     def _record_head(
         self,
@@ -445,37 +610,96 @@
         clock_ms = self._fleet.holder_clock_ms(holder)
         return None if clock_ms is None else clock_ms + FETCH_TIMEOUT_MS
 
-    async def _exchange(
-        self,
-        active: active_requests.ActiveRequest,
-        link: server_links.Link,
-        outgoing: server_links.OutgoingRequest,
-        sink: answer_sink.AnswerSink,
-        server: servers.ServerEntry,
-    ) -> server_links.ExchangeOutcome:
-        """Run an exchange until it ends, makes no progress or reaches the deadline.
+    async def _run_exchange(
+        self, active: active_requests.ActiveRequest, exchange: _Exchange
+    ) -> tuple[server_links.ExchangeOutcome, _Exchange | None]:
+        """Run an exchange until it ends, is superseded or reaches the deadline.
 
-        Returns `ABANDONED` in the last two cases, after closing the link.
+        Returns its outcome, `ABANDONED` in the last two cases, and the exchange with
+        another server that goes on, None if there is none.  While the server is silent,
+        the request is sent to another one if one has capacity and a retry is allowed;
+        the first of both that makes progress is kept.
         """
-        running = asyncio.ensure_future(link.exchange(outgoing, sink, self._clock))
+        successor: _Exchange | None = None
+        is_kept = False
         try:
-            while not running.done():
+            while not exchange.running.done() and not exchange.is_superseded:
                 now_ms = self._clock.now_ms()
-                remaining_ms = active.deadline_ms - now_ms
-                if remaining_ms <= 0 or self._is_silent(active, sink, now_ms):
+                if now_ms >= active.deadline_ms:
                     break
-                wait_s = min(WATCH_INTERVAL_MS, remaining_ms) / clocks.MS_PER_SECOND
-                await asyncio.wait({running}, timeout=wait_s)
-            if not running.done():
-                return server_links.ExchangeOutcome.ABANDONED
-            return running.result()
+                if successor is None and self._is_silent(active, exchange.sink, now_ms):
+                    successor = await self._send_to_another(active, exchange)
+                await self._wait_for_progress(active, exchange, successor)
+                if successor is None or exchange.is_superseded:
+                    continue
+                if exchange.sink.progress_ms > successor.sent_ms:
+                    _LOG.info(
+                        "silent server went on",
+                        request=active.caller_headers.request_id,
+                        server=exchange.placement.server.server_id,
+                    )
+                    await self._end_exchange(active, successor)
+                    successor = None
+                elif successor.running.done() and not exchange.running.done():
+                    await self._end_exchange(active, successor)
+                    failed, successor = successor, None
+                    if await self._conclude(active, failed, failed.running.result()):
+                        break
+            if successor is not None:
+                successor.predecessor = None
+            is_kept = True
+            if exchange.running.done() and not exchange.was_abandoned:
+                return exchange.running.result(), successor
+            return server_links.ExchangeOutcome.ABANDONED, successor
         finally:
-            if not running.done():
-                # The server aborts the request when its connection closes.
-                link.close()
-                running.cancel()
-                await asyncio.wait({running})
-            self._fleet.links.release(server, link)
+            await self._end_exchange(active, exchange)
+            if successor is not None and not is_kept:
+                await self._end_exchange(active, successor)
+
+    async def _wait_for_progress(
+        self,
+        active: active_requests.ActiveRequest,
+        exchange: _Exchange,
+        successor: _Exchange | None,
+    ) -> None:
+        """Wait for the end of an exchange, at most for `WATCH_INTERVAL_MS`."""
+        remaining_ms = max(0, active.deadline_ms - self._clock.now_ms())
+        wait_s = min(WATCH_INTERVAL_MS, remaining_ms) / clocks.MS_PER_SECOND
+        running = {exchange.running}
+        if successor is not None:
+            running.add(successor.running)
+        await asyncio.wait(running, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
+
+    async def _send_to_another(
+        self, active: active_requests.ActiveRequest, exchange: _Exchange
+    ) -> _Exchange | None:
+        """Send a request to another server while the one that has it is silent.
+
+        None if no server has capacity, or if the request must not be sent again; the
+        silent server keeps the request.
+        """
+        budget = self._retry_budget(active.service.name)
+        now_ms = self._clock.now_ms()
+        if self._retry_obstacle(active, may_have_run=True) is not None:
+            return None
+        if not budget.allows_retry(now_ms, self._fleet.gateway_count):
+            return None
+        placement = self._dispatcher.place_now(self._placement_request(active))
+        if placement is None:
+            return None
+        return await self._begin_exchange(active, placement, exchange)
+
+    async def _end_exchange(
+        self, active: active_requests.ActiveRequest, exchange: _Exchange
+    ) -> None:
+        """End an exchange, and release its link and the capacity at its server."""
+        if not exchange.running.done():
+            # The server aborts the request when its connection closes.
+            exchange.link.close()
+            exchange.running.cancel()
+            await asyncio.wait({exchange.running})
+        self._fleet.links.release(exchange.placement.server, exchange.link)
+        self._release(active, exchange.placement)
 
     def _is_silent(
         self,
@@ -483,7 +707,11 @@
         sink: answer_sink.AnswerSink,
         now_ms: int,
     ) -> bool:
-        """Return whether a request makes no progress and may go to another server."""
+        """Return whether a request makes no progress and may go to another server.
+
+        Its server may be sound all the same, so it keeps the request until another
+        server has begun to answer.
+        """
         if (
             not active.route.may_repeat
             or active.possible_runs >= active.route.max_attempts
@@ -498,12 +726,11 @@
     async def _conclude(
         self,
         active: active_requests.ActiveRequest,
-        placement: dispatcher.Placement,
-        sink: answer_sink.AnswerSink,
+        exchange: _Exchange,
         outcome: server_links.ExchangeOutcome,
-        sent_ms: int,
     ) -> bool:
         """Record the outcome of an exchange; return whether the caller was answered."""
+        placement, sink, sent_ms = exchange.placement, exchange.sink, exchange.sent_ms
         now_ms = self._clock.now_ms()
         health = self._fleet.health.health_of(placement.server)
         head = sink.head
@@ -574,7 +801,8 @@
             left_ms=active.deadline_ms - now_ms,
             parts=[part.part_id for part in prompt.parts] if prompt else [],
         )
-        active.event_splitter.drop_partial_event()
+        if exchange.predecessor is None and not exchange.is_superseded:
+            active.event_splitter.drop_partial_event()
         return False
 
     async def _ended_well(
@@ -635,15 +863,24 @@
         active.answer.send(failure.status, headers, failure.body)
         self._log_end(active, f"server's {failure.status}")
 
-    def _retry_obstacle(self, active: active_requests.ActiveRequest) -> str | None:
-        """Return why the request can't be sent again; None if it can.
+    def _spend_retry(self, active: active_requests.ActiveRequest) -> str | None:
+        """Count a retry in the budget; return why there can't be one, or None."""
+        obstacle = self._retry_obstacle(active, may_have_run=active.may_have_run)
+        if obstacle is not None:
+            return obstacle
+        if active.sends and not self._retry_budget(active.service.name).try_retry(
+            self._clock.now_ms(), self._fleet.gateway_count
+        ):
+            return "retry budget"
+        return None
 
-        A retry that is allowed is counted in the retry budget.
-        """
-        now_ms = self._clock.now_ms()
-        if now_ms >= active.deadline_ms:
+    def _retry_obstacle(
+        self, active: active_requests.ActiveRequest, *, may_have_run: bool
+    ) -> str | None:
+        """Return why the request can't be sent again, budget aside; None if it can."""
+        if self._clock.now_ms() >= active.deadline_ms:
             return "time limit"
-        if active.may_have_run and not active.route.may_repeat:
+        if may_have_run and not active.route.may_repeat:
             return "outcome unknown"
         if active.answer.has_begun and not active.route.is_stream:
             return "broken off"
@@ -653,12 +890,8 @@
             return "refused by servers"
         if active.is_retest and active.sends:
             return "retest of a crash finding"
-        if active.may_have_run and not self._crashes.may_repeat(active.subject):
+        if may_have_run and not self._crashes.may_repeat(active.subject):
             return "ran at a crash"
-        if active.sends and not self._retry_budget(active.service.name).try_retry(
-            now_ms, self._fleet.gateway_count
-        ):
-            return "retry budget"
         return None
 
     def _fail(
--- a/quincecrank/gateway/retry_share.py
+++ b/quincecrank/gateway/retry_share.py
@@ -52,15 +52,19 @@
         gateway_count : int
             Number of gateways that share the floor, including this one.
         """
+        if not self.allows_retry(now_ms, gateway_count):
+            return False
+        self._retries_ms.append(now_ms)
+        return True
+
+    def allows_retry(self, now_ms: int, gateway_count: int) -> bool:
+        """Return whether the budget allows a retry, without counting one."""
         self._expire(now_ms)
         allowed = BUDGET_FRACTION * (
             self.bounds.retry_ratio * len(self._first_sends_ms)
             + self.bounds.retry_floor / max(1, gateway_count)
         )
-        if len(self._retries_ms) + 1 > allowed:
-            return False
-        self._retries_ms.append(now_ms)
-        return True
+        return len(self._retries_ms) + 1 <= allowed
 
     def _expire(self, now_ms: int) -> None:
         oldest_ms = now_ms - self.bounds.retry_window_ms
