--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
+from quincecrank import clock as clocks
 from quincecrank import ids, rendezvous
 from quincecrank.gateway import (
     cache_part_index,
@@ -222,7 +223,12 @@
             self._has_waiting.clear()
             await self._fleet.clock.sleep(QUEUE_RETRY_INTERVAL_MS)
             for service in tuple(self._queue_by_service):
-                self.start_queued(service)
+                try:
+                    self.start_queued(service)
+                except Exception:
+                    # The requests of all services depend on this task.
+                    _LOG.exception("queued requests not started", service=service)
+                    self._has_waiting.set()
 
     def start_queued(self, service: deployment.ServiceName) -> None:
         """Start the queued requests of a service for which there is capacity.
@@ -253,7 +259,7 @@
             queue_class = request_queue.queue_class_of(queued, now_ms)
             if blocked not in (None, queue_class):
                 break
-            placed = self._try_place(self._placement_request_by_id[queued.request_id])
+            placed = self._try_place_queued(queued.request_id)
             if placed is not None:
                 queue.remove(queued.request_id)
                 self._resolve(queued.request_id, placed)
@@ -264,6 +270,17 @@
         if self._fleet.rate_limits.is_any_limited:
             self._update_permit_demand(service)
 
+    def _try_place_queued(
+        self, request_id: ids.RequestId
+    ) -> Placement | Rejection | None:
+        """Place a queued request; reject it if that fails with an exception."""
+        request = self._placement_request_by_id[request_id]
+        try:
+            return self._try_place(request)
+        except Exception:
+            _LOG.exception("request not placed", request=request_id)
+            return self._reject(request, "internal error", NO_SERVER_RETRY_MS)
+
     def _update_permit_demand(self, service: deployment.ServiceName) -> None:
         """Set the demand for permits of a service's limited servers.
 
@@ -396,8 +413,15 @@
         self._placement_request_by_id[request.request_id] = request
         if self._fleet.rate_limits.is_any_limited:
             self._update_permit_demand(request.service.name)
+        remaining_ms = request.queued.deadline_ms - self._fleet.clock.now_ms()
         try:
-            return await future
+            # Passes over the queue reject requests earlier, but only while they run.
+            await asyncio.wait(
+                {future}, timeout=max(0, remaining_ms) / clocks.MS_PER_SECOND
+            )
+            return (
+                future.result() if future.done() else self._reject_busy(request, queue)
+            )
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
                 self._release_unused(request, future.result())
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -487,7 +487,11 @@
         self._fleet.loads.record_end(
             placement.server.server_id, active.caller_headers.request_id
         )
-        self._dispatcher.start_queued(active.service.name)
+        try:
+            self._dispatcher.start_queued(active.service.name)
+        except Exception:
+            # This request must not fail because of those that wait behind it.
+            _LOG.exception("queued requests not started", service=active.service.name)
 
     def _record_head(
         self,
