--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -513,6 +513,7 @@
             "placed",
             request=request.request_id,
             server=chosen.server.server_id,
+            software=chosen.server.software_version,
             running=chosen.load.requests,
             slowness=round(chosen.slowness, 2),
         )
@@ -614,6 +615,7 @@
             "placed",
             request=request.request_id,
             server=chosen.server.server_id,
+            software=chosen.server.software_version,
             running=chosen.load.requests,
             memory=chosen.load.memory_tokens,
             backlog=chosen.load.backlog_tokens,
--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -147,6 +147,7 @@
                 state=entry.state.value,
                 address=entry.address,
                 weights=dict(entry.weight_versions_by_model),
+                software=entry.software_version,
                 started_wall_ms=entry.started_wall_ms,
             )
         if before is not None and before.started_wall_ms != entry.started_wall_ms:
@@ -222,4 +223,5 @@
         or before.started_wall_ms != now.started_wall_ms
         or dict(before.weight_versions_by_model) != dict(now.weight_versions_by_model)
         or before.address != now.address
+        or before.software_version != now.software_version
     )
--- a/quincecrank/gateway/servers.py
+++ b/quincecrank/gateway/servers.py
@@ -7,6 +7,9 @@
 incarnation
     One start of a backend server.  A server may start again under its id; it then has
     no state of its earlier incarnation.
+software version
+    Version of a backend server's program, not of the weights that it has loaded.
+    Versions are equal or not; they have no order.
 expiry
     Removal of an entry by the store for missing heartbeats.  It also happens to live
     servers while the store is unavailable.
@@ -21,6 +24,7 @@
 from quincecrank.gateway import deployment
 
 ServerId = NewType("ServerId", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
 
 PUBLISH_LEAVING_MS: Final = 3_000
 """Time for which peers are notified that a server is leaving, since datagrams get
@@ -68,6 +72,8 @@
         Start time on the wall clock (Unix time); identifies the incarnation.
     report_number : int
         Number of this report of the incarnation; later ones have higher numbers.
+    software_version : SoftwareVersion
+        Version of the server's program; what two versions stream does not fit together.
     weight_versions_by_model : mapping of ModelName to int
         Versions of the weights that a model engine has loaded.
     """
@@ -81,6 +87,7 @@
     started_wall_ms: int
     weight_versions_by_model: Mapping[deployment.ModelName, int]
     report_number: int = 0
+    software_version: SoftwareVersion = SoftwareVersion("")
 
     @property
     def incarnation(self) -> Incarnation:
--- a/quincecrank/platform/documents.py
+++ b/quincecrank/platform/documents.py
@@ -54,9 +54,8 @@
     """
     try:
         document = json_text.parse(text)
-        # Entries of other writers may lack any field.  These two are not used, but
-        # every backend server writes them, so an entry without them is rejected.
-        _parse_text(document["version"])
+        # Entries of other writers may lack any field.  This one is not used, but every
+        # backend server writes it, so an entry without it is rejected.
         _parse_count(document["coldRemainingMs"])
         return servers.ServerEntry(
             server_id=servers.ServerId(server_id),
@@ -68,6 +67,7 @@
             started_wall_ms=_parse_count(document["born"]),
             # Counts the writes of one incarnation of the server.
             report_number=_parse_count(document["seq"]),
+            software_version=servers.SoftwareVersion(_parse_text(document["version"])),
             weight_versions_by_model={
                 deployment.ModelName(_parse_text(model["name"])): _parse_count(
                     model["version"]
--- a/quincecrank/platform/names.py
+++ b/quincecrank/platform/names.py
@@ -7,6 +7,7 @@
 AUTHORIZATION: Final = "Authorization"
 AUTHORIZATION_SCHEME: Final = "Token "
 LAST_EVENT_ID: Final = "Last-Event-Id"
+FIRST_ATTEMPT: Final = "Resumes"
 RETRY_AFTER: Final = "Retry-After"
 
 MODEL: Final = "Model"
--- a/quincecrank/platform/requests.py
+++ b/quincecrank/platform/requests.py
@@ -37,6 +37,12 @@
         Time for which the caller waits for the answer; None if it sets no limit.
     prompt : Prompt or None
         Description of the prompt; None unless this is a model request.
+    resume_after : str or None
+        Id of the last event that the caller has received of a stream that it resumes;
+        None if it begins one.
+    first_attempt_id : RequestId or None
+        Id of the attempt that brought the first event of a resumed stream, as the
+        caller states it.
     """
 
     request_id: ids.RequestId
@@ -44,6 +50,8 @@
     api_key: str | None
     remaining_ms: int | None
     prompt: prompts.Prompt | None
+    resume_after: str | None = None
+    first_attempt_id: ids.RequestId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,6 +107,8 @@
         api_key=_parse_api_key(headers.get(names.AUTHORIZATION)),
         remaining_ms=_parse_count(headers, names.DEADLINE),
         prompt=_parse_prompt(headers),
+        resume_after=headers.get(names.LAST_EVENT_ID),
+        first_attempt_id=_parse_first_attempt(headers),
     )
 
 
@@ -145,6 +155,11 @@
     return forwarded
 
 
+def _parse_first_attempt(headers: httputil.HTTPHeaders) -> ids.RequestId | None:
+    value = headers.get(names.FIRST_ATTEMPT, "").strip()
+    return ids.RequestId(value) if value else None
+
+
 def _parse_api_key(value: str | None) -> str | None:
     if value is None:
         return None
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -76,6 +76,7 @@
     state: servers.ServerState = servers.ServerState.READY,
     started_wall_ms: int = 1,
     weights: int | None = 1,
+    software_version: str = "v1",
 ) -> servers.ServerEntry:
     """Return the entry of a backend server; `weights` is None for a plain one."""
     return servers.ServerEntry(
@@ -87,6 +88,7 @@
         state=state,
         started_wall_ms=started_wall_ms,
         weight_versions_by_model={} if weights is None else {MODEL: weights},
+        software_version=servers.SoftwareVersion(software_version),
     )
 
 
