--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -226,7 +226,11 @@
         self.fleet.mark_servers_read()
 
     async def add_server(
-        self, *scripts: Script, service: str = "records", server_id: str = ""
+        self,
+        *scripts: Script,
+        service: str = "records",
+        server_id: str = "",
+        software_version: str = "v1",
     ) -> ScriptedServer:
         """Start a backend server and add its entry to the registry."""
         server = ScriptedServer(*scripts)
@@ -239,6 +243,7 @@
                 service=builders.PLAIN if is_plain else builders.LLM,
                 address=address,
                 weights=None if is_plain else 1,
+                software_version=software_version,
             )
         )
         return server
