--- a/bench/gateway_simulation.py
+++ b/bench/gateway_simulation.py
@@ -496,7 +496,7 @@
             if rejection is None:
                 return
             if not attempt:
-                await self._clock.sleep(rejection.retry_after_ms)
+                await self._clock.sleep(rejection.retry_after_ms or 0)
         outcome.rejected += 1
         outcome.rejected_twice += 1
 
--- a/quincecrank/gateway/active_requests.py
+++ b/quincecrank/gateway/active_requests.py
@@ -11,6 +11,7 @@
     event_stream,
     failed_request_records,
     servers,
+    stream_versions,
 )
 from quincecrank.platform import requests
 
@@ -54,6 +55,13 @@
         Splits the received stream into events, over all attempts.
     last_failure : AnswerBuffer or None
         Error answer of the last server that gave one.
+    stream : StreamKey or None
+        Identifies a resumable stream over all attempts of the caller; None for other
+        requests, and for a resumed stream whose first attempt the caller does not name.
+    software_version : SoftwareVersion or None
+        Software version at which the stream began; None before its first event.
+    is_stream_recorded : bool
+        Whether an event of this attempt was seen and its software version recorded.
     """
 
     request: callers.CallerRequest
@@ -75,6 +83,9 @@
         default_factory=event_stream.EventSplitter
     )
     last_failure: AnswerBuffer | None = None
+    stream: stream_versions.StreamKey | None = None
+    software_version: servers.SoftwareVersion | None = None
+    is_stream_recorded: bool = False
 
     @property
     def urgency(self) -> int:
@@ -83,6 +94,22 @@
             return self.account.urgency
         return self.route.urgency
 
+    @property
+    def begins_stream(self) -> bool:
+        """Whether it is a resumable stream that has no event yet."""
+        route = self.route
+        return route.is_stream and route.is_resumable and self.software_version is None
+
+    @property
+    def is_resumed(self) -> bool:
+        """Whether the caller resumes a stream of an earlier attempt."""
+        route = self.route
+        return (
+            route.is_stream
+            and route.is_resumable
+            and bool(self.caller_headers.resume_after)
+        )
+
     @property
     def possible_runs(self) -> int:
         """Number of sends that may have run the request."""
--- a/quincecrank/gateway/answer_sink.py
+++ b/quincecrank/gateway/answer_sink.py
@@ -24,6 +24,8 @@
         whether the answer may be passed on.
     on_first_part : callable
         Called when the first part of the body has arrived.
+    on_events : callable
+        Called with complete events of a stream before they are passed on.
     on_established : callable
         Called once, when a part arrives `crash_suspicions.ESTABLISHED_MS` or more after
         the first one.
@@ -55,11 +57,13 @@
         clock: clocks.Clock,
         on_head: Callable[[answers.AnswerHead], bool],
         on_first_part: Callable[[], None],
+        on_events: Callable[[], None],
         on_established: Callable[[], None],
     ) -> None:
         self._active = active
         self._on_head = on_head
         self._on_first_part = on_first_part
+        self._on_events = on_events
         self._on_established = on_established
         self.is_established = False
         self.is_stopped = False
@@ -128,6 +132,7 @@
             events = self._active.event_splitter.feed(chunk)
             if events:
                 self.progress_ms = self._clock.now_ms()
+                self._on_events()
                 await self._pass_on(events)
             return
         self.progress_ms = self._clock.now_ms()
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -42,6 +42,10 @@
 """Time since its arrival after which the first request in the queue may not be
 overtaken."""
 
+NO_VERSION_REASON: Final = (
+    "the stream can't be resumed, begin a new one: no server has its software version"
+)
+
 NO_SERVER_RETRY_MS: Final = 800
 """Retry time while a service has no usable backend server: about the time between two
 reports of a server."""
@@ -60,6 +64,10 @@
         the fairness between size classes holds within a route.
     tried_servers : frozenset of ServerId
         Servers at which an attempt of the request has failed; they are not chosen.
+    software_version : SoftwareVersion or None
+        Version at which a stream goes on; None for any.
+    begins_stream : bool
+        Whether a resumable stream begins, see `stream_versions`.
     """
 
     queued: request_queue.QueuedRequest
@@ -68,6 +76,8 @@
     prompt: prompts.Prompt | None
     route: str = ""
     tried_servers: frozenset[servers.ServerId] = frozenset()
+    software_version: servers.SoftwareVersion | None = None
+    begins_stream: bool = False
 
     @property
     def request_id(self) -> ids.RequestId:
@@ -103,10 +113,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rejection:
-    """The rejection of a request, and the time after which to retry."""
+    """The rejection of a request; no retry time if no retry can succeed."""
 
     reason: str
-    retry_after_ms: int
+    retry_after_ms: int | None
 
 
 class Dispatcher:
@@ -204,6 +214,10 @@
     def _reject_unless_soon_usable(self, request: PlacementRequest) -> Rejection | None:
         """Reject a request if no server will be usable before its latest start time."""
         now_ms = self._fleet.clock.now_ms()
+        if not self._matching_entries(request):
+            rejection = self._reject_for_version(request)
+            if rejection is not None or request.begins_stream:
+                return rejection
         remaining_ms = request.queued.latest_start_ms - now_ms
         pause_ms = self._shortest_pause_ms(request)
         if pause_ms is not None and pause_ms < remaining_ms:
@@ -216,6 +230,37 @@
             return None
         return self._reject_for_limits(request, permit_ms)
 
+    def _matching_entries(
+        self, request: PlacementRequest
+    ) -> tuple[servers.ServerEntry, ...]:
+        """Return the ready servers at whose software version a request may run."""
+        service = request.service.name
+        ready = self._fleet.registry.ready_entries(service)
+        if request.software_version is not None:
+            version = request.software_version
+            return tuple(each for each in ready if each.software_version == version)
+        if not request.begins_stream:
+            return ready
+        now_ms = self._fleet.clock.now_ms()
+        may_begin = self._fleet.stream_versions.may_begin
+        allowed = {
+            version
+            for version in {each.software_version for each in ready}
+            if may_begin(service, version, now_ms)
+        }
+        return tuple(each for each in ready if each.software_version in allowed)
+
+    def _reject_for_version(self, request: PlacementRequest) -> Rejection | None:
+        """Reject a request for which no server has a suitable software version.
+
+        None if a version is about to be listed, and a stream that begins can wait.
+        """
+        if request.software_version is not None:
+            return self._reject(request, NO_VERSION_REASON, None)
+        if self._fleet.registry.ready_entries(request.service.name):
+            return None
+        return self._reject(request, "no backend server", NO_SERVER_RETRY_MS)
+
     async def run(self) -> None:
         """Try queued requests again at intervals, until cancelled."""
         while True:
@@ -254,8 +299,14 @@
             self._resolve(queued.request_id, self._reject_busy(request, queue))
         if self._fleet.rate_limits.is_any_limited:
             self._reject_if_blocked(service, queue)
+        self._start_resumed(queue)
         blocked: request_queue.QueueClass | None = None
-        for index, queued in enumerate(queue.ordered(now_ms)[:MAX_TRIED_PER_PASS]):
+        unbound = [
+            each
+            for each in queue.ordered(now_ms)
+            if self._placement_request_by_id[each.request_id].software_version is None
+        ]
+        for index, queued in enumerate(unbound[:MAX_TRIED_PER_PASS]):
             queue_class = request_queue.queue_class_of(queued, now_ms)
             if blocked not in (None, queue_class):
                 break
@@ -270,6 +321,27 @@
         if self._fleet.rate_limits.is_any_limited:
             self._update_permit_demand(service)
 
+    def _start_resumed(self, queue: request_queue.RequestQueue) -> None:
+        """Start the queued requests that need one software version.
+
+        They go first but block no other request: those of other versions have room
+        elsewhere.
+        """
+        tried_count = 0
+        for queued in queue.ordered(self._fleet.clock.now_ms()):
+            request = self._placement_request_by_id[queued.request_id]
+            if request.software_version is None:
+                continue
+            if tried_count >= MAX_TRIED_PER_PASS:
+                return
+            tried_count += 1
+            result = self._try_place_queued(queued.request_id)
+            if result is None and not self._matching_entries(request):
+                result = self._reject_for_version(request)
+            if result is not None:
+                queue.remove(queued.request_id)
+                self._resolve(queued.request_id, result)
+
     def _try_place_queued(
         self, request_id: ids.RequestId
     ) -> Placement | Rejection | None:
@@ -334,6 +406,7 @@
                 self._fleet.send_permits.expected_wait_ms(each.incarnation, now_ms)
                 for each in self._limited_by_id(request.service.name).values()
                 if each.server_id not in request.tried_servers
+                and request.software_version in (None, each.software_version)
             ),
             default=None,
         )
@@ -747,7 +820,7 @@
         now_ms = self._fleet.clock.now_ms()
         allowed = tuple(
             each
-            for each in self._fleet.registry.ready_entries(request.service.name)
+            for each in self._matching_entries(request)
             if each.server_id not in request.tried_servers
             and self._fleet.health.health_of(each).allows(now_ms)
             and not self._fleet.weight_updates.is_loading(each, now_ms)
@@ -780,7 +853,7 @@
         now_ms = self._fleet.clock.now_ms()
         pauses_ms = [
             pause_ms
-            for each in self._fleet.registry.ready_entries(request.service.name)
+            for each in self._matching_entries(request)
             if each.server_id not in request.tried_servers
             and (
                 pause_ms := self._fleet.health.health_of(each).remaining_pause_ms(
@@ -800,7 +873,7 @@
         return self._reject(request, "all backend servers are busy", after_ms)
 
     def _reject(
-        self, request: PlacementRequest, reason: str, retry_after_ms: int
+        self, request: PlacementRequest, reason: str, retry_after_ms: int | None
     ) -> Rejection:
         now_ms = self._fleet.clock.now_ms()
         _LOG.info(
--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -21,6 +21,7 @@
     server_links,
     servers,
     service_times,
+    stream_versions,
     weights,
 )
 
@@ -76,6 +77,7 @@
         )
         self.notify_permit_demand: Callable[[], None] = _ignore
         self.notify_rate_limit: Callable[[], None] = _ignore
+        self.stream_versions = stream_versions.StreamVersions()
         self.links = server_links.LinkPool(clock, MAX_IDLE_LINK_MS)
         self.weight_updates = engine_weight_updates.WeightUpdates()
         self.failed_requests = failed_request_records.FailedRequests()
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -34,6 +34,7 @@
     retry_share,
     server_links,
     servers,
+    stream_versions,
 )
 from quincecrank.platform import answers, requests
 
@@ -61,6 +62,12 @@
 CRASHING_REQUEST_RETRY_MS: Final = crash_findings.RETEST_DELAYS_MS[0]
 """Retry-after time of a request that a crash finding rejects."""
 
+UNKNOWN_VERSION_REASON: Final = (
+    "the stream can't be resumed, begin a new one: its software version is not known"
+)
+VERSIONS_RETRY_MS: Final = 300
+"""Retry-after time of resumed streams while the records of the store are not read."""
+
 CRASH_REASON: Final = "the request crashes backend servers"
 
 MAX_SILENT_FRACTION: Final = 0.4
@@ -259,9 +266,12 @@
             ),
             key=key,
             first_attempt_ms=first_attempt_ms,
+            stream=_stream_key(route, caller_headers, account),
         )
 
     async def _serve(self, active: active_requests.ActiveRequest) -> None:
+        if active.is_resumed and not self._find_software_version(active):
+            return
         finding = self._crashes.finding_against(active.subject)
         if finding is not None:
             active.is_retest = await self.claim_retest(finding)
@@ -279,6 +289,58 @@
                 self._fail(active, reason, request_queue.MIN_RETRY_AFTER_MS)
                 return
 
+    def _find_software_version(self, active: active_requests.ActiveRequest) -> bool:
+        """Find the version of a resumed stream; reject the request if it has none."""
+        service = active.service.name
+        present = {
+            each.software_version
+            for each in self._fleet.registry.entries()
+            if each.service == service
+        }
+        version = self._fleet.stream_versions.version_of(
+            service, active.stream, present
+        )
+        is_unknown = isinstance(version, stream_versions.Resumption)
+        _LOG.info(
+            "stream resumed by its caller",
+            request=active.caller_headers.request_id,
+            first_attempt=active.caller_headers.first_attempt_id,
+            after=active.caller_headers.resume_after,
+            software=None if is_unknown else version,
+            present=sorted(present),
+        )
+        if isinstance(version, stream_versions.Resumption):
+            self._metrics.record_resumption(version.value)
+            is_loading = version is stream_versions.Resumption.NOT_LOADED
+            retry_ms = VERSIONS_RETRY_MS if is_loading else None
+            self._fail(active, UNKNOWN_VERSION_REASON, retry_ms)
+            return False
+        self._metrics.record_resumption("known")
+        active.software_version = version
+        return True
+
+    def _record_stream(
+        self, active: active_requests.ActiveRequest, server: servers.ServerEntry
+    ) -> None:
+        """Record at which software version a stream has events."""
+        if not active.route.is_resumable or active.is_stream_recorded:
+            return
+        active.is_stream_recorded = True
+        current = self._fleet.registry.find(server.server_id)
+        if current is not None and current.incarnation != server.incarnation:
+            # It started again meanwhile, maybe before it got the request.
+            active.software_version = servers.UNKNOWN_SOFTWARE
+            return
+        if active.software_version is None:
+            active.software_version = server.software_version
+        if active.stream is not None:
+            self._fleet.stream_versions.record_begin(
+                stream_versions.Record(
+                    active.service.name, active.stream, active.software_version
+                ),
+                self._clock.now_ms(),
+            )
+
     async def _place(
         self, active: active_requests.ActiveRequest
     ) -> dispatcher.Placement | dispatcher.Rejection:
@@ -428,6 +490,7 @@
             lambda: self._fleet.loads.record_prefill_end(
                 server.server_id, active.caller_headers.request_id
             ),
+            lambda: self._record_stream(active, server),
             lambda: self._crashes.record_answer(active.subject, self._clock.now_ms()),
         )
         outgoing = self._outgoing(active, placement)
@@ -899,7 +962,10 @@
         return None
 
     def _fail(
-        self, active: active_requests.ActiveRequest, reason: str, retry_after_ms: int
+        self,
+        active: active_requests.ActiveRequest,
+        reason: str,
+        retry_after_ms: int | None,
     ) -> None:
         """End a request that no server answered with success.
 
@@ -979,6 +1045,8 @@
             prompt,
             active.route.name,
             frozenset(active.tried_servers),
+            active.software_version,
+            begins_stream=active.begins_stream,
         )
 
     def _draw_service(
@@ -1044,6 +1112,25 @@
         )
 
 
+def _stream_key(
+    route: deployment.Route,
+    caller_headers: requests.CallerHeaders,
+    account: deployment.Account | None,
+) -> stream_versions.StreamKey | None:
+    """Return the key of a resumable stream; None if its first attempt is not named."""
+    if not (route.is_stream and route.is_resumable):
+        return None
+    first_attempt = (
+        caller_headers.first_attempt_id
+        if caller_headers.resume_after
+        else caller_headers.request_id
+    )
+    if not first_attempt:
+        return None
+    name = account.name if account is not None else None
+    return stream_versions.stream_key(name, first_attempt)
+
+
 def _ignore_server(_server: servers.ServerEntry) -> None:
     """Do nothing: without a crash monitor, entries alone show that servers ended."""
 
--- a/quincecrank/gateway/gateway_metrics.py
+++ b/quincecrank/gateway/gateway_metrics.py
@@ -108,6 +108,17 @@
             ["reason"],
             registry=self.registry,
         )
+        self.stream_records = prometheus_client.Gauge(
+            "quince_gateway_stream_records",
+            "Streams whose software version this gateway knows",
+            registry=self.registry,
+        )
+        self._resumptions = prometheus_client.Counter(
+            "quince_gateway_stream_resumptions",
+            "Streams that callers resumed, by what was known of their software version",
+            ["origin"],
+            registry=self.registry,
+        )
         self._permit_counts: dict[str, int] = {}
         self.peers = prometheus_client.Gauge(
             "quince_gateway_peers", "Live other gateways", registry=self.registry
@@ -141,6 +152,10 @@
         """Count an answer that was ended before it was complete."""
         self._aborted_answers.labels(reason).inc()
 
+    def record_resumption(self, origin: str) -> None:
+        """Count a stream that a caller resumed, by the origin of its version."""
+        self._resumptions.labels(origin).inc()
+
     def set_permit_counts(self, count_by_event: Mapping[str, int]) -> None:
         """Set the number of permits since the start of the process, by event."""
         for event, count in count_by_event.items():
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -39,6 +39,7 @@
     service_times,
     store_cleaner,
     store_restores,
+    stream_version_exchange,
     tables,
     weight_rollout,
 )
@@ -140,8 +141,20 @@
         self._order_lease = order_lease.OrderLease(
             self._store, own_settings.vm, own_settings.bounds.order_lease_ms, clock
         )
+        self._stream_versions = stream_version_exchange.StreamVersionExchange(
+            self._fleet,
+            self._peers,
+            self._store,
+            lambda: (
+                self._followers_by_table[tables.TableName.MEMBERS].store_answer_age_ms
+            ),
+            clock,
+        )
         self._members = row_consumers.MemberRowConsumer(
-            self._peers, self._order_lease, self._crash_monitor
+            self._peers,
+            self._order_lease,
+            self._crash_monitor,
+            self._stream_versions,
         )
         self._registration = member_registration.Registration(
             own_settings.vm,
@@ -219,6 +232,7 @@
         self._tasks.start(self._permits.run())
         self._tasks.start(self._crash_monitor.run())
         self._tasks.start(self._crash_monitor.run_writes())
+        self._tasks.start(self._stream_versions.run())
         self._tasks.start(self._weight_rollout.run())
         self._tasks.start(self._cache_followers.run())
         self._tasks.start(self._store_cleaner.run())
@@ -314,14 +328,15 @@
                 self._clock.now_ms()
             ),
         )
-        return self._permits.complete_report(
-            self._crash_monitor.complete_report(report)
-        )
+        report = self._crash_monitor.complete_report(report)
+        report = self._stream_versions.complete_report(report)
+        return self._permits.complete_report(report)
 
     def _apply_report(self, report: peer_messages.Report) -> None:
         now_ms = self._clock.now_ms()
         self._fleet.loads.apply_peer_report(report.vm, report.load_by_server, now_ms)
         self._crash_monitor.apply_report(report)
+        self._stream_versions.apply_report(report)
         for target in report.target_weights:
             self._fleet.target_versions.record_target(
                 target.model, target.version, now_ms, target.age_ms
@@ -371,6 +386,7 @@
             self._metrics.set_permit_counts(permits.count_by_event)
             self._metrics.waiting_for_permits.set(permits.waiting_count)
             self._metrics.crash_findings.set(self._crashes.findings.active_count)
+            self._metrics.stream_records.set(self._fleet.stream_versions.record_count)
             self._metrics.waiting.set(self._dispatcher.waiting_requests)
 
     def _serve_readiness(self) -> None:
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -21,6 +21,7 @@
     server_health,
     servers,
     service_times,
+    stream_versions,
     tables,
     weights,
 )
@@ -118,6 +119,8 @@
         What the gateway asks of the issuers.
     issues_permits : bool
         Whether the gateway shares rate limits by permits.
+    stream_records : tuple of Record
+        Software versions of streams that began at the gateway.
     """
 
     vm: ids.VmName
@@ -139,6 +142,7 @@
     issuer_reports: tuple[send_permits.IssuerReport, ...] = ()
     permit_asks: tuple[permit_pacer.Ask, ...] = ()
     issues_permits: bool = True
+    stream_records: tuple[stream_versions.Record, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -203,6 +207,14 @@
         rateLimits=_rate_limit_fields(report),
         permitAsks=[_ask_fields(each) for each in report.permit_asks],
         issuesPermits=report.issues_permits,
+        streams=[
+            {
+                "service": group.service,
+                "softwareVersion": group.version,
+                "keys": group.keys,
+            }
+            for group in stream_versions.grouped(report.stream_records)
+        ],
     )
     return bytes(message.to_bytes_packed())
 
@@ -525,4 +537,13 @@
         ),
         permit_asks=tuple(_ask(each) for each in message.permitAsks),
         issues_permits=message.issuesPermits,
+        stream_records=tuple(
+            record
+            for each in message.streams
+            for record in stream_versions.RecordGroup(
+                deployment.ServiceName(each.service),
+                servers.SoftwareVersion(each.softwareVersion),
+                bytes(each.keys),
+            ).records()
+        ),
     )
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -139,6 +139,14 @@
   grants @2 :List(PermitGrant);
 }
 
+# Streams that began at one software version of a service.
+struct StreamRecords {
+  service @0 :Text;
+  softwareVersion @1 :Text;
+  # Keys of 8 bytes each, little-endian.
+  keys @2 :Data;
+}
+
 struct Report {
   vm @0 :Text;
   isLeaving @1 :Bool;
@@ -157,6 +165,7 @@
   issuesPermits @13 :Bool;
   answered @14 :List(AnsweredSuspect);
   findings @15 :List(CrashFinding);
+  streams @16 :List(StreamRecords);
 }
 
 struct Datagram {
--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -15,6 +15,7 @@
     order_lease,
     peers,
     servers,
+    stream_version_exchange,
     weights,
 )
 from quincecrank.platform import documents, row_updates
@@ -170,17 +171,22 @@
 
 
 class MemberRowConsumer:
-    """Applies the other gateways' addresses, the order lease and crash findings."""
+    """Applies the rows that gateways write.
+
+    These are their addresses, the order lease, crash findings and software versions.
+    """
 
     def __init__(
         self,
         peer_directory: peers.PeerDirectory,
         lease: order_lease.OrderLease,
         monitor: crash_monitor.CrashMonitor | None = None,
+        version_exchange: stream_version_exchange.StreamVersionExchange | None = None,
     ) -> None:
         self._peers = peer_directory
         self._lease = lease
         self._crash_monitor = monitor
+        self._version_exchange = version_exchange
         self._row_by_key: dict[str, store_rows.Row] = {}
         self._full_era = store_rows.FIRST_ERA
 
@@ -196,6 +202,8 @@
         self._full_era = snapshot.position.era
         if self._crash_monitor is not None:
             self._crash_monitor.forget_rows()
+        if self._version_exchange is not None:
+            self._version_exchange.handle_full_read()
         self.apply_changes(snapshot.rows)
 
     def apply_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
@@ -207,6 +215,8 @@
             self._lease.observe(lease_row.position)
         if self._crash_monitor is not None:
             self._crash_monitor.apply_rows(rows)
+        if self._version_exchange is not None:
+            self._version_exchange.apply_rows(rows)
         return bool(rows)
 
     def handle_store_unavailable(self) -> None:
--- a/quincecrank/gateway/servers.py
+++ b/quincecrank/gateway/servers.py
@@ -26,6 +26,9 @@
 ServerId = NewType("ServerId", str)
 SoftwareVersion = NewType("SoftwareVersion", str)
 
+UNKNOWN_SOFTWARE: Final = SoftwareVersion("")
+"""Version of a server that may have started again meanwhile; no entry has it."""
+
 PUBLISH_LEAVING_MS: Final = 3_000
 """Time for which peers are notified that a server is leaving, since datagrams get
 lost."""
@@ -87,7 +90,7 @@
     started_wall_ms: int
     weight_versions_by_model: Mapping[deployment.ModelName, int]
     report_number: int = 0
-    software_version: SoftwareVersion = SoftwareVersion("")
+    software_version: SoftwareVersion = UNKNOWN_SOFTWARE
 
     @property
     def incarnation(self) -> Incarnation:
--- /dev/null
+++ b/quincecrank/gateway/stream_version_exchange.py
@@ -0,0 +1,413 @@
+"""Shares the software versions of streams with the other gateways and the store.
+
+One gateway, the first in the ranking of live gateways, writes a listing of a service
+when its versions come or leave.  While a service has several versions, one gateway
+writes the records that all gateways publish in their reports, a few times a second, so
+that gateways know them that start after all others have ended.
+
+Terms
+-----
+slot
+    One of the rows that hold records, filled in turn.
+"""
+
+import base64
+import binascii
+import dataclasses
+import json
+import random
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from quincecrank import clock as clocks
+from quincecrank import json_text, store_rows
+from quincecrank.gateway import (
+    decision_log,
+    deployment,
+    fleet_state,
+    peer_messages,
+    peers,
+    servers,
+    stream_versions,
+    tables,
+)
+
+CHECK_MS: Final = 200
+"""Interval of the checks whether a listing or records must be written."""
+
+FALLBACK_DELAY_MS: Final = 2_000
+"""Shortest time after which a gateway writes a listing that the gateway ranked first
+has not written; at most twice that."""
+
+RETENTION_MARGIN_MS: Final = 5_000
+"""Time that a caller may need after the longest stream to resume it."""
+
+HANDOVER_MS: Final = 3_000
+"""Time for which gateways keep the records that another one should have written: it is
+missed by its peers after `peers.PEER_SILENCE_LIMIT_MS`."""
+
+MAX_ANSWER_AGE_MS: Final = 6_000
+"""Age of the store's last answer up to which listings count as current; a waiting call
+for changes is answered within four seconds."""
+
+SLOT_COUNT: Final = 32
+MAX_SLOT_RECORDS: Final = 2_000
+SLOT_MS: Final = 5_000
+"""Time for which a slot is filled; all slots outlast the retention time."""
+
+LISTING_PREFIX: Final = "software:"
+_SLOT_PREFIX: Final = "slot:"
+_RANKING_KEY: Final = "stream-records"
+_NO_ROW: Final = store_rows.Position(0, 0)
+
+_LOG: Final = decision_log.logger("stream-versions")
+
+
+class RowError(Exception):
+    """The text of a row is malformed."""
+
+
+def encode_listing(listing: stream_versions.Listing) -> str:
+    """Return the text of a listing's row."""
+    return json.dumps(
+        {
+            "service": listing.service,
+            "listed": sorted(listing.listed),
+            "announced": sorted(listing.announced),
+        }
+    )
+
+
+def decode_listing(text: str) -> stream_versions.Listing:
+    """Decode a listing.
+
+    Raises
+    ------
+    RowError
+        If it is malformed.
+    """
+    try:
+        document = json_text.parse(text)
+        service = document["service"]
+        versions = (*document["listed"], *document["announced"])
+        if not all(isinstance(each, str) for each in (service, *versions)):
+            raise RowError("names must be strings")
+        return stream_versions.Listing(
+            deployment.ServiceName(service),
+            frozenset(map(servers.SoftwareVersion, document["listed"])),
+            frozenset(map(servers.SoftwareVersion, document["announced"])),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise RowError(repr(error)) from error
+
+
+def encode_records(records: Iterable[stream_versions.Record]) -> str:
+    """Return the text of a slot's row."""
+    document: dict[str, dict[str, str]] = {}
+    for group in stream_versions.grouped(records):
+        keys = base64.b64encode(group.keys).decode()
+        document.setdefault(group.service, {})[group.version] = keys
+    return json.dumps(document)
+
+
+def decode_records(text: str) -> tuple[stream_versions.Record, ...]:
+    """Decode the records of a slot.
+
+    Raises
+    ------
+    RowError
+        If they are malformed.
+    """
+    try:
+        return tuple(
+            record
+            for service, keys_by_version in json_text.parse(text).items()
+            for version, keys in keys_by_version.items()
+            for record in stream_versions.RecordGroup(
+                deployment.ServiceName(service),
+                servers.SoftwareVersion(version),
+                base64.b64decode(keys, validate=True),
+            ).records()
+        )
+    except (AttributeError, TypeError, ValueError, binascii.Error) as error:
+        raise RowError(repr(error)) from error
+
+
+@dataclasses.dataclass(slots=True)
+class _Slot:
+    """The slot that this gateway fills."""
+
+    number: int
+    position: store_rows.Position
+    since_ms: int
+    records: list[stream_versions.Record] = dataclasses.field(default_factory=list)
+
+
+class StreamVersionExchange:
+    """Shares listings and records.
+
+    Parameters
+    ----------
+    fleet : FleetState
+        State of the fleet; its `stream_versions` is kept up to date.
+    peer_directory : PeerDirectory
+        The other gateways.
+    answer_age_ms : callable
+        Returns the age of the store's last answer for the members table in ms; None
+        without any.
+    """
+
+    def __init__(
+        self,
+        fleet: fleet_state.FleetState,
+        peer_directory: peers.PeerDirectory,
+        store: tables.TableStore,
+        answer_age_ms: Callable[[], int | None],
+        clock: clocks.Clock,
+    ) -> None:
+        self._fleet = fleet
+        self._versions = fleet.stream_versions
+        self._peers = peer_directory
+        self._store = store
+        self._answer_age_ms = answer_age_ms
+        self._clock = clock
+        self._position_by_service: dict[
+            deployment.ServiceName, store_rows.Position
+        ] = {}
+        self._due_ms_by_service: dict[deployment.ServiceName, int] = {}
+        self._position_by_slot: dict[int, store_rows.Position] = {}
+        self._slot: _Slot | None = None
+        self._versions.has_listings = False
+        self._versions.is_loaded = False
+
+    async def run(self) -> None:
+        """Write listings and records when they are due; never returns."""
+        while True:
+            await self._clock.sleep(CHECK_MS)
+            try:
+                await self._check()
+            except store_rows.StoreUnavailableError as error:
+                _LOG.warning("stream versions not stored", reason=str(error))
+                self._slot = None
+            except Exception:
+                # Without this task no new version would get streams.
+                _LOG.exception("check of stream versions failed")
+
+    def apply_rows(self, rows: tuple[store_rows.Row, ...]) -> None:
+        """Apply changed rows of the members table; other rows are ignored."""
+        for row in rows:
+            if not row.key.startswith(LISTING_PREFIX) or row.is_removed:
+                continue
+            try:
+                listing = decode_listing(row.text)
+            except RowError as error:
+                _LOG.error(
+                    "invalid row ignored",
+                    table="members",
+                    key=row.key,
+                    error=str(error),
+                )
+                continue
+            self._apply_listing(listing, row.position)
+
+    def handle_full_read(self) -> None:
+        """Record that the listings are read in full, maybe from a restored store."""
+        self._position_by_service.clear()
+        self._observe_servers(self._clock.now_ms())
+        self._versions.has_listings = True
+
+    def complete_report(self, report: peer_messages.Report) -> peer_messages.Report:
+        """Return a report with the records that this gateway publishes."""
+        records = self._versions.to_publish(self._clock.now_ms())
+        if not records:
+            return report
+        return dataclasses.replace(report, stream_records=records)
+
+    def apply_report(self, report: peer_messages.Report) -> None:
+        """Apply the records of a peer's report."""
+        if report.stream_records:
+            now_ms = self._clock.now_ms()
+            self._versions.apply_records(report.stream_records, now_ms)
+
+    async def _check(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._update_retention()
+        ready_by_service = self._observe_servers(now_ms)
+        self._versions.expire(now_ms)
+        self._versions.is_current = self._is_current()
+        if not self._versions.has_listings:
+            return
+        for service, ready in ready_by_service.items():
+            await self._write_listing_if_due(service, ready)
+        if self._versions.is_any_mixed:
+            if not self._versions.is_loaded:
+                await self._load()
+            await self._write_records()
+
+    def _update_retention(self) -> None:
+        current = self._fleet.configuration
+        if current is None:
+            return
+        timeouts_ms = [
+            route.timeout_ms
+            for routes in current.routes_by_host.values()
+            for route in routes
+            if route.is_stream and route.is_resumable
+        ]
+        # A configuration with shorter time limits does not concern running streams.
+        self._versions.retention_ms = max(
+            self._versions.retention_ms,
+            max(timeouts_ms, default=0) + RETENTION_MARGIN_MS,
+        )
+
+    def _observe_servers(
+        self, now_ms: int
+    ) -> dict[deployment.ServiceName, set[servers.SoftwareVersion]]:
+        """Record the versions that are present; return the ready ones by service."""
+        present: dict[deployment.ServiceName, set[servers.SoftwareVersion]] = {}
+        ready: dict[deployment.ServiceName, set[servers.SoftwareVersion]] = {}
+        streaming = self._streaming_services()
+        for entry in self._fleet.registry.entries():
+            if entry.service not in streaming:
+                continue
+            present.setdefault(entry.service, set()).add(entry.software_version)
+            versions = ready.setdefault(entry.service, set())
+            if entry.state is servers.ServerState.READY:
+                versions.add(entry.software_version)
+        self._versions.observe_servers(present, now_ms)
+        return ready
+
+    def _streaming_services(self) -> frozenset[deployment.ServiceName]:
+        """Return the services of resumable routes."""
+        current = self._fleet.configuration
+        if current is None:
+            return frozenset()
+        return frozenset(
+            target.service
+            for routes in current.routes_by_host.values()
+            for route in routes
+            if route.is_stream and route.is_resumable
+            for target in route.targets
+        )
+
+    def _is_current(self) -> bool:
+        """Return whether a listing that another gateway writes reaches this one."""
+        ages_ms = (
+            self._answer_age_ms(),
+            self._peers.store_answer_age_ms(tables.TableName.MEMBERS),
+        )
+        if any(age is not None and age < MAX_ANSWER_AGE_MS for age in ages_ms):
+            return True
+        live_count = 1 + len(self._peers.live_ips())
+        return 2 * live_count > self._peers.known_gateways()
+
+    async def _write_listing_if_due(
+        self, service: deployment.ServiceName, ready: set[servers.SoftwareVersion]
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        wanted = self._versions.listing_to_write(service, ready, now_ms)
+        if wanted is None:
+            self._due_ms_by_service.pop(service, None)
+            return
+        key = LISTING_PREFIX + service
+        is_first = self._peers.first_ranked(key, 1) == (self._peers.own_name,)
+        delay_ms = random.uniform(FALLBACK_DELAY_MS, 2 * FALLBACK_DELAY_MS)
+        due_ms = self._due_ms_by_service.setdefault(service, round(now_ms + delay_ms))
+        if not is_first and now_ms < due_ms:
+            return
+        expected = self._position_by_service.get(service, _NO_ROW)
+        result = await self._store.write(
+            tables.TableName.MEMBERS, key, encode_listing(wanted), expected
+        )
+        if result.is_applied:
+            self._apply_listing(wanted, result.position)
+        elif result.text:
+            # The change has not reached this gateway yet.
+            self._apply_listing(decode_listing(result.text), result.position)
+
+    def _apply_listing(
+        self, listing: stream_versions.Listing, position: store_rows.Position
+    ) -> None:
+        known = self._position_by_service.get(listing.service)
+        if known is not None and position <= known:
+            return
+        self._position_by_service[listing.service] = position
+        before = self._versions.listing_of(listing.service)
+        self._versions.apply_listing(listing, self._clock.now_ms())
+        if before != listing:
+            _LOG.info(
+                "software versions of a service",
+                service=listing.service,
+                listed=sorted(listing.listed),
+                announced=sorted(listing.announced),
+            )
+
+    async def _load(self) -> None:
+        """Read the records of the store, and the positions of their slots."""
+        rows = await self._store.read_all(tables.TableName.STREAMS)
+        now_ms = self._clock.now_ms()
+        count = 0
+        for row in rows.rows:
+            number = row.key.removeprefix(_SLOT_PREFIX)
+            if row.is_removed or not (number.isascii() and number.isdigit()):
+                continue
+            self._position_by_slot[int(number)] = row.position
+            try:
+                records = decode_records(row.text)
+            except RowError as error:
+                _LOG.error(
+                    "invalid row ignored",
+                    table="streams",
+                    key=row.key,
+                    error=str(error),
+                )
+                continue
+            self._versions.apply_records(records, now_ms, are_stored=True)
+            count += len(records)
+        self._versions.is_loaded = True
+        _LOG.info("stream records read", records=count)
+
+    async def _write_records(self) -> None:
+        """Write the records that the store lacks, if it is up to this gateway."""
+        now_ms = self._clock.now_ms()
+        is_writer = self._peers.first_ranked(_RANKING_KEY, 1) == (self._peers.own_name,)
+        max_age_ms = self._versions.retention_ms if is_writer else HANDOVER_MS
+        records = self._versions.unstored(now_ms, max_age_ms)
+        if not is_writer:
+            self._slot = None
+            return
+        if not records:
+            return
+        slot = self._slot or await self._begin_slot()
+        slot.records += records
+        result = await self._store.write(
+            tables.TableName.STREAMS,
+            f"{_SLOT_PREFIX}{slot.number}",
+            encode_records(slot.records),
+            slot.position,
+        )
+        self._position_by_slot[slot.number] = result.position
+        if not result.is_applied:
+            # Another gateway writes, too; its slot is left to it.
+            self._slot = None
+            return
+        self._versions.mark_stored(records)
+        slot.position = result.position
+        is_full = len(slot.records) >= MAX_SLOT_RECORDS
+        if is_full or self._clock.now_ms() - slot.since_ms >= SLOT_MS:
+            slot = self._make_slot((slot.number + 1) % SLOT_COUNT)
+        self._slot = slot
+
+    async def _begin_slot(self) -> _Slot:
+        """Return the slot after the one that was written last, by any gateway."""
+        await self._load()
+        last = max(
+            self._position_by_slot.items(),
+            key=lambda item: (item[1], item[0]),
+            default=(-1, _NO_ROW),
+        )[0]
+        return self._make_slot((last + 1) % SLOT_COUNT)
+
+    def _make_slot(self, number: int) -> _Slot:
+        position = self._position_by_slot.get(number, _NO_ROW)
+        return _Slot(number, position, self._clock.now_ms())
--- a/quincecrank/gateway/tables.py
+++ b/quincecrank/gateway/tables.py
@@ -12,6 +12,7 @@
     OPERATOR = "operator"
     SERVERS = "servers"
     MEMBERS = "members"
+    STREAMS = "streams"
 
 
 class TableSource(Protocol):
--- a/quincecrank/platform/gateway_tables.py
+++ b/quincecrank/platform/gateway_tables.py
@@ -10,6 +10,7 @@
     tables.TableName.OPERATOR: names.OPERATOR_TABLE,
     tables.TableName.SERVERS: names.SERVERS_TABLE,
     tables.TableName.MEMBERS: "gateways",
+    tables.TableName.STREAMS: "streams",
 }
 
 
--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,144 @@
+"""Records and listings of the software versions of streams."""
+
+import unittest
+from typing import Final
+
+from quincecrank import ids
+from quincecrank.gateway import peer_messages, servers, stream_versions
+from quincecrank.gateway import stream_version_exchange as exchange
+from tests import builders_gateway as builders
+
+V1: Final = servers.SoftwareVersion("v1")
+V2: Final = servers.SoftwareVersion("v2")
+ACCOUNT: Final = ids.AccountName("patan")
+KEY: Final = stream_versions.stream_key(ACCOUNT, ids.RequestId("q-1"))
+RECORD: Final = stream_versions.Record(builders.LLM, KEY, V1)
+
+
+def make_listing(*listed: servers.SoftwareVersion) -> stream_versions.Listing:
+    """Return a listing of the builder's service without announced versions."""
+    return stream_versions.Listing(builders.LLM, frozenset(listed))
+
+
+class StreamVersionsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.versions = stream_versions.StreamVersions()
+        self.versions.retention_ms = 20_000
+
+    def see(self, now_ms: int, *versions: servers.SoftwareVersion) -> None:
+        self.versions.observe_servers({builders.LLM: set(versions)}, now_ms)
+
+    def version_of(self) -> servers.SoftwareVersion | stream_versions.Resumption:
+        return self.versions.version_of(builders.LLM, KEY, set())
+
+    def write_due(
+        self, now_ms: int, *ready: servers.SoftwareVersion
+    ) -> stream_versions.Listing | None:
+        """Apply the listing that is to be written, as its writer does."""
+        listing = self.versions.listing_to_write(builders.LLM, set(ready), now_ms)
+        if listing is not None:
+            self.versions.apply_listing(listing, now_ms)
+        return listing
+
+    def test_a_new_version_is_announced_before_it_is_listed(self) -> None:
+        self.see(0, V1)
+        self.assertEqual(self.write_due(0, V1), make_listing(V1))
+        self.see(100, V1, V2)
+        announced = self.write_due(100, V1, V2)
+        assert announced is not None
+        self.assertEqual(announced.announced, {V2})
+        # No stream can have begun at it, so the other version is the only one.
+        self.assertEqual(self.version_of(), V1)
+        self.assertFalse(self.versions.may_begin(builders.LLM, V2, 100))
+        self.assertIsNone(self.write_due(900, V1, V2))
+        self.assertEqual(self.write_due(1_100, V1, V2), make_listing(V1, V2))
+        self.assertFalse(self.versions.may_begin(builders.LLM, V2, 1_100))
+        self.assertTrue(self.versions.may_begin(builders.LLM, V2, 1_400))
+        self.assertIs(self.version_of(), stream_versions.Resumption.UNKNOWN)
+
+    def test_a_version_is_listed_at_once_if_no_other_has_a_server(self) -> None:
+        self.versions.apply_listing(make_listing(V1), 0)
+        self.see(0, V2)
+        self.assertEqual(self.write_due(0, V2), make_listing(V1, V2))
+
+    def test_a_version_that_left_stays_listed_for_the_retention_time(self) -> None:
+        """A gateway that starts after it has left must not take the rest for sure."""
+        self.versions.apply_listing(make_listing(V1, V2), 0)
+        for now_ms in range(0, 20_000, 1_000):
+            self.see(now_ms, V2)
+            self.assertIsNone(self.write_due(now_ms, V2))
+        self.see(20_000, V2)
+        self.assertEqual(self.write_due(20_000, V2), make_listing(V2))
+        self.assertEqual(self.version_of(), V2)
+
+    def test_records_made_before_are_published_when_a_version_is_announced(
+        self,
+    ) -> None:
+        self.versions.apply_listing(make_listing(V1), 0)
+        self.versions.record_begin(RECORD, 0)
+        self.assertEqual(self.versions.to_publish(10), ())
+        listing = stream_versions.Listing(
+            builders.LLM, frozenset((V1,)), frozenset((V2,))
+        )
+        self.versions.apply_listing(listing, 5_000)
+        self.assertEqual(self.versions.to_publish(5_100), (RECORD,))
+        self.assertEqual(self.versions.unstored(5_100, 3_000), (RECORD,))
+        self.assertEqual(self.versions.to_publish(6_000), ())
+
+    def test_a_record_never_changes(self) -> None:
+        self.versions.record_begin(RECORD, 0)
+        other = stream_versions.Record(builders.LLM, KEY, V2)
+        self.versions.apply_records([other], 10)
+        self.assertEqual(self.version_of(), V1)
+
+    def test_a_restored_store_lacks_a_version_that_is_present(self) -> None:
+        """Streams may have begun at a version that an older listing does not have."""
+        self.versions.apply_listing(make_listing(V1, V2), 0)
+        self.see(100, V1, V2)
+        self.versions.apply_listing(make_listing(V1), 200)
+        self.assertIs(self.version_of(), stream_versions.Resumption.UNKNOWN)
+
+    def test_a_gateway_that_is_cut_off_resumes_only_what_it_knows(self) -> None:
+        self.versions.apply_listing(make_listing(V1), 0)
+        self.versions.is_current = False
+        self.assertIs(self.version_of(), stream_versions.Resumption.UNKNOWN)
+        self.versions.record_begin(RECORD, 0)
+        self.assertEqual(self.version_of(), V1)
+
+    def test_records_expire_after_their_last_use(self) -> None:
+        self.versions.record_begin(RECORD, 0)
+        self.versions.record_begin(RECORD, 15_000)
+        self.versions.expire(30_000)
+        self.assertEqual(self.versions.record_count, 1)
+        self.versions.expire(35_000)
+        self.assertEqual(self.versions.record_count, 0)
+
+    def test_keys_of_two_accounts_differ(self) -> None:
+        attempt = ids.RequestId("q-1")
+        other = stream_versions.stream_key(ids.AccountName("closed"), attempt)
+        self.assertNotEqual(KEY, other)
+        self.assertNotEqual(KEY, stream_versions.stream_key(None, attempt))
+
+
+class FormatTest(unittest.TestCase):
+    def test_rows_and_reports_keep_records_and_listings(self) -> None:
+        records = (RECORD, stream_versions.Record(builders.LLM, KEY, V2))
+        text = exchange.encode_records(records)
+        self.assertEqual(exchange.decode_records(text), records)
+        listing = stream_versions.Listing(
+            builders.LLM, frozenset((V1,)), frozenset((V2,))
+        )
+        row = exchange.encode_listing(listing)
+        self.assertEqual(exchange.decode_listing(row), listing)
+        report = peer_messages.Report(
+            ids.VmName("a"), False, (), {}, stream_records=records
+        )
+        self.assertEqual(peer_messages.decode(peer_messages.encode(report)), report)
+
+    def test_malformed_rows_are_refused(self) -> None:
+        for text in ("", "[]", '{"s": 1}', '{"s": {"v1": "AAA="}}', '{"s": {"v": 1}}'):
+            with self.subTest(text), self.assertRaises(exchange.RowError):
+                exchange.decode_records(text)
+        for text in ("", "[]", "{}", '{"service": 1, "listed": [], "announced": []}'):
+            with self.subTest(text), self.assertRaises(exchange.RowError):
+                exchange.decode_listing(text)
