--- a/tests/test_rate_limited_requests.py
+++ b/tests/test_rate_limited_requests.py
@@ -22,6 +22,7 @@
     rate_limits,
     send_permits,
     servers,
+    stream_versions,
 )
 from tests import builders_gateway as builders
 from tests import gateway_case as case
@@ -133,7 +134,7 @@
 
 
 class OtherReleasesTest(unittest.TestCase):
-    """Reports between this release and one without rate limits and crash findings."""
+    """Reports between this release and one without the fields added since."""
 
     schema: ClassVar[Any]
 
@@ -145,7 +146,7 @@
         earlier = "\n".join(
             line
             for line in lines.splitlines()
-            if not any(f"@{number} " in line for number in range(11, 16))
+            if not any(f"@{number} " in line for number in range(11, 17))
             and "permits @2" not in line
         )
         folder = cls.enterClassContext(tempfile.TemporaryDirectory())
@@ -171,6 +172,13 @@
                     crash_findings.Scope(builders.make_part_key("b")), 1, False, 0, 9
                 ),
             ),
+            stream_records=(
+                stream_versions.Record(
+                    builders.LLM,
+                    stream_versions.StreamKey(7),
+                    servers.SoftwareVersion("v1"),
+                ),
+            ),
         )
         encoded = peer_messages.encode(report)
         self.assertEqual(peer_messages.decode(encoded), report)
