--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -1037,6 +1037,9 @@
             target_ms=active.route.target_ms,
             idle_answer_ms=self._dispatcher.idle_answer_ms(active.service, prompt),
             earlier_first_attempt_ms=active.first_attempt_ms,
+            resume_by_ms=None
+            if active.software_version is None
+            else self._clock.now_ms() + request_queue.MAX_RESUMED_WAIT_MS,
         )
         return dispatcher.PlacementRequest(
             queued,
--- a/quincecrank/gateway/request_queue.py
+++ b/quincecrank/gateway/request_queue.py
@@ -9,7 +9,8 @@
 Rules
 -----
 order
-    Requests that can still be answered within their target go before late ones; then
+    Resumed streams go first, as their callers have a part of the answer already.  Then
+    requests that can still be answered within their target go before late ones; then
     lower urgency number, then earlier arrival.
 rejection
     A request is rejected as soon as it is not expected to start before
@@ -36,6 +37,9 @@
 """Fraction of the time between arrival and deadline that a request may wait; the rest
 is for running it."""
 
+MAX_RESUMED_WAIT_MS: Final = 1_500
+"""Longest wait of a resumed stream: callers disconnect two seconds after an event."""
+
 LATE_PAUSE_MS: Final = 1_000
 """Time for which late requests are not started after one that can be on time could not
 be started on arrival: two to three times the target of model requests."""
@@ -81,6 +85,9 @@
         of its size class are underserved.
     earlier_first_attempt_ms : int or None
         Time of the first attempt, which may be this one; None stands for `arrived_ms`.
+    resume_by_ms : int or None
+        Time by which a resumed stream must go on; it counts as on time.  None for
+        other requests.
     """
 
     request_id: ids.RequestId
@@ -91,10 +98,18 @@
     idle_answer_ms: float = 0.0
     is_underserved: bool = False
     earlier_first_attempt_ms: int | None = None
+    resume_by_ms: int | None = None
+
+    @property
+    def is_resumed(self) -> bool:
+        """Whether it resumes a stream."""
+        return self.resume_by_ms is not None
 
     @property
     def latest_start_ms(self) -> float:
         """Time from which the request is not started any more."""
+        if self.resume_by_ms is not None:
+            return min(self.resume_by_ms, self.deadline_ms)
         allowed_ms = self.deadline_ms - self.arrived_ms
         return self.arrived_ms + allowed_ms * MAX_WAIT_FRACTION
 
@@ -115,9 +130,11 @@
     def timeliness(self, now_ms: float) -> Timeliness:
         """Return whether the request is on time if it starts at `now_ms`.
 
-        Underserved requests are treated as on time.
+        Underserved requests and resumed streams are treated as on time.
         """
-        if self.is_underserved or now_ms + self.idle_answer_ms <= self.on_time_until_ms:
+        if self.is_underserved or self.is_resumed:
+            return Timeliness.ON_TIME
+        if now_ms + self.idle_answer_ms <= self.on_time_until_ms:
             return Timeliness.ON_TIME
         return Timeliness.LATE
 
@@ -249,6 +266,8 @@
     def _accepts(
         self, request: QueuedRequest, now_ms: int, starts: _StartCounts
     ) -> bool:
+        if request.is_resumed:
+            return now_ms < request.latest_start_ms
         start_ms = now_ms + self._expected_wait_ms(request, now_ms, starts)
         if start_ms >= request.latest_start_ms:
             return False
@@ -314,5 +333,10 @@
     return QueueClass(request.timeliness(now_ms), request.urgency)
 
 
-def _rank(request: QueuedRequest, now_ms: int) -> tuple[Timeliness, int, int]:
-    return request.timeliness(now_ms), request.urgency, request.arrived_ms
+def _rank(request: QueuedRequest, now_ms: int) -> tuple[bool, Timeliness, int, int]:
+    return (
+        not request.is_resumed,
+        request.timeliness(now_ms),
+        request.urgency,
+        request.arrived_ms,
+    )
