--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -237,7 +237,8 @@
         if account is None and current.requires_keys and not route.is_public:
             self._send_own_answer(answer, caller_headers.request_id, 401, "unknown key")
             return None
-        service = self._draw_service(current, route)
+        stream = _stream_key(route, caller_headers, account)
+        service = self._draw_service(current, route, stream)
         if service is None:
             self._send_own_answer(
                 answer, caller_headers.request_id, 503, "no service", NOT_READY_RETRY_MS
@@ -266,7 +267,7 @@
             ),
             key=key,
             first_attempt_ms=first_attempt_ms,
-            stream=_stream_key(route, caller_headers, account),
+            stream=stream,
         )
 
     async def _serve(self, active: active_requests.ActiveRequest) -> None:
@@ -1056,11 +1057,17 @@
         self,
         current: deployment.Deployment,
         route: deployment.Route,
+        stream: stream_versions.StreamKey | None,
     ) -> deployment.Service | None:
         """Return a service drawn by the weights of the route's targets.
 
+        A resumed stream stays at its service while that is a target of the route.
         None if no target has a weight, or if the configuration lacks the service.
         """
+        for target in route.targets:
+            has_record = self._fleet.stream_versions.has_record(target.service, stream)
+            if has_record and target.weight > 0:
+                return current.services_by_name.get(target.service)
         weights = [target.weight for target in route.targets]
         if not any(weight > 0 for weight in weights):
             return None
--- a/quincecrank/gateway/stream_versions.py
+++ b/quincecrank/gateway/stream_versions.py
@@ -369,6 +369,12 @@
             return next(iter(possible))
         return Resumption.UNKNOWN if self.is_loaded else Resumption.NOT_LOADED
 
+    def has_record(
+        self, service: deployment.ServiceName, key: StreamKey | None
+    ) -> bool:
+        """Return whether a stream is known to have begun at a service."""
+        return key is not None and (service, key) in self._record_by_name
+
     def record_begin(self, record: Record, now_ms: int) -> None:
         """Record that a stream has begun, or goes on, at this gateway."""
         known = self._add(record, now_ms)
