--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -299,7 +299,7 @@
             if each.service == service
         }
         version = self._fleet.stream_versions.version_of(
-            service, active.stream, present
+            service, active.stream, present, self._clock.now_ms()
         )
         is_unknown = isinstance(version, stream_versions.Resumption)
         _LOG.info(
--- a/quincecrank/gateway/stream_version_exchange.py
+++ b/quincecrank/gateway/stream_version_exchange.py
@@ -46,9 +46,13 @@
 """Time for which gateways keep the records that another one should have written: it is
 missed by its peers after `peers.PEER_SILENCE_LIMIT_MS`."""
 
-MAX_ANSWER_AGE_MS: Final = 6_000
-"""Age of the store's last answer up to which listings count as current; a waiting call
-for changes is answered within four seconds."""
+MAX_ANSWER_AGE_MS: Final = 1_600
+"""Age of the store's last answer up to which listings count as current: less than the
+time in which a new version gets no streams."""
+
+MAX_OUTAGE_MS: Final = 6_000
+"""Age of the store's last answer up to which they count as current if this gateway
+hears most of the others."""
 
 SLOT_COUNT: Final = 32
 MAX_SLOT_RECORDS: Final = 2_000
@@ -153,8 +157,8 @@
     peer_directory : PeerDirectory
         The other gateways.
     answer_age_ms : callable
-        Returns the age of the store's last answer for the members table in ms; None
-        without any.
+        Returns the age of the store's last answer for the servers table in ms, which
+        changes all the time; None without any.
     """
 
     def __init__(
@@ -177,6 +181,7 @@
         self._due_ms_by_service: dict[deployment.ServiceName, int] = {}
         self._position_by_slot: dict[int, store_rows.Position] = {}
         self._slot: _Slot | None = None
+        self._started_ms = clock.now_ms()
         self._versions.has_listings = False
         self._versions.is_loaded = False
 
@@ -235,6 +240,8 @@
         ready_by_service = self._observe_servers(now_ms)
         self._versions.expire(now_ms)
         self._versions.is_current = self._is_current()
+        if self._has_run_long():
+            self._versions.is_store_restored = False
         if not self._versions.has_listings:
             return
         for service, ready in ready_by_service.items():
@@ -244,6 +251,11 @@
                 await self._load()
             await self._write_records()
 
+    def _has_run_long(self) -> bool:
+        """Return whether streams of earlier processes can't be resumed any more."""
+        now_ms = self._clock.now_ms()
+        return now_ms - self._started_ms >= self._versions.retention_ms
+
     def _update_retention(self) -> None:
         current = self._fleet.configuration
         if current is None:
@@ -294,12 +306,16 @@
         """Return whether a listing that another gateway writes reaches this one."""
         ages_ms = (
             self._answer_age_ms(),
-            self._peers.store_answer_age_ms(tables.TableName.MEMBERS),
+            self._peers.store_answer_age_ms(tables.TableName.SERVERS),
         )
-        if any(age is not None and age < MAX_ANSWER_AGE_MS for age in ages_ms):
+        age_ms = min((age for age in ages_ms if age is not None), default=None)
+        if age_ms is None:
+            return False
+        if age_ms < MAX_ANSWER_AGE_MS:
             return True
         live_count = 1 + len(self._peers.live_ips())
-        return 2 * live_count > self._peers.known_gateways()
+        hears_most = 2 * live_count > self._peers.known_gateways()
+        return hears_most and age_ms < MAX_OUTAGE_MS
 
     async def _write_listing_if_due(
         self, service: deployment.ServiceName, ready: set[servers.SoftwareVersion]
@@ -332,6 +348,8 @@
         if known is not None and position <= known:
             return
         self._position_by_service[listing.service] = position
+        if position.era > store_rows.FIRST_ERA and not self._has_run_long():
+            self._versions.is_store_restored = True
         before = self._versions.listing_of(listing.service)
         self._versions.apply_listing(listing, self._clock.now_ms())
         if before != listing:
--- a/quincecrank/gateway/stream_versions.py
+++ b/quincecrank/gateway/stream_versions.py
@@ -24,7 +24,7 @@
 -----
 Invariant: a resumed stream is sent only to servers of its record's version or, without
 a record, of the only version at which streams can have begun: the one listed version of
-a single service, of which no other version was present within the retention time.  A
+a single service, while listings reach the gateway in time.  A
 stream begins only at a listed version.  So a stream without a record is resumed only
 while every stream of the service has the same version.
 
@@ -47,9 +47,9 @@
 
 KEY_BYTES: Final = 8
 
-ANNOUNCEMENT_MS: Final = 1_000
+ANNOUNCEMENT_MS: Final = 1_500
 """Time from the announcement of a version to its listing: several reports of each
-gateway and several writes of records."""
+gateway and several writes of records.  A gateway that is cut off notices within it."""
 
 BEGIN_DELAY_MS: Final = 300
 """Time after the listing of a version before a gateway begins streams at it, so that
@@ -214,7 +214,10 @@
     is_loaded : bool
         Whether the records of the store were read since the start.
     is_current : bool
-        Whether listings of other gateways reach this one.
+        Whether listings that other gateways write reach this one in time.
+    is_store_restored : bool
+        Whether the listings may be older than streams of earlier processes, as the
+        store was restored from a snapshot.
     """
 
     def __init__(self) -> None:
@@ -222,6 +225,7 @@
         self.has_listings = True
         self.is_loaded = True
         self.is_current = True
+        self.is_store_restored = False
         self._service_by_name: collections.defaultdict[
             deployment.ServiceName, _Service
         ] = collections.defaultdict(_Service)
@@ -345,6 +349,7 @@
         service: deployment.ServiceName,
         key: StreamKey | None,
         present: Set[servers.SoftwareVersion],
+        now_ms: int,
     ) -> servers.SoftwareVersion | Resumption:
         """Return the version at which a stream began, or why it is not known.
 
@@ -363,11 +368,18 @@
             return Resumption.NOT_LOADED
         state = self._service_by_name[service]
         possible = _possible_versions(state)
-        if state.listing is None:
+        if state.listing is None or self.is_store_restored:
             possible |= present
-        if len(possible) == 1 and (self.is_current or state.listing is None):
-            return next(iter(possible))
-        return Resumption.UNKNOWN if self.is_loaded else Resumption.NOT_LOADED
+        possible |= {
+            version
+            for version, since_ms in state.announced_ms_by_version.items()
+            if now_ms - since_ms >= ANNOUNCEMENT_MS
+        }
+        if len(possible) > 1:
+            return Resumption.UNKNOWN if self.is_loaded else Resumption.NOT_LOADED
+        if not possible or not (self.is_current or state.listing is None):
+            return Resumption.NOT_LOADED
+        return next(iter(possible))
 
     def has_record(
         self, service: deployment.ServiceName, key: StreamKey | None
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -28,8 +28,10 @@
     def see(self, now_ms: int, *versions: servers.SoftwareVersion) -> None:
         self.versions.observe_servers({builders.LLM: set(versions)}, now_ms)
 
-    def version_of(self) -> servers.SoftwareVersion | stream_versions.Resumption:
-        return self.versions.version_of(builders.LLM, KEY, set())
+    def version_of(
+        self, now_ms: int = 0, *present: servers.SoftwareVersion
+    ) -> servers.SoftwareVersion | stream_versions.Resumption:
+        return self.versions.version_of(builders.LLM, KEY, set(present), now_ms)
 
     def write_due(
         self, now_ms: int, *ready: servers.SoftwareVersion
@@ -50,10 +52,10 @@
         # No stream can have begun at it, so the other version is the only one.
         self.assertEqual(self.version_of(), V1)
         self.assertFalse(self.versions.may_begin(builders.LLM, V2, 100))
-        self.assertIsNone(self.write_due(900, V1, V2))
-        self.assertEqual(self.write_due(1_100, V1, V2), make_listing(V1, V2))
-        self.assertFalse(self.versions.may_begin(builders.LLM, V2, 1_100))
-        self.assertTrue(self.versions.may_begin(builders.LLM, V2, 1_400))
+        self.assertIsNone(self.write_due(1_500, V1, V2))
+        self.assertEqual(self.write_due(1_600, V1, V2), make_listing(V1, V2))
+        self.assertFalse(self.versions.may_begin(builders.LLM, V2, 1_600))
+        self.assertTrue(self.versions.may_begin(builders.LLM, V2, 1_900))
         self.assertIs(self.version_of(), stream_versions.Resumption.UNKNOWN)
 
     def test_a_version_is_listed_at_once_if_no_other_has_a_server(self) -> None:
@@ -101,10 +103,26 @@
     def test_a_gateway_that_is_cut_off_resumes_only_what_it_knows(self) -> None:
         self.versions.apply_listing(make_listing(V1), 0)
         self.versions.is_current = False
-        self.assertIs(self.version_of(), stream_versions.Resumption.UNKNOWN)
+        self.assertIs(self.version_of(), stream_versions.Resumption.NOT_LOADED)
         self.versions.record_begin(RECORD, 0)
         self.assertEqual(self.version_of(), V1)
 
+    def test_an_announcement_that_others_may_have_followed_by_a_listing(self) -> None:
+        """A gateway that is cut off then resumed streams at the version before."""
+        listing = stream_versions.Listing(
+            builders.LLM, frozenset((V1,)), frozenset((V2,))
+        )
+        self.versions.apply_listing(listing, 0)
+        self.assertEqual(self.version_of(1_400), V1)
+        self.assertIs(self.version_of(1_500), stream_versions.Resumption.UNKNOWN)
+
+    def test_a_listing_older_than_the_streams_of_earlier_processes(self) -> None:
+        """A store that was restored has a listing without the present version."""
+        self.versions.apply_listing(make_listing(V1), 0)
+        self.versions.is_store_restored = True
+        self.assertEqual(self.version_of(0, V1), V1)
+        self.assertIs(self.version_of(0, V1, V2), stream_versions.Resumption.UNKNOWN)
+
     def test_records_expire_after_their_last_use(self) -> None:
         self.versions.record_begin(RECORD, 0)
         self.versions.record_begin(RECORD, 15_000)
