--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -970,9 +970,12 @@
     ) -> None:
         """End a request that no server answered with success.
 
-        A begun answer is aborted.  Else the caller gets the last server's error answer
-        if there is one, or an answer of this gateway.
+        Nothing is done for an answer that has ended.  A begun answer is aborted.  Else
+        the caller gets the last server's error answer if there is one, or an answer of
+        this gateway.
         """
+        if active.answer.has_ended:
+            return
         self._log_end(active, reason)
         if active.key is not None:
             now_ms = self._clock.now_ms()
