--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -29,6 +29,9 @@
 idle time that a configuration guarantees to callers, as the listener starts before a
 configuration is known."""
 
+SEND_CHECK_S: Final = 0.02
+"""Interval of the checks whether an answer is sent."""
+
 BODY_TIMEOUT_S: Final = 60.0
 """Limit of the time to read a request's body."""
 
@@ -110,6 +113,12 @@
         """End the answer as complete."""
         self._finish()
 
+    async def wait_sent(self) -> None:
+        """Wait until the written bytes are sent or the connection is closed."""
+        stream = self._connection.stream
+        while stream is not None and not stream.closed() and stream.writing():
+            await asyncio.sleep(SEND_CHECK_S)
+
     def abort(self) -> None:
         """Close the connection, so that the caller sees the answer as incomplete."""
         self.has_ended = True
@@ -300,6 +309,7 @@
     async def _serve(self, request: CallerRequest, answer: CallerAnswer) -> None:
         try:
             await self._state.handler(request, answer)
+            await answer.wait_sent()
         finally:
             self._open.discard(self)
             if not answer.has_ended:
