--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -438,6 +438,11 @@
             rejection = self._reject(request, "no backend server", NO_SERVER_RETRY_MS)
             self._resolve(queued.request_id, rejection)
 
+    def reject_all_queued(self, reason: str, retry_after_ms: int) -> None:
+        """Reject the queued requests of all services."""
+        for request_id in tuple(self._placement_request_by_id):
+            self.reject_queued(request_id, reason, retry_after_ms)
+
     def reject_queued(
         self, request_id: ids.RequestId, reason: str, retry_after_ms: int
     ) -> None:
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -251,7 +251,8 @@
         self._permits.is_leaving = True
         self._listener.state.is_leaving = True
         _LOG.info("leaving", open_requests=self._listener.open_requests)
-        grace_ms = self._own_settings.bounds.shutdown_grace_ms * SHUTDOWN_FRACTION
+        bounds = self._fleet.own_settings.bounds
+        grace_ms = bounds.shutdown_grace_ms * SHUTDOWN_FRACTION
         await self._clock.sleep(ACCEPT_MS)
         self._fleet.is_shutting_down = True
         self._listener.close_idle()
@@ -259,6 +260,8 @@
             if self._clock.now_ms() - began_ms > grace_ms:
                 break
             await self._clock.sleep(LEAVING_CHECK_MS)
+        self._dispatcher.reject_all_queued("leaving", forwarding.LEAVING_RETRY_MS)
+        await self._clock.sleep(LEAVING_CHECK_MS)
         _LOG.info("ended", open_requests=self._listener.open_requests)
         self._tasks.cancel()
 
