--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -628,7 +628,12 @@
         try:
             return await pool.connect(server, min(CONNECT_TIMEOUT_MS, remaining_ms))
         except (OSError, TimeoutError) as error:
-            self._fleet.health.health_of(server).mark_unreachable(self._clock.now_ms())
+            if not isinstance(error, TimeoutError) or (
+                remaining_ms >= CONNECT_TIMEOUT_MS
+            ):
+                self._fleet.health.health_of(server).mark_unreachable(
+                    self._clock.now_ms()
+                )
             _LOG.warning(
                 "server unreachable",
                 request=active.caller_headers.request_id,
