--- a/quincecrank/breaker.py
+++ b/quincecrank/breaker.py
@@ -57,6 +57,10 @@
         sent_ms = self._probe_sent_ms
         return sent_ms is None or now_ms - sent_ms >= PROBE_TIMEOUT_MS
 
+    def cancel_probe(self) -> None:
+        """Allow another probe: the last one was withdrawn before its outcome."""
+        self._probe_sent_ms = None
+
     def record_send(self, now_ms: int) -> None:
         """Record that a request was sent; at a half-open breaker it is the probe."""
         if self.state(now_ms) is BreakerState.HALF_OPEN:
--- a/quincecrank/gateway/answer_sink.py
+++ b/quincecrank/gateway/answer_sink.py
@@ -1,12 +1,17 @@
 """Passes the answer of a backend server on to the caller."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from tornado import httputil
 
 from quincecrank import clock as clocks
-from quincecrank.gateway import active_requests, crash_suspicions, server_links
+from quincecrank.gateway import (
+    active_requests,
+    crash_suspicions,
+    event_stream,
+    server_links,
+)
 from quincecrank.platform import answers
 
 MAX_BUFFERED_BYTES: Final = 1024 * 1024
@@ -20,8 +25,10 @@
     Parameters
     ----------
     on_head : callable
-        Called with the parsed status and headers when they have arrived; returns
-        whether the answer may be passed on.
+        Called with the parsed status and headers when they have arrived.
+    take_over : callable
+        Called before the first event, or at the head of another successful answer;
+        returns whether the answer is the one to pass on.
     on_first_part : callable
         Called when the first part of the body has arrived.
     on_events : callable
@@ -46,6 +53,10 @@
         Whether the rest of the answer is discarded.
     first_part_ms : int or None
         Time at which the first part of the body arrived.
+    progress_count : int
+        Number of successful heads, parts of bodies and groups of events so far.
+    is_writing : bool
+        Whether the caller has yet to take what was passed on.
     progress_ms : int
         Time of the last progress for the caller: a head, a part of the body, or in a
         stream a complete event.
@@ -55,13 +66,19 @@
         self,
         active: active_requests.ActiveRequest,
         clock: clocks.Clock,
-        on_head: Callable[[answers.AnswerHead], bool],
+        on_head: Callable[[answers.AnswerHead], None],
+        take_over: Callable[[], Awaitable[bool]],
         on_first_part: Callable[[], None],
         on_events: Callable[[], None],
         on_established: Callable[[], None],
     ) -> None:
         self._active = active
         self._on_head = on_head
+        self._take_over = take_over
+        self._has_taken_over = False
+        self._held = b""
+        self.progress_count = 0
+        self.is_writing = False
         self._on_first_part = on_first_part
         self._on_events = on_events
         self._on_established = on_established
@@ -97,10 +114,8 @@
     async def handle_head(self, status: int, headers: httputil.HTTPHeaders) -> None:
         """Handle the status and headers."""
         self.head = answers.decode(status, headers)
-        if not self._on_head(self.head):
-            self.stop()
+        self._on_head(self.head)
         self.buffer = active_requests.AnswerBuffer(status, headers)
-        self.progress_ms = self._clock.now_ms()
         self.is_unframed = server_links.is_unframed(headers)
         self.is_streaming = (
             self._active.route.is_stream
@@ -108,6 +123,23 @@
             and self.head.is_sealed
             and not self.head.is_encoded
         )
+        if not self.head.is_success or not self.head.is_sealed or self.head.is_encoded:
+            return
+        if not self.is_streaming:
+            await self._takes_over()
+        self._record_progress()
+
+    def _record_progress(self) -> None:
+        self.progress_ms = self._clock.now_ms()
+        self.progress_count += 1
+
+    async def _takes_over(self) -> bool:
+        """Return whether this answer is the one to pass on; stop it if it is not."""
+        if not self._has_taken_over:
+            self._has_taken_over = True
+            if not await self._take_over():
+                self.stop()
+        return not self.is_stopped
 
     async def handle_body(self, chunk: bytes) -> None:
         """Handle a part of the body.
@@ -129,13 +161,25 @@
         elif not self.is_established:
             self._check_established(self.first_part_ms)
         if self.is_streaming:
+            if not self._has_taken_over:
+                # Until its first event another server may go on instead.
+                self._held += chunk
+                if len(self._held) > event_stream.MAX_EVENT_BYTES:
+                    raise server_links.AnswerLimitError("event exceeds the size limit")
+                if event_stream.EVENT_END not in self._held:
+                    return
+                if not await self._takes_over():
+                    return
+                chunk, self._held = self._held, b""
             events = self._active.event_splitter.feed(chunk)
             if events:
-                self.progress_ms = self._clock.now_ms()
+                self._record_progress()
                 self._on_events()
                 await self._pass_on(events)
+                self.progress_ms = self._clock.now_ms()
             return
-        self.progress_ms = self._clock.now_ms()
+        if self.head is not None and self.head.is_success:
+            self._record_progress()
         await self._add_to_buffer(chunk)
 
     async def handle_end(self) -> bool:
@@ -143,11 +187,15 @@
 
         Finishes the caller's answer if it was passed on.
         """
+        if self.is_stopped:
+            return False
         if self._is_passed_on:
             self._active.answer.finish()
             return True
         if not self.is_streaming:
             return True
+        if not await self._takes_over() or self._held:
+            return False
         if self._active.event_splitter.has_partial_event:
             return False
         if not self._active.answer.has_begun:
@@ -186,4 +234,8 @@
             headers = answers.returned_headers(self.buffer.headers)
             answer.begin(self.buffer.status, headers)
         if events:
-            await answer.write(events)
+            self.is_writing = True
+            try:
+                await answer.write(events)
+            finally:
+                self.is_writing = False
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -185,7 +185,13 @@
         return result
 
     def place_now(self, request: PlacementRequest) -> Placement | None:
-        """Return a backend server that has capacity now; None if there is none."""
+        """Return a backend server that has capacity now; None if there is none.
+
+        None also while other requests go before it.
+        """
+        queue = self._queue_by_service[request.service.name]
+        if queue.expected_wait_ms(request.queued, self._fleet.clock.now_ms()):
+            return None
         return self._try_place(request)
 
     def give_back(self, placed: Placement) -> None:
--- a/quincecrank/gateway/event_stream.py
+++ b/quincecrank/gateway/event_stream.py
@@ -12,7 +12,7 @@
 MAX_EVENT_BYTES: Final = 256 * 1024
 """Longest event: many times the size of all tokens of an answer."""
 
-_EVENT_END: Final = b"\n\n"
+EVENT_END: Final = b"\n\n"
 _ID_FIELD: Final = b"id:"
 
 
@@ -49,8 +49,8 @@
             If the first event of another attempt is not the one after the last event.
         """
         received = self._partial + chunk
-        end = received.rfind(_EVENT_END)
-        end = 0 if end < 0 else end + len(_EVENT_END)
+        end = received.rfind(EVENT_END)
+        end = 0 if end < 0 else end + len(EVENT_END)
         complete, self._partial = received[:end], received[end:]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise server_links.AnswerLimitError("event exceeds the size limit")
@@ -83,7 +83,7 @@
         self._is_resuming = False
 
     def _record(self, complete: bytes) -> None:
-        for event in complete.split(_EVENT_END):
+        for event in complete.split(EVENT_END):
             if not event.strip():
                 continue
             self.event_count += 1
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -13,7 +13,7 @@
 import hashlib
 import random
 from collections.abc import Awaitable, Callable
-from typing import Final
+from typing import Any, Final
 
 from quincecrank import clock as clocks
 from quincecrank import crash_counts, ids
@@ -106,10 +106,14 @@
     predecessor : _Exchange or None
         Exchange with a silent server that ends once this one succeeds; None for the
         exchange whose answer is passed on.
+    predecessor_progress : int
+        `progress_count` of the silent server's answer when this one was sent.
     is_superseded : bool
         Whether another exchange goes on in its place.
     was_abandoned : bool
         Whether its link was closed for that before it had ended.
+    concluded : Event
+        Set once it has ended without an answer, so that a successor may go on.
     """
 
     placement: dispatcher.Placement
@@ -119,18 +123,42 @@
     sent_ms: int
     resume_after: str | None
     predecessor: "_Exchange | None" = None
+    predecessor_progress: int = 0
     is_superseded: bool = False
     was_abandoned: bool = False
+    concluded: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
     @property
-    def has_completed(self) -> bool:
-        """Whether the complete answer has arrived."""
-        return (
-            self.running.done()
-            and not self.running.cancelled()
-            and self.running.exception() is None
-            and self.running.result() is server_links.ExchangeOutcome.COMPLETE
-        )
+    def has_gone_on(self) -> bool:
+        """Whether the silent server has made progress since this exchange began."""
+        assert self.predecessor is not None
+        return self.predecessor.sink.progress_count != self.predecessor_progress
+
+
+@dataclasses.dataclass(slots=True)
+class _Succession:
+    """What another server does for a request while the one that has it is silent.
+
+    Attributes
+    ----------
+    opening : Task or None
+        Sends the request to another server; its result is None if there is none.
+    exchange : _Exchange or None
+        Exchange with that server.
+    """
+
+    opening: "asyncio.Task[_Exchange | None] | None" = None
+    exchange: _Exchange | None = None
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether the request is at one server only."""
+        return self.opening is None and self.exchange is None
+
+    @property
+    def waits_for(self) -> "asyncio.Future[Any] | None":
+        """What ends next, if anything is under way."""
+        return self.exchange.running if self.exchange is not None else self.opening
 
 
 class Forwarder:
@@ -392,12 +420,18 @@
         exchange = await self._begin_exchange(active, placement)
         while exchange is not None:
             outcome, successor = await self._run_exchange(active, exchange)
-            is_done = await self._conclude(active, exchange, outcome)
-            # The other server may have given a final answer.
-            is_done = is_done or active.answer.has_ended
-            if successor is not None and (is_done or successor.sink.is_stopped):
-                await self._end_exchange(active, successor)
-                successor = None
+            is_done = True
+            try:
+                is_done = await self._conclude(active, exchange, outcome)
+                # The other server may have given a final answer.
+                is_done = is_done or active.answer.has_ended
+            finally:
+                if successor is not None and (is_done or successor.sink.is_stopped):
+                    await self._withdraw(active, successor)
+                    successor = None
+            if successor is not None:
+                successor.predecessor = None
+                exchange.concluded.set()
             if is_done:
                 return True
             exchange = successor
@@ -424,6 +458,7 @@
             if predecessor is not None and not self._may_follow(active, predecessor):
                 self._fleet.links.release(placement.server, link)
                 self._dispatcher.give_back(placement)
+                active.tried_servers.discard(placement.server.server_id)
                 return None
             exchange = self._send(active, placement, link, predecessor)
             return exchange
@@ -480,14 +515,17 @@
             self._retry_budget(active.service.name).record_first_send(now_ms)
         active.sends += 1
 
-        def handle_head(head: answers.AnswerHead) -> bool:
+        def handle_head(head: answers.AnswerHead) -> None:
             self._record_head(active, server, head, now_ms)
-            return self._supersede(active, exchange, head)
+
+        async def take_over() -> bool:
+            return await self._supersede(active, exchange)
 
         sink = answer_sink.AnswerSink(
             active,
             self._clock,
             handle_head,
+            take_over,
             lambda: self._fleet.loads.record_prefill_end(
                 server.server_id, active.caller_headers.request_id
             ),
@@ -504,30 +542,26 @@
             now_ms,
             active.event_splitter.last_id,
             predecessor,
+            0 if predecessor is None else predecessor.sink.progress_count,
         )
         return exchange
 
-    def _supersede(
-        self,
-        active: active_requests.ActiveRequest,
-        exchange: _Exchange,
-        head: answers.AnswerHead,
+    async def _supersede(
+        self, active: active_requests.ActiveRequest, exchange: _Exchange
     ) -> bool:
-        """End the exchange with the silent server if the next one has succeeded.
+        """End the exchange with the silent server: the next one has made progress.
 
-        Returns whether the answer with this head is the one to pass on.
+        Returns whether the answer of the next one is the one to pass on.
         """
         predecessor = exchange.predecessor
+        if predecessor is not None and predecessor.running.done():
+            # Whether it has ended well decides.
+            await predecessor.concluded.wait()
+            predecessor = exchange.predecessor
         if predecessor is None:
             return True
-        if not head.is_success or not head.is_sealed or head.is_encoded:
-            return True  # Nothing of it is passed on.
-        if (
-            predecessor.has_completed
-            or predecessor.sink.progress_ms > exchange.sent_ms
-            or active.event_splitter.last_id != exchange.resume_after
-        ):
-            return False  # The silent server has gone on meanwhile.
+        if exchange.has_gone_on:
+            return False
         exchange.predecessor = None
         predecessor.is_superseded = True
         predecessor.sink.stop()
@@ -548,10 +582,10 @@
         self, active: active_requests.ActiveRequest, placement: dispatcher.Placement
     ) -> None:
         """Release the capacity that a request had at a server."""
-        self._fleet.loads.record_end(
-            placement.server.server_id, active.caller_headers.request_id
-        )
         try:
+            self._fleet.loads.record_end(
+                placement.server.server_id, active.caller_headers.request_id
+            )
             self._dispatcher.start_queued(active.service.name)
         except Exception:
             # This request must not fail because of those that wait behind it.
@@ -693,54 +727,96 @@
         the request is sent to another one if one has capacity and a retry is allowed;
         the first of both that makes progress is kept.
         """
-        successor: _Exchange | None = None
+        succession = _Succession()
         is_kept = False
         try:
             while not exchange.running.done() and not exchange.is_superseded:
-                now_ms = self._clock.now_ms()
-                if now_ms >= active.deadline_ms:
+                if self._clock.now_ms() >= active.deadline_ms:
                     break
-                if successor is None and self._is_silent(active, exchange.sink, now_ms):
-                    successor = await self._send_to_another(active, exchange)
-                await self._wait_for_progress(active, exchange, successor)
-                if successor is None or exchange.is_superseded:
-                    continue
-                if exchange.sink.progress_ms > successor.sent_ms:
-                    _LOG.info(
-                        "silent server went on",
-                        request=active.caller_headers.request_id,
-                        server=exchange.placement.server.server_id,
-                    )
-                    await self._end_exchange(active, successor)
-                    successor = None
-                elif successor.running.done() and not exchange.running.done():
-                    await self._end_exchange(active, successor)
-                    failed, successor = successor, None
-                    if await self._conclude(active, failed, failed.running.result()):
-                        break
-            if successor is not None:
-                successor.predecessor = None
-            is_kept = True
+                if active.answer.has_ended:
+                    break  # The other server has given a final answer.
+                await self._watch(active, exchange, succession)
+            outcome = server_links.ExchangeOutcome.ABANDONED
             if exchange.running.done() and not exchange.was_abandoned:
-                return exchange.running.result(), successor
-            return server_links.ExchangeOutcome.ABANDONED, successor
+                outcome = exchange.running.result()
+            is_kept = succession.opening is None
+            return outcome, succession.exchange if is_kept else None
         finally:
-            await self._end_exchange(active, exchange)
-            if successor is not None and not is_kept:
-                await self._end_exchange(active, successor)
+            try:
+                await self._end_exchange(active, exchange)
+            finally:
+                if not is_kept:
+                    await self._end_succession(active, succession)
+
+    async def _watch(
+        self,
+        active: active_requests.ActiveRequest,
+        exchange: _Exchange,
+        succession: _Succession,
+    ) -> None:
+        """Wait for progress; send the request to another server if there is none."""
+        now_ms = self._clock.now_ms()
+        if succession.is_empty and self._is_silent(active, exchange.sink, now_ms):
+            succession.opening = asyncio.ensure_future(
+                self._send_to_another(active, exchange)
+            )
+        await self._wait_for_progress(active, exchange, succession.waits_for)
+        opening = succession.opening
+        if opening is not None:
+            if opening.done():
+                succession.opening, succession.exchange = None, opening.result()
+                if succession.is_empty:
+                    await self._wait_for_progress(active, exchange, None)
+            return
+        successor = succession.exchange
+        if successor is None or exchange.is_superseded:
+            return
+        if successor.has_gone_on:
+            _LOG.info(
+                "silent server went on",
+                request=active.caller_headers.request_id,
+                server=exchange.placement.server.server_id,
+            )
+            await self._withdraw(active, successor)
+            succession.exchange = None
+        elif successor.running.done() and not exchange.running.done():
+            await self._end_exchange(active, successor)
+            succession.exchange = None
+            await self._conclude_successor(active, successor)
+
+    async def _withdraw(
+        self, active: active_requests.ActiveRequest, exchange: _Exchange
+    ) -> None:
+        """End an exchange that is not needed any more; it may have run the request."""
+        active.may_have_run = True
+        server = exchange.placement.server
+        self._fleet.health.health_of(server).record_withdrawal()
+        await self._end_exchange(active, exchange)
+
+    async def _end_succession(
+        self, active: active_requests.ActiveRequest, succession: _Succession
+    ) -> None:
+        opening = succession.opening
+        if opening is not None:
+            opening.cancel()
+            await asyncio.wait({opening})
+            if not opening.cancelled():
+                succession.exchange = opening.result()
+        if succession.exchange is not None:
+            await self._withdraw(active, succession.exchange)
 
     async def _wait_for_progress(
         self,
         active: active_requests.ActiveRequest,
         exchange: _Exchange,
-        successor: _Exchange | None,
+        other: "asyncio.Future[Any] | None",
     ) -> None:
         """Wait for the end of an exchange, at most for `WATCH_INTERVAL_MS`."""
         remaining_ms = max(0, active.deadline_ms - self._clock.now_ms())
         wait_s = min(WATCH_INTERVAL_MS, remaining_ms) / clocks.MS_PER_SECOND
-        running = {exchange.running}
-        if successor is not None:
-            running.add(successor.running)
+        running: set[asyncio.Future[Any]] = {exchange.running}
+        if other is not None:
+            running.add(other)
         await asyncio.wait(running, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
 
     async def _send_to_another(
@@ -757,22 +833,44 @@
             return None
         if not budget.allows_retry(now_ms, self._fleet.gateway_count):
             return None
-        placement = self._dispatcher.place_now(self._placement_request(active))
-        if placement is None:
+        try:
+            placement = self._dispatcher.place_now(self._placement_request(active))
+            if placement is None:
+                return None
+            return await self._begin_exchange(active, placement, exchange)
+        except Exception:
+            # The silent server's answer must not end because of another server.
+            _LOG.exception(
+                "not sent to another server", request=active.caller_headers.request_id
+            )
             return None
-        return await self._begin_exchange(active, placement, exchange)
+
+    async def _conclude_successor(
+        self, active: active_requests.ActiveRequest, failed: _Exchange
+    ) -> None:
+        """Conclude an ended exchange while the silent server keeps the request."""
+        try:
+            outcome = failed.running.result()
+        except Exception:
+            _LOG.exception("exchange failed", request=active.caller_headers.request_id)
+            outcome = server_links.ExchangeOutcome.ABANDONED
+        await self._conclude(active, failed, outcome)
 
     async def _end_exchange(
         self, active: active_requests.ActiveRequest, exchange: _Exchange
     ) -> None:
         """End an exchange, and release its link and the capacity at its server."""
         if not exchange.running.done():
+            exchange.sink.stop()
             # The server aborts the request when its connection closes.
             exchange.link.close()
             exchange.running.cancel()
-            await asyncio.wait({exchange.running})
-        self._fleet.links.release(exchange.placement.server, exchange.link)
-        self._release(active, exchange.placement)
+        try:
+            if not exchange.running.done():
+                await asyncio.wait({exchange.running})
+        finally:
+            self._fleet.links.release(exchange.placement.server, exchange.link)
+            self._release(active, exchange.placement)
 
     def _is_silent(
         self,
@@ -787,6 +885,7 @@
         """
         if (
             not active.route.may_repeat
+            or sink.is_writing
             or active.possible_runs >= active.route.max_attempts
         ):
             return False
--- a/quincecrank/gateway/server_health.py
+++ b/quincecrank/gateway/server_health.py
@@ -83,6 +83,10 @@
         )
         self.slowness += SMOOTHING * (ratio - self.slowness)
 
+    def record_withdrawal(self) -> None:
+        """Record that a sent request was withdrawn before its outcome."""
+        self._breaker.cancel_probe()
+
     def record_failure(self, now_ms: int) -> None:
         """Record an error, an answer that broke off, or a missing answer."""
         self._breaker.record_failure(now_ms)
