--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -224,20 +224,24 @@
             lambda: self._is_ready,
         )
         self._reporter.start()
+        runs = [
+            self._reporter.run,
+            self._dispatcher.run,
+            self._permits.run,
+            self._crash_monitor.run,
+            self._crash_monitor.run_writes,
+            self._stream_versions.run,
+            self._weight_rollout.run,
+            self._cache_followers.run,
+            self._store_cleaner.run,
+            self._registration.run,
+            self._run_maintenance,
+        ]
         for follower in self._followers_by_table.values():
-            self._tasks.start(follower.run())
-            self._tasks.start(follower.run_from_peers())
-        self._tasks.start(self._reporter.run())
-        self._tasks.start(self._dispatcher.run())
-        self._tasks.start(self._permits.run())
-        self._tasks.start(self._crash_monitor.run())
-        self._tasks.start(self._crash_monitor.run_writes())
-        self._tasks.start(self._stream_versions.run())
-        self._tasks.start(self._weight_rollout.run())
-        self._tasks.start(self._cache_followers.run())
-        self._tasks.start(self._store_cleaner.run())
-        self._tasks.start(self._registration.run())
-        self._tasks.start(self._run_maintenance())
+            runs += [follower.run, follower.run_from_peers]
+        for run in runs:
+            # Requests of all services depend on each of them.
+            self._tasks.start(tasks.keep_running(run, self._clock))
         _LOG.info("started", ip=own_settings.ip, data_centre=own_settings.data_centre)
 
     async def stop(self) -> None:
--- a/quincecrank/tasks.py
+++ b/quincecrank/tasks.py
@@ -4,14 +4,28 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, Final
 
+from quincecrank import clock as clocks
 from quincecrank import logs
 
+RESTART_MS: Final = 250
+"""Pause before a task that failed is started again."""
+
 _LOG: Final = logs.logger("tasks")
 
 
+async def keep_running(run: Callable[[], Awaitable[None]], clock: clocks.Clock) -> None:
+    """Run a coroutine function, again whenever it fails, until cancelled."""
+    while True:
+        try:
+            await run()
+        except Exception:
+            _LOG.exception("task failed, started again", task=run.__qualname__)
+        await clock.sleep(RESTART_MS)
+
+
 class BackgroundTasks:
     """References to running tasks; the exception of a failed one is logged."""
 
