--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -6,7 +6,7 @@
 
 from typing import Final
 
-from quincecrank import store_rows
+from quincecrank import checked_values, store_rows
 from quincecrank.gateway import (
     crash_monitor,
     decision_log,
@@ -109,7 +109,7 @@
                 _LOG.warning(
                     "invalid row ignored",
                     table="servers",
-                    key=row.key,
+                    key=row.key[: checked_values.MAX_NAME_BYTES],
                     error=str(error),
                 )
                 # An invalid entry removes the server that the row held before.
--- a/quincecrank/platform/documents.py
+++ b/quincecrank/platform/documents.py
@@ -2,14 +2,12 @@
 
 from typing import Any, Final
 
-from quincecrank import ids, json_text
+from quincecrank import checked_values, ids, json_text
 from quincecrank.gateway import deployment, servers
 
 DEFAULT_EVENT_CALLS: Final = 12
 """Maximum number of concurrent event calls at a server whose service sets no limit."""
 
-_MAX_PORT: Final = 65_535
-
 
 class DocumentError(Exception):
     """A document lacks a required field or has one of a wrong type."""
@@ -56,27 +54,33 @@
         document = json_text.parse(text)
         # Entries of other writers may lack any field.  This one is not used, but every
         # backend server writes it, so an entry without it is rejected.
-        _parse_count(document["coldRemainingMs"])
+        checked_values.count(document["coldRemainingMs"])
         return servers.ServerEntry(
-            server_id=servers.ServerId(server_id),
-            service=deployment.ServiceName(_parse_text(document["service"])),
-            address=_parse_address(document["address"]),
-            data_centre=ids.DataCentre(_parse_text(document["zone"])),
-            slots=_parse_count(document["slots"]),
-            state=servers.ServerState(document["state"]),
-            started_wall_ms=_parse_count(document["born"]),
+            server_id=servers.ServerId(checked_values.token(server_id)),
+            service=deployment.ServiceName(checked_values.name(document["service"])),
+            address=checked_values.endpoint(document["address"]),
+            data_centre=ids.DataCentre(checked_values.name(document["zone"])),
+            slots=checked_values.count(
+                document["slots"], limit=checked_values.MAX_UINT32
+            ),
+            state=servers.ServerState(checked_values.name(document["state"])),
+            started_wall_ms=checked_values.count(document["born"]),
             # Counts the writes of one incarnation of the server.
-            report_number=_parse_count(document["seq"]),
-            software_version=servers.SoftwareVersion(_parse_text(document["version"])),
+            report_number=checked_values.count(document["seq"]),
+            software_version=servers.SoftwareVersion(
+                checked_values.name(document["version"])
+            ),
             weight_versions_by_model={
-                deployment.ModelName(_parse_text(model["name"])): _parse_count(
-                    model["version"]
+                deployment.ModelName(
+                    checked_values.name(model["name"])
+                ): checked_values.count(
+                    model["version"], limit=checked_values.MAX_UINT32
                 )
                 for model in document.get("models", ())
             },
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise DocumentError(f"server {server_id}: {error!r}") from error
+        raise DocumentError(f"server entry: {error!r}") from error
 
 
 def _parse_deployment(document: dict[str, Any]) -> deployment.Deployment:
@@ -200,24 +204,3 @@
         urgency=None if urgency is None else int(urgency),
         is_isolated=bool(document.get("isolated", False)),
     )
-
-
-def _parse_text(value: object) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{value!r} is not a non-empty string")
-    return value
-
-
-def _parse_count(value: object) -> int:
-    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
-        raise ValueError(f"{value!r} is not a non-negative integer")
-    return value
-
-
-def _parse_address(value: object) -> str:
-    text = _parse_text(value)
-    ip, separator, port = text.rpartition(":")
-    is_port = port.isascii() and port.isdigit() and 0 < int(port) <= _MAX_PORT
-    if not separator or not ip or not is_port:
-        raise ValueError(f"{text!r} is not IP:PORT")
-    return text
