--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -22,8 +22,15 @@
 
 from tornado import httpserver, ioloop, netutil, web
 
+from quincecrank import (
+    checked_values,
+    ids,
+    json_text,
+    rendezvous,
+    store_era,
+    store_rows,
+)
 from quincecrank import clock as clocks
-from quincecrank import ids, json_text, rendezvous, store_era, store_rows
 from quincecrank.gateway import (
     decision_log,
     environment,
@@ -455,13 +462,20 @@
     return _MEMBER_PREFIX + vm
 
 
-def member_ips(rows: Iterable[store_rows.Row]) -> dict[ids.VmName, str]:
-    """Return the addresses of the members among the rows of the members table."""
-    return {
-        ids.VmName(row.key.removeprefix(_MEMBER_PREFIX)): row.text
-        for row in rows
-        if row.key.startswith(_MEMBER_PREFIX) and not row.is_removed
-    }
+def decode_member(row: store_rows.Row) -> tuple[ids.VmName, str] | None:
+    """Return the name and IP address of a member.
+
+    None for a removed row and for one that is no member's.
+
+    Raises
+    ------
+    ValueError
+        If the name or the address is malformed.
+    """
+    if row.is_removed or not row.key.startswith(_MEMBER_PREFIX):
+        return None
+    vm = checked_values.name(row.key.removeprefix(_MEMBER_PREFIX))
+    return ids.VmName(vm), checked_values.ip_address(row.text)
 
 
 def _reported_position(
--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -6,7 +6,7 @@
 
 from typing import Final
 
-from quincecrank import checked_values, store_rows
+from quincecrank import checked_values, ids, store_rows
 from quincecrank.gateway import (
     crash_monitor,
     decision_log,
@@ -188,6 +188,7 @@
         self._crash_monitor = monitor
         self._version_exchange = version_exchange
         self._row_by_key: dict[str, store_rows.Row] = {}
+        self._member_by_key: dict[str, tuple[ids.VmName, str]] = {}
         self._full_era = store_rows.FIRST_ERA
 
     def has_lost_row(self, member: member_registration.Member) -> bool:
@@ -199,6 +200,7 @@
     def apply_snapshot(self, snapshot: store_rows.Rows) -> None:
         """Apply a snapshot of all members."""
         self._row_by_key = {}
+        self._member_by_key = {}
         self._full_era = snapshot.position.era
         if self._crash_monitor is not None:
             self._crash_monitor.forget_rows()
@@ -209,7 +211,9 @@
     def apply_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
         """Apply changed rows; every change of this table is significant."""
         self._row_by_key.update({row.key: row for row in rows})
-        self._peers.set_members(peers.member_ips(self._row_by_key.values()))
+        for row in rows:
+            self._apply_member(row)
+        self._peers.set_members(dict(self._member_by_key.values()))
         lease_row = self._row_by_key.get(order_lease.LEASE_KEY)
         if lease_row is not None:
             self._lease.observe(lease_row.position)
@@ -219,6 +223,21 @@
             self._version_exchange.apply_rows(rows)
         return bool(rows)
 
+    def _apply_member(self, row: store_rows.Row) -> None:
+        self._member_by_key.pop(row.key, None)
+        try:
+            member = peers.decode_member(row)
+        except ValueError as error:
+            _LOG.error(
+                "invalid row ignored",
+                table="members",
+                key=row.key[: checked_values.MAX_NAME_BYTES],
+                error=str(error),
+            )
+            return
+        if member is not None:
+            self._member_by_key[row.key] = member
+
     def handle_store_unavailable(self) -> None:
         """Do nothing: whether members are alive is known from their reports."""
 
