--- a/quincecrank/checked_values.py
+++ b/quincecrank/checked_values.py
@@ -13,6 +13,7 @@
 MAX_NAME_BYTES: Final = 200
 """Longest name: the bound of the platform store's keys."""
 
+MAX_UINT16: Final = 2**16 - 1
 MAX_UINT32: Final = 2**32 - 1
 MAX_UINT63: Final = 2**63 - 1
 
@@ -22,16 +23,16 @@
 _TOKEN: Final = re.compile(f"[!-~]{{1,{MAX_NAME_BYTES}}}")
 
 
-def name(value: object) -> str:
+def name(value: object, max_bytes: int = MAX_NAME_BYTES) -> str:
     """Return a non-empty text without control characters and unpaired surrogates.
 
-    It has at most `MAX_NAME_BYTES` bytes in UTF-8.
+    It has at most `max_bytes` bytes in UTF-8.
     """
     if (
         not isinstance(value, str)
-        or not 0 < len(value) <= MAX_NAME_BYTES
+        or not 0 < len(value) <= max_bytes
         or _UNSAFE.search(value)
-        or len(value.encode()) > MAX_NAME_BYTES
+        or len(value.encode()) > max_bytes
     ):
         raise ValueError(f"{reprlib.repr(value)} is not a name")
     return value
--- a/quincecrank/gateway/crash_findings.py
+++ b/quincecrank/gateway/crash_findings.py
@@ -14,10 +14,11 @@
 """
 
 import dataclasses
+import hashlib
 from collections.abc import Iterable
 from typing import Final, NewType
 
-from quincecrank import crash_counts, ids
+from quincecrank import checked_values, crash_counts, ids
 from quincecrank.gateway import prompts
 
 SuspectKey = NewType("SuspectKey", str)
@@ -37,6 +38,16 @@
 MAX_SERVERS: Final = 5
 """Servers that a finding names as its evidence."""
 
+MAX_KEY_BYTES: Final = 500
+"""Longest key of a suspect: two names and more."""
+
+MAX_REVISION: Final = checked_values.MAX_UINT32
+MAX_RETESTS: Final = checked_values.MAX_UINT16
+"""Largest numbers that a report between gateways can hold."""
+
+_MAX_SERVER_BYTES: Final = checked_values.MAX_NAME_BYTES + 20
+"""Longest `ID/START` of an incarnation."""
+
 _PART_PREFIX: Final = "part "
 
 
@@ -53,16 +64,43 @@
     if prompt is None:
         return ()
     return tuple(
-        SuspectKey(f"{_PART_PREFIX}{prompt.model} {part.part_id}")
+        _checked_key(f"{_PART_PREFIX}{prompt.model} {part.part_id}")
         for part in prompt.shared_parts
     )
 
 
+def _checked_key(text: str) -> SuspectKey:
+    """Return a key that is a digest if the text, which a caller sent, is odd."""
+    try:
+        return SuspectKey(checked_values.name(text, MAX_KEY_BYTES))
+    except ValueError:
+        digest = hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
+        return SuspectKey(f"{_PART_PREFIX}{digest}")
+
+
 def is_part(key: SuspectKey) -> bool:
     """Return whether a suspect is a part of a prompt."""
     return key.startswith(_PART_PREFIX)
 
 
+def checked_finding(finding: "Finding") -> "Finding":
+    """Return a finding of another process, with at most `MAX_SERVERS` servers.
+
+    Raises
+    ------
+    ValueError
+        If it has a text or number that this process could not publish.
+    """
+    checked_values.name(finding.scope.key, MAX_KEY_BYTES)
+    if finding.scope.account is not None:
+        checked_values.name(finding.scope.account)
+    checked_values.count(finding.revision, MAX_REVISION)
+    checked_values.count(finding.retests, MAX_RETESTS)
+    for each in finding.servers[:MAX_SERVERS]:
+        checked_values.name(each, _MAX_SERVER_BYTES)
+    return dataclasses.replace(finding, servers=finding.servers[:MAX_SERVERS])
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Scope:
     """What a finding applies to.
@@ -146,7 +184,7 @@
     def add(self, scope: Scope, servers: tuple[str, ...], now_ms: int) -> Finding:
         """Put a new finding in force."""
         previous = self._finding_by_scope.get(scope)
-        revision = 1 if previous is None else previous.revision + 1
+        revision = 1 if previous is None else min(previous.revision + 1, MAX_REVISION)
         finding = Finding(scope, revision, False, 0, 0, servers[:MAX_SERVERS])
         self.apply(finding, now_ms)
         return finding
--- a/quincecrank/gateway/crash_monitor.py
+++ b/quincecrank/gateway/crash_monitor.py
@@ -18,8 +18,8 @@
 from collections.abc import Callable
 from typing import Final
 
+from quincecrank import checked_values, json_text, store_rows
 from quincecrank import clock as clocks
-from quincecrank import ids, json_text, store_rows
 from quincecrank.gateway import (
     crash_findings,
     crash_suspicions,
@@ -99,19 +99,16 @@
         If the text has another form.
     """
     try:
-        document = json_text.parse(text.encode())
-        account = document["account"]
-        return crash_findings.Finding(
-            crash_findings.Scope(
-                crash_findings.SuspectKey(str(document["suspect"])),
-                None if account is None else ids.AccountName(str(account)),
-            ),
-            int(document["revision"]),
+        document = json_text.parse(text)
+        finding = crash_findings.Finding(
+            crash_findings.Scope(document["suspect"], document["account"]),
+            document["revision"],
             bool(document["hasEnded"]),
-            int(document["retests"]),
+            document["retests"],
             0,
-            tuple(str(each) for each in document["servers"]),
+            tuple(document["servers"]),
         )
+        return crash_findings.checked_finding(finding)
     except (KeyError, TypeError, ValueError) as error:
         raise RowError(repr(error)) from error
 
@@ -369,7 +366,10 @@
             finding = decode_row(row.text)
         except RowError as error:
             _LOG.error(
-                "invalid row ignored", table="members", key=row.key, error=str(error)
+                "invalid row ignored",
+                table="members",
+                key=row.key[: checked_values.MAX_NAME_BYTES],
+                error=str(error),
             )
             return
         self._position_by_row[row.key] = row.position
