--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -44,7 +44,7 @@
                 _LOG.error(
                     "invalid row ignored",
                     table="operator",
-                    key=row.key,
+                    key=row.key[: checked_values.MAX_NAME_BYTES],
                     error=str(error),
                 )
                 continue
--- a/quincecrank/platform/documents.py
+++ b/quincecrank/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes documents that operators and backend servers write to the store."""
 
+import math
 from typing import Any, Final
 
 from quincecrank import checked_values, ids, json_text
@@ -8,6 +9,9 @@
 DEFAULT_EVENT_CALLS: Final = 12
 """Maximum number of concurrent event calls at a server whose service sets no limit."""
 
+MAX_ERROR_LENGTH: Final = 300
+"""Characters of an error's text that are logged."""
+
 
 class DocumentError(Exception):
     """A document lacks a required field or has one of a wrong type."""
@@ -24,7 +28,7 @@
     try:
         return _parse_deployment(json_text.parse(text))
     except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise DocumentError(f"configuration: {error!r}") from error
+        raise _error("configuration", error) from error
 
 
 def target_weights(text: str) -> tuple[deployment.ModelName, int]:
@@ -37,9 +41,12 @@
     """
     try:
         document = json_text.parse(text)
-        return deployment.ModelName(document["model"]), int(document["version"])
+        return (
+            deployment.ModelName(checked_values.name(document["model"])),
+            checked_values.count(document["version"], checked_values.MAX_UINT32),
+        )
     except (KeyError, TypeError, ValueError) as error:
-        raise DocumentError(f"weights: {error!r}") from error
+        raise _error("weights", error) from error
 
 
 def server_entry(server_id: str, text: str) -> servers.ServerEntry:
@@ -80,7 +87,7 @@
             },
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise DocumentError(f"server entry: {error!r}") from error
+        raise _error("server entry", error) from error
 
 
 def _parse_deployment(document: dict[str, Any]) -> deployment.Deployment:
@@ -91,7 +98,7 @@
     accounts = document.get("tenants")
     services, stores = _parse_services(document["services"])
     return deployment.Deployment(
-        version=ids.ConfigurationVersion(int(document["version"])),
+        version=ids.ConfigurationVersion(_integer(document["version"])),
         routes_by_host={host: tuple(each) for host, each in routes_by_host.items()},
         services_by_name=services,
         stores_by_name=stores,
@@ -114,12 +121,13 @@
         {"service": document["service"], "weight": 1}
     ]
     return deployment.Route(
-        name=deployment.RouteName(document["name"]),
+        name=deployment.RouteName(checked_values.name(document["name"])),
         host=document["host"].lower(),
         prefix=document["prefix"],
         targets=tuple(
             deployment.WeightedService(
-                deployment.ServiceName(each["service"]), float(each["weight"])
+                deployment.ServiceName(checked_values.name(each["service"])),
+                _finite(each["weight"]),
             )
             for each in split
         ),
@@ -130,11 +138,11 @@
         ),
         is_stream=kind == "streaming",
         is_resumable=bool(document.get("resumable", False)),
-        timeout_ms=int(document["timeoutMs"]),
-        target_ms=int(document.get("targetLatencyMs") or document["timeoutMs"]),
-        gap_target_ms=int(document.get("gapTargetMs") or document["timeoutMs"]),
-        max_attempts=max(1, int(document.get("maxAttempts") or 1)),
-        urgency=int(document.get("priority") or 0),
+        timeout_ms=_integer(document["timeoutMs"]),
+        target_ms=_integer(document.get("targetLatencyMs") or document["timeoutMs"]),
+        gap_target_ms=_integer(document.get("gapTargetMs") or document["timeoutMs"]),
+        max_attempts=max(1, _integer(document.get("maxAttempts") or 1)),
+        urgency=_integer(document.get("priority") or 0),
         is_public=bool(document.get("public", False)),
     )
 
@@ -148,12 +156,14 @@
     services = {}
     stores = {}
     for each in documents:
-        name = deployment.ServiceName(each["name"])
+        name = deployment.ServiceName(checked_values.name(each["name"]))
         if each.get("kvStoreAddr"):
             stores[name] = _parse_store(name, each)
         else:
             services[name] = deployment.Service(
-                name, int(each.get("maxConns") or 1), _parse_engine(each.get("engine"))
+                name,
+                _integer(each.get("maxConns") or 1),
+                _parse_engine(each.get("engine")),
             )
     return services, stores
 
@@ -162,13 +172,14 @@
     if not document:
         return None
     return deployment.EngineLimits(
-        slots=int(document["slots"]),
-        memory_tokens=int(document["kvCapacityTokens"]),
-        token_bytes=int(document["kvTokenBytes"]),
-        link_mbps=float(document["linkMbps"]),
-        max_event_calls=int(document.get("maxInflight") or DEFAULT_EVENT_CALLS),
+        slots=_integer(document["slots"]),
+        memory_tokens=_integer(document["kvCapacityTokens"]),
+        token_bytes=_integer(document["kvTokenBytes"]),
+        link_mbps=_finite(document["linkMbps"]),
+        max_event_calls=_integer(document.get("maxInflight") or DEFAULT_EVENT_CALLS),
         models=tuple(
-            deployment.ModelName(model["name"]) for model in document["models"]
+            deployment.ModelName(checked_values.name(model["name"]))
+            for model in document["models"]
         ),
     )
 
@@ -178,29 +189,49 @@
 ) -> deployment.CacheStore:
     return deployment.CacheStore(
         name=name,
-        address=document["kvStoreAddr"],
-        data_centre=ids.DataCentre(document["zone"]),
-        capacity_tokens=int(document["kvCapacityTokens"]),
-        link_mbps=float(document["linkMbps"]),
-        transfer_delay_ms=float(document.get("first_ms") or 0.0),
-        max_event_calls=int(document.get("maxInflight") or DEFAULT_EVENT_CALLS),
+        address=checked_values.token(document["kvStoreAddr"]),
+        data_centre=ids.DataCentre(checked_values.name(document["zone"])),
+        capacity_tokens=_integer(document["kvCapacityTokens"]),
+        link_mbps=_finite(document["linkMbps"]),
+        transfer_delay_ms=_finite(document.get("first_ms") or 0.0),
+        max_event_calls=_integer(document.get("maxInflight") or DEFAULT_EVENT_CALLS),
         is_managed=bool(document.get("managed", False)),
     )
 
 
 def _parse_limits(document: dict[str, Any]) -> deployment.ClientLimits:
     return deployment.ClientLimits(
-        max_header_bytes=int(document["maxHeaderBytes"]),
-        max_body_bytes=int(document["maxBodyBytes"]),
-        header_timeout_ms=int(document["headerTimeoutMs"]),
-        idle_timeout_ms=int(document["idleTimeoutMs"]),
+        max_header_bytes=_integer(document["maxHeaderBytes"]),
+        max_body_bytes=_integer(document["maxBodyBytes"]),
+        header_timeout_ms=_integer(document["headerTimeoutMs"]),
+        idle_timeout_ms=_integer(document["idleTimeoutMs"]),
     )
 
 
 def _parse_account(document: dict[str, Any]) -> deployment.Account:
     urgency = document.get("priority")
     return deployment.Account(
-        name=ids.AccountName(document["name"]),
-        urgency=None if urgency is None else int(urgency),
+        name=ids.AccountName(checked_values.name(document["name"])),
+        urgency=None if urgency is None else _integer(urgency),
         is_isolated=bool(document.get("isolated", False)),
     )
+
+
+def _integer(value: Any) -> int:
+    """Return a value as an integer of at most 64 bits; truncates fractions."""
+    number = int(value)
+    if abs(number) > json_text.MAX_NUMBER:
+        raise ValueError("a number of more than 64 bits")
+    return number
+
+
+def _finite(value: Any) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError("a number that is not finite")
+    return number
+
+
+def _error(kind: str, error: Exception) -> DocumentError:
+    """Return the error of a document; its text is short, whatever the document has."""
+    return DocumentError(f"{kind}: {repr(error)[:MAX_ERROR_LENGTH]}")
