--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -205,7 +205,7 @@
         if self._crash_monitor is not None:
             self._crash_monitor.forget_rows()
         if self._version_exchange is not None:
-            self._version_exchange.handle_full_read()
+            self._version_exchange.handle_full_read(snapshot.rows)
         self.apply_changes(snapshot.rows)
 
     def apply_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
--- a/quincecrank/gateway/stream_version_exchange.py
+++ b/quincecrank/gateway/stream_version_exchange.py
@@ -19,8 +19,8 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
+from quincecrank import checked_values, json_text, store_rows
 from quincecrank import clock as clocks
-from quincecrank import json_text, store_rows
 from quincecrank.gateway import (
     decision_log,
     deployment,
@@ -54,6 +54,9 @@
 """Age of the store's last answer up to which they count as current if this gateway
 hears most of the others."""
 
+MAX_ERROR_LENGTH: Final = 300
+"""Characters of an error's text that are logged."""
+
 SLOT_COUNT: Final = 32
 MAX_SLOT_RECORDS: Final = 2_000
 SLOT_MS: Final = 5_000
@@ -92,14 +95,10 @@
     """
     try:
         document = json_text.parse(text)
-        service = document["service"]
-        versions = (*document["listed"], *document["announced"])
-        if not all(isinstance(each, str) for each in (service, *versions)):
-            raise RowError("names must be strings")
         return stream_versions.Listing(
-            deployment.ServiceName(service),
-            frozenset(map(servers.SoftwareVersion, document["listed"])),
-            frozenset(map(servers.SoftwareVersion, document["announced"])),
+            deployment.ServiceName(checked_values.name(document["service"])),
+            frozenset(map(_version, document["listed"])),
+            frozenset(map(_version, document["announced"])),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise RowError(repr(error)) from error
@@ -128,8 +127,8 @@
             for service, keys_by_version in json_text.parse(text).items()
             for version, keys in keys_by_version.items()
             for record in stream_versions.RecordGroup(
-                deployment.ServiceName(service),
-                servers.SoftwareVersion(version),
+                deployment.ServiceName(checked_values.name(service)),
+                _version(version),
                 base64.b64decode(keys, validate=True),
             ).records()
         )
@@ -137,6 +136,10 @@
         raise RowError(repr(error)) from error
 
 
+def _version(value: object) -> servers.SoftwareVersion:
+    return servers.SoftwareVersion(checked_values.name(value))
+
+
 @dataclasses.dataclass(slots=True)
 class _Slot:
     """The slot that this gateway fills."""
@@ -201,22 +204,42 @@
     def apply_rows(self, rows: tuple[store_rows.Row, ...]) -> None:
         """Apply changed rows of the members table; other rows are ignored."""
         for row in rows:
-            if not row.key.startswith(LISTING_PREFIX) or row.is_removed:
-                continue
-            try:
-                listing = decode_listing(row.text)
-            except RowError as error:
-                _LOG.error(
-                    "invalid row ignored",
-                    table="members",
-                    key=row.key,
-                    error=str(error),
-                )
-                continue
-            self._apply_listing(listing, row.position)
-
-    def handle_full_read(self) -> None:
-        """Record that the listings are read in full, maybe from a restored store."""
+            if row.key.startswith(LISTING_PREFIX):
+                self._apply_row(row)
+
+    def _apply_row(self, row: store_rows.Row) -> None:
+        """Apply a listing; a malformed or removed one is written again."""
+        service = deployment.ServiceName(row.key.removeprefix(LISTING_PREFIX))
+        try:
+            listing = decode_listing(row.text)
+            if row.is_removed or listing.service != service:
+                raise RowError("removed, or of another service")
+        except RowError as error:
+            _LOG.error(
+                "invalid row ignored",
+                table="members",
+                key=row.key[: checked_values.MAX_NAME_BYTES],
+                error=str(error)[:MAX_ERROR_LENGTH],
+            )
+            self._versions.forget_listing(service)
+            self._position_by_service.pop(service, None)
+            if not row.is_removed:
+                self._position_by_service[service] = row.position
+            return
+        self._apply_listing(listing, row.position)
+
+    def handle_full_read(self, rows: tuple[store_rows.Row, ...]) -> None:
+        """Record that the listings are read in full, maybe from a restored store.
+
+        Parameters
+        ----------
+        rows : tuple of Row
+            All rows of the members table; they are applied afterwards.
+        """
+        keys = {row.key for row in rows if not row.is_removed}
+        for service in self._position_by_service:
+            if LISTING_PREFIX + service not in keys:
+                self._versions.forget_listing(service)
         self._position_by_service.clear()
         self._observe_servers(self._clock.now_ms())
         self._versions.has_listings = True
@@ -337,9 +360,12 @@
         )
         if result.is_applied:
             self._apply_listing(wanted, result.position)
-        elif result.text:
+        else:
             # The change has not reached this gateway yet.
-            self._apply_listing(decode_listing(result.text), result.position)
+            is_removed = result.position.version == _NO_ROW.version
+            self._apply_row(
+                store_rows.Row(key, result.text, result.position, is_removed)
+            )
 
     def _apply_listing(
         self, listing: stream_versions.Listing, position: store_rows.Position
@@ -377,7 +403,7 @@
                     "invalid row ignored",
                     table="streams",
                     key=row.key,
-                    error=str(error),
+                    error=str(error)[:MAX_ERROR_LENGTH],
                 )
                 continue
             self._versions.apply_records(records, now_ms, are_stored=True)
--- a/quincecrank/gateway/stream_versions.py
+++ b/quincecrank/gateway/stream_versions.py
@@ -295,6 +295,10 @@
         if self._is_mixed(state) and not was_mixed:
             self._publish_own(listing.service, now_ms)
 
+    def forget_listing(self, service: deployment.ServiceName) -> None:
+        """Record that the listing of a service is missing or malformed."""
+        self._service_by_name[service].listing = None
+
     def listing_to_write(
         self,
         service: deployment.ServiceName,
