--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -3,7 +3,8 @@
 Writes its entry into the platform's store at start and at every heartbeat, and prints
 on standard output ``arrived WALL_MS id=ID`` for each request of a caller that reaches
 it, ``ran ID`` for each that it runs, and ``named WALL_MS id=ID LIMIT`` for each answer
-that names a rate limit.
+that names a rate limit.  An engine prints ``began WALL_MS id=ID weights=VERSION`` at
+the first event of each stream.
 
 A stream sends one event every `EVENT_MS` milliseconds; the caller's `Token-Count`
 header gives the number of events after a comma.  The prompt parts of every streamed
@@ -25,6 +26,12 @@
     The entry says that the server is shutting down, but it still serves requests.
 no_heartbeats : bool
     The entry is no longer written to the store.
+queue_ms : int
+    Time for which an engine queues each stream before it begins.  It drops those whose
+    connection is closed meanwhile, and refuses those that it no longer has the weights
+    for.
+refuse_orders : bool
+    Orders to load weights are answered 409 without effect.
 rate_limit : str
     Rate limit that all answers to callers' requests name, whatever their status; empty
     for none.  Any text is named as it is.  The limit is not enforced.
@@ -62,6 +69,8 @@
     crash_parts: str = ""
     draining: bool = False
     no_heartbeats: bool = False
+    queue_ms: int = pydantic.Field(default=0, ge=0)
+    refuse_orders: bool = False
     rate_limit: str = ""
 
 
@@ -195,6 +204,10 @@
             await self._crash_on_parts(request_id)
         if server.faults.rate_limit:
             self.set_header("Server-Limit", server.faults.rate_limit)
+        if server.faults.queue_ms and "Token-Count" in headers:
+            await server.clock.sleep(server.faults.queue_ms)
+            if self._is_disconnected:
+                return
         if headers.get("Expect-Instance", server.server_id) != server.server_id:
             self._refuse(421)
             return
@@ -248,6 +261,12 @@
         self.set_header("Content-Type", "text/event-stream")
         count = int(headers["Token-Count"].partition(",")[2])
         first = int(headers.get("Last-Event-Id", "0")) + 1
+        server = self._server
+        print(
+            f"began {server.clock.wall_ms()} id={headers.get('Request-Id')}"
+            f" weights={server.weights}",
+            flush=True,
+        )
         for number in range(first, count + 1):
             if self._is_disconnected:
                 return
@@ -299,12 +318,14 @@
     def post(self) -> None:
         """Start to load weights.
 
-        Answers 409 if another order came first or a load is running, and 200 without
+        Answers 409 if another order came first, a load is running or the fault
+        `refuse_orders` applies, and 200 without
         effect if the version is not newer.
         """
         server = self._server
         order = json.loads(self.request.body)
-        if order.get("expected", server.orders) != server.orders or server.is_loading:
+        is_busy = server.is_loading or server.faults.refuse_orders
+        if order.get("expected", server.orders) != server.orders or is_busy:
             self.set_status(409)
             return
         if order["version"] <= server.weights:
