--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -27,7 +27,6 @@
     servers,
     service_times,
     size_fairness,
-    weights,
 )
 
 QUEUE_RETRY_INTERVAL_MS: Final = 40
@@ -844,15 +843,11 @@
             )
         if request.prompt is None or request.service.engine is None:
             return allowed
-        return weights.eligible_replicas(
+        return self._fleet.target_versions.eligible_replicas(
             allowed,
             request.prompt.model,
-            self._fleet.target_versions.target_version(request.prompt.model),
-            self._fleet.target_versions.may_serve_outdated(
-                request.prompt.model,
-                now_ms,
-                self._fleet.own_settings.bounds.weights_deadline_ms,
-            ),
+            now_ms,
+            self._fleet.own_settings.bounds.weights_deadline_ms,
         )
 
     def _shortest_pause_ms(self, request: PlacementRequest) -> int | None:
--- a/quincecrank/gateway/weights.py
+++ b/quincecrank/gateway/weights.py
@@ -33,10 +33,8 @@
 first event."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Target:
-    version: int
-    since_ms: int
+MAX_TARGETS: Final = 8
+"""Number of target versions of a model that are retained."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,10 +53,16 @@
 
 
 class TargetVersions:
-    """The target version of each model, which never decreases."""
+    """The target versions of each model; the newest never decreases.
+
+    Each target version has its own deadline, and a newer one does not extend it.  So
+    older ones are retained with their times.
+    """
 
     def __init__(self) -> None:
-        self._target_by_model: dict[deployment.ModelName, _Target] = {}
+        self._since_ms_by_version_by_model: dict[
+            deployment.ModelName, dict[int, int]
+        ] = {}
 
     def record_target(
         self,
@@ -76,91 +80,99 @@
             restarted receives it late, while the operator's deadline runs on; so the
             longest age counts.
         """
-        present = self._target_by_model.get(model)
-        received = _Target(version, now_ms - age_ms)
-        if present is not None and present.version == version:
-            if received.since_ms < present.since_ms:
-                self._target_by_model[model] = received
-            return False
-        if present is not None and present.version > version:
-            return False
-        self._target_by_model[model] = received
-        return True
+        since_ms_by_version = self._since_ms_by_version_by_model.setdefault(model, {})
+        is_newer = version > max(since_ms_by_version, default=0)
+        since_ms = min(now_ms - age_ms, since_ms_by_version.get(version, now_ms))
+        since_ms_by_version[version] = since_ms
+        while len(since_ms_by_version) > MAX_TARGETS:
+            oldest, following = sorted(since_ms_by_version)[:2]
+            since_ms_by_version[following] = min(
+                since_ms_by_version.pop(oldest), since_ms_by_version[following]
+            )
+        return is_newer
 
     def to_publish(self, now_ms: int) -> tuple[TargetWeights, ...]:
         """Return the target versions with their ages, for the peers."""
         return tuple(
-            TargetWeights(model, target.version, now_ms - target.since_ms)
-            for model, target in self._target_by_model.items()
+            TargetWeights(model, version, now_ms - since_ms)
+            for model, since_ms_by_version in self._since_ms_by_version_by_model.items()
+            for version, since_ms in sorted(since_ms_by_version.items())
         )
 
     def target_version(self, model: deployment.ModelName) -> int | None:
         """Return the target version of a model; None if none was set."""
-        target = self._target_by_model.get(model)
-        return target.version if target else None
+        return max(self._since_ms_by_version_by_model.get(model, ()), default=None)
 
     def target_by_model(self) -> dict[deployment.ModelName, int]:
         """Return the target versions by model."""
         return {
-            model: target.version for model, target in self._target_by_model.items()
+            model: max(since_ms_by_version)
+            for model, since_ms_by_version in self._since_ms_by_version_by_model.items()
         }
 
+    def outdated_since_ms(
+        self, model: deployment.ModelName, version: int
+    ) -> int | None:
+        """Return the time since which a version is outdated; None if it is not."""
+        return min(
+            (
+                since_ms
+                for newer, since_ms in self._since_ms_by_version_by_model.get(
+                    model, {}
+                ).items()
+                if newer > version
+            ),
+            default=None,
+        )
+
     def outdated_penalty_ms(
         self, model: deployment.ModelName, version: int, now_ms: int
     ) -> float:
         """Return the penalty of a replica with this version of the weights.
 
         Zero for the target version, and for all within `OUTDATED_FULL_VALUE_MS` after
-        it was set.
+        a newer one was set.
         """
-        target = self._target_by_model.get(model)
-        if target is None or version >= target.version:
-            return 0.0
-        if now_ms - target.since_ms < OUTDATED_FULL_VALUE_MS:
+        since_ms = self.outdated_since_ms(model, version)
+        if since_ms is None or now_ms - since_ms < OUTDATED_FULL_VALUE_MS:
             return 0.0
         return OUTDATED_PENALTY_MS
 
-    def may_serve_outdated(
-        self, model: deployment.ModelName, now_ms: int, max_outdated_ms: int
+    def may_serve(
+        self,
+        model: deployment.ModelName,
+        version: int,
+        now_ms: int,
+        max_outdated_ms: int,
     ) -> bool:
-        """Return whether replicas with outdated weights may still get requests.
+        """Return whether replicas with this version may get requests.
 
         Parameters
         ----------
         max_outdated_ms : int
-            Time after the target version was set for which the operator accepts
+            Time after a newer target version was set for which the operator accepts
             answers of outdated weights.  Requests go to them for
             `OUTDATED_CUTOFF_FRACTION` of it.
         """
-        target = self._target_by_model.get(model)
+        since_ms = self.outdated_since_ms(model, version)
         return (
-            target is None
-            or now_ms - target.since_ms < max_outdated_ms * OUTDATED_CUTOFF_FRACTION
+            since_ms is None
+            or now_ms - since_ms < max_outdated_ms * OUTDATED_CUTOFF_FRACTION
         )
 
-
-def eligible_replicas(
-    candidates: Iterable[servers.ServerEntry],
-    model: deployment.ModelName,
-    target_version: int | None,
-    may_use_outdated: bool,
-) -> tuple[servers.ServerEntry, ...]:
-    """Return the replicas that may serve a model.
-
-    Parameters
-    ----------
-    target_version : int or None
-        Target version; None if none was set.
-    may_use_outdated : bool
-        Whether replicas with outdated weights serve as well.
-    """
-    eligible = tuple(
-        each for each in candidates if model in each.weight_versions_by_model
-    )
-    if target_version is None or may_use_outdated:
-        return eligible
-    return tuple(
-        each
-        for each in eligible
-        if each.weight_versions_by_model[model] >= target_version
-    )
+    def eligible_replicas(
+        self,
+        candidates: Iterable[servers.ServerEntry],
+        model: deployment.ModelName,
+        now_ms: int,
+        max_outdated_ms: int,
+    ) -> tuple[servers.ServerEntry, ...]:
+        """Return the replicas of a model that may get requests, see `may_serve`."""
+        return tuple(
+            each
+            for each in candidates
+            if model in each.weight_versions_by_model
+            and self.may_serve(
+                model, each.weight_versions_by_model[model], now_ms, max_outdated_ms
+            )
+        )
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -313,34 +313,62 @@
         versions = weights.TargetVersions()
         versions.record_target(builders.MODEL, 2, 6_000)
         self.assertFalse(versions.record_target(builders.MODEL, 2, 6_100, age_ms=6_050))
-        self.assertTrue(versions.may_serve_outdated(builders.MODEL, 6_400, 8_000))
-        self.assertFalse(versions.may_serve_outdated(builders.MODEL, 6_500, 8_000))
+        self.assertTrue(versions.may_serve(builders.MODEL, 1, 6_400, 8_000))
+        self.assertFalse(versions.may_serve(builders.MODEL, 1, 6_500, 8_000))
         versions.record_target(builders.MODEL, 2, 6_200, age_ms=10)
-        self.assertFalse(versions.may_serve_outdated(builders.MODEL, 6_500, 8_000))
+        self.assertFalse(versions.may_serve(builders.MODEL, 1, 6_500, 8_000))
         published = versions.to_publish(7_000)
         self.assertEqual(published, (weights.TargetWeights(builders.MODEL, 2, 6_950),))
 
     def test_outdated_weights_serve_only_until_the_deadline(self) -> None:
         versions = weights.TargetVersions()
         versions.record_target(builders.MODEL, 2, 1_000)
-        self.assertTrue(versions.may_serve_outdated(builders.MODEL, 7_300, 8_000))
-        self.assertFalse(versions.may_serve_outdated(builders.MODEL, 7_500, 8_000))
+        self.assertTrue(versions.may_serve(builders.MODEL, 1, 7_300, 8_000))
+        self.assertFalse(versions.may_serve(builders.MODEL, 1, 7_500, 8_000))
 
     def test_outdated_and_target_weights_serve_together(self) -> None:
         old, new = builders.make_entry("old"), builders.make_entry("new", weights=2)
+        plain = builders.make_entry("plain", weights=None)
         cases = [
-            ([old, new], 2, True, [old, new]),
-            ([old, new], 2, False, [new]),
-            ([old], 2, False, []),
-            ([old, new], None, True, [old, new]),
+            ([old, new, plain], 2, 0, [old, new]),
+            ([old, new], 2, 7_500, [new]),
+            ([old], 2, 7_500, []),
+            ([old, new], None, 7_500, [old, new]),
         ]
-        for candidates, target_version, may_use, expected in cases:
-            with self.subTest(target_version=target_version, may_use=may_use):
-                eligible = weights.eligible_replicas(
-                    candidates, builders.MODEL, target_version, may_use
+        for candidates, target_version, age_ms, expected in cases:
+            with self.subTest(target_version=target_version, age_ms=age_ms):
+                versions = weights.TargetVersions()
+                if target_version is not None:
+                    versions.record_target(builders.MODEL, target_version, 0)
+                eligible = versions.eligible_replicas(
+                    candidates, builders.MODEL, age_ms, 8_000
                 )
                 self.assertEqual(list(eligible), expected)
 
+    def test_a_second_target_version_gave_outdated_weights_more_time(self) -> None:
+        """The deadline of version 2 was replaced by the later one of version 3."""
+        versions = weights.TargetVersions()
+        versions.record_target(builders.MODEL, 2, 0)
+        versions.record_target(builders.MODEL, 3, 4_000)
+        may_serve = [
+            versions.may_serve(builders.MODEL, version, now_ms, 8_000)
+            for version, now_ms in ((1, 6_300), (1, 6_500), (2, 10_300), (2, 10_500))
+        ]
+        self.assertEqual(may_serve, [True, False, True, False])
+        # A gateway that starts later receives both from its peers, in any order.
+        started = weights.TargetVersions()
+        for target in reversed(versions.to_publish(5_000)):
+            started.record_target(target.model, target.version, 5_000, target.age_ms)
+        self.assertFalse(started.may_serve(builders.MODEL, 1, 6_500, 8_000))
+        self.assertEqual(started.target_version(builders.MODEL), 3)
+
+    def test_many_target_versions_are_merged_towards_the_earlier_deadline(self) -> None:
+        versions = weights.TargetVersions()
+        for version in range(2, 2 * weights.MAX_TARGETS):
+            versions.record_target(builders.MODEL, version, version * 1_000)
+        self.assertEqual(len(versions.to_publish(0)), weights.MAX_TARGETS)
+        self.assertEqual(versions.outdated_since_ms(builders.MODEL, 1), 2_000)
+
     def test_the_first_replica_with_new_weights_is_not_overloaded(self) -> None:
         versions = weights.TargetVersions()
         versions.record_target(builders.MODEL, 2, 0)
--- a/tests/test_gateway_followers.py
+++ b/tests/test_gateway_followers.py
@@ -256,15 +256,16 @@
             text = json.dumps({"model": builders.MODEL, "version": version})
             return stored.make_row(f"version/{builders.MODEL}", text, version)
 
-        def may_use_outdated() -> bool:
-            return fleet.target_versions.may_serve_outdated(
-                builders.MODEL, clock.now_ms(), 8_000
+        def may_serve(version: int) -> bool:
+            return fleet.target_versions.may_serve(
+                builders.MODEL, version, clock.now_ms(), 8_000
             )
 
         consumer.apply_snapshot(stored.make_rows(2, row(2)))
-        self.assertFalse(may_use_outdated())
+        self.assertFalse(may_serve(1))
         self.assertTrue(consumer.apply_changes((row(3),)))
-        self.assertTrue(may_use_outdated())
+        self.assertTrue(may_serve(2))
+        self.assertFalse(may_serve(1))
 
 
 class OrderLeaseTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_outdated_weights.py
+++ b/tests/test_outdated_weights.py
@@ -104,13 +104,14 @@
             _request: case.ReceivedRequest, writer: asyncio.StreamWriter
         ) -> None:
             writer.write(case.stream_head() + case.chunk(EVENT))
-            await asyncio.sleep(DEADLINE_MS / 1000)
+            await asyncio.sleep(DEADLINE_MS * 0.7 / 1000)
             writer.write(case.chunk(""))
 
         await self.add_engine(script, weights=1)
         self.set_target(2, DEADLINE_MS // 2)
         got = await self.ask_for(RUN_ONCE)
         self.assertEqual((got.status, got.body), (200, EVENT.encode()))
+        self.assertTrue(got.is_complete)
 
     async def test_requests_were_sent_to_an_engine_too_slow_for_the_deadline(
         self,
