--- a/quincecrank/gateway/weight_rollout.py
+++ b/quincecrank/gateway/weight_rollout.py
@@ -5,12 +5,14 @@
 slow each other down, so only `max_concurrent_loadings` engines of a service load at
 once.  But answers of outdated weights soon lose value, so the next loading starts as
 soon as one has finished.  Any gateway can do this; the one that holds the order lease
-does.
+does.  Engines that did not load the weights when ordered are tried again after all
+others, so that they don't occupy the places of engines that would load.
 
 Steps of one loading: announce it to the peers, drain the engine, order the loading,
 wait until the engine reports the weights, announce that.
 """
 
+import collections
 import dataclasses
 from collections.abc import Callable, Iterable
 from typing import Final
@@ -135,6 +137,9 @@
         self._report_to_peers = report_to_peers
         self._background = tasks.BackgroundTasks()
         self._loading: dict[servers.ServerId, OutdatedEngine] = {}
+        self._failed_loads_by_incarnation: collections.Counter[servers.Incarnation] = (
+            collections.Counter()
+        )
         self._outdated_since_ms: int | None = None
 
     async def run(self) -> None:
@@ -143,6 +148,7 @@
             outdated = self._outdated_engines()
             if not outdated:
                 self._outdated_since_ms = None
+                self._failed_loads_by_incarnation.clear()
                 await self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
                 continue
             try:
@@ -178,8 +184,9 @@
         return ranked.index(self._fleet.own_settings.vm)
 
     def _due(self, outdated: tuple[OutdatedEngine, ...]) -> tuple[OutdatedEngine, ...]:
-        """Return the engines whose loading starts now, the least busy first.
+        """Return the engines whose loading starts now.
 
+        Those with the fewest failed loadings come first, then the least busy.
         Not more than `max_concurrent_loadings` of a service load at once.
         """
         now_ms = self._clock.now_ms()
@@ -187,7 +194,7 @@
             each for each in outdated if each.server.server_id not in self._loading
         ]
         due: list[OutdatedEngine] = []
-        for each in sorted(not_loading, key=lambda one: self._busyness(one, now_ms)):
+        for each in sorted(not_loading, key=lambda one: self._rank_of(one, now_ms)):
             service = each.server.service
             engine_count = len(self._fleet.registry.ready_entries(service))
             loading = [*self._loading.values(), *due]
@@ -196,17 +203,20 @@
                 due.append(each)
         return tuple(due)
 
-    def _busyness(self, each: OutdatedEngine, now_ms: int) -> int:
-        return self._fleet.loads.total_load(each.server.server_id, now_ms).requests
+    def _rank_of(self, each: OutdatedEngine, now_ms: int) -> tuple[int, int]:
+        load = self._fleet.loads.total_load(each.server.server_id, now_ms)
+        failed_loads = self._failed_loads_by_incarnation[each.server.incarnation]
+        return failed_loads, load.requests
 
     async def _load(self, outdated: OutdatedEngine) -> None:
         """Announce, drain, order and await one loading."""
         server = outdated.server
         self._announce(outdated, is_loaded=False)
+        is_loaded = False
         try:
             running_requests = await self._drain(outdated)
             if await self._order(outdated, running_requests):
-                await self._await_weights(outdated)
+                is_loaded = await self._await_weights(outdated)
         except (engines.EngineCallError, store_rows.StoreUnavailableError) as error:
             _LOG.warning("order failed", server=server.server_id, error=str(error))
             # The engine may or may not load, so it gets requests again.  They carry
@@ -215,6 +225,8 @@
             await self._clock.sleep(CHECK_INTERVAL_MS)
         finally:
             self._loading.pop(server.server_id, None)
+            if not is_loaded:
+                self._failed_loads_by_incarnation[server.incarnation] += 1
 
     async def _drain(self, outdated: OutdatedEngine) -> engines.RunningRequests:
         """Let an engine finish requests; return how it is to treat the others.
@@ -277,11 +289,11 @@
         )
         return answer is not engines.OrderAnswer.OTHER_SERVER
 
-    async def _await_weights(self, outdated: OutdatedEngine) -> None:
+    async def _await_weights(self, outdated: OutdatedEngine) -> bool:
         """Wait until the engine reports the weights, and announce them.
 
-        Returns after `LOAD_TIMEOUT_MS` in any case; the next check orders the loading
-        again.
+        Returns False if it doesn't within `LOAD_TIMEOUT_MS`; a later check orders the
+        loading again.
         """
         until_ms = self._clock.now_ms() + LOAD_TIMEOUT_MS
         while self._clock.now_ms() < until_ms:
@@ -289,8 +301,9 @@
             version = report.weight_versions_by_model.get(outdated.model, 0)
             if version >= outdated.version and not report.is_busy:
                 self._announce(outdated, is_loaded=True)
-                return
+                return True
             await self._clock.sleep(WEIGHTS_POLL_INTERVAL_MS)
+        return False
 
     def _announce(self, outdated: OutdatedEngine, *, is_loaded: bool) -> None:
         self._fleet.apply_weight_update(
