--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -27,6 +27,7 @@
     servers,
     service_times,
     size_fairness,
+    weights,
 )
 
 QUEUE_RETRY_INTERVAL_MS: Final = 40
@@ -67,6 +68,8 @@
         Version at which a stream goes on; None for any.
     begins_stream : bool
         Whether a resumable stream begins, see `stream_versions`.
+    may_repeat : bool
+        Whether it may run more than once.
     """
 
     queued: request_queue.QueuedRequest
@@ -77,6 +80,7 @@
     tried_servers: frozenset[servers.ServerId] = frozenset()
     software_version: servers.SoftwareVersion | None = None
     begins_stream: bool = False
+    may_repeat: bool = False
 
     @property
     def request_id(self) -> ids.RequestId:
@@ -678,6 +682,13 @@
             )
             for each in evaluated
         ]
+        candidates = [
+            each
+            for each in candidates
+            if self._begins_in_time(
+                request, each, plans[each.server.server_id].version, times
+            )
+        ]
         chosen = placement.choose_engine(candidates, context)
         if chosen is None:
             return None
@@ -726,6 +737,42 @@
             self._take_permit(request, chosen.server),
         )
 
+    def begin_limit_ms(
+        self, prompt: prompts.Prompt | None, version: int | None
+    ) -> float | None:
+        """Return the time by which a request must begin on a version of the weights.
+
+        None without a limit: the version is not outdated, or the service is plain.
+        """
+        if prompt is None or version is None:
+            return None
+        return self._fleet.target_versions.begin_limit_ms(
+            prompt.model, version, self._fleet.own_settings.bounds.weights_deadline_ms
+        )
+
+    def _begins_in_time(
+        self,
+        request: PlacementRequest,
+        candidate: placement.Candidate,
+        version: int,
+        times: service_times.Times,
+    ) -> bool:
+        """Return whether a request would begin on an engine's weights in time."""
+        limit_ms = self.begin_limit_ms(request.prompt, version)
+        if limit_ms is None:
+            return True
+        now_ms = self._fleet.clock.now_ms()
+        expected_ms = max(
+            times.expected_ms(candidate.work, candidate.slowness),
+            self._fleet.begin_delays.longest_ms(candidate.server.server_id, now_ms),
+        )
+        ratio = (
+            weights.MIN_BEGIN_RATIO
+            if request.may_repeat
+            else weights.MIN_SINGLE_BEGIN_RATIO
+        )
+        return now_ms + expected_ms * ratio <= limit_ms
+
     def _with_saves(
         self,
         plan: "_EnginePlan",
--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -6,6 +6,7 @@
 
 from quincecrank import clock as clocks
 from quincecrank.gateway import (
+    begin_delays,
     cache_part_index,
     cache_transfers,
     crash_suspicions,
@@ -69,6 +70,7 @@
         self.target_versions = weights.TargetVersions()
         self.cache_index = cache_part_index.CacheIndex()
         self.loads = loads.Loads()
+        self.begin_delays = begin_delays.BeginDelays()
         self.health = server_health.HealthRegistry()
         self.service_times = service_times.ServiceTimes()
         self.rate_limits = rate_limits.RateLimits()
@@ -116,6 +118,7 @@
         self.links.close_server(server_id)
         self.health.remove(server_id)
         self.loads.remove_server(server_id)
+        self.begin_delays.remove_server(server_id)
         self.rate_limits.remove_server(server_id)
         self.cache_index.remove(cache_part_index.HolderName(server_id))
 
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -111,7 +111,9 @@
     is_superseded : bool
         Whether another exchange goes on in its place.
     was_abandoned : bool
-        Whether its link was closed for that before it had ended.
+        Whether its link was closed before it had ended.
+    is_withdrawn : bool
+        Whether that was done because it had not begun on outdated weights in time.
     concluded : Event
         Set once it has ended without an answer, so that a successor may go on.
     """
@@ -126,8 +128,16 @@
     predecessor_progress: int = 0
     is_superseded: bool = False
     was_abandoned: bool = False
+    is_withdrawn: bool = False
     concluded: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
+    @property
+    def outcome(self) -> server_links.ExchangeOutcome:
+        """Outcome of an exchange that has ended."""
+        if self.was_abandoned:
+            return server_links.ExchangeOutcome.ABANDONED
+        return self.running.result()
+
     @property
     def has_gone_on(self) -> bool:
         """Whether the silent server has made progress since this exchange began."""
@@ -514,6 +524,10 @@
         if active.sends == 0:
             self._retry_budget(active.service.name).record_first_send(now_ms)
         active.sends += 1
+        if active.route.is_stream and placement.weights_version is not None:
+            self._fleet.begin_delays.record_send(
+                server.server_id, active.caller_headers.request_id, now_ms
+            )
 
         def handle_head(head: answers.AnswerHead) -> None:
             self._record_head(active, server, head, now_ms)
@@ -526,9 +540,7 @@
             self._clock,
             handle_head,
             take_over,
-            lambda: self._fleet.loads.record_prefill_end(
-                server.server_id, active.caller_headers.request_id
-            ),
+            lambda: self._record_begin(active, server),
             lambda: self._record_stream(active, server),
             lambda: self._crashes.record_answer(active.subject, self._clock.now_ms()),
         )
@@ -578,13 +590,56 @@
         )
         return True
 
+    def _record_begin(
+        self, active: active_requests.ActiveRequest, server: servers.ServerEntry
+    ) -> None:
+        """Record the first part of an answer."""
+        request_id = active.caller_headers.request_id
+        self._fleet.loads.record_prefill_end(server.server_id, request_id)
+        self._fleet.begin_delays.record_begin_or_end(
+            server.server_id, request_id, self._clock.now_ms()
+        )
+
+    def _withdraw_if_late(
+        self, active: active_requests.ActiveRequest, exchange: _Exchange
+    ) -> None:
+        """Withdraw a stream that has not begun on outdated weights in time.
+
+        Its engine drops it when the connection closes.  The answer of another route
+        doesn't show when it began.
+        """
+        placement, sink = exchange.placement, exchange.sink
+        if not active.route.is_stream or sink.first_part_ms is not None:
+            return
+        if sink.head is not None and not sink.head.is_success:
+            return
+        limit_ms = self._dispatcher.begin_limit_ms(
+            active.caller_headers.prompt, placement.weights_version
+        )
+        now_ms = self._clock.now_ms()
+        if limit_ms is None or now_ms < limit_ms or exchange.running.done():
+            return
+        exchange.is_withdrawn = exchange.was_abandoned = True
+        exchange.link.close()
+        _LOG.info(
+            "request withdrawn from outdated weights",
+            request=active.caller_headers.request_id,
+            server=placement.server.server_id,
+            weights=placement.weights_version,
+            sent_ago_ms=now_ms - exchange.sent_ms,
+            late_ms=round(now_ms - limit_ms),
+        )
+
     def _release(
         self, active: active_requests.ActiveRequest, placement: dispatcher.Placement
     ) -> None:
         """Release the capacity that a request had at a server."""
+        server_id = placement.server.server_id
+        request_id = active.caller_headers.request_id
         try:
-            self._fleet.loads.record_end(
-                placement.server.server_id, active.caller_headers.request_id
+            self._fleet.loads.record_end(server_id, request_id)
+            self._fleet.begin_delays.record_begin_or_end(
+                server_id, request_id, self._clock.now_ms()
             )
             self._dispatcher.start_queued(active.service.name)
         except Exception:
@@ -737,8 +792,8 @@
                     break  # The other server has given a final answer.
                 await self._watch(active, exchange, succession)
             outcome = server_links.ExchangeOutcome.ABANDONED
-            if exchange.running.done() and not exchange.was_abandoned:
-                outcome = exchange.running.result()
+            if exchange.running.done():
+                outcome = exchange.outcome
             is_kept = succession.opening is None
             return outcome, succession.exchange if is_kept else None
         finally:
@@ -760,6 +815,9 @@
             succession.opening = asyncio.ensure_future(
                 self._send_to_another(active, exchange)
             )
+        for each in (exchange, succession.exchange):
+            if each is not None:
+                self._withdraw_if_late(active, each)
         await self._wait_for_progress(active, exchange, succession.waits_for)
         opening = succession.opening
         if opening is not None:
@@ -850,7 +908,7 @@
     ) -> None:
         """Conclude an ended exchange while the silent server keeps the request."""
         try:
-            outcome = failed.running.result()
+            outcome = failed.outcome
         except Exception:
             _LOG.exception("exchange failed", request=active.caller_headers.request_id)
             outcome = server_links.ExchangeOutcome.ABANDONED
@@ -948,7 +1006,10 @@
                 return True
             outcome = server_links.ExchangeOutcome.BROKEN
         active.may_have_run = True
-        health.record_failure(now_ms)
+        if exchange.is_withdrawn:
+            health.record_withdrawal()
+        else:
+            health.record_failure(now_ms)
         if outcome is server_links.ExchangeOutcome.BROKEN:
             self._crashes.record_broken_answer(
                 active.subject,
@@ -959,7 +1020,8 @@
             )
             self.check_server(placement.server)
         status = head.status if head else 0
-        self._log_attempt(active, placement, sink, "broken off", status, sent_ms)
+        attempt = "withdrawn" if exchange.is_withdrawn else "broken off"
+        self._log_attempt(active, placement, sink, attempt, status, sent_ms)
         prompt = active.caller_headers.prompt
         _LOG.info(
             "answer broken off",
@@ -1158,6 +1220,7 @@
             frozenset(active.tried_servers),
             active.software_version,
             begins_stream=active.begins_stream,
+            may_repeat=active.route.may_repeat,
         )
 
     def _draw_service(
@@ -1205,6 +1268,7 @@
             request=active.caller_headers.request_id,
             server=placement.server.server_id,
             software=placement.server.software_version,
+            weights=placement.weights_version,
             resumes=active.caller_headers.first_attempt_id,
             after=active.event_splitter.last_id or active.caller_headers.resume_after,
             attempt=active.sends,
--- a/quincecrank/gateway/weights.py
+++ b/quincecrank/gateway/weights.py
@@ -23,6 +23,18 @@
 """Fraction of `max_outdated_ms` after which outdated weights get no requests; the rest
 covers the travel time of the update and of a request already sent."""
 
+WITHDRAWAL_FRACTION: Final = 0.9
+"""Fraction of `max_outdated_ms` by which requests on outdated weights must have begun.
+Streams that have not are withdrawn; the rest covers the travel time of the update and
+of the first event, and delays of the gateway."""
+
+MIN_BEGIN_RATIO: Final = 1.5
+"""A request is sent on outdated weights if this multiple of its expected time to the
+first event remains for it to begin."""
+
+MIN_SINGLE_BEGIN_RATIO: Final = 3.0
+"""The same for a request that must not be repeated: once it is withdrawn, it fails."""
+
 OUTDATED_FULL_VALUE_MS: Final = 1_200
 """Time after a target version was set for which outdated weights carry no penalty: for
 1.5 seconds their answers are worth as much to the users as new ones; the travel time of
@@ -160,6 +172,18 @@
             or now_ms - since_ms < max_outdated_ms * OUTDATED_CUTOFF_FRACTION
         )
 
+    def begin_limit_ms(
+        self, model: deployment.ModelName, version: int, max_outdated_ms: int
+    ) -> float | None:
+        """Return the time by which requests must have begun on a version.
+
+        None for a version that is not outdated.  See `may_serve` for `max_outdated_ms`.
+        """
+        since_ms = self.outdated_since_ms(model, version)
+        if since_ms is None:
+            return None
+        return since_ms + max_outdated_ms * WITHDRAWAL_FRACTION
+
     def eligible_replicas(
         self,
         candidates: Iterable[servers.ServerEntry],
