--- a/quincecrank/gateway/stream_version_exchange.py
+++ b/quincecrank/gateway/stream_version_exchange.py
@@ -187,6 +187,8 @@
         self._started_ms = clock.now_ms()
         self._versions.has_listings = False
         self._versions.is_loaded = False
+        self._versions.is_current = False
+        self._versions.are_entries_complete = False
 
     async def run(self) -> None:
         """Write listings and records when they are due; never returns."""
@@ -263,6 +265,9 @@
         ready_by_service = self._observe_servers(now_ms)
         self._versions.expire(now_ms)
         self._versions.is_current = self._is_current()
+        self._versions.are_entries_complete = (
+            now_ms - self._started_ms >= servers.EXPIRY_GRACE_MS
+        )
         if self._has_run_long():
             self._versions.is_store_restored = False
         if not self._versions.has_listings:
--- a/quincecrank/gateway/stream_versions.py
+++ b/quincecrank/gateway/stream_versions.py
@@ -218,6 +218,9 @@
     is_store_restored : bool
         Whether the listings may be older than streams of earlier processes, as the
         store was restored from a snapshot.
+    are_entries_complete : bool
+        Whether all servers have had time to register since the start of this process;
+        a restored store lacks the entries of some at first.
     """
 
     def __init__(self) -> None:
@@ -226,6 +229,7 @@
         self.is_loaded = True
         self.is_current = True
         self.is_store_restored = False
+        self.are_entries_complete = True
         self._service_by_name: collections.defaultdict[
             deployment.ServiceName, _Service
         ] = collections.defaultdict(_Service)
@@ -383,6 +387,8 @@
             return Resumption.UNKNOWN if self.is_loaded else Resumption.NOT_LOADED
         if not possible or not (self.is_current or state.listing is None):
             return Resumption.NOT_LOADED
+        if self.is_store_restored and not self.are_entries_complete:
+            return Resumption.NOT_LOADED
         return next(iter(possible))
 
     def has_record(
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -123,6 +123,15 @@
         self.assertEqual(self.version_of(0, V1), V1)
         self.assertIs(self.version_of(0, V1, V2), stream_versions.Resumption.UNKNOWN)
 
+    def test_a_restored_store_lacked_the_entries_of_another_version(self) -> None:
+        """New processes then resumed its streams at the version of the listing."""
+        self.versions.apply_listing(make_listing(V1), 0)
+        self.versions.is_store_restored = True
+        self.versions.are_entries_complete = False
+        self.assertIs(self.version_of(0, V1), stream_versions.Resumption.NOT_LOADED)
+        self.versions.record_begin(RECORD, 0)
+        self.assertEqual(self.version_of(0, V1), V1)
+
     def test_records_expire_after_their_last_use(self) -> None:
         self.versions.record_begin(RECORD, 0)
         self.versions.record_begin(RECORD, 15_000)
