--- a/quincecrank/gateway/weight_rollout.py
+++ b/quincecrank/gateway/weight_rollout.py
@@ -186,7 +186,8 @@
     def _due(self, outdated: tuple[OutdatedEngine, ...]) -> tuple[OutdatedEngine, ...]:
         """Return the engines whose loading starts now.
 
-        Those with the fewest failed loadings come first, then the least busy.
+        Those with the fewest failed loadings come first, then those whose weights have
+        been outdated for longest, then the least busy.
         Not more than `max_concurrent_loadings` of a service load at once.
         """
         now_ms = self._clock.now_ms()
@@ -203,10 +204,17 @@
                 due.append(each)
         return tuple(due)
 
-    def _rank_of(self, each: OutdatedEngine, now_ms: int) -> tuple[int, int]:
-        load = self._fleet.loads.total_load(each.server.server_id, now_ms)
-        failed_loads = self._failed_loads_by_incarnation[each.server.incarnation]
-        return failed_loads, load.requests
+    def _rank_of(
+        self, each: OutdatedEngine, now_ms: int
+    ) -> tuple[int, int | None, int]:
+        server = each.server
+        return (
+            self._failed_loads_by_incarnation[server.incarnation],
+            self._fleet.target_versions.outdated_since_ms(
+                each.model, server.weight_versions_by_model[each.model]
+            ),
+            self._fleet.loads.total_load(server.server_id, now_ms).requests,
+        )
 
     async def _load(self, outdated: OutdatedEngine) -> None:
         """Announce, drain, order and await one loading."""
