--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -8,7 +8,7 @@
 
 import capnp
 
-from quincecrank import crash_counts, ids, store_rows
+from quincecrank import checked_values, crash_counts, ids, store_rows
 from quincecrank.gateway import (
     crash_findings,
     deployment,
@@ -297,9 +297,9 @@
 def _load_fields(server_id: servers.ServerId, load: loads.Load) -> dict[str, Any]:
     return {
         "server": server_id,
-        "requests": load.requests,
-        "memoryTokens": load.memory_tokens,
-        "prefillTokens": load.backlog_tokens,
+        "requests": min(load.requests, checked_values.MAX_UINT32),
+        "memoryTokens": min(load.memory_tokens, checked_values.MAX_UINT32),
+        "prefillTokens": min(load.backlog_tokens, checked_values.MAX_UINT32),
     }
 
 
@@ -409,11 +409,11 @@
 def _ask_fields(ask: permit_pacer.Ask) -> dict[str, Any]:
     return {
         "server": _incarnation_fields(ask.incarnation),
-        "wanted": ask.wanted,
-        "rank": ask.rank,
+        "wanted": min(ask.wanted, checked_values.MAX_UINT16),
+        "rank": max(0, min(ask.rank, checked_values.MAX_UINT16)),
         "waitedMs": min(ask.waited_ms, _NO_AGE),
         "askedMs": ask.asked_ms,
-        "returned": ask.returned,
+        "returned": min(ask.returned, checked_values.MAX_UINT16),
     }
 
 
