--- a/quincecrank/platform/requests.py
+++ b/quincecrank/platform/requests.py
@@ -1,11 +1,12 @@
 """Decodes callers' request headers and encodes those for backend servers."""
 
 import dataclasses
+import reprlib
 from typing import Final
 
 from tornado import httputil
 
-from quincecrank import ids
+from quincecrank import checked_values, ids
 from quincecrank.gateway import deployment, prompts, servers
 from quincecrank.platform import names
 
@@ -18,6 +19,12 @@
 )  # fmt: skip
 """Headers, in lower case, of one connection or of the framing of one message."""
 
+MAX_PROMPT_TOKENS: Final = 2**31 - 1
+"""Bound of the token counts that callers name; a report to peers holds 32 bits."""
+
+_MAX_DIGITS: Final = 18
+"""Digits of a number that fits in 63 bits."""
+
 
 class HeaderError(Exception):
     """A header of a request is malformed."""
@@ -173,9 +180,21 @@
     value = headers.get(name)
     if value is None:
         return None
-    if not value.isdigit():
-        raise HeaderError(f"{name}: {value!r} is not a whole number")
-    return int(value)
+    try:
+        return _parse_digits(value)
+    except ValueError as error:
+        raise HeaderError(f"{name}: {error}") from error
+
+
+def _parse_digits(text: str) -> int:
+    digits = text.strip()
+    if not digits.isascii() or not digits.isdigit() or len(digits) > _MAX_DIGITS:
+        raise ValueError(f"{reprlib.repr(text)} is not a whole number")
+    return int(digits)
+
+
+def _parse_tokens(text: str) -> int:
+    return checked_values.count(_parse_digits(text), MAX_PROMPT_TOKENS)
 
 
 def _parse_prompt(headers: httputil.HTTPHeaders) -> prompts.Prompt | None:
@@ -187,8 +206,8 @@
         input_tokens, _, max_output_tokens = counts.partition(",")
         return prompts.Prompt(
             model=deployment.ModelName(model),
-            input_tokens=int(input_tokens),
-            max_output_tokens=int(max_output_tokens or 0),
+            input_tokens=_parse_tokens(input_tokens),
+            max_output_tokens=_parse_tokens(max_output_tokens or "0"),
             parts=_parse_parts(headers.get(names.PROMPT_PARTS, "")),
             expected_output_tokens=_parse_count(headers, names.LENGTH_HINT),
         )
@@ -201,7 +220,9 @@
     for entry in value.split(","):
         if entry.strip():
             part_id, _, tokens = entry.strip().partition(":")
-            parts.append(prompts.PromptPart(prompts.PartId(part_id), int(tokens)))
+            parts.append(
+                prompts.PromptPart(prompts.PartId(part_id), _parse_tokens(tokens))
+            )
     return tuple(parts)
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -268,6 +268,19 @@
         )
         exchange_reports(gateway)
 
+    async def test_a_request_with_an_odd_count_gets_no_answer(self) -> None:
+        counts = ("²", "-5", "9" * 20, "9" * 5_000, "1.5", "")
+        for count in counts:
+            for headers in (
+                {"Model": "model-a", "Token_Count": f"{count},1"},
+                {"Model": "model-a", "Token_Count": f"9,{count or 'x'}"},
+                {"Deadline_Ms": count},
+                {"Model": "model-a", "Token_Count": "9", "Length_Hint": count},
+            ):
+                with self.subTest(str(headers)[:60]):
+                    got = await self.ask("/draft/x", b"", **headers)
+                    self.assertEqual(got.status, 400)
+
     async def test_one_server_that_raises_fails_all_requests(self) -> None:
         """An error with one candidate must leave the others in service."""
         total_load = self.fleet.loads.total_load
