--- a/quincecrank/gateway/server_links.py
+++ b/quincecrank/gateway/server_links.py
@@ -22,6 +22,7 @@
 
 from tornado import http1connection, httputil, iostream
 
+from quincecrank import checked_values
 from quincecrank import clock as clocks
 from quincecrank.gateway import servers
 
@@ -321,11 +322,15 @@
     Raises
     ------
     OSError
-        If the connection is refused.
+        If the connection is refused, or if the address is no literal one, which would
+        be looked up on the event loop.
     TimeoutError
         If there is no answer in time.
     """
-    ip, _, port = address.rpartition(":")
+    try:
+        ip, _, port = checked_values.endpoint(address).rpartition(":")
+    except ValueError as error:
+        raise OSError(str(error)) from error
     raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     stream = LinkStream(raw, max_buffer_size=MAX_UNREAD_BYTES)
--- a/quincecrank/platform/engines.py
+++ b/quincecrank/platform/engines.py
@@ -11,8 +11,8 @@
 
 from tornado import httpclient, httputil, iostream, simple_httpclient
 
+from quincecrank import checked_values, json_text
 from quincecrank import clock as clocks
-from quincecrank import json_text
 from quincecrank.gateway import (
     cache_part_index,
     deployment,
@@ -270,7 +270,8 @@
             names.EXPECTED_SERVER: order.server.server_id,
         }
         request = self._request(
-            order.server.address + names.ORDER,
+            order.server.address,
+            names.ORDER,
             CALL_TIMEOUT_MS,
             method="POST",
             headers=headers,
@@ -291,7 +292,7 @@
             If the call fails or the answer is malformed.
         """
         response = await self._fetch(
-            self._request(address + names.REPORT, CALL_TIMEOUT_MS)
+            self._request(address, names.REPORT, CALL_TIMEOUT_MS)
         )
         document = _parse_document(response)
         try:
@@ -317,7 +318,7 @@
             If the call fails or the answer is malformed.
         """
         response = await self._fetch(
-            self._request(address + names.CACHE_LIST, CALL_TIMEOUT_MS)
+            self._request(address, names.CACHE_LIST, CALL_TIMEOUT_MS)
         )
         document = _parse_document(response)
         try:
@@ -350,7 +351,8 @@
             "bootEpoch": epoch,
         }
         request = self._request(
-            address + names.CACHE_FREE,
+            address,
+            names.CACHE_FREE,
             CALL_TIMEOUT_MS,
             method="POST",
             headers={"Content-Type": "application/json"},
@@ -361,8 +363,12 @@
             raise EngineCallError(f"free: status {response.code}")
 
     def _request(
-        self, location: str, timeout_ms: int, **options: Any
+        self, address: str, path: str, timeout_ms: int, **options: Any
     ) -> httpclient.HTTPRequest:
+        try:
+            location = checked_values.endpoint(address) + path
+        except ValueError as error:
+            raise EngineCallError(str(error)) from error
         return httpclient.HTTPRequest(
             f"http://{location}",
             connect_timeout=CALL_TIMEOUT_MS / clocks.MS_PER_SECOND,
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -35,7 +35,7 @@
     service_times,
     tables,
 )
-from quincecrank.platform import store
+from quincecrank.platform import engines, store
 from tests import builders_gateway as builders
 from tests import builders_odd_documents as odd
 from tests import builders_store as stored
@@ -327,8 +327,13 @@
                 connecting.side_effect = AssertionError("connected")
                 await server_links.connect(address, 50, clocks.SystemClock())
 
+        async def call() -> None:
+            await engines.FleetEngineClient().report(address)
+
         with self.assertRaises(OSError):
             asyncio.run(connect())
+        with self.assertRaises(engines.EngineCallError):
+            asyncio.run(call())
 
     async def test_an_odd_key_at_the_end_of_a_page_ends_the_full_read(self) -> None:
         """The next page starts behind that key, which is then part of the query."""
