--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -227,7 +227,16 @@
         self, request: callers.CallerRequest, answer: callers.CallerAnswer
     ) -> None:
         """Answer one request; no failure escapes except cancellation."""
-        active = self._admit(request, answer)
+        try:
+            active = self._admit(request, answer)
+        except Exception:
+            # Nothing was sent, so the answer is true.
+            _LOG.exception("request not admitted")
+            if not answer.has_begun:
+                self._send_own_answer(
+                    answer, "", 503, "internal error", NOT_READY_RETRY_MS
+                )
+            return
         if active is None:
             return
         try:
--- a/tests/test_silent_server_races.py
+++ b/tests/test_silent_server_races.py
@@ -403,6 +403,14 @@
             got = await self.ask_slowly()
         self.assertEqual((got.status, len(got.body)), (200, len(LONG_BODY)))
 
+    async def test_error_in_the_admission_left_a_request_without_an_answer(
+        self,
+    ) -> None:
+        """An exception before the request was active ended its task."""
+        with mock.patch.object(self.forwarder, "_draw_service", side_effect=KeyError):
+            got = await self.ask("/look/x")
+        self.assertEqual((got.status, got.is_complete), (503, True))
+
     async def test_error_in_the_release_of_a_server_lost_its_answer(self) -> None:
         """A complete answer was replaced by 502."""
         await self.add_server(case.sends(case.answer("found")))
