--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -246,8 +246,12 @@
         service = request.service.name
         ready = self._fleet.registry.ready_entries(service)
         if request.software_version is not None:
-            version = request.software_version
-            return tuple(each for each in ready if each.software_version == version)
+            return tuple(
+                each
+                for each in ready
+                if each.software_version == request.software_version
+                and not self._fleet.health.health_of(each).has_refused_connection
+            )
         if not request.begins_stream:
             return ready
         now_ms = self._fleet.clock.now_ms()
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -375,8 +375,10 @@
             return
         active.is_stream_recorded = True
         current = self._fleet.registry.find(server.server_id)
-        if current is not None and current.incarnation != server.incarnation:
-            # It started again meanwhile, maybe before it got the request.
+        is_replaced = current is not None and current.incarnation != server.incarnation
+        health = self._fleet.health.health_of(server)
+        if is_replaced or health.has_refused_connection:
+            # It has started again, maybe before it got the request.
             active.software_version = servers.UNKNOWN_SOFTWARE
             return
         if active.software_version is None:
@@ -726,12 +728,12 @@
         try:
             return await pool.connect(server, min(CONNECT_TIMEOUT_MS, remaining_ms))
         except (OSError, TimeoutError) as error:
-            if not isinstance(error, TimeoutError) or (
-                remaining_ms >= CONNECT_TIMEOUT_MS
-            ):
-                self._fleet.health.health_of(server).mark_unreachable(
-                    self._clock.now_ms()
-                )
+            health = self._fleet.health.health_of(server)
+            was_cut_short = remaining_ms < CONNECT_TIMEOUT_MS
+            if not isinstance(error, TimeoutError) or not was_cut_short:
+                health.mark_unreachable(self._clock.now_ms())
+            if server_links.is_refused_connection(error):
+                health.has_refused_connection = True
             _LOG.warning(
                 "server unreachable",
                 request=active.caller_headers.request_id,
--- a/quincecrank/gateway/server_health.py
+++ b/quincecrank/gateway/server_health.py
@@ -56,12 +56,16 @@
         Moving average of the ratio of observed to expected time of its answers.
     has_ended : bool
         Whether it refused a connection after it had closed one.
+    has_refused_connection : bool
+        Whether it ever refused a connection.  What accepts one at its address later is
+        another incarnation, maybe of another software version.
     """
 
     def __init__(self, started_wall_ms: int) -> None:
         self.started_wall_ms = started_wall_ms
         self.slowness = 1.0
         self.has_ended = False
+        self.has_refused_connection = False
         self._breaker = breaker.Breaker()
         self._paused_until_ms = 0
         self._requested_until_ms = 0
@@ -126,6 +130,7 @@
     def mark_ended(self, now_ms: int) -> None:
         """Record that this incarnation no longer accepts connections."""
         self.has_ended = True
+        self.has_refused_connection = True
         self.mark_unreachable(now_ms)
 
     def _pause(self, until_ms: int) -> None:
--- a/quincecrank/gateway/server_links.py
+++ b/quincecrank/gateway/server_links.py
@@ -344,6 +344,13 @@
     return Link(stream, clock.now_ms())
 
 
+def is_refused_connection(error: BaseException) -> bool:
+    """Return whether an error of `connect` says that nothing listens at the address."""
+    if isinstance(error, iostream.StreamClosedError):
+        return isinstance(error.real_error, ConnectionRefusedError)
+    return isinstance(error, ConnectionRefusedError)
+
+
 def _send(
     connection: http1connection.HTTP1Connection, request: OutgoingRequest
 ) -> "asyncio.Future[None]":
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -104,9 +104,9 @@
         self.closed = asyncio.Event()
         self._server: asyncio.Server | None = None
 
-    async def start(self) -> str:
-        """Listen; return the address."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> str:
+        """Listen on a port, by default any free one; return the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
     def stop(self) -> None:
--- a/tests/test_joined_streams.py
+++ b/tests/test_joined_streams.py
@@ -123,6 +123,23 @@
         got = await self.resume("q-1")
         self.assertEqual(got.body.decode(), events("v1", BROKEN_AFTER + 1, EVENT_COUNT))
 
+    async def test_a_server_restarted_before_its_entry_changed_joined_a_stream(
+        self,
+    ) -> None:
+        """The entry still named the version that it had before."""
+        await self.begin_and_break()
+        port = int(self.fleet.registry.entries()[0].address.rpartition(":")[2])
+        self.servers[0].stop()
+        await asyncio.sleep(GAP_S)
+        self.assertEqual((await self.resume("q-1")).status, 503)
+        restarted = case.ScriptedServer(streams("v2"))
+        await restarted.start(port)
+        self.servers.append(restarted)
+        health = self.fleet.health.health_of(self.fleet.registry.entries()[0])
+        health.record_answer(1, 1)
+        self.assertEqual((await self.resume("q-1")).status, 503)
+        self.assertEqual(restarted.received, [])
+
     async def test_an_unknown_first_attempt_is_not_resumed_at_any_version(self) -> None:
         """Two versions serve, and nothing is known of the stream."""
         await self.add("e-1", "v1")
