--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -50,6 +50,9 @@
 """Retry time while a service has no usable backend server: about the time between two
 reports of a server."""
 
+FAULTY_SERVER_MS: Final = 5_000
+"""Time for which a server is left out after its placement raised an exception."""
+
 _LOG: Final = decision_log.logger("dispatcher")
 
 
@@ -144,6 +147,7 @@
         ] = {}
         self._placement_request_by_id: dict[ids.RequestId, PlacementRequest] = {}
         self._size_fairness = size_fairness.SizeFairness()
+        self._left_out_until_ms: dict[servers.Incarnation, int] = {}
         self._has_waiting = asyncio.Event()
 
     @property
@@ -572,9 +576,74 @@
     def _place_on(
         self, request: PlacementRequest, usable: tuple[servers.ServerEntry, ...]
     ) -> Placement | None:
-        """Place a request on one of some servers; return None if none has capacity."""
-        if not usable:
+        """Place a request on one of some servers; return None if none has capacity.
+
+        A server with which this fails is left out for `FAULTY_SERVER_MS`.
+        """
+        tried = usable
+        if self._left_out_until_ms:
+            now_ms = self._fleet.clock.now_ms()
+            tried = tuple(
+                each
+                for each in usable
+                if now_ms >= self._left_out_until_ms.get(each.incarnation, now_ms)
+            )
+        if not tried:
             return None
+        try:
+            return self._place_on_best(request, tried)
+        except Exception as error:
+            for each in tried:
+                self._fleet.loads.record_end(each.server_id, request.request_id)
+            return self._place_on_any(request, tried, error)
+
+    def _place_on_any(
+        self,
+        request: PlacementRequest,
+        tried: tuple[servers.ServerEntry, ...],
+        failure: Exception,
+    ) -> Placement | None:
+        """Try servers one by one, after an exception with all of them together.
+
+        It is raised again if each server fails by itself: then the request is at fault.
+        """
+        placed: Placement | None = None
+        error_by_server: dict[servers.ServerId, Exception] = {}
+        for each in self._generator.sample(tried, len(tried)):
+            try:
+                placed = self._place_on_best(request, (each,))
+            except Exception as error:
+                self._fleet.loads.record_end(each.server_id, request.request_id)
+                error_by_server[each.server_id] = error
+            if placed is not None:
+                break
+        if len(error_by_server) == len(tried):
+            raise failure
+        for each in tried:
+            if each.server_id in error_by_server:
+                self._leave_out(each, error_by_server[each.server_id])
+        if not error_by_server:
+            _LOG.error("servers fail together only", error=repr(failure))
+        return placed
+
+    def _leave_out(self, server: servers.ServerEntry, error: Exception) -> None:
+        now_ms = self._fleet.clock.now_ms()
+        self._left_out_until_ms = {
+            incarnation: until_ms
+            for incarnation, until_ms in self._left_out_until_ms.items()
+            if now_ms < until_ms
+        }
+        self._left_out_until_ms[server.incarnation] = now_ms + FAULTY_SERVER_MS
+        _LOG.error(
+            "server left out",
+            server=server.server_id,
+            started_wall_ms=server.started_wall_ms,
+            error=repr(error),
+        )
+
+    def _place_on_best(
+        self, request: PlacementRequest, usable: tuple[servers.ServerEntry, ...]
+    ) -> Placement | None:
         if request.prompt is None or request.service.engine is None:
             return self._place_plain(request, usable)
         return self._place_engine(
