--- a/quincecrank/rendezvous.py
+++ b/quincecrank/rendezvous.py
@@ -14,7 +14,8 @@
 
 def weight(key: str, name: str) -> int:
     """Return the weight of `name` for `key`, a uniform hash of 64 bits."""
-    encoded = f"{len(key)}:{key}{name}".encode()
+    # Any text has a weight, since names may come from other programs.
+    encoded = f"{len(key)}:{key}{name}".encode(errors="surrogatepass")
     return int.from_bytes(
         hashlib.blake2b(encoded, digest_size=_WEIGHT_BYTES).digest(), "little"
     )
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -19,7 +19,7 @@
 from structlog import testing
 
 from quincecrank import clock as clocks
-from quincecrank import ids, store_rows
+from quincecrank import ids, rendezvous, store_rows
 from quincecrank.gateway import (
     crash_findings,
     crash_monitor,
@@ -335,6 +335,11 @@
         with self.assertRaises(engines.EngineCallError):
             asyncio.run(call())
 
+    @odd.REPRODUCIBLE
+    @hypothesis.given(odd.ODD_TEXTS, odd.ODD_TEXTS)
+    def test_an_odd_name_ends_the_ranking(self, key: str, name: str) -> None:
+        self.assertEqual(rendezvous.ranked(key, [name], 1), (name,))
+
     async def test_an_odd_key_at_the_end_of_a_page_ends_the_full_read(self) -> None:
         """The next page starts behind that key, which is then part of the query."""
         client = store.PlatformStore("http://127.0.0.1:1")
