--- a/quincecrank/platform/store.py
+++ b/quincecrank/platform/store.py
@@ -9,12 +9,13 @@
 import dataclasses
 import json
 import re
+import reprlib
 from typing import Any, Final
 from urllib import parse
 
 from tornado import httpclient, iostream, simple_httpclient
 
-from quincecrank import clock, json_text, store_era, store_rows
+from quincecrank import checked_values, clock, json_text, store_era, store_rows
 from quincecrank.platform import names
 
 CONNECT_TIMEOUT_MS: Final = 500
@@ -189,8 +190,10 @@
         return _write_result(answer)
 
     async def _get(self, path: str, query: _Document, timeout_ms: int) -> "_Answer":
+        # A key of another writer may contain half of a surrogate pair.
+        encoded = parse.urlencode(query, errors="surrogatepass")
         request = httpclient.HTTPRequest(
-            f"{self._base}{path}?{parse.urlencode(query)}",
+            f"{self._base}{path}?{encoded}",
             connect_timeout=self._connect_timeout_ms / clock.MS_PER_SECOND,
             request_timeout=timeout_ms / clock.MS_PER_SECOND,
         )
@@ -264,7 +267,7 @@
 
     def position(self, version: object) -> store_rows.Position:
         """Return the position of `version` in the era of the answer."""
-        return store_rows.Position(self.era, int(str(version)))
+        return store_rows.Position(self.era, checked_values.count(int(str(version))))
 
 
 def _decode(response: httpclient.HTTPResponse, accepted: set[int], era: int) -> _Answer:
@@ -294,8 +297,11 @@
 
 
 def _parse_row(document: _Document, answer: _Answer) -> store_rows.Row:
+    key = document["key"]
+    if not isinstance(key, str):
+        raise TypeError(f"a key is no text: {reprlib.repr(key)}")
     return store_rows.Row(
-        key=document["key"],
+        key=key,
         text=_decode_text(document.get("value")),
         position=answer.position(document["rowVersion"]),
         is_removed=bool(document.get("tombstone", False)),
