--- a/quincecrank/gateway/store_cleaner.py
+++ b/quincecrank/gateway/store_cleaner.py
@@ -62,7 +62,9 @@
         self._calls = calls
         self._peers = peer_directory
         self._clock = clock
-        self._settled_since_ms_by_model: dict[deployment.ModelName, int] = {}
+        self._settled_since_ms_by_target: dict[
+            tuple[deployment.ModelName, int], int
+        ] = {}
 
     async def run(self) -> None:
         """Free obsolete parts at intervals, until cancelled."""
@@ -79,20 +81,23 @@
     def _settled_versions(self) -> dict[deployment.ModelName, int]:
         """Return the target versions that all engines have had for `MIN_SETTLED_MS`."""
         now_ms = self._clock.now_ms()
-        settled = {}
+        settled_since_ms_by_target = {}
         for model, target in self._fleet.target_versions.target_by_model().items():
             versions = [
                 entry.weight_versions_by_model[model]
                 for entry in self._fleet.registry.entries()
                 if model in entry.weight_versions_by_model
             ]
-            if not versions or min(versions) < target:
-                self._settled_since_ms_by_model.pop(model, None)
-                continue
-            since_ms = self._settled_since_ms_by_model.setdefault(model, now_ms)
-            if now_ms - since_ms >= MIN_SETTLED_MS:
-                settled[model] = target
-        return settled
+            if versions and min(versions) >= target:
+                settled_since_ms_by_target[model, target] = (
+                    self._settled_since_ms_by_target.get((model, target), now_ms)
+                )
+        self._settled_since_ms_by_target = settled_since_ms_by_target
+        return {
+            model: target
+            for (model, target), since_ms in settled_since_ms_by_target.items()
+            if now_ms - since_ms >= MIN_SETTLED_MS
+        }
 
     def _ranks_first(self, store: deployment.ServiceName) -> bool:
         return self._fleet.own_settings.vm in self._peers.first_ranked(store, 1)
