--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -98,6 +98,10 @@
         """Continue a frozen process (SIGCONT)."""
         self._signal(signal.SIGCONT)
 
+    def reload(self) -> None:
+        """Ask the process to read its settings again (SIGHUP)."""
+        self._signal(signal.SIGHUP)
+
     def terminate(self) -> None:
         """Ask the process to shut down (SIGTERM), without waiting."""
         self._signal(signal.SIGTERM)
