--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -126,6 +126,11 @@
         row = {"table": table, "part": "", "key": key, "value": value}
         call(f"{self.store.url}/rows-tx", json.dumps({"put": [row]}).encode())
 
+    def remove_row(self, table: str, key: str) -> None:
+        """Remove a row of a table."""
+        row = {"table": table, "part": "", "key": key}
+        call(f"{self.store.url}/rows-tx", json.dumps({"remove": [row]}).encode())
+
     def write_operator_row(self, key: str, document: Document) -> None:
         """Write a row of the operator's table as JSON."""
         self.write_row("op", key, json.dumps(document))
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -8,7 +8,7 @@
 A stream sends one event every `EVENT_MS` milliseconds; the caller's `Token-Count`
 header gives the number of events after a comma.  Each event names the software version
 that wrote it.  A stream goes on after `Last-Event-Id` whoever began it.  For each
-stream that begins the server prints ``began WALL_MS id=ID weights=N software=VERSION``.
+stream that begins the server prints ``began WALL_MS id=ID weights=N``.
 The prompt parts of every streamed request are cached and never evicted; only a load of
 other weights clears them, which is printed as ``loaded N``.
 
@@ -314,8 +314,7 @@
         broken = server.draw_event(first, count, server.faults.break_streams)
         silent = server.draw_event(first, count, server.faults.silent_streams)
         print(
-            f"began {server.clock.wall_ms()} id={request_id}"
-            f" weights={server.weights} software={server.software}",
+            f"began {server.clock.wall_ms()} id={request_id} weights={server.weights}",
             flush=True,
         )
         for number in range(first, count + 1):
--- a/tests/crash_part_process_soak.py
+++ b/tests/crash_part_process_soak.py
@@ -10,18 +10,16 @@
 
 import dataclasses
 import http.client
-import os
 import pathlib
 import random
 import sys
 import tempfile
 import threading
 import time
-from collections.abc import Mapping, Sequence
 from typing import Final
 
-from standins import launcher, platform_fleet
-from tests import crash_part_checker
+from standins import platform_fleet
+from tests import crash_part_checker, mutable_fleet
 
 ENGINES: Final = tuple(f"engine-{number}" for number in range(8))
 BAD_PART: Final = "bad0"
@@ -49,26 +47,6 @@
     until_ms: float = float("inf")
 
 
-class _MutableFleet(platform_fleet.PlatformFleet):
-    """Starts gateways with the mutation that `QUINCE_MUTATION` names, if any."""
-
-    def launch(
-        self,
-        name: str,
-        module: str,
-        arguments: Sequence[str] = (),
-        environment: Mapping[str, str] | None = None,
-    ) -> launcher.Process:
-        if module != "quincecrank.gateway" or not os.environ.get("QUINCE_MUTATION"):
-            return super().launch(name, module, arguments, environment)
-        added = {
-            **(environment or {}),
-            "WRAPPED_MODULE": "quincecrank.gateway.main",
-            "WRAPPED_NAME": name,
-        }
-        return super().launch(name, "tests.wrapped_program", arguments, added)
-
-
 class Soak:
     """One run with a seed.
 
@@ -288,7 +266,7 @@
     """Run one seed in a fleet of its own; return a line for each violation."""
     with (
         tempfile.TemporaryDirectory() as folder,
-        _MutableFleet(pathlib.Path(folder)) as fleet,
+        mutable_fleet.MutableFleet(pathlib.Path(folder)) as fleet,
     ):
         soak = Soak(fleet, seed, gateways, duration_s, has_faults)
         found = soak.run()
--- a/tests/run_mutations.py
+++ b/tests/run_mutations.py
@@ -20,6 +20,7 @@
 _LINKS: Final = "tests.process_links.LinksTest"
 _BOUNDS: Final = "tests.process_bounds.BoundsTest"
 _CRASH_PARTS: Final = "tests.process_crash_parts.CrashPartTest"
+_STREAMS: Final = "tests.process_streams.StreamsTest"
 _EXPLORER: Final = "tests.process_explorer.ExplorerTest"
 
 TESTS: Final = (
@@ -57,6 +58,19 @@
         f"{_CRASH_PARTS}"
         ".test_requests_with_one_part_crashed_one_server_after_the_other",
     ),
+    (
+        "ignore-software-versions",
+        f"{_STREAMS}.test_streams_were_joined_from_two_software_versions",
+    ),
+    (
+        "ignore-first-attempts",
+        f"{_STREAMS}.test_resumed_streams_and_answers_of_sound_servers_were_lost",
+    ),
+    (
+        "leave-silent-servers",
+        f"{_STREAMS}.test_resumed_streams_and_answers_of_sound_servers_were_lost",
+    ),
+    ("serve-outdated-weights", f"{_STREAMS}.test_runs_began_on_outdated_weights"),
 )
 
 
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -38,7 +38,14 @@
     sealed_block,
     table_breaker,
 )
-from quincecrank.gateway import crash_findings, crash_suspicions
+from quincecrank.gateway import (
+    crash_findings,
+    crash_suspicions,
+    forwarding,
+    servers,
+    weights,
+)
+from quincecrank.platform import documents, requests
 from standins import engine_scheduler, plain_service
 
 _REQUEST_ID: Final = contextvars.ContextVar("request_id", default="")
@@ -289,6 +296,50 @@
     _replace(crash_suspicions, "_depth", lambda *given: -depth(*given))
 
 
+def ignore_software_versions() -> None:
+    """Make gateways take all servers as of one software version."""
+    decode = documents.server_entry
+
+    def mutated(*arguments: Any) -> Any:
+        same = servers.SoftwareVersion("same")
+        return dataclasses.replace(decode(*arguments), software_version=same)
+
+    _replace(documents, "server_entry", mutated)
+
+
+def ignore_first_attempts() -> None:
+    """Make gateways take the first attempt of each resumed stream as unknown."""
+    decode = requests.decode
+
+    def mutated(headers: Any) -> Any:
+        found = decode(headers)
+        if found.first_attempt_id is None:
+            return found
+        unknown = ids.RequestId(f"unknown-{found.request_id}")
+        return dataclasses.replace(found, first_attempt_id=unknown)
+
+    _replace(requests, "decode", mutated)
+
+
+def leave_silent_servers() -> None:
+    """Make gateways close the connection to a server that is silent for 0.7 s."""
+    wait = forwarding.Forwarder._wait_for_progress
+
+    async def mutated(self: Any, active: Any, exchange: Any, successor: Any) -> None:
+        await wait(self, active, exchange, successor)
+        if self._clock.now_ms() - exchange.sink.progress_ms > 700:
+            exchange.link.close()
+
+    _replace(forwarding.Forwarder, "_wait_for_progress", mutated)
+
+
+def serve_outdated_weights() -> None:
+    """Make gateways send requests to outdated weights for an unlimited time."""
+    target_versions = weights.TargetVersions
+    _replace(target_versions, "may_serve_outdated", lambda *arguments: True)
+    _replace(target_versions, "outdated_penalty_ms", lambda *arguments: 0.0)
+
+
 MUTATIONS_BY_NAME: Final[dict[str, Callable[[], None]]] = {
     "claim-what-is-taken": claim_what_is_taken,
     "say-not-run": say_not_run,
@@ -309,6 +360,10 @@
     "hold-without-table": hold_without_table,
     "count-whole-requests": count_whole_requests,
     "blame-first-parts": blame_first_parts,
+    "ignore-software-versions": ignore_software_versions,
+    "ignore-first-attempts": ignore_first_attempts,
+    "leave-silent-servers": leave_silent_servers,
+    "serve-outdated-weights": serve_outdated_weights,
 }
 
 
