--- a/tests/stream_process_soak.py
+++ b/tests/stream_process_soak.py
@@ -420,6 +420,23 @@
             for each in (*self._disturbances, *self._reloads)
         )
 
+    def timeline(self) -> str:
+        """Return a line for each fault and each start and end of a server."""
+        lines = [
+            (each.from_ms, each.until_ms, "planned" if each.is_planned else "fault",
+             each.gateway or "configuration")
+            for each in (*self._disturbances, *self._reloads)
+        ]  # fmt: skip
+        lines += [
+            (each.from_ms, each.until_ms, f"serves {each.software}", each.name)
+            for each in self._starts
+        ]
+        lines += [
+            (at_ms, at_ms, f"weights {version}", "acknowledged")
+            for version, at_ms in self._acknowledged_ms.items()
+        ]
+        return "".join(f"{' '.join(map(str, each))}\n" for each in sorted(lines))
+
     def _violations(self, streams: list[stream_callers.Stream]) -> list[str]:
         attempts = [attempt for stream in streams for attempt in stream.attempts]
         runs = [
@@ -493,6 +510,7 @@
         soak = Soak(fleet, seed, gateways, duration_s)
         found = soak.run()
     print(f"seed {seed}: {soak.figures}", flush=True)
+    (folder / "timeline.txt").write_text(soak.timeline())
     if not found:
         shutil.rmtree(folder)
         return []
