--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -336,7 +336,8 @@
 def serve_outdated_weights() -> None:
     """Make gateways send requests to outdated weights for an unlimited time."""
     target_versions = weights.TargetVersions
-    _replace(target_versions, "may_serve_outdated", lambda *arguments: True)
+    _replace(target_versions, "may_serve", lambda *arguments: True)
+    _replace(target_versions, "begin_limit_ms", lambda *arguments: None)
     _replace(target_versions, "outdated_penalty_ms", lambda *arguments: 0.0)
 
 
