--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -445,18 +445,28 @@
     decoded = json_text.parse(document)
     rows = decoded["rows"]
     # Releases without eras omit the field.
-    era = int(decoded.get("era", store_rows.FIRST_ERA))
-    if not store_rows.FIRST_ERA <= era <= store_rows.MAX_ERA:
-        raise ValueError(f"no era can be {era}")
+    era = checked_values.count(
+        decoded.get("era", store_rows.FIRST_ERA), store_rows.MAX_ERA
+    )
     return store_rows.Rows(
         tuple(
-            store_rows.Row(str(key), str(text), store_rows.Position(era, int(version)))
+            store_rows.Row(
+                _text(key),
+                _text(text),
+                store_rows.Position(era, checked_values.count(version)),
+            )
             for key, text, version in rows
         ),
-        store_rows.Position(era, int(decoded["version"])),
+        store_rows.Position(era, checked_values.count(decoded["version"])),
     )
 
 
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError("a key or text of a row is none")
+    return value
+
+
 def member_key(vm: ids.VmName) -> str:
     """Return the key of a gateway's row."""
     return _MEMBER_PREFIX + vm
