--- a/bench/stream_simulation.py
+++ b/bench/stream_simulation.py
@@ -88,6 +88,7 @@
     gateway: "_Gateway"
     server: int
     believed: servers.SoftwareVersion
+    incarnation: int
     is_new: bool
     continuations: int
     first_ms: int | None = None
@@ -274,9 +275,6 @@
         if not server.is_up or server.incarnation != incarnation:
             return
         server.is_up = False
-        for gateway in self._gateways:
-            if gateway.is_up and number in gateway.entries:
-                gateway.ended.add((number, incarnation))
         for attempt in sorted(server.attempts, key=lambda each: each.stream.key):
             self._break(attempt, by_server=True)
 
@@ -564,14 +562,12 @@
     def _usable(self, gateway: _Gateway) -> dict[int, servers.SoftwareVersion]:
         """Return the versions of the servers that a gateway may use, as it knows them.
 
-        A gateway sees at its links that an incarnation has ended.
+        It no longer uses an incarnation that has refused a connection.
         """
         return {
             number: entry.version
             for number, entry in gateway.entries.items()
-            if entry.is_ready
-            and (number, entry.incarnation) not in gateway.ended
-            and self._servers[number].is_up
+            if entry.is_ready and (number, entry.incarnation) not in gateway.ended
         }
 
     def _send(
@@ -584,24 +580,41 @@
         is_new: bool,
         continuations: int = 0,
     ) -> bool:
-        eligible = [number for number, each in usable.items() if each in allowed]
-        if not eligible:
+        eligible = {number for number, each in usable.items() if each in allowed}
+        number = self._connect(gateway, eligible)
+        if number is None:
             return False
-        number = min(
-            eligible,
-            key=lambda each: (
-                len(self._servers[each].attempts),
-                self._generator.random(),
-            ),
-        )
+        incarnation = gateway.entries[number].incarnation
         attempt = _Attempt(
-            stream, gateway, number, usable[number], is_new, continuations
+            stream,
+            gateway,
+            number,
+            usable[number],
+            incarnation,
+            is_new,
+            continuations,
         )
         gateway.attempts.add(attempt)
         self._servers[number].attempts.add(attempt)
         self._at(self._generator.uniform(60, 200), lambda: self._first_event(attempt))
         return True
 
+    def _connect(self, gateway: _Gateway, eligible: set[int]) -> int | None:
+        """Return the least loaded server that accepts a connection; None if none."""
+        while eligible:
+            number = min(
+                sorted(eligible),
+                key=lambda each: (
+                    len(self._servers[each].attempts),
+                    self._generator.random(),
+                ),
+            )
+            if self._servers[number].is_up:
+                return number
+            gateway.ended.add((number, gateway.entries[number].incarnation))
+            eligible.discard(number)
+        return None
+
     def _first_event(self, attempt: _Attempt) -> None:
         if attempt not in attempt.gateway.attempts:
             return
@@ -611,7 +624,11 @@
         stream, version = attempt.stream, self._servers[attempt.server].version
         attempt.first_ms = self._now_ms
         attempt.remaining = max(1, stream.events - stream.delivered)
-        if not attempt.continuations:
+        entry = attempt.gateway.entries.get(attempt.server)
+        is_replaced = (
+            entry is not None and entry.incarnation != attempt.incarnation
+        ) or (attempt.server, attempt.incarnation) in attempt.gateway.ended
+        if not attempt.continuations and not is_replaced:
             attempt.gateway.policy.record_start(
                 stream.key, attempt.believed, self._now_ms
             )
@@ -660,6 +677,8 @@
             return
         self._stop(attempt)
         stream, gateway = attempt.stream, attempt.gateway
+        if by_server and not self._servers[attempt.server].is_up:
+            gateway.ended.add((attempt.server, attempt.incarnation))
         if stream.delivered >= stream.events:
             return
         if by_server and attempt.continuations < MAX_CONTINUATIONS:
