--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -3,14 +3,15 @@
 import dataclasses
 import math
 import pathlib
-from collections.abc import Mapping
-from typing import Any, Final
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Final, TypeVar
 
 import capnp
 
 from quincecrank import checked_values, crash_counts, ids, store_rows
 from quincecrank.gateway import (
     crash_findings,
+    decision_log,
     deployment,
     engine_weight_updates,
     failed_request_records,
@@ -34,6 +35,10 @@
     """A datagram that can't be decoded as a message of a gateway."""
 
 
+_Part = TypeVar("_Part")
+
+_LOG: Final = decision_log.logger("peers")
+
 _NO_AGE: Final = 0xFFFFFFFF
 """Encodes the missing age of a table; the largest value of the field."""
 
@@ -318,13 +323,24 @@
 
 
 def _crash(message: Any) -> ReportedCrash:
+    request = crash_counts.CrashKey(
+        ids.AccountName(message.account), bytes(message.digest)
+    )
+    checked_values.name(
+        crash_findings.request_key(request), crash_findings.MAX_KEY_BYTES
+    )
     return ReportedCrash(
-        crash_counts.CrashKey(ids.AccountName(message.account), bytes(message.digest)),
+        request,
         # Earlier releases omit the server of some records.
         message.server or message.attempt,
         message.ageMs,
         message.ranMs,
-        tuple(crash_findings.SuspectKey(each) for each in message.parts),
+        tuple(
+            crash_findings.SuspectKey(
+                checked_values.name(each, crash_findings.MAX_KEY_BYTES)
+            )
+            for each in message.parts
+        ),
         message.cleared,
     )
 
@@ -343,7 +359,7 @@
 
 def _finding(message: Any) -> crash_findings.Finding:
     account = ids.AccountName(message.account) if message.account else None
-    return crash_findings.Finding(
+    finding = crash_findings.Finding(
         crash_findings.Scope(crash_findings.SuspectKey(message.key), account),
         message.revision,
         message.hasEnded,
@@ -351,6 +367,7 @@
         message.ageMs,
         tuple(message.servers),
     )
+    return crash_findings.checked_finding(finding)
 
 
 def _incarnation_fields(incarnation: servers.Incarnation) -> dict[str, Any]:
@@ -458,8 +475,8 @@
     }
 
 
-def _times(message: Any) -> service_times.Times:
-    return service_times.Times(
+def _times(message: Any) -> tuple[str, service_times.Times]:
+    times = service_times.Times(
         base_ms=message.baseMs,
         token_ms=message.tokenMs,
         backlog_token_ms=message.backlogTokenMs,
@@ -468,6 +485,10 @@
         spread_ms=message.spreadMs,
         answers=message.answers,
     )
+    for number in dataclasses.astuple(times):
+        if not 0 <= number < math.inf:
+            raise ValueError(f"no service time can be {number}")
+    return checked_values.name(message.service), times
 
 
 def _load(message: Any) -> loads.Load:
@@ -482,9 +503,41 @@
     )
 
 
+def _weight_update(message: Any) -> engine_weight_updates.WeightUpdate:
+    return engine_weight_updates.WeightUpdate(
+        servers.ServerId(checked_values.token(message.server)),
+        message.startedWallMs,
+        deployment.ModelName(checked_values.name(message.model)),
+        message.version,
+        message.isLoaded,
+    )
+
+
+def _target_weights(message: Any) -> weights.TargetWeights:
+    model = deployment.ModelName(checked_values.name(message.model))
+    return weights.TargetWeights(model, message.version, message.ageMs)
+
+
+def _accepted(
+    decode_part: Callable[[Any], _Part], messages: Iterable[Any]
+) -> tuple[_Part, ...]:
+    """Return the decoded parts of a report; one that this fails for is left out."""
+    accepted = []
+    for each in messages:
+        try:
+            accepted.append(decode_part(each))
+        except ValueError as error:
+            _LOG.warning(
+                "invalid part of a report ignored",
+                kind=decode_part.__name__,
+                error=str(error),
+            )
+    return tuple(accepted)
+
+
 def _report(message: Any) -> Report:
     return Report(
-        vm=ids.VmName(message.vm),
+        vm=ids.VmName(checked_values.name(message.vm)),
         is_leaving=message.isLeaving,
         states=tuple(
             TableState(
@@ -497,29 +550,15 @@
         load_by_server={
             servers.ServerId(each.server): _load(each) for each in message.loads
         },
-        crashes=tuple(_crash(each) for each in message.crashes),
+        crashes=_accepted(_crash, message.crashes),
         answered=tuple(
             ReportedAnswer(crash_findings.SuspectKey(each.key), each.ageMs)
             for each in message.answered
         ),
-        findings=tuple(_finding(each) for each in message.findings),
-        weight_updates=tuple(
-            engine_weight_updates.WeightUpdate(
-                servers.ServerId(each.server),
-                each.startedWallMs,
-                deployment.ModelName(each.model),
-                each.version,
-                each.isLoaded,
-            )
-            for each in message.weightNews
-        ),
-        target_weights=tuple(
-            weights.TargetWeights(
-                deployment.ModelName(each.model), each.version, each.ageMs
-            )
-            for each in message.named
-        ),
-        times_by_service={each.service: _times(each) for each in message.times},
+        findings=_accepted(_finding, message.findings),
+        weight_updates=_accepted(_weight_update, message.weightNews),
+        target_weights=_accepted(_target_weights, message.named),
+        times_by_service=dict(_accepted(_times, message.times)),
         leaving=tuple(_incarnation(each) for each in message.leaving),
         pauses=tuple(
             server_health.PeerPause(_incarnation(each.server), each.leftMs)
