--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -518,6 +518,14 @@
     return weights.TargetWeights(model, message.version, message.ageMs)
 
 
+def _stream_records(message: Any) -> tuple[stream_versions.Record, ...]:
+    return stream_versions.RecordGroup(
+        deployment.ServiceName(checked_values.name(message.service)),
+        servers.SoftwareVersion(checked_values.name(message.softwareVersion)),
+        bytes(message.keys),
+    ).records()
+
+
 def _accepted(
     decode_part: Callable[[Any], _Part], messages: Iterable[Any]
 ) -> tuple[_Part, ...]:
@@ -578,11 +586,7 @@
         issues_permits=message.issuesPermits,
         stream_records=tuple(
             record
-            for each in message.streams
-            for record in stream_versions.RecordGroup(
-                deployment.ServiceName(each.service),
-                servers.SoftwareVersion(each.softwareVersion),
-                bytes(each.keys),
-            ).records()
+            for records in _accepted(_stream_records, message.streams)
+            for record in records
         ),
     )
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -18,11 +18,12 @@
 from hypothesis import strategies
 from structlog import testing
 
+from quincecrank import checked_values, ids, rendezvous, store_rows
 from quincecrank import clock as clocks
-from quincecrank import ids, rendezvous, store_rows
 from quincecrank.gateway import (
     crash_findings,
     crash_monitor,
+    deployment,
     dispatcher,
     loads,
     main,
@@ -33,6 +34,7 @@
     server_links,
     servers,
     service_times,
+    stream_versions,
     tables,
 )
 from quincecrank.platform import engines, store
@@ -241,17 +243,26 @@
             crash_findings.Scope(key), count, True, count % 2**16, count, (name,) * 40
         )
         report = peer_messages.Report(
-            ids.VmName(name),
+            ids.VmName(name if count % 2 else "entry-2"),
             False,
             (),
             {servers.ServerId(name): loads.Load(count, count, count)},
             times_by_service={builders.PLAIN: times},
             findings=(finding,),
+            stream_records=(
+                stream_versions.Record(
+                    deployment.ServiceName(name),
+                    stream_versions.StreamKey(count),
+                    servers.SoftwareVersion(name),
+                ),
+            ),
         )
         gateway = main.Gateway(builders.make_environment(), clocks.SystemClock())
         with contextlib.suppress(peer_messages.MessageError):
             decoded = peer_messages.decode(peer_messages.encode(report))
             assert isinstance(decoded, peer_messages.Report)
+            for record in decoded.stream_records:
+                checked_values.name(record.version)
             with sound_log(self):
                 gateway._apply_report(decoded)
             gateway._crashes.findings.add(finding.scope, (), 0)
