--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -34,6 +34,7 @@
     server_links,
     servers,
     service_times,
+    stream_version_exchange,
     stream_versions,
     tables,
 )
@@ -190,6 +191,25 @@
             gateway._reporter.send()
             gateway._peers.first_ranked("key", 1)
 
+    @odd.REPRODUCIBLE
+    @hypothesis.given(
+        odd.ODD_TEXTS,
+        odd.odd_document(
+            {"service": builders.LLM, "listed": ["v1"], "announced": ["v2"]}
+        ),
+        odd.odd_document({builders.LLM: {"v1": "AAAAAAAAAAA="}, builders.PLAIN: {}}),
+    )
+    def test_odd_listings_and_records_end_reports(
+        self, key: str, listing: str, records: str
+    ) -> None:
+        prefix = stream_version_exchange.LISTING_PREFIX
+        listings = [(f"{prefix}{each}", listing) for each in (key, builders.LLM)]
+        with sound_log(self):
+            exchange_reports(applied(tables.TableName.MEMBERS, *numbered(listings)))
+        with contextlib.suppress(stream_version_exchange.RowError):
+            for record in stream_version_exchange.decode_records(records):
+                checked_values.name(record.version)
+
     @odd.REPRODUCIBLE
     @hypothesis.given(
         strategies.lists(
