--- a/bench/stream_simulation.py
+++ b/bench/stream_simulation.py
@@ -107,6 +107,7 @@
         self.is_up = True
         self.is_ready = False
         self.is_frozen = False
+        self.frozen_until_ms = 0
         self.is_writing = False
         self.era = -1
         self.rows_era = -1
@@ -343,6 +344,9 @@
 
     def _freeze(self, gateway: _Gateway, duration_ms: int) -> None:
         gateway.is_frozen = True
+        gateway.frozen_until_ms = max(
+            gateway.frozen_until_ms, self._now_ms + duration_ms
+        )
         for attempt in sorted(gateway.attempts, key=lambda each: each.stream.key):
             if duration_ms < CALLER_SILENCE_MS:
                 if attempt.first_ms is not None:
@@ -355,7 +359,7 @@
                 )
 
         def thaw() -> None:
-            gateway.is_frozen = False
+            gateway.is_frozen = self._now_ms < gateway.frozen_until_ms
 
         self._at(duration_ms, thaw)
 
@@ -519,21 +523,32 @@
         )
         self._call(stream)
 
-    def _gateway_of_caller(self, again: Callable[[], None]) -> _Gateway | None:
-        """Return a gateway that answers, or None after having scheduled a retry."""
-        gateway = self._generator.choice(self._gateways)
+    def _gateway_of_caller(
+        self, again: Callable[[_Gateway | None], None], chosen: _Gateway | None
+    ) -> _Gateway | None:
+        """Return a gateway that answers, or None after having scheduled a retry.
+
+        A frozen gateway answers the callers that still wait when it goes on.
+        """
+        gateway = chosen or self._generator.choice(self._gateways)
         if not gateway.is_up or not gateway.is_ready:
-            self._at(200, again)
+            self._at(200, lambda: again(None))
             return None
         if gateway.is_frozen:
-            self._at(CALLER_SILENCE_MS, again)
+            wait_ms = gateway.frozen_until_ms - self._now_ms
+            if wait_ms < CALLER_SILENCE_MS:
+                self._at(wait_ms, lambda: again(gateway))
+            else:
+                self._at(CALLER_SILENCE_MS, lambda: again(None))
             return None
         return gateway
 
-    def _call(self, stream: _Stream) -> None:
+    def _call(self, stream: _Stream, chosen: _Gateway | None = None) -> None:
         if self._now_ms > stream.give_up_ms:
             return
-        gateway = self._gateway_of_caller(lambda: self._call(stream))
+        gateway = self._gateway_of_caller(
+            lambda gateway: self._call(stream, gateway), chosen
+        )
         if gateway is not None:
             is_counted = self._is_undisturbed(gateway)
             self.result.arrived += is_counted
@@ -710,10 +725,12 @@
         delay_ms = self._generator.uniform(*(SLOW_RETURN_MS if is_slow else RETURN_MS))
         self._at(delay_ms, lambda: again(stream))
 
-    def _resume(self, stream: _Stream) -> None:
+    def _resume(self, stream: _Stream, chosen: _Gateway | None = None) -> None:
         if self._now_ms > stream.give_up_ms:
             return
-        gateway = self._gateway_of_caller(lambda: self._resume(stream))
+        gateway = self._gateway_of_caller(
+            lambda gateway: self._resume(stream, gateway), chosen
+        )
         if gateway is None:
             return
         if not stream.is_resumed:
