--- a/bench/stream_policies.py
+++ b/bench/stream_policies.py
@@ -223,7 +223,7 @@
         self.versions = self.make_versions()
         self.versions.has_listings = False
         self.versions.is_loaded = False
-        self.versions.is_current = False
+        self.versions.current_until_ms = 0
         self.versions.are_entries_complete = False
         self._rows: Mapping[str, stream_patterns.RowValue] = {}
         self._listing: stream_patterns.RowValue | None = None
@@ -314,7 +314,7 @@
         """Return rows to write."""
         self._observe(situation, now_ms)
         self.versions.expire(now_ms)
-        self.versions.is_current = self.is_current(situation)
+        self.versions.current_until_ms = self._current_until_ms(situation, now_ms)
         self._update_restored(situation, now_ms)
         rows: dict[str, stream_patterns.RowValue | None] = {}
         wanted = self.versions.listing_to_write(SERVICE, set(situation.ready), now_ms)
@@ -334,15 +334,18 @@
             rows |= self._records_to_write(situation, now_ms)
         return rows
 
-    def is_current(self, situation: stream_patterns.Situation) -> bool:
-        """Return whether a listing that another gateway writes reaches this one."""
+    def _current_until_ms(
+        self, situation: stream_patterns.Situation, now_ms: int
+    ) -> int:
+        """Return the time until which a listing of another gateway is known here."""
         age_ms = situation.answer_age_ms
         if age_ms is None:
-            return False
+            return 0
         if age_ms < stream_version_exchange.MAX_ANSWER_AGE_MS:
-            return True
+            return now_ms + stream_version_exchange.MAX_ANSWER_AGE_MS - age_ms
         hears_most = 2 * situation.live > situation.gateways
-        return hears_most and age_ms < stream_version_exchange.MAX_OUTAGE_MS
+        is_current = hears_most and age_ms < stream_version_exchange.MAX_OUTAGE_MS
+        return now_ms + 2 * stream_version_exchange.CHECK_MS if is_current else 0
 
     def record_write(
         self,
--- a/quincecrank/gateway/stream_version_exchange.py
+++ b/quincecrank/gateway/stream_version_exchange.py
@@ -187,7 +187,7 @@
         self._started_ms = clock.now_ms()
         self._versions.has_listings = False
         self._versions.is_loaded = False
-        self._versions.is_current = False
+        self._versions.current_until_ms = 0
         self._versions.are_entries_complete = False
 
     async def run(self) -> None:
@@ -264,7 +264,7 @@
         self._update_retention()
         ready_by_service = self._observe_servers(now_ms)
         self._versions.expire(now_ms)
-        self._versions.is_current = self._is_current()
+        self._versions.current_until_ms = self._current_until_ms(now_ms)
         self._versions.are_entries_complete = (
             now_ms - self._started_ms >= servers.EXPIRY_GRACE_MS
         )
@@ -330,20 +330,21 @@
             for target in route.targets
         )
 
-    def _is_current(self) -> bool:
-        """Return whether a listing that another gateway writes reaches this one."""
+    def _current_until_ms(self, now_ms: int) -> int:
+        """Return the time until which a listing of another gateway is known here."""
         ages_ms = (
             self._answer_age_ms(),
             self._peers.store_answer_age_ms(tables.TableName.SERVERS),
         )
         age_ms = min((age for age in ages_ms if age is not None), default=None)
         if age_ms is None:
-            return False
+            return 0
         if age_ms < MAX_ANSWER_AGE_MS:
-            return True
+            return now_ms + MAX_ANSWER_AGE_MS - age_ms
         live_count = 1 + len(self._peers.live_ips())
         hears_most = 2 * live_count > self._peers.known_gateways()
-        return hears_most and age_ms < MAX_OUTAGE_MS
+        is_current = hears_most and age_ms < MAX_OUTAGE_MS
+        return now_ms + 2 * CHECK_MS if is_current else 0
 
     async def _write_listing_if_due(
         self, service: deployment.ServiceName, ready: set[servers.SoftwareVersion]
--- a/quincecrank/gateway/stream_versions.py
+++ b/quincecrank/gateway/stream_versions.py
@@ -36,6 +36,7 @@
 import dataclasses
 import enum
 import hashlib
+import math
 from collections.abc import Iterable, Mapping, Set
 from typing import Final, NewType
 
@@ -213,8 +214,9 @@
         Whether the listings were read since the start.
     is_loaded : bool
         Whether the records of the store were read since the start.
-    is_current : bool
-        Whether listings that other gateways write reach this one in time.
+    current_until_ms : float
+        Time until which listings that other gateways write have reached this one; a
+        process that was suspended is not current when it goes on.
     is_store_restored : bool
         Whether the listings may be older than streams of earlier processes, as the
         store was restored from a snapshot.
@@ -227,7 +229,7 @@
         self.retention_ms = DEFAULT_RETENTION_MS
         self.has_listings = True
         self.is_loaded = True
-        self.is_current = True
+        self.current_until_ms = math.inf
         self.is_store_restored = False
         self.are_entries_complete = True
         self._service_by_name: collections.defaultdict[
@@ -385,7 +387,8 @@
         }
         if len(possible) > 1:
             return Resumption.UNKNOWN if self.is_loaded else Resumption.NOT_LOADED
-        if not possible or not (self.is_current or state.listing is None):
+        is_current = now_ms < self.current_until_ms or state.listing is None
+        if not possible or not is_current:
             return Resumption.NOT_LOADED
         if self.is_store_restored and not self.are_entries_complete:
             return Resumption.NOT_LOADED
--- a/tests/test_stream_load.py
+++ b/tests/test_stream_load.py
@@ -38,6 +38,25 @@
         """They took the version that they knew for the only one."""
         self.check_fault("cut in release")
 
+    def test_gateways_that_were_suspended_joined_the_streams_that_waited(self) -> None:
+        """They went on with what they had known, until their next check."""
+        frozen = stream_patterns.Fault(
+            stream_patterns.FaultKind.FREEZE, 7_900, 11_500, (5, 6, 7, 8, 9)
+        )
+        for seed in (2, 3):
+            with self.subTest(seed):
+                pattern = stream_patterns.Pattern(
+                    seed,
+                    stream_policies.Listed,
+                    broken_share=0.2,
+                    dropped_share=0.3,
+                    slow_share=0.1,
+                    changes=stream_patterns.release(8_000, 2, 200, stay_ms=1_000),
+                    faults=(frozen,),
+                )
+                result = stream_simulation.simulate(pattern)
+                self.assertEqual(stream_soak.result_lines(result), [])
+
     def test_a_restored_store_without_a_version_led_to_joined_streams(self) -> None:
         """No gateway of before the restore was left, and its servers came later."""
         self.check_fault("store restored, all killed")
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -102,11 +102,17 @@
 
     def test_a_gateway_that_is_cut_off_resumes_only_what_it_knows(self) -> None:
         self.versions.apply_listing(make_listing(V1), 0)
-        self.versions.is_current = False
+        self.versions.current_until_ms = 0
         self.assertIs(self.version_of(), stream_versions.Resumption.NOT_LOADED)
         self.versions.record_begin(RECORD, 0)
         self.assertEqual(self.version_of(), V1)
 
+    def test_a_gateway_that_was_suspended_is_not_current(self) -> None:
+        self.versions.apply_listing(make_listing(V1), 0)
+        self.versions.current_until_ms = 1_600
+        self.assertEqual(self.version_of(1_599), V1)
+        self.assertIs(self.version_of(1_600), stream_versions.Resumption.NOT_LOADED)
+
     def test_an_announcement_that_others_may_have_followed_by_a_listing(self) -> None:
         """A gateway that is cut off then resumed streams at the version before."""
         listing = stream_versions.Listing(
