--- a/quincecrank/platform/requests.py
+++ b/quincecrank/platform/requests.py
@@ -146,9 +146,9 @@
     forwarded[names.DEADLINE] = str(gateway_headers.remaining_ms)
     forwarded[names.EXPECTED_SERVER] = gateway_headers.server_id
     optional = {
-        names.ACCOUNT: gateway_headers.account,
+        names.ACCOUNT: _as_header(gateway_headers.account),
         names.URGENCY: gateway_headers.urgency,
-        names.CACHE_SALT: gateway_headers.cache_salt,
+        names.CACHE_SALT: _as_header(gateway_headers.cache_salt),
         names.EXPECTED_WEIGHTS: gateway_headers.expected_weights,
         names.FETCH_FROM: _encode_addresses(gateway_headers.fetch_from),
         names.SAVE_TO: _encode_addresses(gateway_headers.save_to),
@@ -162,6 +162,11 @@
     return forwarded
 
 
+def _as_header(text: str | None) -> str | None:
+    """Return the UTF-8 of a text as characters of one byte each, for a header."""
+    return None if text is None else text.encode().decode("latin-1")
+
+
 def _parse_first_attempt(headers: httputil.HTTPHeaders) -> ids.RequestId | None:
     value = headers.get(names.FIRST_ATTEMPT, "").strip()
     return ids.RequestId(value) if value else None
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -312,6 +312,14 @@
                     got = await self.ask("/draft/x", b"", **headers)
                     self.assertEqual(got.status, 400)
 
+    async def test_an_account_that_is_not_ascii_gets_no_answer(self) -> None:
+        document = builders.make_configuration_document(9)
+        document["tenants"][0]["name"] = "पाटन"
+        self.configure_from(document)
+        server = await self.add_server(gateway_case.sends(gateway_case.answer()))
+        self.assertEqual((await self.ask("/look/x")).status, 200)
+        self.assertEqual(server.received[0].headers["Tenant"], "पाटन")
+
     async def test_one_server_that_raises_fails_all_requests(self) -> None:
         """An error with one candidate must leave the others in service."""
         total_load = self.fleet.loads.total_load
