--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -45,6 +45,9 @@
 from tests import gateway_case
 
 MAX_LOG_LINE_BYTES: Final = 4_000
+PATIENT_MS: Final = 60_000
+"""Time limit of requests, for a test process that gets no processor for seconds."""
+
 FINDING_DOCUMENT: Final = {
     "suspect": builders.make_part_key("p"),
     "account": None,
@@ -107,6 +110,10 @@
 
     async def serve_beside(self, data: Any) -> None:
         await self.asyncSetUp()
+        configuration = builders.make_configuration_document(8)
+        for route in configuration["routes"]:
+            route["timeoutMs"] = PATIENT_MS
+        self.configure_from(configuration)
         try:
             sound = await self.add_server(
                 gateway_case.sends(gateway_case.answer()), server_id="i-sound"
@@ -127,7 +134,11 @@
                 for each in self.fleet.registry.entries():
                     self.assert_literal(each.address)
                 for number in range(4):
-                    got = await self.ask("/look/x", Request_Id=f"q-{number}")
+                    got = await self.ask(
+                        "/look/x",
+                        Request_Id=f"q-{number}",
+                        Deadline_Ms=str(PATIENT_MS),
+                    )
                     self.assertEqual(got.status, 200)
         finally:
             await self.asyncTearDown()
