--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -39,25 +39,30 @@
         """Apply changed rows; every row that an operator writes is significant."""
         for row in rows:
             try:
-                update = row_updates.operator_update(row)
+                self._apply(row)
             except documents.DocumentError as error:
                 _LOG.error(
                     "invalid row ignored",
                     table="operator",
-                    key=row.key[: checked_values.MAX_NAME_BYTES],
+                    key=_shown_key(row),
                     error=str(error),
                 )
-                continue
-            if isinstance(update, weights.TargetWeights):
-                self._record_target(update, row)
-            elif update is not None and self._fleet.apply_configuration(update):
-                _LOG.info(
-                    "configuration in force",
-                    version=update.version,
-                    row=row.position.number,
-                )
+            except Exception:
+                # The other rows are applied all the same.
+                _LOG.exception("row not applied", table="operator", key=_shown_key(row))
         return bool(rows)
 
+    def _apply(self, row: store_rows.Row) -> None:
+        update = row_updates.operator_update(row)
+        if isinstance(update, weights.TargetWeights):
+            self._record_target(update, row)
+        elif update is not None and self._fleet.apply_configuration(update):
+            _LOG.info(
+                "configuration in force",
+                version=update.version,
+                row=row.position.number,
+            )
+
     def handle_store_unavailable(self) -> None:
         """Do nothing: the operator's settings stay in force."""
 
@@ -104,22 +109,28 @@
         is_significant = False
         for row in rows:
             try:
-                entry = row_updates.server_update(row)
-            except documents.DocumentError as error:
-                _LOG.warning(
-                    "invalid row ignored",
-                    table="servers",
-                    key=row.key[: checked_values.MAX_NAME_BYTES],
-                    error=str(error),
-                )
-                # An invalid entry removes the server that the row held before.
-                entry = None
-            if entry is None:
-                is_significant |= self._remove(servers.ServerId(row.key))
-            else:
-                is_significant |= self._update(entry)
+                is_significant |= self._apply(row)
+            except Exception:
+                # The other rows are applied all the same.
+                _LOG.exception("row not applied", table="servers", key=_shown_key(row))
         return is_significant
 
+    def _apply(self, row: store_rows.Row) -> bool:
+        try:
+            entry = row_updates.server_update(row)
+        except documents.DocumentError as error:
+            _LOG.warning(
+                "invalid row ignored",
+                table="servers",
+                key=_shown_key(row),
+                error=str(error),
+            )
+            # An invalid entry removes the server that the row held before.
+            entry = None
+        if entry is None:
+            return self._remove(servers.ServerId(row.key))
+        return self._update(entry)
+
     def handle_store_unavailable(self) -> None:
         """Expect entries to expire although their servers are alive."""
         self._fleet.registry.mark_store_unavailable()
@@ -231,7 +242,7 @@
             _LOG.error(
                 "invalid row ignored",
                 table="members",
-                key=row.key[: checked_values.MAX_NAME_BYTES],
+                key=_shown_key(row),
                 error=str(error),
             )
             return
@@ -245,6 +256,10 @@
         """Do nothing."""
 
 
+def _shown_key(row: store_rows.Row) -> str:
+    return row.key[: checked_values.MAX_NAME_BYTES]
+
+
 def _is_significant(before: servers.ServerEntry, now: servers.ServerEntry) -> bool:
     """Return whether a change of an entry alters what gateways act on."""
     return (
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -37,6 +37,7 @@
     stream_version_exchange,
     stream_versions,
     tables,
+    weights,
 )
 from quincecrank.platform import engines, store
 from tests import builders_gateway as builders
@@ -302,6 +303,41 @@
         self.assertTrue(math.isfinite(expected.expected_ms(work)))
         exchange_reports(gateway)
 
+    def test_one_row_that_raises_keeps_the_others_from_being_applied(self) -> None:
+        entries = [
+            (f"i-{n}", json.dumps(builders.make_entry_document())) for n in "123"
+        ]
+        targets = [
+            (f"version/{model}", json.dumps({"model": model, "version": 2}))
+            for model in ("odd", "model-a")
+        ]
+        update = servers.ServerRegistry.update
+        record = weights.TargetVersions.record_target
+
+        def update_or_raise(
+            registry: servers.ServerRegistry, entry: servers.ServerEntry
+        ) -> servers.ServerEntry:
+            if entry.server_id == "i-1":
+                raise ZeroDivisionError
+            return update(registry, entry)
+
+        def record_or_raise(target: Any, model: Any, *rest: Any) -> bool:
+            if model == "odd":
+                raise ZeroDivisionError
+            return record(target, model, *rest)
+
+        with (
+            testing.capture_logs(),
+            mock.patch.object(servers.ServerRegistry, "update", update_or_raise),
+            mock.patch.object(weights.TargetVersions, "record_target", record_or_raise),
+        ):
+            fleet = applied(tables.TableName.SERVERS, *numbered(entries))._fleet
+            self.assertEqual(
+                {each.server_id for each in fleet.registry.entries()}, {"i-2", "i-3"}
+            )
+            fleet = applied(tables.TableName.OPERATOR, *numbered(targets))._fleet
+            self.assertEqual(fleet.target_versions.target_by_model(), {"model-a": 2})
+
     async def test_a_prompt_of_too_many_tokens_ends_reports(self) -> None:
         """The load that it puts on a server does not fit the report's field."""
         gateway = main.Gateway(builders.make_environment(), clocks.SystemClock())
