--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -66,7 +66,7 @@
     "the stream can't be resumed, begin a new one: its software version is not known"
 )
 VERSIONS_RETRY_MS: Final = 300
-"""Retry-after time of resumed streams while the records of the store are not read."""
+"""Retry-after time of resumed streams while listings or records are not read yet."""
 
 CRASH_REASON: Final = "the request crashes backend servers"
 
@@ -101,8 +101,6 @@
     ----------
     running : Future
         Done when the exchange has ended.
-    resume_after : str or None
-        Id of the last event that the caller had received when it was sent.
     predecessor : _Exchange or None
         Exchange with a silent server that ends once this one succeeds; None for the
         exchange whose answer is passed on.
@@ -123,7 +121,6 @@
     sink: answer_sink.AnswerSink
     running: "asyncio.Future[server_links.ExchangeOutcome]"
     sent_ms: int
-    resume_after: str | None
     predecessor: "_Exchange | None" = None
     predecessor_progress: int = 0
     is_superseded: bool = False
@@ -563,7 +560,6 @@
             sink,
             running,
             now_ms,
-            active.event_splitter.last_id,
             predecessor,
             0 if predecessor is None else predecessor.sink.progress_count,
         )
--- a/quincecrank/gateway/stream_versions.py
+++ b/quincecrank/gateway/stream_versions.py
@@ -24,9 +24,9 @@
 -----
 Invariant: a resumed stream is sent only to servers of its record's version or, without
 a record, of the only version at which streams can have begun: the one listed version of
-a single service, while listings reach the gateway in time.  A
-stream begins only at a listed version.  So a stream without a record is resumed only
-while every stream of the service has the same version.
+a single service, while listings reach the gateway in time.  A stream begins only at a
+listed version.  So a stream without a record is resumed only while every stream of the
+service has the same version.
 
 Before a version is listed it is announced, and every gateway publishes the records of
 the streams that began before, so that these are known once the service is mixed.
@@ -70,7 +70,10 @@
 
 
 class Resumption(enum.Enum):
-    """Why the version of a resumed stream is not known."""
+    """Why the version of a resumed stream is not known.
+
+    `NOT_LOADED` says that it may be known soon, `UNKNOWN` that it will not.
+    """
 
     UNKNOWN = "unknown"
     NOT_LOADED = "not loaded"
