--- a/tests/test_silent_server_races.py
+++ b/tests/test_silent_server_races.py
@@ -291,7 +291,7 @@
     async def test_first_event_within_the_same_millisecond_ended_a_stream(
         self,
     ) -> None:
-        """A discarded answer finished the caller's, as progress is told by the ms."""
+        """A discarded answer finished the caller's: progress was compared in ms."""
         clock = clocks.SystemClock()
         frozen: list[int] = []
 
