--- a/bench/stream_simulation.py
+++ b/bench/stream_simulation.py
@@ -524,13 +524,13 @@
         self._call(stream)
 
     def _gateway_of_caller(
-        self, again: Callable[[_Gateway | None], None], chosen: _Gateway | None
+        self, again: Callable[[_Gateway | None], None], target: _Gateway | None
     ) -> _Gateway | None:
         """Return a gateway that answers, or None after having scheduled a retry.
 
         A frozen gateway answers the callers that still wait when it goes on.
         """
-        gateway = chosen or self._generator.choice(self._gateways)
+        gateway = target or self._generator.choice(self._gateways)
         if not gateway.is_up or not gateway.is_ready:
             self._at(200, lambda: again(None))
             return None
@@ -543,11 +543,11 @@
             return None
         return gateway
 
-    def _call(self, stream: _Stream, chosen: _Gateway | None = None) -> None:
+    def _call(self, stream: _Stream, target: _Gateway | None = None) -> None:
         if self._now_ms > stream.give_up_ms:
             return
         gateway = self._gateway_of_caller(
-            lambda gateway: self._call(stream, gateway), chosen
+            lambda gateway: self._call(stream, gateway), target
         )
         if gateway is not None:
             is_counted = self._is_undisturbed(gateway)
@@ -725,11 +725,11 @@
         delay_ms = self._generator.uniform(*(SLOW_RETURN_MS if is_slow else RETURN_MS))
         self._at(delay_ms, lambda: again(stream))
 
-    def _resume(self, stream: _Stream, chosen: _Gateway | None = None) -> None:
+    def _resume(self, stream: _Stream, target: _Gateway | None = None) -> None:
         if self._now_ms > stream.give_up_ms:
             return
         gateway = self._gateway_of_caller(
-            lambda gateway: self._resume(stream, gateway), chosen
+            lambda gateway: self._resume(stream, gateway), target
         )
         if gateway is None:
             return
