--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -6,7 +6,9 @@
 
 import asyncio
 import dataclasses
+import enum
 import http.client
+import select
 import socket
 import weakref
 from collections.abc import Awaitable, Callable
@@ -36,6 +38,17 @@
 """Limit of the time to read a request's body."""
 
 
+class CloseReason(enum.Enum):
+    """Why this process closes the connection of a caller itself."""
+
+    SHUTDOWN = "shutdown"
+    ABORTED_ANSWER = "aborted answer"
+
+
+ObserveClose = Callable[[CloseReason, bool], None]
+"""Called at each close by this process, with whether bytes had arrived unread."""
+
+
 class CallerDisconnectedError(Exception):
     """The caller has closed its connection before the end of its answer."""
 
@@ -160,12 +173,15 @@
         Limits of the configuration in force.
     is_leaving : bool
         Whether the process is shutting down.
+    observe_close : callable
+        Called at each close of a connection by this process.
     """
 
     handler: Handler
     clock: clocks.Clock
     limits: deployment.ClientLimits | None = None
     is_leaving: bool = False
+    observe_close: ObserveClose = lambda _reason, _is_unread: None
 
 
 class CallerListener(httputil.HTTPServerConnectionDelegate):
@@ -304,6 +320,9 @@
 
     def close(self) -> None:
         """Close a connection on which no request has begun."""
+        stream = self._connection.stream
+        if stream is not None and not stream.closed():
+            self._state.observe_close(CloseReason.SHUTDOWN, _has_unread_bytes(stream))
         self._connection.close()
 
     async def _serve(self, request: CallerRequest, answer: CallerAnswer) -> None:
@@ -313,6 +332,7 @@
         finally:
             self._open.discard(self)
             if not answer.has_ended:
+                self._state.observe_close(CloseReason.ABORTED_ANSWER, False)
                 answer.abort()
 
     def _handle_disconnect(self) -> None:
@@ -326,6 +346,13 @@
         answer.send(status, httputil.HTTPHeaders(), b"")
 
 
+def _has_unread_bytes(stream: iostream.IOStream) -> bool:
+    """Return whether bytes, or the end of the connection, have arrived unread."""
+    poll = select.poll()
+    poll.register(stream.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _retrieve_exception(future: "asyncio.Future[None]") -> None:
     """Retrieve the exception, so that asyncio does not log it as never retrieved.
 
--- a/quincecrank/gateway/gateway_metrics.py
+++ b/quincecrank/gateway/gateway_metrics.py
@@ -119,6 +119,18 @@
             ["origin"],
             registry=self.registry,
         )
+        self._closed_connections = prometheus_client.Counter(
+            "quince_gateway_closed_connections",
+            "Connections of callers that this gateway closed, by reason, and by "
+            "whether bytes had arrived that it had not read",
+            ["reason", "unread"],
+            registry=self.registry,
+        )
+        self.loop_lateness_seconds = prometheus_client.Gauge(
+            "quince_gateway_loop_lateness_seconds",
+            "Largest lateness of the event loop in the last seconds",
+            registry=self.registry,
+        )
         self._permit_counts: dict[str, int] = {}
         self.peers = prometheus_client.Gauge(
             "quince_gateway_peers", "Live other gateways", registry=self.registry
@@ -152,6 +164,10 @@
         """Count an answer that was ended before it was complete."""
         self._aborted_answers.labels(reason).inc()
 
+    def record_closed_connection(self, reason: str, *, is_unread: bool) -> None:
+        """Record a connection of a caller that this gateway closed."""
+        self._closed_connections.labels(reason, str(is_unread).lower()).inc()
+
     def record_resumption(self, origin: str) -> None:
         """Count a stream that a caller resumed, by the origin of its version."""
         self._resumptions.labels(origin).inc()
--- /dev/null
+++ b/quincecrank/gateway/loop_monitor.py
@@ -0,0 +1,77 @@
+"""Observes how late the event loop of a process runs.
+
+Load pattern: a gateway with more work than its share of a processor, or whose process
+is not run for a while, wakes up late; until then it neither reads what has arrived nor
+notices a signal.  Decisions about a shutdown need to know by how much.
+
+Terms
+-----
+lateness
+    Time from the moment at which a task was to wake up to the moment at which it did.
+"""
+
+import collections
+from typing import Final
+
+from quincecrank import clock as clocks
+
+INTERVAL_MS: Final = 100
+"""Interval of the observations."""
+
+RETENTION_MS: Final = 3_000
+"""Time for which an observation counts."""
+
+
+class LoopMonitor:
+    """Wakes up at regular intervals and records how late it did.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._last_run_ms = clock.now_ms()
+        self._due_ms = self._last_run_ms + INTERVAL_MS
+        self._observations: collections.deque[tuple[int, int]] = collections.deque()
+
+    @property
+    def last_run_ms(self) -> int:
+        """Last time at which the loop is known to have run, in milliseconds."""
+        return self._last_run_ms
+
+    @property
+    def lateness_ms(self) -> int:
+        """Largest lateness within `RETENTION_MS`, the present one included."""
+        now_ms = self._clock.now_ms()
+        self._remove_old(now_ms)
+        overdue_ms = max(0, now_ms - self._due_ms)
+        return max([overdue_ms, *(late_ms for _, late_ms in self._observations)])
+
+    async def run(self) -> None:
+        """Observe the loop until cancelled."""
+        while True:
+            await self.wait_and_observe()
+
+    async def wait_and_observe(self) -> None:
+        """Wait for the next observation and make it."""
+        self._due_ms = self._clock.now_ms() + INTERVAL_MS
+        await self._clock.sleep(INTERVAL_MS)
+        self.observe()
+
+    def observe(self) -> None:
+        """Record that the loop runs now, and how late it does."""
+        now_ms = self._clock.now_ms()
+        late_ms = max(0, now_ms - self._due_ms)
+        if late_ms:
+            self._observations.append((now_ms, late_ms))
+        self._remove_old(now_ms)
+        self._last_run_ms = now_ms
+
+    def _remove_old(self, now_ms: int) -> None:
+        while self._observations and (
+            self._observations[0][0] + RETENTION_MS <= now_ms
+        ):
+            self._observations.popleft()
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -30,6 +30,7 @@
     followers,
     forwarding,
     gateway_metrics,
+    loop_monitor,
     member_registration,
     order_lease,
     peer_messages,
@@ -106,7 +107,9 @@
         self._forwarder = forwarding.Forwarder(
             self._fleet, self._dispatcher, self._crashes, self._metrics, self._generator
         )
+        self._loop_monitor = loop_monitor.LoopMonitor(clock)
         self._listener = callers.CallerListener(self._forwarder.handle, clock)
+        self._listener.state.observe_close = self._observe_close
         self._reporter = peers.PeerReporter(
             own_settings,
             self._peers,
@@ -186,6 +189,7 @@
             clock,
         )
         self._is_leaving = False
+        self._signalled_ms: int | None = None
         self._reports_made = 0
 
     def _subscribe_to_eras(self) -> None:
@@ -235,6 +239,7 @@
             self._cache_followers.run,
             self._store_cleaner.run,
             self._registration.run,
+            self._loop_monitor.run,
             self._run_maintenance,
         ]
         for follower in self._followers_by_table.values():
@@ -244,6 +249,15 @@
             self._tasks.start(tasks.keep_running(run, self._clock))
         _LOG.info("started", ip=own_settings.ip, data_centre=own_settings.data_centre)
 
+    def note_signal(self) -> None:
+        """Note the time of the signal that ends the process.
+
+        The system delivers a signal as soon as the process runs, so that it was sent
+        after the loop's last run.
+        """
+        if self._signalled_ms is None:
+            self._signalled_ms = self._loop_monitor.last_run_ms
+
     async def stop(self) -> None:
         """Become unready, finish the open requests and cancel the background tasks.
 
@@ -254,7 +268,13 @@
         self._is_leaving = True
         self._permits.is_leaving = True
         self._listener.state.is_leaving = True
-        _LOG.info("leaving", open_requests=self._listener.open_requests)
+        self.note_signal()
+        _LOG.info(
+            "leaving",
+            open_requests=self._listener.open_requests,
+            since_signal_ms=self._since_signal_ms,
+            lateness_ms=self._loop_monitor.lateness_ms,
+        )
         bounds = self._fleet.own_settings.bounds
         grace_ms = bounds.shutdown_grace_ms * SHUTDOWN_FRACTION
         await self._clock.sleep(ACCEPT_MS)
@@ -266,7 +286,12 @@
             await self._clock.sleep(LEAVING_CHECK_MS)
         self._dispatcher.reject_all_queued("leaving", forwarding.LEAVING_RETRY_MS)
         await self._clock.sleep(LEAVING_CHECK_MS)
-        _LOG.info("ended", open_requests=self._listener.open_requests)
+        _LOG.info(
+            "ended",
+            open_requests=self._listener.open_requests,
+            since_signal_ms=self._since_signal_ms,
+            lateness_ms=self._loop_monitor.lateness_ms,
+        )
         self._tasks.cancel()
 
     def reload(self) -> None:
@@ -284,6 +309,24 @@
         self._fleet.own_settings = loaded
         _LOG.info("settings reloaded", changed=changed)
 
+    @property
+    def _since_signal_ms(self) -> int | None:
+        """Longest time that may have passed since the signal; None without one."""
+        if self._signalled_ms is None:
+            return None
+        return self._clock.now_ms() - self._signalled_ms
+
+    def _observe_close(self, reason: callers.CloseReason, is_unread: bool) -> None:
+        self._metrics.record_closed_connection(reason.value, is_unread=is_unread)
+        if self._is_leaving or is_unread:
+            _LOG.info(
+                "connection closed",
+                reason=reason.value,
+                unread=is_unread,
+                since_signal_ms=self._since_signal_ms,
+                lateness_ms=self._loop_monitor.lateness_ms,
+            )
+
     @property
     def _is_ready(self) -> bool:
         return self._fleet.is_complete and not self._is_leaving
@@ -385,6 +428,8 @@
             if current is not None:
                 self._listener.state.limits = current.limits
                 self._metrics.configuration_version.set(current.version)
+            lateness_s = self._loop_monitor.lateness_ms / clocks.MS_PER_SECOND
+            self._metrics.loop_lateness_seconds.set(lateness_s)
             self._metrics.peers.set(self._fleet.gateway_count - 1)
             self._metrics.set_rate_limits(
                 self._fleet.rate_limits.states(self._clock.now_ms())
@@ -415,9 +460,15 @@
 async def _serve(own_settings: environment.Environment) -> None:
     ended = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, ended.set)
     gateway = Gateway(own_settings, clocks.SystemClock())
+
+    def handle_end_signal(_number: int, _frame: object) -> None:
+        gateway.note_signal()
+        loop.call_soon_threadsafe(ended.set)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # Handlers of the loop run only once the loop gets to them.
+        signal.signal(number, handle_end_signal)
     loop.add_signal_handler(signal.SIGHUP, gateway.reload)
     await gateway.start()
     await ended.wait()
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -14,6 +14,9 @@
 
 Faults
 ------
+answer_ms : int
+    Time for which a request that is not streamed runs; the server prints
+    ``ended WALL_MS id=ID`` before its answer.
 break_streams : float
     Probability that a stream is broken off within an event, after the server has
     printed ``broke WALL_MS id=ID``.
@@ -77,6 +80,7 @@
 class ServerFaults(serving.Faults):
     """Fault switches of a backend server."""
 
+    answer_ms: int = pydantic.Field(default=0, ge=0)
     break_streams: float = pydantic.Field(default=0.0, ge=0, le=1)
     event_ms: int = pydantic.Field(default=EVENT_MS, ge=0)
     full: bool = False
@@ -298,10 +302,19 @@
             if self._is_streamed():
                 await self._stream()
             else:
-                self.finish(f"{self.request.method} {self.request.path}")
+                await self._answer()
         finally:
             server.running -= 1
 
+    async def _answer(self) -> None:
+        server = self._server
+        if server.faults.answer_ms:
+            await server.clock.sleep(server.faults.answer_ms)
+            request_id = self.request.headers.get("Request-Id", "")
+            print(f"ended {server.clock.wall_ms()} id={request_id}", flush=True)
+        if not self._is_disconnected:
+            self.finish(f"{self.request.method} {self.request.path}")
+
     async def _stream(self) -> None:
         server, headers = self._server, self.request.headers
         request_id = headers.get("Request-Id", "")
