--- /dev/null
+++ b/tests/process_gateway_shutdown.py
@@ -0,0 +1,71 @@
+"""Tests of gateway processes that get SIGTERM while callers use them."""
+
+import http.client
+import pathlib
+import tempfile
+import time
+from typing import ClassVar, Final
+
+from standins import launcher, platform_fleet
+from tests import process_gateway
+
+GRACE_S: Final = 8.0
+"""Time from SIGTERM to SIGKILL."""
+
+
+class ShutdownTest(process_gateway.GatewayCallsCase):
+    """Each test stops a gateway and starts it again."""
+
+    server: ClassVar[launcher.Process]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        folder = cls.enterClassContext(tempfile.TemporaryDirectory())
+        cls.fleet = platform_fleet.PlatformFleet(pathlib.Path(folder))
+        cls.enterClassContext(cls.fleet)
+        cls.server = cls.fleet.add_server("record-1", "records")
+
+    def setUp(self) -> None:
+        self.gateway = self.fleet.add_gateway("entry-1")
+        self.wait_served()
+        self.fleet.set_faults(self.server, answer_ms=0)
+
+    def wait_served(self) -> None:
+        """Wait until the gateway serves requests."""
+        process_gateway.wait_until(
+            lambda: self.ask("/record/", b"x")[0] == 200, "a served request"
+        )
+
+    def kill_after_grace(self, signalled_s: float) -> None:
+        """Do what the operator does: SIGKILL at the end of the grace time."""
+        while self.gateway.running and time.monotonic() < signalled_s + GRACE_S:
+            time.sleep(process_gateway.POLL_S)
+        if self.gateway.running:
+            self.gateway.kill()
+
+    def test_a_request_was_begun_that_could_not_end_in_the_grace_time(self) -> None:
+        """The grace time was counted from when the process noticed the signal."""
+        served = self.server.log().count("ran")
+        self.fleet.set_faults(self.server, answer_ms=5_000)
+        earlier = self.connect()
+        earlier.request("POST", "/record/", b"x", self.headers())
+        process_gateway.wait_until(
+            lambda: self.server.log().count("ran") > served, "the earlier request"
+        )
+        self.gateway.freeze()
+        signalled_s = time.monotonic()
+        self.gateway.terminate()
+        time.sleep(1.5)
+        self.gateway.thaw()
+        time.sleep(2.0)
+        late = self.connect()
+        late.request("POST", "/record/", b"x", self.headers())
+        try:
+            self.kill_after_grace(signalled_s)
+            statuses = [each.getresponse().status for each in (earlier, late)]
+        except (http.client.HTTPException, OSError):
+            statuses = []
+        finally:
+            earlier.close()
+            late.close()
+        self.assertEqual(statuses, [200, 503])
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -1,9 +1,20 @@
 """Tests of what callers get from a gateway that shuts down."""
 
+import asyncio
+import socket
 import unittest
+from typing import Final
 
 from quincecrank import clock as clocks
 from quincecrank.gateway import loop_monitor
+from tests import builders_gateway as builders
+from tests import gateway_case as case
+
+CALLERS: Final = 20
+REQUEST: Final = (
+    f"POST /record/ HTTP/1.1\r\nHost: {builders.HOST}\r\nRequest-Id: q-1\r\n"
+    f"Authorization: Token {builders.KEY}\r\nContent-Length: 1\r\n\r\nx"
+).encode()
 
 
 class LoopMonitorTest(unittest.TestCase):
@@ -42,3 +53,73 @@
     async def sleep(self, duration_ms: float) -> None:
         """Advance the clock."""
         self.advance(int(duration_ms) + self.late_ms)
+
+
+class ShutdownTest(case.GatewayCase):
+    """The loop does not run while a test writes, so all of that arrives unread."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.add_server(case.sends(case.answer()))
+
+    def connect(self) -> socket.socket:
+        """Open a connection without letting the loop run."""
+        connection = socket.create_connection(("127.0.0.1", self.port))
+        self.addCleanup(connection.close)
+        return connection
+
+    async def receive_status(self, connection: socket.socket) -> int:
+        """Return the status of an answer; 0 if the connection ends without one."""
+        connection.setblocking(False)
+        loop = asyncio.get_running_loop()
+        data = b""
+        while b"\r\n\r\n" not in data:
+            try:
+                received = await loop.sock_recv(connection, 4_096)
+            except ConnectionError:
+                return 0
+            if not received:
+                return 0
+            data += received
+        return int(data.split(b" ", 2)[1])
+
+    async def close_and_receive(self, connections: list[socket.socket]) -> list[int]:
+        """Let the listener close what is idle; return the status of each answer."""
+        self.listener.state.is_leaving = True
+        self.listener.close_idle()
+        return [await self.receive_status(each) for each in connections]
+
+    async def test_requests_on_kept_connections_were_closed_unread(self) -> None:
+        """Connections were taken as idle by what the process had read."""
+        connections = [self.connect() for _ in range(CALLERS)]
+        for connection in connections:
+            connection.sendall(REQUEST)
+        for connection in connections:
+            self.assertEqual(await self.receive_status(connection), 200)
+        for connection in connections:
+            connection.setblocking(True)
+            connection.sendall(REQUEST)
+        statuses = await self.close_and_receive(connections)
+        self.assertEqual(statuses, [200] * CALLERS)
+
+    async def test_connections_in_the_accept_queue_were_closed_unread(self) -> None:
+        """The listening socket was closed while connections waited to be accepted."""
+        connections = [self.connect() for _ in range(CALLERS)]
+        for connection in connections:
+            connection.sendall(REQUEST)
+        statuses = await self.close_and_receive(connections)
+        self.assertEqual(statuses, [200] * CALLERS)
+
+    async def test_answers_to_earlier_requests_kept_their_connection(self) -> None:
+        """Whether the gateway leaves was read when the request was read."""
+
+        async def leave_and_answer(
+            _request: case.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            self.listener.state.is_leaving = True
+            writer.write(case.answer())
+
+        self.remove_server("i-1")
+        await self.add_server(leave_and_answer)
+        got = await self.ask("/record/", b"x")
+        self.assertEqual((got.status, got.headers.get("Connection")), (200, "close"))
