--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -89,13 +89,16 @@
         Whether a status has been sent.
     has_ended : bool
         Whether the complete answer was sent, or its connection was closed.
+    closes_connection : bool
+        Whether the answer is the last one of its connection, whatever the state.
     """
 
     def __init__(
-        self, connection: http1connection.HTTP1Connection, is_leaving: bool
+        self, connection: http1connection.HTTP1Connection, state: "ListenerState"
     ) -> None:
         self._connection = connection
-        self._is_leaving = is_leaving
+        self._state = state
+        self.closes_connection = False
         self.has_begun = False
         self.has_ended = False
 
@@ -142,7 +145,7 @@
         self, status: int, headers: httputil.HTTPHeaders, body: bytes | None
     ) -> None:
         self.has_begun = True
-        if self._is_leaving:
+        if self.closes_connection or self._state.is_leaving:
             headers["Connection"] = "close"
         reason = http.client.responses.get(status, "Unknown")
         start = httputil.ResponseStartLine("HTTP/1.1", status, reason)
@@ -309,7 +312,7 @@
             has_body="Content-Length" in headers or "Transfer-Encoding" in headers,
             received_ms=self._state.clock.now_ms(),
         )
-        answer = CallerAnswer(self._connection, self._state.is_leaving)
+        answer = CallerAnswer(self._connection, self._state)
         self._task = self._background.start(self._serve(request, answer))
         # The library calls this if the caller disconnects before the answer's end.
         self._connection.set_close_callback(self._handle_disconnect)
@@ -342,7 +345,8 @@
     def _reject(self, status: int) -> None:
         """Answer a request that exceeds a limit; the rest of it is discarded."""
         self._is_rejected = True
-        answer = CallerAnswer(self._connection, is_leaving=True)
+        answer = CallerAnswer(self._connection, self._state)
+        answer.closes_connection = True
         answer.send(status, httputil.HTTPHeaders(), b"")
 
 
