--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -138,7 +138,11 @@
     def abort(self) -> None:
         """Close the connection, so that the caller sees the answer as incomplete."""
         self.has_ended = True
-        if self._connection.stream is not None:
+        stream = self._connection.stream
+        if stream is not None:
+            if not stream.closed():
+                is_unread = _has_unread(stream)
+                self._state.observe_close(CloseReason.ABORTED_ANSWER, is_unread)
             self._connection.close()
 
     def _begin(
@@ -176,6 +180,8 @@
         Limits of the configuration in force.
     is_leaving : bool
         Whether the process is shutting down.
+    last_arrival_ms : int
+        Time at which the head of the last request was read.
     observe_close : callable
         Called at each close of a connection by this process.
     """
@@ -184,6 +190,7 @@
     clock: clocks.Clock
     limits: deployment.ClientLimits | None = None
     is_leaving: bool = False
+    last_arrival_ms: int = 0
     observe_close: ObserveClose = lambda _reason, _is_unread: None
 
 
@@ -196,13 +203,22 @@
         Answers a request.
     clock : Clock
         Source of time.
+
+    Attributes
+    ----------
+    last_arrival_ms : int
+        Time at which the head of the last request was read.
     """
 
     def __init__(self, handler: Handler, clock: clocks.Clock) -> None:
         self.state = ListenerState(handler, clock)
+        self.state.last_arrival_ms = clock.now_ms()
         self._tasks = tasks.BackgroundTasks()
         self._open: set[_Receiver] = set()
-        self._idle: weakref.WeakSet[_Receiver] = weakref.WeakSet()
+        self._receiver_by_connection: weakref.WeakKeyDictionary[
+            http1connection.HTTP1ServerConnection, _Receiver
+        ] = weakref.WeakKeyDictionary()
+        self._bound: socket.socket | None = None
         self._server = httpserver.HTTPServer(
             self,
             max_header_size=MAX_HEADER_BYTES,
@@ -216,40 +232,83 @@
         """Number of requests that are being read or answered."""
         return len(self._open)
 
+    @property
+    def last_arrival_ms(self) -> int:
+        """Time at which the head of the last request was read; at first the start."""
+        return self.state.last_arrival_ms
+
     def start(self, bound: socket.socket) -> None:
         """Accept connections on a bound socket."""
+        self._bound = bound
         self._server.add_socket(bound)
 
     def stop_accepting(self) -> None:
-        """Accept no more connections; open ones continue."""
+        """Accept the connections that wait, and no more; open ones continue."""
+        self._accept_waiting()
         self._server.stop()
 
-    def close_idle(self) -> None:
-        """Accept no more connections and close the idle ones."""
-        self.stop_accepting()
-        for receiver in tuple(self._idle):
-            receiver.close()
+    def close_idle(self) -> bool:
+        """Accept no more connections and close those on which nothing has arrived.
+
+        What has arrived is left to be read and answered.  Returns whether a connection
+        is still open, so that this is to be called again.
+        """
+        is_any_open = self._accept_waiting()
+        self._server.stop()
+        for connection, receiver in tuple(self._receiver_by_connection.items()):
+            stream = connection.stream
+            if stream.closed():
+                continue
+            if receiver.is_waiting and not _has_unread(stream):
+                self.state.observe_close(CloseReason.SHUTDOWN, False)
+                stream.close()
+            else:
+                is_any_open = True
+        return is_any_open
 
     async def close_all(self) -> None:
         """Close every connection."""
         await self._server.close_all_connections()
 
     def start_request(  # type: ignore[override]
-        self, server_conn: object, request_conn: http1connection.HTTP1Connection
+        self,
+        server_conn: http1connection.HTTP1ServerConnection,
+        request_conn: http1connection.HTTP1Connection,
     ) -> httputil.HTTPMessageDelegate:
         """Return the receiver of a new request."""
-        receiver = _Receiver(
-            self.state, request_conn, self._tasks, self._open, self._idle
-        )
-        self._idle.add(receiver)
+        receiver = _Receiver(self.state, request_conn, self._tasks, self._open)
+        self._receiver_by_connection[server_conn] = receiver
         return receiver
 
     def on_close(self, server_conn: object) -> None:
         """Do nothing: the receivers handle the end of their connection."""
 
+    def _accept_waiting(self) -> bool:
+        """Accept the connections that the system has completed.
+
+        Returns whether there was any.
+        """
+        has_accepted = False
+        while self._bound is not None:
+            try:
+                connection, address = self._bound.accept()
+            except OSError:
+                # None waits, or the socket has been closed.
+                break
+            connection.setblocking(False)
+            self._server.handle_stream(iostream.IOStream(connection), address)
+            has_accepted = True
+        return has_accepted
+
 
 class _Receiver(httputil.HTTPMessageDelegate):
-    """Reads one request, and starts the task that answers it."""
+    """Reads one request, and starts the task that answers it.
+
+    Attributes
+    ----------
+    is_waiting : bool
+        Whether the head of the request has not been read yet.
+    """
 
     def __init__(
         self,
@@ -257,13 +316,12 @@
         connection: http1connection.HTTP1Connection,
         background: tasks.BackgroundTasks,
         open_receivers: "set[_Receiver]",
-        idle: "weakref.WeakSet[_Receiver]",
     ) -> None:
         self._state = state
         self._connection = connection
         self._background = background
         self._open = open_receivers
-        self._idle = idle
+        self.is_waiting = True
         self._task: asyncio.Task[None] | None = None
         self._chunks: list[bytes] = []
         self._size = 0
@@ -275,7 +333,8 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         assert isinstance(start_line, httputil.RequestStartLine)
-        self._idle.discard(self)
+        self.is_waiting = False
+        self._state.last_arrival_ms = self._state.clock.now_ms()
         self._open.add(self)
         self._start_line = start_line
         self._headers = headers
@@ -319,14 +378,6 @@
 
     def on_connection_close(self) -> None:
         self._open.discard(self)
-        self._idle.discard(self)
-
-    def close(self) -> None:
-        """Close a connection on which no request has begun."""
-        stream = self._connection.stream
-        if stream is not None and not stream.closed():
-            self._state.observe_close(CloseReason.SHUTDOWN, _has_unread_bytes(stream))
-        self._connection.close()
 
     async def _serve(self, request: CallerRequest, answer: CallerAnswer) -> None:
         try:
@@ -335,7 +386,6 @@
         finally:
             self._open.discard(self)
             if not answer.has_ended:
-                self._state.observe_close(CloseReason.ABORTED_ANSWER, False)
                 answer.abort()
 
     def _handle_disconnect(self) -> None:
@@ -350,7 +400,7 @@
         answer.send(status, httputil.HTTPHeaders(), b"")
 
 
-def _has_unread_bytes(stream: iostream.IOStream) -> bool:
+def _has_unread(stream: iostream.IOStream) -> bool:
     """Return whether bytes, or the end of the connection, have arrived unread."""
     poll = select.poll()
     poll.register(stream.fileno(), select.POLLIN)
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -279,8 +279,7 @@
         grace_ms = bounds.shutdown_grace_ms * SHUTDOWN_FRACTION
         await self._clock.sleep(ACCEPT_MS)
         self._fleet.is_shutting_down = True
-        self._listener.close_idle()
-        while self._listener.open_requests:
+        while self._listener.close_idle():
             if self._clock.now_ms() - began_ms > grace_ms:
                 break
             await self._clock.sleep(LEAVING_CHECK_MS)
