--- /dev/null
+++ b/quincecrank/gateway/answer_times.py
@@ -0,0 +1,57 @@
+"""Observes how long backend servers take for the complete answers of each route.
+
+Differs from `service_times`, which estimates the time to the first event: a gateway
+that shuts down needs to know when an answer will have ended.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Collection
+from typing import Final
+
+from quincecrank.gateway import deployment
+
+MAX_ANSWERS: Final = 64
+"""Number of the latest answers of a route that count."""
+
+TYPICAL_QUANTILE: Final = 0.9
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerTime:
+    """The time from a send to the end of the answer.
+
+    Attributes
+    ----------
+    typical_ms, longest_ms : int
+        Time of most answers, and of the slowest one.
+    """
+
+    typical_ms: int
+    longest_ms: int
+
+
+class AnswerTimes:
+    """The times of complete answers, by route."""
+
+    def __init__(self) -> None:
+        self._times_by_route: dict[deployment.RouteName, collections.deque[int]] = {}
+
+    def record(self, route: deployment.RouteName, took_ms: int) -> None:
+        """Record one complete answer."""
+        times = self._times_by_route.get(route)
+        if times is None:
+            times = self._times_by_route[route] = collections.deque(maxlen=MAX_ANSWERS)
+        times.append(took_ms)
+
+    def time_of(self, route: deployment.RouteName) -> AnswerTime | None:
+        """Return the time of a route's answers; None if none has been observed."""
+        times = sorted(self._times_by_route.get(route, ()))
+        if not times:
+            return None
+        return AnswerTime(times[int(len(times) * TYPICAL_QUANTILE)], times[-1])
+
+    def retain(self, routes: Collection[deployment.RouteName]) -> None:
+        """Remove all routes but those of the configuration."""
+        for route in set(self._times_by_route) - set(routes):
+            del self._times_by_route[route]
--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -6,6 +6,7 @@
 
 from quincecrank import clock as clocks
 from quincecrank.gateway import (
+    answer_times,
     begin_delays,
     cache_part_index,
     cache_transfers,
@@ -22,6 +23,7 @@
     server_links,
     servers,
     service_times,
+    shutdown_schedule,
     stream_versions,
     weights,
 )
@@ -47,8 +49,10 @@
         The configuration in force; None before the first one was read.
     gateway_count : int
         Number of live gateways, this one included.
-    is_shutting_down : bool
-        Whether the process is about to end and accepts no further request.
+    shutdown : ShutdownSchedule or None
+        Schedule of the shutdown of this process; None while it does not shut down.
+    answer_times : AnswerTimes
+        Times of complete answers by route.
     clock_offset_ms_by_holder : dict of HolderName to int
         Clock of an engine or cache store minus the monotonic clock of this process;
         for deadlines that a holder checks by its own clock.
@@ -65,7 +69,7 @@
         self.clock = clock
         self.configuration: deployment.Deployment | None = None
         self.gateway_count = 1
-        self.is_shutting_down = False
+        self.shutdown: shutdown_schedule.ShutdownSchedule | None = None
         self.registry = servers.ServerRegistry()
         self.target_versions = weights.TargetVersions()
         self.cache_index = cache_part_index.CacheIndex()
@@ -73,6 +77,7 @@
         self.begin_delays = begin_delays.BeginDelays()
         self.health = server_health.HealthRegistry()
         self.service_times = service_times.ServiceTimes()
+        self.answer_times = answer_times.AnswerTimes()
         self.rate_limits = rate_limits.RateLimits()
         self.send_permits = send_permits.SendPermits(
             own_settings.vm, self.rate_limits, random.Random()
@@ -108,6 +113,13 @@
             return False
         self.configuration = update
         self.service_times.retain(tuple(update.services_by_name))
+        self.answer_times.retain(
+            {
+                route.name
+                for routes in update.routes_by_host.values()
+                for route in routes
+            }
+        )
         return True
 
     def remove_server(self, server_id: servers.ServerId) -> None:
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -55,6 +55,7 @@
 NOT_READY_RETRY_MS: Final = 500
 """Retry-after time while the configuration or the backend servers are not known."""
 
+LEAVING_REASON: Final = "leaving"
 LEAVING_RETRY_MS: Final = 50
 """Retry-after time while this gateway shuts down; another one can serve the request
 at once."""
@@ -254,8 +255,8 @@
     ) -> active_requests.ActiveRequest | None:
         """Return the active request, or answer it and return None.
 
-        Requests are rejected here for bad headers, shutdown, missing fleet state, or
-        an unknown route, API key or service.
+        Requests are rejected here for bad headers, missing fleet state, or an unknown
+        route, API key or service.
         """
         current = self._fleet.configuration
         try:
@@ -263,11 +264,6 @@
         except requests.HeaderError as error:
             self._send_own_answer(answer, "", 400, str(error))
             return None
-        if self._fleet.is_shutting_down:
-            self._send_own_answer(
-                answer, caller_headers.request_id, 503, "leaving", LEAVING_RETRY_MS
-            )
-            return None
         if current is None or not self._fleet.is_complete:
             self._send_own_answer(
                 answer, caller_headers.request_id, 503, "not ready", NOT_READY_RETRY_MS
@@ -321,7 +317,7 @@
         if finding is not None:
             active.is_retest = await self.claim_retest(finding)
         while not active.answer.has_ended:
-            if self._reject_crashing(active):
+            if self._reject_crashing(active) or self._reject_leaving(active):
                 return
             placement = await self._place(active)
             if isinstance(placement, dispatcher.Rejection):
@@ -329,6 +325,8 @@
                 return
             if await self._attempt(active, placement) or self._reject_crashing(active):
                 return
+            if self._reject_leaving(active):
+                return
             reason = self._spend_retry(active)
             if reason is not None:
                 self._fail(active, reason, request_queue.MIN_RETRY_AFTER_MS)
@@ -428,6 +426,41 @@
         self._fail(active, CRASH_REASON, CRASHING_REQUEST_RETRY_MS)
         return True
 
+    def reject_leaving(self) -> None:
+        """Reject the queued requests that can't end before this process does."""
+        for request_id, active in tuple(self._unplaced_by_id.items()):
+            if not self._may_begin(active):
+                self._dispatcher.reject_queued(
+                    request_id, LEAVING_REASON, LEAVING_RETRY_MS
+                )
+
+    def _may_begin(self, active: active_requests.ActiveRequest) -> bool:
+        """Return whether an answer that begins now can end before this process does."""
+        shutdown = self._fleet.shutdown
+        if shutdown is None:
+            return True
+        now_ms = self._clock.now_ms()
+        return shutdown.may_begin(
+            now_ms,
+            active.deadline_ms - now_ms,
+            self._fleet.answer_times.time_of(active.route.name),
+            may_repeat=active.route.may_repeat,
+        )
+
+    def _reject_leaving(self, active: active_requests.ActiveRequest) -> bool:
+        """Answer a request that can't end in time; return False if it may begin."""
+        if active.answer.has_ended or self._may_begin(active):
+            return False
+        self._fail(active, LEAVING_REASON, LEAVING_RETRY_MS)
+        return True
+
+    def _deadline_ms(self, active: active_requests.ActiveRequest) -> int:
+        """Return the time at which a request is ended, whether answered or not."""
+        shutdown = self._fleet.shutdown
+        if shutdown is None:
+            return active.deadline_ms
+        return min(active.deadline_ms, shutdown.answer_limit_ms)
+
     async def _attempt(
         self, active: active_requests.ActiveRequest, placement: dispatcher.Placement
     ) -> bool:
@@ -506,8 +539,8 @@
         link = await self._open_link(active, server)
         if link is None:
             return None
-        if self._is_rejected(active):
-            # The finding was made while the request waited for a server or link.
+        if self._is_rejected(active) or not self._may_begin(active):
+            # That has changed while the request waited for a server or link.
             self._fleet.links.release(server, link)
             return None
         if not self._fleet.send_permits.may_send(
@@ -742,7 +775,7 @@
         self, active: active_requests.ActiveRequest, placement: dispatcher.Placement
     ) -> server_links.OutgoingRequest:
         request = active.request
-        remaining_ms = max(1, active.deadline_ms - self._clock.now_ms())
+        remaining_ms = max(1, self._deadline_ms(active) - self._clock.now_ms())
         transfers = placement.transfers
         gateway_headers = requests.GatewayHeaders(
             server_id=placement.server.server_id,
@@ -793,7 +826,7 @@
         is_kept = False
         try:
             while not exchange.running.done() and not exchange.is_superseded:
-                if self._clock.now_ms() >= active.deadline_ms:
+                if self._clock.now_ms() >= self._deadline_ms(active):
                     break
                 if active.answer.has_ended:
                     break  # The other server has given a final answer.
@@ -877,7 +910,7 @@
         other: "asyncio.Future[Any] | None",
     ) -> None:
         """Wait for the end of an exchange, at most for `WATCH_INTERVAL_MS`."""
-        remaining_ms = max(0, active.deadline_ms - self._clock.now_ms())
+        remaining_ms = max(0, self._deadline_ms(active) - self._clock.now_ms())
         wait_s = min(WATCH_INTERVAL_MS, remaining_ms) / clocks.MS_PER_SECOND
         running: set[asyncio.Future[Any]] = {exchange.running}
         if other is not None:
@@ -1005,6 +1038,7 @@
                     active.service.name, placement.work, first_ms
                 )
                 self._crashes.record_answer(active.subject, now_ms)
+                self._fleet.answer_times.record(active.route.name, now_ms - sent_ms)
                 self._send_buffered(active, sink)
                 self._log_attempt(
                     active, placement, sink, "answered", head.status, sent_ms
@@ -1119,7 +1153,7 @@
         self, active: active_requests.ActiveRequest, *, may_have_run: bool
     ) -> str | None:
         """Return why the request can't be sent again, budget aside; None if it can."""
-        if self._clock.now_ms() >= active.deadline_ms:
+        if self._clock.now_ms() >= self._deadline_ms(active):
             return "time limit"
         if may_have_run and not active.route.may_repeat:
             return "outcome unknown"
@@ -1169,7 +1203,7 @@
                 retry_after_ms,
             )
         else:
-            is_late = self._clock.now_ms() >= active.deadline_ms
+            is_late = self._clock.now_ms() >= self._deadline_ms(active)
             self._send_own_answer(
                 active.answer,
                 active.caller_headers.request_id,
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -38,6 +38,7 @@
     permit_exchange,
     row_consumers,
     service_times,
+    shutdown_schedule,
     store_cleaner,
     store_restores,
     stream_version_exchange,
@@ -64,17 +65,11 @@
 them from each peer within a second, and from one of many peers within one interval of
 reports."""
 
-ACCEPT_MS: Final = 2_800
-"""Time after SIGTERM in which requests are still accepted: the balancer takes the VM
-out of rotation after two failed checks, a second apart.  A request that is accepted
-later might not end within the grace time."""
-
 LEAVING_CHECK_MS: Final = 50
-"""Interval at which a gateway that shuts down counts its open requests."""
+"""Interval at which a gateway that shuts down looks for what it has to do next."""
 
-SHUTDOWN_FRACTION: Final = 0.93
-"""Fraction of the shutdown's grace time after which the process ends even if requests
-are open."""
+CLOSING_CHECK_MS: Final = 10
+"""The same while it closes its connections."""
 
 _LOG: Final = decision_log.logger("gateway")
 
@@ -259,39 +254,48 @@
             self._signalled_ms = self._loop_monitor.last_run_ms
 
     async def stop(self) -> None:
-        """Become unready, finish the open requests and cancel the background tasks.
+        """Become unready, answer what arrives and cancel the background tasks.
 
-        Returns at the latest after `SHUTDOWN_FRACTION` of the grace time, or after
-        `ACCEPT_MS` if that is longer.
+        Returns within the grace time, as `shutdown_schedule` decides.
         """
-        began_ms = self._clock.now_ms()
         self._is_leaving = True
         self._permits.is_leaving = True
         self._listener.state.is_leaving = True
         self.note_signal()
-        _LOG.info(
-            "leaving",
-            open_requests=self._listener.open_requests,
-            since_signal_ms=self._since_signal_ms,
-            lateness_ms=self._loop_monitor.lateness_ms,
-        )
-        bounds = self._fleet.own_settings.bounds
-        grace_ms = bounds.shutdown_grace_ms * SHUTDOWN_FRACTION
-        await self._clock.sleep(ACCEPT_MS)
-        self._fleet.is_shutting_down = True
+        assert self._signalled_ms is not None
+        grace_ms = self._fleet.own_settings.bounds.shutdown_grace_ms
+        schedule = shutdown_schedule.ShutdownSchedule(self._signalled_ms, grace_ms)
+        self._fleet.shutdown = schedule
+        self._log_shutdown("leaving")
+        while self._next_stage(schedule) is shutdown_schedule.Stage.SERVING:
+            self._forwarder.reject_leaving()
+            await self._clock.sleep(LEAVING_CHECK_MS)
+        self._log_shutdown("closing")
         while self._listener.close_idle():
-            if self._clock.now_ms() - began_ms > grace_ms:
+            if self._next_stage(schedule) is shutdown_schedule.Stage.ENDED:
                 break
-            await self._clock.sleep(LEAVING_CHECK_MS)
-        self._dispatcher.reject_all_queued("leaving", forwarding.LEAVING_RETRY_MS)
-        await self._clock.sleep(LEAVING_CHECK_MS)
+            self._forwarder.reject_leaving()
+            await self._clock.sleep(CLOSING_CHECK_MS)
+        self._log_shutdown("ended")
+        self._tasks.cancel()
+
+    def _next_stage(
+        self, schedule: shutdown_schedule.ShutdownSchedule
+    ) -> shutdown_schedule.Stage:
+        schedule.lateness_ms = self._loop_monitor.lateness_ms
+        return schedule.next_stage(
+            self._clock.now_ms(),
+            open_requests=self._listener.open_requests,
+            last_arrival_ms=self._listener.last_arrival_ms,
+        )
+
+    def _log_shutdown(self, event: str) -> None:
         _LOG.info(
-            "ended",
+            event,
             open_requests=self._listener.open_requests,
             since_signal_ms=self._since_signal_ms,
             lateness_ms=self._loop_monitor.lateness_ms,
         )
-        self._tasks.cancel()
 
     def reload(self) -> None:
         """Read the settings file again.
--- /dev/null
+++ b/quincecrank/gateway/shutdown_schedule.py
@@ -0,0 +1,184 @@
+"""Decides what a gateway does from SIGTERM to its end.
+
+Invariant
+    Whatever has arrived is answered.  A request is sent to a backend server only if its
+    answer can end within the grace time; else it is rejected as not run.  No connection
+    is closed while bytes of it are unread.
+
+Load pattern: all gateways of a data centre are replaced within seconds, under overload.
+The balancer goes on to send callers to gateways that are not ready, callers keep using
+open connections, and the event loop runs late, so that it notices both requests and the
+signal late.
+
+Terms
+-----
+signal
+    SIGTERM; its time is the earliest at which it can have been sent.
+grace time
+    Time from the signal to SIGKILL.
+lateness
+    How late the event loop runs, see `loop_monitor`.
+"""
+
+import enum
+from typing import Final
+
+from quincecrank.gateway import answer_times
+
+MIN_SERVE_MS: Final = 2_800
+"""Time after the signal in which the balancer may still send callers although there are
+other gateways: it takes the VM out of rotation after two failed checks, a second apart.
+The process does not end before."""
+
+EARLY_FACTOR: Final = 1.5
+LATE_FACTOR: Final = 2.0
+"""Ratio of the time that an answer is allowed to the longest observed one, within
+`MIN_SERVE_MS` and after it."""
+
+SILENCE_MS: Final = 1_500
+"""Time for which a sound backend server may make no progress."""
+
+QUIET_MS: Final = 400
+"""Time without a new request after which the process may end."""
+
+BEGIN_FRACTION: Final = 0.85
+"""Fraction of the grace time within which an answer must be expected to end for its
+request to be sent to a backend server."""
+
+ANSWER_FRACTION: Final = 0.9
+"""Fraction of the grace time after which requests that are still open are ended."""
+
+END_FRACTION: Final = 0.96
+"""Fraction of the grace time after which the process ends in any case."""
+
+MAX_LATENESS_FRACTION: Final = 0.25
+"""Bound of the lateness that is allowed for, as a fraction of the grace time."""
+
+
+class Stage(enum.Enum):
+    """What a gateway that shuts down does.
+
+    Attributes
+    ----------
+    SERVING
+        It accepts connections and serves what can end in time.
+    CLOSING
+        It accepts no more connections, answers what has arrived and closes the
+        connections on which nothing has.
+    ENDED
+        The process ends.
+    """
+
+    SERVING = "serving"
+    CLOSING = "closing"
+    ENDED = "ended"
+
+
+class ShutdownSchedule:
+    """Schedule of one shutdown; performs no I/O.
+
+    Parameters
+    ----------
+    signalled_ms : int
+        Earliest time at which the signal can have been sent.
+    grace_ms : int
+        Grace time.
+
+    Attributes
+    ----------
+    lateness_ms : int
+        Lateness of the event loop.
+    """
+
+    def __init__(self, signalled_ms: int, grace_ms: int) -> None:
+        self._signalled_ms = signalled_ms
+        self._grace_ms = grace_ms
+        self._is_closing = False
+        self.lateness_ms = 0
+
+    @property
+    def answer_limit_ms(self) -> int:
+        """Time at which requests that are still open are ended."""
+        return self._signalled_ms + int(self._grace_ms * ANSWER_FRACTION)
+
+    def since_signal_ms(self, now_ms: int) -> int:
+        """Return the longest time that may have passed since the signal."""
+        return now_ms - self._signalled_ms
+
+    def may_begin(
+        self,
+        now_ms: int,
+        remaining_ms: int,
+        answer_time: answer_times.AnswerTime | None,
+        *,
+        may_repeat: bool,
+    ) -> bool:
+        """Return whether a request may be sent to a backend server.
+
+        Parameters
+        ----------
+        remaining_ms : int
+            Time until the request's time limit, at which it is answered in any case.
+        answer_time : AnswerTime or None
+            Observed time of the route's answers; None if there is none.
+        may_repeat : bool
+            Whether the request may run more than once, so that another gateway can
+            serve it if its answer does not end in time.
+        """
+        begin_limit_ms = self._signalled_ms + int(self._grace_ms * BEGIN_FRACTION)
+        left_ms = begin_limit_ms - self._allowance_ms - now_ms
+        needed_ms = self._needed_ms(now_ms, answer_time, may_repeat=may_repeat)
+        if needed_ms is None:
+            needed_ms = remaining_ms
+        return min(remaining_ms, needed_ms) <= left_ms
+
+    def _needed_ms(
+        self,
+        now_ms: int,
+        answer_time: answer_times.AnswerTime | None,
+        *,
+        may_repeat: bool,
+    ) -> float | None:
+        """Return the time in which an answer must end; None for its time limit.
+
+        While the balancer sends callers here, rejecting what most likely ends would
+        cost more than the few answers that do not.
+        """
+        if self.since_signal_ms(now_ms) < MIN_SERVE_MS:
+            if answer_time is None:
+                return 0 if may_repeat else None
+            if may_repeat:
+                return answer_time.typical_ms
+            return answer_time.longest_ms * EARLY_FACTOR
+        if answer_time is None or not may_repeat:
+            return None
+        return answer_time.longest_ms * LATE_FACTOR + SILENCE_MS
+
+    def next_stage(
+        self, now_ms: int, *, open_requests: int, last_arrival_ms: int
+    ) -> Stage:
+        """Return the present stage; it never goes back.
+
+        Parameters
+        ----------
+        open_requests : int
+            Number of requests that are being read or answered.
+        last_arrival_ms : int
+            Time at which the last request arrived.
+        """
+        passed_ms = self.since_signal_ms(now_ms)
+        if passed_ms >= self._grace_ms * END_FRACTION:
+            return Stage.ENDED
+        is_quiet = (
+            not open_requests
+            and passed_ms >= MIN_SERVE_MS
+            and now_ms - last_arrival_ms >= QUIET_MS + self._allowance_ms
+        )
+        if is_quiet or now_ms >= self.answer_limit_ms - self._allowance_ms:
+            self._is_closing = True
+        return Stage.CLOSING if self._is_closing else Stage.SERVING
+
+    @property
+    def _allowance_ms(self) -> int:
+        """Lateness that is allowed for."""
+        return min(self.lateness_ms, int(self._grace_ms * MAX_LATENESS_FRACTION))
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -3,7 +3,7 @@
 import asyncio
 from unittest import mock
 
-from quincecrank.gateway import servers
+from quincecrank.gateway import servers, shutdown_schedule
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 
@@ -357,10 +357,14 @@
             self.assertEqual((await caller.receive()).status, 200)
         # One caller has sent a part of its next request.
         busy.writer.write(b"POST /record/ HTTP/1.1\r\nHost: desk.example\r\n")
-        busy.writer.write(b"Content-Length: 4\r\n\r\nab")
+        key = f"Authorization: Token {builders.KEY}\r\n".encode()
+        busy.writer.write(key + b"Content-Length: 4\r\n\r\nab")
         while not self.listener.open_requests:
             await asyncio.sleep(0.001)
-        self.fleet.is_shutting_down = True
+        grace_ms = self.fleet.own_settings.bounds.shutdown_grace_ms
+        self.fleet.shutdown = shutdown_schedule.ShutdownSchedule(
+            self.clock.now_ms() - grace_ms, grace_ms
+        )
         self.listener.state.is_leaving = True
         self.listener.close_idle()
         self.assertEqual((await idle.receive()).status, 0)
--- /dev/null
+++ b/tests/test_shutdown_schedule.py
@@ -0,0 +1,129 @@
+"""Tests of the decisions of a gateway that shuts down."""
+
+import unittest
+
+from quincecrank.gateway import answer_times, deployment, shutdown_schedule
+
+GRACE_MS = 8_000
+SIGNALLED_MS = 50_000
+BEGIN_LIMIT_MS = SIGNALLED_MS + int(GRACE_MS * shutdown_schedule.BEGIN_FRACTION)
+ROUTE = deployment.RouteName("record")
+
+
+class MayBeginTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.schedule = shutdown_schedule.ShutdownSchedule(SIGNALLED_MS, GRACE_MS)
+
+    def may_begin(
+        self,
+        before_limit_ms: int,
+        *,
+        remaining_ms: int = 10_000,
+        answer_time: answer_times.AnswerTime | None = None,
+        may_repeat: bool = False,
+    ) -> bool:
+        return self.schedule.may_begin(
+            BEGIN_LIMIT_MS - before_limit_ms,
+            remaining_ms,
+            answer_time,
+            may_repeat=may_repeat,
+        )
+
+    def test_while_the_balancer_sends_callers_likely_answers_begin(self) -> None:
+        time = answer_times.AnswerTime(typical_ms=4_500, longest_ms=5_000)
+        early_ms = BEGIN_LIMIT_MS - SIGNALLED_MS
+        self.assertFalse(self.may_begin(early_ms, answer_time=time))
+        self.assertTrue(self.may_begin(4_500, answer_time=time, may_repeat=True))
+        self.assertFalse(self.may_begin(4_499, answer_time=time, may_repeat=True))
+        self.assertTrue(self.may_begin(early_ms, may_repeat=True))
+        self.assertFalse(self.may_begin(early_ms))
+        self.assertTrue(self.may_begin(early_ms, remaining_ms=early_ms))
+
+    def test_later_only_answers_that_surely_end_begin(self) -> None:
+        time = answer_times.AnswerTime(typical_ms=100, longest_ms=1_000)
+        self.assertFalse(self.may_begin(3_000, answer_time=time))
+        self.assertTrue(self.may_begin(1_500, answer_time=time, remaining_ms=1_500))
+        self.assertFalse(self.may_begin(1_499, answer_time=time, remaining_ms=1_500))
+        self.assertTrue(self.may_begin(3_500, answer_time=time, may_repeat=True))
+        self.assertFalse(self.may_begin(3_499, answer_time=time, may_repeat=True))
+        self.assertFalse(self.may_begin(3_500, may_repeat=True))
+
+    def test_a_late_loop_begins_less(self) -> None:
+        self.schedule.lateness_ms = 500
+        self.assertFalse(self.may_begin(1_999, remaining_ms=1_500))
+        self.assertTrue(self.may_begin(2_000, remaining_ms=1_500))
+        # A gateway that was suspended for long still serves short requests.
+        self.schedule.lateness_ms = 60_000
+        self.assertTrue(self.may_begin(3_500, remaining_ms=1_500))
+
+    def test_what_begins_ends_before_the_process(self) -> None:
+        # Steps of 1 ms over the grace time: the invariant of the schedule.
+        for passed_ms in range(GRACE_MS):
+            now_ms = SIGNALLED_MS + passed_ms
+            for remaining_ms in (100, 1_500, 6_000):
+                if self.schedule.may_begin(
+                    now_ms, remaining_ms, None, may_repeat=False
+                ):
+                    end_ms = now_ms + remaining_ms
+                    self.assertLess(end_ms, self.schedule.answer_limit_ms)
+                    stage = self.schedule.next_stage(
+                        end_ms, open_requests=1, last_arrival_ms=now_ms
+                    )
+                    self.assertIsNot(stage, shutdown_schedule.Stage.ENDED)
+
+
+class StageTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.schedule = shutdown_schedule.ShutdownSchedule(SIGNALLED_MS, GRACE_MS)
+
+    def stage(
+        self, passed_ms: int, open_requests: int = 0, quiet_ms: int = 10_000
+    ) -> shutdown_schedule.Stage:
+        now_ms = SIGNALLED_MS + passed_ms
+        return self.schedule.next_stage(
+            now_ms, open_requests=open_requests, last_arrival_ms=now_ms - quiet_ms
+        )
+
+    def test_an_unused_gateway_closes_once_the_balancer_has_noticed(self) -> None:
+        serve_ms = shutdown_schedule.MIN_SERVE_MS
+        self.assertIs(self.stage(serve_ms - 1), shutdown_schedule.Stage.SERVING)
+        self.assertIs(self.stage(serve_ms), shutdown_schedule.Stage.CLOSING)
+
+    def test_a_gateway_that_is_used_serves_on(self) -> None:
+        self.assertIs(
+            self.stage(4_000, open_requests=1), shutdown_schedule.Stage.SERVING
+        )
+        self.assertIs(self.stage(4_000, quiet_ms=100), shutdown_schedule.Stage.SERVING)
+        self.schedule.lateness_ms = 300
+        self.assertIs(self.stage(4_000, quiet_ms=500), shutdown_schedule.Stage.SERVING)
+
+    def test_it_closes_and_ends_within_the_grace_time(self) -> None:
+        answer_ms = int(GRACE_MS * shutdown_schedule.ANSWER_FRACTION)
+        end_ms = int(GRACE_MS * shutdown_schedule.END_FRACTION)
+        self.assertIs(
+            self.stage(answer_ms - 1, open_requests=9), shutdown_schedule.Stage.SERVING
+        )
+        self.assertIs(
+            self.stage(answer_ms, open_requests=9), shutdown_schedule.Stage.CLOSING
+        )
+        # A request that arrives meanwhile does not bring it back.
+        self.assertIs(
+            self.stage(answer_ms - 1, open_requests=9), shutdown_schedule.Stage.CLOSING
+        )
+        self.assertIs(
+            self.stage(end_ms, open_requests=9), shutdown_schedule.Stage.ENDED
+        )
+
+
+class AnswerTimesTest(unittest.TestCase):
+    def test_the_latest_answers_of_a_route_count(self) -> None:
+        times = answer_times.AnswerTimes()
+        self.assertIsNone(times.time_of(ROUTE))
+        for took_ms in [100] * 19 + [1_000]:
+            times.record(ROUTE, took_ms)
+        self.assertEqual(times.time_of(ROUTE), answer_times.AnswerTime(100, 1_000))
+        for _ in range(answer_times.MAX_ANSWERS):
+            times.record(ROUTE, 200)
+        self.assertEqual(times.time_of(ROUTE), answer_times.AnswerTime(200, 200))
+        times.retain(())
+        self.assertIsNone(times.time_of(ROUTE))
--- a/tests/test_silent_server_races.py
+++ b/tests/test_silent_server_races.py
@@ -519,8 +519,7 @@
         gateway = main.Gateway(own_settings, self.clock)
         gateway._listener, gateway._fleet = self.listener, self.fleet
         gateway._forwarder, gateway._dispatcher = self.forwarder, self.dispatcher
-        with mock.patch.object(main, "ACCEPT_MS", 0):
-            await gateway.stop()
+        await gateway.stop()
         # The end of the program cancels all tasks.
         self.listener._tasks.cancel()
 
