--- a/models/runs.py
+++ b/models/runs.py
@@ -74,6 +74,7 @@
     ModelRun("configuration", "configuration", ("RESTARTS=1",)),
     ModelRun("blocks", "blocks"),
     ModelRun("leaving", "leaving"),
+    ModelRun("gateway-shutdown", "gateway_shutdown"),
     ModelRun("order-lease", "order_lease", runs_mutants=False),
     ModelRun(
         "order-lease-two-restores",
