--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -180,8 +180,6 @@
         Limits of the configuration in force.
     is_leaving : bool
         Whether the process is shutting down.
-    last_arrival_ms : int
-        Time at which the head of the last request was read.
     observe_close : callable
         Called at each close of a connection by this process.
     """
@@ -190,7 +188,6 @@
     clock: clocks.Clock
     limits: deployment.ClientLimits | None = None
     is_leaving: bool = False
-    last_arrival_ms: int = 0
     observe_close: ObserveClose = lambda _reason, _is_unread: None
 
 
@@ -203,16 +200,10 @@
         Answers a request.
     clock : Clock
         Source of time.
-
-    Attributes
-    ----------
-    last_arrival_ms : int
-        Time at which the head of the last request was read.
     """
 
     def __init__(self, handler: Handler, clock: clocks.Clock) -> None:
         self.state = ListenerState(handler, clock)
-        self.state.last_arrival_ms = clock.now_ms()
         self._tasks = tasks.BackgroundTasks()
         self._open: set[_Receiver] = set()
         self._receiver_by_connection: weakref.WeakKeyDictionary[
@@ -233,9 +224,9 @@
         return len(self._open)
 
     @property
-    def last_arrival_ms(self) -> int:
-        """Time at which the head of the last request was read; at first the start."""
-        return self.state.last_arrival_ms
+    def oldest_arrival_ms(self) -> int | None:
+        """Time at which the oldest of the open requests arrived; None without any."""
+        return min((receiver.arrived_ms for receiver in self._open), default=None)
 
     def start(self, bound: socket.socket) -> None:
         """Accept connections on a bound socket."""
@@ -308,6 +299,8 @@
     ----------
     is_waiting : bool
         Whether the head of the request has not been read yet.
+    arrived_ms : int
+        Time at which the head was read; 0 before.
     """
 
     def __init__(
@@ -322,6 +315,7 @@
         self._background = background
         self._open = open_receivers
         self.is_waiting = True
+        self.arrived_ms = 0
         self._task: asyncio.Task[None] | None = None
         self._chunks: list[bytes] = []
         self._size = 0
@@ -334,7 +328,7 @@
     ) -> None:
         assert isinstance(start_line, httputil.RequestStartLine)
         self.is_waiting = False
-        self._state.last_arrival_ms = self._state.clock.now_ms()
+        self.arrived_ms = self._state.clock.now_ms()
         self._open.add(self)
         self._start_line = start_line
         self._headers = headers
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -284,9 +284,7 @@
     ) -> shutdown_schedule.Stage:
         schedule.lateness_ms = self._loop_monitor.lateness_ms
         return schedule.next_stage(
-            self._clock.now_ms(),
-            open_requests=self._listener.open_requests,
-            last_arrival_ms=self._listener.last_arrival_ms,
+            self._clock.now_ms(), self._listener.oldest_arrival_ms
         )
 
     def _log_shutdown(self, event: str) -> None:
--- a/quincecrank/gateway/shutdown_schedule.py
+++ b/quincecrank/gateway/shutdown_schedule.py
@@ -38,8 +38,9 @@
 SILENCE_MS: Final = 1_500
 """Time for which a sound backend server may make no progress."""
 
-QUIET_MS: Final = 400
-"""Time without a new request after which the process may end."""
+MAX_LATE_MS: Final = 2_500
+"""Longest time that an answer may need whose request is sent after `MIN_SERVE_MS`:
+requests that last longer would delay the next process that serves at this address."""
 
 BEGIN_FRACTION: Final = 0.85
 """Fraction of the grace time within which an answer must be expected to end for its
@@ -127,6 +128,8 @@
         """
         begin_limit_ms = self._signalled_ms + int(self._grace_ms * BEGIN_FRACTION)
         left_ms = begin_limit_ms - self._allowance_ms - now_ms
+        if not self._is_early(now_ms):
+            left_ms = min(left_ms, MAX_LATE_MS)
         needed_ms = self._needed_ms(now_ms, answer_time, may_repeat=may_repeat)
         if needed_ms is None:
             needed_ms = remaining_ms
@@ -144,7 +147,7 @@
         While the balancer sends callers here, rejecting what most likely ends would
         cost more than the few answers that do not.
         """
-        if self.since_signal_ms(now_ms) < MIN_SERVE_MS:
+        if self._is_early(now_ms):
             if answer_time is None:
                 return 0 if may_repeat else None
             if may_repeat:
@@ -154,30 +157,30 @@
             return None
         return answer_time.longest_ms * LATE_FACTOR + SILENCE_MS
 
-    def next_stage(
-        self, now_ms: int, *, open_requests: int, last_arrival_ms: int
-    ) -> Stage:
+    def next_stage(self, now_ms: int, oldest_arrival_ms: int | None) -> Stage:
         """Return the present stage; it never goes back.
 
         Parameters
         ----------
-        open_requests : int
-            Number of requests that are being read or answered.
-        last_arrival_ms : int
-            Time at which the last request arrived.
+        oldest_arrival_ms : int or None
+            Time at which the oldest request arrived of those that are being read or
+            answered; None if there are none.
         """
-        passed_ms = self.since_signal_ms(now_ms)
-        if passed_ms >= self._grace_ms * END_FRACTION:
+        if self.since_signal_ms(now_ms) >= self._grace_ms * END_FRACTION:
             return Stage.ENDED
-        is_quiet = (
-            not open_requests
-            and passed_ms >= MIN_SERVE_MS
-            and now_ms - last_arrival_ms >= QUIET_MS + self._allowance_ms
+        # Requests that arrived later are short and end while it closes.
+        has_early_request = oldest_arrival_ms is not None and self._is_early(
+            oldest_arrival_ms
         )
-        if is_quiet or now_ms >= self.answer_limit_ms - self._allowance_ms:
+        is_due = now_ms >= self.answer_limit_ms - self._allowance_ms
+        if is_due or not (self._is_early(now_ms) or has_early_request):
             self._is_closing = True
         return Stage.CLOSING if self._is_closing else Stage.SERVING
 
+    def _is_early(self, at_ms: int) -> bool:
+        """Return whether the balancer may still send callers here at a time."""
+        return self.since_signal_ms(at_ms) < MIN_SERVE_MS
+
     @property
     def _allowance_ms(self) -> int:
         """Lateness that is allowed for."""
