--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -259,7 +259,7 @@
             stream = connection.stream
             if stream.closed():
                 continue
-            if receiver.is_waiting and not _has_unread(stream):
+            if receiver.is_waiting and not _has_arrived(stream):
                 self.state.observe_close(CloseReason.SHUTDOWN, False)
                 stream.close()
             else:
@@ -407,6 +407,13 @@
     return bool(poll.poll(0))
 
 
+def _has_arrived(stream: iostream.IOStream) -> bool:
+    """Return whether a part of a request has arrived, whether read or not."""
+    # Between two steps of the loop, a head may have left the stream's buffer that its
+    # receiver has not got yet; the stream is not reading then.
+    return not stream.reading() or stream._read_buffer_size > 0 or _has_unread(stream)
+
+
 def _retrieve_exception(future: "asyncio.Future[None]") -> None:
     """Retrieve the exception, so that asyncio does not log it as never retrieved.
 
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -55,8 +55,8 @@
         self.advance(int(duration_ms) + self.late_ms)
 
 
-class ShutdownTest(case.GatewayCase):
-    """The loop does not run while a test writes, so all of that arrives unread."""
+class ShutdownCase(case.GatewayCase):
+    """Base of tests with a server and callers whose writes don't run the loop."""
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
@@ -83,6 +83,10 @@
             data += received
         return int(data.split(b" ", 2)[1])
 
+
+class ShutdownTest(ShutdownCase):
+    """The loop does not run while a test writes, so all of that arrives unread."""
+
     async def close_and_receive(self, connections: list[socket.socket]) -> list[int]:
         """Let the listener close what is idle; return the status of each answer."""
         self.listener.state.is_leaving = True
--- /dev/null
+++ b/tests/test_shutdown_races.py
@@ -0,0 +1,107 @@
+"""Tests of requests that arrive between two steps of a gateway that shuts down."""
+
+import asyncio
+import socket
+from typing import Final
+
+from tornado import netutil
+
+from quincecrank.gateway import callers
+from tests import gateway_case as case
+from tests import test_gateway_shutdown
+
+REQUEST: Final = test_gateway_shutdown.REQUEST
+MAX_STEPS: Final = 12
+"""Steps of the event loop within which a request that has arrived has been read."""
+
+CHECK_S: Final = 0.01
+
+
+class RaceCase(test_gateway_shutdown.ShutdownCase):
+    """Base of tests that shut a listener down as the gateway program does."""
+
+    async def wait_steps(self, count: int) -> None:
+        """Let the event loop run `count` times."""
+        for _ in range(count):
+            await asyncio.sleep(0)
+
+    async def restart_listener(self) -> None:
+        """Replace the listener by one that is not shutting down."""
+        await self.listener.close_all()
+        self.listener.stop_accepting()
+        self.listener = callers.CallerListener(self.forwarder.handle, self.clock)
+        bound = netutil.bind_sockets(0, "127.0.0.1")[0]
+        self.port = bound.getsockname()[1]
+        self.listener.start(bound)
+
+    async def receive_all(self, connection: socket.socket) -> bytes:
+        """Return what arrives until the end of the connection."""
+        connection.setblocking(False)
+        loop, data = asyncio.get_running_loop(), b""
+        while received := await loop.sock_recv(connection, 4_096):
+            data += received
+        return data
+
+    async def shut_down(self) -> None:
+        """Close what is idle until nothing is open, and end."""
+        self.listener.state.is_leaving = True
+        while self.listener.close_idle():
+            await asyncio.sleep(CHECK_S)
+        await self.listener.close_all()
+
+    async def shut_down_and_receive(
+        self, connections: list[socket.socket]
+    ) -> list[int]:
+        """Shut down; return the status of the answer on each connection."""
+        statuses = asyncio.gather(*map(self.receive_status, connections))
+        await self.shut_down()
+        return list(await statuses)
+
+
+class CloseIdleTest(RaceCase):
+    async def test_a_request_that_was_being_read_was_taken_as_idle(self) -> None:
+        """Its bytes had left the system's buffer, its head was not handled yet."""
+        statuses = []
+        for steps in range(MAX_STEPS):
+            with self.subTest(steps=steps):
+                await self.restart_listener()
+                connection = self.connect()
+                connection.sendall(REQUEST)
+                self.assertEqual(await self.receive_status(connection), 200)
+                connection.setblocking(True)
+                connection.sendall(REQUEST)
+                await self.wait_steps(steps)
+                statuses = await self.shut_down_and_receive([connection])
+                self.assertEqual(statuses, [200])
+
+    async def test_a_partly_read_head_was_taken_as_idle(self) -> None:
+        """Bytes in the buffer of the connection's stream did not count."""
+        connection = self.connect()
+        connection.sendall(REQUEST[:20])
+        await asyncio.sleep(CHECK_S)
+        statuses = asyncio.ensure_future(self.shut_down_and_receive([connection]))
+        await asyncio.sleep(CHECK_S)
+        connection.send(REQUEST[20:])
+        self.assertEqual(await statuses, [200])
+
+    async def test_requests_that_were_sent_ahead_are_answered(self) -> None:
+        connection = self.connect()
+        connection.sendall(REQUEST * 3)
+        received = asyncio.ensure_future(self.receive_all(connection))
+        await self.wait_steps(3)
+        await self.shut_down()
+        self.assertEqual((await received).count(b"HTTP/1.1 200"), 3)
+
+    async def test_the_queue_of_connections_is_emptied(self) -> None:
+        connections = [self.connect() for _ in range(100)]
+        for connection in connections:
+            connection.sendall(REQUEST)
+        statuses = await self.shut_down_and_receive(connections)
+        self.assertEqual(statuses, [200] * len(connections))
+
+    async def test_connections_that_callers_close_end(self) -> None:
+        connections = [self.connect() for _ in range(3)]
+        await asyncio.sleep(CHECK_S)
+        connections[0].close()
+        connections[1].shutdown(socket.SHUT_WR)
+        await asyncio.wait_for(self.shut_down(), case.WAIT_S)
