--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -219,6 +219,7 @@
             http1connection.HTTP1ServerConnection, _Receiver
         ] = weakref.WeakKeyDictionary()
         self._bound: socket.socket | None = None
+        self._was_any_open = True
         self._server = httpserver.HTTPServer(
             self,
             max_header_size=MAX_HEADER_BYTES,
@@ -251,7 +252,7 @@
         """Accept no more connections and close those on which nothing has arrived.
 
         What has arrived is left to be read and answered.  Returns whether a connection
-        is still open, so that this is to be called again.
+        may still be open, so that this is to be called again after a step of the loop.
         """
         is_any_open = self._accept_waiting()
         self._server.stop()
@@ -264,7 +265,10 @@
                 stream.close()
             else:
                 is_any_open = True
-        return is_any_open
+        # A connection that the loop has just accepted has no receiver before its next
+        # step.
+        was_any_open, self._was_any_open = self._was_any_open, is_any_open
+        return is_any_open or was_any_open
 
     async def close_all(self) -> None:
         """Close every connection."""
--- a/tests/test_shutdown_races.py
+++ b/tests/test_shutdown_races.py
@@ -74,6 +74,17 @@
                 statuses = await self.shut_down_and_receive([connection])
                 self.assertEqual(statuses, [200])
 
+    async def test_a_connection_accepted_just_before_was_not_seen(self) -> None:
+        """Its task had not begun, so that nothing seemed to be open."""
+        for steps in range(MAX_STEPS):
+            with self.subTest(steps=steps):
+                await self.restart_listener()
+                connection = self.connect()
+                connection.sendall(REQUEST)
+                await self.wait_steps(steps)
+                statuses = await self.shut_down_and_receive([connection])
+                self.assertEqual(statuses, [200])
+
     async def test_a_partly_read_head_was_taken_as_idle(self) -> None:
         """Bytes in the buffer of the connection's stream did not count."""
         connection = self.connect()
