--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -245,7 +245,7 @@
 
     def stop_accepting(self) -> None:
         """Accept the connections that wait, and no more; open ones continue."""
-        self._accept_waiting()
+        self._close_queue()
         self._server.stop()
 
     def close_idle(self) -> bool:
@@ -254,8 +254,7 @@
         What has arrived is left to be read and answered.  Returns whether a connection
         may still be open, so that this is to be called again after a step of the loop.
         """
-        is_any_open = self._accept_waiting()
-        self._server.stop()
+        is_any_open = not self._close_queue()
         for connection, receiver in tuple(self._receiver_by_connection.items()):
             stream = connection.stream
             if stream.closed():
@@ -287,22 +286,27 @@
     def on_close(self, server_conn: object) -> None:
         """Do nothing: the receivers handle the end of their connection."""
 
-    def _accept_waiting(self) -> bool:
-        """Accept the connections that the system has completed.
+    def _close_queue(self) -> bool:
+        """Accept the connections that wait, then stop listening.
 
-        Returns whether there was any.
+        Returns False, and goes on to listen, if the system can't accept one now, such
+        as for lack of file descriptors.
         """
-        has_accepted = False
         while self._bound is not None:
             try:
                 connection, address = self._bound.accept()
+            except BlockingIOError:
+                self._server.stop()
+                self._bound = None
+            except ConnectionAbortedError:
+                continue
             except OSError:
-                # None waits, or the socket has been closed.
-                break
-            connection.setblocking(False)
-            self._server.handle_stream(iostream.IOStream(connection), address)
-            has_accepted = True
-        return has_accepted
+                return False
+            else:
+                connection.setblocking(False)
+                stream = iostream.IOStream(connection)
+                self._server.handle_stream(stream, address)
+        return True
 
 
 class _Receiver(httputil.HTTPMessageDelegate):
--- a/tests/test_shutdown_races.py
+++ b/tests/test_shutdown_races.py
@@ -1,8 +1,10 @@
 """Tests of requests that arrive between two steps of a gateway that shuts down."""
 
 import asyncio
+import errno
 import socket
-from typing import Final
+from typing import Any, Final
+from unittest import mock
 
 from tornado import netutil
 
@@ -110,6 +112,30 @@
         statuses = await self.shut_down_and_receive(connections)
         self.assertEqual(statuses, [200] * len(connections))
 
+    async def test_an_error_of_accept_ended_the_accepting(self) -> None:
+        """Any error was taken for an empty queue, and the queue was closed."""
+        for number in (errno.ECONNABORTED, errno.EMFILE):
+            with self.subTest(errno.errorcode[number]):
+                await self.restart_listener()
+                connections = [self.connect() for _ in range(3)]
+                for connection in connections:
+                    connection.sendall(REQUEST)
+                accept = socket.socket.accept
+                errors = [OSError(number, "")]
+
+                def fail_once(
+                    bound: socket.socket,
+                    errors: list[OSError] = errors,
+                    accept: Any = accept,
+                ) -> Any:
+                    if errors:
+                        raise errors.pop()
+                    return accept(bound)
+
+                with mock.patch.object(socket.socket, "accept", fail_once):
+                    statuses = await self.shut_down_and_receive(connections)
+                self.assertEqual(statuses, [200] * len(connections))
+
     async def test_connections_that_callers_close_end(self) -> None:
         connections = [self.connect() for _ in range(3)]
         await asyncio.sleep(CHECK_S)
