--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -273,6 +273,8 @@
         self._log_shutdown("closing")
         while self._listener.close_idle():
             if self._next_stage(schedule) is shutdown_schedule.Stage.ENDED:
+                # If the loop stood still up to now, answers are due that were not sent.
+                await self._clock.sleep(LEAVING_CHECK_MS)
                 break
             self._forwarder.reject_leaving()
             await self._clock.sleep(CLOSING_CHECK_MS)
--- a/tests/test_shutdown_races.py
+++ b/tests/test_shutdown_races.py
@@ -1,22 +1,28 @@
 """Tests of requests that arrive between two steps of a gateway that shuts down."""
 
 import asyncio
+import dataclasses
 import errno
 import socket
+import time
+from collections.abc import Callable
 from typing import Any, Final
 from unittest import mock
 
 from tornado import netutil
 
-from quincecrank.gateway import callers
+from quincecrank import clock as clocks
+from quincecrank.gateway import callers, main, shutdown_schedule
+from tests import builders_gateway as builders
 from tests import gateway_case as case
-from tests import test_gateway_shutdown
+from tests import test_gateway_shutdown, test_silent_server_races
 
 REQUEST: Final = test_gateway_shutdown.REQUEST
 MAX_STEPS: Final = 12
 """Steps of the event loop within which a request that has arrived has been read."""
 
 CHECK_S: Final = 0.01
+GRACE_MS: Final = 1_200
 
 
 class RaceCase(test_gateway_shutdown.ShutdownCase):
@@ -142,3 +148,53 @@
         connections[0].close()
         connections[1].shutdown(socket.SHUT_WR)
         await asyncio.wait_for(self.shut_down(), case.WAIT_S)
+
+
+class StopTest(RaceCase):
+    """Tests of `Gateway.stop`, with a grace time of 2 s."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        bounds = builders.make_bounds(shutdown_grace_ms=GRACE_MS)
+        own_settings = dataclasses.replace(builders.make_environment(), bounds=bounds)
+        self.fleet.own_settings = own_settings
+        self.gateway = main.Gateway(own_settings, self.clock)
+        self.background.start(self.gateway._loop_monitor.run())
+        self.gateway._listener, self.gateway._fleet = self.listener, self.fleet
+        self.gateway._forwarder = self.forwarder
+        self.gateway._dispatcher = self.dispatcher
+        self.remove_server("i-1")
+
+    async def stop_gateway(self) -> None:
+        """Stop the gateway and do what the end of its program does."""
+        await self.gateway.stop()
+        self.listener._tasks.cancel()
+        await self.listener.close_all()
+
+    async def ask_and_stop(
+        self, has_begun: Callable[[], bool], count: int = 1
+    ) -> list[int]:
+        """Send requests with one id and stop once they have begun; return statuses."""
+        connections = [self.connect() for _ in range(count)]
+        for connection in connections:
+            connection.sendall(REQUEST)
+        statuses = asyncio.gather(*map(self.receive_status, connections))
+        self.assertTrue(await test_silent_server_races.until(has_begun))
+        await asyncio.wait_for(self.stop_gateway(), case.WAIT_S)
+        return list(await statuses)
+
+    def block_loop_until_end(self) -> None:
+        """Let the loop stand still from the time for answers up to the end."""
+        grace_s = GRACE_MS / clocks.MS_PER_SECOND
+        begin_s = grace_s * (shutdown_schedule.ANSWER_FRACTION - 0.25)
+        end_s = grace_s * (shutdown_schedule.END_FRACTION + 0.01)
+        asyncio.get_running_loop().call_later(begin_s, time.sleep, end_s - begin_s)
+
+    async def test_open_requests_were_cut_after_a_standstill_up_to_the_end(
+        self,
+    ) -> None:
+        """The process ended in the step in which their time limit was noticed."""
+        server = await self.add_server(case.stays_silent)
+        self.block_loop_until_end()
+        statuses = await self.ask_and_stop(lambda: bool(server.received))
+        self.assertEqual(statuses, [504])
