--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -268,19 +268,33 @@
         self._fleet.shutdown = schedule
         self._log_shutdown("leaving")
         while self._next_stage(schedule) is shutdown_schedule.Stage.SERVING:
-            self._forwarder.reject_leaving()
+            self._reject_leaving()
             await self._clock.sleep(LEAVING_CHECK_MS)
         self._log_shutdown("closing")
-        while self._listener.close_idle():
+        while self._close_idle():
             if self._next_stage(schedule) is shutdown_schedule.Stage.ENDED:
                 # If the loop stood still up to now, answers are due that were not sent.
                 await self._clock.sleep(LEAVING_CHECK_MS)
                 break
-            self._forwarder.reject_leaving()
+            self._reject_leaving()
             await self._clock.sleep(CLOSING_CHECK_MS)
         self._log_shutdown("ended")
         self._tasks.cancel()
 
+    def _reject_leaving(self) -> None:
+        try:
+            self._forwarder.reject_leaving()
+        except Exception:
+            # Requests that are open must not be cut because of it.
+            _LOG.exception("queued requests not rejected")
+
+    def _close_idle(self) -> bool:
+        try:
+            return self._listener.close_idle()
+        except Exception:
+            _LOG.exception("idle connections not closed")
+            return True
+
     def _next_stage(
         self, schedule: shutdown_schedule.ShutdownSchedule
     ) -> shutdown_schedule.Stage:
--- a/tests/test_shutdown_races.py
+++ b/tests/test_shutdown_races.py
@@ -198,3 +198,24 @@
         self.block_loop_until_end()
         statuses = await self.ask_and_stop(lambda: bool(server.received))
         self.assertEqual(statuses, [504])
+
+    async def stop_with_error(self, owner: Any, name: str) -> list[int]:
+        """Stop while a method fails and a request is open; return its status."""
+
+        async def answer_later(
+            _request: case.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            await asyncio.sleep(0.5)
+            writer.write(case.answer())
+
+        server = await self.add_server(answer_later)
+        with mock.patch.object(owner, name, side_effect=ValueError("bug")):
+            return await self.ask_and_stop(lambda: bool(server.received))
+
+    async def test_an_error_about_queued_requests_ended_the_process(self) -> None:
+        statuses = await self.stop_with_error(self.forwarder, "reject_leaving")
+        self.assertEqual(statuses, [200])
+
+    async def test_an_error_of_closing_connections_ended_the_process(self) -> None:
+        statuses = await self.stop_with_error(self.listener, "close_idle")
+        self.assertEqual(statuses, [200])
