--- a/tests/test_shutdown_races.py
+++ b/tests/test_shutdown_races.py
@@ -23,6 +23,8 @@
 
 CHECK_S: Final = 0.01
 GRACE_MS: Final = 1_200
+SLACK_MS: Final = 200
+"""Time of a test beside that of the shutdown."""
 
 
 class RaceCase(test_gateway_shutdown.ShutdownCase):
@@ -219,3 +221,31 @@
     async def test_an_error_of_closing_connections_ended_the_process(self) -> None:
         statuses = await self.stop_with_error(self.listener, "close_idle")
         self.assertEqual(statuses, [200])
+
+    async def test_a_request_that_may_have_run_is_not_rejected_as_not_run(self) -> None:
+        async def leave_and_break(
+            _request: case.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            self.fleet.shutdown = shutdown_schedule.ShutdownSchedule(
+                self.clock.now_ms() - GRACE_MS, GRACE_MS
+            )
+            writer.close()
+
+        server = await self.add_server(leave_and_break)
+        for path in ("/record/", "/look/x"):
+            with self.subTest(path):
+                self.fleet.shutdown = None
+                sends = len(server.received)
+                got = await self.ask(path, b"x" if path == "/record/" else b"")
+                self.assertEqual(len(server.received), sends + 1)
+                self.assertIn(got.status, (502, 504))
+
+    async def test_two_signals_and_a_reload_change_no_schedule(self) -> None:
+        server = await self.add_server(case.stays_silent)
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.2, self.gateway.note_signal)
+        loop.call_later(0.3, self.gateway.reload)
+        begun_ms = self.clock.now_ms()
+        statuses = await self.ask_and_stop(lambda: bool(server.received))
+        self.assertEqual(statuses, [504])
+        self.assertLess(self.clock.now_ms() - begun_ms, GRACE_MS + SLACK_MS)
