--- a/quincecrank/gateway/shutdown_schedule.py
+++ b/quincecrank/gateway/shutdown_schedule.py
@@ -125,6 +125,8 @@
             Whether the request may run more than once, so that another gateway can
             serve it if its answer does not end in time.
         """
+        if remaining_ms <= 0:
+            return False
         begin_limit_ms = self._signalled_ms + int(self._grace_ms * BEGIN_FRACTION)
         left_ms = begin_limit_ms - self._allowance_ms - now_ms
         needed_ms = self._needed_ms(now_ms, answer_time, may_repeat=may_repeat)
--- a/tests/test_shutdown_schedule.py
+++ b/tests/test_shutdown_schedule.py
@@ -56,6 +56,16 @@
         self.schedule.lateness_ms = 60_000
         self.assertTrue(self.may_begin(3_500, remaining_ms=1_500))
 
+    def test_a_request_whose_time_was_over_began(self) -> None:
+        """A time limit that had passed was taken for one before the end."""
+        for passed_ms in range(0, GRACE_MS, 100):
+            for remaining_ms in (-GRACE_MS, -1, 0):
+                self.assertFalse(
+                    self.schedule.may_begin(
+                        SIGNALLED_MS + passed_ms, remaining_ms, None, may_repeat=False
+                    )
+                )
+
     def test_what_begins_ends_before_the_process(self) -> None:
         # Steps of 1 ms over the grace time: the invariant of the schedule.
         for passed_ms in range(GRACE_MS):
