--- a/tests/test_shutdown_races.py
+++ b/tests/test_shutdown_races.py
@@ -12,7 +12,7 @@
 from tornado import netutil
 
 from quincecrank import clock as clocks
-from quincecrank.gateway import callers, main, shutdown_schedule
+from quincecrank.gateway import callers, main, request_queue, shutdown_schedule
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 from tests import test_gateway_shutdown, test_silent_server_races
@@ -23,6 +23,7 @@
 
 CHECK_S: Final = 0.01
 GRACE_MS: Final = 1_200
+PAUSE_MS: Final = 700
 SLACK_MS: Final = 200
 """Time of a test beside that of the shutdown."""
 
@@ -249,3 +250,32 @@
         statuses = await self.ask_and_stop(lambda: bool(server.received))
         self.assertEqual(statuses, [504])
         self.assertLess(self.clock.now_ms() - begun_ms, GRACE_MS + SLACK_MS)
+
+
+class QueueTest(RaceCase):
+    async def test_a_queued_request_was_not_found_by_its_id(self) -> None:
+        """Another request with the same id, or also without one, had its place."""
+        entry = self.fleet.registry.entries()[0]
+        health = self.fleet.health.health_of(entry)
+        health.record_pause_request(self.clock.now_ms(), PAUSE_MS)
+        connections = [self.connect() for _ in range(2)]
+        with (
+            mock.patch.object(request_queue.RequestQueue, "accepts", return_value=True),
+            mock.patch.object(
+                request_queue.RequestQueue, "remove_too_late", return_value=()
+            ),
+        ):
+            for connection in connections:
+                connection.sendall(REQUEST)
+            statuses = asyncio.gather(*map(self.receive_status, connections))
+            self.assertTrue(
+                await test_silent_server_races.until(
+                    lambda: self.listener.open_requests == len(connections)
+                )
+            )
+            self.fleet.shutdown = shutdown_schedule.ShutdownSchedule(
+                self.clock.now_ms() - GRACE_MS, GRACE_MS
+            )
+            self.forwarder.reject_leaving()
+            async with asyncio.timeout(PAUSE_MS / clocks.MS_PER_SECOND):
+                self.assertEqual(await statuses, [503, 503])
