--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -210,6 +210,7 @@
             http1connection.HTTP1ServerConnection, _Receiver
         ] = weakref.WeakKeyDictionary()
         self._bound: socket.socket | None = None
+        self._was_any_open = True
         self._server = httpserver.HTTPServer(
             self,
             max_header_size=MAX_HEADER_BYTES,
@@ -235,27 +236,29 @@
 
     def stop_accepting(self) -> None:
         """Accept the connections that wait, and no more; open ones continue."""
-        self._accept_waiting()
+        self._close_queue()
         self._server.stop()
 
     def close_idle(self) -> bool:
         """Accept no more connections and close those on which nothing has arrived.
 
         What has arrived is left to be read and answered.  Returns whether a connection
-        is still open, so that this is to be called again.
+        may still be open, so that this is to be called again after a step of the loop.
         """
-        is_any_open = self._accept_waiting()
-        self._server.stop()
+        is_any_open = not self._close_queue()
         for connection, receiver in tuple(self._receiver_by_connection.items()):
             stream = connection.stream
             if stream.closed():
                 continue
-            if receiver.is_waiting and not _has_unread(stream):
+            if receiver.is_waiting and not _has_arrived(stream):
                 self.state.observe_close(CloseReason.SHUTDOWN, False)
                 stream.close()
             else:
                 is_any_open = True
-        return is_any_open
+        # A connection that the loop has just accepted has no receiver before its next
+        # step.
+        was_any_open, self._was_any_open = self._was_any_open, is_any_open
+        return is_any_open or was_any_open
 
     async def close_all(self) -> None:
         """Close every connection."""
@@ -274,22 +277,27 @@
     def on_close(self, server_conn: object) -> None:
         """Do nothing: the receivers handle the end of their connection."""
 
-    def _accept_waiting(self) -> bool:
-        """Accept the connections that the system has completed.
+    def _close_queue(self) -> bool:
+        """Accept the connections that wait, then stop listening.
 
-        Returns whether there was any.
+        Returns False, and goes on to listen, if the system can't accept one now, such
+        as for lack of file descriptors.
         """
-        has_accepted = False
         while self._bound is not None:
             try:
                 connection, address = self._bound.accept()
+            except BlockingIOError:
+                self._server.stop()
+                self._bound = None
+            except ConnectionAbortedError:
+                continue
             except OSError:
-                # None waits, or the socket has been closed.
-                break
-            connection.setblocking(False)
-            self._server.handle_stream(iostream.IOStream(connection), address)
-            has_accepted = True
-        return has_accepted
+                return False
+            else:
+                connection.setblocking(False)
+                stream = iostream.IOStream(connection)
+                self._server.handle_stream(stream, address)
+        return True
 
 
 class _Receiver(httputil.HTTPMessageDelegate):
@@ -401,6 +409,13 @@
     return bool(poll.poll(0))
 
 
+def _has_arrived(stream: iostream.IOStream) -> bool:
+    """Return whether a part of a request has arrived, whether read or not."""
+    # Between two steps of the loop, a head may have left the stream's buffer that its
+    # receiver has not got yet; the stream is not reading then.
+    return not stream.reading() or stream._read_buffer_size > 0 or _has_unread(stream)
+
+
 def _retrieve_exception(future: "asyncio.Future[None]") -> None:
     """Retrieve the exception, so that asyncio does not log it as never retrieved.
 
