--- a/quincecrank/gateway/active_requests.py
+++ b/quincecrank/gateway/active_requests.py
@@ -4,6 +4,7 @@
 
 from tornado import httputil
 
+from quincecrank import ids
 from quincecrank.gateway import (
     callers,
     crash_suspicions,
@@ -33,6 +34,9 @@
     ----------
     caller_headers : CallerHeaders
         Parsed headers of the request.
+    local_id : RequestId
+        Unique among the open requests of this gateway: the caller's id, unless the
+        caller gave none or one that is in use.
     deadline_ms : int
         Time limit of the answer, set by the caller or the route, whichever is
         earlier, less a margin to send it.
@@ -67,6 +71,7 @@
     request: callers.CallerRequest
     answer: callers.CallerAnswer
     caller_headers: requests.CallerHeaders
+    local_id: ids.RequestId
     route: deployment.Route
     service: deployment.Service
     account: deployment.Account | None
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -216,6 +216,8 @@
         self.claim_retest: Callable[[crash_findings.Finding], Awaitable[bool]] = (
             _claim_no_retest
         )
+        self._local_ids: set[ids.RequestId] = set()
+        self._duplicate_count = 0
         self._unplaced_by_id: dict[ids.RequestId, active_requests.ActiveRequest] = {}
         self._retry_budget_by_service: dict[
             deployment.ServiceName, retry_share.RetryBudgetShare
@@ -237,6 +239,7 @@
             return
         if active is None:
             return
+        self._local_ids.add(active.local_id)
         try:
             await self._serve(active)
         except asyncio.CancelledError:
@@ -249,6 +252,15 @@
             # The failure may have happened after the request was sent.
             active.may_have_run = True
             self._fail(active, "internal error", request_queue.MIN_RETRY_AFTER_MS)
+        finally:
+            self._local_ids.discard(active.local_id)
+
+    def _make_local_id(self, request_id: ids.RequestId) -> ids.RequestId:
+        """Return the caller's id of a request, or a unique one if that is in use."""
+        if request_id and request_id not in self._local_ids:
+            return request_id
+        self._duplicate_count += 1
+        return ids.RequestId(f"{request_id}#{self._duplicate_count}")
 
     def _admit(
         self, request: callers.CallerRequest, answer: callers.CallerAnswer
@@ -298,6 +310,7 @@
             request=request,
             answer=answer,
             caller_headers=caller_headers,
+            local_id=self._make_local_id(caller_headers.request_id),
             route=route,
             service=service,
             account=account,
@@ -389,7 +402,7 @@
     async def _place(
         self, active: active_requests.ActiveRequest
     ) -> dispatcher.Placement | dispatcher.Rejection:
-        request_id = active.caller_headers.request_id
+        request_id = active.local_id
         self._unplaced_by_id[request_id] = active
         try:
             return await self._dispatcher.place(self._placement_request(active))
@@ -567,7 +580,7 @@
         active.sends += 1
         if active.route.is_stream and placement.weights_version is not None:
             self._fleet.begin_delays.record_send(
-                server.server_id, active.caller_headers.request_id, now_ms
+                server.server_id, active.local_id, now_ms
             )
 
         def handle_head(head: answers.AnswerHead) -> None:
@@ -634,7 +647,7 @@
         self, active: active_requests.ActiveRequest, server: servers.ServerEntry
     ) -> None:
         """Record the first part of an answer."""
-        request_id = active.caller_headers.request_id
+        request_id = active.local_id
         self._fleet.loads.record_prefill_end(server.server_id, request_id)
         self._fleet.begin_delays.record_begin_or_end(
             server.server_id, request_id, self._clock.now_ms()
@@ -675,7 +688,7 @@
     ) -> None:
         """Release the capacity that a request had at a server."""
         server_id = placement.server.server_id
-        request_id = active.caller_headers.request_id
+        request_id = active.local_id
         try:
             self._fleet.loads.record_end(server_id, request_id)
             self._fleet.begin_delays.record_begin_or_end(
@@ -1241,7 +1254,7 @@
     ) -> dispatcher.PlacementRequest:
         prompt = active.caller_headers.prompt
         queued = request_queue.QueuedRequest(
-            request_id=active.caller_headers.request_id,
+            request_id=active.local_id,
             urgency=active.urgency,
             arrived_ms=active.request.received_ms,
             deadline_ms=active.deadline_ms,
