--- a/quincecrank/gateway/shutdown_schedule.py
+++ b/quincecrank/gateway/shutdown_schedule.py
@@ -1,9 +1,11 @@
 """Decides what a gateway does from SIGTERM to its end.
 
 Invariant
-    Whatever has arrived is answered.  A request is sent to a backend server only if its
-    answer can end within the grace time; else it is rejected as not run.  No connection
-    is closed while bytes of it are unread.
+    Until the process ends, whatever has arrived is answered: served, or rejected as not
+    run.  A request is sent to a backend server only if its answer is expected to end
+    within the grace time; from `MIN_SERVE_MS` after the signal on only if it surely
+    does, which for a request that may run once only means by its time limit.  No
+    connection is closed while bytes of it are unread, unless the grace time is over.
 
 Load pattern: all gateways of a data centre are replaced within seconds, under overload.
 The balancer goes on to send callers to gateways that are not ready, callers keep using
@@ -28,7 +30,7 @@
 MIN_SERVE_MS: Final = 2_800
 """Time after the signal in which the balancer may still send callers although there are
 other gateways: it takes the VM out of rotation after two failed checks, a second apart.
-The process does not end before."""
+Unless the grace time is shorter, the process does not end before."""
 
 EARLY_FACTOR: Final = 1.5
 LATE_FACTOR: Final = 2.0
