--- a/bench/stream_simulation.py
+++ b/bench/stream_simulation.py
@@ -19,7 +19,7 @@
 from typing import Final
 
 from bench import stream_patterns
-from quincecrank.gateway import servers
+from quincecrank.gateway import servers, stream_version_exchange
 
 CONTACT_MS: Final = 3_000
 REPORT_MS: Final = 150
@@ -429,6 +429,10 @@
             for peer, at_ms in gateway.received_ms.items()
             if now_ms < at_ms + SILENCE_MS
         ]
+        heard = sum(
+            now_ms < at_ms + stream_version_exchange.MAX_SILENCE_MS
+            for at_ms in gateway.received_ms.values()
+        )
         is_old = now_ms >= gateway.started_ms + 2 * self._report_ms
         return stream_patterns.Situation(
             frozenset(each.version for each in gateway.entries.values()),
@@ -436,7 +440,7 @@
                 each.version for each in gateway.entries.values() if each.is_ready
             ),
             is_old and all(peer > gateway.number for peer in live),
-            1 + len(live),
+            1 + heard,
             len(self._gateways),
             None if gateway.answer_ms is None else now_ms - gateway.answer_ms,
             gateway.era,
--- a/quincecrank/gateway/followers.py
+++ b/quincecrank/gateway/followers.py
@@ -140,6 +140,7 @@
         self._is_store_unavailable = False
         self._failures = 0
         self._last_answer_ms: int | None = None
+        self._current_ms: int | None = None
         self._behind_since_ms: int | None = None
         self._full_position: store_rows.Position | None = None
         self.position: store_rows.Position | None = None
@@ -159,6 +160,24 @@
             return None
         return self._clock.now_ms() - self._last_answer_ms
 
+    @property
+    def rows_age_ms(self) -> int | None:
+        """Age of the store's last answer at most; None without any.
+
+        It counts from the time at which the store sent the answer at the earliest, not
+        from its reading: the process may have been suspended, or the answer delayed.
+        """
+        if self._current_ms is None:
+            return None
+        return self._clock.now_ms() - self._current_ms
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether a live peer has newer rows."""
+        return _is_newer(
+            self._peers.last_change_position_of(self._table), self.position
+        )
+
     async def run(self) -> None:
         """Read the store whenever `reads_store` holds; never returns."""
         while True:
@@ -185,8 +204,7 @@
         """Fetch the rows of a peer that has a newer significant change."""
         while True:
             await self._clock.sleep(PEER_INTERVAL_MS)
-            peer_position = self._peers.last_change_position_of(self._table)
-            if not _is_newer(peer_position, self.position):
+            if not self.is_behind:
                 self._behind_since_ms = None
                 continue
             now_ms = self._clock.now_ms()
@@ -220,10 +238,12 @@
         if self.position is None:
             await self._read_all()
             return
-        changed = await self._source.changes(
-            self._table, self.position, self._intervals.wait_ms
-        )
-        self._record_answer()
+        wait_ms = self._intervals.wait_ms
+        sent_ms = self._clock.now_ms()
+        changed = await self._source.changes(self._table, self.position, wait_ms)
+        # Without a change, the store answers when the wait is over.
+        has_waited = not changed.rows and self._clock.now_ms() - sent_ms >= wait_ms
+        self._record_answer(sent_ms + wait_ms if has_waited else sent_ms)
         self._apply_changes(changed)
         await self._clock.sleep(self._intervals.pause_ms)
 
@@ -244,13 +264,14 @@
             await self._clock.sleep(RETRY_MS)
 
     async def _read_all(self) -> None:
+        sent_ms = self._clock.now_ms()
         try:
             snapshot = await self._source.read_all(self._table)
         except store_rows.StoreUnavailableError as error:
             self._record_failure(str(error))
             await self._clock.sleep(RETRY_MS)
             return
-        self._record_answer()
+        self._record_answer(sent_ms)
         self._replace(snapshot, "store")
 
     async def _read_from_peer(self) -> None:
@@ -310,8 +331,10 @@
             _LOG.warning("store lost", table=self._table.value, reason=reason)
         self._consumer.handle_store_unavailable()
 
-    def _record_answer(self) -> None:
+    def _record_answer(self, earliest_ms: int) -> None:
+        """Record an answer that the store has sent at a time or later."""
         self._last_answer_ms = self._clock.now_ms()
+        self._current_ms = earliest_ms
         self._failures = 0
         if self._is_store_unavailable:
             self._is_store_unavailable = False
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -143,9 +143,8 @@
             self._fleet,
             self._peers,
             self._store,
-            lambda: (
-                self._followers_by_table[tables.TableName.MEMBERS].store_answer_age_ms
-            ),
+            lambda: self._followers_by_table[tables.TableName.MEMBERS].rows_age_ms,
+            lambda: self._followers_by_table[tables.TableName.MEMBERS].is_behind,
             clock,
         )
         self._members = row_consumers.MemberRowConsumer(
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -106,6 +106,7 @@
         self._ip_by_member: dict[ids.VmName, str] = {}
         self._report_by_ip: dict[str, peer_messages.Report] = {}
         self._report_ms_by_ip: dict[str, int] = {}
+        self._earliest_ms_by_ip: dict[str, int] = {}
         self._added_ms_by_ip: dict[str, int] = {}
         self._calls = peer_calls.PeerCalls(own_settings.peer_port, ROWS_TIMEOUT_MS)
 
@@ -116,13 +117,20 @@
         for ip in self._ip_by_member.values():
             self._added_ms_by_ip.setdefault(ip, now_ms)
 
-    def record_report(self, ip: str, report: peer_messages.Report) -> None:
-        """Record a peer's report and the time of its arrival."""
+    def record_report(
+        self, ip: str, report: peer_messages.Report, earliest_ms: int | None = None
+    ) -> None:
+        """Record a peer's report, which arrived at `earliest_ms` or later.
+
+        None stands for the present time.
+        """
         for state in report.states:
             if state.last_change_position is not None:
                 self._store_era.observe(state.last_change_position.era)
+        now_ms = self._clock.now_ms()
         self._report_by_ip[ip] = report
-        self._report_ms_by_ip[ip] = self._clock.now_ms()
+        self._report_ms_by_ip[ip] = now_ms
+        self._earliest_ms_by_ip[ip] = now_ms if earliest_ms is None else earliest_ms
 
     def live_ips(self) -> tuple[str, ...]:
         """Return the addresses of the peers whose last report is recent enough.
@@ -136,6 +144,18 @@
             if now_ms - reported_ms < PEER_SILENCE_LIMIT_MS
         )
 
+    def heard_ips(self, limit_ms: int) -> tuple[str, ...]:
+        """Return the live peers of which a report arrived less than `limit_ms` ago.
+
+        A report may have waited unread, as while this process was suspended.
+        """
+        now_ms = self._clock.now_ms()
+        return tuple(
+            ip
+            for ip in self.live_ips()
+            if now_ms - self._earliest_ms_by_ip[ip] < limit_ms
+        )
+
     def live_members(self) -> tuple[ids.VmName, ...]:
         """Return the names of the live peers that are not shutting down, sorted."""
         return tuple(
@@ -250,6 +270,22 @@
             default=None,
         )
 
+    def rows_age_ms(self, table: tables.TableName) -> int | None:
+        """Return `store_answer_age_ms`, counted from the earliest time of a report.
+
+        None if no live peer ever had an answer of the store.
+        """
+        now_ms = self._clock.now_ms()
+        return min(
+            (
+                state.store_answer_age_ms + now_ms - self._earliest_ms_by_ip[ip]
+                for ip in self.live_ips()
+                for state in self._report_by_ip[ip].states
+                if state.table is table and state.store_answer_age_ms is not None
+            ),
+            default=None,
+        )
+
     async def fetch_rows(self, table: tables.TableName) -> store_rows.Rows | None:
         """Fetch the rows of a table from a live peer with the newest position.
 
@@ -312,6 +348,7 @@
         self._handle_change = handle_change
         self._clock = clock
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._emptied_ms = clock.now_ms()
 
     def start(self) -> None:
         """Bind the port for datagrams and receive from it."""
@@ -360,9 +397,11 @@
 
     def _receive(self, _socket: object, _events: int) -> None:
         while True:
+            now_ms = self._clock.now_ms()
             try:
                 datagram, (ip, _port) = self._socket.recvfrom(65_535)
             except BlockingIOError:
+                self._emptied_ms = now_ms
                 return
             except OSError as error:
                 # Reports that an earlier datagram reached a closed port.
@@ -379,7 +418,8 @@
             if isinstance(message, send_permits.PermitMessage):
                 self._handle_permits(message)
                 continue
-            self._peers.record_report(ip, message)
+            # It may have waited since the socket was empty.
+            self._peers.record_report(ip, message, self._emptied_ms)
             self._handle_report(message)
 
 
--- a/quincecrank/gateway/stream_version_exchange.py
+++ b/quincecrank/gateway/stream_version_exchange.py
@@ -47,12 +47,20 @@
 missed by its peers after `peers.PEER_SILENCE_LIMIT_MS`."""
 
 MAX_ANSWER_AGE_MS: Final = 1_600
-"""Age of the store's last answer up to which listings count as current: less than the
-time in which a new version gets no streams."""
+"""Age of the store's last answer for the members up to which listings count as current:
+less than the time in which a new version gets no streams."""
+
+MEMBERS_DELAY_MS: Final = 900
+"""Time in which a change of the members reaches a gateway by way of a peer: the pause
+of a reader, the interval of reports and that in which they are compared."""
+
+MAX_SILENCE_MS: Final = 500
+"""Time since its last report for which a peer counts as in touch: with two checks, not
+longer than a new version gets no streams, less `MEMBERS_DELAY_MS`."""
 
 MAX_OUTAGE_MS: Final = 6_000
-"""Age of the store's last answer up to which they count as current if this gateway
-hears most of the others."""
+"""Age of the store's last answer up to which they count as current if this gateway is
+in touch with most of the others."""
 
 MAX_ERROR_LENGTH: Final = 300
 """Characters of an error's text that are logged."""
@@ -159,9 +167,11 @@
         State of the fleet; its `stream_versions` is kept up to date.
     peer_directory : PeerDirectory
         The other gateways.
-    answer_age_ms : callable
-        Returns the age of the store's last answer for the servers table in ms, which
-        changes all the time; None without any.
+    rows_age_ms : callable
+        Returns the age at most of the store's last answer for the members table in ms;
+        None without any.
+    is_behind : callable
+        Returns whether a peer has a newer members table.
     """
 
     def __init__(
@@ -169,14 +179,16 @@
         fleet: fleet_state.FleetState,
         peer_directory: peers.PeerDirectory,
         store: tables.TableStore,
-        answer_age_ms: Callable[[], int | None],
+        rows_age_ms: Callable[[], int | None],
+        is_behind: Callable[[], bool],
         clock: clocks.Clock,
     ) -> None:
         self._fleet = fleet
         self._versions = fleet.stream_versions
         self._peers = peer_directory
         self._store = store
-        self._answer_age_ms = answer_age_ms
+        self._rows_age_ms = rows_age_ms
+        self._is_behind = is_behind
         self._clock = clock
         self._position_by_service: dict[
             deployment.ServiceName, store_rows.Position
@@ -264,7 +276,9 @@
         self._update_retention()
         ready_by_service = self._observe_servers(now_ms)
         self._versions.expire(now_ms)
-        self._versions.current_until_ms = self._current_until_ms(now_ms)
+        self._versions.current_until_ms = max(
+            self._versions.current_until_ms, self._current_until_ms(now_ms)
+        )
         self._versions.are_entries_complete = (
             now_ms - self._started_ms >= servers.EXPIRY_GRACE_MS
         )
@@ -332,19 +346,23 @@
 
     def _current_until_ms(self, now_ms: int) -> int:
         """Return the time until which a listing of another gateway is known here."""
-        ages_ms = (
-            self._answer_age_ms(),
-            self._peers.store_answer_age_ms(tables.TableName.SERVERS),
-        )
-        age_ms = min((age for age in ages_ms if age is not None), default=None)
-        if age_ms is None:
-            return 0
-        if age_ms < MAX_ANSWER_AGE_MS:
-            return now_ms + MAX_ANSWER_AGE_MS - age_ms
-        live_count = 1 + len(self._peers.live_ips())
-        hears_most = 2 * live_count > self._peers.known_gateways()
-        is_current = hears_most and age_ms < MAX_OUTAGE_MS
-        return now_ms + 2 * CHECK_MS if is_current else 0
+        until_ms = 0
+        own_age_ms = self._rows_age_ms()
+        if own_age_ms is not None:
+            until_ms = now_ms + MAX_ANSWER_AGE_MS - own_age_ms
+        if self._is_behind():
+            return until_ms
+        # Servers change all the time, members seldom.
+        peer_age_ms = self._peers.rows_age_ms(tables.TableName.SERVERS)
+        if peer_age_ms is not None:
+            age_ms = peer_age_ms + MEMBERS_DELAY_MS
+            until_ms = max(until_ms, now_ms + MAX_ANSWER_AGE_MS - age_ms)
+        ages_ms = [age for age in (own_age_ms, peer_age_ms) if age is not None]
+        heard_count = 1 + len(self._peers.heard_ips(MAX_SILENCE_MS))
+        hears_most = 2 * heard_count > self._peers.known_gateways()
+        if hears_most and min(ages_ms, default=MAX_OUTAGE_MS) < MAX_OUTAGE_MS:
+            until_ms = max(until_ms, now_ms + 2 * CHECK_MS)
+        return until_ms
 
     async def _write_listing_if_due(
         self, service: deployment.ServiceName, ready: set[servers.SoftwareVersion]
--- a/tests/test_out_of_step_streams.py
+++ b/tests/test_out_of_step_streams.py
@@ -116,7 +116,8 @@
             self.fleet,
             self.peers,
             self.store,
-            lambda: self.follower.store_answer_age_ms,
+            lambda: self.follower.rows_age_ms,
+            lambda: self.follower.is_behind,
             self.clock,
         )
         lease = order_lease.OrderLease(self.store, environment.vm, 1_000, self.clock)
