--- a/bench/stream_patterns.py
+++ b/bench/stream_patterns.py
@@ -15,6 +15,7 @@
 Record = tuple[StreamKey, servers.SoftwareVersion]
 RowValue = object
 
+RESUMED_SHARE: Final = 0.7
 FIRST_VERSION: Final = servers.SoftwareVersion("v1")
 
 
@@ -115,6 +116,10 @@
     ROWS_LATE = enum.auto()
     STORE_AWAY = enum.auto()
     RESTORE = enum.auto()
+    STORE_CUT = enum.auto()
+    PEERS_CUT = enum.auto()
+    MUTE = enum.auto()
+    DEAF = enum.auto()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,13 +127,16 @@
     """One fault.
 
     A restore goes back by the time from `from_ms` to `until_ms`.  While rows are late,
-    only the entries of servers reach a gateway.
+    only the entries of servers reach a gateway.  A store cut concerns the given
+    gateways only, and a cut of peers their links to `peers`; the reports of mute
+    gateways get lost, and those to deaf ones.
     """
 
     kind: FaultKind
     from_ms: int
     until_ms: int
     gateways: tuple[int, ...] = ()
+    peers: tuple[int, ...] = ()
 
 
 class ChangeKind(enum.Enum):
@@ -170,6 +178,8 @@
         Share of callers that come back after `stream_simulation.SLOW_RETURN_MS` only.
     loss : float
         Probability that a report to one peer is lost.
+    resumed_at : tuple of int
+        Gateways that `RESUMED_SHARE` of the resumed streams come to; any if empty.
     """
 
     seed: int
@@ -184,6 +194,7 @@
     duration_ms: int = 30_000
     faults: tuple[Fault, ...] = ()
     changes: tuple[ServerChange, ...] = ()
+    resumed_at: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
--- a/bench/stream_simulation.py
+++ b/bench/stream_simulation.py
@@ -42,6 +42,13 @@
 COME_BACK_MS: Final = 300
 RECORD_BYTES: Final = 10
 
+_LINK_FAULTS: Final = (
+    stream_patterns.FaultKind.STORE_CUT,
+    stream_patterns.FaultKind.PEERS_CUT,
+    stream_patterns.FaultKind.MUTE,
+    stream_patterns.FaultKind.DEAF,
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Entry:
@@ -115,6 +122,7 @@
         self.revisions: Mapping[str, int] = {}
         self.entries: Mapping[int, _Entry] = {}
         self.answer_ms: int | None = None
+        self.read_revision = 0
         self.ended: set[tuple[int, int]] = set()
         self.received_ms: dict[int, int] = {}
         self.attempts: set[_Attempt] = set()
@@ -178,6 +186,7 @@
         self._disturbed_ms = [-CONTACT_MS] * pattern.gateways
         self._cut_until_ms = [0] * pattern.gateways
         self._rows_late_until_ms = [0] * pattern.gateways
+        self._link_faults: list[stream_patterns.Fault] = []
         self._servers = [
             _Server(stream_patterns.FIRST_VERSION) for _ in range(pattern.servers)
         ]
@@ -320,6 +329,8 @@
                 self._cut_until_ms[number] = fault.until_ms
             elif fault.kind is stream_patterns.FaultKind.ROWS_LATE:
                 self._rows_late_until_ms[number] = fault.until_ms
+            elif fault.kind in _LINK_FAULTS:
+                self._link_faults.append(fault)
             else:
                 self._freeze(gateway, duration_ms)
 
@@ -364,7 +375,35 @@
         self._at(duration_ms, thaw)
 
     def _is_reachable(self, gateway: _Gateway) -> bool:
-        return self._has_path(gateway) and not self._store.is_away
+        """Return whether a gateway reaches the store."""
+        is_cut = self._has_fault(stream_patterns.FaultKind.STORE_CUT, gateway.number)
+        return self._has_path(gateway) and not self._store.is_away and not is_cut
+
+    def _has_fault(self, kind: stream_patterns.FaultKind, gateway: int) -> bool:
+        return any(
+            each.kind is kind
+            and gateway in each.gateways
+            and each.from_ms <= self._now_ms < each.until_ms
+            for each in self._link_faults
+        )
+
+    def _is_linked(self, sender: int, receiver: int) -> bool:
+        """Return whether a report of one gateway reaches another one."""
+        kinds = stream_patterns.FaultKind
+        is_cut = any(
+            each.kind is kinds.PEERS_CUT
+            and each.from_ms <= self._now_ms < each.until_ms
+            and (
+                (sender in each.gateways and receiver in each.peers)
+                or (receiver in each.gateways and sender in each.peers)
+            )
+            for each in self._link_faults
+        )
+        return not (
+            is_cut
+            or self._has_fault(kinds.MUTE, sender)
+            or self._has_fault(kinds.DEAF, receiver)
+        )
 
     def _is_undisturbed(self, gateway: _Gateway) -> bool:
         return (
@@ -379,16 +418,36 @@
             self._at(POLL_MS, poll)
             gateway = self._gateways[number]
             if self._is_reachable(gateway):
-                self._read(gateway)
+                self._read(gateway, self._store)
+                gateway.answer_ms = self._now_ms
+                gateway.read_revision = self._store.revision
+            elif self._link_faults and self._has_path(gateway):
+                self._read_from_peer(gateway)
 
         return poll
 
-    def _read(self, gateway: _Gateway) -> None:
-        store = self._store
+    def _read_from_peer(self, gateway: _Gateway) -> None:
+        """Read the rows of a linked peer that has read the store later."""
+        newer = [
+            peer
+            for peer in self._gateways
+            if self._is_linked(peer.number, gateway.number)
+            and self._is_linked(gateway.number, peer.number)
+            and self._has_path(peer)
+            and peer.answer_ms is not None
+            and peer.answer_ms > (gateway.answer_ms or 0)
+            and peer.read_revision >= gateway.read_revision
+        ]
+        if newer:
+            peer = newer[self._now_ms // POLL_MS % len(newer)]
+            self._read(gateway, peer)
+            gateway.answer_ms = peer.answer_ms
+            gateway.read_revision = peer.read_revision
+
+    def _read(self, gateway: _Gateway, store: "_Store | _Gateway") -> None:
         has_changed = gateway.entries is not store.entries
         if has_changed:
-            self._read_entries(gateway)
-        gateway.answer_ms = self._now_ms
+            self._read_entries(gateway, store)
         is_full_read = False
         if self._now_ms >= self._rows_late_until_ms[gateway.number]:
             is_full_read = gateway.rows_era != store.era
@@ -404,12 +463,11 @@
                 is_full_read=is_full_read,
             )
 
-    def _read_entries(self, gateway: _Gateway) -> None:
+    def _read_entries(self, gateway: _Gateway, store: "_Store | _Gateway") -> None:
         """Read the entries of servers.
 
         A restored store may show incarnations that have been replaced or left.
         """
-        store = self._store
         for number, entry in gateway.entries.items():
             now = store.entries.get(number)
             has_left = now is None and gateway.era == store.era
@@ -420,7 +478,9 @@
     def _confirm(self, gateway: _Gateway) -> None:
         """Read the store at once."""
         if self._is_reachable(gateway):
-            self._read(gateway)
+            self._read(gateway, self._store)
+            gateway.answer_ms = self._now_ms
+            gateway.read_revision = self._store.revision
 
     def _situation(self, gateway: _Gateway) -> stream_patterns.Situation:
         now_ms = self._now_ms
@@ -508,7 +568,7 @@
         for peer in self._gateways:
             if peer.number == sender or draw() < loss:
                 continue
-            if self._has_path(peer):
+            if self._has_path(peer) and self._is_linked(sender, peer.number):
                 peer.received_ms[sender] = self._now_ms
                 if records:
                     peer.policy.apply_report(records, self._now_ms)
@@ -729,9 +789,16 @@
         delay_ms = self._generator.uniform(*(SLOW_RETURN_MS if is_slow else RETURN_MS))
         self._at(delay_ms, lambda: again(stream))
 
+    def _resuming_gateway(self) -> _Gateway | None:
+        if self._generator.random() >= stream_patterns.RESUMED_SHARE:
+            return None
+        return self._gateways[self._generator.choice(self._pattern.resumed_at)]
+
     def _resume(self, stream: _Stream, target: _Gateway | None = None) -> None:
         if self._now_ms > stream.give_up_ms:
             return
+        if target is None and self._pattern.resumed_at:
+            target = self._resuming_gateway()
         gateway = self._gateway_of_caller(
             lambda gateway: self._resume(stream, gateway), target
         )
--- a/tests/stream_soak.py
+++ b/tests/stream_soak.py
@@ -14,10 +14,21 @@
 DURATION_MS: Final = 30_000
 FAULTS_UNTIL_MS: Final = 24_000
 SIZES: Final = (4, 6, 10, 20)
+OUT_OF_STEP_SIZES: Final = (6, 20, 45)
 MAX_JOINED: Final = 2
 MIN_RESUMED: Final = 12
 
 
+_KINDS: Final = (
+    stream_patterns.FaultKind.KILL,
+    stream_patterns.FaultKind.CUT,
+    stream_patterns.FaultKind.FREEZE,
+    stream_patterns.FaultKind.ROWS_LATE,
+    stream_patterns.FaultKind.STORE_AWAY,
+    stream_patterns.FaultKind.RESTORE,
+)
+
+
 def make_pattern(
     seed: int, make: stream_patterns.PolicyMaker = stream_policies.Listed
 ) -> stream_patterns.Pattern:
@@ -41,6 +52,109 @@
     )
 
 
+def out_of_step_faults(
+    gateways: int, from_ms: int, until_ms: int
+) -> dict[str, tuple[stream_patterns.Fault, ...]]:
+    """Return faults by name in which gateway 1, or more, is out of step."""
+    kinds = stream_patterns.FaultKind
+    others = tuple(each for each in range(gateways) if each != 1)
+    half = others[: len(others) // 2]
+    several = tuple(range(1, 1 + max(2, gateways // 4)))
+
+    def fault(
+        kind: stream_patterns.FaultKind,
+        some: tuple[int, ...] = (1,),
+        peers: tuple[int, ...] = (),
+        later_ms: int = 0,
+    ) -> stream_patterns.Fault:
+        return stream_patterns.Fault(kind, from_ms + later_ms, until_ms, some, peers)
+
+    return {
+        "cut": (fault(kinds.CUT),),
+        "suspended": (fault(kinds.FREEZE),),
+        "several cut": (fault(kinds.CUT, several),),
+        "several suspended": (fault(kinds.FREEZE, several),),
+        "writer suspended": (fault(kinds.FREEZE, (0,)),),
+        "writer and one suspended": (fault(kinds.FREEZE, (0, 1)),),
+        "no store": (fault(kinds.STORE_CUT),),
+        "no store, half of the peers": (
+            fault(kinds.STORE_CUT),
+            fault(kinds.PEERS_CUT, peers=half),
+        ),
+        "half of the peers": (fault(kinds.PEERS_CUT, peers=half),),
+        "mute": (fault(kinds.MUTE),),
+        "deaf": (fault(kinds.DEAF),),
+        "mute, no store": (fault(kinds.MUTE), fault(kinds.STORE_CUT)),
+        "deaf, no store": (fault(kinds.DEAF), fault(kinds.STORE_CUT)),
+        "peers, then store": (
+            fault(kinds.PEERS_CUT, peers=others),
+            fault(kinds.STORE_CUT, later_ms=700),
+        ),
+        "store, then peers": (
+            fault(kinds.STORE_CUT),
+            fault(kinds.PEERS_CUT, peers=others, later_ms=700),
+        ),
+        "just started, then cut": (
+            stream_patterns.Fault(kinds.KILL, from_ms - 700, from_ms - 200, (1,)),
+            fault(kinds.CUT),
+        ),
+        "store restored beside a cut": (
+            fault(kinds.CUT),
+            stream_patterns.Fault(kinds.RESTORE, from_ms + 2_500, from_ms + 4_000),
+        ),
+        "most without store": (
+            fault(kinds.STORE_CUT, others[len(others) // 4 :] + (1,)),
+            fault(
+                kinds.PEERS_CUT,
+                others[len(others) // 4 :] + (1,),
+                others[: len(others) // 4],
+            ),
+        ),
+    }
+
+
+def make_out_of_step_pattern(
+    seed: int,
+    name: str,
+    gateways: int,
+    make: stream_patterns.PolicyMaker = stream_policies.Listed,
+) -> stream_patterns.Pattern:
+    """Return a release while gateways are out of step, to which callers return."""
+    generator = random.Random(f"{seed} {name} {gateways}")
+    release_ms = 6_000
+    from_ms = release_ms + generator.randint(-1_500, 1_500)
+    until_ms = from_ms + generator.choice((1_200, 2_000, 3_000, 6_000))
+    return stream_patterns.Pattern(
+        seed,
+        make,
+        gateways=gateways,
+        servers=6,
+        per_second=max(34.0, 2.0 * gateways),
+        broken_share=0.5,
+        slow_share=0.1,
+        duration_ms=15_000,
+        faults=out_of_step_faults(gateways, from_ms, until_ms)[name],
+        changes=stream_patterns.release(
+            release_ms,
+            generator.choice((3, 3, 6)),
+            generator.choice((10, 300)),
+            old=range(6),
+            stay_ms=generator.choice((0, 1_000, 4_000)),
+        ),
+        resumed_at=(1,),
+    )
+
+
+def out_of_step_violations(seed: int, name: str, gateways: int) -> list[str]:
+    """Run one seed of a fault; return a line for each violation, any joined stream."""
+    pattern = make_out_of_step_pattern(seed, name, gateways)
+    result = stream_simulation.simulate(pattern)
+    lines = result_lines(result)
+    if 0 < result.joined <= MAX_JOINED:
+        lines.append(f"ORDER: {result.joined} streams joined from two versions")
+    return [f"{name}, {gateways} gateways, seed {seed}: {line}" for line in lines]
+
+
 def _make_releases(
     generator: random.Random, count: int
 ) -> list[stream_patterns.ServerChange]:
@@ -83,7 +197,7 @@
 
 
 def _make_fault(generator: random.Random, gateways: int) -> stream_patterns.Fault:
-    kind = generator.choice(tuple(stream_patterns.FaultKind))
+    kind = generator.choice(_KINDS)
     from_ms = generator.randint(4_000, FAULTS_UNTIL_MS)
     count = generator.choice((1, max(1, gateways // 4), gateways // 2))
     some = tuple(generator.sample(range(gateways), count))
--- a/tests/test_stream_load.py
+++ b/tests/test_stream_load.py
@@ -57,6 +57,32 @@
                 result = stream_simulation.simulate(pattern)
                 self.assertEqual(stream_soak.result_lines(result), [])
 
+    def test_gateways_out_of_step_keep_streams_at_their_version(self) -> None:
+        for name in stream_soak.out_of_step_faults(6, 0, 0):
+            with self.subTest(name):
+                self.assertEqual(stream_soak.out_of_step_violations(1, name, 6), [])
+
+    def test_streams_were_joined_while_a_gateway_was_cut_off_beside_a_release_at_once(
+        self,
+    ) -> None:
+        """Streams began at the new version while its old listing counted as current."""
+        for kind in (stream_patterns.FaultKind.CUT, stream_patterns.FaultKind.FREEZE):
+            for seed in SEEDS:
+                with self.subTest(kind, seed=seed):
+                    pattern = stream_patterns.Pattern(
+                        seed,
+                        stream_policies.Listed,
+                        gateways=6,
+                        broken_share=0.5,
+                        slow_share=0.1,
+                        duration_ms=12_000,
+                        changes=stream_patterns.release(8_000, 5, 10),
+                        faults=(stream_patterns.Fault(kind, 7_990, 9_290, (1,)),),
+                        resumed_at=(1,),
+                    )
+                    result = stream_simulation.simulate(pattern)
+                    self.assertEqual(result.joined, 0)
+
     def test_a_restored_store_without_a_version_led_to_joined_streams(self) -> None:
         """No gateway of before the restore was left, and its servers came later."""
         self.check_fault("store restored, all killed")
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -63,6 +63,34 @@
         self.see(0, V2)
         self.assertEqual(self.write_due(0, V2), make_listing(V1, V2))
 
+    def test_streams_began_at_a_version_that_was_listed_without_announcement(
+        self,
+    ) -> None:
+        """Gateways that were out of step resumed them at the version before."""
+        self.versions.apply_listing(make_listing(V1), 0)
+        self.see(10_000, V1, V2)
+        listed = make_listing(V1, V2)
+        self.assertEqual(self.write_due(10_000, V2), listed)
+        ends_ms = 10_000 + exchange.MAX_ANSWER_AGE_MS
+        self.assertFalse(self.versions.may_begin(builders.LLM, V2, ends_ms))
+        begins_ms = 10_000 + (
+            stream_versions.ANNOUNCEMENT_MS + stream_versions.BEGIN_DELAY_MS
+        )
+        self.assertTrue(self.versions.may_begin(builders.LLM, V2, begins_ms))
+
+    def test_streams_began_at_a_version_that_was_just_announced(self) -> None:
+        """The servers of the other version left before the announcement was over."""
+        self.versions.apply_listing(make_listing(V1), 0)
+        self.see(10_000, V1, V2)
+        self.write_due(10_000, V1, V2)
+        self.assertEqual(self.write_due(10_500, V2), make_listing(V1, V2))
+        ends_ms = 10_000 + exchange.MAX_ANSWER_AGE_MS
+        self.assertFalse(self.versions.may_begin(builders.LLM, V2, ends_ms))
+        begins_ms = 10_000 + (
+            stream_versions.ANNOUNCEMENT_MS + stream_versions.BEGIN_DELAY_MS
+        )
+        self.assertTrue(self.versions.may_begin(builders.LLM, V2, begins_ms))
+
     def test_a_version_that_left_stays_listed_for_the_retention_time(self) -> None:
         """A gateway that starts after it has left must not take the rest for sure."""
         self.versions.apply_listing(make_listing(V1, V2), 0)
