--- a/bench/stream_patterns.py
+++ b/bench/stream_patterns.py
@@ -37,6 +37,8 @@
         Age of the store's last answer with server entries; None without any.
     era : int
         Restores of the store until that answer.
+    known_rows : frozenset of str
+        Names of the rows that all gateways have, as far as this one knows.
     """
 
     present: frozenset[servers.SoftwareVersion]
@@ -46,6 +48,7 @@
     gateways: int
     answer_age_ms: int | None
     era: int
+    known_rows: frozenset[str] = frozenset()
 
 
 class StreamPolicy(Protocol):
--- a/bench/stream_policies.py
+++ b/bench/stream_policies.py
@@ -317,6 +317,8 @@
         self.versions.current_until_ms = self._current_until_ms(situation, now_ms)
         self._update_restored(situation, now_ms)
         rows: dict[str, stream_patterns.RowValue | None] = {}
+        if LISTING_ROW in situation.known_rows:
+            self.versions.confirm_listing(SERVICE)
         wanted = self.versions.listing_to_write(SERVICE, set(situation.ready), now_ms)
         if wanted is None:
             self._due_ms = None
--- a/bench/stream_simulation.py
+++ b/bench/stream_simulation.py
@@ -123,6 +123,7 @@
         self.entries: Mapping[int, _Entry] = {}
         self.answer_ms: int | None = None
         self.read_revision = 0
+        self.reported_revision_by_peer: dict[int, int] = {}
         self.ended: set[tuple[int, int]] = set()
         self.received_ms: dict[int, int] = {}
         self.attempts: set[_Attempt] = set()
@@ -504,6 +505,15 @@
             len(self._gateways),
             None if gateway.answer_ms is None else now_ms - gateway.answer_ms,
             gateway.era,
+            frozenset(
+                name
+                for name, revision in gateway.revisions.items()
+                if all(
+                    gateway.reported_revision_by_peer.get(peer, -1) >= revision
+                    for peer in range(len(self._gateways))
+                    if peer != gateway.number
+                )
+            ),
         )
 
     def _checker(self, number: int) -> Callable[[], None]:
@@ -554,12 +564,16 @@
             if self._has_path(gateway):
                 records = gateway.policy.to_publish(self._now_ms)
                 delay_ms = self._generator.uniform(1, 5)
-                self._at(delay_ms, lambda: self._deliver(number, records))
+                revision = max(gateway.revisions.values(), default=-1)
+                self._at(delay_ms, lambda: self._deliver(number, records, revision))
 
         return report
 
     def _deliver(
-        self, sender: int, records: Collection[stream_patterns.Record]
+        self,
+        sender: int,
+        records: Collection[stream_patterns.Record],
+        revision: int,
     ) -> None:
         draw, loss = self._generator.random, self._pattern.loss
         self.result.report_bytes += (
@@ -570,6 +584,7 @@
                 continue
             if self._has_path(peer) and self._is_linked(sender, peer.number):
                 peer.received_ms[sender] = self._now_ms
+                peer.reported_revision_by_peer[sender] = revision
                 if records:
                     peer.policy.apply_report(records, self._now_ms)
 
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -254,6 +254,20 @@
         ]
         return max((each for each in positions if each is not None), default=None)
 
+    def all_have(self, table: tables.TableName, position: store_rows.Position) -> bool:
+        """Return whether all gateways that may be alive have a table up to a position.
+
+        Gateways that are not live do not have it.
+        """
+        positions = [
+            _reported_position(self._report_by_ip[ip], table) for ip in self.live_ips()
+        ]
+        count = sum(
+            each is not None and each.era == position.era and each >= position
+            for each in positions
+        )
+        return 1 + count >= self.known_gateways()
+
     def store_answer_age_ms(self, table: tables.TableName) -> int | None:
         """Return the time since any live peer had an answer of the store for a table.
 
--- a/quincecrank/gateway/stream_version_exchange.py
+++ b/quincecrank/gateway/stream_version_exchange.py
@@ -286,6 +286,9 @@
             self._versions.is_store_restored = False
         if not self._versions.has_listings:
             return
+        for service, position in self._position_by_service.items():
+            if self._peers.all_have(tables.TableName.MEMBERS, position):
+                self._versions.confirm_listing(service)
         for service, ready in ready_by_service.items():
             await self._write_listing_if_due(service, ready)
         if self._versions.is_any_mixed:
--- a/quincecrank/gateway/stream_versions.py
+++ b/quincecrank/gateway/stream_versions.py
@@ -54,7 +54,9 @@
 
 BEGIN_DELAY_MS: Final = 300
 """Time after the listing of a version before a gateway begins streams at it, so that
-the other gateways know the listing by then."""
+the other gateways know the listing by then.  If no announcement preceded the listing,
+it counts from the time at which that would have been over, unless all gateways are
+known to have the listing."""
 
 PUBLISH_MS: Final = 700
 """Time for which a record is published, since datagrams get lost."""
@@ -177,6 +179,8 @@
         Time at which a server of the version had an entry last.
     begins_ms_by_version : dict
         Time from which streams may begin at a listed version.
+    applied_ms : int
+        Time at which the listing was put in force here.
     announced_ms_by_version : dict
         Time at which this process learned of the announcement.
     once_listed : set
@@ -190,6 +194,7 @@
     begins_ms_by_version: dict[servers.SoftwareVersion, int] = dataclasses.field(
         default_factory=dict
     )
+    applied_ms: int = 0
     announced_ms_by_version: dict[servers.SoftwareVersion, int] = dataclasses.field(
         default_factory=dict
     )
@@ -294,9 +299,14 @@
         state.begins_ms_by_version = {
             version: state.begins_ms_by_version.get(version, now_ms)
             if version in known
-            else now_ms + BEGIN_DELAY_MS
+            else BEGIN_DELAY_MS
+            + max(
+                now_ms,
+                state.announced_ms_by_version.get(version, now_ms) + ANNOUNCEMENT_MS,
+            )
             for version in listing.listed
         }
+        state.applied_ms = now_ms
         state.announced_ms_by_version = {
             version: state.announced_ms_by_version.get(version, now_ms)
             for version in listing.announced
@@ -304,6 +314,13 @@
         if self._is_mixed(state) and not was_mixed:
             self._publish_own(listing.service, now_ms)
 
+    def confirm_listing(self, service: deployment.ServiceName) -> None:
+        """Record that all gateways have the listing in force or a later one."""
+        state = self._service_by_name[service]
+        latest_ms = state.applied_ms + BEGIN_DELAY_MS
+        for version, begins_ms in state.begins_ms_by_version.items():
+            state.begins_ms_by_version[version] = min(begins_ms, latest_ms)
+
     def forget_listing(self, service: deployment.ServiceName) -> None:
         """Record that the listing of a service is missing or malformed."""
         self._service_by_name[service].listing = None
--- a/tests/test_out_of_step_streams.py
+++ b/tests/test_out_of_step_streams.py
@@ -209,6 +209,16 @@
             await self.follower._step()
         self.assertIs(await self.resume(), NOT_LOADED)
 
+    async def test_a_silent_peer_does_not_have_a_listing(self) -> None:
+        self.receive(make_report(stored.at(9)))
+        self.assertFalse(self.peers.all_have(MEMBERS, stored.at(9)))
+        self.peers.set_members({ids.VmName("peer-1"): "10.0.0.1"})
+        self.assertTrue(self.peers.all_have(MEMBERS, stored.at(9)))
+        self.assertFalse(self.peers.all_have(MEMBERS, stored.at(10)))
+        self.assertFalse(self.peers.all_have(MEMBERS, stored.at(3, 1)))
+        self.clock.advance(peers.PEER_SILENCE_LIMIT_MS)
+        self.assertFalse(self.peers.all_have(MEMBERS, stored.at(9)))
+
     async def test_a_report_that_names_a_newer_table_joined_streams(self) -> None:
         """It made the listing count as current before the newer one was fetched."""
         self.clock.advance(SUSPENDED_MS)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -78,6 +78,14 @@
         )
         self.assertTrue(self.versions.may_begin(builders.LLM, V2, begins_ms))
 
+    def test_streams_begin_at_once_if_all_gateways_have_the_listing(self) -> None:
+        self.versions.apply_listing(make_listing(V1), 0)
+        self.versions.apply_listing(make_listing(V1, V2), 10_000)
+        self.versions.confirm_listing(builders.LLM)
+        delay_ms = stream_versions.BEGIN_DELAY_MS
+        self.assertFalse(self.versions.may_begin(builders.LLM, V2, 9_999 + delay_ms))
+        self.assertTrue(self.versions.may_begin(builders.LLM, V2, 10_000 + delay_ms))
+
     def test_streams_began_at_a_version_that_was_just_announced(self) -> None:
         """The servers of the other version left before the announcement was over."""
         self.versions.apply_listing(make_listing(V1), 0)
