--- a/tests/test_out_of_step_streams.py
+++ b/tests/test_out_of_step_streams.py
@@ -94,11 +94,12 @@
 
     def __init__(self) -> None:
         self.datagrams: list[bytes] = []
+        self.ip = "10.0.0.1"
 
     def recvfrom(self, _size: int) -> tuple[bytes, tuple[str, int]]:
         if not self.datagrams:
             raise BlockingIOError
-        return self.datagrams.pop(0), ("10.0.0.1", 1)
+        return self.datagrams.pop(0), (self.ip, 1)
 
 
 class OutOfStepTest(unittest.IsolatedAsyncioTestCase):
@@ -149,8 +150,15 @@
         await self.follower._step()
         self.peers.set_members({ids.VmName(f"peer-{n}"): f"10.0.0.{n}" for n in (1, 2)})
 
-    def receive(self, report: peer_messages.Report) -> None:
+    def add_peers(self, count: int) -> None:
+        """Replace the registered peers."""
+        self.peers.set_members(
+            {ids.VmName(f"peer-{n}"): f"10.0.0.{n}" for n in range(1, count + 1)}
+        )
+
+    def receive(self, report: peer_messages.Report, ip: str = "10.0.0.1") -> None:
         """Let the process read a report."""
+        self.socket.ip = ip
         self.socket.datagrams.append(peer_messages.encode(report))
         self.reporter._receive(None, 0)
 
@@ -219,6 +227,16 @@
         self.clock.advance(peers.PEER_SILENCE_LIMIT_MS)
         self.assertFalse(self.peers.all_have(MEMBERS, stored.at(9)))
 
+    async def test_a_silent_peer_may_have_listed_a_version(self) -> None:
+        """Most of the gateways were without the store, and took it for ended."""
+        self.add_peers(3)
+        for _ in range(20):
+            self.clock.advance(100)
+            for number in (1, 2):
+                report = make_report(stored.at(3), answer_age_ms=1_700)
+                self.receive(report, f"10.0.0.{number}")
+        self.assertIs(await self.resume(), NOT_LOADED)
+
     async def test_a_report_that_names_a_newer_table_joined_streams(self) -> None:
         """It made the listing count as current before the newer one was fetched."""
         self.clock.advance(SUSPENDED_MS)
--- a/tests/test_stream_load.py
+++ b/tests/test_stream_load.py
@@ -83,6 +83,20 @@
                     result = stream_simulation.simulate(pattern)
                     self.assertEqual(result.joined, 0)
 
+    def check_out_of_step(self, name: str, *seeds: int) -> None:
+        for seed in seeds:
+            with self.subTest(seed):
+                found = stream_soak.out_of_step_violations(seed, name, 6)
+                self.assertEqual(found, [])
+
+    def test_most_gateways_without_the_store_joined_streams(self) -> None:
+        """They took the others, which had listed a version, for ended ones."""
+        self.check_out_of_step("most without store", 13, 15, 20, 27, 38)
+
+    def test_a_gateway_that_started_and_was_cut_off_joined_streams(self) -> None:
+        """It took an announcement to be as young as its reading."""
+        self.check_out_of_step("just started, then cut", 17)
+
     def test_a_restored_store_without_a_version_led_to_joined_streams(self) -> None:
         """No gateway of before the restore was left, and its servers came later."""
         self.check_fault("store restored, all killed")
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -158,6 +158,19 @@
         self.assertEqual(self.version_of(1_400), V1)
         self.assertIs(self.version_of(1_500), stream_versions.Resumption.UNKNOWN)
 
+    def test_a_gateway_that_started_joined_streams_of_an_announced_version(
+        self,
+    ) -> None:
+        """The announcement was taken to be as young as its reading."""
+        self.versions.current_until_ms = 0
+        listing = stream_versions.Listing(
+            builders.LLM, frozenset((V1,)), frozenset((V2,))
+        )
+        self.versions.apply_listing(listing, 10_000)
+        self.versions.current_until_ms = 11_600
+        self.assertIs(self.version_of(10_400), stream_versions.Resumption.NOT_LOADED)
+        self.assertIs(self.version_of(11_500), stream_versions.Resumption.UNKNOWN)
+
     def test_a_listing_older_than_the_streams_of_earlier_processes(self) -> None:
         """A store that was restored has a listing without the present version."""
         self.versions.apply_listing(make_listing(V1), 0)
