--- a/quincecrank/gateway/stream_version_exchange.py
+++ b/quincecrank/gateway/stream_version_exchange.py
@@ -46,9 +46,9 @@
 """Time for which gateways keep the records that another one should have written: it is
 missed by its peers after `peers.PEER_SILENCE_LIMIT_MS`."""
 
-MAX_ANSWER_AGE_MS: Final = 1_600
-"""Age of the store's last answer for the members up to which listings count as current:
-less than the time in which a new version gets no streams."""
+MAX_ANSWER_AGE_MS: Final = stream_versions.MAX_LISTING_AGE_MS
+"""Age of the store's last answer for the members up to which listings count as current.
+"""
 
 MEMBERS_DELAY_MS: Final = 900
 """Time in which a change of the members reaches a gateway by way of a peer: the pause
--- a/quincecrank/gateway/stream_versions.py
+++ b/quincecrank/gateway/stream_versions.py
@@ -58,6 +58,10 @@
 it counts from the time at which that would have been over, unless all gateways are
 known to have the listing."""
 
+MAX_LISTING_AGE_MS: Final = 1_600
+"""Time for which a listing counts as current after it surely was: less than the time in
+which a new version gets no streams."""
+
 PUBLISH_MS: Final = 700
 """Time for which a record is published, since datagrams get lost."""
 
@@ -183,6 +187,8 @@
         Time at which the listing was put in force here.
     announced_ms_by_version : dict
         Time at which this process learned of the announcement.
+    may_begin_ms_by_version : dict
+        Time from which other gateways may begin streams at an announced version.
     once_listed : set
         Versions that a listing has had since the start of this process.
     """
@@ -198,6 +204,9 @@
     announced_ms_by_version: dict[servers.SoftwareVersion, int] = dataclasses.field(
         default_factory=dict
     )
+    may_begin_ms_by_version: dict[servers.SoftwareVersion, float] = dataclasses.field(
+        default_factory=dict
+    )
     once_listed: set[servers.SoftwareVersion] = dataclasses.field(default_factory=set)
 
 
@@ -311,6 +320,14 @@
             version: state.announced_ms_by_version.get(version, now_ms)
             for version in listing.announced
         }
+        # It may have been announced since the listing before was surely current.
+        earliest_ms = min(now_ms, self.current_until_ms - MAX_LISTING_AGE_MS)
+        state.may_begin_ms_by_version = {
+            version: state.may_begin_ms_by_version.get(
+                version, earliest_ms + ANNOUNCEMENT_MS + BEGIN_DELAY_MS
+            )
+            for version in listing.announced
+        }
         if self._is_mixed(state) and not was_mixed:
             self._publish_own(listing.service, now_ms)
 
@@ -408,6 +425,12 @@
         if len(possible) > 1:
             return Resumption.UNKNOWN if self.is_loaded else Resumption.NOT_LOADED
         is_current = now_ms < self.current_until_ms or state.listing is None
+        if any(
+            now_ms >= begin_ms and version not in possible
+            for version, begin_ms in state.may_begin_ms_by_version.items()
+        ):
+            # Records that other gateways publish may arrive yet.
+            return Resumption.NOT_LOADED
         if not possible or not is_current:
             return Resumption.NOT_LOADED
         if self.is_store_restored and not self.are_entries_complete:
