--- a/quincecrank/gateway/stream_version_exchange.py
+++ b/quincecrank/gateway/stream_version_exchange.py
@@ -60,7 +60,7 @@
 
 MAX_OUTAGE_MS: Final = 6_000
 """Age of the store's last answer up to which they count as current if this gateway is
-in touch with most of the others."""
+in touch with all that may be alive."""
 
 MAX_ERROR_LENGTH: Final = 300
 """Characters of an error's text that are logged."""
@@ -362,8 +362,9 @@
             until_ms = max(until_ms, now_ms + MAX_ANSWER_AGE_MS - age_ms)
         ages_ms = [age for age in (own_age_ms, peer_age_ms) if age is not None]
         heard_count = 1 + len(self._peers.heard_ips(MAX_SILENCE_MS))
-        hears_most = 2 * heard_count > self._peers.known_gateways()
-        if hears_most and min(ages_ms, default=MAX_OUTAGE_MS) < MAX_OUTAGE_MS:
+        # One that is silent may reach the store, and list a version.
+        hears_all = heard_count >= self._peers.known_gateways()
+        if hears_all and min(ages_ms, default=MAX_OUTAGE_MS) < MAX_OUTAGE_MS:
             until_ms = max(until_ms, now_ms + 2 * CHECK_MS)
         return until_ms
 
