--- a/bench/stream_policies.py
+++ b/bench/stream_policies.py
@@ -317,6 +317,8 @@
         self.versions.current_until_ms = self._current_until_ms(situation, now_ms)
         self._update_restored(situation, now_ms)
         rows: dict[str, stream_patterns.RowValue | None] = {}
+        if LISTING_ROW in situation.known_rows:
+            self.versions.confirm_listing(SERVICE)
         wanted = self.versions.listing_to_write(SERVICE, set(situation.ready), now_ms)
         if wanted is None:
             self._due_ms = None
@@ -343,8 +345,8 @@
             return 0
         if age_ms < stream_version_exchange.MAX_ANSWER_AGE_MS:
             return now_ms + stream_version_exchange.MAX_ANSWER_AGE_MS - age_ms
-        hears_most = 2 * situation.live > situation.gateways
-        is_current = hears_most and age_ms < stream_version_exchange.MAX_OUTAGE_MS
+        hears_all = situation.heard >= situation.gateways
+        is_current = hears_all and age_ms < stream_version_exchange.MAX_OUTAGE_MS
         return now_ms + 2 * stream_version_exchange.CHECK_MS if is_current else 0
 
     def record_write(
--- a/quincecrank/gateway/stream_versions.py
+++ b/quincecrank/gateway/stream_versions.py
@@ -54,7 +54,13 @@
 
 BEGIN_DELAY_MS: Final = 300
 """Time after the listing of a version before a gateway begins streams at it, so that
-the other gateways know the listing by then."""
+the other gateways know the listing by then.  If no announcement preceded the listing,
+it counts from the time at which that would have been over, unless all gateways are
+known to have the listing."""
+
+MAX_LISTING_AGE_MS: Final = 1_600
+"""Time for which a listing counts as current after it surely was: less than the time in
+which a new version gets no streams."""
 
 PUBLISH_MS: Final = 700
 """Time for which a record is published, since datagrams get lost."""
@@ -177,8 +183,12 @@
         Time at which a server of the version had an entry last.
     begins_ms_by_version : dict
         Time from which streams may begin at a listed version.
+    applied_ms : int
+        Time at which the listing was put in force here.
     announced_ms_by_version : dict
         Time at which this process learned of the announcement.
+    may_begin_ms_by_version : dict
+        Time from which other gateways may begin streams at an announced version.
     once_listed : set
         Versions that a listing has had since the start of this process.
     """
@@ -190,9 +200,13 @@
     begins_ms_by_version: dict[servers.SoftwareVersion, int] = dataclasses.field(
         default_factory=dict
     )
+    applied_ms: int = 0
     announced_ms_by_version: dict[servers.SoftwareVersion, int] = dataclasses.field(
         default_factory=dict
     )
+    may_begin_ms_by_version: dict[servers.SoftwareVersion, float] = dataclasses.field(
+        default_factory=dict
+    )
     once_listed: set[servers.SoftwareVersion] = dataclasses.field(default_factory=set)
 
 
@@ -294,16 +308,36 @@
         state.begins_ms_by_version = {
             version: state.begins_ms_by_version.get(version, now_ms)
             if version in known
-            else now_ms + BEGIN_DELAY_MS
+            else BEGIN_DELAY_MS
+            + max(
+                now_ms,
+                state.announced_ms_by_version.get(version, now_ms) + ANNOUNCEMENT_MS,
+            )
             for version in listing.listed
         }
+        state.applied_ms = now_ms
         state.announced_ms_by_version = {
             version: state.announced_ms_by_version.get(version, now_ms)
             for version in listing.announced
         }
+        # It may have been announced since the listing before was surely current.
+        earliest_ms = min(now_ms, self.current_until_ms - MAX_LISTING_AGE_MS)
+        state.may_begin_ms_by_version = {
+            version: state.may_begin_ms_by_version.get(
+                version, earliest_ms + ANNOUNCEMENT_MS + BEGIN_DELAY_MS
+            )
+            for version in listing.announced
+        }
         if self._is_mixed(state) and not was_mixed:
             self._publish_own(listing.service, now_ms)
 
+    def confirm_listing(self, service: deployment.ServiceName) -> None:
+        """Record that all gateways have the listing in force or a later one."""
+        state = self._service_by_name[service]
+        latest_ms = state.applied_ms + BEGIN_DELAY_MS
+        for version, begins_ms in state.begins_ms_by_version.items():
+            state.begins_ms_by_version[version] = min(begins_ms, latest_ms)
+
     def forget_listing(self, service: deployment.ServiceName) -> None:
         """Record that the listing of a service is missing or malformed."""
         self._service_by_name[service].listing = None
@@ -391,6 +425,12 @@
         if len(possible) > 1:
             return Resumption.UNKNOWN if self.is_loaded else Resumption.NOT_LOADED
         is_current = now_ms < self.current_until_ms or state.listing is None
+        if any(
+            now_ms >= begin_ms and version not in possible
+            for version, begin_ms in state.may_begin_ms_by_version.items()
+        ):
+            # Records that other gateways publish may arrive yet.
+            return Resumption.NOT_LOADED
         if not possible or not is_current:
             return Resumption.NOT_LOADED
         if self.is_store_restored and not self.are_entries_complete:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -63,6 +63,42 @@
         self.see(0, V2)
         self.assertEqual(self.write_due(0, V2), make_listing(V1, V2))
 
+    def test_streams_began_at_a_version_that_was_listed_without_announcement(
+        self,
+    ) -> None:
+        """Gateways that were out of step resumed them at the version before."""
+        self.versions.apply_listing(make_listing(V1), 0)
+        self.see(10_000, V1, V2)
+        listed = make_listing(V1, V2)
+        self.assertEqual(self.write_due(10_000, V2), listed)
+        ends_ms = 10_000 + exchange.MAX_ANSWER_AGE_MS
+        self.assertFalse(self.versions.may_begin(builders.LLM, V2, ends_ms))
+        begins_ms = 10_000 + (
+            stream_versions.ANNOUNCEMENT_MS + stream_versions.BEGIN_DELAY_MS
+        )
+        self.assertTrue(self.versions.may_begin(builders.LLM, V2, begins_ms))
+
+    def test_streams_begin_at_once_if_all_gateways_have_the_listing(self) -> None:
+        self.versions.apply_listing(make_listing(V1), 0)
+        self.versions.apply_listing(make_listing(V1, V2), 10_000)
+        self.versions.confirm_listing(builders.LLM)
+        delay_ms = stream_versions.BEGIN_DELAY_MS
+        self.assertFalse(self.versions.may_begin(builders.LLM, V2, 9_999 + delay_ms))
+        self.assertTrue(self.versions.may_begin(builders.LLM, V2, 10_000 + delay_ms))
+
+    def test_streams_began_at_a_version_that_was_just_announced(self) -> None:
+        """The servers of the other version left before the announcement was over."""
+        self.versions.apply_listing(make_listing(V1), 0)
+        self.see(10_000, V1, V2)
+        self.write_due(10_000, V1, V2)
+        self.assertEqual(self.write_due(10_500, V2), make_listing(V1, V2))
+        ends_ms = 10_000 + exchange.MAX_ANSWER_AGE_MS
+        self.assertFalse(self.versions.may_begin(builders.LLM, V2, ends_ms))
+        begins_ms = 10_000 + (
+            stream_versions.ANNOUNCEMENT_MS + stream_versions.BEGIN_DELAY_MS
+        )
+        self.assertTrue(self.versions.may_begin(builders.LLM, V2, begins_ms))
+
     def test_a_version_that_left_stays_listed_for_the_retention_time(self) -> None:
         """A gateway that starts after it has left must not take the rest for sure."""
         self.versions.apply_listing(make_listing(V1, V2), 0)
@@ -122,6 +158,19 @@
         self.assertEqual(self.version_of(1_400), V1)
         self.assertIs(self.version_of(1_500), stream_versions.Resumption.UNKNOWN)
 
+    def test_a_gateway_that_started_joined_streams_of_an_announced_version(
+        self,
+    ) -> None:
+        """The announcement was taken to be as young as its reading."""
+        self.versions.current_until_ms = 0
+        listing = stream_versions.Listing(
+            builders.LLM, frozenset((V1,)), frozenset((V2,))
+        )
+        self.versions.apply_listing(listing, 10_000)
+        self.versions.current_until_ms = 11_600
+        self.assertIs(self.version_of(10_400), stream_versions.Resumption.NOT_LOADED)
+        self.assertIs(self.version_of(11_500), stream_versions.Resumption.UNKNOWN)
+
     def test_a_listing_older_than_the_streams_of_earlier_processes(self) -> None:
         """A store that was restored has a listing without the present version."""
         self.versions.apply_listing(make_listing(V1), 0)
