--- /dev/null
+++ b/quincecrank/arrived_bytes.py
@@ -0,0 +1,41 @@
+"""Tells what the system has received and the process has not read yet.
+
+A decision to close a connection, or to use it again, must not depend on how late the
+event loop runs.
+"""
+
+import select
+import socket
+from typing import Any
+
+from tornado import iostream
+
+
+def has_unread(stream: iostream.IOStream) -> bool:
+    """Return whether bytes, or the end of an open connection, have arrived unread."""
+    poll = select.poll()
+    poll.register(stream.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def awaits_bytes(stream: iostream.IOStream) -> bool:
+    """Return whether a reader of an open stream waits and nothing for it has arrived.
+
+    What the stream has read reaches its reader some steps of the event loop later.
+    """
+    return stream.reading() and not has_unread(stream)
+
+
+def accept_waiting(bound: socket.socket) -> list[tuple[socket.socket, Any]]:
+    """Accept the connections that the system has completed on a listening socket.
+
+    Returns each non-blocking socket with its address; none if `bound` is closed.
+    """
+    accepted: list[tuple[socket.socket, Any]] = []
+    while True:
+        try:
+            connection, address = bound.accept()
+        except OSError:
+            return accepted
+        connection.setblocking(False)
+        accepted.append((connection, address))
--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -8,7 +8,6 @@
 import dataclasses
 import enum
 import http.client
-import select
 import socket
 import weakref
 from collections.abc import Awaitable, Callable
@@ -16,8 +15,8 @@
 
 from tornado import http1connection, httpserver, httputil, iostream
 
+from quincecrank import arrived_bytes, tasks
 from quincecrank import clock as clocks
-from quincecrank import tasks
 from quincecrank.gateway import deployment
 
 MAX_HEADER_BYTES: Final = 64 * 1024
@@ -141,7 +140,7 @@
         stream = self._connection.stream
         if stream is not None:
             if not stream.closed():
-                is_unread = _has_unread(stream)
+                is_unread = arrived_bytes.has_unread(stream)
                 self._state.observe_close(CloseReason.ABORTED_ANSWER, is_unread)
             self._connection.close()
 
@@ -259,7 +258,7 @@
             stream = connection.stream
             if stream.closed():
                 continue
-            if receiver.is_waiting and not _has_unread(stream):
+            if receiver.is_waiting and arrived_bytes.awaits_bytes(stream):
                 self.state.observe_close(CloseReason.SHUTDOWN, False)
                 stream.close()
             else:
@@ -288,17 +287,10 @@
 
         Returns whether there was any.
         """
-        has_accepted = False
-        while self._bound is not None:
-            try:
-                connection, address = self._bound.accept()
-            except OSError:
-                # None waits, or the socket has been closed.
-                break
-            connection.setblocking(False)
+        accepted = arrived_bytes.accept_waiting(self._bound) if self._bound else []
+        for connection, address in accepted:
             self._server.handle_stream(iostream.IOStream(connection), address)
-            has_accepted = True
-        return has_accepted
+        return bool(accepted)
 
 
 class _Receiver(httputil.HTTPMessageDelegate):
@@ -400,13 +392,6 @@
         answer.send(status, httputil.HTTPHeaders(), b"")
 
 
-def _has_unread(stream: iostream.IOStream) -> bool:
-    """Return whether bytes, or the end of the connection, have arrived unread."""
-    poll = select.poll()
-    poll.register(stream.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 def _retrieve_exception(future: "asyncio.Future[None]") -> None:
     """Retrieve the exception, so that asyncio does not log it as never retrieved.
 
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -5,12 +5,17 @@
 import unittest
 from typing import Final
 
+from tornado import netutil
+
 from quincecrank import clock as clocks
-from quincecrank.gateway import loop_monitor
+from quincecrank.gateway import callers, loop_monitor
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 
 CALLERS: Final = 20
+MAX_STEPS: Final = 12
+"""More steps of the loop than a request takes from the socket to its handler."""
+
 REQUEST: Final = (
     f"POST /record/ HTTP/1.1\r\nHost: {builders.HOST}\r\nRequest-Id: q-1\r\n"
     f"Authorization: Token {builders.KEY}\r\nContent-Length: 1\r\n\r\nx"
@@ -68,6 +73,13 @@
         self.addCleanup(connection.close)
         return connection
 
+    def listen(self) -> None:
+        """Replace the listener, as one that closes connections accepts no more."""
+        self.listener = callers.CallerListener(self.forwarder.handle, self.clock)
+        bound = netutil.bind_sockets(0, "127.0.0.1")[0]
+        self.port = bound.getsockname()[1]
+        self.listener.start(bound)
+
     async def receive_status(self, connection: socket.socket) -> int:
         """Return the status of an answer; 0 if the connection ends without one."""
         connection.setblocking(False)
@@ -102,6 +114,21 @@
         statuses = await self.close_and_receive(connections)
         self.assertEqual(statuses, [200] * CALLERS)
 
+    async def test_requests_on_their_way_to_the_parser_were_closed(self) -> None:
+        """Bytes that the stream had read were taken as not arrived."""
+        for steps in range(MAX_STEPS):
+            self.listen()
+            connection = self.connect()
+            connection.sendall(REQUEST)
+            self.assertEqual(await self.receive_status(connection), 200)
+            connection.setblocking(True)
+            connection.sendall(REQUEST)
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            self.listener.close_idle()
+            status = await self.receive_status(connection)
+            self.assertEqual(status, 200, f"after {steps} steps of the loop")
+
     async def test_connections_in_the_accept_queue_were_closed_unread(self) -> None:
         """The listening socket was closed while connections waited to be accepted."""
         connections = [self.connect() for _ in range(CALLERS)]
