--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -41,6 +41,8 @@
     """Why this process closes the connection of a caller itself."""
 
     SHUTDOWN = "shutdown"
+    IDLE = "idle"
+    SLOW_BODY = "slow body"
     ABORTED_ANSWER = "aborted answer"
 
 
@@ -222,9 +224,9 @@
             self,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
-            idle_connection_timeout=IDLE_TIMEOUT_S,
-            body_timeout=BODY_TIMEOUT_S,
         )
+        # The library's limits would close connections on which bytes have arrived.
+        self._server.conn_params.header_timeout = None
 
     @property
     def open_requests(self) -> int:
@@ -265,6 +267,21 @@
                 is_any_open = True
         return is_any_open
 
+    def close_expired(self) -> None:
+        """Close connections on which the next request or its rest is overdue.
+
+        What has arrived by now is left to be read.
+        """
+        now_ms = self.state.clock.now_ms()
+        for connection, receiver in tuple(self._receiver_by_connection.items()):
+            stream = connection.stream
+            reason = receiver.overdue_reason(now_ms)
+            if reason is None or stream.closed():
+                continue
+            if arrived_bytes.awaits_bytes(stream):
+                self.state.observe_close(reason, False)
+                stream.close()
+
     async def close_all(self) -> None:
         """Close every connection."""
         await self._server.close_all_connections()
@@ -314,11 +331,22 @@
         self._background = background
         self._open = open_receivers
         self.is_waiting = True
+        self._is_read = False
+        self._awaited_since_ms = state.clock.now_ms()
         self._task: asyncio.Task[None] | None = None
         self._chunks: list[bytes] = []
         self._size = 0
         self._is_rejected = False
 
+    def overdue_reason(self, now_ms: int) -> CloseReason | None:
+        """Return why the connection is to be closed if nothing has arrived; or None."""
+        if self._is_read:
+            return None
+        awaited_s = (now_ms - self._awaited_since_ms) / clocks.MS_PER_SECOND
+        if self.is_waiting:
+            return CloseReason.IDLE if awaited_s > IDLE_TIMEOUT_S else None
+        return CloseReason.SLOW_BODY if awaited_s > BODY_TIMEOUT_S else None
+
     def headers_received(
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
@@ -326,7 +354,8 @@
     ) -> None:
         assert isinstance(start_line, httputil.RequestStartLine)
         self.is_waiting = False
-        self._state.last_arrival_ms = self._state.clock.now_ms()
+        self._awaited_since_ms = self._state.clock.now_ms()
+        self._state.last_arrival_ms = self._awaited_since_ms
         self._open.add(self)
         self._start_line = start_line
         self._headers = headers
@@ -351,6 +380,7 @@
             self._reject(413)
 
     def finish(self) -> None:
+        self._is_read = True
         if self._is_rejected:
             self._open.discard(self)
             return
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -419,13 +419,14 @@
         self._fleet.loads.apply_peer_change(change.vm, change.server_id, change.load)
 
     async def _run_maintenance(self) -> None:
-        """Expire servers, close idle links and update metrics."""
+        """Expire servers, close idle connections and links, and update metrics."""
         while True:
             await self._clock.sleep(MAINTENANCE_INTERVAL_MS)
             for server_id in self._fleet.registry.remove_expired(self._clock.now_ms()):
                 _LOG.info("server gone", server=server_id, reason="lapsed")
                 self._fleet.remove_server(server_id)
             self._fleet.links.close_stale()
+            self._listener.close_expired()
             self._fleet.gateway_count = 1 + len(self._peers.live_members())
             current = self._fleet.configuration
             if current is not None:
--- /dev/null
+++ b/tests/test_arrived_requests.py
@@ -0,0 +1,116 @@
+"""Tests that a gateway which reads late ends no request that has arrived.
+
+A test blocks the event loop while a caller writes, as an overloaded machine does.
+"""
+
+import asyncio
+import socket
+import time
+from typing import Final
+from unittest import mock
+
+from quincecrank.gateway import callers
+from tests import builders_gateway as builders
+from tests import gateway_case as case
+
+LIMIT_S: Final = 0.3
+CHECK_S: Final = 0.02
+REPEATS: Final = 5
+
+
+def make_request(body: bytes = b"x", path: str = "/record/") -> bytes:
+    """Return a request."""
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: {builders.HOST}\r\nRequest-Id: q-1\r\n"
+        f"Authorization: Token {builders.KEY}\r\nContent-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+class BlockedLoopCase(case.GatewayCase):
+    """Base of tests in which callers write while the loop is blocked."""
+
+    def connect(self) -> socket.socket:
+        """Open a connection without letting the loop run."""
+        connection = socket.create_connection(("127.0.0.1", self.port))
+        self.addCleanup(connection.close)
+        return connection
+
+    async def receive_status(self, connection: socket.socket) -> int:
+        """Return the status of an answer; 0 if the connection ends without one."""
+        return await asyncio.wait_for(_receive_status(connection), case.WAIT_S)
+
+
+async def _receive_status(connection: socket.socket) -> int:
+    connection.setblocking(False)
+    loop = asyncio.get_running_loop()
+    data = b""
+    while b"\r\n\r\n" not in data:
+        try:
+            received = await loop.sock_recv(connection, 4_096)
+        except ConnectionError:
+            return 0
+        if not received:
+            return 0
+        data += received
+    connection.setblocking(True)
+    return int(data.split(b" ", 2)[1])
+
+
+class TimeLimitTest(BlockedLoopCase):
+    async def asyncSetUp(self) -> None:
+        for name in ("IDLE_TIMEOUT_S", "BODY_TIMEOUT_S"):
+            patch = mock.patch.object(callers, name, LIMIT_S)
+            patch.start()
+            self.addCleanup(patch.stop)
+        await super().asyncSetUp()
+        await self.add_server(case.sends(case.answer()))
+        self.background.start(_run_often(self.listener))
+
+    async def test_a_request_on_an_idle_connection_was_closed_unread(self) -> None:
+        """The time limit of idle connections passed while the loop was blocked."""
+        for _ in range(REPEATS):
+            connection = self.connect()
+            connection.sendall(make_request())
+            self.assertEqual(await self.receive_status(connection), 200)
+            connection.sendall(make_request())
+            time.sleep(2 * LIMIT_S)
+            self.assertEqual(await self.receive_status(connection), 200)
+
+    async def test_a_request_whose_body_had_arrived_was_closed_unread(self) -> None:
+        """The time limit of bodies passed while the loop was blocked."""
+        for _ in range(REPEATS):
+            connection = self.connect()
+            connection.sendall(make_request()[:-1])
+            await asyncio.sleep(LIMIT_S / 3)
+            connection.sendall(make_request()[-1:])
+            time.sleep(2 * LIMIT_S)
+            self.assertEqual(await self.receive_status(connection), 200)
+
+    async def test_connections_without_bytes_end_after_their_limit(self) -> None:
+        observed: list[tuple[callers.CloseReason, bool]] = []
+        self.listener.state.observe_close = lambda *close: observed.append(close)
+        for sent in (b"", make_request()[:20], make_request()[:-1]):
+            connection = self.connect()
+            connection.sendall(sent)
+            started_s = time.monotonic()
+            self.assertEqual(await self.receive_status(connection), 0)
+            self.assertGreaterEqual(time.monotonic() - started_s, LIMIT_S)
+        reasons = [callers.CloseReason.IDLE] * 2 + [callers.CloseReason.SLOW_BODY]
+        self.assertEqual(observed, [(reason, False) for reason in reasons])
+
+    async def test_an_answer_that_takes_long_is_not_cut(self) -> None:
+        async def answer_late(
+            _request: case.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            await asyncio.sleep(3 * LIMIT_S)
+            writer.write(case.answer())
+
+        self.remove_server("i-1")
+        await self.add_server(answer_late)
+        self.assertEqual((await self.ask("/record/", b"x")).status, 200)
+
+
+async def _run_often(listener: callers.CallerListener) -> None:
+    while True:
+        await asyncio.sleep(CHECK_S)
+        listener.close_expired()
