--- a/quincecrank/gateway/server_links.py
+++ b/quincecrank/gateway/server_links.py
@@ -22,7 +22,7 @@
 
 from tornado import http1connection, httputil, iostream
 
-from quincecrank import checked_values
+from quincecrank import arrived_bytes, checked_values
 from quincecrank import clock as clocks
 from quincecrank.gateway import servers
 
@@ -106,12 +106,12 @@
 
 
 class LinkStream(iostream.IOStream):
-    """A stream that exposes whether received bytes are still unread."""
+    """An open stream that exposes whether received bytes are still unread."""
 
     @property
     def has_unread_bytes(self) -> bool:
-        """Whether received bytes wait to be read."""
-        return self._read_buffer_size > 0
+        """Whether received bytes, or the end of the connection, wait to be read."""
+        return self._read_buffer_size > 0 or arrived_bytes.has_unread(self)
 
 
 class Link:
--- a/tests/test_arrived_requests.py
+++ b/tests/test_arrived_requests.py
@@ -9,7 +9,7 @@
 from typing import Final
 from unittest import mock
 
-from quincecrank.gateway import callers
+from quincecrank.gateway import callers, server_links, servers
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 
@@ -110,6 +110,35 @@
         self.assertEqual((await self.ask("/record/", b"x")).status, 200)
 
 
+class IdleLinkTest(BlockedLoopCase):
+    async def test_a_request_was_sent_on_a_link_that_its_server_had_closed(
+        self,
+    ) -> None:
+        """A link counted as open until the process had read its end."""
+        writers: list[asyncio.StreamWriter] = []
+
+        async def answer(
+            _request: case.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            writers.append(writer)
+            head = f"{case.SEAL}Request-Id: q-1\r\n"
+            writer.write(case.answer(head=head))
+
+        server = await self.add_server(answer)
+        self.assertEqual((await self.ask("/record/", b"x")).status, 200)
+        acquire_idle = self.fleet.links.acquire_idle
+
+        def close_and_acquire(
+            entry: servers.ServerEntry, max_idle_ms: int, _request_id: str
+        ) -> server_links.Link | None:
+            writers[0].get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+            return acquire_idle(entry, max_idle_ms, "q-2")
+
+        with mock.patch.object(self.fleet.links, "acquire_idle", close_and_acquire):
+            self.assertEqual((await self.ask("/record/", b"x")).status, 200)
+        self.assertEqual(server.connections, 2)
+
+
 async def _run_often(listener: callers.CallerListener) -> None:
     while True:
         await asyncio.sleep(CHECK_S)
