--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -8,7 +8,6 @@
 import dataclasses
 import enum
 import http.client
-import select
 import socket
 import weakref
 from collections.abc import Awaitable, Callable
@@ -16,8 +15,8 @@
 
 from tornado import http1connection, httpserver, httputil, iostream
 
+from quincecrank import arrived_bytes, tasks
 from quincecrank import clock as clocks
-from quincecrank import tasks
 from quincecrank.gateway import deployment
 
 MAX_HEADER_BYTES: Final = 64 * 1024
@@ -42,6 +41,8 @@
     """Why this process closes the connection of a caller itself."""
 
     SHUTDOWN = "shutdown"
+    IDLE = "idle"
+    SLOW_BODY = "slow body"
     ABORTED_ANSWER = "aborted answer"
 
 
@@ -141,7 +142,7 @@
         stream = self._connection.stream
         if stream is not None:
             if not stream.closed():
-                is_unread = _has_unread(stream)
+                is_unread = arrived_bytes.has_unread(stream)
                 self._state.observe_close(CloseReason.ABORTED_ANSWER, is_unread)
             self._connection.close()
 
@@ -215,9 +216,9 @@
             self,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
-            idle_connection_timeout=IDLE_TIMEOUT_S,
-            body_timeout=BODY_TIMEOUT_S,
         )
+        # The library's limits would close connections on which bytes have arrived.
+        self._server.conn_params.header_timeout = None
 
     @property
     def open_requests(self) -> int:
@@ -260,6 +261,21 @@
         was_any_open, self._was_any_open = self._was_any_open, is_any_open
         return is_any_open or was_any_open
 
+    def close_expired(self) -> None:
+        """Close connections on which the next request or its rest is overdue.
+
+        What has arrived by now is left to be read.
+        """
+        now_ms = self.state.clock.now_ms()
+        for connection, receiver in tuple(self._receiver_by_connection.items()):
+            stream = connection.stream
+            reason = receiver.overdue_reason(now_ms)
+            if reason is None or stream.closed():
+                continue
+            if arrived_bytes.awaits_bytes(stream):
+                self.state.observe_close(reason, False)
+                stream.close()
+
     async def close_all(self) -> None:
         """Close every connection."""
         await self._server.close_all_connections()
@@ -324,10 +340,21 @@
         self._open = open_receivers
         self.is_waiting = True
         self.arrived_ms = 0
+        self._is_read = False
+        self._awaited_since_ms = state.clock.now_ms()
         self._task: asyncio.Task[None] | None = None
         self._chunks: list[bytes] = []
         self._size = 0
-        self._is_rejected = False
+        self._rejection: CallerAnswer | None = None
+
+    def overdue_reason(self, now_ms: int) -> CloseReason | None:
+        """Return why the connection is to be closed if nothing has arrived; or None."""
+        if self._is_read:
+            return None
+        awaited_s = (now_ms - self._awaited_since_ms) / clocks.MS_PER_SECOND
+        if self.is_waiting:
+            return CloseReason.IDLE if awaited_s > IDLE_TIMEOUT_S else None
+        return CloseReason.SLOW_BODY if awaited_s > BODY_TIMEOUT_S else None
 
     def headers_received(
         self,
@@ -336,7 +363,8 @@
     ) -> None:
         assert isinstance(start_line, httputil.RequestStartLine)
         self.is_waiting = False
-        self.arrived_ms = self._state.clock.now_ms()
+        self._awaited_since_ms = self._state.clock.now_ms()
+        self.arrived_ms = self._awaited_since_ms
         self._open.add(self)
         self._start_line = start_line
         self._headers = headers
@@ -352,7 +380,7 @@
             self._reject(413)
 
     def data_received(self, chunk: bytes) -> None:
-        if self._is_rejected:
+        if self._rejection is not None:
             return
         self._chunks.append(chunk)
         self._size += len(chunk)
@@ -361,8 +389,11 @@
             self._reject(413)
 
     def finish(self) -> None:
-        if self._is_rejected:
+        self._is_read = True
+        if self._rejection is not None:
             self._open.discard(self)
+            self._rejection.finish()
+            self._connection.close()
             return
         headers = self._headers
         request = CallerRequest(
@@ -395,25 +426,24 @@
             self._task.cancel()
 
     def _reject(self, status: int) -> None:
-        """Answer a request that exceeds a limit; the rest of it is discarded."""
-        self._is_rejected = True
+        """Answer a request that exceeds a limit; the rest of it is discarded.
+
+        The connection is closed once the rest is read: closing it with unread bytes
+        would reset it, and the caller could lose the answer.
+        """
         answer = CallerAnswer(self._connection, self._state)
         answer.closes_connection = True
-        answer.send(status, httputil.HTTPHeaders(), b"")
-
-
-def _has_unread(stream: iostream.IOStream) -> bool:
-    """Return whether bytes, or the end of the connection, have arrived unread."""
-    poll = select.poll()
-    poll.register(stream.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
+        if "Expect" in self._headers:
+            # The library would ask for the body if the answer had not ended.
+            answer.send(status, httputil.HTTPHeaders(), b"")
+        else:
+            answer.begin(status, httputil.HTTPHeaders({"Content-Length": "0"}))
+        self._rejection = answer
 
 
 def _has_arrived(stream: iostream.IOStream) -> bool:
     """Return whether a part of a request has arrived, whether read or not."""
-    # Between two steps of the loop, a head may have left the stream's buffer that its
-    # receiver has not got yet; the stream is not reading then.
-    return not stream.reading() or stream._read_buffer_size > 0 or _has_unread(stream)
+    return stream._read_buffer_size > 0 or not arrived_bytes.awaits_bytes(stream)
 
 
 def _retrieve_exception(future: "asyncio.Future[None]") -> None:
