--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -9,14 +9,16 @@
 header gives the number of events after a comma.  Each event names the software version
 that wrote it.  A stream goes on after `Last-Event-Id` whoever began it.  For each
 stream that begins the server prints ``began WALL_MS id=ID weights=N``.
+When it stops work on a request it prints ``ended WALL_MS id=ID``, before the last bytes
+of an answer that is not streamed.
 The prompt parts of every streamed request are cached and never evicted; only a load of
 other weights clears them, which is printed as ``loaded N``.
 
 Faults
 ------
-answer_ms : int
-    Time for which a request that is not streamed runs; the server prints
-    ``ended WALL_MS id=ID`` before its answer.
+answer_ms, slow_answers : int, float
+    Time for which a request that is not streamed runs, and the share of those requests
+    that run for it; the others are answered at once.
 break_streams : float
     Probability that a stream is broken off within an event, after the server has
     printed ``broke WALL_MS id=ID``.
@@ -81,6 +83,7 @@
     """Fault switches of a backend server."""
 
     answer_ms: int = pydantic.Field(default=0, ge=0)
+    slow_answers: float = pydantic.Field(default=1.0, ge=0, le=1)
     break_streams: float = pydantic.Field(default=0.0, ge=0, le=1)
     event_ms: int = pydantic.Field(default=EVENT_MS, ge=0)
     full: bool = False
@@ -301,6 +304,7 @@
             self.set_header("Server-Seal", SEAL)
             if self._is_streamed():
                 await self._stream()
+                self._print_end()
             else:
                 await self._answer()
         finally:
@@ -308,10 +312,10 @@
 
     async def _answer(self) -> None:
         server = self._server
-        if server.faults.answer_ms:
-            await server.clock.sleep(server.faults.answer_ms)
-            request_id = self.request.headers.get("Request-Id", "")
-            print(f"ended {server.clock.wall_ms()} id={request_id}", flush=True)
+        faults = server.faults
+        if faults.answer_ms and server.draw_fault(faults.slow_answers):
+            await server.clock.sleep(faults.answer_ms)
+        self._print_end()
         if not self._is_disconnected:
             self.finish(f"{self.request.method} {self.request.path}")
 
@@ -346,6 +350,11 @@
             await self.flush()
             await server.clock.sleep(server.faults.event_ms)
 
+    def _print_end(self) -> None:
+        request_id = self.request.headers.get("Request-Id", "")
+        if request_id:
+            print(f"ended {self._server.clock.wall_ms()} id={request_id}", flush=True)
+
     def _print_naming(self) -> None:
         """Print the limit that the answer names, just before it is sent."""
         server = self._server
