--- a/standins/platform_kept_callers.py
+++ b/standins/platform_kept_callers.py
@@ -29,9 +29,15 @@
 TICK_S: Final = 0.005
 RECONNECT_S: Final = 0.1
 MAX_THINK_S: Final = 0.3
-AT_ONCE_SHARE: Final = 0.5
+LONG_THINK_S: Final = 4.0
+"""Longest pause of a caller whose connection is mostly idle."""
+
+AT_ONCE_SHARE: Final = 0.4
 """Share of the kept callers that send their next request at once."""
 
+IDLE_SHARE: Final = 0.4
+"""Share of the kept callers whose connections are mostly idle."""
+
 PERSISTENT_SHARE: Final = 0.3
 """Share of the callers that open connections to gateways out of rotation too."""
 
@@ -281,7 +287,10 @@
 
     async def _keep(self, gateway: str) -> None:
         generator = self._generator
-        sends_at_once = generator.random() < AT_ONCE_SHARE
+        drawn = generator.random()
+        sends_at_once = drawn < AT_ONCE_SHARE
+        is_idle = AT_ONCE_SHARE <= drawn < AT_ONCE_SHARE + IDLE_SHARE
+        max_think_s = LONG_THINK_S if is_idle else MAX_THINK_S
         await asyncio.sleep(generator.uniform(0, MAX_THINK_S))
         connection: _Connection | None = None
         try:
@@ -295,7 +304,7 @@
                     continue
                 await self._send(gateway, connection)
                 if not sends_at_once or not connection.is_open:
-                    await asyncio.sleep(generator.uniform(0, MAX_THINK_S))
+                    await asyncio.sleep(generator.uniform(0, max_think_s))
         finally:
             if connection is not None:
                 connection.close()
--- a/tests/shutdown_process_soak.py
+++ b/tests/shutdown_process_soak.py
@@ -27,10 +27,10 @@
 
 RECORD_SERVERS: Final = 4
 ENGINES: Final = 3
-KEPT_CALLERS: Final = 24
-"""Kept callers of all gateways together; each gateway has at least two."""
+KEPT_CALLERS: Final = 48
+"""Kept callers of all gateways together; each gateway has at least three."""
 
-MIN_KEPT_CALLERS: Final = 2
+MIN_KEPT_CALLERS: Final = 3
 NEW_PER_S: Final = 60.0
 BURST_FACTOR: Final = 5.0
 BURST_S: Final = 1.5
@@ -86,6 +86,7 @@
         self._servers: list[launcher.Process] = []
         self._helpers: list[threading.Thread] = []
         self._configuration = 1
+        self._failures: list[str] = []
         self.figures = ""
         self.operations: list[shutdown_checker.Operation] = []
         self.callers = kept_callers.KeptCallers(
@@ -114,7 +115,7 @@
             self._fleet.process_by_name[name].kill()
         servers = shutdown_checker.read_logs(each.log() for each in self._servers)
         self._count(servers)
-        return shutdown_checker.violations(
+        return self._failures + shutdown_checker.violations(
             self.callers.requests, servers, self.operations
         )
 
@@ -263,7 +264,8 @@
         deadline = time.monotonic() + READY_LIMIT_S
         while not self._fleet.is_ready(name):
             if time.monotonic() > deadline:
-                raise AssertionError(f"{name} is not ready")
+                self._failures.append(f"START: {name} is not ready")
+                return
             time.sleep(0.1)
 
     def _count(self, servers: shutdown_checker.ServerRecord) -> None:
