--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -259,7 +259,9 @@
             stream = connection.stream
             if stream.closed():
                 continue
-            if receiver.is_waiting and not _has_unread(stream):
+            # A stream that isn't reading has a request that isn't handled yet.
+            is_idle = receiver.is_waiting and stream.reading()
+            if is_idle and not _has_unread(stream):
                 self.state.observe_close(CloseReason.SHUTDOWN, False)
                 stream.close()
             else:
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 import unittest
 from typing import Final
 
@@ -110,6 +111,25 @@
         statuses = await self.close_and_receive(connections)
         self.assertEqual(statuses, [200] * CALLERS)
 
+    async def test_requests_were_closed_between_their_reading_and_handling(
+        self,
+    ) -> None:
+        """Bytes that the loop had read but not yet handled were not seen as arrived."""
+        connections = [self.connect() for _ in range(CALLERS)]
+        for connection in connections:
+            connection.sendall(REQUEST)
+        for connection in connections:
+            self.assertEqual(await self.receive_status(connection), 200)
+        closing = asyncio.get_running_loop().call_later(0.001, self.listener.close_idle)
+        self.addCleanup(closing.cancel)
+        for connection in connections:
+            connection.setblocking(True)
+            connection.sendall(REQUEST)
+        # The loop runs late: it reads and closes in one iteration.
+        time.sleep(0.01)
+        statuses = [await self.receive_status(each) for each in connections]
+        self.assertEqual(statuses, [200] * CALLERS)
+
     async def test_answers_to_earlier_requests_kept_their_connection(self) -> None:
         """Whether the gateway leaves was read when the request was read."""
 
