--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -336,7 +336,7 @@
         self._task: asyncio.Task[None] | None = None
         self._chunks: list[bytes] = []
         self._size = 0
-        self._is_rejected = False
+        self._rejection: CallerAnswer | None = None
 
     def overdue_reason(self, now_ms: int) -> CloseReason | None:
         """Return why the connection is to be closed if nothing has arrived; or None."""
@@ -371,7 +371,7 @@
             self._reject(413)
 
     def data_received(self, chunk: bytes) -> None:
-        if self._is_rejected:
+        if self._rejection is not None:
             return
         self._chunks.append(chunk)
         self._size += len(chunk)
@@ -381,8 +381,10 @@
 
     def finish(self) -> None:
         self._is_read = True
-        if self._is_rejected:
+        if self._rejection is not None:
             self._open.discard(self)
+            self._rejection.finish()
+            self._connection.close()
             return
         headers = self._headers
         request = CallerRequest(
@@ -415,11 +417,19 @@
             self._task.cancel()
 
     def _reject(self, status: int) -> None:
-        """Answer a request that exceeds a limit; the rest of it is discarded."""
-        self._is_rejected = True
+        """Answer a request that exceeds a limit; the rest of it is discarded.
+
+        The connection is closed once the rest is read: closing it with unread bytes
+        would reset it, and the caller could lose the answer.
+        """
         answer = CallerAnswer(self._connection, self._state)
         answer.closes_connection = True
-        answer.send(status, httputil.HTTPHeaders(), b"")
+        if "Expect" in self._headers:
+            # The library would ask for the body if the answer had not ended.
+            answer.send(status, httputil.HTTPHeaders(), b"")
+        else:
+            answer.begin(status, httputil.HTTPHeaders({"Content-Length": "0"}))
+        self._rejection = answer
 
 
 def _retrieve_exception(future: "asyncio.Future[None]") -> None:
--- a/tests/test_arrived_requests.py
+++ b/tests/test_arrived_requests.py
@@ -9,13 +9,15 @@
 from typing import Final
 from unittest import mock
 
-from quincecrank.gateway import callers, server_links, servers
+from quincecrank.gateway import callers, deployment, server_links, servers
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 
 LIMIT_S: Final = 0.3
 CHECK_S: Final = 0.02
 REPEATS: Final = 5
+LARGE_BYTES: Final = 20_000_000
+"""More than the buffers of a connection take."""
 
 
 def make_request(body: bytes = b"x", path: str = "/record/") -> bytes:
@@ -110,6 +112,42 @@
         self.assertEqual((await self.ask("/record/", b"x")).status, 200)
 
 
+class RejectionTest(BlockedLoopCase):
+    def limit_bodies(self, max_body_bytes: int) -> None:
+        """Put a limit in force."""
+        self.listener.state.limits = deployment.ClientLimits(
+            16_384, max_body_bytes, 3_000, 15_000
+        )
+
+    async def test_a_rejection_was_lost_as_its_body_was_still_sent(self) -> None:
+        """The connection was closed while bytes of the body were unread."""
+        data = make_request(b"x" * LARGE_BYTES)
+        for sent_before, limit in ((0, 1), (50_000, LARGE_BYTES)):
+            with self.subTest(sent_before=sent_before):
+                self.limit_bodies(limit)
+                caller = await case.Caller.connect(self.port)
+                caller.writer.write(data[:sent_before])
+                await asyncio.sleep(CHECK_S)
+                self.limit_bodies(1)
+                caller.writer.write(data[sent_before:])
+                await caller.writer.drain()
+                self.assertEqual((await caller.receive()).status, 413)
+                self.assertEqual(await caller.reader.read(), b"")
+                caller.close()
+
+    async def test_a_rejected_caller_that_waits_is_answered_at_once(self) -> None:
+        self.limit_bodies(1)
+        head = make_request(b"xx")[:-4]
+        for extra in (b"", b"Expect: 100-continue\r\n"):
+            caller = await case.Caller.connect(self.port)
+            caller.writer.write(head + extra + b"\r\n")
+            self.assertEqual((await caller.receive()).status, 413)
+            caller.writer.write_eof()
+            self.assertEqual(await caller.reader.read(), b"")
+            caller.close()
+        self.assertEqual(self.listener.open_requests, 0)
+
+
 class IdleLinkTest(BlockedLoopCase):
     async def test_a_request_was_sent_on_a_link_that_its_server_had_closed(
         self,
