--- a/quincecrank/entry.py
+++ b/quincecrank/entry.py
@@ -53,7 +53,6 @@
 
 CONFIGURATION_BUCKET: Final = "configuration"
 STORE_TIMEOUT_MS: Final = 5_000
-STOP_POLL_MS: Final = 50
 VERSION_CHECK_INTERVAL_MS: Final = 50
 
 _LOG: Final = logs.logger("entry")
@@ -193,10 +192,9 @@
         """Refuse new requests, wait for the open ones and close everything."""
         _LOG.info("shutting down", open_requests=len(self._services.tasks))
         self._services.stopping = True
-        self._caller_server.stop()
-        while self._services.tasks:
-            await self._clock.sleep(STOP_POLL_MS)
-        await self._caller_server.close_all_connections()
+        await self._caller_server.close_gracefully(
+            lambda: bool(self._services.tasks), self._clock
+        )
         self._admin_server.stop()
         self._pool.close()
         self._background.cancel()
--- a/quincecrank/http_server.py
+++ b/quincecrank/http_server.py
@@ -2,32 +2,126 @@
 
 import socket
 import ssl
-from collections.abc import Iterable
-from typing import Final
+import weakref
+from collections.abc import Callable, Iterable
+from typing import Any, Final
 
-from tornado import httpserver, web
+from tornado import http1connection, httpserver, httputil, web
 
+from quincecrank import arrived_bytes, settings, status_server
 from quincecrank import clock as clocks
-from quincecrank import settings, status_server
 
 MAX_READ_BYTES: Final = 1 << 40
 """Limit of the HTTP parser; handlers refuse far smaller bodies with a problem."""
 
 MAX_HEADER_BYTES: Final = 32 * 1024
 
+STOP_POLL_MS: Final = 20
+
+MAX_CLOSE_MS: Final = 2_000
+"""Time after the last open request in which callers must complete what they send."""
+
+
+class Server(httpserver.HTTPServer):
+    """An HTTP server that closes no connection on which a request has arrived."""
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        """Initialize the server; called by the library with its arguments."""
+        super().initialize(*args, **kwargs)
+        self._bound: list[socket.socket] = []
+        self._request_by_connection: weakref.WeakKeyDictionary[
+            http1connection.HTTP1ServerConnection, _ReadState
+        ] = weakref.WeakKeyDictionary()
+
+    def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
+        """Accept connections on bound sockets."""
+        bound = list(sockets)
+        self._bound += bound
+        super().add_sockets(bound)
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Return the receiver of a new request."""
+        receiver = _ReadState(super().start_request(server_conn, request_conn))
+        assert isinstance(server_conn, http1connection.HTTP1ServerConnection)
+        self._request_by_connection[server_conn] = receiver
+        return receiver
+
+    async def close_gracefully(
+        self, is_busy: Callable[[], bool], clock: clocks.Clock
+    ) -> None:
+        """Accept no more connections, and close them once nothing has arrived on them.
+
+        Parameters
+        ----------
+        is_busy : callable
+            Returns whether requests are being served; until they are not, connections
+            stay open.
+        """
+        self._accept_waiting()
+        self.stop()
+        limit_ms = clock.now_ms() + MAX_CLOSE_MS
+        while True:
+            if is_busy():
+                limit_ms = clock.now_ms() + MAX_CLOSE_MS
+            elif not self._close_idle() or clock.now_ms() >= limit_ms:
+                break
+            await clock.sleep(STOP_POLL_MS)
+        await self.close_all_connections()
+
+    def _accept_waiting(self) -> None:
+        """Accept the connections that the system has completed."""
+        for bound in self._bound:
+            for accepted, address in arrived_bytes.accept_waiting(bound):
+                self._handle_connection(accepted, address)
+
+    def _close_idle(self) -> bool:
+        """Close idle connections; return whether one is still open."""
+        for connection, receiver in tuple(self._request_by_connection.items()):
+            is_idle = receiver.is_waiting and not connection.stream.closed()
+            if is_idle and arrived_bytes.awaits_bytes(connection.stream):
+                connection.stream.close()
+        return any(not each.stream.closed() for each in self._connections)
+
+
+class _ReadState(httputil.HTTPMessageDelegate):
+    """Records whether the head of a request is still awaited."""
+
+    def __init__(self, receiver: httputil.HTTPMessageDelegate) -> None:
+        self._receiver = receiver
+        self.is_waiting = True
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> Any:
+        self.is_waiting = False
+        return self._receiver.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> Any:
+        return self._receiver.data_received(chunk)
+
+    def finish(self) -> None:
+        self._receiver.finish()
+
+    def on_connection_close(self) -> None:
+        self._receiver.on_connection_close()
+
 
 def serve(
     rules: Iterable[status_server.Rule],
     tls: settings.Tls | None,
     limits: settings.Limits,
     bound: socket.socket,
-) -> httpserver.HTTPServer:
+) -> Server:
     """Serve HTTP on a bound socket, with TLS if the settings have it.
 
     A connection is closed when its caller sends the headers or the body too slowly,
     and when it is idle for longer than `limits.header_timeout_ms`.
     """
-    server = httpserver.HTTPServer(
+    server = Server(
         web.Application(list(rules), log_function=_no_log),
         ssl_options=_tls_context(tls),
         max_body_size=MAX_READ_BYTES,
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,18 +1,24 @@
-"""Tests of orders that reach an agent during its graceful shutdown.
+"""Tests of orders and requests that arrive during a graceful shutdown.
 
-They guard against an order that crosses the closing of the link and is dropped without
-an answer, so that its outcome would be unknown although it never ran.
+They guard against an order that crosses the closing of an agent's link and is dropped
+without an answer, so that its outcome would be unknown although it never ran, and
+against requests that an entry has received and closes unread.
 """
 
 import asyncio
+import socket
 import unittest
 from typing import Any
 from unittest import mock
 
+from tornado import netutil, web
+
 from quincecrank import (
     agent_links,
     attempt,
     current_configuration,
+    entry,
+    http_server,
     peer_link,
     run_queue,
     runner,
@@ -21,6 +27,9 @@
 from quincecrank import clock as clocks
 from tests import builders_wire
 
+REQUEST = b"GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n"
+REPEATS = 10
+
 
 class LeavingOwner(builders_wire.RecordingOwner):
     """Passes orders to the runner of an agent that is shutting down."""
@@ -41,15 +50,15 @@
         dialled, accepted = await builders_wire.connection_pair(self)
         clock = clocks.SystemClock()
         current = current_configuration.CurrentConfiguration(clock)
-        entry = agent_links.AgentLinks(current, lambda: None, clock)
-        entry_link = builders_wire.link_of(dialled, entry)
+        entry_links = agent_links.AgentLinks(current, lambda: None, clock)
+        entry_link = builders_wire.link_of(dialled, entry_links)
         agent_link = builders_wire.link_of(accepted, LeavingOwner())
-        entry.add_link(entry_link)
+        entry_links.add_link(entry_link)
         links = [asyncio.ensure_future(x.run()) for x in (entry_link, agent_link)]
-        links[0].add_done_callback(lambda _: entry.remove_link(entry_link))
+        links[0].add_done_callback(lambda _: entry_links.remove_link(entry_link))
         call = stream_messages.PlainCall("POST", "/releases", (), b"")
-        opened = entry.open(
-            entry.states_by_vm[entry_link.peer.name],
+        opened = entry_links.open(
+            entry_links.states_by_vm[entry_link.peer.name],
             builders_wire.order(call),
             builders_wire.NullSink(),
         )
@@ -58,3 +67,51 @@
         entry_link.close()
         await asyncio.gather(*links)
         self.assertIs(outcome.kind, attempt.OutcomeKind.REFUSED, outcome.reason)
+
+
+class EntryShutdownTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        bound = netutil.bind_sockets(0, "127.0.0.1")[0]
+        self.port = bound.getsockname()[1]
+        limits = mock.Mock(header_timeout_ms=10_000, body_timeout_ms=10_000)
+        self.program = mock.Mock(
+            _services=mock.Mock(tasks=set()),
+            _clock=clocks.SystemClock(),
+            _caller_server=http_server.serve(
+                [("/", _Handler, {})], None, limits, bound
+            ),
+        )
+
+    def connect(self) -> socket.socket:
+        """Open a connection without letting the loop run."""
+        connection = socket.create_connection(("127.0.0.1", self.port))
+        self.addCleanup(connection.close)
+        return connection
+
+    async def receive(self, connection: socket.socket) -> bytes:
+        """Return the bytes of one answer; none if there is none."""
+        connection.setblocking(False)
+        try:
+            return await asyncio.get_running_loop().sock_recv(connection, 4_096)
+        except ConnectionError:
+            return b""
+
+    async def test_requests_at_an_entry_that_stops_were_closed_unread(self) -> None:
+        """Kept and waiting connections were closed by what had been read."""
+        connections = [self.connect() for _ in range(REPEATS)]
+        for connection in connections:
+            connection.sendall(REQUEST)
+            self.assertIn(b"200", await self.receive(connection))
+            connection.setblocking(True)
+            connection.sendall(REQUEST)
+        connections += [self.connect() for _ in range(REPEATS)]
+        for connection in connections[REPEATS:]:
+            connection.sendall(REQUEST)
+        await entry.Entry.stop(self.program)
+        for connection in connections:
+            self.assertIn(b"200", await self.receive(connection))
+
+
+class _Handler(web.RequestHandler):
+    def get(self) -> None:
+        self.finish("answer")
