--- a/quincecrank/platform/engines.py
+++ b/quincecrank/platform/engines.py
@@ -166,6 +166,8 @@
 
     async def _read(self, since: int) -> "CacheEvents":
         if self._link is None or not self._link.is_usable:
+            # Its end, or more than one answer, may have arrived unread.
+            self.close()
             self._link = await server_links.connect(
                 self._address, CALL_TIMEOUT_MS, self._clock
             )
