--- a/tests/process_gateway_shutdown.py
+++ b/tests/process_gateway_shutdown.py
@@ -1,7 +1,9 @@
 """Tests of gateway processes that get SIGTERM while callers use them."""
 
 import http.client
+import os
 import pathlib
+import signal
 import tempfile
 import time
 from typing import ClassVar, Final
@@ -69,3 +71,23 @@
             earlier.close()
             late.close()
         self.assertEqual(statuses, [200, 503])
+
+    def test_signals_that_overlap_lose_no_request(self) -> None:
+        """SIGTERM and SIGINT again, and SIGHUP, while a request is open."""
+        self.fleet.set_faults(self.server, answer_ms=1_500)
+        served = self.server.log().count("ran")
+        earlier = self.connect()
+        earlier.request("POST", "/record/", b"x", self.headers())
+        process_gateway.wait_until(
+            lambda: self.server.log().count("ran") > served, "the earlier request"
+        )
+        signalled_s = time.monotonic()
+        for _ in range(3):
+            self.gateway.reload()
+            self.gateway.terminate()
+            time.sleep(0.1)
+        os.kill(self.gateway.pid, signal.SIGINT)
+        self.assertEqual(earlier.getresponse().status, 200)
+        earlier.close()
+        self.kill_after_grace(signalled_s)
+        self.assertEqual(self.gateway.exit_code, 0)
