--- a/tests/process_gateway_shutdown.py
+++ b/tests/process_gateway_shutdown.py
@@ -1,5 +1,6 @@
 """Tests of gateway processes that get SIGTERM while callers use them."""
 
+import functools
 import http.client
 import os
 import pathlib
@@ -91,3 +92,29 @@
         earlier.close()
         self.kill_after_grace(signalled_s)
         self.assertEqual(self.gateway.exit_code, 0)
+
+    def test_a_request_at_a_gateway_that_ends_while_it_starts_is_answered(self) -> None:
+        """SIGTERM as soon as it accepts connections, with no configuration read."""
+        for _ in range(3):
+            self.gateway.terminate()
+            self.gateway.wait(GRACE_S)
+            self.gateway = self.fleet.add_gateway("entry-1")
+            connection = self.connect()
+            process_gateway.wait_until(
+                functools.partial(_connects, connection), "the listener"
+            )
+            signalled_s = time.monotonic()
+            self.gateway.terminate()
+            connection.request("POST", "/record/", b"x", self.headers())
+            self.assertIn(connection.getresponse().status, (200, 503))
+            connection.close()
+            self.kill_after_grace(signalled_s)
+            self.assertEqual(self.gateway.exit_code, 0)
+
+
+def _connects(connection: http.client.HTTPConnection) -> bool:
+    try:
+        connection.connect()
+    except OSError:
+        return False
+    return True
