--- a/quincecrank/arrived_bytes.py
+++ b/quincecrank/arrived_bytes.py
@@ -35,6 +35,8 @@
     while True:
         try:
             connection, address = bound.accept()
+        except ConnectionAbortedError:
+            continue
         except OSError:
             return accepted
         connection.setblocking(False)
--- a/tests/process_gateway_shutdown.py
+++ b/tests/process_gateway_shutdown.py
@@ -1,7 +1,10 @@
 """Tests of gateway processes that get SIGTERM while callers use them."""
 
+import functools
 import http.client
+import os
 import pathlib
+import signal
 import tempfile
 import time
 from typing import ClassVar, Final
@@ -69,3 +72,49 @@
             earlier.close()
             late.close()
         self.assertEqual(statuses, [200, 503])
+
+    def test_signals_that_overlap_lose_no_request(self) -> None:
+        """SIGTERM and SIGINT again, and SIGHUP, while a request is open."""
+        self.fleet.set_faults(self.server, answer_ms=1_500)
+        served = self.server.log().count("ran")
+        earlier = self.connect()
+        earlier.request("POST", "/record/", b"x", self.headers())
+        process_gateway.wait_until(
+            lambda: self.server.log().count("ran") > served, "the earlier request"
+        )
+        signalled_s = time.monotonic()
+        for _ in range(3):
+            self.gateway.reload()
+            self.gateway.terminate()
+            time.sleep(0.1)
+        os.kill(self.gateway.pid, signal.SIGINT)
+        self.assertEqual(earlier.getresponse().status, 200)
+        earlier.close()
+        self.kill_after_grace(signalled_s)
+        self.assertEqual(self.gateway.exit_code, 0)
+
+    def test_a_request_at_a_gateway_that_ends_while_it_starts_is_answered(self) -> None:
+        """SIGTERM as soon as it accepts connections, with no configuration read."""
+        for _ in range(3):
+            self.gateway.terminate()
+            self.gateway.wait(GRACE_S)
+            self.gateway = self.fleet.add_gateway("entry-1")
+            connection = self.connect()
+            process_gateway.wait_until(
+                functools.partial(_connects, connection), "the listener"
+            )
+            signalled_s = time.monotonic()
+            self.gateway.terminate()
+            connection.request("POST", "/record/", b"x", self.headers())
+            self.assertIn(connection.getresponse().status, (200, 503))
+            connection.close()
+            self.kill_after_grace(signalled_s)
+            self.assertEqual(self.gateway.exit_code, 0)
+
+
+def _connects(connection: http.client.HTTPConnection) -> bool:
+    try:
+        connection.connect()
+    except OSError:
+        return False
+    return True
