--- a/bench/stream_patterns.py
+++ b/bench/stream_patterns.py
@@ -39,6 +39,8 @@
         Restores of the store until that answer.
     known_rows : frozenset of str
         Names of the rows that all gateways have, as far as this one knows.
+    is_behind : bool
+        Whether another gateway has reported newer rows.
     """
 
     present: frozenset[servers.SoftwareVersion]
@@ -49,6 +51,7 @@
     answer_age_ms: int | None
     era: int
     known_rows: frozenset[str] = frozenset()
+    is_behind: bool = False
 
 
 class StreamPolicy(Protocol):
--- a/bench/stream_simulation.py
+++ b/bench/stream_simulation.py
@@ -514,6 +514,8 @@
                     if peer != gateway.number
                 )
             ),
+            max(gateway.reported_revision_by_peer.values(), default=-1)
+            > max(gateway.revisions.values(), default=-1),
         )
 
     def _checker(self, number: int) -> Callable[[], None]:
