--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -144,7 +144,7 @@
             if now_ms - reported_ms < PEER_SILENCE_LIMIT_MS
         )
 
-    def heard_ips(self, limit_ms: int) -> tuple[str, ...]:
+    def reporting_ips(self, limit_ms: int) -> tuple[str, ...]:
         """Return the live peers of which a report arrived less than `limit_ms` ago.
 
         A report may have waited unread, as while this process was suspended.
--- a/quincecrank/gateway/stream_version_exchange.py
+++ b/quincecrank/gateway/stream_version_exchange.py
@@ -361,10 +361,10 @@
             age_ms = peer_age_ms + MEMBERS_DELAY_MS
             until_ms = max(until_ms, now_ms + MAX_ANSWER_AGE_MS - age_ms)
         ages_ms = [age for age in (own_age_ms, peer_age_ms) if age is not None]
-        heard_count = 1 + len(self._peers.heard_ips(MAX_SILENCE_MS))
+        reporting_count = 1 + len(self._peers.reporting_ips(MAX_SILENCE_MS))
         # One that is silent may reach the store, and list a version.
-        hears_all = heard_count >= self._peers.known_gateways()
-        if hears_all and min(ages_ms, default=MAX_OUTAGE_MS) < MAX_OUTAGE_MS:
+        all_report = reporting_count >= self._peers.known_gateways()
+        if all_report and min(ages_ms, default=MAX_OUTAGE_MS) < MAX_OUTAGE_MS:
             until_ms = max(until_ms, now_ms + 2 * CHECK_MS)
         return until_ms
 
