--- a/quincecrank/gateway/followers.py
+++ b/quincecrank/gateway/followers.py
@@ -22,7 +22,7 @@
 
 from quincecrank import clock as clocks
 from quincecrank import store_rows
-from quincecrank.gateway import decision_log, peers, store_restores, tables
+from quincecrank.gateway import decision_log, peers, store_clock, store_restores, tables
 
 READERS_PER_TABLE: Final = 3
 """Gateways that read each table from the store; two of them may fail at once."""
@@ -97,6 +97,8 @@
         Called with the table's name for each failed call of the store.
     progress : StoreRestoreProgress
         Records each full read.
+    clock_of_store : StoreClock, optional
+        Observes the time of each answer.
 
     Attributes
     ----------
@@ -126,6 +128,7 @@
         send_report: Callable[[], None],
         count_failure: Callable[[str], None],
         progress: store_restores.StoreRestoreProgress,
+        clock_of_store: store_clock.StoreClock | None = None,
     ) -> None:
         self._table = table
         self._source = source
@@ -136,6 +139,7 @@
         self._send_report = send_report
         self._count_failure = count_failure
         self._progress = progress
+        self._store_clock = clock_of_store
         self._rows_by_key: dict[str, store_rows.Row] = {}
         self._is_store_unavailable = False
         self._failures = 0
@@ -220,10 +224,11 @@
         if self.position is None:
             await self._read_all()
             return
+        sent_ms = self._clock.now_ms()
         changed = await self._source.changes(
             self._table, self.position, self._intervals.wait_ms
         )
-        self._record_answer()
+        self._record_answer(changed, sent_ms)
         self._apply_changes(changed)
         await self._clock.sleep(self._intervals.pause_ms)
 
@@ -244,13 +249,14 @@
             await self._clock.sleep(RETRY_MS)
 
     async def _read_all(self) -> None:
+        sent_ms = self._clock.now_ms()
         try:
             snapshot = await self._source.read_all(self._table)
         except store_rows.StoreUnavailableError as error:
             self._record_failure(str(error))
             await self._clock.sleep(RETRY_MS)
             return
-        self._record_answer()
+        self._record_answer(snapshot, sent_ms)
         self._replace(snapshot, "store")
 
     async def _read_from_peer(self) -> None:
@@ -310,8 +316,12 @@
             _LOG.warning("store lost", table=self._table.value, reason=reason)
         self._consumer.handle_store_unavailable()
 
-    def _record_answer(self) -> None:
+    def _record_answer(self, answer: store_rows.Rows, sent_ms: int) -> None:
         self._last_answer_ms = self._clock.now_ms()
+        if self._store_clock is not None and answer.store_now_ms is not None:
+            self._store_clock.observe(
+                store_clock.Sample(answer.store_now_ms, sent_ms, self._last_answer_ms)
+            )
         self._failures = 0
         if self._is_store_unavailable:
             self._is_store_unavailable = False
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -40,9 +40,11 @@
     service_times,
     shutdown_schedule,
     store_cleaner,
+    store_clock,
     store_restores,
     stream_version_exchange,
     tables,
+    target_times,
     weight_rollout,
 )
 from quincecrank.platform import engines, gateway_tables, names, settings, store
@@ -148,11 +150,16 @@
             ),
             clock,
         )
+        self._store_clock = store_clock.StoreClock()
+        self._target_times = target_times.TargetTimes(
+            self._fleet, self._peers, self._store, self._store_clock, clock
+        )
         self._members = row_consumers.MemberRowConsumer(
             self._peers,
             self._order_lease,
             self._crash_monitor,
             self._stream_versions,
+            self._target_times,
         )
         self._registration = member_registration.Registration(
             own_settings.vm,
@@ -193,6 +200,7 @@
         The order lease is notified first, so that orders stop before other parts react.
         """
         self._era.subscribe(self._order_lease.handle_new_era)
+        self._era.subscribe(self._store_clock.handle_new_era)
         self._era.subscribe(
             lambda _era: self._fleet.registry.mark_store_restored(self._clock.now_ms())
         )
@@ -230,6 +238,7 @@
             self._crash_monitor.run,
             self._crash_monitor.run_writes,
             self._stream_versions.run,
+            self._target_times.run,
             self._weight_rollout.run,
             self._cache_followers.run,
             self._store_cleaner.run,
@@ -353,6 +362,7 @@
                 self._reporter.send,
                 lambda name: self._metrics.store_failures.labels(name).inc(),
                 self._restore_progress,
+                self._store_clock,
             )
             for table, consumer in consumer_by_table.items()
         }
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -189,7 +189,9 @@
             {
                 "model": target.model,
                 "version": target.version,
-                "ageMs": min(target.age_ms, _NO_AGE),
+                "ageMs": (
+                    _NO_AGE if target.age_ms is None else min(target.age_ms, _NO_AGE)
+                ),
             }
             for target in report.target_weights
         ],
@@ -515,7 +517,8 @@
 
 def _target_weights(message: Any) -> weights.TargetWeights:
     model = deployment.ModelName(checked_values.name(message.model))
-    return weights.TargetWeights(model, message.version, message.ageMs)
+    age_ms = None if message.ageMs == _NO_AGE else message.ageMs
+    return weights.TargetWeights(model, message.version, age_ms)
 
 
 def _stream_records(message: Any) -> tuple[stream_versions.Record, ...]:
--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -16,6 +16,7 @@
     peers,
     servers,
     stream_version_exchange,
+    target_times,
     weights,
 )
 from quincecrank.platform import documents, row_updates
@@ -72,11 +73,11 @@
     def _record_target(
         self, target: weights.TargetWeights, row: store_rows.Row
     ) -> None:
-        # A row of the first full read may have been written at any earlier time, so its
-        # deadline counts as passed.
-        age_ms = (
-            0 if self._has_read else self._fleet.own_settings.bounds.weights_deadline_ms
-        )
+        # A row of the first full read may have been written at any earlier time, and
+        # later full reads contain the same row.
+        present = self._fleet.target_versions.target_version(target.model) or 0
+        is_new = self._has_read and target.version > present
+        age_ms = 0 if is_new else None
         now_ms = self._fleet.clock.now_ms()
         if self._fleet.target_versions.record_target(
             target.model, target.version, now_ms, age_ms
@@ -184,7 +185,8 @@
 class MemberRowConsumer:
     """Applies the rows that gateways write.
 
-    These are their addresses, the order lease, crash findings and software versions.
+    These are their addresses, the order lease, crash findings, software versions and
+    the times of target versions.
     """
 
     def __init__(
@@ -193,11 +195,13 @@
         lease: order_lease.OrderLease,
         monitor: crash_monitor.CrashMonitor | None = None,
         version_exchange: stream_version_exchange.StreamVersionExchange | None = None,
+        times: target_times.TargetTimes | None = None,
     ) -> None:
         self._peers = peer_directory
         self._lease = lease
         self._crash_monitor = monitor
         self._version_exchange = version_exchange
+        self._target_times = times
         self._row_by_key: dict[str, store_rows.Row] = {}
         self._member_by_key: dict[str, tuple[ids.VmName, str]] = {}
         self._full_era = store_rows.FIRST_ERA
@@ -217,6 +221,8 @@
             self._crash_monitor.forget_rows()
         if self._version_exchange is not None:
             self._version_exchange.handle_full_read(snapshot.rows)
+        if self._target_times is not None:
+            self._target_times.handle_full_read(snapshot.position.era)
         self.apply_changes(snapshot.rows)
 
     def apply_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
@@ -232,6 +238,8 @@
             self._crash_monitor.apply_rows(rows)
         if self._version_exchange is not None:
             self._version_exchange.apply_rows(rows)
+        if self._target_times is not None:
+            self._target_times.apply_rows(rows)
         return bool(rows)
 
     def _apply_member(self, row: store_rows.Row) -> None:
--- a/quincecrank/gateway/weights.py
+++ b/quincecrank/gateway/weights.py
@@ -48,6 +48,9 @@
 MAX_TARGETS: Final = 8
 """Number of target versions of a model that are retained."""
 
+_UNKNOWN_SINCE_MS: Final = -(2**62)
+"""Stands for a time that is not known: the deadline counts as passed."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetWeights:
@@ -55,13 +58,13 @@
 
     Attributes
     ----------
-    age_ms : int
-        Time since the first gateway received it.
+    age_ms : int or None
+        Time since the first gateway received it; None if it is not known.
     """
 
     model: deployment.ModelName
     version: int
-    age_ms: int = 0
+    age_ms: int | None = 0
 
 
 class TargetVersions:
@@ -81,21 +84,27 @@
         model: deployment.ModelName,
         version: int,
         now_ms: int,
-        age_ms: int = 0,
+        age_ms: int | None = 0,
     ) -> bool:
         """Record a target version; return whether it is newer than the present one.
 
         Parameters
         ----------
-        age_ms : int
+        age_ms : int or None
             Time since the first gateway received it.  A gateway that was cut off or
             restarted receives it late, while the operator's deadline runs on; so the
-            longest age counts.
+            longest age counts.  None if it is not known: the deadline counts as passed
+            until an age is recorded.
         """
         since_ms_by_version = self._since_ms_by_version_by_model.setdefault(model, {})
         is_newer = version > max(since_ms_by_version, default=0)
-        since_ms = min(now_ms - age_ms, since_ms_by_version.get(version, now_ms))
-        since_ms_by_version[version] = since_ms
+        if age_ms is None:
+            since_ms_by_version.setdefault(version, _UNKNOWN_SINCE_MS)
+        else:
+            since_ms = since_ms_by_version.get(version, _UNKNOWN_SINCE_MS)
+            if since_ms == _UNKNOWN_SINCE_MS:
+                since_ms = now_ms
+            since_ms_by_version[version] = min(now_ms - age_ms, since_ms)
         while len(since_ms_by_version) > MAX_TARGETS:
             oldest, following = sorted(since_ms_by_version)[:2]
             since_ms_by_version[following] = min(
@@ -106,7 +115,11 @@
     def to_publish(self, now_ms: int) -> tuple[TargetWeights, ...]:
         """Return the target versions with their ages, for the peers."""
         return tuple(
-            TargetWeights(model, version, now_ms - since_ms)
+            TargetWeights(
+                model,
+                version,
+                None if since_ms == _UNKNOWN_SINCE_MS else now_ms - since_ms,
+            )
             for model, since_ms_by_version in self._since_ms_by_version_by_model.items()
             for version, since_ms in sorted(since_ms_by_version.items())
         )
--- a/quincecrank/platform/gateway_tables.py
+++ b/quincecrank/platform/gateway_tables.py
@@ -43,7 +43,9 @@
                 raise store_rows.StoreUnavailableError("restored between two pages")
             rows += page.rows
             if not page.has_more:
-                return store_rows.Rows(tuple(rows), start)
+                return store_rows.Rows(
+                    tuple(rows), start, store_now_ms=page.store_now_ms
+                )
             first_key = rows[-1].key + "\0"
 
     async def changes(
--- a/quincecrank/platform/store.py
+++ b/quincecrank/platform/store.py
@@ -8,6 +8,7 @@
 import binascii
 import dataclasses
 import json
+import math
 import re
 import reprlib
 from typing import Any, Final
@@ -291,11 +292,25 @@
             tuple(_parse_row(each, answer) for each in page["rows"]),
             answer.position(page["rowVersion"]),
             bool(page.get("hasMore", False)),
+            _store_now_ms(page.get("nowMs")),
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise store_rows.StoreUnavailableError(f"rows: {error!r}") from error
 
 
+def _store_now_ms(value: object) -> int | None:
+    """Return the time of an answer; None for none or a malformed one.
+
+    The rows hold without it.
+    """
+    if isinstance(value, float) and math.isfinite(value):
+        value = int(value)
+    try:
+        return checked_values.count(value)
+    except ValueError:
+        return None
+
+
 def _parse_row(document: _Document, answer: _Answer) -> store_rows.Row:
     key = document["key"]
     if not isinstance(key, str):
--- a/quincecrank/store_rows.py
+++ b/quincecrank/store_rows.py
@@ -78,11 +78,15 @@
         Newest transaction that the rows reflect.
     has_more : bool
         Whether the requested range has further rows.
+    store_now_ms : int or None
+        Time of the answer on the store's clock; None if it names none, or if the rows
+        are not an answer of the store.
     """
 
     rows: tuple[Row, ...]
     position: Position
     has_more: bool = False
+    store_now_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -320,6 +320,22 @@
         published = versions.to_publish(7_000)
         self.assertEqual(published, (weights.TargetWeights(builders.MODEL, 2, 6_950),))
 
+    def test_a_gateway_that_started_passed_its_unknown_time_on_as_a_long_age(
+        self,
+    ) -> None:
+        """All gateways took the deadline as passed once one had started again."""
+        started, longer_up = weights.TargetVersions(), weights.TargetVersions()
+        started.record_target(builders.MODEL, 2, 1_000, None)
+        longer_up.record_target(builders.MODEL, 2, 0)
+        for sender, receiver in ((started, longer_up), (longer_up, started)):
+            for target in sender.to_publish(1_000):
+                receiver.record_target(
+                    target.model, target.version, 1_000, target.age_ms
+                )
+        for versions in (started, longer_up):
+            self.assertTrue(versions.may_serve(builders.MODEL, 1, 6_300, 8_000))
+            self.assertFalse(versions.may_serve(builders.MODEL, 1, 6_500, 8_000))
+
     def test_outdated_weights_serve_only_until_the_deadline(self) -> None:
         versions = weights.TargetVersions()
         versions.record_target(builders.MODEL, 2, 1_000)
--- a/tests/test_gateway_followers.py
+++ b/tests/test_gateway_followers.py
@@ -364,7 +364,10 @@
                 ),
             ),
             weight_updates=(builders.make_weight_update(is_loaded=True),),
-            target_weights=(weights.TargetWeights(builders.MODEL, 2, 900),),
+            target_weights=(
+                weights.TargetWeights(builders.MODEL, 2, 900),
+                weights.TargetWeights(builders.MODEL, 3, None),
+            ),
         )
         self.assertEqual(peer_messages.decode(peer_messages.encode(report)), report)
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -34,9 +34,11 @@
     server_links,
     servers,
     service_times,
+    store_clock,
     stream_version_exchange,
     stream_versions,
     tables,
+    target_times,
     weights,
 )
 from quincecrank.platform import engines, store
@@ -58,6 +60,14 @@
     "servers": ["i-1/1"],
 }
 
+TARGET_TIMES_DOCUMENT: Final = {
+    "era": 0,
+    "targets": [
+        {"model": "m", "version": 1, "storeMs": 8_000},
+        {"model": "m", "version": 2, "storeMs": None},
+    ],
+}
+
 
 def applied(table: tables.TableName, *rows: store_rows.Row) -> main.Gateway:
     """Return a gateway that has read `rows`, half of them as changes."""
@@ -222,6 +232,29 @@
             for record in stream_version_exchange.decode_records(records):
                 checked_values.name(record.version)
 
+    @odd.REPRODUCIBLE
+    @hypothesis.given(odd.odd_document(TARGET_TIMES_DOCUMENT))
+    def test_odd_times_of_targets_end_reports_and_writes(self, text: str) -> None:
+        with sound_log(self):
+            gateway = applied(
+                tables.TableName.OPERATOR,
+                *numbered([("version/m", json.dumps({"model": "m", "version": 2}))]),
+            )
+            gateway._store_clock.observe(store_clock.Sample(9_000, 100, 104))
+            row = stored.make_row(target_times.ROW_KEY, text, 1)
+            follower = gateway._followers_by_table[tables.TableName.MEMBERS]
+            with mock.patch.object(gateway._reporter, "send"):
+                follower._replace(stored.make_rows(1, row), "store")
+            write = mock.AsyncMock(
+                return_value=store_rows.WriteResult(True, stored.at(2))
+            )
+            with mock.patch.object(gateway._store, "write", write):
+                asyncio.run(gateway._target_times.write_if_due())
+            for call in write.await_args_list:
+                target_times.decode(call.args[2])
+            self.assertEqual(gateway._fleet.target_versions.target_by_model(), {"m": 2})
+            exchange_reports(gateway)
+
     @odd.REPRODUCIBLE
     @hypothesis.given(
         strategies.lists(
