--- a/bench/stream_simulation.py
+++ b/bench/stream_simulation.py
@@ -19,7 +19,7 @@
 from typing import Final
 
 from bench import stream_patterns
-from quincecrank.gateway import servers
+from quincecrank.gateway import server_health, servers
 
 CONTACT_MS: Final = 3_000
 REPORT_MS: Final = 150
@@ -116,6 +116,8 @@
         self.entries: Mapping[int, _Entry] = {}
         self.answer_ms: int | None = None
         self.ended: set[tuple[int, int]] = set()
+        self.refused_ms: dict[tuple[int, int], int] = {}
+        self.refused_elsewhere: set[tuple[int, int]] = set()
         self.received_ms: dict[int, int] = {}
         self.attempts: set[_Attempt] = set()
 
@@ -489,13 +491,21 @@
             gateway = self._gateways[number]
             if self._has_path(gateway):
                 records = gateway.policy.to_publish(self._now_ms)
+                refused = {
+                    each
+                    for each, at_ms in gateway.refused_ms.items()
+                    if self._now_ms - at_ms < server_health.PUBLISH_REFUSAL_MS
+                }
                 delay_ms = self._generator.uniform(1, 5)
-                self._at(delay_ms, lambda: self._deliver(number, records))
+                self._at(delay_ms, lambda: self._deliver(number, records, refused))
 
         return report
 
     def _deliver(
-        self, sender: int, records: Collection[stream_patterns.Record]
+        self,
+        sender: int,
+        records: Collection[stream_patterns.Record],
+        refused: Collection[tuple[int, int]],
     ) -> None:
         draw, loss = self._generator.random, self._pattern.loss
         self.result.report_bytes += (
@@ -506,6 +516,7 @@
                 continue
             if self._has_path(peer):
                 peer.received_ms[sender] = self._now_ms
+                peer.refused_elsewhere.update(refused)
                 if records:
                     peer.policy.apply_report(records, self._now_ms)
 
@@ -596,6 +607,13 @@
         continuations: int = 0,
     ) -> bool:
         eligible = {number for number, each in usable.items() if each in allowed}
+        if not is_new:
+            eligible = {
+                number
+                for number in eligible
+                if (number, gateway.entries[number].incarnation)
+                not in gateway.refused_elsewhere
+            }
         number = self._connect(gateway, eligible)
         if number is None:
             return False
@@ -626,10 +644,15 @@
             )
             if self._servers[number].is_up:
                 return number
-            gateway.ended.add((number, gateway.entries[number].incarnation))
+            self._record_refusal(gateway, number, gateway.entries[number].incarnation)
             eligible.discard(number)
         return None
 
+    def _record_refusal(self, gateway: _Gateway, server: int, incarnation: int) -> None:
+        """Record that an incarnation refused a connection."""
+        gateway.ended.add((server, incarnation))
+        gateway.refused_ms.setdefault((server, incarnation), self._now_ms)
+
     def _first_event(self, attempt: _Attempt) -> None:
         if attempt not in attempt.gateway.attempts:
             return
@@ -640,9 +663,12 @@
         attempt.first_ms = self._now_ms
         attempt.remaining = max(1, stream.events - stream.delivered)
         entry = attempt.gateway.entries.get(attempt.server)
+        started = attempt.server, attempt.incarnation
         is_replaced = (
-            entry is not None and entry.incarnation != attempt.incarnation
-        ) or (attempt.server, attempt.incarnation) in attempt.gateway.ended
+            (entry is not None and entry.incarnation != attempt.incarnation)
+            or started in attempt.gateway.ended
+            or started in attempt.gateway.refused_elsewhere
+        )
         if not attempt.continuations and not is_replaced:
             attempt.gateway.policy.record_start(
                 stream.key, attempt.believed, self._now_ms
@@ -693,7 +719,7 @@
         self._stop(attempt)
         stream, gateway = attempt.stream, attempt.gateway
         if by_server and not self._servers[attempt.server].is_up:
-            gateway.ended.add((attempt.server, attempt.incarnation))
+            self._record_refusal(gateway, attempt.server, attempt.incarnation)
         if stream.delivered >= stream.events:
             return
         if by_server and attempt.continuations < MAX_CONTINUATIONS:
--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -154,6 +154,17 @@
                 origin="answer" if is_direct else "peer",
             )
 
+    def apply_peer_refusal(self, incarnation: servers.Incarnation) -> None:
+        """Record that a server refused a peer's connection.
+
+        Its streams are not resumed or recorded any more, as what accepts connections
+        there may have another software version.  Ignored for an incarnation that is
+        not the registered one.
+        """
+        entry = self.registry.find(incarnation.server_id)
+        if entry is not None and entry.incarnation == incarnation:
+            self.health.health_of(entry).has_refused_connection = True
+
     def record_rate_limit(
         self,
         incarnation: servers.Incarnation,
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -762,7 +762,7 @@
             if not isinstance(error, TimeoutError) or not was_cut_short:
                 health.mark_unreachable(self._clock.now_ms())
             if server_links.is_refused_connection(error):
-                health.has_refused_connection = True
+                health.record_refused_connection(self._clock.now_ms())
             _LOG.warning(
                 "server unreachable",
                 request=active.caller_headers.request_id,
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -387,6 +387,7 @@
             times_by_service=self._times_to_publish(),
             leaving=self._fleet.registry.leaving_to_publish(self._clock.now_ms()),
             pauses=self._fleet.health.pauses_to_publish(self._clock.now_ms()),
+            refused=self._fleet.health.refused_to_publish(self._clock.now_ms()),
             failed_requests=self._fleet.failed_requests.to_publish(
                 self._clock.now_ms()
             ),
@@ -406,6 +407,8 @@
             )
         for incarnation in report.leaving:
             self._fleet.mark_leaving(incarnation, is_direct=False)
+        for incarnation in report.refused:
+            self._fleet.apply_peer_refusal(incarnation)
         for pause in report.pauses:
             self._fleet.health.apply_peer_pause(pause, now_ms)
         self._fleet.failed_requests.apply_peer_failures(report.failed_requests, now_ms)
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -126,6 +126,8 @@
         Whether the gateway shares rate limits by permits.
     stream_records : tuple of Record
         Software versions of streams that began at the gateway.
+    refused : tuple of Incarnation
+        Backend servers that refused a connection of the gateway.
     """
 
     vm: ids.VmName
@@ -148,6 +150,7 @@
     permit_asks: tuple[permit_pacer.Ask, ...] = ()
     issues_permits: bool = True
     stream_records: tuple[stream_versions.Record, ...] = ()
+    refused: tuple[servers.Incarnation, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -200,6 +203,7 @@
             for service, times in report.times_by_service.items()
         ],
         leaving=[_incarnation_fields(each) for each in report.leaving],
+        refused=[_incarnation_fields(each) for each in report.refused],
         pauses=[
             {
                 "server": _incarnation_fields(each.incarnation),
@@ -571,6 +575,7 @@
         target_weights=_accepted(_target_weights, message.named),
         times_by_service=dict(_accepted(_times, message.times)),
         leaving=tuple(_incarnation(each) for each in message.leaving),
+        refused=tuple(_incarnation(each) for each in message.refused),
         pauses=tuple(
             server_health.PeerPause(_incarnation(each.server), each.leftMs)
             for each in message.pauses
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -166,6 +166,8 @@
   answered @14 :List(AnsweredSuspect);
   findings @15 :List(CrashFinding);
   streams @16 :List(StreamRecords);
+  # Servers that refused a connection of the reporting gateway.
+  refused @17 :List(Incarnation);
 }
 
 struct Datagram {
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -166,9 +166,30 @@
             load_by_server={},
             leaving=(servers.Incarnation(SERVER, 17),),
             pauses=(server_health.PeerPause(servers.Incarnation(SERVER, 18), 900),),
+            refused=(servers.Incarnation(SERVER, 19),),
         )
         self.assertEqual(peer_messages.decode(peer_messages.encode(report)), report)
 
+    def test_a_refused_connection_is_published_for_some_seconds(self) -> None:
+        registry = server_health.HealthRegistry()
+        entry = builders.make_entry(SERVER)
+        registry.health_of(entry).record_refused_connection(1_000)
+        registry.health_of(entry).mark_ended(3_000)
+        until_ms = 1_000 + server_health.PUBLISH_REFUSAL_MS
+        published = [registry.refused_to_publish(at) for at in (until_ms - 1, until_ms)]
+        self.assertEqual(published, [(entry.incarnation,), ()])
+        self.assertTrue(registry.health_of(entry).has_refused_connection)
+
+    def test_the_number_of_published_refusals_is_bounded(self) -> None:
+        registry = server_health.HealthRegistry()
+        count = server_health.MAX_PUBLISHED_REFUSALS + 1
+        entries = [builders.make_entry(f"i-{number}") for number in range(count)]
+        for at_ms, entry in enumerate(entries):
+            registry.health_of(entry).record_refused_connection(at_ms)
+        published = registry.refused_to_publish(count)
+        self.assertEqual(len(published), count - 1)
+        self.assertNotIn(entries[0].incarnation, published)
+
     def test_a_shutdown_is_published_for_some_seconds(self) -> None:
         registry = servers.ServerRegistry()
         entry = builders.make_entry(SERVER)
--- a/tests/test_joined_streams.py
+++ b/tests/test_joined_streams.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Final
 
+from quincecrank.gateway import servers
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 
@@ -140,6 +141,45 @@
         self.assertEqual((await self.resume("q-1")).status, 503)
         self.assertEqual(restarted.received, [])
 
+    async def restart_as_v2(self) -> case.ScriptedServer:
+        """Start e-1 again at v2, unseen here: a peer reports a refused connection."""
+        entry = self.fleet.registry.entries()[0]
+        self.servers[0].stop()
+        await asyncio.sleep(GAP_S)
+        restarted = case.ScriptedServer(streams("v2"))
+        await restarted.start(int(entry.address.rpartition(":")[2]))
+        self.servers.append(restarted)
+        self.fleet.links.close_all()
+        self.fleet.apply_peer_refusal(entry.incarnation)
+        return restarted
+
+    async def test_a_stream_was_joined_at_a_server_that_refused_a_peer(self) -> None:
+        """Only refusals of this gateway's own connections counted."""
+        await self.begin_and_break()
+        restarted = await self.restart_as_v2()
+        self.assertEqual((await self.resume("q-1")).status, 503)
+        self.assertEqual(restarted.received, [])
+
+    async def test_a_stream_was_recorded_wrongly_at_a_server_that_refused_a_peer(
+        self,
+    ) -> None:
+        """Its version was taken from the entry of the earlier start."""
+        await self.add("e-1", "v1")
+        restarted = await self.restart_as_v2()
+        await self.ask("/draft/long/", b"prompt", **PROMPT)
+        self.assertEqual(len(restarted.received), 1)
+        self.assertEqual(self.fleet.stream_versions.record_count, 0)
+
+    async def test_a_peers_refusal_by_another_start_is_ignored(self) -> None:
+        await self.begin_and_break()
+        incarnation = self.fleet.registry.entries()[0].incarnation
+        for other in (
+            servers.Incarnation(incarnation.server_id, incarnation.started_wall_ms + 1),
+            servers.Incarnation(servers.ServerId("e-9"), incarnation.started_wall_ms),
+        ):
+            self.fleet.apply_peer_refusal(other)
+        self.assertEqual((await self.resume("q-1")).status, 200)
+
     async def test_an_unknown_first_attempt_is_not_resumed_at_any_version(self) -> None:
         """Two versions serve, and nothing is known of the stream."""
         await self.add("e-1", "v1")
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -314,6 +314,7 @@
             {servers.ServerId(name): loads.Load(count, count, count)},
             times_by_service={builders.PLAIN: times},
             findings=(finding,),
+            refused=(servers.Incarnation(servers.ServerId(name), count),),
             stream_records=(
                 stream_versions.Record(
                     deployment.ServiceName(name),
