--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -40,9 +40,11 @@
     service_times,
     shutdown_schedule,
     store_cleaner,
+    store_clock,
     store_restores,
     stream_version_exchange,
     tables,
+    target_times,
     weight_rollout,
 )
 from quincecrank.platform import engines, gateway_tables, names, settings, store
@@ -147,11 +149,16 @@
             lambda: self._followers_by_table[tables.TableName.MEMBERS].is_behind,
             clock,
         )
+        self._store_clock = store_clock.StoreClock()
+        self._target_times = target_times.TargetTimes(
+            self._fleet, self._peers, self._store, self._store_clock, clock
+        )
         self._members = row_consumers.MemberRowConsumer(
             self._peers,
             self._order_lease,
             self._crash_monitor,
             self._stream_versions,
+            self._target_times,
         )
         self._registration = member_registration.Registration(
             own_settings.vm,
@@ -192,6 +199,7 @@
         The order lease is notified first, so that orders stop before other parts react.
         """
         self._era.subscribe(self._order_lease.handle_new_era)
+        self._era.subscribe(self._store_clock.handle_new_era)
         self._era.subscribe(
             lambda _era: self._fleet.registry.mark_store_restored(self._clock.now_ms())
         )
@@ -229,6 +237,7 @@
             self._crash_monitor.run,
             self._crash_monitor.run_writes,
             self._stream_versions.run,
+            self._target_times.run,
             self._weight_rollout.run,
             self._cache_followers.run,
             self._store_cleaner.run,
@@ -366,6 +375,7 @@
                 self._reporter.send,
                 lambda name: self._metrics.store_failures.labels(name).inc(),
                 self._restore_progress,
+                self._store_clock,
             )
             for table, consumer in consumer_by_table.items()
         }
@@ -390,6 +400,7 @@
             times_by_service=self._times_to_publish(),
             leaving=self._fleet.registry.leaving_to_publish(self._clock.now_ms()),
             pauses=self._fleet.health.pauses_to_publish(self._clock.now_ms()),
+            refused=self._fleet.health.refused_to_publish(self._clock.now_ms()),
             failed_requests=self._fleet.failed_requests.to_publish(
                 self._clock.now_ms()
             ),
@@ -409,6 +420,8 @@
             )
         for incarnation in report.leaving:
             self._fleet.mark_leaving(incarnation, is_direct=False)
+        for incarnation in report.refused:
+            self._fleet.apply_peer_refusal(incarnation)
         for pause in report.pauses:
             self._fleet.health.apply_peer_pause(pause, now_ms)
         self._fleet.failed_requests.apply_peer_failures(report.failed_requests, now_ms)
