--- a/tests/run_mutations.py
+++ b/tests/run_mutations.py
@@ -22,6 +22,10 @@
 _CRASH_PARTS: Final = "tests.process_crash_parts.CrashPartTest"
 _STREAMS: Final = "tests.process_streams.StreamsTest"
 _SAME_WEIGHTS: Final = "tests.process_streams.SameWeightsTest"
+_SHUTDOWNS: Final = "tests.process_shutdown_soak.OtherShutdownsTest"
+_LOST_AT_SHUTDOWN: Final = (
+    f"{_SHUTDOWNS}.test_requests_at_gateways_that_shut_down_were_lost"
+)
 _EXPLORER: Final = "tests.process_explorer.ExplorerTest"
 
 TESTS: Final = (
@@ -72,6 +76,14 @@
         f"{_SAME_WEIGHTS}.test_resumed_streams_and_answers_of_sound_servers_were_lost",
     ),
     ("serve-outdated-weights", f"{_STREAMS}.test_runs_began_on_outdated_weights"),
+    ("close-unread-connections", _LOST_AT_SHUTDOWN),
+    ("close-waiting-connections", _LOST_AT_SHUTDOWN),
+    ("begin-anything", _LOST_AT_SHUTDOWN),
+    ("exit-at-fixed-time", _LOST_AT_SHUTDOWN),
+    (
+        "notice-signals-late",
+        f"{_SHUTDOWNS}.test_gateways_did_not_end_within_the_grace_time",
+    ),
 )
 
 
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -39,10 +39,12 @@
     table_breaker,
 )
 from quincecrank.gateway import (
+    callers,
     crash_findings,
     crash_suspicions,
     forwarding,
     servers,
+    shutdown_schedule,
     weights,
 )
 from quincecrank.platform import documents, requests
@@ -341,6 +343,89 @@
     _replace(target_versions, "outdated_penalty_ms", lambda *arguments: 0.0)
 
 
+def close_unread_connections() -> None:
+    """Make gateways close connections of which they have handled no bytes.
+
+    They leave after a fixed time, so that requests arrive then.
+    """
+    end_at_fixed_time()
+
+    def mutated(self: Any) -> bool:
+        self._accept_waiting()
+        self._server.stop()
+        is_any_open = False
+        for connection, receiver in tuple(self._receiver_by_connection.items()):
+            if connection.stream.closed():
+                continue
+            if receiver.is_waiting:
+                connection.stream.close()
+            else:
+                is_any_open = True
+        return is_any_open
+
+    _replace(callers.CallerListener, "close_idle", mutated)
+
+
+def close_waiting_connections() -> None:
+    """Make gateways close the listening socket without accepting what waits.
+
+    They leave after a fixed time, so that connections arrive then.
+    """
+    end_at_fixed_time()
+    _replace(callers.CallerListener, "_accept_waiting", lambda self: False)
+
+
+def end_at_fixed_time() -> None:
+    """Make gateways close connections at a fixed time after the signal."""
+    schedule = shutdown_schedule.ShutdownSchedule
+    next_stage = schedule.next_stage
+
+    def mutated(self: Any, now_ms: int, **options: Any) -> Any:
+        stage = next_stage(self, now_ms, **options)
+        is_closing = self.since_signal_ms(now_ms) >= shutdown_schedule.MIN_SERVE_MS
+        if is_closing and stage is shutdown_schedule.Stage.SERVING:
+            return shutdown_schedule.Stage.CLOSING
+        return stage
+
+    _replace(schedule, "next_stage", mutated)
+
+
+def exit_at_fixed_time() -> None:
+    """Make gateways end at a fixed time after the signal, whatever is open."""
+    schedule = shutdown_schedule.ShutdownSchedule
+    next_stage = schedule.next_stage
+
+    def mutated(self: Any, now_ms: int, **options: Any) -> Any:
+        if self.since_signal_ms(now_ms) >= shutdown_schedule.MIN_SERVE_MS:
+            return shutdown_schedule.Stage.ENDED
+        return next_stage(self, now_ms, **options)
+
+    _replace(schedule, "next_stage", mutated)
+
+
+def begin_anything() -> None:
+    """Make gateways send requests however late, and cut them instead of answering."""
+    schedule = shutdown_schedule.ShutdownSchedule
+    _replace(schedule, "may_begin", lambda *given, **options: True)
+    forwarder = forwarding.Forwarder
+    _replace(forwarder, "_deadline_ms", lambda self, active: active.deadline_ms)
+
+
+def notice_signals_late() -> None:
+    """Make gateways count the grace time from a second after the signal.
+
+    They begin anything, as one that counts from when it notices the signal does.
+    """
+    begin_anything()
+    schedule = shutdown_schedule.ShutdownSchedule
+    start = schedule.__init__
+
+    def mutated(self: Any, signalled_ms: int, grace_ms: int) -> None:
+        start(self, signalled_ms + 1_000, grace_ms)
+
+    _replace(schedule, "__init__", mutated)
+
+
 MUTATIONS_BY_NAME: Final[dict[str, Callable[[], None]]] = {
     "claim-what-is-taken": claim_what_is_taken,
     "say-not-run": say_not_run,
@@ -365,6 +450,11 @@
     "ignore-first-attempts": ignore_first_attempts,
     "leave-silent-servers": leave_silent_servers,
     "serve-outdated-weights": serve_outdated_weights,
+    "close-unread-connections": close_unread_connections,
+    "close-waiting-connections": close_waiting_connections,
+    "exit-at-fixed-time": exit_at_fixed_time,
+    "begin-anything": begin_anything,
+    "notice-signals-late": notice_signals_late,
 }
 
 
