--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import gc
+import os
 import random
 import signal
 import sys
@@ -476,6 +477,10 @@
     await gateway.start()
     await ended.wait()
     await gateway.stop()
+    # asyncio.run would wait for each task, and wait_for can swallow a cancellation.
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(0)
 
 
 def main() -> None:
--- a/tests/process_gateway_shutdown.py
+++ b/tests/process_gateway_shutdown.py
@@ -1,13 +1,15 @@
 """Tests of gateway processes that get SIGTERM while callers use them."""
 
 import http.client
+import os
 import pathlib
 import tempfile
 import time
+import unittest.mock
 from typing import ClassVar, Final
 
 from standins import launcher, platform_fleet
-from tests import process_gateway
+from tests import mutable_fleet, process_gateway
 
 GRACE_S: Final = 8.0
 """Time from SIGTERM to SIGKILL."""
@@ -69,3 +71,18 @@
             earlier.close()
             late.close()
         self.assertEqual(statuses, [200, 503])
+
+
+class UncancelledTasksTest(unittest.TestCase):
+    def test_a_task_that_ignored_its_cancellation_kept_the_process_running(
+        self,
+    ) -> None:
+        """The process waited for all tasks, until SIGKILL."""
+        mutation = {"QUINCE_MUTATION": "ignore-cancellations"}
+        self.enterContext(unittest.mock.patch.dict(os.environ, mutation))
+        folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        fleet = self.enterContext(mutable_fleet.MutableFleet(folder))
+        gateway = fleet.add_gateway("entry-1")
+        process_gateway.wait_until(lambda: fleet.is_ready("entry-1"), "readiness")
+        gateway.terminate()
+        self.assertEqual(gateway.wait(GRACE_S), 0)
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -7,6 +7,8 @@
 breaks one guard of the program, to show that the tests of this guard can fail.
 """
 
+import asyncio
+import contextlib
 import contextvars
 import dataclasses
 import importlib
@@ -37,6 +39,7 @@
     router,
     sealed_block,
     table_breaker,
+    tasks,
 )
 from quincecrank.gateway import (
     callers,
@@ -426,6 +429,18 @@
     _replace(schedule, "__init__", mutated)
 
 
+def ignore_cancellations() -> None:
+    """Make background tasks ignore their cancellation, as `asyncio.wait_for` may."""
+    keep_running = tasks.keep_running
+
+    async def mutated(*given: Any) -> None:
+        while True:
+            with contextlib.suppress(asyncio.CancelledError):
+                await keep_running(*given)
+
+    _replace(tasks, "keep_running", mutated)
+
+
 MUTATIONS_BY_NAME: Final[dict[str, Callable[[], None]]] = {
     "claim-what-is-taken": claim_what_is_taken,
     "say-not-run": say_not_run,
@@ -455,6 +470,7 @@
     "exit-at-fixed-time": exit_at_fixed_time,
     "begin-anything": begin_anything,
     "notice-signals-late": notice_signals_late,
+    "ignore-cancellations": ignore_cancellations,
 }
 
 
