--- a/tests/shutdown_process_soak.py
+++ b/tests/shutdown_process_soak.py
@@ -31,7 +31,7 @@
 """Kept callers of all gateways together; each gateway has at least three."""
 
 MIN_KEPT_CALLERS: Final = 3
-NEW_PER_S: Final = 60.0
+NEW_PER_S: Final = 100.0
 BURST_FACTOR: Final = 5.0
 BURST_S: Final = 1.5
 GRACE_S: Final = shutdown_checker.GRACE_MS / 1_000
@@ -42,11 +42,14 @@
 ROTATION_S: Final = 2.8
 """Time after the signal in which the balancer takes a gateway out of rotation."""
 
-STOPS_S: Final = ((0.05, 0.25), (0.1, 0.6), (0.4, 0.6))
+STOPS_S: Final = ((0.05, 0.25), (0.1, 0.6), (0.4, 0.6), (0.4, 0.6))
 """Stopped and running time of a process whose loop runs late."""
 
+PAUSE_S: Final = 0.5
+"""Time for which a process without such stops is stopped as its rotation ends."""
+
 MAX_STOPS_BEFORE_S: Final = 2.0
-STOPS_SHARE: Final = 0.7
+STOPS_SHARE: Final = 0.5
 ANSWERS_MS: Final = (0, 200, 1_000, 3_000, 4_500, 6_000)
 
 Steps = list[tuple[float, Callable[[], None]]]
@@ -230,7 +233,16 @@
         signalled_s = time.monotonic()
         process.terminate()
         is_in_rotation = True
+        is_to_pause = stops_s is None
         while process.running and time.monotonic() < signalled_s + GRACE_S:
+            pause_s = signalled_s + ROTATION_S - PAUSE_S / 2
+            if is_to_pause and time.monotonic() > pause_s:
+                is_to_pause = False
+                self._note(name, Act.STOP)
+                process.freeze()
+                time.sleep(PAUSE_S)
+                process.thaw()
+                self._note(name, Act.CONTINUE)
             if is_in_rotation and time.monotonic() > signalled_s + ROTATION_S:
                 is_in_rotation = False
                 self.callers.left_gateways.add(name)
