--- a/bench/stream_patterns.py
+++ b/bench/stream_patterns.py
@@ -31,8 +31,8 @@
         Servers that take new requests, by version.
     is_first : bool
         Whether the gateway is the first of those that it knows to be live.
-    heard, gateways : int
-        Gateways that are in touch, this one included, and all of them.
+    reporting, gateways : int
+        Gateways whose reports arrive, this one included, and all of them.
     answer_age_ms : int or None
         Age of the store's last answer with server entries; None without any.
     era : int
@@ -46,7 +46,7 @@
     present: frozenset[servers.SoftwareVersion]
     ready: Mapping[servers.SoftwareVersion, int]
     is_first: bool
-    heard: int
+    reporting: int
     gateways: int
     answer_age_ms: int | None
     era: int
--- a/bench/stream_policies.py
+++ b/bench/stream_policies.py
@@ -345,8 +345,10 @@
             return 0
         if age_ms < stream_version_exchange.MAX_ANSWER_AGE_MS:
             return now_ms + stream_version_exchange.MAX_ANSWER_AGE_MS - age_ms
-        hears_all = situation.heard >= situation.gateways and not situation.is_behind
-        is_current = hears_all and age_ms < stream_version_exchange.MAX_OUTAGE_MS
+        all_report = (
+            situation.reporting >= situation.gateways and not situation.is_behind
+        )
+        is_current = all_report and age_ms < stream_version_exchange.MAX_OUTAGE_MS
         return now_ms + 2 * stream_version_exchange.CHECK_MS if is_current else 0
 
     def record_write(
--- a/bench/stream_simulation.py
+++ b/bench/stream_simulation.py
@@ -492,7 +492,7 @@
             for peer, at_ms in gateway.received_ms.items()
             if now_ms < at_ms + SILENCE_MS
         ]
-        heard = sum(
+        reporting = sum(
             now_ms < at_ms + stream_version_exchange.MAX_SILENCE_MS
             for at_ms in gateway.received_ms.values()
         )
@@ -503,7 +503,7 @@
                 each.version for each in gateway.entries.values() if each.is_ready
             ),
             is_old and all(peer > gateway.number for peer in live),
-            1 + heard,
+            1 + reporting,
             len(self._gateways),
             None if gateway.answer_ms is None else now_ms - gateway.answer_ms,
             gateway.era,
--- a/quincecrank/gateway/stream_version_exchange.py
+++ b/quincecrank/gateway/stream_version_exchange.py
@@ -55,12 +55,12 @@
 of a reader, the interval of reports and that in which they are compared."""
 
 MAX_SILENCE_MS: Final = 500
-"""Time since its last report for which a peer counts as in touch: with two checks, not
+"""Time since its last report for which a peer counts as reporting: with two checks, not
 longer than a new version gets no streams, less `MEMBERS_DELAY_MS`."""
 
 MAX_OUTAGE_MS: Final = 6_000
-"""Age of the store's last answer up to which they count as current if this gateway is
-in touch with all that may be alive."""
+"""Age of the store's last answer up to which they count as current if reports of all
+gateways that may be alive arrive."""
 
 MAX_ERROR_LENGTH: Final = 300
 """Characters of an error's text that are logged."""
