--- a/tests/shutdown_process_soak.py
+++ b/tests/shutdown_process_soak.py
@@ -45,6 +45,12 @@
 STOPS_S: Final = ((0.05, 0.25), (0.1, 0.6), (0.4, 0.6), (0.4, 0.6))
 """Stopped and running time of a process whose loop runs late."""
 
+STARVED_STOPS_S: Final = ((0.25, 0.05), (0.6, 0.1))
+"""The same of a process that runs for a sixth or a seventh of the time."""
+
+STARVED_FROM_SEED: Final = 600
+"""First seed that draws from `STARVED_STOPS_S`."""
+
 PAUSE_S: Final = 0.5
 """Time for which a process without such stops is stopped as its rotation ends."""
 
@@ -85,6 +91,7 @@
     ) -> None:
         self._fleet = fleet
         self._generator = random.Random(seed)
+        self._stops_s = STARVED_STOPS_S if seed >= STARVED_FROM_SEED else STOPS_S
         self._names = [f"entry-{number}" for number in range(gateways)]
         self._duration_s = duration_s
         self._busy: set[str] = set()
@@ -209,7 +216,9 @@
         gap_s = draw.choice((0.0, 0.1, 0.67))
         for number, name in enumerate(draw.sample(idle, min(count, len(idle)))):
             self._busy.add(name)
-            stops_s = draw.choice(STOPS_S) if draw.random() < STOPS_SHARE else None
+            stops_s = (
+                draw.choice(self._stops_s) if draw.random() < STOPS_SHARE else None
+            )
             before_s = draw.uniform(0.0, MAX_STOPS_BEFORE_S) if stops_s else 0.0
             down_s = draw.uniform(0.1, 1.0)
             given = number * gap_s, stops_s, before_s, down_s
