--- a/tests/test_rate_limited_requests.py
+++ b/tests/test_rate_limited_requests.py
@@ -146,7 +146,7 @@
         earlier = "\n".join(
             line
             for line in lines.splitlines()
-            if not any(f"@{number} " in line for number in range(11, 17))
+            if not any(f"@{number} " in line for number in range(11, 18))
             and "permits @2" not in line
         )
         folder = cls.enterClassContext(tempfile.TemporaryDirectory())
