--- a/tests/process_gateway.py
+++ b/tests/process_gateway.py
@@ -197,9 +197,15 @@
         thread = threading.Thread(
             target=lambda: results.append(self.stream("/verdict/", 60, "entry-2"))
         )
+
+        def begun_streams() -> int:
+            engines = (self.fleet.process_by_name[name] for name in ENGINES)
+            return sum(engine.log().count("began ") for engine in engines)
+
+        before = begun_streams()
         thread.start()
         process = self.fleet.process_by_name["entry-2"]
-        wait_until(lambda: '"placed"' in process.log(), "a request at the gateway")
+        wait_until(lambda: begun_streams() > before, "the stream at an engine")
         process.terminate()
         wait_until(lambda: not self.fleet.is_ready("entry-2"), "not ready")
         thread.join()
