--- a/standins/platform_kept_callers.py
+++ b/standins/platform_kept_callers.py
@@ -316,11 +316,11 @@
             next_s = max(next_s, time.monotonic() - 1.0)
             next_s += 1 / (self._new_per_s * self.burst_factor)
             await asyncio.sleep(max(0.0, next_s - time.monotonic()))
-            chosen = gateways
+            candidates = gateways
             if self._generator.random() >= PERSISTENT_SHARE:
                 in_rotation = [e for e in gateways if e not in self.left_gateways]
-                chosen = tuple(in_rotation) or gateways
-            self._start(self._send_on_new(self._generator.choice(chosen)))
+                candidates = tuple(in_rotation) or gateways
+            self._start(self._send_on_new(self._generator.choice(candidates)))
 
     async def _send_on_new(self, gateway: str) -> None:
         connection = await self._connect(gateway)
