--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # standard library only.  Nothing of the project's own stand-ins is used.
 set -eu
 cd "$(dirname "$0")"
-python3 -m compileall -q common 1 2 3 4
+python3 -m compileall -q common 1 2 3 4 5
--- a/review/common/replicas.py
+++ b/review/common/replicas.py
@@ -31,12 +31,21 @@
 
     Attributes
     ----------
+    software : str
+        Version of its software.
     events : list of list
         Cache events so far.
     """
 
-    def __init__(self, server_id: str, service: str, store: stand_ins.Store) -> None:
+    def __init__(
+        self,
+        server_id: str,
+        service: str,
+        store: stand_ins.Store,
+        software: str = "v1",
+    ) -> None:
         self.server_id = server_id
+        self.software = software
         self.events: list[list[object]] = []
         self._service = service
         self._store = store
@@ -63,6 +72,7 @@
             f"{stand_ins.LOOPBACK}:{self._port}",
             self._born,
             self._seq,
+            version=self.software,
             slots=128,
             state=state,
             stage="colocated",
--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import resource
 import shlex
 import signal
 import socket
@@ -306,6 +307,14 @@
     }
 
 
+def _limiter(max_descriptors: int | None) -> Callable[[], None] | None:
+    """Return what sets the limit of open files in a process that starts."""
+    if max_descriptors is None:
+        return None
+    limit = (max_descriptors, max_descriptors)
+    return lambda: resource.setrlimit(resource.RLIMIT_NOFILE, limit)
+
+
 class Gateway:
     """A gateway process on a loopback address of its own."""
 
@@ -321,8 +330,14 @@
         self.disturbances_ms: list[float] = []
         """Times of the starts of the process, and of the signals to it."""
 
-    def start(self) -> None:
-        """Start the process with the command of the deploy file."""
+    def start(self, max_descriptors: int | None = None) -> None:
+        """Start the process with the command of the deploy file.
+
+        Parameters
+        ----------
+        max_descriptors : int or None
+            Limit of its open files and sockets; None for that of this process.
+        """
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         command = shlex.split(deploy["roles"]["gateway"]["run"])
         if command[0] == "python3":
@@ -340,7 +355,12 @@
         }
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self._child = subprocess.Popen(
-                command, cwd=ROOT, env=environment, stdout=log, stderr=log
+                command,
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                preexec_fn=_limiter(max_descriptors),
             )
         self.disturbances_ms.append(now_ms())
 
