--- a/review/common/replicas.py
+++ b/review/common/replicas.py
@@ -76,10 +76,14 @@
             slots=128,
             state=state,
             stage="colocated",
-            models=[{"name": MODEL, "version": 1, "adapters": []}],
+            models=self.models(),
         )
         self._store.put("servers", self.server_id, entry)
 
+    def models(self) -> list[stand_ins.Document]:
+        """Return the models with the version of their weights."""
+        return [{"name": MODEL, "version": 1, "adapters": []}]
+
     def remove_entry(self) -> None:
         """Remove the entry."""
         self._has_left = True
@@ -112,7 +116,7 @@
                     await self._tell(
                         writer, {"held": [each[2:] for each in self.events]}
                     )
-                elif self._is_refused(request):
+                elif self.is_refused(request):
                     refusal = {"Not-Executed": "1", "Instance-Id": self.server_id}
                     writer.write(stand_ins.encode_answer(421, refusal, b""))
                 else:
@@ -122,7 +126,8 @@
         finally:
             writer.close()
 
-    def _is_refused(self, request: stand_ins.Message) -> bool:
+    def is_refused(self, request: stand_ins.Message) -> bool:
+        """Return whether a request is for another replica or for other weights."""
         expected = request.headers.get("expect-instance", self.server_id)
         version = request.headers.get("expect-version", "1")
         return expected != self.server_id or version != "1"
