--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,7 +15,7 @@
 
 KEY = "key-of-patan"
 SERVICE = "drafting"
-REPLICAS = 6
+REPLICAS = 7
 RELEASED = 3
 RELEASE_GAP_S = 1.0
 GATEWAYS = 3
