--- a/review/draft-a/case.py
+++ b/review/draft-a/case.py
@@ -18,8 +18,8 @@
 sys.path.insert(0, str(FOLDER.parent / "common"))
 sys.path.insert(0, str(FOLDER))
 
-import server
-import stand_ins
+import server  # noqa: E402
+import stand_ins  # noqa: E402
 
 GATEWAYS = 3
 REPLICAS = 3
