--- a/review/draft-a/case.py
+++ b/review/draft-a/case.py
@@ -1,6 +1,6 @@
 """A replica crashes in the middle of an answer that has no length.
 
-Three plain replicas of one service serve two kinds of requests: GET, which may be
+Four plain replicas of one service serve two kinds of requests: GET, which may be
 repeated, and POST, which may not.  Their answers have neither a length nor chunks and
 end with their connection.  Twice, one replica is killed (SIGKILL) while it works, and
 starts again three seconds later as a new incarnation.  The rule MIXED is checked at the
@@ -22,7 +22,7 @@
 import stand_ins  # noqa: E402
 
 GATEWAYS = 3
-REPLICAS = 3
+REPLICAS = 4
 SERVICE = "prasaran"
 KEY = "nu6wsjnbanfqasnmgkcu"
 LENGTH_S = 16.0
