--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,10 +1,18 @@
-"""Case 5: streams can't be taken up after a restart beside newly named weights."""
+"""Replicas are cut off in turn, with refused connections; they neither end nor restart.
+
+Six model replicas of one software version serve a route whose streams may be resumed.
+Three times, two of them are cut off from the gateways for `CUT_S`: their connections
+are reset and new ones are refused.  The replicas run on and write their entries all the
+while.  Callers go on to begin streams; one in `LOST_EVERY` loses its connection in the
+middle, and takes the stream up at another gateway.  The rule LOST is checked for the
+streams that began later than `contactMs` after the last cut: the share of those taken
+up that goes on, against the share of new streams that begin.
+"""
 
 import asyncio
+import contextlib
 import dataclasses
-import json
 import pathlib
-import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -13,291 +21,302 @@
 import replicas  # noqa: E402
 import stand_ins  # noqa: E402
 
-KEY = "key-of-patan"
-SERVICE = "drafting"
+GATEWAYS = 3
 REPLICAS = 6
-GATEWAYS = 4
-DOWN_S = 1.2
-KILL_MS = 5
-"""Time from the acknowledgement of the weights to the kill of all gateways."""
-
-LOAD_MS = 570
-TOKENS = 170
-EVENT_MS = 50
-DEADLINE_MS = 15_000
-PAUSES_S = (0.5, 2.0, 3.0)
-"""Pauses of a caller before it takes its stream up; there are three tries."""
+CUT_REPLICAS = 2
+SERVICE = "lekhak"
+KEY = "key-of-desk-1"
+EVENTS = 16
+EVENT_S = 0.05
+BREAK_AFTER = 5
+LOST_EVERY = 4
+TAKE_UP_AFTER_S = 0.5
+PERIOD_S = 0.1
+CUT_S = 3.0
+CUT_PAUSE_S = 4.0
+WARM_UP_S = 3.0
+JUDGED_S = 15.0
+AFTER_HEAL_S = 4.0
+MIN_TAKEN_UP = 12
+
+
+class Proxy:
+    """Stands before a replica; cuts it off with resets and refused connections."""
+
+    def __init__(self, target_port: int) -> None:
+        self._target_port = target_port
+        self._listener: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.port = 0
+
+    async def open(self) -> None:
+        """Listen, at the same port as before."""
+        self._listener = await asyncio.start_server(
+            self._serve, stand_ins.LOOPBACK, self.port
+        )
+        self.port = self._listener.sockets[0].getsockname()[1]
+
+    def cut(self) -> None:
+        """Refuse new connections and reset the open ones."""
+        assert self._listener is not None
+        self._listener.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            inner_reader, inner_writer = await asyncio.open_connection(
+                stand_ins.LOOPBACK, self._target_port
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        both = {writer, inner_writer}
+        self._writers |= both
+        try:
+            await asyncio.gather(
+                self._copy(reader, inner_writer), self._copy(inner_reader, writer)
+            )
+        finally:
+            self._writers -= both
 
-ASKS_PER_S = 10
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while part := await reader.read(65_536):
+                writer.write(part)
+                await writer.drain()
+        writer.close()
 
 
-class Replica(replicas.Replica):
-    """A sound model replica that streams numbered events and loads weights."""
+class StreamingReplica(replicas.Replica):
+    """A model replica whose streams may be resumed."""
 
-    def __init__(self, server_id: str, store: stand_ins.Store) -> None:
+    def __init__(
+        self, server_id: str, store: stand_ins.Store, record: stand_ins.Record
+    ) -> None:
         super().__init__(server_id, SERVICE, store)
-        self.weights = 1
-        self.orders = 0
-        self.is_loading = False
-
-    def models(self) -> list[stand_ins.Document]:
-        """Return the models with the version of their weights."""
-        return [{"name": replicas.MODEL, "version": self.weights, "adapters": []}]
-
-    def is_refused(self, request: stand_ins.Message) -> bool:
-        """Refuse requests for another replica or other weights, and during a load."""
-        expected = request.headers.get("expect-instance", self.server_id)
-        version = request.headers.get("expect-version", str(self.weights))
-        is_other = expected != self.server_id or version != str(self.weights)
-        return is_other or self.is_loading
-
-    async def run(
-        self, request: stand_ins.Message, writer: asyncio.StreamWriter
-    ) -> bool:
-        """Answer a report or an order, or stream what the caller lacks."""
-        path = request.first.split()[1]
-        if path == "/report":
-            document = {
-                "stage": "colocated",
-                "models": self.models(),
-                "busy": self.is_loading,
-                "seq": self.orders,
-                "queued": 0,
-                "active": 0,
-                "kvUsed": 0,
-                "kvTotal": 64_400,
-                "handles": 0,
-            }
-            writer.write(
-                stand_ins.encode_answer(200, {}, json.dumps(document).encode())
-            )
-            await writer.drain()
-            return True
-        if path == "/order":
-            order = json.loads(request.body)
-            status = 409
-            if not self.is_loading and order.get("expected") == self.orders:
-                status = 202
-                self.orders += 1
-                self.loading = asyncio.create_task(self._load(order["version"]))
-            writer.write(stand_ins.encode_answer(status, {}, b""))
-            await writer.drain()
-            return True
-        return await self._stream(request, writer)
-
-    async def _load(self, version: int) -> None:
-        self.is_loading = True
-        await asyncio.sleep(LOAD_MS / 1_000)
-        self.weights, self.is_loading = version, False
-        self.events.clear()
+        self._record = record
+        self.proxy = Proxy(0)
+
+    async def start(self) -> None:
+        """Listen behind the proxy, and write the entry with the proxy's address."""
+        listener = await asyncio.start_server(self._serve, stand_ins.LOOPBACK, 0)
+        self._listener = listener
+        self.proxy = Proxy(listener.sockets[0].getsockname()[1])
+        await self.proxy.open()
+        self._port = self.proxy.port
         self.write_entry()
 
-    async def _stream(
+    async def run(
         self, request: stand_ins.Message, writer: asyncio.StreamWriter
     ) -> bool:
-        head = (
-            "HTTP/1.1 200 OK\r\n"
-            f"Request-Id: {request.headers['request-id']}\r\n"
-            "Server-Seal: 3e1b.07\r\n"
-            f"Weight-Versions: {self.weights}\r\n"
-            "Content-Type: text/event-stream\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n"
-        )
-        writer.write(head.encode())
-        first = int(request.headers.get("last-event-id", 0)) + 1
-        for number in range(first, TOKENS + 1):
-            event = f"id: {number}\ndata: token\n\n".encode()
+        """Write the events after the last one that the caller has."""
+        request_id = request.headers["request-id"]
+        first = int(request.headers.get("last-event-id") or 0) + 1
+        self._record.write("run", self.server_id, request_id, "from", first)
+        head = [
+            "HTTP/1.1 200 OK",
+            "Content-Type: text/event-stream",
+            f"Request-Id: {request_id}",
+            f"Server-Seal: 3e1b.07.{request_id}",
+            "Weight-Versions: 1",
+            "Transfer-Encoding: chunked",
+        ]
+        writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
+        for number in range(first, EVENTS + 1):
+            await asyncio.sleep(EVENT_S)
+            event = f"id: {number}\ndata: {request_id}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
-            await asyncio.sleep(EVENT_MS / 1_000)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
 
 
 @dataclasses.dataclass
-class Try:
-    """One try to begin a stream or to take it up."""
+class Stream:
+    """A stream of a caller: its first attempt, and the one that takes it up."""
 
-    gateway: stand_ins.Gateway
-    sent_ms: float
+    number: int
+    begun_ms: float
+    has_begun: bool = False
+    is_taken_up: bool = False
+    has_gone_on: bool = False
     status: int = 0
-    reason: str = ""
-    is_in_touch: bool = False
-    events: int = 0
 
 
-@dataclasses.dataclass
-class Stream:
-    """A caller's stream over its tries."""
-
-    first_id: str
-    last_event: int = 0
-    is_complete: bool = False
-    tries: list[Try] = dataclasses.field(default_factory=list)
-
+async def read_events(
+    gateway: stand_ins.Gateway, lines: list[str], limit: int | None
+) -> tuple[int, list[int]]:
+    """Send a request; return the status and ids of at most `limit` events.
 
-def is_in_touch(gateway: stand_ins.Gateway, at_ms: float) -> bool:
-    """Return whether a gateway was free of disruption for `contactMs`."""
-    return all(at_ms - each >= stand_ins.CONTACT_MS for each in gateway.disturbances_ms)
+    The connection is closed then, as if the caller had lost it.
+    """
+    ids: list[int] = []
+    status = 0
+    with contextlib.suppress(TimeoutError, EOFError, OSError, ValueError):
+        async with asyncio.timeout(6.0):
+            reader, writer = await asyncio.open_connection(gateway.ip, gateway.port)
+            try:
+                writer.write("\r\n".join(lines).encode() + b"\r\n\r\nprompt")
+                answer = await stand_ins.read_head(reader)
+                status = answer.status
+                while status == 200 and (limit is None or len(ids) < limit):
+                    line = await reader.readline()
+                    if line.strip() == b"0" or not line:
+                        break
+                    if line.startswith(b"id:"):
+                        ids.append(int(line[3:]))
+            finally:
+                writer.close()
+    return status, ids
 
 
-async def try_stream(
-    stream: Stream, gateway: stand_ins.Gateway, number: int, until_ms: float
-) -> None:
-    """Send one try and read its events."""
-    now_ms = stand_ins.now_ms()
-    one = Try(gateway, now_ms, is_in_touch=is_in_touch(gateway, now_ms))
-    stream.tries.append(one)
-    request_id = stream.first_id
-    if stream.last_event:
-        request_id += f"-{len(stream.tries)}"
-    lines = [
-        "POST /draft/x HTTP/1.1",
+def head_lines(request_id: str, number: int, more: list[str]) -> list[str]:
+    """Return the first line and headers of a request."""
+    return [
+        "POST /draft/2f HTTP/1.1",
         f"Host: {stand_ins.HOST}",
         f"Request-Id: {request_id}",
         f"Authorization: Token {KEY}",
-        f"Deadline-Ms: {until_ms - now_ms:.0f}",
         f"Model: {replicas.MODEL}",
-        f"Token-Count: 827,{TOKENS}",
-        f"Prompt-Prefix: a{number % 20}:650,f{number:06x}:177",
+        "Token-Count: 177,60",
+        f"Prompt-Prefix: {number:08x}:177",
+        "Deadline-Ms: 15000",
+        "Content-Length: 6",
+        *more,
     ]
-    if stream.last_event:
-        lines += [f"Last-Event-Id: {stream.last_event}", f"Resumes: {stream.first_id}"]
-    body = f"prompt {stream.first_id}".encode()
-    lines.append(f"Content-Length: {len(body)}")
-    try:
-        async with asyncio.timeout((until_ms - now_ms) / 1_000):
-            reader, writer = await asyncio.open_connection(gateway.ip, gateway.port)
-            try:
-                writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-                answer = await stand_ins.read_head(reader)
-                one.status = answer.status
-                if answer.status != 200:
-                    await stand_ins.read_body(reader, answer)
-                    one.reason = answer.body.decode().strip()
-                    return
-                while size := int(await reader.readline() or b"bad", 16):
-                    chunk = await reader.readexactly(size)
-                    await reader.readexactly(2)
-                    for line in chunk.decode().splitlines():
-                        if line.startswith("id: "):
-                            stream.last_event = int(line[4:])
-                            one.events += 1
-                stream.is_complete = True
-            finally:
-                writer.close()
-    except (TimeoutError, EOFError, OSError, ValueError) as error:
-        one.reason = one.reason or repr(error)
 
 
 async def play_stream(
-    stream: Stream, gateways: list[stand_ins.Gateway], number: int
+    stream: Stream, gateways: list[stand_ins.Gateway], record: stand_ins.Record
 ) -> None:
-    """Begin a stream and take it up after it has broken off."""
-    until_ms = stand_ins.now_ms() + DEADLINE_MS
-    await try_stream(stream, gateways[number % len(gateways)], number, until_ms)
-    for count, pause_s in enumerate(PAUSES_S, start=1):
-        if stream.is_complete or not stream.last_event:
-            return
-        await asyncio.sleep(pause_s)
-        if stand_ins.now_ms() + 1_000 >= until_ms:
-            return
-        gateway = gateways[(number + count) % len(gateways)]
-        await try_stream(stream, gateway, number, until_ms)
+    """Begin a stream, lose the connection, and take the stream up elsewhere."""
+    number = stream.number
+    first_id = f"q{number:05d}a"
+    is_lost = number % LOST_EVERY == 0
+    status, ids = await read_events(
+        gateways[number % GATEWAYS],
+        head_lines(first_id, number, []),
+        BREAK_AFTER if is_lost else None,
+    )
+    stream.status = status
+    stream.has_begun = bool(ids)
+    record.write("stream", first_id, "status", status, "events", ids)
+    if not ids or not is_lost:
+        return
+    await asyncio.sleep(TAKE_UP_AFTER_S)
+    more = [f"Last-Event-Id: {ids[-1]}", f"Resumes: {first_id}"]
+    second_id = f"q{number:05d}b"
+    gateway = gateways[(number + 1) % GATEWAYS]
+    stream.is_taken_up = True
+    status, rest = await read_events(gateway, head_lines(second_id, number, more), None)
+    stream.has_gone_on = bool(rest) and rest[0] == ids[-1] + 1
+    record.write("taken up", second_id, gateway.name, "status", status, "events", rest)
+
+
+async def cut_in_turn(
+    fleet: list[StreamingReplica], record: stand_ins.Record, *, has_trouble: bool
+) -> None:
+    """Cut the replicas off, a third of them at a time."""
+    for first in range(0, REPLICAS, CUT_REPLICAS):
+        cut = fleet[first : first + CUT_REPLICAS]
+        if has_trouble:
+            record.write("cut off:", *[each.server_id for each in cut])
+            for each in cut:
+                each.proxy.cut()
+        await asyncio.sleep(CUT_S)
+        if has_trouble:
+            for each in cut:
+                await each.proxy.open()
+            record.write("healed:", *[each.server_id for each in cut])
+        await asyncio.sleep(CUT_PAUSE_S)
 
 
 async def case(record: stand_ins.Record, folder: str, has_trouble: bool) -> bool:
-    """Play the case; return whether the rule was broken."""
+    """Run the case; return whether the rule was broken."""
     store = stand_ins.Store()
     await store.start()
     routes = [
         stand_ins.route(
-            "/draft/", SERVICE, "streaming", resumable=True, timeoutMs=15_000
+            "/draft/",
+            SERVICE,
+            "streaming",
+            sticky=True,
+            resumable=True,
+            timeoutMs=15_000,
+            targetLatencyMs=300,
+            gapTargetMs=250,
         )
     ]
     services = [replicas.engine_service(SERVICE)]
-    keys = {KEY: "patan"}
-    store.put("op", "config", stand_ins.configuration(1, routes, services, keys))
-    named = {"model": replicas.MODEL, "version": 1}
-    store.put("op", f"version/{replicas.MODEL}", named)
-    present: list[replicas.Replica] = [
-        Replica(f"i-{n + 1}", store) for n in range(REPLICAS)
-    ]
+    keys = {KEY: "desk"}
+    store.put("op", "config", stand_ins.configuration(7, routes, services, keys))
+    store.put(
+        "op", f"version/{replicas.MODEL}", {"model": replicas.MODEL, "version": 1}
+    )
+    fleet = [StreamingReplica(f"i-{n}", store, record) for n in range(REPLICAS)]
     gateways = stand_ins.make_gateways(GATEWAYS, store.port, folder)
+    beating: asyncio.Task[None] | None = None
     streams: list[Stream] = []
-    running: set[asyncio.Task[None]] = set()
-    beats = asyncio.create_task(replicas.beat(present))
+    playing: list[asyncio.Task[None]] = []
 
-    async def send(for_s: float) -> None:
-        until_ms = stand_ins.now_ms() + for_s * 1_000
-        while stand_ins.now_ms() < until_ms:
-            stream = Stream(f"q-{len(streams)}")
+    async def begin_streams() -> None:
+        while True:
+            stream = Stream(len(streams), stand_ins.now_ms())
             streams.append(stream)
-            playing = play_stream(stream, gateways, len(streams) - 1)
-            running.add(asyncio.create_task(playing))
-            await asyncio.sleep(1 / ASKS_PER_S)
+            playing.append(asyncio.create_task(play_stream(stream, gateways, record)))
+            await asyncio.sleep(PERIOD_S)
 
+    beginning: asyncio.Task[None] | None = None
     try:
-        for each in present:
-            await each.start()
+        for replica in fleet:
+            await replica.start()
         for gateway in gateways:
             gateway.start()
+        beating = asyncio.create_task(replicas.beat(list(fleet)))
         if not await stand_ins.wait_ready(gateways):
-            raise RuntimeError("gateways not ready")
+            raise RuntimeError("the gateways are not ready")
         await asyncio.sleep(2.0)
-        store.put("op", f"version/{replicas.MODEL}", {**named, "version": 2})
-        record.write("weights 2 named and acknowledged")
-        await asyncio.sleep(8.0)
-        await send(9.0)
-        if has_trouble:
-            store.put("op", f"version/{replicas.MODEL}", {**named, "version": 3})
-            record.write("weights 3 named and acknowledged")
-        await asyncio.sleep(KILL_MS / 1_000)
-        killed_ms = stand_ins.now_ms()
-        for gateway in gateways:
-            gateway.signal(signal.SIGKILL)
-        record.write("all gateways killed")
-        await asyncio.sleep(DOWN_S)
-        for gateway in gateways:
-            gateway.end()
-            gateway.start()
-        record.write("all gateways started")
-        await asyncio.wait(running)
+        beginning = asyncio.create_task(begin_streams())
+        await asyncio.sleep(WARM_UP_S)
+        await cut_in_turn(fleet, record, has_trouble=has_trouble)
+        await asyncio.sleep(AFTER_HEAL_S)
+        judged_from_ms = stand_ins.now_ms()
+        record.write("judged from here")
+        await asyncio.sleep(JUDGED_S)
+        beginning.cancel()
+        await asyncio.gather(*playing)
     finally:
-        beats.cancel()
+        for task in (beating, beginning):
+            if task is not None:
+                task.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
         for gateway in gateways:
             gateway.end()
-    return judge(record, streams, killed_ms)
-
-
-def judge(record: stand_ins.Record, streams: list[Stream], killed_ms: float) -> bool:
-    """Return whether under half as many streams go on as new ones begin."""
-    begun = sum(each.tries[0].events > 0 for each in streams)
-    resumed = went_on = 0
-    for each in streams:
-        taken_up = [one for one in each.tries[1:] if one.is_in_touch]
-        is_going = any(one.events for one in each.tries[1:])
-        if taken_up:
-            resumed += 1
-            went_on += is_going
-        tries = [
-            f"{one.gateway.name} at {one.sent_ms - killed_ms:.0f} ms"
-            f" {'in touch' if one.is_in_touch else ''} status {one.status}"
-            f" {one.events} events {one.reason}"
-            for one in each.tries
-        ]
-        lost = ["LOST"] if taken_up and not is_going else []
-        record.write(each.first_id, *lost, "; ".join(tries))
-    text = (
-        f"{begun} of {len(streams)} new streams begun; {went_on} of {resumed} that were"
-        " taken up at gateways in touch went on"
+    return judge([each for each in streams if each.begun_ms >= judged_from_ms], record)
+
+
+def judge(streams: list[Stream], record: stand_ins.Record) -> bool:
+    """Return whether too few of the streams that were taken up have gone on."""
+    begun = sum(each.has_begun for each in streams)
+    taken_up = [each for each in streams if each.is_taken_up]
+    gone_on = sum(each.has_gone_on for each in taken_up)
+    record.write(
+        f"{begun} of {len(streams)} new streams began;",
+        f"{gone_on} of {len(taken_up)} that were taken up went on",
     )
-    record.write(text)
-    print(text)
-    if not begun:
-        raise RuntimeError("no stream began")
-    return resumed >= 12 and went_on / resumed < begun / len(streams) / 2
+    if len(taken_up) < MIN_TAKEN_UP:
+        raise RuntimeError("too few streams were taken up")
+    is_broken = gone_on / len(taken_up) < begun / len(streams) / 2
+    if is_broken:
+        record.write("LOST: under half of the share of new streams that begin")
+    return is_broken
 
 
 if __name__ == "__main__":
--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -371,6 +371,12 @@
         with contextlib.suppress(ProcessLookupError):
             self._child.send_signal(number)
 
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        assert self._child is not None
+        return self._child.pid
+
     @property
     def is_running(self) -> bool:
         """Whether the process exists."""
