--- a/quincecrank/gateway/loop_monitor.py
+++ b/quincecrank/gateway/loop_monitor.py
@@ -11,9 +11,11 @@
 """
 
 import collections
+import time
 from typing import Final
 
 from quincecrank import clock as clocks
+from quincecrank.gateway import decision_log
 
 INTERVAL_MS: Final = 100
 """Interval of the observations."""
@@ -21,6 +23,11 @@
 RETENTION_MS: Final = 3_000
 """Time for which an observation counts."""
 
+LOGGED_LATENESS_MS: Final = 300
+"""Lateness from which an observation is logged."""
+
+_LOG: Final = decision_log.logger("loop")
+
 
 class LoopMonitor:
     """Wakes up at regular intervals and records how late it did.
@@ -36,6 +43,7 @@
         self._last_run_ms = clock.now_ms()
         self._due_ms = self._last_run_ms + INTERVAL_MS
         self._observations: collections.deque[tuple[int, int]] = collections.deque()
+        self._used_ns = time.process_time_ns()
 
     @property
     def last_run_ms(self) -> int:
@@ -67,6 +75,16 @@
         late_ms = max(0, now_ms - self._due_ms)
         if late_ms:
             self._observations.append((now_ms, late_ms))
+        used_ns = time.process_time_ns()
+        if late_ms >= LOGGED_LATENESS_MS:
+            # Little processor time means that the process was not run.
+            _LOG.warning(
+                "event loop late",
+                late_ms=late_ms,
+                interval_ms=now_ms - self._last_run_ms,
+                processor_ms=(used_ns - self._used_ns) // 1_000_000,
+            )
+        self._used_ns = used_ns
         self._remove_old(now_ms)
         self._last_run_ms = now_ms
 
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -316,10 +316,17 @@
             if _reported_position(self._report_by_ip[ip], table) == newest
         ]
         ip = random.choice(candidate_ips)
+        sent_ms = self._clock.now_ms()
         try:
             rows = decode_rows(await self._calls.get(ip, f"/tables/{table.value}"))
         except (peer_calls.PeerCallError, ValueError, KeyError, TypeError) as error:
-            _LOG.warning("peer returned no rows", peer=ip, error=repr(error))
+            _LOG.warning(
+                "peer returned no rows",
+                peer=ip,
+                table=table.value,
+                after_ms=self._clock.now_ms() - sent_ms,
+                error=repr(error),
+            )
             return None
         return rows if self._store_era.observe(rows.position.era) else None
 
