--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -47,14 +47,17 @@
 
 
 def make_environment(
-    peer_port: int = 1, metrics_port: int = 2, callers_port: int = 3
+    peer_port: int = 1,
+    metrics_port: int = 2,
+    callers_port: int = 3,
+    ip: str = "127.0.0.1",
 ) -> environment.Environment:
     """Return the settings of a process on loopback."""
     endpoint = environment.Endpoint
     return environment.Environment(
         vm=ids.VmName("entry-1"),
         data_centre=ids.DataCentre("patan"),
-        ip="127.0.0.1",
+        ip=ip,
         callers=endpoint("127.0.0.1", callers_port),
         readiness=endpoint("127.0.0.1", 4),
         peer_port=peer_port,
