Download rows of peers in a thread

What callers saw: 404 for a route that had been confirmed 7 s before.

Cause: a change reached a gateway by an asynchronous HTTP call that needs some ten iterations of its event loop. Where an iteration takes .3 to .7 s, each call ended at its limit of 1 s, though the peer had answered at once; the gateway repeated it for ten seconds, and served by the old configuration meanwhile.

At frontend-kirtipur-1 the loop is late by 315 to 674 ms, 12 times from 8.5 to 18.0 s, with its processor in use all the while; 16 of 16 calls for rows fail after 1.1 to 2.1 s, to different peers. Four more of 18 gateways have 6 to 13 such failures, the others 0 to 4 and version 15 within 2.8 s. So neither the readers nor the store hold it up.

Change: the call blocks in a thread, whose time does not depend on the event loop; only its result waits for one iteration. The limit counts the thread's time. Bytes are bounded as before (test_gateway_endless has the new reader).

--- a/quincecrank/gateway/peer_calls.py
+++ b/quincecrank/gateway/peer_calls.py
@@ -84,10 +84,17 @@
             raise PeerCallError(repr(error)) from error
         if response.headers.get("Content-Encoding") != "gzip":
             return response.body
-        return _decompressed(response.body)
+        return decompressed(response.body)
 
 
-def _decompressed(sent: bytes) -> bytes:
+def decompressed(sent: bytes) -> bytes:
+    """Return the document of a compressed answer.
+
+    Raises
+    ------
+    PeerCallError
+        If it is no complete gzip file, or longer than `MAX_DOCUMENT_BYTES`.
+    """
     decompressor = zlib.decompressobj(_GZIP_WINDOW)
     try:
         document = decompressor.decompress(sent, MAX_DOCUMENT_BYTES)
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -14,6 +14,8 @@
     The datagram with a gateway's state that it sends to its peers.
 """
 
+import asyncio
+import concurrent.futures
 import json
 import random
 import socket
@@ -38,6 +40,7 @@
     loads,
     peer_calls,
     peer_messages,
+    row_download,
     send_permits,
     servers,
     tables,
@@ -71,6 +74,9 @@
 ROWS_TIMEOUT_MS: Final = 1_000
 """Limit of a call to a peer for the rows of a table."""
 
+MAX_DOWNLOADS: Final = 3
+"""Most calls for rows at the same time: one for each table."""
+
 _LOG: Final = decision_log.logger("peers")
 
 MAX_NOTIFIED_PEERS: Final = 64
@@ -109,7 +115,7 @@
         self._report_ms_by_ip: dict[str, int] = {}
         self._earliest_ms_by_ip: dict[str, int] = {}
         self._added_ms_by_ip: dict[str, int] = {}
-        self._calls = peer_calls.PeerCalls(own_settings.peer_port, ROWS_TIMEOUT_MS)
+        self._downloads = concurrent.futures.ThreadPoolExecutor(MAX_DOWNLOADS)
 
     def set_members(self, ip_by_member: Mapping[ids.VmName, str]) -> None:
         """Replace the members that are registered in the store."""
@@ -318,7 +324,9 @@
         ip = random.choice(candidate_ips)
         sent_ms = self._clock.now_ms()
         try:
-            rows = decode_rows(await self._calls.get(ip, f"/tables/{table.value}"))
+            rows = await asyncio.get_running_loop().run_in_executor(
+                self._downloads, self._download_rows, ip, table
+            )
         except (peer_calls.PeerCallError, ValueError, KeyError, TypeError) as error:
             _LOG.warning(
                 "peer returned no rows",
@@ -330,6 +338,12 @@
             return None
         return rows if self._store_era.observe(rows.position.era) else None
 
+    def _download_rows(self, ip: str, table: tables.TableName) -> store_rows.Rows:
+        """Fetch the rows of a peer, in a thread."""
+        port = self._own_settings.peer_port
+        target = f"/tables/{table.value}"
+        return decode_rows(row_download.download(ip, port, target, ROWS_TIMEOUT_MS))
+
 
 def report_interval_ms(live_peers: int) -> float:
     """Return the time between two reports, which grows with the number of peers."""
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import json
+import time
 import tracemalloc
 import unittest
 import zlib
@@ -16,7 +17,7 @@
 
 from quincecrank import clock as clocks
 from quincecrank import json_text, store_rows
-from quincecrank.gateway import event_stream, peer_calls, server_links
+from quincecrank.gateway import event_stream, peer_calls, row_download, server_links
 from quincecrank.platform import documents, engines, store
 from tests import builders_gateway as builders
 from tests import gateway_case as case
@@ -289,6 +290,38 @@
 
         await self.check(read)
 
+    async def test_rows_of_peers(self) -> None:
+        async def read() -> None:
+            with contextlib.suppress(peer_calls.PeerCallError):
+                document = await asyncio.to_thread(
+                    row_download.download, "127.0.0.1", self.port, "/tables/op", 1_000
+                )
+                self.assertEqual(document, b"")
+
+        await self.check(read)
+
+    async def test_rows_of_a_peer_that_never_ends_its_answer(self) -> None:
+        """Each byte arrives within the limit of the whole call."""
+
+        async def trickle(
+            _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            with contextlib.suppress(ConnectionError):
+                while True:
+                    writer.write(b"a")
+                    await writer.drain()
+                    await asyncio.sleep(0.05)
+
+        server = await asyncio.start_server(trickle, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        began_s = time.monotonic()
+        with self.assertRaises(peer_calls.PeerCallError):
+            await asyncio.to_thread(
+                row_download.download, "127.0.0.1", port, "/tables/op", 300
+            )
+        self.assertLess(time.monotonic() - began_s, 1.0)
+        server.close()
+
 
 class CompressedAnswerTest(unittest.IsolatedAsyncioTestCase):
     async def test_an_answer_that_decompresses_to_a_large_size_is_rejected(
