Resolve addresses of the store, peers and engines without a thread

What was seen: 'Timeout while resolving 10.200.1.7' at a starved gateway, an address that needs no resolution; the table counts as lost for seconds.

Cause: the HTTP client's resolver calls getaddrinfo in a thread for each call. Its result waits for a further iteration of the event loop, within the limit of .5 s for the connection. The clients of engines open a connection a call too, several a second.

Change: a resolver that returns IP addresses at once and rejects names; the platform names none. Test: a call left a thread behind before, none after.

--- a/quincecrank/gateway/peer_calls.py
+++ b/quincecrank/gateway/peer_calls.py
@@ -10,6 +10,7 @@
 from tornado import httpclient, iostream, simple_httpclient
 
 from quincecrank import clock as clocks
+from quincecrank import ip_resolver
 
 MAX_SENT_BYTES: Final = 1024 * 1024
 """Longest answer before decompression: enough for a table of some thousand servers."""
@@ -41,6 +42,7 @@
         self._timeout_s = timeout_ms / clocks.MS_PER_SECOND
         self._client = simple_httpclient.SimpleAsyncHTTPClient(
             force_instance=True,
+            resolver=ip_resolver.IpResolver(),
             max_buffer_size=MAX_SENT_BYTES,
             max_body_size=MAX_SENT_BYTES,
         )
--- a/quincecrank/platform/engines.py
+++ b/quincecrank/platform/engines.py
@@ -11,7 +11,7 @@
 
 from tornado import httpclient, httputil, iostream, simple_httpclient
 
-from quincecrank import checked_values, json_text
+from quincecrank import checked_values, ip_resolver, json_text
 from quincecrank import clock as clocks
 from quincecrank.gateway import (
     cache_part_index,
@@ -245,6 +245,7 @@
     def __init__(self) -> None:
         self._client = simple_httpclient.SimpleAsyncHTTPClient(
             force_instance=True,
+            resolver=ip_resolver.IpResolver(),
             max_clients=_MAX_CLIENTS,
             max_buffer_size=MAX_DOCUMENT_BYTES,
             max_body_size=MAX_DOCUMENT_BYTES,
--- a/quincecrank/platform/store.py
+++ b/quincecrank/platform/store.py
@@ -16,7 +16,14 @@
 
 from tornado import httpclient, iostream, simple_httpclient
 
-from quincecrank import checked_values, clock, json_text, store_era, store_rows
+from quincecrank import (
+    checked_values,
+    clock,
+    ip_resolver,
+    json_text,
+    store_era,
+    store_rows,
+)
 from quincecrank.platform import names
 
 CONNECT_TIMEOUT_MS: Final = 500
@@ -94,6 +101,7 @@
         self._connect_timeout_ms = connect_timeout_ms
         self._client = simple_httpclient.SimpleAsyncHTTPClient(
             force_instance=True,
+            resolver=ip_resolver.IpResolver(),
             max_clients=_MAX_CLIENTS,
             max_buffer_size=MAX_DOCUMENT_BYTES,
             max_body_size=MAX_DOCUMENT_BYTES,
