Send changes of tables to the gateways that do not read the store

What callers saw: routes and keys of confirmed configurations were refused for up to 10 s, at gateways with a late event loop.

Cause: three readers had a change at once; each other gateway learned from reports that there was one, and fetched the whole table by a call of its own, encoded and compressed anew for each. Of 443 KB text of 1,400 routes one route had changed.

Change: change_delivery decides, without I/O. A change is applied only to rows that hold all earlier ones; gateways that have it repeat it to those whose reports show that they lack it, two for each on average whatever the size of the fleet, so that killed or suspended readers do not hold it up. What is too large to be sent is fetched, by at most eight gateways for each that has it in an interval. It holds for all tables: removals of servers travelled by the same calls.

ConfigurationCurrency counts since when a version is known; the line 'configuration in force' has its origin, the version before and the delay, and there are metrics of it.

--- a/quincecrank/gateway/environment.py
+++ b/quincecrank/gateway/environment.py
@@ -61,6 +61,8 @@
     drain_ms : int
         Time after which a backend server that is shutting down must get no new
         request.
+    configuration_apply_ms : int
+        Time within which a confirmed configuration must be in force.
     order_lease_ms : int
         Shortest time between the orders of two successive lease holders.
     weights_deadline_ms : int
@@ -76,6 +78,7 @@
 
     shutdown_grace_ms: int
     drain_ms: int
+    configuration_apply_ms: int
     order_lease_ms: int
     weights_deadline_ms: int
     retry_ratio: float
--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -10,6 +10,7 @@
     begin_delays,
     cache_part_index,
     cache_transfers,
+    configuration_currency,
     crash_suspicions,
     decision_log,
     deployment,
@@ -48,6 +49,13 @@
         Settings of this process; replaced when they are reloaded.
     configuration : Deployment or None
         The configuration in force; None before the first one was read.
+    currency : ConfigurationCurrency
+        Which version is in force, and whether a newer one is known.
+    confirmed_age_ms : callable
+        Returns the time since the store had no newer configuration; None if it is not
+        known.
+    receive_waiting : callable
+        Handles the reports and changes of peers that have arrived unread.
     gateway_count : int
         Number of live gateways, this one included.
     shutdown : ShutdownSchedule or None
@@ -69,6 +77,11 @@
         self.own_settings = own_settings
         self.clock = clock
         self.configuration: deployment.Deployment | None = None
+        self.currency = configuration_currency.ConfigurationCurrency(
+            own_settings.bounds.configuration_apply_ms
+        )
+        self.confirmed_age_ms: Callable[[], int | None] = lambda: 0
+        self.receive_waiting: Callable[[], None] = _ignore
         self.gateway_count = 1
         self.shutdown: shutdown_schedule.ShutdownSchedule | None = None
         self.registry = servers.ServerRegistry()
@@ -103,17 +116,22 @@
         """Record that the list of backend servers has been read."""
         self._has_servers = True
 
-    def apply_configuration(self, update: deployment.Deployment) -> bool:
+    def apply_configuration(
+        self, update: deployment.Deployment, known_ms: int | None = None
+    ) -> bool:
         """Put a configuration in force if its version is newer; return whether it is.
 
         An older version never replaces a newer one.
+
+        Parameters
+        ----------
+        known_ms : int or None
+            Time at which the first gateway had it; None if it is not known.
         """
-        if (
-            self.configuration is not None
-            and update.version <= self.configuration.version
-        ):
+        if not self.currency.accepts(update.version):
             return False
         self.configuration = update
+        self.currency.record_in_force(update.version, self.clock.now_ms(), known_ms)
         self.service_times.retain(tuple(update.services_by_name))
         self.answer_times.retain(
             {
--- a/quincecrank/gateway/followers.py
+++ b/quincecrank/gateway/followers.py
@@ -2,9 +2,11 @@
 
 Load pattern: every gateway needs every change within a second, and the store's calls
 are limited and paid for.  So a few gateways, which all gateways choose alike, read
-each table from the store; the others fetch the rows from them after a significant
-change.  If no live peer has had a recent answer from the store, a gateway reads the
-store itself: the store may refuse or cut off the readers and still serve this gateway.
+each table from the store.  They send significant changes to the others, which fetch all
+rows from a peer if they lack an earlier change or if it is too large to be sent; see
+`change_delivery`.  If no live peer has had a recent answer from the store, a gateway
+reads the store itself: the store may refuse or cut off the readers and still serve this
+gateway.
 
 Terms
 -----
@@ -22,7 +24,14 @@
 
 from quincecrank import clock as clocks
 from quincecrank import store_rows
-from quincecrank.gateway import decision_log, peers, store_clock, store_restores, tables
+from quincecrank.gateway import (
+    change_delivery,
+    decision_log,
+    peers,
+    store_clock,
+    store_restores,
+    tables,
+)
 
 READERS_PER_TABLE: Final = 3
 """Gateways that read each table from the store; two of them may fail at once."""
@@ -33,9 +42,6 @@
 PEER_INTERVAL_MS: Final = 100
 """Interval at which the own position is compared with those in peers' reports."""
 
-PEER_DELAY_MS: Final = 300
-"""Time for which a reader may be behind a peer before it fetches the peer's rows."""
-
 MAX_BEHIND_MS: Final = 600
 """Time behind its peers after which a gateway reads the store itself."""
 
@@ -66,14 +72,44 @@
     max_age_ms: int
 
 
+STORE: Final = "store"
+PUSH: Final = "push"
+PEER: Final = "peer"
+"""Origins of rows: an answer of the store, a change that a peer sent, rows fetched from
+a peer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """How rows reached this gateway.
+
+    Attributes
+    ----------
+    origin : str
+        `STORE`, `PUSH` or `PEER`.
+    asked_ms : int
+        Time at which the store was asked; for other origins that of the arrival.
+    known_ms : int or None
+        Time at which the first gateway had the rows; None if it is not known.
+    """
+
+    origin: str
+    asked_ms: int
+    known_ms: int | None
+
+
 class RowConsumer(Protocol):
     """Applies the rows of a table to the gateway's state."""
 
-    def apply_snapshot(self, snapshot: store_rows.Rows) -> None:
+    def apply_snapshot(
+        self, snapshot: store_rows.Rows, arrival: Arrival | None = None
+    ) -> None:
         """Replace all rows by a snapshot of the table."""
 
-    def apply_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
-        """Apply changed and removed rows; return whether a change is significant."""
+    def apply_changes(
+        self, rows: tuple[store_rows.Row, ...], arrival: Arrival | None = None
+    ) -> tuple[store_rows.Row, ...]:
+        """Apply changed and removed rows; return those whose change is significant."""
 
     def handle_store_unavailable(self) -> None:
         """Handle a failed call of the store; called for each one during an outage."""
@@ -105,9 +141,20 @@
         Records each full read.
     clock_of_store : StoreClock, optional
         Observes the time of each answer.
+    delivery : ChangeDelivery, optional
+        Decides about the changes of this table.
+    push : callable
+        Sends a change to all peers.
+    must_read : callable
+        Returns whether the store must be read whatever the peers have.
+    handle_store_answer : callable
+        Called after the rows of an answer of the store were applied, with the time at
+        which the store was asked.
 
     Attributes
     ----------
+    delivery : ChangeDelivery
+        Decides about the changes of this table.
     position : Position or None
         Position of the store up to which the rows are applied; None before the first
         full read.
@@ -135,7 +182,15 @@
         count_failure: Callable[[str], None],
         progress: store_restores.StoreRestoreProgress,
         clock_of_store: store_clock.StoreClock | None = None,
+        delivery: change_delivery.ChangeDelivery | None = None,
+        push: Callable[[change_delivery.AgedChange], None] = lambda _change: None,
+        must_read: Callable[[], bool] = lambda: False,
+        handle_store_answer: Callable[[int], None] = lambda _asked_ms: None,
     ) -> None:
+        self.delivery = delivery or change_delivery.ChangeDelivery(random.Random())
+        self._push = push
+        self._must_read = must_read
+        self._handle_store_answer = handle_store_answer
         self._table = table
         self._source = source
         self._consumer = consumer
@@ -193,7 +248,7 @@
         while True:
             if not self.reads_store():
                 # The readers have answers again.
-                self._end_outage("peer")
+                self._end_outage(PEER)
                 await self._clock.sleep(PEER_INTERVAL_MS)
                 continue
             try:
@@ -222,17 +277,41 @@
             now_ms = self._clock.now_ms()
             if self._behind_since_ms is None:
                 self._behind_since_ms = now_ms
-            delay_ms = PEER_DELAY_MS if self._is_reader() else 0
-            if now_ms - self._behind_since_ms >= delay_ms:
+            newest = self._peers.last_change_position_of(self._table)
+            if newest is not None and self.delivery.may_fetch(
+                now_ms - self._behind_since_ms,
+                newest,
+                self._peers.positions(self._table),
+            ):
                 await self._read_from_peer()
 
+    def apply_pushed(self, table_change: change_delivery.AgedChange) -> None:
+        """Apply a change that a peer sent, and those that waited for it."""
+        if self.position is None:
+            return
+        self.delivery.add_waiting(table_change)
+        while aged := self.delivery.take_applicable(self.position):
+            if not self._apply_pushed(aged):
+                return
+
+    def repeats(self) -> dict[str, tuple[change_delivery.AgedChange, ...]]:
+        """Return the changes that peers lack and that are sent to them now."""
+        own = self.last_change_position
+        if own is None:
+            return {}
+        return self.delivery.repeats(
+            own,
+            self._peers.positions(self._table, takes_changes=True),
+            self._clock.now_ms(),
+        )
+
     def reads_store(self) -> bool:
         """Return whether this gateway must read the store itself now.
 
         It must if it has no rows yet, is a reader, has been behind its peers for
         longer than `MAX_BEHIND_MS`, or if no live peer had a recent answer.
         """
-        if self.position is None or self._is_reader():
+        if self.position is None or self._is_reader() or self._must_read():
             return True
         now_ms = self._clock.now_ms()
         behind_since_ms = self._behind_since_ms
@@ -257,7 +336,8 @@
         has_waited = not changed.rows and self._clock.now_ms() - sent_ms >= wait_ms
         earliest_ms = sent_ms + wait_ms if has_waited else sent_ms
         self._record_answer(changed, sent_ms, earliest_ms)
-        self._apply_changes(changed)
+        self._apply_changes(changed, sent_ms)
+        self._handle_store_answer(sent_ms)
         await self._clock.sleep(self._intervals.pause_ms)
 
     async def _resync(self) -> None:
@@ -285,14 +365,15 @@
             await self._clock.sleep(RETRY_MS)
             return
         self._record_answer(snapshot, sent_ms, sent_ms)
-        self._replace(snapshot, "store")
+        self._replace(snapshot, Arrival(STORE, sent_ms, None))
+        self._handle_store_answer(sent_ms)
 
     async def _read_from_peer(self) -> None:
         snapshot = await self._peers.fetch_rows(self._table)
         if snapshot is not None and _is_newer(snapshot.position, self.position):
-            self._replace(snapshot, "peer")
+            self._replace(snapshot, Arrival(PEER, self._clock.now_ms(), None))
 
-    def _replace(self, snapshot: store_rows.Rows, origin: str) -> None:
+    def _replace(self, snapshot: store_rows.Rows, arrival: Arrival) -> None:
         if _is_newer(self.position, snapshot.position):
             return
         rows_by_key = {row.key: row for row in snapshot.rows}
@@ -300,7 +381,7 @@
         _LOG.info(
             "table read",
             table=self._table.value,
-            origin=origin,
+            origin=arrival.origin,
             rows=len(snapshot.rows),
             missing=missing,
             era=snapshot.position.era,
@@ -308,34 +389,91 @@
         )
         self._rows_by_key = rows_by_key
         self.position = self._full_position = snapshot.position
-        self._consumer.apply_snapshot(snapshot)
+        self.delivery.forget()
+        self._consumer.apply_snapshot(snapshot, arrival)
         self._progress.record_full_read(self._table, snapshot.position.era, missing)
         self._publish_change()
 
-    def _apply_changes(self, changed: store_rows.Rows) -> None:
-        if self.position is not None and changed.position.era != self.position.era:
-            # Rows of a later era came from a peer while the call was in flight.
-            return
-        fresh = tuple(row for row in changed.rows if self._is_fresh(row))
-        for row in fresh:
+    def _apply_pushed(self, aged: change_delivery.AgedChange) -> bool:
+        """Apply a change that follows the present rows; return whether it did."""
+        change = aged.change
+        try:
+            rows = tuple(
+                change_delivery.decode_row(row, self._rows_by_key.get(row.key))
+                for row in change.rows
+                if self._is_fresh_at(row.key, row.position)
+            )
+        except ValueError as error:
+            # The rows are fetched from a peer.
+            _LOG.warning(
+                "change not applied", table=self._table.value, error=str(error)
+            )
+            return False
+        self._store(rows)
+        self.position = change.position
+        now_ms = self._clock.now_ms()
+        if rows:
+            self._consumer.apply_changes(rows, Arrival(PUSH, now_ms, aged.known_ms))
+        self.delivery.record(aged, now_ms)
+        # Reports at the usual interval tell the peers.
+        self.last_change_position = change.position
+        return True
+
+    def _store(self, rows: tuple[store_rows.Row, ...]) -> None:
+        for row in rows:
             if row.is_removed:
                 self._rows_by_key.pop(row.key, None)
             else:
                 self._rows_by_key[row.key] = row
+
+    def _apply_changes(self, changed: store_rows.Rows, asked_ms: int) -> None:
+        if self.position is not None and changed.position.era != self.position.era:
+            # Rows of a later era came from a peer while the call was in flight.
+            return
+        fresh = tuple(
+            row for row in changed.rows if self._is_fresh_at(row.key, row.position)
+        )
+        base_by_key = {row.key: self._rows_by_key.get(row.key) for row in fresh}
+        self._store(fresh)
         if _is_newer(changed.position, self.position):
             self.position = changed.position
-        if fresh and self._consumer.apply_changes(fresh):
+        if not fresh:
+            return
+        now_ms = self._clock.now_ms()
+        arrival = Arrival(STORE, asked_ms, now_ms)
+        significant = self._consumer.apply_changes(fresh, arrival)
+        if significant:
+            self._push_change(significant, base_by_key, now_ms)
             self._publish_change()
 
+    def _push_change(
+        self,
+        rows: tuple[store_rows.Row, ...],
+        base_by_key: dict[str, store_rows.Row | None],
+        now_ms: int,
+    ) -> None:
+        assert self.position is not None and self.last_change_position is not None
+        change = change_delivery.Change(
+            self._table,
+            self.last_change_position,
+            self.position,
+            tuple(
+                change_delivery.encode_row(row, base_by_key[row.key]) for row in rows
+            ),
+        )
+        aged = change_delivery.AgedChange(change, now_ms)
+        self.delivery.record(aged, now_ms)
+        self._push(aged)
+
     def _publish_change(self) -> None:
         self.last_change_position = self.position
         self._send_report()
 
-    def _is_fresh(self, row: store_rows.Row) -> bool:
-        current = self._rows_by_key.get(row.key)
-        if current is not None and row.position <= current.position:
+    def _is_fresh_at(self, key: str, position: store_rows.Position) -> bool:
+        current = self._rows_by_key.get(key)
+        if current is not None and position <= current.position:
             return False
-        return _is_newer(row.position, self._full_position)
+        return _is_newer(position, self._full_position)
 
     def _record_failure(self, reason: str) -> None:
         self._count_failure(self._table.value)
@@ -348,7 +486,7 @@
         self, answer: store_rows.Rows, sent_ms: int, earliest_ms: int
     ) -> None:
         """Record an answer that the store has sent at `earliest_ms` or later."""
-        self._end_outage("store")
+        self._end_outage(STORE)
         self._last_answer_ms = self._clock.now_ms()
         self._current_ms = earliest_ms
         if self._store_clock is not None and answer.store_now_ms is not None:
--- a/quincecrank/gateway/gateway_metrics.py
+++ b/quincecrank/gateway/gateway_metrics.py
@@ -45,6 +45,30 @@
             "Version in force",
             registry=self.registry,
         )
+        self._configuration_delay = prometheus_client.Histogram(
+            "quince_gateway_configuration_delay_seconds",
+            "Time from the first gateway that had a version until it was in force here",
+            ["origin"],
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.configuration_behind_seconds = prometheus_client.Gauge(
+            "quince_gateway_configuration_behind_seconds",
+            "Time for which a newer version than the one in force has been known",
+            registry=self.registry,
+        )
+        self.configuration_confirmed_seconds = prometheus_client.Gauge(
+            "quince_gateway_configuration_confirmed_seconds",
+            "Time since the store had no newer version than the one in force; -1 if it "
+            "is not known",
+            registry=self.registry,
+        )
+        self.table_changes = prometheus_client.Counter(
+            "quince_gateway_table_changes",
+            "Changes of tables by what was done: pushed, repeated, received, too large",
+            ["table", "what"],
+            registry=self.registry,
+        )
         self.store_failures = prometheus_client.Counter(
             "quince_gateway_store_failures",
             "Calls to the platform's store that failed, by table",
@@ -179,6 +203,11 @@
         seconds = duration_ms / clock.MS_PER_SECOND
         self._ended.labels(service, outcome).observe(seconds)
 
+    def record_configuration_delay(self, origin: str, delay_ms: int) -> None:
+        """Record how long a version took to be in force here."""
+        seconds = delay_ms / clock.MS_PER_SECOND
+        self._configuration_delay.labels(origin).observe(seconds)
+
     def set_rate_limits(self, states: Iterable[rate_limits.LimitState]) -> None:
         """Replace the rate limits in force."""
         self.rate_limit.clear()
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -13,7 +13,7 @@
 import signal
 import sys
 from collections.abc import Mapping
-from typing import Final
+from typing import Any, Final
 
 from tornado import httpserver, netutil, web
 
@@ -24,6 +24,7 @@
     cache_followers,
     cache_history,
     callers,
+    change_delivery,
     connection_budget,
     crash_monitor,
     crash_suspicions,
@@ -132,6 +133,7 @@
             self._apply_load_change,
             lambda message: self._permits.handle(message),
             clock,
+            self._apply_table_change,
         )
         self._crash_monitor = crash_monitor.CrashMonitor(
             self._fleet,
@@ -189,7 +191,12 @@
         self._restore_progress = store_restores.StoreRestoreProgress(
             clock, self._metrics
         )
+        self._operator = row_consumers.OperatorRowConsumer(
+            self._fleet, self._metrics.record_configuration_delay
+        )
         self._followers_by_table = self._make_followers()
+        self._fleet.confirmed_age_ms = self._configuration_confirmed_age_ms
+        self._fleet.receive_waiting = self._reporter.receive_waiting
         self._subscribe_to_eras()
         calls = engines.FleetEngineClient()
         self._cache_followers = cache_followers.CacheFollowers(
@@ -260,6 +267,7 @@
             self._store_cleaner.run,
             self._registration.run,
             self._loop_monitor.run,
+            self._run_repeats,
             self._run_maintenance,
         ]
         for follower in self._followers_by_table.values():
@@ -375,6 +383,7 @@
     def _is_ready(self) -> bool:
         return (
             self._fleet.is_complete
+            and self._fleet.currency.may_serve(self._clock.now_ms())
             and not self._is_leaving
             and not self._is_accept_blocked
         )
@@ -389,10 +398,16 @@
         self,
     ) -> dict[tables.TableName, followers.TableFollower]:
         consumer_by_table: dict[tables.TableName, followers.RowConsumer] = {
-            tables.TableName.OPERATOR: row_consumers.OperatorRowConsumer(self._fleet),
+            tables.TableName.OPERATOR: self._operator,
             tables.TableName.SERVERS: row_consumers.ServerRowConsumer(self._fleet),
             tables.TableName.MEMBERS: self._members,
         }
+        hooks_by_table: dict[tables.TableName, dict[str, Any]] = {
+            tables.TableName.OPERATOR: {
+                "must_read": self._lacks_configuration,
+                "handle_store_answer": self._operator.handle_store_answer,
+            }
+        }
         return {
             table: followers.TableFollower(
                 table,
@@ -405,15 +420,91 @@
                 lambda name: self._metrics.store_failures.labels(name).inc(),
                 self._restore_progress,
                 self._store_clock,
+                change_delivery.ChangeDelivery(self._generator),
+                self._push_change,
+                **hooks_by_table.get(table, {}),
             )
             for table, consumer in consumer_by_table.items()
         }
 
+    def _lacks_configuration(self) -> bool:
+        """Return whether a newer configuration has not arrived from peers for long.
+
+        The store may lack it, too, if it was restored from a snapshot.
+        """
+        now_ms = self._clock.now_ms()
+        since_ms = self._fleet.currency.newer_since_ms(now_ms)
+        return since_ms is not None and now_ms - since_ms > followers.MAX_BEHIND_MS
+
+    def _configuration_confirmed_age_ms(self) -> int | None:
+        """Return the time since the store had no newer configuration than this gateway.
+
+        None if neither this gateway nor a peer with the same rows knows.
+        """
+        follower = self._followers_by_table[tables.TableName.OPERATOR]
+        ages_ms = [follower.rows_age_ms]
+        if not follower.is_behind:
+            ages_ms.append(self._peers.rows_age_ms(tables.TableName.OPERATOR))
+        return min((each for each in ages_ms if each is not None), default=None)
+
+    def _push_change(self, aged: change_delivery.AgedChange) -> None:
+        """Send a change of a table to all peers, unless that takes too many bytes."""
+        table = aged.change.table
+        delivery = self._followers_by_table[table].delivery
+        receivers = self._peers.positions(table, takes_changes=True)
+        datagram = self._encoded(aged)
+        is_pushed = delivery.may_push(len(datagram), len(receivers))
+        if is_pushed:
+            self._reporter.send_table_change(receivers, datagram)
+        self._metrics.table_changes.labels(
+            table.value, "pushed" if is_pushed else "too large"
+        ).inc()
+        if table is not tables.TableName.MEMBERS:
+            _LOG.info(
+                "table changed",
+                table=table.value,
+                version=aged.change.position.version,
+                bytes=len(datagram),
+                pushed_to=len(receivers) if is_pushed else 0,
+            )
+
+    def _encoded(self, aged: change_delivery.AgedChange) -> bytes:
+        age_ms = self._clock.now_ms() - aged.known_ms
+        return peer_messages.encode_table_change(
+            peer_messages.TableChange(aged.change, age_ms)
+        )
+
+    def _apply_table_change(self, table_change: peer_messages.TableChange) -> None:
+        change = table_change.change
+        follower = self._followers_by_table.get(change.table)
+        if follower is None or not self._era.observe(change.position.era):
+            return
+        known_ms = self._clock.now_ms() - table_change.age_ms
+        self._metrics.table_changes.labels(change.table.value, "received").inc()
+        follower.apply_pushed(change_delivery.AgedChange(change, known_ms))
+
+    async def _run_repeats(self) -> None:
+        """Send peers the changes that they lack; never returns."""
+        while True:
+            await self._clock.sleep(
+                peers.report_interval_ms(len(self._peers.live_ips()))
+            )
+            for table, follower in self._followers_by_table.items():
+                for ip, missing in follower.repeats().items():
+                    for aged in missing:
+                        datagram = self._encoded(aged)
+                        if len(datagram) <= change_delivery.MAX_CHANGE_BYTES:
+                            self._reporter.send_table_change((ip,), datagram)
+                            self._metrics.table_changes.labels(
+                                table.value, "repeated"
+                            ).inc()
+
     def _rows(self, table: tables.TableName) -> store_rows.Rows | None:
         follower = self._followers_by_table.get(table)
         return follower.rows if follower else None
 
     def _make_report(self) -> peer_messages.Report:
+        currency = self._fleet.currency
         report = peer_messages.Report(
             vm=self._own_settings.vm,
             is_leaving=self._is_leaving,
@@ -434,6 +525,10 @@
             failed_requests=self._fleet.failed_requests.to_publish(
                 self._clock.now_ms()
             ),
+            configuration_version=currency.version,
+            configuration_age_ms=None
+            if currency.known_ms is None
+            else self._clock.now_ms() - currency.known_ms,
         )
         report = self._crash_monitor.complete_report(report)
         report = self._stream_versions.complete_report(report)
@@ -442,6 +537,10 @@
     def _apply_report(self, report: peer_messages.Report) -> None:
         now_ms = self._clock.now_ms()
         self._fleet.loads.apply_peer_report(report.vm, report.load_by_server, now_ms)
+        if report.configuration_version is not None:
+            self._fleet.currency.record_report(
+                report.configuration_version, report.configuration_age_ms, now_ms
+            )
         self._crash_monitor.apply_report(report)
         self._stream_versions.apply_report(report)
         for target in report.target_weights:
@@ -493,6 +592,15 @@
             if current is not None:
                 self._listener.state.limits = current.limits
                 self._metrics.configuration_version.set(current.version)
+            now_ms = self._clock.now_ms()
+            since_ms = self._fleet.currency.newer_since_ms(now_ms)
+            confirmed_ms = self._configuration_confirmed_age_ms()
+            self._metrics.configuration_behind_seconds.set(
+                0 if since_ms is None else (now_ms - since_ms) / clocks.MS_PER_SECOND
+            )
+            self._metrics.configuration_confirmed_seconds.set(
+                -1 if confirmed_ms is None else confirmed_ms / clocks.MS_PER_SECOND
+            )
             lateness_s = self._loop_monitor.lateness_ms / clocks.MS_PER_SECOND
             self._metrics.loop_lateness_seconds.set(lateness_s)
             self._metrics.peers.set(self._fleet.gateway_count - 1)
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -10,6 +10,7 @@
 
 from quincecrank import checked_values, crash_counts, ids, store_rows
 from quincecrank.gateway import (
+    change_delivery,
     crash_findings,
     decision_log,
     deployment,
@@ -132,6 +133,12 @@
         releases.
     liveness : tuple of Evidence
         Evidence of the gateway that servers have ended or live.
+    takes_changes : bool
+        Whether the gateway takes changes of tables.
+    configuration_version : int or None
+        Version of the configuration in force; None for none.
+    configuration_age_ms : int or None
+        Time since the first gateway had that version, if it is known.
     """
 
     vm: ids.VmName
@@ -156,6 +163,17 @@
     stream_records: tuple[stream_versions.Record, ...] = ()
     refused: tuple[servers.Incarnation, ...] = ()
     liveness: tuple[server_liveness.Evidence, ...] = ()
+    takes_changes: bool = True
+    configuration_version: int | None = None
+    configuration_age_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableChange:
+    """A change of a table, and the time since the first gateway had it."""
+
+    change: change_delivery.Change
+    age_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -239,6 +257,9 @@
             }
             for group in stream_versions.grouped(report.stream_records)
         ],
+        takesChanges=report.takes_changes,
+        configurationVersion=report.configuration_version or 0,
+        configurationAgeMs=_encoded_age_ms(report.configuration_age_ms),
     )
     return bytes(message.to_bytes_packed())
 
@@ -272,7 +293,34 @@
     return bytes(message.to_bytes_packed())
 
 
-def decode(datagram: bytes) -> Report | LoadChange | send_permits.PermitMessage:
+def encode_table_change(table_change: TableChange) -> bytes:
+    """Return the datagram of a change of a table."""
+    change = table_change.change
+    message = _SCHEMA.Datagram.new_message()
+    message.tableChange = _SCHEMA.TableChange.new_message(
+        table=change.table.value,
+        era=change.position.era,
+        previousVersion=change.previous.version,
+        version=change.position.version,
+        ageMs=min(max(0, table_change.age_ms), _NO_AGE),
+        rows=[
+            {
+                "key": row.key,
+                "version": row.position.version,
+                "isRemoved": row.is_removed,
+                "hasBase": row.base is not None,
+                "baseVersion": 0 if row.base is None else row.base.version,
+                "content": row.content,
+            }
+            for row in change.rows
+        ],
+    )
+    return bytes(message.to_bytes_packed())
+
+
+def decode(
+    datagram: bytes,
+) -> Report | LoadChange | TableChange | send_permits.PermitMessage:
     """Return the message of a datagram.
 
     Raises
@@ -286,11 +334,35 @@
             return _load_change(message.loadChange)
         if message.which() == "permits":
             return _permits(message.permits)
+        if message.which() == "tableChange":
+            return _table_change(message.tableChange)
         return _report(message.report)
     except (capnp.KjException, ValueError) as error:
         raise MessageError(str(error)) from error
 
 
+def _table_change(message: Any) -> TableChange:
+    era = checked_values.count(message.era, store_rows.MAX_ERA)
+    change = change_delivery.Change(
+        tables.TableName(message.table),
+        store_rows.Position(era, checked_values.count(message.previousVersion)),
+        store_rows.Position(era, checked_values.count(message.version)),
+        tuple(
+            change_delivery.ChangedRow(
+                row.key,
+                store_rows.Position(era, checked_values.count(row.version)),
+                row.isRemoved,
+                store_rows.Position(era, checked_values.count(row.baseVersion))
+                if row.hasBase
+                else None,
+                bytes(row.content),
+            )
+            for row in message.rows
+        ),
+    )
+    return TableChange(change, message.ageMs)
+
+
 def _state_fields(state: TableState) -> dict[str, Any]:
     position = state.last_change_position
     age_ms = (
@@ -626,4 +698,8 @@
             for records in _accepted(_stream_records, message.streams)
             for record in records
         ),
+        takes_changes=message.takesChanges,
+        configuration_version=checked_values.count(message.configurationVersion)
+        or None,
+        configuration_age_ms=_decoded_age_ms(message.configurationAgeMs),
     )
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -176,6 +176,32 @@
   # Servers that refused a connection of the reporting gateway, for earlier releases.
   refused @17 :List(Incarnation);
   liveness @18 :List(Liveness);
+  # Whether the gateway takes changes of tables; earlier releases fetch all rows.
+  takesChanges @19 :Bool;
+  # Version of the configuration in force, 0 for none, and the time since the first
+  # gateway had it.
+  configurationVersion @20 :UInt64;
+  configurationAgeMs @21 :UInt32 = 0xffffffff;
+}
+
+struct ChangedRow {
+  key @0 :Text;
+  version @1 :UInt64;
+  isRemoved @2 :Bool;
+  hasBase @3 :Bool;
+  baseVersion @4 :UInt64;
+  content @5 :Data;
+}
+
+# Significant rows of a table after previousVersion up to version, all of one era.
+struct TableChange {
+  table @0 :Text;
+  era @1 :UInt16;
+  previousVersion @2 :UInt64;
+  version @3 :UInt64;
+  # Time since the first gateway had it.
+  ageMs @4 :UInt32;
+  rows @5 :List(ChangedRow);
 }
 
 struct Datagram {
@@ -183,5 +209,6 @@
     report @0 :Report;
     loadChange @1 :LoadChange;
     permits @2 :Permits;
+    tableChange @3 :TableChange;
   }
 }
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -74,6 +74,9 @@
 ROWS_TIMEOUT_MS: Final = 1_000
 """Limit of a call to a peer for the rows of a table."""
 
+MAX_UNREAD_MS: Final = 200
+"""Time without a read of datagrams after which they are read before a request."""
+
 MAX_DOWNLOADS: Final = 3
 """Most calls for rows at the same time: one for each table."""
 
@@ -85,6 +88,7 @@
 
 ReportHandler = Callable[[peer_messages.Report], None]
 LoadChangeHandler = Callable[[peer_messages.LoadChange], None]
+TableChangeHandler = Callable[[peer_messages.TableChange], None]
 PermitHandler = Callable[[send_permits.PermitMessage], None]
 RowsReader = Callable[[tables.TableName], store_rows.Rows | None]
 
@@ -261,6 +265,22 @@
         ]
         return max((each for each in positions if each is not None), default=None)
 
+    def positions(
+        self, table: tables.TableName, *, takes_changes: bool = False
+    ) -> dict[str, store_rows.Position | None]:
+        """Return the position of a table's last significant change by live peer.
+
+        Parameters
+        ----------
+        takes_changes : bool
+            Whether to leave out the peers that do not take changes.
+        """
+        return {
+            ip: _reported_position(self._report_by_ip[ip], table)
+            for ip in self.live_ips()
+            if self._report_by_ip[ip].takes_changes or not takes_changes
+        }
+
     def all_have(self, table: tables.TableName, position: store_rows.Position) -> bool:
         """Return whether all gateways that may be alive have a table up to a position.
 
@@ -364,6 +384,8 @@
         Handles a peer's change of load.
     handle_permits : callable
         Handles a peer's asks and grants of permits.
+    handle_table_change : callable
+        Handles a change of a table.
     """
 
     def __init__(
@@ -375,9 +397,11 @@
         handle_change: LoadChangeHandler,
         handle_permits: PermitHandler,
         clock: clocks.Clock,
+        handle_table_change: TableChangeHandler = lambda _change: None,
     ) -> None:
         self._own_settings = own_settings
         self._handle_permits = handle_permits
+        self._handle_table_change = handle_table_change
         self._peers = peer_directory
         self._make_report = make_report
         self._handle_report = handle_report
@@ -423,6 +447,19 @@
         if ip is not None:
             self._send_to((ip,), peer_messages.encode_permits(permits))
 
+    def send_table_change(self, destinations: Iterable[str], datagram: bytes) -> None:
+        """Send an encoded change of a table to peers."""
+        self._send_to(destinations, datagram)
+
+    def receive_waiting(self) -> None:
+        """Handle the datagrams that have arrived, if the loop has not for some time.
+
+        A late event loop may read a caller's request before the datagrams that arrived
+        earlier.
+        """
+        if self._clock.now_ms() - self._emptied_ms > MAX_UNREAD_MS:
+            self._receive(self._socket, 0)
+
     def _send_to(self, destinations: Iterable[str], datagram: bytes) -> None:
         for ip in destinations:
             try:
@@ -454,6 +491,9 @@
             if isinstance(message, send_permits.PermitMessage):
                 self._handle_permits(message)
                 continue
+            if isinstance(message, peer_messages.TableChange):
+                self._handle_table_change(message)
+                continue
             # It may have waited since the socket was empty.
             self._peers.record_report(ip, message, self._emptied_ms)
             self._handle_report(message)
--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -4,13 +4,16 @@
 applied; an invalid entry of a server counts as removed.
 """
 
+from collections.abc import Callable
 from typing import Final
 
 from quincecrank import checked_values, ids, store_rows
 from quincecrank.gateway import (
     crash_monitor,
     decision_log,
+    deployment,
     fleet_state,
+    followers,
     member_registration,
     order_lease,
     peers,
@@ -27,20 +30,33 @@
 class OperatorRowConsumer:
     """Applies the operator's configuration and the target weights."""
 
-    def __init__(self, fleet: fleet_state.FleetState) -> None:
+    def __init__(
+        self,
+        fleet: fleet_state.FleetState,
+        observe_delay: Callable[[str, int], None] = lambda _origin, _delay_ms: None,
+    ) -> None:
         self._fleet = fleet
+        self._observe_delay = observe_delay
         self._has_read = False
+        self._read_version: int | None = None
 
-    def apply_snapshot(self, snapshot: store_rows.Rows) -> None:
+    def apply_snapshot(
+        self, snapshot: store_rows.Rows, arrival: followers.Arrival | None = None
+    ) -> None:
         """Apply a snapshot of the table."""
-        self.apply_changes(snapshot.rows)
+        self._read_version = None
+        self.apply_changes(snapshot.rows, arrival)
         self._has_read = True
 
-    def apply_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
+    def apply_changes(
+        self,
+        rows: tuple[store_rows.Row, ...],
+        arrival: followers.Arrival | None = None,
+    ) -> tuple[store_rows.Row, ...]:
         """Apply changed rows; every row that an operator writes is significant."""
         for row in rows:
             try:
-                self._apply(row)
+                self._apply(row, arrival)
             except documents.DocumentError as error:
                 _LOG.error(
                     "invalid row ignored",
@@ -51,18 +67,42 @@
             except Exception:
                 # The other rows are applied all the same.
                 _LOG.exception("row not applied", table="operator", key=_shown_key(row))
-        return bool(rows)
+        return rows
+
+    def handle_store_answer(self, asked_ms: int) -> None:
+        """Record which configuration the store had when it was asked, or later."""
+        self._fleet.currency.record_store_read(self._read_version, asked_ms)
 
-    def _apply(self, row: store_rows.Row) -> None:
+    def _apply(self, row: store_rows.Row, arrival: followers.Arrival | None) -> None:
         update = row_updates.operator_update(row)
         if isinstance(update, weights.TargetWeights):
             self._record_target(update, row)
-        elif update is not None and self._fleet.apply_configuration(update):
-            _LOG.info(
-                "configuration in force",
-                version=update.version,
-                row=row.position.number,
-            )
+        elif update is not None:
+            self._read_version = update.version
+            self._put_in_force(update, row, arrival)
+
+    def _put_in_force(
+        self,
+        update: deployment.Deployment,
+        row: store_rows.Row,
+        arrival: followers.Arrival | None,
+    ) -> None:
+        origin = followers.STORE if arrival is None else arrival.origin
+        known_ms = None if arrival is None else arrival.known_ms
+        previous = self._fleet.currency.version
+        if not self._fleet.apply_configuration(update, known_ms):
+            return
+        delay_ms = self._fleet.currency.delay_ms
+        _LOG.info(
+            "configuration in force",
+            version=update.version,
+            previous=previous,
+            row=row.position.number,
+            origin=origin,
+            delay_ms=delay_ms,
+        )
+        if delay_ms is not None:
+            self._observe_delay(origin, delay_ms)
 
     def handle_store_unavailable(self) -> None:
         """Do nothing: the operator's settings stay in force."""
@@ -96,7 +136,9 @@
     def __init__(self, fleet: fleet_state.FleetState) -> None:
         self._fleet = fleet
 
-    def apply_snapshot(self, snapshot: store_rows.Rows) -> None:
+    def apply_snapshot(
+        self, snapshot: store_rows.Rows, arrival: followers.Arrival | None = None
+    ) -> None:
         """Apply a snapshot of all entries; remove servers without an entry."""
         now_ms = self._fleet.clock.now_ms()
         present = [servers.ServerId(row.key) for row in snapshot.rows]
@@ -106,21 +148,27 @@
         self._apply_rows(snapshot.rows, is_from_feed=False)
         self._fleet.mark_servers_read()
 
-    def apply_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
+    def apply_changes(
+        self,
+        rows: tuple[store_rows.Row, ...],
+        arrival: followers.Arrival | None = None,
+    ) -> tuple[store_rows.Row, ...]:
         """Apply changed and removed entries; a heartbeat alone is not significant."""
-        return self._apply_rows(rows, is_from_feed=True)
+        is_from_feed = arrival is None or arrival.origin == followers.STORE
+        return self._apply_rows(rows, is_from_feed=is_from_feed)
 
     def _apply_rows(
         self, rows: tuple[store_rows.Row, ...], *, is_from_feed: bool
-    ) -> bool:
-        is_significant = False
+    ) -> tuple[store_rows.Row, ...]:
+        significant = []
         for row in rows:
             try:
-                is_significant |= self._apply(row, is_from_feed=is_from_feed)
+                if self._apply(row, is_from_feed=is_from_feed):
+                    significant.append(row)
             except Exception:
                 # The other rows are applied all the same.
                 _LOG.exception("row not applied", table="servers", key=_shown_key(row))
-        return is_significant
+        return tuple(significant)
 
     def _apply(self, row: store_rows.Row, *, is_from_feed: bool) -> bool:
         try:
@@ -230,7 +278,9 @@
         has_row = row is not None and not row.is_removed and row.text == member.ip
         return self._full_era > member.written.era and not has_row
 
-    def apply_snapshot(self, snapshot: store_rows.Rows) -> None:
+    def apply_snapshot(
+        self, snapshot: store_rows.Rows, arrival: followers.Arrival | None = None
+    ) -> None:
         """Apply a snapshot of all members."""
         self._row_by_key = {}
         self._member_by_key = {}
@@ -243,7 +293,11 @@
             self._target_times.handle_full_read(snapshot.position.era)
         self.apply_changes(snapshot.rows)
 
-    def apply_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
+    def apply_changes(
+        self,
+        rows: tuple[store_rows.Row, ...],
+        arrival: followers.Arrival | None = None,
+    ) -> tuple[store_rows.Row, ...]:
         """Apply changed rows; every change of this table is significant."""
         self._row_by_key.update({row.key: row for row in rows})
         for row in rows:
@@ -258,7 +312,7 @@
             self._version_exchange.apply_rows(rows)
         if self._target_times is not None:
             self._target_times.apply_rows(rows)
-        return bool(rows)
+        return rows
 
     def _apply_member(self, row: store_rows.Row) -> None:
         self._member_by_key.pop(row.key, None)
--- a/quincecrank/platform/settings.py
+++ b/quincecrank/platform/settings.py
@@ -2,12 +2,15 @@
 
 import os
 import pathlib
-from typing import Any
+from typing import Any, Final
 
 from quincecrank import clock, ids, json_text
 from quincecrank.gateway import environment
 from quincecrank.platform import names
 
+DEFAULT_CONFIGURATION_APPLY_MS: Final = 2_000
+"""Time within which a configuration must be in force where the settings name none."""
+
 
 class SettingsError(Exception):
     """The settings are missing, unreadable, or have a missing or malformed field."""
@@ -79,6 +82,9 @@
     return environment.Bounds(
         shutdown_grace_ms=int(document["graceS"] * clock.MS_PER_SECOND),
         drain_ms=int(document["drainMs"]),
+        configuration_apply_ms=int(
+            document.get("configApplyMs", DEFAULT_CONFIGURATION_APPLY_MS)
+        ),
         order_lease_ms=int(document["leaseMs"]),
         weights_deadline_ms=int(document["versionMs"]),
         retry_ratio=float(document["retryBudgetRatio"]),
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -36,6 +36,7 @@
     values: dict[str, Any] = {
         "shutdown_grace_ms": 8_000,
         "drain_ms": 2_000,
+        "configuration_apply_ms": 2_000,
         "order_lease_ms": 3_000,
         "weights_deadline_ms": 8_000,
         "retry_ratio": 0.2,
--- a/tests/test_gateway_followers.py
+++ b/tests/test_gateway_followers.py
@@ -97,12 +97,18 @@
         self.outages_ms: list[int] = []
         self.is_significant = True
 
-    def apply_snapshot(self, snapshot: store_rows.Rows) -> None:
+    def apply_snapshot(
+        self, snapshot: store_rows.Rows, _arrival: followers.Arrival | None = None
+    ) -> None:
         self.calls.append(("all", tuple(row.key for row in snapshot.rows)))
 
-    def apply_changes(self, rows: tuple[store_rows.Row, ...]) -> bool:
+    def apply_changes(
+        self,
+        rows: tuple[store_rows.Row, ...],
+        _arrival: followers.Arrival | None = None,
+    ) -> tuple[store_rows.Row, ...]:
         self.calls.append(("changes", tuple(row.key for row in rows)))
-        return self.is_significant
+        return rows if self.is_significant else ()
 
     def handle_store_unavailable(self) -> None:
         self.calls.append(("lost", ()))
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -25,6 +25,7 @@
     crash_monitor,
     deployment,
     dispatcher,
+    followers,
     loads,
     main,
     order_lease,
@@ -74,8 +75,10 @@
     gateway = main.Gateway(builders.make_environment(), clocks.SystemClock())
     follower = gateway._followers_by_table[table]
     with mock.patch.object(gateway._reporter, "send"):
-        follower._replace(stored.make_rows(1, *rows[::2]), "store")
-        follower._apply_changes(stored.make_rows(9_999, *rows[1::2]))
+        follower._replace(
+            stored.make_rows(1, *rows[::2]), followers.Arrival("store", 0, None)
+        )
+        follower._apply_changes(stored.make_rows(9_999, *rows[1::2]), 0)
     return gateway
 
 
@@ -244,7 +247,9 @@
             row = stored.make_row(target_times.ROW_KEY, text, 1)
             follower = gateway._followers_by_table[tables.TableName.MEMBERS]
             with mock.patch.object(gateway._reporter, "send"):
-                follower._replace(stored.make_rows(1, row), "store")
+                follower._replace(
+                    stored.make_rows(1, row), followers.Arrival("store", 0, None)
+                )
             write = mock.AsyncMock(
                 return_value=store_rows.WriteResult(True, stored.at(2))
             )
@@ -290,7 +295,7 @@
             gateway = applied(tables.TableName.MEMBERS)
             with sound_log(self), mock.patch.object(gateway._reporter, "send"):
                 for follower in gateway._followers_by_table.values():
-                    follower._replace(rows, "peer")
+                    follower._replace(rows, followers.Arrival("peer", 0, None))
             exchange_reports(gateway)
 
     @odd.REPRODUCIBLE
--- a/tests/test_rate_limited_requests.py
+++ b/tests/test_rate_limited_requests.py
@@ -147,8 +147,9 @@
         earlier = "\n".join(
             line
             for line in lines.splitlines()
-            if not any(f"@{number} " in line for number in range(11, 19))
+            if not any(f"@{number} " in line for number in range(11, 22))
             and "permits @2" not in line
+            and "tableChange @3" not in line
         )
         folder = cls.enterClassContext(tempfile.TemporaryDirectory())
         earlier_path = pathlib.Path(folder, "earlier.capnp")
@@ -182,6 +183,8 @@
             ),
             refused=(incarnation,),
             liveness=(server_liveness.Evidence(incarnation, 5, None),),
+            configuration_version=9,
+            configuration_age_ms=40,
         )
         encoded = peer_messages.encode(report)
         self.assertEqual(peer_messages.decode(encoded), report)
@@ -195,6 +198,8 @@
         read = peer_messages.decode(bytes(message.to_bytes_packed()))
         assert isinstance(read, peer_messages.Report)
         self.assertFalse(read.issues_permits)
+        self.assertFalse(read.takes_changes)
+        self.assertIsNone(read.configuration_version)
         self.assertEqual(read.limit_states, ())
 
     def test_permits_are_decoded_as_they_were_encoded(self) -> None:
