Answer by a configuration only while no newer one is known

What callers saw: 404 by configuration 12 from a gateway whose peers had reported 15 for 7 s.

Cause: a gateway knew from each report that it was behind, and served on. Besides, a late loop may read a request before the datagrams that arrived earlier.

Change: from half of the time within which changes must apply on, counted from the first gateway that had the newer version, requests are rejected as not run and their connections closed, and the gateway is not ready: others have the version. Reports of gateways that fell silent don't count, nor does a version that the store was read without since (a restore undid it). A route or key is called unknown only if the store had no newer configuration within that time; else the answer is 503. Before a request is read, waiting datagrams are, if the loop has not for 200 ms.

Tests: test_configuration_currency; before, 404 in each of its cases.

--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -56,6 +56,10 @@
 NOT_READY_RETRY_MS: Final = 500
 """Retry-after time while the configuration or the backend servers are not known."""
 
+OUTDATED_RETRY_MS: Final = 50
+"""Retry-after time while the configuration is outdated: another gateway can serve the
+request at once."""
+
 LEAVING_REASON: Final = "leaving"
 LEAVING_RETRY_MS: Final = 50
 """Retry-after time while this gateway shuts down; another one can serve the request
@@ -274,6 +278,7 @@
         Requests are rejected here for bad headers, missing fleet state, or an unknown
         route, API key or service.
         """
+        self._fleet.receive_waiting()
         current = self._fleet.configuration
         try:
             caller_headers = requests.decode(request.headers)
@@ -295,13 +300,18 @@
                 answer, caller_headers.request_id, 503, "not ready", NOT_READY_RETRY_MS
             )
             return None
+        if not self._fleet.currency.may_serve(self._clock.now_ms()):
+            self._reject_outdated(
+                answer, caller_headers.request_id, "configuration outdated"
+            )
+            return None
         route = current.find_route(caller_headers.host, request.path)
         if route is None:
-            self._send_own_answer(answer, caller_headers.request_id, 404, "no route")
+            self._refuse(answer, caller_headers.request_id, 404, "no route")
             return None
         account = current.find_account(caller_headers.api_key)
         if account is None and current.requires_keys and not route.is_public:
-            self._send_own_answer(answer, caller_headers.request_id, 401, "unknown key")
+            self._refuse(answer, caller_headers.request_id, 401, "unknown key")
             return None
         stream = _stream_key(route, caller_headers, account)
         service = self._draw_service(current, route, stream)
@@ -1258,6 +1268,22 @@
                 reason,
             )
 
+    def _refuse(
+        self, answer: callers.CallerAnswer, request_id: str, status: int, reason: str
+    ) -> None:
+        """Refuse a route or key that the configuration lacks, unless it may be old."""
+        if self._fleet.currency.may_refuse(self._fleet.confirmed_age_ms()):
+            self._send_own_answer(answer, request_id, status, reason)
+        else:
+            self._reject_outdated(answer, request_id, "configuration not confirmed")
+
+    def _reject_outdated(
+        self, answer: callers.CallerAnswer, request_id: str, reason: str
+    ) -> None:
+        """Reject a request as not run, and have its caller turn to another gateway."""
+        answer.closes_connection = True
+        self._send_own_answer(answer, request_id, 503, reason, OUTDATED_RETRY_MS)
+
     def _send_own_answer(
         self,
         answer: callers.CallerAnswer,
