Push what a full read changes, and publish nothing if it changed nothing

Change: a full read that changes no row leaves the published position as it is; one that changes up to 16 rows pushes the difference like any change. The line 'configuration in force' also says how long the change may have waited unread, which the metric of the delay includes.

--- a/quincecrank/gateway/change_delivery.py
+++ b/quincecrank/gateway/change_delivery.py
@@ -112,10 +112,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AgedChange:
-    """A change, and when the first gateway had it as far as is known here."""
+    """A change, and when the first gateway had it as far as is known here.
+
+    Attributes
+    ----------
+    unread_ms : int
+        Longest time for which the change may have waited here unread.
+    """
 
     change: Change
     known_ms: int
+    unread_ms: int = 0
 
 
 def encode_row(row: store_rows.Row, base: store_rows.Row | None) -> ChangedRow:
--- a/quincecrank/gateway/followers.py
+++ b/quincecrank/gateway/followers.py
@@ -45,6 +45,9 @@
 MAX_BEHIND_MS: Final = 600
 """Time behind its peers after which a gateway reads the store itself."""
 
+MAX_PUSHED_ROWS: Final = 16
+"""Most rows that a full read may have changed for its difference to be pushed."""
+
 FAILURES_TO_FULL_READ: Final = 3
 """A full read is tried after every so many failed calls for changes.  It comes in
 pages; the changes of a long outage may exceed the size limit of a single answer."""
@@ -91,11 +94,14 @@
         Time at which the store was asked; for other origins that of the arrival.
     known_ms : int or None
         Time at which the first gateway had the rows; None if it is not known.
+    unread_ms : int
+        Longest time for which the rows may have waited here unread.
     """
 
     origin: str
     asked_ms: int
     known_ms: int | None
+    unread_ms: int = 0
 
 
 class RowConsumer(Protocol):
@@ -397,14 +403,28 @@
             era=snapshot.position.era,
             version=snapshot.position.version,
         )
+        last_change = snapshot.last_change or snapshot.position
+        if self._has_same_rows(rows_by_key):
+            # As after a loss of the change history; peers have nothing to fetch.
+            last_change = self.last_change_position or last_change
+        rows_before = self._rows_by_key
+        follows = (
+            self.position is not None and self.position.era == snapshot.position.era
+        )
         self._rows_by_key = rows_by_key
         self._rows = None
         self.position = self._full_position = snapshot.position
         self.delivery.forget()
         self._consumer.apply_snapshot(snapshot, arrival)
         self._progress.record_full_read(self._table, snapshot.position.era, missing)
+        if follows and arrival.origin == STORE:
+            self._push_difference(rows_before, snapshot.position)
         # Peers that have this change already do not fetch the rows again.
-        self._publish_change(snapshot.last_change or snapshot.position)
+        self._publish_change(last_change)
+
+    def _has_same_rows(self, rows_by_key: dict[str, store_rows.Row]) -> bool:
+        """Return whether rows are those held here, at the same positions."""
+        return self._full_position is not None and rows_by_key == self._rows_by_key
 
     def _apply_pushed(self, aged: change_delivery.AgedChange) -> bool:
         """Apply a change that follows the present rows; return whether it did."""
@@ -426,7 +446,8 @@
         self.last_change_position = change.position
         now_ms = self._clock.now_ms()
         if rows:
-            self._consumer.apply_changes(rows, Arrival(PUSH, now_ms, aged.known_ms))
+            arrival = Arrival(PUSH, now_ms, aged.known_ms, aged.unread_ms)
+            self._consumer.apply_changes(rows, arrival)
         self.delivery.record(aged, now_ms)
         # Reports at the usual interval tell the peers.
         return True
@@ -459,6 +480,21 @@
             self._push_change(significant, base_by_key, now_ms)
             self._publish_change(self.position)
 
+    def _push_difference(
+        self, rows_before: dict[str, store_rows.Row], position: store_rows.Position
+    ) -> None:
+        """Push what a full read changed, if that is not most of the table."""
+        changed = [
+            row for key, row in self._rows_by_key.items() if row != rows_before.get(key)
+        ]
+        changed += [
+            store_rows.Row(key, "", position, is_removed=True)
+            for key in rows_before.keys() - self._rows_by_key.keys()
+        ]
+        if 0 < len(changed) <= MAX_PUSHED_ROWS:
+            base_by_key = {row.key: rows_before.get(row.key) for row in changed}
+            self._push_change(tuple(changed), base_by_key, self._clock.now_ms())
+
     def _push_change(
         self,
         rows: tuple[store_rows.Row, ...],
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -474,14 +474,16 @@
             peer_messages.TableChange(aged.change, age_ms)
         )
 
-    def _apply_table_change(self, table_change: peer_messages.TableChange) -> None:
+    def _apply_table_change(
+        self, table_change: peer_messages.TableChange, unread_ms: int
+    ) -> None:
         change = table_change.change
         follower = self._followers_by_table.get(change.table)
         if follower is None or not self._era.observe(change.position.era):
             return
         known_ms = self._clock.now_ms() - table_change.age_ms
         self._metrics.table_changes.labels(change.table.value, "received").inc()
-        follower.apply_pushed(change_delivery.AgedChange(change, known_ms))
+        follower.apply_pushed(change_delivery.AgedChange(change, known_ms, unread_ms))
 
     async def _run_repeats(self) -> None:
         """Send peers the changes that they lack; never returns."""
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -95,7 +95,7 @@
 
 ReportHandler = Callable[[peer_messages.Report], None]
 LoadChangeHandler = Callable[[peer_messages.LoadChange], None]
-TableChangeHandler = Callable[[peer_messages.TableChange], None]
+TableChangeHandler = Callable[[peer_messages.TableChange, int], None]
 PermitHandler = Callable[[send_permits.PermitMessage], None]
 RowsReader = Callable[[tables.TableName], store_rows.Rows | None]
 
@@ -392,7 +392,8 @@
     handle_permits : callable
         Handles a peer's asks and grants of permits.
     handle_table_change : callable
-        Handles a change of a table.
+        Handles a change of a table; its second argument is the longest time in
+        milliseconds for which the datagram may have waited.
     """
 
     def __init__(
@@ -404,7 +405,7 @@
         handle_change: LoadChangeHandler,
         handle_permits: PermitHandler,
         clock: clocks.Clock,
-        handle_table_change: TableChangeHandler = lambda _change: None,
+        handle_table_change: TableChangeHandler = lambda _change, _unread_ms: None,
     ) -> None:
         self._own_settings = own_settings
         self._handle_permits = handle_permits
@@ -499,7 +500,7 @@
                 self._handle_permits(message)
                 continue
             if isinstance(message, peer_messages.TableChange):
-                self._handle_table_change(message)
+                self._handle_table_change(message, now_ms - self._emptied_ms)
                 continue
             # It may have waited since the socket was empty.
             self._peers.record_report(ip, message, self._emptied_ms)
--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -90,6 +90,7 @@
     ) -> None:
         origin = followers.STORE if arrival is None else arrival.origin
         known_ms = None if arrival is None else arrival.known_ms
+        unread_ms = 0 if arrival is None else arrival.unread_ms
         previous = self._fleet.currency.version
         if not self._fleet.apply_configuration(update, known_ms):
             return
@@ -101,9 +102,10 @@
             row=row.position.number,
             origin=origin,
             delay_ms=delay_ms,
+            unread_ms=unread_ms,
         )
         if delay_ms is not None:
-            self._observe_delay(origin, delay_ms)
+            self._observe_delay(origin, delay_ms + unread_ms)
 
     def handle_store_unavailable(self) -> None:
         """Do nothing: the operator's settings stay in force."""
--- a/tests/test_change_delivery.py
+++ b/tests/test_change_delivery.py
@@ -5,6 +5,7 @@
 import socket
 import time
 import unittest
+from typing import Any
 
 from quincecrank import clock as clocks
 from quincecrank import ids, store_era, store_rows, text_delta
@@ -272,6 +273,30 @@
         self.assertEqual(self.follower.position, stored.at(40))
         self.assertEqual(self.follower.last_change_position, stored.at(12))
 
+    def test_a_lost_history_made_all_peers_fetch_the_rows(self) -> None:
+        """A full read published its position although no row had changed."""
+        self.replace(30, self.first)
+        self.assertEqual(self.follower.position, stored.at(30))
+        self.assertEqual(self.follower.last_change_position, stored.at(10))
+        self.replace(40, make_row("{a{c", 35))
+        self.assertEqual(self.follower.last_change_position, stored.at(40))
+
+    def test_changes_in_a_lost_history_are_pushed(self) -> None:
+        """They reached the other gateways by a fetch of each of them only."""
+        pushed: list[change_delivery.AgedChange] = []
+        self.follower._push = pushed.append
+        self.replace(20, self.first, make_row("{t", 15, "targets"))
+        self.replace(30, make_row("{a{c", 25))
+        self.replace(40, make_row("{a{c", 25))
+        other = PushedChangeTest()
+        other.setUp()
+        for aged in pushed:
+            other.follower.apply_pushed(aged)
+        self.assertEqual(len(pushed), 2)
+        self.assertEqual(other.follower.position, stored.at(30))
+        assert other.follower.rows is not None
+        self.assertEqual(other.follower.rows.rows, (make_row("{a{c", 25),))
+
     def test_rows_are_encoded_once_for_all_peers(self) -> None:
         documents = peers.RowsDocuments()
 
@@ -315,7 +340,7 @@
         self,
     ) -> None:
         """A late loop may reach a request before a datagram that arrived earlier."""
-        received: list[object] = []
+        received: list[Any] = []
         own_settings = builders.make_environment(peer_port=free_port())
         clock = clocks.SystemClock()
         reporter = peers.PeerReporter(
@@ -326,7 +351,7 @@
             received.append,
             received.append,
             clock,
-            received.append,
+            lambda change, unread_ms: received.append((change, unread_ms)),
         )
         reporter.start()
         message = peer_messages.TableChange(make_change(1, 2, "x").change, 0)
@@ -337,4 +362,6 @@
         # The event loop does not run meanwhile.
         time.sleep(2 * peers.MAX_UNREAD_MS / clocks.MS_PER_SECOND)
         reporter.receive_waiting()
-        self.assertEqual(received, [message])
+        ((change, unread_ms),) = received
+        self.assertEqual(change, message)
+        self.assertGreaterEqual(unread_ms, 2 * peers.MAX_UNREAD_MS)
