Soak of configuration changes on real processes

Versions of every kind in series (moves, splits, time limits, accounts, idle limits, added and removed routes, revoked keys, hundreds of routes, malformed ones), while gateways, mostly readers of the configuration, are killed, shut down, suspended, cut off or refused by the store, or get its answers late, others start, and some run a part of the time only. The checker uses the rule's words: late, older, invalid, not served.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -50,6 +50,8 @@
     ----------
     delay_ms : int
         Delay of each chunk of bytes.
+    is_refusing : bool
+        Whether new connections are reset.
     accepted : int
         Number of connections accepted so far.
     relayed_bytes : int
@@ -59,6 +61,7 @@
     def __init__(self, target_port: int) -> None:
         self.port = 0
         self.delay_ms = 0
+        self.is_refusing = False
         self.accepted = 0
         self.relayed_bytes = 0
         self._target_port = target_port
@@ -115,6 +118,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.accepted += 1
+        if self.is_refusing:
+            writer.transport.abort()
+            return
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
--- a/tests/fleet_relays.py
+++ b/tests/fleet_relays.py
@@ -45,6 +45,11 @@
         self._run_in_loop(self._relay.heal)
         self._run_in_loop(self._relay.cut)
 
+    def refuse(self, *, is_refusing: bool) -> None:
+        """Reset the open connections, and new ones until told otherwise."""
+        self._relay.is_refusing = is_refusing
+        self._run_in_loop(self._relay.cut)
+
     def delay(self, delay_ms: int) -> None:
         """Delay every chunk of bytes."""
         self._relay.delay_ms = delay_ms
--- a/tests/run_mutations.py
+++ b/tests/run_mutations.py
@@ -27,6 +27,9 @@
     f"{_SHUTDOWNS}.test_requests_at_gateways_that_shut_down_were_lost"
 )
 _RESOURCES: Final = "tests.process_resources.ResourcesTest"
+_CONFIGURATION_CHANGES: Final = (
+    "tests.process_configuration_changes.ConfigurationChangesTest"
+)
 _EXPLORER: Final = "tests.process_explorer.ExplorerTest"
 
 TESTS: Final = (
@@ -95,6 +98,21 @@
         "tests.process_removals.RemovalsTest"
         ".test_removals_long_after_an_outage_were_taken_for_expiries",
     ),
+    (
+        "ignore-peers-changes",
+        f"{_CONFIGURATION_CHANGES}"
+        ".test_confirmed_configurations_were_not_in_force_in_time",
+    ),
+    (
+        "return-to-older-versions",
+        f"{_CONFIGURATION_CHANGES}"
+        ".test_confirmed_configurations_were_not_in_force_in_time",
+    ),
+    (
+        "accept-malformed-configurations",
+        f"{_CONFIGURATION_CHANGES}"
+        ".test_confirmed_configurations_were_not_in_force_in_time",
+    ),
     (
         "notice-signals-late",
         f"{_SHUTDOWNS}.test_gateways_did_not_end_within_the_grace_time",
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -44,9 +44,11 @@
 from quincecrank.gateway import (
     byte_budget,
     callers,
+    configuration_currency,
     connection_budget,
     crash_findings,
     crash_suspicions,
+    fleet_state,
     followers,
     forwarding,
     servers,
@@ -56,6 +58,10 @@
 from quincecrank.platform import documents, requests
 from standins import engine_scheduler, plain_service
 
+_LIMITS: Final = (
+    "maxHeaderBytes", "maxBodyBytes", "headerTimeoutMs", "idleTimeoutMs",
+)  # fmt: skip
+
 _REQUEST_ID: Final = contextvars.ContextVar("request_id", default="")
 
 
@@ -476,6 +482,55 @@
     _replace(tasks, "keep_running", mutated)
 
 
+def ignore_peers_changes() -> None:
+    """Make gateways serve on whatever newer configuration their peers have."""
+    follower = followers.TableFollower
+    _replace(follower, "apply_pushed", lambda self, aged: None)
+
+    async def mutated(self: Any) -> None:
+        await asyncio.Event().wait()
+
+    _replace(follower, "run_from_peers", mutated)
+    currency = configuration_currency.ConfigurationCurrency
+    _replace(currency, "may_serve", lambda self, now_ms: True)
+    _replace(currency, "newer_since_ms", lambda self, now_ms: None)
+
+
+def return_to_older_versions() -> None:
+    """Make gateways return to the configuration before for a moment, after a second."""
+    state = fleet_state.FleetState
+    apply_configuration = state.apply_configuration
+
+    def mutated(self: Any, update: Any, known_ms: int | None = None) -> bool:
+        before = self.configuration
+
+        def put_in_force(configuration: Any) -> None:
+            self.configuration = configuration
+
+        is_applied = apply_configuration(self, update, known_ms)
+        if is_applied and before is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(1.0, put_in_force, before)
+            loop.call_later(1.5, put_in_force, update)
+        return is_applied
+
+    _replace(state, "apply_configuration", mutated)
+
+
+def accept_malformed_configurations() -> None:
+    """Make gateways fill what a malformed configuration lacks."""
+    decoder = documents.ConfigurationDecoder
+    decode = decoder.decode
+
+    def mutated(self: Any, text: str) -> Any:
+        document = json.loads(text)
+        document.setdefault("limits", dict.fromkeys(_LIMITS, 16_384))
+        document["services"] = document["services"] or []
+        return decode(self, json.dumps(document))
+
+    _replace(decoder, "decode", mutated)
+
+
 MUTATIONS_BY_NAME: Final[dict[str, Callable[[], None]]] = {
     "claim-what-is-taken": claim_what_is_taken,
     "say-not-run": say_not_run,
@@ -509,6 +564,9 @@
     "forget-regained-stores": forget_regained_stores,
     "notice-signals-late": notice_signals_late,
     "ignore-cancellations": ignore_cancellations,
+    "ignore-peers-changes": ignore_peers_changes,
+    "return-to-older-versions": return_to_older_versions,
+    "accept-malformed-configurations": accept_malformed_configurations,
 }
 
 
