Read tables at gateways that run in time, and allow for the own lateness in calls

The three readers of a table were the first in a ranking, however late their event loops ran; what they read reached all gateways as late.

Change: reports say whether the loop has run late by .3 s within 3 s; such gateways read only where there are no others. The limits of calls to the store are extended by the lateness, up to 2 s.

Tests in test_starved_gateway; before, the first ranked read whatever they reported.

--- a/quincecrank/gateway/followers.py
+++ b/quincecrank/gateway/followers.py
@@ -337,7 +337,7 @@
         return age_ms is None or age_ms > self._intervals.max_age_ms
 
     def _is_reader(self) -> bool:
-        return self._peers.own_name in self._peers.first_ranked(
+        return self._peers.own_name in self._peers.readers(
             self._table.value, READERS_PER_TABLE
         )
 
--- a/quincecrank/gateway/loop_monitor.py
+++ b/quincecrank/gateway/loop_monitor.py
@@ -23,8 +23,8 @@
 RETENTION_MS: Final = 3_000
 """Time for which an observation counts."""
 
-LOGGED_LATENESS_MS: Final = 300
-"""Lateness from which an observation is logged."""
+LATE_MS: Final = 300
+"""Lateness from which an observation is logged, and the loop counts as late."""
 
 _LOG: Final = decision_log.logger("loop")
 
@@ -58,6 +58,11 @@
         overdue_ms = max(0, now_ms - self._due_ms)
         return max([overdue_ms, *(late_ms for _, late_ms in self._observations)])
 
+    @property
+    def is_late(self) -> bool:
+        """Whether the loop ran late by `LATE_MS` within `RETENTION_MS`."""
+        return self.lateness_ms >= LATE_MS
+
     async def run(self) -> None:
         """Observe the loop until cancelled."""
         while True:
@@ -76,7 +81,7 @@
         if late_ms:
             self._observations.append((now_ms, late_ms))
         used_ns = time.process_time_ns()
-        if late_ms >= LOGGED_LATENESS_MS:
+        if late_ms >= LATE_MS:
             # Little processor time means that the process was not run.
             _LOG.warning(
                 "event loop late",
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -106,14 +106,20 @@
         self._crashes = crash_suspicions.CrashSuspicions(self._fleet.has_ended)
         self._era = store_era.StoreEra()
         self._store = gateway_tables.GatewayTables(
-            store.PlatformStore(own_settings.store.endpoint.url, era=self._era)
+            store.PlatformStore(
+                own_settings.store.endpoint.url,
+                era=self._era,
+                lateness_ms=lambda: self._loop_monitor.lateness_ms,
+            )
+        )
+        self._loop_monitor = loop_monitor.LoopMonitor(clock)
+        self._peers = peers.PeerDirectory(
+            own_settings, clock, self._era, lambda: self._loop_monitor.is_late
         )
-        self._peers = peers.PeerDirectory(own_settings, clock, self._era)
         self._dispatcher = dispatcher.Dispatcher(self._fleet, self._generator)
         self._forwarder = forwarding.Forwarder(
             self._fleet, self._dispatcher, self._crashes, self._metrics, self._generator
         )
-        self._loop_monitor = loop_monitor.LoopMonitor(clock)
         self._listener = callers.CallerListener(self._forwarder.handle, clock)
         self._listener.state.observe_close = self._observe_close
         self._listener.state.descriptor_budget = connection_budget.DescriptorBudget(
@@ -531,6 +537,7 @@
             configuration_age_ms=None
             if currency.known_ms is None
             else self._clock.now_ms() - currency.known_ms,
+            is_late=self._loop_monitor.is_late,
         )
         report = self._crash_monitor.complete_report(report)
         report = self._stream_versions.complete_report(report)
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -139,6 +139,8 @@
         Version of the configuration in force; None for none.
     configuration_age_ms : int or None
         Time since the first gateway had that version, if it is known.
+    is_late : bool
+        Whether the gateway's event loop runs late.
     """
 
     vm: ids.VmName
@@ -166,6 +168,7 @@
     takes_changes: bool = True
     configuration_version: int | None = None
     configuration_age_ms: int | None = None
+    is_late: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -260,6 +263,7 @@
         takesChanges=report.takes_changes,
         configurationVersion=max(0, report.configuration_version or 0),
         configurationAgeMs=_encoded_age_ms(report.configuration_age_ms),
+        isLate=report.is_late,
     )
     return bytes(message.to_bytes_packed())
 
@@ -702,4 +706,5 @@
         configuration_version=checked_values.count(message.configurationVersion)
         or None,
         configuration_age_ms=_decoded_age_ms(message.configurationAgeMs),
+        is_late=message.isLate,
     )
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -182,6 +182,8 @@
   # gateway had it.
   configurationVersion @20 :UInt64;
   configurationAgeMs @21 :UInt32 = 0xffffffff;
+  # Whether the event loop runs late, so that others should read the store.
+  isLate @22 :Bool;
 }
 
 struct ChangedRow {
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -110,6 +110,8 @@
     era : StoreEra
         Observes the eras in peers' reports, so that a gateway that is cut off from the
         store still detects that the store was restored.
+    is_late : callable
+        Returns whether the event loop of this gateway runs late.
     """
 
     def __init__(
@@ -117,7 +119,9 @@
         own_settings: environment.Environment,
         clock: clocks.Clock,
         era: store_era.StoreEra,
+        is_late: Callable[[], bool] = lambda: False,
     ) -> None:
+        self.is_late = is_late
         self._own_settings = own_settings
         self._clock = clock
         self._store_era = era
@@ -234,6 +238,24 @@
         gateways = (self._own_settings.vm, *self.live_members())
         return rendezvous.ranked(key, gateways, count)
 
+    def readers(self, key: str, count: int) -> tuple[ids.VmName, ...]:
+        """Return the gateways that read a table: the first ones in its ranking.
+
+        Those whose event loops run late come after all others: what they read would
+        reach all gateways late.
+        """
+        late = {
+            self._report_by_ip[ip].vm
+            for ip in self.live_ips()
+            if self._report_by_ip[ip].is_late
+        }
+        if self.is_late():
+            late.add(self.own_name)
+        gateways = (self.own_name, *self.live_members())
+        prompt = rendezvous.ranked(key, set(gateways) - late, count)
+        others = rendezvous.ranked(key, late.intersection(gateways), count)
+        return (*prompt, *others)[:count]
+
     def ip_of(self, member: ids.VmName) -> str | None:
         """Return the address of a live peer; None if it is not live."""
         for ip in self.live_ips():
--- a/quincecrank/platform/store.py
+++ b/quincecrank/platform/store.py
@@ -11,6 +11,7 @@
 import math
 import re
 import reprlib
+from collections.abc import Callable
 from typing import Any, Final
 from urllib import parse
 
@@ -33,6 +34,12 @@
 """About 250 times the usual answer time of 4 ms: four answers that each take sixty
 times as long."""
 
+ITERATIONS: Final = 4
+"""Iterations of the event loop between a call and its answer, about."""
+
+MAX_ALLOWANCE_MS: Final = 2_000
+"""Longest extension of a limit: an outage must be noticed all the same."""
+
 PAGE_ROWS: Final = 500
 """Rows in one answer; the store returns no more than this."""
 
@@ -86,6 +93,9 @@
         Time limit for opening a connection.
     era : StoreEra, optional
         Observes the era of every answer; a late answer of an earlier era is rejected.
+    lateness_ms : callable
+        Returns the lateness of the event loop, by which the limits are extended: the
+        store's answer may have arrived in time and wait for the loop.
     """
 
     def __init__(
@@ -94,7 +104,9 @@
         timeout_ms: int = CALL_TIMEOUT_MS,
         connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
         era: store_era.StoreEra | None = None,
+        lateness_ms: Callable[[], int] = lambda: 0,
     ) -> None:
+        self._lateness_ms = lateness_ms
         self._era = era or store_era.StoreEra()
         self._base = base_url.rstrip("/")
         self._timeout_ms = timeout_ms
@@ -203,8 +215,8 @@
         encoded = parse.urlencode(query, errors="surrogatepass")
         request = httpclient.HTTPRequest(
             f"{self._base}{path}?{encoded}",
-            connect_timeout=self._connect_timeout_ms / clock.MS_PER_SECOND,
-            request_timeout=timeout_ms / clock.MS_PER_SECOND,
+            connect_timeout=self._limit_s(self._connect_timeout_ms),
+            request_timeout=self._limit_s(timeout_ms),
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
@@ -219,8 +231,8 @@
             method="POST",
             headers={"Content-Type": "application/json"},
             body=json.dumps(document),
-            connect_timeout=self._connect_timeout_ms / clock.MS_PER_SECOND,
-            request_timeout=self._timeout_ms / clock.MS_PER_SECOND,
+            connect_timeout=self._limit_s(self._connect_timeout_ms),
+            request_timeout=self._limit_s(self._timeout_ms),
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
@@ -231,6 +243,11 @@
         era = self._observe_era(response, store_rows.OutcomeUnknownError)
         return _decode(response, {_OK, _PRECONDITION_FAILED}, era)
 
+    def _limit_s(self, limit_ms: int) -> float:
+        """Return a time limit in seconds, extended by the event loop's lateness."""
+        allowance_ms = min(self._lateness_ms() * ITERATIONS, MAX_ALLOWANCE_MS)
+        return (limit_ms + allowance_ms) / clock.MS_PER_SECOND
+
     def _check_condition(self, expected: store_rows.Position) -> None:
         current = self._era.current
         if expected.version and expected.era != current:
--- a/tests/test_starved_gateway.py
+++ b/tests/test_starved_gateway.py
@@ -9,6 +9,7 @@
 from quincecrank import clock as clocks
 from quincecrank import ids, store_era, store_rows
 from quincecrank.gateway import environment, peer_messages, peers, tables
+from quincecrank.platform import store
 from tests import builders_gateway as builders
 from tests import builders_store as stored
 
@@ -97,3 +98,63 @@
             starving.cancel()
         self.assertIsNotNone(rows)
         self.assertLess(time.monotonic() - began_s, APPLY_LIMIT_S)
+
+
+class ReadersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = clocks.ManualClock(1_000)
+        self.directory = peers.PeerDirectory(
+            builders.make_environment(), self.clock, store_era.StoreEra()
+        )
+
+    def report(self, number: int, *, is_late: bool) -> None:
+        report = peer_messages.Report(
+            ids.VmName(f"entry-{number}"), False, (), {}, is_late=is_late
+        )
+        self.directory.record_report(f"10.0.0.{number}", report)
+
+    def test_changes_waited_for_readers_whose_loops_ran_late(self) -> None:
+        """Whoever was ranked first read the table, however late it ran."""
+        for number in range(2, 9):
+            self.report(number, is_late=False)
+        before = self.directory.readers("operator", 3)
+        self.assertEqual(before, self.directory.first_ranked("operator", 3))
+        self.report(int(before[0].removeprefix("entry-")), is_late=True)
+        after = self.directory.readers("operator", 3)
+        self.assertEqual(after[:2], before[1:])
+        self.assertNotIn(before[0], after)
+
+    def test_late_gateways_read_where_there_are_no_others(self) -> None:
+        for number in range(2, 6):
+            self.report(number, is_late=True)
+        self.directory.is_late = lambda: True
+        readers = self.directory.readers("operator", 3)
+        self.assertEqual(readers, self.directory.first_ranked("operator", 3))
+        self.directory.is_late = lambda: False
+        self.assertEqual(self.directory.readers("operator", 3)[0], "entry-1")
+        self.assertEqual(len(self.directory.readers("operator", 3)), 3)
+
+
+class StarvedStoreCallTest(unittest.IsolatedAsyncioTestCase):
+    async def test_answers_of_the_store_came_too_late_at_a_starved_gateway(
+        self,
+    ) -> None:
+        """The limit of a call ended while its answer waited to be read."""
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(0.3)
+            body = b'{"rows": [], "rowVersion": 3}'
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode() + body)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        prompt = store.PlatformStore(url, timeout_ms=100)
+        with self.assertRaises(store_rows.StoreUnavailableError):
+            await prompt.read("op")
+        late = store.PlatformStore(url, timeout_ms=100, lateness_ms=lambda: 200)
+        self.assertEqual((await late.read("op")).position, stored.at(3))
+        server.close()
