Send short rows whole, and bound the reads of the store by gateways that are behind

Two limits of the push. A server's entry was sent as the difference from its last heartbeat, which only readers have, so other gateways could not apply a change of state (a removal or a start they could) and fetched the table. And a large change at 1,900 gateways made all that had been behind for .6 s read it from the store at once.

Change: rows of up to 1,000 characters are sent whole; 64 gateways on average read the store in .1 s because they are behind, all of them at 64 and fewer.

--- a/quincecrank/gateway/change_delivery.py
+++ b/quincecrank/gateway/change_delivery.py
@@ -18,7 +18,8 @@
     datagrams to all peers come to more than `MAX_PUSHED_BYTES` is not sent but fetched:
     at most `FETCHES_PER_SOURCE` gateways on average ask each peer that has it in
     `FETCH_INTERVAL_MS`, so that the number of those that have it grows by that factor,
-    and n gateways have it after log(n) intervals.
+    and n gateways have it after log(n) intervals.  Those that stay behind read the
+    store, `STORE_READS` in an interval.
 
 Terms
 -----
@@ -44,6 +45,9 @@
 """Most bytes of one change that a gateway sends to all peers: the slowest links carry
 1.2 MB a second."""
 
+MAX_WHOLE_CHARACTERS: Final = 1_000
+"""Longest text that is sent whole: more than the entry of a backend server has."""
+
 MAX_RECENT_CHANGES: Final = 32
 """Changes that are kept to be repeated; who lacks more of them fetches all rows."""
 
@@ -59,6 +63,10 @@
 MAX_REPEATED_PEERS: Final = 64
 """Peers to which one gateway repeats changes in an interval of reports."""
 
+STORE_READS: Final = 64.0
+"""Gateways that read the store in `FETCH_INTERVAL_MS` because they are behind their
+peers, on average."""
+
 FETCH_DELAY_MS: Final = 250
 """Time for which a gateway is behind its peers before it fetches their rows: pushes
 arrive with the report that shows it to be behind."""
@@ -126,7 +134,13 @@
 
 
 def encode_row(row: store_rows.Row, base: store_rows.Row | None) -> ChangedRow:
-    """Return a row as its difference from the earlier one."""
+    """Return a row as its difference from the earlier one.
+
+    Short rows are sent whole: the receiver may hold an earlier one than `base`, whose
+    change was not significant.
+    """
+    if base is not None and len(row.text) <= MAX_WHOLE_CHARACTERS:
+        base = None
     before = "" if base is None else base.text
     return ChangedRow(
         row.key,
@@ -261,6 +275,10 @@
         others = 1 + len(position_by_peer) - sources
         return self._generator.random() < FETCHES_PER_SOURCE * sources / others
 
+    def may_read_store(self, gateways: int) -> bool:
+        """Return whether a gateway that stays behind its peers reads the store now."""
+        return self._generator.random() < STORE_READS / gateways
+
     def _changes_after(self, position: store_rows.Position) -> tuple[AgedChange, ...]:
         """Return the changes that rows at a position lack, none unless all are kept."""
         missing = [each for each in self._recent if each.change.position > position]
--- a/quincecrank/gateway/followers.py
+++ b/quincecrank/gateway/followers.py
@@ -332,7 +332,7 @@
         now_ms = self._clock.now_ms()
         behind_since_ms = self._behind_since_ms
         if behind_since_ms is not None and now_ms - behind_since_ms > MAX_BEHIND_MS:
-            return True
+            return self.delivery.may_read_store(1 + len(self._peers.live_ips()))
         age_ms = self._peers.store_answer_age_ms(self._table)
         return age_ms is None or age_ms > self._intervals.max_age_ms
 
