--- a/quincecrank/gateway/change_delivery.py
+++ b/quincecrank/gateway/change_delivery.py
@@ -124,12 +124,15 @@
 
     Attributes
     ----------
+    source : str
+        Address of the peer that sent it; empty if it was read from the store.
     unread_ms : int
         Longest time for which the change may have waited here unread.
     """
 
     change: Change
     known_ms: int
+    source: str = ""
     unread_ms: int = 0
 
 
--- a/quincecrank/gateway/followers.py
+++ b/quincecrank/gateway/followers.py
@@ -94,6 +94,8 @@
         Time at which the store was asked; for other origins that of the arrival.
     known_ms : int or None
         Time at which the first gateway had the rows; None if it is not known.
+    source : str
+        Address of the peer that sent them; empty for the store.
     unread_ms : int
         Longest time for which the rows may have waited here unread.
     """
@@ -101,6 +103,7 @@
     origin: str
     asked_ms: int
     known_ms: int | None
+    source: str = ""
     unread_ms: int = 0
 
 
@@ -385,9 +388,12 @@
         self._handle_store_answer(sent_ms)
 
     async def _read_from_peer(self) -> None:
-        snapshot = await self._peers.fetch_rows(self._table)
-        if snapshot is not None and _is_newer(snapshot.position, self.position):
-            self._replace(snapshot, Arrival(PEER, self._clock.now_ms(), None))
+        fetched = await self._peers.fetch_rows(self._table)
+        if fetched is None:
+            return
+        snapshot, source = fetched
+        if _is_newer(snapshot.position, self.position):
+            self._replace(snapshot, Arrival(PEER, self._clock.now_ms(), None, source))
 
     def _replace(self, snapshot: store_rows.Rows, arrival: Arrival) -> None:
         if _is_newer(self.position, snapshot.position):
@@ -446,7 +452,7 @@
         self.last_change_position = change.position
         now_ms = self._clock.now_ms()
         if rows:
-            arrival = Arrival(PUSH, now_ms, aged.known_ms, aged.unread_ms)
+            arrival = Arrival(PUSH, now_ms, aged.known_ms, aged.source, aged.unread_ms)
             self._consumer.apply_changes(rows, arrival)
         self.delivery.record(aged, now_ms)
         # Reports at the usual interval tell the peers.
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -481,7 +481,7 @@
         )
 
     def _apply_table_change(
-        self, table_change: peer_messages.TableChange, unread_ms: int
+        self, table_change: peer_messages.TableChange, source: str, unread_ms: int
     ) -> None:
         change = table_change.change
         follower = self._followers_by_table.get(change.table)
@@ -489,7 +489,9 @@
             return
         known_ms = self._clock.now_ms() - table_change.age_ms
         self._metrics.table_changes.labels(change.table.value, "received").inc()
-        follower.apply_pushed(change_delivery.AgedChange(change, known_ms, unread_ms))
+        follower.apply_pushed(
+            change_delivery.AgedChange(change, known_ms, source, unread_ms)
+        )
 
     async def _run_repeats(self) -> None:
         """Send peers the changes that they lack; never returns."""
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -95,7 +95,7 @@
 
 ReportHandler = Callable[[peer_messages.Report], None]
 LoadChangeHandler = Callable[[peer_messages.LoadChange], None]
-TableChangeHandler = Callable[[peer_messages.TableChange, int], None]
+TableChangeHandler = Callable[[peer_messages.TableChange, str, int], None]
 PermitHandler = Callable[[send_permits.PermitMessage], None]
 RowsReader = Callable[[tables.TableName], store_rows.Rows | None]
 
@@ -356,11 +356,13 @@
             default=None,
         )
 
-    async def fetch_rows(self, table: tables.TableName) -> store_rows.Rows | None:
+    async def fetch_rows(
+        self, table: tables.TableName
+    ) -> tuple[store_rows.Rows, str] | None:
         """Fetch the rows of a table from a live peer with the newest position.
 
-        Returns None if there is no such peer, if it gives no usable answer, or if its
-        rows belong to an earlier era of the store.
+        Returns them with the peer's address; None if there is no such peer, if it gives
+        no usable answer, or if its rows belong to an earlier era of the store.
         """
         newest = self.last_change_position_of(table)
         if newest is None:
@@ -385,7 +387,7 @@
                 error=repr(error),
             )
             return None
-        return rows if self._store_era.observe(rows.position.era) else None
+        return (rows, ip) if self._store_era.observe(rows.position.era) else None
 
     def _download_rows(self, ip: str, table: tables.TableName) -> store_rows.Rows:
         """Fetch the rows of a peer, in a thread."""
@@ -414,7 +416,7 @@
     handle_permits : callable
         Handles a peer's asks and grants of permits.
     handle_table_change : callable
-        Handles a change of a table; its second argument is the longest time in
+        Handles a change of a table, with the peer's address and the longest time in
         milliseconds for which the datagram may have waited.
     """
 
@@ -427,7 +429,7 @@
         handle_change: LoadChangeHandler,
         handle_permits: PermitHandler,
         clock: clocks.Clock,
-        handle_table_change: TableChangeHandler = lambda _change, _unread_ms: None,
+        handle_table_change: TableChangeHandler = lambda *_given: None,
     ) -> None:
         self._own_settings = own_settings
         self._handle_permits = handle_permits
@@ -522,7 +524,7 @@
                 self._handle_permits(message)
                 continue
             if isinstance(message, peer_messages.TableChange):
-                self._handle_table_change(message, now_ms - self._emptied_ms)
+                self._handle_table_change(message, ip, now_ms - self._emptied_ms)
                 continue
             # It may have waited since the socket was empty.
             self._peers.record_report(ip, message, self._emptied_ms)
--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -90,6 +90,7 @@
     ) -> None:
         origin = followers.STORE if arrival is None else arrival.origin
         known_ms = None if arrival is None else arrival.known_ms
+        source = "" if arrival is None else arrival.source
         unread_ms = 0 if arrival is None else arrival.unread_ms
         previous = self._fleet.currency.version
         if not self._fleet.apply_configuration(update, known_ms):
@@ -101,6 +102,7 @@
             previous=previous,
             row=row.position.number,
             origin=origin,
+            source=source,
             delay_ms=delay_ms,
             unread_ms=unread_ms,
         )
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -50,6 +50,8 @@
     ----------
     delay_ms : int
         Delay of each chunk of bytes.
+    bytes_per_second : int
+        Bandwidth of each direction of a connection; 0 is unlimited.
     is_refusing : bool
         Whether new connections are reset.
     accepted : int
@@ -61,6 +63,7 @@
     def __init__(self, target_port: int) -> None:
         self.port = 0
         self.delay_ms = 0
+        self.bytes_per_second = 0
         self.is_refusing = False
         self.accepted = 0
         self.relayed_bytes = 0
@@ -164,6 +167,9 @@
             while data := await reader.read(_READ_BYTES):
                 if self.delay_ms:
                     await self._clock.sleep(self.delay_ms)
+                if self.bytes_per_second:
+                    sent_s = len(data) / self.bytes_per_second
+                    await self._clock.sleep(sent_s * clocks.MS_PER_SECOND)
                 if direction in link.silent:
                     continue
                 self.relayed_bytes += len(data)
--- a/tests/fleet_relays.py
+++ b/tests/fleet_relays.py
@@ -50,6 +50,10 @@
         self._relay.is_refusing = is_refusing
         self._run_in_loop(self._relay.cut)
 
+    def limit(self, bytes_per_second: int) -> None:
+        """Limit the bandwidth of each connection; 0 ends the limit."""
+        self._relay.bytes_per_second = bytes_per_second
+
     def delay(self, delay_ms: int) -> None:
         """Delay every chunk of bytes."""
         self._relay.delay_ms = delay_ms
--- a/tests/test_change_delivery.py
+++ b/tests/test_change_delivery.py
@@ -374,7 +374,7 @@
             received.append,
             received.append,
             clock,
-            lambda change, unread_ms: received.append((change, unread_ms)),
+            lambda *given: received.append(given),
         )
         reporter.start()
         message = peer_messages.TableChange(make_change(1, 2, "x").change, 0)
@@ -385,6 +385,7 @@
         # The event loop does not run meanwhile.
         time.sleep(2 * peers.MAX_UNREAD_MS / clocks.MS_PER_SECOND)
         reporter.receive_waiting()
-        ((change, unread_ms),) = received
+        ((change, source, unread_ms),) = received
         self.assertEqual(change, message)
+        self.assertEqual(source, "127.0.0.1")
         self.assertGreaterEqual(unread_ms, 2 * peers.MAX_UNREAD_MS)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -324,7 +324,7 @@
                 message = peer_messages.decode(datagram)
                 assert isinstance(message, peer_messages.TableChange)
                 with sound_log(self):
-                    gateway._apply_table_change(message, 0)
+                    gateway._apply_table_change(message, "10.0.0.2", 0)
         exchange_reports(gateway)
 
     @odd.REPRODUCIBLE
--- a/tests/test_starved_gateway.py
+++ b/tests/test_starved_gateway.py
@@ -90,13 +90,14 @@
         with ServingPeer(peer_settings):
             starving = asyncio.ensure_future(starve())
             began_s = time.monotonic()
-            rows = None
-            while rows is None and time.monotonic() - began_s < APPLY_LIMIT_S:
+            fetched = None
+            while fetched is None and time.monotonic() - began_s < APPLY_LIMIT_S:
                 # A live peer repeats its reports.
                 directory.record_report(_PEER_IP, report)
-                rows = await directory.fetch_rows(tables.TableName.OPERATOR)
+                fetched = await directory.fetch_rows(tables.TableName.OPERATOR)
             starving.cancel()
-        self.assertIsNotNone(rows)
+        assert fetched is not None
+        self.assertEqual(fetched[1], _PEER_IP)
         self.assertLess(time.monotonic() - began_s, APPLY_LIMIT_S)
 
 
