--- a/tests/configuration_process_soak.py
+++ b/tests/configuration_process_soak.py
@@ -55,11 +55,11 @@
 LARGE_FLEET_APPLY_MS: Final = 4_000
 """Time within which a version must be in force, from `LARGE_FLEET` gateways on."""
 
-STARVED_SHARE: Final = 0.15
+STARVED_SHARE: Final = 0.25
 """Share of the gateways that run a part of the time only."""
 
-STARVED_RUN_S: Final = 0.06
-STARVED_STOP_S: Final = 0.1
+STARVED_RUN_S: Final = 0.02
+STARVED_STOP_S: Final = 0.2
 
 GRACE_S: Final = 8.0
 READY_LIMIT_S: Final = 60.0
