Let only a restore of the store void a newer version

A read of the store that named the version in force voided all newer versions known before it, also if its answer was late; only a restore can undo a version. A gateway that is behind and does not read the store for it still reads it if no peer has had a recent answer. The socket for datagrams is non-blocking from the start, as it may be read before it is bound.

--- a/quincecrank/gateway/configuration_currency.py
+++ b/quincecrank/gateway/configuration_currency.py
@@ -16,8 +16,8 @@
 newer version
     A version above the one in force that a live peer has.
 void
-    A version that the store lacks, although a peer has it: the store was restored from
-    a snapshot since, and its operator writes again what that lost.
+    A version that the store lacks, although a peer has it, by a read after the store was
+    restored from a snapshot.  Its operator writes again what that lost.
 """
 
 import dataclasses
@@ -70,6 +70,7 @@
         self.delay_ms: int | None = None
         self._newer_by_version: dict[int, _Evidence] = {}
         self._confirmed_ms: int | None = None
+        self._restored_ms: int | None = None
 
     def accepts(self, version: int) -> bool:
         """Return whether a version may be put in force."""
@@ -131,6 +132,10 @@
         if self.version is not None and (version is None or version <= self.version):
             self._confirmed_ms = asked_ms
 
+    def handle_restore(self, now_ms: int) -> None:
+        """Record that the store was restored from a snapshot."""
+        self._restored_ms = now_ms
+
     def newer_since_ms(self, now_ms: int) -> int | None:
         """Return since when a newer version has been known; None if there is none."""
         return min(
@@ -163,6 +168,6 @@
         return confirmed_age_ms is not None and confirmed_age_ms < self.apply_limit_ms
 
     def _is_void(self, evidence: _Evidence) -> bool:
-        return self._confirmed_ms is not None and (
-            evidence.known_ms < self._confirmed_ms
-        )
+        if self._restored_ms is None or self._confirmed_ms is None:
+            return False
+        return evidence.known_ms < self._restored_ms <= self._confirmed_ms
--- a/quincecrank/gateway/followers.py
+++ b/quincecrank/gateway/followers.py
@@ -334,8 +334,12 @@
             return True
         now_ms = self._clock.now_ms()
         behind_since_ms = self._behind_since_ms
-        if behind_since_ms is not None and now_ms - behind_since_ms > MAX_BEHIND_MS:
-            return self.delivery.may_read_store(1 + len(self._peers.live_ips()))
+        is_long_behind = (
+            behind_since_ms is not None and now_ms - behind_since_ms > MAX_BEHIND_MS
+        )
+        gateways = 1 + len(self._peers.live_ips())
+        if is_long_behind and self.delivery.may_read_store(gateways):
+            return True
         age_ms = self._peers.store_answer_age_ms(self._table)
         return age_ms is None or age_ms > self._intervals.max_age_ms
 
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -234,6 +234,9 @@
             lambda _era: self._fleet.registry.mark_store_restored(self._clock.now_ms())
         )
         self._era.subscribe(self._restore_progress.handle_new_era)
+        self._era.subscribe(
+            lambda _era: self._fleet.currency.handle_restore(self._clock.now_ms())
+        )
 
     async def start(self) -> None:
         """Open the listeners and start the background tasks."""
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -440,11 +440,11 @@
         self._handle_change = handle_change
         self._clock = clock
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
         self._emptied_ms = clock.now_ms()
 
     def start(self) -> None:
         """Bind the port for datagrams and receive from it."""
-        self._socket.setblocking(False)
         self._socket.bind((self._own_settings.ip, self._own_settings.peer_port))
         loop = ioloop.IOLoop.current()
         loop.add_handler(self._socket, self._receive, ioloop.IOLoop.READ)
--- a/tests/test_configuration_currency.py
+++ b/tests/test_configuration_currency.py
@@ -57,11 +57,18 @@
         self.currency.record_report(15, 0, 1_000)
         self.currency.record_store_read(12, 1_500)
         self.currency.record_report(15, 8_000, 9_000)
+        # Without a restore the store can't lack it: the read was late.
+        self.assertFalse(self.currency.may_serve(9_000))
+        self.currency.handle_restore(9_000)
+        self.assertFalse(self.currency.may_serve(9_000))
+        self.currency.record_store_read(12, 9_000)
         self.assertTrue(self.currency.may_serve(9_000))
         self.assertIsNone(self.currency.newer_since_ms(9_000))
         # The operator has written it again.
-        self.currency.record_report(16, SERVED_MS, 9_000)
-        self.assertFalse(self.currency.may_serve(9_000))
+        self.currency.record_report(16, 0, 9_500)
+        self.assertTrue(self.currency.may_serve(9_500))
+        self.currency.record_report(16, SERVED_MS, 9_500 + SERVED_MS)
+        self.assertFalse(self.currency.may_serve(9_500 + SERVED_MS))
 
     def test_the_delay_counts_from_the_earliest_known_time(self) -> None:
         self.assertIsNone(self.currency.delay_ms)
