--- a/quincecrank/gateway/configuration_currency.py
+++ b/quincecrank/gateway/configuration_currency.py
@@ -16,7 +16,7 @@
 newer version
     A version above the one in force that a live peer has.
 void
-    A version that the store lacks, although a peer has it, by a read after the store was
+    A version that a peer has and the store lacks, by a read after the store was
     restored from a snapshot.  Its operator writes again what that lost.
 """
 
