Count connections to servers as open that were opened while the loop was late

What callers saw: 'no backend server' from a busy gateway while its servers accept connections at once.

Cause: the limit of 250 ms ends in the same iteration in which the open connection is noticed, and cancels the task that waits for it.

Change: at the limit two more steps of the loop look whether the connection is open.

--- a/quincecrank/gateway/server_links.py
+++ b/quincecrank/gateway/server_links.py
@@ -344,6 +344,10 @@
     return "Content-Length" not in headers and "Transfer-Encoding" not in headers
 
 
+LAST_STEPS: Final = 2
+"""Steps of the event loop after the limit in which an open connection is noticed."""
+
+
 async def connect(address: str, timeout_ms: float, clock: clocks.Clock) -> Link:
     """Open a link to IP:PORT.
 
@@ -363,9 +367,16 @@
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     stream = LinkStream(raw, max_buffer_size=MAX_UNREAD_BYTES)
     try:
+        opening = stream.connect((ip, int(port)))
         # `asyncio.wait_for` ignores a cancellation in the step of the connection.
-        async with asyncio.timeout(timeout_ms / clocks.MS_PER_SECOND):
-            await stream.connect((ip, int(port)))
+        await asyncio.wait({opening}, timeout=timeout_ms / clocks.MS_PER_SECOND)
+        for _ in range(LAST_STEPS):
+            if not opening.done():
+                # The connection may have been opened while the event loop was late.
+                await asyncio.sleep(0)
+        if not opening.done():
+            raise TimeoutError(f"{address} did not answer within {timeout_ms:.0f} ms")
+        await opening
     except BaseException:
         stream.close()
         raise
--- a/tests/test_starved_gateway.py
+++ b/tests/test_starved_gateway.py
@@ -8,7 +8,13 @@
 
 from quincecrank import clock as clocks
 from quincecrank import ids, store_era, store_rows
-from quincecrank.gateway import environment, peer_messages, peers, tables
+from quincecrank.gateway import (
+    environment,
+    peer_messages,
+    peers,
+    server_links,
+    tables,
+)
 from quincecrank.platform import store
 from tests import builders_gateway as builders
 from tests import builders_store as stored
@@ -101,6 +107,39 @@
         self.assertLess(time.monotonic() - began_s, APPLY_LIMIT_S)
 
 
+class StarvedLinkTest(unittest.IsolatedAsyncioTestCase):
+    async def test_sound_servers_were_unreachable_for_a_starved_gateway(self) -> None:
+        """The limit ended although the connection had been opened at once."""
+        with socket.socket() as listening:
+            listening.bind(("127.0.0.1", 0))
+            listening.listen()
+            address = f"127.0.0.1:{listening.getsockname()[1]}"
+            opening = asyncio.ensure_future(
+                server_links.connect(address, 250, clocks.SystemClock())
+            )
+            await asyncio.sleep(0)
+            time.sleep(ITERATION_S)
+            (await opening).close()
+
+    async def test_a_silent_server_is_given_up_at_the_limit(self) -> None:
+        with socket.socket() as listening:
+            listening.bind(("127.0.0.1", 0))
+            listening.listen(0)
+            address = listening.getsockname()
+            waiting = [socket.socket() for _ in range(3)]
+            for each in waiting:
+                each.setblocking(False)
+                each.connect_ex(address)
+            began_s = time.monotonic()
+            with self.assertRaises(TimeoutError):
+                await server_links.connect(
+                    f"127.0.0.1:{address[1]}", 250, clocks.SystemClock()
+                )
+            self.assertLess(time.monotonic() - began_s, 1.0)
+            for each in waiting:
+                each.close()
+
+
 class ReadersTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = clocks.ManualClock(1_000)
