--- a/quincecrank/gateway/followers.py
+++ b/quincecrank/gateway/followers.py
@@ -459,7 +459,7 @@
             arrival = Arrival(PUSH, now_ms, aged.known_ms, aged.source, aged.unread_ms)
             self._consumer.apply_changes(rows, arrival)
         self.delivery.record(aged, now_ms)
-        # Reports at the usual interval tell the peers.
+        # The next periodic report has the position; no extra one is sent.
         return True
 
     def _store(self, rows: tuple[store_rows.Row, ...]) -> None:
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -252,9 +252,9 @@
         if self.is_late():
             late.add(self.own_name)
         gateways = (self.own_name, *self.live_members())
-        prompt = rendezvous.ranked(key, set(gateways) - late, count)
+        in_time = rendezvous.ranked(key, set(gateways) - late, count)
         others = rendezvous.ranked(key, late.intersection(gateways), count)
-        return (*prompt, *others)[:count]
+        return (*in_time, *others)[:count]
 
     def ip_of(self, member: ids.VmName) -> str | None:
         """Return the address of a live peer; None if it is not live."""
--- a/tests/configuration_plan.py
+++ b/tests/configuration_plan.py
@@ -71,7 +71,7 @@
         self._large = large
         self._version = 1
         self._kinds: list[Kind] = []
-        self._spoiled = 0
+        self._malformed = 0
         self._added = 0
         self._is_big = False
         self._time_limit_ms = 8_000
@@ -178,17 +178,17 @@
             for prefix, services in self._services_by_prefix.items()
         }
         if kind is Kind.INVALID:
-            self._spoil(document)
+            self._make_malformed(document)
         return Written(kind, document, services_by_prefix, frozenset(self._keys))
 
-    def _spoil(self, document: Document) -> None:
+    def _make_malformed(self, document: Document) -> None:
         """Make a version malformed that would add a route and revoke all keys."""
         document["routes"].append(
             platform_fleet.route("r-never", NEVER_PREFIX, "records", "idempotent")
         )
         document["tenants"] = []
-        self._spoiled += 1
-        match self._spoiled % 3:
+        self._malformed += 1
+        match self._malformed % 3:
             case 1:
                 del document["limits"]
             case 2:
--- a/tests/configuration_process_soak.py
+++ b/tests/configuration_process_soak.py
@@ -6,7 +6,7 @@
 
 Versions of all kinds are written in series.  Meanwhile gateways, most often those that
 read the configuration from the store, are killed, suspended, shut down, refused or cut
-off by the store, or get its answers late or on a narrow link; others start or return.
+off by the store, or get its answers late or at a low bandwidth; others start or return.
 Some gateways run a part of the time only, all the while.  Requests on old, new and
 unknown routes and keys go to every gateway.
 """
@@ -313,7 +313,7 @@
             self._cut,
             self._refuse,
             self._slow,
-            self._narrow,
+            self._limit_bandwidth,
         )
         while time.monotonic() < until_s:
             time.sleep(self._generator.uniform(0.1, 1.0))
@@ -397,7 +397,7 @@
         time.sleep(draw.uniform(1.0, 6.0))
         relay.delay(0)
 
-    def _narrow(self, name: str, draw: random.Random) -> None:
+    def _limit_bandwidth(self, name: str, draw: random.Random) -> None:
         relay = self._fleet.relay_by_gateway[name]
         relay.limit(draw.randint(20_000, 200_000))
         time.sleep(draw.uniform(1.0, 6.0))
--- a/tests/fleet_relays.py
+++ b/tests/fleet_relays.py
@@ -46,7 +46,7 @@
         self._run_in_loop(self._relay.cut)
 
     def refuse(self, *, is_refusing: bool) -> None:
-        """Reset the open connections, and new ones until told otherwise."""
+        """Reset the open connections, and new ones while `is_refusing` is set."""
         self._relay.is_refusing = is_refusing
         self._run_in_loop(self._relay.cut)
 
--- a/tests/test_starved_gateway.py
+++ b/tests/test_starved_gateway.py
@@ -192,9 +192,9 @@
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
-        prompt = store.PlatformStore(url, timeout_ms=100)
+        in_time = store.PlatformStore(url, timeout_ms=100)
         with self.assertRaises(store_rows.StoreUnavailableError):
-            await prompt.read("op")
+            await in_time.read("op")
         late = store.PlatformStore(url, timeout_ms=100, lateness_ms=lambda: 200)
         self.assertEqual((await late.read("op")).position, stored.at(3))
         server.close()
