--- a/tests/configuration_process_soak.py
+++ b/tests/configuration_process_soak.py
@@ -468,7 +468,7 @@
     found = [
         at_ms - acknowledged_ms[line["version"]]
         for name in fleet.ip_by_gateway
-        for at_ms, line in _in_force(fleet.process_by_name[name])
+        for at_ms, line in in_force(fleet.process_by_name[name])
         if line.get("previous") and line["version"] in acknowledged_ms
     ]
     if len(found) < 2:
@@ -480,7 +480,8 @@
     )
 
 
-def _in_force(process: launcher.Process) -> list[tuple[float, Mapping[str, Any]]]:
+def in_force(process: launcher.Process) -> list[tuple[float, Mapping[str, Any]]]:
+    """Return the lines of versions that a gateway put in force, with their times."""
     lines = []
     for text in process.log().splitlines():
         if '"configuration in force"' in text:
