Test two faults that were mended without a test, and a mutation for 'not served'

No mutation showed that the checker's 'not served' can fail: reject-added-routes does. A line says which failure two tests of the currency guard against.

--- a/tests/process_configuration_changes.py
+++ b/tests/process_configuration_changes.py
@@ -1,8 +1,8 @@
 """Tests of gateway processes whose configuration changes in series under faults.
 
 Mutations (`QUINCE_MUTATION`, see `wrapped_program`) that make this test fail:
-`ignore-peers-changes` (late, not served), `return-to-older-versions` (older) and
-`accept-malformed-configurations` (invalid).
+`ignore-peers-changes` (late), `return-to-older-versions` (older),
+`accept-malformed-configurations` (invalid) and `reject-added-routes` (not served).
 """
 
 import unittest
--- a/tests/run_mutations.py
+++ b/tests/run_mutations.py
@@ -113,6 +113,11 @@
         f"{_CONFIGURATION_CHANGES}"
         ".test_confirmed_configurations_were_not_in_force_in_time",
     ),
+    (
+        "reject-added-routes",
+        f"{_CONFIGURATION_CHANGES}"
+        ".test_confirmed_configurations_were_not_in_force_in_time",
+    ),
     (
         "notice-signals-late",
         f"{_SHUTDOWNS}.test_gateways_did_not_end_within_the_grace_time",
--- a/tests/test_change_delivery.py
+++ b/tests/test_change_delivery.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 from typing import Any
+from unittest import mock
 
 from quincecrank import clock as clocks
 from quincecrank import ids, store_era, store_rows, text_delta
@@ -320,6 +321,21 @@
         assert other.follower.rows is not None
         self.assertEqual(other.follower.rows.rows, (make_row(SECOND, 25),))
 
+    def test_a_gateway_behind_its_peers_did_not_read_a_store_nobody_read(self) -> None:
+        """It was not among those that read the store because they are behind."""
+        state = peer_messages.TableState(OPERATOR, stored.at(20), 5_000)
+        report = peer_messages.Report(ids.VmName("entry-2"), False, (state,), {})
+        self.peers.record_report("10.0.0.2", report)
+        self.follower._behind_since_ms = self.clock.now_ms()
+        self.clock.advance(followers.MAX_BEHIND_MS + 1)
+        with (
+            mock.patch.object(
+                self.follower.delivery, "may_read_store", lambda _: False
+            ),
+            mock.patch.object(self.follower, "_is_reader", lambda: False),
+        ):
+            self.assertTrue(self.follower.reads_store())
+
     def test_rows_are_encoded_once_for_all_peers(self) -> None:
         documents = peers.RowsDocuments()
 
@@ -359,6 +375,23 @@
 
 
 class ReporterTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_read_of_datagrams_before_the_start_blocked(self) -> None:
+        """The socket blocked until the port was bound."""
+        own_settings = builders.make_environment(peer_port=free_port())
+        clock = clocks.ManualClock()
+        reporter = peers.PeerReporter(
+            own_settings,
+            peers.PeerDirectory(own_settings, clock, store_era.StoreEra()),
+            lambda: peer_messages.Report(ids.VmName("entry-1"), False, (), {}),
+            lambda _report: None,
+            lambda _change: None,
+            lambda _permits: None,
+            clock,
+        )
+        clock.advance(2 * peers.MAX_UNREAD_MS)
+        self.assertFalse(reporter._socket.getblocking())
+        reporter.receive_waiting()
+
     async def test_a_request_was_served_before_the_change_that_waited_unread(
         self,
     ) -> None:
--- a/tests/test_configuration_currency.py
+++ b/tests/test_configuration_currency.py
@@ -99,11 +99,13 @@
                 self.assertEqual(got.headers["Connection"], "close")
 
     async def test_a_gateway_that_knows_nothing_refused_routes_and_keys(self) -> None:
+        """Neither it nor a peer had had an answer of the store for some time."""
         self.assertEqual((await self.ask("/new/")).status, 404)
         self.fleet.confirmed_age_ms = lambda: None
         self.assertEqual((await self.ask("/new/")).status, 503)
 
-    async def test_datagrams_that_wait_are_read_before_a_request(self) -> None:
+    async def test_a_request_was_answered_before_the_change_that_waited(self) -> None:
+        """The event loop reached the request before the datagram."""
         document = builders.make_configuration_document(8)
         document["routes"] = []
 
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -531,6 +531,23 @@
     _replace(decoder, "decode", mutated)
 
 
+def reject_added_routes() -> None:
+    """Make gateways reject requests on routes that their first configuration lacks."""
+    forwarder = forwarding.Forwarder
+    draw_service = forwarder._draw_service
+    first_names: set[str] = set()
+
+    def mutated(self: Any, current: Any, route: Any, stream: Any) -> Any:
+        if not first_names:
+            routes = itertools.chain(*current.routes_by_host.values())
+            first_names.update(each.name for each in routes)
+        if route.name not in first_names:
+            return None
+        return draw_service(self, current, route, stream)
+
+    _replace(forwarder, "_draw_service", mutated)
+
+
 MUTATIONS_BY_NAME: Final[dict[str, Callable[[], None]]] = {
     "claim-what-is-taken": claim_what_is_taken,
     "say-not-run": say_not_run,
@@ -567,6 +584,7 @@
     "ignore-peers-changes": ignore_peers_changes,
     "return-to-older-versions": return_to_older_versions,
     "accept-malformed-configurations": accept_malformed_configurations,
+    "reject-added-routes": reject_added_routes,
 }
 
 
