--- a/tests/configuration_plan.py
+++ b/tests/configuration_plan.py
@@ -91,7 +91,7 @@
     def draw(self) -> Written:
         """Return a further version."""
         if not self._kinds:
-            self._kinds = [*Kind, Kind.INVALID]
+            self._kinds = [*Kind, Kind.INVALID, Kind.ADD, Kind.ADD]
             self._generator.shuffle(self._kinds)
         kind = self._kinds.pop()
         if kind is Kind.SMALL and not self._is_big:
