--- a/quincecrank/platform/store.py
+++ b/quincecrank/platform/store.py
@@ -34,8 +34,8 @@
 """About 250 times the usual answer time of 4 ms: four answers that each take sixty
 times as long."""
 
-ITERATIONS: Final = 4
-"""Iterations of the event loop between a call and its answer, about."""
+CALL_ITERATIONS: Final = 4
+"""Iterations of the event loop from a call to its answer."""
 
 MAX_ALLOWANCE_MS: Final = 2_000
 """Longest extension of a limit: an outage must be noticed all the same."""
@@ -245,7 +245,7 @@
 
     def _limit_s(self, limit_ms: int) -> float:
         """Return a time limit in seconds, extended by the event loop's lateness."""
-        allowance_ms = min(self._lateness_ms() * ITERATIONS, MAX_ALLOWANCE_MS)
+        allowance_ms = min(self._lateness_ms() * CALL_ITERATIONS, MAX_ALLOWANCE_MS)
         return (limit_ms + allowance_ms) / clock.MS_PER_SECOND
 
     def _check_condition(self, expected: store_rows.Position) -> None:
