--- a/tests/configuration_checker.py
+++ b/tests/configuration_checker.py
@@ -128,7 +128,9 @@
         True: collections.Counter(),
     }
     for probe in sorted(probes, key=lambda each: each.sent_ms):
-        is_disturbed = _is_disturbed(probe, disturbed_by_gateway)
+        is_disturbed = overlaps(
+            disturbed_by_gateway.get(probe.gateway, ()), probe.sent_ms, probe.ended_ms
+        )
         _count(counts, versions, probe, apply_ms, is_excused=is_disturbed)
         if not probe.is_handled:
             continue
@@ -166,10 +168,13 @@
     return lines + _not_served(counts)
 
 
-def _is_disturbed(probe: Probe, disturbed_by_gateway: Intervals) -> bool:
+def overlaps(
+    disturbed: Sequence[tuple[float, float]], began_ms: float, ended_ms: float
+) -> bool:
+    """Return whether a disturbance lies in a time or `CONTACT_MS` before it."""
     return any(
-        began_ms <= probe.ended_ms and probe.sent_ms <= ended_ms + CONTACT_MS
-        for began_ms, ended_ms in disturbed_by_gateway.get(probe.gateway, ())
+        disturbed_ms <= ended_ms and began_ms <= calm_ms + CONTACT_MS
+        for disturbed_ms, calm_ms in disturbed
     )
 
 
--- a/tests/configuration_process_soak.py
+++ b/tests/configuration_process_soak.py
@@ -247,6 +247,7 @@
         self._versions: list[checker.Version] = []
         self._disturbed: dict[str, list[tuple[float, float]]] = {}
         self._busy: set[str] = set()
+        self._starved: frozenset[str] = frozenset()
         self._helpers: list[threading.Thread] = []
         self._ended = threading.Event()
         self._faults: dict[str, int] = {}
@@ -266,7 +267,8 @@
                 self._wait_ready(name)
                 self._callers.add(name, per_s)
             count = round(STARVED_SHARE * len(self._names))
-            for name in self._generator.sample(self._names, count):
+            self._starved = frozenset(self._generator.sample(self._names, count))
+            for name in sorted(self._starved):
                 self._help(self._starve, name)
             self._help(self._change_often)
             self._disturb_often(per_s)
@@ -453,7 +455,8 @@
         }
         self.figures = (
             f"{len(self._versions)} versions, {len(probes)} requests {counts},"
-            f" faults {self._faults}, {delays(self._fleet, self._versions)}"
+            f" faults {self._faults}, "
+            + delays(self._fleet, self._versions, self._disturbed, self._starved)
         )
         return checker.violations(
             self._versions, probes, self._disturbed, self._apply_ms
@@ -461,23 +464,34 @@
 
 
 def delays(
-    fleet: platform_fleet.PlatformFleet, versions: Sequence[checker.Version]
+    fleet: platform_fleet.PlatformFleet,
+    versions: Sequence[checker.Version],
+    disturbed_by_gateway: checker.Intervals,
+    starved: frozenset[str],
 ) -> str:
-    """Return the times from acknowledgements until versions were in force, in words."""
+    """Return the times from acknowledgements until versions were in force, in words.
+
+    Gateways that run a part of the time count apart, as do those that were disturbed
+    for the contact time before the acknowledgement or since.
+    """
     acknowledged_ms = {each.number: each.acknowledged_ms for each in versions}
-    found = [
-        at_ms - acknowledged_ms[line["version"]]
-        for name in fleet.ip_by_gateway
-        for at_ms, line in in_force(fleet.process_by_name[name])
-        if line.get("previous") and line["version"] in acknowledged_ms
-    ]
-    if len(found) < 2:
-        return "no delays"
-    tenths = statistics.quantiles(found, n=10)
-    return (
-        f"in force after {tenths[4]:.0f} ms (median), {tenths[8]:.0f} (nine of ten),"
-        f" {max(found):.0f} (last), disturbed gateways included"
-    )
+    found: dict[str, list[tuple[float, str]]] = {}
+    for name in fleet.ip_by_gateway:
+        for at_ms, line in in_force(fleet.process_by_name[name]):
+            began_ms = acknowledged_ms.get(line["version"])
+            if began_ms is None or not line.get("previous"):
+                continue
+            if checker.overlaps(disturbed_by_gateway.get(name, ()), began_ms, at_ms):
+                group = "disturbed"
+            else:
+                group = "starved" if name in starved else "undisturbed"
+            found.setdefault(group, []).append((at_ms - began_ms, name))
+    words = []
+    for group, group_delays in sorted(found.items(), reverse=True):
+        median_ms = statistics.median(delay_ms for delay_ms, _ in group_delays)
+        last_ms, name = max(group_delays)
+        words.append(f"{group} {median_ms:.0f} ms (median), {last_ms:.0f} ({name})")
+    return "in force after: " + "; ".join(words)
 
 
 def in_force(process: launcher.Process) -> list[tuple[float, Mapping[str, Any]]]:
