Handle a bounded number of datagrams in one step of the event loop

What callers saw: no answer from it for 30 s; a version was in force there 37 s after its acknowledgement.

Cause: the receiver of datagrams reads until none is left. Reports of 59 peers arrived as fast as it handled them, so that the step did not end.

Evidence: one interval of the loop's observation of 29,982 ms with 614 ms of processor time in it, some 4,000 reports; nothing else was logged meanwhile.

Change: 64 datagrams a step; what is left is read in the next one. test_datagrams_kept_a_slow_gateway_from_all_other_work: 5,000 in one step before.

--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -78,6 +78,9 @@
 MAX_UNREAD_MS: Final = 200
 """Time without a read of datagrams after which they are read before a request."""
 
+DATAGRAMS_PER_STEP: Final = 64
+"""Most datagrams that one step of the event loop handles."""
+
 MAX_SENT_DOCUMENTS: Final = 8
 """Most documents of tables that are sent to peers at the same time: on the slowest
 links 100 KB each take less than a second."""
@@ -501,7 +504,7 @@
                 _LOG.debug("datagram not sent", peer=ip, error=str(error))
 
     def _receive(self, _socket: object, _events: int) -> None:
-        while True:
+        for _ in range(DATAGRAMS_PER_STEP):
             now_ms = self._clock.now_ms()
             try:
                 datagram, (ip, _port) = self._socket.recvfrom(65_535)
--- a/tests/test_change_delivery.py
+++ b/tests/test_change_delivery.py
@@ -1,5 +1,6 @@
 """Tests of how changes of a table get from one gateway to all others."""
 
+import asyncio
 import gzip
 import random
 import socket
@@ -392,6 +393,41 @@
         self.assertFalse(reporter._socket.getblocking())
         reporter.receive_waiting()
 
+    async def test_datagrams_kept_a_slow_gateway_from_all_other_work(self) -> None:
+        """They arrived as fast as it handled them, in one step of its event loop."""
+        endless = 5_000
+        handled = 0
+        own_settings = builders.make_environment(peer_port=free_port())
+        clock = clocks.SystemClock()
+
+        def handle(*_given: object) -> None:
+            nonlocal handled
+            handled += 1
+            if handled < endless:
+                reporter.send_table_change(("127.0.0.1",), datagram)
+
+        reporter = peers.PeerReporter(
+            own_settings,
+            peers.PeerDirectory(own_settings, clock, store_era.StoreEra()),
+            lambda: peer_messages.Report(ids.VmName("entry-1"), False, (), {}),
+            handle,
+            handle,
+            handle,
+            clock,
+            handle,
+        )
+        reporter.start()
+        message = peer_messages.TableChange(make_change(1, 2, "x").change, 0)
+        datagram = peer_messages.encode_table_change(message)
+        reporter.send_table_change(("127.0.0.1",), datagram)
+        while not handled:
+            await asyncio.sleep(0)
+        self.assertLessEqual(handled, peers.DATAGRAMS_PER_STEP)
+        before = handled
+        while handled == before:
+            await asyncio.sleep(0)
+        self.assertLessEqual(handled, 2 * peers.DATAGRAMS_PER_STEP)
+
     async def test_a_request_was_served_before_the_change_that_waited_unread(
         self,
     ) -> None:
