Have callers wait for half a second where the configuration can't be confirmed

While the store is away no gateway can confirm that a route or key is unknown, and callers were told to come back after 50 ms, at any gateway. Before: Retry-After 0.050; now 0.500, as for a gateway that is not ready.

--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -302,7 +302,10 @@
             return None
         if not self._fleet.currency.may_serve(self._clock.now_ms()):
             self._reject_outdated(
-                answer, caller_headers.request_id, "configuration outdated"
+                answer,
+                caller_headers.request_id,
+                "configuration outdated",
+                OUTDATED_RETRY_MS,
             )
             return None
         route = current.find_route(caller_headers.host, request.path)
@@ -1275,14 +1278,21 @@
         if self._fleet.currency.may_refuse(self._fleet.confirmed_age_ms()):
             self._send_own_answer(answer, request_id, status, reason)
         else:
-            self._reject_outdated(answer, request_id, "configuration not confirmed")
+            # The store may be away for all gateways.
+            self._reject_outdated(
+                answer, request_id, "configuration not confirmed", NOT_READY_RETRY_MS
+            )
 
     def _reject_outdated(
-        self, answer: callers.CallerAnswer, request_id: str, reason: str
+        self,
+        answer: callers.CallerAnswer,
+        request_id: str,
+        reason: str,
+        retry_after_ms: int,
     ) -> None:
         """Reject a request as not run, and have its caller turn to another gateway."""
         answer.closes_connection = True
-        self._send_own_answer(answer, request_id, 503, reason, OUTDATED_RETRY_MS)
+        self._send_own_answer(answer, request_id, 503, reason, retry_after_ms)
 
     def _send_own_answer(
         self,
--- a/tests/test_configuration_currency.py
+++ b/tests/test_configuration_currency.py
@@ -102,7 +102,8 @@
         """Neither it nor a peer had had an answer of the store for some time."""
         self.assertEqual((await self.ask("/new/")).status, 404)
         self.fleet.confirmed_age_ms = lambda: None
-        self.assertEqual((await self.ask("/new/")).status, 503)
+        got = await self.ask("/new/")
+        self.assertEqual((got.status, got.headers["Retry-After"]), (503, "0.500"))
 
     async def test_a_request_was_answered_before_the_change_that_waited(self) -> None:
         """The event loop reached the request before the datagram."""
