Log which limit cuts an answer, both bounds of the signal, and what is lost

The log could not tell the hypotheses of the incident apart: 'request ended' has no limit, no time since the signal, no lateness, and neither unread nor unsent bytes.

'answer cut' has all of these for each begun answer that is ended; 'request open at the end' names each request that the end of the process cuts; leaving, closing and ended give the time since the notice beside the longest time since the signal. SignalTime holds both bounds; decisions use the earliest one as before.

--- a/quincecrank/arrived_bytes.py
+++ b/quincecrank/arrived_bytes.py
@@ -4,8 +4,11 @@
 event loop runs.
 """
 
+import array
+import fcntl
 import select
 import socket
+import termios
 from typing import Any
 
 from tornado import iostream
@@ -26,6 +29,28 @@
     return stream.reading() and not has_unread(stream)
 
 
+def unread_bytes(stream: iostream.IOStream) -> int:
+    """Return the number of bytes that have arrived and were not handed to a reader."""
+    return stream._read_buffer_size + _queued_bytes(stream, termios.FIONREAD)
+
+
+def unsent_bytes(stream: iostream.IOStream) -> int:
+    """Return the number of written bytes that the peer has not acknowledged."""
+    return len(stream._write_buffer) + _queued_bytes(stream, termios.TIOCOUTQ)
+
+
+def _queued_bytes(stream: iostream.IOStream, request: int) -> int:
+    """Return the length of a queue of the system; 0 if it does not tell."""
+    if stream.closed():
+        return 0
+    length = array.array("i", [0])
+    try:
+        fcntl.ioctl(stream.fileno(), request, length)
+    except OSError:
+        return 0
+    return length[0]
+
+
 def accept_waiting(bound: socket.socket) -> list[tuple[socket.socket, Any]]:
     """Accept the connections that the system has completed on a listening socket.
 
--- a/quincecrank/gateway/active_requests.py
+++ b/quincecrank/gateway/active_requests.py
@@ -59,6 +59,8 @@
         Number of sends to backend servers, and how many of these were refused.
     event_splitter : EventSplitter
         Splits the received stream into events, over all attempts.
+    unread_bytes : int
+        Bytes of the last exchange that had arrived unread when this gateway ended it.
     last_failure : AnswerBuffer or None
         Error answer of the last server that gave one.
     stream : StreamKey or None
@@ -90,6 +92,7 @@
     event_splitter: event_stream.EventSplitter = dataclasses.field(
         default_factory=event_stream.EventSplitter
     )
+    unread_bytes: int = 0
     last_failure: AnswerBuffer | None = None
     stream: stream_versions.StreamKey | None = None
     software_version: servers.SoftwareVersion | None = None
--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -157,6 +157,12 @@
                 return
             await asyncio.sleep(SEND_CHECK_S)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of written bytes that the caller has not taken."""
+        stream = self._connection.stream
+        return 0 if stream is None else arrived_bytes.unsent_bytes(stream)
+
     def abort(self) -> None:
         """Close the connection, so that the caller sees the answer as incomplete."""
         self.has_ended = True
@@ -407,6 +413,11 @@
             if reason is not None:
                 self._close_waiting(stream, reason)
 
+    def log_open_requests(self) -> None:
+        """Log each request that is open, before the process ends."""
+        for receiver in self._open:
+            receiver.log_open()
+
     async def close_all(self) -> None:
         """Close every connection."""
         await self._server.close_all_connections()
@@ -739,6 +750,18 @@
         if self._task is None:
             self.drop()
 
+    def log_open(self) -> None:
+        """Log how far the request and its answer are."""
+        stream = self._connection.stream
+        _LOG.warning(
+            "request open at the end",
+            request=requests.request_id(self._headers),
+            is_read=self._is_read,
+            age_ms=self._state.clock.now_ms() - self.arrived_ms,
+            unread_bytes=arrived_bytes.unread_bytes(stream),
+            unsent_bytes=arrived_bytes.unsent_bytes(stream),
+        )
+
     def drop(self) -> None:
         """Release what was read of a request that is not served."""
         self._chunks.clear()
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -200,6 +200,8 @@
         Returns whether a request that a crash finding rejects may be sent as a retest.
     may_add_link : callable
         Returns whether there is a descriptor for a second link of a request.
+    lateness_ms : callable
+        Returns how late the event loop runs.
     """
 
     def __init__(
@@ -224,6 +226,7 @@
             _claim_no_retest
         )
         self.may_add_link: Callable[[], bool] = _always
+        self.lateness_ms: Callable[[], int] = _no_lateness
         self._local_ids: set[ids.RequestId] = set()
         self._duplicate_count = 0
         self._unplaced_by_id: dict[ids.RequestId, active_requests.ActiveRequest] = {}
@@ -1011,6 +1014,7 @@
     ) -> None:
         """End an exchange, and release its link and the capacity at its server."""
         if not exchange.running.done():
+            active.unread_bytes = exchange.link.unread_bytes
             exchange.sink.stop()
             # The server aborts the request when its connection closes.
             exchange.link.close()
@@ -1251,6 +1255,7 @@
             )
         if active.answer.has_begun:
             self._metrics.record_aborted_answer(reason)
+            self._log_cut(active, reason)
             active.answer.abort()
         elif active.last_failure is not None:
             self._send_server_failure(active, active.last_failure)
@@ -1403,6 +1408,30 @@
             expected_ms=round(placement.expected_first_event_ms),
         )
 
+    def _log_cut(self, active: active_requests.ActiveRequest, reason: str) -> None:
+        """Log which limit ends a begun answer, and what is lost with it."""
+        now_ms = self._clock.now_ms()
+        shutdown = self._fleet.shutdown
+        limit = "none"
+        if now_ms >= active.deadline_ms:
+            limit = "request"
+        elif now_ms >= self._deadline_ms(active):
+            limit = "shutdown"
+        signal = None if shutdown is None else shutdown.signal
+        _LOG.warning(
+            "answer cut",
+            request=active.caller_headers.request_id,
+            reason=reason,
+            limit=limit,
+            since_signal_ms=None if signal is None else now_ms - signal.earliest_ms,
+            since_notice_ms=None if signal is None else now_ms - signal.latest_ms,
+            lateness_ms=self.lateness_ms(),
+            unread_bytes=active.unread_bytes,
+            unsent_bytes=active.answer.unsent_bytes,
+            events=active.event_splitter.event_count,
+            left_ms=active.deadline_ms - now_ms,
+        )
+
     def _log_end(self, active: active_requests.ActiveRequest, outcome: str) -> None:
         took_ms = self._clock.now_ms() - active.request.received_ms
         self._metrics.record_end(active.service.name, outcome, took_ms)
@@ -1450,6 +1479,11 @@
     return True
 
 
+def _no_lateness() -> int:
+    """Return 0: without a loop monitor, lateness is not known."""
+    return 0
+
+
 async def _claim_no_retest(_finding: crash_findings.Finding) -> bool:
     """Return False: without a crash monitor there are no retests."""
     return False
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -131,6 +131,7 @@
         self._listener.links = self._fleet.links
         self._listener.count_followed = lambda: self._cache_followers.followed_count
         self._forwarder.may_add_link = self._listener.may_add_link
+        self._forwarder.lateness_ms = lambda: self._loop_monitor.lateness_ms
         self._reporter = peers.PeerReporter(
             own_settings,
             self._peers,
@@ -220,7 +221,7 @@
             clock,
         )
         self._is_leaving = False
-        self._signalled_ms: int | None = None
+        self._signal: shutdown_schedule.SignalTime | None = None
         self._reports_made = 0
 
     def _subscribe_to_eras(self) -> None:
@@ -292,8 +293,10 @@
         The system delivers a signal as soon as the process runs, so that it was sent
         after the loop's last run.
         """
-        if self._signalled_ms is None:
-            self._signalled_ms = self._loop_monitor.last_run_ms
+        if self._signal is None:
+            self._signal = shutdown_schedule.SignalTime(
+                self._loop_monitor.last_run_ms, self._clock.now_ms()
+            )
 
     async def stop(self) -> None:
         """Become unready, answer what arrives and cancel the background tasks.
@@ -304,9 +307,9 @@
         self._permits.is_leaving = True
         self._listener.state.is_leaving = True
         self.note_signal()
-        assert self._signalled_ms is not None
+        assert self._signal is not None
         grace_ms = self._fleet.own_settings.bounds.shutdown_grace_ms
-        schedule = shutdown_schedule.ShutdownSchedule(self._signalled_ms, grace_ms)
+        schedule = shutdown_schedule.ShutdownSchedule(self._signal, grace_ms)
         self._fleet.shutdown = schedule
         self._log_shutdown("leaving")
         while self._next_stage(schedule) is shutdown_schedule.Stage.SERVING:
@@ -320,6 +323,7 @@
                 break
             self._reject_leaving()
             await self._clock.sleep(CLOSING_CHECK_MS)
+        self._listener.log_open_requests()
         self._log_shutdown("ended")
         self._tasks.cancel()
 
@@ -350,6 +354,7 @@
             event,
             open_requests=self._listener.open_requests,
             since_signal_ms=self._since_signal_ms,
+            since_notice_ms=self._since_notice_ms,
             lateness_ms=self._loop_monitor.lateness_ms,
         )
 
@@ -371,9 +376,16 @@
     @property
     def _since_signal_ms(self) -> int | None:
         """Longest time that may have passed since the signal; None without one."""
-        if self._signalled_ms is None:
+        if self._signal is None:
+            return None
+        return self._clock.now_ms() - self._signal.earliest_ms
+
+    @property
+    def _since_notice_ms(self) -> int | None:
+        """Time since the signal was noticed; None without one."""
+        if self._signal is None:
             return None
-        return self._clock.now_ms() - self._signalled_ms
+        return self._clock.now_ms() - self._signal.latest_ms
 
     def _observe_close(
         self, reason: connection_budget.CloseReason, is_unread: bool
@@ -385,6 +397,7 @@
                 reason=reason.value,
                 unread=is_unread,
                 since_signal_ms=self._since_signal_ms,
+                since_notice_ms=self._since_notice_ms,
                 lateness_ms=self._loop_monitor.lateness_ms,
             )
 
--- a/quincecrank/gateway/server_links.py
+++ b/quincecrank/gateway/server_links.py
@@ -171,6 +171,11 @@
             and not self._stream.has_unread_bytes
         )
 
+    @property
+    def unread_bytes(self) -> int:
+        """Number of received bytes that no exchange has handled."""
+        return arrived_bytes.unread_bytes(self._stream)
+
     def close(self) -> None:
         """Close the connection, which also stops a running exchange."""
         self._is_reusable = False
--- a/quincecrank/gateway/shutdown_schedule.py
+++ b/quincecrank/gateway/shutdown_schedule.py
@@ -15,13 +15,14 @@
 Terms
 -----
 signal
-    SIGTERM; its time is the earliest at which it can have been sent.
+    SIGTERM; its time is known by two bounds, see `SignalTime`.
 grace time
     Time from the signal to SIGKILL.
 lateness
     How late the event loop runs, see `loop_monitor`.
 """
 
+import dataclasses
 import enum
 from typing import Final
 
@@ -58,6 +59,22 @@
 """Bound of the lateness that is allowed for, as a fraction of the grace time."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SignalTime:
+    """Bounds of the time at which a signal was sent.
+
+    Attributes
+    ----------
+    earliest_ms : int
+        Time at which the process is known to have run without the signal.
+    latest_ms : int
+        Time at which the process noticed it.
+    """
+
+    earliest_ms: int
+    latest_ms: int
+
+
 class Stage(enum.Enum):
     """What a gateway that shuts down does.
 
@@ -82,19 +99,22 @@
 
     Parameters
     ----------
-    signalled_ms : int
-        Earliest time at which the signal can have been sent.
+    signal : SignalTime
+        Time of the signal.
     grace_ms : int
         Grace time.
 
     Attributes
     ----------
+    signal : SignalTime
+        Time of the signal.
     lateness_ms : int
         Lateness of the event loop.
     """
 
-    def __init__(self, signalled_ms: int, grace_ms: int) -> None:
-        self._signalled_ms = signalled_ms
+    def __init__(self, signal: SignalTime, grace_ms: int) -> None:
+        self.signal = signal
+        self._signalled_ms = signal.earliest_ms
         self._grace_ms = grace_ms
         self._is_closing = False
         self.lateness_ms = 0
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -21,6 +21,7 @@
     prompts,
     request_queue,
     servers,
+    shutdown_schedule,
 )
 
 LLM = deployment.ServiceName("drafting")
@@ -369,6 +370,23 @@
     return headers
 
 
+def make_shutdown(
+    signalled_ms: int, grace_ms: int, noticed_after_ms: int = 0
+) -> shutdown_schedule.ShutdownSchedule:
+    """Return the schedule of a shutdown.
+
+    Parameters
+    ----------
+    signalled_ms : int
+        Earliest time of the signal.
+    noticed_after_ms : int
+        Time from then to its notice.
+    """
+    latest_ms = signalled_ms + noticed_after_ms
+    signal = shutdown_schedule.SignalTime(signalled_ms, latest_ms)
+    return shutdown_schedule.ShutdownSchedule(signal, grace_ms)
+
+
 def make_suspicions() -> crash_suspicions.CrashSuspicions:
     """Return an aggregate for which each suspected server counts as crashed."""
     return crash_suspicions.CrashSuspicions(lambda _suspicion: True)
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -3,7 +3,7 @@
 import asyncio
 from unittest import mock
 
-from quincecrank.gateway import servers, shutdown_schedule
+from quincecrank.gateway import servers
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 
@@ -362,7 +362,7 @@
         while not self.listener.open_requests:
             await asyncio.sleep(0.001)
         grace_ms = self.fleet.own_settings.bounds.shutdown_grace_ms
-        self.fleet.shutdown = shutdown_schedule.ShutdownSchedule(
+        self.fleet.shutdown = builders.make_shutdown(
             self.clock.now_ms() - grace_ms, grace_ms
         )
         self.listener.state.is_leaving = True
--- a/tests/test_shutdown_races.py
+++ b/tests/test_shutdown_races.py
@@ -228,7 +228,7 @@
         async def leave_and_break(
             _request: case.ReceivedRequest, writer: asyncio.StreamWriter
         ) -> None:
-            self.fleet.shutdown = shutdown_schedule.ShutdownSchedule(
+            self.fleet.shutdown = builders.make_shutdown(
                 self.clock.now_ms() - GRACE_MS, GRACE_MS
             )
             writer.close()
@@ -274,7 +274,7 @@
                     lambda: self.listener.open_requests == len(connections)
                 )
             )
-            self.fleet.shutdown = shutdown_schedule.ShutdownSchedule(
+            self.fleet.shutdown = builders.make_shutdown(
                 self.clock.now_ms() - GRACE_MS, GRACE_MS
             )
             self.forwarder.reject_leaving()
--- a/tests/test_shutdown_schedule.py
+++ b/tests/test_shutdown_schedule.py
@@ -3,6 +3,7 @@
 import unittest
 
 from quincecrank.gateway import answer_times, deployment, shutdown_schedule
+from tests import builders_gateway as builders
 
 GRACE_MS = 8_000
 SIGNALLED_MS = 50_000
@@ -12,7 +13,7 @@
 
 class MayBeginTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.schedule = shutdown_schedule.ShutdownSchedule(SIGNALLED_MS, GRACE_MS)
+        self.schedule = builders.make_shutdown(SIGNALLED_MS, GRACE_MS)
 
     def may_begin(
         self,
@@ -84,7 +85,7 @@
 
 class StageTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.schedule = shutdown_schedule.ShutdownSchedule(SIGNALLED_MS, GRACE_MS)
+        self.schedule = builders.make_shutdown(SIGNALLED_MS, GRACE_MS)
 
     def stage(
         self, passed_ms: int, oldest_ms: int | None = None
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -464,8 +464,9 @@
     schedule = shutdown_schedule.ShutdownSchedule
     start = schedule.__init__
 
-    def mutated(self: Any, signalled_ms: int, grace_ms: int) -> None:
-        start(self, signalled_ms + 1_000, grace_ms)
+    def mutated(self: Any, signal: Any, grace_ms: int) -> None:
+        earliest_ms = signal.earliest_ms + 1_000
+        start(self, dataclasses.replace(signal, earliest_ms=earliest_ms), grace_ms)
 
     _replace(schedule, "__init__", mutated)
 
