Read what servers have sent before a time limit ends an answer

Callers saw streams cut, or got 504, although the whole answer had arrived at the gateway.

Cause: the event loop handles what is readable and the timers that are due in the same step, and an answer needs more steps than a time limit. After a standstill the limit acted first. Change: at a limit the exchange goes on while bytes have arrived on its link that it has not handled, for 100 ms at most. A server that sends on without a pause is ended then; a caller that takes nothing is not waited for longer. It works as the decision looks at the socket, as the closing of idle connections does.

--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -89,6 +89,12 @@
 longest prompt takes less."""
 
 WATCH_INTERVAL_MS: Final = 100
+MAX_READ_MS: Final = 100
+"""Longest time in which what a server has sent is read after a time limit."""
+
+WRITE_CHECK_MS: Final = 5
+"""Interval at which that looks whether the caller takes what was passed on."""
+
 """Interval of the checks for silence and deadline during an exchange."""
 
 _SERVER_ERROR: Final = 500
@@ -893,6 +899,7 @@
             try:
                 await self._end_exchange(active, exchange)
             finally:
+                    await self._handle_arrived(exchange, succession.exchange)
                 if not is_kept:
                     await self._end_succession(active, succession)
 
@@ -909,6 +916,20 @@
                 self._send_to_another(active, exchange)
             )
         for each in (exchange, succession.exchange):
+    async def _handle_arrived(
+        self, exchange: _Exchange, successor: _Exchange | None
+    ) -> None:
+        """Let exchanges handle what their servers have sent by now."""
+        until_ms = self._clock.now_ms() + MAX_READ_MS
+        for each in (exchange, successor):
+            while (
+                each is not None
+                and not each.running.done()
+                and each.link.has_arrived
+                and self._clock.now_ms() < until_ms
+            ):
+                await self._clock.sleep(WRITE_CHECK_MS if each.sink.is_writing else 0)
+
             if each is not None:
                 self._withdraw_if_late(active, each)
         await self._wait_for_progress(active, exchange, succession.waits_for)
--- a/quincecrank/gateway/server_links.py
+++ b/quincecrank/gateway/server_links.py
@@ -171,6 +171,11 @@
             and not self._stream.has_unread_bytes
         )
 
+    @property
+    def has_arrived(self) -> bool:
+        """Whether bytes, or the end, have arrived that no exchange has handled."""
+        return not arrived_bytes.awaits_bytes(self._stream)
+
     @property
     def unread_bytes(self) -> int:
         """Number of received bytes that no exchange has handled."""
