Send what was written before a cut answer's connection is closed

A slow caller of a cut stream lost the events that had been passed on, in the middle of one.

Cause: the cut closed the connection at once, with the bytes that the process still held for the caller. Evidence: tests.test_leaving_streams.UnsentEventsTest failed on: what was received ended within an event. Change: a cut answer's connection is closed once what was written is sent, as after a complete answer: at the latest after the idle limit without a byte taken, or at the end of the process. The caller still sees the answer as incomplete, as its last chunk is missing.

--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -89,7 +89,9 @@
     has_begun : bool
         Whether a status has been sent.
     has_ended : bool
-        Whether the complete answer was sent, or its connection was closed.
+        Whether the complete answer was written, or the answer was cut.
+    is_cut : bool
+        Whether the connection is to be closed once what was written is sent.
     closes_connection : bool
         Whether the answer is the last one of its connection, whatever the state.
     has_descriptor : bool
@@ -111,6 +113,7 @@
         self.has_descriptor = True
         self.has_begun = False
         self.has_ended = False
+        self.is_cut = False
 
     def send(self, status: int, headers: httputil.HTTPHeaders, body: bytes) -> None:
         """Send a complete answer."""
@@ -164,8 +167,15 @@
         return 0 if stream is None else arrived_bytes.unsent_bytes(stream)
 
     def abort(self) -> None:
-        """Close the connection, so that the caller sees the answer as incomplete."""
+        """Cut the answer: close the connection once what was written is sent.
+
+        The caller sees the answer as incomplete.
+        """
         self.has_ended = True
+        self.is_cut = True
+
+    def close(self) -> None:
+        """Close the connection."""
         stream = self._connection.stream
         if stream is not None:
             if not stream.closed():
@@ -773,8 +783,8 @@
             await answer.wait_sent()
         finally:
             self._open.discard(self)
-            if not answer.has_ended:
-                answer.abort()
+            if answer.is_cut or not answer.has_ended:
+                answer.close()
 
     def _handle_disconnect(self) -> None:
         if self._task is not None:
