Take the bound of the signal's time that is safe for each decision of a shutdown

Cause: the signal's time is known by two bounds: after the process last ran without it, before it was noticed. Change: what must be over before SIGKILL counts from the earliest time (what begins, answers to requests without one); what must go on counts from the latest (listening, serving what the balancer sent, begun answers). Begun answers have a limit of their own, .93 of the grace time instead of .9. The earliest time is the last reading of the clock, as handlers of signals run between two bytecodes: a loop that is busy, not stopped, narrows the bounds to the last callback. Where the bounds are over a sixth of the grace time apart both can't hold: begun answers go on up to SIGKILL, as everything else has been answered by then.

Tests of the schedule go over all distances of the bounds; each fails with the other bound.

--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -517,8 +517,17 @@
 
     async def _attempt(
         self, active: active_requests.ActiveRequest, placement: dispatcher.Placement
+        if active.answer.has_begun:
+            return min(active.deadline_ms, shutdown.cut_limit_ms)
     ) -> bool:
         """Send the request to a server; return whether the caller was answered.
+    def _work_limit_ms(self, active: active_requests.ActiveRequest) -> int:
+        """Return the time until which a server may work on a request."""
+        shutdown = self._fleet.shutdown
+        if shutdown is None or not active.route.is_stream:
+            return self._deadline_ms(active)
+        return min(active.deadline_ms, shutdown.cut_limit_ms)
+
 
         While that server is silent, the request may go on at another one.
         """
@@ -834,7 +843,7 @@
         self, active: active_requests.ActiveRequest, placement: dispatcher.Placement
     ) -> server_links.OutgoingRequest:
         request = active.request
-        remaining_ms = max(1, self._deadline_ms(active) - self._clock.now_ms())
+        remaining_ms = max(1, self._work_limit_ms(active) - self._clock.now_ms())
         transfers = placement.transfers
         gateway_headers = requests.GatewayHeaders(
             server_id=placement.server.server_id,
--- a/quincecrank/gateway/loop_monitor.py
+++ b/quincecrank/gateway/loop_monitor.py
@@ -29,6 +29,26 @@
 _LOG: Final = decision_log.logger("loop")
 
 
+class ObservedClock(clocks.SystemClock):
+    """The system clock, with its last reading by the thread of the event loop.
+
+    Handlers of signals run between two bytecodes of that thread, so that a signal whose
+    handler has not run yet was sent after the reading.  No other thread may use it.
+
+    Attributes
+    ----------
+    last_read_ms : int
+        Time of the last reading; 0 before the first one.
+    """
+
+    last_read_ms = 0
+
+    def now_ms(self) -> int:
+        """Return the monotonic time in milliseconds."""
+        self.last_read_ms = now_ms = super().now_ms()
+        return now_ms
+
+
 class LoopMonitor:
     """Wakes up at regular intervals and records how late it did.
 
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -78,6 +78,9 @@
 CLOSING_CHECK_MS: Final = 10
 """The same while it closes its connections."""
 
+LAST_CHECKS: Final = 12
+"""Number of these checks for which the process stays after its end is due."""
+
 MAX_PAUSE_MS: Final = 500
 """Time without an accepted connection, for lack of descriptors, after which a gateway
 is not ready: other ones can serve its callers."""
@@ -95,7 +98,7 @@
     """
 
     def __init__(
-        self, own_settings: environment.Environment, clock: clocks.Clock
+        self, own_settings: environment.Environment, clock: loop_monitor.ObservedClock
     ) -> None:
         self._own_settings = own_settings
         self._clock = clock
@@ -291,11 +294,12 @@
         """Note the time of the signal that ends the process.
 
         The system delivers a signal as soon as the process runs, so that it was sent
-        after the loop's last run.
+        after the process last read its clock.
         """
         if self._signal is None:
+            earliest_ms = self._clock.last_read_ms
             self._signal = shutdown_schedule.SignalTime(
-                self._loop_monitor.last_run_ms, self._clock.now_ms()
+                earliest_ms, self._clock.now_ms()
             )
 
     async def stop(self) -> None:
@@ -318,8 +322,7 @@
         self._log_shutdown("closing")
         while self._close_idle():
             if self._next_stage(schedule) is shutdown_schedule.Stage.ENDED:
-                # If the loop stood still up to now, answers are due that were not sent.
-                await self._clock.sleep(LEAVING_CHECK_MS)
+                await self._send_last_answers()
                 break
             self._reject_leaving()
             await self._clock.sleep(CLOSING_CHECK_MS)
@@ -327,6 +330,13 @@
         self._log_shutdown("ended")
         self._tasks.cancel()
 
+    async def _send_last_answers(self) -> None:
+        """Wait for answers that are due, as the loop may have stood still up to now."""
+        for _ in range(LAST_CHECKS):
+            await self._clock.sleep(CLOSING_CHECK_MS)
+            if not self._listener.open_requests:
+                return
+
     def _reject_leaving(self) -> None:
         try:
             self._forwarder.reject_leaving()
@@ -674,7 +684,7 @@
 async def _serve(own_settings: environment.Environment) -> None:
     ended = asyncio.Event()
     loop = asyncio.get_running_loop()
-    gateway = Gateway(own_settings, clocks.SystemClock())
+    gateway = Gateway(own_settings, loop_monitor.ObservedClock())
 
     def handle_end_signal(_number: int, _frame: object) -> None:
         gateway.note_signal()
--- a/quincecrank/gateway/shutdown_schedule.py
+++ b/quincecrank/gateway/shutdown_schedule.py
@@ -7,6 +7,15 @@
     does, which for a request that may run once only means by its time limit.  No
     connection is closed while bytes of it are unread, unless the grace time is over.
 
+    The time of the signal is known by two bounds, and each decision takes the one that
+    is safe for it.  What must be over before SIGKILL counts from the earliest time:
+    what may begin, the answers to requests without one, the end of the process.  What
+    must go on for some time after the signal counts from the latest time: accepting
+    connections, serving what they bring, and answers that have begun, of which none is
+    cut before `CUT_FRACTION` of the grace time.  If both can't be kept, answers that
+    have begun go on, up to SIGKILL: everything else has been answered by then, and to
+    its caller a cut by SIGKILL is like any other cut.
+
 Load pattern: all gateways of a data centre are replaced within seconds, under overload.
 The balancer goes on to send callers to gateways that are not ready, callers keep using
 open connections, and the event loop runs late, so that it notices both requests and the
@@ -50,10 +59,21 @@
 request to be sent to a backend server."""
 
 ANSWER_FRACTION: Final = 0.9
-"""Fraction of the grace time after which requests that are still open are ended."""
+"""Fraction of the grace time after which requests without an answer are ended."""
+
+STREAM_FRACTION: Final = 0.93
+"""Fraction of the grace time after which answers that have begun are cut."""
+
+CUT_FRACTION: Final = 0.84
+"""Fraction of the grace time before which no answer that has begun is cut, counted from
+the latest time of the signal.  Callers accept a cut in the last sixth."""
+
+FLUSH_FRACTION: Final = 0.02
+"""Fraction of the grace time that is left for bytes to be sent after a cut."""
 
 END_FRACTION: Final = 0.96
-"""Fraction of the grace time after which the process ends in any case."""
+"""Fraction of the grace time after which the process ends, unless answers that have
+begun go on longer."""
 
 MAX_LATENESS_FRACTION: Final = 0.25
 """Bound of the lateness that is allowed for, as a fraction of the grace time."""
@@ -114,19 +134,34 @@
 
     def __init__(self, signal: SignalTime, grace_ms: int) -> None:
         self.signal = signal
-        self._signalled_ms = signal.earliest_ms
         self._grace_ms = grace_ms
         self._is_closing = False
         self.lateness_ms = 0
 
     @property
     def answer_limit_ms(self) -> int:
-        """Time at which requests that are still open are ended."""
-        return self._signalled_ms + int(self._grace_ms * ANSWER_FRACTION)
+        """Time at which requests without a begun answer are ended."""
+        return self.signal.earliest_ms + int(self._grace_ms * ANSWER_FRACTION)
+
+    @property
+    def cut_limit_ms(self) -> int:
+        """Time at which answers that have begun are cut."""
+        return max(
+            self.signal.earliest_ms + int(self._grace_ms * STREAM_FRACTION),
+            self.signal.latest_ms + int(self._grace_ms * CUT_FRACTION),
+        )
+
+    @property
+    def end_limit_ms(self) -> int:
+        """Time at which the process ends in any case."""
+        return max(
+            self.signal.earliest_ms + int(self._grace_ms * END_FRACTION),
+            self.cut_limit_ms + int(self._grace_ms * FLUSH_FRACTION),
+        )
 
     def since_signal_ms(self, now_ms: int) -> int:
         """Return the longest time that may have passed since the signal."""
-        return now_ms - self._signalled_ms
+        return now_ms - self.signal.earliest_ms
 
     def may_begin(
         self,
@@ -150,9 +185,9 @@
         """
         if remaining_ms <= 0:
             return False
-        begin_limit_ms = self._signalled_ms + int(self._grace_ms * BEGIN_FRACTION)
+        begin_limit_ms = self.signal.earliest_ms + int(self._grace_ms * BEGIN_FRACTION)
         left_ms = begin_limit_ms - self._allowance_ms - now_ms
-        if not self._is_early(now_ms):
+        if not self._surely_gets_callers(now_ms):
             left_ms = min(left_ms, MAX_LATE_MS)
         needed_ms = self._needed_ms(now_ms, answer_time, may_repeat=may_repeat)
         if needed_ms is None:
@@ -171,7 +206,7 @@
         While the balancer sends callers here, rejecting what most likely ends would
         cost more than the few answers that do not.
         """
-        if self._is_early(now_ms):
+        if self._surely_gets_callers(now_ms):
             if answer_time is None:
                 return 0 if may_repeat else None
             if may_repeat:
@@ -190,20 +225,24 @@
             Time at which the oldest request arrived of those that are being read or
             answered; None if there are none.
         """
-        if self.since_signal_ms(now_ms) >= self._grace_ms * END_FRACTION:
+        if now_ms >= self.end_limit_ms:
             return Stage.ENDED
         # Requests that arrived later are short and end while it closes.
-        has_early_request = oldest_arrival_ms is not None and self._is_early(
+        has_early_request = oldest_arrival_ms is not None and self._may_get_callers(
             oldest_arrival_ms
         )
         is_due = now_ms >= self.answer_limit_ms - self._allowance_ms
-        if is_due or not (self._is_early(now_ms) or has_early_request):
+        if not self._may_get_callers(now_ms) and (is_due or not has_early_request):
             self._is_closing = True
         return Stage.CLOSING if self._is_closing else Stage.SERVING
 
-    def _is_early(self, at_ms: int) -> bool:
+    def _surely_gets_callers(self, at_ms: int) -> bool:
+        """Return whether the balancer surely sends callers here at a time."""
+        return at_ms - self.signal.earliest_ms < MIN_SERVE_MS
+
+    def _may_get_callers(self, at_ms: int) -> bool:
         """Return whether the balancer may still send callers here at a time."""
-        return self.since_signal_ms(at_ms) < MIN_SERVE_MS
+        return at_ms - self.signal.latest_ms < MIN_SERVE_MS
 
     @property
     def _allowance_ms(self) -> int:
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -12,7 +12,6 @@
 
 from tornado import netutil
 
-from quincecrank import clock as clocks
 from quincecrank import tasks
 from quincecrank.gateway import (
     callers,
@@ -21,6 +20,7 @@
     fleet_state,
     forwarding,
     gateway_metrics,
+    loop_monitor,
     servers,
 )
 from quincecrank.platform import documents
@@ -185,7 +185,7 @@
     """Base of tests that run a forwarder and its listener for callers."""
 
     async def asyncSetUp(self) -> None:
-        self.clock = clocks.SystemClock()
+        self.clock = loop_monitor.ObservedClock()
         self.fleet = fleet_state.FleetState(builders.make_environment(), self.clock)
         self.crashes = crash_suspicions.CrashSuspicions(self.fleet.has_ended)
         self.dispatcher = dispatcher.Dispatcher(self.fleet, random.Random(1))
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -29,6 +29,7 @@
     dispatcher,
     followers,
     loads,
+    loop_monitor,
     main,
     order_lease,
     peer_messages,
@@ -74,7 +75,7 @@
 
 def applied(table: tables.TableName, *rows: store_rows.Row) -> main.Gateway:
     """Return a gateway that has read `rows`, half of them as changes."""
-    gateway = main.Gateway(builders.make_environment(), clocks.SystemClock())
+    gateway = make_gateway()
     follower = gateway._followers_by_table[table]
     with mock.patch.object(gateway._reporter, "send"):
         follower._replace(
@@ -94,7 +95,7 @@
 
 def exchange_reports(gateway: main.Gateway) -> None:
     """Pass the reports of a gateway to another one, whose own must be sound, too."""
-    other = main.Gateway(builders.make_environment(), clocks.SystemClock())
+    other = make_gateway()
     for _ in range(main.REPORTS_PER_TIMES):
         report = peer_messages.decode(peer_messages.encode(gateway._make_report()))
         assert isinstance(report, peer_messages.Report)
@@ -113,6 +114,11 @@
         test.assertNotIn("exc_info", line)
 
 
+def make_gateway() -> main.Gateway:
+    """Return a gateway that is not started."""
+    return main.Gateway(builders.make_environment(), loop_monitor.ObservedClock())
+
+
 class OddRowsTest(gateway_case.GatewayCase):
     def assert_literal(self, address: str) -> None:
         ip, _, port = address.rpartition(":")
@@ -357,7 +363,9 @@
                 ),
             ),
         )
-        gateway = main.Gateway(builders.make_environment(), clocks.SystemClock())
+        gateway = main.Gateway(
+            builders.make_environment(), loop_monitor.ObservedClock()
+        )
         with contextlib.suppress(peer_messages.MessageError):
             decoded = peer_messages.decode(peer_messages.encode(report))
             assert isinstance(decoded, peer_messages.Report)
@@ -408,7 +416,9 @@
 
     async def test_a_prompt_of_too_many_tokens_ends_reports(self) -> None:
         """The load that it puts on a server does not fit the report's field."""
-        gateway = main.Gateway(builders.make_environment(), clocks.SystemClock())
+        gateway = main.Gateway(
+            builders.make_environment(), loop_monitor.ObservedClock()
+        )
         gateway._fleet.loads.record_start(
             servers.ServerId("i-1"), ids.RequestId("q"), 2**40, 2**40
         )
--- a/tests/test_shutdown_schedule.py
+++ b/tests/test_shutdown_schedule.py
@@ -1,6 +1,7 @@
 """Tests of the decisions of a gateway that shuts down."""
 
 import unittest
+from collections.abc import Iterator
 
 from quincecrank.gateway import answer_times, deployment, shutdown_schedule
 from tests import builders_gateway as builders
@@ -127,6 +128,55 @@
         self.assertIs(self.stage(answer_ms - 500, 0), shutdown_schedule.Stage.CLOSING)
 
 
+class SignalBoundsTest(unittest.TestCase):
+    """Each decision takes the bound of the signal's time that is safe for it."""
+
+    LATE_MS = GRACE_MS * 5 // 6
+
+    def schedules(self) -> Iterator[tuple[int, shutdown_schedule.ShutdownSchedule]]:
+        """Return schedules with the time from the signal's earliest to its latest."""
+        for noticed_ms in range(0, GRACE_MS, 50):
+            yield noticed_ms, builders.make_shutdown(SIGNALLED_MS, GRACE_MS, noticed_ms)
+
+    def test_streams_were_cut_too_early_after_a_late_notice(self) -> None:
+        """The limit counted from the earliest time of the signal."""
+        for noticed_ms, schedule in self.schedules():
+            latest_ms = SIGNALLED_MS + noticed_ms
+            self.assertGreaterEqual(schedule.cut_limit_ms, latest_ms + self.LATE_MS)
+            self.assertGreater(schedule.end_limit_ms, schedule.cut_limit_ms)
+
+    def test_streams_end_before_sigkill_unless_the_bounds_are_far_apart(self) -> None:
+        for noticed_ms, schedule in self.schedules():
+            killed_ms = SIGNALLED_MS + GRACE_MS
+            if noticed_ms <= 1_100:
+                self.assertLess(schedule.end_limit_ms, killed_ms)
+            if noticed_ms <= 1_250:
+                self.assertLess(schedule.cut_limit_ms, killed_ms)
+
+    def test_what_must_be_over_before_sigkill_counts_from_the_earliest_time(
+        self,
+    ) -> None:
+        answer_ms = SIGNALLED_MS + int(GRACE_MS * shutdown_schedule.ANSWER_FRACTION)
+        for _, schedule in self.schedules():
+            self.assertEqual(schedule.answer_limit_ms, answer_ms)
+            for now_ms in range(SIGNALLED_MS, SIGNALLED_MS + 2 * GRACE_MS, 100):
+                if schedule.may_begin(now_ms, 1_500, None, may_repeat=False):
+                    self.assertLess(now_ms + 1_500, answer_ms)
+
+    def test_connections_were_refused_that_the_balancer_still_sent(self) -> None:
+        """The time in which it does so was counted from before the signal."""
+        for noticed_ms, schedule in self.schedules():
+            rotated_ms = SIGNALLED_MS + noticed_ms + shutdown_schedule.MIN_SERVE_MS
+            self.assertIs(
+                schedule.next_stage(rotated_ms - 1, None),
+                shutdown_schedule.Stage.SERVING,
+            )
+            # A request that the balancer sent last keeps the gateway serving.
+            has_time = rotated_ms + 100 < schedule.answer_limit_ms
+            stage = schedule.next_stage(rotated_ms + 100, rotated_ms - 1)
+            self.assertIs(stage is shutdown_schedule.Stage.SERVING, has_time)
+
+
 class AnswerTimesTest(unittest.TestCase):
     def test_the_latest_answers_of_a_route_count(self) -> None:
         times = answer_times.AnswerTimes()
