Let a begun stream of a leaving gateway go on if its rest ends in time

A stream whose server was lost after SIGTERM was cut at once, with a few events left and a sound server free.

Cause: whether it may begin again was decided by the time of a whole answer of its route. Evidence: tests.test_leaving_streams.ResumedRunTest, 11 of 12 events passed on; the log says reason=leaving, limit=none, left_ms=2963 on. The form of the test in failed for another reason (its route allows one attempt, "no attempts left"); this one gives the route two attempts and the request 3 s, and fails there as meant. Change: the typical time of the route's answers, times the share of tokens that is left, must end before begun answers are cut. If it doesn't, the stream is ended at once, so that its caller goes on elsewhere.

--- a/quincecrank/gateway/answer_times.py
+++ b/quincecrank/gateway/answer_times.py
@@ -16,6 +16,10 @@
 
 TYPICAL_QUANTILE: Final = 0.9
 
+MIN_REST: Final = 0.1
+"""Smallest share of an answer's time that a resumed rest takes: the prompt is read
+again, and the number of tokens is an estimate."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerTime:
@@ -30,6 +34,16 @@
     typical_ms: int
     longest_ms: int
 
+    def rest_ms(self, done: int, expected: int) -> float:
+        """Return the typical time of what is left of an answer.
+
+        Parameters
+        ----------
+        done, expected : int
+            Number of tokens so far, and expected number of all, at least 1.
+        """
+        return self.typical_ms * max(1 - done / expected, MIN_REST)
+
 
 class AnswerTimes:
     """The times of complete answers, by route."""
--- a/quincecrank/gateway/event_stream.py
+++ b/quincecrank/gateway/event_stream.py
@@ -47,6 +47,12 @@
         """Whether an incomplete event has been received."""
         return bool(self._partial.strip())
 
+    @property
+    def token_count(self) -> int:
+        """Number of tokens so far, by the last id if it is a number."""
+        last_id = self.last_id or ""
+        return int(last_id) if last_id.isdecimal() else self.event_count
+
     @property
     def partial_bytes(self) -> int:
         """Length of the incomplete event."""
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -20,6 +20,7 @@
 from quincecrank.gateway import (
     active_requests,
     answer_sink,
+    answer_times,
     cache_part_index,
     callers,
     crash_findings,
@@ -88,13 +89,13 @@
 """Time after which an engine abandons a fetch of cached prompt parts; computing the
 longest prompt takes less."""
 
-WATCH_INTERVAL_MS: Final = 100
 MAX_READ_MS: Final = 100
 """Longest time in which what a server has sent is read after a time limit."""
 
 WRITE_CHECK_MS: Final = 5
 """Interval at which that looks whether the caller takes what was passed on."""
 
+WATCH_INTERVAL_MS: Final = 100
 """Interval of the checks for silence and deadline during an exchange."""
 
 _SERVER_ERROR: Final = 500
@@ -494,11 +495,14 @@
         if shutdown is None:
             return True
         now_ms = self._clock.now_ms()
+        remaining_ms = active.deadline_ms - now_ms
+        answer_time = self._fleet.answer_times.time_of(active.route.name)
+        if active.answer.has_begun:
+            return shutdown.may_resume(
+                now_ms, remaining_ms, _rest_ms(active, answer_time)
+            )
         return shutdown.may_begin(
-            now_ms,
-            active.deadline_ms - now_ms,
-            self._fleet.answer_times.time_of(active.route.name),
-            may_repeat=active.route.may_repeat,
+            now_ms, remaining_ms, answer_time, may_repeat=active.route.may_repeat
         )
 
     def _reject_leaving(self, active: active_requests.ActiveRequest) -> bool:
@@ -513,14 +517,10 @@
         shutdown = self._fleet.shutdown
         if shutdown is None:
             return active.deadline_ms
-        return min(active.deadline_ms, shutdown.answer_limit_ms)
-
-    async def _attempt(
-        self, active: active_requests.ActiveRequest, placement: dispatcher.Placement
         if active.answer.has_begun:
             return min(active.deadline_ms, shutdown.cut_limit_ms)
-    ) -> bool:
-        """Send the request to a server; return whether the caller was answered.
+        return min(active.deadline_ms, shutdown.answer_limit_ms)
+
     def _work_limit_ms(self, active: active_requests.ActiveRequest) -> int:
         """Return the time until which a server may work on a request."""
         shutdown = self._fleet.shutdown
@@ -528,6 +528,10 @@
             return self._deadline_ms(active)
         return min(active.deadline_ms, shutdown.cut_limit_ms)
 
+    async def _attempt(
+        self, active: active_requests.ActiveRequest, placement: dispatcher.Placement
+    ) -> bool:
+        """Send the request to a server; return whether the caller was answered.
 
         While that server is silent, the request may go on at another one.
         """
@@ -895,6 +899,7 @@
         try:
             while not exchange.running.done() and not exchange.is_superseded:
                 if self._clock.now_ms() >= self._deadline_ms(active):
+                    await self._handle_arrived(exchange, succession.exchange)
                     break
                 if active.answer.has_ended:
                     break  # The other server has given a final answer.
@@ -908,23 +913,9 @@
             try:
                 await self._end_exchange(active, exchange)
             finally:
-                    await self._handle_arrived(exchange, succession.exchange)
                 if not is_kept:
                     await self._end_succession(active, succession)
 
-    async def _watch(
-        self,
-        active: active_requests.ActiveRequest,
-        exchange: _Exchange,
-        succession: _Succession,
-    ) -> None:
-        """Wait for progress; send the request to another server if there is none."""
-        now_ms = self._clock.now_ms()
-        if succession.is_empty and self._is_silent(active, exchange.sink, now_ms):
-            succession.opening = asyncio.ensure_future(
-                self._send_to_another(active, exchange)
-            )
-        for each in (exchange, succession.exchange):
     async def _handle_arrived(
         self, exchange: _Exchange, successor: _Exchange | None
     ) -> None:
@@ -939,6 +930,19 @@
             ):
                 await self._clock.sleep(WRITE_CHECK_MS if each.sink.is_writing else 0)
 
+    async def _watch(
+        self,
+        active: active_requests.ActiveRequest,
+        exchange: _Exchange,
+        succession: _Succession,
+    ) -> None:
+        """Wait for progress; send the request to another server if there is none."""
+        now_ms = self._clock.now_ms()
+        if succession.is_empty and self._is_silent(active, exchange.sink, now_ms):
+            succession.opening = asyncio.ensure_future(
+                self._send_to_another(active, exchange)
+            )
+        for each in (exchange, succession.exchange):
             if each is not None:
                 self._withdraw_if_late(active, each)
         await self._wait_for_progress(active, exchange, succession.waits_for)
@@ -1514,6 +1518,17 @@
     return 0
 
 
+def _rest_ms(
+    active: active_requests.ActiveRequest, answer_time: answer_times.AnswerTime | None
+) -> float | None:
+    """Return the typical time of what is left of a stream; None if not known."""
+    prompt = active.caller_headers.prompt
+    if answer_time is None or prompt is None or not prompt.output_tokens:
+        return None
+    done = active.event_splitter.token_count
+    return answer_time.rest_ms(done, prompt.output_tokens)
+
+
 async def _claim_no_retest(_finding: crash_findings.Finding) -> bool:
     """Return False: without a crash monitor there are no retests."""
     return False
--- a/quincecrank/gateway/shutdown_schedule.py
+++ b/quincecrank/gateway/shutdown_schedule.py
@@ -216,6 +216,23 @@
             return None
         return answer_time.longest_ms * LATE_FACTOR + SILENCE_MS
 
+    def may_resume(
+        self, now_ms: int, remaining_ms: int, needed_ms: float | None
+    ) -> bool:
+        """Return whether a begun stream may go on at another backend server.
+
+        Parameters
+        ----------
+        remaining_ms : int
+            Time until the request's time limit.
+        needed_ms : float or None
+            Expected time of what is left of the stream; None if it is not known.
+        """
+        left_ms = self.cut_limit_ms - now_ms
+        if remaining_ms <= 0 or left_ms <= 0:
+            return False
+        return needed_ms is None or min(needed_ms, remaining_ms) <= left_ms
+
     def next_stage(self, now_ms: int, oldest_arrival_ms: int | None) -> Stage:
         """Return the present stage; it never goes back.
 
--- a/tests/test_leaving_streams.py
+++ b/tests/test_leaving_streams.py
@@ -116,10 +116,15 @@
             events = "".join(map(event, range(first, EVENTS + 1)))
             writer.write(case.stream_head() + case.chunk(events) + case.chunk(""))
 
+        document = builders.make_configuration_document(8)
+        next(each for each in document["routes"] if each["name"] == ROUTE)[
+            "maxAttempts"
+        ] = 2
+        self.configure_from(document)
         for number in range(8):
             self.fleet.answer_times.record(ROUTE, 6_000 + number)
         leaving = await self.add_server(self.begin, service="drafting")
-        caller = await self.open_stream()
+        caller = await self.open_stream(Deadline_Ms="3000")
         other = await self.add_server(resume, service="drafting")
         events = "".join(map(event, range(2, EVENTS)))
         self.send_unread(case.chunk(events))
--- a/tests/test_shutdown_schedule.py
+++ b/tests/test_shutdown_schedule.py
@@ -176,6 +176,17 @@
             stage = schedule.next_stage(rotated_ms + 100, rotated_ms - 1)
             self.assertIs(stage is shutdown_schedule.Stage.SERVING, has_time)
 
+    def test_a_stream_goes_on_elsewhere_if_its_rest_ends_before_the_cut(self) -> None:
+        for _, schedule in self.schedules():
+            cut_ms = schedule.cut_limit_ms
+            for rest_ms in (100.0, 2_000.0, 5_000.0):
+                now_ms = cut_ms - int(rest_ms)
+                self.assertTrue(schedule.may_resume(now_ms, 10_000, rest_ms))
+                self.assertFalse(schedule.may_resume(now_ms + 1, 10_000, rest_ms))
+                self.assertTrue(schedule.may_resume(now_ms, 10_000, None))
+                self.assertFalse(schedule.may_resume(now_ms, 0, rest_ms))
+            self.assertFalse(schedule.may_resume(cut_ms, 10_000, None))
+
 
 class AnswerTimesTest(unittest.TestCase):
     def test_the_latest_answers_of_a_route_count(self) -> None:
@@ -187,5 +198,8 @@
         for _ in range(answer_times.MAX_ANSWERS):
             times.record(ROUTE, 200)
         self.assertEqual(times.time_of(ROUTE), answer_times.AnswerTime(200, 200))
+        rest = answer_times.AnswerTime(1_000, 2_000)
+        self.assertEqual(rest.rest_ms(25, 100), 750)
+        self.assertEqual(rest.rest_ms(150, 100), 1_000 * answer_times.MIN_REST)
         times.retain(())
         self.assertIsNone(times.time_of(ROUTE))
