Test the bound by which long answers begin; remove an unused method

With the other bound in its place each line of the schedule that names a bound now fails a test; of eight, that of long answers had not (a scratch copy), and the one of since_signal_ms was in no use.

--- a/quincecrank/gateway/shutdown_schedule.py
+++ b/quincecrank/gateway/shutdown_schedule.py
@@ -159,10 +159,6 @@
             self.cut_limit_ms + int(self._grace_ms * FLUSH_FRACTION),
         )
 
-    def since_signal_ms(self, now_ms: int) -> int:
-        """Return the longest time that may have passed since the signal."""
-        return now_ms - self.signal.earliest_ms
-
     def may_begin(
         self,
         now_ms: int,
--- a/tests/test_shutdown_schedule.py
+++ b/tests/test_shutdown_schedule.py
@@ -163,6 +163,14 @@
                 if schedule.may_begin(now_ms, 1_500, None, may_repeat=False):
                     self.assertLess(now_ms + 1_500, answer_ms)
 
+    def test_long_answers_begin_only_while_callers_accept_their_cut(self) -> None:
+        """Requests that are sent over 3 s after the signal must end in time."""
+        begin_ms = SIGNALLED_MS + shutdown_schedule.MIN_SERVE_MS
+        for _, schedule in self.schedules():
+            for now_ms, may_begin in ((begin_ms - 1, True), (begin_ms, False)):
+                begins = schedule.may_begin(now_ms, 10_000, None, may_repeat=True)
+                self.assertIs(begins, may_begin)
+
     def test_connections_were_refused_that_the_balancer_still_sent(self) -> None:
         """The time in which it does so was counted from before the signal."""
         for noticed_ms, schedule in self.schedules():
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -398,7 +398,7 @@
 
     def mutated(self: Any, now_ms: int, oldest_arrival_ms: int | None) -> Any:
         stage = next_stage(self, now_ms, oldest_arrival_ms)
-        is_closing = self.since_signal_ms(now_ms) >= shutdown_schedule.MIN_SERVE_MS
+        is_closing = now_ms - self.signal.earliest_ms >= shutdown_schedule.MIN_SERVE_MS
         if is_closing and stage is shutdown_schedule.Stage.SERVING:
             return shutdown_schedule.Stage.CLOSING
         return stage
@@ -412,7 +412,7 @@
     next_stage = schedule.next_stage
 
     def mutated(self: Any, now_ms: int, oldest_arrival_ms: int | None) -> Any:
-        if self.since_signal_ms(now_ms) >= shutdown_schedule.MIN_SERVE_MS:
+        if now_ms - self.signal.earliest_ms >= shutdown_schedule.MIN_SERVE_MS:
             return shutdown_schedule.Stage.ENDED
         return next_stage(self, now_ms, oldest_arrival_ms)
 
