Count peers as silent only up to the last read of their datagrams

What callers saw: after each standstill of a gateway of 1.5 s or more (a stopped process, a machine that swaps), the gateway took itself for the only live one until it had read its peers' reports. In its next report it named itself as the issuer of every rate limit, and then supported nobody for 0.7 s, twice: requests for limited servers waited. Its share of the retry floor was the whole floor for one maintenance interval.

Cause: the silence limit acted before what had arrived was read. A stop interrupts the loop's wait for events, which then returns none once its timeout is over (EINTR, see PEP 475), so that all timers run first. A loop that is only blocked reads first.

Change: the silence of peers counts up to the last read of datagrams, if that is longer ago than two intervals of reports, and the sender of reports reads before it sends. Whether all gateways have a listing needs the other bound, so it asks for peers that surely reported in time.

Evidence: test_standstill.PeersTest failed before (no live member after the standstill) and passes; a peer that sends nothing is silent as before. tests of followers, rate limits, permits, versions, restores: 152 passed.

Why it works: a report that arrived during the standstill is read before anything counts from the present time again.

--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -78,6 +78,11 @@
 MAX_UNREAD_MS: Final = 200
 """Time without a read of datagrams after which they are read before a request."""
 
+MAX_READ_PAUSE_MS: Final = 2 * MAX_REPORT_INTERVAL_MS
+"""Longest time without a read of datagrams that counts towards a peer's silence.
+Datagrams are read at least once in an interval of reports, unless this process stands
+still."""
+
 DATAGRAMS_PER_STEP: Final = 64
 """Most datagrams that one step of the event loop handles."""
 
@@ -115,6 +120,11 @@
         store still detects that the store was restored.
     is_late : callable
         Returns whether the event loop of this gateway runs late.
+
+    Attributes
+    ----------
+    read_until_ms : callable
+        Returns the time up to which the peers' datagrams have been read.
     """
 
     def __init__(
@@ -125,6 +135,7 @@
         is_late: Callable[[], bool] = lambda: False,
     ) -> None:
         self.is_late = is_late
+        self.read_until_ms: Callable[[], int] = clock.now_ms
         self._own_settings = own_settings
         self._clock = clock
         self._store_era = era
@@ -160,13 +171,14 @@
     def live_ips(self) -> tuple[str, ...]:
         """Return the addresses of the peers whose last report is recent enough.
 
-        It must be younger than `PEER_SILENCE_LIMIT_MS`.
+        It must be younger than `PEER_SILENCE_LIMIT_MS`, not counting the time for which
+        this process stood still: reports that arrived then lie unread.
         """
-        now_ms = self._clock.now_ms()
+        until_ms = self.read_until_ms()
         return tuple(
             ip
             for ip, reported_ms in self._report_ms_by_ip.items()
-            if now_ms - reported_ms < PEER_SILENCE_LIMIT_MS
+            if until_ms - reported_ms < PEER_SILENCE_LIMIT_MS
         )
 
     def reporting_ips(self, limit_ms: int) -> tuple[str, ...]:
@@ -316,10 +328,11 @@
     def all_have(self, table: tables.TableName, position: store_rows.Position) -> bool:
         """Return whether all gateways that may be alive have a table up to a position.
 
-        Gateways that are not live do not have it.
+        Gateways that are not surely live do not have it.
         """
         positions = [
-            _reported_position(self._report_by_ip[ip], table) for ip in self.live_ips()
+            _reported_position(self._report_by_ip[ip], table)
+            for ip in self.reporting_ips(PEER_SILENCE_LIMIT_MS)
         ]
         count = sum(
             each is not None and each.era == position.era and each >= position
@@ -444,7 +457,8 @@
         self._clock = clock
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
-        self._emptied_ms = clock.now_ms()
+        self._emptied_ms = self._read_ms = clock.now_ms()
+        peer_directory.read_until_ms = self._read_until_ms
 
     def start(self) -> None:
         """Bind the port for datagrams and receive from it."""
@@ -455,6 +469,8 @@
     async def run(self) -> None:
         """Send reports at intervals; never returns."""
         while True:
+            # After a standstill of the process, timers run before sockets are read.
+            self._receive(self._socket, 0)
             self.send()
             await self._clock.sleep(report_interval_ms(len(self._peers.live_ips())))
 
@@ -503,7 +519,17 @@
                 # The next report repeats the state.
                 _LOG.debug("datagram not sent", peer=ip, error=str(error))
 
+    def _read_until_ms(self) -> int:
+        now_ms = self._clock.now_ms()
+        return now_ms if now_ms - self._read_ms < MAX_READ_PAUSE_MS else self._read_ms
+
     def _receive(self, _socket: object, _events: int) -> None:
+        try:
+            self._read_datagrams()
+        finally:
+            self._read_ms = self._clock.now_ms()
+
+    def _read_datagrams(self) -> None:
         for _ in range(DATAGRAMS_PER_STEP):
             now_ms = self._clock.now_ms()
             try:
