Count an issuer's support from the earliest time of its supporter's report

By reading: an issuer of permits that stood still counted a supporter for 0.7 s from the moment at which it read an old report, although the supporter had turned to another issuer meanwhile. Until the later reports were read, or for 0.7 s if they had been dropped by a full buffer, two issuers could issue the whole limit of one server.

Cause: a report is only known to have been sent between the moment at which the socket was last empty and its reading. A supporter counts its 0.7 s from its last report, so its issuer needs the earlier bound; it took the later one.

Change: the support counts from the earliest arrival of the report, which the directory of peers already keeps.

Evidence: test_standstill.SupportTest failed before (an ask waits 300 ms with and without the late report) and passes. test_send_permits, test_gateway_rate_limits (soaks of the simulation), test_rate_limit_states and test_rate_limited_requests: passed (51 with test_standstill). The simulation has no unread datagrams, so it does not show the change.

Why it works: the support ends at the issuer no later than 0.7 s after the report was sent, which is when its sender may support another issuer.

--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -278,6 +278,14 @@
                 return ip
         return None
 
+    def report_earliest_ms(self, member: ids.VmName) -> int | None:
+        """Return the earliest time at which a live peer's last report arrived.
+
+        None if the peer is not live.
+        """
+        ip = self.ip_of(member)
+        return None if ip is None else self._earliest_ms_by_ip[ip]
+
     def destinations(self) -> tuple[str, ...]:
         """Return the addresses to send reports to.
 
--- a/quincecrank/gateway/permit_exchange.py
+++ b/quincecrank/gateway/permit_exchange.py
@@ -133,7 +133,11 @@
         for state in report.limit_states:
             self._fleet.apply_peer_limit(state)
         permits = self._fleet.send_permits
-        permits.apply_issuer_reports(report.vm, report.issuer_reports, now_ms)
+        # The peer may have sent the report, and withdrawn its support, long ago.
+        sent_ms = self._peers.report_earliest_ms(report.vm) or now_ms
+        permits.apply_issuer_reports(
+            report.vm, report.issuer_reports, now_ms, sent_ms=sent_ms
+        )
         if permits.apply_asks(report.vm, report.permit_asks, now_ms):
             self._has_work.set()
 
--- a/quincecrank/gateway/send_permits.py
+++ b/quincecrank/gateway/send_permits.py
@@ -40,8 +40,9 @@
 valid."""
 
 SUPPORT_MS: Final = 700
-"""Time for which an issuer counts a supporter after its report: two of the longest
-report intervals.  A gateway supports no issuer for this time after a change."""
+"""Time for which an issuer counts a supporter, from the earliest time at which its
+report was sent: two of the longest report intervals.  A gateway supports no issuer for
+this time after a change."""
 
 QUORUM: Final = 0.8
 """Fraction of the known gateways whose support gives an issuer the whole limit.  With
@@ -450,9 +451,21 @@
         )
 
     def apply_issuer_reports(
-        self, gateway: ids.VmName, reports: Iterable[IssuerReport], now_ms: int
+        self,
+        gateway: ids.VmName,
+        reports: Iterable[IssuerReport],
+        now_ms: int,
+        *,
+        sent_ms: int | None = None,
     ) -> None:
-        """Record which issuers a peer supports, and the wait that an issuer reports."""
+        """Record which issuers a peer supports, and the wait that an issuer reports.
+
+        Parameters
+        ----------
+        sent_ms : int or None
+            Earliest time at which the peer may have sent the reports, from which its
+            support counts; None for the present time.
+        """
         for report in reports:
             if self._limits.limit_of(report.incarnation) is None:
                 continue
@@ -460,7 +473,8 @@
             if report.issuer is None:
                 holder.issuer_by_peer.pop(gateway, None)
             else:
-                holder.issuer_by_peer[gateway] = (report.issuer, now_ms)
+                supported_ms = now_ms if sent_ms is None else sent_ms
+                holder.issuer_by_peer[gateway] = (report.issuer, supported_ms)
             if report.wait_ms is not None and gateway == holder.issuer:
                 holder.issuer_wait_until_ms = now_ms + report.wait_ms
 
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -5,8 +5,16 @@
 import unittest
 
 from quincecrank import clock as clocks
-from quincecrank import ids, store_era
-from quincecrank.gateway import peer_messages, peers
+from quincecrank import ids, rendezvous, store_era
+from quincecrank.gateway import (
+    fleet_state,
+    peer_messages,
+    peers,
+    permit_exchange,
+    rate_limits,
+    send_permits,
+    servers,
+)
 from tests import builders_gateway as builders
 from tests import builders_standstill as standstill
 
@@ -70,5 +78,67 @@
         self.assertEqual(self.directory.live_members(), ())
 
 
+class SupportTest(unittest.TestCase):
+    """An issuer of permits with one peer, which may support it."""
+
+    def setUp(self) -> None:
+        self.clock = clocks.ManualClock(10_000)
+        settings = builders.make_environment()
+        self.fleet = fleet_state.FleetState(settings, self.clock)
+        self.peers = peers.PeerDirectory(settings, self.clock, store_era.StoreEra())
+        self.exchange = permit_exchange.PermitExchange(
+            self.fleet,
+            self.peers,
+            lambda _name, _message: None,
+            lambda _service: None,
+            self.clock,
+        )
+        self.incarnation = next(
+            servers.Incarnation(servers.ServerId(f"i-{number}"), 1)
+            for number in range(100)
+            if rendezvous.ranked(f"i-{number}", (settings.vm, PEER), 1)[0]
+            == settings.vm
+        )
+
+    def receive(self, unread_ms: int) -> None:
+        """Receive a report that supports this gateway, unread for some time."""
+        own = self.fleet.own_settings.vm
+        report = peer_messages.Report(
+            PEER,
+            is_leaving=False,
+            states=(),
+            load_by_server={},
+            limit_states=(rate_limits.LimitState(self.incarnation, 1.0, 1, 0),),
+            issuer_reports=(send_permits.IssuerReport(self.incarnation, own),),
+            issues_permits=True,
+        )
+        self.peers.record_report(PEER_IP, report, self.clock.now_ms() - unread_ms)
+        self.exchange.update_gateways()
+        self.exchange.apply_report(report)
+
+    def wait_ms(self) -> int | None:
+        """Return the time after which an ask would get a permit."""
+        now_ms = self.clock.now_ms()
+        (report,) = self.fleet.send_permits.issuer_reports(now_ms)
+        return report.wait_ms
+
+    def test_support_counted_that_its_sender_had_withdrawn(self) -> None:
+        """A report that had waited unread counted from its reading."""
+        self.fleet.registry.update(
+            builders.make_entry(
+                server_id=self.incarnation.server_id,
+                started_wall_ms=self.incarnation.started_wall_ms,
+            )
+        )
+        self.receive(0)
+        self.clock.advance(send_permits.SUPPORT_MS)
+        self.receive(send_permits.SUPPORT_MS)
+        alone_ms = self.wait_ms()
+        self.receive(0)
+        supported_ms = self.wait_ms()
+        assert alone_ms is not None and supported_ms is not None
+        self.assertGreater(alone_ms, supported_ms)
+
+
 if __name__ == "__main__":
     unittest.main()
