Look for unread bytes before a server counts as silent

Cause: a stop interrupts the loop's wait for events, which returns none, so that timers run before what has arrived is read. The silence was counted up to then. With an idle link to the second server the request was sent in the same step. Evidence: tests.test_leaving_streams.StandstillTest (a standstill as by SIGSTOP) failed two of two before, the second server got the stream; passes now. Change: a server counts as silent, and a run on outdated weights as not begun, only if nothing lies unread on its link. After: 42 tests of silent servers and outdated weights pass.

--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -591,7 +591,7 @@
         now_ms = self._clock.now_ms()
         if predecessor.running.done():
             return False
-        if not self._is_silent(active, predecessor.sink, now_ms):
+        if not self._is_silent(active, predecessor, now_ms):
             return False
         return self._retry_budget(active.service.name).try_retry(
             now_ms, self._fleet.gateway_count
@@ -731,6 +731,8 @@
         now_ms = self._clock.now_ms()
         if limit_ms is None or now_ms < limit_ms or exchange.running.done():
             return
+        if exchange.link.has_arrived:
+            return
         exchange.is_withdrawn = exchange.was_abandoned = True
         exchange.link.close()
         _LOG.info(
@@ -938,7 +940,7 @@
     ) -> None:
         """Wait for progress; send the request to another server if there is none."""
         now_ms = self._clock.now_ms()
-        if succession.is_empty and self._is_silent(active, exchange.sink, now_ms):
+        if succession.is_empty and self._is_silent(active, exchange, now_ms):
             succession.opening = asyncio.ensure_future(
                 self._send_to_another(active, exchange)
             )
@@ -1063,14 +1065,16 @@
     def _is_silent(
         self,
         active: active_requests.ActiveRequest,
-        sink: answer_sink.AnswerSink,
+        exchange: _Exchange,
         now_ms: int,
     ) -> bool:
         """Return whether a request makes no progress and may go to another server.
 
         Its server may be sound all the same, so it keeps the request until another
-        server has begun to answer.
+        server has begun to answer.  If this process stood still, bytes may have arrived
+        that it has not read yet.
         """
+        sink = exchange.sink
         if (
             not active.route.may_repeat
             or sink.is_writing
@@ -1079,9 +1083,11 @@
             return False
         silent_ms = now_ms - sink.progress_ms
         if active.route.is_stream:
-            return silent_ms > max(STREAM_SILENCE_MS, 3 * active.route.target_ms)
-        total_ms = active.deadline_ms - active.request.received_ms
-        return silent_ms > total_ms * MAX_SILENT_FRACTION
+            limit_ms: float = max(STREAM_SILENCE_MS, 3 * active.route.target_ms)
+        else:
+            total_ms = active.deadline_ms - active.request.received_ms
+            limit_ms = total_ms * MAX_SILENT_FRACTION
+        return silent_ms > limit_ms and not exchange.link.has_arrived
 
     async def _conclude(
         self,
--- a/tests/test_leaving_streams.py
+++ b/tests/test_leaving_streams.py
@@ -3,10 +3,11 @@
 import asyncio
 import socket
 import time
-from typing import Final
+from typing import Any, Final
 
-from quincecrank.gateway import deployment
+from quincecrank.gateway import deployment, forwarding
 from tests import builders_gateway as builders
+from tests import builders_standstill as standstill
 from tests import gateway_case as case
 
 GRACE_MS: Final = 8_000
@@ -26,6 +27,13 @@
     return f"id: {number}\ndata: {'x' * size}\n\n"
 
 
+def allow_attempts(document: dict[str, Any], count: int) -> None:
+    """Set the number of attempts of the route of these tests."""
+    for route in document["routes"]:
+        if route["name"] == ROUTE:
+            route["maxAttempts"] = count
+
+
 class StreamCase(case.GatewayCase):
     """Base of tests with one stream whose server is controlled by the test."""
 
@@ -105,6 +113,33 @@
         self.check_complete(await self.read_rest(caller))
 
 
+class StandstillTest(StreamCase):
+    async def test_a_stopped_process_took_its_servers_for_silent(self) -> None:
+        """Each stream went to a second server, although its events had arrived."""
+        document = builders.make_configuration_document(8)
+        allow_attempts(document, 2)
+        self.configure_from(document)
+        events = "".join(map(event, range(1, EVENTS + 1)))
+        whole = case.stream_head("q-0") + case.chunk(events) + case.chunk("")
+        other = await self.add_server(
+            case.sends(whole), case.stays_silent, service="drafting"
+        )
+        # Leaves an idle link, which is used without waiting for a connection.
+        got = await self.ask(PATH, b"prompt", **PROMPT, Request_Id="q-0")
+        self.assertTrue(got.is_complete)
+        health = self.fleet.health.health_of(self.fleet.registry.entries()[0])
+        health.record_pause_request(self.clock.now_ms(), 400)
+        await self.add_server(self.begin, service="drafting")
+        caller = await self.open_stream(Deadline_Ms="3000")
+        self.send_unread(case.chunk(event(2)))
+        standstill.stand_still(forwarding.STREAM_SILENCE_MS + 300)
+        await asyncio.sleep(0.1)
+        self.send_unread(case.chunk(event(3)) + case.chunk(""))
+        received = await self.read_rest(caller)
+        self.assertTrue(received.endswith(b"\r\n0\r\n\r\n"))
+        self.assertEqual(len(other.received), 1)
+
+
 class ResumedRunTest(StreamCase):
     async def test_a_stream_with_little_left_was_cut_as_its_server_left(self) -> None:
         """Whether it may go on was decided by the time of a whole answer."""
@@ -117,9 +152,7 @@
             writer.write(case.stream_head() + case.chunk(events) + case.chunk(""))
 
         document = builders.make_configuration_document(8)
-        next(each for each in document["routes"] if each["name"] == ROUTE)[
-            "maxAttempts"
-        ] = 2
+        allow_attempts(document, 2)
         self.configure_from(document)
         for number in range(8):
             self.fleet.answer_times.record(ROUTE, 6_000 + number)
