Read what a peer has sent before its link ends for its silence

What callers saw: after a standstill of an entry or an agent of about the silence limit, its links ended and the requests on them broke off, although the peers' heartbeats had arrived.

Change: the task that ends a silent link first lets the reader handle what has arrived, for a few steps of the loop.

Why it works: the silence is measured again after the read. After a standstill that is longer by more than an interval of heartbeats the peer ends the link for its own limit, which this does not change.

--- a/quincecrank/peer_link.py
+++ b/quincecrank/peer_link.py
@@ -22,6 +22,9 @@
 
 MAX_ERROR_CHARACTERS: Final = 500
 
+MAX_READ_STEPS: Final = 16
+"""Steps of the event loop in which what has arrived is read before a link is ended."""
+
 _LOG: Final = logs.logger("peer-link")
 
 
@@ -183,12 +186,28 @@
         while True:
             self.send_heartbeat()
             await self._clock.sleep(self._limits.interval_ms)
-            silent_ms = self._clock.now_ms() - self._received_ms
+            if self._silent_ms > self._limits.silence_ms:
+                await self._read_arrived()
+            silent_ms = self._silent_ms
             if silent_ms > self._limits.silence_ms:
                 _LOG.warning("peer is silent", peer=self.peer.name, silent_ms=silent_ms)
                 self._connection.close()
                 return
 
+    @property
+    def _silent_ms(self) -> int:
+        return self._clock.now_ms() - self._received_ms
+
+    async def _read_arrived(self) -> None:
+        """Let the reader task handle what has arrived.
+
+        After a standstill of the process, timers run before sockets are read.
+        """
+        for _ in range(MAX_READ_STEPS):
+            if not self._connection.has_arrived:
+                return
+            await asyncio.sleep(0)
+
     def _dispatch(self, payload: bytes) -> None:
         try:
             with wire.decode(payload) as packet:
--- a/quincecrank/wire.py
+++ b/quincecrank/wire.py
@@ -28,7 +28,7 @@
 import capnp
 from tornado import iostream
 
-from quincecrank import ids
+from quincecrank import arrived_bytes, ids
 
 SCHEMA: Final[Any] = capnp.load(str(pathlib.Path(__file__).with_name("wire.capnp")))
 
@@ -120,6 +120,11 @@
         """Whether the connection has ended."""
         return self._stream.closed()
 
+    @property
+    def has_arrived(self) -> bool:
+        """Whether bytes, or the end, have arrived that no `receive` has handled."""
+        return not self.closed and not arrived_bytes.awaits_bytes(self._stream)
+
     def send(self, packet: Any) -> None:
         """Queue one packet; does nothing on a closed connection.
 
