Don't count a standstill towards the time in which an entry's callers end

What callers saw: an entry that stops closes the connections on which a request is incomplete, 2 s after its last open request. If its process stood still meanwhile, requests whose rest had arrived then were closed unread.

Cause: the limit acted before what had arrived was read.

Change: the limit counts the time between two polls up to 200 ms, ten polls at least; a connection is read in the step after a poll.

Why it works: after a standstill the loop reads what has arrived before the limit is reached.

--- a/quincecrank/http_server.py
+++ b/quincecrank/http_server.py
@@ -21,6 +21,10 @@
 MAX_CLOSE_MS: Final = 2_000
 """Time after the last open request in which callers must complete what they send."""
 
+MAX_COUNTED_MS: Final = 200
+"""Longest time between two polls that counts towards `MAX_CLOSE_MS`: what arrives while
+the process stands still lies unread."""
+
 
 class Server(httpserver.HTTPServer):
     """An HTTP server that closes no connection on which a request has arrived."""
@@ -61,13 +65,15 @@
         """
         self._accept_waiting()
         self.stop()
-        limit_ms = clock.now_ms() + MAX_CLOSE_MS
+        left_ms = MAX_CLOSE_MS
         while True:
             if is_busy():
-                limit_ms = clock.now_ms() + MAX_CLOSE_MS
-            elif not self._close_idle() or clock.now_ms() >= limit_ms:
+                left_ms = MAX_CLOSE_MS
+            elif not self._close_idle() or left_ms <= 0:
                 break
+            polled_ms = clock.now_ms()
             await clock.sleep(STOP_POLL_MS)
+            left_ms -= min(clock.now_ms() - polled_ms, MAX_COUNTED_MS)
         await self.close_all_connections()
 
     def _accept_waiting(self) -> None:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -25,6 +25,7 @@
     stream_messages,
 )
 from quincecrank import clock as clocks
+from tests import builders_standstill as standstill
 from tests import builders_wire
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n"
@@ -111,6 +112,20 @@
         for connection in connections:
             self.assertIn(b"200", await self.receive(connection))
 
+    async def test_requests_were_closed_unread_after_a_standstill(self) -> None:
+        """The limit of the closing acted before what had arrived was read."""
+        connection = self.connect()
+        connection.sendall(REQUEST)
+        self.assertIn(b"200", await self.receive(connection))
+        connection.setblocking(True)
+        connection.sendall(REQUEST[:-2] + b"Content-Length: 2\r\n\r\na")
+        stopping = asyncio.ensure_future(entry.Entry.stop(self.program))
+        await asyncio.sleep(0.1)
+        connection.sendall(b"b")
+        standstill.stand_still(http_server.MAX_CLOSE_MS)
+        await stopping
+        self.assertIn(b"200", await self.receive(connection))
+
 
 class _Handler(web.RequestHandler):
     def get(self) -> None:
