Don't let a repeated answer of a suspect get younger at each gateway

What callers saw: a request that crashes servers can go on to do so longer than the limit allows, if it, or a part of its prompt, was answered shortly before the first crashes; the more gateways, and the later their loops, the longer.

Cause: the time of an answer at a peer is known only up to the time of the report's way, unread time included, and the later bound was taken and passed on. Each gateway that had a crash of the suspect repeated it for 3 s, each time with its way added; crashes before it no longer counted.

Change: what a peer reported is passed on as 1 s older, the longest time of the way, so that it never replaces the time that was reported first. Who got the answer reports it as it is.

Evidence: test_crash_suspicions.AnswerAgeTest failed before: with two gateways and a way of 30 ms an answer became 420 ms later within 3 s, and the crashes 300 ms after it were cleared.

Why it works: the time at who got the answer is an upper bound nowhere else exceeded, as every other report of it is earlier.

--- a/quincecrank/gateway/crash_suspicions.py
+++ b/quincecrank/gateway/crash_suspicions.py
@@ -50,6 +50,10 @@
 PUBLISH_MS: Final = 3_000
 """Time for which a crash is published to the peers, since datagrams get lost."""
 
+MAX_TRANSIT_MS: Final = 1_000
+"""Longest time that a report between gateways takes, unread time included.  What a peer
+reported of an answer is passed on as that much older, so that it never gets younger."""
+
 MAX_PUBLISHED: Final = 24
 """Bound of the crash records in one datagram, and of the cleared suspects."""
 
@@ -182,6 +186,7 @@
         self._answered_ms_by_key: collections.OrderedDict[
             crash_findings.SuspectKey, int
         ] = collections.OrderedDict()
+        self._own_answered: set[crash_findings.SuspectKey] = set()
         self._crash_ms_by_server: dict[str, int] = {}
         self._explaining_key_by_server: dict[str, crash_findings.SuspectKey] = {}
         self._to_publish: list[tuple[int, CrashRecord]] = []
@@ -369,7 +374,9 @@
         answered_ms = self._answered_ms_by_key.get(key)
         if answered_ms is not None:
             # The peers may not know that it was ever answered.
-            self._publish_answer(Answered(key, answered_ms), now_ms)
+            is_own = key in self._own_answered
+            published_ms = answered_ms if is_own else answered_ms - MAX_TRANSIT_MS
+            self._publish_answer(Answered(key, published_ms), now_ms)
             if answered_ms >= record.at_ms:
                 return False
         records = self._records_by_key.setdefault(key, [])
@@ -399,10 +406,18 @@
 
     def _clear(self, answered: Answered, now_ms: int, *, is_own: bool) -> None:
         key = answered.key
-        known_ms = self._answered_ms_by_key.pop(key, answered.at_ms)
-        self._answered_ms_by_key[key] = max(known_ms, answered.at_ms)
+        known_ms = self._answered_ms_by_key.pop(key, None)
+        is_latest = known_ms is None or answered.at_ms > known_ms
+        self._answered_ms_by_key[key] = (
+            answered.at_ms if known_ms is None else max(known_ms, answered.at_ms)
+        )
+        if is_latest and is_own:
+            self._own_answered.add(key)
+        elif is_latest:
+            self._own_answered.discard(key)
         if len(self._answered_ms_by_key) > MAX_ANSWERED:
-            self._answered_ms_by_key.popitem(last=False)
+            oldest, _ = self._answered_ms_by_key.popitem(last=False)
+            self._own_answered.discard(oldest)
         if self.findings.active_count:
             self._end_answered_findings(answered, now_ms)
         records = self._records_by_key.get(key)
--- a/tests/test_crash_suspicions.py
+++ b/tests/test_crash_suspicions.py
@@ -41,6 +41,37 @@
         return self.suspicions.finding_against(subject) is not None
 
 
+class AnswerAgeTest(unittest.TestCase):
+    def test_a_repeated_answer_became_later_than_the_crashes_after_it(self) -> None:
+        """Each way between two gateways made it younger, and cleared the suspect."""
+        interval_ms, way_ms = 150, 30
+        subject = builders.make_subject("a", "system", "bad")
+        both = (builders.make_suspicions(), builders.make_suspicions())
+        both[0].record_answer(subject, 0)
+        for number, suspicions in enumerate(both):
+            entry = builders.make_entry(f"i-{number}")
+            suspicions.record_broken_answer(subject, entry, 200, 300)
+            suspicions.confirm_crashes(300)
+        for sent_ms in range(300, 300 + crash_suspicions.PUBLISH_MS, interval_ms):
+            for sender, receiver in (both, both[::-1]):
+                receiver.merge(
+                    (
+                        dataclasses.replace(each, at_ms=each.at_ms + way_ms)
+                        for each in sender.to_publish(sent_ms)
+                    ),
+                    sent_ms + way_ms,
+                )
+                receiver.apply_peer_answers(
+                    (
+                        dataclasses.replace(each, at_ms=each.at_ms + way_ms)
+                        for each in sender.answers_to_publish(sent_ms)
+                    ),
+                    sent_ms + way_ms,
+                )
+        for suspicions in both:
+            self.assertFalse(suspicions.may_repeat(subject))
+
+
 class PartTest(SuspicionsCase):
     def test_crashes_of_different_requests_with_one_part_add_up(self) -> None:
         for number in range(3):
