Don't let the answer that confirms a rate limit get younger at each gateway

What callers saw: after a limited server stops answering, one trial every 2 s shows whether its limit has ended. Gateways passed on each other's ages, so that the trial came later, and requests waited, the more gateways and the later their loops.

Cause: an answer at a peer is known only up to the time of the report's way; the later bound was taken, and published again as if it were exact.

Change: a gateway publishes the age of answers to itself only.

Why it works: every time of a peer's answer comes from who got it, so it is late by one way only. A gateway that started since knows no age until that gateway reports, and at most one trial is made earlier.

--- a/quincecrank/gateway/rate_limits.py
+++ b/quincecrank/gateway/rate_limits.py
@@ -36,7 +36,9 @@
     revision : int
         Number of the change that led to this state, 1 for the first.
     answer_age_ms : int
-        Time since the last answer that confirmed the state at any gateway.
+        Time since the last answer to the sender that confirmed the state, `MAX_AGE_MS`
+        without any.  What its peers report is not passed on: the time of its way would
+        make it younger each time.
     """
 
     incarnation: servers.Incarnation
@@ -55,12 +57,15 @@
         Time at which this gateway recorded the state.
     confirmed_ms : int
         Time of the last answer that confirmed the state at any gateway.
+    own_confirmed_ms : int or None
+        The same at this gateway; None without any.
     """
 
     per_second: float | None
     revision: int
     recorded_ms: int
     confirmed_ms: int
+    own_confirmed_ms: int | None = None
 
 
 class RateLimits:
@@ -125,16 +130,20 @@
         if record is None:
             if per_second is None:
                 return False
-            self._set(incarnation, _Record(per_second, 1, now_ms, now_ms))
+            self._set(incarnation, _Record(per_second, 1, now_ms, now_ms, now_ms))
             return True
         if sent_ms < record.recorded_ms:
             return False
         if per_second == record.per_second:
             record.confirmed_ms = max(record.confirmed_ms, now_ms)
+            record.own_confirmed_ms = now_ms
             return False
         if per_second is None and sent_ms < record.confirmed_ms:
             return False
-        self._set(incarnation, _Record(per_second, record.revision + 1, now_ms, now_ms))
+        self._set(
+            incarnation,
+            _Record(per_second, record.revision + 1, now_ms, now_ms, now_ms),
+        )
         return True
 
     def apply_peer_state(self, state: LimitState, now_ms: int) -> bool:
@@ -163,7 +172,7 @@
                 incarnation,
                 record.per_second,
                 record.revision,
-                min(MAX_AGE_MS, max(0, now_ms - record.confirmed_ms)),
+                _age_ms(record.own_confirmed_ms, now_ms),
             )
             for incarnation, record in self._record_by_incarnation.items()
         )
@@ -186,6 +195,10 @@
         )
 
 
+def _age_ms(at_ms: int | None, now_ms: int) -> int:
+    return MAX_AGE_MS if at_ms is None else min(MAX_AGE_MS, now_ms - at_ms)
+
+
 def _strictness(per_second: float | None) -> float:
     """Return a number by which states sort, the lowest limit first."""
     return float("inf") if per_second is None else per_second
--- a/tests/test_rate_limit_states.py
+++ b/tests/test_rate_limit_states.py
@@ -116,6 +116,18 @@
             started.apply_peer_state(state, 20)
         self.assertEqual(started.limit_of(SERVER), 4.0)
 
+    def test_an_answer_stayed_recent_as_peers_repeated_its_age(self) -> None:
+        """Each way between two gateways made it younger, so trials came late."""
+        interval_ms, way_ms, silent_ms = 150, 30, 3_000
+        both = (self.limits, rate_limits.RateLimits())
+        self.record(2.0, 0, 0)
+        for sent_ms in range(0, silent_ms, interval_ms):
+            for sender, receiver in (both, both[::-1]):
+                for state in sender.states(sent_ms):
+                    receiver.apply_peer_state(state, sent_ms + way_ms)
+        for limits in both:
+            self.assertLessEqual(limits.confirmed_ms(SERVER), way_ms)
+
 
 class IncarnationTest(unittest.TestCase):
     def setUp(self) -> None:
