Date bytes of a server by the earliest time at which they can have arrived

What callers saw: nothing in a record. By reading: if a server ended with bytes unread at a gateway that then stood still for a second or more, the gateway read them as evidence that the server lives, and told its peers. A stream that then began at another start of the server, at its address, could be recorded at the earlier software version, and be joined with other pieces.

Cause: bytes are known to have arrived between the last read and this one; whether they show life needs the earlier bound, and the time of their reading was taken. The allowance of 1 s does not cover a standstill.

Change: the lateness of the event loop is subtracted. `FleetState` has it as a callable, 0 by default: main.py has to set it to the loop monitor's, as it does for the forwarder; until then only the test has the change.

Evidence: test_server_liveness.UnreadBytesTest failed before and passes; the other tests of the file pass.

Why it works: the lateness includes a standstill that has just ended, before the monitor has recorded it, and bytes are unread for at most that time and the allowance.

--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -36,6 +36,11 @@
 _LOG: Final = decision_log.logger("knowledge")
 
 
+def _no_lateness() -> int:
+    """Return 0: without a loop monitor, lateness is not known."""
+    return 0
+
+
 def _ignore() -> None:
     """Do nothing: the listener of a gateway without peers."""
 
@@ -56,6 +61,9 @@
         known.
     receive_waiting : callable
         Handles the reports and changes of peers that have arrived unread.
+    lateness_ms : callable
+        Returns how late the event loop runs: the longest time for which what has
+        arrived may have been unread.
     gateway_count : int
         Number of live gateways, this one included.
     shutdown : ShutdownSchedule or None
@@ -82,6 +90,7 @@
         )
         self.confirmed_age_ms: Callable[[], int | None] = lambda: 0
         self.receive_waiting: Callable[[], None] = _ignore
+        self.lateness_ms: Callable[[], int] = _no_lateness
         self.gateway_count = 1
         self.shutdown: shutdown_schedule.ShutdownSchedule | None = None
         self.registry = servers.ServerRegistry()
@@ -217,10 +226,14 @@
             self._log_life(entry.incarnation, "report")
 
     def record_bytes(self, server: servers.ServerEntry, opened_ms: int) -> None:
-        """Record bytes on a link to a server that was opened at a time."""
-        if self.liveness.record_bytes(
-            server.incarnation, opened_ms, self.clock.now_ms()
-        ):
+        """Record bytes on a link to a server that was opened at a time.
+
+        They show life only at the time at which they arrived at the earliest.
+        """
+        if not self.liveness.may_have_ended(server.incarnation):
+            return
+        arrived_ms = self.clock.now_ms() - self.lateness_ms()
+        if self.liveness.record_bytes(server.incarnation, opened_ms, arrived_ms):
             self._log_life(server.incarnation, "link")
 
     def _log_life(self, incarnation: servers.Incarnation, origin: str) -> None:
--- a/tests/test_server_liveness.py
+++ b/tests/test_server_liveness.py
@@ -6,8 +6,9 @@
 import unittest
 from typing import Final
 
+from quincecrank import clock as clocks
 from quincecrank import store_rows
-from quincecrank.gateway import row_consumers, server_liveness, servers
+from quincecrank.gateway import fleet_state, row_consumers, server_liveness, servers
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 
@@ -171,6 +172,21 @@
         self.assertEqual(self.fleet.liveness.to_publish(self.clock.now_ms()), ())
 
 
+class UnreadBytesTest(unittest.TestCase):
+    def test_bytes_of_an_ended_server_showed_life_after_a_standstill(self) -> None:
+        """They had arrived before the refusal, and were read much later."""
+        clock = clocks.ManualClock(10_000)
+        fleet = fleet_state.FleetState(builders.make_environment(), clock)
+        entry = builders.make_entry("i-1")
+        fleet.registry.update(entry)
+        fleet.record_refusal(entry)
+        stopped_ms = 2 * server_liveness.MAX_UNREAD_MS
+        clock.advance(stopped_ms)
+        fleet.lateness_ms = lambda: stopped_ms
+        fleet.record_bytes(entry, opened_ms=5_000)
+        self.assertTrue(fleet.liveness.may_have_ended(entry.incarnation))
+
+
 class CutServerTest(case.GatewayCase):
     """A server refuses connections for a while and runs on."""
 
