Count a target version from the earliest time at which it can have arrived

What callers saw: after a standstill of the only gateway, or of all of them, or of one that is cut off from its peers, requests can begin on outdated weights for longer than the operator allows, by the time of the standstill. With peers that ran on, their reports correct it within 0.3 s.

Cause: the row was read at the end of the standstill; the deadline needs the earliest time at which the store can have sent it, and the time of its reading was taken, for a pushed row even that and not the age which its sender names.

Change: the age of a new target version is the lateness of the event loop, at most the time since the store was asked; for a pushed row, the sender's age and the time for which the push may have been unread. As for the bytes of servers, main.py has to set `FleetState.lateness_ms`.

Evidence: both tests of test_target_times.ReceivedAgeTest failed before (ages 0 and 0 instead of 1,200 and 800 ms) and pass. test_target_times, test_gateway_followers, test_gateway_restores, test_outdated_weights and test_configuration_changes: 74 passed.

Why it works: among all ages that a gateway gets for a target version the longest counts already, so that a bound which errs towards the longer age holds at all gateways.

--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -77,7 +77,7 @@
     def _apply(self, row: store_rows.Row, arrival: followers.Arrival | None) -> None:
         update = row_updates.operator_update(row, self._decoder)
         if isinstance(update, weights.TargetWeights):
-            self._record_target(update, row)
+            self._record_target(update, row, arrival)
         elif update is not None:
             self._read_version = update.version
             self._put_in_force(update, row, arrival)
@@ -116,14 +116,17 @@
         """Do nothing."""
 
     def _record_target(
-        self, target: weights.TargetWeights, row: store_rows.Row
+        self,
+        target: weights.TargetWeights,
+        row: store_rows.Row,
+        arrival: followers.Arrival | None,
     ) -> None:
         # A row of the first full read may have been written at any earlier time, and
         # later full reads contain the same row.
         present = self._fleet.target_versions.target_version(target.model) or 0
         is_new = self._has_read and target.version > present
-        age_ms = 0 if is_new else None
         now_ms = self._fleet.clock.now_ms()
+        age_ms = self._longest_age_ms(arrival, now_ms) if is_new else None
         if self._fleet.target_versions.record_target(
             target.model, target.version, now_ms, age_ms
         ):
@@ -134,6 +137,20 @@
                 row=row.position.number,
             )
 
+    def _longest_age_ms(self, arrival: followers.Arrival | None, now_ms: int) -> int:
+        """Return the longest time for which rows have been known at a gateway.
+
+        They may have waited unread while this process stood still.
+        """
+        if arrival is None:
+            return 0
+        unread_ms = self._fleet.lateness_ms()
+        if arrival.origin == followers.STORE:
+            return min(unread_ms, now_ms - arrival.asked_ms)
+        unread_ms = min(unread_ms, arrival.unread_ms)
+        known_ms = now_ms if arrival.known_ms is None else arrival.known_ms
+        return now_ms - known_ms + unread_ms
+
 
 class ServerRowConsumer:
     """Applies the entries of backend servers."""
--- a/tests/test_target_times.py
+++ b/tests/test_target_times.py
@@ -8,6 +8,7 @@
 from quincecrank import store_rows
 from quincecrank.gateway import (
     fleet_state,
+    followers,
     row_consumers,
     store_clock,
     tables,
@@ -112,6 +113,34 @@
     return stored.make_row(f"version/{builders.MODEL}", text, version)
 
 
+class ReceivedAgeTest(unittest.TestCase):
+    """A target version that reaches a gateway after it was set."""
+
+    def setUp(self) -> None:
+        self.gateway = Gateway(OneRowStore(), 50_000)
+        self.gateway.read(None)
+        self.gateway.fleet.lateness_ms = lambda: 1_200
+
+    def age_ms(self, arrival: followers.Arrival) -> int:
+        self.gateway.operator.apply_changes((make_target_row(2),), arrival)
+        since_ms = self.gateway.fleet.target_versions.outdated_since_ms(
+            builders.MODEL, 1
+        )
+        assert since_ms is not None
+        return self.gateway.clock.now_ms() - since_ms
+
+    def test_a_target_read_after_a_standstill_counted_from_its_reading(self) -> None:
+        asked_ms = self.gateway.clock.now_ms() - 2_000
+        arrival = followers.Arrival(followers.STORE, asked_ms, None)
+        self.assertEqual(self.age_ms(arrival), 1_200)
+
+    def test_a_pushed_target_counted_from_its_reading(self) -> None:
+        """Outdated weights got requests for longer than the operator allows."""
+        now_ms = self.gateway.clock.now_ms()
+        arrival = followers.Arrival(followers.PUSH, now_ms, now_ms - 300, "", 500)
+        self.assertEqual(self.age_ms(arrival), 800)
+
+
 class TargetTimesTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.store = OneRowStore()
