Open the connection of an order within the validity of its lease

What callers saw: nothing in a record. By reading: where connections to an engine open slowly, an order could reach it up to a second after the check of its lease, when another gateway may give orders: within the time that must lie between the orders of two holders.

Cause: the lease was checked before the connection was opened, whose limit is 1 s; the other gateway allows 0.3 s for the way of a last order.

Change: the connection must be open before the lease ends; the order is written as soon as it is.

Evidence: test_weight_rollout.LateOrderTest failed before (the call went on for 1 s with 200 ms of the lease left) and passes. test_weight_rollout, test_gateway_followers, test_platform_clients: 34 passed.

Why it works: what is left of the lease counts from before the renewal was sent, as the check of the lease does. A process that stands still between the two may still send late; engines refuse it by its fencing number and its count of orders.

--- a/quincecrank/gateway/order_lease.py
+++ b/quincecrank/gateway/order_lease.py
@@ -85,8 +85,14 @@
     @property
     def is_valid(self) -> bool:
         """Whether this gateway may give an order now."""
-        age_ms = self._clock.now_ms() - self._renewed_ms
-        return self._held_position is not None and age_ms < VALIDITY_MS
+        return self.left_ms > 0
+
+    @property
+    def left_ms(self) -> int:
+        """Time for which this gateway may give orders; 0 if it may not."""
+        if self._held_position is None:
+            return 0
+        return max(0, self._renewed_ms + VALIDITY_MS - self._clock.now_ms())
 
     @property
     def is_held(self) -> bool:
--- a/quincecrank/gateway/weight_rollout.py
+++ b/quincecrank/gateway/weight_rollout.py
@@ -281,6 +281,7 @@
             fencing_number=self._lease.fencing_number,
             expected_orders=report.accepted_orders,
             running_requests=running_requests,
+            lease_left_ms=self._lease.left_ms,
         )
         if not self._lease.is_valid:
             return False
--- a/quincecrank/platform/engines.py
+++ b/quincecrank/platform/engines.py
@@ -96,6 +96,8 @@
     expected_orders : int
         Number of orders that the engine must have accepted before this one, so that
         it refuses an order that arrives late.
+    lease_left_ms : int
+        Time for which the lease is still valid; the order is not sent later.
     """
 
     server: servers.ServerEntry
@@ -105,6 +107,7 @@
     fencing_number: int
     expected_orders: int
     running_requests: RunningRequests
+    lease_left_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -280,6 +283,10 @@
             headers=headers,
             body=json.dumps(document),
         )
+        # The order is written as soon as the connection is open.
+        request.connect_timeout = (
+            min(CALL_TIMEOUT_MS, max(1, order.lease_left_ms)) / clocks.MS_PER_SECOND
+        )
         response = await self._fetch(request)
         try:
             return OrderAnswer(response.code)
--- a/tests/test_weight_rollout.py
+++ b/tests/test_weight_rollout.py
@@ -1,6 +1,9 @@
 """The order in which engines load new weights."""
 
 import asyncio
+import contextlib
+import socket
+import time
 import unittest
 from unittest import mock
 
@@ -70,3 +73,33 @@
                 builders.MODEL, version, version * 1_000
             )
         self.assertIn("i-3", await self.first_orders(2))
+
+
+class LateOrderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_order_was_sent_after_the_end_of_its_lease(self) -> None:
+        """Its connection took longer to open than the lease was valid."""
+        left_ms = 200
+        with socket.socket() as listening, contextlib.ExitStack() as waiting:
+            listening.bind(("127.0.0.1", 0))
+            listening.listen(0)
+            for _ in range(2):
+                # Fills the queue, so that the system answers no further connection.
+                other = waiting.enter_context(socket.socket())
+                other.setblocking(False)
+                other.connect_ex(listening.getsockname())
+            order = engines.WeightOrder(
+                server=builders.make_entry(
+                    address=f"127.0.0.1:{listening.getsockname()[1]}"
+                ),
+                model=builders.MODEL,
+                version=2,
+                lease_holder="entry-1",
+                fencing_number=1,
+                expected_orders=0,
+                running_requests=engines.RunningRequests.GO_ON,
+                lease_left_ms=left_ms,
+            )
+            began_s = time.monotonic()
+            with self.assertRaises(engines.EngineCallError):
+                await engines.FleetEngineClient().order_weights(order)
+            self.assertLess(time.monotonic() - began_s, 2 * left_ms / 1_000)
