Read an engine's tokens before its runs are aborted after a standstill

What callers saw: after a standstill of an agent of 3 s or more, all runs of its engine were aborted as stalled, although their tokens had arrived.

Cause: the limit of the engine's silence acted before what had arrived was read.

Change: a check that comes late by more than one interval is left out, once, so that the tokens are read before the next one.

Why it works: sockets are read in the step of the loop after the timers. An engine that is silent is noticed one interval later at most, as two checks in a row are never left out.

--- a/quincecrank/run_watchdog.py
+++ b/quincecrank/run_watchdog.py
@@ -72,11 +72,19 @@
         )
         task = asyncio.ensure_future(work)
         interval_s = CHECK_INTERVAL_MS / clocks.MS_PER_SECOND
+        was_late = False
         try:
             while True:
+                waited_from_ms = self._clock.now_ms()
                 done, _ = await asyncio.wait({task}, timeout=interval_s)
                 if done:
                     return task.result()
+                waited_ms = self._clock.now_ms() - waited_from_ms
+                was_late = not was_late and waited_ms > 2 * CHECK_INTERVAL_MS
+                if was_late:
+                    # After a standstill of the process, timers run before sockets are
+                    # read.
+                    continue
                 reason = self._stall_reason(started_ms, token_ms(), first_limit_ms)
                 if reason:
                     raise StalledError(reason)
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -3,9 +3,10 @@
 import asyncio
 import socket
 import unittest
+from unittest import mock
 
 from quincecrank import clock as clocks
-from quincecrank import ids, rendezvous, store_era
+from quincecrank import ids, rendezvous, run_watchdog, store_era
 from quincecrank.gateway import (
     fleet_state,
     peer_messages,
@@ -20,6 +21,7 @@
 
 PEER_IP = "127.0.0.3"
 PEER = ids.VmName("entry-2")
+SILENCE_MS = 300
 
 
 class PeersTest(unittest.IsolatedAsyncioTestCase):
@@ -140,5 +142,37 @@
         self.assertGreater(alone_ms, supported_ms)
 
 
+class WatchdogTest(unittest.IsolatedAsyncioTestCase):
+    """A run of an engine whose tokens arrive on a socket."""
+
+    async def run_stopped(self, *, has_token: bool) -> bytes:
+        """Guard a run across a standstill; return its token."""
+        own, engine = socket.socketpair()
+        self.addCleanup(own.close)
+        self.addCleanup(engine.close)
+        own.setblocking(False)
+        loop = asyncio.get_running_loop()
+        clock = clocks.SystemClock()
+        started_ms = clock.now_ms()
+        watchdog = run_watchdog.RunWatchdog(lambda: started_ms, clock)
+        reading = loop.sock_recv(own, 1)
+        guarded = asyncio.ensure_future(watchdog.guard(reading, lambda: started_ms, 0))
+        await asyncio.sleep(0.01)
+        if has_token:
+            engine.send(b"x")
+        standstill.stand_still(2 * run_watchdog.ENGINE_SILENCE_MS)
+        return await guarded
+
+    async def test_runs_were_aborted_with_their_tokens_unread(self) -> None:
+        """The limit of an engine's silence acted before they were read."""
+        with mock.patch.object(run_watchdog, "ENGINE_SILENCE_MS", SILENCE_MS):
+            self.assertEqual(await self.run_stopped(has_token=True), b"x")
+
+    async def test_a_silent_engine_is_noticed_after_a_standstill(self) -> None:
+        with mock.patch.object(run_watchdog, "ENGINE_SILENCE_MS", SILENCE_MS):
+            with self.assertRaises(run_watchdog.StalledError):
+                await self.run_stopped(has_token=False)
+
+
 if __name__ == "__main__":
     unittest.main()
