--- a/models/runs.py
+++ b/models/runs.py
@@ -75,6 +75,7 @@
     ModelRun("blocks", "blocks"),
     ModelRun("leaving", "leaving"),
     ModelRun("gateway-shutdown", "gateway_shutdown"),
+    ModelRun("gateway-streams", "gateway_streams"),
     ModelRun("order-lease", "order_lease", runs_mutants=False),
     ModelRun(
         "order-lease-two-restores",
