Test the invariant of the shutdown's schedule on generated shutdowns

Callers saw: nothing; the tests of the schedule ask for single decisions, none follows requests through a whole shutdown by the real time of the signal.

Change: hypothesis draws a grace time, the two bounds of the signal, the times between passes of the loop, and requests of any arrival, limit and length; a simulation without I/O runs the schedule's decisions and the test checks the invariant of its header: cuts in the last sixth only, requests that begin by their limit ended by nothing else, no closing before MIN_SERVE_MS, nothing but begun answers open at SIGKILL, and those only if the bounds are apart.

--- a/tests/test_shutdown_schedule.py
+++ b/tests/test_shutdown_schedule.py
@@ -1,10 +1,15 @@
 """Tests of the decisions of a gateway that shuts down."""
 
+import enum
+import itertools
 import unittest
 from collections.abc import Iterator
 
+import hypothesis
+
 from quincecrank.gateway import answer_times, deployment, shutdown_schedule
 from tests import builders_gateway as builders
+from tests import builders_shutdown
 
 GRACE_MS = 8_000
 SIGNALLED_MS = 50_000
@@ -196,6 +201,121 @@
             self.assertFalse(schedule.may_resume(cut_ms, 10_000, None))
 
 
+class Outcome(enum.Enum):
+    """How a simulated request ends."""
+
+    WHOLE = "whole"
+    REJECTED = "rejected"
+    OVERDUE = "over its own time limit"
+    ENDED = "ended by the shutdown without a begun answer"
+    CUT = "cut by the shutdown"
+
+
+class Simulation:
+    """Runs the passes of a loop during a shutdown, without I/O.
+
+    Attributes
+    ----------
+    now_ms : int
+        Time of the last pass, after the signal.
+    ended : list of tuple of OpenRequest, Outcome and int
+        Requests that have ended, with the time.
+    stages : list of tuple of int and Stage
+        The stage of each pass.
+    """
+
+    def __init__(self, case: builders_shutdown.Shutdown) -> None:
+        self.now_ms = case.latest_ms
+        self.ended: list[tuple[builders_shutdown.OpenRequest, Outcome, int]] = []
+        self.stages: list[tuple[int, shutdown_schedule.Stage]] = []
+        self._earliest_ms = case.earliest_ms
+        signal = shutdown_schedule.SignalTime(case.earliest_ms, case.latest_ms)
+        self.schedule = shutdown_schedule.ShutdownSchedule(signal, case.grace_ms)
+        self.schedule.lateness_ms = max(case.gaps_ms)
+        self._waiting = list(case.requests)
+
+    @property
+    def open_requests(self) -> list[builders_shutdown.OpenRequest]:
+        """Requests that have arrived by the last pass and have not ended."""
+        return [each for each in self._waiting if each.arrived_ms <= self.now_ms]
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the process has ended by itself."""
+        stage = self.stages[-1][1]
+        is_closing = stage is shutdown_schedule.Stage.CLOSING
+        return stage is shutdown_schedule.Stage.ENDED or (
+            is_closing and not self.open_requests
+        )
+
+    def run_pass(self) -> None:
+        """Handle what has arrived, then decide on the stage."""
+        for request in self.open_requests:
+            outcome = self._handle(request)
+            if outcome is not None:
+                self._waiting.remove(request)
+                self.ended.append((request, outcome, self.now_ms))
+        arrivals = [each.arrived_ms for each in self.open_requests]
+        stage = self.schedule.next_stage(self.now_ms, min(arrivals, default=None))
+        self.stages.append((self.now_ms, stage))
+
+    def _handle(self, request: builders_shutdown.OpenRequest) -> Outcome | None:
+        """Return how a request ends in this pass; None if it goes on."""
+        remaining_ms = request.arrived_ms + request.limit_ms - self.now_ms
+        if request.sent_ms is None:
+            if request.arrived_ms <= self._earliest_ms:
+                request.sent_ms = request.arrived_ms
+            elif self.schedule.may_begin(
+                self.now_ms, remaining_ms, None, may_repeat=request.may_repeat
+            ):
+                request.sent_ms = self.now_ms
+            else:
+                return Outcome.REJECTED
+        served_ms = self.now_ms - request.sent_ms
+        if served_ms >= request.ends_after_ms:
+            return Outcome.WHOLE
+        if remaining_ms <= 0:
+            return Outcome.OVERDUE
+        if served_ms >= request.begins_after_ms:
+            is_due = self.now_ms >= self.schedule.cut_limit_ms
+            return Outcome.CUT if is_due else None
+        return Outcome.ENDED if self.now_ms >= self.schedule.answer_limit_ms else None
+
+
+class InvariantTest(unittest.TestCase):
+    """The invariant of the schedule, by the real time of the signal."""
+
+    @hypothesis.settings(
+        max_examples=300, deadline=None, database=None, derandomize=True
+    )
+    @hypothesis.given(builders_shutdown.shutdowns())
+    def test_invariant_of_any_shutdown(self, case: builders_shutdown.Shutdown) -> None:
+        simulation = Simulation(case)
+        for gap_ms in itertools.cycle(case.gaps_ms):
+            simulation.run_pass()
+            if simulation.has_ended or simulation.now_ms + gap_ms >= case.grace_ms:
+                break
+            simulation.now_ms += gap_ms
+        for request, outcome, ended_ms in simulation.ended:
+            if outcome is Outcome.CUT:
+                self.assertGreaterEqual(ended_ms, case.grace_ms * 5 / 6)
+            if request.arrived_ms > case.earliest_ms and not request.may_repeat:
+                self.assertNotIn(outcome, (Outcome.CUT, Outcome.ENDED))
+        for now_ms, stage in simulation.stages:
+            if now_ms < shutdown_schedule.MIN_SERVE_MS:
+                self.assertIsNot(stage, shutdown_schedule.Stage.CLOSING)
+        # Only begun answers may be open at SIGKILL, and only if the bounds are apart.
+        if simulation.has_ended:
+            self.assertEqual(simulation.open_requests, [])
+            return
+        window_ms = case.grace_ms // 10 - max(case.gaps_ms)
+        self.assertGreater(case.latest_ms - case.earliest_ms, window_ms)
+        for request in simulation.open_requests:
+            assert request.sent_ms is not None
+            served_ms = simulation.now_ms - request.sent_ms
+            self.assertGreaterEqual(served_ms, request.begins_after_ms)
+
+
 class AnswerTimesTest(unittest.TestCase):
     def test_the_latest_answers_of_a_route_count(self) -> None:
         times = answer_times.AnswerTimes()
