Search the streams of a shutdown with stops of the process at any time

The model had standstills around SIGTERM only.

Change: with STOPS_ANY_TIME the process may stand still up to .1 of the grace time again and again, so that one pass meets several limits; cuts, unread ends and streams that go on are checked as before, what SIGKILL finds is not, as no decision can help a process that is stopped then.

--- a/models/runs.py
+++ b/models/runs.py
@@ -76,6 +76,12 @@
     ModelRun("leaving", "leaving"),
     ModelRun("gateway-shutdown", "gateway_shutdown"),
     ModelRun("gateway-streams", "gateway_streams"),
+    ModelRun(
+        "gateway-streams-any-stop",
+        "gateway_streams",
+        ("STOPS_ANY_TIME=1", "STOP=3"),
+        runs_mutants=False,
+    ),
     ModelRun("order-lease", "order_lease", runs_mutants=False),
     ModelRun(
         "order-lease-two-restores",
