Let an answer go on that has begun while its first limit was due

A caller of a leaving gateway got the begin of an answer and a cut at .9 of the grace time, counted from the signal's earliest time; begun answers may go on to .93, and .84 from the latest time.

Cause: at the limit of requests without an answer, what has arrived is read. If that begins the answer, a later limit applies, but the exchange was ended by the first one all the same. (By way of a successor it went on.) Evidence: tests.test_leaving_races.LateBeginTest failed on: half of an answer of 2.4 MB had been passed on, then "answer cut" with limit=none at since_signal_ms=7249, cut limit 7440. Change: the limit is asked again after what has arrived was read. After: the test passes, three of three. It ends, as the limit changes only once, when the answer begins.

Streams have the same fault in a smaller window: their first event must arrive within some steps of the loop around the limit. No test reaches it.

--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -902,7 +902,9 @@
             while not exchange.running.done() and not exchange.is_superseded:
                 if self._clock.now_ms() >= self._deadline_ms(active):
                     await self._handle_arrived(exchange, succession.exchange)
-                    break
+                    # An answer that has begun meanwhile has a later limit.
+                    if self._clock.now_ms() >= self._deadline_ms(active):
+                        break
                 if active.answer.has_ended:
                     break  # The other server has given a final answer.
                 await self._watch(active, exchange, succession)
