Give the state of the fleet the lateness of the event loop

Bytes of servers and new target versions are dated by it; the forwarder's own callable, which only the log of cuts used, goes.

--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -207,8 +207,6 @@
         Returns whether a request that a crash finding rejects may be sent as a retest.
     may_add_link : callable
         Returns whether there is a descriptor for a second link of a request.
-    lateness_ms : callable
-        Returns how late the event loop runs.
     """
 
     def __init__(
@@ -233,7 +231,6 @@
             _claim_no_retest
         )
         self.may_add_link: Callable[[], bool] = _always
-        self.lateness_ms: Callable[[], int] = _no_lateness
         self._local_ids: set[ids.RequestId] = set()
         self._duplicate_count = 0
         self._unplaced_by_id: dict[ids.RequestId, active_requests.ActiveRequest] = {}
@@ -1467,7 +1464,7 @@
             limit=limit,
             since_signal_ms=None if signal is None else now_ms - signal.earliest_ms,
             since_notice_ms=None if signal is None else now_ms - signal.latest_ms,
-            lateness_ms=self.lateness_ms(),
+            lateness_ms=self._fleet.lateness_ms(),
             unread_bytes=active.unread_bytes,
             unsent_bytes=active.answer.unsent_bytes,
             events=active.event_splitter.event_count,
@@ -1521,11 +1518,6 @@
     return True
 
 
-def _no_lateness() -> int:
-    """Return 0: without a loop monitor, lateness is not known."""
-    return 0
-
-
 def _rest_ms(
     active: active_requests.ActiveRequest, answer_time: answer_times.AnswerTime | None
 ) -> float | None:
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -134,7 +134,6 @@
         self._listener.links = self._fleet.links
         self._listener.count_followed = lambda: self._cache_followers.followed_count
         self._forwarder.may_add_link = self._listener.may_add_link
-        self._forwarder.lateness_ms = lambda: self._loop_monitor.lateness_ms
         self._reporter = peers.PeerReporter(
             own_settings,
             self._peers,
@@ -206,6 +205,7 @@
         )
         self._followers_by_table = self._make_followers()
         self._fleet.confirmed_age_ms = self._configuration_confirmed_age_ms
+        self._fleet.lateness_ms = lambda: self._loop_monitor.lateness_ms
         self._fleet.receive_waiting = self._reporter.receive_waiting
         self._subscribe_to_eras()
         calls = engines.FleetEngineClient()
