Read the answers of holders of KV cache before their calls time out

What callers saw: after a standstill of a reader of 2 s, or of 1 s and more in part of the cases, it took the contents of all engines and stores for unknown, and so did the gateways that ask it. Prompts were computed again until the contents had been listed.

Cause: the limit of the call for events acted before the answer, which had arrived, was read.

Change: at the limit, the call handles what has arrived, for 0.1 s at most, as the answers of backend servers do.

Evidence: test_standstill.CacheEventsTest failed before (TimeoutError with the answer unread) and passes, in two of two runs; a silent holder is noticed as before. test_gateway_caches, test_gateway_cache_completion, test_platform_clients and test_weight_rollout: 37 passed.

Why it works: bytes on the link that no call has handled keep it waiting; a holder that has sent nothing has none.

--- a/quincecrank/platform/engines.py
+++ b/quincecrank/platform/engines.py
@@ -25,6 +25,9 @@
 CALL_TIMEOUT_MS: Final = 1_000
 """Many times the usual answer time of a healthy engine."""
 
+MAX_READ_MS: Final = 100
+"""Longest time in which an answer that has arrived is read after a time limit."""
+
 EVENTS_WAIT_MS: Final = 1_000
 """Longest wait that the protocol allows for an event call."""
 
@@ -156,17 +159,37 @@
         EngineCallError
             If the call fails or times out, or the answer is malformed.
         """
-        timeout_s = (EVENTS_WAIT_MS + CALL_TIMEOUT_MS) / clocks.MS_PER_SECOND
+        reading = asyncio.ensure_future(self._read(since))
         try:
+            timeout_s = (EVENTS_WAIT_MS + CALL_TIMEOUT_MS) / clocks.MS_PER_SECOND
             # `asyncio.wait_for` ignores a cancellation in the step of the answer.
-            async with asyncio.timeout(timeout_s):
-                events = await self._read(since)
+            await asyncio.wait({reading}, timeout=timeout_s)
+            await self._wait_for_arrived(reading)
+            if not reading.done():
+                raise TimeoutError("no answer in time")
+            events = await reading
         except (OSError, TimeoutError) as error:
             self.close()
             raise EngineCallError(repr(error)) from error
+        finally:
+            reading.cancel()
         is_full_listing = since == 0 and not events.has_gap
         return dataclasses.replace(events, is_full_listing=is_full_listing)
 
+    async def _wait_for_arrived(self, reading: "asyncio.Future[CacheEvents]") -> None:
+        """Wait while a call handles what has arrived.
+
+        After a standstill of the process, timers run before sockets are read.
+        """
+        until_ms = self._clock.now_ms() + MAX_READ_MS
+        while (
+            not reading.done()
+            and self._link is not None
+            and self._link.has_arrived
+            and self._clock.now_ms() < until_ms
+        ):
+            await asyncio.sleep(0)
+
     async def _read(self, since: int) -> "CacheEvents":
         if self._link is None or not self._link.is_usable:
             # Its end, or more than one answer, may have arrived unread.
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -16,6 +16,7 @@
     send_permits,
     servers,
 )
+from quincecrank.platform import engines
 from tests import builders_gateway as builders
 from tests import builders_standstill as standstill
 
@@ -174,5 +175,35 @@
                 await self.run_stopped(has_token=False)
 
 
+class CacheEventsTest(unittest.IsolatedAsyncioTestCase):
+    async def call(self, *, has_answer: bool) -> engines.CacheEvents:
+        """Call a holder, and stand still while it answers."""
+        listening = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listening.close)
+        address = f"127.0.0.1:{listening.getsockname()[1]}"
+        reader = engines.CacheEventReader(address, clocks.SystemClock())
+        self.addCleanup(reader.close)
+        calling = asyncio.ensure_future(reader.events(0))
+        await asyncio.sleep(0.1)
+        holder, _ = listening.accept()
+        self.addCleanup(holder.close)
+        if has_answer:
+            body = b'{"bootEpoch": 1, "next": 5, "events": []}'
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            holder.sendall(head.encode() + body)
+        standstill.stand_still(engines.EVENTS_WAIT_MS + engines.CALL_TIMEOUT_MS)
+        return await calling
+
+    async def test_the_content_of_all_holders_was_unknown_after_a_standstill(
+        self,
+    ) -> None:
+        """The limit of each call acted before its answer was read."""
+        self.assertEqual((await self.call(has_answer=True)).next_number, 5)
+
+    async def test_a_silent_holder_is_noticed_after_a_standstill(self) -> None:
+        with self.assertRaises(engines.EngineCallError):
+            await self.call(has_answer=False)
+
+
 if __name__ == "__main__":
     unittest.main()
