Ask the store again if a call ended only after a standstill

What callers saw: after a standstill of a gateway across the limit of a read, the store counted as unavailable ("store lost") although its answer had arrived. For 2.5 s afterwards, servers that leave get requests, as their entries may have expired.

Cause: the limit of the call acted before its answer was read. The extension of the limit by the lateness is set when the call begins.

Change: a read that ends 0.2 s or more after its limit is made once more. Writes are as before: their outcome is unknown.

Evidence: test_starved_gateway .StarvedStoreCallTest.test_the_store_was_unavailable_after_a_standstill failed before (HTTPTimeoutError) and passes. test_starved_gateway, test_platform_clients, test_table_restores, test_fuzz_edge: 29 passed.

Why it works: a timer that acts that late shows that the loop did not run when the answer was due; the second call has its whole limit.

--- a/quincecrank/platform/store.py
+++ b/quincecrank/platform/store.py
@@ -4,6 +4,7 @@
 responding, and one on which an answer was lost delivers no further answers.
 """
 
+import asyncio
 import base64
 import binascii
 import dataclasses
@@ -40,6 +41,10 @@
 MAX_ALLOWANCE_MS: Final = 2_000
 """Longest extension of a limit: an outage must be noticed all the same."""
 
+MIN_STANDSTILL_MS: Final = 200
+"""Time after the limit of a call from which its end shows that the process stood still:
+timers then run before sockets are read, so that the answer may lie unread."""
+
 PAGE_ROWS: Final = 500
 """Rows in one answer; the store returns no more than this."""
 
@@ -213,18 +218,30 @@
     async def _get(self, path: str, query: _Document, timeout_ms: int) -> "_Answer":
         # A key of another writer may contain half of a surrogate pair.
         encoded = parse.urlencode(query, errors="surrogatepass")
-        request = httpclient.HTTPRequest(
-            f"{self._base}{path}?{encoded}",
-            connect_timeout=self._limit_s(self._connect_timeout_ms),
-            request_timeout=self._limit_s(timeout_ms),
-        )
+        location = f"{self._base}{path}?{encoded}"
+        limit_s = self._limit_s(timeout_ms)
+        loop = asyncio.get_running_loop()
+        late_s = loop.time() + limit_s + MIN_STANDSTILL_MS / clock.MS_PER_SECOND
         try:
-            response = await self._client.fetch(request, raise_error=False)
+            try:
+                response = await self._fetch(location, limit_s)
+            except simple_httpclient.HTTPTimeoutError:
+                if loop.time() < late_s:
+                    raise
+                response = await self._fetch(location, limit_s)
         except _CALL_ERRORS as error:
             raise store_rows.StoreUnavailableError(str(error)) from error
         era = self._observe_era(response, store_rows.StoreUnavailableError)
         return _decode(response, {_OK, _GONE}, era)
 
+    async def _fetch(self, location: str, limit_s: float) -> httpclient.HTTPResponse:
+        request = httpclient.HTTPRequest(
+            location,
+            connect_timeout=self._limit_s(self._connect_timeout_ms),
+            request_timeout=limit_s,
+        )
+        return await self._client.fetch(request, raise_error=False)
+
     async def _post(self, path: str, document: _Document) -> "_Answer":
         request = httpclient.HTTPRequest(
             self._base + path,
--- a/tests/test_starved_gateway.py
+++ b/tests/test_starved_gateway.py
@@ -17,6 +17,7 @@
 )
 from quincecrank.platform import store
 from tests import builders_gateway as builders
+from tests import builders_standstill as standstill
 from tests import builders_store as stored
 
 ITERATION_S = 0.4
@@ -198,3 +199,26 @@
         late = store.PlatformStore(url, timeout_ms=100, lateness_ms=lambda: 200)
         self.assertEqual((await late.read("op")).position, stored.at(3))
         server.close()
+
+    async def test_the_store_was_unavailable_after_a_standstill(self) -> None:
+        """The limit of a call acted before its answer was read."""
+        calls = 0
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal calls
+            calls += 1
+            await reader.readuntil(b"\r\n\r\n")
+            if calls == 1:
+                standstill.stand_still(400)
+            body = b'{"rows": [], "rowVersion": 3}'
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode() + body)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        stopped = store.PlatformStore(url, timeout_ms=100)
+        self.assertEqual((await stopped.read("op")).position, stored.at(3))
+        server.close()
