Keep an entry's connection open whose next request has arrived in part

What callers saw: an entry that stops closed connections on which part of the head of a request had been read, without an answer.

Cause: only unread bytes counted as having arrived, not those that had been read and wait for the rest of the head.

Change: a connection is idle only if nothing has been read for its next request either, as at gateways.

Evidence: test_shutdown.EntryShutdownTest .test_a_request_whose_head_had_arrived_in_part_was_closed failed before (no answer) and passes; test_shutdown passed in three of three runs.

Why it works: the rest of the head is read within the limit, and answered.

--- a/quincecrank/http_server.py
+++ b/quincecrank/http_server.py
@@ -85,9 +85,13 @@
     def _close_idle(self) -> bool:
         """Close idle connections; return whether one is still open."""
         for connection, receiver in tuple(self._request_by_connection.items()):
-            is_idle = receiver.is_waiting and not connection.stream.closed()
-            if is_idle and arrived_bytes.awaits_bytes(connection.stream):
-                connection.stream.close()
+            stream = connection.stream
+            if not receiver.is_waiting or stream.closed():
+                continue
+            if arrived_bytes.awaits_bytes(stream) and not arrived_bytes.unread_bytes(
+                stream
+            ):
+                stream.close()
         return any(not each.stream.closed() for each in self._connections)
 
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -112,6 +112,20 @@
         for connection in connections:
             self.assertIn(b"200", await self.receive(connection))
 
+    async def test_a_request_whose_head_had_arrived_in_part_was_closed(self) -> None:
+        """What had been read of it did not count as having arrived."""
+        connection = self.connect()
+        connection.sendall(REQUEST)
+        self.assertIn(b"200", await self.receive(connection))
+        connection.setblocking(True)
+        connection.sendall(REQUEST[:20])
+        await asyncio.sleep(0.1)
+        stopping = asyncio.ensure_future(entry.Entry.stop(self.program))
+        await asyncio.sleep(0.1)
+        connection.sendall(REQUEST[20:])
+        await stopping
+        self.assertIn(b"200", await self.receive(connection))
+
     async def test_requests_were_closed_unread_after_a_standstill(self) -> None:
         """The limit of the closing acted before what had arrived was read."""
         connection = self.connect()
