Bound the age of a target version that was set just before all gateways ended

Callers saw: all gateways are killed 5 ms after an operator has set new weights.

Cause: the row `target-times` is written some 100 ms after a target version is received. A gateway that starts reads a version of the first full read without a time, which counts as a deadline that has passed.

Change: one gateway writes a mark every 400 ms, in turn into two rows of the table `streams`, with the store time before the write. A gateway that starts with a target version that has neither a stored time nor a peer's reads them once. A target whose row has a later position than a mark was set after it.

Why it works: versions of rows come from one counter for the entire store, so the age that is recorded is never too short; it is too long by a mark and a check at most. Marks are written only while all known target versions are stored, so none is replaced that is needed. Marks of another era, and targets that were stored without a time, are not used.

`test_odd_times_of_targets_end_reports_and_writes` answers the new read of the marks, and draws odd marks, too.

--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -49,6 +49,7 @@
     store_restores,
     stream_version_exchange,
     tables,
+    target_marks,
     target_times,
     weight_rollout,
 )
@@ -178,9 +179,17 @@
             clock,
         )
         self._store_clock = store_clock.StoreClock()
-        self._target_times = target_times.TargetTimes(
+        self._target_marks = target_marks.TargetMarks(
             self._fleet, self._peers, self._store, self._store_clock, clock
         )
+        self._target_times = target_times.TargetTimes(
+            self._fleet,
+            self._peers,
+            self._store,
+            self._store_clock,
+            clock,
+            self._target_marks,
+        )
         self._members = row_consumers.MemberRowConsumer(
             self._peers,
             self._order_lease,
@@ -201,7 +210,7 @@
             clock, self._metrics
         )
         self._operator = row_consumers.OperatorRowConsumer(
-            self._fleet, self._metrics.record_configuration_delay
+            self._fleet, self._metrics.record_configuration_delay, self._target_marks
         )
         self._followers_by_table = self._make_followers()
         self._fleet.confirmed_age_ms = self._configuration_confirmed_age_ms
--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -19,6 +19,7 @@
     peers,
     servers,
     stream_version_exchange,
+    target_marks,
     target_times,
     weights,
 )
@@ -28,15 +29,23 @@
 
 
 class OperatorRowConsumer:
-    """Applies the operator's configuration and the target weights."""
+    """Applies the operator's configuration and the target weights.
+
+    Parameters
+    ----------
+    marks : TargetMarks, optional
+        Gets the target versions whose age is not known.
+    """
 
     def __init__(
         self,
         fleet: fleet_state.FleetState,
         observe_delay: Callable[[str, int], None] = lambda _origin, _delay_ms: None,
+        marks: target_marks.TargetMarks | None = None,
     ) -> None:
         self._fleet = fleet
         self._observe_delay = observe_delay
+        self._marks = marks
         self._has_read = False
         self._read_version: int | None = None
         self._decoder = documents.ConfigurationDecoder()
@@ -125,6 +134,8 @@
         # later full reads contain the same row.
         present = self._fleet.target_versions.target_version(target.model) or 0
         is_new = self._has_read and target.version > present
+        if self._marks is not None and not self._has_read:
+            self._marks.add_undated(target.model, target.version, row.position)
         now_ms = self._fleet.clock.now_ms()
         age_ms = self._longest_age_ms(arrival, now_ms) if is_new else None
         if self._fleet.target_versions.record_target(
--- a/quincecrank/gateway/target_times.py
+++ b/quincecrank/gateway/target_times.py
@@ -6,7 +6,8 @@
 loaded the new ones, and streams that only these replicas can continue would be lost.
 
 So one gateway writes the times of the target versions to a row of the gateways' table,
-on the store's clock.  A target version without a known time counts as set long ago.
+on the store's clock.  A target version without a known time counts as set long ago,
+unless `target_marks` bounds its age.
 
 Terms
 -----
@@ -28,6 +29,7 @@
     peers,
     store_clock,
     tables,
+    target_marks,
 )
 
 ROW_KEY: Final = "target-times"
@@ -46,8 +48,6 @@
 
 _LOG: Final = decision_log.logger("target-times")
 
-TargetKey = tuple[deployment.ModelName, int]
-
 
 class RowError(Exception):
     """The text of the row is malformed."""
@@ -67,7 +67,7 @@
     """
 
     era: int
-    store_ms_by_target: dict[TargetKey, int | None]
+    store_ms_by_target: dict[target_marks.TargetKey, int | None]
 
 
 def encode(times: StoredTimes) -> str:
@@ -97,7 +97,7 @@
         raise RowError(repr(error)) from error
 
 
-def _target(document: dict[str, Any]) -> tuple[TargetKey, int | None]:
+def _target(document: dict[str, Any]) -> tuple[target_marks.TargetKey, int | None]:
     model = deployment.ModelName(checked_values.name(document["model"]))
     version = checked_values.count(document["version"])
     store_ms = document["storeMs"]
@@ -117,6 +117,8 @@
         The live gateways; the one ranked first writes.
     clock_of_store : StoreClock
         Converts the times.
+    marks : TargetMarks, optional
+        Dates target versions without a stored time.
 
     Notes
     -----
@@ -131,12 +133,14 @@
         store: tables.TableStore,
         clock_of_store: store_clock.StoreClock,
         clock: clocks.Clock,
+        marks: target_marks.TargetMarks | None = None,
     ) -> None:
         self._fleet = fleet
         self._peers = peer_directory
         self._store = store
         self._store_clock = clock_of_store
         self._clock = clock
+        self._marks = marks
         self._position: store_rows.Position | None = None
         self._stored: StoredTimes | None = None
         self._due_ms: int | None = None
@@ -173,10 +177,15 @@
         position = self._position
         if position is None or not self._store_clock.is_known:
             return
-        self._record_times(position.era)
-        wanted = self._times_to_write(position.era)
+        era = position.era
+        self._record_times(era)
+        if self._marks is not None:
+            await self._marks.date_targets(era, self._stored_of_era(era).keys())
+        wanted = self._times_to_write(era)
         if wanted is None:
             self._due_ms = None
+            if self._marks is not None:
+                await self._marks.write_if_due(era)
             return
         now_ms = self._clock.now_ms()
         is_first = self._peers.first_ranked(ROW_KEY, 1) == (self._peers.own_name,)
@@ -202,7 +211,7 @@
         """Return the content that the row should have; None if it need not change."""
         now_ms = self._clock.now_ms()
         stored = self._stored_of_era(era)
-        times: dict[TargetKey, int | None] = {}
+        times: dict[target_marks.TargetKey, int | None] = {}
         is_due = False
         for target in self._fleet.target_versions.to_publish(now_ms):
             key = target.model, target.version
@@ -212,7 +221,7 @@
             is_due |= key not in stored or times[key] != stored[key]
         return StoredTimes(era, times) if is_due else None
 
-    def _stored_of_era(self, era: int) -> dict[TargetKey, int | None]:
+    def _stored_of_era(self, era: int) -> dict[target_marks.TargetKey, int | None]:
         if self._stored is None or self._stored.era != era:
             return {}
         return self._stored.store_ms_by_target
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -42,6 +42,7 @@
     stream_version_exchange,
     stream_versions,
     tables,
+    target_marks,
     target_times,
     weights,
 )
@@ -244,8 +245,13 @@
                 checked_values.name(record.version)
 
     @odd.REPRODUCIBLE
-    @hypothesis.given(odd.odd_document(TARGET_TIMES_DOCUMENT))
-    def test_odd_times_of_targets_end_reports_and_writes(self, text: str) -> None:
+    @hypothesis.given(
+        odd.odd_document(TARGET_TIMES_DOCUMENT),
+        odd.odd_document({"era": 0, "storeMs": 8_000}),
+    )
+    def test_odd_times_of_targets_end_reports_and_writes(
+        self, text: str, mark: str
+    ) -> None:
         with sound_log(self):
             gateway = applied(
                 tables.TableName.OPERATOR,
@@ -261,7 +267,9 @@
             write = mock.AsyncMock(
                 return_value=store_rows.WriteResult(True, stored.at(2))
             )
-            with mock.patch.object(gateway._store, "write", write):
+            marks = stored.make_row(f"{target_marks.KEY_PREFIX}0", mark, 0)
+            read = mock.AsyncMock(return_value=stored.make_rows(1, marks))
+            with mock.patch.multiple(gateway._store, write=write, read_all=read):
                 asyncio.run(gateway._target_times.write_if_due())
             for call in write.await_args_list:
                 target_times.decode(call.args[2])
