Release what an answer holds as soon as there is no memory for it

Cause: an answer that found no memory kept what it held until its request ended, some steps of the loop later. All that arrived in the same step found the memory full of answers that had been given up. Change: the sink drops and releases what it holds before it raises.

--- a/quincecrank/gateway/answer_sink.py
+++ b/quincecrank/gateway/answer_sink.py
@@ -275,9 +275,19 @@
             If there is no memory for them.
         """
         if not self._try_hold(size):
+            self._drop()
             self.was_dropped = True
             raise server_links.MemoryLimitError(f"no memory for {size} bytes")
 
+    def _drop(self) -> None:
+        """Release what is held, for other answers that arrive in the same step."""
+        self._held = b""
+        if self.buffer is not None:
+            self.buffer.body = b""
+        if self.is_streaming and self._has_taken_over:
+            self._active.event_splitter.drop_partial_event()
+        self._try_hold(0)
+
     async def _pass_on(self, events: bytes) -> None:
         assert self.buffer is not None
         answer = self._active.answer
