Leave the signals that end the process to the thread of the event loop

Cause: a signal that is sent while the process is stopped may be taken by any thread as it goes on. If that is a thread of the downloads from peers, the loop's thread can read its clock before the handler is due, and the signal is dated by that reading. Change: threads of downloads block SIGTERM and SIGINT. The test fails without it.

--- a/quincecrank/gateway/loop_monitor.py
+++ b/quincecrank/gateway/loop_monitor.py
@@ -33,7 +33,8 @@
     """The system clock, with its last reading by the thread of the event loop.
 
     Handlers of signals run between two bytecodes of that thread, so that a signal whose
-    handler has not run yet was sent after the reading.  No other thread may use it.
+    handler has not run yet was sent after the reading.  No other thread may use it, or
+    take the signals: one that did could run before the handler is due.
 
     Attributes
     ----------
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -19,6 +19,7 @@
 import gzip
 import json
 import random
+import signal
 import socket
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final
@@ -108,6 +109,15 @@
 RowsReader = Callable[[tables.TableName], store_rows.Rows | None]
 
 
+def _block_end_signals() -> None:
+    """Leave the signals that end the process to the thread of the event loop.
+
+    If another thread took one, the loop's thread could read its clock after the signal
+    and before its handler, which dates the signal by that reading.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT))
+
+
 class PeerDirectory:
     """Aggregate of the peers, their last reports, and the positions of their tables.
 
@@ -144,7 +154,9 @@
         self._report_ms_by_ip: dict[str, int] = {}
         self._earliest_ms_by_ip: dict[str, int] = {}
         self._added_ms_by_ip: dict[str, int] = {}
-        self._downloads = concurrent.futures.ThreadPoolExecutor(MAX_DOWNLOADS)
+        self._downloads = concurrent.futures.ThreadPoolExecutor(
+            MAX_DOWNLOADS, initializer=_block_end_signals
+        )
 
     def set_members(self, ip_by_member: Mapping[ids.VmName, str]) -> None:
         """Replace the members that are registered in the store."""
--- a/tests/test_leaving_races.py
+++ b/tests/test_leaving_races.py
@@ -1,11 +1,15 @@
 """Tests of answers that reach a gateway in the moment of a limit of its shutdown."""
 
 import asyncio
+import signal
 import socket
 import time
+import unittest
 from typing import Final
 
-from quincecrank.gateway import shutdown_schedule
+from quincecrank import clock as clocks
+from quincecrank import store_era
+from quincecrank.gateway import peers, shutdown_schedule
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 from tests import test_leaving_streams as streams
@@ -59,3 +63,16 @@
         got = await self.caller.receive()
         self.assertEqual((got.status, len(got.body)), (200, 2 * len(half)))
         self.assertTrue(got.is_complete)
+
+
+class ThreadsTest(unittest.TestCase):
+    def test_a_thread_took_the_signal_before_the_loops_handler(self) -> None:
+        """The loop's thread read its clock in between, and dated the signal by it."""
+        directory = peers.PeerDirectory(
+            builders.make_environment(), clocks.SystemClock(), store_era.StoreEra()
+        )
+        self.addCleanup(directory._downloads.shutdown)
+        blocked = directory._downloads.submit(
+            signal.pthread_sigmask, signal.SIG_BLOCK, ()
+        )
+        self.assertLessEqual({signal.SIGTERM, signal.SIGINT}, blocked.result())
