Allow 200 ms to read what has arrived at a limit; name limits apart

A caller accepts an answer a quarter of a second after its limit.

The limits of forwarding are described in one place, and STREAM_FRACTION is named for what it governs, answers that have begun.

--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -6,6 +6,11 @@
     it did not run it.  Any other failure leaves open whether it ran (502, or 504 after
     the time limit).  An error answer of a backend server, which may be a 503 without
     this meaning, is passed on as it is.
+
+Limits
+    A request ends at its own time limit.  While the gateway shuts down, it ends at the
+    latest at the schedule's `answer_limit_ms` if its answer has not begun, else at its
+    `cut_limit_ms`.  What has arrived by then is read first.
 """
 
 import asyncio
@@ -89,7 +94,7 @@
 """Time after which an engine abandons a fetch of cached prompt parts; computing the
 longest prompt takes less."""
 
-MAX_READ_MS: Final = 100
+MAX_READ_MS: Final = 200
 """Longest time in which what a server has sent is read after a time limit."""
 
 WRITE_CHECK_MS: Final = 5
--- a/quincecrank/gateway/shutdown_schedule.py
+++ b/quincecrank/gateway/shutdown_schedule.py
@@ -61,7 +61,7 @@
 ANSWER_FRACTION: Final = 0.9
 """Fraction of the grace time after which requests without an answer are ended."""
 
-STREAM_FRACTION: Final = 0.93
+BEGUN_ANSWER_FRACTION: Final = 0.93
 """Fraction of the grace time after which answers that have begun are cut."""
 
 CUT_FRACTION: Final = 0.84
@@ -147,7 +147,7 @@
     def cut_limit_ms(self) -> int:
         """Time at which answers that have begun are cut."""
         return max(
-            self.signal.earliest_ms + int(self._grace_ms * STREAM_FRACTION),
+            self.signal.earliest_ms + int(self._grace_ms * BEGUN_ANSWER_FRACTION),
             self.signal.latest_ms + int(self._grace_ms * CUT_FRACTION),
         )
 
