Let two gateways write the records of streams

Cause: one gateway writes the records of all. Its peers keep what it may not have written, but miss it only after a time, and none of them is left to write when all end within that time.

Change: the first two gateways of the ranking write, each all records and without knowledge of the other. Slots with an even number belong to the first, the others to the second, so they never write the same row. There are 64 slots, so a writer has 32, as before; rows of earlier releases are read as before.

Records are lost now only if both writers end before their peers miss them.

Cost: ten writes a second instead of five while a service is mixed, and 64 rows instead of 32 at a full read.

--- a/quincecrank/gateway/stream_version_exchange.py
+++ b/quincecrank/gateway/stream_version_exchange.py
@@ -1,14 +1,15 @@
 """Shares the software versions of streams with the other gateways and the store.
 
 One gateway, the first in the ranking of live gateways, writes a listing of a service
-when its versions come or leave.  While a service has several versions, one gateway
-writes the records that all gateways publish in their reports, a few times a second, so
-that gateways know them that start after all others have ended.
+when its versions come or leave.  While a service has several versions, two gateways
+write the records that all gateways publish in their reports, a few times a second, so
+that gateways know them that start after all others have ended.  Two, as one of them may
+end a moment before all others, while its peers do not miss it yet.
 
 Terms
 -----
 slot
-    One of the rows that hold records, filled in turn.
+    One of the rows that hold records.  Each writer fills every second one in turn.
 """
 
 import base64
@@ -65,7 +66,10 @@
 MAX_ERROR_LENGTH: Final = 300
 """Characters of an error's text that are logged."""
 
-SLOT_COUNT: Final = 32
+WRITER_COUNT: Final = 2
+"""Gateways that write records, each all of them."""
+
+SLOT_COUNT: Final = 64
 MAX_SLOT_RECORDS: Final = 2_000
 SLOT_MS: Final = 5_000
 """Time for which a slot is filled; all slots outlast the retention time."""
@@ -442,7 +446,8 @@
     async def _write_records(self) -> None:
         """Write the records that the store lacks, if it is up to this gateway."""
         now_ms = self._clock.now_ms()
-        is_writer = self._peers.first_ranked(_RANKING_KEY, 1) == (self._peers.own_name,)
+        writers = self._peers.first_ranked(_RANKING_KEY, WRITER_COUNT)
+        is_writer = self._peers.own_name in writers
         max_age_ms = self._versions.retention_ms if is_writer else HANDOVER_MS
         records = self._versions.unstored(now_ms, max_age_ms)
         if not is_writer:
@@ -450,7 +455,10 @@
             return
         if not records:
             return
-        slot = self._slot or await self._begin_slot()
+        place = writers.index(self._peers.own_name)
+        if self._slot is not None and self._slot.number % WRITER_COUNT != place:
+            self._slot = None
+        slot = self._slot or await self._begin_slot(place)
         slot.records += records
         result = await self._store.write(
             tables.TableName.STREAMS,
@@ -467,18 +475,28 @@
         slot.position = result.position
         is_full = len(slot.records) >= MAX_SLOT_RECORDS
         if is_full or self._clock.now_ms() - slot.since_ms >= SLOT_MS:
-            slot = self._make_slot((slot.number + 1) % SLOT_COUNT)
+            slot = self._make_slot((slot.number + WRITER_COUNT) % SLOT_COUNT)
         self._slot = slot
 
-    async def _begin_slot(self) -> _Slot:
-        """Return the slot after the one that was written last, by any gateway."""
+    async def _begin_slot(self, place: int) -> _Slot:
+        """Return the slot after the one that was written last by a writer in a place.
+
+        Parameters
+        ----------
+        place : int
+            Place among the writers, from 0; the slots of two writers differ by it.
+        """
         await self._load()
         last = max(
-            self._position_by_slot.items(),
+            (
+                item
+                for item in self._position_by_slot.items()
+                if item[0] % WRITER_COUNT == place
+            ),
             key=lambda item: (item[1], item[0]),
-            default=(-1, _NO_ROW),
+            default=(place - WRITER_COUNT, _NO_ROW),
         )[0]
-        return self._make_slot((last + 1) % SLOT_COUNT)
+        return self._make_slot((last + WRITER_COUNT) % SLOT_COUNT)
 
     def _make_slot(self, number: int) -> _Slot:
         position = self._position_by_slot.get(number, _NO_ROW)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -2,11 +2,20 @@
 
 import unittest
 from typing import Final
+from unittest import mock
 
-from quincecrank import ids
-from quincecrank.gateway import peer_messages, servers, stream_versions
+from quincecrank import clock as clocks
+from quincecrank import ids, store_rows
+from quincecrank.gateway import (
+    fleet_state,
+    peer_messages,
+    servers,
+    stream_versions,
+    tables,
+)
 from quincecrank.gateway import stream_version_exchange as exchange
 from tests import builders_gateway as builders
+from tests import builders_store as stored
 
 V1: Final = servers.SoftwareVersion("v1")
 V2: Final = servers.SoftwareVersion("v2")
@@ -202,6 +211,84 @@
         self.assertNotEqual(KEY, stream_versions.stream_key(None, attempt))
 
 
+class SlotStore:
+    """The table of the slots."""
+
+    def __init__(self) -> None:
+        self.row_by_key: dict[str, store_rows.Row] = {}
+        self.version = 0
+        self.conflicts = 0
+
+    async def read_all(self, _table: tables.TableName) -> store_rows.Rows:
+        return stored.make_rows(self.version, *self.row_by_key.values())
+
+    async def write(
+        self,
+        _table: tables.TableName,
+        key: str,
+        text: str,
+        expected: store_rows.Position,
+    ) -> store_rows.WriteResult:
+        row = self.row_by_key.get(key)
+        position = stored.at(0) if row is None else row.position
+        if expected != position:
+            self.conflicts += 1
+            return store_rows.WriteResult(False, position)
+        self.version += 1
+        self.row_by_key[key] = stored.make_row(key, text, self.version)
+        return store_rows.WriteResult(True, self.row_by_key[key].position)
+
+
+class WritersTest(unittest.IsolatedAsyncioTestCase):
+    """Gateways that write the records of all."""
+
+    def setUp(self) -> None:
+        self.clock = clocks.ManualClock(100_000)
+        self.store = SlotStore()
+
+    def make_gateway(
+        self, name: str
+    ) -> tuple[stream_versions.StreamVersions, exchange.StreamVersionExchange]:
+        """Return the parts of a gateway whose service has two versions."""
+        fleet = fleet_state.FleetState(builders.make_environment(), self.clock)
+        fleet.stream_versions.retention_ms = 20_000
+        fleet.stream_versions.apply_listing(make_listing(V1, V2), 0)
+        directory = mock.Mock(own_name=name)
+        directory.first_ranked = lambda _key, count: ("a", "b", "c")[:count]
+        sharing = exchange.StreamVersionExchange(
+            fleet,
+            directory,
+            mock.Mock(read_all=self.store.read_all, write=self.store.write),
+            lambda: 0,
+            lambda: False,
+            self.clock,
+        )
+        return fleet.stream_versions, sharing
+
+    async def test_records_since_the_end_of_their_writer_were_lost(self) -> None:
+        """Its peers did not miss it yet when all others ended."""
+        for name, is_written in (("c", False), ("b", True)):
+            with self.subTest(name):
+                versions, sharing = self.make_gateway(name)
+                versions.apply_records((RECORD,), self.clock.now_ms())
+                await sharing._write_records()
+                later, loading = self.make_gateway("a")
+                await loading._load()
+                self.assertEqual(later.record_count, is_written)
+
+    async def test_two_writers_never_fill_the_same_slot(self) -> None:
+        gateways = [self.make_gateway(name) for name in ("a", "b")]
+        for number in range(2 * exchange.SLOT_COUNT):
+            key = stream_versions.stream_key(ACCOUNT, ids.RequestId(f"q-{number}"))
+            record = stream_versions.Record(builders.LLM, key, V1)
+            for versions, sharing in gateways:
+                versions.apply_records((record,), self.clock.now_ms())
+                await sharing._write_records()
+            self.clock.advance(exchange.SLOT_MS)
+        self.assertEqual(self.store.conflicts, 0)
+        self.assertEqual(len(self.store.row_by_key), exchange.SLOT_COUNT)
+
+
 class FormatTest(unittest.TestCase):
     def test_rows_and_reports_keep_records_and_listings(self) -> None:
         records = (RECORD, stream_versions.Record(builders.LLM, KEY, V2))
