--- a/quincecrank/gateway/loop_monitor.py
+++ b/quincecrank/gateway/loop_monitor.py
@@ -11,6 +11,7 @@
 """
 
 import collections
+import signal
 import time
 from typing import Final
 
@@ -29,6 +30,15 @@
 _LOG: Final = decision_log.logger("loop")
 
 
+def block_end_signals() -> None:
+    """Leave the signals that end the process to the thread of the event loop.
+
+    If another thread took one, the loop's thread could read its clock after the signal
+    and before its handler, which dates the signal by that reading.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT))
+
+
 class ObservedClock(clocks.SystemClock):
     """The system clock, with its last reading by the thread of the event loop.
 
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import concurrent.futures
 import gc
 import os
 import random
@@ -693,6 +694,11 @@
 async def _serve(own_settings: environment.Environment) -> None:
     ended = asyncio.Event()
     loop = asyncio.get_running_loop()
+    loop.set_default_executor(
+        concurrent.futures.ThreadPoolExecutor(
+            initializer=loop_monitor.block_end_signals
+        )
+    )
     gateway = Gateway(own_settings, loop_monitor.ObservedClock())
 
     def handle_end_signal(_number: int, _frame: object) -> None:
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -19,7 +19,6 @@
 import gzip
 import json
 import random
-import signal
 import socket
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final
@@ -40,6 +39,7 @@
     decision_log,
     environment,
     loads,
+    loop_monitor,
     peer_calls,
     peer_messages,
     row_download,
@@ -109,15 +109,6 @@
 RowsReader = Callable[[tables.TableName], store_rows.Rows | None]
 
 
-def _block_end_signals() -> None:
-    """Leave the signals that end the process to the thread of the event loop.
-
-    If another thread took one, the loop's thread could read its clock after the signal
-    and before its handler, which dates the signal by that reading.
-    """
-    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT))
-
-
 class PeerDirectory:
     """Aggregate of the peers, their last reports, and the positions of their tables.
 
@@ -155,7 +146,7 @@
         self._earliest_ms_by_ip: dict[str, int] = {}
         self._added_ms_by_ip: dict[str, int] = {}
         self._downloads = concurrent.futures.ThreadPoolExecutor(
-            MAX_DOWNLOADS, initializer=_block_end_signals
+            MAX_DOWNLOADS, initializer=loop_monitor.block_end_signals
         )
 
     def set_members(self, ip_by_member: Mapping[ids.VmName, str]) -> None:
