Count the tokens of a stream in what it needs to begin late

Cause: what an answer needs was taken from the longest one observed of its route, which was the only one, of 4 events in 211 ms. Change: the tokens of observed answers are kept; if a stream is expected to have more than all of them, the longest time counts in proportion. After: the test of the schedule fails without the change, and passes.

--- a/quincecrank/gateway/answer_times.py
+++ b/quincecrank/gateway/answer_times.py
@@ -49,21 +49,39 @@
     """The times of complete answers, by route."""
 
     def __init__(self) -> None:
-        self._times_by_route: dict[deployment.RouteName, collections.deque[int]] = {}
-
-    def record(self, route: deployment.RouteName, took_ms: int) -> None:
-        """Record one complete answer."""
+        self._times_by_route: dict[
+            deployment.RouteName, collections.deque[tuple[int, int]]
+        ] = {}
+
+    def record(
+        self, route: deployment.RouteName, took_ms: int, tokens: int = 0
+    ) -> None:
+        """Record one complete answer and the number of its tokens, 0 without any."""
         times = self._times_by_route.get(route)
         if times is None:
             times = self._times_by_route[route] = collections.deque(maxlen=MAX_ANSWERS)
-        times.append(took_ms)
+        times.append((took_ms, tokens))
+
+    def time_of(
+        self, route: deployment.RouteName, tokens: int = 0
+    ) -> AnswerTime | None:
+        """Return the time of a route's answers; None if none has been observed.
 
-    def time_of(self, route: deployment.RouteName) -> AnswerTime | None:
-        """Return the time of a route's answers; None if none has been observed."""
-        times = sorted(self._times_by_route.get(route, ()))
-        if not times:
+        Parameters
+        ----------
+        tokens : int
+            Expected tokens of the answer.  If all answers so far had fewer, the longest
+            time is that much longer.
+        """
+        observed = sorted(self._times_by_route.get(route, ()))
+        if not observed:
             return None
-        return AnswerTime(times[int(len(times) * TYPICAL_QUANTILE)], times[-1])
+        typical_ms, _ = observed[int(len(observed) * TYPICAL_QUANTILE)]
+        longest_ms, _ = observed[-1]
+        most_tokens = max(count for _, count in observed)
+        if tokens > most_tokens > 0:
+            longest_ms = round(longest_ms * tokens / most_tokens)
+        return AnswerTime(typical_ms, longest_ms)
 
     def retain(self, routes: Collection[deployment.RouteName]) -> None:
         """Remove all routes but those of the configuration."""
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -498,7 +498,10 @@
             return True
         now_ms = self._clock.now_ms()
         remaining_ms = active.deadline_ms - now_ms
-        answer_time = self._fleet.answer_times.time_of(active.route.name)
+        prompt = active.caller_headers.prompt
+        answer_time = self._fleet.answer_times.time_of(
+            active.route.name, prompt.output_tokens if prompt else 0
+        )
         if active.answer.has_begun:
             return shutdown.may_resume(
                 now_ms, remaining_ms, _rest_ms(active, answer_time)
@@ -1138,7 +1141,11 @@
                     active.service.name, placement.work, first_ms
                 )
                 self._crashes.record_answer(active.subject, now_ms)
-                self._fleet.answer_times.record(active.route.name, now_ms - sent_ms)
+                self._fleet.answer_times.record(
+                    active.route.name,
+                    now_ms - sent_ms,
+                    active.event_splitter.token_count,
+                )
                 self._send_buffered(active, sink)
                 self._log_attempt(
                     active, placement, sink, "answered", head.status, sent_ms
--- a/tests/test_shutdown_schedule.py
+++ b/tests/test_shutdown_schedule.py
@@ -326,8 +326,25 @@
         for _ in range(answer_times.MAX_ANSWERS):
             times.record(ROUTE, 200)
         self.assertEqual(times.time_of(ROUTE), answer_times.AnswerTime(200, 200))
+        times.retain(())
+        times.record(ROUTE, 200, tokens=4)
+        self.assertEqual(times.time_of(ROUTE, 4), answer_times.AnswerTime(200, 200))
+        self.assertEqual(times.time_of(ROUTE, 40), answer_times.AnswerTime(200, 2_000))
         rest = answer_times.AnswerTime(1_000, 2_000)
         self.assertEqual(rest.rest_ms(25, 100), 750)
         self.assertEqual(rest.rest_ms(150, 100), 1_000 * answer_times.MIN_REST)
         times.retain(())
         self.assertIsNone(times.time_of(ROUTE))
+
+    def test_a_long_stream_began_late_as_only_a_short_one_had_been_observed(
+        self,
+    ) -> None:
+        """It was sent when callers no longer accept a cut, and was cut."""
+        times = answer_times.AnswerTimes()
+        times.record(ROUTE, 211, tokens=4)
+        schedule = builders.make_shutdown(SIGNALLED_MS, GRACE_MS)
+        now_ms = SIGNALLED_MS + 4_100
+        for tokens, may_begin in ((4, True), (172, False)):
+            time = times.time_of(ROUTE, tokens)
+            begins = schedule.may_begin(now_ms, 10_000, time, may_repeat=True)
+            self.assertIs(begins, may_begin)
