--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -7,7 +7,8 @@
 
 A stream sends one event every `EVENT_MS` milliseconds; the caller's `Token-Count`
 header gives the number of events after a comma.  Each event names the software version
-that wrote it.  A stream goes on after `Last-Event-Id` whoever began it.  For each
+that wrote it; `event_bytes` in the query is the least size of an event.  A stream goes
+on after `Last-Event-Id` whoever began it.  For each
 stream that begins the server prints ``began WALL_MS id=ID weights=N``.
 When it stops work on a request it prints ``ended WALL_MS id=ID``, before the last bytes
 of an answer that is not streamed.
@@ -374,6 +375,7 @@
         self.set_header("Content-Type", "text/event-stream")
         count = int(headers["Token-Count"].partition(",")[2])
         first = int(headers.get("Last-Event-Id", "0")) + 1
+        event_bytes = int(self.get_query_argument("event_bytes", "0"))
         broken = server.draw_event(first, count, server.faults.break_streams)
         silent = server.draw_event(first, count, server.faults.silent_streams)
         print(
@@ -385,7 +387,8 @@
                 await server.clock.sleep(server.faults.silent_ms)
             if self._is_disconnected:
                 return
-            event = f"id: {number}\ndata: token {number} of {server.software}\n\n"
+            event = f"id: {number}\ndata: token {number} of {server.software}"
+            event = f"{event:<{event_bytes}}\n\n"
             if number == broken:
                 print(f"broke {server.clock.wall_ms()} id={request_id}", flush=True)
                 self.write(event[: len(event) // 2])
