--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -9,7 +9,8 @@
 header gives the number of events after a comma.  Each event names the software version
 that wrote it; `event_bytes` in the query is the least size of an event.  A stream goes
 on after `Last-Event-Id` whoever began it.  For each
-stream that begins the server prints ``began WALL_MS id=ID weights=N``.
+stream that begins the server prints ``began WALL_MS id=ID weights=N``, and when it has
+sent all events ``completed WALL_MS id=ID``.
 When it stops work on a request it prints ``ended WALL_MS id=ID``, before the last bytes
 of an answer that is not streamed.
 The prompt parts of every streamed request are cached and never evicted; only a load of
@@ -398,6 +399,7 @@
             self.write(event)
             await self.flush()
             await server.clock.sleep(server.faults.event_ms)
+        print(f"completed {server.clock.wall_ms()} id={request_id}", flush=True)
 
     def _print_end(self) -> None:
         request_id = self.request.headers.get("Request-Id", "")
