--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -471,6 +471,63 @@
     _replace(schedule, "__init__", mutated)
 
 
+def cut_by_earliest_bound() -> None:
+    """Make gateways cut begun answers by the earliest time of the signal only."""
+    schedule = shutdown_schedule.ShutdownSchedule
+
+    def cut_limit_ms(self: Any) -> int:
+        fraction = shutdown_schedule.STREAM_FRACTION
+        return int(self.signal.earliest_ms + self._grace_ms * fraction)
+
+    _replace(schedule, "cut_limit_ms", property(cut_limit_ms))
+
+
+def end_by_earliest_bound() -> None:
+    """Make gateways end by the earliest time of the signal, whatever is open."""
+    schedule = shutdown_schedule.ShutdownSchedule
+
+    def end_limit_ms(self: Any) -> int:
+        fraction = shutdown_schedule.END_FRACTION
+        return int(self.signal.earliest_ms + self._grace_ms * fraction)
+
+    _replace(schedule, "end_limit_ms", property(end_limit_ms))
+
+
+def count_from_notice() -> None:
+    """Make gateways count the grace time from when they notice the signal."""
+    schedule = shutdown_schedule.ShutdownSchedule
+    start = schedule.__init__
+
+    def mutated(self: Any, signal: Any, grace_ms: int) -> None:
+        noticed = dataclasses.replace(signal, earliest_ms=signal.latest_ms)
+        start(self, noticed, grace_ms)
+
+    _replace(schedule, "__init__", mutated)
+
+
+def cut_before_reading() -> None:
+    """Make gateways act on a time limit before they read what has arrived."""
+
+    async def mutated(*given: Any) -> None:
+        return None
+
+    _replace(forwarding.Forwarder, "_handle_arrived", mutated)
+
+
+def drop_unsent_bytes() -> None:
+    """Make gateways close the connection of a cut answer at once."""
+    answer = callers.CallerAnswer
+    abort = answer.abort
+
+    def mutated(self: Any) -> None:
+        abort(self)
+        stream = self._connection.stream
+        if stream is not None:
+            stream.close()
+
+    _replace(answer, "abort", mutated)
+
+
 def ignore_cancellations() -> None:
     """Make background tasks ignore their cancellation, as `asyncio.wait_for` may."""
     keep_running = tasks.keep_running
@@ -581,6 +638,11 @@
     "hold-any-bytes": hold_any_bytes,
     "forget-regained-stores": forget_regained_stores,
     "notice-signals-late": notice_signals_late,
+    "cut-by-earliest-bound": cut_by_earliest_bound,
+    "end-by-earliest-bound": end_by_earliest_bound,
+    "count-from-notice": count_from_notice,
+    "cut-before-reading": cut_before_reading,
+    "drop-unsent-bytes": drop_unsent_bytes,
     "ignore-cancellations": ignore_cancellations,
     "ignore-peers-changes": ignore_peers_changes,
     "return-to-older-versions": return_to_older_versions,
