--- a/tests/builders_leaving.py
+++ b/tests/builders_leaving.py
@@ -72,28 +72,22 @@
     return leaving_checker.ServerLog("\n".join(lines), SIGNALLED_MS + killed_ms)
 
 
-def make_notice_log(at_ms: float, since_signal_ms: int, since_notice_ms: int) -> str:
-    """Return the line that a gateway logs as it begins to shut down."""
+def make_gateway_log(event: str, at_ms: float, **fields: Any) -> str:
+    """Return a line of a gateway's log, with further fields."""
     seconds = (SIGNALLED_MS + at_ms) / 1_000
     logged = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
-    fields = {
-        "since_signal_ms": since_signal_ms,
-        "since_notice_ms": since_notice_ms,
-        "event": "leaving",
-        "timestamp": logged.isoformat(),
-    }
-    return json.dumps(fields)
+    return json.dumps({**fields, "event": event, "timestamp": logged.isoformat()})
 
 
 def make_record(
     streams: list[leaving_callers.Stream],
     *logs: leaving_checker.ServerLog,
     operations: list[shutdown_checker.Operation] | None = None,
-    notices: str = "",
+    gateway_log: str = "",
 ) -> leaving_checker.Record:
     """Return the record of a run; without `operations`, SIGTERM is all of them."""
     if operations is None:
         operations = [make_operation(Act.TERMINATE)]
-    read = leaving_checker.read_notices([(GATEWAY, notices)])
+    gateways = leaving_checker.read_gateway_logs([(GATEWAY, gateway_log)])
     runs_by_id = leaving_checker.read_logs(logs)
-    return leaving_checker.Record(streams, runs_by_id, operations, read)
+    return leaving_checker.Record(streams, runs_by_id, operations, gateways)
--- a/tests/leaving_checker.py
+++ b/tests/leaving_checker.py
@@ -18,7 +18,7 @@
 
 A caller of large events that paused may take what has been sent too late.  Such an
 attempt is excused from LOST and UNREAD if the pause ended less than `TAKING_MS` before
-the connection, and from TORN if it ended less than `FLUSH_MS` before.
+the connection, and from TORN if it ended more than `FLUSH_MS` after the cut.
 """
 
 import collections
@@ -57,7 +57,9 @@
 """Time between a SIGKILL and the end of a connection that it caused."""
 
 TAKING_MS: Final = 2_000
-FLUSH_MS: Final = 100
+FLUSH_MS: Final = 80
+"""Time for which a gateway sends what it holds after a cut."""
+
 JOINED_STOPS_MS: Final = 100
 """Longest time between two stops in which a gateway may fail to run."""
 
@@ -132,20 +134,39 @@
     logged_ms: float
 
 
-def read_notices(text_by_gateway: Iterable[tuple[str, str]]) -> list[Notice]:
-    """Return the notices in the logs of gateway processes, given with their names."""
-    notices = []
-    for gateway, text in text_by_gateway:
+@dataclasses.dataclass
+class GatewayRecord:
+    """What gateways logged.
+
+    Attributes
+    ----------
+    notices : list of Notice
+        One for each shutdown.
+    cut_ms_by_id : dict
+        Wall-clock time at which a begun answer was cut, by request.
+    """
+
+    notices: list[Notice] = dataclasses.field(default_factory=list)
+    cut_ms_by_id: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+def read_gateway_logs(texts: Iterable[tuple[str, str]]) -> GatewayRecord:
+    """Read the logs of gateway processes, each given with the gateway's name."""
+    record = GatewayRecord()
+    for gateway, text in texts:
         for line in text.splitlines():
-            if '"event": "leaving"' not in line:
+            if '"event": "leaving"' not in line and '"event": "answer cut"' not in line:
                 continue
             fields = json.loads(line)
             logged = datetime.datetime.fromisoformat(fields["timestamp"])
             logged_ms = logged.timestamp() * clocks.MS_PER_SECOND
+            if fields["event"] == "answer cut":
+                record.cut_ms_by_id[fields["request"]] = logged_ms
+                continue
             earliest_ms = logged_ms - fields["since_signal_ms"]
             latest_ms = logged_ms - fields["since_notice_ms"]
-            notices.append(Notice(gateway, earliest_ms, latest_ms, logged_ms))
-    return notices
+            record.notices.append(Notice(gateway, earliest_ms, latest_ms, logged_ms))
+    return record
 
 
 class Record:
@@ -156,9 +177,9 @@
         streams: Sequence[leaving_callers.Stream],
         runs_by_id: RunsById,
         operations: Sequence[Operation],
-        notices: Sequence[Notice] = (),
+        gateways: GatewayRecord,
     ) -> None:
-        self._notices = notices
+        self._gateways = gateways
         self._streams = streams
         self._runs_by_id = runs_by_id
         self._operations = operations
@@ -199,7 +220,7 @@
             for attempt in self.cut_attempts()
             if attempt.is_torn
             and self._signalled_ms(attempt) is not None
-            and self._taking_ms(attempt) > FLUSH_MS
+            and attempt.paused_ms <= self._cut_ms(attempt) + FLUSH_MS
             and not self._was_killed(attempt)
         ]
 
@@ -231,7 +252,7 @@
     def wrong_bounds(self) -> list[str]:
         """Return a line for each notice whose bounds do not include the signal."""
         found = []
-        for notice in self._notices:
+        for notice in self._gateways.notices:
             signalled_ms = max(
                 each.at_ms
                 for each in self._operations
@@ -303,6 +324,10 @@
         """Return for how long the caller had taken events without a pause."""
         return self._closed_ms(attempt) - attempt.paused_ms
 
+    def _cut_ms(self, attempt: Attempt) -> float:
+        """Return when the gateway cut an answer; infinite if it did not log that."""
+        return self._gateways.cut_ms_by_id.get(attempt.request_id, math.inf)
+
     def _runs(self, attempt: Attempt) -> list[Run]:
         return self._runs_by_id.get(attempt.request_id, [])
 
--- a/tests/leaving_process_soak.py
+++ b/tests/leaving_process_soak.py
@@ -220,11 +220,11 @@
             leaving_checker.ServerLog(each.process.log(), each.killed_ms)
             for each in self._servers
         )
-        notices = leaving_checker.read_notices(
+        gateways = leaving_checker.read_gateway_logs(
             (each.name, each.log()) for each in self._gateways
         )
         record = leaving_checker.Record(
-            self.callers.streams, runs_by_id, self.operations, notices
+            self.callers.streams, runs_by_id, self.operations, gateways
         )
         self._count(record)
         return self._failures + record.violations()
--- a/tests/test_leaving_checker.py
+++ b/tests/test_leaving_checker.py
@@ -134,8 +134,11 @@
         terminate = builders.make_operation(Act.TERMINATE)
         stop = builders.make_stop(7_300, 7_380)
         self.check("", attempt, log, operations=[terminate, kill, *stop])
-        attempt.paused_ms = builders.SIGNALLED_MS + 7_310
-        self.check("", attempt, log)
+        attempt.paused_ms = builders.SIGNALLED_MS + 7_390
+        cut = builders.make_gateway_log("answer cut", 7_350, request="q")
+        self.check("TORN", attempt, log, gateway_log=cut)
+        cut = builders.make_gateway_log("answer cut", 7_300, request="q")
+        self.check("", attempt, log, gateway_log=cut)
 
 
 class OrderTest(unittest.TestCase):
@@ -182,12 +185,17 @@
         self.check_end("", (6_000, 7_660))
 
     def test_bounds_that_do_not_include_the_signal(self) -> None:
-        for notice, expected in (
-            ((1_000, 1_200, 10), ""),
-            ((1_000, 990, 10), ""),
-            ((1_000, 970, 10), "BOUNDS"),
-            ((1_000, 1_200, 1_030), "BOUNDS"),
+        for earliest_ms, latest_ms, expected in (
+            (-200, 990, ""),
+            (10, 990, ""),
+            (30, 990, "BOUNDS"),
+            (-200, -30, "BOUNDS"),
         ):
-            log = builders.make_notice_log(*notice)
-            found = builders.make_record([], notices=log).violations()
+            log = builders.make_gateway_log(
+                "leaving",
+                1_000,
+                since_signal_ms=1_000 - earliest_ms,
+                since_notice_ms=1_000 - latest_ms,
+            )
+            found = builders.make_record([], gateway_log=log).violations()
             self.assertEqual("".join(e.partition(":")[0] for e in found), expected)
