--- a/tests/run_mutations.py
+++ b/tests/run_mutations.py
@@ -26,6 +26,10 @@
 _LOST_AT_SHUTDOWN: Final = (
     f"{_SHUTDOWNS}.test_requests_at_gateways_that_shut_down_were_lost"
 )
+_LEAVING_STREAMS: Final = "tests.process_leaving_streams.LeavingStreamsTest"
+_LOST_AT_LEAVING: Final = (
+    f"{_LEAVING_STREAMS}.test_streams_at_gateways_that_shut_down_were_lost"
+)
 _RESOURCES: Final = "tests.process_resources.ResourcesTest"
 _CONFIGURATION_CHANGES: Final = (
     "tests.process_configuration_changes.ConfigurationChangesTest"
@@ -84,6 +88,14 @@
     ("close-waiting-connections", _LOST_AT_SHUTDOWN),
     ("begin-anything", _LOST_AT_SHUTDOWN),
     ("exit-at-fixed-time", _LOST_AT_SHUTDOWN),
+    ("cut-by-earliest-bound", _LOST_AT_LEAVING),
+    ("end-by-earliest-bound", _LOST_AT_LEAVING),
+    ("cut-before-reading", _LOST_AT_LEAVING),
+    ("drop-unsent-bytes", _LOST_AT_LEAVING),
+    (
+        "count-from-notice",
+        f"{_LEAVING_STREAMS}.test_gateways_took_a_wrong_time_for_the_signal",
+    ),
     (
         "accept-any-connection",
         f"{_RESOURCES}.test_waiting_callers_kept_requests_from_being_answered",
--- a/tests/test_leaving_checker.py
+++ b/tests/test_leaving_checker.py
@@ -77,6 +77,21 @@
         refusing = builders.make_log(arrived=-990)
         self.check("LOST", builders.make_attempt(-1_000, 7_400), refusing)
 
+    def test_a_kill_of_a_gateway_without_time_to_end(self) -> None:
+        log = builders.make_log(arrived=3_050, began=3_050)
+        attempt = builders.make_attempt(3_020, 8_010)
+        killed = [
+            builders.make_operation(Act.TERMINATE),
+            builders.make_operation(Act.KILL, 8_000),
+        ]
+        late = builders.make_stop(7_200, 7_700)
+        self.check(
+            "LOST", attempt, log, operations=[*killed, *builders.make_stop(-900, 200)]
+        )
+        self.check("", attempt, log, operations=[*killed, *late])
+        attempt = builders.make_attempt(3_020, 7_790)
+        self.check("LOST", attempt, log, operations=[*killed, *late])
+
     def test_a_reload(self) -> None:
         log = builders.make_log(arrived=-990, began=-990)
         reload = [builders.make_operation(Act.RELOAD, -500)]
