--- a/tests/leaving_process_soak.py
+++ b/tests/leaving_process_soak.py
@@ -71,7 +71,7 @@
 PAUSE_AFTER_CUT_S: Final = 0.02
 """Length of the callers' pauses, and time from the cut to their end."""
 
-FIRST_STOPS_S: Final = ((-1.2, 0.001), (0.002, 0.85), (6.0, 7.5))
+FIRST_STOPS_S: Final = ((-1.2, 0.001), (-0.02, 0.85), (6.0, 7.5))
 """Stops of the first shutdowns of a seed, one each, in seconds from SIGTERM."""
 
 GAPS_S: Final = (0.0, 0.1, 0.67)
