--- a/tests/test_leaving_checker.py
+++ b/tests/test_leaving_checker.py
@@ -67,6 +67,8 @@
         self.check("", attempt, broken)
         self.check("", attempt, killed)
         self.check("LOST", attempt, broken, later)
+        superseded = builders.make_log(arrived=3_000, began=3_000, ended=3_200)
+        self.check("", attempt, killed, superseded)
         self.check("LOST", attempt, builders.make_log(5_100, arrived=-990, began=-990))
 
     def test_a_silent_server(self) -> None:
@@ -107,6 +109,8 @@
         ]
         attempt = builders.make_attempt(-1_000, 9_500)
         self.check("LOST", attempt, log, operations=operations)
+        cut = builders.make_gateway_log("answer cut", 6_360, request="q")
+        self.check("LOST", attempt, log, gateway_log=cut)
 
     def test_a_pause_of_the_caller(self) -> None:
         log = builders.make_log(arrived=-990, began=-990, completed=4_000, ended=4_000)
