--- a/tests/leaving_checker.py
+++ b/tests/leaving_checker.py
@@ -393,7 +393,7 @@
 
     def _closed_ms(self, attempt: Attempt) -> float:
         """Return when the connection had ended: a slow caller sees the end late."""
-        gone = (
+        ends = (
             each.at_ms
             for each in self._operations
             if each.act is Act.END
@@ -401,7 +401,7 @@
             and each.at_ms >= attempt.sent_ms
         )
         cut_ms = self._cut_ms(attempt) + CLOSE_MS
-        return min(attempt.ended_ms, cut_ms, min(gone, default=math.inf))
+        return min(attempt.ended_ms, cut_ms, min(ends, default=math.inf))
 
     def _stopped_ms(self, gateway: str, from_ms: float, until_ms: float) -> float:
         """Return for how long a gateway was stopped within a span of time."""
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -476,7 +476,7 @@
     schedule = shutdown_schedule.ShutdownSchedule
 
     def cut_limit_ms(self: Any) -> int:
-        fraction = shutdown_schedule.STREAM_FRACTION
+        fraction = shutdown_schedule.BEGUN_ANSWER_FRACTION
         return int(self.signal.earliest_ms + self._grace_ms * fraction)
 
     _replace(schedule, "cut_limit_ms", property(cut_limit_ms))
