--- a/quincecrank/arrived_bytes.py
+++ b/quincecrank/arrived_bytes.py
@@ -40,7 +40,7 @@
 
 
 def _queued_bytes(stream: iostream.IOStream, request: int) -> int:
-    """Return the length of a queue of the system; 0 if it does not tell."""
+    """Return the length of a queue of the system; 0 if it is not known."""
     if stream.closed():
         return 0
     length = array.array("i", [0])
