Take the shared ports of a fleet of tests from outside the system's range

Cause: the port was probed as free on 127.0.0.1 only, and taken from the range that the system gives to other sockets; on 127.0.0.2 a socket of another fleet beside had it by then. Three files of process tests run at a time, and soaks ran beside. Change: ports that all gateways of a fleet share are probed on all addresses, below the system's range (32,768 to 60,999 here). After: process_gateway_shutdown's StreamsTest and UncancelledTasksTest pass; process_resources was not run again as a whole.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -5,9 +5,11 @@
 """
 
 import base64
+import contextlib
 import http.client
 import json
 import pathlib
+import random
 import socket
 import urllib.request
 from typing import Any, Final
@@ -17,6 +19,8 @@
 HOST: Final = "desk.example"
 KEY: Final = "key-of-patan"
 MODEL: Final = "model-a"
+SHARED_PORTS: Final = (20_000, 32_000)
+"""Range of the ports that all gateways of a fleet have on their own addresses."""
 
 Document = dict[str, Any]
 
@@ -28,6 +32,19 @@
         return int(probe.getsockname()[1])
 
 
+def free_shared_port() -> int:
+    """Return a TCP port that is free on all addresses at the time of the call.
+
+    It lies outside the range from which the system takes ports of other sockets, so
+    that it stays free on each address of a fleet until its processes start.
+    """
+    while True:
+        port = random.randrange(*SHARED_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("", port))
+            return port
+
+
 def call(url: str, body: bytes | None = None) -> bytes:
     """Call a stand-in, by POST if there is a body; return the answer's body."""
     request = urllib.request.Request(url, data=body)
@@ -121,8 +138,8 @@
         self.callers_port_by_gateway: dict[str, int] = {}
         self.ready_port_by_gateway: dict[str, int] = {}
         self.process_by_name: dict[str, launcher.Process] = {}
-        self._peer_port = free_port("127.0.0.1")
-        self._metrics_port = free_port("127.0.0.1")
+        self._peer_port = free_shared_port()
+        self._metrics_port = free_shared_port()
         self.write_operator_row("config", configuration(1))
 
     def write_row(self, table: str, key: str, text: str) -> None:
