Split the choice of engines and the demand for permits from the dispatcher

Requests and their placements, the choice of an engine and the demand for permits are modules of their own; nothing that is decided changes.

--- a/bench/gateway_simulation.py
+++ b/bench/gateway_simulation.py
@@ -29,6 +29,7 @@
     fleet_state,
     loads,
     peers,
+    placements,
     prompts,
     request_queue,
     servers,
@@ -502,7 +503,7 @@
 
     async def _try_gateway(
         self, arrival: Arrival, number: int, attempt: int, first_attempt_ms: int
-    ) -> dispatcher.Rejection | None:
+    ) -> placements.Rejection | None:
         """Send a request to one gateway; return its rejection, or None if it ran."""
         fleet = self._fleet_states[number]
         kind = arrival.kind
@@ -520,11 +521,11 @@
                 key, now_ms
             ),
         )
-        placement_request = dispatcher.PlacementRequest(
+        placement_request = placements.PlacementRequest(
             queued, self._service, None, arrival.prompt, kind.name
         )
         placement = await self._dispatchers[number].place(placement_request)
-        if isinstance(placement, dispatcher.Rejection):
+        if isinstance(placement, placements.Rejection):
             fleet.failed_requests.record_failure(
                 key, first_attempt_ms, self._clock.now_ms()
             )
--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -20,6 +20,7 @@
     fleet_state,
     loads,
     peer_messages,
+    placements,
     request_queue,
     servers,
     tables,
@@ -57,7 +58,7 @@
 
 def make_dispatcher(
     engine_count: int,
-) -> tuple[dispatcher.Dispatcher, dispatcher.PlacementRequest]:
+) -> tuple[dispatcher.Dispatcher, placements.PlacementRequest]:
     """Return a dispatcher with `engine_count` engines, and a request to place."""
     fleet = fleet_state.FleetState(builders.make_environment(), clocks.SystemClock())
     fleet.apply_configuration(
@@ -67,7 +68,7 @@
         fleet.registry.update(builders.make_entry(f"i-{number}"))
     assert fleet.configuration is not None
     prompt = builders.make_prompt(("guide", 2_500), ("station", 5_000), ("own", 1_700))
-    request = dispatcher.PlacementRequest(
+    request = placements.PlacementRequest(
         builders.make_queued_request(deadline_ms=1 << 40),
         fleet.configuration.services_by_name[builders.LLM],
         None,
--- a/bench/rate_limit_simulation.py
+++ b/bench/rate_limit_simulation.py
@@ -22,6 +22,7 @@
     peer_messages,
     peers,
     permit_exchange,
+    placements,
     rate_limits,
     send_permits,
     servers,
@@ -310,10 +311,10 @@
             target_ms=TARGET_MS,
         )
         service = deployment.Service(SERVICE, 1_000)
-        request = dispatcher.PlacementRequest(queued, service, None, None)
+        request = placements.PlacementRequest(queued, service, None, None)
         placement = await self.dispatcher.place(request)
         await self.clock.wait_thawed()
-        if isinstance(placement, dispatcher.Rejection):
+        if isinstance(placement, placements.Rejection):
             return False
         may_send = self.fleet.send_permits.may_send(
             placement.server.incarnation, placement.permit, self.clock.now_ms()
@@ -324,7 +325,7 @@
         self.dispatcher.start_queued(SERVICE)
         return True
 
-    async def _send(self, placement: dispatcher.Placement) -> None:
+    async def _send(self, placement: placements.Placement) -> None:
         server_id = placement.server.server_id
         server = self._simulation.server_by_id[server_id]
         sent_ms = self.clock.now_ms()
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -7,27 +7,26 @@
 import asyncio
 import collections
 import dataclasses
-import math
 import random
-from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 from quincecrank import clock as clocks
-from quincecrank import ids, rendezvous
+from quincecrank import ids
 from quincecrank.gateway import (
-    cache_part_index,
     cache_transfers,
     decision_log,
     deployment,
+    engine_placement,
     fleet_state,
+    permit_demand,
     placement,
+    placements,
     prompts,
     request_queue,
     send_permits,
     servers,
     service_times,
     size_fairness,
-    weights,
 )
 
 QUEUE_RETRY_INTERVAL_MS: Final = 40
@@ -56,75 +55,6 @@
 _LOG: Final = decision_log.logger("dispatcher")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlacementRequest:
-    """A request that needs a backend server.
-
-    Attributes
-    ----------
-    route : str
-        Name of the route.  Its requests are of equal importance, whatever their size;
-        the fairness between size classes holds within a route.
-    tried_servers : frozenset of ServerId
-        Servers at which an attempt of the request has failed; they are not chosen.
-    software_version : SoftwareVersion or None
-        Version at which a stream goes on; None for any.
-    begins_stream : bool
-        Whether a resumable stream begins, see `stream_versions`.
-    may_repeat : bool
-        Whether it may run more than once.
-    """
-
-    queued: request_queue.QueuedRequest
-    service: deployment.Service
-    account: deployment.Account | None
-    prompt: prompts.Prompt | None
-    route: str = ""
-    tried_servers: frozenset[servers.ServerId] = frozenset()
-    software_version: servers.SoftwareVersion | None = None
-    begins_stream: bool = False
-    may_repeat: bool = False
-
-    @property
-    def request_id(self) -> ids.RequestId:
-        """Id of the request."""
-        return self.queued.request_id
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Placement:
-    """The backend server chosen for a request, and the instructions for it.
-
-    Attributes
-    ----------
-    weights_version : int or None
-        Version of the weights without which the request must not run; None for a
-        plain service.
-    work : Work
-        What the backend server has to do before the first event of the answer.
-    expected_first_event_ms : float
-        Estimated time to the first event at a server of the service's usual speed.
-    permit : Permit or None
-        Permit with which the request is sent; None for a server without a rate limit.
-    """
-
-    server: servers.ServerEntry
-    weights_version: int | None
-    salt: cache_part_index.CacheSalt | None
-    transfers: cache_transfers.Transfers
-    work: service_times.Work
-    expected_first_event_ms: float
-    permit: send_permits.Permit | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Rejection:
-    """The rejection of a request; no retry time if no retry can succeed."""
-
-    reason: str
-    retry_after_ms: int | None
-
-
 class Dispatcher:
     """Places the requests of all services.
 
@@ -143,9 +73,14 @@
             deployment.ServiceName, request_queue.RequestQueue
         ] = collections.defaultdict(request_queue.RequestQueue)
         self._future_by_id: dict[
-            ids.RequestId, asyncio.Future[Placement | Rejection]
+            ids.RequestId,
+            asyncio.Future[placements.Placement | placements.Rejection],
         ] = {}
-        self._placement_request_by_id: dict[ids.RequestId, PlacementRequest] = {}
+        self._placement_request_by_id: dict[
+            ids.RequestId, placements.PlacementRequest
+        ] = {}
+        self._demand = permit_demand.PermitDemand(fleet, self._queue_by_service)
+        self._engines = engine_placement.EnginePlacement(fleet, self._demand)
         self._size_fairness = size_fairness.SizeFairness()
         self._left_out_until_ms: dict[servers.Incarnation, int] = {}
         self._has_waiting = asyncio.Event()
@@ -171,7 +106,9 @@
         times = self._fleet.service_times.times_of(service.name)
         return times.expected_ms(service_times.Work(missing_tokens=own_tokens))
 
-    async def place(self, request: PlacementRequest) -> Placement | Rejection:
+    async def place(
+        self, request: placements.PlacementRequest
+    ) -> placements.Placement | placements.Rejection:
         """Return a backend server for a request, after a wait if need be.
 
         Records the outcome by prompt size if no server has been tried yet.
@@ -186,12 +123,14 @@
             request = dataclasses.replace(request, queued=queued)
         result = await self._place_or_queue(request)
         if not request.tried_servers:
-            is_placed = isinstance(result, Placement)
+            is_placed = isinstance(result, placements.Placement)
             now_ms = self._fleet.clock.now_ms()
             fairness.record_outcome(request.route, tokens, now_ms, is_placed=is_placed)
         return result
 
-    def place_now(self, request: PlacementRequest) -> Placement | None:
+    def place_now(
+        self, request: placements.PlacementRequest
+    ) -> placements.Placement | None:
         """Return a backend server that has capacity now; None if there is none.
 
         None also while other requests go before it.
@@ -201,16 +140,27 @@
             return None
         return self._try_place(request)
 
-    def give_back(self, placed: Placement) -> None:
+    def begin_limit_ms(
+        self, prompt: prompts.Prompt | None, version: int | None
+    ) -> float | None:
+        """Return the time by which a request must begin on a version of the weights.
+
+        None without a limit: the version is not outdated, or the service is plain.
+        """
+        return self._engines.begin_limit_ms(prompt, version)
+
+    def give_back(self, placed: placements.Placement) -> None:
         """Return the permit of a request that was not sent."""
         if placed.permit is not None:
             self._fleet.send_permits.give_back(placed.permit)
 
-    async def _place_or_queue(self, request: PlacementRequest) -> Placement | Rejection:
+    async def _place_or_queue(
+        self, request: placements.PlacementRequest
+    ) -> placements.Placement | placements.Rejection:
         now_ms = self._fleet.clock.now_ms()
         queue = self._queue_by_service[request.service.name]
         if self._fleet.rate_limits.is_any_limited:
-            self._record_interest(request.service.name)
+            self._demand.record_interest(request.service.name)
         if not self._usable_servers(request):
             rejection = self._reject_unless_soon_usable(request)
             if rejection is not None:
@@ -224,7 +174,9 @@
             return self._reject_busy(request, queue)
         return await self._wait(request, queue)
 
-    def _reject_unless_soon_usable(self, request: PlacementRequest) -> Rejection | None:
+    def _reject_unless_soon_usable(
+        self, request: placements.PlacementRequest
+    ) -> placements.Rejection | None:
         """Reject a request if no server will be usable before its latest start time."""
         now_ms = self._fleet.clock.now_ms()
         if not self._matching_entries(request):
@@ -235,7 +187,7 @@
         pause_ms = self._shortest_pause_ms(request)
         if pause_ms is not None and pause_ms < remaining_ms:
             return None
-        permit_ms = self._shortest_permit_wait_ms(request)
+        permit_ms = self._demand.shortest_wait_ms(request)
         if permit_ms is None:
             retry_ms = NO_SERVER_RETRY_MS if pause_ms is None else pause_ms
             return self._reject(request, "no backend server", retry_ms)
@@ -244,7 +196,7 @@
         return self._reject_for_limits(request, permit_ms)
 
     def _matching_entries(
-        self, request: PlacementRequest
+        self, request: placements.PlacementRequest
     ) -> tuple[servers.ServerEntry, ...]:
         """Return the ready servers at whose software version a request may run."""
         service = request.service.name
@@ -267,7 +219,9 @@
         }
         return tuple(each for each in ready if each.software_version in allowed)
 
-    def _reject_for_version(self, request: PlacementRequest) -> Rejection | None:
+    def _reject_for_version(
+        self, request: placements.PlacementRequest
+    ) -> placements.Rejection | None:
         """Reject a request for which no server has a suitable software version.
 
         None if a version is about to be listed, and a stream that begins can wait.
@@ -304,7 +258,7 @@
         queue = self._queue_by_service[service]
         if not len(queue):
             if self._fleet.rate_limits.is_any_limited:
-                self._update_permit_demand(service)
+                self._demand.update(service)
             return
         self._has_waiting.set()
         if not self._fleet.registry.ready_entries(service):
@@ -336,7 +290,7 @@
                 break
             blocked = queue_class
         if self._fleet.rate_limits.is_any_limited:
-            self._update_permit_demand(service)
+            self._demand.update(service)
 
     def _start_resumed(self, queue: request_queue.RequestQueue) -> None:
         """Start the queued requests that need one software version.
@@ -361,7 +315,7 @@
 
     def _try_place_queued(
         self, request_id: ids.RequestId
-    ) -> Placement | Rejection | None:
+    ) -> placements.Placement | placements.Rejection | None:
         """Place a queued request; reject it if that fails with an exception."""
         request = self._placement_request_by_id[request_id]
         try:
@@ -370,83 +324,6 @@
             _LOG.exception("request not placed", request=request_id)
             return self._reject(request, "internal error", NO_SERVER_RETRY_MS)
 
-    def _update_permit_demand(self, service: deployment.ServiceName) -> None:
-        """Set the demand for permits of a service's limited servers.
-
-        A gateway with fewer waiting requests than limited servers asks only some of
-        them, selected by a hash, so that few permits remain unused.
-        """
-        now_ms = self._fleet.clock.now_ms()
-        waiting = self._queue_by_service[service].ordered(now_ms)
-        demand: send_permits.Demand | None = None
-        asked: tuple[servers.ServerId, ...] = ()
-        limited_by_id = self._limited_by_id(service)
-        if waiting and limited_by_id:
-            first = waiting[0]
-            asked = rendezvous.ranked(first.request_id, limited_by_id, len(waiting) + 1)
-            demand = send_permits.Demand(
-                math.ceil(len(waiting) / len(asked)),
-                request_queue.queue_class_of(first, now_ms).rank,
-                first.arrived_ms,
-            )
-        is_due = False
-        for entry in self._fleet.registry.ready_entries(service):
-            is_due |= self._fleet.send_permits.set_demand(
-                entry.incarnation, demand if entry.server_id in asked else None, now_ms
-            )
-        if is_due:
-            self._fleet.notify_permit_demand()
-
-    def _limited_by_id(
-        self, service: deployment.ServiceName
-    ) -> dict[servers.ServerId, servers.ServerEntry]:
-        """Return the servers of a service that may be used but for a rate limit."""
-        now_ms = self._fleet.clock.now_ms()
-        return {
-            each.server_id: each
-            for each in self._fleet.registry.ready_entries(service)
-            if self._fleet.rate_limits.limit_of(each.incarnation) is not None
-            and self._fleet.health.health_of(each).allows(now_ms)
-        }
-
-    def _record_interest(self, service: deployment.ServiceName) -> None:
-        """Record that a request could have used the limited servers of a service."""
-        now_ms = self._fleet.clock.now_ms()
-        for entry in self._limited_by_id(service).values():
-            self._fleet.send_permits.record_interest(entry.incarnation, now_ms)
-
-    def _shortest_permit_wait_ms(self, request: PlacementRequest) -> float | None:
-        """Return the shortest expected wait for a permit; None if none is needed."""
-        now_ms = self._fleet.clock.now_ms()
-        return min(
-            (
-                self._fleet.send_permits.expected_wait_ms(each.incarnation, now_ms)
-                for each in self._limited_by_id(request.service.name).values()
-                if each.server_id not in request.tried_servers
-                and request.software_version in (None, each.software_version)
-            ),
-            default=None,
-        )
-
-    def _take_permit(
-        self, request: PlacementRequest, server: servers.ServerEntry
-    ) -> send_permits.Permit | None:
-        """Take the permit for a placed request, if its server is limited."""
-        if not self._fleet.rate_limits.is_any_limited:
-            return None
-        now_ms = self._fleet.clock.now_ms()
-        permit = self._fleet.send_permits.take(server.incarnation, now_ms)
-        if permit is not None:
-            _LOG.info(
-                "permit used",
-                request=request.request_id,
-                server=server.server_id,
-                per_second=self._fleet.rate_limits.limit_of(server.incarnation),
-                is_trial=permit.is_trial,
-                left_ms=permit.expires_ms - now_ms,
-            )
-        return permit
-
     def _reject_all(self, queue: request_queue.RequestQueue) -> None:
         """Reject all queued requests of a service without a ready backend server."""
         for queued in queue.ordered(self._fleet.clock.now_ms()):
@@ -490,16 +367,18 @@
             self._resolve(queued.request_id, rejection)
 
     def _reject_for_limits(
-        self, request: PlacementRequest, wait_ms: float
-    ) -> Rejection:
+        self, request: placements.PlacementRequest, wait_ms: float
+    ) -> placements.Rejection:
         """Reject a request that would wait too long for a permit."""
         retry_ms = request_queue.spread_retry_ms(wait_ms, self._generator.random())
         return self._reject(request, "rate limits of the backend servers", retry_ms)
 
     async def _wait(
-        self, request: PlacementRequest, queue: request_queue.RequestQueue
-    ) -> Placement | Rejection:
-        future: asyncio.Future[Placement | Rejection] = (
+        self,
+        request: placements.PlacementRequest,
+        queue: request_queue.RequestQueue,
+    ) -> placements.Placement | placements.Rejection:
+        future: asyncio.Future[placements.Placement | placements.Rejection] = (
             asyncio.get_running_loop().create_future()
         )
         queue.add(request.queued)
@@ -507,7 +386,7 @@
         self._future_by_id[request.request_id] = future
         self._placement_request_by_id[request.request_id] = request
         if self._fleet.rate_limits.is_any_limited:
-            self._update_permit_demand(request.service.name)
+            self._demand.update(request.service.name)
         remaining_ms = request.queued.deadline_ms - self._fleet.clock.now_ms()
         try:
             # Passes over the queue reject requests earlier, but only while they run.
@@ -527,28 +406,34 @@
             self._placement_request_by_id.pop(request.request_id, None)
 
     def _release_unused(
-        self, request: PlacementRequest, result: Placement | Rejection
+        self,
+        request: placements.PlacementRequest,
+        result: placements.Placement | placements.Rejection,
     ) -> None:
         """Release the slot and permit of a request whose caller left just then."""
-        if isinstance(result, Placement):
+        if isinstance(result, placements.Placement):
             self._fleet.loads.record_end(result.server.server_id, request.request_id)
             self.give_back(result)
 
     def _resolve(
-        self, request_id: ids.RequestId, result: Placement | Rejection
+        self,
+        request_id: ids.RequestId,
+        result: placements.Placement | placements.Rejection,
     ) -> None:
         future = self._future_by_id.get(request_id)
         if future is None or future.done():
             return
         future.set_result(result)
 
-    def _try_place(self, request: PlacementRequest) -> Placement | None:
+    def _try_place(
+        self, request: placements.PlacementRequest
+    ) -> placements.Placement | None:
         now_ms = self._fleet.clock.now_ms()
         queue = self._queue_by_service[request.service.name]
         if not queue.may_start(request.queued, now_ms):
             return None
         usable = self._usable_servers(request)
-        placed: Placement | None = None
+        placed: placements.Placement | None = None
         if self._fleet.rate_limits.is_any_limited:
             placed = self._place_on(request, self._trial_servers(request, usable))
         if placed is None:
@@ -558,7 +443,9 @@
         return placed
 
     def _trial_servers(
-        self, request: PlacementRequest, usable: tuple[servers.ServerEntry, ...]
+        self,
+        request: placements.PlacementRequest,
+        usable: tuple[servers.ServerEntry, ...],
     ) -> tuple[servers.ServerEntry, ...]:
         """Return the limited servers that the request should try, see `send_permits`.
 
@@ -574,8 +461,10 @@
         )
 
     def _place_on(
-        self, request: PlacementRequest, usable: tuple[servers.ServerEntry, ...]
-    ) -> Placement | None:
+        self,
+        request: placements.PlacementRequest,
+        usable: tuple[servers.ServerEntry, ...],
+    ) -> placements.Placement | None:
         """Place a request on one of some servers; return None if none has capacity.
 
         A server with which this fails is left out for `FAULTY_SERVER_MS`.
@@ -599,15 +488,15 @@
 
     def _place_on_any(
         self,
-        request: PlacementRequest,
+        request: placements.PlacementRequest,
         tried: tuple[servers.ServerEntry, ...],
         failure: Exception,
-    ) -> Placement | None:
+    ) -> placements.Placement | None:
         """Try servers one by one, after an exception with all of them together.
 
         It is raised again if each server fails by itself: then the request is at fault.
         """
-        placed: Placement | None = None
+        placed: placements.Placement | None = None
         error_by_server: dict[servers.ServerId, Exception] = {}
         for each in self._generator.sample(tried, len(tried)):
             try:
@@ -642,17 +531,21 @@
         )
 
     def _place_on_best(
-        self, request: PlacementRequest, usable: tuple[servers.ServerEntry, ...]
-    ) -> Placement | None:
+        self,
+        request: placements.PlacementRequest,
+        usable: tuple[servers.ServerEntry, ...],
+    ) -> placements.Placement | None:
         if request.prompt is None or request.service.engine is None:
             return self._place_plain(request, usable)
-        return self._place_engine(
+        return self._engines.place(
             request, request.prompt, request.service.engine, usable
         )
 
     def _place_plain(
-        self, request: PlacementRequest, usable: tuple[servers.ServerEntry, ...]
-    ) -> Placement | None:
+        self,
+        request: placements.PlacementRequest,
+        usable: tuple[servers.ServerEntry, ...],
+    ) -> placements.Placement | None:
         now_ms = self._fleet.clock.now_ms()
         slowness_by_server = self._fleet.health.relative_slowness(usable)
         candidates = [
@@ -681,271 +574,18 @@
         expected_ms = self._fleet.service_times.times_of(
             request.service.name
         ).expected_ms(work)
-        return Placement(
+        return placements.Placement(
             chosen.server,
             None,
             None,
             cache_transfers.NO_TRANSFERS,
             work,
             expected_ms,
-            self._take_permit(request, chosen.server),
-        )
-
-    def _place_engine(
-        self,
-        request: PlacementRequest,
-        prompt: prompts.Prompt,
-        engine: deployment.EngineLimits,
-        usable: tuple[servers.ServerEntry, ...],
-    ) -> Placement | None:
-        now_ms = self._fleet.clock.now_ms()
-        slowness_by_server = self._fleet.health.relative_slowness(usable)
-        current = self._fleet.configuration
-        sources = (
-            self._fleet.cache_sources(request.service, prompt.model, current)
-            if current
-            else ()
-        )
-        times = self._fleet.service_times.times_of(request.service.name)
-        context = placement.EngineChoiceContext(
-            affinity_server=_affinity_server(prompt, usable),
-            memory_tokens=prompt.memory_tokens,
-            engine_memory_tokens=engine.memory_tokens,
-            slack_ms=_slack_ms(request.queued, now_ms, times),
-            times=times,
-        )
-        load_by_server = {
-            each.server_id: self._fleet.loads.total_load(each.server_id, now_ms)
-            for each in usable
-        }
-        # Planning transfers is the slowest step, and under overload few engines have
-        # capacity.
-        with_capacity = [
-            each
-            for each in usable
-            if placement.has_capacity(
-                load_by_server[each.server_id], each.slots, context
-            )
-        ]
-        sources_by_version = self._sources_by_version(
-            request, prompt, with_capacity, sources
-        )
-        evaluated = placement.shortlist(
-            with_capacity,
-            load_by_server,
-            self._holders(request, prompt, with_capacity),
-            context.affinity_server,
-        )
-        plans = {
-            each.server_id: self._plan(
-                request, prompt, engine, each, sources_by_version
-            )
-            for each in evaluated
-        }
-        candidates = [
-            placement.Candidate(
-                each,
-                load_by_server[each.server_id],
-                slowness_by_server[each.server_id],
-                plans[each.server_id].missing_tokens,
-                plans[each.server_id].transfers.expected_ms,
-                self._fleet.target_versions.outdated_penalty_ms(
-                    prompt.model, plans[each.server_id].version, now_ms
-                ),
-            )
-            for each in evaluated
-        ]
-        candidates = [
-            each
-            for each in candidates
-            if self._begins_in_time(
-                request, each, plans[each.server.server_id].version, times
-            )
-        ]
-        chosen = placement.choose_engine(candidates, context)
-        if chosen is None:
-            return None
-        plan = plans[chosen.server.server_id]
-        transfers = plan.transfers
-        # KV cache of outdated weights is not saved: the target weights can't use it.
-        if plan.version >= (
-            self._fleet.target_versions.target_version(prompt.model) or 0
-        ):
-            transfers = self._with_saves(plan, prompt, sources)
-        self._fleet.loads.record_start(
-            chosen.server.server_id,
-            request.request_id,
-            prompt.memory_tokens,
-            plan.missing_tokens,
-        )
-        _LOG.info(
-            "placed",
-            request=request.request_id,
-            server=chosen.server.server_id,
-            software=chosen.server.software_version,
-            running=chosen.load.requests,
-            memory=chosen.load.memory_tokens,
-            backlog=chosen.load.backlog_tokens,
-            missing=plan.missing_tokens,
-            fetched=plan.transfers.fetched_tokens,
-            prompt=prompt.input_tokens,
-            waited_ms=now_ms - request.queued.arrived_ms,
-            chance=request.queued.timeliness(now_ms).name,
-            is_owed=request.queued.is_underserved,
-            first_ago_ms=now_ms - request.queued.first_attempt_ms,
-            expected_ms=round(times.expected_ms(chosen.work, chosen.slowness)),
-            shared=_last_shared_part(prompt),
-            home=context.affinity_server,
-            saved=sum(each is not None for each in transfers.save_to),
-            weights=plan.version,
-            slowness=round(chosen.slowness, 2),
-        )
-        return Placement(
-            chosen.server,
-            plan.version,
-            plan.salt,
-            transfers,
-            chosen.work,
-            times.expected_ms(chosen.work),
-            self._take_permit(request, chosen.server),
-        )
-
-    def begin_limit_ms(
-        self, prompt: prompts.Prompt | None, version: int | None
-    ) -> float | None:
-        """Return the time by which a request must begin on a version of the weights.
-
-        None without a limit: the version is not outdated, or the service is plain.
-        """
-        if prompt is None or version is None:
-            return None
-        return self._fleet.target_versions.begin_limit_ms(
-            prompt.model, version, self._fleet.own_settings.bounds.weights_deadline_ms
-        )
-
-    def _begins_in_time(
-        self,
-        request: PlacementRequest,
-        candidate: placement.Candidate,
-        version: int,
-        times: service_times.Times,
-    ) -> bool:
-        """Return whether a request would begin on an engine's weights in time."""
-        limit_ms = self.begin_limit_ms(request.prompt, version)
-        if limit_ms is None:
-            return True
-        now_ms = self._fleet.clock.now_ms()
-        expected_ms = max(
-            times.expected_ms(candidate.work, candidate.slowness),
-            self._fleet.begin_delays.longest_ms(candidate.server.server_id, now_ms),
-        )
-        ratio = (
-            weights.MIN_BEGIN_RATIO
-            if request.may_repeat
-            else weights.MIN_SINGLE_BEGIN_RATIO
-        )
-        return now_ms + expected_ms * ratio <= limit_ms
-
-    def _with_saves(
-        self,
-        plan: "_EnginePlan",
-        prompt: prompts.Prompt,
-        sources: tuple[cache_transfers.Source, ...],
-    ) -> cache_transfers.Transfers:
-        stores = tuple(each for each in sources if each.is_store)
-        save_to = cache_transfers.plan_save(
-            prompt,
-            plan.salt,
-            stores,
-            self._fleet.cache_index,
-            self._fleet.pending_saves,
-            self._fleet.clock.now_ms(),
-        )
-        return dataclasses.replace(plan.transfers, save_to=save_to)
-
-    def _holders(
-        self,
-        request: PlacementRequest,
-        prompt: prompts.Prompt,
-        replicas: Iterable[servers.ServerEntry],
-    ) -> frozenset[servers.ServerId]:
-        """Return the replicas that hold the last shared part of a prompt."""
-        if not prompt.shared_parts:
-            return frozenset()
-        part = prompt.shared_parts[-1]
-        return frozenset(
-            each.server_id
-            for each in replicas
-            if self._fleet.cache_index.holds(
-                cache_part_index.HolderName(each.server_id),
-                _salt(request, prompt, each.weight_versions_by_model[prompt.model]),
-                part,
-            )
-        )
-
-    def _sources_by_version(
-        self,
-        request: PlacementRequest,
-        prompt: prompts.Prompt,
-        replicas: Iterable[servers.ServerEntry],
-        sources: tuple[cache_transfers.Source, ...],
-    ) -> dict[int, tuple[cache_transfers.Source, ...]]:
-        """Return the sources that hold a part of a prompt, by weight version.
-
-        Looked up once for all replicas, as few of many sources hold a part of any one
-        prompt.
-        """
-        versions = {each.weight_versions_by_model[prompt.model] for each in replicas}
-        keys_by_version = {
-            version: [
-                cache_part_index.PartKey(_salt(request, prompt, version), part.part_id)
-                for part in prompt.parts
-            ]
-            for version in versions
-        }
-        holds_any = self._fleet.cache_index.holds_any
-        return {
-            version: tuple(
-                each
-                for each in sources
-                if each.weights_version in (None, version)
-                and holds_any(each.holder, keys)
-            )
-            for version, keys in keys_by_version.items()
-        }
-
-    def _plan(
-        self,
-        request: PlacementRequest,
-        prompt: prompts.Prompt,
-        engine: deployment.EngineLimits,
-        server: servers.ServerEntry,
-        sources_by_version: Mapping[int, tuple[cache_transfers.Source, ...]],
-    ) -> "_EnginePlan":
-        version = server.weight_versions_by_model[prompt.model]
-        salt = _salt(request, prompt, version)
-        held = self._fleet.cache_index.held_prefix_length(
-            cache_part_index.HolderName(server.server_id), salt, prompt.parts
-        )
-        others = tuple(
-            each
-            for each in sources_by_version[version]
-            if each.address != server.address
-        )
-        transfers = cache_transfers.plan_fetch(
-            prompt.parts,
-            held,
-            salt,
-            others,
-            self._fleet.cache_index,
-            engine.token_bytes,
+            self._demand.take_permit(request, chosen.server),
         )
-        cached = sum(part.tokens for part in prompt.parts[:held])
-        missing = max(1, prompt.input_tokens - cached - transfers.fetched_tokens)
-        return _EnginePlan(version, salt, missing, transfers)
 
     def _usable_servers(
-        self, request: PlacementRequest
+        self, request: placements.PlacementRequest
     ) -> tuple[servers.ServerEntry, ...]:
         now_ms = self._fleet.clock.now_ms()
         allowed = tuple(
@@ -970,7 +610,7 @@
             self._fleet.own_settings.bounds.weights_deadline_ms,
         )
 
-    def _shortest_pause_ms(self, request: PlacementRequest) -> int | None:
+    def _shortest_pause_ms(self, request: placements.PlacementRequest) -> int | None:
         """Return the shortest remaining pause of a server; None if none pauses.
 
         A full server pauses for a moment.  A service that merely runs at its limit
@@ -990,8 +630,10 @@
         return min(pauses_ms, default=None)
 
     def _reject_busy(
-        self, request: PlacementRequest, queue: request_queue.RequestQueue
-    ) -> Rejection:
+        self,
+        request: placements.PlacementRequest,
+        queue: request_queue.RequestQueue,
+    ) -> placements.Rejection:
         now_ms = self._fleet.clock.now_ms()
         after_ms = queue.retry_after_ms(
             request.queued, now_ms, self._generator.random()
@@ -999,8 +641,11 @@
         return self._reject(request, "all backend servers are busy", after_ms)
 
     def _reject(
-        self, request: PlacementRequest, reason: str, retry_after_ms: int | None
-    ) -> Rejection:
+        self,
+        request: placements.PlacementRequest,
+        reason: str,
+        retry_after_ms: int | None,
+    ) -> placements.Rejection:
         now_ms = self._fleet.clock.now_ms()
         _LOG.info(
             "refused",
@@ -1015,54 +660,4 @@
             waiting=len(self._queue_by_service[request.service.name]),
             retry_after_ms=retry_after_ms,
         )
-        return Rejection(reason, retry_after_ms)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _EnginePlan:
-    version: int
-    salt: cache_part_index.CacheSalt
-    missing_tokens: int
-    transfers: cache_transfers.Transfers
-
-
-def _slack_ms(
-    queued: request_queue.QueuedRequest, now_ms: int, times: service_times.Times
-) -> float | None:
-    """Return the time within which an engine must compute a prompt.
-
-    None if the request is late.  The answer must be on time.  The prompt of an
-    underserved request that can't be on time must be computed by its latest start time,
-    so that it is still answered.  `base_ms` is subtracted because
-    `placement.prefill_completion_ms`, to which the result is compared, leaves it out.
-    """
-    if queued.timeliness(now_ms) is request_queue.Timeliness.LATE:
-        return None
-    until_ms = queued.on_time_until_ms
-    if now_ms + queued.idle_answer_ms > until_ms:
-        until_ms = queued.latest_start_ms
-    return until_ms - now_ms - times.base_ms
-
-
-def _salt(
-    request: PlacementRequest, prompt: prompts.Prompt, version: int
-) -> cache_part_index.CacheSalt:
-    owner = (
-        request.account.name
-        if request.account and request.account.is_isolated
-        else None
-    )
-    return cache_part_index.make_salt(prompt.model, version, owner)
-
-
-def _affinity_server(
-    prompt: prompts.Prompt, usable: Sequence[servers.ServerEntry]
-) -> servers.ServerId:
-    """Return the usable replica that the prompt's last shared part hashes to."""
-    names = [each.server_id for each in usable]
-    return rendezvous.ranked(_last_shared_part(prompt), names, 1)[0]
-
-
-def _last_shared_part(prompt: prompts.Prompt) -> str:
-    shared = prompt.shared_parts or prompt.parts
-    return shared[-1].part_id if shared else ""
+        return placements.Rejection(reason, retry_after_ms)
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -37,6 +37,7 @@
     failed_request_records,
     fleet_state,
     gateway_metrics,
+    placements,
     request_queue,
     retry_share,
     server_links,
@@ -134,7 +135,7 @@
         Set once it has ended without an answer, so that a successor may go on.
     """
 
-    placement: dispatcher.Placement
+    placement: placements.Placement
     link: server_links.Link
     sink: answer_sink.AnswerSink
     running: "asyncio.Future[server_links.ExchangeOutcome]"
@@ -377,7 +378,7 @@
             if self._reject_crashing(active) or self._reject_leaving(active):
                 return
             placement = await self._place(active)
-            if isinstance(placement, dispatcher.Rejection):
+            if isinstance(placement, placements.Rejection):
                 self._fail(active, placement.reason, placement.retry_after_ms)
                 return
             if await self._attempt(active, placement) or self._reject_crashing(active):
@@ -445,7 +446,7 @@
 
     async def _place(
         self, active: active_requests.ActiveRequest
-    ) -> dispatcher.Placement | dispatcher.Rejection:
+    ) -> placements.Placement | placements.Rejection:
         request_id = active.local_id
         self._unplaced_by_id[request_id] = active
         try:
@@ -534,7 +535,7 @@
         return min(active.deadline_ms, shutdown.cut_limit_ms)
 
     async def _attempt(
-        self, active: active_requests.ActiveRequest, placement: dispatcher.Placement
+        self, active: active_requests.ActiveRequest, placement: placements.Placement
     ) -> bool:
         """Send the request to a server; return whether the caller was answered.
 
@@ -563,7 +564,7 @@
     async def _begin_exchange(
         self,
         active: active_requests.ActiveRequest,
-        placement: dispatcher.Placement,
+        placement: placements.Placement,
         predecessor: _Exchange | None = None,
     ) -> _Exchange | None:
         """Send the request to a server; None if it could not be sent.
@@ -603,7 +604,7 @@
         )
 
     async def _acquire_link(
-        self, active: active_requests.ActiveRequest, placement: dispatcher.Placement
+        self, active: active_requests.ActiveRequest, placement: placements.Placement
     ) -> server_links.Link | None:
         """Return a link on which the request may be sent now; None if there is none."""
         server = placement.server
@@ -627,7 +628,7 @@
     def _send(
         self,
         active: active_requests.ActiveRequest,
-        placement: dispatcher.Placement,
+        placement: placements.Placement,
         link: server_links.Link,
         predecessor: _Exchange | None,
     ) -> _Exchange:
@@ -750,7 +751,7 @@
         )
 
     def _release(
-        self, active: active_requests.ActiveRequest, placement: dispatcher.Placement
+        self, active: active_requests.ActiveRequest, placement: placements.Placement
     ) -> None:
         """Release the capacity that a request had at a server."""
         server_id = placement.server.server_id
@@ -851,7 +852,7 @@
             return None
 
     def _outgoing(
-        self, active: active_requests.ActiveRequest, placement: dispatcher.Placement
+        self, active: active_requests.ActiveRequest, placement: placements.Placement
     ) -> server_links.OutgoingRequest:
         request = active.request
         remaining_ms = max(1, self._work_limit_ms(active) - self._clock.now_ms())
@@ -880,7 +881,7 @@
             active.caller_headers.request_id,
         )
 
-    def _fetch_deadline_ms(self, placement: dispatcher.Placement) -> int | None:
+    def _fetch_deadline_ms(self, placement: placements.Placement) -> int | None:
         """Return the time, in ms of the engine's clock, at which it abandons its fetch.
 
         None if nothing is fetched, or if the engine's clock is not known.
@@ -1208,7 +1209,7 @@
     def _conclude_failure(
         self,
         active: active_requests.ActiveRequest,
-        placement: dispatcher.Placement,
+        placement: placements.Placement,
         sink: answer_sink.AnswerSink,
         sent_ms: int,
     ) -> bool:
@@ -1377,7 +1378,7 @@
 
     def _placement_request(
         self, active: active_requests.ActiveRequest
-    ) -> dispatcher.PlacementRequest:
+    ) -> placements.PlacementRequest:
         prompt = active.caller_headers.prompt
         queued = request_queue.QueuedRequest(
             request_id=active.local_id,
@@ -1391,7 +1392,7 @@
             if active.software_version is None
             else self._clock.now_ms() + request_queue.MAX_RESUMED_WAIT_MS,
         )
-        return dispatcher.PlacementRequest(
+        return placements.PlacementRequest(
             queued,
             active.service,
             active.account,
@@ -1436,7 +1437,7 @@
     def _log_attempt(
         self,
         active: active_requests.ActiveRequest,
-        placement: dispatcher.Placement,
+        placement: placements.Placement,
         sink: answer_sink.AnswerSink,
         outcome: str,
         status: int,
--- a/tests/test_gateway_dispatcher.py
+++ b/tests/test_gateway_dispatcher.py
@@ -9,7 +9,14 @@
 import unittest
 
 from quincecrank import clock as clocks
-from quincecrank.gateway import deployment, dispatcher, fleet_state, prompts, servers
+from quincecrank.gateway import (
+    deployment,
+    dispatcher,
+    fleet_state,
+    placements,
+    prompts,
+    servers,
+)
 from quincecrank.platform import documents
 from tests import builders_gateway as builders
 
@@ -29,11 +36,11 @@
 
     def make_request(
         self, name: deployment.ServiceName, prompt: prompts.Prompt | None = None
-    ) -> dispatcher.PlacementRequest:
+    ) -> placements.PlacementRequest:
         queued = builders.make_queued_request(
             "q-1", arrived_ms=1_000, deadline_ms=4_000, target_ms=1_000
         )
-        return dispatcher.PlacementRequest(queued, self.service(name), None, prompt)
+        return placements.PlacementRequest(queued, self.service(name), None, prompt)
 
     def add_server(self, name: deployment.ServiceName) -> servers.ServerEntry:
         weights = 1 if name == builders.LLM else None
@@ -41,8 +48,8 @@
         return self.fleet.registry.update(entry)
 
     async def start_placing(
-        self, request: dispatcher.PlacementRequest
-    ) -> "asyncio.Task[dispatcher.Placement | dispatcher.Rejection]":
+        self, request: placements.PlacementRequest
+    ) -> "asyncio.Task[placements.Placement | placements.Rejection]":
         """Start to place a request; return the task once it waits or has ended."""
         task = asyncio.create_task(self.dispatcher.place(request))
         await asyncio.sleep(0)
@@ -55,7 +62,7 @@
         self.assertFalse(task.done())
         self.clock.advance(200)
         self.dispatcher.start_queued(builders.PLAIN)
-        self.assertIsInstance(await task, dispatcher.Placement)
+        self.assertIsInstance(await task, placements.Placement)
 
     async def test_a_request_is_rejected_until_the_end_of_a_long_pause(self) -> None:
         entry = self.add_server(builders.PLAIN)
@@ -64,7 +71,7 @@
         )
         task = await self.start_placing(self.make_request(builders.PLAIN))
         rejection = await task
-        assert isinstance(rejection, dispatcher.Rejection)
+        assert isinstance(rejection, placements.Rejection)
         self.assertEqual(rejection.retry_after_ms, 2_500)
 
     async def test_requests_are_rejected_at_once_when_the_last_engine_leaves(
@@ -78,7 +85,7 @@
         self.fleet.registry.mark_leaving(entry.incarnation, 1_000, is_direct=True)
         self.dispatcher.start_queued(builders.LLM)
         rejection = await task
-        assert isinstance(rejection, dispatcher.Rejection)
+        assert isinstance(rejection, placements.Rejection)
         self.assertEqual(rejection.reason, "no backend server")
 
     async def test_a_request_keeps_waiting_while_no_engine_is_usable(self) -> None:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -26,7 +26,6 @@
     crash_findings,
     crash_monitor,
     deployment,
-    dispatcher,
     followers,
     loads,
     loop_monitor,
@@ -34,6 +33,7 @@
     order_lease,
     peer_messages,
     peers,
+    placements,
     row_consumers,
     server_links,
     servers,
@@ -477,7 +477,7 @@
                 )
                 self.fleet.registry.update(entry)
             assert self.fleet.configuration is not None
-            request = dispatcher.PlacementRequest(
+            request = placements.PlacementRequest(
                 builders.make_queued_request(deadline_ms=2**60),
                 self.fleet.configuration.services_by_name[service],
                 None,
