Evacuate data centres, limit cold servers and allow regions by request

Servers of an evacuated data centre get no new requests; cold servers get requests by the permits that share rate limits, at their own rate; routes and accounts may name regions. Each acts only where settings and configuration ask for it.

--- a/quincecrank/gateway/active_requests.py
+++ b/quincecrank/gateway/active_requests.py
@@ -6,6 +6,7 @@
 
 from quincecrank import ids
 from quincecrank.gateway import (
+    answer_times,
     callers,
     crash_suspicions,
     deployment,
@@ -125,3 +126,11 @@
     def possible_runs(self) -> int:
         """Number of sends that may have run the request."""
         return self.sends - self.refusals
+
+    def rest_ms(self, answer_time: answer_times.AnswerTime | None) -> float | None:
+        """Return the typical time of what is left of a stream; None if not known."""
+        prompt = self.caller_headers.prompt
+        if answer_time is None or prompt is None or not prompt.output_tokens:
+            return None
+        done = self.event_splitter.token_count
+        return answer_time.rest_ms(done, prompt.output_tokens)
--- a/quincecrank/gateway/deployment.py
+++ b/quincecrank/gateway/deployment.py
@@ -61,6 +61,8 @@
         Rank of the requests; 0 is the most urgent.
     is_public : bool
         Whether requests need no API key.
+    allowed_regions : frozenset of Region
+        Regions whose servers may get the requests; empty for all.
     """
 
     name: RouteName
@@ -76,6 +78,7 @@
     max_attempts: int
     urgency: int
     is_public: bool
+    allowed_regions: frozenset[ids.Region] = frozenset()
 
     @property
     def may_repeat(self) -> bool:
@@ -123,11 +126,18 @@
         Most connections that one backend server accepts, from all callers.
     engine : EngineLimits or None
         Limits of its model engines; None for a plain service.
+    cold_start_ms : int
+        Time for which a server is cold after its start.
+    cold_per_second : float
+        Requests a second that a cold server takes from all gateways; 0 if its servers
+        are never cold.
     """
 
     name: ServiceName
     max_connections: int
     engine: EngineLimits | None = None
+    cold_start_ms: int = 0
+    cold_per_second: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -180,11 +190,14 @@
         Rank of its requests; None to use the route's.
     is_isolated : bool
         Whether it shares no KV cache with other accounts.
+    allowed_regions : frozenset of Region
+        Regions whose servers may get its requests; empty for all.
     """
 
     name: ids.AccountName
     urgency: int | None
     is_isolated: bool
+    allowed_regions: frozenset[ids.Region] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -13,6 +13,7 @@
 from quincecrank import clock as clocks
 from quincecrank import ids
 from quincecrank.gateway import (
+    allowed_regions,
     cache_transfers,
     decision_log,
     deployment,
@@ -200,7 +201,7 @@
     ) -> tuple[servers.ServerEntry, ...]:
         """Return the ready servers at whose software version a request may run."""
         service = request.service.name
-        ready = self._fleet.registry.ready_entries(service)
+        ready = self._allowed_entries(request)
         if request.software_version is not None:
             return tuple(
                 each
@@ -219,6 +220,22 @@
         }
         return tuple(each for each in ready if each.software_version in allowed)
 
+    def _allowed_entries(
+        self, request: placements.PlacementRequest
+    ) -> tuple[servers.ServerEntry, ...]:
+        """Return the ready servers in the data centres that may get a request."""
+        sendable = self._fleet.sendable_entries(request.service.name)
+        if request.allowed_regions is None:
+            return sendable
+        regions = self._fleet.own_settings.region_by_data_centre
+        return tuple(
+            each
+            for each in sendable
+            if allowed_regions.allows(
+                request.allowed_regions, each.data_centre, regions
+            )
+        )
+
     def _reject_for_version(
         self, request: placements.PlacementRequest
     ) -> placements.Rejection | None:
@@ -228,7 +245,7 @@
         """
         if request.software_version is not None:
             return self._reject(request, NO_VERSION_REASON, None)
-        if self._fleet.registry.ready_entries(request.service.name):
+        if self._allowed_entries(request):
             return None
         return self._reject(request, "no backend server", NO_SERVER_RETRY_MS)
 
@@ -261,7 +278,7 @@
                 self._demand.update(service)
             return
         self._has_waiting.set()
-        if not self._fleet.registry.ready_entries(service):
+        if not self._fleet.sendable_entries(service):
             self._reject_all(queue)
             return
         now_ms = self._fleet.clock.now_ms()
--- a/quincecrank/gateway/engine_placement.py
+++ b/quincecrank/gateway/engine_placement.py
@@ -12,6 +12,7 @@
 
 from quincecrank import rendezvous
 from quincecrank.gateway import (
+    allowed_regions,
     cache_part_index,
     cache_transfers,
     decision_log,
@@ -102,16 +103,24 @@
             )
             for each in evaluated
         }
+        cold = {
+            each.server_id
+            for each in evaluated
+            if self._fleet.cold_servers.is_cold(each.incarnation, now_ms)
+        }
+        cold_slowness = self._fleet.cold_servers.slowness(request.service.name)
         candidates = [
             placement.Candidate(
                 each,
                 load_by_server[each.server_id],
-                slowness_by_server[each.server_id],
+                slowness_by_server[each.server_id]
+                * (cold_slowness if each.server_id in cold else 1.0),
                 plans[each.server_id].missing_tokens,
                 plans[each.server_id].transfers.expected_ms,
                 self._fleet.target_versions.outdated_penalty_ms(
                     prompt.model, plans[each.server_id].version, now_ms
                 ),
+                each.server_id in cold,
             )
             for each in evaluated
         ]
@@ -131,7 +140,7 @@
         if plan.version >= (
             self._fleet.target_versions.target_version(prompt.model) or 0
         ):
-            transfers = self._with_saves(plan, prompt, sources)
+            transfers = self._with_saves(plan, request, prompt, sources)
         self._fleet.loads.record_start(
             chosen.server.server_id,
             request.request_id,
@@ -209,10 +218,13 @@
     def _with_saves(
         self,
         plan: "_EnginePlan",
+        request: placements.PlacementRequest,
         prompt: prompts.Prompt,
         sources: tuple[cache_transfers.Source, ...],
     ) -> cache_transfers.Transfers:
-        stores = tuple(each for each in sources if each.is_store)
+        stores = tuple(
+            each for each in sources if each.is_store and self._may_hold(request, each)
+        )
         save_to = cache_transfers.plan_save(
             prompt,
             plan.salt,
@@ -223,6 +235,20 @@
         )
         return dataclasses.replace(plan.transfers, save_to=save_to)
 
+    def _may_hold(
+        self, request: placements.PlacementRequest, store: cache_transfers.Source
+    ) -> bool:
+        """Return whether a store is in the regions that may hold a prompt."""
+        current = self._fleet.configuration
+        if request.allowed_regions is None or current is None:
+            return True
+        name = deployment.ServiceName(store.holder)
+        return allowed_regions.allows(
+            request.allowed_regions,
+            current.stores_by_name[name].data_centre,
+            self._fleet.own_settings.region_by_data_centre,
+        )
+
     def _holders(
         self,
         request: placements.PlacementRequest,
--- a/quincecrank/gateway/environment.py
+++ b/quincecrank/gateway/environment.py
@@ -1,6 +1,7 @@
 """Settings of a gateway process: addresses, limits of its VM and of the platform."""
 
 import dataclasses
+from collections.abc import Mapping
 
 from quincecrank import ids
 
@@ -74,6 +75,12 @@
     thaw_ms : int
         Time after a process resumes from a freeze in which orders that were in flight
         may still arrive.
+    evacuation_apply_ms : int or None
+        Time within which an evacuation of a data centre must be in force everywhere;
+        None if the operator evacuates none.
+    cold_overshoot, cold_slack : float or None
+        A cold server gets at most `cold_overshoot` times its own rate plus `cold_slack`
+        requests in a second, from all gateways together; None without such a bound.
     """
 
     shutdown_grace_ms: int
@@ -85,6 +92,9 @@
     retry_floor: int
     retry_window_ms: int
     thaw_ms: int
+    evacuation_apply_ms: int | None = None
+    cold_overshoot: float | None = None
+    cold_slack: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +111,12 @@
         Port that serves metrics, from the same range.
     seed_ips : tuple of str
         VMs that may run gateways; the list may be outdated.
+    region_by_data_centre : mapping of DataCentre to Region
+        Regions of the data centres; empty if the settings name none.
+    shares_admission : bool
+        Whether gateways admit requests by figures that they share.
+    spreads_load : bool
+        Whether gateways spread requests over engines with near-equal estimates.
     """
 
     vm: ids.VmName
@@ -115,3 +131,8 @@
     max_descriptors: int
     store: StoreSettings
     bounds: Bounds
+    region_by_data_centre: Mapping[ids.DataCentre, ids.Region] = dataclasses.field(
+        default_factory=dict
+    )
+    shares_admission: bool = False
+    spreads_load: bool = False
--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -5,17 +5,20 @@
 from typing import Final
 
 from quincecrank import clock as clocks
+from quincecrank import ids, store_rows
 from quincecrank.gateway import (
     answer_times,
     begin_delays,
     cache_part_index,
     cache_transfers,
+    cold_servers,
     configuration_currency,
     crash_suspicions,
     decision_log,
     deployment,
     engine_weight_updates,
     environment,
+    evacuations,
     failed_request_records,
     loads,
     rate_limits,
@@ -103,6 +106,8 @@
         self.service_times = service_times.ServiceTimes()
         self.answer_times = answer_times.AnswerTimes()
         self.rate_limits = rate_limits.RateLimits()
+        self.cold_servers = cold_servers.ColdServers()
+        self.evacuations = evacuations.Evacuations()
         self.send_permits = send_permits.SendPermits(
             own_settings.vm, self.rate_limits, random.Random()
         )
@@ -142,6 +147,7 @@
         self.configuration = update
         self.currency.record_in_force(update.version, self.clock.now_ms(), known_ms)
         self.service_times.retain(tuple(update.services_by_name))
+        self.cold_servers.retain(tuple(update.services_by_name))
         self.answer_times.retain(
             {
                 route.name
@@ -151,6 +157,120 @@
         )
         return True
 
+    def may_serve(self) -> bool:
+        """Return whether what operators set is recent enough here to serve by it."""
+        now_ms = self.clock.now_ms()
+        return self.currency.may_serve(now_ms) and self.evacuations.may_serve(
+            now_ms, self.own_settings.bounds.evacuation_apply_ms
+        )
+
+    def sendable_entries(
+        self, service: deployment.ServiceName
+    ) -> tuple[servers.ServerEntry, ...]:
+        """Return the ready servers of a service outside of evacuated data centres."""
+        ready = self.registry.ready_entries(service)
+        if not self.evacuations.in_force:
+            return ready
+        return tuple(each for each in ready if self.may_send_to(each))
+
+    def may_send_to(self, server: servers.ServerEntry) -> bool:
+        """Return whether the data centre of a server is not evacuated."""
+        return not self.evacuations.is_evacuated(server.data_centre)
+
+    def apply_evacuation(
+        self,
+        data_centre: ids.DataCentre,
+        position: store_rows.Position,
+        *,
+        is_removed: bool,
+    ) -> bool:
+        """Apply a row that evacuates a data centre; return whether that changed."""
+        is_changed = self.evacuations.apply_row(
+            data_centre, position, self.clock.now_ms(), is_removed=is_removed
+        )
+        if is_changed and is_removed:
+            self.presume_cold(data_centre)
+        return is_changed
+
+    def presume_cold(self, data_centre: ids.DataCentre) -> None:
+        """Record that the servers of a data centre may have become cold."""
+        current = self.configuration
+        for entry in self.registry.entries():
+            service = current and current.services_by_name.get(entry.service)
+            if service and service.cold_start_ms and entry.data_centre == data_centre:
+                self.cold_servers.presume_cold(
+                    entry, service.cold_start_ms, self.clock.now_ms()
+                )
+        self.update_cold_limits()
+
+    def record_cold_entry(self, entry: servers.ServerEntry) -> bool:
+        """Record what an entry states; return whether its server became cold."""
+        now_ms = self.clock.now_ms()
+        if not self.cold_servers.record_entry(entry, now_ms):
+            return False
+        self.update_cold_limits()
+        is_cold = self.cold_servers.is_cold(entry.incarnation, now_ms)
+        self._log_cold(entry.incarnation, "entry")
+        return is_cold
+
+    def record_cold_answer(
+        self, server: servers.ServerEntry, cold_ms: int | None
+    ) -> None:
+        """Record for how long a server stays cold; None if its answer says nothing."""
+        if cold_ms is None or not self._is_registered(server.incarnation):
+            return
+        if self.cold_servers.record_answer(server, cold_ms, self.clock.now_ms()):
+            self.update_cold_limits()
+            self._log_cold(server.incarnation, "answer")
+
+    def apply_cold_state(self, state: cold_servers.ColdState) -> None:
+        """Apply what a peer knows of a server; ignored for another incarnation."""
+        if not self._is_registered(state.incarnation):
+            return
+        if self.cold_servers.apply(state, self.clock.now_ms()):
+            self.update_cold_limits()
+            self._log_cold(state.incarnation, "peer")
+
+    def update_cold_limits(self) -> None:
+        """Put the rates of the servers in force that are cold now."""
+        if self.configuration is None:
+            return
+        per_second_by_incarnation = self.cold_servers.limits(
+            self.registry.find,
+            self.configuration.services_by_name,
+            self.clock.now_ms(),
+        )
+        if self.rate_limits.set_cold_limits(per_second_by_incarnation):
+            self.send_permits.apply_limit_change(self.clock.now_ms())
+
+    def _log_cold(self, incarnation: servers.Incarnation, origin: str) -> None:
+        remaining_ms = self.cold_servers.remaining_ms(incarnation, self.clock.now_ms())
+        _LOG.info(
+            "server is cold" if remaining_ms else "server is warm",
+            server=incarnation.server_id,
+            remaining_ms=remaining_ms,
+            origin=origin,
+        )
+
+    def record_answer_time(
+        self,
+        server: servers.ServerEntry,
+        work: service_times.Work,
+        expected_ms: float,
+        first_ms: int,
+    ) -> None:
+        """Record the time to the first event of a complete answer.
+
+        The times of cold servers are kept apart, as they distort those of warm ones.
+        """
+        health = self.health.health_of(server)
+        if self.cold_servers.is_cold(server.incarnation, self.clock.now_ms()):
+            health.record_success()
+            self.cold_servers.record_answer_time(server.service, first_ms, expected_ms)
+            return
+        health.record_answer(first_ms, expected_ms)
+        self.service_times.observe(server.service, work, first_ms)
+
     def remove_server(self, server_id: servers.ServerId) -> None:
         """Remove the links, health, load, rate limit and cache state of a server.
 
@@ -162,6 +282,7 @@
         self.loads.remove_server(server_id)
         self.begin_delays.remove_server(server_id)
         self.rate_limits.remove_server(server_id)
+        self.cold_servers.remove_server(server_id)
         self.cache_index.remove(cache_part_index.HolderName(server_id))
 
     def mark_leaving(
@@ -259,7 +380,7 @@
         entry = self.registry.find(incarnation.server_id)
         if entry is None or entry.incarnation != incarnation:
             return False
-        was_limited = self.rate_limits.limit_of(incarnation) is not None
+        was_limited = self.rate_limits.is_named(incarnation)
         is_changed = self.rate_limits.record_answer(
             incarnation, per_second, sent_ms, self.clock.now_ms()
         )
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -15,17 +15,16 @@
 
 import asyncio
 import dataclasses
-import hashlib
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
 from quincecrank import clock as clocks
-from quincecrank import crash_counts, ids
+from quincecrank import ids
 from quincecrank.gateway import (
     active_requests,
+    allowed_regions,
     answer_sink,
-    answer_times,
     cache_part_index,
     callers,
     crash_findings,
@@ -38,6 +37,7 @@
     fleet_state,
     gateway_metrics,
     placements,
+    request_identity,
     request_queue,
     retry_share,
     server_links,
@@ -313,7 +313,7 @@
                 answer, caller_headers.request_id, 503, "not ready", NOT_READY_RETRY_MS
             )
             return None
-        if not self._fleet.currency.may_serve(self._clock.now_ms()):
+        if not self._fleet.may_serve():
             self._reject_outdated(
                 answer,
                 caller_headers.request_id,
@@ -329,7 +329,7 @@
         if account is None and current.requires_keys and not route.is_public:
             self._refuse(answer, caller_headers.request_id, 401, "unknown key")
             return None
-        stream = _stream_key(route, caller_headers, account)
+        stream = request_identity.stream_key(route, caller_headers, account)
         service = self._draw_service(current, route, stream)
         if service is None:
             self._send_own_answer(
@@ -339,7 +339,7 @@
         allowed_ms = route.timeout_ms
         if caller_headers.remaining_ms is not None:
             allowed_ms = min(allowed_ms, caller_headers.remaining_ms)
-        fingerprint = _fingerprint(request, account)
+        fingerprint = request_identity.fingerprint(request, account)
         key, first_attempt_ms = None, request.received_ms
         if caller_headers.prompt is not None:
             key = failed_request_records.request_key(fingerprint, caller_headers.prompt)
@@ -505,7 +505,7 @@
         )
         if active.answer.has_begun:
             return shutdown.may_resume(
-                now_ms, remaining_ms, _rest_ms(active, answer_time)
+                now_ms, remaining_ms, active.rest_ms(answer_time)
             )
         return shutdown.may_begin(
             now_ms, remaining_ms, answer_time, may_repeat=active.route.may_repeat
@@ -612,7 +612,8 @@
         link = await self._open_link(active, server)
         if link is None:
             return None
-        if self._is_rejected(active) or not self._may_begin(active):
+        may_send = self._may_begin(active) and self._fleet.may_send_to(server)
+        if self._is_rejected(active) or not may_send:
             # That has changed while the request waited for a server or link.
             self._fleet.links.release(server, link)
             return None
@@ -782,6 +783,7 @@
         """
         now_ms = self._clock.now_ms()
         self._record_rate_limit(active, server, head, sent_ms)
+        self._fleet.record_cold_answer(server, head.cold_ms)
         if head.is_leaving:
             self._fleet.mark_leaving(server.incarnation, is_direct=True)
         if head.pause_ms is not None:
@@ -1137,9 +1139,11 @@
                 return self._conclude_failure(active, placement, sink, sent_ms)
             if await self._ended_well(sink, placement.server):
                 first_ms = (sink.first_part_ms or now_ms) - sent_ms
-                health.record_answer(first_ms, placement.expected_first_event_ms)
-                self._fleet.service_times.observe(
-                    active.service.name, placement.work, first_ms
+                self._fleet.record_answer_time(
+                    placement.server,
+                    placement.work,
+                    placement.expected_first_event_ms,
+                    first_ms,
                 )
                 self._crashes.record_answer(active.subject, now_ms)
                 self._fleet.answer_times.record(
@@ -1402,6 +1406,7 @@
             active.software_version,
             begins_stream=active.begins_stream,
             may_repeat=active.route.may_repeat,
+            allowed_regions=allowed_regions.of_request(active.route, active.account),
         )
 
     def _draw_service(
@@ -1498,25 +1503,6 @@
         )
 
 
-def _stream_key(
-    route: deployment.Route,
-    caller_headers: requests.CallerHeaders,
-    account: deployment.Account | None,
-) -> stream_versions.StreamKey | None:
-    """Return the key of a resumable stream; None if its first attempt is not named."""
-    if not (route.is_stream and route.is_resumable):
-        return None
-    first_attempt = (
-        caller_headers.first_attempt_id
-        if caller_headers.resume_after
-        else caller_headers.request_id
-    )
-    if not first_attempt:
-        return None
-    name = account.name if account is not None else None
-    return stream_versions.stream_key(name, first_attempt)
-
-
 def _ignore_server(_server: servers.ServerEntry) -> None:
     """Do nothing: without a crash monitor, entries alone show that servers ended."""
 
@@ -1531,28 +1517,6 @@
     return True
 
 
-def _rest_ms(
-    active: active_requests.ActiveRequest, answer_time: answer_times.AnswerTime | None
-) -> float | None:
-    """Return the typical time of what is left of a stream; None if not known."""
-    prompt = active.caller_headers.prompt
-    if answer_time is None or prompt is None or not prompt.output_tokens:
-        return None
-    done = active.event_splitter.token_count
-    return answer_time.rest_ms(done, prompt.output_tokens)
-
-
 async def _claim_no_retest(_finding: crash_findings.Finding) -> bool:
     """Return False: without a crash monitor there are no retests."""
     return False
-
-
-def _fingerprint(
-    request: callers.CallerRequest, account: deployment.Account | None
-) -> crash_counts.CrashKey:
-    """Return the identity of a request: account, and a hash of method, target, body."""
-    digest = hashlib.blake2b(digest_size=16)
-    for part in (request.method.encode(), request.target.encode(), request.body):
-        digest.update(len(part).to_bytes(8, "little") + part)
-    name = account.name if account is not None else ids.AccountName("")
-    return crash_counts.CrashKey(name, digest.digest())
--- a/quincecrank/gateway/gateway_metrics.py
+++ b/quincecrank/gateway/gateway_metrics.py
@@ -1,5 +1,6 @@
 """Prometheus metrics of a gateway."""
 
+import collections
 from collections.abc import Iterable, Mapping
 from typing import Final
 
@@ -191,6 +192,17 @@
             "Largest lateness of the event loop in the last seconds",
             registry=self.registry,
         )
+        self.evacuated = prometheus_client.Gauge(
+            "quince_gateway_evacuated_data_centres",
+            "Data centres whose backend servers get no requests",
+            registry=self.registry,
+        )
+        self._cold_servers = prometheus_client.Gauge(
+            "quince_gateway_cold_servers",
+            "Backend servers that are cold and get requests at a limited rate",
+            ["service"],
+            registry=self.registry,
+        )
         self._permit_counts: dict[str, int] = {}
         self.peers = prometheus_client.Gauge(
             "quince_gateway_peers", "Live other gateways", registry=self.registry
@@ -221,6 +233,12 @@
                 state.answer_age_ms / clock.MS_PER_SECOND
             )
 
+    def set_cold_servers(self, services: Iterable[deployment.ServiceName]) -> None:
+        """Set the cold servers, given by their services."""
+        self._cold_servers.clear()
+        for service, count in collections.Counter(services).items():
+            self._cold_servers.labels(service).set(count)
+
     def record_crash_rejection(self) -> None:
         """Count a request that a crash finding rejected."""
         self._crash_rejections.inc()
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -425,7 +425,7 @@
     def _is_ready(self) -> bool:
         return (
             self._fleet.is_complete
-            and self._fleet.currency.may_serve(self._clock.now_ms())
+            and self._fleet.may_serve()
             and not self._is_leaving
             and not self._is_accept_blocked
         )
@@ -630,6 +630,7 @@
             for server_id in self._fleet.registry.remove_expired(self._clock.now_ms()):
                 _LOG.info("server gone", server=server_id, reason="lapsed")
                 self._fleet.remove_server(server_id)
+            self._update_operator_requests()
             self._fleet.links.close_stale()
             self._listener.close_expired()
             if self._listener.state.byte_budget.take_freed():
@@ -667,6 +668,29 @@
             self._metrics.set_held_bytes(self._listener.state.byte_budget)
             self._metrics.held_for_ended.set(self._fleet.liveness.held_for_ended_count)
 
+    def _update_operator_requests(self) -> None:
+        """Update evacuations and cold servers, which end with time."""
+        now_ms = self._clock.now_ms()
+        evacuations = self._fleet.evacuations
+        follower = self._followers_by_table[tables.TableName.OPERATOR]
+        evacuations.record_currency(now_ms, is_behind=follower.is_behind)
+        for data_centre in evacuations.end_missing(now_ms):
+            _LOG.info("evacuation ended", data_centre=data_centre, origin="restore")
+            self._fleet.presume_cold(data_centre)
+        cold = self._fleet.cold_servers
+        if cold.is_any_known:
+            cold.remove_ended(now_ms)
+            self._fleet.update_cold_limits()
+        entries = [
+            self._fleet.registry.find(state.incarnation.server_id)
+            for state in cold.states(now_ms)
+            if state.remaining_ms
+        ]
+        self._metrics.set_cold_servers(
+            entry.service for entry in entries if entry is not None
+        )
+        self._metrics.evacuated.set(len(evacuations.in_force))
+
     def _serve_readiness(self) -> None:
         application = web.Application(
             [
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -11,6 +11,7 @@
 from quincecrank import checked_values, crash_counts, ids, store_rows
 from quincecrank.gateway import (
     change_delivery,
+    cold_servers,
     crash_findings,
     decision_log,
     deployment,
@@ -141,6 +142,8 @@
         Time since the first gateway had that version, if it is known.
     is_late : bool
         Whether the gateway's event loop runs late.
+    cold_states : tuple of ColdState
+        Backend servers that are cold or were so lately.
     """
 
     vm: ids.VmName
@@ -169,6 +172,7 @@
     configuration_version: int | None = None
     configuration_age_ms: int | None = None
     is_late: bool = False
+    cold_states: tuple[cold_servers.ColdState, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -264,6 +268,7 @@
         configurationVersion=max(0, report.configuration_version or 0),
         configurationAgeMs=_encoded_age_ms(report.configuration_age_ms),
         isLate=report.is_late,
+        coldServers=_cold_server_fields(report),
     )
     return bytes(message.to_bytes_packed())
 
@@ -477,25 +482,54 @@
 
 
 def _rate_limit_fields(report: Report) -> list[dict[str, Any]]:
-    issuer_report_by_incarnation = {
-        each.incarnation: each for each in report.issuer_reports
+    return [
+        {
+            "server": _incarnation_fields(state.incarnation),
+            "perSecond": state.per_second or 0.0,
+            "hasEnded": state.per_second is None,
+            "revision": state.revision,
+            "answerAgeMs": min(state.answer_age_ms, _NO_AGE),
+            **_issuer_fields(report, state.incarnation),
+        }
+        for state in report.limit_states
+    ]
+
+
+def _cold_server_fields(report: Report) -> list[dict[str, Any]]:
+    return [
+        {
+            "server": _incarnation_fields(state.incarnation),
+            "reportNumber": state.report_number,
+            "isPresumed": state.is_presumed,
+            "remainingMs": min(state.remaining_ms, _NO_AGE),
+            **_issuer_fields(report, state.incarnation),
+        }
+        for state in report.cold_states
+    ]
+
+
+def _cold_state(message: Any) -> cold_servers.ColdState:
+    return cold_servers.ColdState(
+        _incarnation(message.server),
+        checked_values.count(message.reportNumber),
+        message.isPresumed,
+        message.remainingMs,
+    )
+
+
+def _issuer_fields(report: Report, incarnation: servers.Incarnation) -> dict[str, Any]:
+    """Return the fields of the reporting gateway's view of an issuer."""
+    issuer_report = next(
+        (each for each in report.issuer_reports if each.incarnation == incarnation),
+        None,
+    )
+    if issuer_report is None:
+        return {"issuer": "", "waitMs": _NO_AGE}
+    wait_ms = issuer_report.wait_ms
+    return {
+        "issuer": issuer_report.issuer or "",
+        "waitMs": _NO_AGE if wait_ms is None else wait_ms,
     }
-    fields = []
-    for state in report.limit_states:
-        issuer_report = issuer_report_by_incarnation.get(state.incarnation)
-        wait_ms = issuer_report.wait_ms if issuer_report is not None else None
-        fields.append(
-            {
-                "server": _incarnation_fields(state.incarnation),
-                "perSecond": state.per_second or 0.0,
-                "hasEnded": state.per_second is None,
-                "revision": state.revision,
-                "answerAgeMs": min(state.answer_age_ms, _NO_AGE),
-                "issuer": (issuer_report and issuer_report.issuer) or "",
-                "waitMs": _NO_AGE if wait_ms is None else wait_ms,
-            }
-        )
-    return fields
 
 
 def _limit_state(message: Any) -> rate_limits.LimitState:
@@ -693,7 +727,11 @@
         ),
         limit_states=tuple(_limit_state(each) for each in message.rateLimits),
         issuer_reports=tuple(
-            _issuer_report(each) for each in message.rateLimits if not each.hasEnded
+            _issuer_report(each)
+            for each in (
+                *(each for each in message.rateLimits if not each.hasEnded),
+                *(each for each in message.coldServers if each.remainingMs),
+            )
         ),
         permit_asks=tuple(_ask(each) for each in message.permitAsks),
         issues_permits=message.issuesPermits,
@@ -707,4 +745,5 @@
         or None,
         configuration_age_ms=_decoded_age_ms(message.configurationAgeMs),
         is_late=message.isLate,
+        cold_states=tuple(_cold_state(each) for each in message.coldServers),
     )
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -154,6 +154,20 @@
   keys @2 :Data;
 }
 
+# A backend server that is cold or was so lately, and the reporting gateway's view of
+# the issuer of its permits.
+struct ColdServer {
+  server @0 :Incarnation;
+  # Report of the server from which the state is known.
+  reportNumber @1 :UInt64;
+  # Whether the server is presumed to have become cold after that report.
+  isPresumed @2 :Bool;
+  remainingMs @3 :UInt32;
+  # As in RateLimit.
+  issuer @4 :Text;
+  waitMs @5 :UInt32 = 0xffffffff;
+}
+
 struct Report {
   vm @0 :Text;
   isLeaving @1 :Bool;
@@ -184,6 +198,7 @@
   configurationAgeMs @21 :UInt32 = 0xffffffff;
   # Whether the event loop runs late, so that others should read the store.
   isLate @22 :Bool;
+  coldServers @23 :List(ColdServer);
 }
 
 struct ChangedRow {
--- a/quincecrank/gateway/permit_exchange.py
+++ b/quincecrank/gateway/permit_exchange.py
@@ -102,7 +102,8 @@
         """Return a report of this gateway with what it says of rate limits."""
         limits = self._fleet.rate_limits
         self.update_gateways()
-        if not limits.is_any_known:
+        cold_states = self._fleet.cold_servers.states(self._clock.now_ms())
+        if not limits.is_any_known and not cold_states:
             return report
         now_ms = self._clock.now_ms()
         permits = self._fleet.send_permits
@@ -110,13 +111,16 @@
         if permits.apply_asks(self._peers.own_name, asks, now_ms):
             self._has_work.set()
         states = tuple(limits.states(now_ms))
-        first = self._reported_limits % len(states)
+        first = self._reported_limits % max(1, len(states))
         states = (states[first:] + states[:first])[:MAX_REPORTED_LIMITS]
         self._reported_limits = first + len(states)
+        cold_states = cold_states[:MAX_REPORTED_LIMITS]
         reported = {state.incarnation for state in states}
+        reported.update(state.incarnation for state in cold_states)
         return dataclasses.replace(
             report,
             limit_states=states,
+            cold_states=cold_states,
             issuer_reports=tuple(
                 each
                 for each in permits.issuer_reports(now_ms)
@@ -127,11 +131,13 @@
 
     def apply_report(self, report: peer_messages.Report) -> None:
         """Apply what a peer's report says of rate limits."""
-        if not report.limit_states and not report.permit_asks:
+        if not (report.limit_states or report.cold_states or report.permit_asks):
             return
         now_ms = self._clock.now_ms()
         for state in report.limit_states:
             self._fleet.apply_peer_limit(state)
+        for cold_state in report.cold_states:
+            self._fleet.apply_cold_state(cold_state)
         permits = self._fleet.send_permits
         # The peer may have sent the report, and withdrawn its support, long ago.
         sent_ms = self._peers.report_earliest_ms(report.vm) or now_ms
--- a/quincecrank/gateway/placement.py
+++ b/quincecrank/gateway/placement.py
@@ -71,6 +71,8 @@
         Estimated time to fetch the parts that it gets from other holders.
     penalty_ms : float
         Penalty for outdated weights.
+    is_cold : bool
+        Whether it is cold, see `cold_servers`.
     """
 
     server: servers.ServerEntry
@@ -79,6 +81,7 @@
     missing_tokens: int = 0
     transfer_ms: float = 0.0
     penalty_ms: float = 0.0
+    is_cold: bool = False
 
     @property
     def work(self) -> service_times.Work:
@@ -168,7 +171,8 @@
     """Return the replica with the lowest estimated time, penalties included.
 
     None if no replica has capacity and computes the prompt in time.  An idle replica
-    always qualifies.
+    always qualifies.  A cold replica is chosen for the prompts that return to it, whose
+    affinity server it is; for others only if no warm replica qualifies.
     """
     eligible = [
         each
@@ -178,8 +182,13 @@
     ]
     if not eligible:
         return None
+    preferred = [
+        each
+        for each in eligible
+        if not each.is_cold or each.server.server_id == context.affinity_server
+    ]
     return min(
-        eligible,
+        preferred or eligible,
         key=lambda each: (
             prefill_completion_ms(each, context.times)
             + each.load.requests * RUNNING_REQUEST_PENALTY_MS
--- a/quincecrank/gateway/placements.py
+++ b/quincecrank/gateway/placements.py
@@ -32,6 +32,8 @@
         Whether a resumable stream begins, see `stream_versions`.
     may_repeat : bool
         Whether it may run more than once.
+    allowed_regions : frozenset of Region or None
+        Regions whose servers may get it; None for all.
     """
 
     queued: request_queue.QueuedRequest
@@ -43,6 +45,7 @@
     software_version: servers.SoftwareVersion | None = None
     begins_stream: bool = False
     may_repeat: bool = False
+    allowed_regions: frozenset[ids.Region] | None = None
 
     @property
     def request_id(self) -> ids.RequestId:
--- a/quincecrank/gateway/rate_limits.py
+++ b/quincecrank/gateway/rate_limits.py
@@ -10,13 +10,16 @@
 rate limit
     Requests a second that one incarnation of a backend server takes from all gateways
     together.
+cold limit
+    Rate of a server while it is cold.  It is known from the configuration and ends at
+    a known time, so that no answer names or ends it; see `cold_servers`.
 revision
     Number of a change of a server's limit.  It orders the states of one limit among
     gateways, whose clocks can't be compared.
 """
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from quincecrank.gateway import servers
@@ -84,6 +87,7 @@
 
     def __init__(self) -> None:
         self._record_by_incarnation: dict[servers.Incarnation, _Record] = {}
+        self._cold_limit_by_incarnation: dict[servers.Incarnation, float] = {}
         self.is_any_limited = False
 
     @property
@@ -94,17 +98,37 @@
     def limit_of(self, incarnation: servers.Incarnation) -> float | None:
         """Return the limit in force, in requests a second; None without one."""
         record = self._record_by_incarnation.get(incarnation)
-        return record.per_second if record is not None else None
+        named = record.per_second if record is not None else None
+        cold = self._cold_limit_by_incarnation.get(incarnation)
+        if named is None or cold is None:
+            return cold if named is None else named
+        return min(named, cold)
+
+    def is_named(self, incarnation: servers.Incarnation) -> bool:
+        """Return whether the server's answers name a limit, so that one can end it."""
+        record = self._record_by_incarnation.get(incarnation)
+        return record is not None and record.per_second is not None
+
+    def set_cold_limits(
+        self, per_second_by_incarnation: Mapping[servers.Incarnation, float]
+    ) -> bool:
+        """Replace the limits of cold servers; return whether any changed."""
+        if self._cold_limit_by_incarnation == per_second_by_incarnation:
+            return False
+        self._cold_limit_by_incarnation = dict(per_second_by_incarnation)
+        self._update_is_any_limited()
+        return True
 
     def limited(self) -> tuple[servers.Incarnation, ...]:
         """Return the servers with a limit in force."""
         if not self.is_any_limited:
             return ()
-        return tuple(
+        named = (
             incarnation
             for incarnation, record in self._record_by_incarnation.items()
             if record.per_second is not None
         )
+        return tuple(dict.fromkeys((*named, *self._cold_limit_by_incarnation)))
 
     def confirmed_ms(self, incarnation: servers.Incarnation) -> int:
         """Return the time of the last answer that confirmed the state of a server."""
@@ -182,6 +206,9 @@
         for incarnation in tuple(self._record_by_incarnation):
             if incarnation.server_id == server_id:
                 del self._record_by_incarnation[incarnation]
+        for incarnation in tuple(self._cold_limit_by_incarnation):
+            if incarnation.server_id == server_id:
+                del self._cold_limit_by_incarnation[incarnation]
         self._update_is_any_limited()
 
     def _set(self, incarnation: servers.Incarnation, record: _Record) -> None:
@@ -189,7 +216,7 @@
         self._update_is_any_limited()
 
     def _update_is_any_limited(self) -> None:
-        self.is_any_limited = any(
+        self.is_any_limited = bool(self._cold_limit_by_incarnation) or any(
             record.per_second is not None
             for record in self._record_by_incarnation.values()
         )
--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -57,6 +57,8 @@
         self._read_version = None
         self.apply_changes(snapshot.rows, arrival)
         self._has_read = True
+        if self._is_evacuation_used:
+            self._end_missing_evacuations(snapshot)
 
     def apply_changes(
         self,
@@ -83,7 +85,50 @@
         """Record which configuration the store had when it was asked, or later."""
         self._fleet.currency.record_store_read(self._read_version, asked_ms)
 
+    @property
+    def _is_evacuation_used(self) -> bool:
+        return self._fleet.own_settings.bounds.evacuation_apply_ms is not None
+
+    def _end_missing_evacuations(self, snapshot: store_rows.Rows) -> None:
+        """End the evacuations that a full read of the table lacks."""
+        position_by_data_centre = {
+            data_centre: row.position
+            for row in snapshot.rows
+            if (data_centre := row_updates.evacuated_data_centre(row)) is not None
+        }
+        ended = self._fleet.evacuations.apply_full_read(
+            position_by_data_centre, snapshot.position, self._fleet.clock.now_ms()
+        )
+        for data_centre in ended:
+            self._fleet.presume_cold(data_centre)
+            _LOG.info("evacuation ended", data_centre=data_centre, origin="full read")
+
+    def _apply_evacuation(
+        self,
+        data_centre: ids.DataCentre,
+        row: store_rows.Row,
+        arrival: followers.Arrival | None,
+    ) -> None:
+        if not self._fleet.apply_evacuation(
+            data_centre, row.position, is_removed=row.is_removed
+        ):
+            return
+        known_ms = None if arrival is None else arrival.known_ms
+        now_ms = self._fleet.clock.now_ms()
+        _LOG.info(
+            "evacuation ended" if row.is_removed else "evacuation in force",
+            data_centre=data_centre,
+            row=row.position.number,
+            origin=followers.STORE if arrival is None else arrival.origin,
+            delay_ms=None if known_ms is None else now_ms - known_ms,
+        )
+
     def _apply(self, row: store_rows.Row, arrival: followers.Arrival | None) -> None:
+        data_centre = row_updates.evacuated_data_centre(row)
+        if data_centre is not None:
+            if self._is_evacuation_used:
+                self._apply_evacuation(data_centre, row, arrival)
+            return
         update = row_updates.operator_update(row, self._decoder)
         if isinstance(update, weights.TargetWeights):
             self._record_target(update, row, arrival)
@@ -250,7 +295,8 @@
             return False
         before = self._fleet.registry.find(entry.server_id)
         entry = self._fleet.registry.update(entry)
-        is_significant = before is None or _is_significant(before, entry)
+        became_cold = self._fleet.record_cold_entry(entry)
+        is_significant = before is None or became_cold or _is_significant(before, entry)
         if is_significant:
             _LOG.info(
                 "server entry",
--- a/quincecrank/gateway/send_permits.py
+++ b/quincecrank/gateway/send_permits.py
@@ -382,7 +382,8 @@
         for incarnation, pacer in self._pacer_by_incarnation.items():
             fraction = self._supporter_fraction(incarnation, now_ms)
             issued = pacer.issue(self._interval_ms(incarnation, now_ms), now_ms)
-            if not issued and fraction >= MIN_TRIAL_SUPPORT:
+            may_try = self._limits.is_named(incarnation)
+            if not issued and may_try and fraction >= MIN_TRIAL_SUPPORT:
                 issued = pacer.issue_trial(
                     self._limits.limit_of(incarnation) or 0.0,
                     self._limits.confirmed_ms(incarnation),
--- a/quincecrank/gateway/server_health.py
+++ b/quincecrank/gateway/server_health.py
@@ -80,6 +80,10 @@
         )
         self.slowness += SMOOTHING * (ratio - self.slowness)
 
+    def record_success(self) -> None:
+        """Record an answer whose time tells nothing of the server's usual speed."""
+        self._breaker.record_success()
+
     def record_withdrawal(self) -> None:
         """Record that a sent request was withdrawn before its outcome."""
         self._breaker.cancel_probe()
--- a/quincecrank/gateway/servers.py
+++ b/quincecrank/gateway/servers.py
@@ -91,6 +91,8 @@
         Version of the server's program; what two versions stream does not fit together.
     weight_versions_by_model : mapping of ModelName to int
         Versions of the weights that a model engine has loaded.
+    cold_remaining_ms : int
+        Time for which the server stays cold, as of the report; see `cold_servers`.
     """
 
     server_id: ServerId
@@ -103,6 +105,7 @@
     weight_versions_by_model: Mapping[deployment.ModelName, int]
     report_number: int = 0
     software_version: SoftwareVersion = UNKNOWN_SOFTWARE
+    cold_remaining_ms: int = 0
 
     @property
     def incarnation(self) -> Incarnation:
--- a/quincecrank/platform/answers.py
+++ b/quincecrank/platform/answers.py
@@ -16,6 +16,9 @@
 MAX_RATE_LIMIT_PER_S: Final = 100_000.0
 """Highest rate limit; a higher one is lowered to this, which no server reaches."""
 
+_MAX_DIGITS: Final = 9
+"""Most digits of a time in milliseconds that is read."""
+
 _MISDIRECTED: Final = 421
 _UNAVAILABLE: Final = 503
 _MAX_LOGGED_CHARACTERS: Final = 64
@@ -50,6 +53,8 @@
     unreadable_rate_limit : str or None
         Value of a rate limit that is not a finite number of at least 0.  The answer
         then tells nothing about the limit.
+    cold_ms : int or None
+        Time for which the server stays cold; None if it does not say.
     """
 
     status: int
@@ -62,6 +67,7 @@
     pause_ms: int | None = None
     rate_limit_per_s: float | None = None
     unreadable_rate_limit: str | None = None
+    cold_ms: int | None = None
 
 
 def decode(status: int, headers: httputil.HTTPHeaders) -> AnswerHead:
@@ -79,6 +85,7 @@
         pause_ms=_pause_ms(status, headers),
         rate_limit_per_s=rate_limit_per_s,
         unreadable_rate_limit=unreadable_rate_limit,
+        cold_ms=None if is_misdirected else _cold_ms(headers),
     )
 
 
@@ -87,6 +94,12 @@
     return headers.get(names.SERVER_LEAVING, "").strip() == "1"
 
 
+def _cold_ms(headers: httputil.HTTPHeaders) -> int | None:
+    value = headers.get(names.COLD_REMAINING, "").strip()
+    is_number = value.isascii() and value.isdigit()
+    return int(value) if is_number and len(value) <= _MAX_DIGITS else None
+
+
 def _pause_ms(status: int, headers: httputil.HTTPHeaders) -> int | None:
     value = headers.get(names.RETRY_AFTER)
     if status != _UNAVAILABLE or value is None:
--- a/quincecrank/platform/documents.py
+++ b/quincecrank/platform/documents.py
@@ -3,7 +3,7 @@
 import math
 from typing import Any, Final
 
-from quincecrank import checked_values, ids, json_text
+from quincecrank import checked_values, clock, ids, json_text
 from quincecrank.gateway import deployment, servers
 
 DEFAULT_EVENT_CALLS: Final = 12
@@ -87,9 +87,6 @@
     """
     try:
         document = json_text.parse(text)
-        # Entries of other writers may lack any field.  This one is not used, but every
-        # backend server writes it, so an entry without it is rejected.
-        checked_values.count(document["coldRemainingMs"])
         return servers.ServerEntry(
             server_id=servers.ServerId(checked_values.token(server_id)),
             service=deployment.ServiceName(checked_values.name(document["service"])),
@@ -102,6 +99,9 @@
             started_wall_ms=checked_values.count(document["born"]),
             # Counts the writes of one incarnation of the server.
             report_number=checked_values.count(document["seq"]),
+            # Entries of other writers may lack any field.  Every backend server writes
+            # this one, so an entry without it is rejected.
+            cold_remaining_ms=checked_values.count(document["coldRemainingMs"]),
             software_version=servers.SoftwareVersion(
                 checked_values.name(document["version"])
             ),
@@ -173,6 +173,7 @@
         max_attempts=max(1, _integer(document.get("maxAttempts") or 1)),
         urgency=_integer(document.get("priority") or 0),
         is_public=bool(document.get("public", False)),
+        allowed_regions=_parse_regions(document),
     )
 
 
@@ -193,6 +194,8 @@
                 name,
                 _integer(each.get("maxConns") or 1),
                 _parse_engine(each.get("engine")),
+                round(_finite(each.get("coldStartS") or 0.0) * clock.MS_PER_SECOND),
+                _finite(each.get("coldPerS") or 0.0),
             )
     return services, stores
 
@@ -243,6 +246,15 @@
         name=ids.AccountName(checked_values.name(document["name"])),
         urgency=None if urgency is None else _integer(urgency),
         is_isolated=bool(document.get("isolated", False)),
+        allowed_regions=_parse_regions(document),
+    )
+
+
+def _parse_regions(document: dict[str, Any]) -> frozenset[ids.Region]:
+    """Return the allowed regions of a route or an account; empty for all."""
+    return frozenset(
+        ids.Region(checked_values.name(each))
+        for each in document.get("allowedRegions") or ()
     )
 
 
--- a/quincecrank/platform/names.py
+++ b/quincecrank/platform/names.py
@@ -29,6 +29,7 @@
 SERVER_LEAVING: Final = "Server-Leaving"
 SERVER_RATE_LIMIT: Final = "Server-Limit"
 SERVER_ID: Final = "Instance-Id"
+COLD_REMAINING: Final = "Cold-Ms"
 
 GATEWAY_ONLY_HEADERS: Final = frozenset(
     name.lower()
@@ -45,6 +46,7 @@
 
 CONFIGURATION_KEY: Final = "config"
 WEIGHTS_KEY_PREFIX: Final = "version/"
+EVACUATION_KEY_PREFIX: Final = "evacuate/"
 OPERATOR_TABLE: Final = "op"
 SERVERS_TABLE: Final = "servers"
 
--- a/quincecrank/platform/row_updates.py
+++ b/quincecrank/platform/row_updates.py
@@ -1,6 +1,6 @@
 """Decodes store rows into updates by operators and backend servers."""
 
-from quincecrank import store_rows
+from quincecrank import checked_values, ids, store_rows
 from quincecrank.gateway import deployment, servers, weights
 from quincecrank.platform import documents, names
 
@@ -28,6 +28,21 @@
     return None
 
 
+def evacuated_data_centre(row: store_rows.Row) -> ids.DataCentre | None:
+    """Return the data centre that a row of the operator's table evacuates.
+
+    The row's presence alone counts, whatever its text.  None for other rows, and for a
+    name that no data centre can have.
+    """
+    if not row.key.startswith(names.EVACUATION_KEY_PREFIX):
+        return None
+    try:
+        name = checked_values.name(row.key.removeprefix(names.EVACUATION_KEY_PREFIX))
+    except ValueError:
+        return None
+    return ids.DataCentre(name)
+
+
 def server_update(row: store_rows.Row) -> servers.ServerEntry | None:
     """Decode a row of a backend server; None if the row was removed.
 
--- a/quincecrank/platform/settings.py
+++ b/quincecrank/platform/settings.py
@@ -2,15 +2,23 @@
 
 import os
 import pathlib
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Any, Final, TypeVar
 
-from quincecrank import clock, ids, json_text
+from quincecrank import checked_values, clock, ids, json_text
 from quincecrank.gateway import environment
 from quincecrank.platform import names
 
 DEFAULT_CONFIGURATION_APPLY_MS: Final = 2_000
 """Time within which a configuration must be in force where the settings name none."""
 
+SHARED_ADMISSION_CONTRACT: Final = "pressure"
+EVEN_PLACEMENT_CONTRACT: Final = "pool"
+"""Parts of the operator's terms that ask for shared admission and even placement."""
+
+
+_Number = TypeVar("_Number", int, float)
+
 
 class SettingsError(Exception):
     """The settings are missing, unreadable, or have a missing or malformed field."""
@@ -51,6 +59,7 @@
     listen = document["listen"]
     first_port, last_port = document["internalPorts"]
     limits = document["limits"]
+    contracts = document.get("contracts") or ()
     seeds = [environment.Endpoint.parse(seed) for seed in document["seedNodes"]]
     return environment.Environment(
         vm=ids.VmName(document["nodeName"]),
@@ -66,6 +75,14 @@
         max_descriptors=int(limits["maxFds"]),
         store=_parse_store(document["platformSettings"]),
         bounds=_parse_bounds(document["bounds"]),
+        region_by_data_centre={
+            ids.DataCentre(checked_values.name(data_centre)): ids.Region(
+                checked_values.name(region)
+            )
+            for data_centre, region in (document.get("zones") or {}).items()
+        },
+        shares_admission=SHARED_ADMISSION_CONTRACT in contracts,
+        spreads_load=EVEN_PLACEMENT_CONTRACT in contracts,
     )
 
 
@@ -91,4 +108,12 @@
         retry_floor=int(document["budgetMinRetries"]),
         retry_window_ms=int(document["budgetWindowS"] * clock.MS_PER_SECOND),
         thaw_ms=int(document["thawMs"]),
+        evacuation_apply_ms=_optional(int, document.get("evacuateMs")),
+        cold_overshoot=_optional(float, document.get("coldOvershoot")),
+        cold_slack=_optional(float, document.get("coldSlack")),
     )
+
+
+def _optional(convert: Callable[[Any], _Number], value: Any) -> _Number | None:
+    """Return a number of the settings; None if they lack the field."""
+    return None if value is None else convert(value)
