--- a/tests/test_rate_limited_requests.py
+++ b/tests/test_rate_limited_requests.py
@@ -15,6 +15,7 @@
 
 from quincecrank import ids
 from quincecrank.gateway import (
+    cold_servers,
     crash_findings,
     loads,
     peer_messages,
@@ -147,7 +148,7 @@
         earlier = "\n".join(
             line
             for line in lines.splitlines()
-            if not any(f"@{number} " in line for number in range(11, 23))
+            if not any(f"@{number} " in line for number in range(11, 64))
             and "permits @2" not in line
             and "tableChange @3" not in line
         )
@@ -158,6 +159,7 @@
 
     def test_an_earlier_release_ignores_rate_limits(self) -> None:
         incarnation = servers.Incarnation(servers.ServerId("i-1"), 1)
+        cold = servers.Incarnation(servers.ServerId("i-2"), 1)
         report = peer_messages.Report(
             ids.VmName("entry-2"),
             False,
@@ -166,6 +168,7 @@
             limit_states=(rate_limits.LimitState(incarnation, 2.0, 1, 0),),
             issuer_reports=(
                 send_permits.IssuerReport(incarnation, ids.VmName("entry-3"), 40),
+                send_permits.IssuerReport(cold, ids.VmName("entry-2"), None),
             ),
             permit_asks=(permit_pacer.Ask(incarnation, 2, 1, 30, 99, returned=1),),
             answered=(peer_messages.ReportedAnswer(builders.make_part_key("a"), 7),),
@@ -185,6 +188,7 @@
             liveness=(server_liveness.Evidence(incarnation, 5, None),),
             configuration_version=9,
             configuration_age_ms=40,
+            cold_states=(cold_servers.ColdState(cold, 4, True, 900),),
         )
         encoded = peer_messages.encode(report)
         self.assertEqual(peer_messages.decode(encoded), report)
