Pack the parts of reports that nearly every report has

Loads, table states, target weights, rejected requests and flags travel as one block of bytes to peers that take it; peers of earlier releases get plain reports. Loads of peers are summed as numbers, and a report removes only what it no longer lists.

--- a/quincecrank/gateway/loads.py
+++ b/quincecrank/gateway/loads.py
@@ -80,6 +80,7 @@
         ] = {}
         self._reported_ms_by_peer: dict[ids.VmName, int] = {}
         self._peer_loads_by_server: dict[servers.ServerId, dict[ids.VmName, Load]] = {}
+        self._servers_by_peer: dict[ids.VmName, set[servers.ServerId]] = {}
 
     def record_start(
         self,
@@ -125,10 +126,12 @@
     ) -> None:
         """Replace all loads of a peer by those of its report."""
         self._reported_ms_by_peer[peer] = now_ms
-        for load_by_peer in self._peer_loads_by_server.values():
-            load_by_peer.pop(peer, None)
+        loaded = self._servers_by_peer.setdefault(peer, set())
+        for server_id in loaded.difference(load_by_server):
+            self._peer_loads_by_server.get(server_id, {}).pop(peer, None)
         for server_id, load in load_by_server.items():
             self._peer_loads_by_server.setdefault(server_id, {})[peer] = load
+        self._servers_by_peer[peer] = set(load_by_server)
 
     def apply_peer_change(
         self, peer: ids.VmName, server_id: servers.ServerId, load: Load
@@ -140,6 +143,7 @@
         """
         if peer in self._reported_ms_by_peer:
             self._peer_loads_by_server.setdefault(server_id, {})[peer] = load
+            self._servers_by_peer[peer].add(server_id)
 
     def own_load_by_server(self) -> dict[servers.ServerId, Load]:
         """Return the load from this gateway's requests by backend server."""
@@ -147,11 +151,23 @@
 
     def total_load(self, server_id: servers.ServerId, now_ms: int) -> Load:
         """Return the load of a backend server from this gateway and its live peers."""
-        total = self._own(server_id)
-        for peer, load in self._peer_loads_by_server.get(server_id, {}).items():
-            if now_ms - self._reported_ms_by_peer[peer] < PEER_EXPIRY_MS:
-                total = total.add(load)
-        return total
+        own = self._own(server_id)
+        load_by_peer = self._peer_loads_by_server.get(server_id)
+        if not load_by_peer:
+            return own
+        # Summed as numbers: a placement reads the loads of all peers on all servers.
+        requests, memory_tokens, backlog_tokens = (
+            own.requests,
+            own.memory_tokens,
+            own.backlog_tokens,
+        )
+        oldest_ms = now_ms - PEER_EXPIRY_MS
+        for peer, load in load_by_peer.items():
+            if self._reported_ms_by_peer[peer] > oldest_ms:
+                requests += load.requests
+                memory_tokens += load.memory_tokens
+                backlog_tokens += load.backlog_tokens
+        return Load(requests, memory_tokens, backlog_tokens)
 
     def remove_server(self, server_id: servers.ServerId) -> None:
         """Discard the loads that peers reported for a server; own requests stay."""
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -18,6 +18,7 @@
     engine_weight_updates,
     failed_request_records,
     loads,
+    packed_figures,
     permit_pacer,
     rate_limits,
     send_permits,
@@ -46,21 +47,7 @@
 """Encodes the missing age of a table; the largest value of the field."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TableState:
-    """State of one table of the store at the reporting gateway.
-
-    Attributes
-    ----------
-    last_change_position : Position or None
-        Position at the last significant change or full read; None before the first.
-    store_answer_age_ms : int or None
-        Time since the store's last answer to that gateway; None without any.
-    """
-
-    table: tables.TableName
-    last_change_position: store_rows.Position | None
-    store_answer_age_ms: int | None
+TableState = packed_figures.TableState
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,6 +131,8 @@
         Whether the gateway's event loop runs late.
     cold_states : tuple of ColdState
         Backend servers that are cold or were so lately.
+    takes_packed_figures : bool
+        Whether the gateway decodes packed figures.
     """
 
     vm: ids.VmName
@@ -173,6 +162,28 @@
     configuration_age_ms: int | None = None
     is_late: bool = False
     cold_states: tuple[cold_servers.ColdState, ...] = ()
+    takes_packed_figures: bool = True
+
+    @property
+    def has_other_parts(self) -> bool:
+        """Whether it has parts beside those of `packed_figures`."""
+        return any(
+            (
+                self.crashes,
+                self.answered,
+                self.findings,
+                self.weight_updates,
+                self.times_by_service,
+                self.leaving,
+                self.pauses,
+                self.limit_states,
+                self.permit_asks,
+                self.stream_records,
+                self.refused,
+                self.liveness,
+                self.cold_states,
+            )
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -192,10 +203,46 @@
     load: loads.Load
 
 
+def encode_packed(report: Report) -> bytes:
+    """Return the datagram of a report for peers that take packed figures."""
+    message = _SCHEMA.Datagram.new_message()
+    if report.has_other_parts:
+        plain = dataclasses.replace(
+            report, states=(), load_by_server={}, target_weights=(), failed_requests=()
+        )
+        message.report = _report_message(plain)
+    else:
+        message.report = _SCHEMA.Report.new_message(
+            vm=report.vm,
+            issuesPermits=report.issues_permits,
+            takesChanges=report.takes_changes,
+            takesPackedFigures=report.takes_packed_figures,
+        )
+    message.report.packedFigures = packed_figures.pack(
+        packed_figures.Figures(
+            report.states,
+            report.load_by_server,
+            report.target_weights,
+            report.failed_requests,
+            report.is_leaving,
+            report.is_late,
+            report.configuration_version,
+            report.configuration_age_ms,
+            report.has_other_parts,
+        )
+    )
+    return bytes(message.to_bytes_packed())
+
+
 def encode(report: Report) -> bytes:
-    """Return the datagram of a report."""
+    """Return the datagram of a report, for peers of any release."""
     message = _SCHEMA.Datagram.new_message()
-    message.report = _SCHEMA.Report.new_message(
+    message.report = _report_message(report)
+    return bytes(message.to_bytes_packed())
+
+
+def _report_message(report: Report) -> Any:
+    return _SCHEMA.Report.new_message(
         vm=report.vm,
         isLeaving=report.is_leaving,
         tables=[_state_fields(state) for state in report.states],
@@ -269,8 +316,8 @@
         configurationAgeMs=_encoded_age_ms(report.configuration_age_ms),
         isLate=report.is_late,
         coldServers=_cold_server_fields(report),
+        takesPackedFigures=report.takes_packed_figures,
     )
-    return bytes(message.to_bytes_packed())
 
 
 def encode_change(change: LoadChange) -> bytes:
@@ -387,18 +434,6 @@
     }
 
 
-def _last_change_position(message: Any) -> store_rows.Position | None:
-    """Decode a position; return None for version 0 of the first era.
-
-    An empty store has that position, so it stands for no change.
-    """
-    position = store_rows.Position(message.newsEra, message.newsVersion)
-    if position.era > store_rows.MAX_ERA:
-        raise ValueError(f"no era can be {position.era}")
-    before_any_row = store_rows.Position(store_rows.FIRST_ERA, 0)
-    return None if position == before_any_row else position
-
-
 def _load_fields(server_id: servers.ServerId, load: loads.Load) -> dict[str, Any]:
     return {
         "server": server_id,
@@ -682,13 +717,43 @@
 
 
 def _report(message: Any) -> Report:
+    packed = bytes(message.packedFigures)
+    if not packed:
+        return _plain_report(message)
+    figures = packed_figures.unpack(packed)
+    if figures.has_other_parts:
+        report = _plain_report(message)
+    else:
+        report = Report(
+            ids.VmName(checked_values.name(message.vm)),
+            False,
+            (),
+            {},
+            issues_permits=message.issuesPermits,
+            takes_changes=message.takesChanges,
+            takes_packed_figures=message.takesPackedFigures,
+        )
+    return dataclasses.replace(
+        report,
+        states=figures.states,
+        load_by_server=figures.load_by_server,
+        target_weights=figures.target_weights,
+        failed_requests=figures.failed_requests,
+        is_leaving=figures.is_leaving,
+        is_late=figures.is_late,
+        configuration_version=figures.configuration_version,
+        configuration_age_ms=figures.configuration_age_ms,
+    )
+
+
+def _plain_report(message: Any) -> Report:
     return Report(
         vm=ids.VmName(checked_values.name(message.vm)),
         is_leaving=message.isLeaving,
         states=tuple(
             TableState(
                 tables.TableName(each.name),
-                _last_change_position(each),
+                packed_figures.position_of(each.newsEra, each.newsVersion),
                 None if each.ageMs == _NO_AGE else each.ageMs,
             )
             for each in message.tables
@@ -746,4 +811,5 @@
         configuration_age_ms=_decoded_age_ms(message.configurationAgeMs),
         is_late=message.isLate,
         cold_states=tuple(_cold_state(each) for each in message.coldServers),
+        takes_packed_figures=message.takesPackedFigures,
     )
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -199,6 +199,11 @@
   # Whether the event loop runs late, so that others should read the store.
   isLate @22 :Bool;
   coldServers @23 :List(ColdServer);
+  # Whether the gateway decodes packedFigures; earlier releases don't.
+  takesPackedFigures @24 :Bool;
+  # See packed_figures.py.  Sent instead of the fields that it replaces, to peers that
+  # take it.
+  packedFigures @25 :Data;
 }
 
 struct ChangedRow {
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -247,6 +247,14 @@
             counted = sum(each < MEMBER_EXPIRY_MS for each in absent_ms)
         return 1 + len(live) + counted
 
+    def takes_packed_figures(self, ip: str) -> bool:
+        """Return whether a peer is known to decode packed figures.
+
+        One that has sent no report yet may be of an earlier release.
+        """
+        report = self._report_by_ip.get(ip)
+        return report is not None and report.takes_packed_figures
+
     def first_ranked(self, key: str, count: int) -> tuple[ids.VmName, ...]:
         """Return the first `count` live gateways in the ranking for a key.
 
@@ -487,8 +495,16 @@
 
     def send(self) -> None:
         """Send a report to all destinations."""
-        datagram = peer_messages.encode(self._make_report())
-        self._send_to(self._peers.destinations(), datagram)
+        report = self._make_report()
+        packed: list[str] = []
+        others: list[str] = []
+        for ip in self._peers.destinations():
+            takes_packed = self._peers.takes_packed_figures(ip)
+            (packed if takes_packed else others).append(ip)
+        if packed:
+            self._send_to(packed, peer_messages.encode_packed(report))
+        if others:
+            self._send_to(others, peer_messages.encode(report))
 
     def send_load_change(self, server_id: servers.ServerId, load: loads.Load) -> None:
         """Send this gateway's load on a server to the live peers at once.
