--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -721,20 +721,23 @@
     if not packed:
         return _plain_report(message)
     figures = packed_figures.unpack(packed)
-    if figures.has_other_parts:
-        report = _plain_report(message)
-    else:
-        report = Report(
+    if not figures.has_other_parts:
+        return Report(
             ids.VmName(checked_values.name(message.vm)),
-            False,
-            (),
-            {},
+            figures.is_leaving,
+            figures.states,
+            figures.load_by_server,
+            target_weights=figures.target_weights,
+            failed_requests=figures.failed_requests,
             issues_permits=message.issuesPermits,
             takes_changes=message.takesChanges,
+            configuration_version=figures.configuration_version,
+            configuration_age_ms=figures.configuration_age_ms,
+            is_late=figures.is_late,
             takes_packed_figures=message.takesPackedFigures,
         )
     return dataclasses.replace(
-        report,
+        _plain_report(message),
         states=figures.states,
         load_by_server=figures.load_by_server,
         target_weights=figures.target_weights,
