Treat invalid statuses and cut answers without a length as broken

A caller got a status such as 000 as an answer, and a part of an answer without a length as the whole one if its server crashed, or if it ended while the request was still being written. They count as broken answers: resumed or repeated where the route allows it, else 502. The end of any answer without a length is complete only if the server still accepts connections or has announced its departure; before, this was asked for streams only.

--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -1127,36 +1127,10 @@
                 )
                 return False
             active.may_have_run = True
-            # A success must carry the server's signature (seal), and its body must not
-            # be encoded, as an encoded one is not the server's own bytes.
-            if head.is_success and (not head.is_sealed or head.is_encoded):
-                health.record_failure(now_ms)
-                self._log_attempt(
-                    active, placement, sink, "unsealed", head.status, sent_ms
-                )
-                return False
-            if not head.is_success:
-                return self._conclude_failure(active, placement, sink, sent_ms)
-            if await self._ended_well(sink, placement.server):
-                first_ms = (sink.first_part_ms or now_ms) - sent_ms
-                self._fleet.record_answer_time(
-                    placement.server,
-                    placement.work,
-                    placement.expected_first_event_ms,
-                    first_ms,
-                )
-                self._crashes.record_answer(active.subject, now_ms)
-                self._fleet.answer_times.record(
-                    active.route.name,
-                    now_ms - sent_ms,
-                    active.event_splitter.token_count,
-                )
-                self._send_buffered(active, sink)
-                self._log_attempt(
-                    active, placement, sink, "answered", head.status, sent_ms
-                )
-                self._log_end(active, "answered")
-                return True
+            if await self._is_whole(sink, placement.server):
+                is_final = await self._conclude_whole(active, exchange, head)
+                if is_final is not None:
+                    return is_final
             outcome = server_links.ExchangeOutcome.BROKEN
         active.may_have_run = True
         if exchange.is_withdrawn or sink.was_dropped:
@@ -1195,20 +1169,55 @@
             active.event_splitter.drop_partial_event()
         return False
 
-    async def _ended_well(
+    async def _is_whole(
         self, sink: answer_sink.AnswerSink, server: servers.ServerEntry
     ) -> bool:
-        """Finish an answer; return False if it has broken off all the same.
+        """Return False if an answer that ends with its connection has broken off.
 
-        A stream that ends inside an event has broken off.  One that ends with its
-        connection, between two events, has broken off if its server has ended, too.  A
-        server that leaves accepts no connections while it completes its streams.
+        It has if its server has ended, too.  A server that leaves accepts no
+        connections while it completes its answers.
         """
-        is_unframed = sink.is_streaming and sink.is_unframed
-        if is_unframed and not await self.is_running(server):
-            if not self._fleet.registry.has_announced_departure(server.incarnation):
-                return False
-        return await sink.handle_end()
+        if not sink.is_unframed or await self.is_running(server):
+            return True
+        return self._fleet.registry.has_announced_departure(server.incarnation)
+
+    async def _conclude_whole(
+        self,
+        active: active_requests.ActiveRequest,
+        exchange: _Exchange,
+        head: answers.AnswerHead,
+    ) -> bool | None:
+        """Conclude an answer that has arrived to the end of its framing.
+
+        Returns whether the caller was answered; None if a stream ended inside an event.
+        """
+        placement, sink, sent_ms = exchange.placement, exchange.sink, exchange.sent_ms
+        now_ms = self._clock.now_ms()
+        # A success must carry the server's signature (seal), and its body must not be
+        # encoded, as an encoded one is not the server's own bytes.
+        if head.is_success and (not head.is_sealed or head.is_encoded):
+            self._fleet.health.health_of(placement.server).record_failure(now_ms)
+            self._log_attempt(active, placement, sink, "unsealed", head.status, sent_ms)
+            return False
+        if not head.is_success:
+            return self._conclude_failure(active, placement, sink, sent_ms)
+        if not await sink.handle_end():
+            return None
+        first_ms = (sink.first_part_ms or now_ms) - sent_ms
+        self._fleet.record_answer_time(
+            placement.server,
+            placement.work,
+            placement.expected_first_event_ms,
+            first_ms,
+        )
+        self._crashes.record_answer(active.subject, now_ms)
+        self._fleet.answer_times.record(
+            active.route.name, now_ms - sent_ms, active.event_splitter.token_count
+        )
+        self._send_buffered(active, sink)
+        self._log_attempt(active, placement, sink, "answered", head.status, sent_ms)
+        self._log_end(active, "answered")
+        return True
 
     def _conclude_failure(
         self,
--- a/quincecrank/gateway/server_links.py
+++ b/quincecrank/gateway/server_links.py
@@ -86,6 +86,11 @@
     request_id: str = ""
 
 
+MIN_STATUS: Final = 100
+MAX_STATUS: Final = 599
+"""Bounds of a status code in HTTP; an answer with another one has broken off."""
+
+
 class AnswerSink(Protocol):
     """Handles an answer while it arrives."""
 
@@ -206,7 +211,7 @@
         if len(self.request_ids) >= MAX_LINK_REQUESTS:
             self._is_reusable = False
         try:
-            outcome = await self._receive(connection, sink)
+            outcome = await self._receive(connection, sink, sent)
         except (
             iostream.StreamClosedError,
             iostream.UnsatisfiableReadError,
@@ -235,7 +240,10 @@
         return outcome
 
     async def _receive(
-        self, connection: http1connection.HTTP1Connection, sink: AnswerSink
+        self,
+        connection: http1connection.HTTP1Connection,
+        sink: AnswerSink,
+        sent: "asyncio.Future[None]",
     ) -> ExchangeOutcome:
         for _ in range(MAX_STRAY_ANSWERS):
             reader = _AnswerReader(sink, is_reused=self._has_carried_request)
@@ -254,8 +262,11 @@
                 raise reader.failure
             if not reader.is_finished:
                 return ExchangeOutcome.BROKEN
-            if reader.is_unframed and self._stream.error is not None:
-                return ExchangeOutcome.BROKEN
+            if reader.is_unframed:
+                # A server that closes before it has read the request breaks off, even
+                # if the close is in order.
+                if self._stream.error is not None or not _is_written(sent):
+                    return ExchangeOutcome.BROKEN
             self._record_keep_alive(reader)
             if reader.is_accepted:
                 if not sink.may_reuse(reader.headers):
@@ -312,6 +323,8 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         assert isinstance(start_line, httputil.ResponseStartLine)
+        if not MIN_STATUS <= start_line.code <= MAX_STATUS:
+            raise httputil.HTTPInputError(f"no status can be {start_line.code}")
         if 100 <= start_line.code < 200:
             self._interim_answers += 1
             if self._interim_answers > MAX_INTERIM_ANSWERS:
@@ -409,6 +422,11 @@
     return asyncio.ensure_future(written)
 
 
+def _is_written(sent: "asyncio.Future[None]") -> bool:
+    """Return whether a request was written completely."""
+    return sent.done() and not sent.cancelled() and sent.exception() is None
+
+
 def _retrieve_exception(future: "asyncio.Future[Any]") -> None:
     """Retrieve the exception, so that asyncio does not log it as never retrieved."""
     if not future.cancelled():
