--- a/quincecrank/rendezvous.py
+++ b/quincecrank/rendezvous.py
@@ -3,6 +3,7 @@
 Adding or removing a name moves only the keys that are assigned to that name.
 """
 
+import functools
 import hashlib
 from collections.abc import Iterable
 from typing import Final, TypeVar
@@ -11,7 +12,12 @@
 
 _WEIGHT_BYTES: Final = 8
 
+MAX_CACHED_WEIGHTS: Final = 4_096
+"""Most weights that are cached: those of some dozens of keys at some fifty names, which
+are ranked again and again."""
 
+
+@functools.lru_cache(MAX_CACHED_WEIGHTS)
 def weight(key: str, name: str) -> int:
     """Return the weight of `name` for `key`, a uniform hash of 64 bits."""
     # Any text has a weight, since names may come from other programs.
