Bound what a step of the event loop decodes of bodies in chunks

Callers saw: while 200 others sent bodies in chunks of 16 bytes or one byte, and after these had left, an ordinary request got no answer within its route's 8 s.

Cause: the HTTP library decodes a chunk in three reads of its stream (13 us of processor time, whatever its size) and lets each body go on for 256 chunks in a step of the event loop, however many bodies there are.

All bodies together take at most 2,000 chunks in a step, in turns (chunk_budget.py, chunk_reader.py). While 16 others wait, a body of more than 8,192 chunks below 64 bytes on average gets a 503 as not run; a rejected request that goes on for 8,192 further chunks is closed. Bodies of callers that have reset their connection are dropped before their turn.

The mutation read-chunks-by-library is noticed.

--- a/quincecrank/arrived_bytes.py
+++ b/quincecrank/arrived_bytes.py
@@ -21,6 +21,16 @@
     return bool(poll.poll(0))
 
 
+def is_reset(stream: iostream.IOStream) -> bool:
+    """Return whether the peer of an open stream takes no more bytes.
+
+    What it sent before may still be unread.
+    """
+    poll = select.poll()
+    poll.register(stream.fileno(), 0)
+    return bool(poll.poll(0))
+
+
 def awaits_bytes(stream: iostream.IOStream) -> bool:
     """Return whether a reader of an open stream waits and nothing for it has arrived.
 
--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -17,7 +17,13 @@
 from quincecrank import arrived_bytes, tasks
 from quincecrank import clock as clocks
 from quincecrank.gateway import byte_budget as byte_budgets
-from quincecrank.gateway import connection_budget, decision_log, deployment
+from quincecrank.gateway import (
+    chunk_budget,
+    chunk_reader,
+    connection_budget,
+    decision_log,
+    deployment,
+)
 from quincecrank.platform import answers, requests
 
 MAX_HEADER_BYTES: Final = 64 * 1024
@@ -42,7 +48,8 @@
 """Budgets of a listener without one, in tests."""
 
 RETRY_MS: Final = 200
-"""Retry-After time of a request that has no descriptor; another gateway may have."""
+"""Retry-After time of a request that has no descriptor, or no memory or time for its
+body; another gateway may have."""
 
 _LOG: Final = decision_log.logger("callers")
 
@@ -296,6 +303,8 @@
         Time since which no connection could be accepted; None if the last one was.
     pauses : int
         Number of times that accepting was paused.
+    chunk_reader : ChunkReader
+        Reads the bodies in chunks.
     """
 
     def __init__(self, handler: Handler, clock: clocks.Clock) -> None:
@@ -304,6 +313,7 @@
         self.count_followed: Callable[[], int] = lambda: 0
         self.paused_since_ms: int | None = None
         self.pauses = 0
+        self.chunk_reader = chunk_reader.ChunkReader()
         self._logged_ms_by_event: dict[str, int] = {}
         self._resuming: asyncio.TimerHandle | None = None
         self._tasks = tasks.BackgroundTasks()
@@ -447,6 +457,7 @@
             self,
         )
         self._receiver_by_connection[server_conn] = receiver
+        self.chunk_reader.attach(request_conn, receiver)
         return receiver
 
     def on_close(self, server_conn: object) -> None:
@@ -527,6 +538,18 @@
             rejections=budget.rejections_by_holder[holder],
         )
 
+    def log_chunks(self, cost: chunk_budget.BodyCost) -> None:
+        """Log that a request was rejected for its chunks."""
+        self._log_bound(
+            "request rejected for chunks",
+            used=self.chunk_reader.waiting_bodies,
+            limit=chunk_budget.CROWDED_BODIES,
+            chunks=cost.chunks,
+            body_bytes=cost.size,
+            rejections=self.chunk_reader.budget.rejections,
+            closes=self.chunk_reader.budget.closes,
+        )
+
     def _log_bound(self, event: str, **fields: int | str) -> None:
         """Log an event at most once in `BOUND_LOG_MS`."""
         now_ms = self.state.clock.now_ms()
@@ -708,11 +731,32 @@
             return True
         return False
 
+    @property
+    def is_rejected(self) -> bool:
+        """Whether the request is answered, and the rest of its body discarded."""
+        return self._rejection is not None
+
+    def reject_for_chunks(self, cost: chunk_budget.BodyCost) -> None:
+        """Reject the request as not run."""
+        self._listener.log_chunks(cost)
+        self._reject_as_not_run()
+
+    def close_for_chunks(self) -> None:
+        """Close the connection of a rejected request.
+
+        Nothing of it would have been run, so what is unread is not lost.
+        """
+        self._state.observe_close(connection_budget.CloseReason.CHUNKS, False)
+        self._connection.stream.close()
+
     def _hold(self, count: int) -> None:
         """Hold further bytes of the body, or reject the request as not run."""
         if not self._listener.hold(self.account, count):
-            request_id = requests.request_id(self._headers)
-            self._reject(503, answers.gateway_answer_headers(request_id, RETRY_MS))
+            self._reject_as_not_run()
+
+    def _reject_as_not_run(self) -> None:
+        request_id = requests.request_id(self._headers)
+        self._reject(503, answers.gateway_answer_headers(request_id, RETRY_MS))
 
     def data_received(self, chunk: bytes) -> None:
         self._last_byte_ms = self._state.clock.now_ms()
--- a/quincecrank/gateway/connection_budget.py
+++ b/quincecrank/gateway/connection_budget.py
@@ -76,6 +76,7 @@
     DESCRIPTORS = "descriptors"
     MEMORY = "memory"
     ABORTED_ANSWER = "aborted answer"
+    CHUNKS = "chunks"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/quincecrank/gateway/gateway_metrics.py
+++ b/quincecrank/gateway/gateway_metrics.py
@@ -182,6 +182,17 @@
             registry=self.registry,
         )
         self._memory_rejection_count: dict[byte_budget.Holder, int] = {}
+        self._chunked_bodies = prometheus_client.Gauge(
+            "quince_gateway_waiting_chunked_bodies",
+            "Bodies in chunks that wait to be decoded",
+            registry=self.registry,
+        )
+        self._chunk_rejections = prometheus_client.Counter(
+            "quince_gateway_chunk_rejections",
+            "Requests rejected for the small chunks of their bodies",
+            registry=self.registry,
+        )
+        self._chunk_rejection_count = 0
         self.held_for_ended = prometheus_client.Gauge(
             "quince_gateway_servers_held_for_ended",
             "Listed servers that refused a connection and have shown no life since",
@@ -279,6 +290,12 @@
             self._memory_rejection_count[holder] = count
             self._memory_rejections.labels(holder.value).inc(added)
 
+    def set_chunks(self, waiting: int, rejections: int) -> None:
+        """Set the bodies in chunks that wait, and the requests rejected so far."""
+        self._chunked_bodies.set(waiting)
+        self._chunk_rejections.inc(rejections - self._chunk_rejection_count)
+        self._chunk_rejection_count = rejections
+
     def record_resumption(self, origin: str) -> None:
         """Count a stream that a caller resumed, by the origin of its version."""
         self._resumptions.labels(origin).inc()
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -666,6 +666,10 @@
             )
             self._metrics.set_accept_pauses(self._listener.pauses)
             self._metrics.set_held_bytes(self._listener.state.byte_budget)
+            chunk_reader = self._listener.chunk_reader
+            self._metrics.set_chunks(
+                chunk_reader.waiting_bodies, chunk_reader.budget.rejections
+            )
             self._metrics.held_for_ended.set(self._fleet.liveness.held_for_ended_count)
 
     def _update_operator_requests(self) -> None:
--- a/tests/process_client_limits.py
+++ b/tests/process_client_limits.py
@@ -3,6 +3,9 @@
 The crowd is a process of its own (`client_crowd`).  The tests check that the gateway
 lives, that its memory and descriptors stay within those of its settings, and that one
 ordinary request is answered afterwards: no times and no shares.
+
+Mutation (`QUINCE_MUTATION`, see `wrapped_program`) that makes the tests with small
+chunks fail: `read-chunks-by-library`.
 """
 
 import os
--- a/tests/run_mutations.py
+++ b/tests/run_mutations.py
@@ -105,6 +105,11 @@
         "tests.process_resources.EndlessAnswersTest"
         ".test_answers_without_an_end_came_to_more_than_the_memory",
     ),
+    (
+        "read-chunks-by-library",
+        "tests.process_client_limits.ClientLimitsTest"
+        ".test_chunks_of_16_bytes_kept_others_from_an_answer",
+    ),
     (
         "forget-regained-stores",
         "tests.process_removals.RemovalsTest"
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -44,6 +44,7 @@
 from quincecrank.gateway import (
     byte_budget,
     callers,
+    chunk_reader,
     configuration_currency,
     connection_budget,
     crash_findings,
@@ -434,6 +435,11 @@
     _replace(byte_budget.ByteBudget, "release", lambda self, holder, count: None)
 
 
+def read_chunks_by_library() -> None:
+    """Make gateways leave bodies in chunks to the HTTP library, without a budget."""
+    _replace(chunk_reader.ChunkReader, "attach", lambda self, *given: None)
+
+
 def forget_regained_stores() -> None:
     """Make gateways note the end of an outage only by answers of their own."""
     follower = followers.TableFollower
@@ -636,6 +642,7 @@
     "begin-anything": begin_anything,
     "accept-any-connection": accept_any_connection,
     "hold-any-bytes": hold_any_bytes,
+    "read-chunks-by-library": read_chunks_by_library,
     "forget-regained-stores": forget_regained_stores,
     "notice-signals-late": notice_signals_late,
     "cut-by-earliest-bound": cut_by_earliest_bound,
