Keep bodies that arrive in few bytes at a time in one buffer

Each piece of a body was an object of its own and counted with its bytes only, so that a caller that sends two bytes at a time took much more memory than its budget says.

The new test, on the code before: 3,000 pieces of two bytes took 182 kB, the budget's 12 kB and 60 kB for the connection being allowed; it passes now.

--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -668,8 +668,8 @@
         self._awaited_since_ms = self._last_byte_ms = state.clock.now_ms()
         self._head_bytes = 0
         self._task: asyncio.Task[None] | None = None
-        self._chunks: list[bytes] = []
-        self._size = 0
+        # One buffer: the pieces of a body may be of a few bytes.
+        self._body = bytearray()
         self._declared_size = 0
         self._rejection: CallerAnswer | None = None
 
@@ -762,12 +762,12 @@
         self._last_byte_ms = self._state.clock.now_ms()
         if self._rejection is not None:
             return
-        self._chunks.append(chunk)
-        self._size += len(chunk)
+        self._body += chunk
+        size = len(self._body)
         limits = self._state.limits
-        if limits is not None and self._size > limits.max_body_bytes:
+        if limits is not None and size > limits.max_body_bytes:
             self._reject(413)
-        elif self._size > self._declared_size:
+        elif size > self._declared_size:
             # A body in chunks declares no size.
             self._hold(len(chunk))
 
@@ -779,8 +779,8 @@
             self._connection.close()
             return
         headers = self._headers
-        body = b"".join(self._chunks)
-        self._chunks.clear()
+        body = bytes(self._body)
+        self._body.clear()
         request = CallerRequest(
             method=self._start_line.method,
             target=self._start_line.path,
@@ -818,7 +818,7 @@
 
     def drop(self) -> None:
         """Release what was read of a request that is not served."""
-        self._chunks.clear()
+        self._body.clear()
         self.account.close()
 
     async def _serve(self, request: CallerRequest, answer: CallerAnswer) -> None:
--- a/tests/test_chunk_budget.py
+++ b/tests/test_chunk_budget.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import tracemalloc
 import unittest
 from collections.abc import Callable
 from typing import Final
@@ -18,6 +19,10 @@
 MANY: Final = chunk_budget.CROWDED_CHUNKS + 1
 CROWD: Final = chunk_budget.CROWDED_BODIES
 SITE_MB: Final = 136
+PIECES: Final = 3_000
+CONNECTION_BYTES: Final = 60_000
+"""Memory of a connection, its buffers included."""
+
 SMALL_CHUNK: Final = b"1\r\nx\r\n"
 LAST_CHUNK: Final = b"0\r\n\r\n"
 
@@ -225,3 +230,30 @@
         caller = await self.send(SMALL_CHUNK + b"1;a=b\r\nx\r\n" + LAST_CHUNK)
         self.assertIn(b" 400 ", await caller.reader.readline())
         self.assertEqual(self.server.received, [])
+
+
+class PiecesTest(case.GatewayCase):
+    """Callers that send few bytes at a time."""
+
+    async def send_in_pieces(self, sent: bytes, size: int) -> case.Caller:
+        """Send bytes, each piece of which the listener reads by itself."""
+        caller = await case.Caller.connect(self.port)
+        self.addCleanup(caller.close)
+        for at in range(0, len(sent), size):
+            caller.writer.write(sent[at : at + size])
+            for _ in range(2):
+                await asyncio.sleep(0)
+        return caller
+
+    async def test_pieces_of_bodies_took_many_times_their_bytes(self) -> None:
+        """Each piece was an object of its own, and counted with its bytes only."""
+        head = f"POST /record/ HTTP/1.1\r\nContent-Length: {2 * PIECES}\r\n\r\n"
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        await self.send_in_pieces(head.encode(), len(head))
+        before = tracemalloc.get_traced_memory()[0]
+        await self.send_in_pieces(head.encode() + b"x" * (2 * PIECES - 2), 2)
+        taken = tracemalloc.get_traced_memory()[0] - before
+        self.assertEqual(self.listener.open_requests, 2)
+        memory = byte_budget.MEMORY_PER_BYTE[Holder.CALLERS] * 2 * PIECES
+        self.assertLess(taken, memory + CONNECTION_BYTES)
