Test a gateway whose callers send heads of many lines

200 callers send a complete head of 60 kB in lines of three bytes; the gateway must live, keep its bounds and answer one ordinary request.

--- a/tests/client_crowd.py
+++ b/tests/client_crowd.py
@@ -36,7 +36,8 @@
     declared_bytes : int
         Announced length of a body without chunks.
     is_head : bool
-        Whether only a head is sent, in pieces of `chunk_bytes`.
+        Whether only a head is sent: in pieces of `chunk_bytes` and without its end, or
+        at once and complete if that is 0.
     """
 
     callers: int
@@ -55,6 +56,7 @@
     "announced 50 MB": Kind(100, 3_000_000, declared_bytes=50_000_000),
     "announced within the limit": Kind(100, 900_000, declared_bytes=950_000),
     "heads in pieces": Kind(200, 60_000, 7, is_head=True),
+    "heads of many lines": Kind(200, 60_000, is_head=True),
 }
 
 COMPLETE_EACH: Final = 10
@@ -73,6 +75,10 @@
 
 def _pieces(kind: Kind, number: int) -> tuple[bytes, ...]:
     """Return what a caller sends, in the pieces in which it sends them."""
+    if kind.is_head and not kind.chunk_bytes:
+        line = b"a:\n"
+        lines = line * (kind.body_bytes // len(line))
+        return (_head(kind, number)[:-2] + lines + b"\r\n",)
     if kind.is_head:
         start = _head(kind, number)[:-2]
         line = b"a: b\r\n"
--- a/tests/process_client_limits.py
+++ b/tests/process_client_limits.py
@@ -164,6 +164,10 @@
         """Each piece of a head cost a search in all that had arrived of it."""
         self.check_beside("heads in pieces")
 
+    def test_heads_of_many_lines_kept_others_from_an_answer(self) -> None:
+        """A head of 20,000 lines held the event loop, and all were read at once."""
+        self.check_beside("heads of many lines")
+
     def test_a_body_within_the_limit_was_not_served_in_small_chunks(self) -> None:
         """A single caller's body of `MAX_BODY_BYTES` in chunks of one byte."""
         connection = self.fleet.connect(GATEWAY, process_gateway.LIMIT_S)
