Parse heads of many lines one after the other

Callers saw: while 200 others sent complete heads of 60 kB in lines of three bytes, an ordinary request got no answer within its route's 8 s.

Cause: parsing such a head takes 40 to 77 ms (10,000 to 20,000 lines, one run each beside a load of 22 on 7 cores), and all that had arrived were parsed in the same step of the event loop.

The mutation parse-any-heads is noticed.

--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -306,6 +306,8 @@
         Number of times that accepting was paused.
     chunk_reader : ChunkReader
         Reads the bodies in chunks.
+    head_turns : HeadTurns
+        Heads of many lines that wait to be parsed.
     """
 
     def __init__(self, handler: Handler, clock: clocks.Clock) -> None:
@@ -315,6 +317,7 @@
         self.paused_since_ms: int | None = None
         self.pauses = 0
         self.chunk_reader = chunk_reader.ChunkReader()
+        self.head_turns = caller_stream.HeadTurns()
         self._logged_ms_by_event: dict[str, int] = {}
         self._resuming: asyncio.TimerHandle | None = None
         self._tasks = tasks.BackgroundTasks()
@@ -493,7 +496,8 @@
         self, connection: socket.socket, address: tuple[str, int]
     ) -> None:
         connection.setblocking(False)
-        self._server.handle_stream(caller_stream.CallerStream(connection), address)
+        stream = caller_stream.CallerStream(connection, self.head_turns)
+        self._server.handle_stream(stream, address)
 
     def _pause(self, reason: str) -> None:
         """Stop accepting for `ACCEPT_PAUSE_S`."""
--- a/quincecrank/gateway/gateway_metrics.py
+++ b/quincecrank/gateway/gateway_metrics.py
@@ -187,6 +187,11 @@
             "Bodies in chunks that wait to be decoded",
             registry=self.registry,
         )
+        self.waiting_heads = prometheus_client.Gauge(
+            "quince_gateway_waiting_heads",
+            "Heads of many lines that wait to be parsed",
+            registry=self.registry,
+        )
         self._chunk_rejections = prometheus_client.Counter(
             "quince_gateway_chunk_rejections",
             "Requests rejected for the small chunks of their bodies",
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -666,6 +666,7 @@
             )
             self._metrics.set_accept_pauses(self._listener.pauses)
             self._metrics.set_held_bytes(self._listener.state.byte_budget)
+            self._metrics.waiting_heads.set(self._listener.head_turns.waiting_heads)
             chunk_reader = self._listener.chunk_reader
             self._metrics.set_chunks(
                 chunk_reader.waiting_bodies, chunk_reader.budget.rejections
--- a/tests/process_client_limits.py
+++ b/tests/process_client_limits.py
@@ -4,8 +4,8 @@
 lives, that its memory and descriptors stay within those of its settings, and that one
 ordinary request is answered afterwards: no times and no shares.
 
-Mutation (`QUINCE_MUTATION`, see `wrapped_program`) that makes the tests with small
-chunks fail: `read-chunks-by-library`.
+Mutations (`QUINCE_MUTATION`, see `wrapped_program`) that make these tests fail:
+`read-chunks-by-library` (small chunks), `parse-any-heads` (heads of many lines).
 """
 
 import os
--- a/tests/run_mutations.py
+++ b/tests/run_mutations.py
@@ -110,6 +110,11 @@
         "tests.process_client_limits.ClientLimitsTest"
         ".test_chunks_of_16_bytes_kept_others_from_an_answer",
     ),
+    (
+        "parse-any-heads",
+        "tests.process_client_limits.ClientLimitsTest"
+        ".test_heads_of_many_lines_kept_others_from_an_answer",
+    ),
     (
         "forget-regained-stores",
         "tests.process_removals.RemovalsTest"
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -52,6 +52,7 @@
     fleet_state,
     followers,
     forwarding,
+    head_budget,
     servers,
     shutdown_schedule,
     weights,
@@ -440,6 +441,11 @@
     _replace(chunk_reader.ChunkReader, "attach", lambda self, *given: None)
 
 
+def parse_any_heads() -> None:
+    """Make gateways parse heads of many lines as soon as they have arrived."""
+    _replace(head_budget.HeadBudget, "try_parse", lambda self, lines: True)
+
+
 def forget_regained_stores() -> None:
     """Make gateways note the end of an outage only by answers of their own."""
     follower = followers.TableFollower
@@ -643,6 +649,7 @@
     "accept-any-connection": accept_any_connection,
     "hold-any-bytes": hold_any_bytes,
     "read-chunks-by-library": read_chunks_by_library,
+    "parse-any-heads": parse_any_heads,
     "forget-regained-stores": forget_regained_stores,
     "notice-signals-late": notice_signals_late,
     "cut-by-earliest-bound": cut_by_earliest_bound,
