Let the number of concurrent loadings follow the service's room

With the contract `pressure`, more than .4 of a service's engines load new weights at once in a quiet hour, and only a tenth while requests wait.

A fixed .4 of the engines took capacity from a busy service, and loaded slowly where most engines were idle. After a late start nothing made the rounds end before outdated weights lose their requests.

`loading_limits` decides from running and waiting requests, the engines left and the time left. Without the contract the limit is unchanged.

--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -232,6 +232,7 @@
             self._peers,
             self._reporter.send,
             clock,
+            lambda: self._dispatcher.waiting_requests,
         )
         self._is_leaving = False
         self._signal: shutdown_schedule.SignalTime | None = None
--- a/quincecrank/gateway/weight_rollout.py
+++ b/quincecrank/gateway/weight_rollout.py
@@ -2,11 +2,11 @@
 
 Load pattern: a new target version is set under full load.  An engine that loads
 weights can't take its part of the requests, and more than a few concurrent loadings
-slow each other down, so only `max_concurrent_loadings` engines of a service load at
-once.  But answers of outdated weights soon lose value, so the next loading starts as
-soon as one has finished.  Any gateway can do this; the one that holds the order lease
-does.  Engines that did not load the weights when ordered are tried again after all
-others, so that they don't occupy the places of engines that would load.
+slow each other down, so only some engines of a service load at once, as
+`loading_limits` decides.  But answers of outdated weights soon lose value, so the next
+loading starts as soon as one has finished.  Any gateway can do this; the one that holds
+the order lease does.  Engines that did not load the weights when ordered are tried
+again after all others, so that they don't occupy the places of engines that would load.
 
 Steps of one loading: announce it to the peers, drain the engine, order the loading,
 wait until the engine reports the weights, announce that.
@@ -24,20 +24,14 @@
     deployment,
     engine_weight_updates,
     fleet_state,
+    loading_limits,
     order_lease,
     peers,
     servers,
+    weights,
 )
 from quincecrank.platform import engines
 
-MIN_LOADING_LIMIT: Final = 2
-"""Concurrent loadings that do not slow each other down, according to the operators.  As
-many are allowed in a small service, as long as another of its engines serves."""
-
-LOADING_FRACTION: Final = 0.4
-"""Fraction of a service's engines that may load at once, if this is more than
-`MIN_LOADING_LIMIT`."""
-
 LOAD_TIMEOUT_MS: Final = 3_000
 """Time after which a loading that was ordered but not seen to end is ordered again."""
 
@@ -99,12 +93,6 @@
     )
 
 
-def max_concurrent_loadings(engine_count: int) -> int:
-    """Return how many of a service's engines may load weights at once."""
-    at_once = max(MIN_LOADING_LIMIT, int(engine_count * LOADING_FRACTION))
-    return max(1, min(at_once, engine_count - 1))
-
-
 class WeightRollout:
     """Orders the loadings while this gateway holds the lease.
 
@@ -118,6 +106,8 @@
         The live gateways; their ranks stagger their attempts at the lease.
     report_to_peers : callable
         Sends a report to the peers at once.
+    count_waiting : callable
+        Returns the number of requests that wait at this gateway.
     """
 
     def __init__(
@@ -128,7 +118,9 @@
         peer_directory: peers.PeerDirectory,
         report_to_peers: Callable[[], None],
         clock: clocks.Clock,
+        count_waiting: Callable[[], int] = lambda: 0,
     ) -> None:
+        self._count_waiting = count_waiting
         self._fleet = fleet
         self._calls = calls
         self._lease = lease
@@ -188,22 +180,56 @@
 
         Those with the fewest failed loadings come first, then those whose weights have
         been outdated for longest, then the least busy.
-        Not more than `max_concurrent_loadings` of a service load at once.
         """
         now_ms = self._clock.now_ms()
         not_loading = [
             each for each in outdated if each.server.server_id not in self._loading
         ]
+        limit_by_service = {
+            service: self._loading_limit(service, outdated)
+            for service in {each.server.service for each in not_loading}
+        }
         due: list[OutdatedEngine] = []
         for each in sorted(not_loading, key=lambda one: self._rank_of(one, now_ms)):
             service = each.server.service
-            engine_count = len(self._fleet.registry.ready_entries(service))
             loading = [*self._loading.values(), *due]
             loading_count = sum(one.server.service == service for one in loading)
-            if loading_count < max_concurrent_loadings(engine_count):
+            if loading_count < limit_by_service[service]:
                 due.append(each)
         return tuple(due)
 
+    def _loading_limit(
+        self, service: deployment.ServiceName, outdated: tuple[OutdatedEngine, ...]
+    ) -> int:
+        now_ms = self._clock.now_ms()
+        ready = self._fleet.registry.ready_entries(service)
+        if not self._fleet.own_settings.shares_admission:
+            return loading_limits.fixed_limit(len(ready))
+        since_ms = [
+            self._fleet.target_versions.outdated_since_ms(
+                each.model, each.server.weight_versions_by_model[each.model]
+            )
+            for each in outdated
+            if each.server.service == service
+        ]
+        served_ms = (
+            self._fleet.own_settings.bounds.weights_deadline_ms
+            * weights.OUTDATED_CUTOFF_FRACTION
+        )
+        left_ms = [each + served_ms - now_ms for each in since_ms if each is not None]
+        room = loading_limits.Room(
+            engines=len(ready),
+            slots=min((each.slots for each in ready), default=0),
+            running=sum(
+                self._fleet.loads.total_load(each.server_id, now_ms).requests
+                for each in ready
+            ),
+            waiting=self._count_waiting(),
+            outdated=len(since_ms),
+            left_ms=min(left_ms, default=served_ms),
+        )
+        return loading_limits.max_concurrent_loadings(room)
+
     def _rank_of(
         self, each: OutdatedEngine, now_ms: int
     ) -> tuple[int, int | None, int]:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import unittest
+from typing import Any
 
 from quincecrank import ids
 from quincecrank.gateway import (
@@ -10,6 +11,7 @@
     crash_suspicions,
     engine_weight_updates,
     event_stream,
+    loading_limits,
     loads,
     placement,
     request_queue,
@@ -17,7 +19,6 @@
     server_health,
     servers,
     store_cleaner,
-    weight_rollout,
     weights,
 )
 from tests import builders_gateway as builders
@@ -476,9 +477,40 @@
         counts = {1: 1, 2: 1, 3: 2, 5: 2, 10: 4, 22: 8}
         for engines, expected in counts.items():
             with self.subTest(engines):
-                self.assertEqual(
-                    weight_rollout.max_concurrent_loadings(engines), expected
-                )
+                self.assertEqual(loading_limits.fixed_limit(engines), expected)
+
+    def test_a_small_service_lost_all_its_engines_at_once(self) -> None:
+        # Half of the slots are taken, and there is time for many rounds.
+        counts = {1: 1, 2: 1, 3: 2, 5: 2, 10: 2, 22: 6}
+        for engines, expected in counts.items():
+            with self.subTest(engines):
+                room = self.make_room(engines, running=engines * 4, left_ms=60_000)
+                self.assertEqual(loading_limits.max_concurrent_loadings(room), expected)
+
+    @staticmethod
+    def make_room(engines: int, **changes: Any) -> loading_limits.Room:
+        """Return the room of a service with eight slots an engine."""
+        room = loading_limits.Room(engines, 8, 0, 0, engines, 9_600)
+        return dataclasses.replace(room, **changes)
+
+    def test_loadings_took_the_engines_of_waiting_requests(self) -> None:
+        quiet = self.make_room(27, left_ms=60_000)
+        for changes, expected in (
+            ({}, 14),
+            ({"running": 27 * 4}, 7),
+            ({"running": 27 * 8}, 2),
+            ({"waiting": 3}, 2),
+        ):
+            with self.subTest(changes):
+                room = dataclasses.replace(quiet, **changes)
+                self.assertEqual(loading_limits.max_concurrent_loadings(room), expected)
+
+    def test_most_engines_were_outdated_at_the_deadline(self) -> None:
+        """Requests waited, so that too few engines loaded before."""
+        for left_ms, expected in ((9_600, 9), (5_000, 14), (1_000, 16), (0, 10)):
+            with self.subTest(left_ms):
+                room = self.make_room(27, waiting=3, left_ms=left_ms)
+                self.assertEqual(loading_limits.max_concurrent_loadings(room), expected)
 
     def test_an_engine_announced_as_loading_gets_no_requests(self) -> None:
         updates = engine_weight_updates.WeightUpdates()
