Hand the order lease over while its holder can't reach the store

Other gateways took the lease only 3.9 s after the last change of its row, as they could not tell a cut-off holder from one that still gave orders.

A holder whose lease is no longer valid ends its term and says so in its reports, with the engines ordered lately (`leaseHandover`, @26). The row names the term that wrote it. Another gateway takes a row of an ended term at once, and orders no engine that had an order of an earlier term within `leaseMs` and a margin. Handovers count only in the era in which the terms ended.

`test_a_renewal_of_unknown_outcome_releases_the_lease` expected that the same gateway could not take the lease again. It can now, under a new term and a higher fencing number; the test checks these and that engines ordered before stay blocked, and a second one covers a renewal that was done.

--- a/quincecrank/gateway/gateway_metrics.py
+++ b/quincecrank/gateway/gateway_metrics.py
@@ -203,6 +203,12 @@
             ["service"],
             registry=self.registry,
         )
+        self._lease_takeovers = prometheus_client.Gauge(
+            "quince_gateway_order_lease_takeovers",
+            "Times that this gateway took the order lease, by how it was free",
+            ["origin"],
+            registry=self.registry,
+        )
         self._permit_counts: dict[str, int] = {}
         self.peers = prometheus_client.Gauge(
             "quince_gateway_peers", "Live other gateways", registry=self.registry
@@ -239,6 +245,11 @@
         for service, count in collections.Counter(services).items():
             self._cold_servers.labels(service).set(count)
 
+    def set_lease_takeovers(self, count_by_origin: Mapping[str, int]) -> None:
+        """Set how often this gateway took the order lease."""
+        for origin, count in count_by_origin.items():
+            self._lease_takeovers.labels(origin).set(count)
+
     def record_crash_rejection(self) -> None:
         """Count a request that a crash finding rejected."""
         self._crash_rejections.inc()
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -577,6 +577,7 @@
             if currency.known_ms is None
             else self._clock.now_ms() - currency.known_ms,
             is_late=self._loop_monitor.is_late,
+            handover=self._order_lease.handover(),
         )
         report = self._crash_monitor.complete_report(report)
         report = self._stream_versions.complete_report(report)
@@ -609,6 +610,8 @@
             self._fleet.service_times.apply_peer_times(service, times)
         for update in report.weight_updates:
             self._fleet.apply_weight_update(update)
+        if report.handover is not None:
+            self._order_lease.apply_handover(report.handover, report.vm)
         self._permits.apply_report(report)
 
     def _times_to_publish(self) -> Mapping[str, service_times.Times]:
@@ -668,6 +671,7 @@
             self._metrics.set_accept_pauses(self._listener.pauses)
             self._metrics.set_held_bytes(self._listener.state.byte_budget)
             self._metrics.held_for_ended.set(self._fleet.liveness.held_for_ended_count)
+            self._metrics.set_lease_takeovers(self._order_lease.takeovers)
 
     def _update_operator_requests(self) -> None:
         """Update evacuations and cold servers, which end with time."""
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -17,6 +17,7 @@
     deployment,
     engine_weight_updates,
     failed_request_records,
+    lease_handover,
     loads,
     packed_figures,
     permit_pacer,
@@ -133,6 +134,8 @@
         Backend servers that are cold or were so lately.
     takes_packed_figures : bool
         Whether the gateway decodes packed figures.
+    handover : Handover or None
+        Terms of the order lease that have ended at the gateway.
     """
 
     vm: ids.VmName
@@ -163,6 +166,7 @@
     is_late: bool = False
     cold_states: tuple[cold_servers.ColdState, ...] = ()
     takes_packed_figures: bool = True
+    handover: lease_handover.Handover | None = None
 
     @property
     def has_other_parts(self) -> bool:
@@ -182,6 +186,7 @@
                 self.refused,
                 self.liveness,
                 self.cold_states,
+                self.handover,
             )
         )
 
@@ -317,6 +322,7 @@
         isLate=report.is_late,
         coldServers=_cold_server_fields(report),
         takesPackedFigures=report.takes_packed_figures,
+        leaseHandover=_handover_fields(report.handover),
     )
 
 
@@ -552,6 +558,32 @@
     )
 
 
+def _handover_fields(handover: lease_handover.Handover | None) -> dict[str, Any]:
+    if handover is None:
+        return {}
+    return {
+        "terms": list(handover.terms),
+        "position": handover.position.number,
+        "orders": [
+            {"server": each.server_id, "ageMs": min(each.age_ms, _NO_AGE)}
+            for each in handover.orders
+        ],
+    }
+
+
+def _handover(message: Any) -> lease_handover.Handover | None:
+    if not len(message.terms):
+        return None
+    return lease_handover.Handover(
+        tuple(lease_handover.TermId(each) for each in message.terms),
+        store_rows.Position.from_number(checked_values.count(message.position)),
+        tuple(
+            lease_handover.EngineOrder(servers.ServerId(each.server), each.ageMs)
+            for each in message.orders
+        ),
+    )
+
+
 def _issuer_fields(report: Report, incarnation: servers.Incarnation) -> dict[str, Any]:
     """Return the fields of the reporting gateway's view of an issuer."""
     issuer_report = next(
@@ -815,4 +847,5 @@
         is_late=message.isLate,
         cold_states=tuple(_cold_state(each) for each in message.coldServers),
         takes_packed_figures=message.takesPackedFigures,
+        handover=_handover(message.leaseHandover),
     )
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -168,6 +168,21 @@
   waitMs @5 :UInt32 = 0xffffffff;
 }
 
+# The last order to an engine, of the reporting gateway or of a holder before it.
+struct EngineOrder {
+  server @0 :Text;
+  ageMs @1 :UInt32;
+}
+
+# Terms of the order lease that have ended at the reporting gateway, see
+# lease_handover.py.  Without terms it says nothing.
+struct LeaseHandover {
+  terms @0 :List(UInt64);
+  # Era and version in one number.
+  position @1 :UInt64;
+  orders @2 :List(EngineOrder);
+}
+
 struct Report {
   vm @0 :Text;
   isLeaving @1 :Bool;
@@ -204,6 +219,7 @@
   # See packed_figures.py.  Sent instead of the fields that it replaces, to peers that
   # take it.
   packedFigures @25 :Data;
+  leaseHandover @26 :LeaseHandover;
 }
 
 struct ChangedRow {
--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -384,7 +384,7 @@
         self._peers.set_members(dict(self._member_by_key.values()))
         lease_row = self._row_by_key.get(order_lease.LEASE_KEY)
         if lease_row is not None:
-            self._lease.observe(lease_row.position)
+            self._lease.observe(lease_row.position, lease_row.text)
         if self._crash_monitor is not None:
             self._crash_monitor.apply_rows(rows)
         if self._version_exchange is not None:
--- a/quincecrank/gateway/weight_rollout.py
+++ b/quincecrank/gateway/weight_rollout.py
@@ -160,9 +160,10 @@
         if self._outdated_since_ms is None:
             self._outdated_since_ms = now_ms
         waited_ms = now_ms - self._outdated_since_ms
-        if not self._lease.is_held and waited_ms < self._rank() * RANK_DELAY_MS:
+        rank = 0 if self._lease.is_held else self._rank()
+        if waited_ms < rank * RANK_DELAY_MS:
             return
-        if not await self._lease.acquire_or_renew():
+        if not await self._lease.acquire_or_renew(rank):
             return
         for each in self._due(outdated):
             self._loading[each.server.server_id] = each
@@ -179,21 +180,37 @@
         """Return the engines whose loading starts now.
 
         Those with the fewest failed loadings come first, then those whose weights have
-        been outdated for longest, then the least busy.
+        been outdated for longest, then those that are announced to load, as their
+        requests have ended, then the least busy.  Engines that an earlier holder
+        ordered lately are left out, but those that it announced count as loading.
         """
         now_ms = self._clock.now_ms()
         not_loading = [
-            each for each in outdated if each.server.server_id not in self._loading
+            each
+            for each in outdated
+            if each.server.server_id not in self._loading
+            and self._lease.blocked_ms(each.server.server_id) <= ANNOUNCEMENT_LEAD_MS
         ]
         limit_by_service = {
             service: self._loading_limit(service, outdated)
             for service in {each.server.service for each in not_loading}
         }
+        announced = [
+            each
+            for each in outdated
+            if each.server.server_id not in self._loading
+            and not self._failed_loads_by_incarnation[each.server.incarnation]
+            and self._fleet.weight_updates.is_loading(each.server, now_ms)
+        ]
         due: list[OutdatedEngine] = []
         for each in sorted(not_loading, key=lambda one: self._rank_of(one, now_ms)):
             service = each.server.service
-            loading = [*self._loading.values(), *due]
-            loading_count = sum(one.server.service == service for one in loading)
+            loading = {one.server.server_id: one for one in (*announced, *due)}
+            loading.update(self._loading)
+            loading.pop(each.server.server_id, None)
+            loading_count = sum(
+                one.server.service == service for one in loading.values()
+            )
             if loading_count < limit_by_service[service]:
                 due.append(each)
         return tuple(due)
@@ -232,13 +249,14 @@
 
     def _rank_of(
         self, each: OutdatedEngine, now_ms: int
-    ) -> tuple[int, int | None, int]:
+    ) -> tuple[int, int | None, bool, int]:
         server = each.server
         return (
             self._failed_loads_by_incarnation[server.incarnation],
             self._fleet.target_versions.outdated_since_ms(
                 each.model, server.weight_versions_by_model[each.model]
             ),
+            not self._fleet.weight_updates.is_loading(server, now_ms),
             self._fleet.loads.total_load(server.server_id, now_ms).requests,
         )
 
@@ -309,9 +327,10 @@
             running_requests=running_requests,
             lease_left_ms=self._lease.left_ms,
         )
-        if not self._lease.is_valid:
+        if not self._lease.is_valid or self._lease.blocked_ms(server.server_id):
             return False
-        answer = await self._calls.order_weights(order)
+        with self._lease.ordering(server.server_id):
+            answer = await self._calls.order_weights(order)
         _LOG.info(
             "weights ordered",
             server=server.server_id,
--- a/tests/run_mutations.py
+++ b/tests/run_mutations.py
@@ -134,6 +134,11 @@
         "notice-signals-late",
         f"{_SHUTDOWNS}.test_gateways_did_not_end_within_the_grace_time",
     ),
+    (
+        "order-engines-handed-over",
+        "tests.test_lease_handover.FaultsTest"
+        ".test_two_holders_ordered_one_engine_within_the_required_time",
+    ),
 )
 
 
--- a/tests/test_gateway_followers.py
+++ b/tests/test_gateway_followers.py
@@ -363,13 +363,33 @@
 
     async def test_a_renewal_of_unknown_outcome_releases_the_lease(self) -> None:
         lease = self.make_lease()
+        ordered = servers.ServerId("i-1")
         await lease.acquire_or_renew()
+        with lease.ordering(ordered):
+            pass
         self.clock.advance(order_lease.RENEWAL_MS)
         self.store.fail_writes = [store_rows.OutcomeUnknownError("lost")]
         with self.assertRaises(store_rows.OutcomeUnknownError):
             await lease.acquire_or_renew()
         self.assertFalse(lease.is_valid)
+        # Its own term has ended, so it takes the lease like any other gateway.
+        self.assertTrue(await lease.acquire_or_renew())
+        self.assertGreater(lease.fencing_number, 10)
+        self.assertEqual(
+            lease.blocked_ms(ordered), 3_000 + order_lease.TAKEOVER_MARGIN_MS - 250
+        )
+
+    async def test_a_late_renewal_of_unknown_outcome_allowed_orders(self) -> None:
+        # The write was done, so the row has another position than the holder knows.
+        lease = self.make_lease()
+        await lease.acquire_or_renew()
+        self.clock.advance(order_lease.RENEWAL_MS)
+        self.store.fail_writes = [store_rows.OutcomeUnknownError("lost")]
+        with self.assertRaises(store_rows.OutcomeUnknownError):
+            await lease.acquire_or_renew()
+        self.store.row_position = stored.at(20)
         self.assertFalse(await lease.acquire_or_renew())
+        self.assertFalse(lease.is_valid)
 
 
 class MessagesTest(unittest.TestCase):
--- a/tests/test_rate_limited_requests.py
+++ b/tests/test_rate_limited_requests.py
@@ -13,10 +13,11 @@
 
 import capnp
 
-from quincecrank import ids
+from quincecrank import ids, store_rows
 from quincecrank.gateway import (
     cold_servers,
     crash_findings,
+    lease_handover,
     loads,
     peer_messages,
     permit_pacer,
@@ -189,6 +190,11 @@
             configuration_version=9,
             configuration_age_ms=40,
             cold_states=(cold_servers.ColdState(cold, 4, True, 900),),
+            handover=lease_handover.Handover(
+                (lease_handover.TermId(7),),
+                store_rows.Position(1, 9),
+                (lease_handover.EngineOrder(servers.ServerId("i-1"), 40),),
+            ),
         )
         encoded = peer_messages.encode(report)
         self.assertEqual(peer_messages.decode(encoded), report)
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -51,6 +51,7 @@
     fleet_state,
     followers,
     forwarding,
+    order_lease,
     servers,
     shutdown_schedule,
     weights,
@@ -606,6 +607,11 @@
     _replace(forwarder, "_draw_service", mutated)
 
 
+def order_engines_handed_over() -> None:
+    """Make gateways order engines that an earlier holder has just ordered."""
+    _replace(order_lease.OrderLease, "blocked_ms", lambda _lease, _server_id: 0)
+
+
 MUTATIONS_BY_NAME: Final[dict[str, Callable[[], None]]] = {
     "claim-what-is-taken": claim_what_is_taken,
     "say-not-run": say_not_run,
@@ -648,6 +654,7 @@
     "return-to-older-versions": return_to_older_versions,
     "accept-malformed-configurations": accept_malformed_configurations,
     "reject-added-routes": reject_added_routes,
+    "order-engines-handed-over": order_engines_handed_over,
 }
 
 
