Keep service times in the store for gateways that start alone

After the loss of all gateways, the new ones estimate by what the earlier ones had learned instead of by the priors.

Service times were kept only in the gateways' memory.

All read it with the first full read; what a gateway or its live peers have learned takes precedence.

--- a/quincecrank/gateway/gateway_metrics.py
+++ b/quincecrank/gateway/gateway_metrics.py
@@ -209,6 +209,11 @@
             ["origin"],
             registry=self.registry,
         )
+        self.service_times_writes = prometheus_client.Gauge(
+            "quince_gateway_service_times_writes",
+            "Times that this gateway wrote the service times to the store",
+            registry=self.registry,
+        )
         self._permit_counts: dict[str, int] = {}
         self.peers = prometheus_client.Gauge(
             "quince_gateway_peers", "Live other gateways", registry=self.registry
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -48,6 +48,7 @@
     store_cleaner,
     store_clock,
     store_restores,
+    stored_service_times,
     stream_version_exchange,
     tables,
     target_marks,
@@ -191,12 +192,16 @@
             clock,
             self._target_marks,
         )
+        self._stored_times = stored_service_times.StoredServiceTimes(
+            self._fleet.service_times, self._peers, self._store, clock
+        )
         self._members = row_consumers.MemberRowConsumer(
             self._peers,
             self._order_lease,
             self._crash_monitor,
             self._stream_versions,
             self._target_times,
+            self._stored_times,
         )
         self._registration = member_registration.Registration(
             own_settings.vm,
@@ -286,6 +291,7 @@
             self._crash_monitor.run_writes,
             self._stream_versions.run,
             self._target_times.run,
+            self._stored_times.run,
             self._weight_rollout.run,
             self._cache_followers.run,
             self._store_cleaner.run,
@@ -672,6 +678,7 @@
             self._metrics.set_held_bytes(self._listener.state.byte_budget)
             self._metrics.held_for_ended.set(self._fleet.liveness.held_for_ended_count)
             self._metrics.set_lease_takeovers(self._order_lease.takeovers)
+            self._metrics.service_times_writes.set(self._stored_times.writes)
 
     def _update_operator_requests(self) -> None:
         """Update evacuations and cold servers, which end with time."""
--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -18,6 +18,7 @@
     order_lease,
     peers,
     servers,
+    stored_service_times,
     stream_version_exchange,
     target_marks,
     target_times,
@@ -330,8 +331,8 @@
 class MemberRowConsumer:
     """Applies the rows that gateways write.
 
-    These are their addresses, the order lease, crash findings, software versions and
-    the times of target versions.
+    These are their addresses, the order lease, crash findings, software versions, the
+    times of target versions and service times.
     """
 
     def __init__(
@@ -341,12 +342,14 @@
         monitor: crash_monitor.CrashMonitor | None = None,
         version_exchange: stream_version_exchange.StreamVersionExchange | None = None,
         times: target_times.TargetTimes | None = None,
+        stored_times: stored_service_times.StoredServiceTimes | None = None,
     ) -> None:
         self._peers = peer_directory
         self._lease = lease
         self._crash_monitor = monitor
         self._version_exchange = version_exchange
         self._target_times = times
+        self._stored_times = stored_times
         self._row_by_key: dict[str, store_rows.Row] = {}
         self._member_by_key: dict[str, tuple[ids.VmName, str]] = {}
         self._full_era = store_rows.FIRST_ERA
@@ -370,6 +373,8 @@
             self._version_exchange.handle_full_read(snapshot.rows)
         if self._target_times is not None:
             self._target_times.handle_full_read(snapshot.position.era)
+        if self._stored_times is not None:
+            self._stored_times.handle_full_read(snapshot.position.era)
         self.apply_changes(snapshot.rows)
 
     def apply_changes(
@@ -391,6 +396,8 @@
             self._version_exchange.apply_rows(rows)
         if self._target_times is not None:
             self._target_times.apply_rows(rows)
+        if self._stored_times is not None:
+            self._stored_times.apply_rows(rows)
         return rows
 
     def _apply_member(self, row: store_rows.Row) -> None:
--- a/quincecrank/gateway/service_times.py
+++ b/quincecrank/gateway/service_times.py
@@ -214,27 +214,29 @@
 
 
 class ServiceTimes:
-    """The times of all services, own and published by peers.
+    """The times of all services: own, published by peers, and stored.
 
-    A gateway that has just started uses the times of its peers.
+    A gateway that has just started uses the times of its peers, or stored ones.
     """
 
     def __init__(self) -> None:
         self._estimator_by_service: dict[str, TimesEstimator] = {}
         self._peer_times_by_service: dict[str, Times] = {}
+        self._stored_times_by_service: dict[str, Times] = {}
 
     def times_of(self, service: str) -> Times:
         """Return the times of a service.
 
         This gateway's own if they rest on `MIN_OWN_ANSWERS`; else those of a peer if
-        one has published any; else the own ones, or the prior.
+        one has published any; else the stored ones; else the own ones, or the prior.
         """
         estimator = self._estimator_by_service.get(service)
         own = estimator.times if estimator is not None else PRIOR
         if own.answers >= MIN_OWN_ANSWERS:
             return own
-        peer_times = self._peer_times_by_service.get(service)
-        return own if peer_times is None else peer_times
+        return self._peer_times_by_service.get(
+            service, self._stored_times_by_service.get(service, own)
+        )
 
     def observe(self, service: str, work: Work, observed_ms: float) -> None:
         """Add the time to the first event of one answer."""
@@ -251,6 +253,15 @@
         if peer_times.answers >= MIN_OWN_ANSWERS:
             self._peer_times_by_service[service] = peer_times
 
+    def apply_stored_times(self, service: str, stored_times: Times) -> None:
+        """Record the times that the store has, of any age."""
+        if stored_times.answers >= MIN_OWN_ANSWERS:
+            self._stored_times_by_service[service] = stored_times
+
+    def to_store(self) -> dict[str, Times]:
+        """Return the times that gateways have learned, own ones before peers'."""
+        return {**self._peer_times_by_service, **self.to_publish()}
+
     def to_publish(self) -> dict[str, Times]:
         """Return this gateway's times that rest on `MIN_OWN_ANSWERS` or more."""
         return {
@@ -261,7 +272,11 @@
 
     def retain(self, services: Sequence[str]) -> None:
         """Remove all services but those of the configuration."""
-        for by_service in (self._estimator_by_service, self._peer_times_by_service):
+        for by_service in (
+            self._estimator_by_service,
+            self._peer_times_by_service,
+            self._stored_times_by_service,
+        ):
             for service in set(by_service) - set(services):
                 del by_service[service]
 
--- a/tests/run_mutations.py
+++ b/tests/run_mutations.py
@@ -139,6 +139,11 @@
         "tests.test_lease_handover.FaultsTest"
         ".test_two_holders_ordered_one_engine_within_the_required_time",
     ),
+    (
+        "ignore-stored-times",
+        "tests.test_stored_service_times.StoredServiceTimesTest"
+        ".test_gateways_knew_no_service_times_after_the_loss_of_all",
+    ),
 )
 
 
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -53,6 +53,7 @@
     forwarding,
     order_lease,
     servers,
+    service_times,
     shutdown_schedule,
     weights,
 )
@@ -612,6 +613,15 @@
     _replace(order_lease.OrderLease, "blocked_ms", lambda _lease, _server_id: 0)
 
 
+def ignore_stored_times() -> None:
+    """Make gateways ignore the service times in the store."""
+    _replace(
+        service_times.ServiceTimes,
+        "apply_stored_times",
+        lambda _times, _service, _stored_times: None,
+    )
+
+
 MUTATIONS_BY_NAME: Final[dict[str, Callable[[], None]]] = {
     "claim-what-is-taken": claim_what_is_taken,
     "say-not-run": say_not_run,
@@ -655,6 +665,7 @@
     "accept-malformed-configurations": accept_malformed_configurations,
     "reject-added-routes": reject_added_routes,
     "order-engines-handed-over": order_engines_handed_over,
+    "ignore-stored-times": ignore_stored_times,
 }
 
 
