Load the target version that is newest when the order is given

Engines load a version once where two are named within the time for which they finish requests; before, they loaded the older one and then the newer.

The version of a loading was fixed at its announcement, up to 1.5 s before the order.

--- a/quincecrank/gateway/weight_rollout.py
+++ b/quincecrank/gateway/weight_rollout.py
@@ -267,6 +267,7 @@
         is_loaded = False
         try:
             running_requests = await self._drain(outdated)
+            outdated = self._with_newest_version(outdated)
             if await self._order(outdated, running_requests):
                 is_loaded = await self._await_weights(outdated)
         except (engines.EngineCallError, store_rows.StoreUnavailableError) as error:
@@ -280,6 +281,19 @@
             if not is_loaded:
                 self._failed_loads_by_incarnation[server.incarnation] += 1
 
+    def _with_newest_version(self, outdated: OutdatedEngine) -> OutdatedEngine:
+        """Return the engine with the target version as of now, and announce it.
+
+        A newer one may have been set while the engine finished its requests.  Loading
+        the older one first would take twice as long.
+        """
+        newest = self._fleet.target_versions.target_version(outdated.model)
+        if newest is None or newest <= outdated.version:
+            return outdated
+        outdated = dataclasses.replace(outdated, version=newest)
+        self._announce(outdated, is_loaded=False)
+        return outdated
+
     async def _drain(self, outdated: OutdatedEngine) -> engines.RunningRequests:
         """Let an engine finish requests; return how it is to treat the others.
 
--- a/tests/test_weight_rollout.py
+++ b/tests/test_weight_rollout.py
@@ -28,6 +28,7 @@
         clock = clocks.SystemClock()
         self.fleet = fleet_state.FleetState(builders.make_environment(), clock)
         self.orders: list[str] = []
+        self.versions: list[int] = []
         calls = mock.Mock()
         calls.report = mock.AsyncMock(return_value=engines.EngineReport(False, 0, {}))
         calls.order_weights = self.refuse
@@ -41,6 +42,7 @@
     async def refuse(self, order: engines.WeightOrder) -> engines.OrderAnswer:
         """Record and refuse an order."""
         self.orders.append(order.server.server_id)
+        self.versions.append(order.version)
         return engines.OrderAnswer.CONFLICT
 
     async def first_orders(self, count: int) -> list[str]:
@@ -75,6 +77,21 @@
             )
         self.assertIn("i-3", await self.first_orders(2))
 
+    async def test_engines_loaded_a_version_that_was_already_outdated(self) -> None:
+        """A newer one was set while they finished their requests."""
+        self.add_engine("i-1", 1)
+        self.fleet.target_versions.record_target(builders.MODEL, 2, 0)
+        with mock.patch.object(weight_rollout, "ANNOUNCEMENT_LEAD_MS", 50):
+            asyncio.get_running_loop().call_later(
+                0.02,
+                self.fleet.target_versions.record_target,
+                builders.MODEL,
+                3,
+                20,
+            )
+            await self.first_orders(1)
+        self.assertEqual(self.versions, [3])
+
 
 class LateOrderTest(unittest.IsolatedAsyncioTestCase):
     async def test_an_order_was_sent_after_the_end_of_its_lease(self) -> None:
