--- a/tests/builders_rollout.py
+++ b/tests/builders_rollout.py
@@ -304,6 +304,14 @@
             for gateway in self.gateways:
                 gateway.state.registry.update(self._entry(name, 1))
 
+    def keep_busy(self) -> None:
+        """Let each engine compute prompts of each gateway without an end."""
+        for gateway in self.gateways:
+            for name in self.engines.version_by_server:
+                gateway.state.loads.record_start(
+                    servers.ServerId(name), ids.RequestId(name), 100, 3_000
+                )
+
     def start(self) -> None:
         """Start the background tasks of all gateways."""
         for gateway in self.gateways:
--- a/tests/test_lease_handover.py
+++ b/tests/test_lease_handover.py
@@ -105,11 +105,12 @@
 class CutOffHolderTest(unittest.TestCase):
     """Two target versions 4 s apart; the holder is cut off 0.5 s after the first."""
 
-    def setUp(self) -> None:
-        self.last_v2_ms = 0
-
-    async def roll_out(self, *, is_restored: bool = False) -> rollouts.RolloutFleet:
+    async def roll_out(
+        self, *, is_busy: bool = False, is_restored: bool = False
+    ) -> rollouts.RolloutFleet:
         fleet = rollouts.RolloutFleet(10, 27)
+        if is_busy:
+            fleet.keep_busy()
         fleet.start()
         await asyncio.sleep(1)
         fleet.set_target(2)
@@ -147,6 +148,15 @@
         self.assertLessEqual(fleet.engines.max_loading, 16)
         self.assertFalse(rollouts.orders_too_close(fleet.engines.orders, REQUIRED_MS))
 
+    def test_busy_engines_loaded_all_just_before_the_deadline(self) -> None:
+        """Announced engines computed prompts until the lease had ended."""
+        fleet = run(self.roll_out(is_busy=True))
+        times_ms = [order.at_ms for order in fleet.engines.orders]
+        self.assertLess(times_ms[0], 1_000 + 3_000)
+        self.assertEqual(set(fleet.engines.version_by_server.values()), {3})
+        self.assertLess(times_ms[-1], 1_000 + 0.8 * 12_000)
+        self.assertFalse(rollouts.orders_too_close(fleet.engines.orders, REQUIRED_MS))
+
     def test_a_holder_gave_orders_after_it_had_handed_over(self) -> None:
         fleet = run(self.roll_out(is_restored=True))
         self.assertFalse(rollouts.orders_too_close(fleet.engines.orders, REQUIRED_MS))
