--- a/quincecrank/gateway/environment.py
+++ b/quincecrank/gateway/environment.py
@@ -117,6 +117,8 @@
         Whether gateways admit requests by figures that they share.
     spreads_load : bool
         Whether gateways spread requests over engines with near-equal estimates.
+    hands_over : bool
+        Whether gateways hand over the order lease, and store service times for others.
     """
 
     vm: ids.VmName
@@ -136,3 +138,4 @@
     )
     shares_admission: bool = False
     spreads_load: bool = False
+    hands_over: bool = False
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -48,6 +48,7 @@
     store_cleaner,
     store_clock,
     store_restores,
+    stored_service_times,
     stream_version_exchange,
     tables,
     target_marks,
@@ -191,12 +192,16 @@
             clock,
             self._target_marks,
         )
+        self._stored_times = stored_service_times.StoredServiceTimes(
+            self._fleet.service_times, self._peers, self._store, clock
+        )
         self._members = row_consumers.MemberRowConsumer(
             self._peers,
             self._order_lease,
             self._crash_monitor,
             self._stream_versions,
             self._target_times,
+            self._stored_times if own_settings.hands_over else None,
         )
         self._registration = member_registration.Registration(
             own_settings.vm,
@@ -232,6 +237,7 @@
             self._peers,
             self._reporter.send,
             clock,
+            lambda: self._dispatcher.waiting_requests,
         )
         self._is_leaving = False
         self._signal: shutdown_schedule.SignalTime | None = None
@@ -293,6 +299,8 @@
             self._run_repeats,
             self._run_maintenance,
         ]
+        if own_settings.hands_over:
+            runs.append(self._stored_times.run)
         for follower in self._followers_by_table.values():
             runs += [follower.run, follower.run_from_peers]
         for run in runs:
@@ -576,6 +584,9 @@
             if currency.known_ms is None
             else self._clock.now_ms() - currency.known_ms,
             is_late=self._loop_monitor.is_late,
+            handover=self._order_lease.handover()
+            if self._fleet.own_settings.hands_over
+            else None,
         )
         report = self._crash_monitor.complete_report(report)
         report = self._stream_versions.complete_report(report)
@@ -608,6 +619,8 @@
             self._fleet.service_times.apply_peer_times(service, times)
         for update in report.weight_updates:
             self._fleet.apply_weight_update(update)
+        if report.handover is not None and self._fleet.own_settings.hands_over:
+            self._order_lease.apply_handover(report.handover, report.vm)
         self._permits.apply_report(report)
 
     def _times_to_publish(self) -> Mapping[str, service_times.Times]:
@@ -672,6 +685,8 @@
                 chunk_reader.waiting_bodies, chunk_reader.budget.rejections
             )
             self._metrics.held_for_ended.set(self._fleet.liveness.held_for_ended_count)
+            self._metrics.set_lease_takeovers(self._order_lease.takeovers)
+            self._metrics.service_times_writes.set(self._stored_times.writes)
 
     def _update_operator_requests(self) -> None:
         """Update evacuations and cold servers, which end with time."""
--- a/quincecrank/gateway/weight_rollout.py
+++ b/quincecrank/gateway/weight_rollout.py
@@ -2,11 +2,11 @@
 
 Load pattern: a new target version is set under full load.  An engine that loads
 weights can't take its part of the requests, and more than a few concurrent loadings
-slow each other down, so only `max_concurrent_loadings` engines of a service load at
-once.  But answers of outdated weights soon lose value, so the next loading starts as
-soon as one has finished.  Any gateway can do this; the one that holds the order lease
-does.  Engines that did not load the weights when ordered are tried again after all
-others, so that they don't occupy the places of engines that would load.
+slow each other down, so only some engines of a service load at once, as
+`loading_limits` decides.  But answers of outdated weights soon lose value, so the next
+loading starts as soon as one has finished.  Any gateway can do this; the one that holds
+the order lease does.  Engines that did not load the weights when ordered are tried
+again after all others, so that they don't occupy the places of engines that would load.
 
 Steps of one loading: announce it to the peers, drain the engine, order the loading,
 wait until the engine reports the weights, announce that.
@@ -24,20 +24,14 @@
     deployment,
     engine_weight_updates,
     fleet_state,
+    loading_limits,
     order_lease,
     peers,
     servers,
+    weights,
 )
 from quincecrank.platform import engines
 
-MIN_LOADING_LIMIT: Final = 2
-"""Concurrent loadings that do not slow each other down, according to the operators.  As
-many are allowed in a small service, as long as another of its engines serves."""
-
-LOADING_FRACTION: Final = 0.4
-"""Fraction of a service's engines that may load at once, if this is more than
-`MIN_LOADING_LIMIT`."""
-
 LOAD_TIMEOUT_MS: Final = 3_000
 """Time after which a loading that was ordered but not seen to end is ordered again."""
 
@@ -99,12 +93,6 @@
     )
 
 
-def max_concurrent_loadings(engine_count: int) -> int:
-    """Return how many of a service's engines may load weights at once."""
-    at_once = max(MIN_LOADING_LIMIT, int(engine_count * LOADING_FRACTION))
-    return max(1, min(at_once, engine_count - 1))
-
-
 class WeightRollout:
     """Orders the loadings while this gateway holds the lease.
 
@@ -118,6 +106,8 @@
         The live gateways; their ranks stagger their attempts at the lease.
     report_to_peers : callable
         Sends a report to the peers at once.
+    count_waiting : callable
+        Returns the number of requests that wait at this gateway.
     """
 
     def __init__(
@@ -128,7 +118,9 @@
         peer_directory: peers.PeerDirectory,
         report_to_peers: Callable[[], None],
         clock: clocks.Clock,
+        count_waiting: Callable[[], int] = lambda: 0,
     ) -> None:
+        self._count_waiting = count_waiting
         self._fleet = fleet
         self._calls = calls
         self._lease = lease
@@ -168,9 +160,10 @@
         if self._outdated_since_ms is None:
             self._outdated_since_ms = now_ms
         waited_ms = now_ms - self._outdated_since_ms
-        if not self._lease.is_held and waited_ms < self._rank() * RANK_DELAY_MS:
+        rank = 0 if self._lease.is_held else self._rank()
+        if waited_ms < rank * RANK_DELAY_MS:
             return
-        if not await self._lease.acquire_or_renew():
+        if not await self._lease.acquire_or_renew(rank):
             return
         for each in self._due(outdated):
             self._loading[each.server.server_id] = each
@@ -187,42 +180,99 @@
         """Return the engines whose loading starts now.
 
         Those with the fewest failed loadings come first, then those whose weights have
-        been outdated for longest, then the least busy.
-        Not more than `max_concurrent_loadings` of a service load at once.
+        been outdated for longest, then those that are announced to load, as their
+        requests have ended, then the least busy.  Engines that an earlier holder
+        ordered lately are left out, but those that it announced count as loading.
         """
         now_ms = self._clock.now_ms()
         not_loading = [
-            each for each in outdated if each.server.server_id not in self._loading
+            each
+            for each in outdated
+            if each.server.server_id not in self._loading
+            and self._lease.blocked_ms(each.server.server_id) <= ANNOUNCEMENT_LEAD_MS
+        ]
+        limit_by_service = {
+            service: self._loading_limit(service, outdated)
+            for service in {each.server.service for each in not_loading}
+        }
+        announced = [
+            each
+            for each in outdated
+            if each.server.server_id not in self._loading
+            and not self._failed_loads_by_incarnation[each.server.incarnation]
+            and self._fleet.weight_updates.is_loading(each.server, now_ms)
         ]
         due: list[OutdatedEngine] = []
         for each in sorted(not_loading, key=lambda one: self._rank_of(one, now_ms)):
             service = each.server.service
-            engine_count = len(self._fleet.registry.ready_entries(service))
-            loading = [*self._loading.values(), *due]
-            loading_count = sum(one.server.service == service for one in loading)
-            if loading_count < max_concurrent_loadings(engine_count):
+            loading = {one.server.server_id: one for one in (*announced, *due)}
+            loading.update(self._loading)
+            loading.pop(each.server.server_id, None)
+            loading_count = sum(
+                one.server.service == service for one in loading.values()
+            )
+            if loading_count < limit_by_service[service]:
                 due.append(each)
         return tuple(due)
 
+    def _loading_limit(
+        self, service: deployment.ServiceName, outdated: tuple[OutdatedEngine, ...]
+    ) -> int:
+        now_ms = self._clock.now_ms()
+        ready = self._fleet.registry.ready_entries(service)
+        if not self._fleet.own_settings.shares_admission:
+            return loading_limits.fixed_limit(len(ready))
+        since_ms = [
+            self._fleet.target_versions.outdated_since_ms(
+                each.model, each.server.weight_versions_by_model[each.model]
+            )
+            for each in outdated
+            if each.server.service == service
+        ]
+        served_ms = (
+            self._fleet.own_settings.bounds.weights_deadline_ms
+            * weights.OUTDATED_CUTOFF_FRACTION
+        )
+        left_ms = [each + served_ms - now_ms for each in since_ms if each is not None]
+        room = loading_limits.Room(
+            engines=len(ready),
+            slots=min((each.slots for each in ready), default=0),
+            running=sum(
+                self._fleet.loads.total_load(each.server_id, now_ms).requests
+                for each in ready
+            ),
+            waiting=self._count_waiting(),
+            outdated=len(since_ms),
+            left_ms=min(left_ms, default=served_ms),
+        )
+        return loading_limits.max_concurrent_loadings(room)
+
     def _rank_of(
         self, each: OutdatedEngine, now_ms: int
-    ) -> tuple[int, int | None, int]:
+    ) -> tuple[int, int | None, bool, int]:
         server = each.server
         return (
             self._failed_loads_by_incarnation[server.incarnation],
             self._fleet.target_versions.outdated_since_ms(
                 each.model, server.weight_versions_by_model[each.model]
             ),
+            not self._fleet.weight_updates.is_loading(server, now_ms),
             self._fleet.loads.total_load(server.server_id, now_ms).requests,
         )
 
     async def _load(self, outdated: OutdatedEngine) -> None:
         """Announce, drain, order and await one loading."""
         server = outdated.server
+        now_ms = self._clock.now_ms()
+        # An earlier holder may have announced it, so that it has no new requests.
+        since_ms = self._fleet.weight_updates.announced_ms(server, now_ms)
         self._announce(outdated, is_loaded=False)
         is_loaded = False
         try:
-            running_requests = await self._drain(outdated)
+            running_requests = await self._drain(
+                outdated, now_ms if since_ms is None else since_ms
+            )
+            outdated = self._with_newest_version(outdated)
             if await self._order(outdated, running_requests):
                 is_loaded = await self._await_weights(outdated)
         except (engines.EngineCallError, store_rows.StoreUnavailableError) as error:
@@ -236,13 +286,29 @@
             if not is_loaded:
                 self._failed_loads_by_incarnation[server.incarnation] += 1
 
-    async def _drain(self, outdated: OutdatedEngine) -> engines.RunningRequests:
+    def _with_newest_version(self, outdated: OutdatedEngine) -> OutdatedEngine:
+        """Return the engine with the target version as of now, and announce it.
+
+        A newer one may have been set while the engine finished its requests.  Loading
+        the older one first would take twice as long.
+        """
+        newest = self._fleet.target_versions.target_version(outdated.model)
+        if newest is None or newest <= outdated.version:
+            return outdated
+        outdated = dataclasses.replace(outdated, version=newest)
+        self._announce(outdated, is_loaded=False)
+        return outdated
+
+    async def _drain(
+        self, outdated: OutdatedEngine, started_ms: int
+    ) -> engines.RunningRequests:
         """Let an engine finish requests; return how it is to treat the others.
 
+        It gets no new ones since `started_ms`.
+
         They continue under the new weights only if all their prompts have been
         computed: the KV cache of a prompt must come from one version.
         """
-        started_ms = self._clock.now_ms()
         await self._clock.sleep(ANNOUNCEMENT_LEAD_MS)
         while True:
             now_ms = self._clock.now_ms()
@@ -283,9 +349,10 @@
             running_requests=running_requests,
             lease_left_ms=self._lease.left_ms,
         )
-        if not self._lease.is_valid:
+        if not self._lease.is_valid or self._lease.blocked_ms(server.server_id):
             return False
-        answer = await self._calls.order_weights(order)
+        with self._lease.ordering(server.server_id):
+            answer = await self._calls.order_weights(order)
         _LOG.info(
             "weights ordered",
             server=server.server_id,
--- a/quincecrank/platform/settings.py
+++ b/quincecrank/platform/settings.py
@@ -13,8 +13,9 @@
 """Time within which a configuration must be in force where the settings name none."""
 
 SHARED_ADMISSION_CONTRACT: Final = "pressure"
-EVEN_PLACEMENT_CONTRACT: Final = "pool"
-"""Parts of the operator's terms that ask for shared admission and even placement."""
+POOL_CONTRACT: Final = "pool"
+"""Parts of the operator's terms.  The first asks for shared admission, the second for
+even placement, and for state that gateways keep for each other."""
 
 
 _Number = TypeVar("_Number", int, float)
@@ -82,7 +83,8 @@
             for data_centre, region in (document.get("zones") or {}).items()
         },
         shares_admission=SHARED_ADMISSION_CONTRACT in contracts,
-        spreads_load=EVEN_PLACEMENT_CONTRACT in contracts,
+        spreads_load=POOL_CONTRACT in contracts,
+        hands_over=POOL_CONTRACT in contracts,
     )
 
 
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -53,7 +53,9 @@
     followers,
     forwarding,
     head_budget,
+    order_lease,
     servers,
+    service_times,
     shutdown_schedule,
     weights,
 )
@@ -618,6 +620,20 @@
     _replace(forwarder, "_draw_service", mutated)
 
 
+def order_engines_handed_over() -> None:
+    """Make gateways order engines that an earlier holder has just ordered."""
+    _replace(order_lease.OrderLease, "blocked_ms", lambda _lease, _server_id: 0)
+
+
+def ignore_stored_times() -> None:
+    """Make gateways ignore the service times in the store."""
+    _replace(
+        service_times.ServiceTimes,
+        "apply_stored_times",
+        lambda _times, _service, _stored_times: None,
+    )
+
+
 MUTATIONS_BY_NAME: Final[dict[str, Callable[[], None]]] = {
     "claim-what-is-taken": claim_what_is_taken,
     "say-not-run": say_not_run,
@@ -662,6 +678,8 @@
     "return-to-older-versions": return_to_older_versions,
     "accept-malformed-configurations": accept_malformed_configurations,
     "reject-added-routes": reject_added_routes,
+    "order-engines-handed-over": order_engines_handed_over,
+    "ignore-stored-times": ignore_stored_times,
 }
 
 
