Limit a cold server from the first entry of its new start

A server that started again under its id got its usual share of requests although its entry said that it was cold: the state of the entry was recorded before everything known of the former start was discarded, and went with it. The former start goes first now.

--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -295,6 +295,8 @@
             return False
         before = self._fleet.registry.find(entry.server_id)
         entry = self._fleet.registry.update(entry)
+        if before is not None and before.started_wall_ms != entry.started_wall_ms:
+            self._fleet.remove_server(entry.server_id)
         became_cold = self._fleet.record_cold_entry(entry)
         is_significant = before is None or became_cold or _is_significant(before, entry)
         if is_significant:
@@ -308,8 +310,6 @@
                 software=entry.software_version,
                 started_wall_ms=entry.started_wall_ms,
             )
-        if before is not None and before.started_wall_ms != entry.started_wall_ms:
-            self._fleet.remove_server(entry.server_id)
         return is_significant
 
     def _remove(self, server_id: servers.ServerId) -> bool:
