Order the evidence of cold servers by reports only

A server that had reported to be warm was limited again by a peer's older state or by an entry that was read again; one that became cold anew within a report, by an answer or a second evacuation, was not limited. Peers' states older than the registered entry are ignored, as are entries that are read again. Of two presumed ends the later one applies, with a tolerance for the travel time of peers' reports, so that it can't be put off from gateway to gateway.

--- a/quincecrank/gateway/cold_servers.py
+++ b/quincecrank/gateway/cold_servers.py
@@ -17,6 +17,9 @@
     own report.
 report number
     Number of an entry among those of one incarnation; it orders the evidence.
+presumed
+    Known from other evidence than an entry: the end of an evacuation, or an answer.  It
+    is later than the entry of its report number.
 """
 
 import dataclasses
@@ -33,6 +36,10 @@
 """Time for which the end of a cold period is published to the peers, since datagrams
 get lost."""
 
+MAX_TRAVEL_MS: Final = 500
+"""Longest travel time of a peer's report.  A presumed end that is later by more belongs
+to a later cold period; smaller differences would add up from gateway to gateway."""
+
 SMOOTHING: Final = 0.15
 """Weight of a new answer in the slowness of a service's cold servers."""
 
@@ -99,15 +106,32 @@
         record = self._record_by_incarnation.get(incarnation)
         return 0 if record is None else max(0, record.until_ms - now_ms)
 
-    def record_entry(self, entry: servers.ServerEntry, now_ms: int) -> bool:
+    def record_entry(
+        self,
+        entry: servers.ServerEntry,
+        previous: servers.ServerEntry | None,
+        now_ms: int,
+    ) -> bool:
         """Record what an entry states; return whether a server became cold or warm.
 
         The entry may be some time old, so that the server may be warm sooner.
+
+        Parameters
+        ----------
+        previous : ServerEntry or None
+            Entry that it replaces.  One that is read again tells nothing: its time has
+            passed meanwhile.
         """
+        if (
+            previous is not None
+            and previous.incarnation == entry.incarnation
+            and entry.report_number <= previous.report_number
+        ):
+            return False
         state = ColdState(
             entry.incarnation, entry.report_number, False, entry.cold_remaining_ms
         )
-        return self.apply(state, now_ms)
+        return self._apply(state, now_ms)
 
     def presume_cold(
         self, entry: servers.ServerEntry, cold_ms: int, now_ms: int
@@ -117,7 +141,7 @@
         A later report replaces this.  Returns whether the server became cold.
         """
         state = ColdState(entry.incarnation, entry.report_number, True, cold_ms)
-        return self.apply(state, now_ms)
+        return self._apply(state, now_ms)
 
     def record_answer(
         self, entry: servers.ServerEntry, cold_ms: int, now_ms: int
@@ -127,23 +151,42 @@
             return False
         return self.presume_cold(entry, cold_ms, now_ms)
 
-    def apply(self, state: ColdState, now_ms: int) -> bool:
-        """Apply a state of an entry or a peer; return whether cold or warm changed.
+    def apply_peer(
+        self, state: ColdState, entry: servers.ServerEntry | None, now_ms: int
+    ) -> bool:
+        """Apply a peer's state; return whether the server became cold or warm.
 
-        Evidence of a lower rank is ignored.  Of two states of one rank the one that
-        ends sooner applies: it has travelled for less time.
+        Ignored without an entry of the incarnation, and if the entry is of a later
+        report.
         """
-        remaining_ms = min(state.remaining_ms, MAX_COLD_MS)
-        until_ms = now_ms + remaining_ms
+        if (
+            entry is None
+            or entry.incarnation != state.incarnation
+            or entry.report_number > state.report_number
+        ):
+            return False
+        return self._apply(state, now_ms, MAX_TRAVEL_MS)
+
+    def _apply(self, state: ColdState, now_ms: int, tolerance_ms: int = 0) -> bool:
+        """Apply a state; return whether the server became cold or warm.
+
+        Evidence of a lower rank is ignored.  Of two states of one entry the one that
+        ends sooner applies: it has travelled for less time.  Of two presumed ones the
+        later end applies, as the server may have become cold anew.
+        """
+        until_ms = now_ms + min(state.remaining_ms, MAX_COLD_MS)
         known = self._record_by_incarnation.get(state.incarnation)
         was_cold = self.is_cold(state.incarnation, now_ms)
         if known is None:
-            if not remaining_ms:
+            if until_ms <= now_ms:
                 return False
         elif state.rank < known.rank:
             return False
         elif state.rank == known.rank:
-            until_ms = min(until_ms, known.until_ms)
+            if not state.is_presumed:
+                until_ms = min(until_ms, known.until_ms)
+            elif until_ms <= max(now_ms, known.until_ms + tolerance_ms):
+                return False
         self._record_by_incarnation[state.incarnation] = _Record(
             state.report_number, state.is_presumed, until_ms
         )
--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -203,10 +203,12 @@
                 )
         self.update_cold_limits()
 
-    def record_cold_entry(self, entry: servers.ServerEntry) -> bool:
+    def record_cold_entry(
+        self, entry: servers.ServerEntry, previous: servers.ServerEntry | None
+    ) -> bool:
         """Record what an entry states; return whether its server became cold."""
         now_ms = self.clock.now_ms()
-        if not self.cold_servers.record_entry(entry, now_ms):
+        if not self.cold_servers.record_entry(entry, previous, now_ms):
             return False
         self.update_cold_limits()
         is_cold = self.cold_servers.is_cold(entry.incarnation, now_ms)
@@ -217,17 +219,17 @@
         self, server: servers.ServerEntry, cold_ms: int | None
     ) -> None:
         """Record for how long a server stays cold; None if its answer says nothing."""
-        if cold_ms is None or not self._is_registered(server.incarnation):
+        entry = self.registry.find(server.server_id)
+        if cold_ms is None or entry is None or entry.incarnation != server.incarnation:
             return
-        if self.cold_servers.record_answer(server, cold_ms, self.clock.now_ms()):
+        if self.cold_servers.record_answer(entry, cold_ms, self.clock.now_ms()):
             self.update_cold_limits()
             self._log_cold(server.incarnation, "answer")
 
     def apply_cold_state(self, state: cold_servers.ColdState) -> None:
-        """Apply what a peer knows of a server; ignored for another incarnation."""
-        if not self._is_registered(state.incarnation):
-            return
-        if self.cold_servers.apply(state, self.clock.now_ms()):
+        """Apply what a peer knows of a server."""
+        entry = self.registry.find(state.incarnation.server_id)
+        if self.cold_servers.apply_peer(state, entry, self.clock.now_ms()):
             self.update_cold_limits()
             self._log_cold(state.incarnation, "peer")
 
--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -297,7 +297,7 @@
         entry = self._fleet.registry.update(entry)
         if before is not None and before.started_wall_ms != entry.started_wall_ms:
             self._fleet.remove_server(entry.server_id)
-        became_cold = self._fleet.record_cold_entry(entry)
+        became_cold = self._fleet.record_cold_entry(entry, before)
         is_significant = before is None or became_cold or _is_significant(before, entry)
         if is_significant:
             _LOG.info(
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -1,16 +1,22 @@
 """Tests of cold servers: which are cold, and what gateways send them together."""
 
 import dataclasses
+import itertools
 import json
 import unittest
+from collections.abc import Callable
 from typing import Any
 
 from quincecrank import clock as clocks
 from quincecrank import store_rows
-from quincecrank.gateway import fleet_state, row_consumers, servers
+from quincecrank.gateway import cold_servers, fleet_state, row_consumers, servers
 from quincecrank.platform import documents
 from tests import builders_gateway as builders
 
+Evidence = Callable[[cold_servers.ColdServers, int, int], int]
+"""Step that applies evidence, given the report that is known and the time; it returns
+the report that is known then."""
+
 COLD_START_MS = 10_000
 COLD_PER_S = 15.0
 
@@ -59,8 +65,123 @@
         assert entry is not None
         return self.fleet.rate_limits.limit_of(entry.incarnation)
 
+    def is_cold(self) -> bool:
+        """Return whether the server i-1 counts as cold."""
+        entry = self.fleet.registry.entries()[0]
+        return self.fleet.cold_servers.is_cold(entry.incarnation, self.clock.now_ms())
+
     def test_a_server_that_starts_again_is_limited_from_its_first_entry(self) -> None:
         """The entry of a new start was recorded, then discarded with the old start."""
         self.apply(seq=90, born=1)
         self.apply(seq=1, born=2, coldRemainingMs=COLD_START_MS)
         self.assertEqual(self.limit(), COLD_PER_S)
+
+    def test_an_entry_that_is_read_again_starts_no_cold_period(self) -> None:
+        """A full read after an outage repeated an entry whose time had passed."""
+        self.apply(seq=4, coldRemainingMs=2_000)
+        self.clock.advance(2_000 + cold_servers.PUBLISH_ENDED_MS)
+        self.fleet.cold_servers.remove_ended(self.clock.now_ms())
+        self.apply(seq=4, coldRemainingMs=2_000)
+        self.assertFalse(self.is_cold())
+
+    def test_an_answer_shows_that_a_server_is_cold_anew(self) -> None:
+        """A second cold period within one report was taken for the first one."""
+        self.apply(seq=4, coldRemainingMs=0)
+        entry = self.fleet.registry.entries()[0]
+        self.fleet.record_cold_answer(entry, 1_000)
+        self.clock.advance(1_500)
+        self.assertFalse(self.is_cold())
+        self.fleet.record_cold_answer(entry, 5_000)
+        self.clock.advance(4_000)
+        self.assertTrue(self.is_cold())
+
+
+def peer_state(report: int, remaining_ms: int, *, presumed: bool = False) -> Evidence:
+    """Return the step that applies a peer's state."""
+    entry = make_entry(0)
+
+    def apply(cold: cold_servers.ColdServers, known: int, now_ms: int) -> int:
+        state = cold_servers.ColdState(
+            entry.incarnation, report, presumed, remaining_ms
+        )
+        cold.apply_peer(state, make_entry(known), now_ms)
+        return known
+
+    return apply
+
+
+def own_entry(report: int, remaining_ms: int) -> Evidence:
+    """Return the step that applies an entry; late ones are not applied."""
+
+    def apply(cold: cold_servers.ColdServers, known: int, now_ms: int) -> int:
+        if report >= known:
+            entry = make_entry(report, remaining_ms)
+            cold.record_entry(entry, make_entry(known), now_ms)
+        return max(known, report)
+
+    return apply
+
+
+def make_entry(report: int, remaining_ms: int = 0) -> servers.ServerEntry:
+    """Return the entry of a report."""
+    return dataclasses.replace(
+        builders.make_entry(), report_number=report, cold_remaining_ms=remaining_ms
+    )
+
+
+class EvidenceOrderTest(unittest.TestCase):
+    """Entries and peers' states in any order, some of them twice."""
+
+    def cold_at_end(self, steps: tuple[Evidence, ...]) -> bool:
+        """Apply evidence 20 ms apart; return whether the server is cold."""
+        cold, known = cold_servers.ColdServers(), 0
+        for number, step in enumerate(steps):
+            known = step(cold, known, 1_000 + 20 * number)
+        return cold.is_cold(make_entry(0).incarnation, 1_200)
+
+    def test_the_last_report_decides_whatever_the_order(self) -> None:
+        """A peer's older state made a server cold that had reported to be warm."""
+        cases = {
+            "cold, warm": ((own_entry(3, 9_000), own_entry(4, 0)), False),
+            "warm, cold": ((own_entry(3, 0), own_entry(4, 9_000)), True),
+            "presumed later": (
+                (own_entry(4, 0), peer_state(4, 9_000, presumed=True)),
+                True,
+            ),
+            "presumed earlier": (
+                (own_entry(4, 0), peer_state(3, 9_000, presumed=True)),
+                False,
+            ),
+            "presumed, then again": (
+                (
+                    peer_state(4, 10, presumed=True),
+                    peer_state(4, 9_000, presumed=True),
+                    own_entry(4, 0),
+                ),
+                True,
+            ),
+            "peer's entries": (
+                (peer_state(3, 9_000), peer_state(4, 0), own_entry(4, 0)),
+                False,
+            ),
+        }
+        for name, (evidence, expected) in cases.items():
+            for steps in itertools.permutations((*evidence, evidence[0])):
+                with self.subTest(name, steps=steps):
+                    self.assertIs(self.cold_at_end(steps), expected)
+
+    def test_a_presumed_end_does_not_move_from_gateway_to_gateway(self) -> None:
+        """Each report would add its travel time, so that the period never ended."""
+        entry = make_entry(1)
+        known = [cold_servers.ColdServers() for _ in range(2)]
+        known[0].presume_cold(entry, 3_000, 0)
+        for now_ms in range(0, 3_000 + cold_servers.PUBLISH_ENDED_MS, 100):
+            sender = known[now_ms // 100 % 2]
+            receiver = known[1 - now_ms // 100 % 2]
+            for state in sender.states(now_ms):
+                receiver.apply_peer(state, entry, now_ms + 90)
+            if now_ms >= 3_200:
+                is_cold = [each.is_cold(entry.incarnation, now_ms) for each in known]
+                self.assertEqual(is_cold, [False, False])
+        removed = known[0].remove_ended(3_000 + cold_servers.PUBLISH_ENDED_MS)
+        self.assertEqual(removed, (entry.incarnation,))
