Limit cold servers by the settings, in any order of reading, and log both ends

Without a bound for cold servers in the settings, or a rate in the configuration, cold servers were set apart in placement all the same; entries that were read before the configuration limited nothing until the next maintenance; and there was no log line when the end of an evacuation made a server count as cold or when its time was over. Whether a server counts as cold now follows from the limits in force, whose changes are logged.

--- a/quincecrank/gateway/cold_servers.py
+++ b/quincecrank/gateway/cold_servers.py
@@ -91,11 +91,6 @@
         self._record_by_incarnation: dict[servers.Incarnation, _Record] = {}
         self._slowness_by_service: dict[str, float] = {}
 
-    @property
-    def is_any_known(self) -> bool:
-        """Whether any server is cold or was so lately."""
-        return bool(self._record_by_incarnation)
-
     def is_cold(self, incarnation: servers.Incarnation, now_ms: int) -> bool:
         """Return whether a server is cold."""
         record = self._record_by_incarnation.get(incarnation)
--- a/quincecrank/gateway/engine_placement.py
+++ b/quincecrank/gateway/engine_placement.py
@@ -103,11 +103,7 @@
             )
             for each in evaluated
         }
-        cold = {
-            each.server_id
-            for each in evaluated
-            if self._fleet.cold_servers.is_cold(each.incarnation, now_ms)
-        }
+        cold = {each.server_id for each in evaluated if self._fleet.is_cold(each)}
         cold_slowness = self._fleet.cold_servers.slowness(request.service.name)
         candidates = [
             placement.Candidate(
--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -107,6 +107,7 @@
         self.answer_times = answer_times.AnswerTimes()
         self.rate_limits = rate_limits.RateLimits()
         self.cold_servers = cold_servers.ColdServers()
+        self._cold_limits: dict[servers.Incarnation, float] = {}
         self.evacuations = evacuations.Evacuations()
         self.send_permits = send_permits.SendPermits(
             own_settings.vm, self.rate_limits, random.Random()
@@ -148,6 +149,7 @@
         self.currency.record_in_force(update.version, self.clock.now_ms(), known_ms)
         self.service_times.retain(tuple(update.services_by_name))
         self.cold_servers.retain(tuple(update.services_by_name))
+        self.update_cold_limits("configuration")
         self.answer_times.retain(
             {
                 route.name
@@ -192,8 +194,14 @@
             self.presume_cold(data_centre)
         return is_changed
 
+    @property
+    def _limits_cold_servers(self) -> bool:
+        return self.own_settings.bounds.cold_overshoot is not None
+
     def presume_cold(self, data_centre: ids.DataCentre) -> None:
         """Record that the servers of a data centre may have become cold."""
+        if not self._limits_cold_servers:
+            return
         current = self.configuration
         for entry in self.registry.entries():
             service = current and current.services_by_name.get(entry.service)
@@ -201,58 +209,71 @@
                 self.cold_servers.presume_cold(
                     entry, service.cold_start_ms, self.clock.now_ms()
                 )
-        self.update_cold_limits()
+        self.update_cold_limits("evacuation ended")
 
     def record_cold_entry(
         self, entry: servers.ServerEntry, previous: servers.ServerEntry | None
     ) -> bool:
         """Record what an entry states; return whether its server became cold."""
-        now_ms = self.clock.now_ms()
-        if not self.cold_servers.record_entry(entry, previous, now_ms):
+        if not self._limits_cold_servers:
+            return False
+        if not self.cold_servers.record_entry(entry, previous, self.clock.now_ms()):
             return False
-        self.update_cold_limits()
-        is_cold = self.cold_servers.is_cold(entry.incarnation, now_ms)
-        self._log_cold(entry.incarnation, "entry")
-        return is_cold
+        self.update_cold_limits("entry")
+        return self.is_cold(entry)
 
     def record_cold_answer(
         self, server: servers.ServerEntry, cold_ms: int | None
     ) -> None:
         """Record for how long a server stays cold; None if its answer says nothing."""
+        if cold_ms is None or not self._limits_cold_servers:
+            return
         entry = self.registry.find(server.server_id)
-        if cold_ms is None or entry is None or entry.incarnation != server.incarnation:
+        if entry is None or entry.incarnation != server.incarnation:
             return
         if self.cold_servers.record_answer(entry, cold_ms, self.clock.now_ms()):
-            self.update_cold_limits()
-            self._log_cold(server.incarnation, "answer")
+            self.update_cold_limits("answer")
 
     def apply_cold_state(self, state: cold_servers.ColdState) -> None:
         """Apply what a peer knows of a server."""
+        if not self._limits_cold_servers:
+            return
         entry = self.registry.find(state.incarnation.server_id)
         if self.cold_servers.apply_peer(state, entry, self.clock.now_ms()):
-            self.update_cold_limits()
-            self._log_cold(state.incarnation, "peer")
+            self.update_cold_limits("peer")
 
-    def update_cold_limits(self) -> None:
-        """Put the rates of the servers in force that are cold now."""
-        if self.configuration is None:
-            return
-        per_second_by_incarnation = self.cold_servers.limits(
-            self.registry.find,
-            self.configuration.services_by_name,
-            self.clock.now_ms(),
-        )
-        if self.rate_limits.set_cold_limits(per_second_by_incarnation):
-            self.send_permits.apply_limit_change(self.clock.now_ms())
+    def is_cold(self, server: servers.ServerEntry) -> bool:
+        """Return whether a server is cold and its service limits cold servers."""
+        return server.incarnation in self._cold_limits
 
-    def _log_cold(self, incarnation: servers.Incarnation, origin: str) -> None:
-        remaining_ms = self.cold_servers.remaining_ms(incarnation, self.clock.now_ms())
-        _LOG.info(
-            "server is cold" if remaining_ms else "server is warm",
-            server=incarnation.server_id,
-            remaining_ms=remaining_ms,
-            origin=origin,
+    def update_cold_limits(self, origin: str) -> None:
+        """Put the rates of the servers in force that are cold now.
+
+        Parameters
+        ----------
+        origin : str
+            Evidence for what has changed, for the log.
+        """
+        if self.configuration is None or not self._limits_cold_servers:
+            return
+        now_ms = self.clock.now_ms()
+        limits = self.cold_servers.limits(
+            self.registry.find, self.configuration.services_by_name, now_ms
         )
+        if not self.rate_limits.set_cold_limits(limits):
+            return
+        self.send_permits.apply_limit_change(now_ms)
+        for incarnation in limits.keys() - self._cold_limits.keys():
+            _LOG.info(
+                "server is cold",
+                server=incarnation.server_id,
+                per_second=limits[incarnation],
+                remaining_ms=self.cold_servers.remaining_ms(incarnation, now_ms),
+                origin=origin,
+            )
+        for incarnation in self._cold_limits.keys() - limits.keys():
+            _LOG.info("server is warm", server=incarnation.server_id, origin=origin)
+        self._cold_limits = limits
 
     def record_answer_time(
         self,
@@ -266,7 +287,7 @@
         The times of cold servers are kept apart, as they distort those of warm ones.
         """
         health = self.health.health_of(server)
-        if self.cold_servers.is_cold(server.incarnation, self.clock.now_ms()):
+        if self.is_cold(server):
             health.record_success()
             self.cold_servers.record_answer_time(server.service, first_ms, expected_ms)
             return
@@ -285,6 +306,7 @@
         self.begin_delays.remove_server(server_id)
         self.rate_limits.remove_server(server_id)
         self.cold_servers.remove_server(server_id)
+        self.update_cold_limits("server gone")
         self.cache_index.remove(cache_part_index.HolderName(server_id))
 
     def mark_leaving(
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -677,17 +677,12 @@
         for data_centre in evacuations.end_missing(now_ms):
             _LOG.info("evacuation ended", data_centre=data_centre, origin="restore")
             self._fleet.presume_cold(data_centre)
-        cold = self._fleet.cold_servers
-        if cold.is_any_known:
-            cold.remove_ended(now_ms)
-            self._fleet.update_cold_limits()
-        entries = [
-            self._fleet.registry.find(state.incarnation.server_id)
-            for state in cold.states(now_ms)
-            if state.remaining_ms
-        ]
+        self._fleet.cold_servers.remove_ended(now_ms)
+        self._fleet.update_cold_limits("time")
         self._metrics.set_cold_servers(
-            entry.service for entry in entries if entry is not None
+            entry.service
+            for entry in self._fleet.registry.entries()
+            if self._fleet.is_cold(entry)
         )
         self._metrics.evacuated.set(len(evacuations.in_force))
 
--- a/quincecrank/gateway/rate_limits.py
+++ b/quincecrank/gateway/rate_limits.py
@@ -206,9 +206,6 @@
         for incarnation in tuple(self._record_by_incarnation):
             if incarnation.server_id == server_id:
                 del self._record_by_incarnation[incarnation]
-        for incarnation in tuple(self._cold_limit_by_incarnation):
-            if incarnation.server_id == server_id:
-                del self._cold_limit_by_incarnation[incarnation]
         self._update_is_any_limited()
 
     def _set(self, incarnation: servers.Incarnation, record: _Record) -> None:
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -7,9 +7,17 @@
 from collections.abc import Callable
 from typing import Any
 
+from structlog import testing
+
 from quincecrank import clock as clocks
 from quincecrank import store_rows
-from quincecrank.gateway import cold_servers, fleet_state, row_consumers, servers
+from quincecrank.gateway import (
+    cold_servers,
+    deployment,
+    fleet_state,
+    row_consumers,
+    servers,
+)
 from quincecrank.platform import documents
 from tests import builders_gateway as builders
 
@@ -22,22 +30,25 @@
 
 
 def make_fleet(
-    clock: clocks.ManualClock, *, overshoot: float | None = 1.5
+    clock: clocks.Clock, *, overshoot: float | None = 1.5
 ) -> fleet_state.FleetState:
-    """Return the state of a gateway whose services may have cold servers."""
+    """Return the state of a gateway without a configuration."""
     settings = dataclasses.replace(
         builders.make_environment(),
         bounds=builders.make_bounds(
             cold_overshoot=overshoot, evacuation_apply_ms=5_000
         ),
     )
-    fleet = fleet_state.FleetState(settings, clock)
+    return fleet_state.FleetState(settings, clock)
+
+
+def make_configuration(cold_per_s: float = COLD_PER_S) -> deployment.Deployment:
+    """Return a configuration whose services may have cold servers."""
     document = builders.make_configuration_document()
     for service in document["services"][1:]:
         service["coldStartS"] = COLD_START_MS / clocks.MS_PER_SECOND
-        service["coldPerS"] = COLD_PER_S
-    fleet.apply_configuration(documents.configuration(json.dumps(document)))
-    return fleet
+        service["coldPerS"] = cold_per_s
+    return documents.configuration(json.dumps(document))
 
 
 class ColdEntriesTest(unittest.TestCase):
@@ -46,7 +57,7 @@
     def setUp(self) -> None:
         self.clock = clocks.ManualClock(1_000)
         self.fleet = make_fleet(self.clock)
-        self.consumer = row_consumers.ServerRowConsumer(self.fleet)
+        self.fleet.apply_configuration(make_configuration())
         self.version = 0
 
     def apply(self, **changes: Any) -> bool:
@@ -57,7 +68,8 @@
             json.dumps(builders.make_entry_document(**changes)),
             store_rows.Position(0, self.version),
         )
-        return bool(self.consumer.apply_changes((row,)))
+        consumer = row_consumers.ServerRowConsumer(self.fleet)
+        return bool(consumer.apply_changes((row,)))
 
     def limit(self) -> float | None:
         """Return the limit of the server i-1."""
@@ -67,8 +79,8 @@
 
     def is_cold(self) -> bool:
         """Return whether the server i-1 counts as cold."""
-        entry = self.fleet.registry.entries()[0]
-        return self.fleet.cold_servers.is_cold(entry.incarnation, self.clock.now_ms())
+        self.fleet.update_cold_limits("time")
+        return self.fleet.is_cold(self.fleet.registry.entries()[0])
 
     def test_a_server_that_starts_again_is_limited_from_its_first_entry(self) -> None:
         """The entry of a new start was recorded, then discarded with the old start."""
@@ -76,6 +88,42 @@
         self.apply(seq=1, born=2, coldRemainingMs=COLD_START_MS)
         self.assertEqual(self.limit(), COLD_PER_S)
 
+    def test_an_entry_that_turns_cold_is_pushed_at_once(self) -> None:
+        self.apply(seq=4)
+        self.assertTrue(self.apply(seq=5, coldRemainingMs=2_000))
+        self.assertFalse(self.apply(seq=6, coldRemainingMs=1_500))
+
+    def test_servers_are_limited_whichever_table_is_read_first(self) -> None:
+        """Entries that were read before the configuration limited nothing."""
+        self.fleet = make_fleet(self.clock)
+        self.apply(coldRemainingMs=2_000)
+        self.fleet.apply_configuration(make_configuration())
+        self.assertEqual(self.limit(), COLD_PER_S)
+
+    def test_other_deployments_limit_no_cold_servers(self) -> None:
+        """Entries state the field everywhere; only some operators set a bound."""
+        for overshoot, per_s in ((None, COLD_PER_S), (1.5, 0.0)):
+            with self.subTest(overshoot=overshoot, per_s=per_s):
+                self.fleet = make_fleet(self.clock, overshoot=overshoot)
+                self.fleet.apply_configuration(make_configuration(per_s))
+                self.assertFalse(self.apply(coldRemainingMs=2_000) and self.is_cold())
+                self.fleet.presume_cold(self.fleet.own_settings.data_centre)
+                self.assertFalse(self.is_cold())
+                self.assertIsNone(self.limit())
+
+    def test_one_line_says_that_a_server_is_cold_and_one_that_it_is_warm(self) -> None:
+        """Neither the end of an evacuation nor that of the time was logged."""
+        self.apply(seq=4)
+        with testing.capture_logs() as lines:
+            self.fleet.presume_cold(self.fleet.own_settings.data_centre)
+            self.assertTrue(self.is_cold())
+            self.clock.advance(COLD_START_MS)
+            self.assertFalse(self.is_cold())
+        told = [(each["event"], each["origin"]) for each in lines]
+        expected = [("server is cold", "evacuation ended"), ("server is warm", "time")]
+        self.assertEqual(told, expected)
+        self.assertEqual(lines[0]["remaining_ms"], COLD_START_MS)
+
     def test_an_entry_that_is_read_again_starts_no_cold_period(self) -> None:
         """A full read after an outage repeated an entry whose time had passed."""
         self.apply(seq=4, coldRemainingMs=2_000)
