Prefer warm plain servers, and tell cold servers' times by their placement

Plain requests went to cold servers first, which have no load. An answer that ended when its server was warm again counted among the times of warm servers. A cold plain server is chosen only if no warm one has a free slot; a placement keeps whether its server was cold.

--- a/quincecrank/gateway/engine_placement.py
+++ b/quincecrank/gateway/engine_placement.py
@@ -173,6 +173,7 @@
             chosen.work,
             times.expected_ms(chosen.work),
             self._demand.take_permit(request, chosen.server),
+            chosen.is_cold,
         )
 
     def begin_limit_ms(
--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -21,6 +21,7 @@
     evacuations,
     failed_request_records,
     loads,
+    placements,
     rate_limits,
     send_permits,
     server_health,
@@ -276,23 +277,21 @@
         self._cold_limits = limits
 
     def record_answer_time(
-        self,
-        server: servers.ServerEntry,
-        work: service_times.Work,
-        expected_ms: float,
-        first_ms: int,
+        self, placement: placements.Placement, first_ms: int
     ) -> None:
         """Record the time to the first event of a complete answer.
 
-        The times of cold servers are kept apart, as they distort those of warm ones.
+        The times of cold servers are kept apart, as they distort those of warm ones.  A
+        server may have become warm, or cold, while it answered.
         """
+        server, expected_ms = placement.server, placement.expected_first_event_ms
         health = self.health.health_of(server)
-        if self.is_cold(server):
+        if placement.is_cold or self.is_cold(server):
             health.record_success()
             self.cold_servers.record_answer_time(server.service, first_ms, expected_ms)
             return
         health.record_answer(first_ms, expected_ms)
-        self.service_times.observe(server.service, work, first_ms)
+        self.service_times.observe(server.service, placement.work, first_ms)
 
     def remove_server(self, server_id: servers.ServerId) -> None:
         """Remove the links, health, load, rate limit and cache state of a server.
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -1204,12 +1204,7 @@
         if not await sink.handle_end():
             return None
         first_ms = (sink.first_part_ms or now_ms) - sent_ms
-        self._fleet.record_answer_time(
-            placement.server,
-            placement.work,
-            placement.expected_first_event_ms,
-            first_ms,
-        )
+        self._fleet.record_answer_time(placement, first_ms)
         self._crashes.record_answer(active.subject, now_ms)
         self._fleet.answer_times.record(
             active.route.name, now_ms - sent_ms, active.event_splitter.token_count
--- a/quincecrank/gateway/placement.py
+++ b/quincecrank/gateway/placement.py
@@ -218,6 +218,8 @@
 def choose_plain(candidates: Sequence[Candidate], tie_breaker: str) -> Candidate | None:
     """Return the least busy backend server; None if all are full.
 
+    A cold server is chosen only if no warm one has a free slot.
+
     Parameters
     ----------
     tie_breaker : str
@@ -228,8 +230,13 @@
         for each in candidates
         if each.load.requests < each.server.slots * (1 + PLAIN_QUEUE_FRACTION)
     ]
+    free = [
+        each
+        for each in eligible
+        if not each.is_cold and each.load.requests < each.server.slots
+    ]
     return min(
-        eligible,
+        free if any(each.is_cold for each in eligible) and free else eligible,
         key=lambda each: (
             (each.load.requests + 1) / max(1, each.server.slots) * each.slowness,
             rendezvous.weight(tie_breaker, each.server.server_id),
--- a/quincecrank/gateway/placements.py
+++ b/quincecrank/gateway/placements.py
@@ -68,6 +68,8 @@
         Estimated time to the first event at a server of the service's usual speed.
     permit : Permit or None
         Permit with which the request is sent; None for a server without a rate limit.
+    is_cold : bool
+        Whether the server was cold when it was chosen.
     """
 
     server: servers.ServerEntry
@@ -77,6 +79,7 @@
     work: service_times.Work
     expected_first_event_ms: float
     permit: send_permits.Permit | None = None
+    is_cold: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -3,6 +3,7 @@
 import dataclasses
 import itertools
 import json
+import random
 import unittest
 from collections.abc import Callable
 from typing import Any
@@ -10,12 +11,15 @@
 from structlog import testing
 
 from quincecrank import clock as clocks
-from quincecrank import store_rows
+from quincecrank import ids, rendezvous, store_rows
 from quincecrank.gateway import (
     cold_servers,
     deployment,
+    dispatcher,
     fleet_state,
+    placements,
     row_consumers,
+    send_permits,
     servers,
 )
 from quincecrank.platform import documents
@@ -144,6 +148,92 @@
         self.assertTrue(self.is_cold())
 
 
+class ColdPlacementTest(unittest.IsolatedAsyncioTestCase):
+    """Requests at one gateway while some servers of a service are cold."""
+
+    def setUp(self) -> None:
+        self.clock = clocks.ManualClock(1_000)
+        self.fleet = make_fleet(self.clock)
+        self.fleet.apply_configuration(make_configuration())
+        self.dispatcher = dispatcher.Dispatcher(self.fleet, random.Random(1))
+        self.count = 0
+
+    def add(
+        self,
+        server_id: str,
+        cold_ms: int,
+        *,
+        service: deployment.ServiceName,
+        slots: int,
+    ) -> servers.ServerEntry:
+        """Register a server, with permits for all requests if it is cold."""
+        entry = dataclasses.replace(
+            builders.make_entry(server_id, service=service, slots=slots),
+            cold_remaining_ms=cold_ms,
+        )
+        self.fleet.record_cold_entry(self.fleet.registry.update(entry), None)
+        if cold_ms:
+            grant = send_permits.Grant(entry.incarnation, 99, 1_000, 1)
+            self.fleet.send_permits.apply_grants((grant,), 1_000)
+        return entry
+
+    def place(
+        self, service: deployment.ServiceName, part: str = "guide"
+    ) -> placements.Placement:
+        """Place a request, which stays at its server."""
+        self.count += 1
+        assert self.fleet.configuration is not None
+        prompt = builders.make_prompt((part, 2_000), (f"own-{self.count}", 10))
+        placed = self.dispatcher.place_now(
+            placements.PlacementRequest(
+                builders.make_queued_request(f"r-{self.count}", arrived_ms=1_000),
+                self.fleet.configuration.services_by_name[service],
+                None,
+                prompt if service == builders.LLM else None,
+            )
+        )
+        assert placed is not None
+        return placed
+
+    def test_plain_requests_avoid_cold_servers_while_a_warm_one_is_free(self) -> None:
+        """A cold server has no load, and so was the first choice of every gateway."""
+        self.add("cold", 9_000, service=builders.PLAIN, slots=4)
+        self.add("warm", 0, service=builders.PLAIN, slots=3)
+        chosen = [self.place(builders.PLAIN).server.server_id for _ in range(5)]
+        self.assertEqual(chosen, ["warm"] * 3 + ["cold"] * 2)
+
+    def test_prompts_avoid_cold_engines_but_for_those_that_return_there(self) -> None:
+        for name, cold_ms in (("cold", 9_000), ("warm-1", 0), ("warm-2", 0)):
+            self.add(name, cold_ms, service=builders.LLM, slots=64)
+        chosen = {}
+        for part in map(str, range(12)):
+            home = rendezvous.ranked(part, ["cold", "warm-1", "warm-2"], 1)[0]
+            placed = self.place(builders.LLM, part)
+            chosen[part] = (home, placed.server.server_id)
+        to_cold = {home for home, server in chosen.values() if server == "cold"}
+        self.assertEqual(to_cold, {"cold"})
+
+    def test_times_of_cold_servers_are_kept_apart(self) -> None:
+        """An answer that ended after the cold time counted as one of a warm server."""
+        entry = self.add("cold", 400, service=builders.PLAIN, slots=4)
+        usual = self.fleet.service_times.times_of(builders.PLAIN)
+        for _ in range(8):
+            placed = self.place(builders.PLAIN)
+            self.fleet.loads.record_end(entry.server_id, placed_id(self.count))
+            self.clock.advance(50)
+            self.fleet.update_cold_limits("time")
+            self.fleet.record_answer_time(placed, 4_000)
+        self.assertFalse(self.fleet.is_cold(entry))
+        self.assertEqual(self.fleet.service_times.times_of(builders.PLAIN), usual)
+        self.assertEqual(self.fleet.health.health_of(entry).slowness, 1.0)
+        self.assertGreater(self.fleet.cold_servers.slowness(builders.PLAIN), 1.5)
+
+
+def placed_id(number: int) -> ids.RequestId:
+    """Return the id of a request of `ColdPlacementTest`."""
+    return ids.RequestId(f"r-{number}")
+
+
 def peer_state(report: int, remaining_ms: int, *, presumed: bool = False) -> Evidence:
     """Return the step that applies a peer's state."""
     entry = make_entry(0)
