Keep no request for servers that may not get it

Requests waited in vain for permits of evacuated servers or of servers outside their regions, and queued ones for a region without servers until their time limit; while they waited, requests of other accounts waited behind them beside free servers. Permits are expected of and asked for sendable servers only; a queued request whose regions have no server is rejected at once and one that names regions blocks no others.

--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -13,7 +13,6 @@
 from quincecrank import clock as clocks
 from quincecrank import ids
 from quincecrank.gateway import (
-    allowed_regions,
     decision_log,
     deployment,
     engine_placement,
@@ -224,16 +223,8 @@
         self, request: placements.PlacementRequest
     ) -> tuple[servers.ServerEntry, ...]:
         """Return the ready servers in the data centres that may get a request."""
-        sendable = self._fleet.sendable_entries(request.service.name)
-        if request.allowed_regions is None:
-            return sendable
-        regions = self._fleet.own_settings.region_by_data_centre
-        return tuple(
-            each
-            for each in sendable
-            if allowed_regions.allows(
-                request.allowed_regions, each.data_centre, regions
-            )
+        return self._fleet.sendable_entries(
+            request.service.name, request.allowed_regions
         )
 
     def _reject_for_version(
@@ -270,7 +261,8 @@
         service has no ready server.  A small request may overtake others of its queue
         class (equal timeliness and urgency) that fit on no server now, but none of
         another class: small requests would fill the engines so that more urgent ones,
-        or ones that can still be on time, find no capacity until it is too late.
+        or ones that can still be on time, find no capacity until it is too late.  Those
+        that may run in some regions only block no others, which have room elsewhere.
         """
         queue = self._queue_by_service[service]
         if not len(queue):
@@ -288,26 +280,38 @@
         if self._fleet.rate_limits.is_any_limited:
             self._reject_if_blocked(service, queue)
         self._start_resumed(queue)
+        self._start_others(queue, now_ms)
+        if self._fleet.rate_limits.is_any_limited:
+            self._demand.update(service)
+
+    def _start_others(self, queue: request_queue.RequestQueue, now_ms: int) -> None:
+        """Start the queued requests that may run at any software version."""
         blocked: request_queue.QueueClass | None = None
-        unbound = [
-            each
-            for each in queue.ordered(now_ms)
-            if self._placement_request_by_id[each.request_id].software_version is None
-        ]
-        for index, queued in enumerate(unbound[:MAX_TRIED_PER_PASS]):
+        tried: collections.Counter[bool] = collections.Counter()
+        for queued in queue.ordered(now_ms):
+            request = self._placement_request_by_id[queued.request_id]
+            if request.software_version is not None:
+                continue
             queue_class = request_queue.queue_class_of(queued, now_ms)
             if blocked not in (None, queue_class):
                 break
+            is_bound = request.allowed_regions is not None
+            if tried[is_bound] >= MAX_TRIED_PER_PASS:
+                if is_bound:
+                    continue
+                break
+            tried[is_bound] += 1
             placed = self._try_place_queued(queued.request_id)
             if placed is not None:
                 queue.remove(queued.request_id)
                 self._resolve(queued.request_id, placed)
                 continue
-            if index == 0 and now_ms - queued.arrived_ms > OVERTAKING_LIMIT_MS:
+            if is_bound:
+                continue
+            is_first = tried[is_bound] == 1
+            if is_first and now_ms - queued.arrived_ms > OVERTAKING_LIMIT_MS:
                 break
             blocked = queue_class
-        if self._fleet.rate_limits.is_any_limited:
-            self._demand.update(service)
 
     def _start_resumed(self, queue: request_queue.RequestQueue) -> None:
         """Start the queued requests that need one software version.
@@ -333,10 +337,17 @@
     def _try_place_queued(
         self, request_id: ids.RequestId
     ) -> placements.Placement | placements.Rejection | None:
-        """Place a queued request; reject it if that fails with an exception."""
+        """Place a queued request; reject it if that fails with an exception.
+
+        Also if no server is left in the regions that may get it.
+        """
         request = self._placement_request_by_id[request_id]
         try:
-            return self._try_place(request)
+            placed = self._try_place(request)
+            is_bound = request.allowed_regions is not None
+            if placed or not is_bound or self._allowed_entries(request):
+                return placed
+            return self._reject_for_version(request)
         except Exception:
             _LOG.exception("request not placed", request=request_id)
             return self._reject(request, "internal error", NO_SERVER_RETRY_MS)
@@ -372,7 +383,7 @@
         Only trials are sent to them, and a new request can make the next one.
         """
         now_ms = self._fleet.clock.now_ms()
-        for entry in self._fleet.registry.ready_entries(service):
+        for entry in self._fleet.sendable_entries(service):
             if self._fleet.rate_limits.limit_of(entry.incarnation) != 0:
                 return
             if self._fleet.send_permits.allows(entry.incarnation, now_ms):
--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -7,6 +7,7 @@
 from quincecrank import clock as clocks
 from quincecrank import ids, store_rows
 from quincecrank.gateway import (
+    allowed_regions,
     answer_times,
     begin_delays,
     cache_part_index,
@@ -168,13 +169,27 @@
         )
 
     def sendable_entries(
-        self, service: deployment.ServiceName
+        self,
+        service: deployment.ServiceName,
+        regions: frozenset[ids.Region] | None = None,
     ) -> tuple[servers.ServerEntry, ...]:
-        """Return the ready servers of a service outside of evacuated data centres."""
+        """Return the ready servers of a service outside of evacuated data centres.
+
+        Parameters
+        ----------
+        regions : frozenset of Region or None
+            Regions in which the servers must be; None for all.
+        """
         ready = self.registry.ready_entries(service)
-        if not self.evacuations.in_force:
+        if regions is None and not self.evacuations.in_force:
             return ready
-        return tuple(each for each in ready if self.may_send_to(each))
+        region_by_data_centre = self.own_settings.region_by_data_centre
+        return tuple(
+            each
+            for each in ready
+            if self.may_send_to(each)
+            and allowed_regions.allows(regions, each.data_centre, region_by_data_centre)
+        )
 
     def may_send_to(self, server: servers.ServerEntry) -> bool:
         """Return whether the data centre of a server is not evacuated."""
--- a/quincecrank/gateway/permit_demand.py
+++ b/quincecrank/gateway/permit_demand.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from typing import Final
 
-from quincecrank import rendezvous
+from quincecrank import ids, rendezvous
 from quincecrank.gateway import (
     decision_log,
     deployment,
@@ -59,7 +59,7 @@
                 first.arrived_ms,
             )
         is_due = False
-        for entry in self._fleet.registry.ready_entries(service):
+        for entry in self._fleet.sendable_entries(service):
             is_due |= self._fleet.send_permits.set_demand(
                 entry.incarnation, demand if entry.server_id in asked else None, now_ms
             )
@@ -67,13 +67,15 @@
             self._fleet.notify_permit_demand()
 
     def limited_by_id(
-        self, service: deployment.ServiceName
+        self,
+        service: deployment.ServiceName,
+        regions: frozenset[ids.Region] | None = None,
     ) -> dict[servers.ServerId, servers.ServerEntry]:
         """Return the servers of a service that may be used but for a rate limit."""
         now_ms = self._fleet.clock.now_ms()
         return {
             each.server_id: each
-            for each in self._fleet.registry.ready_entries(service)
+            for each in self._fleet.sendable_entries(service, regions)
             if self._fleet.rate_limits.limit_of(each.incarnation) is not None
             and self._fleet.health.health_of(each).allows(now_ms)
         }
@@ -87,10 +89,13 @@
     def shortest_wait_ms(self, request: placements.PlacementRequest) -> float | None:
         """Return the shortest expected wait for a permit; None if none is needed."""
         now_ms = self._fleet.clock.now_ms()
+        limited_by_id = self.limited_by_id(
+            request.service.name, request.allowed_regions
+        )
         return min(
             (
                 self._fleet.send_permits.expected_wait_ms(each.incarnation, now_ms)
-                for each in self.limited_by_id(request.service.name).values()
+                for each in limited_by_id.values()
                 if each.server_id not in request.tried_servers
                 and request.software_version in (None, each.software_version)
             ),
