Serve while the operator's table changes often

While each look at the peers' positions found a newer change, though never the same one, a gateway rejected all requests after half of the time for evacuations. The time counts now from the oldest position that a peer has and this gateway has not reached.

--- a/quincecrank/gateway/evacuations.py
+++ b/quincecrank/gateway/evacuations.py
@@ -55,7 +55,7 @@
     def __init__(self) -> None:
         self._by_data_centre: dict[ids.DataCentre, _Evacuation] = {}
         self._in_force: frozenset[ids.DataCentre] = frozenset()
-        self._behind_since_ms: int | None = None
+        self._behind: tuple[store_rows.Position, int] | None = None
 
     @property
     def in_force(self) -> frozenset[ids.DataCentre]:
@@ -141,12 +141,28 @@
         self._update()
         return ended
 
-    def record_currency(self, now_ms: int, *, is_behind: bool) -> None:
-        """Record whether a peer has newer rows of the operator's table."""
-        if not is_behind:
-            self._behind_since_ms = None
-        elif self._behind_since_ms is None:
-            self._behind_since_ms = now_ms
+    def record_currency(
+        self,
+        own: store_rows.Position | None,
+        newest: store_rows.Position | None,
+        now_ms: int,
+    ) -> None:
+        """Record the positions of the operator's table, here and at the peers.
+
+        While the table changes often, each position that a peer has is reached soon,
+        though the newest one is always ahead.
+
+        Parameters
+        ----------
+        own : Position or None
+            Position up to which this gateway has read the table.
+        newest : Position or None
+            Newest position of a change that a live peer has.
+        """
+        if newest is None or (own is not None and own >= newest):
+            self._behind = None
+        elif self._behind is None or (own is not None and own >= self._behind[0]):
+            self._behind = newest, now_ms
 
     def may_serve(self, now_ms: int, apply_limit_ms: int | None) -> bool:
         """Return whether requests may be sent by the evacuations known here.
@@ -157,9 +173,10 @@
             Time within which an evacuation must be in force at all gateways; None if
             there are none.
         """
-        if apply_limit_ms is None or self._behind_since_ms is None:
+        if apply_limit_ms is None or self._behind is None:
             return True
-        return now_ms - self._behind_since_ms < apply_limit_ms * SERVED_FRACTION
+        _, since_ms = self._behind
+        return now_ms - since_ms < apply_limit_ms * SERVED_FRACTION
 
     def _update(self) -> None:
         self._in_force = frozenset(
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -673,7 +673,8 @@
         now_ms = self._clock.now_ms()
         evacuations = self._fleet.evacuations
         follower = self._followers_by_table[tables.TableName.OPERATOR]
-        evacuations.record_currency(now_ms, is_behind=follower.is_behind)
+        newest = self._peers.last_change_position_of(tables.TableName.OPERATOR)
+        evacuations.record_currency(follower.position, newest, now_ms)
         for data_centre in evacuations.end_missing(now_ms):
             _LOG.info("evacuation ended", data_centre=data_centre, origin="restore")
             self._fleet.presume_cold(data_centre)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -2,15 +2,20 @@
 
 import asyncio
 import dataclasses
+import functools
+import itertools
 import random
 import unittest
 
 from quincecrank import clock as clocks
-from quincecrank import ids
-from quincecrank.gateway import dispatcher, placements, servers
+from quincecrank import ids, store_rows
+from quincecrank.gateway import dispatcher, evacuations, placements, servers
 from tests import builders_evacuations as evacuated
 from tests import builders_gateway as builders
 
+NORTH = ids.DataCentre("north")
+SOUTH = ids.DataCentre("south")
+
 
 class QueuedRequestsTest(unittest.IsolatedAsyncioTestCase):
     """An evacuation while requests wait at a gateway for a slot."""
@@ -123,3 +128,119 @@
         self.clock.advance(dispatcher.OVERTAKING_LIMIT_MS + 1)
         self.free("i-2")
         self.assertIsInstance(await other, placements.Placement)
+
+
+def at(version: int, era: int = 0) -> store_rows.Position:
+    """Return a position of the store."""
+    return store_rows.Position(era, version)
+
+
+class EvacuationRowsTest(unittest.TestCase):
+    """Rows, removals and full reads as they reach one gateway."""
+
+    def setUp(self) -> None:
+        self.known = evacuations.Evacuations()
+
+    def read(self, position: store_rows.Position, **rows: store_rows.Position) -> None:
+        """Apply a full read with the given rows."""
+        by_data_centre = {ids.DataCentre(name): at for name, at in rows.items()}
+        self.known.apply_full_read(by_data_centre, position, 0)
+
+    def test_the_order_of_positions_decides_in_any_order_of_arrival(self) -> None:
+        """A push, a row of a peer and a full read overtake each other."""
+
+        def row(version: int, *, is_removed: bool) -> None:
+            self.known.apply_row(NORTH, at(version), 0, is_removed=is_removed)
+
+        steps = (
+            functools.partial(row, 2, is_removed=False),
+            functools.partial(row, 4, is_removed=True),
+            functools.partial(row, 6, is_removed=False),
+            functools.partial(self.read, at(3), north=at(2)),
+            functools.partial(self.read, at(5)),
+            functools.partial(self.read, at(1)),
+        )
+        for order in itertools.permutations(steps):
+            self.known = evacuations.Evacuations()
+            for step in order:
+                step()
+            self.assertTrue(self.known.is_evacuated(NORTH), order)
+
+    def test_a_row_that_is_read_again_is_no_change(self) -> None:
+        self.assertTrue(self.known.apply_row(NORTH, at(2), 0, is_removed=False))
+        self.assertFalse(self.known.apply_row(NORTH, at(2), 0, is_removed=False))
+        self.assertTrue(self.known.apply_row(NORTH, at(3), 7, is_removed=True))
+        self.assertFalse(self.known.apply_row(NORTH, at(3), 9, is_removed=True))
+        self.assertEqual(self.known.ended_ms(NORTH), 7)
+
+    def test_a_full_read_ends_what_was_removed_while_nothing_was_read(self) -> None:
+        self.known.apply_row(NORTH, at(2), 0, is_removed=False)
+        self.known.apply_row(SOUTH, at(3), 0, is_removed=False)
+        self.read(at(5), south=at(3))
+        self.assertEqual(self.known.in_force, {SOUTH})
+
+    def test_two_evacuations_end_by_themselves(self) -> None:
+        self.known.apply_row(NORTH, at(2), 0, is_removed=False)
+        self.known.apply_row(SOUTH, at(3), 0, is_removed=False)
+        self.known.apply_row(NORTH, at(4), 0, is_removed=True)
+        self.assertEqual(self.known.in_force, {SOUTH})
+
+    def test_a_restored_store_that_lacks_an_evacuation_does_not_end_it(self) -> None:
+        """The store went back to before an evacuation that its operator still means."""
+        self.known.apply_row(NORTH, at(9), 0, is_removed=False)
+        self.read(at(4, era=1))
+        self.read(at(6, era=1))
+        last_ms = evacuations.RESTORED_RETENTION_MS - 1
+        self.assertEqual(self.known.end_missing(last_ms), ())
+        self.assertTrue(self.known.is_evacuated(NORTH))
+        self.assertEqual(self.known.end_missing(last_ms + 1), (NORTH,))
+        self.assertFalse(self.known.is_evacuated(NORTH))
+
+    def test_after_a_restore_the_row_or_its_removal_counts_again(self) -> None:
+        for is_removed in (False, True):
+            with self.subTest(is_removed=is_removed):
+                self.known = evacuations.Evacuations()
+                self.known.apply_row(NORTH, at(9), 0, is_removed=False)
+                self.read(at(4, era=1))
+                self.known.apply_row(NORTH, at(5, era=1), 1, is_removed=is_removed)
+                self.assertEqual(self.known.end_missing(60_000), ())
+                self.assertIsNot(self.known.is_evacuated(NORTH), is_removed)
+
+    def test_an_ended_evacuation_that_a_snapshot_contains_is_in_force(self) -> None:
+        self.known.apply_row(NORTH, at(2), 0, is_removed=False)
+        self.known.apply_row(NORTH, at(8), 0, is_removed=True)
+        self.read(at(4, era=1), north=at(2, era=1))
+        self.assertTrue(self.known.is_evacuated(NORTH))
+
+    def test_a_late_answer_of_the_earlier_era_changes_nothing(self) -> None:
+        self.read(at(4, era=1), north=at(2, era=1))
+        self.known.apply_row(NORTH, at(9), 0, is_removed=True)
+        self.read(at(9))
+        self.assertTrue(self.known.is_evacuated(NORTH))
+
+
+class CurrencyTest(unittest.TestCase):
+    """Requests at a gateway whose operator table is older than a peer's."""
+
+    def setUp(self) -> None:
+        self.known = evacuations.Evacuations()
+
+    def may_serve(self, now_ms: int) -> bool:
+        """Return whether the gateway serves, if evacuations must apply in 5 s."""
+        return self.known.may_serve(now_ms, 5_000)
+
+    def test_a_gateway_that_stays_behind_does_not_serve(self) -> None:
+        self.known.record_currency(at(2), at(3), 0)
+        self.assertTrue(self.may_serve(2_499))
+        self.known.record_currency(at(2), at(4), 2_400)
+        self.assertFalse(self.may_serve(2_500))
+        self.assertTrue(self.known.may_serve(2_500, None))
+        self.known.record_currency(at(4), at(4), 2_600)
+        self.assertTrue(self.may_serve(2_600))
+
+    def test_a_gateway_that_follows_a_busy_table_serves(self) -> None:
+        """Many changes in a row made each gateway reject all requests after 2.5 s."""
+        for now_ms in range(0, 10_000, 250):
+            version = 10 + now_ms // 250
+            self.known.record_currency(at(version), at(version + 1), now_ms)
+            self.assertTrue(self.may_serve(now_ms))
