Reject configurations whose allowed regions are no list

A text in place of the list was read as one region for each letter, so that no server could get the requests and all were rejected. Such a configuration is malformed now; the one in force stays.

--- a/quincecrank/platform/documents.py
+++ b/quincecrank/platform/documents.py
@@ -252,10 +252,10 @@
 
 def _parse_regions(document: dict[str, Any]) -> frozenset[ids.Region]:
     """Return the allowed regions of a route or an account; empty for all."""
-    return frozenset(
-        ids.Region(checked_values.name(each))
-        for each in document.get("allowedRegions") or ()
-    )
+    names = document.get("allowedRegions") or []
+    if not isinstance(names, list):
+        raise ValueError("allowedRegions is no list")
+    return frozenset(ids.Region(checked_values.name(each)) for each in names)
 
 
 def _integer(value: Any) -> int:
