Look up the issuers of a report's limits by server

For each limit of a report all its issuers were compared, some 32,000 comparisons a report with 256 limits, as before cold servers were reported.

--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -517,6 +517,7 @@
 
 
 def _rate_limit_fields(report: Report) -> list[dict[str, Any]]:
+    issuer_reports = _issuer_report_by_incarnation(report)
     return [
         {
             "server": _incarnation_fields(state.incarnation),
@@ -524,20 +525,21 @@
             "hasEnded": state.per_second is None,
             "revision": state.revision,
             "answerAgeMs": min(state.answer_age_ms, _NO_AGE),
-            **_issuer_fields(report, state.incarnation),
+            **_issuer_fields(issuer_reports.get(state.incarnation)),
         }
         for state in report.limit_states
     ]
 
 
 def _cold_server_fields(report: Report) -> list[dict[str, Any]]:
+    issuer_reports = _issuer_report_by_incarnation(report)
     return [
         {
             "server": _incarnation_fields(state.incarnation),
             "reportNumber": state.report_number,
             "isPresumed": state.is_presumed,
             "remainingMs": min(state.remaining_ms, _NO_AGE),
-            **_issuer_fields(report, state.incarnation),
+            **_issuer_fields(issuer_reports.get(state.incarnation)),
         }
         for state in report.cold_states
     ]
@@ -552,12 +554,14 @@
     )
 
 
-def _issuer_fields(report: Report, incarnation: servers.Incarnation) -> dict[str, Any]:
+def _issuer_report_by_incarnation(
+    report: Report,
+) -> dict[servers.Incarnation, send_permits.IssuerReport]:
+    return {each.incarnation: each for each in report.issuer_reports}
+
+
+def _issuer_fields(issuer_report: send_permits.IssuerReport | None) -> dict[str, Any]:
     """Return the fields of the reporting gateway's view of an issuer."""
-    issuer_report = next(
-        (each for each in report.issuer_reports if each.incarnation == incarnation),
-        None,
-    )
     if issuer_report is None:
         return {"issuer": "", "waitMs": _NO_AGE}
     wait_ms = issuer_report.wait_ms
