--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -6,12 +6,20 @@
 import itertools
 import random
 import unittest
+from unittest import mock
 
 from quincecrank import clock as clocks
 from quincecrank import ids, store_rows
-from quincecrank.gateway import dispatcher, evacuations, placements, servers
+from quincecrank.gateway import (
+    dispatcher,
+    evacuations,
+    placements,
+    server_links,
+    servers,
+)
 from tests import builders_evacuations as evacuated
 from tests import builders_gateway as builders
+from tests import gateway_case
 
 NORTH = ids.DataCentre("north")
 SOUTH = ids.DataCentre("south")
@@ -130,6 +138,113 @@
         self.assertIsInstance(await other, placements.Placement)
 
 
+class SentRequestsTest(gateway_case.GatewayCase):
+    """An evacuation while requests are sent, retried and resumed, on real sockets.
+
+    The servers i-1 and i-2 stand in the data centres north and south.
+    """
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        document = builders.make_configuration_document(8)
+        document["routes"][1]["maxAttempts"] = 2
+        self.configure_from(document)
+
+    async def add_pair(
+        self, first: gateway_case.Script, second: gateway_case.Script, service: str
+    ) -> tuple[gateway_case.ScriptedServer, gateway_case.ScriptedServer]:
+        """Start the two servers; the first has less load and so is chosen first."""
+        north = await self.add_server(first, service=service)
+        south = await self.add_server(second, service=service)
+        for entry in self.fleet.registry.entries():
+            name = NORTH if entry.server_id == "i-1" else SOUTH
+            self.fleet.registry.update(dataclasses.replace(entry, data_centre=name))
+        busy = servers.ServerId("i-2")
+        self.fleet.loads.record_start(busy, ids.RequestId("other"), 0, 9_000)
+        return north, south
+
+    def evacuate(self, data_centre: ids.DataCentre, version: int = 2) -> None:
+        """Apply the row that evacuates a data centre."""
+        self.fleet.apply_evacuation(data_centre, at(version), is_removed=False)
+
+    def evacuate_while_connecting(self) -> None:
+        """Apply the row when the first connection to north is open, before the send."""
+        connect = self.fleet.links.connect
+
+        async def evacuating(
+            server: servers.ServerEntry, timeout_ms: float
+        ) -> server_links.Link:
+            link = await connect(server, timeout_ms)
+            if server.data_centre == NORTH:
+                self.evacuate(NORTH)
+            return link
+
+        self.enterContext(
+            mock.patch.object(self.fleet.links, "connect", side_effect=evacuating)
+        )
+
+    async def test_a_placed_request_is_not_sent_to_a_server_evacuated_meanwhile(
+        self,
+    ) -> None:
+        """Requests that waited for a connection were sent after the evacuation."""
+        sends = gateway_case.sends(gateway_case.answer())
+        north, south = await self.add_pair(sends, sends, "records")
+        self.evacuate_while_connecting()
+        got = await self.ask("/record/", b"1")
+        self.assertEqual(got.status, 200)
+        self.assertEqual((len(north.received), len(south.received)), (0, 1))
+        self.assertEqual(north.connections, 1)
+
+    async def test_a_placed_request_is_rejected_if_no_other_server_is_left(
+        self,
+    ) -> None:
+        sends = gateway_case.sends(gateway_case.answer())
+        north, south = await self.add_pair(sends, sends, "records")
+        self.evacuate(SOUTH, 1)
+        self.evacuate_while_connecting()
+        got = await self.ask("/record/", b"1")
+        self.assertEqual(got.status, 503)
+        self.assertEqual((north.received, south.received), ([], []))
+
+    async def test_a_retry_goes_to_no_evacuated_server(self) -> None:
+        async def fails(
+            _request: gateway_case.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            self.evacuate(SOUTH)
+            writer.close()
+
+        sends = gateway_case.sends(gateway_case.answer())
+        north, south = await self.add_pair(fails, sends, "records")
+        got = await self.ask("/look/")
+        self.assertEqual((len(north.received), len(south.received)), (1, 0))
+        self.assertIn(got.status, (502, 503))
+
+    async def test_a_broken_stream_is_resumed_at_no_evacuated_server(self) -> None:
+        """It broke off at its server and went on in the data centre to be left."""
+        may_break = asyncio.Event()
+
+        async def breaks(
+            _request: gateway_case.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            event = "id: 1\nevent: token\ndata: a\n\n"
+            writer.write(gateway_case.stream_head() + gateway_case.chunk(event))
+            await may_break.wait()
+            writer.close()
+
+        north, south = await self.add_pair(breaks, breaks, "drafting")
+        caller = await gateway_case.Caller.connect(self.port)
+        prompt = {"Model": "model-a", "Token-Count": "300", "Prompt-Prefix": "p:300"}
+        await caller.send("/draft/long/", b"prompt", **prompt)
+        await asyncio.wait_for(
+            caller.reader.readuntil(b"data: a\n\n"), gateway_case.WAIT_S
+        )
+        self.evacuate(SOUTH)
+        may_break.set()
+        await asyncio.wait_for(caller.reader.read(), gateway_case.WAIT_S)
+        self.assertEqual((len(north.received), len(south.received)), (1, 0))
+        caller.close()
+
+
 def at(version: int, era: int = 0) -> store_rows.Position:
     """Return a position of the store."""
     return store_rows.Position(era, version)
