Simulate a data centre whose servers turn cold at once

46 gateways learn it from the servers' entries at times of their own, one is suspended, one cut off and one starts meanwhile; the test holds each second of each cold server against the bound. Without permits the same load exceeds it.

--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -10,6 +10,7 @@
 
 from structlog import testing
 
+from bench import rate_limit_simulation
 from quincecrank import clock as clocks
 from quincecrank import ids, rendezvous, store_rows
 from quincecrank.gateway import (
@@ -234,6 +235,65 @@
     return ids.RequestId(f"r-{number}")
 
 
+class UnlimitedPermits(send_permits.SendPermits):
+    """Mutation: allows every request."""
+
+    def allows(self, incarnation: servers.Incarnation, now_ms: int) -> bool:
+        return True
+
+    def take(
+        self, incarnation: servers.Incarnation, now_ms: int
+    ) -> send_permits.Permit | None:
+        return send_permits.Permit(incarnation, now_ms + 1_000)
+
+
+class ColdDataCentreTest(unittest.TestCase):
+    """The servers of a data centre turn cold at once, under too much load for them."""
+
+    cold = rate_limit_simulation.ColdTime(8, COLD_PER_S, 3_000, 6_500)
+
+    def most_requests(self, **changes: Any) -> list[int]:
+        """Return the most requests that each cold server gets in any second."""
+        pattern = rate_limit_simulation.Pattern(
+            seed=2,
+            gateways=46,
+            per_second=400.0,
+            limits_by_server=((),) * 12,
+            duration_ms=7_000,
+            slots=4,
+            cold=self.cold,
+        )
+        changed = dataclasses.replace(pattern, **changes)
+        result = rate_limit_simulation.simulate(changed)
+        return [
+            each.most_in_a_second(self.cold.from_ms, self.cold.until_ms)
+            for each in result.servers[: self.cold.servers]
+        ]
+
+    def test_46_gateways_with_different_views_keep_the_bound(self) -> None:
+        """One is suspended, one cut off from all, and one starts meanwhile.
+
+        14 servers that came back at once got so many requests that half of the answers
+        were late.
+        """
+        everyone = frozenset(range(46))
+        one = frozenset({7})
+        most = self.most_requests(
+            freezes=(rate_limit_simulation.Freeze(5, 3_050, 5_000),),
+            cuts=(
+                rate_limit_simulation.Cut(one, everyone - one, 2_500, 6_000),
+                rate_limit_simulation.Cut(everyone - one, one, 2_500, 6_000),
+            ),
+            restarts=(rate_limit_simulation.Restart(9, 3_400, 4_000),),
+        )
+        self.assertLessEqual(max(most), COLD_PER_S * 1.5 + 5)
+
+    def test_without_permits_the_bound_is_exceeded(self) -> None:
+        """Shows that the load of the test above is enough to exceed it."""
+        most = self.most_requests(gateways=10, make_permits=UnlimitedPermits)
+        self.assertGreater(max(most), COLD_PER_S * 1.5 + 5)
+
+
 def peer_state(report: int, remaining_ms: int, *, presumed: bool = False) -> Evidence:
     """Return the step that applies a peer's state."""
     entry = make_entry(0)
