Keep the former issuer of a server while it may count support

When a limit ended and began again while the views of the gateways changed, a gateway supported a second issuer at once, which the first one still counted for 700 ms: both issued permits for the sum of the limit. Cold periods end with time and may begin anew. The former issuer is kept until its count has ended.

--- a/quincecrank/gateway/send_permits.py
+++ b/quincecrank/gateway/send_permits.py
@@ -198,6 +198,23 @@
     issuer_wait_until_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _FormerIssuer:
+    """Issuer of a server whose limit has ended.
+
+    Attributes
+    ----------
+    supports_from_ms : int
+        Time from which this gateway supported it.
+    counts_until_ms : int
+        Time until which it may count this gateway's support.
+    """
+
+    issuer: ids.VmName
+    supports_from_ms: int
+    counts_until_ms: int
+
+
 class SendPermits:
     """Issues, asks for and uses the permits for limited backend servers.
 
@@ -232,6 +249,7 @@
         self._pacer_by_incarnation: dict[
             servers.Incarnation, permit_pacer.PermitPacer
         ] = {}
+        self._former_by_incarnation: dict[servers.Incarnation, _FormerIssuer] = {}
         self._candidates: tuple[ids.VmName, ...] = (own_name,)
         self._known_count = 1
         self._support_blocked_until_ms: int | None = None
@@ -276,7 +294,7 @@
 
     def _update_issuers(self, now_ms: int, *, is_changed: bool) -> None:
         limited = self._limits.limited()
-        self._remove_unlimited(limited)
+        self._remove_unlimited(limited, now_ms)
         for incarnation in limited:
             holder = self._holder(incarnation)
             if holder.issuer is None or is_changed:
@@ -503,8 +521,27 @@
     def _holder(self, incarnation: servers.Incarnation) -> _HolderState:
         return self._holder_by_incarnation.setdefault(incarnation, _HolderState())
 
-    def _remove_unlimited(self, limited: Sequence[servers.Incarnation]) -> None:
+    def _remove_unlimited(
+        self, limited: Sequence[servers.Incarnation], now_ms: int
+    ) -> None:
+        """Remove the states of servers without a limit.
+
+        Their issuers are kept for as long as they may count this gateway's support, as
+        a limit may begin again: a cold server's ends with time.
+        """
         kept = frozenset(limited)
+        self._former_by_incarnation = {
+            incarnation: former
+            for incarnation, former in self._former_by_incarnation.items()
+            if now_ms < former.counts_until_ms
+        }
+        for incarnation, holder in self._holder_by_incarnation.items():
+            if incarnation not in kept and holder.issuer is not None:
+                self._former_by_incarnation[incarnation] = _FormerIssuer(
+                    holder.issuer,
+                    holder.supports_from_ms,
+                    max(now_ms, holder.supports_from_ms) + SUPPORT_MS,
+                )
         for state_by_incarnation in (
             self._holder_by_incarnation,
             self._pacer_by_incarnation,
@@ -524,6 +561,14 @@
             holder.supports_from_ms = now_ms + SUPPORT_MS
         elif self._support_blocked_until_ms is not None:
             holder.supports_from_ms = max(now_ms, self._support_blocked_until_ms)
+            former = self._former_by_incarnation.pop(incarnation, None)
+            if former is not None:
+                holder.supports_from_ms = max(
+                    holder.supports_from_ms,
+                    former.supports_from_ms
+                    if former.issuer == issuer
+                    else former.counts_until_ms,
+                )
         holder.issuer = issuer
         holder.outstanding = 0
         holder.asked_ms = None
--- a/tests/test_send_permits.py
+++ b/tests/test_send_permits.py
@@ -136,6 +136,33 @@
             )
         self.assertEqual(granted, [two, one, three])
 
+    def test_a_limit_that_begins_again_gets_no_second_issuer_at_once(self) -> None:
+        """Two issuers counted a gateway, of which one had a limit that ended meanwhile.
+
+        Cold periods end with time and may begin again at any moment.
+        """
+        limits = self.fleet.limits_by_name[self.other]
+        others = tuple(name for name in NAMES if name != self.fleet.issuer)
+        ended_ms = self.fleet.now_ms
+        limits.record_answer(SERVER, None, ended_ms, ended_ms)
+        self.permits.apply_limit_change(ended_ms)
+        self.fleet.set_view(self.other, others)
+        self.fleet.now_ms += 10
+        limits.record_answer(SERVER, 2.0, self.fleet.now_ms, self.fleet.now_ms)
+        self.permits.apply_limit_change(self.fleet.now_ms)
+        (report,) = self.permits.issuer_reports(self.fleet.now_ms)
+        self.assertIsNone(report.issuer)
+        (report,) = self.permits.issuer_reports(ended_ms + send_permits.SUPPORT_MS)
+        self.assertIn(report.issuer, others)
+        # Back to the former view before the pause is over: it goes on.
+        self.fleet.set_view(self.other, NAMES)
+        limits.record_answer(SERVER, None, self.fleet.now_ms, self.fleet.now_ms)
+        self.permits.apply_limit_change(self.fleet.now_ms)
+        limits.record_answer(SERVER, 2.0, self.fleet.now_ms, self.fleet.now_ms)
+        self.permits.apply_limit_change(self.fleet.now_ms)
+        (report,) = self.permits.issuer_reports(self.fleet.now_ms)
+        self.assertIsNone(report.issuer)
+
     def test_an_issuer_paces_permits_at_the_limit(self) -> None:
         self.count_issued(self.fleet.issuer, 1_000)
         issued = self.count_issued(self.fleet.issuer, 4_000)
