Bound the pause before a second issuer by the time of one count

Each further change while the limit ended and began again added 700 ms to the pause (found by the model of the issuers). An issuer that this gateway did not support yet counts nothing, so the pause goes on and no longer begins anew.

--- a/quincecrank/gateway/send_permits.py
+++ b/quincecrank/gateway/send_permits.py
@@ -207,7 +207,7 @@
     supports_from_ms : int
         Time from which this gateway supported it.
     counts_until_ms : int
-        Time until which it may count this gateway's support.
+        Time until which it, or one before it, may count this gateway's support.
     """
 
     issuer: ids.VmName
@@ -537,10 +537,11 @@
         }
         for incarnation, holder in self._holder_by_incarnation.items():
             if incarnation not in kept and holder.issuer is not None:
+                from_ms = holder.supports_from_ms
+                # Until then, one before it may still count this gateway.
+                until_ms = now_ms + SUPPORT_MS if now_ms >= from_ms else from_ms
                 self._former_by_incarnation[incarnation] = _FormerIssuer(
-                    holder.issuer,
-                    holder.supports_from_ms,
-                    max(now_ms, holder.supports_from_ms) + SUPPORT_MS,
+                    holder.issuer, from_ms, until_ms
                 )
         for state_by_incarnation in (
             self._holder_by_incarnation,
--- a/tests/test_send_permits.py
+++ b/tests/test_send_permits.py
@@ -163,6 +163,19 @@
         (report,) = self.permits.issuer_reports(self.fleet.now_ms)
         self.assertIsNone(report.issuer)
 
+    def test_a_limit_that_begins_again_often_gets_an_issuer_in_time(self) -> None:
+        """Each change of the view in between put the support off by another 700 ms."""
+        limits = self.fleet.limits_by_name[self.other]
+        others = tuple(name for name in NAMES if name != self.fleet.issuer)
+        now_ms = self.fleet.now_ms
+        for views in (others, NAMES) * 5:
+            for per_second in (None, 2.0):
+                limits.record_answer(SERVER, per_second, now_ms, now_ms)
+                self.permits.apply_limit_change(now_ms)
+                self.fleet.set_view(self.other, views)
+        (report,) = self.permits.issuer_reports(now_ms + send_permits.SUPPORT_MS)
+        self.assertIsNotNone(report.issuer)
+
     def test_an_issuer_paces_permits_at_the_limit(self) -> None:
         self.count_issued(self.fleet.issuer, 1_000)
         issued = self.count_issued(self.fleet.issuer, 4_000)
