Model evacuations, and the issuers of limits that end and begin again

Each has three mutants, which the check finds: rows by version or in order of arrival, any era's full read ends an evacuation; support without a pause, a former issuer forgotten, support counted from the arrival of reports.

--- a/models/runs.py
+++ b/models/runs.py
@@ -101,4 +101,12 @@
         ("VERSIONS=2", "RESTORES=2"),
         runs_mutants=False,
     ),
+    ModelRun("evacuations", "evacuations"),
+    ModelRun(
+        "evacuations-two-restores",
+        "evacuations",
+        ("RESTORES=2",),
+        runs_mutants=False,
+    ),
+    ModelRun("permit-issuers", "permit_issuers"),
 )
