Evacuate servers and bring them back cold in the soak of removals

The stand-in servers take a data centre and the time until which they are cold. Two mutations of gateways are added.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -11,7 +11,9 @@
 import pathlib
 import random
 import socket
+import types
 import urllib.request
+from collections.abc import Mapping
 from typing import Any, Final
 
 from standins import launcher
@@ -125,10 +127,13 @@
         Loopback address of each gateway.
     max_descriptors, memory_mb : int
         Limits of a gateway process by its settings; nothing enforces them.
+    more_bounds : Mapping
+        Bounds of the settings beside the usual ones.
     """
 
     max_descriptors = 1_000
     memory_mb = 200
+    more_bounds: Mapping[str, float] = types.MappingProxyType({})
 
     def __init__(self, folder: pathlib.Path) -> None:
         super().__init__(folder)
@@ -200,6 +205,7 @@
         software: str = "v1",
         weights: int = 1,
         slots: int = 8,
+        zone: str = "patan",
     ) -> launcher.Process:
         """Start a backend server: an engine for the service "drafting".
 
@@ -211,10 +217,12 @@
             Weight version that an engine has at its start.
         slots : int
             Requests that its entry says it runs at once.
+        zone : str
+            Its data centre.
         """
         arguments = [server_id, service, self.store.url]
         arguments += ["--software", software, "--weights", str(weights)]
-        arguments += ["--slots", str(slots)]
+        arguments += ["--slots", str(slots), "--zone", zone]
         if service == "drafting":
             arguments += ["--model", MODEL]
         process = self.start(server_id, "standins.platform_server", arguments)
@@ -275,6 +283,7 @@
                 "budgetMinRetries": 100,
                 "budgetWindowS": 10,
                 "thawMs": 300,
+                **self.more_bounds,
             },
             "platformSettings": {
                 "address": f"127.0.0.1:{self.store.port}",
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -24,6 +24,9 @@
 break_streams : float
     Probability that a stream is broken off within an event, after the server has
     printed ``broke WALL_MS id=ID``.
+cold_until_ms : int
+    Time of day in milliseconds until which the entry says that the server is cold.  It
+    answers as usual.
 full : bool
     Requests are refused with the statement that they did not run.
 endless : str
@@ -96,6 +99,7 @@
 """Requests that the entry says the server runs at once; nothing enforces them."""
 
 SEAL: Final = "5ea1"
+ZONE: Final = "patan"
 
 Document = dict[str, Any]
 
@@ -104,6 +108,7 @@
     """Fault switches of a backend server."""
 
     answer_ms: int = pydantic.Field(default=0, ge=0)
+    cold_until_ms: int = pydantic.Field(default=0, ge=0)
     slow_answers: float = pydantic.Field(default=1.0, ge=0, le=1)
     break_streams: float = pydantic.Field(default=0.0, ge=0, le=1)
     endless: str = ""
@@ -156,8 +161,10 @@
         software: str = "v1",
         weights: int = 1,
         slots: int = SLOTS,
+        zone: str = ZONE,
     ) -> None:
         self.slots = slots
+        self.zone = zone
         self.server_id = server_id
         self.service = service
         self.model = model
@@ -191,11 +198,11 @@
         entry: Document = {
             "service": self.service,
             "address": self.address,
-            "zone": "patan",
+            "zone": self.zone,
             "version": self.software,
             "slots": self.slots,
             "state": "draining" if self.faults.draining else "ready",
-            "coldRemainingMs": 0,
+            "coldRemainingMs": max(0, self.faults.cold_until_ms - self.clock.wall_ms()),
             "seq": self.heartbeats,
             "born": self.started_wall_ms,
         }
@@ -545,10 +552,13 @@
     software: str = "v1",
     weights: int = 1,
     slots: int = SLOTS,
+    zone: str = ZONE,
 ) -> None:
     """Serve as `server_id` of `service`; with `model`, as a model engine."""
     clock = clocks.SystemClock()
-    server = Server(server_id, service, model, clock, seed, software, weights, slots)
+    server = Server(
+        server_id, service, model, clock, seed, software, weights, slots, zone
+    )
     asyncio.run(_serve(server, store_url))
 
 
--- a/tests/process_removals.py
+++ b/tests/process_removals.py
@@ -1,7 +1,10 @@
 """Tests of gateway processes whose servers are removed after an outage of the store.
 
-Mutation (`QUINCE_MUTATION`, see `wrapped_program`) that makes this test fail:
-`forget-regained-stores` (DRAIN).
+Other servers are evacuated meanwhile and come back cold.
+
+Mutations (`QUINCE_MUTATION`, see `wrapped_program`) that make this test fail:
+`forget-regained-stores` (DRAIN), `ignore-evacuations` (EVAC), `ignore-cold-servers`
+(COLD).
 """
 
 import unittest
--- a/tests/removal_process_soak.py
+++ b/tests/removal_process_soak.py
@@ -6,7 +6,8 @@
 
 The store is away for some seconds, several times.  After a calm time the readers of the
 table of servers are shut down and started in turn, and servers are replaced by the
-removal of their entries; both overlap.  Callers send requests all the while.
+removal of their entries; both overlap.  Meanwhile the data centre of other servers is
+evacuated; when that ends, they come back cold.  Callers send requests all the while.
 """
 
 import pathlib
@@ -16,10 +17,13 @@
 import tempfile
 import threading
 import time
+import types
 from typing import Final
 
+from quincecrank import clock as clocks
 from quincecrank import ids, rendezvous
 from quincecrank.gateway import followers, tables
+from standins import platform_fleet
 from standins import platform_kept_callers as kept_callers
 from tests import mutable_fleet, removal_checker
 
@@ -37,12 +41,33 @@
 SERVES_ON_S: Final = 3.5
 """Time for which a server serves after the removal of its entry."""
 
+FAR_SERVERS: Final = 3
+FAR_ZONE: Final = "lalit"
+EVACUATED_S: Final = 7.0
+"""Time from the request of an evacuation to its end."""
+
+COLD_S: Final = 5.0
+COLD_PER_S: Final = 8.0
+"""Time for which the servers come back cold, and the requests that each takes then."""
+
 READY_LIMIT_S: Final = 60.0
 POLL_S: Final = 0.02
 
 wall_ms = kept_callers.wall_ms
 
 
+class SoakFleet(mutable_fleet.MutableFleet):
+    """A fleet whose operator evacuates data centres and limits cold servers."""
+
+    more_bounds = types.MappingProxyType(
+        {
+            "evacuateMs": removal_checker.EVACUATE_MS,
+            "coldOvershoot": removal_checker.COLD_OVERSHOOT,
+            "coldSlack": removal_checker.COLD_SLACK,
+        }
+    )
+
+
 class Soak:
     """One run with a seed.
 
@@ -61,11 +86,16 @@
         self._names = [f"entry-{number}" for number in range(gateways)]
         self._log_by_server: dict[str, str] = {}
         self._removed_ms_by_server: dict[str, float] = {}
+        self._evacuated_ms = self._cold_ms = (0.0, 0.0)
         self._operations_ms: dict[str, list[float]] = {name: [] for name in self._names}
         self.figures = ""
 
     def run(self) -> list[str]:
         """Return a line for each violation."""
+        document = platform_fleet.configuration(2)
+        for service in document["services"]:
+            service |= {"coldStartS": COLD_S, "coldPerS": COLD_PER_S}
+        self._fleet.write_operator_row("config", document)
         for number in range(SERVERS):
             self._fleet.add_server(f"record-{number}", "records")
         self._fleet.add_server("engine-0", "drafting")
@@ -81,19 +111,57 @@
             time.sleep(CALM_S)
             for number in range(SERVERS, 2 * SERVERS):
                 self._fleet.add_server(f"record-{number}", "records")
+            for server in self._far_servers:
+                self._fleet.add_server(server, "records", zone=FAR_ZONE)
             time.sleep(SETTLE_S)
+            evacuated = threading.Thread(target=self._evacuate)
+            evacuated.start()
             self._roll()
+            evacuated.join()
         for number in range(SERVERS):
             server = f"record-{number}"
             self._log_by_server[server] = self._fleet.process_by_name[server].log()
         found = removal_checker.arrivals(self._log_by_server)
+        far = removal_checker.arrivals(
+            {
+                server: self._fleet.process_by_name[server].log()
+                for server in self._far_servers
+            }
+        )
         self.figures = (
             f"{len(callers.requests)} requests, {len(found)} arrivals,"
-            f" {len(self._removed_ms_by_server)} servers removed"
-        )
-        return removal_checker.late_arrivals(
-            found, self._removed_ms_by_server, self._operations_ms
+            f" {len(self._removed_ms_by_server)} servers removed,"
+            f" last request to an evacuated server after"
+            f" {removal_checker.last_arrival_ms(far, self._evacuated_ms):.0f} ms,"
+            f" {removal_checker.most_in_a_second(far, self._cold_ms)} requests in a"
+            " second to a cold one"
         )
+        return [
+            *removal_checker.late_arrivals(
+                found, self._removed_ms_by_server, self._operations_ms
+            ),
+            *removal_checker.evacuation_faults(far, self._evacuated_ms),
+            *removal_checker.cold_faults(far, self._cold_ms, COLD_PER_S),
+        ]
+
+    @property
+    def _far_servers(self) -> tuple[str, ...]:
+        return tuple(f"far-{number}" for number in range(FAR_SERVERS))
+
+    def _evacuate(self) -> None:
+        """Evacuate a data centre and end that; its servers are cold then."""
+        self._fleet.write_operator_row(f"evacuate/{FAR_ZONE}", {})
+        began_ms = wall_ms()
+        time.sleep(EVACUATED_S)
+        cold_until_ms = wall_ms() + COLD_S * clocks.MS_PER_SECOND
+        for server in self._far_servers:
+            process = self._fleet.process_by_name[server]
+            self._fleet.set_faults(process, cold_until_ms=round(cold_until_ms))
+        ended_ms = wall_ms()
+        self._fleet.remove_row("op", f"evacuate/{FAR_ZONE}")
+        time.sleep(COLD_S)
+        self._evacuated_ms = began_ms, ended_ms
+        self._cold_ms = ended_ms, cold_until_ms
 
     def _take_store_away(self) -> None:
         draw = self._generator
@@ -165,7 +233,7 @@
     The logs are kept if there is any.
     """
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"removals-{seed}-"))
-    with mutable_fleet.MutableFleet(folder) as fleet:
+    with SoakFleet(folder) as fleet:
         soak = Soak(fleet, seed, gateways)
         found = soak.run()
     print(f"seed {seed}: {soak.figures}", flush=True)
--- a/tests/run_mutations.py
+++ b/tests/run_mutations.py
@@ -34,6 +34,10 @@
 _CONFIGURATION_CHANGES: Final = (
     "tests.process_configuration_changes.ConfigurationChangesTest"
 )
+_REMOVALS: Final = (
+    "tests.process_removals.RemovalsTest"
+    ".test_removals_long_after_an_outage_were_taken_for_expiries"
+)
 _EXPLORER: Final = "tests.process_explorer.ExplorerTest"
 
 TESTS: Final = (
@@ -105,11 +109,9 @@
         "tests.process_resources.EndlessAnswersTest"
         ".test_answers_without_an_end_came_to_more_than_the_memory",
     ),
-    (
-        "forget-regained-stores",
-        "tests.process_removals.RemovalsTest"
-        ".test_removals_long_after_an_outage_were_taken_for_expiries",
-    ),
+    ("forget-regained-stores", _REMOVALS),
+    ("ignore-evacuations", _REMOVALS),
+    ("ignore-cold-servers", _REMOVALS),
     (
         "ignore-peers-changes",
         f"{_CONFIGURATION_CHANGES}"
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -447,6 +447,18 @@
     _replace(servers, "MIN_EXPIRY_OUTAGE_MS", 0)
 
 
+def ignore_evacuations() -> None:
+    """Make gateways send requests to servers of evacuated data centres."""
+    state = fleet_state.FleetState
+    _replace(state, "may_send_to", lambda self, server: True)
+
+
+def ignore_cold_servers() -> None:
+    """Make gateways send cold servers their usual share of requests."""
+    state = fleet_state.FleetState
+    _replace(state, "update_cold_limits", lambda self, origin: None)
+
+
 def begin_anything() -> None:
     """Make gateways send requests however late, and cut them instead of answering."""
     schedule = shutdown_schedule.ShutdownSchedule
@@ -637,6 +649,8 @@
     "accept-any-connection": accept_any_connection,
     "hold-any-bytes": hold_any_bytes,
     "forget-regained-stores": forget_regained_stores,
+    "ignore-evacuations": ignore_evacuations,
+    "ignore-cold-servers": ignore_cold_servers,
     "notice-signals-late": notice_signals_late,
     "cut-by-earliest-bound": cut_by_earliest_bound,
     "end-by-earliest-bound": end_by_earliest_bound,
