--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -23,7 +23,7 @@
     send_permits,
     servers,
 )
-from quincecrank.platform import documents
+from quincecrank.platform import answers, documents
 from tests import builders_gateway as builders
 
 Evidence = Callable[[cold_servers.ColdServers, int, int], int]
@@ -116,6 +116,15 @@
                 self.assertFalse(self.is_cold())
                 self.assertIsNone(self.limit())
 
+    def test_an_odd_time_in_an_answer_tells_nothing(self) -> None:
+        for odd in ("", "-1", "1.5", "\u0663", "9" * 10, "9" * 5_000, "soon", "1 2"):
+            with self.subTest(odd[:12]):
+                headers = builders.make_headers(Cold_Ms=odd)
+                self.assertIsNone(answers.decode(200, headers).cold_ms)
+        headers = builders.make_headers(Cold_Ms=" 900 ")
+        self.assertEqual(answers.decode(503, headers).cold_ms, 900)
+        self.assertIsNone(answers.decode(421, headers).cold_ms)
+
     def test_one_line_says_that_a_server_is_cold_and_one_that_it_is_warm(self) -> None:
         """Neither the end of an evacuation nor that of the time was logged."""
         self.apply(seq=4)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import ipaddress
 import json
 import math
@@ -116,8 +117,12 @@
 
 
 def make_gateway() -> main.Gateway:
-    """Return a gateway that is not started."""
-    return main.Gateway(builders.make_environment(), loop_monitor.ObservedClock())
+    """Return a gateway that is not started, with evacuations and cold servers."""
+    settings = dataclasses.replace(
+        builders.make_environment(),
+        bounds=builders.make_bounds(evacuation_apply_ms=5_000, cold_overshoot=1.5),
+    )
+    return main.Gateway(settings, loop_monitor.ObservedClock())
 
 
 class OddRowsTest(gateway_case.GatewayCase):
@@ -201,6 +206,7 @@
         self, configuration: str, target: str, key: str
     ) -> None:
         rows = [("config", configuration), (f"version/{key}", target), (key, target)]
+        rows.append((f"evacuate/{key}", target))
         with sound_log(self):
             gateway = applied(tables.TableName.OPERATOR, *numbered(rows))
             current = gateway._fleet.configuration
