--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -58,7 +58,7 @@
         self.apply_changes(snapshot.rows, arrival)
         self._has_read = True
         if self._is_evacuation_used:
-            self._end_missing_evacuations(snapshot)
+            self._end_missing_evacuations(snapshot, arrival)
 
     def apply_changes(
         self,
@@ -89,7 +89,9 @@
     def _is_evacuation_used(self) -> bool:
         return self._fleet.own_settings.bounds.evacuation_apply_ms is not None
 
-    def _end_missing_evacuations(self, snapshot: store_rows.Rows) -> None:
+    def _end_missing_evacuations(
+        self, snapshot: store_rows.Rows, arrival: followers.Arrival | None
+    ) -> None:
         """End the evacuations that a full read of the table lacks."""
         position_by_data_centre = {
             data_centre: row.position
@@ -101,7 +103,9 @@
         )
         for data_centre in ended:
             self._fleet.presume_cold(data_centre)
-            _LOG.info("evacuation ended", data_centre=data_centre, origin="full read")
+            self._log_evacuation(
+                data_centre, snapshot.position, arrival, has_ended=True
+            )
 
     def _apply_evacuation(
         self,
@@ -113,12 +117,24 @@
             data_centre, row.position, is_removed=row.is_removed
         ):
             return
+        self._log_evacuation(
+            data_centre, row.position, arrival, has_ended=row.is_removed
+        )
+
+    def _log_evacuation(
+        self,
+        data_centre: ids.DataCentre,
+        position: store_rows.Position,
+        arrival: followers.Arrival | None,
+        *,
+        has_ended: bool,
+    ) -> None:
         known_ms = None if arrival is None else arrival.known_ms
         now_ms = self._fleet.clock.now_ms()
         _LOG.info(
-            "evacuation ended" if row.is_removed else "evacuation in force",
+            "evacuation ended" if has_ended else "evacuation in force",
             data_centre=data_centre,
-            row=row.position.number,
+            row=position.number,
             origin=followers.STORE if arrival is None else arrival.origin,
             delay_ms=None if known_ms is None else now_ms - known_ms,
         )
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -8,12 +8,16 @@
 import unittest
 from unittest import mock
 
+from structlog import testing
+
 from quincecrank import clock as clocks
 from quincecrank import ids, store_rows
 from quincecrank.gateway import (
     dispatcher,
     evacuations,
+    followers,
     placements,
+    row_consumers,
     server_links,
     servers,
 )
@@ -334,6 +338,26 @@
         self.assertTrue(self.known.is_evacuated(NORTH))
 
 
+class LogTest(unittest.TestCase):
+    def test_one_line_says_that_an_evacuation_is_in_force_and_one_that_it_ended(
+        self,
+    ) -> None:
+        """The end by a full read named neither position nor origin nor delay."""
+        clock = clocks.ManualClock(1_000)
+        consumer = row_consumers.OperatorRowConsumer(evacuated.make_fleet(clock))
+        row = store_rows.Row("evacuate/north", "{}", at(2))
+        arrival = followers.Arrival(followers.PUSH, 950, 900)
+        with testing.capture_logs() as lines:
+            for _ in range(2):
+                consumer.apply_changes((row,), arrival)
+            for _ in range(2):
+                consumer.apply_snapshot(store_rows.Rows((), at(5)), arrival)
+        fields = ("event", "data_centre", "row", "origin", "delay_ms")
+        told = [tuple(line.get(field) for field in fields) for line in lines]
+        begun = ("evacuation in force", "north", 2, "push", 100)
+        self.assertEqual(told, [begun, ("evacuation ended", "north", 5, "push", 100)])
+
+
 class CurrencyTest(unittest.TestCase):
     """Requests at a gateway whose operator table is older than a peer's."""
 
