--- a/quincecrank/gateway/row_consumers.py
+++ b/quincecrank/gateway/row_consumers.py
@@ -59,7 +59,7 @@
         self.apply_changes(snapshot.rows, arrival)
         self._has_read = True
         if self._is_evacuation_used:
-            self._end_missing_evacuations(snapshot)
+            self._end_missing_evacuations(snapshot, arrival)
 
     def apply_changes(
         self,
@@ -90,7 +90,9 @@
     def _is_evacuation_used(self) -> bool:
         return self._fleet.own_settings.bounds.evacuation_apply_ms is not None
 
-    def _end_missing_evacuations(self, snapshot: store_rows.Rows) -> None:
+    def _end_missing_evacuations(
+        self, snapshot: store_rows.Rows, arrival: followers.Arrival | None
+    ) -> None:
         """End the evacuations that a full read of the table lacks."""
         position_by_data_centre = {
             data_centre: row.position
@@ -102,7 +104,9 @@
         )
         for data_centre in ended:
             self._fleet.presume_cold(data_centre)
-            _LOG.info("evacuation ended", data_centre=data_centre, origin="full read")
+            self._log_evacuation(
+                data_centre, snapshot.position, arrival, has_ended=True
+            )
 
     def _apply_evacuation(
         self,
@@ -114,12 +118,24 @@
             data_centre, row.position, is_removed=row.is_removed
         ):
             return
+        self._log_evacuation(
+            data_centre, row.position, arrival, has_ended=row.is_removed
+        )
+
+    def _log_evacuation(
+        self,
+        data_centre: ids.DataCentre,
+        position: store_rows.Position,
+        arrival: followers.Arrival | None,
+        *,
+        has_ended: bool,
+    ) -> None:
         known_ms = None if arrival is None else arrival.known_ms
         now_ms = self._fleet.clock.now_ms()
         _LOG.info(
-            "evacuation ended" if row.is_removed else "evacuation in force",
+            "evacuation ended" if has_ended else "evacuation in force",
             data_centre=data_centre,
-            row=row.position.number,
+            row=position.number,
             origin=followers.STORE if arrival is None else arrival.origin,
             delay_ms=None if known_ms is None else now_ms - known_ms,
         )
@@ -296,7 +312,9 @@
             return False
         before = self._fleet.registry.find(entry.server_id)
         entry = self._fleet.registry.update(entry)
-        became_cold = self._fleet.record_cold_entry(entry)
+        if before is not None and before.started_wall_ms != entry.started_wall_ms:
+            self._fleet.remove_server(entry.server_id)
+        became_cold = self._fleet.record_cold_entry(entry, before)
         is_significant = before is None or became_cold or _is_significant(before, entry)
         if is_significant:
             _LOG.info(
@@ -309,8 +327,6 @@
                 software=entry.software_version,
                 started_wall_ms=entry.started_wall_ms,
             )
-        if before is not None and before.started_wall_ms != entry.started_wall_ms:
-            self._fleet.remove_server(entry.server_id)
         return is_significant
 
     def _remove(self, server_id: servers.ServerId) -> bool:
--- a/tests/run_mutations.py
+++ b/tests/run_mutations.py
@@ -34,6 +34,10 @@
 _CONFIGURATION_CHANGES: Final = (
     "tests.process_configuration_changes.ConfigurationChangesTest"
 )
+_REMOVALS: Final = (
+    "tests.process_removals.RemovalsTest"
+    ".test_removals_long_after_an_outage_were_taken_for_expiries"
+)
 _EXPLORER: Final = "tests.process_explorer.ExplorerTest"
 
 TESTS: Final = (
@@ -115,11 +119,9 @@
         "tests.process_client_limits.ClientLimitsTest"
         ".test_heads_of_many_lines_kept_others_from_an_answer",
     ),
-    (
-        "forget-regained-stores",
-        "tests.process_removals.RemovalsTest"
-        ".test_removals_long_after_an_outage_were_taken_for_expiries",
-    ),
+    ("forget-regained-stores", _REMOVALS),
+    ("ignore-evacuations", _REMOVALS),
+    ("ignore-cold-servers", _REMOVALS),
     (
         "ignore-peers-changes",
         f"{_CONFIGURATION_CHANGES}"
