--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -14,14 +14,13 @@
 from quincecrank import ids
 from quincecrank.gateway import (
     allowed_regions,
-    cache_transfers,
     decision_log,
     deployment,
     engine_placement,
     fleet_state,
     permit_demand,
-    placement,
     placements,
+    plain_placement,
     prompts,
     request_queue,
     send_permits,
@@ -82,6 +81,7 @@
         ] = {}
         self._demand = permit_demand.PermitDemand(fleet, self._queue_by_service)
         self._engines = engine_placement.EnginePlacement(fleet, self._demand)
+        self._plain = plain_placement.PlainPlacement(fleet, self._demand)
         self._size_fairness = size_fairness.SizeFairness()
         self._left_out_until_ms: dict[servers.Incarnation, int] = {}
         self._has_waiting = asyncio.Event()
@@ -553,54 +553,11 @@
         usable: tuple[servers.ServerEntry, ...],
     ) -> placements.Placement | None:
         if request.prompt is None or request.service.engine is None:
-            return self._place_plain(request, usable)
+            return self._plain.place(request, usable)
         return self._engines.place(
             request, request.prompt, request.service.engine, usable
         )
 
-    def _place_plain(
-        self,
-        request: placements.PlacementRequest,
-        usable: tuple[servers.ServerEntry, ...],
-    ) -> placements.Placement | None:
-        now_ms = self._fleet.clock.now_ms()
-        slowness_by_server = self._fleet.health.relative_slowness(usable)
-        candidates = [
-            placement.Candidate(
-                each,
-                self._fleet.loads.total_load(each.server_id, now_ms),
-                slowness_by_server[each.server_id],
-            )
-            for each in usable
-        ]
-        chosen = placement.choose_plain(candidates, request.request_id)
-        if chosen is None:
-            return None
-        self._fleet.loads.record_start(
-            chosen.server.server_id, request.request_id, 0, 0
-        )
-        _LOG.info(
-            "placed",
-            request=request.request_id,
-            server=chosen.server.server_id,
-            software=chosen.server.software_version,
-            running=chosen.load.requests,
-            slowness=round(chosen.slowness, 2),
-        )
-        work = chosen.work
-        expected_ms = self._fleet.service_times.times_of(
-            request.service.name
-        ).expected_ms(work)
-        return placements.Placement(
-            chosen.server,
-            None,
-            None,
-            cache_transfers.NO_TRANSFERS,
-            work,
-            expected_ms,
-            self._demand.take_permit(request, chosen.server),
-        )
-
     def _usable_servers(
         self, request: placements.PlacementRequest
     ) -> tuple[servers.ServerEntry, ...]:
