Report the demand for engines between gateways

Callers see no difference yet. A gateway of a large fleet starts too few requests to know from them how long others will wait. Only gateways that share admission fill the field.

--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -28,6 +28,7 @@
     server_liveness,
     servers,
     service_times,
+    shared_demand,
     shutdown_schedule,
     stream_versions,
     weights,
@@ -116,6 +117,7 @@
         self.stream_versions = stream_versions.StreamVersions()
         self.links = server_links.LinkPool(clock, MAX_IDLE_LINK_MS)
         self.weight_updates = engine_weight_updates.WeightUpdates()
+        self.shared_demand = shared_demand.SharedDemand()
         self.failed_requests = failed_request_records.FailedRequests()
         self.pending_saves = cache_transfers.PendingSaves()
         self.clock_offset_ms_by_holder: dict[cache_part_index.HolderName, int] = {}
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -26,6 +26,7 @@
     server_liveness,
     servers,
     service_times,
+    shared_demand,
     stream_versions,
     tables,
     weights,
@@ -133,6 +134,8 @@
         Backend servers that are cold or were so lately.
     takes_packed_figures : bool
         Whether the gateway decodes packed figures.
+    demand : mapping of ServiceKey to DemandByRank or None
+        Demand for engines at the gateway; None if it does not share admission.
     """
 
     vm: ids.VmName
@@ -163,6 +166,7 @@
     is_late: bool = False
     cold_states: tuple[cold_servers.ColdState, ...] = ()
     takes_packed_figures: bool = True
+    demand: shared_demand.DemandByService | None = None
 
     @property
     def has_other_parts(self) -> bool:
@@ -217,6 +221,7 @@
             issuesPermits=report.issues_permits,
             takesChanges=report.takes_changes,
             takesPackedFigures=report.takes_packed_figures,
+            sharedDemand=shared_demand.pack(report.demand),
         )
     message.report.packedFigures = packed_figures.pack(
         packed_figures.Figures(
@@ -317,6 +322,7 @@
         isLate=report.is_late,
         coldServers=_cold_server_fields(report),
         takesPackedFigures=report.takes_packed_figures,
+        sharedDemand=shared_demand.pack(report.demand),
     )
 
 
@@ -735,6 +741,7 @@
             configuration_age_ms=figures.configuration_age_ms,
             is_late=figures.is_late,
             takes_packed_figures=message.takesPackedFigures,
+            demand=_shared_demand(message),
         )
     return dataclasses.replace(
         _plain_report(message),
@@ -815,4 +822,18 @@
         is_late=message.isLate,
         cold_states=tuple(_cold_state(each) for each in message.coldServers),
         takes_packed_figures=message.takesPackedFigures,
+        demand=_shared_demand(message),
     )
+
+
+def _shared_demand(message: Any) -> shared_demand.DemandByService | None:
+    packed = bytes(message.sharedDemand)
+    try:
+        return shared_demand.unpack(packed)
+    except ValueError as error:
+        _LOG.warning(
+            "invalid part of a report ignored",
+            kind="shared_demand",
+            error=str(error),
+        )
+        return None
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -204,6 +204,8 @@
   # See packed_figures.py.  Sent instead of the fields that it replaces, to peers that
   # take it.
   packedFigures @25 :Data;
+  # See shared_demand.py.  Sent by gateways that share admission.
+  sharedDemand @26 :Data;
 }
 
 struct ChangedRow {
