Admit requests for engines by the demand at all gateways

Callers of short prompts were rejected for lack of a recent start at their gateway, mostly again when they came back, or found every engine full of long prompts. Where the settings ask for shared admission, waits are estimated from the demand at all gateways; requests that can only be late wait behind the others; those that were rejected go before equal ones; and a prompt adds to an engine's backlog only so far that more urgent ones are still on time there. Without figures of half of the gateways the own figures decide, as before.

--- a/bench/gateway_simulation.py
+++ b/bench/gateway_simulation.py
@@ -33,6 +33,7 @@
     prompts,
     request_queue,
     servers,
+    shared_demand,
 )
 from tests import builders_gateway as builders
 
@@ -45,6 +46,9 @@
 MODEL: Final = builders.MODEL
 SERVICE: Final = builders.LLM
 SALT: Final = cache_part_index.make_salt(MODEL, 1, None)
+MAX_RETRY_WAIT_FRACTION: Final = 1 / 3
+"""Fraction of their remaining time for which callers wait before a retry."""
+
 END_MARGIN_MS: Final = 20_000
 """Time after the last arrival within which all requests have ended."""
 
@@ -130,14 +134,25 @@
         this they learn of them by periodic reports only.
     burst_from_ms, burst_until_ms : int
         Time in which arrivals are multiplied by `burst_factor`.
+    burst_kind : str or None
+        The kind whose arrivals are multiplied; None for all.
     slowness : float
         Duration of all engines' steps, relative to their data sheet.
+    slowness_by_engine : tuple of float
+        Further factors of the engines' steps; repeated if there are more engines.
     slow_from_ms : int
         Time from which all steps take `slow_factor` times as long; 0 for never.
     slow_engine_factor : float
         Duration of the first engine's steps, relative to the other engines'.
     prefill_chunk_tokens : int
         Prompt tokens that an engine computes in one step (prefill chunk).
+    shares_admission : bool
+        Whether gateways admit requests by figures that they share.
+    cut_off_gateways : int
+        Number of gateways that send no report and receive none.
+    limits_retry_time : bool
+        Whether callers give up if they are to wait for more than a third of their
+        remaining time.
     """
 
     seed: int
@@ -151,12 +166,17 @@
     burst_from_ms: int = 0
     burst_until_ms: int = 0
     burst_factor: float = 1.0
+    burst_kind: str | None = None
     slowness: float = 1.0
+    slowness_by_engine: tuple[float, ...] = (1.0,)
     slow_from_ms: int = 0
     slow_factor: float = 1.0
     slow_engine_factor: float = 1.0
     prefill_chunk_tokens: int = simulated_engine.PREFILL_CHUNK_TOKENS
     policy: Policy = Policy.GATEWAYS
+    shares_admission: bool = False
+    cut_off_gateways: int = 0
+    limits_retry_time: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -190,6 +210,11 @@
         Requests that were not answered because gateways rejected them.
     rejected_twice : int
         Requests that were sent again after a rejection and rejected again.
+    rejected_once : int
+        Requests whose first attempt was rejected.
+    rejected_with_room : int
+        Attempts that were rejected while less than half of all slots were taken and no
+        request waited at any gateway.
     """
 
     requests: int = 0
@@ -197,16 +222,27 @@
     late: int = 0
     rejected: int = 0
     rejected_twice: int = 0
+    rejected_once: int = 0
+    rejected_with_room: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnsweredRequest:
-    """An answered request; `first_attempt_ms` is the time of its first attempt."""
+    """An answered request.
+
+    Attributes
+    ----------
+    first_attempt_ms : int
+        Time of its first attempt.
+    took_ms : float
+        Time from there to the first event.
+    """
 
     first_attempt_ms: int
     kind: str
     is_on_time: bool
     input_tokens: int
+    took_ms: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -266,7 +302,10 @@
 ) -> Iterable[Arrival]:
     at_ms = 0.0
     while True:
-        is_burst = pattern.burst_from_ms <= at_ms < pattern.burst_until_ms
+        is_burst = (
+            pattern.burst_from_ms <= at_ms < pattern.burst_until_ms
+            and pattern.burst_kind in (None, kind.name)
+        )
         rate = kind.per_second * (pattern.burst_factor if is_burst else 1.0)
         at_ms += generator.expovariate(rate) * clocks.MS_PER_SECOND
         if at_ms >= pattern.duration_ms:
@@ -307,10 +346,22 @@
         yield Arrival(at_ms, kind, prompt, answer_tokens, generator.randrange(100_000))
 
 
-def make_environment(number: int) -> environment.Environment:
+def make_environment(
+    number: int, *, shares_admission: bool = False
+) -> environment.Environment:
     """Return the settings of the gateway with this number."""
     return dataclasses.replace(
-        builders.make_environment(), vm=ids.VmName(f"gateway-{number}")
+        builders.make_environment(),
+        vm=ids.VmName(f"gateway-{number}"),
+        shares_admission=shares_admission,
+    )
+
+
+def make_fleet(number: int, *, shares_admission: bool) -> fleet_state.FleetState:
+    """Return the fleet state of the gateway with this number."""
+    return fleet_state.FleetState(
+        make_environment(number, shares_admission=shares_admission),
+        virtual_time.LoopClock(),
     )
 
 
@@ -338,9 +389,11 @@
         )
         self._service = deployment.Service(SERVICE, 1_000, engine_facts)
         self._fleet_states = [
-            fleet_state.FleetState(make_environment(number), self._clock)
+            make_fleet(number, shares_admission=pattern.shares_admission)
             for number in range(pattern.gateways)
         ]
+        for fleet in self._fleet_states:
+            fleet.shared_demand.known_gateways = pattern.gateways
         self._dispatchers = [
             dispatcher.Dispatcher(fleet, random.Random(pattern.seed + number))
             for number, fleet in enumerate(self._fleet_states)
@@ -401,7 +454,8 @@
                 self._cache_event_sender(holder),
                 self._clock,
             )
-            engine.slowness = self._pattern.slowness
+            factors = self._pattern.slowness_by_engine
+            engine.slowness = self._pattern.slowness * factors[number % len(factors)]
             engine.prefill_chunk_tokens = self._pattern.prefill_chunk_tokens
             if number == 0:
                 engine.slowness *= self._pattern.slow_engine_factor
@@ -450,7 +504,11 @@
         self._fleet_states[number].loads.notify_peers = notify
 
     def _peers_of(self, number: int) -> Sequence[fleet_state.FleetState]:
-        return [*self._fleet_states[:number], *self._fleet_states[number + 1 :]]
+        reached = self._fleet_states[self._pattern.cut_off_gateways :]
+        own = self._fleet_states[number]
+        if number < self._pattern.cut_off_gateways:
+            return []
+        return [fleet for fleet in reached if fleet is not own]
 
     async def _send_reports(self, number: int) -> None:
         await self._clock.sleep(self._generator.uniform(0, peers.REPORT_INTERVAL_MS))
@@ -464,6 +522,7 @@
                     fleet,
                     fleet.loads.own_load_by_server(),
                     fleet.failed_requests.to_publish(self._clock.now_ms()),
+                    self._dispatchers[number].demand,
                 )
             interval_ms = peers.report_interval_ms(self._pattern.gateways - 1)
             await self._clock.sleep(interval_ms)
@@ -474,7 +533,11 @@
         sender: fleet_state.FleetState,
         own_load_by_server: dict[servers.ServerId, loads.Load],
         rejected: tuple[failed_request_records.FailedRequest, ...],
+        demand: shared_demand.DemandByService | None,
     ) -> None:
+        receiver.shared_demand.apply_report(
+            sender.own_settings.vm, demand, self._clock.now_ms()
+        )
         receiver.failed_requests.apply_peer_failures(rejected, self._clock.now_ms())
         receiver.loads.apply_peer_report(
             sender.own_settings.vm, own_load_by_server, self._clock.now_ms()
@@ -496,11 +559,30 @@
             )
             if rejection is None:
                 return
+            outcome.rejected_with_room += self._has_room()
             if not attempt:
-                await self._clock.sleep(rejection.retry_after_ms or 0)
+                outcome.rejected_once += 1
+                remaining_ms = (
+                    first_attempt_ms + arrival.kind.deadline_ms - self._clock.now_ms()
+                )
+                wait_ms = rejection.retry_after_ms
+                if wait_ms is None or (
+                    self._pattern.limits_retry_time
+                    and wait_ms > remaining_ms * MAX_RETRY_WAIT_FRACTION
+                ):
+                    outcome.rejected += 1
+                    return
+                await self._clock.sleep(wait_ms)
         outcome.rejected += 1
         outcome.rejected_twice += 1
 
+    def _has_room(self) -> bool:
+        """Return whether half of all slots are free and nothing waits."""
+        running = sum(self._requests_by_server.values())
+        waiting = sum(each.waiting_requests for each in self._dispatchers)
+        slots = self._pattern.engines * self._pattern.slots
+        return 2 * running < slots and not waiting
+
     async def _try_gateway(
         self, arrival: Arrival, number: int, attempt: int, first_attempt_ms: int
     ) -> placements.Rejection | None:
@@ -589,7 +671,11 @@
         is_on_time = took_ms <= kind.target_ms
         self._answered.append(
             AnsweredRequest(
-                first_attempt_ms, kind.name, is_on_time, arrival.prompt.input_tokens
+                first_attempt_ms,
+                kind.name,
+                is_on_time,
+                arrival.prompt.input_tokens,
+                took_ms,
             )
         )
         if is_on_time:
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import collections
 import dataclasses
 import random
 from typing import Final
@@ -25,7 +24,9 @@
     request_queue,
     send_permits,
     servers,
+    service_queues,
     service_times,
+    shared_demand,
     size_fairness,
 )
 
@@ -69,9 +70,7 @@
     def __init__(self, fleet: fleet_state.FleetState, generator: random.Random) -> None:
         self._fleet = fleet
         self._generator = generator
-        self._queue_by_service: collections.defaultdict[
-            deployment.ServiceName, request_queue.RequestQueue
-        ] = collections.defaultdict(request_queue.RequestQueue)
+        self._queue_by_service = service_queues.QueueByService(fleet)
         self._future_by_id: dict[
             ids.RequestId,
             asyncio.Future[placements.Placement | placements.Rejection],
@@ -80,7 +79,9 @@
             ids.RequestId, placements.PlacementRequest
         ] = {}
         self._demand = permit_demand.PermitDemand(fleet, self._queue_by_service)
-        self._engines = engine_placement.EnginePlacement(fleet, self._demand)
+        self._engines = engine_placement.EnginePlacement(
+            fleet, self._demand, self._queue_by_service
+        )
         self._plain = plain_placement.PlainPlacement(fleet, self._demand)
         self._size_fairness = size_fairness.SizeFairness()
         self._left_out_until_ms: dict[servers.Incarnation, int] = {}
@@ -91,6 +92,11 @@
         """Number of requests that wait for a backend server."""
         return len(self._placement_request_by_id)
 
+    @property
+    def demand(self) -> shared_demand.DemandByService | None:
+        """Demand for engines at this gateway; None if it is not shared."""
+        return self._queue_by_service.demand()
+
     def idle_answer_ms(
         self, service: deployment.Service, prompt: prompts.Prompt | None
     ) -> float:
@@ -119,9 +125,12 @@
         tokens = request.prompt.input_tokens
         fairness = self._size_fairness
         now_ms = self._fleet.clock.now_ms()
-        if fairness.is_underserved(request.route, tokens, now_ms):
-            queued = dataclasses.replace(request.queued, is_underserved=True)
-            request = dataclasses.replace(request, queued=queued)
+        queued = dataclasses.replace(
+            request.queued,
+            is_underserved=fairness.is_underserved(request.route, tokens, now_ms),
+            memory_tokens=request.prompt.memory_tokens,
+        )
+        request = dataclasses.replace(request, queued=queued)
         result = await self._place_or_queue(request)
         if not request.tried_servers:
             is_placed = isinstance(result, placements.Placement)
--- a/quincecrank/gateway/engine_placement.py
+++ b/quincecrank/gateway/engine_placement.py
@@ -24,7 +24,9 @@
     prompts,
     request_queue,
     servers,
+    service_queues,
     service_times,
+    shared_admission,
     weights,
 )
 
@@ -40,13 +42,19 @@
         Fleet state that this gateway tracks.
     demand : PermitDemand
         Takes the permits for engines with a rate limit.
+    queue_by_service : QueueByService
+        The admission queues.
     """
 
     def __init__(
-        self, fleet: fleet_state.FleetState, demand: permit_demand.PermitDemand
+        self,
+        fleet: fleet_state.FleetState,
+        demand: permit_demand.PermitDemand,
+        queue_by_service: service_queues.QueueByService,
     ) -> None:
         self._fleet = fleet
         self._demand = demand
+        self._queue_by_service = queue_by_service
 
     def place(
         self,
@@ -72,7 +80,7 @@
             affinity_server=_affinity_server(prompt, usable),
             memory_tokens=prompt.memory_tokens,
             engine_memory_tokens=engine.memory_tokens,
-            slack_ms=_slack_ms(request.queued, now_ms, times),
+            slack_ms=self._slack_ms(request, now_ms, times),
             times=times,
         )
         load_by_server = {
@@ -179,6 +187,23 @@
             self._demand.take_permit(request, chosen.server),
         )
 
+    def _slack_ms(
+        self,
+        request: placements.PlacementRequest,
+        now_ms: int,
+        times: service_times.Times,
+    ) -> float | None:
+        """Return the time within which an engine must compute a prompt.
+
+        It leaves more urgent requests at any gateway the time that they need.
+        """
+        slack_ms = _slack_ms(request.queued, now_ms, times)
+        queue = self._queue_by_service[request.service.name]
+        if slack_ms is None or not isinstance(queue, shared_admission.SharedQueue):
+            return slack_ms
+        target_ms = queue.urgent_target_ms(request.queued, now_ms)
+        return shared_admission.shared_slack_ms(slack_ms, target_ms, times.base_ms)
+
     def begin_limit_ms(
         self, prompt: prompts.Prompt | None, version: int | None
     ) -> float | None:
--- a/quincecrank/gateway/gateway_metrics.py
+++ b/quincecrank/gateway/gateway_metrics.py
@@ -203,6 +203,11 @@
             ["service"],
             registry=self.registry,
         )
+        self.admission_peers = prometheus_client.Gauge(
+            "quince_gateway_admission_peers",
+            "Other gateways by whose figures requests are admitted; 0 without any",
+            registry=self.registry,
+        )
         self._permit_counts: dict[str, int] = {}
         self.peers = prometheus_client.Gauge(
             "quince_gateway_peers", "Live other gateways", registry=self.registry
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -236,6 +236,7 @@
         self._is_leaving = False
         self._signal: shutdown_schedule.SignalTime | None = None
         self._reports_made = 0
+        self._admits_by_shared_figures = False
 
     def _subscribe_to_eras(self) -> None:
         """Subscribe the parts that hold positions of the store to new eras.
@@ -576,6 +577,7 @@
             if currency.known_ms is None
             else self._clock.now_ms() - currency.known_ms,
             is_late=self._loop_monitor.is_late,
+            demand=self._dispatcher.demand,
         )
         report = self._crash_monitor.complete_report(report)
         report = self._stream_versions.complete_report(report)
@@ -604,6 +606,7 @@
         for pause in report.pauses:
             self._fleet.health.apply_peer_pause(pause, now_ms)
         self._fleet.failed_requests.apply_peer_failures(report.failed_requests, now_ms)
+        self._fleet.shared_demand.apply_report(report.vm, report.demand, now_ms)
         for service, times in report.times_by_service.items():
             self._fleet.service_times.apply_peer_times(service, times)
         for update in report.weight_updates:
@@ -631,6 +634,7 @@
                 _LOG.info("server gone", server=server_id, reason="lapsed")
                 self._fleet.remove_server(server_id)
             self._update_operator_requests()
+            self._update_shared_demand()
             self._fleet.links.close_stale()
             self._listener.close_expired()
             if self._listener.state.byte_budget.take_freed():
@@ -668,6 +672,26 @@
             self._metrics.set_held_bytes(self._listener.state.byte_budget)
             self._metrics.held_for_ended.set(self._fleet.liveness.held_for_ended_count)
 
+    def _update_shared_demand(self) -> None:
+        """Update the number of gateways; log when requests are admitted otherwise."""
+        demand = self._fleet.shared_demand
+        demand.known_gateways = self._peers.known_gateways()
+        if not self._own_settings.shares_admission:
+            return
+        was_shared = self._admits_by_shared_figures
+        self._admits_by_shared_figures = demand.suffices(self._clock.now_ms())
+        if self._admits_by_shared_figures is not was_shared:
+            _LOG.info(
+                "admission by shared figures"
+                if self._admits_by_shared_figures
+                else "admission by own figures",
+                reporting=demand.reporting_peers,
+                known=demand.known_gateways,
+            )
+        self._metrics.admission_peers.set(
+            demand.reporting_peers if self._admits_by_shared_figures else 0
+        )
+
     def _update_operator_requests(self) -> None:
         """Update evacuations and cold servers, which end with time."""
         now_ms = self._clock.now_ms()
--- a/quincecrank/gateway/request_queue.py
+++ b/quincecrank/gateway/request_queue.py
@@ -88,6 +88,8 @@
     resume_by_ms : int or None
         Time by which a resumed stream must go on; it counts as on time.  None for
         other requests.
+    memory_tokens : int
+        Engine memory that the request is expected to need; 0 for a plain service.
     """
 
     request_id: ids.RequestId
@@ -99,6 +101,7 @@
     is_underserved: bool = False
     earlier_first_attempt_ms: int | None = None
     resume_by_ms: int | None = None
+    memory_tokens: int = 0
 
     @property
     def is_resumed(self) -> bool:
@@ -160,7 +163,7 @@
     queue_class: QueueClass
 
 
-_StartCounts = collections.Counter[QueueClass]
+StartCounts = collections.Counter[QueueClass]
 """Number of starts of each queue class within the rate window."""
 
 
@@ -232,7 +235,9 @@
     def ordered(self, now_ms: int) -> tuple[QueuedRequest, ...]:
         """Return the waiting requests in the order in which they are to start."""
         return tuple(
-            sorted(self._request_by_id.values(), key=lambda each: _rank(each, now_ms))
+            sorted(
+                self._request_by_id.values(), key=lambda each: self._rank(each, now_ms)
+            )
         )
 
     def remove(self, request_id: ids.RequestId) -> None:
@@ -249,7 +254,9 @@
     def remove_too_late(self, now_ms: int) -> tuple[QueuedRequest, ...]:
         """Remove and return the requests that are too late by the rule of `accepts`."""
         ordered = self.ordered(now_ms)
-        too_late = [each for each in ordered if now_ms >= each.latest_start_ms]
+        too_late = [
+            each for each in ordered if now_ms >= self._latest_start_ms(each, now_ms)
+        ]
         for request in too_late:
             self.remove(request.request_id)
         starts = self._recent_starts(now_ms)
@@ -263,8 +270,23 @@
                 too_late.append(request)
         return tuple(too_late)
 
+    def _rank(
+        self, request: QueuedRequest, now_ms: int
+    ) -> tuple[bool, Timeliness, int, int]:
+        """Return the position of a request in the order; lower goes first."""
+        return (
+            not request.is_resumed,
+            request.timeliness(now_ms),
+            request.urgency,
+            request.arrived_ms,
+        )
+
+    def _latest_start_ms(self, request: QueuedRequest, _now_ms: int) -> float:
+        """Return the time from which a request is not started any more."""
+        return request.latest_start_ms
+
     def _accepts(
-        self, request: QueuedRequest, now_ms: int, starts: _StartCounts
+        self, request: QueuedRequest, now_ms: int, starts: StartCounts
     ) -> bool:
         if request.is_resumed:
             return now_ms < request.latest_start_ms
@@ -278,16 +300,16 @@
         return now_ms + late_wait_ms < request.latest_start_ms
 
     def _expected_wait_ms(
-        self, request: QueuedRequest, now_ms: int, starts: _StartCounts
+        self, request: QueuedRequest, now_ms: int, starts: StartCounts
     ) -> float:
-        rank = _rank(request, now_ms)
+        rank = self._rank(request, now_ms)
         return sum(
             _start_interval_ms(each, now_ms, starts)
             for each in self._request_by_id.values()
-            if _rank(each, now_ms) <= rank
+            if self._rank(each, now_ms) <= rank
         )
 
-    def _late_wait_ms(self, now_ms: int, starts: _StartCounts) -> float:
+    def _late_wait_ms(self, now_ms: int, starts: StartCounts) -> float:
         """Return the time to start all requests that are late when their turn comes.
 
         Infinite if there are any and no late request was started within the window.
@@ -306,7 +328,7 @@
         )
         return late_count * RATE_WINDOW_MS / late_starts if late_starts else math.inf
 
-    def _recent_starts(self, now_ms: int) -> _StartCounts:
+    def _recent_starts(self, now_ms: int) -> StartCounts:
         return collections.Counter(
             each.queue_class
             for each in self._starts
@@ -321,7 +343,7 @@
 
 
 def _start_interval_ms(
-    request: QueuedRequest, now_ms: int, starts: _StartCounts
+    request: QueuedRequest, now_ms: int, starts: StartCounts
 ) -> float:
     """Return the mean time between starts of the request's queue class."""
     count = starts[queue_class_of(request, now_ms)]
@@ -331,12 +353,3 @@
 def queue_class_of(request: QueuedRequest, now_ms: float) -> QueueClass:
     """Return the queue class of a request that starts at `now_ms`."""
     return QueueClass(request.timeliness(now_ms), request.urgency)
-
-
-def _rank(request: QueuedRequest, now_ms: int) -> tuple[bool, Timeliness, int, int]:
-    return (
-        not request.is_resumed,
-        request.timeliness(now_ms),
-        request.urgency,
-        request.arrived_ms,
-    )
--- /dev/null
+++ b/quincecrank/gateway/shared_admission.py
@@ -0,0 +1,200 @@
+"""Admits requests for engines by the demand at all gateways.
+
+Load pattern: a burst of long prompts at many gateways, while fewer engines than usual
+answer.  Each gateway starts too few requests to tell from them how long others will
+wait.  Long prompts that may wait a second fill the engines' backlogs, so that short
+prompts that are due in half a second are late at every engine.
+
+Rules
+-----
+wait
+    What waits at all gateways and goes before a request, in tokens, over the tokens
+    that all gateways have started in the last second.  Zero while none was started:
+    nothing shows then that the engines are full.
+late requests
+    A request that can't be on time waits behind those that can, until
+    `MAX_LATE_WAIT_FRACTION` of its time limit has passed.  It is not rejected to come
+    back: its second attempt would be late as well.
+order
+    By first attempt within a queue class, so that a request that was rejected goes
+    before those that arrived since.
+backlog
+    A request adds to the backlog of an engine only so far that more urgent requests,
+    which some gateway has now, are still on time there.
+"""
+
+from typing import Final
+
+from quincecrank.gateway import request_queue, shared_demand
+
+MAX_LATE_WAIT_FRACTION: Final = 0.75
+"""Fraction of the time between arrival and deadline that a request may wait."""
+
+MAX_RETRY_FRACTION: Final = 1 / 3
+"""Fraction of their remaining time for which callers wait before a second attempt."""
+
+URGENT_SLACK_FRACTION: Final = 0.6
+"""Fraction of the time that a more urgent request has until its prompt must be computed
+which a less urgent one may fill; the rest is for the urgent prompts themselves."""
+
+
+class SharedQueue(request_queue.RequestQueue):
+    """The admission queue of an engine service at one of several gateways.
+
+    Without figures of enough peers it behaves like any other `RequestQueue`.
+
+    Parameters
+    ----------
+    demand : SharedDemand
+        Figures of the peers.
+    """
+
+    def __init__(self, service: str, demand: shared_demand.SharedDemand) -> None:
+        super().__init__()
+        self._key = shared_demand.service_key(service)
+        self._shared = demand
+        self._own = shared_demand.OwnDemand()
+
+    def own_demand(self, now_ms: int) -> shared_demand.DemandByRank:
+        """Return the demand at this gateway by the rank of the queue class."""
+        return self._own.by_rank(self._request_by_id.values(), now_ms)
+
+    def urgent_target_ms(
+        self, request: request_queue.QueuedRequest, now_ms: int
+    ) -> int | None:
+        """Return the shortest target of more urgent requests at any gateway.
+
+        None if no gateway has any, or the figures are missing.
+        """
+        totals = self._shared.totals(self._key, now_ms)
+        if totals is None:
+            return None
+        return min(
+            (
+                demand.target_ms
+                for demand_by_rank in (totals, self.own_demand(now_ms))
+                for rank, demand in demand_by_rank.items()
+                if rank < min(request.urgency, request_queue.RANKS_PER_TIMELINESS - 1)
+            ),
+            default=None,
+        )
+
+    def record_start(self, request: request_queue.QueuedRequest, now_ms: int) -> None:
+        """Record that a request got a backend server, whether it waited or not."""
+        super().record_start(request, now_ms)
+        self._own.record_start(request, now_ms)
+
+    def may_start(self, request: request_queue.QueuedRequest, now_ms: int) -> bool:
+        """Return whether a request may use free capacity.
+
+        A late one may not while a request that can be on time waits at any gateway.
+        """
+        totals = self._shared.totals(self._key, now_ms)
+        if totals is None:
+            return super().may_start(request, now_ms)
+        if request.timeliness(now_ms) is request_queue.Timeliness.ON_TIME:
+            return True
+        return not any(
+            demand.waiting
+            for rank, demand in totals.items()
+            if rank < request_queue.RANKS_PER_TIMELINESS
+        )
+
+    def remove_too_late(self, now_ms: int) -> tuple[request_queue.QueuedRequest, ...]:
+        """Remove and return the requests that have waited as long as they may.
+
+        The expected wait is not applied to those that wait already: it varies more
+        from report to report than the level of the queue does.
+        """
+        if self._shared.totals(self._key, now_ms) is None:
+            return super().remove_too_late(now_ms)
+        too_late = tuple(
+            each
+            for each in self.ordered(now_ms)
+            if now_ms >= self._latest_start_ms(each, now_ms)
+        )
+        for request in too_late:
+            self.remove(request.request_id)
+        return too_late
+
+    def retry_after_ms(
+        self, request: request_queue.QueuedRequest, now_ms: int, jitter_fraction: float
+    ) -> int:
+        """Return the time after which a rejected request may be sent again.
+
+        It is longer than callers wait if the request is not expected to be admitted on
+        its return.
+        """
+        wait_ms = self._shared_wait_ms(request, now_ms)
+        if wait_ms is None:
+            return super().retry_after_ms(request, now_ms, jitter_fraction)
+        remaining_ms = request.deadline_ms - now_ms
+        return_ms = remaining_ms * MAX_RETRY_FRACTION * (0.5 + 0.5 * jitter_fraction)
+        start_ms = max(wait_ms, return_ms)
+        if start_ms >= return_ms + (remaining_ms - return_ms) * MAX_LATE_WAIT_FRACTION:
+            return request_queue.MAX_RETRY_AFTER_MS
+        return int(return_ms)
+
+    def _rank(
+        self, request: request_queue.QueuedRequest, now_ms: int
+    ) -> tuple[bool, request_queue.Timeliness, int, int]:
+        is_resumed, timeliness, urgency, _ = super()._rank(request, now_ms)
+        return is_resumed, timeliness, urgency, request.first_attempt_ms
+
+    def _accepts(
+        self,
+        request: request_queue.QueuedRequest,
+        now_ms: int,
+        starts: request_queue.StartCounts,
+    ) -> bool:
+        if request.is_resumed:
+            return super()._accepts(request, now_ms, starts)
+        wait_ms = self._shared_wait_ms(request, now_ms)
+        if wait_ms is None:
+            return super()._accepts(request, now_ms, starts)
+        return now_ms + wait_ms < self._latest_start_ms(request, now_ms)
+
+    def _latest_start_ms(
+        self, request: request_queue.QueuedRequest, now_ms: int
+    ) -> float:
+        if request.is_resumed or self._shared.totals(self._key, now_ms) is None:
+            return super()._latest_start_ms(request, now_ms)
+        allowed_ms = request.deadline_ms - request.arrived_ms
+        return request.arrived_ms + allowed_ms * MAX_LATE_WAIT_FRACTION
+
+    def _shared_wait_ms(
+        self, request: request_queue.QueuedRequest, now_ms: int
+    ) -> float | None:
+        """Return the expected wait by the shared figures; None without them."""
+        totals = self._shared.totals(self._key, now_ms)
+        if totals is None:
+            return None
+        own = self.own_demand(now_ms)
+        rank = request_queue.queue_class_of(request, now_ms).rank
+        ahead_tokens = started_tokens = 0
+        for demand_by_rank in (totals, own):
+            for other_rank, demand in demand_by_rank.items():
+                started_tokens += demand.started_tokens
+                if other_rank <= rank:
+                    ahead_tokens += demand.waiting_tokens
+        if not started_tokens:
+            return 0.0
+        return ahead_tokens * shared_demand.START_WINDOW_MS / started_tokens
+
+
+def shared_slack_ms(
+    slack_ms: float, urgent_target_ms: int | None, base_ms: float
+) -> float:
+    """Return the time within which a prompt must be computed, see "backlog" above.
+
+    Parameters
+    ----------
+    urgent_target_ms : int or None
+        Shortest target of more urgent requests; None if there are none.
+    base_ms : float
+        Time to the first event that is spent besides the engine's computation.
+    """
+    if urgent_target_ms is None:
+        return slack_ms
+    urgent_ms = (urgent_target_ms - base_ms) * URGENT_SLACK_FRACTION
+    return min(slack_ms, max(0.0, urgent_ms))
--- a/tests/run_mutations.py
+++ b/tests/run_mutations.py
@@ -79,6 +79,11 @@
         "ignore-first-attempts",
         f"{_SAME_WEIGHTS}.test_resumed_streams_and_answers_of_sound_servers_were_lost",
     ),
+    (
+        "admit-by-own-starts",
+        "tests.test_shared_admission.BurstTest"
+        ".test_a_burst_was_paid_for_by_short_prompts_and_rejected_twice",
+    ),
     (
         "leave-silent-servers",
         f"{_SAME_WEIGHTS}.test_resumed_streams_and_answers_of_sound_servers_were_lost",
--- /dev/null
+++ b/tests/test_shared_admission.py
@@ -0,0 +1,210 @@
+"""Admission by the demand at all gateways, alone and in a replayed burst.
+
+Mutation (`QUINCE_MUTATION`, see `wrapped_program`) that makes the replay fail:
+`admit-by-own-starts`.
+"""
+
+import dataclasses
+import os
+import unittest
+
+from bench import gateway_simulation, overload_load
+from quincecrank import ids
+from quincecrank.gateway import (
+    loads,
+    peer_messages,
+    request_queue,
+    servers,
+    service_queues,
+    shared_admission,
+    shared_demand,
+)
+from tests import builders_gateway as builders
+from tests import wrapped_program
+
+SERVICE = shared_demand.service_key(builders.LLM)
+PEERS = (ids.VmName("entry-2"), ids.VmName("entry-3"), ids.VmName("entry-4"))
+ON_TIME, LATE = 0, request_queue.RANKS_PER_TIMELINESS
+BUSY = {SERVICE: {ON_TIME: shared_demand.ClassDemand(4, 4_000, 10, 10_000, 500)}}
+
+
+def setUpModule() -> None:
+    mutation = os.environ.get("QUINCE_MUTATION")
+    if mutation:
+        wrapped_program.MUTATIONS_BY_NAME[mutation]()
+
+
+def make_queued(
+    name: str = "a", *, first_attempt_ms: int = 0, arrived_ms: int = 0, urgency: int = 1
+) -> request_queue.QueuedRequest:
+    """Return a request that is on time for 400 ms and has 4 s in all."""
+    return request_queue.QueuedRequest(
+        ids.RequestId(name),
+        urgency,
+        arrived_ms,
+        first_attempt_ms + 4_000,
+        500,
+        100.0,
+        earlier_first_attempt_ms=first_attempt_ms,
+        memory_tokens=1_000,
+    )
+
+
+class SharedDemandTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.demand = shared_demand.SharedDemand()
+        self.demand.known_gateways = 4
+
+    def test_figures_of_fewer_than_half_of_the_gateways_were_used(self) -> None:
+        self.demand.known_gateways = 6
+        self.demand.apply_report(PEERS[0], BUSY, 0)
+        self.assertIsNone(self.demand.totals(SERVICE, 0))
+        self.demand.apply_report(PEERS[1], BUSY, 0)
+        totals = self.demand.totals(SERVICE, shared_demand.TOTALS_INTERVAL_MS)
+        assert totals is not None
+        self.assertEqual(totals[ON_TIME].waiting_tokens, 8_000)
+
+    def test_old_figures_were_used(self) -> None:
+        for peer in PEERS:
+            self.demand.apply_report(peer, BUSY, 0)
+        self.assertIsNotNone(self.demand.totals(SERVICE, shared_demand.MAX_AGE_MS - 1))
+        now_ms = shared_demand.MAX_AGE_MS + shared_demand.TOTALS_INTERVAL_MS
+        self.assertIsNone(self.demand.totals(SERVICE, now_ms))
+
+    def test_idle_gateways_and_those_without_figures_were_confused(self) -> None:
+        self.demand.apply_report(PEERS[0], shared_demand.unpack(b""), 0)
+        self.assertIsNone(self.demand.totals(SERVICE, 0))
+        idle = shared_demand.unpack(shared_demand.pack({}))
+        self.demand.apply_report(PEERS[0], idle, 0)
+        self.assertEqual(
+            self.demand.totals(SERVICE, shared_demand.TOTALS_INTERVAL_MS), {}
+        )
+
+    def test_reports_lost_the_demand_or_malformed_demand_lost_reports(self) -> None:
+        report = peer_messages.Report(
+            PEERS[0],
+            False,
+            (),
+            {servers.ServerId("i-1"): loads.Load(3)},
+            demand=BUSY,
+        )
+        for encode in (peer_messages.encode, peer_messages.encode_packed):
+            encoded = encode(report)
+            self.assertEqual(peer_messages.decode(encoded), report)
+        with self.assertRaises(ValueError):
+            shared_demand.unpack(shared_demand.pack(BUSY)[:-1])
+
+
+class SharedQueueTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.demand = shared_demand.SharedDemand()
+        self.demand.known_gateways = 2
+        self.queue = shared_admission.SharedQueue(builders.LLM, self.demand)
+
+    def test_requests_were_rejected_for_lack_of_an_own_start(self) -> None:
+        own = request_queue.RequestQueue()
+        for queue in (own, self.queue):
+            queue.add(make_queued("first"))
+            self.assertFalse(queue.accepts(make_queued("b"), 0))
+        self.demand.apply_report(PEERS[0], BUSY, 200)
+        self.assertTrue(self.queue.accepts(make_queued("b"), 200))
+
+    def test_a_request_that_can_only_be_late_was_rejected(self) -> None:
+        self.demand.apply_report(PEERS[0], BUSY, 2_000)
+        late = make_queued()
+        self.assertTrue(self.queue.accepts(late, 2_000))
+        self.queue.add(late)
+        self.assertEqual(self.queue.remove_too_late(2_000), ())
+        self.assertFalse(self.queue.may_start(late, 2_000))
+        self.demand.apply_report(PEERS[0], BUSY, 3_000)
+        self.assertEqual(self.queue.remove_too_late(3_000), (late,))
+
+    def test_more_was_admitted_than_can_be_served(self) -> None:
+        waiting = {
+            SERVICE: {ON_TIME: shared_demand.ClassDemand(40, 40_000, 10, 10_000, 500)}
+        }
+        self.demand.apply_report(PEERS[0], waiting, 0)
+        request = make_queued()
+        self.assertFalse(self.queue.accepts(request, 0))
+        self.assertEqual(
+            self.queue.retry_after_ms(request, 0, 0.5), request_queue.MAX_RETRY_AFTER_MS
+        )
+
+    def test_requests_that_arrived_later_went_before_returning_ones(self) -> None:
+        returning = make_queued("b", first_attempt_ms=0, arrived_ms=300)
+        for request in (make_queued("a", first_attempt_ms=200), returning):
+            self.queue.add(request)
+        self.assertEqual(self.queue.ordered(350)[0], returning)
+
+    def test_urgent_requests_found_engines_full_of_others(self) -> None:
+        self.demand.apply_report(PEERS[0], BUSY, 0)
+        self.assertEqual(self.queue.urgent_target_ms(make_queued(), 0), 500)
+        urgent = make_queued(urgency=0)
+        self.assertIsNone(self.queue.urgent_target_ms(urgent, 0))
+        self.assertLess(shared_admission.shared_slack_ms(1_000, 500, 60), 440)
+        self.assertEqual(shared_admission.shared_slack_ms(1_000, None, 60), 1_000)
+
+    def test_queues_were_shared_without_the_setting(self) -> None:
+        fleet = gateway_simulation.make_fleet(0, shares_admission=False)
+        queues = service_queues.QueueByService(fleet)
+        self.assertIs(type(queues[builders.LLM]), request_queue.RequestQueue)
+        self.assertIsNone(queues.demand())
+
+
+# A quarter of the load of 46 gateways, for three seconds.
+BURST = dataclasses.replace(
+    overload_load.PATTERN,
+    duration_ms=4_000,
+    gateways=12,
+    engines=5,
+    kinds=tuple(
+        dataclasses.replace(kind, per_second=kind.per_second / 4)
+        for kind in overload_load.PATTERN.kinds
+    ),
+    burst_from_ms=500,
+    burst_until_ms=3_500,
+)
+
+
+class BurstTest(unittest.TestCase):
+    """A burst of long prompts must not make short ones late or rejected twice."""
+
+    def test_a_burst_was_paid_for_by_short_prompts_and_rejected_twice(self) -> None:
+        today = gateway_simulation.replay(BURST)
+        shared = gateway_simulation.replay(
+            dataclasses.replace(BURST, shares_admission=True)
+        )
+        hints = shared.outcome_by_kind[overload_load.HINTS.name]
+        self.assertGreater(hints.on_time, 0.9 * hints.requests)
+        self.assertLess(3 * rejected_twice(shared), rejected_twice(today))
+        self.assertGreater(served(shared), served(today))
+
+    def test_gateways_that_are_cut_off_made_others_reject(self) -> None:
+        # One gateway neither sends nor gets figures; the others do without it.
+        cut_off = gateway_simulation.replay(
+            dataclasses.replace(BURST, shares_admission=True, cut_off_gateways=1)
+        )
+        hints = cut_off.outcome_by_kind[overload_load.HINTS.name]
+        self.assertGreater(hints.on_time, 0.85 * hints.requests)
+
+    def test_silent_peers_changed_the_decisions_of_own_figures(self) -> None:
+        silent = dataclasses.replace(BURST, cut_off_gateways=BURST.gateways)
+        today = gateway_simulation.replay(silent)
+        shared = gateway_simulation.replay(
+            dataclasses.replace(silent, shares_admission=True)
+        )
+        self.assertEqual(shared.outcome_by_kind, today.outcome_by_kind)
+
+
+def rejected_twice(result: gateway_simulation.Result) -> int:
+    """Return the requests that were rejected at their second attempt as well."""
+    return sum(each.rejected_twice for each in result.outcome_by_kind.values())
+
+
+def served(result: gateway_simulation.Result) -> int:
+    """Return the requests that were answered."""
+    return sum(each.on_time + each.late for each in result.outcome_by_kind.values())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -52,6 +52,7 @@
     followers,
     forwarding,
     servers,
+    shared_demand,
     shutdown_schedule,
     weights,
 )
@@ -335,6 +336,11 @@
     _replace(requests, "decode", mutated)
 
 
+def admit_by_own_starts() -> None:
+    """Make gateways ignore the demand that their peers report."""
+    _replace(shared_demand.SharedDemand, "suffices", lambda _self, _now_ms: False)
+
+
 def leave_silent_servers() -> None:
     """Make gateways close the connection to a server that is silent for 0.7 s."""
     wait = forwarding.Forwarder._wait_for_progress
@@ -628,6 +634,7 @@
     "blame-first-parts": blame_first_parts,
     "ignore-software-versions": ignore_software_versions,
     "ignore-first-attempts": ignore_first_attempts,
+    "admit-by-own-starts": admit_by_own_starts,
     "leave-silent-servers": leave_silent_servers,
     "serve-outdated-weights": serve_outdated_weights,
     "close-unread-connections": close_unread_connections,
