Leave engines room for requests with short targets, and a floor to each class

Callers of short prompts were late where their account or kind is the less urgent one: the bound of the engines' backlog counted more urgent classes only, and the queue tried these first. The bound now follows the shortest target that any gateway has, and a class below a tenth of the started tokens goes first.

--- a/quincecrank/gateway/engine_placement.py
+++ b/quincecrank/gateway/engine_placement.py
@@ -195,13 +195,13 @@
     ) -> float | None:
         """Return the time within which an engine must compute a prompt.
 
-        It leaves more urgent requests at any gateway the time that they need.
+        It leaves the time that requests with a shorter target need at any gateway.
         """
         slack_ms = _slack_ms(request.queued, now_ms, times)
         queue = self._queue_by_service[request.service.name]
         if slack_ms is None or not isinstance(queue, shared_admission.SharedQueue):
             return slack_ms
-        target_ms = queue.urgent_target_ms(request.queued, now_ms)
+        target_ms = queue.shorter_target_ms(request.queued, now_ms)
         return shared_admission.shared_slack_ms(slack_ms, target_ms, times.base_ms)
 
     def begin_limit_ms(
--- a/quincecrank/gateway/shared_admission.py
+++ b/quincecrank/gateway/shared_admission.py
@@ -19,10 +19,16 @@
     By first attempt within a queue class, so that a request that was rejected goes
     before those that arrived since.
 backlog
-    A request adds to the backlog of an engine only so far that more urgent requests,
-    which some gateway has now, are still on time there.
+    A request adds to the backlog of an engine only so far that requests with a shorter
+    target, which some gateway has now, are still on time there.  Engines are as busy
+    as without this; the request waits at its gateway instead, where others may go
+    before it.
+floor
+    A class that got less than `FLOOR_FRACTION` of the tokens started in the last second
+    goes before more urgent ones, as long as its requests can be on time.
 """
 
+import collections
 from typing import Final
 
 from quincecrank.gateway import request_queue, shared_demand
@@ -33,9 +39,13 @@
 MAX_RETRY_FRACTION: Final = 1 / 3
 """Fraction of their remaining time for which callers wait before a second attempt."""
 
-URGENT_SLACK_FRACTION: Final = 0.6
-"""Fraction of the time that a more urgent request has until its prompt must be computed
-which a less urgent one may fill; the rest is for the urgent prompts themselves."""
+SHORTER_SLACK_FRACTION: Final = 0.6
+"""Fraction of the time until the prompt of a request with a shorter target must be
+computed which others may fill; the rest is for such prompts themselves."""
+
+FLOOR_FRACTION: Final = 0.1
+"""Fraction of the started tokens below which a class goes before more urgent ones: the
+most that urgent requests lose to it."""
 
 
 class SharedQueue(request_queue.RequestQueue):
@@ -54,30 +64,38 @@
         self._key = shared_demand.service_key(service)
         self._shared = demand
         self._own = shared_demand.OwnDemand()
+        self._urgencies_below_floor: frozenset[int] = frozenset()
 
     def own_demand(self, now_ms: int) -> shared_demand.DemandByRank:
         """Return the demand at this gateway by the rank of the queue class."""
         return self._own.by_rank(self._request_by_id.values(), now_ms)
 
-    def urgent_target_ms(
+    def shorter_target_ms(
         self, request: request_queue.QueuedRequest, now_ms: int
     ) -> int | None:
-        """Return the shortest target of more urgent requests at any gateway.
+        """Return the shortest target of other requests at any gateway.
 
-        None if no gateway has any, or the figures are missing.
+        None if it is not shorter than that of the request, or the figures are missing.
+        Requests that can't be on time don't count.
         """
         totals = self._shared.totals(self._key, now_ms)
         if totals is None:
             return None
-        return min(
+        shortest_ms = min(
             (
                 demand.target_ms
                 for demand_by_rank in (totals, self.own_demand(now_ms))
                 for rank, demand in demand_by_rank.items()
-                if rank < min(request.urgency, request_queue.RANKS_PER_TIMELINESS - 1)
+                if rank < request_queue.RANKS_PER_TIMELINESS
             ),
-            default=None,
+            default=request.target_ms,
         )
+        return shortest_ms if shortest_ms < request.target_ms else None
+
+    def ordered(self, now_ms: int) -> tuple[request_queue.QueuedRequest, ...]:
+        """Return the waiting requests in the order in which they are to start."""
+        self._urgencies_below_floor = self._find_below_floor(now_ms)
+        return super().ordered(now_ms)
 
     def record_start(self, request: request_queue.QueuedRequest, now_ms: int) -> None:
         """Record that a request got a backend server, whether it waited or not."""
@@ -139,8 +157,29 @@
         self, request: request_queue.QueuedRequest, now_ms: int
     ) -> tuple[bool, request_queue.Timeliness, int, int]:
         is_resumed, timeliness, urgency, _ = super()._rank(request, now_ms)
+        if (
+            timeliness is request_queue.Timeliness.ON_TIME
+            and urgency in self._urgencies_below_floor
+        ):
+            urgency = -1
         return is_resumed, timeliness, urgency, request.first_attempt_ms
 
+    def _find_below_floor(self, now_ms: int) -> frozenset[int]:
+        """Return the urgencies that got less than `FLOOR_FRACTION` of what started."""
+        totals = self._shared.totals(self._key, now_ms)
+        if totals is None:
+            return frozenset()
+        started_by_rank: collections.Counter[int] = collections.Counter()
+        for demand_by_rank in (totals, self.own_demand(now_ms)):
+            for rank, demand in demand_by_rank.items():
+                started_by_rank[rank] += demand.started_tokens
+        floor = started_by_rank.total() * FLOOR_FRACTION
+        return frozenset(
+            rank
+            for rank, started in started_by_rank.items()
+            if rank < request_queue.RANKS_PER_TIMELINESS and started < floor
+        )
+
     def _accepts(
         self,
         request: request_queue.QueuedRequest,
@@ -183,18 +222,18 @@
 
 
 def shared_slack_ms(
-    slack_ms: float, urgent_target_ms: int | None, base_ms: float
+    slack_ms: float, shorter_target_ms: int | None, base_ms: float
 ) -> float:
     """Return the time within which a prompt must be computed, see "backlog" above.
 
     Parameters
     ----------
-    urgent_target_ms : int or None
-        Shortest target of more urgent requests; None if there are none.
+    shorter_target_ms : int or None
+        Shortest target of other requests; None if none is shorter than its own.
     base_ms : float
         Time to the first event that is spent besides the engine's computation.
     """
-    if urgent_target_ms is None:
+    if shorter_target_ms is None:
         return slack_ms
-    urgent_ms = (urgent_target_ms - base_ms) * URGENT_SLACK_FRACTION
-    return min(slack_ms, max(0.0, urgent_ms))
+    shorter_ms = (shorter_target_ms - base_ms) * SHORTER_SLACK_FRACTION
+    return min(slack_ms, max(0.0, shorter_ms))
--- a/tests/test_shared_admission.py
+++ b/tests/test_shared_admission.py
@@ -136,14 +136,24 @@
             self.queue.add(request)
         self.assertEqual(self.queue.ordered(350)[0], returning)
 
-    def test_urgent_requests_found_engines_full_of_others(self) -> None:
+    def test_requests_with_short_targets_found_engines_full_of_others(self) -> None:
         self.demand.apply_report(PEERS[0], BUSY, 0)
-        self.assertEqual(self.queue.urgent_target_ms(make_queued(), 0), 500)
-        urgent = make_queued(urgency=0)
-        self.assertIsNone(self.queue.urgent_target_ms(urgent, 0))
+        patient = dataclasses.replace(make_queued(), target_ms=1_200)
+        self.assertEqual(self.queue.shorter_target_ms(patient, 0), 500)
+        self.assertIsNone(self.queue.shorter_target_ms(make_queued(), 0))
         self.assertLess(shared_admission.shared_slack_ms(1_000, 500, 60), 440)
         self.assertEqual(shared_admission.shared_slack_ms(1_000, None, 60), 1_000)
 
+    def test_an_urgent_class_starved_another(self) -> None:
+        urgent, other = make_queued("a", urgency=0), make_queued("b", urgency=3)
+        for request in (urgent, other):
+            self.queue.add(request)
+        self.assertEqual(self.queue.ordered(0), (urgent, other))
+        busy = shared_demand.ClassDemand(4, 4_000, 10, 10_000, 500)
+        starved = shared_demand.ClassDemand(9, 9_000, 1, 1_000, 500)
+        self.demand.apply_report(PEERS[0], {SERVICE: {0: busy, 3: starved}}, 200)
+        self.assertEqual(self.queue.ordered(200), (other, urgent))
+
     def test_queues_were_shared_without_the_setting(self) -> None:
         fleet = gateway_simulation.make_fleet(0, shares_admission=False)
         queues = service_queues.QueueByService(fleet)
