Hold back accounts that got more than their share of an overloaded class

Callers of other accounts waited or were late when one account sent a burst. Reports now carry the largest accounts, by urgency. While another account waits, requests of one that got more than its share go last in their class, and only to engines with half of the usual backlog.

--- a/bench/gateway_simulation.py
+++ b/bench/gateway_simulation.py
@@ -33,7 +33,6 @@
     prompts,
     request_queue,
     servers,
-    shared_demand,
 )
 from tests import builders_gateway as builders
 
@@ -46,6 +45,8 @@
 MODEL: Final = builders.MODEL
 SERVICE: Final = builders.LLM
 SALT: Final = cache_part_index.make_salt(MODEL, 1, None)
+NO_ACCOUNT: Final = ids.AccountName("")
+
 MAX_RETRY_WAIT_FRACTION: Final = 1 / 3
 """Fraction of their remaining time for which callers wait before a retry."""
 
@@ -153,6 +154,10 @@
     limits_retry_time : bool
         Whether callers give up if they are to wait for more than a third of their
         remaining time.
+    accounts : int
+        Number of accounts, each with as many requests as another; 0 for none.
+    burst_is_of_one_account : bool
+        Whether the first account sends all requests that a burst adds.
     """
 
     seed: int
@@ -177,6 +182,8 @@
     shares_admission: bool = False
     cut_off_gateways: int = 0
     limits_retry_time: bool = False
+    accounts: int = 0
+    burst_is_of_one_account: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -194,6 +201,7 @@
     prompt: prompts.Prompt
     answer_tokens: int
     gateway: int
+    account: ids.AccountName = NO_ACCOUNT
 
 
 @dataclasses.dataclass(slots=True)
@@ -243,6 +251,7 @@
     is_on_time: bool
     input_tokens: int
     took_ms: float
+    account: ids.AccountName = NO_ACCOUNT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -343,7 +352,15 @@
                 1, int(answer_tokens * generator.uniform(0.6, 1.6))
             ),
         )
-        yield Arrival(at_ms, kind, prompt, answer_tokens, generator.randrange(100_000))
+        gateway = generator.randrange(100_000)
+        account = NO_ACCOUNT
+        if pattern.accounts:
+            number = generator.randrange(pattern.accounts)
+            if pattern.burst_is_of_one_account and is_burst:
+                is_added = generator.random() >= 1 / pattern.burst_factor
+                number = 0 if is_added else number
+            account = ids.AccountName(f"account-{number}")
+        yield Arrival(at_ms, kind, prompt, answer_tokens, gateway, account)
 
 
 def make_environment(
@@ -388,6 +405,13 @@
             pattern.slots, pattern.memory_tokens, 96_256, 1_100_000.0, 12, (MODEL,)
         )
         self._service = deployment.Service(SERVICE, 1_000, engine_facts)
+        self._account_by_name = {
+            name: deployment.Account(name, None, False)
+            for name in (
+                ids.AccountName(f"account-{number}")
+                for number in range(pattern.accounts)
+            )
+        }
         self._fleet_states = [
             make_fleet(number, shares_admission=pattern.shares_admission)
             for number in range(pattern.gateways)
@@ -522,7 +546,7 @@
                     fleet,
                     fleet.loads.own_load_by_server(),
                     fleet.failed_requests.to_publish(self._clock.now_ms()),
-                    self._dispatchers[number].demand,
+                    self._dispatchers[number].packed_demand,
                 )
             interval_ms = peers.report_interval_ms(self._pattern.gateways - 1)
             await self._clock.sleep(interval_ms)
@@ -533,10 +557,10 @@
         sender: fleet_state.FleetState,
         own_load_by_server: dict[servers.ServerId, loads.Load],
         rejected: tuple[failed_request_records.FailedRequest, ...],
-        demand: shared_demand.DemandByService | None,
+        packed_demand: bytes,
     ) -> None:
         receiver.shared_demand.apply_report(
-            sender.own_settings.vm, demand, self._clock.now_ms()
+            sender.own_settings.vm, packed_demand, self._clock.now_ms()
         )
         receiver.failed_requests.apply_peer_failures(rejected, self._clock.now_ms())
         receiver.loads.apply_peer_report(
@@ -604,7 +628,11 @@
             ),
         )
         placement_request = placements.PlacementRequest(
-            queued, self._service, None, arrival.prompt, kind.name
+            queued,
+            self._service,
+            self._account_by_name.get(arrival.account),
+            arrival.prompt,
+            kind.name,
         )
         placement = await self._dispatchers[number].place(placement_request)
         if isinstance(placement, placements.Rejection):
@@ -676,6 +704,7 @@
                 is_on_time,
                 arrival.prompt.input_tokens,
                 took_ms,
+                arrival.account,
             )
         )
         if is_on_time:
--- a/bench/overload_load.py
+++ b/bench/overload_load.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from bench import gateway_simulation
+from quincecrank import ids
 
 LABEL_CHECKS: Final = gateway_simulation.RequestKind(
     "label check", 93.0, 4, 2_520, 700, 5_000, 1_670, 7, 1_235, 4_118, 2, 0.94, 0.28
@@ -43,21 +44,53 @@
 """The silent engines take no part: their requests are sent elsewhere in time."""
 
 
+ONE_ACCOUNT: Final = dataclasses.replace(
+    PATTERN, accounts=24, burst_is_of_one_account=True
+)
+"""The same load of 24 accounts, one of which sends all that the burst adds."""
+
+LARGE: Final = ids.AccountName("account-0")
+
+
 def main() -> None:
-    """Replay the load without and with shared admission; print the counts."""
+    """Replay the loads without and with shared admission; print the counts."""
     for seed in [int(each) for each in sys.argv[1:]] or [1]:
-        for shares in (False, True):
-            pattern = dataclasses.replace(PATTERN, seed=seed, shares_admission=shares)
-            started_s = time.monotonic()
-            result = gateway_simulation.replay(pattern)
-            print(
-                f"seed {seed}, shared admission {'on' if shares else 'off'}:"
-                f" value {result.value_fraction:.3f}, p99 of hints"
-                f" {_first_event_ms(result, HINTS.name):.0f} ms,"
-                f" {time.monotonic() - started_s:.0f} s"
-            )
-            for name, outcome in result.outcome_by_kind.items():
-                print(f"  {name}: {dataclasses.asdict(outcome)}", flush=True)
+        for name, pattern in (("all accounts", PATTERN), ("one account", ONE_ACCOUNT)):
+            for shares in (False, True):
+                _replay(
+                    f"seed {seed}, {name}, {'shared' if shares else 'own'} figures",
+                    dataclasses.replace(pattern, seed=seed, shares_admission=shares),
+                )
+
+
+def _replay(name: str, pattern: gateway_simulation.Pattern) -> None:
+    started_s = time.process_time()
+    result = gateway_simulation.replay(pattern)
+    print(
+        f"{name}: value {result.value_fraction:.3f}, p99 of hints"
+        f" {_first_event_ms(result, HINTS.name):.0f} ms,"
+        f" {time.process_time() - started_s:.0f} s"
+    )
+    for kind, outcome in result.outcome_by_kind.items():
+        print(f"  {kind}: {dataclasses.asdict(outcome)}", flush=True)
+    if pattern.accounts:
+        share = others_on_time(pattern, result)
+        print(f"  label checks of other accounts on time: {share:.3f}", flush=True)
+
+
+def others_on_time(
+    pattern: gateway_simulation.Pattern, result: gateway_simulation.Result
+) -> float:
+    """Return the fraction of label checks on time, of all accounts but the large."""
+    sent = sum(
+        each.kind.name == LABEL_CHECKS.name and each.account != LARGE
+        for each in gateway_simulation.make_arrivals(pattern)
+    )
+    on_time = sum(
+        each.is_on_time and each.kind == LABEL_CHECKS.name and each.account != LARGE
+        for each in result.answered
+    )
+    return on_time / sent
 
 
 def _first_event_ms(result: gateway_simulation.Result, kind: str) -> float:
--- a/quincecrank/gateway/dispatcher.py
+++ b/quincecrank/gateway/dispatcher.py
@@ -26,7 +26,6 @@
     servers,
     service_queues,
     service_times,
-    shared_demand,
     size_fairness,
 )
 
@@ -93,9 +92,9 @@
         return len(self._placement_request_by_id)
 
     @property
-    def demand(self) -> shared_demand.DemandByService | None:
-        """Demand for engines at this gateway; None if it is not shared."""
-        return self._queue_by_service.demand()
+    def packed_demand(self) -> bytes:
+        """Demand for engines at this gateway, for reports; see `shared_demand`."""
+        return self._queue_by_service.packed_demand()
 
     def idle_answer_ms(
         self, service: deployment.Service, prompt: prompts.Prompt | None
@@ -129,6 +128,7 @@
             request.queued,
             is_underserved=fairness.is_underserved(request.route, tokens, now_ms),
             memory_tokens=request.prompt.memory_tokens,
+            account="" if request.account is None else request.account.name,
         )
         request = dataclasses.replace(request, queued=queued)
         result = await self._place_or_queue(request)
--- a/quincecrank/gateway/engine_placement.py
+++ b/quincecrank/gateway/engine_placement.py
@@ -202,7 +202,12 @@
         if slack_ms is None or not isinstance(queue, shared_admission.SharedQueue):
             return slack_ms
         target_ms = queue.shorter_target_ms(request.queued, now_ms)
-        return shared_admission.shared_slack_ms(slack_ms, target_ms, times.base_ms)
+        return shared_admission.shared_slack_ms(
+            slack_ms,
+            target_ms,
+            times.base_ms,
+            is_over_share=queue.is_over_share(request.queued, now_ms),
+        )
 
     def begin_limit_ms(
         self, prompt: prompts.Prompt | None, version: int | None
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -577,7 +577,7 @@
             if currency.known_ms is None
             else self._clock.now_ms() - currency.known_ms,
             is_late=self._loop_monitor.is_late,
-            demand=self._dispatcher.demand,
+            demand=self._dispatcher.packed_demand,
         )
         report = self._crash_monitor.complete_report(report)
         report = self._stream_versions.complete_report(report)
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -134,8 +134,9 @@
         Backend servers that are cold or were so lately.
     takes_packed_figures : bool
         Whether the gateway decodes packed figures.
-    demand : mapping of ServiceKey to DemandByRank or None
-        Demand for engines at the gateway; None if it does not share admission.
+    demand : bytes
+        Demand for engines at the gateway, see `shared_demand`; empty if it does not
+        share admission.
     """
 
     vm: ids.VmName
@@ -166,7 +167,7 @@
     is_late: bool = False
     cold_states: tuple[cold_servers.ColdState, ...] = ()
     takes_packed_figures: bool = True
-    demand: shared_demand.DemandByService | None = None
+    demand: bytes = b""
 
     @property
     def has_other_parts(self) -> bool:
@@ -221,7 +222,7 @@
             issuesPermits=report.issues_permits,
             takesChanges=report.takes_changes,
             takesPackedFigures=report.takes_packed_figures,
-            sharedDemand=shared_demand.pack(report.demand),
+            sharedDemand=report.demand,
         )
     message.report.packedFigures = packed_figures.pack(
         packed_figures.Figures(
@@ -322,7 +323,7 @@
         isLate=report.is_late,
         coldServers=_cold_server_fields(report),
         takesPackedFigures=report.takes_packed_figures,
-        sharedDemand=shared_demand.pack(report.demand),
+        sharedDemand=report.demand,
     )
 
 
@@ -741,7 +742,7 @@
             configuration_age_ms=figures.configuration_age_ms,
             is_late=figures.is_late,
             takes_packed_figures=message.takesPackedFigures,
-            demand=_shared_demand(message),
+            demand=_demand(message.sharedDemand),
         )
     return dataclasses.replace(
         _plain_report(message),
@@ -822,18 +823,15 @@
         is_late=message.isLate,
         cold_states=tuple(_cold_state(each) for each in message.coldServers),
         takes_packed_figures=message.takesPackedFigures,
-        demand=_shared_demand(message),
+        demand=_demand(message.sharedDemand),
     )
 
 
-def _shared_demand(message: Any) -> shared_demand.DemandByService | None:
-    packed = bytes(message.sharedDemand)
+def _demand(packed: bytes) -> bytes:
     try:
-        return shared_demand.unpack(packed)
+        return shared_demand.checked(bytes(packed))
     except ValueError as error:
         _LOG.warning(
-            "invalid part of a report ignored",
-            kind="shared_demand",
-            error=str(error),
+            "invalid part of a report ignored", kind="demand", error=str(error)
         )
-        return None
+        return b""
--- a/quincecrank/gateway/request_queue.py
+++ b/quincecrank/gateway/request_queue.py
@@ -90,6 +90,8 @@
         other requests.
     memory_tokens : int
         Engine memory that the request is expected to need; 0 for a plain service.
+    account : str
+        Name of the caller's account, if there is one.
     """
 
     request_id: ids.RequestId
@@ -102,6 +104,7 @@
     earlier_first_attempt_ms: int | None = None
     resume_by_ms: int | None = None
     memory_tokens: int = 0
+    account: str = ""
 
     @property
     def is_resumed(self) -> bool:
--- a/quincecrank/gateway/service_queues.py
+++ b/quincecrank/gateway/service_queues.py
@@ -36,14 +36,16 @@
         self[service] = queue
         return queue
 
-    def demand(self) -> shared_demand.DemandByService | None:
-        """Return this gateway's demand for engines; None if it is not shared."""
+    def packed_demand(self) -> bytes:
+        """Return this gateway's demand for engines; no bytes if it is not shared."""
         if not self._fleet.own_settings.shares_admission:
-            return None
+            return b""
         now_ms = self._fleet.clock.now_ms()
-        return {
-            shared_demand.service_key(service): demand
-            for service, queue in self.items()
-            if isinstance(queue, shared_admission.SharedQueue)
-            and (demand := queue.own_demand(now_ms))
-        }
+        return shared_demand.pack(
+            {
+                shared_demand.service_key(service): demand
+                for service, queue in self.items()
+                if isinstance(queue, shared_admission.SharedQueue)
+                and (demand := queue.own_demand(now_ms)).by_rank
+            }
+        )
--- a/quincecrank/gateway/shared_admission.py
+++ b/quincecrank/gateway/shared_admission.py
@@ -26,11 +26,16 @@
 floor
     A class that got less than `FLOOR_FRACTION` of the tokens started in the last second
     goes before more urgent ones, as long as its requests can be on time.
+share
+    The tokens of one urgency that were started in the last second, divided by the
+    number of accounts with such requests that wait.  While another account waits, the
+    requests of one that got more go last in their class, and only to engines with half
+    of the usual backlog.
 """
 
-import collections
 from typing import Final
 
+from quincecrank import ids
 from quincecrank.gateway import request_queue, shared_demand
 
 MAX_LATE_WAIT_FRACTION: Final = 0.75
@@ -47,6 +52,18 @@
 """Fraction of the started tokens below which a class goes before more urgent ones: the
 most that urgent requests lose to it."""
 
+OVER_SHARE_SLACK_FRACTION: Final = 0.5
+"""Fraction of the usual slack for accounts that got more than their share: engines are
+then left to others until their backlog is half as long as usual."""
+
+TOTAL_INTERVAL_MS: Final = 20
+"""Time for which the demand of all gateways is kept: half of the interval at which the
+queue is tried again."""
+
+OVER_SHARE_DELAY_MS: Final = 1_000_000
+"""Added to the first attempt of requests whose account got more than its share, to put
+them last in their class."""
+
 
 class SharedQueue(request_queue.RequestQueue):
     """The admission queue of an engine service at one of several gateways.
@@ -64,11 +81,38 @@
         self._key = shared_demand.service_key(service)
         self._shared = demand
         self._own = shared_demand.OwnDemand()
+        self._total: shared_demand.ServiceDemand | None = None
+        self._total_ms = 0
         self._urgencies_below_floor: frozenset[int] = frozenset()
+        self._over_share: frozenset[shared_demand.UrgencyAndAccount] = frozenset()
+
+    def own_demand(self, now_ms: int) -> shared_demand.ServiceDemand:
+        """Return the demand at this gateway."""
+        return self._own.demand(self._request_by_id.values(), now_ms)
+
+    def total_demand(self, now_ms: int) -> shared_demand.ServiceDemand | None:
+        """Return the demand at all gateways; None without enough figures.
+
+        It is kept for `TOTAL_INTERVAL_MS` unless a request is added, removed or
+        started, as one pass over the queue reads it for each request.
+        """
+        totals = self._shared.totals(self._key, now_ms)
+        if totals is None:
+            return None
+        if self._total is None or now_ms - self._total_ms >= TOTAL_INTERVAL_MS:
+            self._total = totals.add(self.own_demand(now_ms))
+            self._total_ms = now_ms
+        return self._total
+
+    def add(self, request: request_queue.QueuedRequest) -> None:
+        """Add a request."""
+        super().add(request)
+        self._total = None
 
-    def own_demand(self, now_ms: int) -> shared_demand.DemandByRank:
-        """Return the demand at this gateway by the rank of the queue class."""
-        return self._own.by_rank(self._request_by_id.values(), now_ms)
+    def remove(self, request_id: ids.RequestId) -> None:
+        """Remove a request that was started, cancelled or rejected."""
+        super().remove(request_id)
+        self._total = None
 
     def shorter_target_ms(
         self, request: request_queue.QueuedRequest, now_ms: int
@@ -78,14 +122,13 @@
         None if it is not shorter than that of the request, or the figures are missing.
         Requests that can't be on time don't count.
         """
-        totals = self._shared.totals(self._key, now_ms)
-        if totals is None:
+        total = self.total_demand(now_ms)
+        if total is None:
             return None
         shortest_ms = min(
             (
                 demand.target_ms
-                for demand_by_rank in (totals, self.own_demand(now_ms))
-                for rank, demand in demand_by_rank.items()
+                for rank, demand in total.by_rank.items()
                 if rank < request_queue.RANKS_PER_TIMELINESS
             ),
             default=request.target_ms,
@@ -94,13 +137,28 @@
 
     def ordered(self, now_ms: int) -> tuple[request_queue.QueuedRequest, ...]:
         """Return the waiting requests in the order in which they are to start."""
-        self._urgencies_below_floor = self._find_below_floor(now_ms)
+        total = self.total_demand(now_ms) if self._request_by_id else None
+        self._urgencies_below_floor = _below_floor(total)
+        self._over_share = (
+            frozenset()
+            if total is None
+            else frozenset(
+                key for key in total.by_account if _is_over_share(key, total)
+            )
+        )
         return super().ordered(now_ms)
 
+    def is_over_share(self, request: request_queue.QueuedRequest, now_ms: int) -> bool:
+        """Return whether a request's account has got more than its share."""
+        total = self.total_demand(now_ms)
+        key = shared_demand.account_key(request)
+        return total is not None and _is_over_share(key, total)
+
     def record_start(self, request: request_queue.QueuedRequest, now_ms: int) -> None:
         """Record that a request got a backend server, whether it waited or not."""
         super().record_start(request, now_ms)
         self._own.record_start(request, now_ms)
+        self._total = None
 
     def may_start(self, request: request_queue.QueuedRequest, now_ms: int) -> bool:
         """Return whether a request may use free capacity.
@@ -114,7 +172,7 @@
             return True
         return not any(
             demand.waiting
-            for rank, demand in totals.items()
+            for rank, demand in totals.by_rank.items()
             if rank < request_queue.RANKS_PER_TIMELINESS
         )
 
@@ -162,22 +220,13 @@
             and urgency in self._urgencies_below_floor
         ):
             urgency = -1
-        return is_resumed, timeliness, urgency, request.first_attempt_ms
-
-    def _find_below_floor(self, now_ms: int) -> frozenset[int]:
-        """Return the urgencies that got less than `FLOOR_FRACTION` of what started."""
-        totals = self._shared.totals(self._key, now_ms)
-        if totals is None:
-            return frozenset()
-        started_by_rank: collections.Counter[int] = collections.Counter()
-        for demand_by_rank in (totals, self.own_demand(now_ms)):
-            for rank, demand in demand_by_rank.items():
-                started_by_rank[rank] += demand.started_tokens
-        floor = started_by_rank.total() * FLOOR_FRACTION
-        return frozenset(
-            rank
-            for rank, started in started_by_rank.items()
-            if rank < request_queue.RANKS_PER_TIMELINESS and started < floor
+        # A first attempt is never this long ago: the account's requests go last.
+        is_over_share = shared_demand.account_key(request) in self._over_share
+        return (
+            is_resumed,
+            timeliness,
+            urgency,
+            request.first_attempt_ms + is_over_share * OVER_SHARE_DELAY_MS,
         )
 
     def _accepts(
@@ -205,24 +254,59 @@
         self, request: request_queue.QueuedRequest, now_ms: int
     ) -> float | None:
         """Return the expected wait by the shared figures; None without them."""
-        totals = self._shared.totals(self._key, now_ms)
-        if totals is None:
+        total = self.total_demand(now_ms)
+        if total is None:
             return None
-        own = self.own_demand(now_ms)
         rank = request_queue.queue_class_of(request, now_ms).rank
         ahead_tokens = started_tokens = 0
-        for demand_by_rank in (totals, own):
-            for other_rank, demand in demand_by_rank.items():
-                started_tokens += demand.started_tokens
-                if other_rank <= rank:
-                    ahead_tokens += demand.waiting_tokens
+        for other_rank, demand in total.by_rank.items():
+            started_tokens += demand.started_tokens
+            if other_rank <= rank:
+                ahead_tokens += demand.waiting_tokens
         if not started_tokens:
             return 0.0
         return ahead_tokens * shared_demand.START_WINDOW_MS / started_tokens
 
 
+def _below_floor(total: shared_demand.ServiceDemand | None) -> frozenset[int]:
+    """Return the urgencies that got less than `FLOOR_FRACTION` of what started."""
+    if total is None:
+        return frozenset()
+    started = sum(demand.started_tokens for demand in total.by_rank.values())
+    return frozenset(
+        rank
+        for rank, demand in total.by_rank.items()
+        if rank < request_queue.RANKS_PER_TIMELINESS
+        and demand.started_tokens < started * FLOOR_FRACTION
+    )
+
+
+def _is_over_share(
+    key: shared_demand.UrgencyAndAccount, total: shared_demand.ServiceDemand
+) -> bool:
+    """Return whether an account got more than its share, see "share" above."""
+    urgency, _ = key
+    waiting = {
+        other
+        for other, demand in total.by_account.items()
+        if other[0] == urgency and demand.waiting and other != key
+    }
+    if not waiting or key not in total.by_account:
+        return False
+    started = sum(
+        demand.started_tokens
+        for rank, demand in total.by_rank.items()
+        if rank % request_queue.RANKS_PER_TIMELINESS == urgency
+    )
+    return total.by_account[key].started_tokens * (1 + len(waiting)) > started
+
+
 def shared_slack_ms(
-    slack_ms: float, shorter_target_ms: int | None, base_ms: float
+    slack_ms: float,
+    shorter_target_ms: int | None,
+    base_ms: float,
+    *,
+    is_over_share: bool = False,
 ) -> float:
     """Return the time within which a prompt must be computed, see "backlog" above.
 
@@ -232,8 +316,14 @@
         Shortest target of other requests; None if none is shorter than its own.
     base_ms : float
         Time to the first event that is spent besides the engine's computation.
+    is_over_share : bool
+        Whether the request's account has got more than its share.
     """
+    if is_over_share:
+        slack_ms *= OVER_SHARE_SLACK_FRACTION
     if shorter_target_ms is None:
         return slack_ms
     shorter_ms = (shorter_target_ms - base_ms) * SHORTER_SLACK_FRACTION
+    if is_over_share:
+        shorter_ms *= OVER_SHARE_SLACK_FRACTION
     return min(slack_ms, max(0.0, shorter_ms))
--- a/tests/test_shared_admission.py
+++ b/tests/test_shared_admission.py
@@ -7,6 +7,7 @@
 import dataclasses
 import os
 import unittest
+from collections.abc import Mapping
 
 from bench import gateway_simulation, overload_load
 from quincecrank import ids
@@ -25,7 +26,19 @@
 SERVICE = shared_demand.service_key(builders.LLM)
 PEERS = (ids.VmName("entry-2"), ids.VmName("entry-3"), ids.VmName("entry-4"))
 ON_TIME, LATE = 0, request_queue.RANKS_PER_TIMELINESS
-BUSY = {SERVICE: {ON_TIME: shared_demand.ClassDemand(4, 4_000, 10, 10_000, 500)}}
+
+
+def pack(
+    by_rank: shared_demand.DemandByRank,
+    by_account: Mapping[shared_demand.UrgencyAndAccount, shared_demand.AccountDemand]
+    | None = None,
+) -> bytes:
+    """Return the figures of a gateway with demand for one service."""
+    demand = shared_demand.ServiceDemand(by_rank, by_account or {})
+    return shared_demand.pack({SERVICE: demand})
+
+
+BUSY = pack({ON_TIME: shared_demand.ClassDemand(4, 4_000, 10, 10_000, 500)})
 
 
 def setUpModule() -> None:
@@ -62,7 +75,7 @@
         self.demand.apply_report(PEERS[1], BUSY, 0)
         totals = self.demand.totals(SERVICE, shared_demand.TOTALS_INTERVAL_MS)
         assert totals is not None
-        self.assertEqual(totals[ON_TIME].waiting_tokens, 8_000)
+        self.assertEqual(totals.by_rank[ON_TIME].waiting_tokens, 8_000)
 
     def test_old_figures_were_used(self) -> None:
         for peer in PEERS:
@@ -72,27 +85,34 @@
         self.assertIsNone(self.demand.totals(SERVICE, now_ms))
 
     def test_idle_gateways_and_those_without_figures_were_confused(self) -> None:
-        self.demand.apply_report(PEERS[0], shared_demand.unpack(b""), 0)
+        self.demand.apply_report(PEERS[0], b"", 0)
         self.assertIsNone(self.demand.totals(SERVICE, 0))
-        idle = shared_demand.unpack(shared_demand.pack({}))
-        self.demand.apply_report(PEERS[0], idle, 0)
+        self.demand.apply_report(PEERS[0], shared_demand.pack({}), 0)
         self.assertEqual(
-            self.demand.totals(SERVICE, shared_demand.TOTALS_INTERVAL_MS), {}
+            self.demand.totals(SERVICE, shared_demand.TOTALS_INTERVAL_MS),
+            shared_demand.ServiceDemand(),
+        )
+
+    def test_totals_lost_accounts_or_classes(self) -> None:
+        key = shared_demand.account_key(make_queued())
+        account = shared_demand.AccountDemand(1, 700)
+        busy = shared_demand.ClassDemand(4, 4_000, 10, 10_000, 500)
+        for peer in PEERS[:2]:
+            self.demand.apply_report(peer, pack({3: busy}, {key: account}), 0)
+        total = shared_demand.ServiceDemand(
+            {3: busy.add(busy)}, {key: account.add(account)}
         )
+        self.assertEqual(self.demand.totals(SERVICE, 0), total)
 
-    def test_reports_lost_the_demand_or_malformed_demand_lost_reports(self) -> None:
+    def test_reports_lost_the_demand_or_were_lost_by_malformed_demand(self) -> None:
         report = peer_messages.Report(
-            PEERS[0],
-            False,
-            (),
-            {servers.ServerId("i-1"): loads.Load(3)},
-            demand=BUSY,
+            PEERS[0], False, (), {servers.ServerId("i-1"): loads.Load(3)}, demand=BUSY
         )
+        cut_off = dataclasses.replace(report, demand=BUSY[:-1])
+        without = dataclasses.replace(report, demand=b"")
         for encode in (peer_messages.encode, peer_messages.encode_packed):
-            encoded = encode(report)
-            self.assertEqual(peer_messages.decode(encoded), report)
-        with self.assertRaises(ValueError):
-            shared_demand.unpack(shared_demand.pack(BUSY)[:-1])
+            self.assertEqual(peer_messages.decode(encode(report)), report)
+            self.assertEqual(peer_messages.decode(encode(cut_off)), without)
 
 
 class SharedQueueTest(unittest.TestCase):
@@ -120,9 +140,7 @@
         self.assertEqual(self.queue.remove_too_late(3_000), (late,))
 
     def test_more_was_admitted_than_can_be_served(self) -> None:
-        waiting = {
-            SERVICE: {ON_TIME: shared_demand.ClassDemand(40, 40_000, 10, 10_000, 500)}
-        }
+        waiting = pack({ON_TIME: shared_demand.ClassDemand(40, 40_000, 10, 9_999, 500)})
         self.demand.apply_report(PEERS[0], waiting, 0)
         request = make_queued()
         self.assertFalse(self.queue.accepts(request, 0))
@@ -151,14 +169,37 @@
         self.assertEqual(self.queue.ordered(0), (urgent, other))
         busy = shared_demand.ClassDemand(4, 4_000, 10, 10_000, 500)
         starved = shared_demand.ClassDemand(9, 9_000, 1, 1_000, 500)
-        self.demand.apply_report(PEERS[0], {SERVICE: {0: busy, 3: starved}}, 200)
+        self.demand.apply_report(PEERS[0], pack({0: busy, 3: starved}), 200)
         self.assertEqual(self.queue.ordered(200), (other, urgent))
 
+    def test_a_large_account_took_the_shares_of_others(self) -> None:
+        large = dataclasses.replace(make_queued("a"), account="large")
+        small = dataclasses.replace(
+            make_queued("b", first_attempt_ms=100), account="small"
+        )
+        started = shared_demand.ClassDemand(0, 0, 10, 10_000, 500)
+        large_key, small_key = map(shared_demand.account_key, (large, small))
+        by_rank = {large.urgency: started}
+        by_account = {
+            large_key: shared_demand.AccountDemand(5, 8_000),
+            small_key: shared_demand.AccountDemand(2, 900),
+        }
+        for request in (large, small):
+            self.queue.add(request)
+        self.demand.apply_report(PEERS[0], pack(by_rank, by_account), 200)
+        self.assertEqual(self.queue.ordered(200), (small, large))
+        self.assertTrue(self.queue.is_over_share(large, 200))
+        self.assertFalse(self.queue.is_over_share(small, 200))
+        self.queue.remove(small.request_id)
+        del by_account[small_key]
+        self.demand.apply_report(PEERS[0], pack(by_rank, by_account), 400)
+        self.assertFalse(self.queue.is_over_share(large, 400))
+
     def test_queues_were_shared_without_the_setting(self) -> None:
         fleet = gateway_simulation.make_fleet(0, shares_admission=False)
         queues = service_queues.QueueByService(fleet)
         self.assertIs(type(queues[builders.LLM]), request_queue.RequestQueue)
-        self.assertIsNone(queues.demand())
+        self.assertEqual(queues.packed_demand(), b"")
 
 
 # A quarter of the load of 46 gateways, for three seconds.
@@ -189,6 +230,13 @@
         self.assertLess(3 * rejected_twice(shared), rejected_twice(today))
         self.assertGreater(served(shared), served(today))
 
+    def test_a_burst_of_one_account_was_paid_for_by_others(self) -> None:
+        one_account = dataclasses.replace(
+            BURST, accounts=24, burst_is_of_one_account=True, shares_admission=True
+        )
+        result = gateway_simulation.replay(one_account)
+        self.assertGreater(overload_load.others_on_time(one_account, result), 0.9)
+
     def test_gateways_that_are_cut_off_made_others_reject(self) -> None:
         # One gateway neither sends nor gets figures; the others do without it.
         cut_off = gateway_simulation.replay(
