Tell callers that won't be admitted to return after their deadline

Callers with long time limits came back to be rejected again: the longest retry time of 4 s was less than the third of their time that they wait.

--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -674,10 +674,10 @@
 
     def _update_shared_demand(self) -> None:
         """Update the number of gateways; log when requests are admitted otherwise."""
-        demand = self._fleet.shared_demand
-        demand.known_gateways = self._peers.known_gateways()
         if not self._own_settings.shares_admission:
             return
+        demand = self._fleet.shared_demand
+        demand.known_gateways = self._peers.known_gateways()
         was_shared = self._admits_by_shared_figures
         self._admits_by_shared_figures = demand.suffices(self._clock.now_ms())
         if self._admits_by_shared_figures is not was_shared:
--- a/quincecrank/gateway/shared_admission.py
+++ b/quincecrank/gateway/shared_admission.py
@@ -198,8 +198,8 @@
     ) -> int:
         """Return the time after which a rejected request may be sent again.
 
-        It is longer than callers wait if the request is not expected to be admitted on
-        its return.
+        It is all of the remaining time, longer than callers wait, if the request is not
+        expected to be admitted on its return.
         """
         wait_ms = self._shared_wait_ms(request, now_ms)
         if wait_ms is None:
@@ -208,7 +208,7 @@
         return_ms = remaining_ms * MAX_RETRY_FRACTION * (0.5 + 0.5 * jitter_fraction)
         start_ms = max(wait_ms, return_ms)
         if start_ms >= return_ms + (remaining_ms - return_ms) * MAX_LATE_WAIT_FRACTION:
-            return request_queue.MAX_RETRY_AFTER_MS
+            return max(request_queue.MAX_RETRY_AFTER_MS, remaining_ms)
         return int(return_ms)
 
     def _rank(
