--- a/tests/test_shared_admission.py
+++ b/tests/test_shared_admission.py
@@ -9,10 +9,14 @@
 import unittest
 from collections.abc import Mapping
 
+from structlog import testing
+
 from bench import gateway_simulation, overload_load
 from quincecrank import ids
 from quincecrank.gateway import (
     loads,
+    loop_monitor,
+    main,
     peer_messages,
     request_queue,
     servers,
@@ -206,6 +210,29 @@
         self.assertEqual(queues.packed_demand(), b"")
 
 
+class GatewayTest(unittest.TestCase):
+    def test_gateways_did_not_publish_or_use_their_demand(self) -> None:
+        settings = builders.make_environment()
+        sender, receiver = (
+            main.Gateway(
+                dataclasses.replace(settings, vm=vm, shares_admission=True),
+                loop_monitor.ObservedClock(),
+            )
+            for vm in PEERS[:2]
+        )
+        with testing.capture_logs() as lines:
+            encoded = peer_messages.encode_packed(sender._make_report())
+            report = peer_messages.decode(encoded)
+            assert isinstance(report, peer_messages.Report)
+            receiver._apply_report(report)
+            receiver._update_shared_demand()
+        self.assertEqual(
+            [line["event"] for line in lines], ["admission by shared figures"]
+        )
+        other = main.Gateway(settings, loop_monitor.ObservedClock())
+        self.assertEqual(other._make_report().demand, b"")
+
+
 # A quarter of the load of 46 gateways, for three seconds.
 BURST = dataclasses.replace(
     overload_load.PATTERN,
