Bound the backlog before a long prompt instead of its completion

Callers of long prompts were rejected at a mild overload: the time that short targets left was shorter than the long prompt itself takes, so it could start at idle engines only. Only the backlog that it finds counts now.

--- a/quincecrank/gateway/engine_placement.py
+++ b/quincecrank/gateway/engine_placement.py
@@ -80,8 +80,9 @@
             affinity_server=_affinity_server(prompt, usable),
             memory_tokens=prompt.memory_tokens,
             engine_memory_tokens=engine.memory_tokens,
-            slack_ms=self._slack_ms(request, now_ms, times),
+            slack_ms=(slack_ms := _slack_ms(request.queued, now_ms, times)),
             times=times,
+            max_backlog_ms=self._max_backlog_ms(request, now_ms, slack_ms, times),
         )
         load_by_server = {
             each.server_id: self._fleet.loads.total_load(each.server_id, now_ms)
@@ -187,24 +188,20 @@
             self._demand.take_permit(request, chosen.server),
         )
 
-    def _slack_ms(
+    def _max_backlog_ms(
         self,
         request: placements.PlacementRequest,
         now_ms: int,
+        slack_ms: float | None,
         times: service_times.Times,
     ) -> float | None:
-        """Return the time within which an engine must compute a prompt.
-
-        It leaves the time that requests with a shorter target need at any gateway.
-        """
-        slack_ms = _slack_ms(request.queued, now_ms, times)
+        """Return the longest backlog of an engine for the request; None without one."""
         queue = self._queue_by_service[request.service.name]
         if slack_ms is None or not isinstance(queue, shared_admission.SharedQueue):
-            return slack_ms
-        target_ms = queue.shorter_target_ms(request.queued, now_ms)
-        return shared_admission.shared_slack_ms(
+            return None
+        return shared_admission.max_backlog_ms(
             slack_ms,
-            target_ms,
+            queue.shorter_target_ms(request.queued, now_ms),
             times.base_ms,
             is_over_share=queue.is_over_share(request.queued, now_ms),
         )
--- a/quincecrank/gateway/placement.py
+++ b/quincecrank/gateway/placement.py
@@ -111,6 +111,9 @@
         `QueuedRequest.timeliness`.
     times : Times
         Service times of the service's engines.
+    max_backlog_ms : float or None
+        Longest backlog of an engine that gets the request if it is not late, see
+        `shared_admission`; None for no bound.
     """
 
     affinity_server: servers.ServerId
@@ -118,6 +121,7 @@
     engine_memory_tokens: int
     slack_ms: float | None = None
     times: service_times.Times = service_times.PRIOR
+    max_backlog_ms: float | None = None
 
 
 def has_capacity(load: loads.Load, slots: int, context: EngineChoiceContext) -> bool:
@@ -242,10 +246,12 @@
     load = candidate.load
     if load.requests == 0:
         return True
-    if context.slack_ms is not None:
-        return (
-            prefill_completion_ms(candidate, context.times)
-            <= context.slack_ms * MAX_SLACK_FRACTION
-        )
     backlog_ms = context.times.backlog_ms(candidate.work, candidate.slowness)
-    return backlog_ms <= MAX_LATE_BACKLOG_MS
+    if context.slack_ms is None:
+        return backlog_ms <= MAX_LATE_BACKLOG_MS
+    if context.max_backlog_ms is not None and backlog_ms > context.max_backlog_ms:
+        return False
+    return (
+        prefill_completion_ms(candidate, context.times)
+        <= context.slack_ms * MAX_SLACK_FRACTION
+    )
--- a/quincecrank/gateway/shared_admission.py
+++ b/quincecrank/gateway/shared_admission.py
@@ -19,9 +19,9 @@
     By first attempt within a queue class, so that a request that was rejected goes
     before those that arrived since.
 backlog
-    A request adds to the backlog of an engine only so far that requests with a shorter
-    target, which some gateway has now, are still on time there.  Engines are as busy
-    as without this; the request waits at its gateway instead, where others may go
+    A request goes only to engines whose backlog leaves time for requests with a shorter
+    target, if some gateway has any now.  Its own prompt does not count.  Engines are as
+    busy as without this; the request waits at its gateway instead, where others may go
     before it.
 floor
     A class that got less than `FLOOR_FRACTION` of the tokens started in the last second
@@ -44,17 +44,17 @@
 MAX_RETRY_FRACTION: Final = 1 / 3
 """Fraction of their remaining time for which callers wait before a second attempt."""
 
-SHORTER_SLACK_FRACTION: Final = 0.6
+SHORTER_SLACK_FRACTION: Final = 0.25
 """Fraction of the time until the prompt of a request with a shorter target must be
-computed which others may fill; the rest is for such prompts themselves."""
+computed which the backlog may take before another prompt is added to it."""
 
 FLOOR_FRACTION: Final = 0.1
 """Fraction of the started tokens below which a class goes before more urgent ones: the
 most that urgent requests lose to it."""
 
-OVER_SHARE_SLACK_FRACTION: Final = 0.5
-"""Fraction of the usual slack for accounts that got more than their share: engines are
-then left to others until their backlog is half as long as usual."""
+OVER_SHARE_BACKLOG_FRACTION: Final = 0.5
+"""Fraction of the usual backlog at which engines get requests of accounts that got more
+than their share; above it they are left to others."""
 
 TOTAL_INTERVAL_MS: Final = 20
 """Time for which the demand of all gateways is kept: half of the interval at which the
@@ -301,17 +301,21 @@
     return total.by_account[key].started_tokens * (1 + len(waiting)) > started
 
 
-def shared_slack_ms(
+def max_backlog_ms(
     slack_ms: float,
     shorter_target_ms: int | None,
     base_ms: float,
     *,
     is_over_share: bool = False,
 ) -> float:
-    """Return the time within which a prompt must be computed, see "backlog" above.
+    """Return the longest backlog of an engine that gets a request, see above.
+
+    The prompt itself does not count: a long one could start at no engine otherwise.
 
     Parameters
     ----------
+    slack_ms : float
+        Time within which an engine must compute the prompt.
     shorter_target_ms : int or None
         Shortest target of other requests; None if none is shorter than its own.
     base_ms : float
@@ -319,11 +323,8 @@
     is_over_share : bool
         Whether the request's account has got more than its share.
     """
-    if is_over_share:
-        slack_ms *= OVER_SHARE_SLACK_FRACTION
-    if shorter_target_ms is None:
-        return slack_ms
-    shorter_ms = (shorter_target_ms - base_ms) * SHORTER_SLACK_FRACTION
-    if is_over_share:
-        shorter_ms *= OVER_SHARE_SLACK_FRACTION
-    return min(slack_ms, max(0.0, shorter_ms))
+    backlog_ms = slack_ms
+    if shorter_target_ms is not None:
+        shorter_ms = (shorter_target_ms - base_ms) * SHORTER_SLACK_FRACTION
+        backlog_ms = min(backlog_ms, max(0.0, shorter_ms))
+    return backlog_ms * (OVER_SHARE_BACKLOG_FRACTION if is_over_share else 1.0)
