--- a/bench/gateway_simulation.py
+++ b/bench/gateway_simulation.py
@@ -538,6 +538,7 @@
         await self._clock.sleep(self._generator.uniform(0, peers.REPORT_INTERVAL_MS))
         fleet = self._fleet_states[number]
         while True:
+            packed_demand = self._dispatchers[number].packed_demand
             for other in self._peers_of(number):
                 self._call_later(
                     MESSAGE_MS,
@@ -546,7 +547,7 @@
                     fleet,
                     fleet.loads.own_load_by_server(),
                     fleet.failed_requests.to_publish(self._clock.now_ms()),
-                    self._dispatchers[number].packed_demand,
+                    packed_demand,
                 )
             interval_ms = peers.report_interval_ms(self._pattern.gateways - 1)
             await self._clock.sleep(interval_ms)
