--- a/quincecrank/gateway/engine_placement.py
+++ b/quincecrank/gateway/engine_placement.py
@@ -24,7 +24,9 @@
     prompts,
     request_queue,
     servers,
+    service_queues,
     service_times,
+    shared_admission,
     weights,
 )
 
@@ -40,13 +42,19 @@
         Fleet state that this gateway tracks.
     demand : PermitDemand
         Takes the permits for engines with a rate limit.
+    queue_by_service : QueueByService
+        The admission queues.
     """
 
     def __init__(
-        self, fleet: fleet_state.FleetState, demand: permit_demand.PermitDemand
+        self,
+        fleet: fleet_state.FleetState,
+        demand: permit_demand.PermitDemand,
+        queue_by_service: service_queues.QueueByService,
     ) -> None:
         self._fleet = fleet
         self._demand = demand
+        self._queue_by_service = queue_by_service
 
     def place(
         self,
@@ -72,8 +80,9 @@
             affinity_server=_affinity_server(prompt, usable),
             memory_tokens=prompt.memory_tokens,
             engine_memory_tokens=engine.memory_tokens,
-            slack_ms=_slack_ms(request.queued, now_ms, times),
+            slack_ms=(slack_ms := _slack_ms(request.queued, now_ms, times)),
             times=times,
+            max_backlog_ms=self._max_backlog_ms(request, now_ms, slack_ms, times),
         )
         load_by_server = {
             each.server_id: self._fleet.loads.total_load(each.server_id, now_ms)
@@ -176,6 +185,24 @@
             chosen.is_cold,
         )
 
+    def _max_backlog_ms(
+        self,
+        request: placements.PlacementRequest,
+        now_ms: int,
+        slack_ms: float | None,
+        times: service_times.Times,
+    ) -> float | None:
+        """Return the longest backlog of an engine for the request; None without one."""
+        queue = self._queue_by_service[request.service.name]
+        if slack_ms is None or not isinstance(queue, shared_admission.SharedQueue):
+            return None
+        return shared_admission.max_backlog_ms(
+            slack_ms,
+            queue.shorter_target_ms(request.queued, now_ms),
+            times.base_ms,
+            is_over_share=queue.is_over_share(request.queued, now_ms),
+        )
+
     def begin_limit_ms(
         self, prompt: prompts.Prompt | None, version: int | None
     ) -> float | None:
--- a/quincecrank/gateway/gateway_metrics.py
+++ b/quincecrank/gateway/gateway_metrics.py
@@ -230,6 +230,11 @@
             "Times that this gateway wrote the service times to the store",
             registry=self.registry,
         )
+        self.admission_peers = prometheus_client.Gauge(
+            "quince_gateway_admission_peers",
+            "Other gateways by whose figures requests are admitted; 0 without any",
+            registry=self.registry,
+        )
         self._permit_counts: dict[str, int] = {}
         self.peers = prometheus_client.Gauge(
             "quince_gateway_peers", "Live other gateways", registry=self.registry
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -134,9 +134,7 @@
         self._listener.state.byte_budget = byte_budget.ByteBudget(
             own_settings.memory_mb
         )
-        self._listener.links = self._fleet.links
-        self._listener.count_followed = lambda: self._cache_followers.followed_count
-        self._forwarder.may_add_link = self._listener.may_add_link
+        self._connect_listener()
         self._reporter = peers.PeerReporter(
             own_settings,
             self._peers,
@@ -242,6 +240,13 @@
         self._is_leaving = False
         self._signal: shutdown_schedule.SignalTime | None = None
         self._reports_made = 0
+        self._admits_by_shared_figures = False
+
+    def _connect_listener(self) -> None:
+        """Let the callers' connections share descriptors with links and followers."""
+        self._listener.links = self._fleet.links
+        self._listener.count_followed = lambda: self._cache_followers.followed_count
+        self._forwarder.may_add_link = self._listener.may_add_link
 
     def _subscribe_to_eras(self) -> None:
         """Subscribe the parts that hold positions of the store to new eras.
@@ -587,6 +592,7 @@
             handover=self._order_lease.handover()
             if self._fleet.own_settings.hands_over
             else None,
+            demand=self._dispatcher.packed_demand,
         )
         report = self._crash_monitor.complete_report(report)
         report = self._stream_versions.complete_report(report)
@@ -615,6 +621,7 @@
         for pause in report.pauses:
             self._fleet.health.apply_peer_pause(pause, now_ms)
         self._fleet.failed_requests.apply_peer_failures(report.failed_requests, now_ms)
+        self._fleet.shared_demand.apply_report(report.vm, report.demand, now_ms)
         for service, times in report.times_by_service.items():
             self._fleet.service_times.apply_peer_times(service, times)
         for update in report.weight_updates:
@@ -644,6 +651,7 @@
                 _LOG.info("server gone", server=server_id, reason="lapsed")
                 self._fleet.remove_server(server_id)
             self._update_operator_requests()
+            self._update_shared_demand()
             self._fleet.links.close_stale()
             self._listener.close_expired()
             if self._listener.state.byte_budget.take_freed():
@@ -688,6 +696,26 @@
             self._metrics.set_lease_takeovers(self._order_lease.takeovers)
             self._metrics.service_times_writes.set(self._stored_times.writes)
 
+    def _update_shared_demand(self) -> None:
+        """Update the number of gateways; log when requests are admitted otherwise."""
+        if not self._own_settings.shares_admission:
+            return
+        demand = self._fleet.shared_demand
+        demand.known_gateways = self._peers.known_gateways()
+        was_shared = self._admits_by_shared_figures
+        self._admits_by_shared_figures = demand.suffices(self._clock.now_ms())
+        if self._admits_by_shared_figures is not was_shared:
+            _LOG.info(
+                "admission by shared figures"
+                if self._admits_by_shared_figures
+                else "admission by own figures",
+                reporting=demand.reporting_peers,
+                known=demand.known_gateways,
+            )
+        self._metrics.admission_peers.set(
+            demand.reporting_peers if self._admits_by_shared_figures else 0
+        )
+
     def _update_operator_requests(self) -> None:
         """Update evacuations and cold servers, which end with time."""
         now_ms = self._clock.now_ms()
--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -27,6 +27,7 @@
     server_liveness,
     servers,
     service_times,
+    shared_demand,
     stream_versions,
     tables,
     weights,
@@ -136,6 +137,9 @@
         Whether the gateway decodes packed figures.
     handover : Handover or None
         Terms of the order lease that have ended at the gateway.
+    demand : bytes
+        Demand for engines at the gateway, see `shared_demand`; empty if it does not
+        share admission.
     """
 
     vm: ids.VmName
@@ -167,6 +171,7 @@
     cold_states: tuple[cold_servers.ColdState, ...] = ()
     takes_packed_figures: bool = True
     handover: lease_handover.Handover | None = None
+    demand: bytes = b""
 
     @property
     def has_other_parts(self) -> bool:
@@ -222,6 +227,7 @@
             issuesPermits=report.issues_permits,
             takesChanges=report.takes_changes,
             takesPackedFigures=report.takes_packed_figures,
+            sharedDemand=report.demand,
         )
     message.report.packedFigures = packed_figures.pack(
         packed_figures.Figures(
@@ -323,6 +329,7 @@
         coldServers=_cold_server_fields(report),
         takesPackedFigures=report.takes_packed_figures,
         leaseHandover=_handover_fields(report.handover),
+        sharedDemand=report.demand,
     )
 
 
@@ -771,6 +778,7 @@
             configuration_age_ms=figures.configuration_age_ms,
             is_late=figures.is_late,
             takes_packed_figures=message.takesPackedFigures,
+            demand=_demand(message.sharedDemand),
         )
     return dataclasses.replace(
         _plain_report(message),
@@ -852,4 +860,15 @@
         cold_states=tuple(_cold_state(each) for each in message.coldServers),
         takes_packed_figures=message.takesPackedFigures,
         handover=_handover(message.leaseHandover),
+        demand=_demand(message.sharedDemand),
     )
+
+
+def _demand(packed: bytes) -> bytes:
+    try:
+        return shared_demand.checked(bytes(packed))
+    except ValueError as error:
+        _LOG.warning(
+            "invalid part of a report ignored", kind="demand", error=str(error)
+        )
+        return b""
--- a/quincecrank/gateway/peers.capnp
+++ b/quincecrank/gateway/peers.capnp
@@ -220,6 +220,8 @@
   # take it.
   packedFigures @25 :Data;
   leaseHandover @26 :LeaseHandover;
+  # See shared_demand.py.  Sent by gateways that share admission.
+  sharedDemand @27 :Data;
 }
 
 struct ChangedRow {
