Unpack datagrams of several segments before they are decoded

One datagram ended a gateway with SIGABRT: one of a load change whose first byte is 01, or a long report that is cut short. The library reads the segments of a packed message after the first one only when they are needed or when its reader is freed, and its error for missing bytes in that destructor ends the process. Such messages are now unpacked, up to 1 MiB, and read from memory, where a missing segment is an ordinary error.

--- a/quincecrank/gateway/peer_messages.py
+++ b/quincecrank/gateway/peer_messages.py
@@ -13,6 +13,7 @@
     change_delivery,
     cold_servers,
     crash_findings,
+    datagram_unpacking,
     decision_log,
     deployment,
     engine_weight_updates,
@@ -48,6 +49,10 @@
 _NO_AGE: Final = 0xFFFFFFFF
 """Encodes the missing age of a table; the largest value of the field."""
 
+FIRST_SEGMENT_WORDS: Final = 16 * 1024
+"""Words of 8 bytes in the first segment of a message that may be long.  Datagrams have
+one segment then, so that peers don't unpack them, which takes milliseconds."""
+
 
 TableState = packed_figures.TableState
 
@@ -213,9 +218,13 @@
     load: loads.Load
 
 
+def _new_datagram() -> Any:
+    return _SCHEMA.Datagram.new_message(FIRST_SEGMENT_WORDS)
+
+
 def encode_packed(report: Report) -> bytes:
     """Return the datagram of a report for peers that take packed figures."""
-    message = _SCHEMA.Datagram.new_message()
+    message = _new_datagram()
     if report.has_other_parts:
         plain = dataclasses.replace(
             report, states=(), load_by_server={}, target_weights=(), failed_requests=()
@@ -247,7 +256,7 @@
 
 def encode(report: Report) -> bytes:
     """Return the datagram of a report, for peers of any release."""
-    message = _SCHEMA.Datagram.new_message()
+    message = _new_datagram()
     message.report = _report_message(report)
     return bytes(message.to_bytes_packed())
 
@@ -365,7 +374,7 @@
 def encode_table_change(table_change: TableChange) -> bytes:
     """Return the datagram of a change of a table."""
     change = table_change.change
-    message = _SCHEMA.Datagram.new_message()
+    message = _new_datagram()
     message.tableChange = _SCHEMA.TableChange.new_message(
         table=change.table.value,
         era=change.position.era,
@@ -387,9 +396,10 @@
     return bytes(message.to_bytes_packed())
 
 
-def decode(
-    datagram: bytes,
-) -> Report | LoadChange | TableChange | send_permits.PermitMessage:
+Message = Report | LoadChange | TableChange | send_permits.PermitMessage
+
+
+def decode(datagram: bytes) -> Message:
     """Return the message of a datagram.
 
     Raises
@@ -398,18 +408,25 @@
         If it can't be decoded.
     """
     try:
-        message = _SCHEMA.Datagram.from_bytes_packed(datagram)
-        if message.which() == "loadChange":
-            return _load_change(message.loadChange)
-        if message.which() == "permits":
-            return _permits(message.permits)
-        if message.which() == "tableChange":
-            return _table_change(message.tableChange)
-        return _report(message.report)
+        if not datagram_unpacking.has_several_segments(datagram):
+            return _decoded(_SCHEMA.Datagram.from_bytes_packed(datagram))
+        unpacked = datagram_unpacking.unpack(datagram)
+        with _SCHEMA.Datagram.from_bytes(unpacked) as message:
+            return _decoded(message)
     except (capnp.KjException, ValueError) as error:
         raise MessageError(str(error)) from error
 
 
+def _decoded(message: Any) -> Message:
+    if message.which() == "loadChange":
+        return _load_change(message.loadChange)
+    if message.which() == "permits":
+        return _permits(message.permits)
+    if message.which() == "tableChange":
+        return _table_change(message.tableChange)
+    return _report(message.report)
+
+
 def _table_change(message: Any) -> TableChange:
     era = checked_values.count(message.era, store_rows.MAX_ERA)
     change = change_delivery.Change(
