Let callers that were asked for their body receive its rejection

A caller that sent Expect: 100-continue, was asked for its body and then exceeded a limit got a reset connection instead of the 413 or 503, and could not know that nothing had run. The answer was ended while the body was still arriving, on which the library closes the connection with unread bytes. Only a rejection before the library asks for the body has to end at once; later ones are read on, as without Expect.

--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -677,6 +677,7 @@
         self._body = bytearray()
         self._declared_size = 0
         self._rejection: CallerAnswer | None = None
+        self._may_expect_body = True
 
     def waiting(
         self, stream: iostream.IOStream, now_ms: int
@@ -719,6 +720,7 @@
         self._declared_size = int(declared) if declared.isdigit() else 0
         if not self._rejected_by_limits(start_line, headers):
             self._hold(self._declared_size)
+        self._may_expect_body = False
 
     def _rejected_by_limits(
         self, start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
@@ -849,7 +851,7 @@
         answer = CallerAnswer(self._connection, self._state, self.account)
         answer.closes_connection = True
         headers = headers or httputil.HTTPHeaders()
-        if "Expect" in self._headers:
+        if "Expect" in self._headers and self._may_expect_body:
             # The library would ask for the body if the answer had not ended.
             answer.send(status, headers, b"")
         else:
--- a/tests/test_chunk_budget.py
+++ b/tests/test_chunk_budget.py
@@ -142,11 +142,11 @@
         self.reader = self.listener.chunk_reader
         self.server = await self.add_server(*[case.sends(case.answer())] * 100)
 
-    async def send(self, raw: bytes) -> case.Caller:
+    async def send(self, raw: bytes, **extra: str) -> case.Caller:
         """Send a request whose body, in chunks, is `raw`; return its connection."""
         caller = await case.Caller.connect(self.port)
         self.addCleanup(caller.close)
-        headers = builders.make_headers(Transfer_Encoding="chunked")
+        headers = builders.make_headers(Transfer_Encoding="chunked", **extra)
         lines = [f"{name}: {value}" for name, value in headers.get_all()]
         head = "\r\n".join(["POST /record/ HTTP/1.1", *lines, "", ""])
         caller.writer.write(head.encode() + raw)
@@ -230,6 +230,22 @@
         self.assertEqual(self.reader.budget.closes, 1)
         self.assertEqual(self.bytes.held_by_holder[Holder.CALLERS], 0)
 
+    async def test_a_caller_that_was_asked_for_its_body_lost_the_rejection(
+        self,
+    ) -> None:
+        """The connection was reset while the caller sent the rest of the body."""
+        document = builders.make_configuration_document(8)
+        document["limits"]["maxBodyBytes"] = 1_000
+        self.configure_from(document)
+        caller = await self.send(b"", Expect="100-continue")
+        self.assertIn(b" 100 ", await caller.reader.readuntil(b"\r\n\r\n"))
+        for end in (b"", b"", LAST_CHUNK):
+            caller.writer.write(b"800\r\n" + b"x" * 0x800 + b"\r\n" + end)
+            await asyncio.sleep(0.05)
+        self.assertEqual((await caller.receive()).status, 413)
+        self.assertEqual((await caller.receive()).status, 0)
+        self.assertEqual(self.server.received, [])
+
     async def test_malformed_chunks_are_no_request(self) -> None:
         caller = await self.send(SMALL_CHUNK + b"1;a=b\r\nx\r\n" + LAST_CHUNK)
         self.assertIn(b" 400 ", await caller.reader.readline())
