Answer a declared length of thousands of digits with 400

A caller that sent Content-Length with more than 4,300 digits, or with a digit of another script, got no answer, and the log an error with its traceback for each request: the conversion of the number raised. Such a length now counts as 0 until the library answers 400, as it does for other malformed lengths.

--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -716,8 +716,7 @@
         self._open.add(self)
         self._start_line = start_line
         self._headers = headers
-        declared = headers.get("Content-Length", "0")
-        self._declared_size = int(declared) if declared.isdigit() else 0
+        self._declared_size = _declared_size(headers)
         if not self._rejected_by_limits(start_line, headers):
             self._hold(self._declared_size)
         self._may_expect_body = False
@@ -860,6 +859,17 @@
         self._rejection = answer
 
 
+def _declared_size(headers: httputil.HTTPHeaders) -> int:
+    """Return the declared length of a body; 0 if it is malformed.
+
+    The library answers a malformed length with 400.
+    """
+    try:
+        return max(0, int(headers.get("Content-Length", "0")))
+    except ValueError:
+        return 0
+
+
 def _has_arrived(stream: iostream.IOStream) -> bool:
     """Return whether a part of a request has arrived, whether read or not."""
     return stream._read_buffer_size > 0 or not arrived_bytes.awaits_bytes(stream)
--- a/tests/test_chunk_budget.py
+++ b/tests/test_chunk_budget.py
@@ -252,6 +252,19 @@
         self.assertEqual(self.server.received, [])
 
 
+class DeclaredLengthTest(case.GatewayCase):
+    async def test_a_length_of_thousands_of_digits_got_no_answer(self) -> None:
+        """The listener logged an error for each and closed the connection."""
+        for length in ("9" * 5_000, "\xb2", "5_0", "-1"):
+            with self.subTest(length[:5]):
+                caller = await case.Caller.connect(self.port)
+                self.addCleanup(caller.close)
+                head = f"POST /record/ HTTP/1.1\r\nContent-Length: {length}\r\n\r\n"
+                caller.writer.write(head.encode("latin1"))
+                self.assertIn(b" 400 ", await caller.reader.readline())
+        self.assertEqual(self.listener.open_requests, 0)
+
+
 class PiecesTest(case.GatewayCase):
     """Callers that send few bytes at a time."""
 
