Take an answer without a length as cut if its server is silent

A part of an answer without a length reached the caller as the whole one if the server did not answer the check afterwards, for instance since its host was lost as well: the check took silence for life. The requirements call such an answer complete only if the server is shown to be alive.

--- a/quincecrank/gateway/crash_monitor.py
+++ b/quincecrank/gateway/crash_monitor.py
@@ -157,8 +157,8 @@
         task.add_done_callback(lambda _task: self._checks.pop(server.incarnation, None))
 
     async def is_running(self, server: servers.ServerEntry) -> bool:
-        """Return whether a server accepts connections; True if it does not answer."""
-        return await self._accepts_connections(server) is not False
+        """Return whether a server accepts connections; False if it does not answer."""
+        return await self._accepts_connections(server) is True
 
     async def _accepts_connections(self, server: servers.ServerEntry) -> bool | None:
         """Return whether a server accepts a connection; None without an answer."""
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -4,8 +4,9 @@
 import socket
 import struct
 from typing import Final
+from unittest import mock
 
-from quincecrank.gateway import servers
+from quincecrank.gateway import crash_monitor, servers
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 from tests import test_broken_answers
@@ -126,6 +127,20 @@
                     self.remove_server(name)
                     self.assertEqual(got.status, 502)
 
+    async def test_a_server_that_does_not_answer_counted_as_alive(self) -> None:
+        """The host of a server may be lost together with it."""
+        nothing = mock.Mock()
+        monitor = crash_monitor.CrashMonitor(
+            self.fleet, self.crashes, nothing, nothing, nothing, nothing, self.clock
+        )
+        self.forwarder.is_running = monitor.is_running
+        await self.add_server(case.sends_and_closes(UNFRAMED + b"part"))
+        with mock.patch.object(crash_monitor, "server_links") as links:
+            links.connect = mock.AsyncMock(side_effect=TimeoutError)
+            got = await self.ask("/record/", b"once")
+        links.connect.assert_awaited_once()
+        self.assertEqual(got.status, 502)
+
     async def test_an_answer_before_the_end_of_an_upload(self) -> None:
         for closes_first in (True, False):
             with self.subTest(closes_first):
