Take answers with status 204 or 304 as whole without a length

A caller got a 502 instead of a server's 204 without a length if the server ended after it or was silent, and each such answer cost the server a connection that checks it and the loss of the link. Answers with these statuses end with their head.

--- a/quincecrank/gateway/answer_sink.py
+++ b/quincecrank/gateway/answer_sink.py
@@ -122,7 +122,7 @@
         self.head = answers.decode(status, headers)
         self._on_head(self.head)
         self.buffer = active_requests.AnswerBuffer(status, headers)
-        self.is_unframed = server_links.is_unframed(headers)
+        self.is_unframed = server_links.is_unframed(status, headers)
         self.is_streaming = (
             self._active.route.is_stream
             and self.head.is_success
--- a/quincecrank/gateway/server_links.py
+++ b/quincecrank/gateway/server_links.py
@@ -91,6 +91,10 @@
 """Bounds of a status code in HTTP; an answer with another one has broken off."""
 
 
+BODILESS_STATUSES: Final = frozenset((204, 304))
+"""Statuses of answers that end with their head and need no length."""
+
+
 class AnswerSink(Protocol):
     """Handles an answer while it arrives."""
 
@@ -332,7 +336,7 @@
                 raise httputil.HTTPInputError("too many interim answers")
             return
         self.headers = headers
-        self.is_unframed = is_unframed(headers)
+        self.is_unframed = is_unframed(start_line.code, headers)
         self.is_accepted = self._sink.accepts(headers, is_reused=self._is_reused)
         if self.is_accepted:
             await self._guard(self._sink.handle_head(start_line.code, headers))
@@ -362,8 +366,10 @@
             self._end()
 
 
-def is_unframed(headers: httputil.HTTPHeaders) -> bool:
+def is_unframed(status: int, headers: httputil.HTTPHeaders) -> bool:
     """Return whether an answer declares no length and ends with its connection."""
+    if status in BODILESS_STATUSES:
+        return False
     return "Content-Length" not in headers and "Transfer-Encoding" not in headers
 
 
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -115,6 +115,14 @@
         got = await self.ask("/record/", b"once")
         self.assertEqual((got.status, got.body, got.is_complete), (200, b"whole", True))
 
+    async def test_an_answer_that_ends_with_its_head_was_taken_as_cut(self) -> None:
+        """It is whole without a length, also if its server crashes afterwards."""
+        self.has_server_ended = True
+        head = UNFRAMED.replace(b"200 OK", b"204 No Content")
+        await self.add_server(case.sends_and_closes(head))
+        got = await self.ask("/record/", b"once")
+        self.assertEqual((got.status, got.is_complete), (204, True))
+
     async def test_an_answer_of_a_server_that_crashed_is_not(self) -> None:
         self.has_server_ended = True
         for answer in (UNFRAMED, UNFRAMED_FAILURE):
