Log requests whose caller has left at the end of a shutdown

A shutdown failed with a TypeError, before the tasks of the process were ended, if a request was still open whose connection was closed: the number of unsent bytes was asked of a stream that has no buffer any more. The log line of a cut answer failed likewise. A closed stream now has no unsent bytes.

--- a/quincecrank/arrived_bytes.py
+++ b/quincecrank/arrived_bytes.py
@@ -45,7 +45,13 @@
 
 
 def unsent_bytes(stream: iostream.IOStream) -> int:
-    """Return the number of written bytes that the peer has not acknowledged."""
+    """Return the number of written bytes that the peer of an open stream lacks.
+
+    It is the number of those that it has not acknowledged; 0 if the stream is closed.
+    """
+    if stream.closed():
+        # Its buffer is gone.
+        return 0
     return len(stream._write_buffer) + _queued_bytes(stream, termios.TIOCOUTQ)
 
 
--- a/tests/test_chunk_budget.py
+++ b/tests/test_chunk_budget.py
@@ -265,6 +265,22 @@
         self.assertEqual(self.listener.open_requests, 0)
 
 
+class LeftCallerTest(case.GatewayCase):
+    async def test_requests_of_callers_that_had_left_could_not_be_logged(self) -> None:
+        """The log of open requests ended with an error, and with it the shutdown."""
+        caller = await case.Caller.connect(self.port)
+        self.addCleanup(caller.close)
+        caller.writer.write(
+            b"POST /record/ HTTP/1.1\r\nContent-Length: 9\r\nRequest-Id: q-1\r\n\r\n"
+        )
+        async with asyncio.timeout(case.WAIT_S):
+            while not self.listener.open_requests:
+                await asyncio.sleep(0.01)
+        (connection,) = self.listener._receiver_by_connection
+        connection.stream.close()
+        self.listener.log_open_requests()
+
+
 class PiecesTest(case.GatewayCase):
     """Callers that send few bytes at a time."""
 
