Reject a request for its chunks only if it is not rejected yet

A caller beyond maxBodyBytes got a 413 and then a 503 on the same connection, if its body was in small chunks, exceeded the limit in the same turn as the number of chunks, and 16 other bodies waited. The reader asked for the rejection before it noticed that the request had one.

--- a/quincecrank/gateway/chunk_reader.py
+++ b/quincecrank/gateway/chunk_reader.py
@@ -108,7 +108,8 @@
 
     def _check(self, cost: chunk_budget.BodyCost, receiver: BodyReceiver) -> None:
         """Reject a request, or close its connection, if its chunks cost too much."""
-        if not self.budget.may_go_on(cost, self.waiting_bodies):
+        may_reject = not receiver.is_rejected
+        if may_reject and not self.budget.may_go_on(cost, self.waiting_bodies):
             receiver.reject_for_chunks(cost)
         if receiver.is_rejected and cost.discarded_from is None:
             cost.discarded_from = cost.chunks
--- a/tests/test_chunk_budget.py
+++ b/tests/test_chunk_budget.py
@@ -10,7 +10,7 @@
 from typing import Final
 from unittest import mock
 
-from quincecrank.gateway import byte_budget, chunk_budget, chunk_decoder
+from quincecrank.gateway import byte_budget, chunk_budget, chunk_decoder, chunk_reader
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 
@@ -230,6 +230,19 @@
         self.assertEqual(self.reader.budget.closes, 1)
         self.assertEqual(self.bytes.held_by_holder[Holder.CALLERS], 0)
 
+    async def test_a_rejected_request_was_rejected_again(self) -> None:
+        """A second answer followed the first one on the connection."""
+        document = builders.make_configuration_document(8)
+        # Reached in the same turn as the number of chunks.
+        document["limits"]["maxBodyBytes"] = chunk_budget.CROWDED_CHUNKS
+        self.configure_from(document)
+        crowd = mock.PropertyMock(return_value=CROWD)
+        with mock.patch.object(chunk_reader.ChunkReader, "waiting_bodies", crowd):
+            caller = await self.send(SMALL_CHUNK * (MANY + 4_000) + LAST_CHUNK)
+            self.assertEqual((await caller.receive()).status, 413)
+            self.assertEqual((await caller.receive()).status, 0)
+        self.assertEqual(self.reader.budget.rejections, 0)
+
     async def test_a_caller_that_was_asked_for_its_body_lost_the_rejection(
         self,
     ) -> None:
