--- a/tests/test_chunk_budget.py
+++ b/tests/test_chunk_budget.py
@@ -10,7 +10,7 @@
 from typing import Final
 from unittest import mock
 
-from quincecrank.gateway import byte_budget, chunk_budget, chunk_decoder
+from quincecrank.gateway import byte_budget, chunk_budget, chunk_decoder, chunk_reader
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 
@@ -142,11 +142,11 @@
         self.reader = self.listener.chunk_reader
         self.server = await self.add_server(*[case.sends(case.answer())] * 100)
 
-    async def send(self, raw: bytes) -> case.Caller:
+    async def send(self, raw: bytes, **extra: str) -> case.Caller:
         """Send a request whose body, in chunks, is `raw`; return its connection."""
         caller = await case.Caller.connect(self.port)
         self.addCleanup(caller.close)
-        headers = builders.make_headers(Transfer_Encoding="chunked")
+        headers = builders.make_headers(Transfer_Encoding="chunked", **extra)
         lines = [f"{name}: {value}" for name, value in headers.get_all()]
         head = "\r\n".join(["POST /record/ HTTP/1.1", *lines, "", ""])
         caller.writer.write(head.encode() + raw)
@@ -230,12 +230,70 @@
         self.assertEqual(self.reader.budget.closes, 1)
         self.assertEqual(self.bytes.held_by_holder[Holder.CALLERS], 0)
 
+    async def test_a_rejected_request_was_rejected_again(self) -> None:
+        """A second answer followed the first one on the connection."""
+        document = builders.make_configuration_document(8)
+        # Reached in the same turn as the number of chunks.
+        document["limits"]["maxBodyBytes"] = chunk_budget.CROWDED_CHUNKS
+        self.configure_from(document)
+        crowd = mock.PropertyMock(return_value=CROWD)
+        with mock.patch.object(chunk_reader.ChunkReader, "waiting_bodies", crowd):
+            caller = await self.send(SMALL_CHUNK * (MANY + 4_000) + LAST_CHUNK)
+            self.assertEqual((await caller.receive()).status, 413)
+            self.assertEqual((await caller.receive()).status, 0)
+        self.assertEqual(self.reader.budget.rejections, 0)
+
+    async def test_a_caller_that_was_asked_for_its_body_lost_the_rejection(
+        self,
+    ) -> None:
+        """The connection was reset while the caller sent the rest of the body."""
+        document = builders.make_configuration_document(8)
+        document["limits"]["maxBodyBytes"] = 1_000
+        self.configure_from(document)
+        caller = await self.send(b"", Expect="100-continue")
+        self.assertIn(b" 100 ", await caller.reader.readuntil(b"\r\n\r\n"))
+        for end in (b"", b"", LAST_CHUNK):
+            caller.writer.write(b"800\r\n" + b"x" * 0x800 + b"\r\n" + end)
+            await asyncio.sleep(0.05)
+        self.assertEqual((await caller.receive()).status, 413)
+        self.assertEqual((await caller.receive()).status, 0)
+        self.assertEqual(self.server.received, [])
+
     async def test_malformed_chunks_are_no_request(self) -> None:
         caller = await self.send(SMALL_CHUNK + b"1;a=b\r\nx\r\n" + LAST_CHUNK)
         self.assertIn(b" 400 ", await caller.reader.readline())
         self.assertEqual(self.server.received, [])
 
 
+class DeclaredLengthTest(case.GatewayCase):
+    async def test_a_length_of_thousands_of_digits_got_no_answer(self) -> None:
+        """The listener logged an error for each and closed the connection."""
+        for length in ("9" * 5_000, "\xb2", "5_0", "-1"):
+            with self.subTest(length[:5]):
+                caller = await case.Caller.connect(self.port)
+                self.addCleanup(caller.close)
+                head = f"POST /record/ HTTP/1.1\r\nContent-Length: {length}\r\n\r\n"
+                caller.writer.write(head.encode("latin1"))
+                self.assertIn(b" 400 ", await caller.reader.readline())
+        self.assertEqual(self.listener.open_requests, 0)
+
+
+class LeftCallerTest(case.GatewayCase):
+    async def test_requests_of_callers_that_had_left_could_not_be_logged(self) -> None:
+        """The log of open requests ended with an error, and with it the shutdown."""
+        caller = await case.Caller.connect(self.port)
+        self.addCleanup(caller.close)
+        caller.writer.write(
+            b"POST /record/ HTTP/1.1\r\nContent-Length: 9\r\nRequest-Id: q-1\r\n\r\n"
+        )
+        async with asyncio.timeout(case.WAIT_S):
+            while not self.listener.open_requests:
+                await asyncio.sleep(0.01)
+        (connection,) = self.listener._receiver_by_connection
+        connection.stream.close()
+        self.listener.log_open_requests()
+
+
 class PiecesTest(case.GatewayCase):
     """Callers that send few bytes at a time."""
 
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -4,8 +4,9 @@
 import socket
 import struct
 from typing import Final
+from unittest import mock
 
-from quincecrank.gateway import servers
+from quincecrank.gateway import crash_monitor, servers
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 from tests import test_broken_answers
@@ -114,6 +115,14 @@
         got = await self.ask("/record/", b"once")
         self.assertEqual((got.status, got.body, got.is_complete), (200, b"whole", True))
 
+    async def test_an_answer_that_ends_with_its_head_was_taken_as_cut(self) -> None:
+        """It is whole without a length, also if its server crashes afterwards."""
+        self.has_server_ended = True
+        head = UNFRAMED.replace(b"200 OK", b"204 No Content")
+        await self.add_server(case.sends_and_closes(head))
+        got = await self.ask("/record/", b"once")
+        self.assertEqual((got.status, got.is_complete), (204, True))
+
     async def test_an_answer_of_a_server_that_crashed_is_not(self) -> None:
         self.has_server_ended = True
         for answer in (UNFRAMED, UNFRAMED_FAILURE):
@@ -126,6 +135,20 @@
                     self.remove_server(name)
                     self.assertEqual(got.status, 502)
 
+    async def test_a_server_that_does_not_answer_counted_as_alive(self) -> None:
+        """The host of a server may be lost together with it."""
+        nothing = mock.Mock()
+        monitor = crash_monitor.CrashMonitor(
+            self.fleet, self.crashes, nothing, nothing, nothing, nothing, self.clock
+        )
+        self.forwarder.is_running = monitor.is_running
+        await self.add_server(case.sends_and_closes(UNFRAMED + b"part"))
+        with mock.patch.object(crash_monitor, "server_links") as links:
+            links.connect = mock.AsyncMock(side_effect=TimeoutError)
+            got = await self.ask("/record/", b"once")
+        links.connect.assert_awaited_once()
+        self.assertEqual(got.status, 502)
+
     async def test_an_answer_before_the_end_of_an_upload(self) -> None:
         for closes_first in (True, False):
             with self.subTest(closes_first):
