Keep sums of the peers' loads instead of adding them at each placement

A placement reads the load of each usable engine. Decisions don't change: a test compares the sums with the plain addition.

--- a/quincecrank/gateway/loads.py
+++ b/quincecrank/gateway/loads.py
@@ -50,12 +50,32 @@
         )
 
 
+_NO_LOAD: Final = Load()
+
+
 @dataclasses.dataclass(slots=True)
 class _RunningRequest:
     memory_tokens: int
     missing_tokens: int
 
 
+@dataclasses.dataclass(slots=True)
+class _Sum:
+    """Sum of loads that is updated at each change, as reads are far more frequent."""
+
+    requests: int = 0
+    memory_tokens: int = 0
+    backlog_tokens: int = 0
+
+    def replace(self, before: Load, after: Load) -> None:
+        self.requests += after.requests - before.requests
+        self.memory_tokens += after.memory_tokens - before.memory_tokens
+        self.backlog_tokens += after.backlog_tokens - before.backlog_tokens
+
+    def load(self) -> Load:
+        return Load(self.requests, self.memory_tokens, self.backlog_tokens)
+
+
 LoadChangeListener = Callable[[servers.ServerId, Load], None]
 
 
@@ -78,9 +98,13 @@
         self._running_by_server: dict[
             servers.ServerId, dict[ids.RequestId, _RunningRequest]
         ] = {}
+        self._own_by_server: dict[servers.ServerId, _Sum] = {}
         self._reported_ms_by_peer: dict[ids.VmName, int] = {}
-        self._peer_loads_by_server: dict[servers.ServerId, dict[ids.VmName, Load]] = {}
-        self._servers_by_peer: dict[ids.VmName, set[servers.ServerId]] = {}
+        self._loads_by_peer: dict[ids.VmName, dict[servers.ServerId, Load]] = {}
+        # Sums of the live peers' loads, and no live peer's report is older than this.
+        self._live_peers: set[ids.VmName] = set()
+        self._peers_by_server: dict[servers.ServerId, _Sum] = {}
+        self._oldest_report_ms = 0
 
     def record_start(
         self,
@@ -91,7 +115,13 @@
     ) -> None:
         """Add a request that is about to be sent to a server."""
         running_by_id = self._running_by_server.setdefault(server_id, {})
+        own = self._own_by_server.setdefault(server_id, _Sum())
+        replaced = running_by_id.get(request_id)
+        if replaced is not None:
+            before = Load(1, replaced.memory_tokens, replaced.missing_tokens)
+            own.replace(before, _NO_LOAD)
         running_by_id[request_id] = _RunningRequest(memory_tokens, missing_tokens)
+        own.replace(_NO_LOAD, Load(1, memory_tokens, missing_tokens))
         self._notify_if_large(server_id, memory_tokens)
 
     def record_prefill_end(
@@ -105,6 +135,7 @@
         if running is not None and running.missing_tokens:
             computed_tokens = running.missing_tokens
             running.missing_tokens = 0
+            self._own_by_server[server_id].backlog_tokens -= computed_tokens
             self._notify_if_large(server_id, computed_tokens)
 
     def record_end(
@@ -113,8 +144,12 @@
         """Remove a request; without effect if it is unknown."""
         running_by_id = self._running_by_server.get(server_id, {})
         running = running_by_id.pop(request_id, None)
+        if running is not None:
+            ended = Load(1, running.memory_tokens, running.missing_tokens)
+            self._own_by_server[server_id].replace(ended, _NO_LOAD)
         if not running_by_id:
             self._running_by_server.pop(server_id, None)
+            self._own_by_server.pop(server_id, None)
         if running is not None:
             self._notify_if_large(server_id, running.memory_tokens)
 
@@ -125,13 +160,21 @@
         now_ms: int,
     ) -> None:
         """Replace all loads of a peer by those of its report."""
+        self._expire_peers(now_ms)
+        # Loads of a silent peer are not in the sums.
+        known = self._loads_by_peer[peer] if peer in self._live_peers else {}
+        self._live_peers.add(peer)
         self._reported_ms_by_peer[peer] = now_ms
-        loaded = self._servers_by_peer.setdefault(peer, set())
-        for server_id in loaded.difference(load_by_server):
-            self._peer_loads_by_server.get(server_id, {}).pop(peer, None)
+        self._oldest_report_ms = min(self._oldest_report_ms, now_ms)
+        for server_id, load in known.items():
+            if server_id not in load_by_server:
+                self._peers_by_server[server_id].replace(load, _NO_LOAD)
         for server_id, load in load_by_server.items():
-            self._peer_loads_by_server.setdefault(server_id, {})[peer] = load
-        self._servers_by_peer[peer] = set(load_by_server)
+            total = self._peers_by_server.get(server_id)
+            if total is None:
+                total = self._peers_by_server.setdefault(server_id, _Sum())
+            total.replace(known.get(server_id, _NO_LOAD), load)
+        self._loads_by_peer[peer] = dict(load_by_server)
 
     def apply_peer_change(
         self, peer: ids.VmName, server_id: servers.ServerId, load: Load
@@ -141,9 +184,13 @@
         Ignored if no report of the peer has arrived, as nothing would correct the
         change.
         """
-        if peer in self._reported_ms_by_peer:
-            self._peer_loads_by_server.setdefault(server_id, {})[peer] = load
-            self._servers_by_peer[peer].add(server_id)
+        known = self._loads_by_peer.get(peer)
+        if known is None:
+            return
+        if peer in self._live_peers:
+            peers = self._peers_by_server.setdefault(server_id, _Sum())
+            peers.replace(known.get(server_id, _NO_LOAD), load)
+        known[server_id] = load
 
     def own_load_by_server(self) -> dict[servers.ServerId, Load]:
         """Return the load from this gateway's requests by backend server."""
@@ -151,36 +198,45 @@
 
     def total_load(self, server_id: servers.ServerId, now_ms: int) -> Load:
         """Return the load of a backend server from this gateway and its live peers."""
-        own = self._own(server_id)
-        load_by_peer = self._peer_loads_by_server.get(server_id)
-        if not load_by_peer:
-            return own
-        # Summed as numbers: a placement reads the loads of all peers on all servers.
-        requests, memory_tokens, backlog_tokens = (
-            own.requests,
-            own.memory_tokens,
-            own.backlog_tokens,
+        if now_ms - PEER_EXPIRY_MS >= self._oldest_report_ms:
+            self._expire_peers(now_ms)
+        own = self._own_by_server.get(server_id)
+        peers = self._peers_by_server.get(server_id)
+        if own is None or peers is None:
+            either = own or peers
+            return Load() if either is None else either.load()
+        return Load(
+            own.requests + peers.requests,
+            own.memory_tokens + peers.memory_tokens,
+            own.backlog_tokens + peers.backlog_tokens,
         )
-        oldest_ms = now_ms - PEER_EXPIRY_MS
-        for peer, load in load_by_peer.items():
-            if self._reported_ms_by_peer[peer] > oldest_ms:
-                requests += load.requests
-                memory_tokens += load.memory_tokens
-                backlog_tokens += load.backlog_tokens
-        return Load(requests, memory_tokens, backlog_tokens)
 
     def remove_server(self, server_id: servers.ServerId) -> None:
         """Discard the loads that peers reported for a server; own requests stay."""
-        self._peer_loads_by_server.pop(server_id, None)
+        self._peers_by_server.pop(server_id, None)
+        for load_by_server in self._loads_by_peer.values():
+            load_by_server.pop(server_id, None)
+
+    def _expire_peers(self, now_ms: int) -> None:
+        """Take the loads of peers that have become silent out of the sums."""
+        oldest_ms = now_ms - PEER_EXPIRY_MS
+        if oldest_ms < self._oldest_report_ms:
+            return
+        for peer in tuple(self._live_peers):
+            if self._reported_ms_by_peer[peer] > oldest_ms:
+                continue
+            self._live_peers.remove(peer)
+            for server_id, load in self._loads_by_peer[peer].items():
+                self._peers_by_server[server_id].replace(load, _NO_LOAD)
+        self._oldest_report_ms = min(
+            (self._reported_ms_by_peer[each] for each in self._live_peers),
+            default=now_ms,
+        )
 
     def _notify_if_large(self, server_id: servers.ServerId, tokens: int) -> None:
         if tokens >= MIN_NOTIFIED_TOKENS:
             self.notify_peers(server_id, self._own(server_id))
 
     def _own(self, server_id: servers.ServerId) -> Load:
-        requests = self._running_by_server.get(server_id, {}).values()
-        return Load(
-            len(requests),
-            sum(running.memory_tokens for running in requests),
-            sum(running.missing_tokens for running in requests),
-        )
+        own = self._own_by_server.get(server_id)
+        return Load() if own is None else own.load()
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -1,6 +1,7 @@
 """Simulations of load patterns with the gateways' decision rules, in virtual time."""
 
 import asyncio
+import random
 import unittest
 
 from bench import gateway_simulation, virtual_time
@@ -147,6 +148,45 @@
         self.assertEqual(peer_messages.decode(datagram), change)
 
 
+class LoadSumsTest(unittest.TestCase):
+    """The sums of loads must not drift from the loads of the live peers."""
+
+    def test_sums_equal_the_loads_of_live_peers_after_any_changes(self) -> None:
+        engines = [servers.ServerId(f"i-{number}") for number in range(3)]
+        for seed in range(20):
+            generator = random.Random(seed)
+            summed = loads.Loads()
+            reported_ms: dict[str, int] = {}
+            known: dict[tuple[str, servers.ServerId], loads.Load] = {}
+            now_ms = 0
+            for _ in range(300):
+                now_ms += generator.randrange(0, 120)
+                peer = ids.VmName(f"entry-{generator.randrange(5)}")
+                engine = generator.choice(engines)
+                load = loads.Load(*(generator.randrange(9) for _ in range(3)))
+                step = generator.randrange(20)
+                if step == 0:
+                    summed.remove_server(engine)
+                    known = {
+                        key: each for key, each in known.items() if key[1] != engine
+                    }
+                elif step < 8:
+                    report = dict.fromkeys(generator.sample(engines, 2), load)
+                    summed.apply_peer_report(peer, report, now_ms)
+                    known = {key: each for key, each in known.items() if key[0] != peer}
+                    known |= {(peer, key): each for key, each in report.items()}
+                    reported_ms[peer] = now_ms
+                elif peer in reported_ms:
+                    summed.apply_peer_change(peer, engine, load)
+                    known[peer, engine] = load
+                total = loads.Load()
+                for (each, server_id), load in known.items():
+                    is_live = now_ms - reported_ms[each] < loads.PEER_EXPIRY_MS
+                    if server_id == engine and is_live:
+                        total = total.add(load)
+                self.assertEqual(summed.total_load(engine, now_ms), total, seed)
+
+
 class ReportIntervalTest(unittest.TestCase):
     def test_reports_of_a_large_fleet_are_bounded(self) -> None:
         for others in (0, 9, 15, 44, 299):
