Draw among engines with near-equal estimates while peers' work is unseen

With the contract `pool`, gateways that decide at the same moment choose different engines. Before, all of them chose the engine that looked best, which was overloaded while others idled. The width of the draw is the work that peers have started unseen, measured from what each report is the first to show. An engine of the own data centre is preferred at near-equal estimates. Other settings choose as before.

The log line `placed` has unseen_ms; the metric is quince_gateway_unseen_backlog_tokens.

--- a/quincecrank/gateway/engine_placement.py
+++ b/quincecrank/gateway/engine_placement.py
@@ -55,6 +55,9 @@
         self._fleet = fleet
         self._demand = demand
         self._queue_by_service = queue_by_service
+        self._local_data_centre = (
+            fleet.own_settings.data_centre if fleet.own_settings.spreads_load else None
+        )
 
     def place(
         self,
@@ -83,6 +86,9 @@
             slack_ms=(slack_ms := _slack_ms(request.queued, now_ms, times)),
             times=times,
             max_backlog_ms=self._max_backlog_ms(request, now_ms, slack_ms, times),
+            chooser=self._fleet.engine_chooser,
+            unseen_ms=self._unseen_ms(usable, times),
+            data_centre=self._local_data_centre,
         )
         load_by_server = {
             each.server_id: self._fleet.loads.total_load(each.server_id, now_ms)
@@ -173,6 +179,7 @@
             saved=sum(each is not None for each in transfers.save_to),
             weights=plan.version,
             slowness=round(chosen.slowness, 2),
+            unseen_ms=round(context.unseen_ms),
         )
         return placements.Placement(
             chosen.server,
@@ -203,6 +210,15 @@
             is_over_share=queue.is_over_share(request.queued, now_ms),
         )
 
+    def _unseen_ms(
+        self, usable: tuple[servers.ServerEntry, ...], times: service_times.Times
+    ) -> float:
+        """Return the unseen work of one of some engines; 0 if loads aren't spread."""
+        if self._fleet.engine_chooser is None:
+            return 0.0
+        unseen_tokens = self._fleet.loads.unseen_tokens(len(usable))
+        return unseen_tokens * times.backlog_token_ms
+
     def begin_limit_ms(
         self, prompt: prompts.Prompt | None, version: int | None
     ) -> float | None:
--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -20,6 +20,7 @@
     engine_weight_updates,
     environment,
     evacuations,
+    even_placement,
     failed_request_records,
     loads,
     placements,
@@ -103,6 +104,9 @@
         self.target_versions = weights.TargetVersions()
         self.cache_index = cache_part_index.CacheIndex()
         self.loads = loads.Loads()
+        self.engine_chooser: even_placement.EngineChooser | None = None
+        if own_settings.spreads_load:
+            self.engine_chooser = even_placement.WeightedChooser(random.Random())
         self.begin_delays = begin_delays.BeginDelays()
         self.health = server_health.HealthRegistry()
         self.liveness = server_liveness.LivenessRegistry()
--- a/quincecrank/gateway/gateway_metrics.py
+++ b/quincecrank/gateway/gateway_metrics.py
@@ -235,6 +235,12 @@
             "Other gateways by whose figures requests are admitted; 0 without any",
             registry=self.registry,
         )
+        self.unseen_tokens = prometheus_client.Gauge(
+            "quince_gateway_unseen_backlog_tokens",
+            "Standard deviation of the backlog that peers have started at one engine "
+            "unseen",
+            registry=self.registry,
+        )
         self._permit_counts: dict[str, int] = {}
         self.peers = prometheus_client.Gauge(
             "quince_gateway_peers", "Live other gateways", registry=self.registry
--- a/quincecrank/gateway/loads.py
+++ b/quincecrank/gateway/loads.py
@@ -8,12 +8,24 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Callable, Mapping
 from typing import Final
 
 from quincecrank import ids
 from quincecrank.gateway import servers
 
+CHANGE_SMOOTHING: Final = 0.2
+"""Weight of a new report in the unseen work of its sender: a second or two of
+reports."""
+
+CHANGE_DELAY_MS: Final = 20.0
+"""Time after which a change of load that a peer sends at once has been read here: small
+gateways read datagrams between the steps of other work."""
+
+CHANGE_DECAY_MS: Final = 1_000.0
+"""Time over which the rate of changes is averaged."""
+
 PEER_EXPIRY_MS: Final = 1_000
 """Age from which a peer's load report no longer counts: several report intervals."""
 
@@ -105,6 +117,13 @@
         self._live_peers: set[ids.VmName] = set()
         self._peers_by_server: dict[servers.ServerId, _Sum] = {}
         self._oldest_report_ms = 0
+        # Mean square, by report, of the changes of backlog that it was the first to
+        # show.
+        self._unseen_by_peer: dict[ids.VmName, float] = {}
+        self._unseen_sum = 0.0
+        # Squares of the changes that arrived at once, with exponential decay.
+        self._changes_sum = 0.0
+        self._changes_ms = 0
 
     def record_start(
         self,
@@ -166,15 +185,21 @@
         self._live_peers.add(peer)
         self._reported_ms_by_peer[peer] = now_ms
         self._oldest_report_ms = min(self._oldest_report_ms, now_ms)
+        square = 0
         for server_id, load in known.items():
             if server_id not in load_by_server:
                 self._peers_by_server[server_id].replace(load, _NO_LOAD)
+                square += load.backlog_tokens**2
         for server_id, load in load_by_server.items():
             total = self._peers_by_server.get(server_id)
             if total is None:
                 total = self._peers_by_server.setdefault(server_id, _Sum())
-            total.replace(known.get(server_id, _NO_LOAD), load)
+            before = known.get(server_id, _NO_LOAD)
+            total.replace(before, load)
+            square += (load.backlog_tokens - before.backlog_tokens) ** 2
         self._loads_by_peer[peer] = dict(load_by_server)
+        self._record_unseen(peer, square)
+        self._decay_changes(now_ms)
 
     def apply_peer_change(
         self, peer: ids.VmName, server_id: servers.ServerId, load: Load
@@ -189,7 +214,9 @@
             return
         if peer in self._live_peers:
             peers = self._peers_by_server.setdefault(server_id, _Sum())
-            peers.replace(known.get(server_id, _NO_LOAD), load)
+            before = known.get(server_id, _NO_LOAD)
+            peers.replace(before, load)
+            self._changes_sum += (load.backlog_tokens - before.backlog_tokens) ** 2
         known[server_id] = load
 
     def own_load_by_server(self) -> dict[servers.ServerId, Load]:
@@ -211,12 +238,37 @@
             own.backlog_tokens + peers.backlog_tokens,
         )
 
+    def unseen_tokens(self, server_count: int) -> float:
+        """Return the standard deviation of the unseen backlog of one server.
+
+        Each live peer starts and completes work between two reports, of which half is
+        unseen on average, and changes that are sent at once are read a little later.
+
+        Parameters
+        ----------
+        server_count : int
+            Servers over which the peers' work is spread.
+        """
+        under_way = self._changes_sum * CHANGE_DELAY_MS / CHANGE_DECAY_MS
+        variance = max(0.0, self._unseen_sum) / 2 + under_way
+        return math.sqrt(variance / max(1, server_count))
+
     def remove_server(self, server_id: servers.ServerId) -> None:
         """Discard the loads that peers reported for a server; own requests stay."""
         self._peers_by_server.pop(server_id, None)
         for load_by_server in self._loads_by_peer.values():
             load_by_server.pop(server_id, None)
 
+    def _record_unseen(self, peer: ids.VmName, square: float) -> None:
+        before = self._unseen_by_peer.get(peer, 0.0)
+        self._unseen_by_peer[peer] = before + CHANGE_SMOOTHING * (square - before)
+        self._unseen_sum += self._unseen_by_peer[peer] - before
+
+    def _decay_changes(self, now_ms: int) -> None:
+        elapsed_ms = max(0, now_ms - self._changes_ms)
+        self._changes_sum *= math.exp(-elapsed_ms / CHANGE_DECAY_MS)
+        self._changes_ms = now_ms
+
     def _expire_peers(self, now_ms: int) -> None:
         """Take the loads of peers that have become silent out of the sums."""
         oldest_ms = now_ms - PEER_EXPIRY_MS
@@ -226,6 +278,7 @@
             if self._reported_ms_by_peer[peer] > oldest_ms:
                 continue
             self._live_peers.remove(peer)
+            self._unseen_sum -= self._unseen_by_peer.pop(peer, 0.0)
             for server_id, load in self._loads_by_peer[peer].items():
                 self._peers_by_server[server_id].replace(load, _NO_LOAD)
         self._oldest_report_ms = min(
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -679,6 +679,12 @@
             permits = self._fleet.send_permits
             self._metrics.set_permit_counts(permits.count_by_event)
             self._metrics.waiting_for_permits.set(permits.waiting_count)
+            engine_count = sum(
+                bool(each.weight_versions_by_model)
+                for each in self._fleet.registry.entries()
+            )
+            unseen_tokens = self._fleet.loads.unseen_tokens(engine_count)
+            self._metrics.unseen_tokens.set(unseen_tokens)
             self._metrics.crash_findings.set(self._crashes.findings.active_count)
             self._metrics.stream_records.set(self._fleet.stream_versions.record_count)
             self._metrics.waiting.set(self._dispatcher.waiting_requests)
--- a/quincecrank/gateway/placement.py
+++ b/quincecrank/gateway/placement.py
@@ -21,8 +21,8 @@
 from collections.abc import Mapping, Sequence, Set
 from typing import Final
 
-from quincecrank import rendezvous
-from quincecrank.gateway import loads, servers, service_times
+from quincecrank import ids, rendezvous
+from quincecrank.gateway import even_placement, loads, servers, service_times
 
 RUNNING_REQUEST_PENALTY_MS: Final = 4.0
 """Penalty of a replica for each request that it runs, in the choice among those that
@@ -114,6 +114,13 @@
     max_backlog_ms : float or None
         Longest backlog of an engine that gets the request if it is not late, see
         `shared_admission`; None for no bound.
+    chooser : EngineChooser or None
+        Spreads requests over engines with near-equal estimates; None for the engine
+        with the lowest one.
+    unseen_ms : float
+        Unseen work of an engine, see `even_placement`.
+    data_centre : DataCentre or None
+        Data centre whose engines are preferred at near-equal estimates.
     """
 
     affinity_server: servers.ServerId
@@ -122,6 +129,9 @@
     slack_ms: float | None = None
     times: service_times.Times = service_times.PRIOR
     max_backlog_ms: float | None = None
+    chooser: even_placement.EngineChooser | None = None
+    unseen_ms: float = 0.0
+    data_centre: ids.DataCentre | None = None
 
 
 def has_capacity(load: loads.Load, slots: int, context: EngineChoiceContext) -> bool:
@@ -174,6 +184,7 @@
 ) -> Candidate | None:
     """Return the replica with the lowest estimated time, penalties included.
 
+    If the context has a chooser, it is one of those with near-equal estimates.
     None if no replica has capacity and computes the prompt in time.  An idle replica
     always qualifies.  A cold replica is chosen for the prompts that return to it, whose
     affinity server it is; for others only if no warm replica qualifies.
@@ -191,15 +202,33 @@
         for each in eligible
         if not each.is_cold or each.server.server_id == context.affinity_server
     ]
-    return min(
-        preferred or eligible,
-        key=lambda each: (
-            prefill_completion_ms(each, context.times)
-            + each.load.requests * RUNNING_REQUEST_PENALTY_MS
-            + each.penalty_ms
-            - AFFINITY_BONUS_MS * (each.server.server_id == context.affinity_server),
-            each.server.server_id,
-        ),
+    if context.chooser is None:
+        return min(
+            preferred or eligible,
+            key=lambda each: (_ranking_ms(each, context), each.server.server_id),
+        )
+    by_server = {each.server.server_id: each for each in preferred or eligible}
+    chosen = context.chooser.choose(
+        {
+            server_id: _ranking_ms(each, context)
+            for server_id, each in by_server.items()
+        },
+        context.unseen_ms,
+    )
+    return by_server[chosen]
+
+
+def _ranking_ms(candidate: Candidate, context: EngineChoiceContext) -> float:
+    """Return the estimated time by which replicas are ranked, penalties included."""
+    server = candidate.server
+    is_affinity = server.server_id == context.affinity_server
+    is_local = server.data_centre == context.data_centre
+    return (
+        prefill_completion_ms(candidate, context.times)
+        + candidate.load.requests * RUNNING_REQUEST_PENALTY_MS
+        + candidate.penalty_ms
+        - AFFINITY_BONUS_MS * is_affinity
+        - even_placement.LOCAL_BONUS_MS * is_local
     )
 
 
