Measure how evenly simulated gateways load engines

The simulation reports the ratio of the largest to the mean pending work by tenths of a second, the largest pending work and the datagrams.

Tests replay the load, the silence of peers and the choice; the mutation choose-lowest-estimates makes them fail.

--- a/bench/gateway_simulation.py
+++ b/bench/gateway_simulation.py
@@ -17,7 +17,7 @@
 
 import structlog
 
-from bench import simulated_engine, virtual_time
+from bench import even_alternatives, simulated_engine, virtual_time
 from quincecrank import clock as clocks
 from quincecrank import ids
 from quincecrank.gateway import (
@@ -50,6 +50,12 @@
 MAX_RETRY_WAIT_FRACTION: Final = 1 / 3
 """Fraction of their remaining time for which callers wait before a retry."""
 
+SAMPLE_MS: Final = 20.0
+"""Interval of samples of the engines' pending work: five in a tenth of a second."""
+
+TENTH_MS: Final = 100
+"""Period over which the evenness of the pending work is measured."""
+
 END_MARGIN_MS: Final = 20_000
 """Time after the last arrival within which all requests have ended."""
 
@@ -158,6 +164,21 @@
         Number of accounts, each with as many requests as another; 0 for none.
     burst_is_of_one_account : bool
         Whether the first account sends all requests that a burst adds.
+    prefill_tokens_per_ms : float
+        Prompt tokens that an engine computes in a millisecond.
+    episode_factor, episode_ms, episode_fraction : float
+        Factor, mean length and fraction of the times at which an engine is slow by
+        itself; a fraction of 0 is never.
+    learns_slowness : bool
+        Whether the gateways learn how slow each engine is, as they do on machines.
+    spreads_load : bool
+        Whether the gateways spread requests over engines with near-equal estimates.
+    chooser : str
+        How they spread them, see `even_alternatives`.
+    notifies_ends : bool
+        Whether peers are notified at once of the end of large requests.
+    message_ms : float
+        Travel time of a datagram and the receiver's wait for its processor.
     """
 
     seed: int
@@ -178,6 +199,15 @@
     slow_factor: float = 1.0
     slow_engine_factor: float = 1.0
     prefill_chunk_tokens: int = simulated_engine.PREFILL_CHUNK_TOKENS
+    prefill_tokens_per_ms: float = simulated_engine.PREFILL_TOKENS_PER_MS
+    episode_factor: float = 1.0
+    episode_ms: float = 600.0
+    episode_fraction: float = 0.0
+    learns_slowness: bool = False
+    spreads_load: bool = False
+    message_ms: float = MESSAGE_MS
+    chooser: str = "weighted"
+    notifies_ends: bool = True
     policy: Policy = Policy.GATEWAYS
     shares_admission: bool = False
     cut_off_gateways: int = 0
@@ -278,6 +308,14 @@
     max_pending_prefill_tokens : int
         Largest sum of the prompt tokens of one engine's requests without a first
         token.
+    unevenness_by_tenth : tuple of float
+        Ratio of the largest to the mean pending work of the engines, by tenth of a
+        second in which any was pending.  Work is the time that an engine needs to
+        compute the prompts that it has.
+    largest_work_ms_by_tenth : tuple of float
+        Largest pending work of an engine in these tenths.
+    datagram_count : int
+        Datagrams between gateways, reports included.
     """
 
     outcome_by_kind: dict[str, Outcome]
@@ -288,6 +326,9 @@
     preemption_count: int
     prefilled_tokens: int
     max_pending_prefill_tokens: int
+    unevenness_by_tenth: tuple[float, ...] = ()
+    largest_work_ms_by_tenth: tuple[float, ...] = ()
+    datagram_count: int = 0
 
     @property
     def value_fraction(self) -> float:
@@ -364,20 +405,25 @@
 
 
 def make_environment(
-    number: int, *, shares_admission: bool = False
+    number: int, *, shares_admission: bool = False, spreads_load: bool = False
 ) -> environment.Environment:
     """Return the settings of the gateway with this number."""
     return dataclasses.replace(
         builders.make_environment(),
         vm=ids.VmName(f"gateway-{number}"),
         shares_admission=shares_admission,
+        spreads_load=spreads_load,
     )
 
 
-def make_fleet(number: int, *, shares_admission: bool) -> fleet_state.FleetState:
+def make_fleet(
+    number: int, *, shares_admission: bool, spreads_load: bool = False
+) -> fleet_state.FleetState:
     """Return the fleet state of the gateway with this number."""
     return fleet_state.FleetState(
-        make_environment(number, shares_admission=shares_admission),
+        make_environment(
+            number, shares_admission=shares_admission, spreads_load=spreads_load
+        ),
         virtual_time.LoopClock(),
     )
 
@@ -401,6 +447,8 @@
             collections.Counter()
         )
         self._max_pending_tokens = 0
+        self._work = _PendingWork()
+        self._datagram_count = 0
         engine_facts = deployment.EngineLimits(
             pattern.slots, pattern.memory_tokens, 96_256, 1_100_000.0, 12, (MODEL,)
         )
@@ -413,11 +461,16 @@
             )
         }
         self._fleet_states = [
-            make_fleet(number, shares_admission=pattern.shares_admission)
+            make_fleet(
+                number,
+                shares_admission=pattern.shares_admission,
+                spreads_load=pattern.spreads_load,
+            )
             for number in range(pattern.gateways)
         ]
         for fleet in self._fleet_states:
             fleet.shared_demand.known_gateways = pattern.gateways
+        self._set_choosers()
         self._dispatchers = [
             dispatcher.Dispatcher(fleet, random.Random(pattern.seed + number))
             for number, fleet in enumerate(self._fleet_states)
@@ -438,6 +491,7 @@
             self._set_load_listener(number)
             self._start(self._send_reports(number))
             self._start(self._dispatchers[number].run())
+        self._start(self._sample_work())
         for arrival in make_arrivals(self._pattern):
             now_ms = asyncio.get_running_loop().time() * clocks.MS_PER_SECOND
             await self._clock.sleep(max(0.0, arrival.at_ms - now_ms))
@@ -452,8 +506,26 @@
             sum(each.preemption_count for each in self._engine_by_server.values()),
             sum(each.prefilled_tokens for each in self._engine_by_server.values()),
             self._max_pending_tokens,
+            tuple(self._work.unevenness_by_tenth),
+            tuple(self._work.largest_ms_by_tenth),
+            self._datagram_count,
         )
 
+    def _set_choosers(self) -> None:
+        """Set how the gateways choose engines, if they spread load."""
+        pattern = self._pattern
+        if not pattern.spreads_load:
+            return
+        for number, fleet in enumerate(self._fleet_states):
+            generator = random.Random(pattern.seed * 1_000 + number)
+            if pattern.chooser == "extrapolated":
+                fleet.loads = even_alternatives.ExtrapolatedLoads()
+                fleet.engine_chooser = None
+            else:
+                fleet.engine_chooser = even_alternatives.make_chooser(
+                    pattern.chooser, fleet.own_settings.vm, generator
+                )
+
     def _start(self, work: object) -> None:
         task = asyncio.ensure_future(work)  # type: ignore[call-overload]
         self._tasks.add(task)
@@ -481,13 +553,38 @@
             factors = self._pattern.slowness_by_engine
             engine.slowness = self._pattern.slowness * factors[number % len(factors)]
             engine.prefill_chunk_tokens = self._pattern.prefill_chunk_tokens
+            engine.prefill_tokens_per_ms = self._pattern.prefill_tokens_per_ms
             if number == 0:
                 engine.slowness *= self._pattern.slow_engine_factor
             self._engine_by_server[server_id] = engine
             self._start(engine.run())
+            if self._pattern.episode_fraction:
+                self._start(self._slow_at_times(engine, number))
         if self._pattern.slow_from_ms:
             self._call_later(self._pattern.slow_from_ms, self._slow_down)
 
+    async def _slow_at_times(
+        self, engine: simulated_engine.SimulatedEngine, number: int
+    ) -> None:
+        """Make an engine slow by itself, at seeded times; never returns."""
+        pattern = self._pattern
+        generator = random.Random(pattern.seed * 1_000 + number)
+        usual_ms = pattern.episode_ms * (1 / pattern.episode_fraction - 1)
+        while True:
+            await self._clock.sleep(generator.expovariate(1 / usual_ms))
+            engine.slowness *= pattern.episode_factor
+            await self._clock.sleep(generator.uniform(0.5, 1.5) * pattern.episode_ms)
+            engine.slowness /= pattern.episode_factor
+
+    async def _sample_work(self) -> None:
+        """Record the engines' pending work while requests arrive."""
+        while self._clock.now_ms() < self._pattern.duration_ms:
+            self._work.record(
+                self._clock.now_ms(),
+                [each.pending_work_ms() for each in self._engine_by_server.values()],
+            )
+            await self._clock.sleep(SAMPLE_MS)
+
     def _slow_down(self) -> None:
         for engine in self._engine_by_server.values():
             engine.slowness *= self._pattern.slow_factor
@@ -519,10 +616,23 @@
             return
         vm = self._fleet_states[number].own_settings.vm
 
+        requests_by_server: collections.Counter[servers.ServerId] = (
+            collections.Counter()
+        )
+
         def notify(server_id: servers.ServerId, load: loads.Load) -> None:
+            is_end = load.requests < requests_by_server[server_id]
+            requests_by_server[server_id] = load.requests
+            if is_end and not self._pattern.notifies_ends:
+                return
             for fleet in self._peers_of(number):
+                self._datagram_count += 1
                 self._call_later(
-                    MESSAGE_MS, fleet.loads.apply_peer_change, vm, server_id, load
+                    self._pattern.message_ms,
+                    fleet.loads.apply_peer_change,
+                    vm,
+                    server_id,
+                    load,
                 )
 
         self._fleet_states[number].loads.notify_peers = notify
@@ -540,8 +650,9 @@
         while True:
             packed_demand = self._dispatchers[number].packed_demand
             for other in self._peers_of(number):
+                self._datagram_count += 1
                 self._call_later(
-                    MESSAGE_MS,
+                    self._pattern.message_ms,
                     self._apply_report,
                     other,
                     fleet,
@@ -650,7 +761,10 @@
             self._predictions.append(
                 Prediction(sent_ms, placement.expected_first_event_ms, took_ms)
             )
-            fleet.service_times.observe(SERVICE, placement.work, took_ms)
+            if not self._pattern.learns_slowness:
+                fleet.service_times.observe(SERVICE, placement.work, took_ms)
+                return
+            fleet.record_answer_time(placement, int(took_ms))
 
         await self._run_on_engine(
             server_id, arrival, first_attempt_ms, record_first_event
@@ -716,6 +830,38 @@
             self._value += kind.late_value
 
 
+class _PendingWork:
+    """The evenness of the engines' pending work, by tenth of a second."""
+
+    def __init__(self) -> None:
+        self.unevenness_by_tenth: list[float] = []
+        self.largest_ms_by_tenth: list[float] = []
+        self._tenth = 0
+        self._sums_ms: list[float] = []
+        self._sample_count = 0
+
+    def record(self, now_ms: int, work_ms_by_engine: Sequence[float]) -> None:
+        """Record a sample; the one that begins a tenth ends the one before."""
+        if now_ms // TENTH_MS != self._tenth:
+            self._end_tenth()
+            self._tenth = now_ms // TENTH_MS
+        sums_ms = self._sums_ms or [0.0] * len(work_ms_by_engine)
+        self._sums_ms = [
+            before + work
+            for before, work in zip(sums_ms, work_ms_by_engine, strict=True)
+        ]
+        self._sample_count += 1
+
+    def _end_tenth(self) -> None:
+        total_ms = sum(self._sums_ms)
+        if total_ms:
+            largest_ms = max(self._sums_ms)
+            self.unevenness_by_tenth.append(largest_ms * len(self._sums_ms) / total_ms)
+            self.largest_ms_by_tenth.append(largest_ms / self._sample_count)
+        self._sums_ms = []
+        self._sample_count = 0
+
+
 @contextlib.contextmanager
 def without_logs() -> Iterator[None]:
     """Drop the log lines of the decisions that are made in this context."""
--- a/bench/simulated_engine.py
+++ b/bench/simulated_engine.py
@@ -91,6 +91,8 @@
         Duration of a step relative to the data sheet's; may change at any time.
     prefill_chunk_tokens : int
         Prompt tokens that one step computes at most.
+    prefill_tokens_per_ms : float
+        Prompt tokens that a step computes in a millisecond.
     """
 
     def __init__(
@@ -114,12 +116,21 @@
         self.prefilled_tokens = 0
         self.slowness = 1.0
         self.prefill_chunk_tokens = PREFILL_CHUNK_TOKENS
+        self.prefill_tokens_per_ms = PREFILL_TOKENS_PER_MS
 
     def submit(self, run: SimulatedRequest) -> None:
         """Queue a request."""
         self._queue.append(run)
         self._has_work.set()
 
+    def pending_work_ms(self) -> float:
+        """Return the time that it needs for the prompts that it has to compute."""
+        queued = sum(
+            run.prompt.input_tokens - self._held_tokens(run) for run in self._queue
+        )
+        running = sum(run.pending_prefill_tokens for run in self._running)
+        return (queued + running) / self.prefill_tokens_per_ms * self.slowness
+
     async def run(self) -> None:
         """Run steps until cancelled."""
         while True:
@@ -132,7 +143,7 @@
             step_ms = (
                 STEP_MS
                 + STEP_MS_PER_REQUEST * len(self._running)
-                + prefilled / PREFILL_TOKENS_PER_MS
+                + prefilled / self.prefill_tokens_per_ms
             )
             await self._clock.sleep(step_ms * self.slowness)
             self._generate_tokens()
@@ -160,6 +171,15 @@
             cached += part.tokens
         return cached
 
+    def _held_tokens(self, run: SimulatedRequest) -> int:
+        """Return the tokens of a prompt that are cached, without using them."""
+        held = 0
+        for part in run.prompt.shared_parts:
+            if part.part_id not in self._parts_by_id:
+                break
+            held += part.tokens
+        return held
+
     def _prefill_chunk(self) -> int:
         left = self.prefill_chunk_tokens
         for run in self._running:
--- a/tests/run_mutations.py
+++ b/tests/run_mutations.py
@@ -161,6 +161,11 @@
         "tests.test_stored_service_times.StoredServiceTimesTest"
         ".test_gateways_knew_no_service_times_after_the_loss_of_all",
     ),
+    (
+        "choose-lowest-estimates",
+        "tests.test_even_placement.ChoiceTest"
+        ".test_gateways_share_engines_whose_difference_unseen_work_explains",
+    ),
 )
 
 
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -49,6 +49,7 @@
     connection_budget,
     crash_findings,
     crash_suspicions,
+    even_placement,
     fleet_state,
     followers,
     forwarding,
@@ -652,6 +653,15 @@
     )
 
 
+def choose_lowest_estimates() -> None:
+    """Make gateways choose the engine with the lowest estimate."""
+
+    def mutated(_self: Any, estimated_ms_by_server: Any, _unseen_ms: float) -> Any:
+        return min(estimated_ms_by_server, key=estimated_ms_by_server.__getitem__)
+
+    _replace(even_placement.WeightedChooser, "choose", mutated)
+
+
 MUTATIONS_BY_NAME: Final[dict[str, Callable[[], None]]] = {
     "claim-what-is-taken": claim_what_is_taken,
     "say-not-run": say_not_run,
@@ -701,6 +711,7 @@
     "reject-added-routes": reject_added_routes,
     "order-engines-handed-over": order_engines_handed_over,
     "ignore-stored-times": ignore_stored_times,
+    "choose-lowest-estimates": choose_lowest_estimates,
 }
 
 
