Prefer fetches within a data centre where load is spread

With the contract `pool`, a fetch between data centres counts twice its time. Before, data centres did not count, and prompts were fetched from afar while a near holder was as fast.

--- a/quincecrank/gateway/cache_transfers.py
+++ b/quincecrank/gateway/cache_transfers.py
@@ -15,7 +15,7 @@
 from collections.abc import Sequence
 from typing import Final
 
-from quincecrank import rendezvous
+from quincecrank import ids, rendezvous
 from quincecrank.gateway import cache_part_index, prompts
 
 MAX_FILL_FRACTION: Final = 0.92
@@ -36,6 +36,9 @@
 
 BITS_PER_BYTE: Final = 8
 
+REMOTE_TRANSFER_RATIO: Final = 2.0
+"""Ratio of the time of a transfer between data centres to one within a data centre."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Transfers:
@@ -82,6 +85,8 @@
         Version of an engine's weights; only engines of one version exchange parts.
     tracked_for_ms : int
         Time since this gateway learned of a store's start; 0 for an engine.
+    data_centre : DataCentre or None
+        Data centre of the holder, if it is known.
     """
 
     holder: cache_part_index.HolderName
@@ -93,6 +98,7 @@
     is_managed: bool
     weights_version: int | None = None
     tracked_for_ms: int = 0
+    data_centre: ids.DataCentre | None = None
 
     def transfer_ms(self, tokens: int, token_bytes: int) -> float:
         """Return the time to transfer the KV cache of `tokens`."""
@@ -143,6 +149,7 @@
     sources: Sequence[Source],
     cache_index: cache_part_index.CacheIndex,
     token_bytes: int,
+    data_centre: ids.DataCentre | None = None,
 ) -> Transfers:
     """Return from where to fetch the parts of a prompt.
 
@@ -151,7 +158,20 @@
     it holds.  A part can be used only if all parts before it are there, so the fetch
     ends at the first part that neither the engine nor a source holds.  Stores are
     preferred to engines, which evict at any time.
+
+    Parameters
+    ----------
+    data_centre : DataCentre or None
+        Data centre of the engine; None if all transfers count as equally fast.
     """
+
+    def transfer_ms(source: Source, tokens: int) -> float:
+        is_remote = None not in (data_centre, source.data_centre) and (
+            data_centre != source.data_centre
+        )
+        ratio = REMOTE_TRANSFER_RATIO if is_remote else 1.0
+        return source.transfer_ms(tokens, token_bytes) * ratio
+
     addresses: list[str | None] = [None] * len(parts)
     fetched_tokens = 0
     expected_ms = 0.0
@@ -164,7 +184,7 @@
                 holders,
                 key=lambda each: (
                     not each.is_store,
-                    each.transfer_ms(part.tokens, token_bytes),
+                    transfer_ms(each, part.tokens),
                 ),
             )
             addresses[index] = nearest.address
@@ -173,7 +193,7 @@
         if not holders:
             break
         fetched_tokens += part.tokens
-        expected_ms += nearest.transfer_ms(part.tokens, token_bytes)
+        expected_ms += transfer_ms(nearest, part.tokens)
     return Transfers(tuple(addresses), (), fetched_tokens, expected_ms)
 
 
--- a/quincecrank/gateway/engine_placement.py
+++ b/quincecrank/gateway/engine_placement.py
@@ -365,6 +365,7 @@
             others,
             self._fleet.cache_index,
             engine.token_bytes,
+            None if self._local_data_centre is None else server.data_centre,
         )
         cached = sum(part.tokens for part in prompt.parts[:held])
         missing = max(1, prompt.input_tokens - cached - transfers.fetched_tokens)
--- a/quincecrank/gateway/fleet_state.py
+++ b/quincecrank/gateway/fleet_state.py
@@ -501,6 +501,7 @@
                 capacity_tokens=engine.memory_tokens,
                 is_managed=False,
                 weights_version=entry.weight_versions_by_model.get(model, 0),
+                data_centre=entry.data_centre,
             )
             for entry in self.registry.ready_entries(service.name)
             if self.health.health_of(entry).allows(now_ms)
@@ -517,6 +518,7 @@
                 tracked_for_ms=self.cache_index.tracked_for_ms(
                     cache_part_index.HolderName(store.name), now_ms
                 ),
+                data_centre=store.data_centre,
             )
             for store in current.stores_by_name.values()
             if self.cache_index.is_tracked(cache_part_index.HolderName(store.name))
--- a/tests/test_even_placement.py
+++ b/tests/test_even_placement.py
@@ -11,10 +11,13 @@
 from quincecrank import clock as clocks
 from quincecrank import ids
 from quincecrank.gateway import (
+    cache_part_index,
+    cache_transfers,
     even_placement,
     fleet_state,
     loads,
     placement,
+    prompts,
     servers,
 )
 from tests import builders_gateway as builders
@@ -135,6 +138,42 @@
         self.assertEqual(self.chosen(2_000), "i-1")
 
 
+class RemoteFetchTest(unittest.TestCase):
+    """A part must not be fetched from afar while a near holder is as fast."""
+
+    def fetch(
+        self, data_centre: ids.DataCentre | None, far_mbps: float = 100_000.0
+    ) -> cache_transfers.Transfers:
+        salt = cache_part_index.make_salt(builders.MODEL, 1, None)
+        holders = [
+            dataclasses.replace(
+                builders.make_source(name, link_mbps=link_mbps),
+                data_centre=ids.DataCentre(name),
+            )
+            for name, link_mbps in (("far", far_mbps), ("near", 100_000.0))
+        ]
+        index = builders.make_cache_index(
+            salt, {"far": {"a": 2_000}, "near": {"a": 2_000}}
+        )
+        parts = (prompts.PromptPart(prompts.PartId("a"), 2_000),)
+        return cache_transfers.plan_fetch(
+            parts, 0, salt, holders, index, 96_256, data_centre
+        )
+
+    def test_the_holder_in_the_engines_data_centre_is_preferred(self) -> None:
+        transfers = self.fetch(ids.DataCentre("near"))
+        self.assertEqual(transfers.fetch_from, ("near:1",))
+
+    def test_a_far_holder_takes_twice_as_long(self) -> None:
+        far = self.fetch(ids.DataCentre("near"), 1_000_000.0)
+        self.assertEqual(far.fetch_from, ("far:1",))
+        unaware = self.fetch(None, 1_000_000.0)
+        self.assertAlmostEqual(far.expected_ms, 2 * unaware.expected_ms)
+
+    def test_without_the_setting_data_centres_do_not_count(self) -> None:
+        self.assertEqual(self.fetch(None).fetch_from, ("far:1",))
+
+
 class LoadTest(unittest.TestCase):
     """Engines must not be overloaded in turn while gateways see loads late."""
 
