--- a/quincecrank/gateway/crash_monitor.py
+++ b/quincecrank/gateway/crash_monitor.py
@@ -35,6 +35,11 @@
 CHECK_TIMEOUT_MS: Final = 250
 """Time limit of the connection that shows whether a server still runs."""
 
+ACCEPT_CHECK_MS: Final = 40
+"""Time after which a connection that a server has accepted must still be open.  The
+system closes the connections of a process that ends before its listening socket, which
+accepts some more meanwhile and resets them."""
+
 DECISION_INTERVAL_MS: Final = 50
 """Interval of the decisions while there are new crash records."""
 
@@ -157,8 +162,21 @@
         task.add_done_callback(lambda _task: self._checks.pop(server.incarnation, None))
 
     async def is_running(self, server: servers.ServerEntry) -> bool:
-        """Return whether a server accepts connections; False if it does not answer."""
-        return await self._accepts_connections(server) is True
+        """Return whether a server accepts connections; False if it does not answer.
+
+        False also if it closes the connection within `ACCEPT_CHECK_MS`.
+        """
+        try:
+            link = await server_links.connect(
+                server.address, CHECK_TIMEOUT_MS, self._clock
+            )
+        except (TimeoutError, OSError):
+            return False
+        try:
+            await self._clock.sleep(ACCEPT_CHECK_MS)
+            return link.is_usable
+        finally:
+            link.close()
 
     async def _accepts_connections(self, server: servers.ServerEntry) -> bool | None:
         """Return whether a server accepts a connection; None without an answer."""
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -149,6 +149,37 @@
         links.connect.assert_awaited_once()
         self.assertEqual(got.status, 502)
 
+    async def test_a_server_whose_process_was_ending_counted_as_alive(self) -> None:
+        """Its listening socket accepts until after its connections are closed."""
+        nothing = mock.Mock()
+        monitor = crash_monitor.CrashMonitor(
+            self.fleet, self.crashes, nothing, nothing, nothing, nothing, self.clock
+        )
+        self.forwarder.is_running = monitor.is_running
+        listener = socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.setblocking(False)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        entry = builders.make_entry(
+            "i-1", service=builders.PLAIN, address=address, weights=None
+        )
+        self.fleet.registry.update(entry)
+
+        async def serve() -> None:
+            loop = asyncio.get_running_loop()
+            connection, _ = await loop.sock_accept(listener)
+            await loop.sock_recv(connection, 4_096)
+            await loop.sock_sendall(connection, UNFRAMED + b"part")
+            connection.close()
+            await asyncio.sleep(crash_monitor.ACCEPT_CHECK_MS / 4_000)
+            listener.close()
+
+        serving = asyncio.ensure_future(serve())
+        got = await self.ask("/record/", b"once")
+        await serving
+        self.assertEqual(got.status, 502)
+
     async def test_an_answer_before_the_end_of_an_upload(self) -> None:
         for closes_first in (True, False):
             with self.subTest(closes_first):
