Hold requests no longer than their callers stay, and leave memory to shorter targets

Long prompts filled the engines' memory meanwhile, so that hints had no room though they need a tenth of it. A wait ends at .6 of the time after which the caller leaves; requests with longer targets leave a fifth of an engine's memory to others. The times in one test follow the fraction.

--- a/quincecrank/gateway/deployment.py
+++ b/quincecrank/gateway/deployment.py
@@ -15,7 +15,7 @@
 import dataclasses
 import enum
 from collections.abc import Mapping
-from typing import NewType
+from typing import Final, NewType
 
 from quincecrank import ids
 
@@ -23,6 +23,12 @@
 ModelName = NewType("ModelName", str)
 RouteName = NewType("RouteName", str)
 
+MIN_FIRST_EVENT_MS: Final = 2_000
+TARGETS_TO_FIRST_EVENT: Final = 4
+GAPS_TO_FIRST_EVENT: Final = 8
+"""Callers leave a stream without an event after the longest of this time, this multiple
+of the route's target, and this multiple of its longest pause."""
+
 
 class Repeatability(enum.Enum):
     """Whether a request may be sent again when its outcome is unknown."""
@@ -80,6 +86,15 @@
     is_public: bool
     allowed_regions: frozenset[ids.Region] = frozenset()
 
+    @property
+    def first_event_limit_ms(self) -> int:
+        """Time after which callers leave a stream that has not begun."""
+        return max(
+            MIN_FIRST_EVENT_MS,
+            TARGETS_TO_FIRST_EVENT * self.target_ms,
+            GAPS_TO_FIRST_EVENT * self.gap_target_ms,
+        )
+
     @property
     def may_repeat(self) -> bool:
         """Whether a request may run more than once."""
--- a/quincecrank/gateway/engine_placement.py
+++ b/quincecrank/gateway/engine_placement.py
@@ -82,7 +82,7 @@
         context = placement.EngineChoiceContext(
             affinity_server=_affinity_server(prompt, usable),
             memory_tokens=prompt.memory_tokens,
-            engine_memory_tokens=engine.memory_tokens,
+            engine_memory_tokens=self._memory_for(request, engine, now_ms),
             slack_ms=(slack_ms := _slack_ms(request.queued, now_ms, times)),
             times=times,
             max_backlog_ms=self._max_backlog_ms(request, now_ms, slack_ms, times),
@@ -192,6 +192,20 @@
             chosen.is_cold,
         )
 
+    def _memory_for(
+        self,
+        request: placements.PlacementRequest,
+        engine: deployment.EngineLimits,
+        now_ms: int,
+    ) -> int:
+        """Return the memory of an engine that a request may see filled."""
+        queue = self._queue_by_service[request.service.name]
+        if not isinstance(queue, shared_admission.SharedQueue):
+            return engine.memory_tokens
+        if queue.shorter_target_ms(request.queued, now_ms) is None:
+            return engine.memory_tokens
+        return round(engine.memory_tokens * shared_admission.SHORTER_MEMORY_FRACTION)
+
     def _max_backlog_ms(
         self,
         request: placements.PlacementRequest,
--- a/quincecrank/gateway/forwarding.py
+++ b/quincecrank/gateway/forwarding.py
@@ -1399,6 +1399,9 @@
             resume_by_ms=None
             if active.software_version is None
             else self._clock.now_ms() + request_queue.MAX_RESUMED_WAIT_MS,
+            leaves_ms=active.request.received_ms + active.route.first_event_limit_ms
+            if active.route.is_stream
+            else None,
         )
         return placements.PlacementRequest(
             queued,
--- a/quincecrank/gateway/request_queue.py
+++ b/quincecrank/gateway/request_queue.py
@@ -88,6 +88,9 @@
     resume_by_ms : int or None
         Time by which a resumed stream must go on; it counts as on time.  None for
         other requests.
+    leaves_ms : int or None
+        Time at which the caller leaves if the answer has not begun; None if it stays
+        until `deadline_ms`.
     memory_tokens : int
         Engine memory that the request is expected to need; 0 for a plain service.
     account : str
@@ -103,6 +106,7 @@
     is_underserved: bool = False
     earlier_first_attempt_ms: int | None = None
     resume_by_ms: int | None = None
+    leaves_ms: int | None = None
     memory_tokens: int = 0
     account: str = ""
 
--- a/quincecrank/gateway/shared_admission.py
+++ b/quincecrank/gateway/shared_admission.py
@@ -13,8 +13,8 @@
     nothing shows then that the engines are full.
 late requests
     A request that can't be on time waits behind those that can, until
-    `MAX_LATE_WAIT_FRACTION` of its time limit has passed.  It is not rejected to come
-    back: its second attempt would be late as well.
+    `MAX_LATE_WAIT_FRACTION` of the time has passed after which its caller leaves.  It
+    is not rejected to come back: its second attempt would be late as well.
 order
     By first attempt within a queue class, so that a request that was rejected goes
     before those that arrived since.
@@ -23,6 +23,9 @@
     target, if some gateway has any now.  Its own prompt does not count.  Engines are as
     busy as without this; the request waits at its gateway instead, where others may go
     before it.
+memory
+    While requests with a shorter target exist, others fill an engine's memory up to
+    `SHORTER_MEMORY_FRACTION` only.
 floor
     A class that got less than `FLOOR_FRACTION` of the tokens started in the last second
     goes before more urgent ones, as long as its requests can be on time.
@@ -38,8 +41,9 @@
 from quincecrank import ids
 from quincecrank.gateway import request_queue, shared_demand
 
-MAX_LATE_WAIT_FRACTION: Final = 0.75
-"""Fraction of the time between arrival and deadline that a request may wait."""
+MAX_LATE_WAIT_FRACTION: Final = 0.6
+"""Fraction of the time until its caller leaves that a request may wait.  The rest is
+for running it, or for its return: callers that are held until they leave can't."""
 
 MAX_RETRY_FRACTION: Final = 1 / 3
 """Fraction of their remaining time for which callers wait before a second attempt."""
@@ -48,6 +52,10 @@
 """Fraction of the time until the prompt of a request with a shorter target must be
 computed which the backlog may take before another prompt is added to it."""
 
+SHORTER_MEMORY_FRACTION: Final = 0.8
+"""Fraction of an engine's memory that requests may fill while others have a shorter
+target; the rest is for those, which need a tenth of the memory of a long prompt."""
+
 FLOOR_FRACTION: Final = 0.1
 """Fraction of the started tokens below which a class goes before more urgent ones: the
 most that urgent requests lose to it."""
@@ -247,7 +255,10 @@
     ) -> float:
         if request.is_resumed or self._shared.totals(self._key, now_ms) is None:
             return super()._latest_start_ms(request, now_ms)
-        allowed_ms = request.deadline_ms - request.arrived_ms
+        until_ms = request.deadline_ms
+        if request.leaves_ms is not None:
+            until_ms = min(until_ms, request.leaves_ms)
+        allowed_ms = until_ms - request.arrived_ms
         return request.arrived_ms + allowed_ms * MAX_LATE_WAIT_FRACTION
 
     def _shared_wait_ms(
--- a/tests/test_shared_admission.py
+++ b/tests/test_shared_admission.py
@@ -134,14 +134,23 @@
         self.assertTrue(self.queue.accepts(make_queued("b"), 200))
 
     def test_a_request_that_can_only_be_late_was_rejected(self) -> None:
-        self.demand.apply_report(PEERS[0], BUSY, 2_000)
+        self.demand.apply_report(PEERS[0], BUSY, 1_500)
         late = make_queued()
-        self.assertTrue(self.queue.accepts(late, 2_000))
+        self.assertTrue(self.queue.accepts(late, 1_500))
         self.queue.add(late)
-        self.assertEqual(self.queue.remove_too_late(2_000), ())
-        self.assertFalse(self.queue.may_start(late, 2_000))
-        self.demand.apply_report(PEERS[0], BUSY, 3_000)
-        self.assertEqual(self.queue.remove_too_late(3_000), (late,))
+        self.assertEqual(self.queue.remove_too_late(1_500), ())
+        self.assertFalse(self.queue.may_start(late, 1_500))
+        self.demand.apply_report(PEERS[0], BUSY, 2_400)
+        self.assertEqual(self.queue.remove_too_late(2_400), (late,))
+
+    def test_a_late_request_waited_until_its_caller_had_left(self) -> None:
+        """Callers leave a stream that has not begun long before its time limit."""
+        self.demand.apply_report(PEERS[0], BUSY, 1_500)
+        late = dataclasses.replace(make_queued(), deadline_ms=12_000, leaves_ms=4_000)
+        self.queue.add(late)
+        self.assertEqual(self.queue.remove_too_late(1_500), ())
+        self.demand.apply_report(PEERS[0], BUSY, 2_400)
+        self.assertEqual(self.queue.remove_too_late(2_400), (late,))
 
     def test_more_was_admitted_than_can_be_served(self) -> None:
         waiting = pack({ON_TIME: shared_demand.ClassDemand(40, 40_000, 10, 9_999, 500)})
