Ask for permits of cold servers only for requests that wait

Cold servers are warm after seconds, so that no permit is asked for in advance; every second report names them, as the entries that turn cold are pushed at once.

--- a/quincecrank/gateway/permit_exchange.py
+++ b/quincecrank/gateway/permit_exchange.py
@@ -13,6 +13,7 @@
 from quincecrank import clock as clocks
 from quincecrank import ids
 from quincecrank.gateway import (
+    cold_servers,
     deployment,
     fleet_state,
     peer_messages,
@@ -24,6 +25,11 @@
 MIN_PAUSE_MS: Final = 5.0
 """Shortest time between two checks for permits that are due."""
 
+REPORTS_PER_COLD_STATES: Final = 2
+"""Every second report contains the cold servers and their issuers: at the longest
+interval of reports within `send_permits.SUPPORT_MS`.  Entries that turn cold are pushed
+to all gateways at once."""
+
 MAX_REPORTED_LIMITS: Final = 256
 """Most rate limits in one report, which bounds its size; further ones follow in the
 next reports."""
@@ -61,6 +67,7 @@
         self._clock = clock
         self._has_work = asyncio.Event()
         self._reported_limits = 0
+        self._reports = 0
         self.is_leaving = False
         fleet.notify_permit_demand = self._has_work.set
 
@@ -102,7 +109,10 @@
         """Return a report of this gateway with what it says of rate limits."""
         limits = self._fleet.rate_limits
         self.update_gateways()
-        cold_states = self._fleet.cold_servers.states(self._clock.now_ms())
+        self._reports += 1
+        cold_states: tuple[cold_servers.ColdState, ...] = ()
+        if self._reports % REPORTS_PER_COLD_STATES == 0:
+            cold_states = self._fleet.cold_servers.states(self._clock.now_ms())
         if not limits.is_any_known and not cold_states:
             return report
         now_ms = self._clock.now_ms()
--- a/quincecrank/gateway/send_permits.py
+++ b/quincecrank/gateway/send_permits.py
@@ -376,7 +376,10 @@
         asks = []
         for incarnation in self._limits.limited():
             holder = self._holder(incarnation)
-            if self._is_interested(holder, now_ms) or holder.demand is not None:
+            if (
+                self._is_stocked(incarnation, holder, now_ms)
+                or holder.demand is not None
+            ):
                 asks.append(self._make_ask(incarnation, holder, now_ms))
         return tuple(asks)
 
@@ -631,7 +634,7 @@
     ) -> int:
         """Return the permits that waiting requests and the stock can use."""
         is_stocked = (
-            self._is_interested(holder, now_ms)
+            self._is_stocked(incarnation, holder, now_ms)
             and self._pace_wait_ms(incarnation, holder, now_ms) <= MAX_STOCK_WAIT_MS
         )
         return max(int(is_stocked), self._waiting_or_busy(holder, now_ms))
@@ -652,6 +655,19 @@
         in_hand = len(self._valid_permits(incarnation, now_ms))
         return min(permit_pacer.MAX_WANTED, max(0, usable - in_hand))
 
+    def _is_stocked(
+        self, incarnation: servers.Incarnation, holder: _HolderState, now_ms: int
+    ) -> bool:
+        """Return whether a permit for a server is wanted before a request needs it.
+
+        Not for a server that is limited only while it is cold: it is warm after some
+        seconds, and the asks of fifty gateways for the servers of a data centre would
+        take a third of the processor time of the smallest ones.
+        """
+        return self._limits.is_named(incarnation) and self._is_interested(
+            holder, now_ms
+        )
+
     def _is_interested(self, holder: _HolderState, now_ms: int) -> bool:
         """Return whether a request could lately have used a permit."""
         return (
--- a/tests/test_send_permits.py
+++ b/tests/test_send_permits.py
@@ -275,3 +275,21 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class ColdServerTest(unittest.TestCase):
+    """Gateways with nothing to send asked for permits of each cold server."""
+
+    def test_only_waiting_requests_make_asks_for_a_cold_server(self) -> None:
+        limits = rate_limits.RateLimits()
+        permits = send_permits.SendPermits(NAMES[0], limits, random.Random(1))
+        permits.set_gateways(NAMES, len(NAMES), START_MS)
+        limits.set_cold_limits({SERVER: 15.0})
+        permits.apply_limit_change(START_MS)
+        permits.record_interest(SERVER, START_MS)
+        self.assertEqual(permits.asks_to_report(START_MS), ())
+        self.assertEqual(permits.due_asks(START_MS), {})
+        demand = send_permits.Demand(2, 0, START_MS)
+        permits.set_demand(SERVER, demand, START_MS)
+        (ask,) = permits.asks_to_report(START_MS)
+        self.assertEqual((ask.incarnation, ask.wanted), (SERVER, 2))
