--- a/quincecrank/arrived_bytes.py
+++ b/quincecrank/arrived_bytes.py
@@ -50,7 +50,7 @@
     It is the number of those that it has not acknowledged; 0 if the stream is closed.
     """
     if stream.closed():
-        # Its buffer is gone.
+        # A closed stream has no buffer.
         return 0
     return len(stream._write_buffer) + _queued_bytes(stream, termios.TIOCOUTQ)
 
