--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,9 @@
-"""A tenant that becomes isolated goes on sharing the KV cache that it made before.
+"""A late answer of the store brings a server back that has left.
 
-Two gateways, three model replicas and two tenants, `radio` and `press`, neither of them
-isolated.  `radio` sends streams with a guide and a story.  With the disruption, a new
-configuration sets `isolated` for `radio`.  Later than `configApplyMs` after its
-acknowledgement `press` sends streams with the same parts.
+Three gateways serve a plain service of four replicas.  In each round one replica is
+replaced: the new one starts first, the old one removes its entry, serves on for nine
+seconds and ends.  With the disruption, the link from the store to the first gateway is
+cut for three seconds, and heals .6 s after the removal.
 """
 
 import asyncio
@@ -13,103 +13,153 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-2"))
 
-import engines  # noqa: E402
 import stand_ins  # noqa: E402
 
-KEY_BY_TENANT = {"radio": "nu6wsjnbanfqasnmgkcu", "press": "pk2vtrrlqzmwyeoibxaj"}
-MODEL = "m0"
-APPLY_S = stand_ins.BOUNDS["configApplyMs"] / 1000
-MARGIN_S = 1.0
-STORIES = 6
+KEY = "nu6wsjnbanfqasnmgkcu"
+ROUNDS = 6
+CUT_S = 3.0
+CUT_AFTER_REMOVAL_S = 0.6
+SERVES_ON_S = 9.0
+CONTACT_S = stand_ins.BOUNDS["contactMs"] / 1000
+DRAIN_S = stand_ins.BOUNDS["drainMs"] / 1000
+MARGIN_S = 0.2
 
 
-def tenants(isolated: str | None) -> list[stand_ins.Document]:
-    """Return the tenants of the configuration."""
-    return [
-        {"name": name, "apiKeys": [key], "isolated": name == isolated}
-        for name, key in KEY_BY_TENANT.items()
-    ]
+class Case:
+    """The clients, the replicas and what they have seen."""
+
+    def __init__(self, record: stand_ins.Record, fleet: stand_ins.Fleet) -> None:
+        self.record, self.fleet = record, fleet
+        self.store = stand_ins.Store()
+        self.sent_s: dict[str, float] = {}
+        self.answers: dict[str, stand_ins.Answer] = {}
+        self.removed_s: dict[str, float] = {}
+        self.healed_s = 0.0
+        self.late: list[str] = []
+        self.lost: list[str] = []
+        self._asks: set[asyncio.Task[None]] = set()
+
+    async def client(self, gateway: stand_ins.Gateway, path: str) -> None:
+        """Send some requests a second to one gateway."""
+        number = 0
+        while True:
+            number += 1
+            request_id = f"{gateway.name}-{path}-{number}"
+            task = asyncio.ensure_future(self._ask(gateway, path, request_id))
+            self._asks.add(task)
+            task.add_done_callback(self._asks.discard)
+            await asyncio.sleep(0.15)
+
+    async def _ask(
+        self, gateway: stand_ins.Gateway, path: str, request_id: str
+    ) -> None:
+        headers = {
+            "Host": stand_ins.HOST,
+            "Request-Id": request_id,
+            "Deadline-Ms": "1500",
+            "Authorization": f"Token {KEY}",
+        }
+        method = "POST" if path == "record" else "GET"
+        self.sent_s[request_id] = self.record.now()
+        answer = await stand_ins.ask(
+            gateway.ip, gateway.port, method, f"/{path}/1", headers, b"release"
+        )
+        self.answers[request_id] = answer
+        seal = "sealed" if "server-seal" in answer.headers else "no seal"
+        self.record.write(f"{request_id} gets {answer.status}, {seal}")
+
+    def judge(self, old: stand_ins.Server) -> None:
+        """Note the requests that reached a replica too late after its removal."""
+        removed_s = self.removed_s[old.name]
+        in_touch_s = self.healed_s + CONTACT_S + MARGIN_S
+        for at_s, request_id in old.arrivals:
+            sent_s = self.sent_s[request_id]
+            if at_s <= removed_s + DRAIN_S + MARGIN_S or sent_s <= in_touch_s:
+                continue
+            self.late.append(request_id)
+            self.record.write(
+                f"LATE {request_id}, sent at {sent_s:.3f}, reached {old.name} at "
+                f"{at_s:.3f}, {at_s - removed_s:.3f} s after its removal"
+            )
 
 
 async def run() -> int:
-    """Play the day; return 1 if `press` used what `radio` made."""
+    """Play the rounds; return 1 if a request reached a replica too late."""
     record = stand_ins.Record(FOLDER)
-    with stand_ins.running_fleet(record, 2) as fleet:
-        store = stand_ins.Store()
-        await store.start()
-        replicas = []
-        for number in range(3):
-            replica = engines.Engine(store, None, record, f"i-{number}", (MODEL,))
-            await replica.start()
-            replicas.append(replica)
+    with stand_ins.running_fleet(record, 3) as fleet:
+        case = Case(record, fleet)
+        await case.store.start()
         routes = [
-            stand_ins.route("r-1", "/wire/", "lekhak", "streaming", timeoutMs=5_000)
+            stand_ins.route("r-3", "/record/", "records", "non_idempotent"),
+            stand_ins.route("r-4", "/look/", "records", "idempotent", maxAttempts=2),
         ]
-        services = [engines.engine_service((MODEL,))]
-
-        def put(version: int, isolated: str | None) -> None:
-            config = stand_ins.configuration(
-                version, routes, services, tenants(isolated)
-            )
-            store.put("op", "config", config)
-
-        put(1, None)
-        store.put("op", f"version/{MODEL}", {"model": MODEL, "version": 1})
+        services = [{"name": "records", "healthPath": "/health", "maxConns": 220}]
+        tenants = [{"name": "jeye930", "apiKeys": [KEY]}]
+        config = stand_ins.configuration(1, routes, services, tenants)
+        case.store.put("op", "config", config)
+        servers = []
+        for number in range(4):
+            servers.append(await start_server(case, number))
+        link = stand_ins.Link(case.store.port)
+        await link.start()
         for gateway in fleet.gateways:
-            fleet.start(gateway, store.port)
+            is_first = gateway is fleet.gateways[0]
+            fleet.start(gateway, link.port if is_first else case.store.port)
         await fleet.wait_ready()
         await asyncio.sleep(3)
-        answers = await send_streams(fleet, record, "radio")
+        clients = [
+            asyncio.ensure_future(case.client(gateway, path))
+            for gateway in fleet.gateways
+            for path in ("record", "look")
+        ]
+        for number in range(ROUNDS):
+            servers.append(await start_server(case, 4 + number))
+            await play_round(case, link, servers.pop(0))
+        for client in clients:
+            client.cancel()
         await asyncio.sleep(1)
-        isolated = None
-        if stand_ins.is_troubled():
-            isolated = "radio"
-            put(2, isolated)
-            record.write(f"version 2 is acknowledged: {isolated} is isolated")
-        await asyncio.sleep(APPLY_S + MARGIN_S)
-        answers += await send_streams(fleet, record, "press")
-        shared = [
-            use
-            for replica in replicas
-            for use in replica.uses
-            if use[1] == "press" and use[4].endswith(f"of {isolated}")
+        served = sum(each.status == 200 for each in case.answers.values())
+        record.write(f"{len(case.answers)} answers, {served} of them 200")
+        lost = [
+            request_id
+            for request_id, each in case.answers.items()
+            if each.status not in (200, 503)
         ]
-        for request_id, tenant, salt, part_id, maker, source in shared:
-            record.write(
-                f"{request_id} of {tenant} uses part {part_id}, salt {salt}, of "
-                f"{source}, which {maker} made"
-            )
-        served = sum(each.status == 200 for each in answers)
-        record.write(f"{len(answers)} answers, {served} of them 200")
-        record.write(f"parts of an isolated tenant that press used: {len(shared)}")
-        if served < len(answers):
+        record.write(f"ended with another status or none: {len(lost)}")
+        record.write(f"late at a replica that had left: {len(case.late)}")
+        if not served:
             return 2
-        return 1 if shared else 0
+        return 1 if case.late else 0
 
 
-async def send_streams(
-    fleet: stand_ins.Fleet, record: stand_ins.Record, tenant: str
-) -> list[stand_ins.Answer]:
-    """Send streams of one tenant, one after the other, to both gateways."""
-    answers = []
-    for number in range(4 * STORIES):
-        request_id = f"{tenant}-{number}"
-        headers = {
-            "Host": stand_ins.HOST,
-            "Request-Id": request_id,
-            "Deadline-Ms": "5000",
-            "Authorization": f"Token {KEY_BY_TENANT[tenant]}",
-            "Model": MODEL,
-            "Token-Count": "6000,10",
-            "Prompt-Prefix": f"a1:2520,b{number % STORIES}:3000,{request_id}:480",
-        }
-        gateway = fleet.gateways[number % len(fleet.gateways)]
-        answer = await stand_ins.ask(
-            gateway.ip, gateway.port, "POST", "/wire/1", headers, b"story"
-        )
-        record.write(f"{request_id} gets {answer.status}")
-        answers.append(answer)
-    return answers
+async def start_server(case: Case, number: int) -> stand_ins.Server:
+    """Start a replica."""
+    server = stand_ins.Server(
+        case.store, case.record, f"i-{number}", "records", work_s=0.09
+    )
+    await server.start()
+    case.record.write(f"{server.name} starts")
+    return server
+
+
+async def play_round(case: Case, link: stand_ins.Link, old: stand_ins.Server) -> None:
+    """Replace one replica, which leaves while the link is cut."""
+    await asyncio.sleep(1)
+    if stand_ins.is_troubled():
+        link.cut()
+        case.record.write("the link from the store to frontend-0 is cut")
+    await asyncio.sleep(CUT_S - CUT_AFTER_REMOVAL_S)
+    old.leave()
+    case.removed_s[old.name] = case.record.now()
+    await asyncio.sleep(CUT_AFTER_REMOVAL_S)
+    link.heal()
+    case.healed_s = case.record.now()
+    case.record.write("the link heals")
+    await asyncio.sleep(SERVES_ON_S - CUT_AFTER_REMOVAL_S)
+    old.end()
+    case.record.write(f"{old.name} ends")
+    await asyncio.sleep(0.5)
+    case.judge(old)
 
 
 stand_ins.run_case(run)
