--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,12 +1,13 @@
-"""A tenant that becomes isolated goes on sharing the KV cache that it made before.
+"""All gateways are killed twice beside newly named weights, and no stream goes on.
 
-Two gateways, three model replicas and two tenants, `radio` and `press`, neither of them
-isolated.  `radio` sends streams with a guide and a story.  With the disruption, a new
-configuration sets `isolated` for `radio`.  Later than `configApplyMs` after its
-acknowledgement `press` sends streams with the same parts.
+Three gateways and five model replicas, whose streams may be resumed.  With the
+disruption, the operator names new weights, and all gateways are killed 5 ms after the
+acknowledgement and once more 4.4 s later; each time they are back half a second
+later.  Clients whose streams break off take them up .5, 2.3 and 4.2 s after that.
 """
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -16,100 +17,202 @@
 import engines  # noqa: E402
 import stand_ins  # noqa: E402
 
-KEY_BY_TENANT = {"radio": "nu6wsjnbanfqasnmgkcu", "press": "pk2vtrrlqzmwyeoibxaj"}
+KEY = "nu6wsjnbanfqasnmgkcu"
 MODEL = "m0"
-APPLY_S = stand_ins.BOUNDS["configApplyMs"] / 1000
-MARGIN_S = 1.0
-STORIES = 6
+EVENTS = 60
+EVENT_S = 0.12
+STREAMS_PER_S = 8
+CALM_S = 16.0
+DOWN_S = 0.5
+SECOND_KILL_S = 4.4
+AFTER_S = 25.0
+RETRIES_S = (0.5, 1.8, 1.9)
+CONTACT_S = stand_ins.BOUNDS["contactMs"] / 1000
+MIN_RESUMED = 12
 
 
-def tenants(isolated: str | None) -> list[stand_ins.Document]:
-    """Return the tenants of the configuration."""
-    return [
-        {"name": name, "apiKeys": [key], "isolated": name == isolated}
-        for name, key in KEY_BY_TENANT.items()
-    ]
+class Engine(engines.Engine):
+    """A model replica with streams of seven seconds that go on where a client asks."""
 
-
-async def run() -> int:
-    """Play the day; return 1 if `press` used what `radio` made."""
-    record = stand_ins.Record(FOLDER)
-    with stand_ins.running_fleet(record, 2) as fleet:
-        store = stand_ins.Store()
-        await store.start()
-        replicas = []
-        for number in range(3):
-            replica = engines.Engine(store, None, record, f"i-{number}", (MODEL,))
-            await replica.start()
-            replicas.append(replica)
-        routes = [
-            stand_ins.route("r-1", "/wire/", "lekhak", "streaming", timeoutMs=5_000)
+    async def _stream(
+        self, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> None:
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"Request-Id: {headers['request-id']}",
+            f"Server-Seal: {stand_ins.SEAL}",
+            f"Weight-Versions: {self.versions[MODEL]}",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
         ]
-        services = [engines.engine_service((MODEL,))]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        first = int(headers.get("last-event-id", "0")) + 1
+        for number in range(first, EVENTS + 1):
+            event = f"id: {number}\ndata: t{number}\n\n"
+            writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+            await writer.drain()
+            await asyncio.sleep(EVENT_S)
+        writer.write(b"0\r\n\r\n")
 
-        def put(version: int, isolated: str | None) -> None:
-            config = stand_ins.configuration(
-                version, routes, services, tenants(isolated)
-            )
-            store.put("op", "config", config)
 
-        put(1, None)
-        store.put("op", f"version/{MODEL}", {"model": MODEL, "version": 1})
-        for gateway in fleet.gateways:
-            fleet.start(gateway, store.port)
-        await fleet.wait_ready()
-        await asyncio.sleep(3)
-        answers = await send_streams(fleet, record, "radio")
-        await asyncio.sleep(1)
-        isolated = None
-        if stand_ins.is_troubled():
-            isolated = "radio"
-            put(2, isolated)
-            record.write(f"version 2 is acknowledged: {isolated} is isolated")
-        await asyncio.sleep(APPLY_S + MARGIN_S)
-        answers += await send_streams(fleet, record, "press")
-        shared = [
-            use
-            for replica in replicas
-            for use in replica.uses
-            if use[1] == "press" and use[4].endswith(f"of {isolated}")
-        ]
-        for request_id, tenant, salt, part_id, maker, source in shared:
-            record.write(
-                f"{request_id} of {tenant} uses part {part_id}, salt {salt}, of "
-                f"{source}, which {maker} made"
+class Case:
+    """The clients, their streams, and when the gateways were in touch."""
+
+    def __init__(self, record: stand_ins.Record, fleet: stand_ins.Fleet) -> None:
+        self.record, self.fleet = record, fleet
+        self.in_touch_s = 0.0
+        self.is_down = False
+        self.new = self.begun = self.resumed = self.went_on = 0
+        self._asks: set[asyncio.Task[None]] = set()
+
+    async def begin_streams(self) -> None:
+        """Begin streams at all gateways."""
+        number = 0
+        while True:
+            number += 1
+            task = asyncio.ensure_future(self._play(number))
+            self._asks.add(task)
+            task.add_done_callback(self._asks.discard)
+            await asyncio.sleep(1 / STREAMS_PER_S)
+
+    async def _play(self, number: int) -> None:
+        last_id, is_complete, was_in_touch = await self._attempt(number, 0, 0)
+        if was_in_touch:
+            self.new += 1
+            self.begun += last_id > 0
+        if is_complete or not last_id:
+            return
+        tries: list[bool] = []
+        for index, delay_s in enumerate(RETRIES_S, 1):
+            await asyncio.sleep(delay_s)
+            before = last_id
+            last_id, is_complete, was_in_touch = await self._attempt(
+                number, index, last_id
             )
-        served = sum(each.status == 200 for each in answers)
-        record.write(f"{len(answers)} answers, {served} of them 200")
-        record.write(f"parts of an isolated tenant that press used: {len(shared)}")
-        if served < len(answers):
-            return 2
-        return 1 if shared else 0
+            if was_in_touch:
+                tries.append(last_id > before)
+            if is_complete:
+                break
+        if tries:
+            self.resumed += 1
+            self.went_on += any(tries)
+
+    def _is_in_touch(self) -> bool:
+        return not self.is_down and self.record.now() >= self.in_touch_s
 
+    async def _attempt(
+        self, number: int, index: int, last_id: int
+    ) -> tuple[int, bool, bool]:
+        """Make one attempt; return the last event, completeness, and whether in touch.
 
-async def send_streams(
-    fleet: stand_ins.Fleet, record: stand_ins.Record, tenant: str
-) -> list[stand_ins.Answer]:
-    """Send streams of one tenant, one after the other, to both gateways."""
-    answers = []
-    for number in range(4 * STORIES):
-        request_id = f"{tenant}-{number}"
+        It counts as in touch from its sending to its first event or to its end.
+        """
+        gateway = self.fleet.gateways[(number + index) % len(self.fleet.gateways)]
+        request_id = f"s-{number}" if not index else f"s-{number}-{index}"
         headers = {
             "Host": stand_ins.HOST,
             "Request-Id": request_id,
-            "Deadline-Ms": "5000",
-            "Authorization": f"Token {KEY_BY_TENANT[tenant]}",
+            "Deadline-Ms": "15000",
+            "Authorization": f"Token {KEY}",
             "Model": MODEL,
-            "Token-Count": "6000,10",
-            "Prompt-Prefix": f"a1:2520,b{number % STORIES}:3000,{request_id}:480",
+            "Token-Count": f"600,{EVENTS}",
+            "Prompt-Prefix": f"a{number % 40}:400,{number:x}:200",
+            "Content-Length": "0",
         }
-        gateway = fleet.gateways[number % len(fleet.gateways)]
-        answer = await stand_ins.ask(
-            gateway.ip, gateway.port, "POST", "/wire/1", headers, b"story"
+        if last_id:
+            headers |= {"Last-Event-Id": str(last_id), "Resumes": f"s-{number}"}
+        began_in_touch, status, is_complete = self._is_in_touch(), 0, False
+        went_on_in_touch = None
+        before = last_id
+        try:
+            reader, writer = await asyncio.open_connection(gateway.ip, gateway.port)
+            try:
+                lines = ["POST /draft/1 HTTP/1.1"]
+                lines += [f"{name}: {value}" for name, value in headers.items()]
+                writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                status = int(head.split(" ")[1])
+                text = ""
+                while status == 200 and (
+                    size := int((await reader.readuntil(b"\r\n")).strip(), 16)
+                ):
+                    text += (await reader.readexactly(size + 2))[:-2].decode()
+                    *events, text = text.split("\n\n")
+                    for event in events:
+                        last_id = int(event.split("\n")[0].removeprefix("id: "))
+                    if went_on_in_touch is None and last_id > before:
+                        went_on_in_touch = self._is_in_touch()
+                is_complete = status == 200
+            finally:
+                writer.close()
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            pass
+        if went_on_in_touch is None:
+            went_on_in_touch = self._is_in_touch()
+        was_in_touch = began_in_touch and went_on_in_touch
+        touch = "in touch" if was_in_touch else "not in touch"
+        self.record.write(
+            f"{request_id} at {gateway.name}, {touch}, gets {status}, events "
+            f"{before + 1} to {last_id}"
         )
-        record.write(f"{request_id} gets {answer.status}")
-        answers.append(answer)
-    return answers
+        return last_id, is_complete, was_in_touch
+
+    async def kill_all(self, store_port: int) -> None:
+        """Kill all gateways and start them again."""
+        self.is_down = True
+        self.record.write("all gateways are killed")
+        self.fleet.end()
+        await asyncio.sleep(DOWN_S)
+        for gateway in self.fleet.gateways:
+            self.fleet.start(gateway, store_port)
+        self.in_touch_s = self.record.now() + CONTACT_S
+        self.is_down = False
+
+
+async def run() -> int:
+    """Play the day; return 1 if too few streams go on."""
+    record = stand_ins.Record(FOLDER)
+    with stand_ins.running_fleet(record, 3) as fleet:
+        case = Case(record, fleet)
+        store = stand_ins.Store()
+        await store.start()
+        more = {"resumable": True, "timeoutMs": 15_000, "maxAttempts": 2}
+        routes = [stand_ins.route("r-1", "/draft/", "lekhak", "streaming", **more)]
+        services = [engines.engine_service((MODEL,))]
+        tenants = [{"name": "jeye930", "apiKeys": [KEY]}]
+        config = stand_ins.configuration(1, routes, services, tenants)
+        store.put("op", "config", config)
+        store.put("op", f"version/{MODEL}", {"model": MODEL, "version": 1})
+        for number in range(5):
+            await Engine(store, None, record, f"i-{number}", (MODEL,)).start()
+        for gateway in fleet.gateways:
+            fleet.start(gateway, store.port)
+        await fleet.wait_ready()
+        case.in_touch_s = record.now() + CONTACT_S
+        streams = asyncio.ensure_future(case.begin_streams())
+        await asyncio.sleep(2)
+        store.put("op", f"version/{MODEL}", {"model": MODEL, "version": 2})
+        record.write("version 2 is named, in peace")
+        await asyncio.sleep(CALM_S)
+        store.put("op", f"version/{MODEL}", {"model": MODEL, "version": 3})
+        record.write("version 3 is named")
+        if stand_ins.is_troubled():
+            await asyncio.sleep(0.005)
+            await case.kill_all(store.port)
+            if os.environ.get("TROUBLE") != "once":
+                await asyncio.sleep(SECOND_KILL_S - DOWN_S)
+                await case.kill_all(store.port)
+        await asyncio.sleep(AFTER_S)
+        streams.cancel()
+        await asyncio.sleep(9)
+        record.write(f"new streams: {case.begun} of {case.new} began")
+        record.write(f"streams taken up: {case.went_on} of {case.resumed} went on")
+        if not stand_ins.is_troubled():
+            return 0 if case.new and case.begun == case.new else 2
+        if case.resumed < MIN_RESUMED or not case.new:
+            return 2
+        share = case.went_on / case.resumed
+        return 1 if share < case.begun / case.new / 2 else 0
 
 
 stand_ins.run_case(run)
