--- a/quincecrank/gateway/caller_stream.py
+++ b/quincecrank/budgets/bounded_stream.py
@@ -17,7 +17,7 @@
 from tornado import iostream
 
 from quincecrank import arrived_bytes
-from quincecrank.gateway import head_budget
+from quincecrank.budgets import head_budget
 
 HEAD_END_BYTES: Final = 4
 """Longest end of a head: two line ends."""
@@ -67,7 +67,7 @@
             self._begin_next_step()
 
 
-class CallerStream(iostream.IOStream):
+class BoundedStream(iostream.IOStream):
     """Stream that searches each byte of a head about once.
 
     Parameters
--- a/quincecrank/gateway/chunk_decoder.py
+++ b/quincecrank/budgets/chunk_decoder.py
@@ -12,7 +12,7 @@
 import re
 from typing import Final
 
-from quincecrank.gateway import chunk_budget
+from quincecrank.budgets import chunk_budget
 
 MAX_LINE_BYTES: Final = 64
 """Longest line with the size of a chunk, its end included."""
--- a/quincecrank/gateway/chunk_reader.py
+++ b/quincecrank/budgets/chunk_reader.py
@@ -17,7 +17,7 @@
 from tornado import http1connection, httputil, iostream
 
 from quincecrank import arrived_bytes
-from quincecrank.gateway import chunk_budget, chunk_decoder
+from quincecrank.budgets import chunk_budget, chunk_decoder
 
 
 class BodyReceiver(Protocol):
--- a/quincecrank/gateway/connection_budget.py
+++ b/quincecrank/budgets/connection_budget.py
@@ -28,9 +28,7 @@
 import dataclasses
 import enum
 from collections.abc import Iterable
-from typing import Final
-
-from quincecrank.gateway import deployment
+from typing import Final, Protocol
 
 FILE_DESCRIPTORS: Final = 200
 """Descriptors that the platform sets aside for files."""
@@ -57,6 +55,18 @@
 """Limit of the time to read a request's body, however steadily it arrives."""
 
 
+class TimeLimits(Protocol):
+    """Time limits of callers' connections by the configuration."""
+
+    @property
+    def header_timeout_ms(self) -> int:
+        """Time within which the head of a request must have arrived."""
+
+    @property
+    def idle_timeout_ms(self) -> int:
+        """Time without a byte after which a connection is closed."""
+
+
 class Wait(enum.Enum):
     """What a waiting connection waits for."""
 
@@ -185,13 +195,13 @@
 
 
 def overdue_reason(
-    waiting: Waiting, limits: deployment.ClientLimits | None, now_ms: int
+    waiting: Waiting, limits: TimeLimits | None, now_ms: int
 ) -> CloseReason | None:
     """Return why a waiting connection is to be closed by its time limit; or None.
 
     Parameters
     ----------
-    limits : ClientLimits or None
+    limits : TimeLimits or None
         Limits of the configuration in force.
     """
     idle_limit_ms = DEFAULT_IDLE_MS if limits is None else limits.idle_timeout_ms
--- a/quincecrank/gateway/answer_sink.py
+++ b/quincecrank/gateway/answer_sink.py
@@ -6,9 +6,9 @@
 from tornado import httputil
 
 from quincecrank import clock as clocks
+from quincecrank.budgets import byte_budget
 from quincecrank.gateway import (
     active_requests,
-    byte_budget,
     crash_suspicions,
     event_stream,
     server_links,
--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -16,15 +16,14 @@
 
 from quincecrank import arrived_bytes, tasks
 from quincecrank import clock as clocks
-from quincecrank.gateway import byte_budget as byte_budgets
-from quincecrank.gateway import (
-    caller_stream,
+from quincecrank.budgets import (
+    bounded_stream,
     chunk_budget,
     chunk_reader,
     connection_budget,
-    decision_log,
-    deployment,
 )
+from quincecrank.budgets import byte_budget as byte_budgets
+from quincecrank.gateway import decision_log, deployment
 from quincecrank.platform import answers, requests
 
 MAX_HEADER_BYTES: Final = 64 * 1024
@@ -317,7 +316,7 @@
         self.paused_since_ms: int | None = None
         self.pauses = 0
         self.chunk_reader = chunk_reader.ChunkReader()
-        self.head_turns = caller_stream.HeadTurns()
+        self.head_turns = bounded_stream.HeadTurns()
         self._logged_ms_by_event: dict[str, int] = {}
         self._resuming: asyncio.TimerHandle | None = None
         self._tasks = tasks.BackgroundTasks()
@@ -496,7 +495,7 @@
         self, connection: socket.socket, address: tuple[str, int]
     ) -> None:
         connection.setblocking(False)
-        stream = caller_stream.CallerStream(connection, self.head_turns)
+        stream = bounded_stream.BoundedStream(connection, self.head_turns)
         self._server.handle_stream(stream, address)
 
     def _pause(self, reason: str) -> None:
--- a/quincecrank/gateway/gateway_metrics.py
+++ b/quincecrank/gateway/gateway_metrics.py
@@ -7,12 +7,8 @@
 import prometheus_client
 
 from quincecrank import clock
-from quincecrank.gateway import (
-    byte_budget,
-    connection_budget,
-    deployment,
-    rate_limits,
-)
+from quincecrank.budgets import byte_budget, connection_budget
+from quincecrank.gateway import deployment, rate_limits
 
 _BUCKETS_S: Final = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 5.0, 15.0)
 """Bucket bounds near the on-time targets and the deadlines of requests."""
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -20,13 +20,12 @@
 
 from quincecrank import clock as clocks
 from quincecrank import process_memory, status_server, store_era, store_rows, tasks
+from quincecrank.budgets import byte_budget, connection_budget
 from quincecrank.gateway import (
-    byte_budget,
     cache_followers,
     cache_history,
     callers,
     change_delivery,
-    connection_budget,
     crash_monitor,
     crash_suspicions,
     decision_log,
--- a/tests/test_arrived_requests.py
+++ b/tests/test_arrived_requests.py
@@ -9,13 +9,8 @@
 from typing import Final
 from unittest import mock
 
-from quincecrank.gateway import (
-    callers,
-    connection_budget,
-    deployment,
-    server_links,
-    servers,
-)
+from quincecrank.budgets import connection_budget
+from quincecrank.gateway import callers, deployment, server_links, servers
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 
--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -4,7 +4,7 @@
 import unittest
 from typing import Final
 
-from quincecrank.gateway import byte_budget, connection_budget
+from quincecrank.budgets import byte_budget, connection_budget
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 
--- a/tests/test_chunk_budget.py
+++ b/tests/test_chunk_budget.py
@@ -10,7 +10,7 @@
 from typing import Final
 from unittest import mock
 
-from quincecrank.gateway import byte_budget, chunk_budget, chunk_decoder, chunk_reader
+from quincecrank.budgets import byte_budget, chunk_budget, chunk_decoder, chunk_reader
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 
--- a/tests/test_connection_budget.py
+++ b/tests/test_connection_budget.py
@@ -6,7 +6,8 @@
 from typing import Final
 from unittest import mock
 
-from quincecrank.gateway import callers, connection_budget, deployment
+from quincecrank.budgets import connection_budget
+from quincecrank.gateway import callers, deployment
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 
--- a/tests/test_head_budget.py
+++ b/tests/test_head_budget.py
@@ -7,7 +7,7 @@
 
 from tornado import httputil
 
-from quincecrank.gateway import head_budget
+from quincecrank.budgets import head_budget
 from tests import builders_gateway as builders
 from tests import gateway_case as case
 
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -41,19 +41,21 @@
     table_breaker,
     tasks,
 )
-from quincecrank.gateway import (
+from quincecrank.budgets import (
     byte_budget,
-    callers,
     chunk_reader,
-    configuration_currency,
     connection_budget,
+    head_budget,
+)
+from quincecrank.gateway import (
+    callers,
+    configuration_currency,
     crash_findings,
     crash_suspicions,
     even_placement,
     fleet_state,
     followers,
     forwarding,
-    head_budget,
     order_lease,
     servers,
     service_times,
