--- a/quincecrank/settings.py
+++ b/quincecrank/settings.py
@@ -8,8 +8,10 @@
 
 import enum
 import ipaddress
+import os
 import pathlib
 import re
+import resource
 import stat
 import urllib.parse
 from collections.abc import Callable
@@ -22,6 +24,10 @@
 
 MIN_SECRET_BYTES: Final = 16
 MAX_PORT: Final = 65_535
+BYTES_PER_MB: Final = 1024 * 1024
+MAX_DESCRIPTORS: Final = 1_048_576
+"""Descriptors of a process for which the operating system names no limit."""
+
 DEFAULT_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
 _AGENT_KEY: Final = re.compile(r"^backend_server\s*:", re.MULTILINE)
 
@@ -54,6 +60,16 @@
     return path.read_bytes().strip()
 
 
+def _vm_memory_mb() -> int:
+    pages = os.sysconf("SC_PHYS_PAGES")
+    return max(1, pages * os.sysconf("SC_PAGE_SIZE") // BYTES_PER_MB)
+
+
+def _descriptor_limit() -> int:
+    soft, _hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return MAX_DESCRIPTORS if soft == resource.RLIM_INFINITY else soft
+
+
 def _resolve_readable(
     path: pathlib.Path, info: pydantic.ValidationInfo
 ) -> pathlib.Path:
@@ -202,7 +218,23 @@
     level: LogLevel = LogLevel.INFO
 
 
-class Limits(configuration.FrozenModel):
+class ProcessLimits(configuration.FrozenModel):
+    """Limits of the resources of one process.
+
+    Attributes
+    ----------
+    memory_mb : int
+        Memory that the process may use; by default all that the VM has.
+    max_descriptors : int
+        Descriptors that the process may have open; by default as many as the operating
+        system allows.
+    """
+
+    memory_mb: PositiveInt = pydantic.Field(default_factory=_vm_memory_mb)
+    max_descriptors: PositiveInt = pydantic.Field(default_factory=_descriptor_limit)
+
+
+class Limits(ProcessLimits):
     """Limits of an entry.
 
     Attributes
@@ -280,7 +312,7 @@
     platform: Platform
     account_secret_file: SecretFile
     logging: Logging = Logging()
-    limits: Limits = Limits()
+    limits: Limits = pydantic.Field(default_factory=Limits)
     heartbeat: Heartbeat = Heartbeat()
     reuse_port: bool = False
     policy: PolicyName = policies.DEFAULT_POLICY
@@ -298,6 +330,8 @@
     max_queue : int
         Largest number of requests that wait for the backend server; further ones
         are rejected.
+    limits : ProcessLimits
+        Limits of the agent's own resources.
     """
 
     vm_name: VmName
@@ -308,6 +342,7 @@
     peer: Peer
     platform: Platform
     logging: Logging = Logging()
+    limits: ProcessLimits = pydantic.Field(default_factory=ProcessLimits)
     heartbeat: Heartbeat = Heartbeat()
     max_queue: PositiveInt = 64
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -34,6 +34,9 @@
         self.assertEqual(entry.admin.operators[0].name, "asha")
         self.assertTrue(entry.account_secret_file.is_absolute())
         self.assertEqual(agent.backend_server.kind, configuration.DeploymentKind.MODEL)
+        for limits in (entry.limits, agent.limits):
+            self.assertGreater(limits.memory_mb, 0)
+            self.assertGreater(limits.max_descriptors, 0)
 
     def test_each_mistake_is_reported_at_its_place(self) -> None:
         cases = (
