--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -125,6 +125,8 @@
     ----------
     ip_by_gateway : dict
         Loopback address of each gateway.
+    peer_port, metrics_port : int
+        Ports of calls between gateways and of the metrics, the same at each gateway.
     max_descriptors, memory_mb : int
         Limits of a gateway process by its settings; nothing enforces them.
     more_bounds : Mapping
@@ -143,8 +145,8 @@
         self.callers_port_by_gateway: dict[str, int] = {}
         self.ready_port_by_gateway: dict[str, int] = {}
         self.process_by_name: dict[str, launcher.Process] = {}
-        self._peer_port = free_shared_port()
-        self._metrics_port = free_shared_port()
+        self.peer_port = free_shared_port()
+        self.metrics_port = free_shared_port()
         self.write_operator_row("config", configuration(1))
 
     def write_row(self, table: str, key: str, text: str) -> None:
@@ -271,7 +273,7 @@
                 "frontend": f"{ip}:{self.callers_port_by_gateway[name]}",
                 "readiness": f"{ip}:{self.ready_port_by_gateway[name]}",
             },
-            "internalPorts": [self._peer_port, self._metrics_port],
+            "internalPorts": [self.peer_port, self.metrics_port],
             "seedNodes": [f"{each}:1" for each in self.ip_by_gateway.values()],
             "limits": {"memoryMb": self.memory_mb, "maxFds": self.max_descriptors},
             "bounds": {
