--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -17,10 +17,12 @@
 from quincecrank import arrived_bytes, tasks
 from quincecrank import clock as clocks
 from quincecrank.budgets import (
+    bound_log,
     bounded_stream,
     chunk_budget,
-    chunk_reader,
     connection_budget,
+    process_budgets,
+    request_progress,
 )
 from quincecrank.budgets import byte_budget as byte_budgets
 from quincecrank.gateway import decision_log, deployment
@@ -41,9 +43,6 @@
 ACCEPT_PAUSE_S: Final = 0.05
 """Time for which no connection is accepted after one could not be."""
 
-BOUND_LOG_MS: Final = 5_000
-"""Interval of the log lines that name a bound, for each kind of line."""
-
 UNLIMITED: Final = 2**31
 """Budgets of a listener without one, in tests."""
 
@@ -53,6 +52,7 @@
 
 _LOG: Final = decision_log.logger("callers")
 
+
 ObserveClose = Callable[[connection_budget.CloseReason, bool], None]
 """Called at each close by this process, with whether bytes had arrived unread."""
 
@@ -115,7 +115,7 @@
     ) -> None:
         self._connection = connection
         self._state = state
-        self.account = account or byte_budgets.Account(state.byte_budget)
+        self.account = account or byte_budgets.Account(state.budgets.bytes)
         self.closes_connection = False
         self.has_descriptor = True
         self.has_begun = False
@@ -228,10 +228,8 @@
         Whether the process is shutting down.
     observe_close : callable
         Called at each close of a connection by this process.
-    descriptor_budget : DescriptorBudget
-        Budget of the descriptors of this process.
-    byte_budget : ByteBudget
-        Budget of the bytes that this process holds.
+    budgets : ProcessBudgets
+        Budgets of this process.
     """
 
     handler: Handler
@@ -239,11 +237,8 @@
     limits: deployment.ClientLimits | None = None
     is_leaving: bool = False
     observe_close: ObserveClose = lambda _reason, _is_unread: None
-    descriptor_budget: connection_budget.DescriptorBudget = dataclasses.field(
-        default_factory=lambda: connection_budget.DescriptorBudget(UNLIMITED)
-    )
-    byte_budget: byte_budgets.ByteBudget = dataclasses.field(
-        default_factory=lambda: byte_budgets.ByteBudget(UNLIMITED)
+    budgets: process_budgets.ProcessBudgets = dataclasses.field(
+        default_factory=lambda: process_budgets.ProcessBudgets(UNLIMITED, UNLIMITED)
     )
 
     @property
@@ -303,10 +298,6 @@
         Time since which no connection could be accepted; None if the last one was.
     pauses : int
         Number of times that accepting was paused.
-    chunk_reader : ChunkReader
-        Reads the bodies in chunks.
-    head_turns : HeadTurns
-        Heads of many lines that wait to be parsed.
     """
 
     def __init__(self, handler: Handler, clock: clocks.Clock) -> None:
@@ -315,9 +306,7 @@
         self.count_followed: Callable[[], int] = lambda: 0
         self.paused_since_ms: int | None = None
         self.pauses = 0
-        self.chunk_reader = chunk_reader.ChunkReader()
-        self.head_turns = bounded_stream.HeadTurns()
-        self._logged_ms_by_event: dict[str, int] = {}
+        self._bound_log = bound_log.BoundLog(_LOG, clock)
         self._resuming: asyncio.TimerHandle | None = None
         self._tasks = tasks.BackgroundTasks()
         self._open: set[_Receiver] = set()
@@ -343,7 +332,7 @@
     @property
     def oldest_arrival_ms(self) -> int | None:
         """Time at which the oldest of the open requests arrived; None without any."""
-        return min((receiver.arrived_ms for receiver in self._open), default=None)
+        return min((each.progress.arrived_ms for each in self._open), default=None)
 
     @property
     def usage(self) -> connection_budget.Usage:
@@ -367,9 +356,9 @@
 
     def has_descriptor(self) -> bool:
         """Return whether a request that has just arrived can get a link."""
-        if not self.state.descriptor_budget.may_serve(self.usage):
+        if not self.state.budgets.descriptors.may_serve(self.usage):
             self._make_room()
-        return self.state.descriptor_budget.may_serve(self.usage)
+        return self.state.budgets.descriptors.may_serve(self.usage)
 
     def hold(self, account: byte_budgets.Account, count: int) -> bool:
         """Hold bytes of a body; return False if there is no memory for them.
@@ -377,30 +366,36 @@
         Requests of which nothing has arrived for some time are closed for it, those
         that have waited longest first.
         """
-        holder = byte_budgets.Holder.CALLERS
-        if account.try_hold(holder, count):
+        if account.try_hold(byte_budgets.Holder.CALLERS, count):
             return True
         now_ms = self.state.clock.now_ms()
+        if self._free_bytes(account, count, now_ms):
+            return True
+        self._log_memory(count)
+        return False
+
+    def _free_bytes(
+        self, account: byte_budgets.Account, count: int, now_ms: int
+    ) -> bool:
+        """Close requests that have stalled until bytes can be held."""
         by_waiting = {
-            waiting: (receiver, connection.stream)
-            for connection, receiver in tuple(self._receiver_by_connection.items())
-            if not connection.stream.closed()
-            and (waiting := receiver.waiting(connection.stream, now_ms)) is not None
-            and waiting.wait is connection_budget.Wait.BODY
+            waiting: (receiver, stream)
+            for waiting, receiver, stream in self._waiting_requests(now_ms)
+            if waiting.wait is connection_budget.Wait.BODY
         }
-        for waiting in self.state.descriptor_budget.order_to_close(by_waiting, now_ms):
+        budget = self.state.budgets.descriptors
+        for waiting in budget.order_to_close(by_waiting, now_ms):
             receiver, stream = by_waiting[waiting]
             reason = connection_budget.CloseReason.MEMORY
             if self._close_waiting(stream, reason):
                 receiver.drop()
-                if account.try_hold(holder, count):
+                if account.try_hold(byte_budgets.Holder.CALLERS, count):
                     return True
-        self._log_memory(count)
         return False
 
     def may_add_link(self) -> bool:
         """Return whether a request may get a second link."""
-        return self.state.descriptor_budget.may_add_link(self.usage)
+        return self.state.budgets.descriptors.may_add_link(self.usage)
 
     def close_idle(self) -> bool:
         """Accept no more connections and close those on which nothing has arrived.
@@ -413,7 +408,7 @@
             stream = connection.stream
             if stream.closed():
                 continue
-            if receiver.is_waiting and not _has_arrived(stream):
+            if receiver.progress.is_waiting and not _has_arrived(stream):
                 self.state.observe_close(connection_budget.CloseReason.SHUTDOWN, False)
                 stream.close()
             else:
@@ -460,7 +455,7 @@
             self,
         )
         self._receiver_by_connection[server_conn] = receiver
-        self.chunk_reader.attach(request_conn, receiver)
+        self.state.budgets.chunk_reader.attach(request_conn, receiver)
         return receiver
 
     def on_close(self, server_conn: object) -> None:
@@ -471,9 +466,9 @@
         for _ in range(ACCEPTS_PER_STEP):
             if self._bound is None:
                 return
-            if not self.state.descriptor_budget.may_accept(self.usage):
+            if not self.state.budgets.descriptors.may_accept(self.usage):
                 self._make_room()
-                if not self.state.descriptor_budget.may_accept(self.usage):
+                if not self.state.budgets.descriptors.may_accept(self.usage):
                     self._pause("budget of descriptors")
                     return
             try:
@@ -495,7 +490,8 @@
         self, connection: socket.socket, address: tuple[str, int]
     ) -> None:
         connection.setblocking(False)
-        stream = bounded_stream.BoundedStream(connection, self.head_turns)
+        turns = self.state.budgets.head_turns
+        stream = bounded_stream.BoundedStream(connection, turns)
         self._server.handle_stream(stream, address)
 
     def _pause(self, reason: str) -> None:
@@ -519,11 +515,11 @@
     def _log_descriptors(self, event: str, reason: str, age_ms: int) -> None:
         """Log which bound was reached, and what uses the descriptors."""
         usage = self.usage
-        self._log_bound(
+        self._bound_log.write(
             event,
             reason=reason,
             used=usage.descriptors,
-            limit=self.state.descriptor_budget.limit,
+            limit=self.state.budgets.descriptors.limit,
             connections=usage.connections,
             requests=usage.requests,
             links=usage.links,
@@ -533,8 +529,8 @@
     def _log_memory(self, count: int) -> None:
         """Log that a body could not be held."""
         holder = byte_budgets.Holder.CALLERS
-        budget = self.state.byte_budget
-        self._log_bound(
+        budget = self.state.budgets.bytes
+        self._bound_log.write(
             "request rejected for memory",
             used=budget.held_by_holder[holder],
             limit=budget.limit_by_holder[holder],
@@ -544,27 +540,19 @@
 
     def log_chunks(self, cost: chunk_budget.BodyCost) -> None:
         """Log that a request was rejected for its chunks."""
-        self._log_bound(
+        self._bound_log.write(
             "request rejected for chunks",
-            used=self.chunk_reader.waiting_bodies,
+            used=self.state.budgets.chunk_reader.waiting_bodies,
             limit=chunk_budget.CROWDED_BODIES,
             chunks=cost.chunks,
             body_bytes=cost.size,
-            rejections=self.chunk_reader.budget.rejections,
-            closes=self.chunk_reader.budget.closes,
+            rejections=self.state.budgets.chunk_reader.budget.rejections,
+            closes=self.state.budgets.chunk_reader.budget.closes,
         )
 
-    def _log_bound(self, event: str, **fields: int | str) -> None:
-        """Log an event at most once in `BOUND_LOG_MS`."""
-        now_ms = self.state.clock.now_ms()
-        logged_ms = self._logged_ms_by_event.get(event)
-        if logged_ms is None or now_ms - logged_ms >= BOUND_LOG_MS:
-            self._logged_ms_by_event[event] = now_ms
-            _LOG.warning(event, **fields)
-
     def _make_room(self) -> None:
         """Close idle links and waiting connections, as far as the budget asks for."""
-        budget = self.state.descriptor_budget
+        budget = self.state.budgets.descriptors
         self.links.close_idle(budget.excess_links(self.usage))
         count = budget.excess_connections(self.usage)
         if not count:
@@ -588,12 +576,23 @@
     ) -> list[tuple[connection_budget.Waiting, iostream.IOStream]]:
         """Return the connections that wait for a caller's bytes."""
         return [
-            (waiting, connection.stream)
-            for connection, receiver in tuple(self._receiver_by_connection.items())
-            if not connection.stream.closed()
-            and (waiting := receiver.waiting(connection.stream, now_ms)) is not None
+            (waiting, stream) for waiting, _, stream in self._waiting_requests(now_ms)
         ]
 
+    def _waiting_requests(
+        self, now_ms: int
+    ) -> "list[tuple[connection_budget.Waiting, _Receiver, iostream.IOStream]]":
+        """Return the same with the receivers of their requests."""
+        found = []
+        for connection, receiver in tuple(self._receiver_by_connection.items()):
+            stream = connection.stream
+            if stream.closed():
+                continue
+            waiting = receiver.progress.waiting(stream, now_ms)
+            if waiting is not None:
+                found.append((waiting, receiver, stream))
+        return found
+
     def _close_waiting(
         self, stream: iostream.IOStream, reason: connection_budget.CloseReason
     ) -> bool:
@@ -620,9 +619,9 @@
         descriptors.
         """
         while self._bound is not None:
-            if not self.state.descriptor_budget.may_accept(self.usage):
+            if not self.state.budgets.descriptors.may_accept(self.usage):
                 self._make_room()
-                if not self.state.descriptor_budget.may_accept(self.usage):
+                if not self.state.budgets.descriptors.may_accept(self.usage):
                     return False
             try:
                 connection, address = self._bound.accept()
@@ -642,10 +641,8 @@
 
     Attributes
     ----------
-    is_waiting : bool
-        Whether the head of the request has not been read yet.
-    arrived_ms : int
-        Time at which the head was read; 0 before.
+    progress : RequestProgress
+        How far the request has arrived.
     account : Account
         Bytes that are held for the request and its answers.
     """
@@ -665,12 +662,8 @@
         self._open = open_receivers
         self._served = served
         self._listener = listener
-        self.account = byte_budgets.Account(state.byte_budget)
-        self.is_waiting = True
-        self.arrived_ms = 0
-        self._is_read = False
-        self._awaited_since_ms = self._last_byte_ms = state.clock.now_ms()
-        self._head_bytes = 0
+        self.account = byte_budgets.Account(state.budgets.bytes)
+        self.progress = request_progress.RequestProgress(state.clock)
         self._task: asyncio.Task[None] | None = None
         # One buffer: the pieces of a body may be of a few bytes.
         self._body = bytearray()
@@ -678,40 +671,13 @@
         self._rejection: CallerAnswer | None = None
         self._may_expect_body = True
 
-    def waiting(
-        self, stream: iostream.IOStream, now_ms: int
-    ) -> connection_budget.Waiting | None:
-        """Return what the connection waits for; None if the request was read."""
-        if self._is_read:
-            return None
-        wait = connection_budget.Wait.BODY
-        if self.is_waiting:
-            self._observe_head(stream._read_buffer_size, now_ms)
-            wait = connection_budget.Wait.REQUEST
-            if self._head_bytes:
-                wait = connection_budget.Wait.HEAD
-        return connection_budget.Waiting(
-            wait, self._last_byte_ms, self._awaited_since_ms, id(stream)
-        )
-
-    def _observe_head(self, read_bytes: int, now_ms: int) -> None:
-        """Record how much of the head has arrived."""
-        if read_bytes == self._head_bytes:
-            return
-        if not self._head_bytes:
-            self._awaited_since_ms = now_ms
-        self._head_bytes = read_bytes
-        self._last_byte_ms = now_ms
-
     def headers_received(
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> None:
         assert isinstance(start_line, httputil.RequestStartLine)
-        self.is_waiting = False
-        self._awaited_since_ms = self._last_byte_ms = self._state.clock.now_ms()
-        self.arrived_ms = self._awaited_since_ms
+        self.progress.record_head()
         self._open.add(self)
         self._start_line = start_line
         self._headers = headers
@@ -764,7 +730,7 @@
         self._reject(503, answers.gateway_answer_headers(request_id, RETRY_MS))
 
     def data_received(self, chunk: bytes) -> None:
-        self._last_byte_ms = self._state.clock.now_ms()
+        self.progress.record_body_bytes()
         if self._rejection is not None:
             return
         self._body += chunk
@@ -777,7 +743,7 @@
             self._hold(len(chunk))
 
     def finish(self) -> None:
-        self._is_read = True
+        self.progress.is_read = True
         if self._rejection is not None:
             self._open.discard(self)
             self._rejection.finish()
@@ -815,8 +781,8 @@
         _LOG.warning(
             "request open at the end",
             request=requests.request_id(self._headers),
-            is_read=self._is_read,
-            age_ms=self._state.clock.now_ms() - self.arrived_ms,
+            is_read=self.progress.is_read,
+            age_ms=self._state.clock.now_ms() - self.progress.arrived_ms,
             unread_bytes=arrived_bytes.unread_bytes(stream),
             unsent_bytes=arrived_bytes.unsent_bytes(stream),
         )
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -20,7 +20,7 @@
 
 from quincecrank import clock as clocks
 from quincecrank import process_memory, status_server, store_era, store_rows, tasks
-from quincecrank.budgets import byte_budget, connection_budget
+from quincecrank.budgets import connection_budget, process_budgets
 from quincecrank.gateway import (
     cache_followers,
     cache_history,
@@ -127,12 +127,11 @@
         )
         self._listener = callers.CallerListener(self._forwarder.handle, clock)
         self._listener.state.observe_close = self._observe_close
-        self._listener.state.descriptor_budget = connection_budget.DescriptorBudget(
-            min(own_settings.max_descriptors, _descriptor_limit())
-        )
-        self._listener.state.byte_budget = byte_budget.ByteBudget(
-            own_settings.memory_mb
+        self._budgets = process_budgets.ProcessBudgets(
+            own_settings.memory_mb,
+            min(own_settings.max_descriptors, _descriptor_limit()),
         )
+        self._listener.state.budgets = self._budgets
         self._connect_listener()
         self._reporter = peers.PeerReporter(
             own_settings,
@@ -267,7 +266,9 @@
         own_settings = self._own_settings
         self._serve_readiness()
         callers_socket = netutil.bind_sockets(
-            own_settings.callers.port, own_settings.callers.ip, backlog=512
+            own_settings.callers.port,
+            own_settings.callers.ip,
+            backlog=512,
         )[0]
         self._listener.start(callers_socket)
         peers.serve(
@@ -653,7 +654,7 @@
             self._update_shared_demand()
             self._fleet.links.close_stale()
             self._listener.close_expired()
-            if self._listener.state.byte_budget.take_freed():
+            if self._budgets.bytes.take_freed():
                 process_memory.trim()
             self._fleet.gateway_count = 1 + len(self._peers.live_members())
             current = self._fleet.configuration
@@ -688,12 +689,12 @@
             self._metrics.stream_records.set(self._fleet.stream_versions.record_count)
             self._metrics.waiting.set(self._dispatcher.waiting_requests)
             self._metrics.set_descriptors(
-                self._listener.usage, self._listener.state.descriptor_budget.limit
+                self._listener.usage, self._budgets.descriptors.limit
             )
             self._metrics.set_accept_pauses(self._listener.pauses)
-            self._metrics.set_held_bytes(self._listener.state.byte_budget)
-            self._metrics.waiting_heads.set(self._listener.head_turns.waiting_heads)
-            chunk_reader = self._listener.chunk_reader
+            self._metrics.set_held_bytes(self._budgets.bytes)
+            self._metrics.waiting_heads.set(self._budgets.head_turns.waiting_heads)
+            chunk_reader = self._budgets.chunk_reader
             self._metrics.set_chunks(
                 chunk_reader.waiting_bodies, chunk_reader.budget.rejections
             )
--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -70,7 +70,7 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.budget = byte_budget.ByteBudget(SMALL_MB)
-        self.listener.state.byte_budget = self.budget
+        self.listener.state.budgets.bytes = self.budget
         self.most_held = 0
 
     async def watch(self) -> None:
--- a/tests/test_chunk_budget.py
+++ b/tests/test_chunk_budget.py
@@ -138,8 +138,8 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.bytes = byte_budget.ByteBudget(SITE_MB)
-        self.listener.state.byte_budget = self.bytes
-        self.reader = self.listener.chunk_reader
+        self.listener.state.budgets.bytes = self.bytes
+        self.reader = self.listener.state.budgets.chunk_reader
         self.server = await self.add_server(*[case.sends(case.answer())] * 100)
 
     async def send(self, raw: bytes, **extra: str) -> case.Caller:
--- a/tests/test_connection_budget.py
+++ b/tests/test_connection_budget.py
@@ -98,7 +98,7 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         budget = connection_budget.DescriptorBudget(MAX_DESCRIPTORS)
-        self.listener.state.descriptor_budget = budget
+        self.listener.state.budgets.descriptors = budget
         self.listener.links = self.fleet.links
         self.forwarder.may_add_link = self.listener.may_add_link
         self.closed: list[connection_budget.CloseReason] = []
@@ -137,7 +137,8 @@
             got = await asyncio.wait_for(self.ask("/record/", b"x"), ANSWER_S)
             self.assertEqual(got.status, 200)
         self.assertLessEqual(
-            self.listener.usage.descriptors, self.listener.state.descriptor_budget.limit
+            self.listener.usage.descriptors,
+            self.listener.state.budgets.descriptors.limit,
         )
 
     async def test_callers_without_a_request_used_up_the_descriptors(self) -> None:
@@ -181,7 +182,7 @@
         document = builders.make_configuration_document(8)
         document["routes"][2]["timeoutMs"] = HOLD_MS
         self.configure_from(document)
-        for _ in range(self.listener.state.descriptor_budget.limit):
+        for _ in range(self.listener.state.budgets.descriptors.limit):
             caller = await case.Caller.connect(self.port)
             self.crowd.append(caller)
             await caller.send("/record/", b"hold", Deadline_Ms=str(HOLD_MS))
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -381,7 +381,7 @@
         for connection, receiver in tuple(self._receiver_by_connection.items()):
             if connection.stream.closed():
                 continue
-            if receiver.is_waiting:
+            if receiver.progress.is_waiting:
                 connection.stream.close()
             else:
                 is_any_open = True
