--- a/quincecrank/budgets/bounded_stream.py
+++ b/quincecrank/budgets/bounded_stream.py
@@ -1,39 +1,89 @@
-"""Stream of a caller's connection, as far as it reads heads.
+"""Stream of a client's connection.
 
 Invariant
     Reading a head takes time in proportion to its length, however many pieces it
     arrives in, and heads of many lines share the event loop as `head_budget` says.
+    What the stream drops of rejected requests is bounded as `linger_budget` says.
 
 Load pattern: hundreds of callers send heads of many kilobytes in pieces of a few bytes.
-The HTTP library's stream searches all that has arrived of a head at each piece.
+The HTTP library's stream searches all that has arrived of a head at each piece.  A
+thousand callers go on to send bodies after they were rejected.
 """
 
 import socket
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import Final
 
-from tornado import iostream
+from tornado import http1connection, iostream
 
 from quincecrank import arrived_bytes
-from quincecrank.budgets import head_turns
+from quincecrank import clock as clocks
+from quincecrank.budgets import (
+    connection_budget,
+    linger_budget,
+    process_budgets,
+)
+
+ObserveClose = Callable[[connection_budget.CloseReason, bool], None]
+"""Called at each close by this process, with whether bytes had arrived unread."""
 
 HEAD_END_BYTES: Final = 4
 """Longest end of a head: two line ends."""
 
 
 class BoundedStream(iostream.IOStream):
-    """Stream that searches each byte of a head about once.
+    """Stream whose bytes count in the budgets of its process.
+
+    It searches each byte of a head about once.
 
     Parameters
     ----------
-    turns : HeadTurns
-        Heads that wait to be parsed.
+    budgets : ProcessBudgets
+        Budgets of the process.
+    observe_close : callable
+        Called when this process closes the connection for a budget.
+    clock : Clock
+        Source of time.
+
+    Attributes
+    ----------
+    is_rejected : bool
+        Whether the rest of the present request is dropped.
     """
 
-    def __init__(self, connection: socket.socket, turns: head_turns.HeadTurns) -> None:
+    def __init__(
+        self,
+        connection: socket.socket,
+        budgets: process_budgets.ProcessBudgets,
+        observe_close: ObserveClose,
+        clock: clocks.Clock,
+    ) -> None:
         super().__init__(connection)
-        self._turns = turns
+        self._budgets = budgets
+        self._observe_close = observe_close
+        self._clock = clock
         self._searched_bytes = 0
+        self._lingering: linger_budget.Lingering | None = None
+        self._exchange: http1connection.HTTP1Connection | None = None
+        self.is_rejected = False
+
+    @property
+    def is_discarding(self) -> bool:
+        """Whether what arrives is dropped, as its request has been answered."""
+        exchange = self._exchange
+        if exchange is None or exchange._read_finished:
+            return False
+        return self.is_rejected or exchange._write_finished
+
+    def begin_request(self, exchange: http1connection.HTTP1Connection) -> None:
+        """Begin to read a request."""
+        self._end_lingering()
+        self._exchange, self.is_rejected = exchange, False
+
+    def close_fd(self) -> None:
+        """Release what the connection uses and close the descriptor."""
+        self._end_lingering()
+        super().close_fd()
 
     def read_until_regex(
         self, regex: bytes, max_bytes: int | None = None
@@ -44,13 +94,38 @@
 
     async def _wait_for_turn(self, read: Awaitable[bytes]) -> bytes:
         head = await read
-        if await self._turns.wait(head.count(b"\n")):
+        if await self._budgets.head_turns.wait(head.count(b"\n")):
             if not self.closed() and arrived_bytes.is_reset(self):
                 # The caller has left: nobody would get the answer.
                 self.close()
             self._check_closed()
         return head
 
+    def _read_to_buffer(self) -> int | None:
+        """Read what has arrived, and close the connection if it may not be dropped."""
+        count = super()._read_to_buffer()
+        if not count or self.closed():
+            return count
+        if not self.is_discarding or self._may_drop(count):
+            return count
+        self._observe_close(connection_budget.CloseReason.REJECTED, False)
+        self.close()
+        return 0
+
+    def _may_drop(self, count: int) -> bool:
+        """Account for dropped bytes; return whether more may be dropped."""
+        linger, now_ms = self._budgets.linger, self._clock.now_ms()
+        if self._lingering is None:
+            self._lingering = linger.begin(now_ms)
+        if self._lingering is None:
+            return False
+        return linger.may_drop(self._lingering, count, now_ms)
+
+    def _end_lingering(self) -> None:
+        if self._lingering is not None:
+            self._lingering = None
+            self._budgets.linger.end()
+
     def _find_read_pos(self) -> int | None:
         """Return where the bytes end that complete the present read; or None."""
         if self._read_regex is None:
@@ -61,3 +136,15 @@
         end = self._read_buffer_size if found is None else found.end()
         self._check_max_bytes(self._read_regex, end)
         return None if found is None else end
+
+
+def begin_request(connection: http1connection.HTTP1Connection) -> None:
+    """Let a stream know the request that is read on it."""
+    if isinstance(connection.stream, BoundedStream):
+        connection.stream.begin_request(connection)
+
+
+def discard_rest(connection: http1connection.HTTP1Connection) -> None:
+    """Drop the rest of a request, as far as the budget allows."""
+    if isinstance(connection.stream, BoundedStream):
+        connection.stream.is_rejected = True
--- a/quincecrank/budgets/connection_budget.py
+++ b/quincecrank/budgets/connection_budget.py
@@ -87,6 +87,7 @@
     MEMORY = "memory"
     ABORTED_ANSWER = "aborted answer"
     CHUNKS = "chunks"
+    REJECTED = "rejected"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/quincecrank/budgets/process_budgets.py
+++ b/quincecrank/budgets/process_budgets.py
@@ -5,6 +5,7 @@
     chunk_reader,
     connection_budget,
     head_turns,
+    linger_budget,
 )
 
 
@@ -28,6 +29,8 @@
         Reads the bodies in chunks.
     head_turns : HeadTurns
         Heads of many lines that wait to be parsed.
+    linger : LingerBudget
+        What is read of rejected requests.
     """
 
     def __init__(self, memory_mb: int, max_descriptors: int) -> None:
@@ -35,3 +38,4 @@
         self.descriptors = connection_budget.DescriptorBudget(max_descriptors)
         self.chunk_reader = chunk_reader.ChunkReader()
         self.head_turns = head_turns.HeadTurns()
+        self.linger = linger_budget.LingerBudget()
--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -53,10 +53,6 @@
 _LOG: Final = decision_log.logger("callers")
 
 
-ObserveClose = Callable[[connection_budget.CloseReason, bool], None]
-"""Called at each close by this process, with whether bytes had arrived unread."""
-
-
 class CallerDisconnectedError(Exception):
     """The caller has closed its connection before the end of its answer."""
 
@@ -236,7 +232,7 @@
     clock: clocks.Clock
     limits: deployment.ClientLimits | None = None
     is_leaving: bool = False
-    observe_close: ObserveClose = lambda _reason, _is_unread: None
+    observe_close: bounded_stream.ObserveClose = lambda _reason, _is_unread: None
     budgets: process_budgets.ProcessBudgets = dataclasses.field(
         default_factory=lambda: process_budgets.ProcessBudgets(UNLIMITED, UNLIMITED)
     )
@@ -456,6 +452,7 @@
         )
         self._receiver_by_connection[server_conn] = receiver
         self.state.budgets.chunk_reader.attach(request_conn, receiver)
+        bounded_stream.begin_request(request_conn)
         return receiver
 
     def on_close(self, server_conn: object) -> None:
@@ -490,8 +487,10 @@
         self, connection: socket.socket, address: tuple[str, int]
     ) -> None:
         connection.setblocking(False)
-        turns = self.state.budgets.head_turns
-        stream = bounded_stream.BoundedStream(connection, turns)
+        state = self.state
+        stream = bounded_stream.BoundedStream(
+            connection, state.budgets, state.observe_close, state.clock
+        )
         self._server.handle_stream(stream, address)
 
     def _pause(self, reason: str) -> None:
@@ -812,6 +811,7 @@
         would reset it, and the caller could lose the answer.
         """
         self.drop()
+        bounded_stream.discard_rest(self._connection)
         answer = CallerAnswer(self._connection, self._state, self.account)
         answer.closes_connection = True
         headers = headers or httputil.HTTPHeaders()
