--- a/quincecrank/budgets/bounded_stream.py
+++ b/quincecrank/budgets/bounded_stream.py
@@ -3,18 +3,21 @@
 Invariant
     Reading a head takes time in proportion to its length, however many pieces it
     arrives in, and heads of many lines share the event loop as `head_budget` says.
-    What the stream drops of rejected requests is bounded as `linger_budget` says.
+    What the stream reads ahead of a body is at most `READ_BYTES`, except for
+    connections that have a large receive buffer.  What it drops of rejected requests is
+    bounded as `linger_budget` says.
 
 Load pattern: hundreds of callers send heads of many kilobytes in pieces of a few bytes.
 The HTTP library's stream searches all that has arrived of a head at each piece.  A
-thousand callers go on to send bodies after they were rejected.
+thousand callers send bodies, of each of which the library reads 64 KB ahead, and go on
+after they were rejected.
 """
 
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from tornado import http1connection, iostream
+from tornado import http1connection, httputil, iostream
 
 from quincecrank import arrived_bytes
 from quincecrank import clock as clocks
@@ -27,6 +30,12 @@
 ObserveClose = Callable[[connection_budget.CloseReason, bool], None]
 """Called at each close by this process, with whether bytes had arrived unread."""
 
+READ_BYTES: Final = 4 * 1024
+"""Most bytes of a read on a connection with a base receive buffer."""
+
+LARGE_READ_BYTES: Final = 64 * 1024
+"""Most bytes of a read on a connection with a large one."""
+
 HEAD_END_BYTES: Final = 4
 """Longest end of a head: two line ends."""
 
@@ -58,7 +67,7 @@
         observe_close: ObserveClose,
         clock: clocks.Clock,
     ) -> None:
-        super().__init__(connection)
+        super().__init__(connection, read_chunk_size=READ_BYTES)
         self._budgets = budgets
         self._observe_close = observe_close
         self._clock = clock
@@ -80,8 +89,14 @@
         self._end_lingering()
         self._exchange, self.is_rejected = exchange, False
 
+    def expect_bytes(self, count: int) -> None:
+        """Get a large receive buffer, if there is one, for bytes that are due."""
+        if count > READ_BYTES and self._budgets.receive.try_enlarge(self):
+            self.read_chunk_size = LARGE_READ_BYTES
+
     def close_fd(self) -> None:
-        """Release what the connection uses and close the descriptor."""
+        """Release what the connection holds and close the descriptor."""
+        self._budgets.receive.release(self)
         self._end_lingering()
         super().close_fd()
 
@@ -132,6 +147,8 @@
             return super()._find_read_pos()
         begin = max(0, self._searched_bytes - HEAD_END_BYTES + 1)
         found = self._read_regex.search(self._read_buffer, begin)
+        if found is None:
+            self.expect_bytes(self._read_buffer_size)
         self._searched_bytes = self._read_buffer_size
         end = self._read_buffer_size if found is None else found.end()
         self._check_max_bytes(self._read_regex, end)
@@ -148,3 +165,24 @@
     """Drop the rest of a request, as far as the budget allows."""
     if isinstance(connection.stream, BoundedStream):
         connection.stream.is_rejected = True
+
+
+def expect_body(stream: iostream.IOStream, headers: httputil.HTTPHeaders) -> None:
+    """Prepare a client's stream for the body that a head announces."""
+    if not isinstance(stream, BoundedStream):
+        return
+    if "Transfer-Encoding" in headers:
+        stream.expect_bytes(LARGE_READ_BYTES)
+    else:
+        stream.expect_bytes(declared_bytes(headers))
+
+
+def declared_bytes(headers: httputil.HTTPHeaders) -> int:
+    """Return the declared length of a body; 0 if it is malformed.
+
+    The library answers a malformed length with 400.
+    """
+    try:
+        return max(0, int(headers.get("Content-Length", "0")))
+    except ValueError:
+        return 0
--- a/quincecrank/budgets/byte_budget.py
+++ b/quincecrank/budgets/byte_budget.py
@@ -4,7 +4,8 @@
     The bytes of requests and answers that are held, all together, stay within what the
     memory of the settings leaves beside the process itself.  What can't be held is not
     read: a request is rejected at once as not run, an answer is passed on as it arrives
-    or broken off.  Neither can use up the share of the other.
+    or broken off.  Neither can use up the share of the other, nor that of the bytes
+    that the system has received and the process has not read (`receive_budget`).
 
 Load pattern: servers send answers without an end, some hundred at once, each within the
 limits of one answer; or callers whose gateways were removed all send long bodies to the
@@ -43,6 +44,10 @@
     SERVERS = "servers"
 
 
+SHARE_BY_HOLDER: Final = {Holder.CALLERS: 0.35, Holder.SERVERS: 0.35}
+UNREAD_SHARE: Final = 0.3
+"""Shares of the memory for held bytes."""
+
 MEMORY_PER_BYTE: Final = {Holder.CALLERS: 2.0, Holder.SERVERS: 1.25}
 """Memory that a held byte takes: a body is copied when it is sent to a server."""
 
@@ -59,6 +64,8 @@
     ----------
     limit_by_holder : dict
         Most bytes of each holder.
+    unread_limit : int
+        Most bytes that the system may hold unread.
     held_by_holder, rejections_by_holder : dict
         Bytes that are held, and how often further ones could not be.
     freed : int
@@ -67,9 +74,10 @@
 
     def __init__(self, memory_mb: int) -> None:
         spare = max(MIN_SPARE_BYTES, memory_mb * BYTES_PER_MB - PROCESS_BYTES)
-        share = spare / len(Holder)
+        self.unread_limit = int(spare * UNREAD_SHARE)
         self.limit_by_holder = {
-            holder: int(share / memory) for holder, memory in MEMORY_PER_BYTE.items()
+            holder: int(spare * share / MEMORY_PER_BYTE[holder])
+            for holder, share in SHARE_BY_HOLDER.items()
         }
         self.held_by_holder = dict.fromkeys(Holder, 0)
         self.rejections_by_holder = dict.fromkeys(Holder, 0)
--- a/quincecrank/budgets/connection_budget.py
+++ b/quincecrank/budgets/connection_budget.py
@@ -144,11 +144,17 @@
     ----------
     max_descriptors : int
         Descriptors that the process may have open.
+
+    Attributes
+    ----------
+    limit, reserve : int
+        Number of shared descriptors, and of those in the reserve.
     """
 
     def __init__(self, max_descriptors: int) -> None:
         sockets = max(max_descriptors - FILE_DESCRIPTORS, max_descriptors // 2)
-        self.limit = sockets - int(sockets * RESERVED_FRACTION)
+        self.reserve = int(sockets * RESERVED_FRACTION)
+        self.limit = sockets - self.reserve
 
     def may_accept(self, usage: Usage) -> bool:
         """Return whether a new connection and a request on it have room."""
--- a/quincecrank/budgets/process_budgets.py
+++ b/quincecrank/budgets/process_budgets.py
@@ -1,13 +1,26 @@
 """The budgets of one process, which all of its listeners share."""
 
+from typing import Final
+
 from quincecrank.budgets import (
     byte_budget,
     chunk_reader,
     connection_budget,
     head_turns,
     linger_budget,
+    receive_budget,
+    receive_buffers,
 )
 
+CALLERS_BACKLOG: Final = 512
+"""Connections of callers that wait to be accepted: those of removed gateways and
+entries come at once."""
+
+SIDE_BACKLOG: Final = 32
+"""Connections of each other listener that wait to be accepted."""
+
+MAX_SIDE_LISTENERS: Final = 3
+
 
 class ProcessBudgets:
     """Budgets of one process.
@@ -25,6 +38,8 @@
         Bytes that are held for others.
     descriptors : DescriptorBudget
         Descriptors of connections.
+    receive : ReceiveBuffers
+        Bytes that the system holds unread.
     chunk_reader : ChunkReader
         Reads the bodies in chunks.
     head_turns : HeadTurns
@@ -36,6 +51,13 @@
     def __init__(self, memory_mb: int, max_descriptors: int) -> None:
         self.bytes = byte_budget.ByteBudget(memory_mb)
         self.descriptors = connection_budget.DescriptorBudget(max_descriptors)
+        backlog = CALLERS_BACKLOG + MAX_SIDE_LISTENERS * SIDE_BACKLOG
+        self.receive = receive_buffers.ReceiveBuffers(
+            receive_budget.ReceiveBudget(
+                self.bytes.unread_limit,
+                self.descriptors.limit + self.descriptors.reserve + backlog,
+            )
+        )
         self.chunk_reader = chunk_reader.ChunkReader()
         self.head_turns = head_turns.HeadTurns()
         self.linger = linger_budget.LingerBudget()
--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -343,6 +343,7 @@
     def start(self, bound: socket.socket) -> None:
         """Accept connections on a bound socket."""
         self._bound = bound
+        self.state.budgets.receive.prepare(bound)
         asyncio.get_running_loop().add_reader(bound.fileno(), self._accept)
 
     def stop_accepting(self) -> None:
@@ -680,9 +681,11 @@
         self._open.add(self)
         self._start_line = start_line
         self._headers = headers
-        self._declared_size = _declared_size(headers)
+        self._declared_size = bounded_stream.declared_bytes(headers)
         if not self._rejected_by_limits(start_line, headers):
             self._hold(self._declared_size)
+        if self._rejection is None:
+            bounded_stream.expect_body(self._connection.stream, headers)
         self._may_expect_body = False
 
     def _rejected_by_limits(
@@ -824,17 +827,6 @@
         self._rejection = answer
 
 
-def _declared_size(headers: httputil.HTTPHeaders) -> int:
-    """Return the declared length of a body; 0 if it is malformed.
-
-    The library answers a malformed length with 400.
-    """
-    try:
-        return max(0, int(headers.get("Content-Length", "0")))
-    except ValueError:
-        return 0
-
-
 def _has_arrived(stream: iostream.IOStream) -> bool:
     """Return whether a part of a request has arrived, whether read or not."""
     return stream._read_buffer_size > 0 or not arrived_bytes.awaits_bytes(stream)
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -268,7 +268,7 @@
         callers_socket = netutil.bind_sockets(
             own_settings.callers.port,
             own_settings.callers.ip,
-            backlog=512,
+            backlog=process_budgets.CALLERS_BACKLOG,
         )[0]
         self._listener.start(callers_socket)
         peers.serve(
