--- a/quincecrank/budgets/bounded_stream.py
+++ b/quincecrank/budgets/bounded_stream.py
@@ -3,9 +3,9 @@
 Invariant
     Reading a head takes time in proportion to its length, however many pieces it
     arrives in, and heads of many lines share the event loop as `head_budget` says.
-    What the stream reads ahead of a body is at most `READ_BYTES`, except for
-    connections that have a large receive buffer.  What it drops of rejected requests is
-    bounded as `linger_budget` says.
+    What the stream reads ahead is at most `READ_BYTES`, except for connections that
+    have a large receive buffer, and for heads, which count as held bytes.  What it
+    drops of rejected requests is bounded as `linger_budget` says.
 
 Load pattern: hundreds of callers send heads of many kilobytes in pieces of a few bytes.
 The HTTP library's stream searches all that has arrived of a head at each piece.  A
@@ -22,11 +22,14 @@
 from quincecrank import arrived_bytes
 from quincecrank import clock as clocks
 from quincecrank.budgets import (
+    byte_budget,
     connection_budget,
     linger_budget,
     process_budgets,
 )
 
+CloseReason = connection_budget.CloseReason
+
 ObserveClose = Callable[[connection_budget.CloseReason, bool], None]
 """Called at each close by this process, with whether bytes had arrived unread."""
 
@@ -72,8 +75,12 @@
         self._observe_close = observe_close
         self._clock = clock
         self._searched_bytes = 0
+        self._head_account = byte_budget.Account(budgets.bytes)
+        self._held_head_bytes = 0
         self._lingering: linger_budget.Lingering | None = None
         self._exchange: http1connection.HTTP1Connection | None = None
+        self._has_asked_to_enlarge = False
+        self._may_read = True
         self.is_rejected = False
 
     @property
@@ -85,18 +92,28 @@
         return self.is_rejected or exchange._write_finished
 
     def begin_request(self, exchange: http1connection.HTTP1Connection) -> None:
-        """Begin to read a request."""
+        """Begin to read a request, and release the head of the one before it."""
+        self._head_account.release(byte_budget.Holder.CALLERS, self._held_head_bytes)
+        self._held_head_bytes = 0
         self._end_lingering()
         self._exchange, self.is_rejected = exchange, False
+        self._has_asked_to_enlarge = False
 
     def expect_bytes(self, count: int) -> None:
-        """Get a large receive buffer, if there is one, for bytes that are due."""
-        if count > READ_BYTES and self._budgets.receive.try_enlarge(self):
-            self.read_chunk_size = LARGE_READ_BYTES
+        """Get a large receive buffer, if there is one, for bytes that are due.
+
+        It is asked for once in a request.
+        """
+        if count <= READ_BYTES or self._has_asked_to_enlarge:
+            return
+        self._has_asked_to_enlarge = True
+        is_large = self._budgets.receive.try_enlarge(self)
+        self.read_chunk_size = LARGE_READ_BYTES if is_large else READ_BYTES
 
     def close_fd(self) -> None:
         """Release what the connection holds and close the descriptor."""
         self._budgets.receive.release(self)
+        self._head_account.close()
         self._end_lingering()
         super().close_fd()
 
@@ -116,17 +133,43 @@
             self._check_closed()
         return head
 
+    def _read_to_buffer_loop(self) -> int | None:
+        """Read once, so that a step of the event loop reads as much of each head."""
+        self._may_read = True
+        return super()._read_to_buffer_loop()
+
     def _read_to_buffer(self) -> int | None:
-        """Read what has arrived, and close the connection if it may not be dropped."""
+        """Read what has arrived, and close the connection if it may not be kept."""
+        if not self._may_read:
+            return 0
+        self._may_read = False
         count = super()._read_to_buffer()
         if not count or self.closed():
             return count
-        if not self.is_discarding or self._may_drop(count):
+        reason = None
+        if self.is_discarding:
+            reason = None if self._may_drop(count) else CloseReason.REJECTED
+        elif self._read_regex is not None and not self._hold_head():
+            reason = CloseReason.MEMORY
+        if reason is None:
             return count
-        self._observe_close(connection_budget.CloseReason.REJECTED, False)
+        self._observe_close(reason, False)
         self.close()
+        # The stream may live until the next garbage collection.
+        self._read_buffer.clear()
+        self._read_buffer_size = 0
         return 0
 
+    def _hold_head(self) -> bool:
+        """Account for what has arrived of a head; return False if it has no memory."""
+        added = self._read_buffer_size - READ_BYTES - self._held_head_bytes
+        if added <= 0:
+            return True
+        if not self._head_account.try_hold(byte_budget.Holder.CALLERS, added):
+            return False
+        self._held_head_bytes += added
+        return True
+
     def _may_drop(self, count: int) -> bool:
         """Account for dropped bytes; return whether more may be dropped."""
         linger, now_ms = self._budgets.linger, self._clock.now_ms()
--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -378,7 +378,7 @@
         by_waiting = {
             waiting: (receiver, stream)
             for waiting, receiver, stream in self._waiting_requests(now_ms)
-            if waiting.wait is connection_budget.Wait.BODY
+            if waiting.wait is not connection_budget.Wait.REQUEST
         }
         budget = self.state.budgets.descriptors
         for waiting in budget.order_to_close(by_waiting, now_ms):
