--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -43,6 +43,9 @@
 ACCEPT_PAUSE_S: Final = 0.05
 """Time for which no connection is accepted after one could not be."""
 
+STALLED_CHECK_MS: Final = 50
+"""Interval of the searches for stalled requests that free none."""
+
 UNLIMITED: Final = 2**31
 """Budgets of a listener without one, in tests."""
 
@@ -303,6 +306,7 @@
         self.paused_since_ms: int | None = None
         self.pauses = 0
         self._bound_log = bound_log.BoundLog(_LOG, clock)
+        self._full_until_ms = 0
         self._resuming: asyncio.TimerHandle | None = None
         self._tasks = tasks.BackgroundTasks()
         self._open: set[_Receiver] = set()
@@ -366,7 +370,7 @@
         if account.try_hold(byte_budgets.Holder.CALLERS, count):
             return True
         now_ms = self.state.clock.now_ms()
-        if self._free_bytes(account, count, now_ms):
+        if now_ms >= self._full_until_ms and self._free_bytes(account, count, now_ms):
             return True
         self._log_memory(count)
         return False
@@ -388,6 +392,7 @@
                 receiver.drop()
                 if account.try_hold(byte_budgets.Holder.CALLERS, count):
                     return True
+        self._full_until_ms = now_ms + STALLED_CHECK_MS
         return False
 
     def may_add_link(self) -> bool:
--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from typing import Final
+from unittest import mock
 
 from quincecrank.budgets import byte_budget, connection_budget
 from tests import builders_gateway as builders
@@ -187,6 +188,18 @@
         await asyncio.sleep(0.1)
         self.assertEqual(self.budget.held_by_holder[Holder.CALLERS], 0)
 
+    async def test_each_rejection_searched_all_connections(self) -> None:
+        """A crowd of rejected bodies took time by the square of its size."""
+        limit = self.budget.limit_by_holder[Holder.CALLERS]
+        account = byte_budget.Account(self.budget)
+        budget = self.listener.state.budgets.descriptors
+        with mock.patch.object(
+            budget, "order_to_close", wraps=budget.order_to_close
+        ) as searched:
+            for _ in range(CALLERS):
+                self.assertFalse(self.listener.hold(account, limit + 1))
+        self.assertLess(searched.call_count, CALLERS)
+
     async def test_half_bodies_kept_the_memory_of_others(self) -> None:
         """Callers that stopped inside a body had its memory for a minute."""
         await self.add_server(case.sends(case.answer()))
