--- a/quincecrank/agent.py
+++ b/quincecrank/agent.py
@@ -51,6 +51,7 @@
     wire,
 )
 from quincecrank import clock as clocks
+from quincecrank.budgets import process_budgets
 
 HANDSHAKE_TIMEOUT_MS: Final = 2_000
 REGISTER_INTERVAL_MS: Final = 1_000
@@ -107,6 +108,9 @@
         self._secret = settings.read_secret(agent_settings.peer.fleet_secret_file)
         self._background = tasks.BackgroundTasks()
         self._metrics = metrics.AgentMetrics(agent_settings.backend_server.deployment)
+        self._budgets = process_budgets.ProcessBudgets(
+            agent_settings.limits.memory_mb, agent_settings.limits.max_descriptors
+        )
         self._configuration = current_configuration.CurrentConfiguration(self._clock)
         platform = agent_settings.platform
         self._table = table_breaker.BreakerTable(
@@ -228,7 +232,13 @@
         bound = process.bind(self._settings.listen, reuse_port=False)
         self._port = bound.getsockname()[1]
         status = process.bind(self._settings.metrics, reuse_port=False)
-        status_server.start(status, self._metrics.registry, self._is_ready)
+        status_server.start(
+            status,
+            self._metrics.registry,
+            self._is_ready,
+            self._budgets,
+            self._clock,
+        )
         await self._membership.refresh()
         self._background.start(self._register())
         self._background.start(self._attempts.run())
--- a/quincecrank/budgets/bounded_stream.py
+++ b/quincecrank/budgets/bounded_stream.py
@@ -63,6 +63,9 @@
         Whether the rest of the present request is dropped.
     """
 
+    reads_all = False
+    """Whether a step reads all that has arrived."""
+
     def __init__(
         self,
         connection: socket.socket,
@@ -142,7 +145,7 @@
         """Read what has arrived, and close the connection if it may not be kept."""
         if not self._may_read:
             return 0
-        self._may_read = False
+        self._may_read = self.reads_all
         count = super()._read_to_buffer()
         if not count or self.closed():
             return count
@@ -198,6 +201,13 @@
         return None if found is None else end
 
 
+class BoundedSslStream(BoundedStream, iostream.SSLIOStream):
+    """The same for a connection with TLS."""
+
+    reads_all = True
+    """What the TLS library has read ahead wakes no event loop."""
+
+
 def begin_request(connection: http1connection.HTTP1Connection) -> None:
     """Let a stream know the request that is read on it."""
     if isinstance(connection.stream, BoundedStream):
--- a/quincecrank/budgets/connection_budget.py
+++ b/quincecrank/budgets/connection_budget.py
@@ -40,6 +40,14 @@
 """Fraction of the shared descriptors that is freed at once at the bound, so that the
 waiting connections are not sorted for each new one."""
 
+READINESS_FRACTION: Final = 1 / 8
+METRICS_FRACTION: Final = 1 / 8
+PEERS_FRACTION: Final = 1 / 4
+"""Fractions of the reserve for the connections of other listeners."""
+
+MIN_SIDE_CONNECTIONS: Final = 4
+"""Connections of such a listener however small the reserve is."""
+
 DESCRIPTORS_PER_REQUEST: Final = 2
 """A caller's connection and a link to a backend server."""
 
@@ -156,6 +164,16 @@
         self.reserve = int(sockets * RESERVED_FRACTION)
         self.limit = sockets - self.reserve
 
+    def side_connections(self, fraction: float) -> int:
+        """Return how many connections a listener has that is not for callers.
+
+        Parameters
+        ----------
+        fraction : float
+            Its part of the reserve.
+        """
+        return max(MIN_SIDE_CONNECTIONS, int(self.reserve * fraction))
+
     def may_accept(self, usage: Usage) -> bool:
         """Return whether a new connection and a request on it have room."""
         return usage.descriptors + DESCRIPTORS_PER_REQUEST <= self.limit
--- a/quincecrank/budgets/process_budgets.py
+++ b/quincecrank/budgets/process_budgets.py
@@ -1,6 +1,6 @@
 """The budgets of one process, which all of its listeners share."""
 
-from typing import Final
+from typing import Final, Protocol
 
 from quincecrank.budgets import (
     byte_budget,
@@ -22,6 +22,19 @@
 MAX_SIDE_LISTENERS: Final = 3
 
 
+class Listener(Protocol):
+    """A listener beside that of callers."""
+
+    name: str
+    max_connections: int
+    refusals: int
+    count_by_close_reason: dict[connection_budget.CloseReason, int]
+
+    @property
+    def open_count(self) -> int:
+        """Number of open connections."""
+
+
 class ProcessBudgets:
     """Budgets of one process.
 
@@ -46,6 +59,8 @@
         Heads of many lines that wait to be parsed.
     linger : LingerBudget
         What is read of rejected requests.
+    side_listeners : list of Listener
+        Listeners with connections of their own.
     """
 
     def __init__(self, memory_mb: int, max_descriptors: int) -> None:
@@ -60,4 +75,5 @@
         )
         self.chunk_reader = chunk_reader.ChunkReader()
         self.head_turns = head_turns.HeadTurns()
+        self.side_listeners: list[Listener] = []
         self.linger = linger_budget.LingerBudget()
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -16,7 +16,7 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-from tornado import httpserver, netutil, web
+from tornado import netutil
 
 from quincecrank import clock as clocks
 from quincecrank import process_memory, status_server, store_era, store_rows, tasks
@@ -281,11 +281,15 @@
                     {"histories": self._cache_followers.histories},
                 ),
             ],
+            self._budgets,
+            self._clock,
         )
         status_server.start(
-            netutil.bind_sockets(own_settings.metrics_port, own_settings.ip)[0],
+            status_server.bind(own_settings.ip, own_settings.metrics_port),
             self._metrics.registry,
             lambda: self._is_ready,
+            self._budgets,
+            self._clock,
         )
         self._reporter.start()
         runs = [
@@ -742,21 +746,16 @@
         self._metrics.evacuated.set(len(evacuations.in_force))
 
     def _serve_readiness(self) -> None:
-        application = web.Application(
-            [
-                (
-                    names.READY,
-                    status_server.ReadyHandler,
-                    {"is_ready": lambda: self._is_ready},
-                )
-            ],
-            log_function=lambda _handler: None,
-        )
-        server = httpserver.HTTPServer(
-            application, idle_connection_timeout=status_server.IDLE_TIMEOUT_S
-        )
+        arguments: dict[str, object] = {"is_ready": lambda: self._is_ready}
         readiness = self._own_settings.readiness
-        server.add_sockets(netutil.bind_sockets(readiness.port, readiness.ip))
+        status_server.serve(
+            status_server.bind(readiness.ip, readiness.port),
+            [(names.READY, status_server.ReadyHandler, arguments)],
+            "readiness",
+            self._budgets,
+            connection_budget.READINESS_FRACTION,
+            self._clock,
+        )
 
 
 def _descriptor_limit() -> int:
--- a/quincecrank/gateway/peers.py
+++ b/quincecrank/gateway/peers.py
@@ -23,7 +23,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
-from tornado import httpserver, ioloop, netutil, web
+from tornado import ioloop, web
 
 from quincecrank import (
     checked_values,
@@ -35,6 +35,7 @@
     store_rows,
 )
 from quincecrank import clock as clocks
+from quincecrank.budgets import bounded_server, connection_budget, process_budgets
 from quincecrank.gateway import (
     decision_log,
     environment,
@@ -638,6 +639,9 @@
             self._documents.sending -= 1
 
 
+MAX_CALL_BYTES: Final = 2 * 1024 * 1024
+"""Largest body of a call: the positions of all holders of the largest fleet."""
+
 Rule = tuple[str, type[web.RequestHandler], dict[str, object]]
 
 
@@ -651,19 +655,22 @@
 
 
 def serve(
-    own_settings: environment.Environment, rules: list[Rule]
-) -> httpserver.HTTPServer:
+    own_settings: environment.Environment,
+    rules: list[Rule],
+    budgets: process_budgets.ProcessBudgets,
+    clock: clocks.Clock,
+) -> bounded_server.BoundedServer:
     """Serve HTTP calls of peers on the port for calls between gateways."""
-    application = web.Application(
+    return status_server.serve(
+        status_server.bind(own_settings.ip, own_settings.peer_port),
         rules,
+        "peers",
+        budgets,
+        connection_budget.PEERS_FRACTION,
+        clock,
+        max_body_bytes=MAX_CALL_BYTES,
         compress_response=True,
-        log_function=lambda _handler: None,
-    )
-    server = httpserver.HTTPServer(
-        application, idle_connection_timeout=status_server.IDLE_TIMEOUT_S
     )
-    server.add_sockets(netutil.bind_sockets(own_settings.peer_port, own_settings.ip))
-    return server
 
 
 def encode_rows(rows: store_rows.Rows) -> bytes:
--- a/quincecrank/status_server.py
+++ b/quincecrank/status_server.py
@@ -1,11 +1,14 @@
 """Serves `/metrics`, `/healthz` and `/readyz` of a process."""
 
 import socket
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Callable, Iterable
+from typing import Any, Final
 
 import prometheus_client
-from tornado import httpserver, web
+from tornado import netutil, web
+
+from quincecrank import clock as clocks
+from quincecrank.budgets import bounded_server, connection_budget, process_budgets
 
 MAX_BODY_BYTES: Final = 64 * 1024
 IDLE_TIMEOUT_S: Final = 60.0
@@ -19,6 +22,14 @@
         """Discard a part of the body."""
 
 
+class NotFoundHandler(DiscardingHandler):
+    """Answers every path that a listener does not have."""
+
+    def prepare(self) -> None:
+        """Reject every method."""
+        self.send_error(404)
+
+
 class MetricsHandler(DiscardingHandler):
     """Answers with all metrics in the Prometheus text format."""
 
@@ -74,18 +85,66 @@
     bound: socket.socket,
     registry: prometheus_client.CollectorRegistry,
     is_ready: Callable[[], bool],
-) -> httpserver.HTTPServer:
+    budgets: process_budgets.ProcessBudgets,
+    clock: clocks.Clock,
+) -> bounded_server.BoundedServer:
     """Serve the three paths on a bound socket."""
-    application = web.Application(rules(registry, is_ready), log_function=_no_log)
-    server = httpserver.HTTPServer(
+    fraction = connection_budget.METRICS_FRACTION
+    return serve(bound, rules(registry, is_ready), "metrics", budgets, fraction, clock)
+
+
+def serve(
+    bound: socket.socket,
+    handled: Iterable[Rule],
+    name: str,
+    budgets: process_budgets.ProcessBudgets,
+    fraction: float,
+    clock: clocks.Clock,
+    *,
+    max_body_bytes: int = MAX_BODY_BYTES,
+    **options: Any,
+) -> bounded_server.BoundedServer:
+    """Serve HTTP calls of other processes on a bound socket.
+
+    Parameters
+    ----------
+    handled : iterable of Rule
+        Routing rules.
+    name : str
+        Name of the listener in the log and the metrics.
+    fraction : float
+        Its part of the reserved descriptors.
+    max_body_bytes : int
+        Largest body that a handler gets.
+    **options : Any
+        Further settings of the application.
+    """
+    application = web.Application(
+        list(handled),
+        log_function=_no_log,
+        default_handler_class=NotFoundHandler,
+        **options,
+    )
+    server = bounded_server.BoundedServer(
         application,
-        max_body_size=MAX_BODY_BYTES,
+        name=name,
+        budgets=budgets,
+        max_connections=budgets.descriptors.side_connections(fraction),
+        clock=clock,
+        max_held_bytes=max_body_bytes,
+        max_body_size=max_body_bytes,
         idle_connection_timeout=IDLE_TIMEOUT_S,
         body_timeout=IDLE_TIMEOUT_S,
     )
     server.add_socket(bound)
+    budgets.side_listeners.append(server)
     return server
 
 
+def bind(ip: str, port: int) -> socket.socket:
+    """Return a socket that listens for calls of other processes."""
+    return netutil.bind_sockets(port, ip, backlog=process_budgets.SIDE_BACKLOG)[0]
+
+
 def _no_log(handler: web.RequestHandler) -> None:
     """Replace tornado's access log, so that probes are not logged."""
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -8,6 +8,7 @@
 from tornado import httputil
 
 from quincecrank import crash_counts, ids
+from quincecrank.budgets import process_budgets
 from quincecrank.gateway import (
     cache_part_index,
     cache_transfers,
@@ -72,6 +73,11 @@
     )
 
 
+def make_budgets() -> process_budgets.ProcessBudgets:
+    """Return the budgets of a usual VM."""
+    return process_budgets.ProcessBudgets(222, 1_535)
+
+
 def make_entry(
     server_id: str = "i-1",
     *,
--- a/tests/test_gateway_cache_completion.py
+++ b/tests/test_gateway_cache_completion.py
@@ -173,6 +173,8 @@
         server = peers.serve(
             own_settings,
             [("/cache", cache_history.CacheHandler, {"histories": first.histories})],
+            builders.make_budgets(),
+            clocks.SystemClock(),
         )
         self.addCleanup(server.stop)
         await self.run_until_complete(self.make_followers(("entry-0",)))
@@ -190,6 +192,8 @@
         server = peers.serve(
             own_settings,
             [("/cache", cache_history.CacheHandler, {"histories": first.histories})],
+            builders.make_budgets(),
+            clocks.SystemClock(),
         )
         self.addCleanup(server.stop)
         names = tuple(f"reader-{number}" for number in range(40))
--- a/tests/test_gateway_caches.py
+++ b/tests/test_gateway_caches.py
@@ -154,6 +154,8 @@
         server = peers.serve(
             own_settings,
             [("/cache", cache_history.CacheHandler, {"histories": self.histories})],
+            builders.make_budgets(),
+            clocks.SystemClock(),
         )
         self.addCleanup(server.stop)
         self.fleet = make_fleet_state(own_settings.peer_port)
--- a/tests/test_starved_gateway.py
+++ b/tests/test_starved_gateway.py
@@ -55,7 +55,10 @@
     async def _start(self) -> None:
         rows = stored.make_rows(9, stored.make_row("config", "{}", 9))
         self._server = peers.serve(
-            self._own_settings, [peers.rows_rule(lambda _table: rows)]
+            self._own_settings,
+            [peers.rows_rule(lambda _table: rows)],
+            builders.make_budgets(),
+            clocks.SystemClock(),
         )
         self._started.set()
 
