--- a/quincecrank/budgets/bounded_server.py
+++ b/quincecrank/budgets/bounded_server.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import dataclasses
 import socket
 import ssl
 import weakref
@@ -37,21 +38,16 @@
 _LOG: Final = logs.logger("listener")
 
 
-class BoundedServer(httpserver.HTTPServer):
-    """HTTP server of one listener.
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListenerLimits:
+    """Limits of one listener.
 
     Attributes
     ----------
     name : str
-        Name of the listener in the log.
-    budgets : ProcessBudgets
-        Budgets of the process.
+        Name of the listener in the log and the metrics.
     max_connections : int
         Most open connections.
-    count_by_close_reason : dict
-        Number of connections that were closed for a bound.
-    refusals : int
-        Number of new connections that found no place.
     max_held_bytes : int
         Most bytes of a body that the handlers keep; 0 if they account for them
         themselves.
@@ -60,21 +56,41 @@
         new connection.
     """
 
+    name: str
+    max_connections: int
+    max_held_bytes: int
+    takes_short_requests: bool = True
+
+
+class BoundedServer(httpserver.HTTPServer):
+    """HTTP server of one listener.
+
+    Attributes
+    ----------
+    limits : ListenerLimits
+        Limits of the listener.
+    budgets : ProcessBudgets
+        Budgets of the process.
+    count_by_close_reason : dict
+        Number of connections that were closed for a bound.
+    refusals : int
+        Number of new connections that found no place.
+    """
+
     def initialize(self, *args: Any, **kwargs: Any) -> None:
         """Initialize the server; called by the library with its arguments.
 
         Parameters
         ----------
-        name, budgets, max_connections, max_held_bytes, takes_short_requests
-            As the attributes.
+        listener : ListenerLimits
+            Limits of the listener.
+        budgets : ProcessBudgets
+            Budgets of the process.
         clock : Clock
             Source of time.
         """
-        self.name: str = kwargs.pop("name")
+        self.limits: ListenerLimits = kwargs.pop("listener")
         self.budgets: process_budgets.ProcessBudgets = kwargs.pop("budgets")
-        self.max_connections: int = kwargs.pop("max_connections")
-        self.max_held_bytes: int = kwargs.pop("max_held_bytes")
-        self.takes_short_requests: bool = kwargs.pop("takes_short_requests", True)
         self._clock: clocks.Clock = kwargs.pop("clock")
         super().initialize(*args, **kwargs)
         self._bound_log = bound_log.BoundLog(_LOG, self._clock)
@@ -84,6 +100,21 @@
             http1connection.HTTP1ServerConnection, _Receiver
         ] = weakref.WeakKeyDictionary()
 
+    @property
+    def name(self) -> str:
+        """Name of the listener."""
+        return self.limits.name
+
+    @property
+    def max_connections(self) -> int:
+        """Most open connections."""
+        return self.limits.max_connections
+
+    @property
+    def closes(self) -> int:
+        """Number of connections that were closed or refused for a bound."""
+        return sum(self.count_by_close_reason.values()) + self.refusals
+
     @property
     def open_count(self) -> int:
         """Number of open connections."""
@@ -126,7 +157,10 @@
         count = self.count_by_close_reason.get(reason, 0) + 1
         self.count_by_close_reason[reason] = count
         self._bound_log.write(
-            "connection closed", listener=self.name, reason=reason.value, closes=count
+            "connection closed",
+            listener=self.name,
+            reason=reason.value,
+            closes=count,
         )
 
     def log_memory(self, wanted: int) -> None:
@@ -221,7 +255,7 @@
         A short request arrives at once, so that a new connection is more likely to be
         of use.
         """
-        if not self.takes_short_requests:
+        if not self.limits.takes_short_requests:
             return ()
         arriving = [
             each for each in waiting if each.wait is not connection_budget.Wait.REQUEST
@@ -290,7 +324,7 @@
 
     def _try_hold(self, size: int) -> bool:
         """Hold the bytes of a body of a size; return False if there is no memory."""
-        added = min(size, self._server.max_held_bytes) - self._held_bytes
+        added = min(size, self._server.limits.max_held_bytes) - self._held_bytes
         if added <= 0:
             return True
         if not self.account.try_hold(byte_budget.Holder.CALLERS, added):
--- a/quincecrank/budgets/connection_budget.py
+++ b/quincecrank/budgets/connection_budget.py
@@ -43,8 +43,13 @@
 READINESS_FRACTION: Final = 1 / 8
 METRICS_FRACTION: Final = 1 / 8
 PEERS_FRACTION: Final = 1 / 4
+ADMIN_FRACTION: Final = 1 / 4
 """Fractions of the reserve for the connections of other listeners."""
 
+ENTRY_CALLERS_FRACTION: Final = 3 / 4
+"""Fraction of the shared descriptors for the callers of an entry; the rest is for its
+links to agents, on which many requests share a connection."""
+
 MIN_SIDE_CONNECTIONS: Final = 4
 """Connections of such a listener however small the reserve is."""
 
--- a/quincecrank/budgets/process_budgets.py
+++ b/quincecrank/budgets/process_budgets.py
@@ -23,17 +23,24 @@
 
 
 class Listener(Protocol):
-    """A listener beside that of callers."""
+    """A listener with a number of connections, for the metrics."""
 
-    name: str
-    max_connections: int
-    refusals: int
-    count_by_close_reason: dict[connection_budget.CloseReason, int]
+    @property
+    def name(self) -> str:
+        """Name of the listener."""
+
+    @property
+    def max_connections(self) -> int:
+        """Most open connections."""
 
     @property
     def open_count(self) -> int:
         """Number of open connections."""
 
+    @property
+    def closes(self) -> int:
+        """Number of connections that were closed or refused for a bound."""
+
 
 class ProcessBudgets:
     """Budgets of one process.
@@ -59,8 +66,8 @@
         Heads of many lines that wait to be parsed.
     linger : LingerBudget
         What is read of rejected requests.
-    side_listeners : list of Listener
-        Listeners with connections of their own.
+    listeners : list of Listener
+        Listeners with a number of connections of their own.
     """
 
     def __init__(self, memory_mb: int, max_descriptors: int) -> None:
@@ -75,5 +82,5 @@
         )
         self.chunk_reader = chunk_reader.ChunkReader()
         self.head_turns = head_turns.HeadTurns()
-        self.side_listeners: list[Listener] = []
+        self.listeners: list[Listener] = []
         self.linger = linger_budget.LingerBudget()
--- a/quincecrank/entry.py
+++ b/quincecrank/entry.py
@@ -14,6 +14,7 @@
 from quincecrank import (
     access,
     admin_api,
+    admin_messages,
     admission_gate,
     agent_links,
     commands,
@@ -50,6 +51,7 @@
     wire,
 )
 from quincecrank import clock as clocks
+from quincecrank.budgets import bounded_server, connection_budget, process_budgets
 
 CONFIGURATION_BUCKET: Final = "configuration"
 STORE_TIMEOUT_MS: Final = 5_000
@@ -67,6 +69,9 @@
         self._incarnation = ids.Incarnation(ids.random_id("i-"))
         self._background = tasks.BackgroundTasks()
         self._metrics = metrics.EntryMetrics()
+        self._budgets = process_budgets.ProcessBudgets(
+            entry_settings.limits.memory_mb, entry_settings.limits.max_descriptors
+        )
         self._current = current_configuration.CurrentConfiguration(self._clock)
         platform = entry_settings.platform
         table_era = store_era.StoreEra()
@@ -179,11 +184,33 @@
         ):
             work = peer_link.run_periodically(action, interval_ms, self._clock)
             self._background.start(work)
+        descriptors = self._budgets.descriptors
         self._caller_server = http_server.serve(
-            self._caller_rules(), own_settings.listen.tls, own_settings.limits, bound
+            self._caller_rules(),
+            own_settings.listen.tls,
+            own_settings.limits,
+            bound,
+            bounded_server.ListenerLimits(
+                "callers",
+                int(descriptors.limit * connection_budget.ENTRY_CALLERS_FRACTION),
+                max_held_bytes=0,
+                takes_short_requests=False,
+            ),
+            self._budgets,
+            self._clock,
         )
         self._admin_server = http_server.serve(
-            self._admin_rules(), own_settings.admin.tls, own_settings.limits, admin
+            self._admin_rules(),
+            own_settings.admin.tls,
+            own_settings.limits,
+            admin,
+            bounded_server.ListenerLimits(
+                "admin",
+                descriptors.side_connections(connection_budget.ADMIN_FRACTION),
+                admin_messages.MAX_BODY_BYTES,
+            ),
+            self._budgets,
+            self._clock,
         )
         process.announce_port(admin, "admin")
         process.announce_port(bound)
--- a/quincecrank/http_server.py
+++ b/quincecrank/http_server.py
@@ -2,14 +2,14 @@
 
 import socket
 import ssl
-import weakref
 from collections.abc import Callable, Iterable
 from typing import Any, Final
 
-from tornado import http1connection, httpserver, httputil, web
+from tornado import web
 
 from quincecrank import arrived_bytes, settings, status_server
 from quincecrank import clock as clocks
+from quincecrank.budgets import bounded_server, process_budgets
 
 MAX_READ_BYTES: Final = 1 << 40
 """Limit of the HTTP parser; handlers refuse far smaller bodies with a problem."""
@@ -26,16 +26,13 @@
 the process stands still lies unread."""
 
 
-class Server(httpserver.HTTPServer):
-    """An HTTP server that closes no connection on which a request has arrived."""
+class Server(bounded_server.BoundedServer):
+    """A server that ends without closing a connection on which a request arrived."""
 
     def initialize(self, *args: Any, **kwargs: Any) -> None:
         """Initialize the server; called by the library with its arguments."""
         super().initialize(*args, **kwargs)
         self._bound: list[socket.socket] = []
-        self._request_by_connection: weakref.WeakKeyDictionary[
-            http1connection.HTTP1ServerConnection, _ReadState
-        ] = weakref.WeakKeyDictionary()
 
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
         """Accept connections on bound sockets."""
@@ -43,15 +40,6 @@
         self._bound += bound
         super().add_sockets(bound)
 
-    def start_request(
-        self, server_conn: object, request_conn: httputil.HTTPConnection
-    ) -> httputil.HTTPMessageDelegate:
-        """Return the receiver of a new request."""
-        receiver = _ReadState(super().start_request(server_conn, request_conn))
-        assert isinstance(server_conn, http1connection.HTTP1ServerConnection)
-        self._request_by_connection[server_conn] = receiver
-        return receiver
-
     async def close_gracefully(
         self, is_busy: Callable[[], bool], clock: clocks.Clock
     ) -> None:
@@ -84,9 +72,9 @@
 
     def _close_idle(self) -> bool:
         """Close idle connections; return whether one is still open."""
-        for connection, receiver in tuple(self._request_by_connection.items()):
+        for connection, receiver in tuple(self.receiver_by_connection.items()):
             stream = connection.stream
-            if not receiver.is_waiting or stream.closed():
+            if not receiver.progress.is_waiting or stream.closed():
                 continue
             if arrived_bytes.awaits_bytes(stream) and not arrived_bytes.unread_bytes(
                 stream
@@ -95,36 +83,14 @@
         return any(not each.stream.closed() for each in self._connections)
 
 
-class _ReadState(httputil.HTTPMessageDelegate):
-    """Records whether the head of a request is still awaited."""
-
-    def __init__(self, receiver: httputil.HTTPMessageDelegate) -> None:
-        self._receiver = receiver
-        self.is_waiting = True
-
-    def headers_received(
-        self,
-        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
-        headers: httputil.HTTPHeaders,
-    ) -> Any:
-        self.is_waiting = False
-        return self._receiver.headers_received(start_line, headers)
-
-    def data_received(self, chunk: bytes) -> Any:
-        return self._receiver.data_received(chunk)
-
-    def finish(self) -> None:
-        self._receiver.finish()
-
-    def on_connection_close(self) -> None:
-        self._receiver.on_connection_close()
-
-
 def serve(
     rules: Iterable[status_server.Rule],
     tls: settings.Tls | None,
     limits: settings.Limits,
     bound: socket.socket,
+    listener: bounded_server.ListenerLimits,
+    budgets: process_budgets.ProcessBudgets,
+    clock: clocks.Clock,
 ) -> Server:
     """Serve HTTP on a bound socket, with TLS if the settings have it.
 
@@ -133,6 +99,9 @@
     """
     server = Server(
         web.Application(list(rules), log_function=_no_log),
+        listener=listener,
+        budgets=budgets,
+        clock=clock,
         ssl_options=_tls_context(tls),
         max_body_size=MAX_READ_BYTES,
         max_header_size=MAX_HEADER_BYTES,
@@ -140,6 +109,7 @@
         body_timeout=limits.body_timeout_ms / clocks.MS_PER_SECOND,
     )
     server.add_socket(bound)
+    budgets.listeners.append(server)
     return server
 
 
--- a/quincecrank/status_server.py
+++ b/quincecrank/status_server.py
@@ -127,17 +127,17 @@
     )
     server = bounded_server.BoundedServer(
         application,
-        name=name,
+        listener=bounded_server.ListenerLimits(
+            name, budgets.descriptors.side_connections(fraction), max_body_bytes
+        ),
         budgets=budgets,
-        max_connections=budgets.descriptors.side_connections(fraction),
         clock=clock,
-        max_held_bytes=max_body_bytes,
         max_body_size=max_body_bytes,
         idle_connection_timeout=IDLE_TIMEOUT_S,
         body_timeout=IDLE_TIMEOUT_S,
     )
     server.add_socket(bound)
-    budgets.side_listeners.append(server)
+    budgets.listeners.append(server)
     return server
 
 
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -8,7 +8,6 @@
 from tornado import httputil
 
 from quincecrank import crash_counts, ids
-from quincecrank.budgets import process_budgets
 from quincecrank.gateway import (
     cache_part_index,
     cache_transfers,
@@ -73,11 +72,6 @@
     )
 
 
-def make_budgets() -> process_budgets.ProcessBudgets:
-    """Return the budgets of a usual VM."""
-    return process_budgets.ProcessBudgets(222, 1_535)
-
-
 def make_entry(
     server_id: str = "i-1",
     *,
--- a/tests/test_bounded_server.py
+++ b/tests/test_bounded_server.py
@@ -10,7 +10,7 @@
 from quincecrank import clock as clocks
 from quincecrank import status_server
 from quincecrank.budgets import byte_budget, chunk_budget, connection_budget
-from tests import builders_gateway as builders
+from tests import builders_budgets
 from tests import gateway_case as case
 
 FRACTION: Final = connection_budget.METRICS_FRACTION
@@ -44,7 +44,7 @@
 class BoundedServerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.handled: list[int] = []
-        self.budgets = builders.make_budgets()
+        self.budgets = builders_budgets.make_budgets()
         self.held = self.budgets.bytes.held_by_holder
         bound = netutil.bind_sockets(0, "127.0.0.1")[0]
         self.port = bound.getsockname()[1]
@@ -69,7 +69,7 @@
         return caller
 
     async def test_idle_connections_kept_new_ones_out(self) -> None:
-        limit = self.server.max_connections
+        limit = self.server.limits.max_connections
         first = await self.open()
         for _ in range(limit + 3):
             await self.open()
@@ -81,12 +81,12 @@
         self.assertEqual((await last.receive()).status, 200)
 
     async def test_arriving_bodies_kept_new_connections_out(self) -> None:
-        for _ in range(self.server.max_connections):
+        for _ in range(self.server.limits.max_connections):
             await self.open(post(BODY_BYTES) + b"x")
             await asyncio.sleep(0.005)
         last = await self.open(GET)
         self.assertEqual((await last.receive()).status, 200)
-        self.assertLessEqual(self.server.open_count, self.server.max_connections)
+        self.assertLessEqual(self.server.open_count, self.server.limits.max_connections)
 
     async def test_a_body_is_held_until_the_next_request(self) -> None:
         holder = byte_budget.Holder.CALLERS
--- a/tests/test_edge_limits.py
+++ b/tests/test_edge_limits.py
@@ -28,6 +28,7 @@
     status_server,
 )
 from quincecrank import clock as clocks
+from tests import builders_budgets
 
 MAX_BODY_BYTES: Final = 64 * 1024
 LIMITS: Final = settings.Limits(
@@ -84,7 +85,8 @@
 
 class LimitsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        clock = clocks.SystemClock()
+        clock = self.clock = clocks.SystemClock()
+        self.budgets = builders_budgets.make_budgets()
         self.services = http_base.CallerServices(
             current_configuration.CurrentConfiguration(clock),
             metrics.EntryMetrics(),
@@ -105,7 +107,15 @@
             (r"/admin/nothing", admin_api._NotFoundHandler, {}),
             (r".*", AnsweringHandler, {"services": self.services}),
         ]
-        server = http_server.serve(rules, None, limits, bound)
+        server = http_server.serve(
+            rules,
+            None,
+            limits,
+            bound,
+            builders_budgets.make_listener(),
+            self.budgets,
+            self.clock,
+        )
         self.addCleanup(server.stop)
 
     async def open(
--- a/tests/test_gateway_cache_completion.py
+++ b/tests/test_gateway_cache_completion.py
@@ -22,6 +22,7 @@
 )
 from quincecrank.platform import engines
 from standins import platform_fleet
+from tests import builders_budgets
 from tests import builders_gateway as builders
 from tests import test_gateway_caches as cases
 
@@ -173,7 +174,7 @@
         server = peers.serve(
             own_settings,
             [("/cache", cache_history.CacheHandler, {"histories": first.histories})],
-            builders.make_budgets(),
+            builders_budgets.make_budgets(),
             clocks.SystemClock(),
         )
         self.addCleanup(server.stop)
@@ -192,7 +193,7 @@
         server = peers.serve(
             own_settings,
             [("/cache", cache_history.CacheHandler, {"histories": first.histories})],
-            builders.make_budgets(),
+            builders_budgets.make_budgets(),
             clocks.SystemClock(),
         )
         self.addCleanup(server.stop)
--- a/tests/test_gateway_caches.py
+++ b/tests/test_gateway_caches.py
@@ -19,6 +19,7 @@
 )
 from quincecrank.platform import documents, engines
 from standins import platform_fleet
+from tests import builders_budgets
 from tests import builders_gateway as builders
 
 HOLDER = cache_part_index.HolderName("store-a")
@@ -154,7 +155,7 @@
         server = peers.serve(
             own_settings,
             [("/cache", cache_history.CacheHandler, {"histories": self.histories})],
-            builders.make_budgets(),
+            builders_budgets.make_budgets(),
             clocks.SystemClock(),
         )
         self.addCleanup(server.stop)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -25,8 +25,8 @@
     stream_messages,
 )
 from quincecrank import clock as clocks
+from tests import builders_budgets, builders_wire
 from tests import builders_standstill as standstill
-from tests import builders_wire
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n"
 REPEATS = 10
@@ -79,7 +79,13 @@
             _services=mock.Mock(tasks=set()),
             _clock=clocks.SystemClock(),
             _caller_server=http_server.serve(
-                [("/", _Handler, {})], None, limits, bound
+                [("/", _Handler, {})],
+                None,
+                limits,
+                bound,
+                builders_budgets.make_listener(),
+                builders_budgets.make_budgets(),
+                clocks.SystemClock(),
             ),
         )
 
--- a/tests/test_starved_gateway.py
+++ b/tests/test_starved_gateway.py
@@ -16,6 +16,7 @@
     tables,
 )
 from quincecrank.platform import store
+from tests import builders_budgets
 from tests import builders_gateway as builders
 from tests import builders_standstill as standstill
 from tests import builders_store as stored
@@ -57,7 +58,7 @@
         self._server = peers.serve(
             self._own_settings,
             [peers.rows_rule(lambda _table: rows)],
-            builders.make_budgets(),
+            builders_budgets.make_budgets(),
             clocks.SystemClock(),
         )
         self._started.set()
