--- a/quincecrank/budgets/linger_budget.py
+++ b/quincecrank/budgets/linger_budget.py
@@ -12,8 +12,8 @@
 import dataclasses
 from typing import Final
 
-MAX_BYTES: Final = 8 * 1024 * 1024
-"""Most bytes of a rejected request that are dropped: twice a usual limit of bodies."""
+MAX_BYTES: Final = 16 * 1024 * 1024
+"""Most bytes of a rejected request that are dropped."""
 
 MAX_MS: Final = 5_000
 """Longest time for which a rejected request is read."""
--- a/quincecrank/entry.py
+++ b/quincecrank/entry.py
@@ -128,6 +128,7 @@
             entry_settings.limits.max_body_bytes,
             entry_settings.limits.max_open_requests,
             lambda: self._links.configuration_settled,
+            self._budgets.bytes,
         )
         self._announced_version = ids.ConfigurationVersion(0)
         self._build_pipeline()
--- a/quincecrank/http_base.py
+++ b/quincecrank/http_base.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from tornado import iostream, web
+from tornado import http1connection, iostream, web
 
 from quincecrank import (
     access,
@@ -27,6 +27,7 @@
     request_context,
 )
 from quincecrank import clock as clocks
+from quincecrank.budgets import bounded_stream, byte_budget
 
 REQUEST_ID_HEADER: Final = "X-Request-Id"
 DEADLINE_HEADER: Final = "Request-Deadline-Ms"
@@ -64,8 +65,8 @@
         refused.
     tasks : set of Task
         Tasks of the requests being served; `max_open_requests` limits their number.
-    buffered_bodies : BufferedBytes
-        Number of buffered body bytes of all requests.
+    budget : ByteBudget
+        Budget of the bytes that the process holds.
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         max_body_bytes: int,
         max_open_requests: int,
         is_settled: Callable[[], bool],
+        budget: byte_budget.ByteBudget,
     ) -> None:
         self.current = current
         self.metrics = entry_metrics
@@ -86,7 +88,7 @@
         self.requests_by_id: dict[ids.RequestId, entry_view.OpenRequest] = {}
         self.stopping = False
         self.tasks: set[asyncio.Task[Any]] = set()
-        self.buffered_bodies = request_body.BufferedBytes()
+        self.budget = budget
         self._account_keys = access.AccountKeys(current.in_force)
 
     def account_keys(self) -> access.AccountKeys:
@@ -112,28 +114,51 @@
         """Store the shared services and give the request an id."""
         self.services = services
         self.request_id = ids.RequestId(ids.random_id("r-"))
-        self._body = request_body.RequestBody(
-            services.max_body_bytes, services.buffered_bodies
-        )
+        self._body = request_body.RequestBody(services.max_body_bytes, services.budget)
         self._task: asyncio.Task[None] | None = None
 
     def prepare(self) -> None:
-        """Refuse a request that is too large early, by its declared length."""
+        """Refuse a request with a long body by its head, if that suffices."""
         self.set_header(REQUEST_ID_HEADER, self.request_id)
         if self.services.stopping:
             self.set_header("Connection", "close")
-        length = self.request.headers.get("Content-Length", "0")
-        waits = "100-continue" in self.request.headers.get("Expect", "").lower()
-        if self._body.declare_length(length, waits=waits):
-            self._refuse_unread()
+        headers = self.request.headers
+        size = request_body.declared_length(headers.get("Content-Length", ""))
+        if size <= bounded_stream.READ_BYTES and "Transfer-Encoding" not in headers:
+            # It has arrived with the head.
+            self._body.declare_length(size)
+            return
+        refusal = self._refusal_of_process() or self.refusal_of_head()
+        if refusal is not None:
+            self._refuse_unread(refusal)
+            return
+        self._body.declare_length(size)
+        self._refuse_body()
+
+    def refusal_of_head(self) -> problems.Problem | None:
+        """Return why the request is refused whatever its body is; or None."""
+        return None
 
     def data_received(self, chunk: bytes) -> None:
-        """Buffer the body up to its limit; discard the rest."""
+        """Buffer the body up to its limit; refuse the request beyond it."""
         if self._finished:
             return
         self._body.add(chunk)
-        if self._body.exceeds_read_limit:
-            self._refuse_unread()
+        self._refuse_body()
+
+    def _refuse_body(self) -> None:
+        """Refuse a body that can't be buffered: at once, or once it is discarded."""
+        refusal = self._body.problem
+        if refusal is None:
+            return
+        waits = "100-continue" in self.request.headers.get("Expect", "").lower()
+        is_short = refusal.kind is problems.ProblemKind.TOO_LARGE
+        if is_short and not waits and not self._body.ends_connection:
+            connection = self.request.connection
+            assert isinstance(connection, http1connection.HTTP1Connection)
+            bounded_stream.discard_rest(connection)
+        else:
+            self._refuse_unread(refusal)
 
     def body(self) -> bytes:
         """Return the complete body; call it only once, as the buffer is dropped."""
@@ -142,11 +167,7 @@
     async def serve(self) -> None:
         """Serve the request in a task, which is cancelled if the caller disconnects."""
         services = self.services
-        refusal = self._body.problem
-        if services.stopping:
-            refusal = refusals.stopping()
-        elif len(services.tasks) >= services.max_open_requests:
-            refusal = refusals.too_many_requests()
+        refusal = self._body.problem or self._refusal_of_process()
         if refusal is not None:
             self.write_problem(refusal)
             return
@@ -161,6 +182,15 @@
             services.requests_by_id.pop(self.request_id, None)
             services.metrics.open_requests.set(len(services.tasks))
 
+    def _refusal_of_process(self) -> problems.Problem | None:
+        """Return why this process takes no further request; or None."""
+        services = self.services
+        if services.stopping:
+            return refusals.stopping()
+        if len(services.tasks) >= services.max_open_requests:
+            return refusals.too_many_requests()
+        return None
+
     async def _run(self, task: asyncio.Task[None]) -> None:
         try:
             await task
@@ -356,10 +386,11 @@
             is not getattr(web.RequestHandler, method.lower())
         ]
 
-    def _refuse_unread(self) -> None:
-        """Refuse a request and close, as the rest of its body will not be read."""
+    def _refuse_unread(self, refusal: problems.Problem) -> None:
+        """Refuse a request whose body is not read, and close its connection."""
+        self._body.release()
         self.set_header("Connection", "close")
-        self.write_problem(refusals.too_large(self.services.max_body_bytes))
+        self.write_problem(refusal)
 
 
 class UnknownPathHandler(CallerHandler):
@@ -371,11 +402,28 @@
 
     head = post = delete = patch = put = options = get
 
-    async def respond(self) -> None:
-        """Refuse the request as not found."""
+    def refusal_of_head(self) -> problems.Problem:
+        """Return that the path is not found."""
         path = self.request.path[:MAX_ECHOED_CHARACTERS]
         kind = problems.ProblemKind.NOT_FOUND
-        raise problems.ProblemError(problems.Problem(kind, f"there is no {path!r}"))
+        return problems.Problem(kind, f"there is no {path!r}")
+
+    async def respond(self) -> None:
+        """Refuse the request as not found."""
+        raise problems.ProblemError(self.refusal_of_head())
+
+
+class AccountHandler(CallerHandler):
+    """Base of the handlers of requests that need an API key."""
+
+    def refusal_of_head(self) -> problems.Problem | None:
+        """Return why the process or the client account does not serve the request."""
+        try:
+            self.require_ready()
+            self.account()
+        except problems.ProblemError as error:
+            return error.problem
+        return None
 
 
 _KIND_BY_STATUS: Final = {
--- a/quincecrank/openai_api.py
+++ b/quincecrank/openai_api.py
@@ -21,7 +21,7 @@
 _EVENT_STREAM: Final = "text/event-stream"
 
 
-class InferenceHandler(http_base.CallerHandler):
+class InferenceHandler(http_base.AccountHandler):
     """Base of the two handlers that run prompts."""
 
     def initialize(  # type: ignore[override]
@@ -124,7 +124,7 @@
         return inference_request.parse_chat(body)
 
 
-class ModelsHandler(http_base.CallerHandler):
+class ModelsHandler(http_base.AccountHandler):
     """``GET /v1/models`` and ``GET /v1/models/NAME``."""
 
     async def get(self, name: str = "") -> None:
--- a/quincecrank/request_body.py
+++ b/quincecrank/request_body.py
@@ -1,31 +1,23 @@
-"""Buffers the bodies of caller requests within a limit per body and one per process.
+"""Buffers the bodies of caller requests within a limit per body and the byte budget.
 
-The rest of a body that is too large is read and discarded up to `MAX_DISCARDED_BYTES`:
-a caller that is still sending when the connection closes may not receive the refusal.
+A body that can't be buffered is refused as early as that is known: from the head of its
+request if the length is declared.  The rest of one that is somewhat too large is read
+and discarded, so that its connection stays usable, as far as `budgets.linger_budget`
+allows.
 """
 
-import dataclasses
 from typing import Final
 
 from quincecrank import problems, refusals
+from quincecrank.budgets import byte_budget, linger_budget
 
-MAX_DISCARDED_BYTES: Final = 16 * 1024 * 1024
-"""Bytes read beyond a body's limit, so that its caller receives the refusal."""
-
-MAX_BUFFERED_BYTES: Final = 256 * 1024 * 1024
-"""Bytes of all bodies that one process buffers at the same time."""
+MAX_DISCARDED_BYTES: Final = linger_budget.MAX_BYTES
+"""Bytes beyond a body's limit from which on it is refused without reading the rest."""
 
 MAX_LENGTH_DIGITS: Final = 18
 """Digits of a Content-Length that are parsed; no real body needs more."""
 
 
-@dataclasses.dataclass
-class BufferedBytes:
-    """Number of buffered body bytes of all requests of a process."""
-
-    count: int = 0
-
-
 class RequestBody:
     """The body of one request.
 
@@ -33,71 +25,71 @@
     ----------
     max_bytes : int
         A longer body is refused.
-    held : BufferedBytes
-        Counter that all requests of the process share.
+    budget : ByteBudget
+        Budget of the bytes that the process holds.
 
     Attributes
     ----------
     problem : Problem or None
-        Why the body is refused, in which case the rest is read and discarded.
+        Why the body is refused; nothing is buffered from then on.
     """
 
-    def __init__(self, max_bytes: int, held: BufferedBytes) -> None:
+    def __init__(self, max_bytes: int, budget: byte_budget.ByteBudget) -> None:
         self.problem: problems.Problem | None = None
         self._max_bytes = max_bytes
-        self._process_buffered = held
-        self._parts: list[bytes] = []
-        self._buffered_bytes = 0
-        self._read_bytes = 0
+        self._account = byte_budget.Account(budget)
+        self._held_bytes = 0
+        self._size = 0
+        # One buffer: the pieces of a body may be of a few bytes.
+        self._buffer = bytearray()
 
     @property
-    def exceeds_read_limit(self) -> bool:
-        """Whether more than `MAX_DISCARDED_BYTES` beyond the limit has been read."""
-        return self._read_bytes > self._max_bytes + MAX_DISCARDED_BYTES
-
-    def declare_length(self, length: str, *, waits: bool) -> bool:
-        """Check the declared length; return whether to refuse without reading the body.
-
-        Parameters
-        ----------
-        length : str
-            Value of the header ``Content-Length``.
-        waits : bool
-            Whether the caller waits for ``100 Continue`` before it sends the body.
-        """
-        size = 0
-        if length.isdecimal():
-            size = int(length[:MAX_LENGTH_DIGITS])
-        if size <= self._max_bytes:
-            return False
-        self.problem = refusals.too_large(self._max_bytes)
-        return waits or size > self._max_bytes + MAX_DISCARDED_BYTES
+    def ends_connection(self) -> bool:
+        """Whether a refused body is too long to be read and discarded."""
+        return self._size > self._max_bytes + MAX_DISCARDED_BYTES
+
+    def declare_length(self, size: int) -> None:
+        """Hold the declared length of the body, or refuse it."""
+        self._hold(size)
 
     def add(self, chunk: bytes) -> None:
         """Buffer a chunk; beyond a limit, discard it and all buffered ones."""
-        self._read_bytes += len(chunk)
-        if self._read_bytes > self._max_bytes:
-            self.problem = refusals.too_large(self._max_bytes)
-        elif self._process_buffered.count + len(chunk) > MAX_BUFFERED_BYTES:
-            self.problem = refusals.too_many_requests()
         if self.problem is not None:
-            self.release()
+            self._size += len(chunk)
             return
-        self._parts.append(chunk)
-        self._buffered_bytes += len(chunk)
-        self._process_buffered.count += len(chunk)
+        self._hold(len(self._buffer) + len(chunk))
+        if self.problem is None:
+            self._buffer += chunk
 
     def take(self) -> bytes:
-        """Return the complete body and drop the buffered chunks; call it only once.
+        """Return the complete body and drop the buffer; call it only once.
 
-        The body counts as buffered until `release`.
+        The body counts as held until `release`.
         """
-        parts = self._parts
-        self._parts = []
-        return b"".join(parts)
+        body = bytes(self._buffer)
+        self._buffer.clear()
+        return body
 
     def release(self) -> None:
-        """Discard the buffered chunks and subtract them from the shared counter."""
-        self._parts.clear()
-        self._process_buffered.count -= self._buffered_bytes
-        self._buffered_bytes = 0
+        """Discard what is buffered, and hold nothing from now on."""
+        self._buffer.clear()
+        self._account.close()
+
+    def _hold(self, size: int) -> None:
+        """Hold the bytes of a body of a size, or refuse it."""
+        self._size = size
+        added = size - self._held_bytes
+        if size > self._max_bytes:
+            self.problem = refusals.too_large(self._max_bytes)
+        elif added > 0:
+            if self._account.try_hold(byte_budget.Holder.CALLERS, added):
+                self._held_bytes = size
+            else:
+                self.problem = refusals.too_many_requests()
+        if self.problem is not None:
+            self.release()
+
+
+def declared_length(length: str) -> int:
+    """Return the value of the header ``Content-Length``; 0 if it is malformed."""
+    return int(length[:MAX_LENGTH_DIGITS]) if length.isdecimal() else 0
--- a/quincecrank/services_api.py
+++ b/quincecrank/services_api.py
@@ -27,7 +27,7 @@
 )
 
 
-class ServiceHandler(http_base.CallerHandler):
+class ServiceHandler(http_base.AccountHandler):
     """Forwards calls to plain services."""
 
     def initialize(  # type: ignore[override]
--- a/quincecrank/status_server.py
+++ b/quincecrank/status_server.py
@@ -18,8 +18,21 @@
 class DiscardingHandler(web.RequestHandler):
     """Base of handlers that take no body; a body sent anyway is not buffered."""
 
+    _discarded_bytes = 0
+
+    def prepare(self) -> None:
+        """Reject a method that the path does not have, without reading the body."""
+        method = (self.request.method or "").lower()
+        handled = getattr(type(self), method, None)
+        if handled is getattr(web.RequestHandler, method, None):
+            self.send_error(405)
+
     def data_received(self, chunk: bytes) -> None:
-        """Discard a part of the body."""
+        """Discard a part of the body; reject the request if it is long."""
+        self._discarded_bytes += len(chunk)
+        if self._discarded_bytes > MAX_BODY_BYTES and not self._finished:
+            self.set_header("Connection", "close")
+            self.send_error(413)
 
 
 class NotFoundHandler(DiscardingHandler):
