--- a/quincecrank/agent.py
+++ b/quincecrank/agent.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 import fire
-from tornado import iostream, tcpserver
+from tornado import iostream
 
 from quincecrank import (
     agent_service,
@@ -27,6 +27,7 @@
     engine_client,
     ids,
     link_budget,
+    link_server,
     load_slots,
     logs,
     membership,
@@ -51,7 +52,7 @@
     wire,
 )
 from quincecrank import clock as clocks
-from quincecrank.budgets import process_budgets
+from quincecrank.budgets import bound_log, process_budgets
 
 HANDSHAKE_TIMEOUT_MS: Final = 2_000
 REGISTER_INTERVAL_MS: Final = 1_000
@@ -68,21 +69,6 @@
 _LOG: Final = logs.logger("agent")
 
 
-class _LinkServer(tcpserver.TCPServer):
-    """Accepts the links of entries and other agents."""
-
-    def __init__(self, agent: "Agent") -> None:
-        super().__init__(max_buffer_size=wire.MAX_UNSENT_BYTES)
-        self._agent = agent
-
-    async def handle_stream(
-        self, stream: iostream.IOStream, address: tuple[str, int]
-    ) -> None:
-        """Serve one accepted connection until it ends."""
-        stream.set_nodelay(True)
-        await self._agent.serve_link(stream)
-
-
 @dataclasses.dataclass(frozen=True)
 class _HeartbeatState:
     """State whose changes are sent to entries at once, not with the next heartbeat."""
@@ -133,6 +119,7 @@
             self._metrics, self._clock
         )
         self._links: set[peer_link.PeerLink] = set()
+        self._refusals_log = bound_log.BoundLog(_LOG, self._clock)
         # `max_concurrent` of the configuration replaces the limit once it is known.
         self._queue = run_queue.RunQueue(limit=1, max_waiting=agent_settings.max_queue)
         self._cache_monitor: cache_monitor.CacheMonitor | None = None
@@ -154,7 +141,13 @@
         )
         self._pool.handler = self._agent_service
         self._sent_state: _HeartbeatState | None = None
-        self._server = _LinkServer(self)
+        self._server = link_server.LinkServer(
+            self._accept_peer,
+            self._serve_link,
+            link_server.max_unproven(self._budgets),
+            self._clock,
+        )
+        self._budgets.listeners.append(self._server)
 
     def _build_directory_parts(self) -> None:
         agent_settings = self._settings
@@ -268,8 +261,8 @@
         self._pool.close()
         self._background.cancel()
 
-    async def serve_link(self, stream: iostream.IOStream) -> None:
-        """Serve one accepted connection until it ends."""
+    async def _accept_peer(self, stream: iostream.IOStream) -> wire.Connection | None:
+        """Perform the handshake; return None if the peer is refused."""
         try:
             connection = await wire.handshake_within(
                 stream,
@@ -279,13 +272,17 @@
                 timeout_ms=HANDSHAKE_TIMEOUT_MS,
             )
         except (wire.WireError, iostream.StreamClosedError) as error:
-            _LOG.warning("peer refused", reason=str(error))
-            return
+            self._refusals_log.write("peer refused", reason=str(error))
+            return None
         refusal = self._pool.check_fence(connection.peer)
         if refusal:
             _LOG.warning("peer refused", peer=connection.peer.name, reason=refusal)
             connection.close()
-            return
+            return None
+        return connection
+
+    async def _serve_link(self, connection: wire.Connection) -> None:
+        """Serve the link of a peer until it ends."""
         link = peer_link.PeerLink(
             connection, self._agent_service, self._limits, self._clock
         )
--- a/quincecrank/budgets/connection_budget.py
+++ b/quincecrank/budgets/connection_budget.py
@@ -50,6 +50,10 @@
 """Fraction of the shared descriptors for the callers of an entry; the rest is for its
 links to agents, on which many requests share a connection."""
 
+UNPROVEN_FRACTION: Final = 1 / 2
+"""Fraction of the shared descriptors of an agent for connections whose peer has not
+proved itself yet; all entries dial at once when an agent has restarted."""
+
 MIN_SIDE_CONNECTIONS: Final = 4
 """Connections of such a listener however small the reserve is."""
 
