--- a/quincecrank/agent.py
+++ b/quincecrank/agent.py
@@ -52,7 +52,7 @@
     wire,
 )
 from quincecrank import clock as clocks
-from quincecrank.budgets import bound_log, process_budgets
+from quincecrank.budgets import bound_log, budget_metrics, process_budgets
 
 HANDSHAKE_TIMEOUT_MS: Final = 2_000
 REGISTER_INTERVAL_MS: Final = 1_000
@@ -98,6 +98,7 @@
             agent_settings.limits.memory_mb, agent_settings.limits.max_descriptors
         )
         self._configuration = current_configuration.CurrentConfiguration(self._clock)
+        self._metrics.registry.register(budget_metrics.BudgetCollector(self._budgets))
         platform = agent_settings.platform
         self._table = table_breaker.BreakerTable(
             platform_table.HttpTable(platform.table_url, platform.timeout_ms),
--- a/quincecrank/budgets/bounded_stream.py
+++ b/quincecrank/budgets/bounded_stream.py
@@ -112,6 +112,15 @@
         self._has_asked_to_enlarge = True
         is_large = self._budgets.receive.try_enlarge(self)
         self.read_chunk_size = LARGE_READ_BYTES if is_large else READ_BYTES
+        if not is_large:
+            budget = self._budgets.receive.budget
+            self._budgets.bound_log.write(
+                "no large receive buffer",
+                used=budget.large,
+                limit=budget.limit,
+                base_bytes=budget.base_bytes,
+                refusals=budget.refusals,
+            )
 
     def close_fd(self) -> None:
         """Release what the connection holds and close the descriptor."""
@@ -157,12 +166,26 @@
         if reason is None:
             return count
         self._observe_close(reason, False)
+        self._log_close(reason)
         self.close()
         # The stream may live until the next garbage collection.
         self._read_buffer.clear()
         self._read_buffer_size = 0
         return 0
 
+    def _log_close(self, reason: connection_budget.CloseReason) -> None:
+        """Log what was used of the budgets when the connection was closed for one."""
+        held, linger = self._budgets.bytes, self._budgets.linger
+        holder = byte_budget.Holder.CALLERS
+        self._budgets.bound_log.write(
+            f"connection closed for {reason.value}",
+            used=held.held_by_holder[holder],
+            limit=held.limit_by_holder[holder],
+            rejections=held.rejections_by_holder[holder],
+            lingering=linger.connections,
+            lingering_closes=linger.closes,
+        )
+
     def _hold_head(self) -> bool:
         """Account for what has arrived of a head; return False if it has no memory."""
         added = self._read_buffer_size - READ_BYTES - self._held_head_bytes
--- a/quincecrank/budgets/process_budgets.py
+++ b/quincecrank/budgets/process_budgets.py
@@ -2,7 +2,10 @@
 
 from typing import Final, Protocol
 
+from quincecrank import clock as clocks
+from quincecrank import logs
 from quincecrank.budgets import (
+    bound_log,
     byte_budget,
     chunk_reader,
     connection_budget,
@@ -22,6 +25,9 @@
 MAX_SIDE_LISTENERS: Final = 3
 
 
+_LOG: Final = logs.logger("budgets")
+
+
 class Listener(Protocol):
     """A listener with a number of connections, for the metrics."""
 
@@ -66,6 +72,8 @@
         Heads of many lines that wait to be parsed.
     linger : LingerBudget
         What is read of rejected requests.
+    bound_log : BoundLog
+        Log of the bounds that connections reach.
     listeners : list of Listener
         Listeners with a number of connections of their own.
     """
@@ -83,4 +91,5 @@
         self.chunk_reader = chunk_reader.ChunkReader()
         self.head_turns = head_turns.HeadTurns()
         self.listeners: list[Listener] = []
+        self.bound_log = bound_log.BoundLog(_LOG, clocks.SystemClock())
         self.linger = linger_budget.LingerBudget()
--- a/quincecrank/entry.py
+++ b/quincecrank/entry.py
@@ -51,7 +51,12 @@
     wire,
 )
 from quincecrank import clock as clocks
-from quincecrank.budgets import bounded_server, connection_budget, process_budgets
+from quincecrank.budgets import (
+    bounded_server,
+    budget_metrics,
+    connection_budget,
+    process_budgets,
+)
 
 CONFIGURATION_BUCKET: Final = "configuration"
 STORE_TIMEOUT_MS: Final = 5_000
@@ -121,6 +126,7 @@
             unlinked=self._links.remove_link,
         )
         self._pool.handler = self._links
+        self._metrics.registry.register(budget_metrics.BudgetCollector(self._budgets))
         self._services = http_base.CallerServices(
             self._current,
             self._metrics,
--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -20,7 +20,7 @@
 
 from quincecrank import clock as clocks
 from quincecrank import process_memory, status_server, store_era, store_rows, tasks
-from quincecrank.budgets import connection_budget, process_budgets
+from quincecrank.budgets import budget_metrics, connection_budget, process_budgets
 from quincecrank.gateway import (
     cache_followers,
     cache_history,
@@ -132,6 +132,7 @@
             min(own_settings.max_descriptors, _descriptor_limit()),
         )
         self._listener.state.budgets = self._budgets
+        self._metrics.registry.register(budget_metrics.BudgetCollector(self._budgets))
         self._connect_listener()
         self._reporter = peers.PeerReporter(
             own_settings,
--- a/tests/test_bounded_server.py
+++ b/tests/test_bounded_server.py
@@ -5,11 +5,17 @@
 from typing import Final
 from unittest import mock
 
+import prometheus_client
 from tornado import netutil, web
 
 from quincecrank import clock as clocks
 from quincecrank import status_server
-from quincecrank.budgets import byte_budget, chunk_budget, connection_budget
+from quincecrank.budgets import (
+    budget_metrics,
+    byte_budget,
+    chunk_budget,
+    connection_budget,
+)
 from tests import builders_budgets
 from tests import gateway_case as case
 
@@ -118,6 +124,21 @@
         self.assertEqual((await caller.receive()).status, 400)
         self.assertEqual(sum(self.held.values()), 0)
 
+    async def test_the_metrics_show_a_bound_that_was_reached(self) -> None:
+        registry = prometheus_client.CollectorRegistry()
+        registry.register(budget_metrics.BudgetCollector(self.budgets))
+        for _ in range(self.server.limits.max_connections + 1):
+            await self.open()
+            await asyncio.sleep(0.005)
+        labels = {"listener": "test"}
+        closes = registry.get_sample_value("quince_listener_closes_total", labels)
+        self.assertEqual(closes, self.server.closes)
+        self.assertGreater(self.server.closes, 0)
+        limit = registry.get_sample_value(
+            "quince_listener_connections", {**labels, "what": "limit"}
+        )
+        self.assertEqual(limit, self.server.limits.max_connections)
+
     async def test_many_small_chunks_among_many_bodies_are_rejected(self) -> None:
         many = chunk_budget.CROWDED_CHUNKS + chunk_budget.TURN_COST
         with mock.patch.object(chunk_budget, "CROWDED_BODIES", 0):
