--- a/quincecrank/budgets/byte_budget.py
+++ b/quincecrank/budgets/byte_budget.py
@@ -29,8 +29,9 @@
 """Memory of a process that holds no bytes: interpreter, state of the fleet, buffers of
 connections, and documents of the store and of peers, which have limits of their own."""
 
-MIN_SPARE_BYTES: Final = 16 * BYTES_PER_MB
-"""Memory for held bytes however little the settings name."""
+MIN_SPARE_BYTES: Final = 24 * BYTES_PER_MB
+"""Memory for held bytes however little the settings name: a single body of a usual
+limit (4 MB) can be held."""
 
 
 MIN_TRIMMED_BYTES: Final = 16 * BYTES_PER_MB
--- a/quincecrank/budgets/receive_buffers.py
+++ b/quincecrank/budgets/receive_buffers.py
@@ -1,6 +1,7 @@
 """Sets the receive buffers of connections as `receive_budget` decides."""
 
 import contextlib
+import itertools
 import socket
 from typing import Final
 
@@ -13,6 +14,10 @@
 """The system doubles the size that it is asked for."""
 
 
+RECLAIM_CHECKS: Final = 16
+"""Most connections that are checked for a buffer to reclaim: a system call for each."""
+
+
 class ReceiveBuffers:
     """Receive buffers of the connections of a process.
 
@@ -24,7 +29,7 @@
 
     def __init__(self, budget: receive_budget.ReceiveBudget) -> None:
         self.budget = budget
-        # In the order in which they were enlarged.
+        # In the order in which they are checked for a buffer to reclaim.
         self._large: dict[iostream.IOStream, None] = {}
 
     def prepare(self, listening: socket.socket) -> None:
@@ -55,11 +60,13 @@
         From then on the system drops what exceeds the base buffer, and the client sends
         it again.
         """
-        for stream in self._large:
+        for stream in tuple(itertools.islice(self._large, RECLAIM_CHECKS)):
+            del self._large[stream]
             if not stream.closed() and not arrived_bytes.has_unread(stream):
-                del self._large[stream]
                 _resize(stream, self.budget.base_bytes)
                 return True
+            # It is checked again after all others.
+            self._large[stream] = None
         return False
 
 
--- a/tests/process_listener_limits.py
+++ b/tests/process_listener_limits.py
@@ -70,7 +70,7 @@
         path: str,
         clients: int = 0,
     ) -> None:
-        """Check the process beside a crowd, and after the crowd has gone."""
+        """Check the process beside a crowd, and after the crowd has left."""
         crowd = self._start_crowd(kind, listener, path, clients or self.clients)
         beside = self.ask()
         crowd.kill()
--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -5,6 +5,7 @@
 from typing import Final
 from unittest import mock
 
+from quincecrank import settings
 from quincecrank.budgets import byte_budget, connection_budget
 from tests import builders_gateway as builders
 from tests import gateway_case as case
@@ -40,6 +41,11 @@
             memory = memory_mb * byte_budget.BYTES_PER_MB
             self.assertLessEqual(taken + byte_budget.PROCESS_BYTES, memory)
 
+    def test_a_usual_body_had_no_memory_with_little_of_it(self) -> None:
+        budget = byte_budget.ByteBudget(1)
+        usual_bytes = settings.DEFAULT_MAX_BODY_BYTES
+        self.assertTrue(budget.try_hold(Holder.CALLERS, usual_bytes))
+
     def test_one_holder_leaves_the_share_of_the_other(self) -> None:
         budget = byte_budget.ByteBudget(SITE_MB)
         while budget.try_hold(Holder.SERVERS, 100_000):
--- a/tests/test_receive_budget.py
+++ b/tests/test_receive_budget.py
@@ -2,9 +2,11 @@
 
 import socket
 import unittest
+from unittest import mock
 
 from tornado import iostream
 
+from quincecrank import arrived_bytes
 from quincecrank.budgets import (
     byte_budget,
     connection_budget,
@@ -88,6 +90,19 @@
         self.assertEqual(self.size(streams[0][0]), self.budget.base_bytes)
         self.assertEqual(self.budget.large, self.budget.limit)
 
+    async def test_a_search_for_a_buffer_checked_all_connections(self) -> None:
+        streams = [self.connect() for _ in range(self.budget.limit)]
+        for stream, client in streams:
+            self.buffers.try_enlarge(stream)
+            client.send(b"x")
+        new, _client = self.connect()
+        with (
+            mock.patch.object(receive_buffers, "RECLAIM_CHECKS", 2),
+            mock.patch.object(arrived_bytes, "has_unread", return_value=True) as checks,
+        ):
+            self.assertFalse(self.buffers.try_enlarge(new))
+        self.assertEqual(checks.call_count, 2)
+
     async def test_unread_bytes_keep_their_buffer(self) -> None:
         streams = [self.connect() for _ in range(self.budget.limit)]
         for stream, client in streams:
