--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -7,7 +7,8 @@
 
 A stream sends one event every `EVENT_MS` milliseconds; the caller's `Token-Count`
 header gives the number of events after a comma.  Each event names the software version
-that wrote it; `event_bytes` in the query is the least size of an event.  A stream goes
+that wrote it; `event_bytes` in the query is the least size of an event, `answer_bytes`
+that of another answer.  A stream goes
 on after `Last-Event-Id` whoever began it.  For each
 stream that begins the server prints ``began WALL_MS id=ID weights=N``, and when it has
 sent all events ``completed WALL_MS id=ID``.
@@ -372,7 +373,8 @@
             await server.clock.sleep(faults.answer_ms)
         self._print_end()
         if not self._is_disconnected:
-            self.finish(f"{self.request.method} {self.request.path}")
+            size = int(self.get_query_argument("answer_bytes", "0"))
+            self.finish(f"{self.request.method} {self.request.path}".ljust(size))
 
     async def _stream(self) -> None:
         server, headers = self._server, self.request.headers
--- a/tests/listener_crowd.py
+++ b/tests/listener_crowd.py
@@ -15,6 +15,8 @@
 from collections.abc import Iterator
 from typing import Final
 
+from standins import platform_fleet
+
 HOST: Final = "desk.example"
 SEND_LIMIT_S: Final = 10.0
 """Time after which a connection whose bytes are not taken is kept as it is."""
@@ -36,12 +38,18 @@
         Announced length of a body without chunks.
     head_bytes : int
         Bytes of a head without its end, which is sent instead of a body.
+    asks : bool
+        Whether a complete request within the limits is sent; its answer is not read.
+    pause_s : float
+        Time between two clients.
     """
 
     body_bytes: int = 0
     chunk_bytes: int = 0
     declared_bytes: int = 0
     head_bytes: int = 0
+    asks: bool = False
+    pause_s: float = 0.0
 
 
 KIND_BY_NAME: Final = {
@@ -57,6 +65,7 @@
     "4 MB in chunks of 16 bytes": Kind(4_000_000, 16),
     "heads of 60 KB": Kind(head_bytes=60_000),
     "heads of 30 KB": Kind(head_bytes=30_000),
+    "answers": Kind(asks=True, pause_s=0.02),
 }
 
 
@@ -77,6 +86,11 @@
         yield _head(kind, path, number)[:-2]
         yield line * (kind.head_bytes // len(line))
         return
+    if kind.asks:
+        headers = platform_fleet.caller_headers(f"crowd-{number}")
+        lines = (f"{name}: {value}\r\n" for name, value in headers.items())
+        yield f"GET {path} HTTP/1.1\r\n{''.join(lines)}\r\n".encode()
+        return
     if not kind.body_bytes:
         return
     yield _head(kind, path, number)
@@ -96,6 +110,7 @@
     kind: Kind, number: int, ip: str, port: int, path: str
 ) -> asyncio.StreamWriter:
     """Send what one client sends; return its connection, which stays open."""
+    await asyncio.sleep(number * kind.pause_s)
     _reader, writer = await asyncio.open_connection(ip, port)
     with contextlib.suppress(OSError, TimeoutError):
         async with asyncio.timeout(SEND_LIMIT_S):
--- a/tests/process_listener_limits.py
+++ b/tests/process_listener_limits.py
@@ -27,6 +27,7 @@
 """Connections beyond the descriptors of the settings, of a crowd that is larger."""
 
 MAX_BODY_BYTES: Final = 1_000_000
+ANSWER_BYTES: Final = 2_000_000
 PATIENCE_S: Final = 8.0
 """Time that an ordinary client waits."""
 
@@ -170,6 +171,21 @@
         self.check("chunks of 1 byte", self.callers, "/record/x")
 
 
+class GatewayAnswersTest(GatewayCase):
+    """Answers that callers don't take."""
+
+    max_descriptors = 1_600
+    clients = 200
+
+    def test_unread_answers_lay_unsent(self) -> None:
+        """The system held as much of each answer as it wished."""
+        path = f"/look/x?answer_bytes={ANSWER_BYTES}"
+        self.check("answers", self.callers, path)
+        memory = self.memory_mb * 1024**2
+        total = self.watch.most_bytes_with_unsent
+        self.assertLessEqual(total, memory, str(self.watch))
+
+
 class GatewayHeadsTest(GatewayCase):
     """Heads at the port of callers, with the descriptors of a usual VM."""
 
--- a/tests/resource_watch.py
+++ b/tests/resource_watch.py
@@ -48,8 +48,11 @@
     ----------
     most_bytes : int
         Most resident and unread bytes together.
-    most_resident, most_unread : int
-        Most bytes of each.
+    most_resident, most_unread, most_unsent : int
+        Most bytes of each; unsent ones are those of answers that clients have not
+        taken.
+    most_bytes_with_unsent : int
+        Most resident, unread and unsent bytes together.
     most_descriptors : int
         Most open descriptors.
     """
@@ -62,6 +65,8 @@
         self.most_bytes = 0
         self.most_resident = 0
         self.most_unread = 0
+        self.most_unsent = 0
+        self.most_bytes_with_unsent = 0
         self.most_descriptors = 0
         self._thread.start()
 
@@ -72,11 +77,16 @@
 
     def __str__(self) -> str:
         """Return the figures in megabytes, for a failed check."""
-        sizes = (self.most_bytes, self.most_resident, self.most_unread)
-        both, resident, unread = (size / 1024**2 for size in sizes)
+        sizes = (
+            self.most_bytes,
+            self.most_resident,
+            self.most_unread,
+            self.most_unsent,
+        )
+        both, resident, unread, unsent = (size / 1024**2 for size in sizes)
         return (
             f"{both:.0f} MB: resident {resident:.0f}, unread {unread:.0f} at most; "
-            f"{self.most_descriptors} descriptors"
+            f"unsent {unsent:.0f}; {self.most_descriptors} descriptors"
         )
 
     def _run(self) -> None:
@@ -86,16 +96,23 @@
                 descriptors = len(os.listdir(self._folder / "fd"))
             except OSError:
                 return
-            resident, unread = pages * _PAGE_BYTES, self._unread_bytes()
+            resident = pages * _PAGE_BYTES
+            unread, unsent = self._queued_bytes()
             self.most_bytes = max(self.most_bytes, resident + unread)
             self.most_resident = max(self.most_resident, resident)
             self.most_unread = max(self.most_unread, unread)
+            self.most_unsent = max(self.most_unsent, unsent)
+            with_unsent = resident + unread + unsent
+            self.most_bytes_with_unsent = max(self.most_bytes_with_unsent, with_unsent)
             self.most_descriptors = max(self.most_descriptors, descriptors)
 
-    def _unread_bytes(self) -> int:
-        unread = 0
+    def _queued_bytes(self) -> tuple[int, int]:
+        """Return the unread and the unsent bytes of the listeners' connections."""
+        unread = unsent = 0
         for line in _SOCKETS.read_text().splitlines()[1:]:
             _number, local, _remote, state, queues = line.split()[:5]
             if local in self._addresses and state != _LISTENING:
-                unread += int(queues.partition(":")[2], 16)
-        return unread
+                sending, receiving = queues.split(":")
+                unread += int(receiving, 16)
+                unsent += int(sending, 16)
+        return unread, unsent
