--- a/quincecrank/budgets/bounded_server.py
+++ b/quincecrank/budgets/bounded_server.py
@@ -3,8 +3,8 @@
 Invariant
     A listener has at most as many connections as it was given, so that it takes no
     descriptor of another one.  A new connection takes the place of one on which a
-    request, or the rest of one, has been awaited for longest; a request that has
-    arrived is never cut for it.
+    request, or the rest of one, has been awaited for longest; a request that was read
+    completely is never cut for it.
 
 Load pattern: hundreds of clients open connections on which nothing follows, or send
 bodies to a listener that takes none.
@@ -218,8 +218,7 @@
 
     def _make_room(self) -> bool:
         """Close waiting connections; return whether there is a place for a new one."""
-        open_count = self.open_count
-        if open_count < self.max_connections:
+        if self.open_count < self.max_connections:
             return True
         now_ms = self._clock.now_ms()
         stream_by_waiting = {}
--- a/quincecrank/gateway/callers.py
+++ b/quincecrank/gateway/callers.py
@@ -587,7 +587,7 @@
     def _waiting_requests(
         self, now_ms: int
     ) -> "list[tuple[connection_budget.Waiting, _Receiver, iostream.IOStream]]":
-        """Return the same with the receivers of their requests."""
+        """Return the connections that wait, with the receivers of their requests."""
         found = []
         for connection, receiver in tuple(self._receiver_by_connection.items()):
             stream = connection.stream
--- a/quincecrank/http_base.py
+++ b/quincecrank/http_base.py
@@ -125,7 +125,7 @@
         headers = self.request.headers
         size = request_body.declared_length(headers.get("Content-Length", ""))
         if size <= bounded_stream.READ_BYTES and "Transfer-Encoding" not in headers:
-            # It has arrived with the head.
+            # Short enough to be read before it is refused: the connection stays usable.
             self._body.declare_length(size)
             return
         refusal = self._refusal_of_process() or self.refusal_of_head()
@@ -152,8 +152,8 @@
         if refusal is None:
             return
         waits = "100-continue" in self.request.headers.get("Expect", "").lower()
-        is_short = refusal.kind is problems.ProblemKind.TOO_LARGE
-        if is_short and not waits and not self._body.ends_connection:
+        is_too_large = refusal.kind is problems.ProblemKind.TOO_LARGE
+        if is_too_large and not waits and not self._body.ends_connection:
             connection = self.request.connection
             assert isinstance(connection, http1connection.HTTP1Connection)
             bounded_stream.discard_rest(connection)
