--- a/quincecrank/budgets/bounded_stream.py
+++ b/quincecrank/budgets/bounded_stream.py
@@ -201,6 +201,7 @@
         linger, now_ms = self._budgets.linger, self._clock.now_ms()
         if self._lingering is None:
             self._lingering = linger.begin(now_ms)
+            self.read_chunk_size = LARGE_READ_BYTES
         if self._lingering is None:
             return False
         return linger.may_drop(self._lingering, count, now_ms)
@@ -208,6 +209,7 @@
     def _end_lingering(self) -> None:
         if self._lingering is not None:
             self._lingering = None
+            self.read_chunk_size = READ_BYTES
             self._budgets.linger.end()
 
     def _find_read_pos(self) -> int | None:
--- a/quincecrank/budgets/linger_budget.py
+++ b/quincecrank/budgets/linger_budget.py
@@ -12,12 +12,16 @@
 import dataclasses
 from typing import Final
 
-MAX_BYTES: Final = 16 * 1024 * 1024
+MAX_BYTES: Final = 32 * 1024 * 1024
 """Most bytes of a rejected request that are dropped."""
 
 MAX_MS: Final = 5_000
 """Longest time for which a rejected request is read."""
 
+MAX_COUNTED_MS: Final = 200
+"""Longest time between two reads that counts towards it: while the event loop is late,
+what arrives lies unread."""
+
 MAX_CONNECTIONS: Final = 64
 """Most connections whose rejected requests are read at the same time."""
 
@@ -28,13 +32,16 @@
 
     Attributes
     ----------
-    since_ms : int
-        Time of the first byte that was dropped.
+    read_ms : int
+        Time of the last read.
+    counted_ms : int
+        Time for which the request has been read.
     dropped : int
         Number of bytes that were dropped.
     """
 
-    since_ms: int
+    read_ms: int
+    counted_ms: int = 0
     dropped: int = 0
 
 
@@ -64,8 +71,9 @@
     def may_drop(self, lingering: Lingering, count: int, now_ms: int) -> bool:
         """Count dropped bytes; return whether more of the request may be read."""
         lingering.dropped += count
-        is_within = lingering.dropped <= MAX_BYTES
-        if is_within and now_ms - lingering.since_ms <= MAX_MS:
+        lingering.counted_ms += min(now_ms - lingering.read_ms, MAX_COUNTED_MS)
+        lingering.read_ms = now_ms
+        if lingering.dropped <= MAX_BYTES and lingering.counted_ms <= MAX_MS:
             return True
         self.closes += 1
         return False
--- a/quincecrank/request_body.py
+++ b/quincecrank/request_body.py
@@ -9,9 +9,9 @@
 from typing import Final
 
 from quincecrank import problems, refusals
-from quincecrank.budgets import byte_budget, linger_budget
+from quincecrank.budgets import byte_budget
 
-MAX_DISCARDED_BYTES: Final = linger_budget.MAX_BYTES
+MAX_DISCARDED_BYTES: Final = 16 * 1024 * 1024
 """Bytes beyond a body's limit from which on it is refused without reading the rest."""
 
 MAX_LENGTH_DIGITS: Final = 18
