Escape the names in cache salts, so that no model's parts are freed as another's

Cause: make_salt joined version, model and account with ".", and parse_salt read the model up to the next ".": "1.m2.5." was version 1 of "m2", outdated once all engines had version 2.

Names are escaped now, so equal salts have equal fields. Salts of names without "." and "%" are unchanged. A salt of an earlier release with a "." in a name has four fields or more; it is unknown, and its parts are not freed.

--- a/quincecrank/gateway/cache_part_index.py
+++ b/quincecrank/gateway/cache_part_index.py
@@ -30,6 +30,11 @@
 CacheSalt = NewType("CacheSalt", str)
 
 _SEPARATOR: Final = "."
+_ESCAPED_SEPARATOR: Final = "%2E"
+_ESCAPE: Final = "%"
+_ESCAPED_ESCAPE: Final = "%25"
+_FIELD_COUNT: Final = 3
+"""Fields of a salt: version, model, isolated account."""
 
 
 class PartKey(NamedTuple):
@@ -67,18 +72,36 @@
     """Return the salt of requests that may share KV cache.
 
     It contains the weights and, for an isolated account, the account.  So a request
-    never uses KV cache of other weights or of another, isolated account.
+    never uses KV cache of other weights or of another, isolated account.  Names are
+    escaped, so that equal salts have equal fields.
     """
-    return CacheSalt(f"{version}{_SEPARATOR}{model}{_SEPARATOR}{owner or ''}")
+    fields = (str(version), _escape(model), _escape(owner or ""))
+    return CacheSalt(_SEPARATOR.join(fields))
 
 
 def parse_salt(salt: CacheSalt) -> SaltWeights | None:
-    """Return the weights in a salt; None if `make_salt` can't have made it."""
-    version, _, rest = salt.partition(_SEPARATOR)
-    model, separator, _ = rest.partition(_SEPARATOR)
-    if not separator or not version.isdigit():
+    """Return the weights in a salt; None if `make_salt` can't have made it.
+
+    Earlier releases did not escape names: the fields of such a salt are not known if a
+    name contains the separator.
+    """
+    fields = salt.split(_SEPARATOR)
+    if len(fields) != _FIELD_COUNT:
         return None
-    return SaltWeights(deployment.ModelName(model), int(version))
+    version, model, _ = fields
+    if not version.isdecimal():
+        return None
+    return SaltWeights(deployment.ModelName(_unescape(model)), int(version))
+
+
+def _escape(name: str) -> str:
+    escaped = name.replace(_ESCAPE, _ESCAPED_ESCAPE)
+    return escaped.replace(_SEPARATOR, _ESCAPED_SEPARATOR)
+
+
+def _unescape(name: str) -> str:
+    unescaped = name.replace(_ESCAPED_SEPARATOR, _SEPARATOR)
+    return unescaped.replace(_ESCAPED_ESCAPE, _ESCAPE)
 
 
 @dataclasses.dataclass(slots=True)
