Ignore late rows of a server whose removal a peer has sent meanwhile

Cause: an answer of the feed that the store gave before the removal was held back by a partition. The gateway learned of the removal from a peer, and nothing of the row was left here. When the answer arrived, its row was newer than the last full read and counted as that of a new server. The next call asked for changes after the removal, so nothing corrected it.

The follower retains the positions of rows removed since its call in flight was sent, and ignores older rows in the answer. Only one call is in flight at a time.

--- a/quincecrank/gateway/followers.py
+++ b/quincecrank/gateway/followers.py
@@ -174,7 +174,8 @@
     -----
     Invariant: a row that is missing from a full read at position P does not come back
     with an answer that was in flight meanwhile, as changes up to P are ignored
-    afterwards.
+    afterwards.  Neither does a row whose removal a peer has sent meanwhile: the
+    position of the removal is retained until the answer has been applied.
     All rows belong to one era: after the store was restored from a snapshot, changes
     no longer apply to the rows held here, and all rows are read again.
     """
@@ -212,6 +213,9 @@
         self._store_clock = clock_of_store
         self._rows_by_key: dict[str, store_rows.Row] = {}
         self._rows: store_rows.Rows | None = None
+        # Of rows removed since the call for changes in flight was sent; None without
+        # a call.
+        self._removal_by_key: dict[str, store_rows.Position] | None = None
         self._outage_since_ms: int | None = None
         self._failures = 0
         self._last_answer_ms: int | None = None
@@ -354,12 +358,16 @@
             return
         wait_ms = self._intervals.wait_ms
         sent_ms = self._clock.now_ms()
-        changed = await self._source.changes(self._table, self.position, wait_ms)
-        # Without a change, the store answers when the wait is over.
-        has_waited = not changed.rows and self._clock.now_ms() - sent_ms >= wait_ms
-        earliest_ms = sent_ms + wait_ms if has_waited else sent_ms
-        self._record_answer(changed, sent_ms, earliest_ms)
-        self._apply_changes(changed, sent_ms)
+        self._removal_by_key = {}
+        try:
+            changed = await self._source.changes(self._table, self.position, wait_ms)
+            # Without a change, the store answers when the wait is over.
+            has_waited = not changed.rows and self._clock.now_ms() - sent_ms >= wait_ms
+            earliest_ms = sent_ms + wait_ms if has_waited else sent_ms
+            self._record_answer(changed, sent_ms, earliest_ms)
+            self._apply_changes(changed, sent_ms)
+        finally:
+            self._removal_by_key = None
         self._handle_store_answer(sent_ms)
         await self._clock.sleep(self._intervals.pause_ms)
 
@@ -467,6 +475,8 @@
         for row in rows:
             if row.is_removed:
                 self._rows_by_key.pop(row.key, None)
+                if self._removal_by_key is not None:
+                    self._removal_by_key[row.key] = row.position
             else:
                 self._rows_by_key[row.key] = row
 
@@ -533,6 +543,9 @@
         current = self._rows_by_key.get(key)
         if current is not None and position <= current.position:
             return False
+        removal = (self._removal_by_key or {}).get(key)
+        if removal is not None and position <= removal:
+            return False
         return _is_newer(position, self._full_position)
 
     def _record_failure(self, reason: str) -> None:
--- a/tests/test_gateway_followers.py
+++ b/tests/test_gateway_followers.py
@@ -8,6 +8,7 @@
 from quincecrank import clock as clocks
 from quincecrank import ids, store_era, store_rows
 from quincecrank.gateway import (
+    change_delivery,
     crash_findings,
     fleet_state,
     followers,
@@ -127,6 +128,18 @@
     return peer_messages.Report(ids.VmName(vm), False, (state,), {})
 
 
+def make_removal(previous: int, version: int, key: str) -> change_delivery.AgedChange:
+    """Return the removal of a row, as a peer sends it."""
+    row = stored.make_row(key, "", version, is_removed=True)
+    change = change_delivery.Change(
+        OPERATOR,
+        stored.at(previous),
+        stored.at(version),
+        (change_delivery.encode_row(row, None),),
+    )
+    return change_delivery.AgedChange(change, 0)
+
+
 def keys_of(follower: followers.TableFollower) -> list[str]:
     """Return the keys of a follower's current rows."""
     return [row.key for row in follower.rows.rows] if follower.rows else []
@@ -215,6 +228,41 @@
         self.assertEqual(keys_of(follower), ["a", "new"])
         self.assertEqual(follower.position, stored.at(21))
 
+    async def test_a_late_answer_restored_a_row_whose_removal_a_peer_had_sent(
+        self,
+    ) -> None:
+        """Requests went to a server that had removed its entry (DRAIN).
+
+        The store gave the answer before the removal, and a partition held it back.
+        """
+        self.store.snapshot = stored.make_rows(3, stored.make_row("a", "1", 3))
+        late_answer = stored.make_rows(5, stored.make_row("a", "2", 5))
+        follower = self.make_follower()
+
+        async def changes(
+            _table: tables.TableName, _after: store_rows.Position, _wait_ms: int
+        ) -> store_rows.Rows:
+            await answer_arrives.wait()
+            answer_arrives.clear()
+            return late_answer
+
+        answer_arrives = asyncio.Event()
+        self.store.changes = changes  # type: ignore[method-assign]
+        task = asyncio.ensure_future(follower.run())
+        self.addCleanup(task.cancel)
+        await asyncio.sleep(0.01)
+        follower.apply_pushed(make_removal(3, 6, "a"))
+        self.assertEqual(keys_of(follower), [])
+        answer_arrives.set()
+        await asyncio.sleep(0.01)
+        self.assertEqual(keys_of(follower), [])
+        self.assertEqual(follower.position, stored.at(6))
+        # The server's next start has an entry under the same key.
+        late_answer = stored.make_rows(8, stored.make_row("a", "3", 8))
+        answer_arrives.set()
+        await asyncio.sleep(0.01)
+        self.assertEqual(keys_of(follower), ["a"])
+
     async def test_an_unavailable_history_and_an_outage_of_the_store(self) -> None:
         self.store.answers = [
             store_rows.HistoryUnavailableError("old"),
