Forget the positions of slots that a restored store lacks

After a restore of the store no gateway stored at which software version streams had begun, for as long as it ran. Once all gateways had been killed, each stream that its client took up again was answered 503 (LOST).

Cause: the position of the slot after the last one of the copy was retained from the era before.

The positions are replaced by those of each read of the slots.

The new test restores a store without the newest slot; it failed before.

--- a/quincecrank/gateway/stream_version_exchange.py
+++ b/quincecrank/gateway/stream_version_exchange.py
@@ -428,6 +428,8 @@
             if row.is_removed or not (number.isascii() and number.isdigit()):
                 continue
             self._position_by_slot[int(number)] = row.position
+        # Of the slots known before, a restored store may lack some.
+        self._position_by_slot.clear()
             try:
                 records = decode_records(row.text)
             except RowError as error:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,5 +1,6 @@
 """Records and listings of the software versions of streams."""
 
+import dataclasses
 import unittest
 from typing import Final
 from unittest import mock
@@ -212,15 +213,23 @@
 
 
 class SlotStore:
-    """The table of the slots."""
+    """The table of the slots.
+
+    Attributes
+    ----------
+    era : int
+        Era of its answers; a test changes it as it removes rows.
+    """
 
     def __init__(self) -> None:
         self.row_by_key: dict[str, store_rows.Row] = {}
         self.version = 0
+        self.era = store_rows.FIRST_ERA
         self.conflicts = 0
 
     async def read_all(self, _table: tables.TableName) -> store_rows.Rows:
-        return stored.make_rows(self.version, *self.row_by_key.values())
+        rows = self.row_by_key.values()
+        return stored.make_rows(self.version, *rows, era=self.era)
 
     async def write(
         self,
@@ -229,15 +238,35 @@
         text: str,
         expected: store_rows.Position,
     ) -> store_rows.WriteResult:
+        if expected.version and expected.era != self.era:
+            raise store_rows.StoreUnavailableError("condition of an earlier era")
         row = self.row_by_key.get(key)
-        position = stored.at(0) if row is None else row.position
-        if expected != position:
+        position = stored.at(0, self.era) if row is None else row.position
+        if expected.version != position.version:
             self.conflicts += 1
             return store_rows.WriteResult(False, position)
         self.version += 1
-        self.row_by_key[key] = stored.make_row(key, text, self.version)
+        self.row_by_key[key] = stored.make_row(key, text, self.version, era=self.era)
         return store_rows.WriteResult(True, self.row_by_key[key].position)
 
+    def restore(self, lost_keys: tuple[str, ...]) -> None:
+        """Come back from a copy without some rows."""
+        self.era += 1
+        for key in lost_keys:
+            del self.row_by_key[key]
+        self.row_by_key = {
+            key: dataclasses.replace(
+                row, position=stored.at(row.position.version, self.era)
+            )
+            for key, row in self.row_by_key.items()
+        }
+
+
+def make_record(number: int) -> stream_versions.Record:
+    """Return the record of a stream."""
+    key = stream_versions.stream_key(ACCOUNT, ids.RequestId(f"q-{number}"))
+    return stream_versions.Record(builders.LLM, key, V1)
+
 
 class WritersTest(unittest.IsolatedAsyncioTestCase):
     """Gateways that write the records of all."""
@@ -279,8 +308,7 @@
     async def test_two_writers_never_fill_the_same_slot(self) -> None:
         gateways = [self.make_gateway(name) for name in ("a", "b")]
         for number in range(2 * exchange.SLOT_COUNT):
-            key = stream_versions.stream_key(ACCOUNT, ids.RequestId(f"q-{number}"))
-            record = stream_versions.Record(builders.LLM, key, V1)
+            record = make_record(number)
             for versions, sharing in gateways:
                 versions.apply_records((record,), self.clock.now_ms())
                 await sharing._write_records()
@@ -288,6 +316,29 @@
         self.assertEqual(self.store.conflicts, 0)
         self.assertEqual(len(self.store.row_by_key), exchange.SLOT_COUNT)
 
+    async def test_a_gateway_wrote_no_records_after_a_restore(self) -> None:
+        """Streams could not be resumed once all gateways had ended.
+
+        The slot after the last one of the copy was lost with the restore, and its
+        position was retained.
+        """
+        versions, sharing = self.make_gateway("a")
+        for number in range(4):
+            versions.apply_records((make_record(number),), self.clock.now_ms())
+            await sharing._write_records()
+            self.clock.advance(exchange.SLOT_MS // 2)
+        self.store.restore(lost_keys=("slot:2",))
+        began_later = make_record(4)
+        versions.apply_records((began_later,), self.clock.now_ms())
+        for _ in range(5):
+            try:
+                await sharing._write_records()
+            except store_rows.StoreUnavailableError:
+                sharing._slot = None
+        later, loading = self.make_gateway("c")
+        await loading._load()
+        self.assertTrue(later.has_record(builders.LLM, began_later.key))
+
 
 class FormatTest(unittest.TestCase):
     def test_rows_and_reports_keep_records_and_listings(self) -> None:
