Store the records of streams again that a restore of the store has undone

A new era makes all records of services with several versions unstored. The writers read the slots before they write, so what the copy has isn't repeated.

--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -262,6 +262,7 @@
             lambda _era: self._fleet.currency.handle_restore(self._clock.now_ms())
         )
 
+        self._era.subscribe(self._stream_versions.handle_new_era)
     async def start(self) -> None:
         """Open the listeners and start the background tasks."""
         own_settings = self._own_settings
--- a/quincecrank/gateway/stream_version_exchange.py
+++ b/quincecrank/gateway/stream_version_exchange.py
@@ -263,6 +263,11 @@
         self._versions.has_listings = True
 
     def complete_report(self, report: peer_messages.Report) -> peer_messages.Report:
+    def handle_new_era(self, _era: int) -> None:
+        """Have all records written again, as the store was restored from a snapshot."""
+        self._slot = None
+        self._versions.handle_restore(self._clock.now_ms())
+
         """Return a report with the records that this gateway publishes."""
         records = self._versions.to_publish(self._clock.now_ms())
         if not records:
--- a/quincecrank/gateway/stream_versions.py
+++ b/quincecrank/gateway/stream_versions.py
@@ -491,6 +491,12 @@
         for record in records:
             self._unstored_since_ms_by_name.pop((record.service, record.key), None)
 
+    def handle_restore(self, now_ms: int) -> None:
+        """Record that the store may lack any record, as it was restored."""
+        for name, known in self._record_by_name.items():
+            if self._is_mixed(self._service_by_name[known.record.service]):
+                self._unstored_since_ms_by_name[name] = now_ms
+
     def expire(self, now_ms: int) -> None:
         """Drop the records of streams that can't be resumed any more."""
         for name, known in tuple(self._record_by_name.items()):
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -339,6 +339,21 @@
         await loading._load()
         self.assertTrue(later.has_record(builders.LLM, began_later.key))
 
+    async def test_records_that_a_restore_undid_were_not_written_again(self) -> None:
+        versions, sharing = self.make_gateway("a")
+        versions.apply_records((make_record(0),), self.clock.now_ms())
+        await sharing._write_records()
+        self.store.restore(lost_keys=("slot:0",))
+        sharing.handle_new_era(self.store.era)
+        await sharing._write_records()
+        self.assertEqual(await self.count_stored_records(), 1)
+
+    async def count_stored_records(self) -> int:
+        """Return how many records a gateway that starts now reads."""
+        versions, sharing = self.make_gateway("c")
+        await sharing._load()
+        return versions.record_count
+
 
 class FormatTest(unittest.TestCase):
     def test_rows_and_reports_keep_records_and_listings(self) -> None:
