Bound the records that one write adds to a slot

A row above the store's limit would have been refused for good.

A write adds 2,000 records at most, as many as make a slot full.

Evidence: the new test writes 4,001 records; one row got them all before.

--- a/quincecrank/gateway/stream_version_exchange.py
+++ b/quincecrank/gateway/stream_version_exchange.py
@@ -71,6 +71,7 @@
 
 SLOT_COUNT: Final = 64
 MAX_SLOT_RECORDS: Final = 2_000
+"""Most records that one write adds to a slot, and number at which a slot is full."""
 SLOT_MS: Final = 5_000
 """Time for which a slot is filled; all slots outlast the retention time."""
 
@@ -262,12 +263,12 @@
         self._observe_servers(self._clock.now_ms())
         self._versions.has_listings = True
 
-    def complete_report(self, report: peer_messages.Report) -> peer_messages.Report:
     def handle_new_era(self, _era: int) -> None:
         """Have all records written again, as the store was restored from a snapshot."""
         self._slot = None
         self._versions.handle_restore(self._clock.now_ms())
 
+    def complete_report(self, report: peer_messages.Report) -> peer_messages.Report:
         """Return a report with the records that this gateway publishes."""
         records = self._versions.to_publish(self._clock.now_ms())
         if not records:
@@ -427,14 +428,14 @@
         """Read the records of the store, and the positions of their slots."""
         rows = await self._store.read_all(tables.TableName.STREAMS)
         now_ms = self._clock.now_ms()
+        # Of the slots known before, a restored store may lack some.
+        self._position_by_slot.clear()
         count = 0
         for row in rows.rows:
             number = row.key.removeprefix(_SLOT_PREFIX)
             if row.is_removed or not (number.isascii() and number.isdigit()):
                 continue
             self._position_by_slot[int(number)] = row.position
-        # Of the slots known before, a restored store may lack some.
-        self._position_by_slot.clear()
             try:
                 records = decode_records(row.text)
             except RowError as error:
@@ -466,6 +467,7 @@
         if self._slot is not None and self._slot.number % WRITER_COUNT != place:
             self._slot = None
         slot = self._slot or await self._begin_slot(place)
+        records = records[:MAX_SLOT_RECORDS]
         slot.records += records
         result = await self._store.write(
             tables.TableName.STREAMS,
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -348,6 +348,18 @@
         await sharing._write_records()
         self.assertEqual(await self.count_stored_records(), 1)
 
+    async def test_a_write_after_an_outage_had_a_row_of_any_size(self) -> None:
+        versions, sharing = self.make_gateway("a")
+        count = 2 * exchange.MAX_SLOT_RECORDS + 1
+        records = tuple(make_record(number) for number in range(count))
+        versions.apply_records(records, self.clock.now_ms())
+        for _ in range(3):
+            await sharing._write_records()
+        for row in self.store.row_by_key.values():
+            stored_records = exchange.decode_records(row.text)
+            self.assertLess(len(stored_records), 2 * exchange.MAX_SLOT_RECORDS)
+        self.assertEqual(await self.count_stored_records(), count)
+
     async def count_stored_records(self) -> int:
         """Return how many records a gateway that starts now reads."""
         versions, sharing = self.make_gateway("c")
