Ignore the removal of a listing that this gateway has written since

By reading, on the path of the change before: the feed's answer may name the removal of a listing that this gateway has already written again.

Evidence: the new test failed before.

--- a/quincecrank/gateway/stream_version_exchange.py
+++ b/quincecrank/gateway/stream_version_exchange.py
@@ -221,9 +221,16 @@
                 _LOG.exception("check of stream versions failed")
 
     def apply_rows(self, rows: tuple[store_rows.Row, ...]) -> None:
-        """Apply changed rows of the members table; other rows are ignored."""
+        """Apply changed rows of the members table; other rows are ignored.
+
+        So are rows older than what this gateway has written, removed ones included.
+        """
         for row in rows:
-            if row.key.startswith(LISTING_PREFIX):
+            if not row.key.startswith(LISTING_PREFIX):
+                continue
+            service = deployment.ServiceName(row.key.removeprefix(LISTING_PREFIX))
+            known = self._position_by_service.get(service)
+            if known is None or row.position > known:
                 self._apply_row(row)
 
     def _apply_row(self, row: store_rows.Row) -> None:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -360,6 +360,20 @@
             self.assertLess(len(stored_records), 2 * exchange.MAX_SLOT_RECORDS)
         self.assertEqual(await self.count_stored_records(), count)
 
+    async def test_a_late_removal_undid_a_listing_written_since(self) -> None:
+        """Streams could begin at versions that no gateway had listed."""
+        versions, sharing = self.make_gateway("a")
+        key = exchange.LISTING_PREFIX + builders.LLM
+        versions.forget_listing(builders.LLM)
+        versions.observe_servers({builders.LLM: {V1, V2}}, self.clock.now_ms())
+        await sharing._write_listing_if_due(builders.LLM, {V1, V2})
+        listing = versions.listing_of(builders.LLM)
+        position = self.store.row_by_key[key].position
+        removed = stored.make_row(key, "", position.version - 1, is_removed=True)
+        sharing.apply_rows((removed,))
+        self.assertIsNotNone(listing)
+        self.assertEqual(versions.listing_of(builders.LLM), listing)
+
     async def count_stored_records(self) -> int:
         """Return how many records a gateway that starts now reads."""
         versions, sharing = self.make_gateway("c")
