Take an order lease that has run out by the store's clock

New weights were named and all gateways killed 5 ms and 4.4 s later.

Cause: a gateway that starts does not know since when the lease's row is unchanged. It watched the row for 3.9 s, although its holder had renewed it last some 13 s before. So no replica was ordered to load between the two kills nor for 4 s after the second, and from 6.4 s after the naming those with the weights before get no requests.

The row has the store's time of its renewal and its era. A gateway takes a lease that was renewed 3.9 s ago or longer: from the latest time at which the writer can have sent it to the earliest that it can be now. A row of another era than its text has no time, as a restore may have undone later renewals; so do rows of earlier releases.

The simulation of rollouts kills gateways and has a store clock that jumps at restores. test_no_engine_loaded_weights_between_two_kills_of_all_gateways failed without the time in the row.

--- a/quincecrank/gateway/main.py
+++ b/quincecrank/gateway/main.py
@@ -166,8 +166,13 @@
         )
         # The peers learn of a limit at once, as it binds all gateways together.
         self._fleet.notify_rate_limit = self._reporter.send
+        self._store_clock = store_clock.StoreClock()
         self._order_lease = order_lease.OrderLease(
-            self._store, own_settings.vm, own_settings.bounds.order_lease_ms, clock
+            self._store,
+            own_settings.vm,
+            own_settings.bounds.order_lease_ms,
+            clock,
+            self._store_clock,
         )
         self._stream_versions = stream_version_exchange.StreamVersionExchange(
             self._fleet,
@@ -177,7 +182,6 @@
             lambda: self._followers_by_table[tables.TableName.MEMBERS].is_behind,
             clock,
         )
-        self._store_clock = store_clock.StoreClock()
         self._target_marks = target_marks.TargetMarks(
             self._fleet, self._peers, self._store, self._store_clock, clock
         )
@@ -258,11 +262,11 @@
             lambda _era: self._fleet.registry.mark_store_restored(self._clock.now_ms())
         )
         self._era.subscribe(self._restore_progress.handle_new_era)
+        self._era.subscribe(self._stream_versions.handle_new_era)
         self._era.subscribe(
             lambda _era: self._fleet.currency.handle_restore(self._clock.now_ms())
         )
 
-        self._era.subscribe(self._stream_versions.handle_new_era)
     async def start(self) -> None:
         """Open the listeners and start the background tasks."""
         own_settings = self._own_settings
--- a/quincecrank/gateway/order_lease.py
+++ b/quincecrank/gateway/order_lease.py
@@ -11,7 +11,9 @@
 takeover
     Another gateway takes the lease only after it has seen the row unchanged for
     `VALIDITY_MS` plus the required time between the orders of two holders plus
-    `TAKEOVER_MARGIN_MS`, so that no order of the old holder falls into that time.
+    `TAKEOVER_MARGIN_MS`, so that no order of the old holder falls into that time.  The
+    row has the store's time of the renewal.  So a gateway that has just started, as
+    after the loss of all of them, need not watch a row that was last renewed long ago.
 handover
     A holder that could not renew the lease in time gives it up and says so to its
     peers.  Another gateway then takes the lease at once, but orders no engine that had
@@ -37,7 +39,13 @@
 
 from quincecrank import checked_values, ids, json_text, store_rows
 from quincecrank import clock as clocks
-from quincecrank.gateway import decision_log, lease_handover, servers, tables
+from quincecrank.gateway import (
+    decision_log,
+    lease_handover,
+    servers,
+    store_clock,
+    tables,
+)
 
 VALIDITY_MS: Final = 600
 """Time after a renewal was sent within which orders may be given."""
@@ -66,8 +74,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _SeenRow:
+    """The newest row seen.
+
+    Attributes
+    ----------
+    since_ms : int
+        Own time at which it was first seen.
+    renewal_store_ms : int or None
+        Latest store time at which its writer can have sent it; None if not known.
+    """
+
     row: lease_handover.LeaseRow
     since_ms: int
+    renewal_store_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +109,21 @@
         return None
 
 
+def decode_renewal_store_ms(text: str, era: int) -> int | None:
+    """Return the latest store time of a renewal; None if the row has none of an era.
+
+    Earlier releases write rows without one.  A restored row does not show what was
+    renewed after the snapshot, so its time is of no use in the new era.
+    """
+    try:
+        renewal = json_text.parse(text)["renewal"]
+        if checked_values.count(renewal["era"], store_rows.MAX_ERA) != era:
+            return None
+        return checked_values.count(renewal["storeMs"])
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
 class OrderLease:
     """The lease as seen by this gateway.
 
@@ -97,6 +131,9 @@
     ----------
     handover_gap_ms : int
         Required time between the orders of two holders.
+    clock_of_store : StoreClock, optional
+        Converts times between this gateway's clock and the store's.  Without it each
+        takeover waits for an unchanged row.
 
     Attributes
     ----------
@@ -112,10 +149,12 @@
         holder: ids.VmName,
         handover_gap_ms: int,
         clock: clocks.Clock,
+        clock_of_store: store_clock.StoreClock | None = None,
     ) -> None:
         self._store = store
         self._holder = holder
         self._clock = clock
+        self._store_clock = clock_of_store or store_clock.StoreClock()
         self._takeover_ms = VALIDITY_MS + handover_gap_ms + TAKEOVER_MARGIN_MS
         self._seen_row = _SeenRow(
             lease_handover.LeaseRow(_NEVER_TAKEN, None), clock.now_ms()
@@ -188,15 +227,18 @@
             self._term = None
             self._ended = []
         if position > seen.position:
-            row = lease_handover.LeaseRow(position, decode_term(text))
-            self._seen_row = _SeenRow(row, self._clock.now_ms())
+            self._see_row(position, text, self._clock.now_ms())
         elif position == seen.position and seen.term is None:
-            row = lease_handover.LeaseRow(position, decode_term(text))
-            self._seen_row = _SeenRow(row, self._seen_row.since_ms)
+            self._see_row(position, text, self._seen_row.since_ms)
         if self._held_position is not None and position > self._held_position:
             # Another gateway has taken the lease, or a restore has undone it.
             self._end_term()
 
+    def _see_row(self, position: store_rows.Position, text: str, since_ms: int) -> None:
+        row = lease_handover.LeaseRow(position, decode_term(text))
+        renewal_store_ms = decode_renewal_store_ms(text, position.era)
+        self._seen_row = _SeenRow(row, since_ms, renewal_store_ms)
+
     def handover(self) -> lease_handover.Handover | None:
         """Return what this gateway tells its peers of its ended terms.
 
@@ -258,6 +300,9 @@
         if is_free or now_ms - self._seen_row.since_ms >= self._takeover_ms:
             self._order_times.begin_term({}, now_ms)
             return await self._acquire(row.position, "unheld")
+        if self._renewal_age_ms(now_ms) >= self._takeover_ms:
+            self._order_times.begin_term({}, now_ms)
+            return await self._acquire(row.position, "expired")
         own_handover = self.handover()
         if own_handover is not None:
             self._handovers.record(own_handover, now_ms)
@@ -271,11 +316,21 @@
         self._order_times.begin_term(handed_over.order_ms_by_server, now_ms)
         return await self._acquire(handed_over.position, "handed over")
 
+    def _renewal_age_ms(self, now_ms: int) -> int:
+        """Return the shortest time that can have passed since the last renewal.
+
+        By the store's clock; 0 if the row or the clock does not tell.
+        """
+        renewal_store_ms = self._seen_row.renewal_store_ms
+        if renewal_store_ms is None:
+            return 0
+        return self._store_clock.shortest_age_ms(renewal_store_ms, now_ms) or 0
+
     async def _renew(self, held_position: store_rows.Position) -> bool:
         sent_ms = self._clock.now_ms()
         term = self._term
         try:
-            result = await self._write_row(held_position, term)
+            result = await self._write_row(held_position, term, sent_ms)
         except store_rows.OutcomeUnknownError:
             # The row may have been written, so its version is unknown now.
             if self._term == term:
@@ -288,7 +343,7 @@
         term = lease_handover.TermId(secrets.randbelow(lease_handover.MAX_TERM_ID))
         self._term = term
         try:
-            result = await self._write_row(expected, term)
+            result = await self._write_row(expected, term, sent_ms)
         except store_rows.OutcomeUnknownError:
             if self._term == term:
                 self._end_term()
@@ -303,9 +358,16 @@
         return is_valid
 
     async def _write_row(
-        self, expected: store_rows.Position, term: lease_handover.TermId | None
+        self,
+        expected: store_rows.Position,
+        term: lease_handover.TermId | None,
+        sent_ms: int,
     ) -> store_rows.WriteResult:
-        text = json.dumps({"holder": self._holder, "term": term})
+        document: dict[str, object] = {"holder": self._holder, "term": term}
+        store_ms = self._store_clock.latest_store_ms(sent_ms)
+        if store_ms is not None:
+            document["renewal"] = {"era": expected.era, "storeMs": store_ms}
+        text = json.dumps(document)
         return await self._store.write(
             tables.TableName.MEMBERS, LEASE_KEY, text, expected
         )
--- a/quincecrank/gateway/store_clock.py
+++ b/quincecrank/gateway/store_clock.py
@@ -77,6 +77,24 @@
         store_ms = own_ms + self._sample.store_now_ms - self._sample.received_ms
         return store_ms if store_ms >= 0 else None
 
+    def latest_store_ms(self, own_ms: int) -> int | None:
+        """Return the latest store time that an own time can be.
+
+        None without a sample, or if it precedes the start of the store's clock.
+        """
+        if self._sample is None:
+            return None
+        store_ms = own_ms + self._sample.store_now_ms - self._sample.sent_ms
+        return store_ms if store_ms >= 0 else None
+
+    def shortest_age_ms(self, store_ms: int, now_ms: int) -> int | None:
+        """Return the shortest time that can have passed since a store time.
+
+        None without a sample; negative if the store time may not have come yet.
+        """
+        earliest_ms = self.earliest_store_ms(now_ms)
+        return None if earliest_ms is None else earliest_ms - store_ms
+
     def longest_age_ms(self, store_ms: int, now_ms: int) -> int | None:
         """Return the longest time that can have passed since a store time.
 
--- a/tests/builders_rollout.py
+++ b/tests/builders_rollout.py
@@ -12,13 +12,14 @@
 from typing import Any
 
 from bench import virtual_time
-from quincecrank import ids, store_era, store_rows
+from quincecrank import ids, store_era, store_rows, tasks
 from quincecrank.gateway import (
     fleet_state,
     order_lease,
     peer_messages,
     peers,
     servers,
+    store_clock,
     tables,
     weight_rollout,
 )
@@ -32,6 +33,8 @@
 REPORT_MS = 150
 DATAGRAM_MS = 5
 LOADING_MS = 1_200
+ERA_CLOCK_MS = 1_000_000
+"""Time by which the store's clock is ahead in each era of that in the era before."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,6 +86,11 @@
         self._changed()
         return store_rows.WriteResult(True, self.position)
 
+    def now_ms(self) -> int:
+        """Return the time on the store's clock."""
+        era_clock_ms = (1 + self.position.era) * ERA_CLOCK_MS
+        return virtual_time.LoopClock().now_ms() + era_clock_ms
+
     def restore(self, steps: int) -> None:
         """Undo the last writes of the row."""
         self.history = self.history[: max(1, len(self.history) - steps)]
@@ -224,13 +232,20 @@
         self.state = fleet_state.FleetState(settings, self.clock)
         self.directory = peers.PeerDirectory(settings, self.clock, self.store.era)
         table: Any = self.store
+        self.store_clock = store_clock.StoreClock()
         self.lease = order_lease.OrderLease(
-            table, settings.vm, settings.bounds.order_lease_ms, self.clock
+            table,
+            settings.vm,
+            settings.bounds.order_lease_ms,
+            self.clock,
+            self.store_clock,
         )
         self.store.era.subscribe(self.lease.handle_new_era)
+        self.store.era.subscribe(self.store_clock.handle_new_era)
         self.calls = Calls(name, fleet.engines, self.clock)
         calls: Any = self.calls
         self._fleet = fleet
+        self._tasks = tasks.BackgroundTasks()
         self.is_cut_off_from_peers = False
         self.rollout = weight_rollout.WeightRollout(
             self.state, calls, self.lease, self.directory, self.report, self.clock
@@ -275,11 +290,28 @@
     async def observe_row(self) -> None:
         """Observe the row of the lease some time after its change."""
         row = self._fleet.store.position, self._fleet.store.text
+        store_now_ms, sent_ms = self._fleet.store.now_ms(), self.clock.now_ms()
         await self.clock.sleep(PUSH_MS)
         self.store.era.observe(row[0].era)
         if row[0].era == self.store.era.current:
+            received_ms = self.clock.now_ms()
+            self.store_clock.observe(
+                store_clock.Sample(store_now_ms, sent_ms, received_ms)
+            )
             self.lease.observe(*row)
 
+    def start(self) -> None:
+        """Start the background tasks."""
+        self._tasks.start(self.run_reports())
+        self._tasks.start(self.rollout.run())
+
+    def kill(self) -> None:
+        """End the process; what it has sent arrives."""
+        self._tasks.cancel()
+        self.rollout._background.cancel()
+        self.cut_off_from_store(is_cut_off=True)
+        self.is_cut_off_from_peers = True
+
 
 class RolloutFleet:
     """Gateways, engines and a store.
@@ -294,6 +326,8 @@
         self.datagram_delay_ms: Callable[[], int | None] = lambda: DATAGRAM_MS
         self.tasks: set[asyncio.Future[None]] = set()
         self.gateways: list[SimulatedGateway] = []
+        self._set_ms_by_target: dict[int, int] = {}
+        self._killed: list[SimulatedGateway] = []
         self.store = Store(self._row_changed)
         self.engines = Engines(self._loaded)
         for number in range(gateway_count):
@@ -315,15 +349,35 @@
     def start(self) -> None:
         """Start the background tasks of all gateways."""
         for gateway in self.gateways:
-            self.background(gateway.run_reports())
-            self.background(gateway.rollout.run())
+            gateway.start()
+
+    def restart(self, gateway: SimulatedGateway) -> None:
+        """Kill a gateway and start it again at once."""
+        gateway.kill()
+        self._killed.append(gateway)
+        number = self.gateways.index(gateway)
+        started = self.gateways[number] = SimulatedGateway(
+            gateway.name, number + 1, self
+        )
+        for name, version in self.engines.version_by_server.items():
+            started.state.registry.update(self._entry(name, version))
+        for version, set_ms in self._set_ms_by_target.items():
+            started.state.target_versions.record_target(builders.MODEL, version, set_ms)
+        self.announce_row(started)
+        started.start()
 
     def set_target(self, version: int) -> None:
         """Set a target version at all gateways."""
         now_ms = virtual_time.LoopClock().now_ms()
+        self._set_ms_by_target[version] = now_ms
         for gateway in self.gateways:
             gateway.state.target_versions.record_target(builders.MODEL, version, now_ms)
 
+    def count_takeovers(self, origin: str) -> int:
+        """Return how often gateways, killed ones included, took the lease."""
+        gateways = (*self.gateways, *self._killed)
+        return sum(each.lease.takeovers[origin] for each in gateways)
+
     def holder(self) -> SimulatedGateway | None:
         """Return the gateway that may give orders."""
         return next((each for each in self.gateways if each.lease.is_valid), None)
--- a/tests/test_lease_handover.py
+++ b/tests/test_lease_handover.py
@@ -164,7 +164,15 @@
 
 
 class FaultsTest(unittest.TestCase):
-    """Random faults of the store, the reports and the gateways."""
+    """Random faults of the store, the reports and the gateways.
+
+    Attributes
+    ----------
+    origin : str
+        How the lease is to be taken more than once in a run.
+    """
+
+    origin = "handed over"
 
     async def replay(self, seed: int) -> rollouts.RolloutFleet:
         generator = random.Random(seed)
@@ -203,16 +211,51 @@
             fleet.store.restore(generator.randint(0, 4))
 
     def test_two_holders_ordered_one_engine_within_the_required_time(self) -> None:
-        handed_over = 0
+        takeovers = 0
         for seed in range(SEEDS):
             with self.subTest(seed=seed):
                 fleet = run(self.replay(seed))
                 problems = rollouts.orders_too_close(fleet.engines.orders, REQUIRED_MS)
                 self.assertFalse(problems[:3])
-            handed_over += sum(
-                each.lease.takeovers["handed over"] for each in fleet.gateways
-            )
-        self.assertGreater(handed_over, SEEDS)
+            takeovers += fleet.count_takeovers(self.origin)
+        self.assertGreater(takeovers, SEEDS)
+
+
+class KilledGatewaysTest(FaultsTest):
+    """The same faults; gateways are killed besides, one or all of them at once."""
+
+    origin = "expired"
+
+    @staticmethod
+    def change_faults(fleet: rollouts.RolloutFleet, generator: random.Random) -> None:
+        FaultsTest.change_faults(fleet, generator)
+        share = generator.choice((0.0, 0.0, 0.2, 1.0))
+        for gateway in tuple(fleet.gateways):
+            if generator.random() < share:
+                fleet.restart(gateway)
+
+    async def roll_out_after_kill(self) -> rollouts.RolloutFleet:
+        """Kill all gateways as new weights are named; return 4.4 s later."""
+        fleet = rollouts.RolloutFleet(3, 5)
+        fleet.start()
+        await asyncio.sleep(1)
+        fleet.set_target(2)
+        await asyncio.sleep(14)
+        fleet.set_target(3)
+        await asyncio.sleep(0.005)
+        for gateway in tuple(fleet.gateways):
+            fleet.restart(gateway)
+        await asyncio.sleep(4.4)
+        return fleet
+
+    def test_no_engine_loaded_weights_between_two_kills_of_all_gateways(self) -> None:
+        """Each start waited for an unchanged row of the lease (LOST, review/9).
+
+        Replicas with the weights before got no requests meanwhile.
+        """
+        fleet = run(self.roll_out_after_kill())
+        self.assertEqual(set(fleet.engines.version_by_server.values()), {3})
+        self.assertFalse(rollouts.orders_too_close(fleet.engines.orders, REQUIRED_MS))
 
 
 class GiveUpTest(unittest.TestCase):
