Count the time for which the machine is suspended

The clock is CLOCK_BOOTTIME where the system has it. A suspended machine is seen like a stopped process, which the gateways handle: their loop ran late, their rows and reports have aged.

Evidence: the new test, with a clock of the system that stands still, failed before.

--- a/quincecrank/clock.py
+++ b/quincecrank/clock.py
@@ -2,9 +2,10 @@
 
 Modules take a `Clock` instead of calling the time functions of the standard library,
 so that tests can control time.  Times and durations are integer milliseconds.
-`Clock.now_ms` is monotonic and only meaningful within the process; `Clock.wall_ms` is
-the time since the epoch and comparable between processes only as far as their clocks
-agree.
+`Clock.now_ms` is monotonic and only meaningful within the process.  It counts the time
+for which the machine is suspended: other machines go on meanwhile, and leases run out.
+`Clock.wall_ms` is the time since the epoch and comparable between processes only as far
+as their clocks agree.
 """
 
 import asyncio
@@ -13,6 +14,9 @@
 
 MS_PER_SECOND: Final = 1000
 
+_MONOTONIC_CLOCK: Final = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+"""`CLOCK_MONOTONIC` of Linux stands still while the machine is suspended."""
+
 
 class Clock(Protocol):
     """Source of the current time and of delays."""
@@ -32,7 +36,7 @@
 
     def now_ms(self) -> int:
         """Return the monotonic time in milliseconds."""
-        return time.monotonic_ns() // 1_000_000
+        return time.clock_gettime_ns(_MONOTONIC_CLOCK) // 1_000_000
 
     def wall_ms(self) -> int:
         """Return the milliseconds since the epoch."""
--- a/tests/test_gateway_followers.py
+++ b/tests/test_gateway_followers.py
@@ -3,7 +3,9 @@
 import asyncio
 import dataclasses
 import json
+import time
 import unittest
+from unittest import mock
 
 from quincecrank import clock as clocks
 from quincecrank import ids, store_era, store_rows
@@ -409,6 +411,22 @@
             self.clock.advance(500)
             self.assertFalse(await other.acquire_or_renew())
 
+    async def test_a_holder_ordered_after_its_machine_had_been_suspended(self) -> None:
+        """Its clock stood still, and another gateway had taken the lease."""
+        ms_by_clock = {time.CLOCK_MONOTONIC: 10_000, time.CLOCK_BOOTTIME: 10_000}
+        with (
+            mock.patch.object(
+                time, "clock_gettime_ns", lambda each: ms_by_clock[each] * 1_000_000
+            ),
+            mock.patch.object(time, "monotonic_ns", lambda: 10_000 * 1_000_000),
+        ):
+            lease = order_lease.OrderLease(
+                self.store, ids.VmName("entry-1"), 3_000, clocks.SystemClock()
+            )
+            self.assertTrue(await lease.acquire_or_renew())
+            ms_by_clock[time.CLOCK_BOOTTIME] += 5_000
+            self.assertFalse(lease.is_valid)
+
     async def test_a_renewal_of_unknown_outcome_releases_the_lease(self) -> None:
         lease = self.make_lease()
         ordered = servers.ServerId("i-1")
