--- a/tests/run_mutations.py
+++ b/tests/run_mutations.py
@@ -151,6 +151,11 @@
         "notice-signals-late",
         f"{_SHUTDOWNS}.test_gateways_did_not_end_within_the_grace_time",
     ),
+    (
+        "trust-lease-times-of-any-era",
+        "tests.test_lease_handover.KilledGatewaysTest"
+        ".test_two_holders_ordered_one_engine_within_the_required_time",
+    ),
     (
         "order-engines-handed-over",
         "tests.test_lease_handover.FaultsTest"
--- a/tests/wrapped_program.py
+++ b/tests/wrapped_program.py
@@ -646,6 +646,16 @@
     _replace(order_lease.OrderLease, "blocked_ms", lambda _lease, _server_id: 0)
 
 
+def trust_lease_times_of_any_era() -> None:
+    """Make gateways use the time in a restored row of the order lease."""
+
+    def decode(text: str, _era: int) -> int | None:
+        renewal = json.loads(text or "{}").get("renewal")
+        return None if renewal is None else int(renewal["storeMs"])
+
+    _replace(order_lease, "decode_renewal_store_ms", decode)
+
+
 def ignore_stored_times() -> None:
     """Make gateways ignore the service times in the store."""
     _replace(
@@ -712,6 +722,7 @@
     "accept-malformed-configurations": accept_malformed_configurations,
     "reject-added-routes": reject_added_routes,
     "order-engines-handed-over": order_engines_handed_over,
+    "trust-lease-times-of-any-era": trust_lease_times_of_any_era,
     "ignore-stored-times": ignore_stored_times,
     "choose-lowest-estimates": choose_lowest_estimates,
 }
