--- a/quincecrank/gateway/order_lease.py
+++ b/quincecrank/gateway/order_lease.py
@@ -319,7 +319,7 @@
     def _renewal_age_ms(self, now_ms: int) -> int:
         """Return the shortest time that can have passed since the last renewal.
 
-        By the store's clock; 0 if the row or the clock does not tell.
+        By the store's clock; 0 if it is not known.
         """
         renewal_store_ms = self._seen_row.renewal_store_ms
         if renewal_store_ms is None:
